--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# The commands of the README. Each installs and builds what it needs.
+.PHONY: all demo test sanitize lint format bench bench-slopes model \
+        model-mutants clean
+
+all:
+	@tools/install
+	@cmake -S . -B build -G Ninja >/dev/null
+	@ninja -C build
+
+demo: all
+	@tools/demo
+
+test: all
+	@build/gw-tests --gtest_brief=1
+	@tools/demo >/dev/null && echo "demo: passed"
+
+sanitize:
+	@tools/install
+	@cmake -S . -B build-sanitize -G Ninja -DGW_SANITIZE=ON \
+	    -DCMAKE_BUILD_TYPE=Debug >/dev/null
+	@ninja -C build-sanitize gw-tests
+	@tools/sanitized build-sanitize/gw-tests --gtest_brief=1
+
+lint: all
+	@tools/lint
+
+format:
+	@tools/sources | xargs clang-format -i
+
+bench: all
+	@build/gw-bench all
+
+bench-slopes: all
+	@build/gw-bench slopes
+
+model:
+	@tools/install
+	@tools/model
+
+model-mutants:
+	@tools/install
+	@tools/model mutants
+
+clean:
+	@rm -rf build build-sanitize
--- /dev/null
+++ b/packages/agent/src/agent.c
@@ -0,0 +1,376 @@
+#define GW_LOG_PART "agent"
+#include "galenagw/agent/agent.h"
+
+#include <inttypes.h>
+#include <unistd.h>
+#include <string.h>
+
+#include "agent_private.h"
+#include "claims.h"
+#include "galenagw/base/log.h"
+#include "home.h"
+#include "job.h"
+#include "orders.h"
+
+#define TICK_PERIOD (10 * GW_MILLISECOND)
+#define RESERVE_TIME (50 * GW_MILLISECOND)
+#define REPORT_PERIOD (200 * GW_MILLISECOND)
+#define DEFAULT_PROGRESS_TIMEOUT (10 * GW_SECOND)
+#define DEFAULT_DETACH_TIME (10 * GW_SECOND)
+#define DEFAULT_SILENT_AFTER (1500 * GW_MILLISECOND)
+#define FIRST_SLOTS 1
+#define MAX_HEAT_KEYS 4096
+/* The wire must have taken the last frames before the process ends. */
+#define LINGER_TIME (100 * GW_MILLISECOND)
+/* Missed load reports before the engine counts as down. */
+#define DOWN_AFTER 2
+
+static void set_defaults_(GwAgentOptions *options);
+static void make_log_parts_(GwAgent *agent);
+static void make_endpoint_(GwAgent *agent);
+static void on_tick_(void *user);
+static void on_lingered_(void *user);
+static void on_config_(void *user);
+static void apply_limits_(GwAgent *agent);
+static void on_report_(void *user, const GwEndpointReport *report);
+static void on_cache_event_(void *user, uint64_t seq, GwCacheEventKind kind,
+                            const uint64_t *hashes, size_t count);
+static void on_down_(void *user);
+static void update_orders_(GwAgent *agent);
+static bool hold_(void *user);
+static void release_(void *user);
+static void order_(void *user, const char *weights, uint64_t fence);
+static void on_ordered_(void *user, GwOrderEnd end);
+static const GwModel *model_(const GwAgent *agent);
+
+static const GwEndpointWatchOps watch_ops = {on_report_, on_cache_event_,
+                                             on_down_};
+static const OrdersOps orders_ops = {hold_, release_, order_};
+
+GwAgent *
+GwAgent_New(GwLoop *loop, const GwAgentOptions *options, GwError *err)
+{
+    GwAgent *agent = g_new0(GwAgent, 1);
+    GwAdmissionOptions admission = {FIRST_SLOTS, 0.25, 256, RESERVE_TIME};
+
+    agent->loop = loop;
+    agent->options = *options;
+    set_defaults_(&agent->options);
+    agent->rand = options->seed != 0 ? g_rand_new_with_seed(options->seed)
+                                     : g_rand_new();
+    // Two lives of one instance must differ even under a fixed seed.
+    agent->incarnation = (uint64_t)g_get_real_time() << 8 | (getpid() & 0xff);
+    agent->slots = FIRST_SLOTS;
+    agent->admission = GwAdmission_New(&admission);
+    agent->view = GwCacheView_New(0);
+    agent->heat = GwHeat_New(GW_HEAT_HALF_LIFE, MAX_HEAT_KEYS);
+    GwPrefillCost_Init(&agent->cost);
+    agent->jobs = g_hash_table_new(g_int64_hash, g_int64_equal);
+    agent->fences =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    agent->key_states = g_hash_table_new_full(Claims_HashKey, Claims_EqualKey,
+                                              NULL, Jobs_DeleteKeyState);
+    agent->reservations =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    g_queue_init(&agent->kept);
+    make_log_parts_(agent);
+    make_endpoint_(agent);
+    agent->home = Home_New(agent);
+    GwTimer_Init(&agent->tick, loop, on_tick_, agent);
+    GwTimer_Start(&agent->tick, TICK_PERIOD);
+    GwTimer_Init(&agent->linger, loop, on_lingered_, agent);
+    if (Sessions_Start(agent, err) && Admin_Start(agent, err))
+        return agent;
+    GwAgent_Delete(agent);
+    return NULL;
+}
+
+void
+GwAgent_Delete(GwAgent *agent)
+{
+    if (agent == NULL)
+        return;
+    GwTimer_Stop(&agent->tick);
+    GwTimer_Stop(&agent->linger);
+    Jobs_Clear(agent);
+    Sessions_Stop(agent);
+    Home_Delete(agent->home);
+    Orders_Delete(agent->orders);
+    Claims_Delete(agent->claims);
+    agent->endpoint.ops->delete_(agent->endpoint.impl);
+    GwConfigFeed_Delete(agent->feed);
+    GwHttpLog_Delete(agent->http_log);
+    GwHttpServer_Delete(agent->admin);
+    g_hash_table_unref(agent->reservations);
+    g_hash_table_unref(agent->key_states);
+    g_hash_table_unref(agent->fences);
+    g_hash_table_unref(agent->jobs);
+    g_queue_clear(&agent->kept);
+    GwHeat_Delete(agent->heat);
+    GwCacheView_Delete(agent->view);
+    GwAdmission_Delete(agent->admission);
+    g_rand_free(agent->rand);
+    g_free(agent->weights);
+    g_free(agent);
+}
+
+void
+GwAgent_Drain(GwAgent *agent)
+{
+    if (agent->draining)
+        return;
+    GW_INFO("draining: %d requests to finish", Jobs_Unfinished(agent));
+    agent->draining = true;
+    Sessions_TellLeaving(agent);
+    Agent_CheckDrained(agent);
+}
+
+int
+GwAgent_Port(const GwAgent *agent)
+{
+    return GwSessionServer_Port(agent->server);
+}
+
+int
+GwAgent_AdminPort(const GwAgent *agent)
+{
+    return GwHttpServer_Port(agent->admin);
+}
+
+const GwCounters *
+GwAgent_Counters(const GwAgent *agent)
+{
+    return &agent->counters;
+}
+
+void
+Agent_CheckDrained(GwAgent *agent)
+{
+    if (!agent->draining || agent->drained || Jobs_Unfinished(agent) > 0)
+        return;
+    agent->drained = true;
+    GwTimer_Start(&agent->linger, LINGER_TIME);
+}
+
+static void
+on_lingered_(void *user)
+{
+    GwAgent *agent = user;
+
+    GW_INFO("drained");
+    if (agent->options.on_drained != NULL)
+        agent->options.on_drained(agent->options.user);
+}
+
+static void
+set_defaults_(GwAgentOptions *o)
+{
+    if (o->progress_timeout == 0)
+        o->progress_timeout = DEFAULT_PROGRESS_TIMEOUT;
+    if (o->detach_time == 0)
+        o->detach_time = DEFAULT_DETACH_TIME;
+    if (o->silent_after == 0)
+        o->silent_after = DEFAULT_SILENT_AFTER;
+}
+
+static void
+make_log_parts_(GwAgent *agent)
+{
+    const GwAgentOptions *o = &agent->options;
+    g_autofree char *claims_stream = g_strdup_printf("claims.%s", o->pool);
+    g_autofree char *orders_stream = g_strdup_printf("orders.%s", o->site);
+    GwConfigFeedOptions feed = {
+        .site = o->site,
+        .rand = agent->rand,
+        .counters = &agent->counters,
+        .snapshot_every = o->snapshot_every,
+        .on_change = on_config_,
+        .user = agent,
+    };
+    ClaimsOptions claims = {
+        .stream = claims_stream,
+        .holder = o->name,
+        .incarnation = agent->incarnation,
+        .rand = agent->rand,
+        .counters = &agent->counters,
+    };
+    OrdersOptions orders = {
+        .stream = orders_stream,
+        .holder = o->name,
+        .engine = o->name,
+        .incarnation = agent->incarnation,
+        .rand = agent->rand,
+    };
+
+    agent->http_log = GwHttpLog_New(agent->loop, &o->log, &agent->counters);
+    agent->log = GwHttpLog_Interface(agent->http_log);
+    agent->feed = GwConfigFeed_New(agent->loop, agent->log, &feed);
+    // Only plain services take calls that may not be repeated, and only
+    // engines take orders: no agent follows a stream that it does not need.
+    if (o->plain_service)
+        agent->claims = Claims_New(agent->loop, agent->log, &claims);
+    else
+        agent->orders =
+            Orders_New(agent->loop, agent->log, &orders, &orders_ops, agent);
+}
+
+static void
+make_endpoint_(GwAgent *agent)
+{
+    GwEndpointOptions options = {
+        .address = agent->options.endpoint,
+        .report_period = REPORT_PERIOD,
+        .progress_timeout = agent->options.progress_timeout,
+    };
+
+    agent->endpoint = agent->options.plain_service
+                          ? GwPlainService_New(agent->loop, &options)
+                          : GwEngine_New(agent->loop, &options);
+    agent->endpoint.ops->watch(agent->endpoint.impl, &watch_ops, agent);
+}
+
+static void
+on_tick_(void *user)
+{
+    GwAgent *agent = user;
+    GwTime now = GwTime_Now();
+
+    Offers_Expire(agent, now);
+    GwTimer_Start(&agent->tick, TICK_PERIOD);
+    Jobs_Tick(agent, now);
+}
+
+static void
+on_config_(void *user)
+{
+    GwAgent *agent = user;
+
+    apply_limits_(agent);
+    update_orders_(agent);
+}
+
+static void
+apply_limits_(GwAgent *agent)
+{
+    const GwConfig *config = GwConfigFeed_Config(agent->feed);
+    GwAdmissionOptions options;
+
+    if (config == NULL)
+        return;
+    options.slots = agent->slots;
+    options.paying_reserve = config->tuning.paying_reserve;
+    options.queue_max = config->tuning.queue_max;
+    options.reserve_time = RESERVE_TIME;
+    GwAdmission_SetOptions(agent->admission, &options);
+    if (agent->orders != NULL)
+        Orders_SetLimits(agent->orders, config->tuning.weight_loads,
+                         config->tuning.order_lease_ms * GW_MILLISECOND);
+}
+
+static void
+on_report_(void *user, const GwEndpointReport *report)
+{
+    GwAgent *agent = user;
+
+    if (!agent->endpoint_up)
+        GW_INFO("the endpoint answers, %d slots", report->slots);
+    agent->endpoint_up = true;
+    agent->missed_reports = 0;
+    agent->endpoint_loading = report->loading;
+    if (GwCacheView_Bind(agent->view, report->incarnation))
+        GwCounters_Add(&agent->counters, GW_COUNTER_CACHE_RESETS, 1);
+    if (report->cache_chunks != GwCacheView_Capacity(agent->view))
+        GwCacheView_SetCapacity(agent->view, report->cache_chunks);
+    if (g_strcmp0(agent->weights, report->weights) != 0) {
+        g_free(agent->weights);
+        agent->weights = g_strdup(report->weights);
+    }
+    if (report->slots != agent->slots) {
+        agent->slots = report->slots;
+        apply_limits_(agent);
+    }
+    update_orders_(agent);
+    Jobs_Pump(agent);
+}
+
+static void
+on_cache_event_(void *user, uint64_t seq, GwCacheEventKind kind,
+                const uint64_t *hashes, size_t count)
+{
+    GwAgent *agent = user;
+
+    GwCounters_Add(&agent->counters, GW_COUNTER_CACHE_EVENTS, 1);
+    if (!GwCacheView_Event(agent->view, seq, kind, hashes, count))
+        GwCounters_Add(&agent->counters, GW_COUNTER_CACHE_GAPS, 1);
+}
+
+static void
+on_down_(void *user)
+{
+    GwAgent *agent = user;
+
+    // One lost report is no crash: the report itself may have been late.
+    if (++agent->missed_reports < DOWN_AFTER || !agent->endpoint_up)
+        return;
+    GW_WARN("the endpoint does not answer; taking no new work");
+    agent->endpoint_up = false;
+}
+
+static void
+update_orders_(GwAgent *agent)
+{
+    const GwModel *m = model_(agent);
+
+    if (agent->orders != NULL && m != NULL)
+        Orders_Update(agent->orders, m->weights, agent->weights,
+                      agent->endpoint_loading);
+}
+
+static bool
+hold_(void *user)
+{
+    GwAgent *agent = user;
+
+    // New weights empty the engine: what runs there is finished first.
+    agent->held = true;
+    return GwAdmission_Present(agent->admission) == 0;
+}
+
+static void
+release_(void *user)
+{
+    GwAgent *agent = user;
+
+    agent->held = false;
+    Jobs_Pump(agent);
+}
+
+static void
+order_(void *user, const char *weights, uint64_t fence)
+{
+    GwAgent *agent = user;
+
+    GwCounters_Add(&agent->counters, GW_COUNTER_ORDERS, 1);
+    agent->endpoint.ops->load_weights(agent->endpoint.impl, weights, fence,
+                                      on_ordered_, agent);
+}
+
+static void
+on_ordered_(void *user, GwOrderEnd end)
+{
+    GwAgent *agent = user;
+
+    if (end == GW_ORDER_FENCED)
+        GwCounters_Add(&agent->counters, GW_COUNTER_ORDERS_FENCED, 1);
+    Orders_Answered(agent->orders, end == GW_ORDER_FENCED);
+}
+
+static const GwModel *
+model_(const GwAgent *agent)
+{
+    const GwConfig *config = GwConfigFeed_Config(agent->feed);
+
+    return config != NULL
+               ? g_hash_table_lookup(config->models, agent->options.pool)
+               : NULL;
+}
--- /dev/null
+++ b/packages/agent/src/agent_private.h
@@ -0,0 +1,95 @@
+/* What the agent's modules share; private to this package. */
+#ifndef GALENAGW_AGENT_PRIVATE_H
+#define GALENAGW_AGENT_PRIVATE_H
+
+#include "galenagw/agent/agent.h"
+#include "galenagw/endpoint/endpoint.h"
+#include "galenagw/net/http_server.h"
+#include "galenagw/platform/config_feed.h"
+#include "galenagw/policy/admission.h"
+#include "galenagw/policy/cache_view.h"
+#include "galenagw/policy/choice.h"
+#include "galenagw/policy/heat.h"
+#include "galenagw/wire/session.h"
+
+/* Half-life of the work counted for a prefix. */
+#define GW_HEAT_HALF_LIFE GW_SECOND
+
+typedef struct Job Job;
+typedef struct Claims Claims;
+typedef struct Orders Orders;
+typedef struct Home Home;
+
+struct GwAgent {
+    GwLoop *loop;
+    GwAgentOptions options;
+    GRand *rand;
+    GwCounters counters;
+    uint64_t incarnation;
+
+    GwHttpLog *http_log;
+    GwLog log;
+    GwConfigFeed *feed;
+    GwSessionServer *server;
+    GHashTable *sessions; /* GwSession, as a set */
+    GwHttpServer *admin;
+
+    GwEndpoint endpoint;
+    bool endpoint_up;
+    bool endpoint_loading;
+    bool held; /* an order waits: nothing is started */
+    int missed_reports;
+    int slots;
+    char *weights; /* as the engine last reported */
+
+    GwAdmission *admission;
+    GwCacheView *view;
+    GwPrefillCost cost;
+    GwHeat *heat;
+    GwTime last_prefill_end;
+
+    GHashTable *jobs;       /* &job->id to Job */
+    GHashTable *fences;     /* ids that must not start any more */
+    GHashTable *key_states; /* ClaimKey to what ran here for it */
+    GQueue kept;            /* KeyState with a kept answer, oldest first */
+    size_t kept_bytes;
+    GHashTable *reservations; /* probe id to Reservation */
+
+    Claims *claims;
+    Orders *orders;
+    Home *home;
+
+    GwTimer tick;
+    GwTimer linger; /* between the last answer and the end */
+    GwTime next_sweep;
+    bool draining;
+    bool drained;
+};
+
+/* agent.c */
+void Agent_CheckDrained(GwAgent *agent);
+
+/* sessions.c */
+bool Sessions_Start(GwAgent *agent, GwError *err);
+void Sessions_Stop(GwAgent *agent);
+void Sessions_TellLeaving(GwAgent *agent);
+
+/* offers.c */
+void Offers_Probe(GwAgent *agent, GwSession *session,
+                  const Gw__Wire__Probe *probe);
+/* Give back the reservation of `probe_id`, if it is still held. */
+void Offers_TakeUp(GwAgent *agent, uint64_t probe_id);
+void Offers_Expire(GwAgent *agent, GwTime now);
+/* Chunks of the chain that the engine holds, for its loaded weights. */
+size_t Offers_Resident(const GwAgent *agent, const char *weights,
+                       const uint64_t *chain, size_t n);
+/* Whether a trial with this prompt would pass its share of the cache. */
+bool Offers_TrialCacheFull(const GwAgent *agent, size_t missing);
+GwTime Offers_Prefill(const GwAgent *agent, const uint32_t *bytes,
+                      size_t resident, size_t n);
+
+/* admin.c */
+bool Admin_Start(GwAgent *agent, GwError *err);
+char *Admin_Status(GwAgent *agent);
+
+#endif
--- /dev/null
+++ b/packages/agent/src/sessions.c
@@ -0,0 +1,191 @@
+#define GW_LOG_PART "agent"
+#include <inttypes.h>
+
+#include "agent_private.h"
+#include "galenagw/base/log.h"
+#include "home.h"
+#include "job.h"
+
+static void fill_hello_(void *user, Gw__Wire__Hello *hello);
+static uint64_t revision_(void *user);
+static void on_ready_(void *user, GwSession *session,
+                      const Gw__Wire__Hello *hello);
+static void on_frame_(void *user, GwSession *session, const GwFrame *frame);
+static void on_revision_(void *user, GwSession *session, uint64_t revision);
+static void on_closed_(void *user, GwSession *session, bool silent);
+static void send_config_(GwAgent *agent, GwSession *session);
+static void send_status_(GwAgent *agent, GwSession *session);
+
+static const GwSessionOps session_ops = {on_ready_, on_frame_, on_revision_,
+                                         on_closed_};
+
+bool
+Sessions_Start(GwAgent *agent, GwError *err)
+{
+    GwSessionOptions options = {
+        .fill_hello = fill_hello_,
+        .revision = revision_,
+        .ops = &session_ops,
+        .user = agent,
+        .counters = &agent->counters,
+        .ping_after = agent->options.silent_after / 3,
+        // The entry is the one that acts on silence; an agent only frees
+        // what a vanished entry has left.
+        .silent_after = 3 * agent->options.silent_after,
+    };
+
+    agent->sessions = g_hash_table_new(NULL, NULL);
+    agent->server = GwSessionServer_New(agent->loop, &agent->options.listen,
+                                        &options, err);
+    return agent->server != NULL;
+}
+
+void
+Sessions_Stop(GwAgent *agent)
+{
+    GHashTableIter it;
+    gpointer session;
+
+    g_hash_table_iter_init(&it, agent->sessions);
+    while (g_hash_table_iter_next(&it, &session, NULL)) {
+        g_hash_table_iter_remove(&it);
+        GwSession_Close(session);
+    }
+    g_hash_table_unref(agent->sessions);
+    GwSessionServer_Delete(agent->server);
+}
+
+void
+Sessions_TellLeaving(GwAgent *agent)
+{
+    GHashTableIter it;
+    gpointer session;
+    GW_FRAME(frame, leaving, LEAVING, Leaving, leaving);
+
+    leaving.reason = "draining";
+    g_hash_table_iter_init(&it, agent->sessions);
+    while (g_hash_table_iter_next(&it, &session, NULL))
+        GwSession_Send(session, &frame);
+}
+
+static void
+fill_hello_(void *user, Gw__Wire__Hello *hello)
+{
+    GwAgent *agent = user;
+
+    hello->role = GW__WIRE__ROLE__ROLE_AGENT;
+    hello->instance = (char *)agent->options.name;
+    hello->failure_domain = (char *)agent->options.failure_domain;
+    hello->pool = (char *)agent->options.pool;
+    hello->incarnation = agent->incarnation;
+    hello->leaving = agent->draining;
+}
+
+static uint64_t
+revision_(void *user)
+{
+    return GwConfigFeed_Revision(((GwAgent *)user)->feed);
+}
+
+static void
+on_ready_(void *user, GwSession *session, const Gw__Wire__Hello *hello)
+{
+    GwAgent *agent = user;
+
+    g_hash_table_add(agent->sessions, session);
+}
+
+static void
+on_frame_(void *user, GwSession *session, const GwFrame *frame)
+{
+    GwAgent *agent = user;
+
+    switch (frame->body_case) {
+    case GW__WIRE__FRAME__BODY_PROBE:
+        Offers_Probe(agent, session, frame->probe);
+        break;
+    case GW__WIRE__FRAME__BODY_SUBMIT:
+        Jobs_Submit(agent, session, frame->submit);
+        break;
+    case GW__WIRE__FRAME__BODY_ACK:
+        Jobs_Ack(agent, frame->ack);
+        break;
+    case GW__WIRE__FRAME__BODY_CANCEL:
+        Jobs_Cancel(agent, frame->cancel);
+        break;
+    case GW__WIRE__FRAME__BODY_RESUME:
+        Jobs_Resume(agent, session, frame->resume);
+        break;
+    case GW__WIRE__FRAME__BODY_CREDIT_ASK:
+        Home_Ask(agent->home, session, frame->credit_ask);
+        break;
+    case GW__WIRE__FRAME__BODY_CONFIG_ASK:
+        send_config_(agent, session);
+        break;
+    case GW__WIRE__FRAME__BODY_CONFIG_STATE:
+        GwConfigFeed_Offer(agent->feed, frame->config_state->revision,
+                           frame->config_state->offset,
+                           (const char *)frame->config_state->document.data,
+                           frame->config_state->document.len);
+        break;
+    case GW__WIRE__FRAME__BODY_DRAIN:
+        GwAgent_Drain(agent);
+        break;
+    case GW__WIRE__FRAME__BODY_STATUS_ASK:
+        send_status_(agent, session);
+        break;
+    default:
+        break;
+    }
+}
+
+// Whoever is behind asks; an entry that reads the log sooner than we do
+// thus brings us up to date, and the other way round.
+static void
+on_revision_(void *user, GwSession *session, uint64_t revision)
+{
+    GwAgent *agent = user;
+    GW_FRAME(frame, ask, CONFIG_ASK, ConfigAsk, config_ask);
+
+    if (revision <= GwConfigFeed_Revision(agent->feed))
+        return;
+    ask.have_revision = GwConfigFeed_Revision(agent->feed);
+    GwSession_Send(session, &frame);
+}
+
+static void
+on_closed_(void *user, GwSession *session, bool silent)
+{
+    GwAgent *agent = user;
+
+    g_hash_table_remove(agent->sessions, session);
+    Jobs_Detach(agent, session);
+}
+
+static void
+send_config_(GwAgent *agent, GwSession *session)
+{
+    const GwStore *store = GwConfigFeed_Store(agent->feed);
+    size_t len;
+    const char *text = GwConfigFeed_Document(agent->feed, &len);
+    GW_FRAME(frame, state, CONFIG_STATE, ConfigState, config_state);
+
+    if (!GwStore_HasState(store))
+        return;
+    state.revision = GwStore_Revision(store);
+    state.offset = GwStore_FoldedTo(store);
+    state.document.data = (uint8_t *)text;
+    state.document.len = len;
+    GwSession_Send(session, &frame);
+}
+
+static void
+send_status_(GwAgent *agent, GwSession *session)
+{
+    char *text = Admin_Status(agent);
+    GW_FRAME(frame, status, STATUS, Status, status);
+
+    status.text = text;
+    GwSession_Send(session, &frame);
+    g_free(text);
+}
--- /dev/null
+++ b/packages/base/src/log.c
@@ -0,0 +1,60 @@
+#include "galenagw/base/log.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static const struct {
+    const char *name;
+    GLogLevelFlags level;
+} levels[] = {
+    {"error", G_LOG_LEVEL_CRITICAL},
+    {"warning", G_LOG_LEVEL_WARNING},
+    {"info", G_LOG_LEVEL_INFO},
+    {"debug", G_LOG_LEVEL_DEBUG},
+};
+
+static GLogLevelFlags threshold = G_LOG_LEVEL_INFO;
+
+static GLogWriterOutput write_line_(GLogLevelFlags level,
+                                    const GLogField *fields, gsize n,
+                                    gpointer user);
+
+bool
+GwLog_Init(const char *level, GwError *err)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(levels); i++) {
+        if (strcmp(levels[i].name, level) != 0)
+            continue;
+        threshold = levels[i].level;
+        g_log_set_writer_func(write_line_, NULL, NULL);
+        return true;
+    }
+    return GwError_Set(err, GW_ERROR_USAGE,
+                       "--log-level: '%s' is unknown; give error, warning, "
+                       "info or debug",
+                       level);
+}
+
+static GLogWriterOutput
+write_line_(GLogLevelFlags level, const GLogField *fields, gsize n,
+            gpointer user)
+{
+    const char *part = "galenagw";
+    const char *message = "";
+    g_autoptr(GDateTime) now = NULL;
+    g_autofree char *stamp = NULL;
+
+    // A larger GLib level value is a less severe one.
+    if ((level & G_LOG_LEVEL_MASK) > threshold)
+        return G_LOG_WRITER_HANDLED;
+    for (gsize i = 0; i < n; i++) {
+        if (strcmp(fields[i].key, "GLIB_DOMAIN") == 0)
+            part = fields[i].value;
+        else if (strcmp(fields[i].key, "MESSAGE") == 0)
+            message = fields[i].value;
+    }
+    now = g_date_time_new_now_utc();
+    stamp = g_date_time_format(now, "%H:%M:%S.%f");
+    fprintf(stderr, "%s %s: %s\n", stamp, part, message);
+    return G_LOG_WRITER_HANDLED;
+}
--- /dev/null
+++ b/packages/endpoint/src/engine.c
@@ -0,0 +1,343 @@
+#define GW_LOG_PART "engine"
+#include <inttypes.h>
+#include <jansson.h>
+#include <string.h>
+
+#include "call.h"
+#include "galenagw/base/log.h"
+
+#define POLL_WAIT_MS 1000
+#define RETRY_DELAY (100 * GW_MILLISECOND)
+#define ORDER_TIMEOUT (30 * GW_SECOND)
+
+/* One poll of the engine that repeats for ever: load, or events. */
+typedef struct {
+    struct Engine *engine;
+    GwHttpRequest *request;
+    GwTimer timer;
+    GByteArray *body;
+    int status;
+} Poll;
+
+typedef struct {
+    struct Engine *engine;
+    GwHttpRequest *request;
+    int status;
+    GwOrderFn fn;
+    void *user;
+} Order;
+
+typedef struct Engine {
+    GwLoop *loop;
+    GwEndpointOptions options;
+    const GwEndpointWatchOps *watch;
+    void *watch_user;
+    Poll load;
+    Poll events;
+    uint64_t event_seq;   /* next expected */
+    uint64_t incarnation; /* of the events */
+    Order order;
+} Engine;
+
+static GwEndpointCall *start_(void *impl, const GwEndpointRequest *request,
+                              const GwEndpointCallOps *ops, void *user);
+static void append_hints_(GString *body, const GwEndpointRequest *request);
+static void watch_(void *impl, const GwEndpointWatchOps *ops, void *user);
+static void load_weights_(void *impl, const char *weights, uint64_t fence,
+                          GwOrderFn fn, void *user);
+static void delete_(void *impl);
+static void poll_init_(Poll *poll, Engine *e, void (*fn)(void *user));
+static void poll_finish_(Poll *poll);
+static void poll_get_(Poll *poll, const char *path,
+                      const GwHttpRequestOps *ops);
+static json_t *poll_answer_(Poll *poll, GwHttpOutcome outcome);
+static void poll_load_(void *user);
+static void poll_events_(void *user);
+static void on_poll_head_(void *user, int status, const char *type);
+static void on_poll_data_(void *user, const char *data, size_t len);
+static void on_load_done_(void *user, GwHttpOutcome outcome);
+static void on_events_done_(void *user, GwHttpOutcome outcome);
+static void hand_event_(Engine *e, const json_t *event);
+static void on_order_head_(void *user, int status, const char *type);
+static void on_order_data_(void *user, const char *data, size_t len);
+static void on_order_done_(void *user, GwHttpOutcome outcome);
+
+static const GwEndpointOps engine_ops = {
+    start_, Call_Cancel, Call_Pause, watch_, load_weights_, delete_,
+};
+static const GwHttpRequestOps load_ops = {on_poll_head_, on_poll_data_,
+                                          on_load_done_};
+static const GwHttpRequestOps events_ops = {on_poll_head_, on_poll_data_,
+                                            on_events_done_};
+static const GwHttpRequestOps order_ops = {on_order_head_, on_order_data_,
+                                           on_order_done_};
+
+GwEndpoint
+GwEngine_New(GwLoop *loop, const GwEndpointOptions *options)
+{
+    Engine *e = g_new0(Engine, 1);
+
+    e->loop = loop;
+    e->options = *options;
+    poll_init_(&e->load, e, poll_load_);
+    poll_init_(&e->events, e, poll_events_);
+    e->order.engine = e;
+    return (GwEndpoint){&engine_ops, e};
+}
+
+static GwEndpointCall *
+start_(void *impl, const GwEndpointRequest *request,
+       const GwEndpointCallOps *ops, void *user)
+{
+    Engine *e = impl;
+    g_autoptr(GString) body =
+        g_string_new_len(request->body, (gssize)request->body_len);
+
+    append_hints_(body, request);
+    return Call_Start(e->loop, &e->options, request, body->str, body->len,
+                      true, ops, user);
+}
+
+// The entry has checked that the body is one JSON object and has removed
+// these members from it, so they can be spliced in before its last brace
+// without parsing a long prompt a second time.
+static void
+append_hints_(GString *body, const GwEndpointRequest *request)
+{
+    char *brace = strrchr(body->str, '}');
+
+    if (brace == NULL)
+        return;
+    g_string_truncate(body, (gsize)(brace - body->str));
+    g_string_append_printf(body, ",\"priority\":%d,\"cache_salt\":\"%s\"",
+                           request->priority, request->cache_salt);
+    g_string_append(body, ",\"prefix_blocks\":[");
+    for (size_t i = 0; i < request->chain_len; i++)
+        g_string_append_printf(body, "%s\"%016" PRIx64 "\"", i > 0 ? "," : "",
+                               request->chain[i]);
+    g_string_append(body, "],\"prefix_bytes\":[");
+    for (size_t i = 0; i < request->chain_len; i++)
+        g_string_append_printf(body, "%s%u", i > 0 ? "," : "",
+                               request->chunk_bytes[i]);
+    g_string_append(body, "]}");
+}
+
+static void
+watch_(void *impl, const GwEndpointWatchOps *ops, void *user)
+{
+    Engine *e = impl;
+
+    e->watch = ops;
+    e->watch_user = user;
+    poll_load_(&e->load);
+    poll_events_(&e->events);
+}
+
+static void
+load_weights_(void *impl, const char *weights, uint64_t fence, GwOrderFn fn,
+              void *user)
+{
+    Engine *e = impl;
+    g_autofree char *body = g_strdup_printf(
+        "{\"order\":\"load_weights\",\"weights\":\"%s\",\"fence\":%" PRIu64
+        "}",
+        weights, fence);
+    GwHttpRequestOptions http = {
+        .address = e->options.address,
+        .method = "POST",
+        .path = "/orders",
+        .body = body,
+        .body_len = strlen(body),
+        .timeout = ORDER_TIMEOUT,
+        .ops = &order_ops,
+        .user = &e->order,
+    };
+
+    g_assert(e->order.request == NULL);
+    e->order.status = 0;
+    e->order.fn = fn;
+    e->order.user = user;
+    e->order.request = GwHttpRequest_New(e->loop, &http);
+}
+
+static void
+delete_(void *impl)
+{
+    Engine *e = impl;
+
+    poll_finish_(&e->load);
+    poll_finish_(&e->events);
+    GwHttpRequest_Cancel(e->order.request);
+    g_free(e);
+}
+
+static void
+poll_init_(Poll *poll, Engine *e, void (*fn)(void *user))
+{
+    poll->engine = e;
+    poll->body = g_byte_array_new();
+    GwTimer_Init(&poll->timer, e->loop, fn, poll);
+}
+
+static void
+poll_finish_(Poll *poll)
+{
+    GwTimer_Stop(&poll->timer);
+    GwHttpRequest_Cancel(poll->request);
+    g_byte_array_unref(poll->body);
+}
+
+static void
+poll_get_(Poll *poll, const char *path, const GwHttpRequestOps *ops)
+{
+    GwHttpRequestOptions http = {
+        .address = poll->engine->options.address,
+        .method = "GET",
+        .path = path,
+        .timeout = 2 * POLL_WAIT_MS * GW_MILLISECOND,
+        .ops = ops,
+        .user = poll,
+    };
+
+    g_byte_array_set_size(poll->body, 0);
+    poll->status = 0;
+    poll->request = GwHttpRequest_New(poll->engine->loop, &http);
+}
+
+static json_t *
+poll_answer_(Poll *poll, GwHttpOutcome outcome)
+{
+    poll->request = NULL;
+    if (outcome != GW_HTTP_COMPLETE || poll->status != 200)
+        return NULL;
+    return json_loadb((const char *)poll->body->data, poll->body->len, 0,
+                      NULL);
+}
+
+static void
+poll_load_(void *user)
+{
+    poll_get_(user, "/load", &load_ops);
+}
+
+static void
+poll_events_(void *user)
+{
+    Poll *poll = user;
+    g_autofree char *path =
+        g_strdup_printf("/events?from=%" PRIu64 "&wait_ms=%d",
+                        poll->engine->event_seq, POLL_WAIT_MS);
+
+    poll_get_(poll, path, &events_ops);
+}
+
+static void
+on_poll_head_(void *user, int status, const char *type)
+{
+    ((Poll *)user)->status = status;
+}
+
+static void
+on_poll_data_(void *user, const char *data, size_t len)
+{
+    g_byte_array_append(((Poll *)user)->body, (const guint8 *)data,
+                        (guint)len);
+}
+
+static void
+on_load_done_(void *user, GwHttpOutcome outcome)
+{
+    Poll *poll = user;
+    Engine *e = poll->engine;
+    json_t *answer = poll_answer_(poll, outcome);
+    GwEndpointReport report = {0};
+    const char *weights =
+        json_string_value(json_object_get(answer, "weights"));
+
+    GwTimer_Start(&poll->timer, e->options.report_period);
+    if (weights == NULL) {
+        json_decref(answer);
+        e->watch->on_down(e->watch_user);
+        return;
+    }
+    report.incarnation =
+        (uint64_t)json_integer_value(json_object_get(answer, "incarnation"));
+    report.slots = (int)json_integer_value(json_object_get(answer, "slots"));
+    report.cache_chunks =
+        (size_t)json_integer_value(json_object_get(answer, "cache_blocks"));
+    report.weights = weights;
+    report.loading = json_is_true(json_object_get(answer, "loading"));
+    e->watch->on_report(e->watch_user, &report);
+    json_decref(answer);
+}
+
+static void
+on_events_done_(void *user, GwHttpOutcome outcome)
+{
+    Poll *poll = user;
+    Engine *e = poll->engine;
+    json_t *answer = poll_answer_(poll, outcome);
+    uint64_t incarnation =
+        (uint64_t)json_integer_value(json_object_get(answer, "incarnation"));
+    const json_t *events = json_object_get(answer, "events");
+    size_t i;
+    json_t *event;
+
+    GwTimer_Start(&poll->timer, answer != NULL ? 0 : RETRY_DELAY);
+    // A new incarnation counts from zero again: ask it from its start.
+    if (answer != NULL && incarnation != e->incarnation) {
+        e->incarnation = incarnation;
+        e->event_seq = 0;
+        json_decref(answer);
+        return;
+    }
+    json_array_foreach((json_t *)events, i, event) hand_event_(e, event);
+    json_decref(answer);
+}
+
+static void
+hand_event_(Engine *e, const json_t *event)
+{
+    uint64_t seq = (uint64_t)json_integer_value(json_object_get(event, "seq"));
+    const char *kind = json_string_value(json_object_get(event, "kind"));
+    const json_t *blocks = json_object_get(event, "blocks");
+    size_t n = json_array_size(blocks);
+    g_autofree uint64_t *hashes = g_new(uint64_t, n + 1);
+
+    e->event_seq = seq + 1;
+    for (size_t i = 0; i < n; i++) {
+        const char *hex = json_string_value(json_array_get(blocks, i));
+
+        hashes[i] = hex != NULL ? g_ascii_strtoull(hex, NULL, 16) : 0;
+    }
+    for (int k = 0; k < GW_CACHE_EVENTS; k++) {
+        if (g_strcmp0(kind, GwCacheEventKind_Names[k]) == 0)
+            e->watch->on_cache_event(e->watch_user, seq, (GwCacheEventKind)k,
+                                     hashes, n);
+    }
+}
+
+static void
+on_order_head_(void *user, int status, const char *type)
+{
+    ((Order *)user)->status = status;
+}
+
+static void
+on_order_data_(void *user, const char *data, size_t len)
+{
+}
+
+static void
+on_order_done_(void *user, GwHttpOutcome outcome)
+{
+    Order *order = user;
+    GwOrderEnd end = GW_ORDER_UNKNOWN;
+
+    order->request = NULL;
+    if (outcome == GW_HTTP_COMPLETE && order->status == 200)
+        end = GW_ORDER_DONE;
+    else if (outcome == GW_HTTP_COMPLETE && order->status == 409)
+        end = GW_ORDER_FENCED;
+    order->fn(order->user, end);
+}
--- /dev/null
+++ b/packages/entry/program/commands.h
@@ -0,0 +1,12 @@
+/* The commands of galenagw beside `entry`. */
+#ifndef GALENAGW_PROGRAM_COMMANDS_H
+#define GALENAGW_PROGRAM_COMMANDS_H
+
+#include "galenagw/base/error.h"
+
+/* Each gets the arguments from its own name on. */
+bool Command_Config(int argc, char **argv, GwError *err);
+bool Command_Status(int argc, char **argv, GwError *err);
+bool Command_Drain(int argc, char **argv, GwError *err);
+
+#endif
--- /dev/null
+++ b/packages/entry/program/config_command.c
@@ -0,0 +1,379 @@
+/* galenagw config: declarations in files, changes through the log. */
+#define GW_LOG_PART "config"
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "commands.h"
+#include "galenagw/base/log.h"
+#include "galenagw/platform/config_feed.h"
+
+#define MAX_FILES 65
+#define APPEND_RETRY (500 * GW_MILLISECOND)
+
+typedef struct {
+    GwAddress log;
+    const char *author;
+    int64_t timeout_ms;
+    int64_t expect; /* revision the change is made on; -1: the latest */
+} ConfigSettings;
+
+typedef enum {
+    PHASE_READING = 0, /* to the log's end */
+    PHASE_PUBLISHING,  /* until our own record is read back */
+    PHASE_DONE,
+} Phase;
+
+/* One run of a command that needs the log. */
+typedef struct {
+    ConfigSettings settings;
+    GwLoop *loop;
+    GwHttpLog *http_log;
+    GwConfigFeed *feed;
+    GwCounters counters;
+    GRand *rand;
+    GwTimer poll;
+    GwTime deadline;
+    Phase phase;
+    json_t *wanted; /* document; NULL for show */
+    bool publish;
+    char id[40];
+    json_t *change;
+    GwLogCall *append;
+    GwTime append_at;
+    bool ok;
+    GwError *err;
+} Run;
+
+static const GwSetting settings_table[] = {
+    {"log", "IP:PORT", "Address of the platform's log service",
+     GW_SETTING_ADDRESS, offsetof(ConfigSettings, log), 0, 0, false},
+    {"author", "NAME", "Who makes the change", GW_SETTING_TEXT,
+     offsetof(ConfigSettings, author), 0, 0, false},
+    {"timeout-ms", "MS", "How long to wait for the log", GW_SETTING_INT,
+     offsetof(ConfigSettings, timeout_ms), 100, 600000, false},
+    {"expect", "REVISION", "Publish only on top of this revision",
+     GW_SETTING_INT, offsetof(ConfigSettings, expect), 0, INT64_MAX, false},
+    {0},
+};
+
+static const char *const verbs[] = {"check",    "diff",   "publish", "show",
+                                    "hash-key", "--help", NULL};
+
+static bool print_hash_(const char **args, int n, GwError *err);
+static bool load_document_(const char **files, int n, json_t **document,
+                           GwError *err);
+static bool check_site_(const GwYaml *base, const GwYaml *overlay,
+                        GwError *err);
+static bool run_with_log_(Run *run);
+static void on_poll_(void *user);
+static void on_change_(void *user);
+static void on_fold_(void *user, const char *id, GwFold fold);
+static void on_read_(Run *run);
+static void show_(Run *run);
+static void show_diff_(Run *run);
+static void begin_publish_(Run *run);
+static void append_(Run *run);
+static void on_appended_(void *user, GwAppendOutcome outcome, uint64_t offset);
+static void finish_(Run *run, bool ok);
+
+bool
+Command_Config(int argc, char **argv, GwError *err)
+{
+    const char *files[MAX_FILES];
+    Run run = {
+        .settings = {.author = "operator", .timeout_ms = 10000, .expect = -1},
+        .err = err,
+    };
+    GwSettingsOptions parse = {
+        .table = settings_table,
+        .args_doc = "BASE.yaml [SITE=OVERLAY.yaml...]",
+        .doc = "check: check the files.  diff: compare them with what is in "
+               "force.  publish: put them in force.  show: print what is in "
+               "force.  hash-key SALT SECRET: print an account's key_hash.",
+        .target = &run.settings,
+        .max_args = MAX_FILES,
+        .args = files,
+    };
+    const char *verb = argc > 1 ? argv[1] : "";
+    bool needs_log = strcmp(verb, "check") != 0;
+    bool ok;
+
+    if (!g_strv_contains(verbs, verb))
+        return GwError_Set(err, GW_ERROR_USAGE,
+                           "'%s' is unknown; say check, diff, publish, show "
+                           "or hash-key",
+                           verb);
+    // argp takes the first word as the program's name, but not '--help'.
+    if (strcmp(verb, "--help") == 0
+            ? !GwSettings_Parse(&parse, argc, argv, err)
+            : !GwSettings_Parse(&parse, argc - 1, argv + 1, err))
+        return false;
+    if (!GwLog_Init("warning", err))
+        return false;
+    if (strcmp(verb, "hash-key") == 0)
+        return print_hash_(files, parse.n_args, err);
+    if (strcmp(verb, "show") != 0 &&
+        !load_document_(files, parse.n_args, &run.wanted, err))
+        return false;
+    run.publish = strcmp(verb, "publish") == 0;
+    if (needs_log && run.settings.log.host[0] == '\0')
+        ok = GwError_Set(err, GW_ERROR_USAGE,
+                         "--log is missing; give the flag or set "
+                         "GALENAGW_LOG");
+    else
+        ok = !needs_log || run_with_log_(&run);
+    if (ok && !needs_log)
+        printf("ok\n");
+    json_decref(run.wanted);
+    json_decref(run.change);
+    return ok;
+}
+
+static bool
+print_hash_(const char **args, int n, GwError *err)
+{
+    g_autofree char *hash = NULL;
+
+    if (n != 2)
+        return GwError_Set(err, GW_ERROR_USAGE,
+                           "give SALT and SECRET after hash-key");
+    hash = GwConfig_HashKey(args[0], args[1]);
+    printf("%s\n", hash);
+    return true;
+}
+
+static bool
+load_document_(const char **files, int n, json_t **document, GwError *err)
+{
+    GwYaml base = {0};
+    json_t *sites = json_object();
+    bool ok;
+
+    if (n == 0) {
+        json_decref(sites);
+        return GwError_Set(err, GW_ERROR_USAGE,
+                           "no file was named; give BASE.yaml and "
+                           "SITE=OVERLAY.yaml for each site");
+    }
+    ok =
+        GwYaml_LoadFile(&base, files[0], err) && check_site_(&base, NULL, err);
+    for (int i = 1; ok && i < n; i++) {
+        const char *eq = strchr(files[i], '=');
+        GwYaml overlay = {0};
+        g_autofree char *site = NULL;
+
+        if (eq == NULL) {
+            ok = GwError_Set(err, GW_ERROR_USAGE,
+                             "'%s' names no site; write SITE=FILE", files[i]);
+            break;
+        }
+        site = g_strndup(files[i], (gsize)(eq - files[i]));
+        ok = GwYaml_LoadFile(&overlay, eq + 1, err) &&
+             check_site_(&base, &overlay, err);
+        if (ok)
+            json_object_set(sites, site, overlay.value);
+        GwYaml_Finish(&overlay);
+    }
+    *document =
+        ok ? json_pack("{s:O, s:O}", "base", base.value, "sites", sites)
+           : NULL;
+    json_decref(sites);
+    GwYaml_Finish(&base);
+    return ok;
+}
+
+// An overlay is checked with its base: it may be right only together. The
+// message names the overlay's line if the field stands there, else the
+// base's.
+static bool
+check_site_(const GwYaml *base, const GwYaml *overlay, GwError *err)
+{
+    json_t *effective = overlay != NULL
+                            ? GwDocument_Merge(base->value, overlay->value)
+                            : json_incref(base->value);
+    bool ok = GwConfig_Check(effective, overlay != NULL ? overlay : base, err);
+
+    json_decref(effective);
+    return ok;
+}
+
+static bool
+run_with_log_(Run *run)
+{
+    GwConfigFeedOptions options = {
+        .counters = &run->counters,
+        .on_change = on_change_,
+        .on_fold = on_fold_,
+        .user = run,
+    };
+
+    run->loop = GwLoop_New(NULL, run->err);
+    if (run->loop == NULL)
+        return false;
+    run->rand = g_rand_new();
+    options.rand = run->rand;
+    run->deadline = GwTime_Now() + run->settings.timeout_ms * GW_MILLISECOND;
+    run->http_log =
+        GwHttpLog_New(run->loop, &run->settings.log, &run->counters);
+    run->feed = GwConfigFeed_New(run->loop, GwHttpLog_Interface(run->http_log),
+                                 &options);
+    GwTimer_Init(&run->poll, run->loop, on_poll_, run);
+    GwTimer_Start(&run->poll, GW_MILLISECOND);
+    GwLoop_Run(run->loop);
+    GwTimer_Stop(&run->poll);
+    GwConfigFeed_Delete(run->feed);
+    GwHttpLog_Delete(run->http_log);
+    GwLoop_Delete(run->loop);
+    g_rand_free(run->rand);
+    return run->ok;
+}
+
+static void
+on_poll_(void *user)
+{
+    Run *run = user;
+
+    if (run->phase == PHASE_READING && GwConfigFeed_IsCurrent(run->feed) &&
+        !GwStore_IsWaiting(GwConfigFeed_Store(run->feed))) {
+        on_read_(run);
+    }
+    else if (GwTime_Now() >= run->deadline) {
+        GwError_Set(run->err, GW_ERROR_UNAVAILABLE,
+                    run->phase == PHASE_READING
+                        ? "the log service does not answer; nothing was "
+                          "published, try again"
+                        : "the change was not read back in time; it may "
+                          "still take effect: look with 'config show' "
+                          "before publishing again");
+        finish_(run, false);
+    }
+    else if (run->phase == PHASE_PUBLISHING && run->append == NULL &&
+             GwTime_Now() >= run->append_at) {
+        append_(run);
+    }
+    if (run->phase != PHASE_DONE)
+        GwTimer_Start(&run->poll, 5 * GW_MILLISECOND);
+}
+
+static void
+on_change_(void *user)
+{
+}
+
+// Our own record was read back: only now is its outcome known. A second
+// copy, appended because an answer was lost, is rejected by its base.
+static void
+on_fold_(void *user, const char *id, GwFold fold)
+{
+    Run *run = user;
+
+    if (run->phase != PHASE_PUBLISHING || strcmp(id, run->id) != 0)
+        return;
+    if (fold == GW_FOLD_APPLIED) {
+        printf("revision %" PRIu64 " is in force\n",
+               GwConfigFeed_Revision(run->feed));
+        finish_(run, true);
+        return;
+    }
+    GwError_Set(run->err, GW_ERROR_CONFLICT,
+                "another change came first: revision %" PRIu64
+                " is in force; look at it with 'config diff', then publish "
+                "again",
+                GwConfigFeed_Revision(run->feed));
+    finish_(run, false);
+}
+
+static void
+on_read_(Run *run)
+{
+    if (run->wanted == NULL)
+        show_(run);
+    else if (run->publish)
+        begin_publish_(run);
+    else
+        show_diff_(run);
+}
+
+static void
+show_(Run *run)
+{
+    const GwStore *store = GwConfigFeed_Store(run->feed);
+    char *text =
+        json_dumps(GwStore_Document(store), JSON_INDENT(2) | JSON_SORT_KEYS);
+
+    printf("revision %" PRIu64 "\n%s\n", GwStore_Revision(store), text);
+    free(text);
+    finish_(run, true);
+}
+
+static void
+show_diff_(Run *run)
+{
+    const GwStore *store = GwConfigFeed_Store(run->feed);
+    json_t *diff = GwDocument_Diff(GwStore_Document(store), run->wanted);
+    char *text = json_dumps(diff, JSON_INDENT(2) | JSON_SORT_KEYS);
+
+    printf("against revision %" PRIu64 ", as a merge patch:\n%s\n",
+           GwStore_Revision(store), text);
+    free(text);
+    json_decref(diff);
+    finish_(run, true);
+}
+
+static void
+begin_publish_(Run *run)
+{
+    const GwStore *store = GwConfigFeed_Store(run->feed);
+    uint64_t base = GwStore_Revision(store);
+    g_autofree char *uuid = g_uuid_string_random();
+    json_t *patch;
+
+    if (run->settings.expect >= 0 && (uint64_t)run->settings.expect != base) {
+        GwError_Set(run->err, GW_ERROR_CONFLICT,
+                    "revision %" PRIu64 " is in force, not %" PRId64
+                    "; look at it with 'config diff', then publish again",
+                    base, run->settings.expect);
+        finish_(run, false);
+        return;
+    }
+    patch = GwDocument_Diff(GwStore_Document(store), run->wanted);
+    if (json_object_size(patch) == 0) {
+        printf("revision %" PRIu64 " has this content already\n", base);
+        json_decref(patch);
+        finish_(run, true);
+        return;
+    }
+    g_strlcpy(run->id, uuid, sizeof(run->id));
+    run->change =
+        GwStore_MakeChange(base, run->id, run->settings.author, patch);
+    json_decref(patch);
+    run->phase = PHASE_PUBLISHING;
+    append_(run);
+}
+
+static void
+append_(Run *run)
+{
+    GwLog log = GwHttpLog_Interface(run->http_log);
+
+    run->append_at = GwTime_Now() + APPEND_RETRY;
+    run->append = log.ops->append(log.impl, GW_CONFIG_STREAM, run->change,
+                                  on_appended_, run);
+}
+
+static void
+on_appended_(void *user, GwAppendOutcome outcome, uint64_t offset)
+{
+    // Whatever the answer, reading back decides.
+    ((Run *)user)->append = NULL;
+}
+
+static void
+finish_(Run *run, bool ok)
+{
+    run->phase = PHASE_DONE;
+    run->ok = ok;
+    GwLoop_Stop(run->loop);
+}
--- /dev/null
+++ b/packages/entry/src/entry.c
@@ -0,0 +1,253 @@
+#define GW_LOG_PART "entry"
+#include "galenagw/entry/entry.h"
+
+#include <string.h>
+#include <unistd.h>
+
+#include "credits.h"
+#include "entry_private.h"
+#include "exchange.h"
+#include "galenagw/base/log.h"
+#include "peers.h"
+
+#define TICK_PERIOD (50 * GW_MILLISECOND)
+#define DEFAULT_LIST_PERIOD (500 * GW_MILLISECOND)
+#define DEFAULT_SILENT_AFTER (1500 * GW_MILLISECOND)
+#define DEFAULT_BALANCER_LAG (2 * GW_SECOND)
+#define DEFAULT_MAX_BODY (4 * 1024 * 1024)
+#define DEFAULT_RETRY_SHARE 0.1
+#define RETRY_BURST 20
+#define MAX_WIDTH_KEYS 16384
+/* Up to this many members are connected to ahead of need. */
+#define CONNECT_AHEAD 128
+/* A closing socket must have taken the last bytes. */
+#define LINGER_TIME (100 * GW_MILLISECOND)
+
+static void set_defaults_(GwEntryOptions *options);
+static void on_config_(void *user);
+static void on_list_begin_(void *user);
+static void on_instance_(void *user, const GwInstance *instance);
+static void on_list_end_(void *user);
+static void connect_ahead_(GwEntry *entry);
+static void on_tick_(void *user);
+static void on_lag_over_(void *user);
+static void on_lingered_(void *user);
+
+static const GwInstanceListOps list_ops = {on_list_begin_, on_instance_,
+                                           on_list_end_};
+
+GwEntry *
+GwEntry_New(GwLoop *loop, const GwEntryOptions *options, GwError *err)
+{
+    GwEntry *entry = g_new0(GwEntry, 1);
+    GwConfigFeedOptions feed = {.on_change = on_config_, .user = entry};
+
+    entry->loop = loop;
+    entry->options = *options;
+    set_defaults_(&entry->options);
+    entry->rand = options->seed != 0 ? g_rand_new_with_seed(options->seed)
+                                     : g_rand_new();
+    entry->incarnation = (uint64_t)g_get_real_time() << 8 | (getpid() & 0xff);
+    // Probe ids name reservations at agents, so no two entries may share.
+    entry->next_probe = (uint64_t)g_rand_int(entry->rand) << 32 |
+                        (entry->incarnation & 0xffffff) << 8;
+    entry->n_entries = 1;
+    entry->members = GwMembership_New(entry->rand);
+    entry->credits =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, Credits_Delete);
+    entry->exchanges = g_hash_table_new(g_int64_hash, g_int64_equal);
+    entry->probes = g_hash_table_new(g_int64_hash, g_int64_equal);
+    entry->widths = GwHeat_New(GW_WIDTH_HALF_LIFE, MAX_WIDTH_KEYS);
+    GwRetryBudget_Init(&entry->budget, DEFAULT_RETRY_SHARE, RETRY_BURST);
+    entry->http_log = GwHttpLog_New(loop, &options->log, &entry->counters);
+    feed.site = options->site;
+    feed.rand = entry->rand;
+    feed.counters = &entry->counters;
+    feed.snapshot_every = options->snapshot_every;
+    entry->feed =
+        GwConfigFeed_New(loop, GwHttpLog_Interface(entry->http_log), &feed);
+    entry->list = GwInstanceList_New(loop, &options->instances,
+                                     entry->options.list_period, entry->rand,
+                                     &list_ops, entry);
+    GwTimer_Init(&entry->tick, loop, on_tick_, entry);
+    GwTimer_Start(&entry->tick, TICK_PERIOD);
+    GwTimer_Init(&entry->drain, loop, on_lag_over_, entry);
+    GwTimer_Init(&entry->linger, loop, on_lingered_, entry);
+    if (Api_Start(entry, err))
+        return entry;
+    GwEntry_Delete(entry);
+    return NULL;
+}
+
+void
+GwEntry_Delete(GwEntry *entry)
+{
+    if (entry == NULL)
+        return;
+    // Ending exchanges must not end a drain again.
+    entry->draining = false;
+    GwTimer_Stop(&entry->tick);
+    GwTimer_Stop(&entry->drain);
+    GwTimer_Stop(&entry->linger);
+    Exchange_Clear(entry);
+    Peers_Clear(entry);
+    GwInstanceList_Delete(entry->list);
+    GwConfigFeed_Delete(entry->feed);
+    GwHttpLog_Delete(entry->http_log);
+    GwHttpServer_Delete(entry->server);
+    GwHttpServer_Delete(entry->admin);
+    GwHeat_Delete(entry->widths);
+    g_hash_table_unref(entry->probes);
+    g_hash_table_unref(entry->exchanges);
+    g_hash_table_unref(entry->credits);
+    GwMembership_Delete(entry->members);
+    g_rand_free(entry->rand);
+    g_free(entry);
+}
+
+void
+GwEntry_Drain(GwEntry *entry)
+{
+    if (entry->draining)
+        return;
+    GW_INFO("draining: %d requests open", GwEntry_Open(entry));
+    entry->draining = true;
+    // The balancer sends new requests until it has seen the failed check;
+    // they are served like any other.
+    GwTimer_Start(&entry->drain, entry->options.balancer_lag);
+}
+
+int
+GwEntry_Port(const GwEntry *entry)
+{
+    return GwHttpServer_Port(entry->server);
+}
+
+int
+GwEntry_AdminPort(const GwEntry *entry)
+{
+    return GwHttpServer_Port(entry->admin);
+}
+
+const GwCounters *
+GwEntry_Counters(const GwEntry *entry)
+{
+    return &entry->counters;
+}
+
+int
+GwEntry_Open(const GwEntry *entry)
+{
+    return (int)g_hash_table_size(entry->exchanges);
+}
+
+void
+Entry_CheckDrained(GwEntry *entry)
+{
+    if (entry->draining && entry->lag_over && GwEntry_Open(entry) == 0)
+        GwTimer_Start(&entry->linger, LINGER_TIME);
+}
+
+static void
+set_defaults_(GwEntryOptions *o)
+{
+    if (o->list_period == 0)
+        o->list_period = DEFAULT_LIST_PERIOD;
+    if (o->silent_after == 0)
+        o->silent_after = DEFAULT_SILENT_AFTER;
+    if (o->balancer_lag == 0)
+        o->balancer_lag = DEFAULT_BALANCER_LAG;
+    if (o->max_body == 0)
+        o->max_body = DEFAULT_MAX_BODY;
+}
+
+static void
+on_config_(void *user)
+{
+    GwEntry *entry = user;
+    const GwConfig *config = GwConfigFeed_Config(entry->feed);
+
+    if (config != NULL)
+        entry->budget.share = config->tuning.retry_share;
+}
+
+static void
+on_list_begin_(void *user)
+{
+    GwEntry *entry = user;
+
+    entry->n_entries_read = 0;
+    GwMembership_BeginList(entry->members);
+}
+
+static void
+on_instance_(void *user, const GwInstance *instance)
+{
+    GwEntry *entry = user;
+
+    if (strcmp(instance->role, "entry") == 0)
+        entry->n_entries_read++;
+    else
+        GwMembership_Listed(entry->members, instance->name, instance->pool,
+                            instance->failure_domain, &instance->address,
+                            instance->leaving);
+}
+
+static void
+on_list_end_(void *user)
+{
+    GwEntry *entry = user;
+
+    GwMembership_EndList(entry->members);
+    entry->n_entries = MAX(entry->n_entries_read, 1);
+    entry->listed = true;
+    connect_ahead_(entry);
+}
+
+// At today's sizes a first request should not wait for a connection; at
+// the target size sessions are opened when they are needed.
+static void
+connect_ahead_(GwEntry *entry)
+{
+    const GPtrArray *all = GwMembership_All(entry->members);
+    GwTime now = GwTime_Now();
+
+    for (guint i = 0; i < all->len && all->len <= CONNECT_AHEAD; i++) {
+        GwMember *member = all->pdata[i];
+
+        if (GwMembership_IsUsable(member, now))
+            Peers_Connect(Peers_Get(entry, member));
+    }
+}
+
+static void
+on_tick_(void *user)
+{
+    GwEntry *entry = user;
+
+    GwTimer_Start(&entry->tick, TICK_PERIOD);
+    Peers_Tick(entry, GwTime_Now());
+}
+
+static void
+on_lag_over_(void *user)
+{
+    GwEntry *entry = user;
+
+    entry->lag_over = true;
+    GwHttpServer_CloseIdle(entry->server);
+    Entry_CheckDrained(entry);
+}
+
+static void
+on_lingered_(void *user)
+{
+    GwEntry *entry = user;
+
+    // A request may have come in on a kept connection in the meantime.
+    if (GwEntry_Open(entry) > 0)
+        return;
+    GW_INFO("drained");
+    if (entry->options.on_drained != NULL)
+        entry->options.on_drained(entry->options.user);
+}
--- /dev/null
+++ b/packages/entry/src/exchange_private.h
@@ -0,0 +1,103 @@
+/* The exchange's state, shared by its three parts. */
+#ifndef GALENAGW_ENTRY_EXCHANGE_PRIVATE_H
+#define GALENAGW_ENTRY_EXCHANGE_PRIVATE_H
+
+/* The streaming state is embedded, so its size must be known. */
+#define XXH_STATIC_LINKING_ONLY
+#include <xxhash.h>
+
+#include "exchange.h"
+#include "galenagw/policy/recovery.h"
+
+#define MAX_TRIED 16
+
+/* One candidate of a round of offers. */
+typedef struct {
+    Peer *peer;
+    bool sent;
+    bool failed;
+    GwOffer offer;
+} Candidate;
+
+struct Exchange {
+    TAILQ_ENTRY(Exchange) link; /* in its peer's list */
+    GwEntry *entry;
+    GwHttpCall *call;
+    uint64_t id;
+    char id_text[17];
+    ExchangeState state;
+    GwTimer timer;
+    ExchangeRequest request;
+
+    /* From configuration, copied: a new revision may come meanwhile. */
+    bool admitted;
+    char *account;
+    char *weights;
+    char *adapter;
+    bool trial;
+    bool idempotent;
+    int urgency;
+    GwTime begun;
+    GwTime deadline; /* for the first output; GW_NEVER: none */
+    bool credit_asked;
+    bool credit_spent;
+
+    /* Placement. */
+    GwChain chain;
+    uint64_t anchor;
+    Candidate candidates[GW_CANDIDATES_MAX];
+    int n_candidates;
+    uint64_t probe_id;
+    uint32_t width;
+    GwTime probed_at;
+    int rounds;
+    const GwMember *tried[MAX_TRIED];
+    int n_tried;
+
+    /* The attempt under way. */
+    Peer *peer;
+    uint64_t incarnation; /* of the agent it was submitted to */
+    uint32_t attempt;
+    bool may_have_run; /* an earlier attempt may have */
+    bool asked_holder;
+    uint32_t next_seq;
+    uint32_t acked;
+    XXH64_state_t digest;
+    GwTime lost_at;
+
+    /* Delivery. */
+    int status;
+    char *answer_type;
+    GByteArray *whole;  /* an answer in one piece, until it is complete */
+    bool begun_answer;  /* the caller has got its head */
+    GByteArray *recent; /* delivered events whose text was not taken yet */
+    GString *text;      /* delivered text */
+    int tokens;
+    bool skip_head; /* continued: the caller has a head already */
+};
+
+/* exchange.c */
+Exchange *Exchange_Find(GwEntry *entry, uint64_t id);
+/* Answer with a refusal and end. */
+void Exchange_Refuse(Exchange *x, GwRefusal refusal, GwRan ran,
+                     GwTime retry_after);
+/* End, the answer having been handed to the server. */
+void Exchange_Finish(Exchange *x);
+/* Wait a moment, then look for endpoints again. */
+void Exchange_Wait(Exchange *x, GwTime delay);
+GwTime Exchange_Budget(const Exchange *x);
+
+/* placing.c */
+void Placing_Start(Exchange *x);
+void Placing_OnTimer(Exchange *x);
+void Placing_Forget(Exchange *x);
+void Placing_Submit(Exchange *x, Peer *peer);
+
+/* delivery.c */
+void Delivery_Detach(Exchange *x);
+void Delivery_Fail(Exchange *x, GwFailure failure, GwRefusal refusal,
+                   GwRan ran, const char *holder, GwTime retry_after);
+void Delivery_OnTimer(Exchange *x);
+void Delivery_Ack(Exchange *x);
+
+#endif
--- /dev/null
+++ b/packages/entry/src/peers.c
@@ -0,0 +1,282 @@
+#define GW_LOG_PART "entry"
+#include "peers.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "credits.h"
+#include "exchange.h"
+#include "galenagw/base/log.h"
+
+#define IDLE_TIME (60 * GW_SECOND)
+#define FIRST_RTT (300)
+/* A connection that is not ready by then is given up. */
+#define CONNECT_TIME (500 * GW_MILLISECOND)
+
+static void fill_hello_(void *user, Gw__Wire__Hello *hello);
+static uint64_t revision_(void *user);
+static void on_ready_(void *user, GwSession *session,
+                      const Gw__Wire__Hello *hello);
+static void on_frame_(void *user, GwSession *session, const GwFrame *frame);
+static void on_revision_(void *user, GwSession *session, uint64_t revision);
+static void on_closed_(void *user, GwSession *session, bool silent);
+static void send_config_(Peer *peer);
+static void tick_(Peer *peer, GwTime now);
+static void drop_session_(Peer *peer);
+
+static const GwSessionOps session_ops = {on_ready_, on_frame_, on_revision_,
+                                         on_closed_};
+
+Peer *
+Peers_Get(GwEntry *entry, GwMember *member)
+{
+    Peer *peer = member->user;
+
+    if (peer != NULL)
+        return peer;
+    peer = g_new0(Peer, 1);
+    peer->entry = entry;
+    peer->member = member;
+    peer->rtt = FIRST_RTT;
+    peer->last_used = GwTime_Now();
+    TAILQ_INIT(&peer->exchanges);
+    member->user = peer;
+    return peer;
+}
+
+void
+Peers_Connect(Peer *peer)
+{
+    GwEntry *entry = peer->entry;
+    GwTime now = GwTime_Now();
+    GwSessionOptions options = {
+        .fill_hello = fill_hello_,
+        .revision = revision_,
+        .ops = &session_ops,
+        .user = peer,
+        .counters = &entry->counters,
+        .ping_after = entry->options.silent_after / 3,
+        .silent_after = entry->options.silent_after,
+    };
+
+    peer->last_used = now;
+    if (peer->session != NULL || !GwMembership_MayConnect(peer->member, now))
+        return;
+    peer->session =
+        GwSession_Connect(entry->loop, &peer->member->address, &options);
+}
+
+bool
+Peers_IsReady(const Peer *peer)
+{
+    return peer->session != NULL && GwSession_IsReady(peer->session);
+}
+
+void
+Peers_Tick(GwEntry *entry, GwTime now)
+{
+    const GPtrArray *all = GwMembership_All(entry->members);
+
+    for (guint i = 0; i < all->len; i++) {
+        Peer *peer = ((GwMember *)all->pdata[i])->user;
+
+        if (peer != NULL)
+            tick_(peer, now);
+    }
+}
+
+void
+Peers_Clear(GwEntry *entry)
+{
+    const GPtrArray *all = GwMembership_All(entry->members);
+
+    for (guint i = 0; i < all->len; i++) {
+        GwMember *member = all->pdata[i];
+        Peer *peer = member->user;
+
+        if (peer == NULL)
+            continue;
+        GwSession_Close(peer->session);
+        member->user = NULL;
+        g_free(peer);
+    }
+}
+
+Peer *
+Peers_Home(GwEntry *entry, const char *pool, uint64_t key)
+{
+    const GPtrArray *list = pool != NULL
+                                ? GwMembership_Pool(entry->members, pool)
+                                : GwMembership_All(entry->members);
+    GwTime now = GwTime_Now();
+    GwMember *best = NULL;
+    uint64_t best_weight = 0;
+
+    for (guint i = 0; list != NULL && i < list->len; i++) {
+        GwMember *member = list->pdata[i];
+        uint64_t w = GwCandidates_Weight(key, member->id);
+
+        if (!GwMembership_IsUsable(member, now) ||
+            (best != NULL && w <= best_weight))
+            continue;
+        best = member;
+        best_weight = w;
+    }
+    return best != NULL ? Peers_Get(entry, best) : NULL;
+}
+
+static void
+fill_hello_(void *user, Gw__Wire__Hello *hello)
+{
+    GwEntry *entry = ((Peer *)user)->entry;
+
+    hello->role = GW__WIRE__ROLE__ROLE_ENTRY;
+    hello->instance = (char *)entry->options.name;
+    hello->failure_domain = (char *)entry->options.failure_domain;
+    hello->incarnation = entry->incarnation;
+    hello->pool = "";
+}
+
+static uint64_t
+revision_(void *user)
+{
+    return GwConfigFeed_Revision(((Peer *)user)->entry->feed);
+}
+
+static void
+on_ready_(void *user, GwSession *session, const Gw__Wire__Hello *hello)
+{
+    Peer *peer = user;
+
+    if (strcmp(hello->instance, peer->member->name) != 0)
+        GW_WARN("%s answers at the address of %s; check the instance list",
+                hello->instance, peer->member->name);
+    GwMembership_Hello(peer->entry->members, peer->member, hello->incarnation,
+                       hello->leaving);
+    Exchange_PeerReady(peer);
+}
+
+static void
+on_frame_(void *user, GwSession *session, const GwFrame *frame)
+{
+    Peer *peer = user;
+    GwEntry *entry = peer->entry;
+
+    switch (frame->body_case) {
+    case GW__WIRE__FRAME__BODY_OFFER:
+        Exchange_OnOffer(peer, frame->offer);
+        break;
+    case GW__WIRE__FRAME__BODY_CHUNK:
+        Exchange_OnChunk(peer, frame->chunk);
+        break;
+    case GW__WIRE__FRAME__BODY_FINAL:
+        Exchange_OnFinal(peer, frame->final);
+        break;
+    case GW__WIRE__FRAME__BODY_REFUSED:
+        Exchange_OnRefused(peer, frame->refused);
+        break;
+    case GW__WIRE__FRAME__BODY_RESUME_RESULT:
+        Exchange_OnResumeResult(peer, frame->resume_result);
+        break;
+    case GW__WIRE__FRAME__BODY_CREDIT_GRANT:
+        Credits_OnGrant(entry, frame->credit_grant);
+        break;
+    case GW__WIRE__FRAME__BODY_LEAVING:
+        GwMembership_Leaving(entry->members, peer->member);
+        break;
+    case GW__WIRE__FRAME__BODY_CONFIG_ASK:
+        send_config_(peer);
+        break;
+    case GW__WIRE__FRAME__BODY_CONFIG_STATE:
+        GwConfigFeed_Offer(entry->feed, frame->config_state->revision,
+                           frame->config_state->offset,
+                           (const char *)frame->config_state->document.data,
+                           frame->config_state->document.len);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+on_revision_(void *user, GwSession *session, uint64_t revision)
+{
+    Peer *peer = user;
+    GW_FRAME(frame, ask, CONFIG_ASK, ConfigAsk, config_ask);
+
+    if (revision <= GwConfigFeed_Revision(peer->entry->feed))
+        return;
+    ask.have_revision = GwConfigFeed_Revision(peer->entry->feed);
+    GwSession_Send(session, &frame);
+}
+
+static void
+on_closed_(void *user, GwSession *session, bool silent)
+{
+    Peer *peer = user;
+    GwTime now = GwTime_Now();
+    bool was_ready = GwSession_WasReady(session);
+
+    peer->session = NULL;
+    GwMembership_Lost(peer->entry->members, peer->member, now);
+    // A session that worked is tried again at once: only its connection
+    // may be dead. One that never did waits out its back-off.
+    if (was_ready) {
+        peer->member->retry_at = 0;
+        if (!TAILQ_EMPTY(&peer->exchanges))
+            Peers_Connect(peer);
+    }
+    Exchange_PeerLost(peer);
+}
+
+static void
+send_config_(Peer *peer)
+{
+    GwConfigFeed *feed = peer->entry->feed;
+    const GwStore *store = GwConfigFeed_Store(feed);
+    size_t len;
+    const char *text = GwConfigFeed_Document(feed, &len);
+    GW_FRAME(frame, state, CONFIG_STATE, ConfigState, config_state);
+
+    if (!GwStore_HasState(store))
+        return;
+    state.revision = GwStore_Revision(store);
+    state.offset = GwStore_FoldedTo(store);
+    state.document.data = (uint8_t *)text;
+    state.document.len = len;
+    GwSession_Send(peer->session, &frame);
+}
+
+static void
+tick_(Peer *peer, GwTime now)
+{
+    GwMember *member = peer->member;
+    bool suspect = member->state == GW_MEMBER_SUSPECT;
+
+    if (peer->session != NULL && !Peers_IsReady(peer) &&
+        now - peer->last_used > CONNECT_TIME) {
+        drop_session_(peer);
+        return;
+    }
+    if (peer->session == NULL) {
+        // A suspect member is tried until it answers or is delisted.
+        if (suspect || !TAILQ_EMPTY(&peer->exchanges))
+            Peers_Connect(peer);
+        return;
+    }
+    if (TAILQ_EMPTY(&peer->exchanges) && now - peer->last_used > IDLE_TIME)
+        drop_session_(peer);
+}
+
+static void
+drop_session_(Peer *peer)
+{
+    bool was_ready = Peers_IsReady(peer);
+
+    GwSession_Close(peer->session);
+    peer->session = NULL;
+    if (was_ready)
+        return;
+    GwMembership_Lost(peer->entry->members, peer->member, GwTime_Now());
+    Exchange_PeerLost(peer);
+}
--- /dev/null
+++ b/packages/wire/include/galenagw/wire/session.h
@@ -0,0 +1,79 @@
+/**
+ * @defgroup session Sessions
+ * @brief A connection between two of the system's processes.
+ *
+ * A session begins with a Hello in each direction, then carries frames. It
+ * pings when quiet. A session that hears nothing for the silence limit is
+ * reported closed with `silent` set: connections that something between the
+ * ends has forgotten give no error of their own.
+ * @{
+ */
+#ifndef GALENAGW_WIRE_SESSION_H
+#define GALENAGW_WIRE_SESSION_H
+
+#include "galenagw/base/counters.h"
+#include "galenagw/net/raw.h"
+#include "galenagw/wire/frame.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct GwSession GwSession;
+typedef struct GwSessionServer GwSessionServer;
+
+/** Callbacks. on_closed is the last use of the session. */
+typedef struct {
+    /** The peer's Hello arrived and fits. */
+    void (*on_ready)(void *user, GwSession *session,
+                     const Gw__Wire__Hello *hello);
+    /** Any frame but Hello, Ping and Pong; freed by the session. */
+    void (*on_frame)(void *user, GwSession *session, const GwFrame *frame);
+    /** The peer told its configuration revision. */
+    void (*on_revision)(void *user, GwSession *session, uint64_t revision);
+    void (*on_closed)(void *user, GwSession *session, bool silent);
+} GwSessionOps;
+
+/** What both sides of a session share. */
+typedef struct {
+    /** Fill the fields of our Hello; strings must outlive the call. */
+    void (*fill_hello)(void *user, Gw__Wire__Hello *hello);
+    /** Our configuration revision, for pings. */
+    uint64_t (*revision)(void *user);
+    const GwSessionOps *ops;
+    void *user;
+    GwCounters *counters;
+    GwTime ping_after;   /**< Quiet time before a ping; 0: 1 s. */
+    GwTime silent_after; /**< Nothing heard; 0: 3 s. */
+} GwSessionOptions;
+
+/** Connect; on_ready or on_closed follows. @p options is copied. */
+GwSession *GwSession_Connect(GwLoop *loop, const GwAddress *address,
+                             const GwSessionOptions *options);
+/** Queue @p frame. */
+void GwSession_Send(GwSession *session, const GwFrame *frame);
+/** Bytes queued and not yet taken by the socket. */
+size_t GwSession_Pending(const GwSession *session);
+bool GwSession_IsReady(const GwSession *session);
+/** Whether the peer's Hello ever came, also once closed. */
+bool GwSession_WasReady(const GwSession *session);
+/** Time of the last byte heard. */
+GwTime GwSession_LastHeard(const GwSession *session);
+/** The user's own pointer for this session. */
+void GwSession_SetUser(GwSession *session, void *user);
+void *GwSession_User(const GwSession *session);
+/** Close; no further callback. Frees the session. */
+void GwSession_Close(GwSession *session);
+
+/** Listen for sessions; all get the same @p options. */
+GwSessionServer *GwSessionServer_New(GwLoop *loop, const GwAddress *address,
+                                     const GwSessionOptions *options,
+                                     GwError *err);
+int GwSessionServer_Port(const GwSessionServer *server);
+void GwSessionServer_Delete(GwSessionServer *server);
+
+#ifdef __cplusplus
+}
+#endif
+/** @} */
+#endif
--- /dev/null
+++ b/packages/wire/src/frame.c
@@ -0,0 +1,103 @@
+#include "galenagw/wire/frame.h"
+
+#include <string.h>
+
+#define COMPACT_ABOVE (64 * 1024)
+
+struct GwFrameDecoder {
+    GByteArray *bytes;
+    size_t taken;
+};
+
+static uint32_t read_length_(const uint8_t *p);
+
+void
+GwFrame_Encode(const GwFrame *frame, GByteArray *out)
+{
+    size_t len = gw__wire__frame__get_packed_size(frame);
+    guint at = out->len;
+    uint8_t head[GW_FRAME_HEAD] = {
+        (uint8_t)(len >> 24),
+        (uint8_t)(len >> 16),
+        (uint8_t)(len >> 8),
+        (uint8_t)len,
+    };
+
+    g_assert(len <= GW_FRAME_MAX);
+    g_byte_array_append(out, head, GW_FRAME_HEAD);
+    g_byte_array_set_size(out, at + GW_FRAME_HEAD + (guint)len);
+    gw__wire__frame__pack(frame, out->data + at + GW_FRAME_HEAD);
+}
+
+GwFrameDecoder *
+GwFrameDecoder_New(void)
+{
+    GwFrameDecoder *decoder = g_new0(GwFrameDecoder, 1);
+
+    decoder->bytes = g_byte_array_new();
+    return decoder;
+}
+
+void
+GwFrameDecoder_Delete(GwFrameDecoder *decoder)
+{
+    if (decoder == NULL)
+        return;
+    g_byte_array_unref(decoder->bytes);
+    g_free(decoder);
+}
+
+void
+GwFrameDecoder_Push(GwFrameDecoder *decoder, const uint8_t *data, size_t len)
+{
+    g_byte_array_append(decoder->bytes, data, (guint)len);
+}
+
+GwFrame *
+GwFrameDecoder_Pop(GwFrameDecoder *decoder, GwError *err)
+{
+    size_t have = decoder->bytes->len - decoder->taken;
+    const uint8_t *at = decoder->bytes->data + decoder->taken;
+    GwFrame *frame;
+    uint32_t len;
+
+    if (have >= GW_FRAME_HEAD) {
+        len = read_length_(at);
+        if (len > GW_FRAME_MAX) {
+            GwError_Set(err, GW_ERROR_PROTOCOL,
+                        "a frame of %u bytes is above the bound; check that "
+                        "the peer speaks this protocol",
+                        len);
+            return NULL;
+        }
+        if (have >= GW_FRAME_HEAD + len) {
+            decoder->taken += GW_FRAME_HEAD + len;
+            frame = gw__wire__frame__unpack(NULL, len, at + GW_FRAME_HEAD);
+            if (frame == NULL)
+                GwError_Set(err, GW_ERROR_PROTOCOL,
+                            "a frame did not parse; check that the peer "
+                            "speaks this protocol");
+            return frame;
+        }
+    }
+    // Everything whole was taken: drop it, so that memory stays bounded.
+    if (decoder->taken == decoder->bytes->len ||
+        decoder->taken > COMPACT_ABOVE) {
+        g_byte_array_remove_range(decoder->bytes, 0, (guint)decoder->taken);
+        decoder->taken = 0;
+    }
+    return NULL;
+}
+
+void
+GwFrame_Free(GwFrame *frame)
+{
+    gw__wire__frame__free_unpacked(frame, NULL);
+}
+
+static uint32_t
+read_length_(const uint8_t *p)
+{
+    return (uint32_t)p[0] << 24 | (uint32_t)p[1] << 16 | (uint32_t)p[2] << 8 |
+           p[3];
+}
--- /dev/null
+++ b/packages/wire/src/session.c
@@ -0,0 +1,330 @@
+#define GW_LOG_PART "wire"
+#include "galenagw/wire/session.h"
+
+#include "galenagw/base/log.h"
+
+#define DEFAULT_PING_AFTER GW_SECOND
+#define DEFAULT_SILENT_AFTER (3 * GW_SECOND)
+
+struct GwSession {
+    GwRaw *raw;
+    GwLoop *loop;
+    GwSessionOptions options;
+    GwFrameDecoder *decoder;
+    GByteArray *scratch;
+    GwTimer timer;
+    GwTime last_heard;
+    void *user;
+    bool ready;
+    bool closed;
+    int depth; /* callbacks in progress: the struct must not be freed */
+};
+
+struct GwSessionServer {
+    GwRawServer *raw;
+    GwLoop *loop;
+    GwSessionOptions options;
+};
+
+static GwSession *session_new_(GwLoop *loop, const GwSessionOptions *options);
+static void delete_(GwSession *s);
+static void on_open_(void *user);
+static void on_data_(void *user, const uint8_t *data, size_t len);
+static void on_closed_(void *user);
+static void on_accept_(void *user, GwRaw *raw);
+static void on_timer_(void *user);
+static bool handle_(GwSession *s, const GwFrame *frame);
+static bool on_hello_(GwSession *s, const Gw__Wire__Hello *hello);
+static void send_pong_(GwSession *s, uint64_t nonce);
+static void tell_revision_(GwSession *s, uint64_t revision);
+static void fail_(GwSession *s, bool silent);
+static uint64_t revision_(GwSession *s);
+
+static const GwRawOps raw_ops = {on_open_, on_data_, on_closed_};
+
+GwSession *
+GwSession_Connect(GwLoop *loop, const GwAddress *address,
+                  const GwSessionOptions *options)
+{
+    GwSession *s = session_new_(loop, options);
+
+    s->raw = GwRaw_Connect(loop, address, &raw_ops, s);
+    return s;
+}
+
+void
+GwSession_Send(GwSession *s, const GwFrame *frame)
+{
+    if (s->closed)
+        return;
+    g_byte_array_set_size(s->scratch, 0);
+    GwFrame_Encode(frame, s->scratch);
+    GwRaw_Write(s->raw, s->scratch->data, s->scratch->len);
+    GwCounters_Add(s->options.counters, GW_COUNTER_FRAMES_SENT, 1);
+    GwCounters_Add(s->options.counters, GW_COUNTER_BYTES_SENT,
+                   s->scratch->len);
+}
+
+size_t
+GwSession_Pending(const GwSession *s)
+{
+    return s->closed ? 0 : GwRaw_Pending(s->raw);
+}
+
+bool
+GwSession_IsReady(const GwSession *s)
+{
+    return s->ready && !s->closed;
+}
+
+bool
+GwSession_WasReady(const GwSession *s)
+{
+    return s->ready;
+}
+
+GwTime
+GwSession_LastHeard(const GwSession *s)
+{
+    return s->last_heard;
+}
+
+void
+GwSession_SetUser(GwSession *s, void *user)
+{
+    s->user = user;
+}
+
+void *
+GwSession_User(const GwSession *s)
+{
+    return s->user;
+}
+
+void
+GwSession_Close(GwSession *s)
+{
+    if (s == NULL || s->closed)
+        return;
+    s->closed = true;
+    GwTimer_Stop(&s->timer);
+    GwRaw_Close(s->raw);
+    if (s->depth == 0)
+        delete_(s);
+}
+
+GwSessionServer *
+GwSessionServer_New(GwLoop *loop, const GwAddress *address,
+                    const GwSessionOptions *options, GwError *err)
+{
+    GwSessionServer *server = g_new0(GwSessionServer, 1);
+
+    server->loop = loop;
+    server->options = *options;
+    server->raw = GwRawServer_New(loop, address, on_accept_, server, err);
+    if (server->raw != NULL)
+        return server;
+    g_free(server);
+    return NULL;
+}
+
+int
+GwSessionServer_Port(const GwSessionServer *server)
+{
+    return GwRawServer_Port(server->raw);
+}
+
+void
+GwSessionServer_Delete(GwSessionServer *server)
+{
+    if (server == NULL)
+        return;
+    GwRawServer_Delete(server->raw);
+    g_free(server);
+}
+
+static GwSession *
+session_new_(GwLoop *loop, const GwSessionOptions *options)
+{
+    GwSession *s = g_new0(GwSession, 1);
+
+    s->loop = loop;
+    s->options = *options;
+    if (s->options.ping_after == 0)
+        s->options.ping_after = DEFAULT_PING_AFTER;
+    if (s->options.silent_after == 0)
+        s->options.silent_after = DEFAULT_SILENT_AFTER;
+    s->decoder = GwFrameDecoder_New();
+    s->scratch = g_byte_array_new();
+    s->last_heard = GwTime_Now();
+    GwTimer_Init(&s->timer, loop, on_timer_, s);
+    GwTimer_Start(&s->timer, s->options.ping_after);
+    return s;
+}
+
+static void
+delete_(GwSession *s)
+{
+    GwTimer_Stop(&s->timer);
+    GwFrameDecoder_Delete(s->decoder);
+    g_byte_array_unref(s->scratch);
+    g_free(s);
+}
+
+static void
+on_open_(void *user)
+{
+    GwSession *s = user;
+    GW_FRAME(frame, hello, HELLO, Hello, hello);
+
+    hello.version = GW_WIRE_VERSION;
+    s->options.fill_hello(s->options.user, &hello);
+    hello.revision = revision_(s);
+    GwSession_Send(s, &frame);
+    GwCounters_Add(s->options.counters, GW_COUNTER_SESSIONS_OPENED, 1);
+}
+
+static void
+on_data_(void *user, const uint8_t *data, size_t len)
+{
+    GwSession *s = user;
+    GwError err = {0};
+    GwFrame *frame;
+    bool ok = true;
+
+    s->last_heard = GwTime_Now();
+    s->depth++;
+    GwFrameDecoder_Push(s->decoder, data, len);
+    while (ok && !s->closed &&
+           (frame = GwFrameDecoder_Pop(s->decoder, &err)) != NULL) {
+        GwCounters_Add(s->options.counters, GW_COUNTER_FRAMES_RECEIVED, 1);
+        ok = handle_(s, frame);
+        GwFrame_Free(frame);
+    }
+    s->depth--;
+    if (err.kind != GW_ERROR_NONE)
+        GW_WARN("closing a session: %s", err.message);
+    if (s->closed && s->depth == 0)
+        delete_(s);
+    else if (!ok || err.kind != GW_ERROR_NONE)
+        fail_(s, false);
+}
+
+static void
+on_closed_(void *user)
+{
+    GwSession *s = user;
+
+    s->raw = NULL;
+    GwCounters_Add(s->options.counters, GW_COUNTER_SESSIONS_LOST, 1);
+    fail_(s, false);
+}
+
+static void
+on_accept_(void *user, GwRaw *raw)
+{
+    GwSessionServer *server = user;
+    GwSession *s = session_new_(server->loop, &server->options);
+
+    s->raw = raw;
+    GwRaw_SetOps(raw, &raw_ops, s);
+}
+
+static void
+on_timer_(void *user)
+{
+    GwSession *s = user;
+    GwTime quiet = GwTime_Now() - s->last_heard;
+    GW_FRAME(frame, ping, PING, Ping, ping);
+
+    if (quiet >= s->options.silent_after) {
+        // A connection that was forgotten on the way yields no error; only
+        // the missing pong shows it.
+        GwCounters_Add(s->options.counters, GW_COUNTER_SESSIONS_SILENT, 1);
+        fail_(s, true);
+        return;
+    }
+    if (s->ready && quiet >= s->options.ping_after / 2) {
+        ping.revision = revision_(s);
+        GwSession_Send(s, &frame);
+    }
+    GwTimer_Start(&s->timer, s->options.ping_after);
+}
+
+static bool
+handle_(GwSession *s, const GwFrame *frame)
+{
+    switch (frame->body_case) {
+    case GW__WIRE__FRAME__BODY_HELLO:
+        return on_hello_(s, frame->hello);
+    case GW__WIRE__FRAME__BODY_PING:
+        send_pong_(s, frame->ping->nonce);
+        tell_revision_(s, frame->ping->revision);
+        return true;
+    case GW__WIRE__FRAME__BODY_PONG:
+        tell_revision_(s, frame->pong->revision);
+        return true;
+    case GW__WIRE__FRAME__BODY__NOT_SET:
+        // A newer peer's message: skipped, so that versions can be mixed.
+        return true;
+    default:
+        if (!s->ready)
+            return false;
+        s->options.ops->on_frame(s->options.user, s, frame);
+        return true;
+    }
+}
+
+static bool
+on_hello_(GwSession *s, const Gw__Wire__Hello *hello)
+{
+    if (hello->version != GW_WIRE_VERSION) {
+        GW_WARN("peer speaks protocol %u, not %u; upgrade the older one",
+                hello->version, GW_WIRE_VERSION);
+        return false;
+    }
+    s->ready = true;
+    s->options.ops->on_ready(s->options.user, s, hello);
+    tell_revision_(s, hello->revision);
+    return true;
+}
+
+static void
+send_pong_(GwSession *s, uint64_t nonce)
+{
+    GW_FRAME(frame, pong, PONG, Pong, pong);
+
+    pong.nonce = nonce;
+    pong.revision = revision_(s);
+    GwSession_Send(s, &frame);
+}
+
+static void
+tell_revision_(GwSession *s, uint64_t revision)
+{
+    if (!s->closed && s->options.ops->on_revision != NULL)
+        s->options.ops->on_revision(s->options.user, s, revision);
+}
+
+static void
+fail_(GwSession *s, bool silent)
+{
+    if (s->closed)
+        return;
+    s->closed = true;
+    GwTimer_Stop(&s->timer);
+    s->depth++;
+    s->options.ops->on_closed(s->options.user, s, silent);
+    s->depth--;
+    if (s->raw != NULL)
+        GwRaw_Close(s->raw);
+    if (s->depth == 0)
+        delete_(s);
+}
+
+static uint64_t
+revision_(GwSession *s)
+{
+    return s->options.revision != NULL ? s->options.revision(s->options.user)
+                                       : 0;
+}
