--- a/packages/agent/program/galenagw_agent.c
+++ b/packages/agent/program/galenagw_agent.c
@@ -40,7 +40,7 @@
      "Configuration records between snapshots (default 1000)", GW_SETTING_INT,
      FIELD(snapshot_every), 1, 1000000, false},
     {"progress-ms", "MS", "An endpoint silent for so long broke off",
-     GW_SETTING_INT, FIELD(progress_ms), 100, 3600000, false},
+     GW_SETTING_INT, FIELD(progress_ms), 100, 100000, false},
     {"silent-ms", "MS", "A session silent for so long is dead", GW_SETTING_INT,
      FIELD(silent_ms), 100, 60000, false},
     {"log-level", "LEVEL", "error, warning, info or debug", GW_SETTING_TEXT,
--- a/packages/agent/src/claims.h
+++ b/packages/agent/src/claims.h
@@ -15,6 +15,10 @@
 
 #include "galenagw/platform/log_service.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 typedef struct Claims Claims;
 
 typedef enum {
@@ -59,4 +63,8 @@
 void Claims_Forget(Claims *claims, void *user);
 size_t Claims_Count(const Claims *claims);
 
+#ifdef __cplusplus
+}
+#endif
+
 #endif
--- a/packages/agent/src/orders.c
+++ b/packages/agent/src/orders.c
@@ -17,7 +17,6 @@
     uint64_t latest; /* offset + 1 of its latest lease record; 0: none */
     char *holder;
     char *engine;
-    uint64_t incarnation;
     GwTime until; /* on our clock; 0: released */
 } Slot;
 
@@ -169,27 +168,35 @@
         (uint64_t)json_integer_value(json_object_get(data, "prev"));
     GwTime ms = json_integer_value(json_object_get(data, "ms"));
     const char *holder = json_string_value(json_object_get(data, "holder"));
+    uint64_t incarnation =
+        (uint64_t)json_integer_value(json_object_get(data, "incarnation"));
+    bool ours;
     Slot *s;
 
     if (i < 0 || i >= MAX_SLOTS || holder == NULL)
         return;
     s = &o->slots[i];
-    if (prev != s->latest && s->latest != 0)
+    ours = o->state == ORDERS_APPENDING && i == o->slot &&
+           incarnation == o->options.incarnation &&
+           strcmp(holder, o->options.holder) == 0;
+    if (prev != s->latest && s->latest != 0) {
+        // Lost the race for this slot: look for another one.
+        if (ours) {
+            o->state = ORDERS_WAITING;
+            o->slot = NO_SLOT;
+        }
         return;
+    }
     g_free(s->holder);
     g_free(s->engine);
     s->latest = offset + 1;
     s->holder = g_strdup(holder);
     s->engine = g_strdup(json_string_value(json_object_get(data, "engine")));
-    s->incarnation =
-        (uint64_t)json_integer_value(json_object_get(data, "incarnation"));
     // Counted from when we read it, which is no earlier than the holder
     // counts, and longer by the drift of clocks.
     s->until =
         GwTime_Now() + ms * GW_MILLISECOND + ms * GW_MILLISECOND / DRIFT_SHARE;
-    if (o->state != ORDERS_APPENDING || i != o->slot ||
-        s->incarnation != o->options.incarnation ||
-        strcmp(holder, o->options.holder) != 0)
+    if (!ours)
         return;
     o->state = ORDERS_HOLDING;
     o->fence = offset + 1;
--- a/packages/agent/src/orders.h
+++ b/packages/agent/src/orders.h
@@ -16,6 +16,10 @@
 
 #include "galenagw/platform/log_service.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 typedef struct Orders Orders;
 
 typedef struct {
@@ -46,4 +50,8 @@
 /* The order was answered, or its answer was lost. */
 void Orders_Answered(Orders *orders, bool fenced);
 
+#ifdef __cplusplus
+}
+#endif
+
 #endif
--- a/packages/agent/src/sessions.c
+++ b/packages/agent/src/sessions.c
@@ -43,16 +43,8 @@
 void
 Sessions_Stop(GwAgent *agent)
 {
-    GHashTableIter it;
-    gpointer session;
-
-    g_hash_table_iter_init(&it, agent->sessions);
-    while (g_hash_table_iter_next(&it, &session, NULL)) {
-        g_hash_table_iter_remove(&it);
-        GwSession_Close(session);
-    }
-    g_hash_table_unref(agent->sessions);
     GwSessionServer_Delete(agent->server);
+    g_hash_table_unref(agent->sessions);
 }
 
 void
--- a/packages/base/include/galenagw/base/log.h
+++ b/packages/base/include/galenagw/base/log.h
@@ -13,6 +13,10 @@
 
 #include "galenagw/base/error.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 #ifndef GW_LOG_PART
 #define GW_LOG_PART "galenagw"
 #endif
@@ -29,5 +33,9 @@
  */
 bool GwLog_Init(const char *level, GwError *err);
 
+#ifdef __cplusplus
+}
+#endif
+
 /** @} */
 #endif
--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -13,6 +13,7 @@
     {"debug", G_LOG_LEVEL_DEBUG},
 };
 
+static bool installed = false;
 static GLogLevelFlags threshold = G_LOG_LEVEL_INFO;
 
 static GLogWriterOutput write_line_(GLogLevelFlags level,
@@ -26,7 +27,10 @@
         if (strcmp(levels[i].name, level) != 0)
             continue;
         threshold = levels[i].level;
-        g_log_set_writer_func(write_line_, NULL, NULL);
+        // GLib takes a writer only once.
+        if (!installed)
+            g_log_set_writer_func(write_line_, NULL, NULL);
+        installed = true;
         return true;
     }
     return GwError_Set(err, GW_ERROR_USAGE,
--- a/packages/entry/src/delivery.c
+++ b/packages/entry/src/delivery.c
@@ -18,7 +18,7 @@
 #define TEXT_MAX (256 * 1024)
 /* How long a lost agent is sought before its request is given up there. */
 #define RESUME_TIME_IDEMPOTENT GW_SECOND
-#define RESUME_TIME_ONCE (5 * GW_SECOND)
+#define RESUME_TIME_ONCE (3 * GW_SECOND)
 #define RESUME_STEP (20 * GW_MILLISECOND)
 #define DEFAULT_RETRY_AFTER GW_SECOND
 
@@ -34,7 +34,6 @@
 static void again_(Exchange *x, GwRetry reason);
 static bool continue_(Exchange *x);
 static bool ask_holder_(Exchange *x, const char *holder);
-static void break_off_(Exchange *x, GwRefusal refusal, GwRan ran);
 static GwMember *member_named_(const Exchange *x, const char *name);
 static void resume_(Exchange *x);
 static void record_ttft_(Exchange *x);
@@ -186,6 +185,7 @@
         x->may_have_run = true;
     Delivery_Detach(x);
     GwTimer_Stop(&x->timer);
+    x->failed_with = r.refusal;
     act_(x, &r, holder, retry_after);
 }
 
@@ -316,7 +316,6 @@
     bool again = r->action == GW_ACTION_RETRY ||
                  r->action == GW_ACTION_CONTINUE ||
                  r->action == GW_ACTION_ASK_HOLDER;
-    GwRefusal refusal = r->refusal;
 
     if (again && !GwRetryBudget_Take(&x->entry->budget)) {
         GwCounters_Refuse(&x->entry->counters, GW_REFUSAL_RETRY_BUDGET);
@@ -330,11 +329,7 @@
         return;
     if (again && r->action == GW_ACTION_ASK_HOLDER && ask_holder_(x, holder))
         return;
-    if (x->begun_answer) {
-        break_off_(x, refusal, r->ran);
-        return;
-    }
-    Exchange_Refuse(x, refusal, r->ran,
+    Exchange_Refuse(x, r->refusal, r->ran,
                     retry_after > 0 ? retry_after : DEFAULT_RETRY_AFTER);
 }
 
@@ -342,6 +337,7 @@
 again_(Exchange *x, GwRetry reason)
 {
     GwCounters_Retry(&x->entry->counters, reason);
+    x->sought_at = GwTime_Now();
     Placing_Start(x);
 }
 
@@ -381,20 +377,6 @@
     return true;
 }
 
-// The caller has part of the answer: say within the stream that it ends
-// here. Its end marker stays out, so it cannot be taken for complete.
-static void
-break_off_(Exchange *x, GwRefusal refusal, GwRan ran)
-{
-    g_autofree char *error = OpenAi_Error(refusal, ran, x->id_text, NULL);
-    g_autofree char *event = g_strdup_printf("data: %s\n\n", error);
-
-    GwCounters_Refuse(&x->entry->counters, refusal);
-    GwHttpCall_Write(x->call, event, strlen(event));
-    GwHttpCall_End(x->call);
-    Exchange_Finish(x);
-}
-
 static GwMember *
 member_named_(const Exchange *x, const char *name)
 {
--- a/packages/entry/src/exchange.c
+++ b/packages/entry/src/exchange.c
@@ -27,6 +27,7 @@
 static bool pay_(Exchange *x, const GwAccount *account);
 static void take_deadline_(Exchange *x, const GwClass *class_);
 static void fill_chain_(Exchange *x);
+static void break_off_(Exchange *x, GwRefusal refusal, GwRan ran);
 static void delete_(Exchange *x);
 static void respond_refusal_(GwEntry *entry, GwHttpCall *call, const char *id,
                              GwRefusal refusal, GwRan ran, GwTime retry_after,
@@ -44,6 +45,7 @@
     g_snprintf(x->id_text, sizeof(x->id_text), "%016" PRIx64, x->id);
     x->request = *request;
     x->begun = GwTime_Now();
+    x->sought_at = x->begun;
     x->deadline = GW_NEVER;
     x->text = g_string_new(NULL);
     x->recent = g_byte_array_new();
@@ -132,6 +134,10 @@
 {
     GwHttpCall *call = x->call;
 
+    if (x->begun_answer) {
+        break_off_(x, refusal, ran);
+        return;
+    }
     GwHttpCall_SetUser(call, NULL);
     respond_refusal_(x->entry, call, x->id_text, refusal, ran, retry_after,
                      NULL);
@@ -319,6 +325,21 @@
     g_clear_pointer(&x->request.parsed, g_free);
 }
 
+// Say within the stream that it ends here. Its end marker stays out, so it
+// cannot be taken for complete.
+static void
+break_off_(Exchange *x, GwRefusal refusal, GwRan ran)
+{
+    g_autofree char *error = OpenAi_Error(refusal, ran, x->id_text, NULL);
+    g_autofree char *event = g_strdup_printf("data: %s\n\n", error);
+
+    GwCounters_Refuse(&x->entry->counters, refusal);
+    GwHttpCall_Write(x->call, event, strlen(event));
+    GwHttpCall_End(x->call);
+    GwHttpCall_SetUser(x->call, NULL);
+    delete_(x);
+}
+
 static void
 delete_(Exchange *x)
 {
--- a/packages/entry/src/exchange_private.h
+++ b/packages/entry/src/exchange_private.h
@@ -50,6 +50,7 @@
     uint64_t probe_id;
     uint32_t width;
     GwTime probed_at;
+    GwTime sought_at; /* since when an endpoint is looked for */
     int rounds;
     const GwMember *tried[MAX_TRIED];
     int n_tried;
@@ -58,7 +59,8 @@
     Peer *peer;
     uint64_t incarnation; /* of the agent it was submitted to */
     uint32_t attempt;
-    bool may_have_run; /* an earlier attempt may have */
+    bool may_have_run;     /* an earlier attempt may have */
+    GwRefusal failed_with; /* how the last attempt failed, or NONE */
     bool asked_holder;
     uint32_t next_seq;
     uint32_t acked;
@@ -78,7 +80,10 @@
 
 /* exchange.c */
 Exchange *Exchange_Find(GwEntry *entry, uint64_t id);
-/* Answer with a refusal and end. */
+/*
+ * Answer with a refusal and end. A caller that has part of an answer is told
+ * within the stream.
+ */
 void Exchange_Refuse(Exchange *x, GwRefusal refusal, GwRan ran,
                      GwTime retry_after);
 /* End, the answer having been handed to the server. */
@@ -91,6 +96,7 @@
 void Placing_Start(Exchange *x);
 void Placing_OnTimer(Exchange *x);
 void Placing_Forget(Exchange *x);
+void Placing_NoteTried(Exchange *x, const GwMember *member);
 void Placing_Submit(Exchange *x, Peer *peer);
 
 /* delivery.c */
--- a/packages/entry/src/openai.h
+++ b/packages/entry/src/openai.h
@@ -12,6 +12,10 @@
 #include "galenagw/base/reason.h"
 #include "galenagw/policy/chain.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 /* A parsed request; released by OpenAi_Finish. */
 typedef struct {
     json_t *root;
@@ -43,4 +47,8 @@
 char *OpenAi_Error(GwRefusal refusal, GwRan ran, const char *request_id,
                    const char *detail);
 
+#ifdef __cplusplus
+}
+#endif
+
 #endif
--- a/packages/entry/src/placing.c
+++ b/packages/entry/src/placing.c
@@ -26,7 +26,6 @@
 static Field gather_(Exchange *x);
 static void field_finish_(Field *field);
 static bool was_tried_(const Exchange *x, const GwMember *member);
-static void note_tried_(Exchange *x, const GwMember *member);
 static void pick_(Exchange *x, const Field *field);
 static void pick_by_prefix_(Exchange *x, const Field *field);
 static void pick_for_key_(Exchange *x, const Field *field);
@@ -70,6 +69,13 @@
     g_hash_table_remove(x->entry->probes, &x->probe_id);
 }
 
+void
+Placing_NoteTried(Exchange *x, const GwMember *member)
+{
+    if (x->n_tried < MAX_TRIED)
+        x->tried[x->n_tried++] = member;
+}
+
 void
 Placing_Submit(Exchange *x, Peer *peer)
 {
@@ -204,13 +210,6 @@
     return false;
 }
 
-static void
-note_tried_(Exchange *x, const GwMember *member)
-{
-    if (x->n_tried < MAX_TRIED)
-        x->tried[x->n_tried++] = member;
-}
-
 static void
 pick_(Exchange *x, const Field *field)
 {
@@ -330,11 +329,14 @@
 {
     GwTime now = GwTime_Now();
 
-    if (others_may_come_(x) && now - x->begun < NO_MEMBER_TIME) {
+    if (others_may_come_(x) && now - x->sought_at < NO_MEMBER_TIME) {
         Exchange_Wait(x, NO_MEMBER_STEP);
         return;
     }
-    Exchange_Refuse(x, GW_REFUSAL_NO_ENDPOINT,
+    // What became of the last attempt tells the caller more.
+    Exchange_Refuse(x,
+                    x->failed_with != GW_REFUSAL_NONE ? x->failed_with
+                                                      : GW_REFUSAL_NO_ENDPOINT,
                     x->may_have_run ? GW_RAN_UNKNOWN : GW_RAN_NO, GW_SECOND);
 }
 
@@ -384,7 +386,7 @@
 
     Placing_Forget(x);
     for (int i = 0; i < x->n_candidates; i++)
-        note_tried_(x, x->candidates[i].peer->member);
+        Placing_NoteTried(x, x->candidates[i].peer->member);
     x->rounds++;
     if (again && x->rounds < MAX_ROUNDS) {
         Field field = gather_(x);
--- a/packages/net/include/galenagw/net/http_client.h
+++ b/packages/net/include/galenagw/net/http_client.h
@@ -41,8 +41,9 @@
     GwAddress address;
     const char *method;
     const char *path;
-    const char *content_type; /**< NULL: application/json */
-    const char *header_name;  /**< One more header, or NULL. */
+    const char *content_type;  /**< NULL: application/json */
+    const char *authorization; /**< Its header's value, or NULL. */
+    const char *header_name;   /**< One more header, or NULL. */
     const char *header_value;
     const char *body;
     size_t body_len;
--- a/packages/net/include/galenagw/net/http_server.h
+++ b/packages/net/include/galenagw/net/http_server.h
@@ -41,11 +41,11 @@
     void *user;
 } GwHttpServerOptions;
 
-/** Listen. @return NULL with @p err. Lives as long as the loop. */
+/** Listen. @return NULL with @p err. Delete it before the loop. */
 GwHttpServer *GwHttpServer_New(GwLoop *loop,
                                const GwHttpServerOptions *options,
                                GwError *err);
-/** Stop listening and free; call after the loop has ended. */
+/** Close all its connections without callbacks; frees the server. */
 void GwHttpServer_Delete(GwHttpServer *server);
 /** The port in use, also when 0 was asked for. */
 int GwHttpServer_Port(const GwHttpServer *server);
--- a/packages/net/include/galenagw/net/loop.h
+++ b/packages/net/include/galenagw/net/loop.h
@@ -19,6 +19,9 @@
 extern "C" {
 #endif
 
+/** No deadline of ours may be longer: the library's own comes then. */
+#define GW_LIBRARY_TIMEOUT_SECONDS 120
+
 typedef struct GwLoop GwLoop;
 
 /** Construction options of a loop; zero means the default. */
--- a/packages/net/include/galenagw/net/raw.h
+++ b/packages/net/include/galenagw/net/raw.h
@@ -40,6 +40,7 @@
                              void (*on_accept)(void *user, GwRaw *raw),
                              void *user, GwError *err);
 int GwRawServer_Port(const GwRawServer *server);
+/** Stop listening and close what was accepted; on_closed comes for each. */
 void GwRawServer_Delete(GwRawServer *server);
 
 #ifdef __cplusplus
--- a/packages/net/src/http_client.c
+++ b/packages/net/src/http_client.c
@@ -20,6 +20,7 @@
     struct lws *wsi;
     GwHttpRequestOptions options;
     char *path;
+    char *authorization;
     char *header_name;
     char *header_value;
     char *content_type;
@@ -51,6 +52,7 @@
     req->loop = loop;
     req->options = *options;
     req->path = g_strdup(options->path);
+    req->authorization = g_strdup(options->authorization);
     req->options.method = g_intern_string(options->method);
     req->header_name = options->header_name != NULL
                            ? g_strconcat(options->header_name, ":", NULL)
@@ -187,6 +189,11 @@
     const char *type = req->content_type;
 
     req->sent = true;
+    if (req->authorization != NULL &&
+        lws_add_http_header_by_token(wsi, WSI_TOKEN_HTTP_AUTHORIZATION,
+                                     (const unsigned char *)req->authorization,
+                                     (int)strlen(req->authorization), p, end))
+        return -1;
     if (req->header_name != NULL &&
         lws_add_http_header_by_name(wsi,
                                     (const unsigned char *)req->header_name,
@@ -267,6 +274,7 @@
         return;
     GwTimer_Stop(&req->timer);
     g_free(req->path);
+    g_free(req->authorization);
     g_free(req->header_name);
     g_free(req->header_value);
     g_free(req->content_type);
--- a/packages/net/src/http_server.c
+++ b/packages/net/src/http_server.c
@@ -23,10 +23,12 @@
 
 struct GwHttpServer {
     struct lws_vhost *vhost;
+    GwLoop *loop;
     GwHttpServerOptions options;
     struct lws_protocols protocols[2];
     int port;
     bool close_idle;
+    bool deleted; /* no callback any more */
 };
 
 struct GwHttpCall {
@@ -40,6 +42,7 @@
     GByteArray *out; /* LWS_PRE bytes of room, then unsent bytes */
     size_t sent;
     size_t body_limit;
+    GwTimer body_timer; /* a slow caller's body must not hold memory */
     void *user;
     bool delivered; /* on_call was made */
     bool begun;
@@ -57,12 +60,14 @@
                      void *user, void *in, size_t len);
 static int on_request_(struct lws *wsi, Connection *conn);
 static int on_body_(Connection *conn, const void *in, size_t len);
+static void on_body_late_(void *user);
 static int deliver_(GwHttpCall *call);
 static int refuse_(struct lws *wsi, Connection *conn, int status);
 static int on_writeable_(struct lws *wsi, Connection *conn);
 static void on_closed_(Connection *conn);
 static GwHttpCall *call_new_(struct lws *wsi, GwHttpServer *server);
 static void call_delete_(GwHttpCall *call);
+static void on_finalized_(struct lws_vhost *vhost, void *arg);
 static char *copy_header_(struct lws *wsi, size_t i);
 static void start_head_(GwHttpCall *call, int status, const char *type);
 static void append_(GwHttpCall *call, const char *data, size_t len);
@@ -76,6 +81,7 @@
 
     g_assert(options->ops->on_call != NULL);
     server->options = *options;
+    server->loop = loop;
     server->protocols[0].name = "http";
     server->protocols[0].callback = callback_;
     server->protocols[0].per_session_data_size = sizeof(Connection);
@@ -84,15 +90,19 @@
     info.protocols = server->protocols;
     info.vhost_name = "http-server";
     info.user = server;
+    info.finalize = on_finalized_;
+    info.finalize_arg = server;
     info.keepalive_timeout = 60;
-    info.timeout_secs = (unsigned)(options->body_timeout / GW_SECOND);
     server->vhost = lws_create_vhost(GwLoop_Context(loop), &info);
     if (server->vhost == NULL ||
         lws_get_vhost_listen_port(server->vhost) <= 0) {
         GwError_Set(err, GW_ERROR_IO,
                     "cannot listen on %s:%d; choose a free address",
                     options->address.host, options->address.port);
-        g_free(server);
+        if (server->vhost != NULL)
+            GwHttpServer_Delete(server);
+        else
+            g_free(server);
         return NULL;
     }
     server->port = lws_get_vhost_listen_port(server->vhost);
@@ -102,7 +112,10 @@
 void
 GwHttpServer_Delete(GwHttpServer *server)
 {
-    g_free(server);
+    if (server == NULL)
+        return;
+    server->deleted = true;
+    lws_vhost_destroy(server->vhost);
 }
 
 int
@@ -262,6 +275,8 @@
     GwHttpCall *call;
     bool has_body;
 
+    if (server->deleted)
+        return -1;
     // A call that ended leaves its struct until the next one begins.
     on_closed_(conn);
     call = call_new_(wsi, server);
@@ -281,6 +296,7 @@
         return refuse_(wsi, conn, 413);
     if (call->body_limit == 0)
         return deliver_(call);
+    GwTimer_Start(&call->body_timer, server->options.body_timeout);
     return 0;
 }
 
@@ -297,6 +313,14 @@
     return 0;
 }
 
+static void
+on_body_late_(void *user)
+{
+    GwHttpCall *call = user;
+
+    lws_set_timeout(call->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+}
+
 static int
 deliver_(GwHttpCall *call)
 {
@@ -305,6 +329,7 @@
     if (call->delivered)
         return 0;
     call->delivered = true;
+    GwTimer_Stop(&call->body_timer);
     // The length does not count this NUL; parsers may rely on it.
     g_byte_array_append(call->body, (const guint8 *)"", 1);
     g_byte_array_set_size(call->body, call->body->len - 1);
@@ -376,7 +401,8 @@
         return;
     conn->call = NULL;
     server = call->server;
-    if (call->delivered && !call->ended && server->options.ops->on_gone)
+    if (call->delivered && !call->ended && !server->deleted &&
+        server->options.ops->on_gone)
         server->options.ops->on_gone(server->options.user, call);
     call_delete_(call);
 }
@@ -394,6 +420,7 @@
 
     call->wsi = wsi;
     call->server = server;
+    GwTimer_Init(&call->body_timer, server->loop, on_body_late_, call);
     call->method = g_strdup(method >= 0 && method < (int)G_N_ELEMENTS(methods)
                                 ? methods[method]
                                 : "GET");
@@ -416,6 +443,7 @@
 static void
 call_delete_(GwHttpCall *call)
 {
+    GwTimer_Stop(&call->body_timer);
     for (size_t i = 0; i < N_KEPT; i++)
         g_free(call->headers[i]);
     g_free(call->method);
@@ -426,6 +454,13 @@
     g_free(call);
 }
 
+// The vhost's protocols live in the server, so it goes last.
+static void
+on_finalized_(struct lws_vhost *vhost, void *arg)
+{
+    g_free(arg);
+}
+
 static char *
 copy_header_(struct lws *wsi, size_t i)
 {
--- a/packages/net/src/loop.c
+++ b/packages/net/src/loop.c
@@ -40,6 +40,9 @@
     lws_set_log_level(0, NULL);
     signal(SIGPIPE, SIG_IGN);
     info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+    // The library gives up on a peer's first byte by itself, after five
+    // seconds if not told otherwise; our own deadlines come before this.
+    info.timeout_secs = GW_LIBRARY_TIMEOUT_SECONDS;
     info.pt_serv_buf_size = SERVICE_BUFFER;
     info.fd_limit_per_thread =
         (unsigned)(limit > 0 ? limit : DEFAULT_CONNECTIONS);
--- a/packages/net/src/raw.c
+++ b/packages/net/src/raw.c
@@ -36,6 +36,7 @@
 static int opened_(GwRaw *raw, struct lws *wsi);
 static int flush_(GwRaw *raw);
 static void ended_(GwRaw *raw);
+static void on_finalized_(struct lws_vhost *vhost, void *arg);
 
 GwRaw *
 GwRaw_Connect(GwLoop *loop, const GwAddress *address, const GwRawOps *ops,
@@ -106,13 +107,18 @@
     info.listen_accept_protocol = "gw-raw";
     info.options = LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG;
     info.user = server;
+    info.finalize = on_finalized_;
+    info.finalize_arg = server;
     server->vhost = lws_create_vhost(GwLoop_Context(loop), &info);
     if (server->vhost == NULL ||
         lws_get_vhost_listen_port(server->vhost) <= 0) {
         GwError_Set(err, GW_ERROR_IO,
                     "cannot listen on %s:%d; choose a free address",
                     address->host, address->port);
-        g_free(server);
+        if (server->vhost != NULL)
+            GwRawServer_Delete(server);
+        else
+            g_free(server);
         return NULL;
     }
     return server;
@@ -127,7 +133,10 @@
 void
 GwRawServer_Delete(GwRawServer *server)
 {
-    g_free(server);
+    if (server == NULL)
+        return;
+    server->on_accept = NULL;
+    lws_vhost_destroy(server->vhost);
 }
 
 int
@@ -141,6 +150,9 @@
         if (raw == NULL) {
             GwRawServer *server = lws_get_vhost_user(lws_get_vhost(wsi));
 
+            // A vhost being destroyed accepts until its next round.
+            if (server->on_accept == NULL)
+                return -1;
             raw = raw_new_();
             lws_set_opaque_user_data(wsi, raw);
             raw->wsi = wsi;
@@ -269,3 +281,10 @@
         raw->ops->on_closed(raw->user);
     raw_delete_(raw);
 }
+
+// The vhost's protocols live in the server, so it goes last.
+static void
+on_finalized_(struct lws_vhost *vhost, void *arg)
+{
+    g_free(arg);
+}
--- a/packages/wire/include/galenagw/wire/session.h
+++ b/packages/wire/include/galenagw/wire/session.h
@@ -70,6 +70,7 @@
                                      const GwSessionOptions *options,
                                      GwError *err);
 int GwSessionServer_Port(const GwSessionServer *server);
+/** Close its sessions without callbacks, stop listening, and free. */
 void GwSessionServer_Delete(GwSessionServer *server);
 
 #ifdef __cplusplus
--- a/packages/wire/src/session.c
+++ b/packages/wire/src/session.c
@@ -1,12 +1,16 @@
 #define GW_LOG_PART "wire"
 #include "galenagw/wire/session.h"
 
+#include <sys/queue.h>
+
 #include "galenagw/base/log.h"
 
 #define DEFAULT_PING_AFTER GW_SECOND
 #define DEFAULT_SILENT_AFTER (3 * GW_SECOND)
 
 struct GwSession {
+    TAILQ_ENTRY(GwSession) link; /* in its server's list */
+    GwSessionServer *server;     /* NULL when we connected */
     GwRaw *raw;
     GwLoop *loop;
     GwSessionOptions options;
@@ -24,6 +28,7 @@
     GwRawServer *raw;
     GwLoop *loop;
     GwSessionOptions options;
+    TAILQ_HEAD(, GwSession) accepted;
 };
 
 static GwSession *session_new_(GwLoop *loop, const GwSessionOptions *options);
@@ -38,6 +43,7 @@
 static void send_pong_(GwSession *s, uint64_t nonce);
 static void tell_revision_(GwSession *s, uint64_t revision);
 static void fail_(GwSession *s, bool silent);
+static void leave_(GwSession *s);
 static uint64_t revision_(GwSession *s);
 
 static const GwRawOps raw_ops = {on_open_, on_data_, on_closed_};
@@ -106,8 +112,7 @@
 {
     if (s == NULL || s->closed)
         return;
-    s->closed = true;
-    GwTimer_Stop(&s->timer);
+    leave_(s);
     GwRaw_Close(s->raw);
     if (s->depth == 0)
         delete_(s);
@@ -121,6 +126,7 @@
 
     server->loop = loop;
     server->options = *options;
+    TAILQ_INIT(&server->accepted);
     server->raw = GwRawServer_New(loop, address, on_accept_, server, err);
     if (server->raw != NULL)
         return server;
@@ -139,6 +145,8 @@
 {
     if (server == NULL)
         return;
+    while (!TAILQ_EMPTY(&server->accepted))
+        GwSession_Close(TAILQ_FIRST(&server->accepted));
     GwRawServer_Delete(server->raw);
     g_free(server);
 }
@@ -227,6 +235,8 @@
     GwSession *s = session_new_(server->loop, &server->options);
 
     s->raw = raw;
+    s->server = server;
+    TAILQ_INSERT_TAIL(&server->accepted, s, link);
     GwRaw_SetOps(raw, &raw_ops, s);
 }
 
@@ -311,8 +321,7 @@
 {
     if (s->closed)
         return;
-    s->closed = true;
-    GwTimer_Stop(&s->timer);
+    leave_(s);
     s->depth++;
     s->options.ops->on_closed(s->options.user, s, silent);
     s->depth--;
@@ -328,3 +337,13 @@
     return s->options.revision != NULL ? s->options.revision(s->options.user)
                                        : 0;
 }
+
+static void
+leave_(GwSession *s)
+{
+    s->closed = true;
+    GwTimer_Stop(&s->timer);
+    if (s->server != NULL)
+        TAILQ_REMOVE(&s->server->accepted, s, link);
+    s->server = NULL;
+}
