Offers that are not taken up are released; doubt is learned, not halved

Two causes were found. Each round of offers left three reservations standing for 50 ms at agents that were not chosen, which looked like queues and drove requests away from the holder of their prefix. And each gap in an engine's cache events halved what the view counted, though the view's own play of the engine's eviction stayed right.

The view learns from each answer's cached tokens which share of doubtful blocks is really held.

--- a/packages/agent/src/job.c
+++ b/packages/agent/src/job.c
@@ -49,6 +49,7 @@
     uint32_t *chunk_bytes;
     size_t chain_len;
     size_t missing; /* chunks, as estimated on entry */
+    size_t leading; /* chunks that the view had on entry */
 
     GwEndpointCall *call;
     bool paused;
@@ -119,6 +120,7 @@
 static void on_chunk_(void *user, const char *data, size_t len);
 static void on_done_(void *user, const GwEndpointResult *result);
 static void first_output_(Job *job);
+static void learn_hits_(Job *job, const GwEndpointResult *result);
 static void add_head_(Job *job, int status, const char *type);
 static void add_chunk_(Job *job, GBytes *data);
 static void finish_(Job *job, const GwEndpointResult *result);
@@ -476,6 +478,8 @@
     GwRefusal refusal;
 
     job->missing = job->chain_len - resident;
+    job->leading =
+        GwCacheView_Leading(agent->view, job->chain, job->chain_len);
     job->ticket.prefill =
         Offers_Prefill(agent, job->chunk_bytes, resident, job->chain_len);
     refusal = GwAdmission_Enter(agent->admission, &job->ticket, GwTime_Now());
@@ -671,6 +675,7 @@
 
     job->call = NULL;
     GwAdmission_Leave(agent->admission, &job->ticket, GwTime_Now());
+    learn_hits_(job, result);
     if (result->end == GW_CALL_NOT_RUN && job->count == 0) {
         // Proven not run, so the key may be tried again.
         if (ks != NULL)
@@ -708,6 +713,24 @@
     GwAdmission_Output(agent->admission, &job->ticket, now);
 }
 
+// What the engine says it reused tells how far the view can be trusted.
+static void
+learn_hits_(Job *job, const GwEndpointResult *result)
+{
+    uint64_t tokens = 0;
+    size_t hit = 0;
+
+    if (result->prompt_tokens == 0)
+        return;
+    while (hit < job->leading) {
+        tokens += GwChain_Tokens(job->chunk_bytes, hit, hit + 1);
+        if (tokens > result->cached_tokens)
+            break;
+        hit++;
+    }
+    GwCacheView_Learn(job->agent->view, job->leading, hit);
+}
+
 static void
 add_head_(Job *job, int status, const char *type)
 {
--- a/packages/agent/src/sessions.c
+++ b/packages/agent/src/sessions.c
@@ -96,6 +96,9 @@
     case GW__WIRE__FRAME__BODY_PROBE:
         Offers_Probe(agent, session, frame->probe);
         break;
+    case GW__WIRE__FRAME__BODY_RELEASE:
+        Offers_TakeUp(agent, frame->release->probe_id);
+        break;
     case GW__WIRE__FRAME__BODY_SUBMIT:
         Jobs_Submit(agent, session, frame->submit);
         break;
--- a/packages/config/src/document.c
+++ b/packages/config/src/document.c
@@ -13,6 +13,7 @@
 static json_t *convert_sequence_(Walk *walk, struct fy_node *node);
 static json_t *convert_scalar_(struct fy_node *node);
 static void note_line_(Walk *walk, struct fy_node *node);
+static const char *position_(char *report);
 static void collect_diag_(struct fy_diag *diag, void *user, const char *buf,
                           size_t len);
 
@@ -40,6 +41,7 @@
 
     memset(yaml, 0, sizeof(*yaml));
     fy_diag_cfg_default(&diag_cfg);
+    diag_cfg.fp = NULL;
     diag_cfg.output_fn = collect_diag_;
     diag_cfg.user = report;
     diag_cfg.colorize = false;
@@ -47,10 +49,9 @@
     doc = fy_document_build_from_string(&cfg, text, FY_NT);
     if (doc == NULL) {
         fy_diag_destroy(cfg.diag);
-        g_strdelimit(report->str, "\n", ' ');
         return GwError_Set(err, GW_ERROR_CONFIG,
-                           "%s: not valid YAML; correct it: %s", file,
-                           report->str);
+                           "%s%s; not valid YAML, correct it", file,
+                           position_(report->str));
     }
     yaml->file = g_strdup(file);
     yaml->lines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -240,6 +241,17 @@
                         GINT_TO_POINTER(mark->line + 1));
 }
 
+// The library names its buffer, then ":LINE:COLUMN: error: ..."; the file's
+// name goes in the buffer's place, and only the first line is kept.
+static const char *
+position_(char *report)
+{
+    char *at = strchr(report, '>');
+
+    report[strcspn(report, "\n")] = '\0';
+    return at != NULL ? at + 1 : report;
+}
+
 static void
 collect_diag_(struct fy_diag *diag, void *user, const char *buf, size_t len)
 {
--- a/packages/entry/src/placing.c
+++ b/packages/entry/src/placing.c
@@ -35,6 +35,7 @@
 static void nobody_(Exchange *x);
 static bool others_may_come_(const Exchange *x);
 static void decide_(Exchange *x);
+static void release_others_(Exchange *x, int best);
 static void all_declined_(Exchange *x);
 static bool round_is_over_(const Exchange *x);
 static int collect_(const Exchange *x, GwOffer offers[GW_CANDIDATES_MAX]);
@@ -368,9 +369,26 @@
         all_declined_(x);
         return;
     }
+    release_others_(x, best);
     Placing_Submit(x, x->candidates[best].peer);
 }
 
+// Places held for us elsewhere would look like work to other entries.
+static void
+release_others_(Exchange *x, int best)
+{
+    GW_FRAME(frame, release, RELEASE, Release, release);
+
+    release.probe_id = x->probe_id;
+    for (int i = 0; i < x->n_candidates; i++) {
+        Candidate *c = &x->candidates[i];
+
+        if (i != best && c->sent && Peers_IsReady(c->peer) &&
+            c->offer.refusal == GW_REFUSAL_NONE)
+            GwSession_Send(c->peer->session, &frame);
+    }
+}
+
 static void
 all_declined_(Exchange *x)
 {
--- a/packages/policy/include/galenagw/policy/cache_view.h
+++ b/packages/policy/include/galenagw/policy/cache_view.h
@@ -6,10 +6,11 @@
  * went in; the view plays the engine's least-recently-used eviction with
  * the capacity that the engine reports, and is corrected by cache events.
  * A prompt counts as held from the time it is queued: whatever comes after
- * it finds its blocks there. Events may be late or
- * missing: a gap makes older entries doubtful, which halves what they
- * count in an estimate. Correctness never rests on the view, because the
- * engine alone decides what it reuses. A new incarnation empties it.
+ * it finds its blocks there. Events may be late or missing: after a gap what
+ * is not confirmed again is doubtful, and counts in an estimate by the share
+ * of such blocks that answers have lately shown to be held. Correctness
+ * never rests on the view, because the engine alone decides what it reuses. A
+ * new incarnation empties it.
  * @{
  */
 #ifndef GALENAGW_POLICY_CACHE_VIEW_H
@@ -33,12 +34,18 @@
 /** Bind to an incarnation of the engine. @return true if it was emptied. */
 bool GwCacheView_Bind(GwCacheView *view, uint64_t incarnation);
 
-/** Leading chunks of @p hashes held; doubtful ones count half. */
+/** Leading chunks of @p hashes held, doubtful ones by their share. */
 size_t GwCacheView_Resident(const GwCacheView *view, const uint64_t *hashes,
                             size_t count);
 /** A prompt goes to the engine, which will hold all of @p hashes. */
 void GwCacheView_Insert(GwCacheView *view, const uint64_t *hashes,
                         size_t count, bool trial);
+/** Leading chunks of @p hashes that the view has at all. */
+size_t GwCacheView_Leading(const GwCacheView *view, const uint64_t *hashes,
+                           size_t count);
+/** An answer showed that of @p leading chunks the engine held @p hit. */
+void GwCacheView_Learn(GwCacheView *view, size_t leading, size_t hit);
+
 /** Kinds of cache events. */
 typedef enum {
     GW_CACHE_STORED = 0,
--- a/packages/policy/src/cache_view.c
+++ b/packages/policy/src/cache_view.c
@@ -5,6 +5,8 @@
 
 /* Bound on the view while the engine has not told its capacity. */
 #define UNKNOWN_CAPACITY 65536
+/* Weight of a new sample in the share of doubtful blocks held. */
+#define LEARN_SHARE 0.05
 /* A hash table slot: key, value and hash, at the fullest load. */
 #define TABLE_SLOT_BYTES 24
 
@@ -33,6 +35,7 @@
     uint64_t next_seq;
     bool seq_known;
     uint32_t epoch;
+    double trust; /* learned share of doubtful blocks that are held */
 };
 
 static void touch_(GwCacheView *view, uint64_t hash, bool trial);
@@ -47,6 +50,7 @@
 
     view->entries = g_hash_table_new(g_int64_hash, g_int64_equal);
     view->capacity = capacity;
+    view->trust = 1;
     TAILQ_INIT(&view->lru);
     return view;
 }
@@ -98,7 +102,29 @@
         else
             doubtful++;
     }
-    return sure + doubtful / 2;
+    return sure + (size_t)((double)doubtful * view->trust);
+}
+
+size_t
+GwCacheView_Leading(const GwCacheView *view, const uint64_t *hashes,
+                    size_t count)
+{
+    size_t n = 0;
+
+    while (n < count && g_hash_table_contains(view->entries, &hashes[n]))
+        n++;
+    return n;
+}
+
+void
+GwCacheView_Learn(GwCacheView *view, size_t leading, size_t hit)
+{
+    double share;
+
+    if (leading == 0)
+        return;
+    share = (double)MIN(hit, leading) / (double)leading;
+    view->trust += LEARN_SHARE * (share - view->trust);
 }
 
 void
@@ -119,7 +145,7 @@
     bool in_order = !view->seq_known || seq == view->next_seq;
 
     // After a gap some removals were not heard: what is not confirmed
-    // again counts half from now on.
+    // again is doubtful from now on.
     if (!in_order)
         view->epoch++;
     view->seq_known = true;
--- a/packages/policy/src/membership.c
+++ b/packages/policy/src/membership.c
@@ -143,7 +143,8 @@
 {
     member->samples = member->samples * SAMPLE_DECAY + 1;
     member->error_rate += (failed - member->error_rate) / member->samples;
-    if (!failed || member->samples < EJECT_MIN_SAMPLES ||
+    if (!failed || now < member->ejected_until ||
+        member->samples < EJECT_MIN_SAMPLES ||
         member->error_rate < EJECT_RATE || !may_eject_(m, member, now))
         return false;
     member->ejected_until = now + GwTime_Jitter(m->rand, EJECT_TIME);
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Gw__Wire__ConfigState Gw__Wire__ConfigState;
 typedef struct Gw__Wire__Probe Gw__Wire__Probe;
 typedef struct Gw__Wire__Offer Gw__Wire__Offer;
+typedef struct Gw__Wire__Release Gw__Wire__Release;
 typedef struct Gw__Wire__Submit Gw__Wire__Submit;
 typedef struct Gw__Wire__Refused Gw__Wire__Refused;
 typedef struct Gw__Wire__Chunk Gw__Wire__Chunk;
@@ -209,6 +210,19 @@
     , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * The offer is not taken up.
+ */
+struct  Gw__Wire__Release
+{
+  ProtobufCMessage base;
+  uint64_t probe_id;
+};
+#define GW__WIRE__RELEASE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__wire__release__descriptor) \
+    , 0 }
+
+
 struct  Gw__Wire__Submit
 {
   ProtobufCMessage base;
@@ -439,7 +453,8 @@
   GW__WIRE__FRAME__BODY_CREDIT_GRANT = 18,
   GW__WIRE__FRAME__BODY_DRAIN = 19,
   GW__WIRE__FRAME__BODY_STATUS_ASK = 20,
-  GW__WIRE__FRAME__BODY_STATUS = 21
+  GW__WIRE__FRAME__BODY_STATUS = 21,
+  GW__WIRE__FRAME__BODY_RELEASE = 22
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__WIRE__FRAME__BODY__CASE)
 } Gw__Wire__Frame__BodyCase;
 
@@ -469,6 +484,7 @@
     Gw__Wire__Drain *drain;
     Gw__Wire__StatusAsk *status_ask;
     Gw__Wire__Status *status;
+    Gw__Wire__Release *release;
   };
 };
 #define GW__WIRE__FRAME__INIT \
@@ -628,6 +644,25 @@
 void   gw__wire__offer__free_unpacked
                      (Gw__Wire__Offer *message,
                       ProtobufCAllocator *allocator);
+/* Gw__Wire__Release methods */
+void   gw__wire__release__init
+                     (Gw__Wire__Release         *message);
+size_t gw__wire__release__get_packed_size
+                     (const Gw__Wire__Release   *message);
+size_t gw__wire__release__pack
+                     (const Gw__Wire__Release   *message,
+                      uint8_t             *out);
+size_t gw__wire__release__pack_to_buffer
+                     (const Gw__Wire__Release   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Wire__Release *
+       gw__wire__release__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__wire__release__free_unpacked
+                     (Gw__Wire__Release *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__Wire__Submit methods */
 void   gw__wire__submit__init
                      (Gw__Wire__Submit         *message);
@@ -920,6 +955,9 @@
 typedef void (*Gw__Wire__Offer_Closure)
                  (const Gw__Wire__Offer *message,
                   void *closure_data);
+typedef void (*Gw__Wire__Release_Closure)
+                 (const Gw__Wire__Release *message,
+                  void *closure_data);
 typedef void (*Gw__Wire__Submit_Closure)
                  (const Gw__Wire__Submit *message,
                   void *closure_data);
@@ -978,6 +1016,7 @@
 extern const ProtobufCMessageDescriptor gw__wire__config_state__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__probe__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__offer__descriptor;
+extern const ProtobufCMessageDescriptor gw__wire__release__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__submit__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__refused__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__chunk__descriptor;
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &gw__wire__offer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__wire__release__init
+                     (Gw__Wire__Release         *message)
+{
+  static const Gw__Wire__Release init_value = GW__WIRE__RELEASE__INIT;
+  *message = init_value;
+}
+size_t gw__wire__release__get_packed_size
+                     (const Gw__Wire__Release *message)
+{
+  assert(message->base.descriptor == &gw__wire__release__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__wire__release__pack
+                     (const Gw__Wire__Release *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__wire__release__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__wire__release__pack_to_buffer
+                     (const Gw__Wire__Release *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__wire__release__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Wire__Release *
+       gw__wire__release__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Wire__Release *)
+     protobuf_c_message_unpack (&gw__wire__release__descriptor,
+                                allocator, len, data);
+}
+void   gw__wire__release__free_unpacked
+                     (Gw__Wire__Release *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__wire__release__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gw__wire__submit__init
                      (Gw__Wire__Submit         *message)
 {
@@ -1652,6 +1697,44 @@
   (ProtobufCMessageInit) gw__wire__offer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gw__wire__release__field_descriptors[1] =
+{
+  {
+    "probe_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__Release, probe_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__wire__release__field_indices_by_name[] = {
+  0,   /* field[0] = probe_id */
+};
+static const ProtobufCIntRange gw__wire__release__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gw__wire__release__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.wire.Release",
+  "Release",
+  "Gw__Wire__Release",
+  "gw.wire",
+  sizeof(Gw__Wire__Release),
+  1,
+  gw__wire__release__field_descriptors,
+  gw__wire__release__field_indices_by_name,
+  1,  gw__wire__release__number_ranges,
+  (ProtobufCMessageInit) gw__wire__release__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gw__wire__submit__field_descriptors[17] =
 {
   {
@@ -2698,7 +2781,7 @@
   (ProtobufCMessageInit) gw__wire__status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[21] =
+static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[22] =
 {
   {
     "hello",
@@ -2952,6 +3035,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "release",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Wire__Frame, body_case),
+    offsetof(Gw__Wire__Frame, release),
+    &gw__wire__release__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__frame__field_indices_by_name[] = {
   12,   /* field[12] = ack */
@@ -2970,6 +3065,7 @@
   2,   /* field[2] = pong */
   6,   /* field[6] = probe */
   9,   /* field[9] = refused */
+  21,   /* field[21] = release */
   14,   /* field[14] = resume */
   15,   /* field[15] = resume_result */
   20,   /* field[20] = status */
@@ -2979,7 +3075,7 @@
 static const ProtobufCIntRange gw__wire__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor gw__wire__frame__descriptor =
 {
@@ -2989,7 +3085,7 @@
   "Gw__Wire__Frame",
   "gw.wire",
   sizeof(Gw__Wire__Frame),
-  21,
+  22,
   gw__wire__frame__field_descriptors,
   gw__wire__frame__field_indices_by_name,
   1,  gw__wire__frame__number_ranges,
--- /dev/null
+++ b/spec/fence.pml
@@ -0,0 +1,190 @@
+/*
+ * Query-and-fence: a request on a connection that went silent is asked for
+ * on a new one. Steps have the names of packages/entry/src/delivery.c and
+ * packages/agent/src/job.c: submit, resume, fence.
+ *
+ * One request that may not be repeated, an answer of CHUNKS chunks, two
+ * agents. Messages on the old connection may arrive late, or never.
+ * Claims: the call runs at most once; the caller gets every chunk once and
+ * in order; "not run" is said only if it did not run.
+ * Safeguards, each off by -D:
+ *   NO_FENCE        an unknown id is not closed
+ *   NO_INCARNATION  another life's "unknown" counts as proof
+ *   NO_SEQUENCE     the caller gets whatever chunk arrives
+ *   NO_KEEPING      the agent keeps no chunk that it has sent
+ */
+#define CHUNKS 3
+#define NONE   255
+
+/* The agent that the request goes to first. */
+byte life = 1;
+bool known = false;     /* the request is in its memory */
+bool fenced = false;
+byte produced = 0;      /* chunks made by the run */
+byte dropped = 0;       /* chunks below are not kept any more */
+byte send_next = 0;
+bool crashed = false;
+
+byte runs = 0;          /* at both agents */
+bool told_not_run = false;
+
+chan old_up = [1] of { byte };    /* Submit, delivered late or never */
+chan old_down = [2] of { byte };  /* chunk numbers */
+chan new_up = [1] of { byte };    /* Resume from the chunk told */
+chan new_down = [3] of { byte };  /* chunk numbers; NONE: unknown id */
+bool new_open = false;
+bool submitted_elsewhere = false;
+
+inline start_run()
+{
+    runs++;
+    assert(runs <= 1 && !told_not_run)
+}
+
+proctype Agent()
+{
+    byte from;
+
+    do
+    /* submit: whenever the old connection delivers it */
+    :: atomic {
+           old_up ? from ->
+           if
+           :: fenced || known /* refused, or the same request again */
+           :: else ->
+               known = true;
+               start_run()
+           fi
+       }
+    :: atomic {
+           known && produced < CHUNKS ->
+           produced++
+       }
+    /* chunks go to the session that the request is attached to */
+    :: atomic {
+           known && !new_open && send_next < produced && nfull(old_down) ->
+           old_down ! send_next;
+           send_next++;
+#ifdef NO_KEEPING
+           dropped = send_next
+#endif
+       }
+    :: atomic {
+           known && new_open && send_next < produced && nfull(new_down) &&
+           send_next >= dropped ->
+           new_down ! send_next;
+           send_next++
+       }
+    /* resume on the new connection */
+    :: atomic {
+           new_up ? from ->
+           new_open = true;
+           if
+           :: known ->
+               send_next = from
+           :: else ->
+#ifndef NO_FENCE
+               fenced = true;
+#endif
+               new_down ! NONE
+           fi
+       }
+    /* crash: memory is lost, another life begins */
+    :: atomic {
+           !crashed ->
+           crashed = true;
+           life++;
+           known = false;
+           fenced = false;
+           produced = 0;
+           send_next = 0
+       }
+    :: timeout -> break
+    od
+}
+
+proctype Entry()
+{
+    byte got;
+    byte expected = 0;
+    byte submitted_to;
+
+    submitted_to = life;
+    old_up ! 0;
+    do
+    :: old_down ? got ->
+#ifndef NO_SEQUENCE
+        if
+        :: got == expected -> expected++
+        :: else /* a repeat or a hole: not delivered */
+        fi
+#else
+        assert(got == expected);
+        expected++
+#endif
+    /* nothing is heard for too long; the connection says nothing */
+    :: expected < CHUNKS -> break
+    :: expected == CHUNKS -> goto complete
+    od;
+    if
+#ifndef NO_INCARNATION
+    :: life != submitted_to -> goto unknown
+#endif
+    :: true -> new_up ! expected
+    fi;
+    do
+    :: new_down ? got ->
+        if
+        :: got == NONE && expected > 0 -> goto unknown
+        :: got == NONE && expected == 0 ->
+            /* proven not run here: it may go elsewhere */
+            atomic {
+                if
+#ifndef NO_INCARNATION
+                :: life != submitted_to -> goto unknown
+#endif
+                :: true ->
+                    submitted_elsewhere = true;
+                    start_run()
+                fi
+            };
+            goto complete
+        :: got != NONE ->
+#ifndef NO_SEQUENCE
+            if
+            :: got == expected -> expected++
+            :: else
+            fi
+#else
+            assert(got == expected);
+            expected++
+#endif
+        fi
+    /* a late chunk of the old connection: told by its session */
+    :: old_down ? got ->
+#ifdef NO_SEQUENCE
+        assert(got == expected);
+        expected++
+#endif
+        skip
+    :: expected == CHUNKS -> goto complete
+    :: crashed -> goto unknown
+    /* the agent lives, has all chunks, and nothing comes: none may hang */
+    :: timeout ->
+        assert(crashed || submitted_elsewhere || expected == CHUNKS);
+        goto unknown
+    od;
+unknown:
+    /* the caller hears "outcome unknown": always true */
+    skip;
+complete:
+    skip
+}
+
+init
+{
+    atomic {
+        run Agent();
+        run Entry()
+    }
+}
