A prefix goes straight to the place that has just served it

Change: for half a second an entry remembers where a prefix was offered all it needs without a wait, and sends the next paying request for it there without asking, if nothing of its own is in flight there; a slow first token or a failure ends it. HTTP requests connect at once, not from a timer.

Also: a request that an agent never got may go to it again, as the comment always said (the line had not been changed with it).

--- a/bench/src/load.c
+++ b/bench/src/load.c
@@ -3,8 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "galenagw/fakes/fake_engine.h"
-
 /* One request in flight. */
 typedef struct {
     Load *load;
@@ -233,14 +231,11 @@
 static bool
 in_order_(const Load *load, const TraceItem *t, const char *body)
 {
-    char question[64];
     char tag[9];
     char want[32];
     const char *at = body;
 
-    g_snprintf(question, sizeof(question), "Question number %u, please?",
-               t->question);
-    FakeEngine_Tag(question, tag);
+    Workload_Tag(t, tag);
     for (int i = 0; i < load->workload->options.tokens; i++) {
         g_snprintf(want, sizeof(want), "\"%s:%d ", tag, i);
         at = strstr(at, "\"content\":");
--- a/bench/src/workload.c
+++ b/bench/src/workload.c
@@ -9,11 +9,12 @@
 
 #include "galenagw/config/config.h"
 #include "galenagw/fakes/block_cache.h"
+#include "galenagw/fakes/fake_engine.h"
 
 #define RULES_BYTES 2048
 #define LANGUAGE_BYTES 1024
 #define HALL_BYTES 4096
-#define LANGUAGES 2
+#define QUESTION_BYTES 256
 #define MAX_ENGINES 64
 
 static const char *const accounts[BENCH_ACCOUNTS] = {
@@ -68,7 +69,7 @@
     char rules[RULES_BYTES + 1];
     char language[LANGUAGE_BYTES + 1];
     char hall[HALL_BYTES + 1];
-    char question[64];
+    char question[QUESTION_BYTES + 1];
 
     if (t->call)
         return g_strdup_printf("{\"id\":\"call-%u\"}", t->question);
@@ -89,7 +90,7 @@
     char rules[RULES_BYTES + 1];
     char language[LANGUAGE_BYTES + 1];
     char hall[HALL_BYTES + 1];
-    char question[64];
+    char question[QUESTION_BYTES + 1];
 
     texts_(t, rules, language, hall, question);
     GwChain_Init(chain, &seed);
@@ -138,6 +139,18 @@
     return all > 0 ? (double)hit_tokens / (double)all : 0;
 }
 
+void
+Workload_Tag(const TraceItem *t, char tag[9])
+{
+    char rules[RULES_BYTES + 1];
+    char language[LANGUAGE_BYTES + 1];
+    char hall[HALL_BYTES + 1];
+    char question[QUESTION_BYTES + 1];
+
+    texts_(t, rules, language, hall, question);
+    FakeEngine_Tag(question, tag);
+}
+
 char *
 Workload_Config(void)
 {
@@ -260,5 +273,7 @@
     g_snprintf(seed, sizeof(seed), "Hall %d, language %d. ", t->hall,
                t->language);
     fill_(hall, HALL_BYTES, seed);
-    g_snprintf(question, 64, "Question number %u, please?", t->question);
+    g_snprintf(seed, sizeof(seed), "Question number %u, please? ",
+               t->question);
+    fill_(question, QUESTION_BYTES, seed);
 }
--- a/bench/src/workload.h
+++ b/bench/src/workload.h
@@ -42,6 +42,8 @@
 const char *Workload_Account(int account);
 /* The request's body; free with g_free. */
 char *Workload_Body(const Workload *workload, const TraceItem *item);
+/* The tag that its answer carries. */
+void Workload_Tag(const TraceItem *item, char tag[9]);
 /* The request's prefix chain, as entries compute it. */
 void Workload_Chain(const TraceItem *item, GwChain *chain);
 /*
--- a/packages/entry/src/delivery.c
+++ b/packages/entry/src/delivery.c
@@ -21,6 +21,8 @@
 #define RESUME_TIME_ONCE (3 * GW_SECOND)
 #define RESUME_STEP (20 * GW_MILLISECOND)
 #define DEFAULT_RETRY_AFTER GW_SECOND
+/* More than the offer promised by this: the place is not idle any more. */
+#define SHORT_WAIT (2 * GW_MILLISECOND)
 
 static Exchange *current_(Peer *peer, uint64_t id, uint32_t attempt);
 static void take_head_(Exchange *x, const Gw__Wire__Chunk *chunk);
@@ -178,8 +180,10 @@
     };
     GwRecovery r = GwRecovery_Decide(&facts);
 
-    if (x->peer != NULL)
-        x->tried[x->n_tried < MAX_TRIED ? x->n_tried++ : 0] = x->peer->member;
+    GwAffinity_Forget(x->entry->affinity, x->anchor);
+    // An agent that never got the request is as good as any other.
+    if (x->peer != NULL && failure != GW_FAILURE_UNKNOWN_ID)
+        Placing_NoteTried(x, x->peer->member);
     if (ran != GW_RAN_NO ||
         (failure != GW_FAILURE_REFUSED && failure != GW_FAILURE_UNKNOWN_ID))
         x->may_have_run = true;
@@ -420,6 +424,13 @@
     GwHistogramId id =
         x->trial ? GW_HISTOGRAM_TTFT_TRIAL : GW_HISTOGRAM_TTFT_PAYING;
 
+    GwTime now = GwTime_Now();
+
     GwHistogram_Record(&x->entry->counters.histograms[id],
-                       (uint64_t)(GwTime_Now() - x->begun));
+                       (uint64_t)(now - x->begun));
+    // As quick as an idle place is: the next one needs no offers either.
+    if (x->by_affinity && x->peer != NULL &&
+        now - x->begun < x->offered_ttft + SHORT_WAIT)
+        GwAffinity_Remember(x->entry->affinity, x->anchor, x->peer->member->id,
+                            x->offered_ttft, now);
 }
--- a/packages/entry/src/entry.c
+++ b/packages/entry/src/entry.c
@@ -18,6 +18,7 @@
 #define DEFAULT_RETRY_SHARE 0.1
 #define RETRY_BURST 20
 #define MAX_WIDTH_KEYS 16384
+#define AFFINITY_LIFE (500 * GW_MILLISECOND)
 /* Up to this many members are connected to ahead of need. */
 #define CONNECT_AHEAD 128
 /* A closing socket must have taken the last bytes. */
@@ -58,6 +59,7 @@
     entry->exchanges = g_hash_table_new(g_int64_hash, g_int64_equal);
     entry->probes = g_hash_table_new(g_int64_hash, g_int64_equal);
     entry->widths = GwHeat_New(GW_WIDTH_HALF_LIFE, MAX_WIDTH_KEYS);
+    entry->affinity = GwAffinity_New(AFFINITY_LIFE, MAX_WIDTH_KEYS);
     GwRetryBudget_Init(&entry->budget, DEFAULT_RETRY_SHARE, RETRY_BURST);
     entry->http_log = GwHttpLog_New(loop, &options->log, &entry->counters);
     feed.site = options->site;
@@ -97,6 +99,7 @@
     GwHttpServer_Delete(entry->server);
     GwHttpServer_Delete(entry->admin);
     GwHeat_Delete(entry->widths);
+    GwAffinity_Delete(entry->affinity);
     g_hash_table_unref(entry->probes);
     g_hash_table_unref(entry->exchanges);
     g_hash_table_unref(entry->credits);
--- a/packages/entry/src/entry_private.h
+++ b/packages/entry/src/entry_private.h
@@ -8,6 +8,7 @@
 #include "galenagw/net/http_server.h"
 #include "galenagw/platform/config_feed.h"
 #include "galenagw/platform/instance_list.h"
+#include "galenagw/policy/affinity.h"
 #include "galenagw/policy/candidates.h"
 #include "galenagw/policy/choice.h"
 #include "galenagw/policy/heat.h"
@@ -43,7 +44,8 @@
     GHashTable *exchanges; /* &exchange->id to Exchange */
     uint64_t next_probe;
     GHashTable *probes; /* probe id to Exchange */
-    GwHeat *widths;     /* anchor to width, as offers told it */
+    GwAffinity *affinity;
+    GwHeat *widths; /* anchor to width, as offers told it */
     GwRetryBudget budget;
     uint32_t next_round_robin;
 
--- a/packages/entry/src/exchange_private.h
+++ b/packages/entry/src/exchange_private.h
@@ -49,6 +49,8 @@
     int n_candidates;
     uint64_t probe_id;
     uint32_t width;
+    bool by_affinity;    /* placed without offers */
+    GwTime offered_ttft; /* what the place promised last */
     GwTime probed_at;
     GwTime sought_at; /* since when an endpoint is looked for */
     int rounds;
--- a/packages/entry/src/placing.c
+++ b/packages/entry/src/placing.c
@@ -30,6 +30,7 @@
 static void pick_by_prefix_(Exchange *x, const Field *field);
 static void pick_for_key_(Exchange *x, const Field *field);
 static void place_(Exchange *x, const Field *field);
+static bool place_again_(Exchange *x, const Field *field);
 static void add_candidate_(Exchange *x, GwMember *member);
 static void ask_(Exchange *x, Candidate *c);
 static void nobody_(Exchange *x);
@@ -53,7 +54,7 @@
         nobody_(x);
     else if (x->entry->options.placement != NULL && !x->request.service)
         place_(x, &field);
-    else
+    else if (!place_again_(x, &field))
         pick_(x, &field);
     field_finish_(&field);
 }
@@ -290,6 +291,31 @@
         Exchange_Wait(x, NO_MEMBER_STEP);
 }
 
+// Where this prefix has just been served without a wait, and nothing of ours
+// is in flight, a round of offers has nothing to decide.
+static bool
+place_again_(Exchange *x, const Field *field)
+{
+    uint64_t id;
+
+    if (x->trial || x->anchor == 0 || x->rounds > 0 || x->attempt > 0)
+        return false;
+    id = GwAffinity_Find(x->entry->affinity, x->anchor, x->probed_at,
+                         &x->offered_ttft);
+    for (size_t i = 0; id != 0 && i < field->n; i++) {
+        Peer *peer = field->members[i]->user;
+
+        if (field->rows[i].id != id || field->in_flight[i] > 0)
+            continue;
+        if (peer == NULL || !Peers_IsReady(peer))
+            return false;
+        x->by_affinity = true;
+        Placing_Submit(x, peer);
+        return true;
+    }
+    return false;
+}
+
 static void
 add_candidate_(Exchange *x, GwMember *member)
 {
@@ -372,6 +398,10 @@
         all_declined_(x);
         return;
     }
+    if (x->anchor != 0 && GwChoice_IsGoodEnough(&x->candidates[best].offer))
+        GwAffinity_Remember(x->entry->affinity, x->anchor,
+                            x->candidates[best].peer->member->id,
+                            x->candidates[best].offer.ttft, x->probed_at);
     release_others_(x, best);
     Placing_Submit(x, x->candidates[best].peer);
 }
--- a/packages/net/src/http_client.c
+++ b/packages/net/src/http_client.c
@@ -30,11 +30,12 @@
     bool sent; /* the head was handed to the socket */
     bool complete;
     bool done;       /* on_done was made, or cancelled */
-    bool connecting; /* inside the connect call: must not be freed */
+    bool connecting; /* inside the connect call */
+    bool failed;     /* within that call; told later */
 };
 
 static void on_timeout_(void *user);
-static void start_(void *user);
+static void start_(GwHttpRequest *req);
 static int add_headers_(GwHttpRequest *req, struct lws *wsi, void *in,
                         size_t len);
 static int write_body_(GwHttpRequest *req, struct lws *wsi);
@@ -66,10 +67,9 @@
     }
     if (req->options.timeout == 0)
         req->options.timeout = DEFAULT_TIMEOUT;
-    // Connecting from the loop keeps a refusal from calling the user back
-    // before this function has returned.
-    GwTimer_Init(&req->timer, loop, start_, req);
-    GwTimer_Start(&req->timer, 0);
+    GwTimer_Init(&req->timer, loop, on_timeout_, req);
+    GwTimer_Start(&req->timer, req->options.timeout);
+    start_(req);
     return req;
 }
 
@@ -151,13 +151,10 @@
 }
 
 static void
-start_(void *user)
+start_(GwHttpRequest *req)
 {
-    GwHttpRequest *req = user;
     struct lws_client_connect_info info = {0};
 
-    GwTimer_Init(&req->timer, req->loop, on_timeout_, req);
-    GwTimer_Start(&req->timer, req->options.timeout);
     info.context = GwLoop_Context(req->loop);
     info.vhost = GwLoop_ClientHost(req->loop);
     info.address = req->options.address.host;
@@ -170,14 +167,17 @@
     info.local_protocol_name = "gw-http-client";
     info.opaque_user_data = req;
     info.pwsi = &req->wsi;
-    // libwebsockets may report a failure from inside this call and still
-    // write to pwsi afterwards: freeing waits until it has returned.
+    // libwebsockets may report a failure from inside this call, and still
+    // write to pwsi afterwards; and the user waits for no callback before
+    // this function has returned. The timer makes it a little later.
     req->connecting = true;
-    if (lws_client_connect_via_info(&info) == NULL && !req->done)
-        finish_(req, GW_HTTP_NOT_SENT);
+    if (lws_client_connect_via_info(&info) == NULL)
+        req->failed = true;
     req->connecting = false;
-    if (req->done && req->wsi == NULL)
-        delete_(req);
+    if (req->failed) {
+        req->wsi = NULL;
+        GwTimer_Start(&req->timer, 0);
+    }
 }
 
 static int
@@ -259,6 +259,10 @@
 static void
 finish_(GwHttpRequest *req, GwHttpOutcome outcome)
 {
+    if (req->connecting) {
+        req->failed = true;
+        return;
+    }
     GwTimer_Stop(&req->timer);
     if (!req->done) {
         req->done = true;
@@ -270,8 +274,6 @@
 static void
 delete_(GwHttpRequest *req)
 {
-    if (req->connecting)
-        return;
     GwTimer_Stop(&req->timer);
     g_free(req->path);
     g_free(req->authorization);
