Trials give way in the engine's prefill, and cost no offers when there is no room

Change: a trial without output is set aside as soon as a paying request prefills, and none starts meanwhile; its blocks count from its first output; one that had begun is refused as 'ran: unknown'. After a trial found no room, an entry tells others so for 20 ms without asking, and trials ask two places, not four.

--- a/bench/src/scenarios.c
+++ b/bench/src/scenarios.c
@@ -206,7 +206,6 @@
     Summary with = {0};
     Summary trials = {0};
 
-    o.length = RUN_TIME / 2;
     Report_Section("trials at twice the capacity");
     for (int pass = 0; pass < 2; pass++) {
         Site site;
@@ -234,6 +233,8 @@
     Report_Value("trials offered", o.trial_per_s, "/s");
     Report_Value("trials served, share",
                  1 - (double)trials.refused / MAX(trials.requests, 1), "");
+    Report_Value("paying p50 without trials", without.p50_ms, "ms");
+    Report_Value("paying p50 with trials", with.p50_ms, "ms");
     Report_Value("paying p99 without trials", without.p99_ms, "ms");
     Report_Value("paying p99 with trials", with.p99_ms, "ms");
     Report_Value("paying hit rate without trials", without.hit_rate, "");
--- a/packages/agent/src/job.c
+++ b/packages/agent/src/job.c
@@ -68,6 +68,7 @@
     bool final_sent;
 
     ClaimKey claim;
+    GwTime claimed_at;
     struct KeyState *key_state;
     Job *leader; /* while following */
 };
@@ -108,6 +109,7 @@
 static void refuse_(Job *job, GwRefusal refusal, GwRan ran,
                     const char *holder);
 static void enter_(Job *job);
+static void expire_(Job *job);
 static void start_(Job *job);
 static void claim_(Job *job);
 static void on_claim_(void *user, ClaimResult result, const char *holder);
@@ -270,7 +272,7 @@
     g_autoptr(GPtrArray) old = NULL;
 
     while ((t = GwAdmission_ExpireQueued(agent->admission, now)) != NULL)
-        refuse_((Job *)t, GW_REFUSAL_DEADLINE, GW_RAN_NO, NULL);
+        expire_((Job *)t);
     if (now < agent->next_sweep)
         return;
     agent->next_sweep = now + SWEEP_PERIOD;
@@ -488,11 +490,21 @@
         return;
     }
     job->state = JOB_QUEUED;
-    GwCacheView_Insert(agent->view, job->chain, job->chain_len,
-                       job->ticket.trial);
+    // A trial may be set aside before the engine has its blocks: it counts
+    // from its first output on.
+    if (!job->ticket.trial)
+        GwCacheView_Insert(agent->view, job->chain, job->chain_len, false);
     Jobs_Pump(agent);
 }
 
+// A trial that was set aside had begun: "not run" would not be true of it.
+static void
+expire_(Job *job)
+{
+    refuse_(job, GW_REFUSAL_DEADLINE,
+            job->started > 0 ? GW_RAN_UNKNOWN : GW_RAN_NO, NULL);
+}
+
 static void
 start_(Job *job)
 {
@@ -533,7 +545,7 @@
 {
     job->state = JOB_CLAIMING;
     job->claim = Claims_Key(job->account, job->agent->options.pool, job->key);
-    job->started = GwTime_Now();
+    job->claimed_at = GwTime_Now();
     Claims_Request(job->agent->claims, &job->claim, on_claim_, job);
 }
 
@@ -544,7 +556,7 @@
     GwAgent *agent = job->agent;
 
     GwHistogram_Record(&agent->counters.histograms[GW_HISTOGRAM_CLAIM],
-                       (uint64_t)(GwTime_Now() - job->started));
+                       (uint64_t)(GwTime_Now() - job->claimed_at));
     job->state = JOB_QUEUED;
     switch (result) {
     case CLAIM_OURS:
@@ -709,6 +721,8 @@
         &agent->cost,
         GwChain_Tokens(job->chunk_bytes, resident, job->chain_len),
         now - begun);
+    if (job->ticket.trial)
+        GwCacheView_Insert(agent->view, job->chain, job->chain_len, true);
     agent->last_prefill_end = now;
     GwAdmission_Output(agent->admission, &job->ticket, now);
 }
--- a/packages/entry/src/entry_private.h
+++ b/packages/entry/src/entry_private.h
@@ -47,7 +47,7 @@
     GwAffinity *affinity;
     GwHeat *widths; /* anchor to width, as offers told it */
     GwRetryBudget budget;
-    uint32_t next_round_robin;
+    GwTime trials_closed_until;
 
     GwTimer tick;
     GwTimer drain;
--- a/packages/entry/src/placing.c
+++ b/packages/entry/src/placing.c
@@ -13,6 +13,9 @@
 #define NO_MEMBER_STEP (20 * GW_MILLISECOND)
 /* Patience with members that are suspect and being tried again. */
 #define NO_MEMBER_TIME (400 * GW_MILLISECOND)
+/* After a trial found no room, others are told so without asking. */
+#define TRIAL_PAUSE (20 * GW_MILLISECOND)
+#define TRIAL_PROBES 2
 #define MAX_ROUNDS 3
 #define RTT_SHARE 8
 
@@ -45,8 +48,16 @@
 void
 Placing_Start(Exchange *x)
 {
-    Field field = gather_(x);
+    Field field;
 
+    // A flood of trials must not cost the agents' time for paying requests.
+    if (x->trial && GwTime_Now() < x->entry->trials_closed_until) {
+        Exchange_Refuse(x, GW_REFUSAL_TRIAL_ROOM,
+                        x->may_have_run ? GW_RAN_UNKNOWN : GW_RAN_NO,
+                        GW_SECOND);
+        return;
+    }
+    field = gather_(x);
     x->n_candidates = 0;
     x->probe_id = x->entry->next_probe++;
     x->probed_at = GwTime_Now();
@@ -246,6 +257,8 @@
         x->chain.last = x->id;
         options.probes = 2;
     }
+    if (x->trial)
+        options.probes = MIN(options.probes, TRIAL_PROBES);
     // Members that declined are not asked again, so a further round is
     // wider: the last look before a refusal.
     if (x->rounds > 0)
@@ -436,6 +449,8 @@
                  refusal == GW_REFUSAL_LEAVING ||
                  refusal == GW_REFUSAL_WRONG_VERSION;
 
+    if (x->trial)
+        x->entry->trials_closed_until = GwTime_Now() + TRIAL_PAUSE;
     Placing_Forget(x);
     for (int i = 0; i < x->n_candidates; i++)
         Placing_NoteTried(x, x->candidates[i].peer->member);
--- a/packages/policy/include/galenagw/policy/admission.h
+++ b/packages/policy/include/galenagw/policy/admission.h
@@ -6,7 +6,8 @@
  * decided here, where all of the endpoint's work passes:
  *  - a trial starts only if no paying request waits and the free slots
  *    exceed the paying reserve;
- *  - a trial that has sent nothing gives its slot up to a paying request;
+ *  - a trial that has sent nothing gives way to a paying request, in its
+ *    slot and in the engine's prefill;
  *  - a trial's estimate counts all paying work as ahead of it, and a paying
  *    request's counts no trial that can still be set aside.
  * Estimates refuse early: a request that cannot meet its deadline is told
@@ -90,8 +91,8 @@
 /** @return the next ticket to run, moved to RUNNING, or NULL. */
 GwTicket *GwAdmission_Next(GwAdmission *admission, GwTime now);
 /**
- * @return a running trial without output whose slot a waiting paying
- * request needs, moved back to QUEUED; the owner cancels its run. NULL: none
+ * @return a running trial without output that stands in the way of a paying
+ * request, moved back to QUEUED; the owner cancels its run. NULL: none
  */
 GwTicket *GwAdmission_Preempt(GwAdmission *admission, GwTime now);
 /** @return a queued ticket whose deadline passed, taken out, or NULL. */
--- a/packages/policy/src/admission.c
+++ b/packages/policy/src/admission.c
@@ -24,6 +24,7 @@
     int n_queued;
     int n_running;
     int n_running_trials;
+    int n_paying_prefills; /* running, paying, no output yet */
     uint64_t next_order;
     double hold; /* learned time in a slot, microseconds */
 };
@@ -144,6 +145,7 @@
     TAILQ_INSERT_TAIL(&a->running, t, link);
     a->n_running++;
     a->n_running_trials += t->trial;
+    a->n_paying_prefills += !t->trial;
     return t;
 }
 
@@ -153,7 +155,8 @@
     const GwTicket *waiting = TAILQ_FIRST(&a->queue);
     GwTicket *t;
 
-    if (waiting == NULL || waiting->trial || may_run_(a, waiting))
+    if (a->n_paying_prefills == 0 &&
+        (waiting == NULL || waiting->trial || may_run_(a, waiting)))
         return NULL;
     // The youngest trial has the least prefill to lose.
     TAILQ_FOREACH_REVERSE(t, &a->running, TicketList, link)
@@ -187,8 +190,10 @@
 void
 GwAdmission_Output(GwAdmission *a, GwTicket *ticket, GwTime now)
 {
-    if (ticket->state == GW_TICKET_RUNNING)
-        ticket->state = GW_TICKET_STREAMING;
+    if (ticket->state != GW_TICKET_RUNNING)
+        return;
+    ticket->state = GW_TICKET_STREAMING;
+    a->n_paying_prefills -= !ticket->trial;
 }
 
 void
@@ -297,7 +302,9 @@
 {
     if (!ticket->trial)
         return a->n_running < a->options.slots;
-    return a->n_running < trial_slots_(a);
+    // Engines prefill one prompt after another: a trial's would stand in
+    // the way of a paying one's even if slots are free.
+    return a->n_running < trial_slots_(a) && a->n_paying_prefills == 0;
 }
 
 static void
@@ -334,6 +341,8 @@
         TAILQ_REMOVE(&a->running, ticket, link);
         a->n_running--;
         a->n_running_trials -= ticket->trial;
+        if (ticket->state == GW_TICKET_RUNNING)
+            a->n_paying_prefills -= !ticket->trial;
         break;
     default:
         break;
--- a/packages/policy/tests/policy_test.cc
+++ b/packages/policy/tests/policy_test.cc
@@ -231,6 +231,28 @@
     GwAdmission_Delete(a);
 }
 
+// Slots are free, but the engine prefills one prompt after another.
+TEST(Admission, TrialsGiveWayInThePrefillToo)
+{
+    GwAdmission *a = Admission(8, 0);
+    GwTicket trial = Ticket(true, 0, GW_NEVER, 900);
+    GwTicket paying = Ticket(false, 0, GW_NEVER, 10);
+
+    GwAdmission_Enter(a, &trial, 0);
+    EXPECT_EQ(GwAdmission_Next(a, 0), &trial);
+    GwAdmission_Enter(a, &paying, 1);
+    EXPECT_EQ(GwAdmission_Next(a, 1), &paying);
+    EXPECT_EQ(GwAdmission_Preempt(a, 1), &trial);
+    EXPECT_EQ(GwAdmission_Next(a, 1), nullptr);
+    GwAdmission_Output(a, &paying, 2);
+    EXPECT_EQ(GwAdmission_Next(a, 2), &trial);
+    GwAdmission_Output(a, &trial, 3);
+    EXPECT_EQ(GwAdmission_Preempt(a, 3), nullptr) << "it streams";
+    GwAdmission_Leave(a, &paying, 3);
+    GwAdmission_Leave(a, &trial, 3);
+    GwAdmission_Delete(a);
+}
+
 TEST(Admission, EstimatesRefuseEarlyAndCountReservations)
 {
     const struct {
