--- a/bench/src/site.h
+++ b/bench/src/site.h
@@ -27,6 +27,10 @@
     int n_agents;
     int entry_ports[MAX_NODES];
     int starts; /* entries ever started, for their names */
+    /* Filled in by a scenario's action during a run. */
+    double noted_entry;
+    double noted_agents;
+    double noted_open;
 } Site;
 
 void Site_Start(Site *site, const SiteOptions *options);
--- a/packages/agent/src/job.c
+++ b/packages/agent/src/job.c
@@ -1,90 +1,18 @@
 #define GW_LOG_PART "agent"
-#include "job.h"
+#include "job_private.h"
 
 #include <string.h>
 
-/* The streaming state is embedded, so its size must be known. */
-#define XXH_STATIC_LINKING_ONLY
-#include <xxhash.h>
-
-#include "claims.h"
 #include "galenagw/base/log.h"
 #include "galenagw/policy/chain.h"
 
-/* Chunks sent ahead of the entry's acknowledgement. */
-#define WINDOW_CHUNKS 64
-/* Reading from the endpoint stops above this, until the entry catches up. */
-#define WINDOW_BYTES (256 * 1024)
 #define FENCE_TIME (120 * GW_SECOND)
 #define SWEEP_PERIOD GW_SECOND
-/* Answers of keyed calls above this size are not kept for repeats. */
-#define KEEP_MAX (64 * 1024)
-/* Bound on all kept answers; the oldest go first. A repeat then hears that
-   the call has run and that its answer is not known. */
-#define KEEP_TOTAL (32 * 1024 * 1024)
 
 const char *const JobState_Names[JOB_STATES] = {
     "claiming", "queued", "running", "following", "finished",
 };
 
-struct Job {
-    GwTicket ticket; /* first, so that a ticket is its job */
-    GwAgent *agent;
-    uint64_t id;
-    uint32_t attempt;
-    JobState state;
-    GwSession *session; /* NULL while detached */
-    GwTime detached_at;
-
-    char *account;
-    char *method;
-    char *path;
-    char *content_type;
-    char *key; /* caller's idempotency key, or NULL */
-    char *weights;
-    GBytes *body;
-    bool idempotent;
-    bool stream;
-    uint64_t *chain;
-    uint32_t *chunk_bytes;
-    size_t chain_len;
-    size_t missing; /* chunks, as estimated on entry */
-    size_t leading; /* chunks that the view had on entry */
-
-    GwEndpointCall *call;
-    bool paused;
-    GwTime started;
-    bool has_output;
-
-    GPtrArray *chunks; /* GBytes from `base` on; 0 is the head, empty */
-    uint32_t base;     /* sequence number of chunks[0] */
-    uint32_t next_send;
-    uint32_t count;
-    size_t held_bytes;
-    int status;
-    char *answer_type;
-    XXH64_state_t digest;
-    GwEndpointResult result;
-    bool final_sent;
-
-    ClaimKey claim;
-    GwTime claimed_at;
-    struct KeyState *key_state;
-    Job *leader; /* while following */
-};
-
-/* A key that this agent owns in the log. */
-typedef struct KeyState {
-    ClaimKey key;
-    uint64_t request_digest;
-    bool ran;          /* a run was started, ever */
-    Job *runner;       /* while it runs, or its kept answer */
-    GPtrArray *answer; /* GBytes, whole answer without head; or NULL */
-    size_t answer_bytes;
-    int status;
-    char *answer_type;
-} KeyState;
-
 /* Attempts of a request, up to this one, that must not start any more. */
 typedef struct {
     uint64_t id;
@@ -97,8 +25,6 @@
                  const Gw__Wire__Submit *s);
 static void remove_(Job *job);
 static void delete_(Job *job);
-static void attach_(Job *job, GwSession *session, uint32_t attempt,
-                    uint32_t next_seq);
 static bool check_fence_(GwAgent *agent, GwSession *session,
                          const Gw__Wire__Submit *s);
 static void fence_(GwAgent *agent, uint64_t id, uint32_t attempt, GwRan ran);
@@ -106,32 +32,13 @@
 static void send_refused_(GwAgent *agent, GwSession *session, uint64_t id,
                           uint32_t attempt, GwRefusal refusal, GwRan ran,
                           GwTime retry_after, const char *holder);
-static void refuse_(Job *job, GwRefusal refusal, GwRan ran,
-                    const char *holder);
-static void enter_(Job *job);
 static void expire_(Job *job);
 static void start_(Job *job);
-static void claim_(Job *job);
-static void on_claim_(void *user, ClaimResult result, const char *holder);
-static void own_key_(Job *job);
-static void replay_(Job *job, const KeyState *ks);
-static void follow_(Job *job, Job *leader);
-static void end_key_(Job *job);
-static void release_followers_(Job *job);
 static void on_head_(void *user, int status, const char *type);
 static void on_chunk_(void *user, const char *data, size_t len);
 static void on_done_(void *user, const GwEndpointResult *result);
 static void first_output_(Job *job);
 static void learn_hits_(Job *job, const GwEndpointResult *result);
-static void add_head_(Job *job, int status, const char *type);
-static void add_chunk_(Job *job, GBytes *data);
-static void finish_(Job *job, const GwEndpointResult *result);
-static void keep_answer_(Job *job, KeyState *ks);
-static void flush_(Job *job);
-static void send_chunk_(Job *job, uint32_t seq);
-static void send_final_(Job *job);
-static uint64_t digest_request_(const Job *job);
-static KeyState *key_state_(Job *job);
 static gboolean fence_is_old_(gpointer key, gpointer value, gpointer user);
 static bool abandoned_(const Job *job, GwTime now);
 
@@ -147,7 +54,7 @@
     Offers_TakeUp(agent, s->probe_id);
     if (job != NULL) {
         // The same request again, on another connection: never a second run.
-        attach_(job, session, s->attempt, job->base);
+        Answer_Attach(job, session, s->attempt, job->base);
         return;
     }
     if (!check_fence_(agent, session, s))
@@ -160,9 +67,9 @@
     }
     job = new_(agent, session, s);
     if (job->key != NULL)
-        claim_(job);
+        Keyed_Claim(job);
     else
-        enter_(job);
+        Job_Enter(job);
 }
 
 void
@@ -173,18 +80,14 @@
     // An acknowledgement of an older attempt says nothing of this one.
     if (job == NULL || ack->attempt != job->attempt)
         return;
-    while (job->base < ack->next_seq && job->chunks->len > 0) {
-        job->held_bytes -= g_bytes_get_size(job->chunks->pdata[0]);
-        g_ptr_array_remove_index(job->chunks, 0);
-        job->base++;
-    }
+    Answer_Acknowledge(job, ack->next_seq);
     if (job->state == JOB_FINISHED && job->final_sent &&
         ack->next_seq >= job->count) {
         fence_(agent, job->id, job->attempt, GW_RAN_UNKNOWN);
         remove_(job);
         return;
     }
-    flush_(job);
+    Answer_Flush(job);
 }
 
 void
@@ -221,7 +124,7 @@
         fence_(agent, r->request_id, r->attempt, GW_RAN_NO);
     GwSession_Send(session, &frame);
     if (job != NULL)
-        attach_(job, session, r->attempt, r->next_seq);
+        Answer_Attach(job, session, r->attempt, r->next_seq);
 }
 
 void
@@ -361,7 +264,7 @@
     }
     if (job->state == JOB_CLAIMING)
         Claims_Forget(agent->claims, job);
-    end_key_(job);
+    Keyed_Leave(job);
     GwAdmission_Leave(agent->admission, &job->ticket, GwTime_Now());
     g_hash_table_remove(agent->jobs, &job->id);
     delete_(job);
@@ -385,16 +288,6 @@
     g_free(job);
 }
 
-static void
-attach_(Job *job, GwSession *session, uint32_t attempt, uint32_t next_seq)
-{
-    job->session = session;
-    job->attempt = attempt;
-    job->next_send = MAX(next_seq, job->base);
-    job->final_sent = false;
-    flush_(job);
-}
-
 static bool
 check_fence_(GwAgent *agent, GwSession *session, const Gw__Wire__Submit *s)
 {
@@ -459,8 +352,8 @@
 
 // The refusal ends the job. Should it be lost on the way, a resume finds no
 // job and the entry learns the same: not run, and fenced.
-static void
-refuse_(Job *job, GwRefusal refusal, GwRan ran, const char *holder)
+void
+Job_Refuse(Job *job, GwRefusal refusal, GwRan ran, const char *holder)
 {
     GwEstimate e = GwAdmission_Estimate(job->agent->admission, &job->ticket,
                                         GwTime_Now());
@@ -471,8 +364,8 @@
     remove_(job);
 }
 
-static void
-enter_(Job *job)
+void
+Job_Enter(Job *job)
 {
     GwAgent *agent = job->agent;
     size_t resident =
@@ -486,7 +379,7 @@
         Offers_Prefill(agent, job->chunk_bytes, resident, job->chain_len);
     refusal = GwAdmission_Enter(agent->admission, &job->ticket, GwTime_Now());
     if (refusal != GW_REFUSAL_NONE) {
-        refuse_(job, refusal, GW_RAN_NO, NULL);
+        Job_Refuse(job, refusal, GW_RAN_NO, NULL);
         return;
     }
     job->state = JOB_QUEUED;
@@ -501,8 +394,8 @@
 static void
 expire_(Job *job)
 {
-    refuse_(job, GW_REFUSAL_DEADLINE,
-            job->started > 0 ? GW_RAN_UNKNOWN : GW_RAN_NO, NULL);
+    Job_Refuse(job, GW_REFUSAL_DEADLINE,
+               job->started > 0 ? GW_RAN_UNKNOWN : GW_RAN_NO, NULL);
 }
 
 static void
@@ -540,122 +433,13 @@
                                            &call_ops, job);
 }
 
-static void
-claim_(Job *job)
-{
-    job->state = JOB_CLAIMING;
-    job->claim = Claims_Key(job->account, job->agent->options.pool, job->key);
-    job->claimed_at = GwTime_Now();
-    Claims_Request(job->agent->claims, &job->claim, on_claim_, job);
-}
-
-static void
-on_claim_(void *user, ClaimResult result, const char *holder)
-{
-    Job *job = user;
-    GwAgent *agent = job->agent;
-
-    GwHistogram_Record(&agent->counters.histograms[GW_HISTOGRAM_CLAIM],
-                       (uint64_t)(GwTime_Now() - job->claimed_at));
-    job->state = JOB_QUEUED;
-    switch (result) {
-    case CLAIM_OURS:
-        own_key_(job);
-        break;
-    case CLAIM_OTHERS:
-        // Another agent's, or ours before a restart. Only a living holder
-        // can tell more; the entry asks it, or says "unknown".
-        refuse_(job, GW_REFUSAL_CLAIMED_ELSEWHERE, GW_RAN_UNKNOWN,
-                strcmp(holder, agent->options.name) != 0 ? holder : "");
-        break;
-    default:
-        refuse_(job, GW_REFUSAL_LOG_UNAVAILABLE, GW_RAN_NO, NULL);
-    }
-}
-
-// Step "run once": the log gave the key to us; whether its call has already
-// been started is ours alone to know.
-static void
-own_key_(Job *job)
-{
-    KeyState *ks = key_state_(job);
-
-    if (ks->request_digest != digest_request_(job))
-        refuse_(job, GW_REFUSAL_KEY_MISMATCH, GW_RAN_NO, NULL);
-    else if (ks->runner != NULL)
-        follow_(job, ks->runner);
-    else if (ks->answer != NULL)
-        replay_(job, ks);
-    else if (ks->ran)
-        refuse_(job, GW_REFUSAL_OUTCOME_UNKNOWN, GW_RAN_UNKNOWN, NULL);
-    else {
-        ks->runner = job;
-        job->key_state = ks;
-        enter_(job);
-    }
-}
-
-static void
-replay_(Job *job, const KeyState *ks)
-{
-    GwEndpointResult result = {0};
-
-    GwCounters_Add(&job->agent->counters, GW_COUNTER_REPLAYED_ANSWERS, 1);
-    add_head_(job, ks->status, ks->answer_type);
-    for (guint i = 0; i < ks->answer->len; i++)
-        add_chunk_(job, ks->answer->pdata[i]);
-    finish_(job, &result);
-}
-
-// The first call with this key still runs: wait for its answer.
-static void
-follow_(Job *job, Job *leader)
-{
-    job->state = JOB_FOLLOWING;
-    job->leader = leader;
-}
-
-// The runner leaves: keep its answer for repeats, or what is known of it.
-static void
-end_key_(Job *job)
-{
-    KeyState *ks = job->key_state;
-
-    if (ks == NULL || ks->runner != job)
-        return;
-    ks->runner = NULL;
-    job->key_state = NULL;
-    release_followers_(job);
-}
-
-static void
-release_followers_(Job *job)
-{
-    GHashTableIter it;
-    gpointer value;
-    g_autoptr(GPtrArray) followers = g_ptr_array_new();
-
-    g_hash_table_iter_init(&it, job->agent->jobs);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        if (((Job *)value)->leader == job)
-            g_ptr_array_add(followers, value);
-    }
-    for (guint i = 0; i < followers->len; i++) {
-        Job *f = followers->pdata[i];
-
-        f->leader = NULL;
-        f->state = JOB_QUEUED;
-        own_key_(f);
-    }
-}
-
 static void
 on_head_(void *user, int status, const char *type)
 {
     Job *job = user;
 
-    add_head_(job, status, type);
-    flush_(job);
+    Answer_AddHead(job, status, type);
+    Answer_Flush(job);
 }
 
 static void
@@ -666,16 +450,9 @@
 
     if (!job->has_output)
         first_output_(job);
-    add_chunk_(job, bytes);
+    Answer_AddChunk(job, bytes);
     g_bytes_unref(bytes);
-    flush_(job);
-    // A slow caller must not fill memory: stop reading from the endpoint
-    // until its entry has acknowledged more.
-    if (job->held_bytes > WINDOW_BYTES && !job->paused) {
-        job->paused = true;
-        job->agent->endpoint.ops->pause(job->agent->endpoint.impl, job->call,
-                                        true);
-    }
+    Answer_Flush(job);
 }
 
 static void
@@ -692,16 +469,16 @@
         // Proven not run, so the key may be tried again.
         if (ks != NULL)
             ks->ran = false;
-        refuse_(job, GW_REFUSAL_ENDPOINT_FAILED, GW_RAN_NO, NULL);
+        Job_Refuse(job, GW_REFUSAL_ENDPOINT_FAILED, GW_RAN_NO, NULL);
     }
     else if (result->end != GW_CALL_COMPLETE && job->count == 0) {
-        refuse_(job,
-                job->idempotent ? GW_REFUSAL_ENDPOINT_FAILED
-                                : GW_REFUSAL_OUTCOME_UNKNOWN,
-                GW_RAN_UNKNOWN, NULL);
+        Job_Refuse(job,
+                   job->idempotent ? GW_REFUSAL_ENDPOINT_FAILED
+                                   : GW_REFUSAL_OUTCOME_UNKNOWN,
+                   GW_RAN_UNKNOWN, NULL);
     }
     else {
-        finish_(job, result);
+        Job_Finish(job, result);
     }
     Jobs_Pump(agent);
 }
@@ -745,175 +522,20 @@
     GwCacheView_Learn(job->agent->view, job->leading, hit);
 }
 
-static void
-add_head_(Job *job, int status, const char *type)
-{
-    if (job->count > 0)
-        return;
-    job->status = status;
-    job->answer_type = g_strdup(type);
-    g_ptr_array_add(job->chunks, g_bytes_new(NULL, 0));
-    job->count = 1;
-}
-
-static void
-add_chunk_(Job *job, GBytes *data)
-{
-    gsize len;
-    const void *bytes = g_bytes_get_data(data, &len);
-    KeyState *ks = job->key_state;
-
-    XXH64_update(&job->digest, bytes, len);
-    g_ptr_array_add(job->chunks, g_bytes_ref(data));
-    job->held_bytes += len;
-    job->count++;
-    GwCounters_Add(&job->agent->counters, GW_COUNTER_CHUNKS, 1);
-    if (ks == NULL || ks->runner != job)
-        return;
-    if (ks->answer == NULL)
-        ks->answer =
-            g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
-    g_ptr_array_add(ks->answer, g_bytes_ref(data));
-}
-
-static void
-finish_(Job *job, const GwEndpointResult *result)
+void
+Job_Finish(Job *job, const GwEndpointResult *result)
 {
-    KeyState *ks = job->key_state;
-
     job->state = JOB_FINISHED;
     job->result = *result;
     if (job->session == NULL && job->detached_at == 0)
         job->detached_at = GwTime_Now();
-    if (ks != NULL && ks->runner == job) {
-        bool keep =
-            result->end == GW_CALL_COMPLETE && job->held_bytes <= KEEP_MAX;
-
-        ks->status = job->status;
-        ks->answer_type = g_strdup(job->answer_type);
-        if (ks->answer == NULL)
-            ks->answer =
-                g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
-        if (!keep)
-            g_clear_pointer(&ks->answer, g_ptr_array_unref);
-        else
-            keep_answer_(job, ks);
-        end_key_(job);
-    }
+    Keyed_Finish(job, result->end == GW_CALL_COMPLETE);
     GwCounters_Add(&job->agent->counters, GW_COUNTER_ANSWERS, 1);
     GwCounters_Add(&job->agent->counters, GW_COUNTER_PROMPT_TOKENS,
                    result->prompt_tokens);
     GwCounters_Add(&job->agent->counters, GW_COUNTER_CACHED_TOKENS,
                    result->cached_tokens);
-    flush_(job);
-}
-
-static void
-keep_answer_(Job *job, KeyState *ks)
-{
-    GwAgent *agent = job->agent;
-
-    for (guint i = 0; i < ks->answer->len; i++)
-        ks->answer_bytes += g_bytes_get_size(ks->answer->pdata[i]);
-    agent->kept_bytes += ks->answer_bytes;
-    g_queue_push_tail(&agent->kept, ks);
-    while (agent->kept_bytes > KEEP_TOTAL) {
-        KeyState *old = g_queue_pop_head(&agent->kept);
-
-        agent->kept_bytes -= old->answer_bytes;
-        g_clear_pointer(&old->answer, g_ptr_array_unref);
-    }
-}
-
-static void
-flush_(Job *job)
-{
-    if (job->session == NULL)
-        return;
-    while (job->next_send < job->count &&
-           job->next_send < job->base + WINDOW_CHUNKS)
-        send_chunk_(job, job->next_send++);
-    if (job->state == JOB_FINISHED && job->next_send == job->count &&
-        !job->final_sent)
-        send_final_(job);
-    if (job->paused && job->held_bytes <= WINDOW_BYTES / 2 &&
-        job->call != NULL) {
-        job->paused = false;
-        job->agent->endpoint.ops->pause(job->agent->endpoint.impl, job->call,
-                                        false);
-    }
-}
-
-static void
-send_chunk_(Job *job, uint32_t seq)
-{
-    gsize len;
-    GBytes *bytes = job->chunks->pdata[seq - job->base];
-    const void *data = g_bytes_get_data(bytes, &len);
-    GW_FRAME(frame, chunk, CHUNK, Chunk, chunk);
-
-    chunk.request_id = job->id;
-    chunk.attempt = job->attempt;
-    chunk.seq = seq;
-    chunk.data.data = (uint8_t *)data;
-    chunk.data.len = len;
-    if (seq == 0) {
-        chunk.status = (uint32_t)job->status;
-        chunk.content_type = job->answer_type;
-    }
-    GwSession_Send(job->session, &frame);
-}
-
-static void
-send_final_(Job *job)
-{
-    GW_FRAME(frame, final, FINAL, Final, final);
-
-    final.request_id = job->id;
-    final.attempt = job->attempt;
-    final.count = job->count;
-    final.digest = XXH64_digest(&job->digest);
-    final.prompt_tokens = job->result.prompt_tokens;
-    final.cached_tokens = job->result.cached_tokens;
-    final.broken = job->result.end != GW_CALL_COMPLETE;
-    job->final_sent = true;
-    GwSession_Send(job->session, &frame);
-}
-
-static uint64_t
-digest_request_(const Job *job)
-{
-    gsize len;
-    const void *body = g_bytes_get_data(job->body, &len);
-    uint64_t h = XXH3_64bits(job->method, strlen(job->method));
-
-    h = XXH3_64bits_withSeed(job->path, strlen(job->path), h);
-    return XXH3_64bits_withSeed(body, len, h);
-}
-
-static KeyState *
-key_state_(Job *job)
-{
-    KeyState *ks = g_hash_table_lookup(job->agent->key_states, &job->claim);
-
-    if (ks != NULL)
-        return ks;
-    ks = g_new0(KeyState, 1);
-    ks->key = job->claim;
-    ks->request_digest = digest_request_(job);
-    g_hash_table_insert(job->agent->key_states, &ks->key, ks);
-    return ks;
-}
-
-void
-Jobs_DeleteKeyState(gpointer p)
-{
-    KeyState *ks = p;
-
-    if (ks->answer != NULL)
-        g_ptr_array_unref(ks->answer);
-    g_free(ks->answer_type);
-    g_free(ks);
+    Answer_Flush(job);
 }
 
 static gboolean
--- a/packages/base/include/galenagw/base/reason.h
+++ b/packages/base/include/galenagw/base/reason.h
@@ -47,7 +47,6 @@
     GW_REFUSAL_KEY_MISMATCH,      /**< Key reused for another body. */
     GW_REFUSAL_NO_CONFIG,         /**< No revision is known yet. */
     GW_REFUSAL_WRONG_VERSION,     /**< Endpoint holds other weights. */
-    GW_REFUSAL_MEMORY,            /**< Retention bound reached. */
     GW_REFUSALS
 } GwRefusal;
 
--- a/packages/base/src/reason.c
+++ b/packages/base/src/reason.c
@@ -27,7 +27,6 @@
     "key_mismatch",
     "no_config",
     "wrong_version",
-    "memory",
 };
 
 typedef struct {
@@ -74,8 +73,6 @@
                                    "back after Retry-After"},
     [GW_REFUSAL_WRONG_VERSION] = {503, "the endpoint is loading weights; "
                                        "send it again"},
-    [GW_REFUSAL_MEMORY] = {503, "too many answers wait for their callers; "
-                                "come back after Retry-After"},
 };
 
 const char *const GwRetry_Names[GW_RETRIES] = {
--- a/packages/policy/src/recovery.c
+++ b/packages/policy/src/recovery.c
@@ -70,7 +70,6 @@
     case GW_REFUSAL_LEAVING:
     case GW_REFUSAL_FENCED:
     case GW_REFUSAL_WRONG_VERSION:
-    case GW_REFUSAL_MEMORY:
     case GW_REFUSAL_ENDPOINT_FAILED:
         return true;
     default:
