--- a/bench/src/scenarios.c
+++ b/bench/src/scenarios.c
@@ -112,6 +112,7 @@
     } rows[] = {
         {"hit rate", run->sums.cached / MAX(run->sums.prompt, 1), ""},
         {"recomputed though held", run->sums.held_elsewhere, "tokens"},
+        {"prefills begun and cancelled", run->sums.abandoned, "tokens"},
         {"paying p50 first token", run->paying.p50_ms, "ms"},
         {"paying p99 first token", run->paying.p99_ms, "ms"},
         {"trial p50 first token", run->trial.p50_ms, "ms"},
--- a/bench/src/site.c
+++ b/bench/src/site.c
@@ -100,6 +100,8 @@
             json_number_value(json_object_get(root, "cached_tokens"));
         sums.held_elsewhere +=
             json_number_value(json_object_get(root, "held_elsewhere"));
+        sums.abandoned +=
+            json_number_value(json_object_get(root, "abandoned"));
         json_decref(root);
     }
     return sums;
--- a/bench/src/site.h
+++ b/bench/src/site.h
@@ -42,6 +42,7 @@
     double prompt;
     double cached;
     double held_elsewhere;
+    double abandoned;
 } EngineSums;
 
 EngineSums Site_EngineSums(const Site *site);
--- a/fakes/include/galenagw/fakes/fake_engine.h
+++ b/fakes/include/galenagw/fakes/fake_engine.h
@@ -45,6 +45,7 @@
     uint64_t prompt_tokens;
     uint64_t cached_tokens;
     uint64_t held_elsewhere; /**< recomputed though a peer held them */
+    uint64_t abandoned; /**< tokens computed for prefills then cancelled */
     uint64_t loads;
     uint64_t fenced;
     uint64_t last_fence;
--- a/fakes/src/fake_engine.c
+++ b/fakes/src/fake_engine.c
@@ -29,6 +29,8 @@
     int end;
     uint64_t prompt_tokens;
     uint64_t cached_tokens;
+    uint64_t held_elsewhere;
+    GwTime prefill_from;
     GString *text;
 };
 
@@ -383,7 +385,8 @@
         r->cached_tokens +=
             (r->bytes[i] + BYTES_PER_TOKEN - 1) / BYTES_PER_TOKEN;
     missing = r->prompt_tokens - r->cached_tokens;
-    e->stats.held_elsewhere += held_elsewhere_(e, r, hit);
+    r->held_elsewhere = held_elsewhere_(e, r, hit);
+    r->prefill_from = GwTime_Now();
     GwTimer_Start(&r->timer, e->options.prefill_base +
                                  (GwTime)(e->options.prefill_us_per_token *
                                           (double)missing));
@@ -398,6 +401,7 @@
     e->prefilling = NULL;
     e->stats.prompt_tokens += r->prompt_tokens;
     e->stats.cached_tokens += r->cached_tokens;
+    e->stats.held_elsewhere += r->held_elsewhere;
     g_ptr_array_set_size(e->removed, 0);
     BlockCache_Use(e->cache, r->blocks, r->n, note_removed_, e);
     add_event_(e, "stored", r->blocks, r->n);
@@ -516,8 +520,14 @@
         TAILQ_REMOVE(&e->queue, r, link);
     else
         TAILQ_REMOVE(&e->running, r, link);
-    if (e->prefilling == r)
+    if (e->prefilling == r) {
+        // Begun and cancelled: what was computed is lost.
+        if (e->options.prefill_us_per_token > 0)
+            e->stats.abandoned +=
+                (uint64_t)((double)(GwTime_Now() - r->prefill_from) /
+                           e->options.prefill_us_per_token);
         e->prefilling = NULL;
+    }
     g_free(r->blocks);
     g_free(r->bytes);
     g_string_free(r->text, TRUE);
@@ -738,10 +748,10 @@
     g_snprintf(text, sizeof(text),
                "{\"requests\":%" PRIu64 ",\"prompt_tokens\":%" PRIu64
                ",\"cached_tokens\":%" PRIu64 ",\"held_elsewhere\":%" PRIu64
-               ",\"cancelled\":%" PRIu64 "}",
+               ",\"abandoned\":%" PRIu64 ",\"cancelled\":%" PRIu64 "}",
                e->stats.requests, e->stats.prompt_tokens,
                e->stats.cached_tokens, e->stats.held_elsewhere,
-               e->stats.cancelled);
+               e->stats.abandoned, e->stats.cancelled);
     respond_(call, 200, text);
 }
 
--- a/packages/agent/src/answer.c
+++ b/packages/agent/src/answer.c
@@ -112,8 +112,8 @@
 throttle_(Job *job)
 {
     const GwEndpoint *endpoint = &job->agent->endpoint;
-    bool pause = job->held_bytes > (job->paused ? WINDOW_BYTES / 2
-                                                : WINDOW_BYTES);
+    bool pause =
+        job->held_bytes > (job->paused ? WINDOW_BYTES / 2 : WINDOW_BYTES);
 
     if (job->call == NULL || pause == job->paused)
         return;
--- a/packages/agent/src/job.c
+++ b/packages/agent/src/job.c
@@ -6,6 +6,8 @@
 #include "galenagw/base/log.h"
 #include "galenagw/policy/chain.h"
 
+/* A trial is set aside this often, then refused. */
+#define MAX_SET_ASIDE 1
 #define FENCE_TIME (120 * GW_SECOND)
 #define SWEEP_PERIOD GW_SECOND
 
@@ -161,6 +163,9 @@
         agent->endpoint.ops->cancel(agent->endpoint.impl, job->call);
         job->call = NULL;
         job->state = JOB_QUEUED;
+        // Over and over it would only burn the engine's time.
+        if (++job->set_aside > MAX_SET_ASIDE)
+            Job_Refuse(job, GW_REFUSAL_TRIAL_ROOM, GW_RAN_UNKNOWN, NULL);
         while ((t = GwAdmission_Next(agent->admission, now)) != NULL)
             start_((Job *)t);
     }
--- a/packages/agent/src/job_private.h
+++ b/packages/agent/src/job_private.h
@@ -39,6 +39,7 @@
     bool paused;
     GwTime started;
     bool has_output;
+    int set_aside; /* how often, for a paying request */
 
     GPtrArray *chunks; /* GBytes from `base` on; 0 is the head, empty */
     uint32_t base;     /* sequence number of chunks[0] */
--- a/packages/policy/src/admission.c
+++ b/packages/policy/src/admission.c
@@ -6,6 +6,7 @@
 
 /* Weight of a new sample in the learned hold time of a slot. */
 #define LEARN_SHARE 0.05
+#define FIRST_GAP GW_SECOND
 #define FIRST_HOLD (50 * GW_MILLISECOND)
 #define MIN_RETRY_AFTER (50 * GW_MILLISECOND)
 
@@ -27,6 +28,8 @@
     int n_paying_prefills; /* running, paying, no output yet */
     uint64_t next_order;
     double hold; /* learned time in a slot, microseconds */
+    double gap;  /* learned time between paying requests */
+    GwTime last_paying;
 };
 
 /* What stands before a ticket. */
@@ -41,7 +44,10 @@
 static GwTime slot_wait_(const GwAdmission *a, const GwTicket *ticket,
                          int ahead);
 static int trial_slots_(const GwAdmission *a);
-static bool may_run_(const GwAdmission *a, const GwTicket *ticket);
+static bool may_run_(const GwAdmission *a, const GwTicket *ticket, GwTime now);
+static bool fits_gap_(const GwAdmission *a, const GwTicket *ticket,
+                      GwTime now);
+static void learn_gap_(GwAdmission *a, GwTime now);
 static void insert_(GwAdmission *a, GwTicket *ticket);
 static void take_out_(GwAdmission *a, GwTicket *ticket);
 
@@ -52,6 +58,7 @@
 
     a->options = *options;
     a->hold = (double)FIRST_HOLD;
+    a->gap = (double)FIRST_GAP;
     TAILQ_INIT(&a->reserved);
     TAILQ_INIT(&a->queue);
     TAILQ_INIT(&a->running);
@@ -124,6 +131,8 @@
         limit = (limit + 1) / 2;
     if (a->n_queued >= limit)
         return GW_REFUSAL_QUEUE_FULL;
+    if (!ticket->trial)
+        learn_gap_(a, now);
     ticket->state = GW_TICKET_QUEUED;
     ticket->since = now;
     ticket->order = a->next_order++;
@@ -134,10 +143,18 @@
 GwTicket *
 GwAdmission_Next(GwAdmission *a, GwTime now)
 {
-    GwTicket *t = TAILQ_FIRST(&a->queue);
+    GwTicket *t;
 
-    // Paying requests stand first: if the head may not run, none may.
-    if (t == NULL || !may_run_(a, t))
+    // Paying requests stand first: if one may not run, none behind it may.
+    // A long trial that waits for a quiet time lets shorter ones pass.
+    TAILQ_FOREACH(t, &a->queue, link)
+    {
+        if (may_run_(a, t, now))
+            break;
+        if (!t->trial)
+            return NULL;
+    }
+    if (t == NULL)
         return NULL;
     take_out_(a, t);
     t->state = GW_TICKET_RUNNING;
@@ -156,7 +173,7 @@
     GwTicket *t;
 
     if (a->n_paying_prefills == 0 &&
-        (waiting == NULL || waiting->trial || may_run_(a, waiting)))
+        (waiting == NULL || waiting->trial || may_run_(a, waiting, now)))
         return NULL;
     // The youngest trial has the least prefill to lose.
     TAILQ_FOREACH_REVERSE(t, &a->running, TicketList, link)
@@ -298,13 +315,34 @@
 }
 
 static bool
-may_run_(const GwAdmission *a, const GwTicket *ticket)
+may_run_(const GwAdmission *a, const GwTicket *ticket, GwTime now)
 {
     if (!ticket->trial)
         return a->n_running < a->options.slots;
     // Engines prefill one prompt after another: a trial's would stand in
     // the way of a paying one's even if slots are free.
-    return a->n_running < trial_slots_(a) && a->n_paying_prefills == 0;
+    return a->n_running < trial_slots_(a) && a->n_paying_prefills == 0 &&
+           fits_gap_(a, ticket, now);
+}
+
+// A prefill longer than the usual time between paying requests would most
+// likely be set aside, and what it had computed be lost. After a quiet time
+// it may start all the same.
+static bool
+fits_gap_(const GwAdmission *a, const GwTicket *ticket, GwTime now)
+{
+    GwTime quiet = now - a->last_paying;
+
+    return a->last_paying == 0 || (double)ticket->prefill <= a->gap ||
+           ticket->prefill <= quiet;
+}
+
+static void
+learn_gap_(GwAdmission *a, GwTime now)
+{
+    if (a->last_paying > 0)
+        a->gap += LEARN_SHARE * ((double)(now - a->last_paying) - a->gap);
+    a->last_paying = now;
 }
 
 static void
--- a/packages/policy/tests/policy_test.cc
+++ b/packages/policy/tests/policy_test.cc
@@ -253,6 +253,32 @@
     GwAdmission_Delete(a);
 }
 
+// What is longer than the usual pause between paying requests would be set
+// aside before it ends.
+TEST(Admission, LongTrialsWaitForAQuietTime)
+{
+    GwAdmission *a = Admission(8, 0);
+    GwTicket small = Ticket(true, 0, GW_NEVER, 50);
+    GwTicket large = Ticket(true, 0, GW_NEVER, 500);
+    GwTime now = 0;
+
+    for (int i = 0; i < 400; i++) {
+        GwTicket paying = Ticket(false, 0, GW_NEVER, 1);
+
+        now += 100;
+        GwAdmission_Enter(a, &paying, now);
+        EXPECT_EQ(GwAdmission_Next(a, now), &paying);
+        GwAdmission_Leave(a, &paying, now);
+    }
+    GwAdmission_Enter(a, &large, now);
+    EXPECT_EQ(GwAdmission_Next(a, now), nullptr);
+    GwAdmission_Enter(a, &small, now);
+    EXPECT_EQ(GwAdmission_Next(a, now), &small);
+    EXPECT_EQ(GwAdmission_Next(a, now + 499), nullptr);
+    EXPECT_EQ(GwAdmission_Next(a, now + 500), &large);
+    GwAdmission_Delete(a);
+}
+
 TEST(Admission, EstimatesRefuseEarlyAndCountReservations)
 {
     const struct {
