Contract tests with fault tables; orders, deadlines and frozen lists proved

Cause: the platform's, the endpoint's and the inner protocol's contracts were tested only through the whole path; leases on orders had one test.

Faults found: the prefill cost learned a tenth of each sample from the first one on, so a fresh agent promised 98 ms where its engine took 800 and a deadline of 150 ms was missed instead of refused (now refused within 120 ms, not run); a lease that was read back before its append was answered was not released but ran out.

--- a/packages/agent/src/orders.c
+++ b/packages/agent/src/orders.c
@@ -45,6 +45,8 @@
     OrdersState state;
     int slot; /* in use, or NO_SLOT */
     uint64_t fence;
+    int release_slot; /* to be released, or NO_SLOT */
+    uint64_t release_fence;
     GwTime valid_until; /* of our lease, on our clock */
     GwTime asked_at;
     char *wanted;
@@ -63,6 +65,7 @@
 static void take_(Orders *o, GwTime now);
 static void on_appended_(void *user, GwAppendOutcome outcome, uint64_t offset);
 static void give_up_(Orders *o);
+static void send_release_(Orders *o);
 static void on_released_(void *user, GwAppendOutcome outcome, uint64_t offset);
 
 static const GwLogTailOps tail_ops = {NULL, on_record_, on_round_};
@@ -79,7 +82,7 @@
     o->ops = ops;
     o->user = user;
     o->stream = g_strdup(options->stream);
-    o->slot = NO_SLOT;
+    o->slot = o->release_slot = NO_SLOT;
     GwTimer_Init(&o->timer, loop, step_, o);
     o->tail =
         GwLogTail_New(loop, log, o->stream, 0, options->rand, &tail_ops, o);
@@ -310,6 +313,7 @@
     Orders *o = user;
 
     o->append = NULL;
+    send_release_(o);
     // Done or unknown, the tail tells who holds the slot.
     if (outcome == GW_APPEND_NOT_DONE && o->state == ORDERS_APPENDING) {
         o->state = ORDERS_WAITING;
@@ -320,20 +324,33 @@
 static void
 give_up_(Orders *o)
 {
-    json_t *record;
-
     o->ops->release(o->user);
-    if (o->state >= ORDERS_HOLDING && o->append == NULL) {
-        record = json_pack("{s:s, s:i, s:I}", "t", "release", "slot", o->slot,
-                           "lease", (json_int_t)o->fence);
-        o->append = o->log.ops->append(o->log.impl, o->stream, record,
-                                       on_released_, o);
-        json_decref(record);
+    if (o->state >= ORDERS_HOLDING) {
+        o->release_slot = o->slot;
+        o->release_fence = o->fence;
+        send_release_(o);
     }
     o->state = ORDERS_IDLE;
     o->slot = NO_SLOT;
 }
 
+// The lease may be read back before its append is answered; the release then
+// waits for that answer, or others would wait for the lease to run out.
+static void
+send_release_(Orders *o)
+{
+    json_t *record;
+
+    if (o->append != NULL || o->release_slot == NO_SLOT)
+        return;
+    record = json_pack("{s:s, s:i, s:I}", "t", "release", "slot",
+                       o->release_slot, "lease", (json_int_t)o->release_fence);
+    o->release_slot = NO_SLOT;
+    o->append =
+        o->log.ops->append(o->log.impl, o->stream, record, on_released_, o);
+    json_decref(record);
+}
+
 static void
 on_released_(void *user, GwAppendOutcome outcome, uint64_t offset)
 {
--- a/packages/agent/src/orders.h
+++ b/packages/agent/src/orders.h
@@ -22,6 +22,7 @@
 
 typedef struct Orders Orders;
 
+/* Strings must outlive the module. */
 typedef struct {
     const char *stream; /* of this site's leases */
     const char *holder;
--- a/packages/agent/src/sessions.c
+++ b/packages/agent/src/sessions.c
@@ -3,6 +3,7 @@
 
 #include "agent_private.h"
 #include "galenagw/base/log.h"
+#include "galenagw/sync/config_sync.h"
 #include "home.h"
 #include "job.h"
 
@@ -13,7 +14,6 @@
 static void on_frame_(void *user, GwSession *session, const GwFrame *frame);
 static void on_revision_(void *user, GwSession *session, uint64_t revision);
 static void on_closed_(void *user, GwSession *session, bool silent);
-static void send_config_(GwAgent *agent, GwSession *session);
 static void send_status_(GwAgent *agent, GwSession *session);
 
 static const GwSessionOps session_ops = {on_ready_, on_frame_, on_revision_,
@@ -92,6 +92,8 @@
 {
     GwAgent *agent = user;
 
+    if (GwConfigSync_OnFrame(agent->feed, session, frame))
+        return;
     switch (frame->body_case) {
     case GW__WIRE__FRAME__BODY_PROBE:
         Offers_Probe(agent, session, frame->probe);
@@ -114,15 +116,6 @@
     case GW__WIRE__FRAME__BODY_CREDIT_ASK:
         Home_Ask(agent->home, session, frame->credit_ask);
         break;
-    case GW__WIRE__FRAME__BODY_CONFIG_ASK:
-        send_config_(agent, session);
-        break;
-    case GW__WIRE__FRAME__BODY_CONFIG_STATE:
-        GwConfigFeed_Offer(agent->feed, frame->config_state->revision,
-                           frame->config_state->offset,
-                           (const char *)frame->config_state->document.data,
-                           frame->config_state->document.len);
-        break;
     case GW__WIRE__FRAME__BODY_DRAIN:
         GwAgent_Drain(agent);
         break;
@@ -134,18 +127,10 @@
     }
 }
 
-// Whoever is behind asks; an entry that reads the log sooner than we do
-// thus brings us up to date, and the other way round.
 static void
 on_revision_(void *user, GwSession *session, uint64_t revision)
 {
-    GwAgent *agent = user;
-    GW_FRAME(frame, ask, CONFIG_ASK, ConfigAsk, config_ask);
-
-    if (revision <= GwConfigFeed_Revision(agent->feed))
-        return;
-    ask.have_revision = GwConfigFeed_Revision(agent->feed);
-    GwSession_Send(session, &frame);
+    GwConfigSync_OnRevision(((GwAgent *)user)->feed, session, revision);
 }
 
 static void
@@ -157,23 +142,6 @@
     Jobs_Detach(agent, session);
 }
 
-static void
-send_config_(GwAgent *agent, GwSession *session)
-{
-    const GwStore *store = GwConfigFeed_Store(agent->feed);
-    size_t len;
-    const char *text = GwConfigFeed_Document(agent->feed, &len);
-    GW_FRAME(frame, state, CONFIG_STATE, ConfigState, config_state);
-
-    if (!GwStore_HasState(store))
-        return;
-    state.revision = GwStore_Revision(store);
-    state.offset = GwStore_FoldedTo(store);
-    state.document.data = (uint8_t *)text;
-    state.document.len = len;
-    GwSession_Send(session, &frame);
-}
-
 static void
 send_status_(GwAgent *agent, GwSession *session)
 {
--- a/packages/entry/src/peers.c
+++ b/packages/entry/src/peers.c
@@ -7,6 +7,7 @@
 #include "credits.h"
 #include "exchange.h"
 #include "galenagw/base/log.h"
+#include "galenagw/sync/config_sync.h"
 
 #define IDLE_TIME (60 * GW_SECOND)
 #define FIRST_RTT (300)
@@ -20,7 +21,6 @@
 static void on_frame_(void *user, GwSession *session, const GwFrame *frame);
 static void on_revision_(void *user, GwSession *session, uint64_t revision);
 static void on_closed_(void *user, GwSession *session, bool silent);
-static void send_config_(Peer *peer);
 static void tick_(Peer *peer, GwTime now);
 static void drop_session_(Peer *peer);
 
@@ -162,6 +162,8 @@
     Peer *peer = user;
     GwEntry *entry = peer->entry;
 
+    if (GwConfigSync_OnFrame(entry->feed, session, frame))
+        return;
     switch (frame->body_case) {
     case GW__WIRE__FRAME__BODY_OFFER:
         Exchange_OnOffer(peer, frame->offer);
@@ -184,15 +186,6 @@
     case GW__WIRE__FRAME__BODY_LEAVING:
         GwMembership_Leaving(entry->members, peer->member);
         break;
-    case GW__WIRE__FRAME__BODY_CONFIG_ASK:
-        send_config_(peer);
-        break;
-    case GW__WIRE__FRAME__BODY_CONFIG_STATE:
-        GwConfigFeed_Offer(entry->feed, frame->config_state->revision,
-                           frame->config_state->offset,
-                           (const char *)frame->config_state->document.data,
-                           frame->config_state->document.len);
-        break;
     default:
         break;
     }
@@ -201,13 +194,7 @@
 static void
 on_revision_(void *user, GwSession *session, uint64_t revision)
 {
-    Peer *peer = user;
-    GW_FRAME(frame, ask, CONFIG_ASK, ConfigAsk, config_ask);
-
-    if (revision <= GwConfigFeed_Revision(peer->entry->feed))
-        return;
-    ask.have_revision = GwConfigFeed_Revision(peer->entry->feed);
-    GwSession_Send(session, &frame);
+    GwConfigSync_OnRevision(((Peer *)user)->entry->feed, session, revision);
 }
 
 static void
@@ -229,24 +216,6 @@
     Exchange_PeerLost(peer);
 }
 
-static void
-send_config_(Peer *peer)
-{
-    GwConfigFeed *feed = peer->entry->feed;
-    const GwStore *store = GwConfigFeed_Store(feed);
-    size_t len;
-    const char *text = GwConfigFeed_Document(feed, &len);
-    GW_FRAME(frame, state, CONFIG_STATE, ConfigState, config_state);
-
-    if (!GwStore_HasState(store))
-        return;
-    state.revision = GwStore_Revision(store);
-    state.offset = GwStore_FoldedTo(store);
-    state.document.data = (uint8_t *)text;
-    state.document.len = len;
-    GwSession_Send(peer->session, &frame);
-}
-
 static void
 tick_(Peer *peer, GwTime now)
 {
--- a/packages/entry/tests/failure_test.cc
+++ b/packages/entry/tests/failure_test.cc
@@ -309,6 +309,57 @@
     EXPECT_EQ(FakeEngine_Stats(a->engine)->requests, before);
 }
 
+// The caller sees its answer from another endpoint. The instance list is
+// frozen and goes on showing a drained agent as live; what the agent itself
+// announced is fresher, and lasts until another life of it says hello.
+TEST(Failure, FrozenListDoesNotBringBackALeavingEndpoint)
+{
+    World w;
+    w.Publish(kTestConfig);
+    AgentNode *a = w.AddEngine(World::FastEngine());
+    AgentNode *b = w.AddEngine(World::FastEngine());
+    EntryNode *e = w.AddEntry();
+
+    ASSERT_TRUE(w.Ready());
+    FakePlatform_Faults(w.platform)->list_frozen = true;
+    GwAgent_Drain(a->agent);
+    uint64_t before = FakeEngine_Stats(a->engine)->requests;
+    for (int i = 0; i < 10; i++) {
+        auto c =
+            w.Chat(e, "desk.secret", "q", 2, true, std::to_string(i).c_str());
+        ASSERT_TRUE(w.Until([&] { return c->done; }));
+        EXPECT_TRUE(c->Complete()) << c->body;
+    }
+    EXPECT_EQ(FakeEngine_Stats(a->engine)->requests, before);
+    EXPECT_EQ(FakeEngine_Stats(b->engine)->requests, 10u);
+}
+
+// The caller sees a refusal at once, with a time to come back: its deadline
+// cannot be met behind what runs already, and "not run" is true.
+TEST(Failure, DeadlineThatCannotBeMetIsRefusedAtOnce)
+{
+    World w;
+    w.Publish(kTestConfig);
+    FakeEngineOptions o = World::FastEngine();
+    o.prefill_us_per_token = 2000;
+    AgentNode *a = w.AddEngine(o);
+    EntryNode *e = w.AddEntry();
+    std::string rules(1600, 'r');
+
+    ASSERT_TRUE(w.Ready());
+    auto first = w.Chat(e, "desk.secret", "q", 1, true, rules.c_str());
+    ASSERT_TRUE(w.Until([&] { return first->done; }));
+    uint64_t before = FakeEngine_Stats(a->engine)->requests;
+    // 400 tokens of another account: 800 ms against a deadline of 150.
+    auto c = w.Chat(e, "hurry.secret", "q", 1, true, rules.c_str());
+    GwTime start = GwTime_Now();
+    ASSERT_TRUE(w.Until([&] { return c->done; }));
+    EXPECT_EQ(c->Code(), "deadline") << c->body;
+    EXPECT_EQ(c->Ran(), "no");
+    EXPECT_LT(GwTime_Now() - start, 120 * GW_MILLISECOND);
+    EXPECT_EQ(FakeEngine_Stats(a->engine)->requests, before);
+}
+
 // The callers see no refusal. All entries restart together while the log
 // is down; they take the configuration from the agents and serve at once.
 TEST(Failure, RestartWithTheLogDownServesAtOnce)
--- a/packages/policy/include/galenagw/policy/choice.h
+++ b/packages/policy/include/galenagw/policy/choice.h
@@ -49,6 +49,8 @@
 typedef struct {
     double us_per_token;
     double base_us;
+    int samples;      /**< of the cost of a token */
+    int base_samples; /**< of the fixed part */
 } GwPrefillCost;
 
 void GwPrefillCost_Init(GwPrefillCost *cost);
--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -11,6 +11,8 @@
 #define SHORT_WAIT (500)
 #define DEFAULT_RETRY_AFTER (250 * GW_MILLISECOND)
 
+static double share_(int *samples);
+
 int
 GwChoice_Best(const GwOffer *offers, size_t n, double recompute_weight)
 {
@@ -63,6 +65,7 @@
 {
     cost->us_per_token = FIRST_US_PER_TOKEN;
     cost->base_us = FIRST_BASE_US;
+    cost->samples = cost->base_samples = 0;
 }
 
 void
@@ -71,11 +74,11 @@
     double us = (double)MAX(took, 0);
 
     if (tokens < SMALL_PREFILL) {
-        cost->base_us += LEARN_SHARE * (us - cost->base_us);
+        cost->base_us += share_(&cost->base_samples) * (us - cost->base_us);
         return;
     }
     us = MAX(us - cost->base_us, 0) / (double)tokens;
-    cost->us_per_token += LEARN_SHARE * (us - cost->us_per_token);
+    cost->us_per_token += share_(&cost->samples) * (us - cost->us_per_token);
 }
 
 GwTime
@@ -83,3 +86,16 @@
 {
     return (GwTime)(cost->base_us + cost->us_per_token * (double)tokens);
 }
+
+// The first samples replace the guess at once: an agent that has just started
+// must not promise for a minute what its engine cannot do.
+static double
+share_(int *samples)
+{
+    double share = 1.0 / (*samples + 1);
+
+    if (share < LEARN_SHARE)
+        return LEARN_SHARE;
+    (*samples)++;
+    return share;
+}
--- a/packages/policy/tests/policy_test.cc
+++ b/packages/policy/tests/policy_test.cc
@@ -389,6 +389,20 @@
     EXPECT_EQ(retry_after, 200);
 }
 
+TEST(PrefillCost, FirstSampleReplacesTheGuess)
+{
+    GwPrefillCost c;
+
+    GwPrefillCost_Init(&c);
+    GwPrefillCost_Learn(&c, 1000, 1000500);
+    EXPECT_NEAR(c.us_per_token, 1000, 1);
+    for (int i = 0; i < 100; i++)
+        GwPrefillCost_Learn(&c, 1000, 200500);
+    EXPECT_NEAR(c.us_per_token, 200, 10);
+    GwPrefillCost_Learn(&c, 1, 300);
+    EXPECT_NEAR(c.base_us, 300, 1);
+}
+
 TEST(Heat, WidensWithWorkAndShrinksAgain)
 {
     GwHeat *h = GwHeat_New(1000, 4);
--- /dev/null
+++ b/packages/wire/tests/wire_test.cc
@@ -0,0 +1,216 @@
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+
+#include "galenagw/fakes/fake_hop.h"
+#include "galenagw/wire/session.h"
+
+namespace {
+
+const GwAddress kAny = {"127.0.0.1", 0};
+
+std::string
+Encoded(uint64_t nonce)
+{
+    GW_FRAME(frame, ping, PING, Ping, ping);
+    GByteArray *out = g_byte_array_new();
+
+    ping.nonce = nonce;
+    GwFrame_Encode(&frame, out);
+    std::string text(reinterpret_cast<char *>(out->data), out->len);
+    g_byte_array_unref(out);
+    return text;
+}
+
+struct Side {
+    int ready = 0, frames = 0, closed = 0, silent = 0;
+    GwSession *session = nullptr;
+};
+
+const GwSessionOps kOps = {
+    [](void *u, GwSession *s, const Gw__Wire__Hello *) {
+        static_cast<Side *>(u)->ready++;
+        static_cast<Side *>(u)->session = s;
+    },
+    [](void *u, GwSession *, const GwFrame *) {
+        static_cast<Side *>(u)->frames++;
+    },
+    nullptr,
+    [](void *u, GwSession *, bool silent) {
+        static_cast<Side *>(u)->closed++;
+        static_cast<Side *>(u)->silent += silent;
+    },
+};
+
+struct SessionTest : ::testing::Test {
+    GwLoop *loop = GwLoop_New(nullptr, nullptr);
+    GwCounters counters = {};
+    Side server_side, client_side;
+    GwSessionServer *server = nullptr;
+    GwAddress address = kAny;
+
+    GwSessionOptions
+    Options(Side *side)
+    {
+        GwSessionOptions o = {};
+
+        o.fill_hello = [](void *, Gw__Wire__Hello *h) {
+            h->instance = h->pool = h->failure_domain =
+                const_cast<char *>("x");
+        };
+        o.ops = &kOps;
+        o.user = side;
+        o.counters = &counters;
+        o.ping_after = 20 * GW_MILLISECOND;
+        o.silent_after = 100 * GW_MILLISECOND;
+        return o;
+    }
+    void
+    SetUp() override
+    {
+        GwSessionOptions o = Options(&server_side);
+
+        server = GwSessionServer_New(loop, &kAny, &o, nullptr);
+        address.port = GwSessionServer_Port(server);
+    }
+    void
+    TearDown() override
+    {
+        GwSessionServer_Delete(server);
+        GwLoop_Delete(loop);
+    }
+    bool
+    Until(const std::function<bool()> &done)
+    {
+        GwTime end = GwTime_Now() + 5 * GW_SECOND;
+
+        while (!done() && GwTime_Now() < end)
+            GwLoop_Step(loop);
+        return done();
+    }
+};
+
+} // namespace
+
+TEST(Frame, DecodesWholeFramesFromAnyPieces)
+{
+    std::string stream = Encoded(1) + Encoded(300) + Encoded(70000);
+
+    for (size_t piece = 1; piece <= stream.size(); piece++) {
+        GwFrameDecoder *d = GwFrameDecoder_New();
+        GwError err = {};
+        std::vector<uint64_t> got;
+
+        for (size_t at = 0; at < stream.size(); at += piece) {
+            std::string part = stream.substr(at, piece);
+            GwFrame *f;
+
+            GwFrameDecoder_Push(d,
+                                reinterpret_cast<const uint8_t *>(part.data()),
+                                part.size());
+            while ((f = GwFrameDecoder_Pop(d, &err)) != nullptr) {
+                got.push_back(f->ping->nonce);
+                GwFrame_Free(f);
+            }
+        }
+        EXPECT_EQ(err.kind, GW_ERROR_NONE);
+        EXPECT_EQ(got, (std::vector<uint64_t>{1, 300, 70000})) << piece;
+        GwFrameDecoder_Delete(d);
+    }
+}
+
+TEST(Frame, BrokenStreamsAreErrors)
+{
+    const struct {
+        const char *name;
+        std::string bytes;
+    } cases[] = {
+        {"too long", std::string("\x7f\xff\xff\xff", 4)},
+        {"HTTP", "GET / HTTP/1.1\r\n\r\n"},
+        {"no protobuf", std::string("\0\0\0\x02\xff\xff", 6)},
+    };
+
+    for (auto &c : cases) {
+        GwFrameDecoder *d = GwFrameDecoder_New();
+        GwError err = {};
+
+        GwFrameDecoder_Push(d,
+                            reinterpret_cast<const uint8_t *>(c.bytes.data()),
+                            c.bytes.size());
+        EXPECT_EQ(GwFrameDecoder_Pop(d, &err), nullptr) << c.name;
+        EXPECT_EQ(err.kind, GW_ERROR_PROTOCOL) << c.name;
+        GwFrameDecoder_Delete(d);
+    }
+}
+
+TEST_F(SessionTest, PingsKeepAQuietSessionUp)
+{
+    GwSessionOptions o = Options(&client_side);
+    GwSession *s = GwSession_Connect(loop, &address, &o);
+
+    ASSERT_TRUE(Until([&] { return client_side.ready == 1; }));
+    uint64_t frames = counters.plain[GW_COUNTER_FRAMES_RECEIVED];
+    ASSERT_TRUE(Until([&] {
+        return counters.plain[GW_COUNTER_FRAMES_RECEIVED] > frames + 20;
+    }));
+    EXPECT_EQ(client_side.closed + server_side.closed, 0);
+    GwSession_Close(s);
+    ASSERT_TRUE(Until([&] { return server_side.closed == 1; }));
+    EXPECT_EQ(client_side.closed, 0) << "no callback after a close";
+}
+
+// The connection is forgotten on the way: neither side gets an error. Both
+// find out by the missing pongs.
+TEST_F(SessionTest, SilenceIsFoundOnBothSides)
+{
+    FakeHop *hop = FakeHop_New(loop, address.port, nullptr);
+    GwSessionOptions o = Options(&client_side);
+    GwAddress through = kAny;
+
+    through.port = FakeHop_Port(hop);
+    GwSession_Connect(loop, &through, &o);
+    ASSERT_TRUE(Until(
+        [&] { return client_side.ready == 1 && server_side.ready == 1; }));
+    FakeHop_Freeze(hop);
+    ASSERT_TRUE(Until(
+        [&] { return client_side.silent == 1 && server_side.silent == 1; }));
+    FakeHop_Delete(hop);
+}
+
+TEST_F(SessionTest, StrangersAreClosed)
+{
+    struct Raw {
+        bool closed = false;
+    };
+    static const GwRawOps ops = {
+        nullptr, [](void *, const uint8_t *, size_t) {},
+        [](void *u) { static_cast<Raw *>(u)->closed = true; }};
+    GW_FRAME(hello_frame, hello, HELLO, Hello, hello);
+    GByteArray *other = g_byte_array_new();
+
+    hello.version = GW_WIRE_VERSION + 1;
+    GwFrame_Encode(&hello_frame, other);
+    const struct {
+        const char *name;
+        std::string bytes;
+    } cases[] = {
+        {"another protocol", "GET / HTTP/1.1\r\n\r\n"},
+        {"another version",
+         std::string(reinterpret_cast<char *>(other->data), other->len)},
+        {"silent from the start", ""},
+    };
+
+    for (auto &c : cases) {
+        Raw raw;
+        GwRaw *r = GwRaw_Connect(loop, &address, &ops, &raw);
+
+        if (!c.bytes.empty())
+            GwRaw_Write(r, reinterpret_cast<const uint8_t *>(c.bytes.data()),
+                        c.bytes.size());
+        EXPECT_TRUE(Until([&] { return raw.closed; })) << c.name;
+    }
+    EXPECT_EQ(server_side.ready, 0);
+    EXPECT_EQ(server_side.frames, 0);
+    g_byte_array_unref(other);
+}
