--- a/bench/src/scenarios.c
+++ b/bench/src/scenarios.c
@@ -44,6 +44,32 @@
     {NULL, NULL, NULL},
 };
 
+/* A site, the load on it, and its trace. */
+typedef struct {
+    Site site;
+    Load load;
+    Workload *workload;
+} Run;
+
+static void
+run_begin_(Run *run, const WorkloadOptions *o, const SiteOptions *s,
+           const Action *action)
+{
+    memset(&run->load, 0, sizeof(run->load));
+    run->workload = Workload_New(o);
+    Site_Start(&run->site, s);
+    Load_Run(&run->load, run->workload, run->site.entry_ports, s->entries,
+             action, action != NULL);
+}
+
+static void
+run_end_(Run *run)
+{
+    Site_Stop(&run->site);
+    Load_Finish(&run->load);
+    Workload_Delete(run->workload);
+}
+
 static SiteOptions
 site_options_(int engines, const char *policy)
 {
@@ -214,27 +240,21 @@
 
     Report_Section("trials at twice the capacity");
     for (int pass = 0; pass < 2; pass++) {
-        Site site;
-        Load load = {0};
-        Workload *w;
+        Run run;
 
         o.trial_per_s = pass == 0 ? 0 : 2 * capacity;
-        w = Workload_New(&o);
-        Site_Start(&site, &s);
-        Load_Run(&load, w, site.entry_ports, s.entries, NULL, 0);
+        run_begin_(&run, &o, &s, NULL);
         if (pass == 0)
-            without = Load_Summary(&load, PART_PAYING, WARM_UP, GW_NEVER);
+            without = Load_Summary(&run.load, PART_PAYING, WARM_UP, GW_NEVER);
         else
-            with = Load_Summary(&load, PART_PAYING, WARM_UP, GW_NEVER);
-        trials = Load_Summary(&load, PART_TRIAL, WARM_UP, GW_NEVER);
+            with = Load_Summary(&run.load, PART_PAYING, WARM_UP, GW_NEVER);
+        trials = Load_Summary(&run.load, PART_TRIAL, WARM_UP, GW_NEVER);
         if (pass == 1) {
-            g_autofree char *text = Load_Refusals(&load, PART_TRIAL);
+            g_autofree char *text = Load_Refusals(&run.load, PART_TRIAL);
 
             Report_Text("trials refused, by reason", text);
         }
-        Site_Stop(&site);
-        Load_Finish(&load);
-        Workload_Delete(w);
+        run_end_(&run);
     }
     Report_Value("trials offered", o.trial_per_s, "/s");
     Report_Value("trials served, share",
@@ -270,18 +290,15 @@
     const int engines = 9;
     WorkloadOptions o = workload_options_(seed, engines);
     SiteOptions s = site_options_(engines, "offers");
-    Site site;
-    Load load = {0};
-    Workload *w = Workload_New(&o);
+    Run run;
     const GwTime at = RUN_TIME / 2;
-    Action action = {at, do_restart_entry_, &site};
+    Action action = {at, do_restart_entry_, &run.site};
     Summary before;
     Summary after;
 
-    Site_Start(&site, &s);
-    Load_Run(&load, w, site.entry_ports, s.entries, &action, 1);
-    before = Load_Summary(&load, PART_PAYING, at - 4 * GW_SECOND, at);
-    after = Load_Summary(&load, PART_PAYING, at + 100 * GW_MILLISECOND,
+    run_begin_(&run, &o, &s, &action);
+    before = Load_Summary(&run.load, PART_PAYING, at - 4 * GW_SECOND, at);
+    after = Load_Summary(&run.load, PART_PAYING, at + 100 * GW_MILLISECOND,
                          at + 2 * GW_SECOND);
     Report_Section("one entry of two is killed and restarts under load");
     Report_Value("hit rate before", before.hit_rate, "");
@@ -292,9 +309,7 @@
                  after.hit_rate / before.hit_rate, true, 0.97);
     Report_Bound("refused in its first 2 s", (double)after.refused, false, 0);
     Report_Bound("not whole in its first 2 s", (double)after.failed, false, 0);
-    Site_Stop(&site);
-    Load_Finish(&load);
-    Workload_Delete(w);
+    run_end_(&run);
 }
 
 static void
@@ -318,28 +333,24 @@
     const int engines = 9;
     WorkloadOptions o = workload_options_(seed, engines);
     SiteOptions s = site_options_(engines, "offers");
-    Site site;
-    Load load = {0};
-    Workload *w;
+    Run run;
     const GwTime at = RUN_TIME / 2;
-    Action action = {at, do_restart_herd_, &site};
+    Action action = {at, do_restart_herd_, &run.site};
     Summary after;
     double requests = 0;
     double attempts = 0;
     g_autofree char *refusals = NULL;
 
     s.entries = 4;
-    w = Workload_New(&o);
-    Site_Start(&site, &s);
-    Load_Run(&load, w, site.entry_ports, s.entries, &action, 1);
-    after =
-        Load_Summary(&load, PART_PAYING, at + 100 * GW_MILLISECOND, GW_NEVER);
-    refusals = Load_Refusals(&load, PART_ALL);
+    run_begin_(&run, &o, &s, &action);
+    after = Load_Summary(&run.load, PART_PAYING, at + 100 * GW_MILLISECOND,
+                         GW_NEVER);
+    refusals = Load_Refusals(&run.load, PART_ALL);
     for (int i = 0; i < s.entries; i++) {
         requests +=
-            Site_Metric(site.entries[i].admin, "galenagw_requests_total");
+            Site_Metric(run.site.entries[i].admin, "galenagw_requests_total");
         attempts +=
-            Site_Metric(site.entries[i].admin, "galenagw_attempts_total");
+            Site_Metric(run.site.entries[i].admin, "galenagw_attempts_total");
     }
     Report_Section("all four entries restart together, the log is down");
     Report_Text("refusals", refusals[0] != '\0' ? refusals : "none");
@@ -348,9 +359,7 @@
     Report_Bound("not whole after", (double)after.failed, false, 0);
     Report_Bound("attempts per request", attempts / MAX(requests, 1), false,
                  1.1);
-    Site_Stop(&site);
-    Load_Finish(&load);
-    Workload_Delete(w);
+    run_end_(&run);
 }
 
 static void
@@ -372,11 +381,9 @@
     const int engines = 9;
     WorkloadOptions o = workload_options_(seed, engines);
     SiteOptions s = site_options_(engines, "offers");
-    Site site;
-    Load load = {0};
-    Workload *w;
+    Run run;
     const GwTime at = RUN_TIME / 2;
-    Action action = {at, do_fail_, &site};
+    Action action = {at, do_fail_, &run.site};
     Summary before;
     Summary during;
     Summary after;
@@ -387,22 +394,20 @@
 
     s.services = 3;
     o.calls_per_s = 20;
-    w = Workload_New(&o);
-    Site_Start(&site, &s);
-    Load_Run(&load, w, site.entry_ports, s.entries, &action, 1);
-    before = Load_Summary(&load, PART_PAYING, WARM_UP, at);
-    during = Load_Summary(&load, PART_PAYING, at, at + 5 * GW_SECOND);
-    after = Load_Summary(&load, PART_PAYING, at + 5 * GW_SECOND, GW_NEVER);
-    calls = Load_Summary(&load, PART_CALLS, 0, GW_NEVER);
+    run_begin_(&run, &o, &s, &action);
+    before = Load_Summary(&run.load, PART_PAYING, WARM_UP, at);
+    during = Load_Summary(&run.load, PART_PAYING, at, at + 5 * GW_SECOND);
+    after = Load_Summary(&run.load, PART_PAYING, at + 5 * GW_SECOND, GW_NEVER);
+    calls = Load_Summary(&run.load, PART_CALLS, 0, GW_NEVER);
     for (int i = 0; i < s.services; i++) {
         g_autofree char *text =
-            Procs_Http(site.service.ports[i], "GET", "/runs", NULL);
+            Procs_Http(run.site.service.ports[i], "GET", "/runs", NULL);
         const char *m = strstr(text, "\"most\":");
 
         most = MAX(most, m != NULL ? g_ascii_strtod(m + 7, NULL) : 99);
     }
-    refusals = Load_Refusals(&load, PART_PAYING);
-    call_refusals = Load_Refusals(&load, PART_CALLS);
+    refusals = Load_Refusals(&run.load, PART_PAYING);
+    call_refusals = Load_Refusals(&run.load, PART_CALLS);
     Report_Section("one agent killed, one silent, one leaving; of engines "
                    "and services");
     Report_Text("paying refusals", refusals[0] != '\0' ? refusals : "none");
@@ -418,11 +423,9 @@
         "requests neither whole nor refused",
         (double)(before.failed + during.failed + after.failed + calls.failed),
         false, 0);
-    Procs_Freeze(&site.agents[1], false);
-    Procs_Freeze(&site.agents[10], false);
-    Site_Stop(&site);
-    Load_Finish(&load);
-    Workload_Delete(w);
+    Procs_Freeze(&run.site.agents[1], false);
+    Procs_Freeze(&run.site.agents[10], false);
+    run_end_(&run);
 }
 
 static int
--- a/fakes/include/galenagw/fakes/fake_hop.h
+++ b/fakes/include/galenagw/fakes/fake_hop.h
@@ -30,9 +30,6 @@
 void FakeHop_Thaw(FakeHop *hop);
 /** Close all present connections. */
 void FakeHop_Cut(FakeHop *hop);
-/** Refuse new connections by closing them at once. */
-void FakeHop_SetRefuse(FakeHop *hop, bool refuse);
-int FakeHop_Accepted(const FakeHop *hop);
 
 #ifdef __cplusplus
 }
--- a/fakes/include/galenagw/fakes/fake_platform.h
+++ b/fakes/include/galenagw/fakes/fake_platform.h
@@ -52,7 +52,6 @@
                               const char *role, const char *pool,
                               const char *failure_domain, int port,
                               bool leaving);
-void FakePlatform_RemoveInstance(FakePlatform *platform, const char *name);
 /** Append directly, as another process would. @return its offset */
 uint64_t FakePlatform_Append(FakePlatform *platform, const char *stream,
                              const json_t *record);
--- a/fakes/src/fake_engine.c
+++ b/fakes/src/fake_engine.c
@@ -6,7 +6,8 @@
 #include <sys/queue.h>
 #include <xxhash.h>
 
-#define MAX_BODY (16 * 1024 * 1024)
+#include "fake_http.h"
+
 #define BYTES_PER_TOKEN 4
 #define EVENTS_KEPT 4096
 #define EVENT_BLOCKS 64
@@ -99,7 +100,6 @@
 static void on_waiter_(void *user);
 static void on_event_timer_(void *user);
 static void waiter_delete_(Waiter *w);
-static void respond_(GwHttpCall *call, int status, const char *text);
 
 static const GwHttpServerOps server_ops = {on_call_, on_gone_, NULL, NULL};
 
@@ -109,13 +109,6 @@
 {
     static uint64_t incarnations = 1;
     FakeEngine *e = g_new0(FakeEngine, 1);
-    GwHttpServerOptions server = {
-        .address = *address,
-        .max_body = MAX_BODY,
-        .body_timeout = 10 * GW_SECOND,
-        .ops = &server_ops,
-        .user = e,
-    };
 
     e->loop = loop;
     e->options = *options;
@@ -129,7 +122,7 @@
     g_queue_init(&e->events);
     GwTimer_Init(&e->load_timer, loop, on_loaded_, e);
     GwTimer_Init(&e->event_timer, loop, on_event_timer_, e);
-    e->server = GwHttpServer_New(loop, &server, err);
+    e->server = FakeHttp_Listen(loop, address, &server_ops, e, err);
     return e->server != NULL ? e : NULL;
 }
 
@@ -237,7 +230,7 @@
     else if (strcmp(path, "/stats") == 0)
         serve_stats_(e, call);
     else
-        respond_(call, 404, "{}");
+        FakeHttp_Respond(call, 404, "{}");
 }
 
 static void
@@ -271,7 +264,7 @@
     Run *r;
 
     if (e->options.reject || e->loading != NULL) {
-        respond_(call, 503, "{\"error\":\"not now\"}");
+        FakeHttp_Respond(call, 503, "{\"error\":\"not now\"}");
         return;
     }
     root = json_loadb(body, len, 0, NULL);
@@ -285,7 +278,7 @@
     if (!parse_run_(r, root)) {
         TAILQ_INSERT_TAIL(&e->queue, r, link);
         run_delete_(r);
-        respond_(call, 400, "{\"error\":\"bad request\"}");
+        FakeHttp_Respond(call, 400, "{\"error\":\"bad request\"}");
         json_decref(root);
         return;
     }
@@ -502,7 +495,7 @@
         return;
     }
     run_delete_(r);
-    respond_(call, 200, text);
+    FakeHttp_Respond(call, 200, text);
 }
 
 static void
@@ -605,7 +598,7 @@
                "\"loading\":%s}",
                e->incarnation, e->options.slots, e->options.cache_blocks,
                e->weights, e->loading != NULL ? "true" : "false");
-    respond_(call, 200, text);
+    FakeHttp_Respond(call, 200, text);
 }
 
 static void
@@ -647,7 +640,7 @@
     if (!any && !empty_too)
         return false;
     g_string_append(text, "]}");
-    respond_(call, 200, text->str);
+    FakeHttp_Respond(call, 200, text->str);
     return true;
 }
 
@@ -698,7 +691,7 @@
     if (!e->options.ignore_fence && fence < e->stats.last_fence) {
         e->stats.fenced++;
         json_decref(root);
-        respond_(call, 409, "{\"error\":\"old fence\"}");
+        FakeHttp_Respond(call, 409, "{\"error\":\"old fence\"}");
         return;
     }
     e->stats.last_fence = MAX(fence, e->stats.last_fence);
@@ -707,7 +700,7 @@
     e->loading = g_strdup(weights);
     json_decref(root);
     GwTimer_Start(&e->load_timer, e->options.load_time);
-    respond_(call, 200, "{}");
+    FakeHttp_Respond(call, 200, "{}");
 }
 
 static void
@@ -735,7 +728,7 @@
     e->options.silent = json_is_true(json_object_get(root, "silent"));
     e->options.reject = json_is_true(json_object_get(root, "reject"));
     json_decref(root);
-    respond_(call, 200, "{}");
+    FakeHttp_Respond(call, 200, "{}");
     if (!e->options.silent)
         prefill_next_(e);
 }
@@ -752,12 +745,5 @@
                e->stats.requests, e->stats.prompt_tokens,
                e->stats.cached_tokens, e->stats.held_elsewhere,
                e->stats.abandoned, e->stats.cancelled);
-    respond_(call, 200, text);
-}
-
-static void
-respond_(GwHttpCall *call, int status, const char *text)
-{
-    GwHttpCall_SetUser(call, NULL);
-    GwHttpCall_Respond(call, status, "application/json", text, strlen(text));
+    FakeHttp_Respond(call, 200, text);
 }
--- a/fakes/src/fake_hop.c
+++ b/fakes/src/fake_hop.c
@@ -25,8 +25,6 @@
     GwRawServer *server;
     GwAddress target;
     TAILQ_HEAD(, Link) links;
-    bool refuse;
-    int accepted;
 };
 
 static void on_accept_(void *user, GwRaw *raw);
@@ -110,18 +108,6 @@
         link_delete_(TAILQ_FIRST(&hop->links));
 }
 
-void
-FakeHop_SetRefuse(FakeHop *hop, bool refuse)
-{
-    hop->refuse = refuse;
-}
-
-int
-FakeHop_Accepted(const FakeHop *hop)
-{
-    return hop->accepted;
-}
-
 static void
 on_accept_(void *user, GwRaw *raw)
 {
@@ -133,11 +119,6 @@
     l->far = (End){l, NULL, false, g_byte_array_new()};
     GwRaw_SetOps(raw, &end_ops, &l->near);
     TAILQ_INSERT_TAIL(&hop->links, l, link);
-    if (hop->refuse) {
-        link_delete_(l);
-        return;
-    }
-    hop->accepted++;
     l->far.raw = GwRaw_Connect(hop->loop, &hop->target, &end_ops, &l->far);
 }
 
--- /dev/null
+++ b/fakes/src/fake_http.c
@@ -0,0 +1,23 @@
+#include "fake_http.h"
+
+#include <string.h>
+
+#define MAX_BODY (16 * 1024 * 1024)
+#define BODY_TIMEOUT (10 * GW_SECOND)
+
+GwHttpServer *
+FakeHttp_Listen(GwLoop *loop, const GwAddress *address,
+                const GwHttpServerOps *ops, void *user, GwError *err)
+{
+    GwHttpServerOptions options = {*address, MAX_BODY, BODY_TIMEOUT, ops,
+                                   user};
+
+    return GwHttpServer_New(loop, &options, err);
+}
+
+void
+FakeHttp_Respond(GwHttpCall *call, int status, const char *text)
+{
+    GwHttpCall_SetUser(call, NULL);
+    GwHttpCall_Respond(call, status, "application/json", text, strlen(text));
+}
--- a/fakes/src/fake_platform.c
+++ b/fakes/src/fake_platform.c
@@ -5,7 +5,7 @@
 #include <string.h>
 #include <sys/queue.h>
 
-#define MAX_BODY (16 * 1024 * 1024)
+#include "fake_http.h"
 
 const char *const FakeLogMode_Names[FAKE_LOG_MODES] = {"up", "down", "hang"};
 
@@ -54,7 +54,6 @@
 static void on_later_(void *user);
 static Stream *stream_(FakePlatform *p, const char *name);
 static uint64_t number_(const char *path, const char *name);
-static void respond_(GwHttpCall *call, int status, const char *text);
 
 static const GwHttpServerOps server_ops = {on_call_, on_gone_, NULL, NULL};
 
@@ -71,20 +70,13 @@
 FakePlatform_New(GwLoop *loop, const GwAddress *address, GwError *err)
 {
     FakePlatform *p = g_new0(FakePlatform, 1);
-    GwHttpServerOptions options = {
-        .address = *address,
-        .max_body = MAX_BODY,
-        .body_timeout = 10 * GW_SECOND,
-        .ops = &server_ops,
-        .user = p,
-    };
 
     p->loop = loop;
     p->streams =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, stream_delete_);
     p->instances = json_object();
     TAILQ_INIT(&p->later);
-    p->server = GwHttpServer_New(loop, &options, err);
+    p->server = FakeHttp_Listen(loop, address, &server_ops, p, err);
     return p->server != NULL ? p : NULL;
 }
 
@@ -129,12 +121,6 @@
                   address, "state", leaving ? "leaving" : "live"));
 }
 
-void
-FakePlatform_RemoveInstance(FakePlatform *p, const char *name)
-{
-    json_object_del(p->instances, name);
-}
-
 uint64_t
 FakePlatform_Append(FakePlatform *p, const char *stream, const json_t *record)
 {
@@ -168,7 +154,7 @@
 
     if (sscanf(path, "/streams/%127[^/]/%15[a-z]", stream, verb) == 2) {
         if (p->faults.mode == FAKE_LOG_DOWN)
-            respond_(call, 503, "{}");
+            FakeHttp_Respond(call, 503, "{}");
         else if (p->faults.mode == FAKE_LOG_HANG)
             later_new_(p, call, GW_NEVER / 4);
         else if (strcmp(verb, "append") == 0)
@@ -186,7 +172,7 @@
         serve_faults_(p, call);
     }
     else {
-        respond_(call, 404, "{}");
+        FakeHttp_Respond(call, 404, "{}");
     }
 }
 
@@ -211,7 +197,7 @@
     json_t *record = json_loadb(body, len, 0, NULL);
 
     if (record == NULL) {
-        respond_(call, 400, "{}");
+        FakeHttp_Respond(call, 400, "{}");
         return;
     }
     if (p->faults.drop_appends > 0) {
@@ -268,19 +254,19 @@
 
     if (p->faults.list_down) {
         json_decref(rows);
-        respond_(call, 503, "{}");
+        FakeHttp_Respond(call, 503, "{}");
         return;
     }
     if (p->faults.list_frozen && p->frozen_list != NULL) {
         json_decref(rows);
-        respond_(call, 200, p->frozen_list);
+        FakeHttp_Respond(call, 200, p->frozen_list);
         return;
     }
     json_object_foreach(p->instances, name, row) json_array_append(rows, row);
     root = json_pack("{s:o}", "instances", rows);
     text = json_dumps(root, JSON_COMPACT);
     json_decref(root);
-    respond_(call, 200, text);
+    FakeHttp_Respond(call, 200, text);
     free(p->frozen_list);
     p->frozen_list = text;
 }
@@ -300,7 +286,7 @@
         json_object_set(p->instances, name, row);
     }
     json_decref(row);
-    respond_(call, 200, "{}");
+    FakeHttp_Respond(call, 200, "{}");
 }
 
 static void
@@ -322,14 +308,14 @@
         (int)json_integer_value(json_object_get(root, "lose_answers"));
     p->faults.list_down = json_is_true(json_object_get(root, "list_down"));
     json_decref(root);
-    respond_(call, 200, "{}");
+    FakeHttp_Respond(call, 200, "{}");
 }
 
 static void
 answer_(FakePlatform *p, GwHttpCall *call, char *text)
 {
     if (p->faults.delay == 0) {
-        respond_(call, 200, text);
+        FakeHttp_Respond(call, 200, text);
         g_free(text);
         return;
     }
@@ -353,7 +339,7 @@
                      "records", rows);
     text = json_dumps(root, JSON_COMPACT);
     json_decref(root);
-    respond_(call, 200, text);
+    FakeHttp_Respond(call, 200, text);
     free(text);
 }
 
@@ -406,7 +392,7 @@
     if (l->record != NULL)
         FakePlatform_Append(l->platform, l->stream, l->record);
     else if (l->text != NULL && l->call != NULL)
-        respond_(l->call, 200, l->text);
+        FakeHttp_Respond(l->call, 200, l->text);
     else if (l->stream != NULL && l->call != NULL)
         answer_read_(l->call, stream_(l->platform, l->stream), l->from);
     later_delete_(l);
@@ -433,10 +419,3 @@
 
     return at != NULL ? g_ascii_strtoull(at + strlen(name), NULL, 10) : 0;
 }
-
-static void
-respond_(GwHttpCall *call, int status, const char *text)
-{
-    GwHttpCall_SetUser(call, NULL);
-    GwHttpCall_Respond(call, status, "application/json", text, strlen(text));
-}
--- a/fakes/src/fake_service.c
+++ b/fakes/src/fake_service.c
@@ -4,7 +4,7 @@
 #include <string.h>
 #include <sys/queue.h>
 
-#define MAX_BODY (16 * 1024 * 1024)
+#include "fake_http.h"
 
 typedef struct Answer Answer;
 struct Answer {
@@ -37,19 +37,12 @@
                 const FakeServiceOptions *options, GwError *err)
 {
     FakeService *s = g_new0(FakeService, 1);
-    GwHttpServerOptions server = {
-        .address = *address,
-        .max_body = MAX_BODY,
-        .body_timeout = 10 * GW_SECOND,
-        .ops = &server_ops,
-        .user = s,
-    };
 
     s->loop = loop;
     s->options = *options;
     s->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     TAILQ_INIT(&s->answers);
-    s->server = GwHttpServer_New(loop, &server, err);
+    s->server = FakeHttp_Listen(loop, address, &server_ops, s, err);
     return s->server != NULL ? s : NULL;
 }
 
@@ -115,7 +108,7 @@
         g_autofree char *text = g_strdup_printf(
             "{\"total\":%d,\"most\":%d}", s->total, FakeService_MostRuns(s));
 
-        GwHttpCall_Respond(call, 200, "application/json", text, strlen(text));
+        FakeHttp_Respond(call, 200, text);
         return;
     }
     count = run_(s, body, len);
@@ -171,8 +164,7 @@
     char *text = g_steal_pointer(&a->text);
 
     answer_delete_(a);
-    GwHttpCall_SetUser(call, NULL);
-    GwHttpCall_Respond(call, 200, "application/json", text, strlen(text));
+    FakeHttp_Respond(call, 200, text);
     g_free(text);
 }
 
--- a/packages/agent/src/admin.c
+++ b/packages/agent/src/admin.c
@@ -7,6 +7,7 @@
 
 #define MAX_BODY 4096
 
+static char *status_text_(GwAgent *agent);
 static void on_call_(void *user, GwHttpCall *call);
 static void respond_metrics_(GwAgent *agent, GwHttpCall *call);
 static void respond_(GwHttpCall *call, int status, const char *text);
@@ -28,8 +29,8 @@
     return agent->admin != NULL;
 }
 
-char *
-Admin_Status(GwAgent *agent)
+static char *
+status_text_(GwAgent *agent)
 {
     json_t *root = json_pack(
         "{s:s, s:s, s:s, s:I, s:b, s:b, s:b, s:s, s:i, s:i, s:i, s:I, s:I, "
@@ -69,7 +70,7 @@
         respond_metrics_(agent, call);
     }
     else if (strcmp(path, "/status") == 0) {
-        char *text = Admin_Status(agent);
+        char *text = status_text_(agent);
 
         GwHttpCall_Respond(call, 200, "application/json", text, strlen(text));
         g_free(text);
--- a/packages/agent/src/agent_private.h
+++ b/packages/agent/src/agent_private.h
@@ -91,6 +91,5 @@
 
 /* admin.c */
 bool Admin_Start(GwAgent *agent, GwError *err);
-char *Admin_Status(GwAgent *agent);
 
 #endif
--- a/packages/agent/src/sessions.c
+++ b/packages/agent/src/sessions.c
@@ -14,7 +14,6 @@
 static void on_frame_(void *user, GwSession *session, const GwFrame *frame);
 static void on_revision_(void *user, GwSession *session, uint64_t revision);
 static void on_closed_(void *user, GwSession *session, bool silent);
-static void send_status_(GwAgent *agent, GwSession *session);
 
 static const GwSessionOps session_ops = {on_ready_, on_frame_, on_revision_,
                                          on_closed_};
@@ -116,12 +115,6 @@
     case GW__WIRE__FRAME__BODY_CREDIT_ASK:
         Home_Ask(agent->home, session, frame->credit_ask);
         break;
-    case GW__WIRE__FRAME__BODY_DRAIN:
-        GwAgent_Drain(agent);
-        break;
-    case GW__WIRE__FRAME__BODY_STATUS_ASK:
-        send_status_(agent, session);
-        break;
     default:
         break;
     }
@@ -141,14 +134,3 @@
     g_hash_table_remove(agent->sessions, session);
     Jobs_Detach(agent, session);
 }
-
-static void
-send_status_(GwAgent *agent, GwSession *session)
-{
-    char *text = Admin_Status(agent);
-    GW_FRAME(frame, status, STATUS, Status, status);
-
-    status.text = text;
-    GwSession_Send(session, &frame);
-    g_free(text);
-}
--- a/packages/agent/tests/orders_test.cc
+++ b/packages/agent/tests/orders_test.cc
@@ -1,5 +1,5 @@
 // Leases on orders: slots of the site, lapses, races, former holders.
-#include <gtest/gtest.h>
+#include "galenagw/fakes/loop_test.h"
 
 #include <algorithm>
 #include <functional>
@@ -11,8 +11,6 @@
 
 namespace {
 
-const GwAddress kAny = {"127.0.0.1", 0};
-
 // An agent as Orders sees it: it empties its engine, and orders.
 struct Holder {
     Orders *orders = nullptr;
@@ -39,8 +37,7 @@
     },
 };
 
-struct OrdersTest : ::testing::Test {
-    GwLoop *loop = GwLoop_New(nullptr, nullptr);
+struct OrdersTest : LoopTest {
     FakePlatform *platform = FakePlatform_New(loop, &kAny, nullptr);
     GwCounters counters = {};
     GRand *rand = g_rand_new_with_seed(5);
--- a/packages/endpoint/tests/endpoint_test.cc
+++ b/packages/endpoint/tests/endpoint_test.cc
@@ -1,5 +1,5 @@
 // Contract of an endpoint, met by both kinds, with its faults in a table.
-#include <gtest/gtest.h>
+#include "galenagw/fakes/loop_test.h"
 
 #include <functional>
 #include <string>
@@ -10,7 +10,6 @@
 
 namespace {
 
-const GwAddress kAny = {"127.0.0.1", 0};
 const char kBody[] = "{\"model\":\"m\",\"stream\":true,\"max_tokens\":4,"
                      "\"messages\":[{\"role\":\"user\",\"content\":\"q\"}]}";
 
@@ -31,8 +30,7 @@
     },
 };
 
-struct Endpoint : ::testing::Test {
-    GwLoop *loop = GwLoop_New(nullptr, nullptr);
+struct Endpoint : LoopTest {
     FakeEngineOptions o = {};
     FakeServiceOptions so = {};
     FakeEngine *engine = nullptr;
--- a/packages/platform/include/galenagw/platform/config_feed.h
+++ b/packages/platform/include/galenagw/platform/config_feed.h
@@ -46,6 +46,12 @@
 /** Whether the last read of the log succeeded, and reached its end. */
 bool GwConfigFeed_IsCurrent(const GwConfigFeed *feed);
 
+/**
+ * A peer holds @p revision: whether to ask for its state. A process that
+ * follows the log gets a change from there in a moment; only what is still
+ * missing after a second is worth a whole document.
+ */
+bool GwConfigFeed_IsBehind(GwConfigFeed *feed, uint64_t revision, GwTime now);
 /** A peer's state, JSON text. @return false if it does not parse. */
 bool GwConfigFeed_Offer(GwConfigFeed *feed, uint64_t revision,
                         uint64_t folded_to, const char *json, size_t len);
--- a/packages/platform/src/config_feed.c
+++ b/packages/platform/src/config_feed.c
@@ -8,6 +8,8 @@
 
 /* A snapshot is due after a random delay below this. */
 #define SNAPSHOT_DELAY (2 * GW_SECOND)
+/* A change that others have is missing for good after this. */
+#define BEHIND_TIME GW_SECOND
 
 struct GwConfigFeed {
     GwLoop *loop;
@@ -18,6 +20,7 @@
     GwTimer snapshot;
     GwLogCall *append;
     bool snapshot_due;
+    GwTime behind_since; /* a peer told of more; 0: none did */
     bool answers;
     bool current;
     bool changed; /* since on_change was last called */
@@ -88,6 +91,20 @@
     return feed->current;
 }
 
+bool
+GwConfigFeed_IsBehind(GwConfigFeed *feed, uint64_t revision, GwTime now)
+{
+    if (revision <= GwStore_Revision(feed->store)) {
+        feed->behind_since = 0;
+        return false;
+    }
+    if (!feed->current || !GwStore_HasState(feed->store))
+        return true;
+    if (feed->behind_since == 0)
+        feed->behind_since = now;
+    return now - feed->behind_since >= BEHIND_TIME;
+}
+
 bool
 GwConfigFeed_Offer(GwConfigFeed *feed, uint64_t revision, uint64_t folded_to,
                    const char *json, size_t len)
--- a/packages/platform/tests/platform_test.cc
+++ b/packages/platform/tests/platform_test.cc
@@ -1,5 +1,5 @@
 // Contracts of the platform's interfaces, with their faults in tables.
-#include <gtest/gtest.h>
+#include "galenagw/fakes/loop_test.h"
 
 #include <cstring>
 #include <functional>
@@ -12,10 +12,7 @@
 
 namespace {
 
-const GwAddress kAny = {"127.0.0.1", 0};
-
-struct Fixture : ::testing::Test {
-    GwLoop *loop = GwLoop_New(nullptr, nullptr);
+struct Fixture : LoopTest {
     FakePlatform *platform = FakePlatform_New(loop, &kAny, nullptr);
     GwCounters counters = {};
     GRand *rand = g_rand_new_with_seed(3);
@@ -209,6 +206,33 @@
         GwConfigFeed_Delete(f);
 }
 
+// Others hold a newer revision. While the log answers it will bring it; a
+// log that hangs, or none at all, must not keep the process behind.
+TEST_F(LogContract, AsksAPeerOnlyForWhatTheLogDoesNotBring)
+{
+    GwConfigFeedOptions o = {};
+
+    o.rand = rand;
+    o.counters = &counters;
+    o.on_change = [](void *) {};
+    Append("config", "{\"t\":\"change\",\"id\":\"c\",\"base\":0,"
+                     "\"patch\":{}}");
+    GwConfigFeed *feed = GwConfigFeed_New(loop, log, &o);
+    EXPECT_TRUE(GwConfigFeed_IsBehind(feed, 1, 0)) << "nothing known yet";
+    ASSERT_TRUE(Until([&] { return GwConfigFeed_IsCurrent(feed); }));
+    EXPECT_FALSE(GwConfigFeed_IsBehind(feed, 1, 0));
+    EXPECT_FALSE(GwConfigFeed_IsBehind(feed, 2, GW_SECOND));
+    EXPECT_FALSE(GwConfigFeed_IsBehind(feed, 2, 2 * GW_SECOND - 1));
+    EXPECT_TRUE(GwConfigFeed_IsBehind(feed, 2, 2 * GW_SECOND));
+    EXPECT_FALSE(GwConfigFeed_IsBehind(feed, 1, 3 * GW_SECOND));
+    EXPECT_FALSE(GwConfigFeed_IsBehind(feed, 2, 4 * GW_SECOND));
+    FakePlatform_Faults(platform)->mode = FAKE_LOG_DOWN;
+    Append("other", "{}");
+    ASSERT_TRUE(
+        Until([&] { return GwConfigFeed_IsBehind(feed, 2, 4 * GW_SECOND); }));
+    GwConfigFeed_Delete(feed);
+}
+
 TEST_F(ListContract, ReadsRowsAndNeverTakesNonsenseForAnEmptyList)
 {
     struct Reading {
--- a/packages/policy/include/galenagw/policy/cache_view.h
+++ b/packages/policy/include/galenagw/policy/cache_view.h
@@ -64,8 +64,6 @@
 /** Chunks whose last use was a trial's. */
 size_t GwCacheView_TrialSize(const GwCacheView *view);
 size_t GwCacheView_Capacity(const GwCacheView *view);
-/** Bytes of memory that the view's entries take. */
-size_t GwCacheView_Memory(const GwCacheView *view);
 
 #ifdef __cplusplus
 }
--- a/packages/policy/src/cache_view.c
+++ b/packages/policy/src/cache_view.c
@@ -7,8 +7,6 @@
 #define UNKNOWN_CAPACITY 65536
 /* Weight of a new sample in the share of doubtful blocks held. */
 #define LEARN_SHARE 0.05
-/* A hash table slot: key, value and hash, at the fullest load. */
-#define TABLE_SLOT_BYTES 24
 
 const char *const GwCacheEventKind_Names[GW_CACHE_EVENTS] = {
     "stored",
@@ -184,12 +182,6 @@
     return view->capacity > 0 ? view->capacity : UNKNOWN_CAPACITY;
 }
 
-size_t
-GwCacheView_Memory(const GwCacheView *view)
-{
-    return GwCacheView_Size(view) * (sizeof(Entry) + TABLE_SLOT_BYTES);
-}
-
 static void
 touch_(GwCacheView *view, uint64_t hash, bool trial)
 {
--- a/packages/sync/src/config_sync.c
+++ b/packages/sync/src/config_sync.c
@@ -10,7 +10,7 @@
 {
     GW_FRAME(frame, ask, CONFIG_ASK, ConfigAsk, config_ask);
 
-    if (revision <= GwConfigFeed_Revision(feed))
+    if (!GwConfigFeed_IsBehind(feed, revision, GwTime_Now()))
         return;
     ask.have_revision = GwConfigFeed_Revision(feed);
     GwSession_Send(session, &frame);
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -34,9 +34,6 @@
 typedef struct Gw__Wire__ResumeResult Gw__Wire__ResumeResult;
 typedef struct Gw__Wire__CreditAsk Gw__Wire__CreditAsk;
 typedef struct Gw__Wire__CreditGrant Gw__Wire__CreditGrant;
-typedef struct Gw__Wire__Drain Gw__Wire__Drain;
-typedef struct Gw__Wire__StatusAsk Gw__Wire__StatusAsk;
-typedef struct Gw__Wire__Status Gw__Wire__Status;
 typedef struct Gw__Wire__Frame Gw__Wire__Frame;
 
 
@@ -49,8 +46,7 @@
 } Gw__Wire__Ran;
 typedef enum _Gw__Wire__Role {
   GW__WIRE__ROLE__ROLE_ENTRY = 0,
-  GW__WIRE__ROLE__ROLE_AGENT = 1,
-  GW__WIRE__ROLE__ROLE_OPERATOR = 2
+  GW__WIRE__ROLE__ROLE_AGENT = 1
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__WIRE__ROLE)
 } Gw__Wire__Role;
 
@@ -402,35 +398,6 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
-struct  Gw__Wire__Drain
-{
-  ProtobufCMessage base;
-  char *reason;
-};
-#define GW__WIRE__DRAIN__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&gw__wire__drain__descriptor) \
-    , (char *)protobuf_c_empty_string }
-
-
-struct  Gw__Wire__StatusAsk
-{
-  ProtobufCMessage base;
-};
-#define GW__WIRE__STATUS_ASK__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&gw__wire__status_ask__descriptor) \
-     }
-
-
-struct  Gw__Wire__Status
-{
-  ProtobufCMessage base;
-  char *text;
-};
-#define GW__WIRE__STATUS__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&gw__wire__status__descriptor) \
-    , (char *)protobuf_c_empty_string }
-
-
 typedef enum {
   GW__WIRE__FRAME__BODY__NOT_SET = 0,
   GW__WIRE__FRAME__BODY_HELLO = 1,
@@ -451,9 +418,6 @@
   GW__WIRE__FRAME__BODY_RESUME_RESULT = 16,
   GW__WIRE__FRAME__BODY_CREDIT_ASK = 17,
   GW__WIRE__FRAME__BODY_CREDIT_GRANT = 18,
-  GW__WIRE__FRAME__BODY_DRAIN = 19,
-  GW__WIRE__FRAME__BODY_STATUS_ASK = 20,
-  GW__WIRE__FRAME__BODY_STATUS = 21,
   GW__WIRE__FRAME__BODY_RELEASE = 22
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__WIRE__FRAME__BODY__CASE)
 } Gw__Wire__Frame__BodyCase;
@@ -481,9 +445,6 @@
     Gw__Wire__ResumeResult *resume_result;
     Gw__Wire__CreditAsk *credit_ask;
     Gw__Wire__CreditGrant *credit_grant;
-    Gw__Wire__Drain *drain;
-    Gw__Wire__StatusAsk *status_ask;
-    Gw__Wire__Status *status;
     Gw__Wire__Release *release;
   };
 };
@@ -853,63 +814,6 @@
 void   gw__wire__credit_grant__free_unpacked
                      (Gw__Wire__CreditGrant *message,
                       ProtobufCAllocator *allocator);
-/* Gw__Wire__Drain methods */
-void   gw__wire__drain__init
-                     (Gw__Wire__Drain         *message);
-size_t gw__wire__drain__get_packed_size
-                     (const Gw__Wire__Drain   *message);
-size_t gw__wire__drain__pack
-                     (const Gw__Wire__Drain   *message,
-                      uint8_t             *out);
-size_t gw__wire__drain__pack_to_buffer
-                     (const Gw__Wire__Drain   *message,
-                      ProtobufCBuffer     *buffer);
-Gw__Wire__Drain *
-       gw__wire__drain__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   gw__wire__drain__free_unpacked
-                     (Gw__Wire__Drain *message,
-                      ProtobufCAllocator *allocator);
-/* Gw__Wire__StatusAsk methods */
-void   gw__wire__status_ask__init
-                     (Gw__Wire__StatusAsk         *message);
-size_t gw__wire__status_ask__get_packed_size
-                     (const Gw__Wire__StatusAsk   *message);
-size_t gw__wire__status_ask__pack
-                     (const Gw__Wire__StatusAsk   *message,
-                      uint8_t             *out);
-size_t gw__wire__status_ask__pack_to_buffer
-                     (const Gw__Wire__StatusAsk   *message,
-                      ProtobufCBuffer     *buffer);
-Gw__Wire__StatusAsk *
-       gw__wire__status_ask__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   gw__wire__status_ask__free_unpacked
-                     (Gw__Wire__StatusAsk *message,
-                      ProtobufCAllocator *allocator);
-/* Gw__Wire__Status methods */
-void   gw__wire__status__init
-                     (Gw__Wire__Status         *message);
-size_t gw__wire__status__get_packed_size
-                     (const Gw__Wire__Status   *message);
-size_t gw__wire__status__pack
-                     (const Gw__Wire__Status   *message,
-                      uint8_t             *out);
-size_t gw__wire__status__pack_to_buffer
-                     (const Gw__Wire__Status   *message,
-                      ProtobufCBuffer     *buffer);
-Gw__Wire__Status *
-       gw__wire__status__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   gw__wire__status__free_unpacked
-                     (Gw__Wire__Status *message,
-                      ProtobufCAllocator *allocator);
 /* Gw__Wire__Frame methods */
 void   gw__wire__frame__init
                      (Gw__Wire__Frame         *message);
@@ -988,15 +892,6 @@
 typedef void (*Gw__Wire__CreditGrant_Closure)
                  (const Gw__Wire__CreditGrant *message,
                   void *closure_data);
-typedef void (*Gw__Wire__Drain_Closure)
-                 (const Gw__Wire__Drain *message,
-                  void *closure_data);
-typedef void (*Gw__Wire__StatusAsk_Closure)
-                 (const Gw__Wire__StatusAsk *message,
-                  void *closure_data);
-typedef void (*Gw__Wire__Status_Closure)
-                 (const Gw__Wire__Status *message,
-                  void *closure_data);
 typedef void (*Gw__Wire__Frame_Closure)
                  (const Gw__Wire__Frame *message,
                   void *closure_data);
@@ -1027,9 +922,6 @@
 extern const ProtobufCMessageDescriptor gw__wire__resume_result__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__credit_ask__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__credit_grant__descriptor;
-extern const ProtobufCMessageDescriptor gw__wire__drain__descriptor;
-extern const ProtobufCMessageDescriptor gw__wire__status_ask__descriptor;
-extern const ProtobufCMessageDescriptor gw__wire__status__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/wire/include/galenagw/wire/session.h
+++ b/packages/wire/include/galenagw/wire/session.h
@@ -52,16 +52,9 @@
                              const GwSessionOptions *options);
 /** Queue @p frame. */
 void GwSession_Send(GwSession *session, const GwFrame *frame);
-/** Bytes queued and not yet taken by the socket. */
-size_t GwSession_Pending(const GwSession *session);
 bool GwSession_IsReady(const GwSession *session);
 /** Whether the peer's Hello ever came, also once closed. */
 bool GwSession_WasReady(const GwSession *session);
-/** Time of the last byte heard. */
-GwTime GwSession_LastHeard(const GwSession *session);
-/** The user's own pointer for this session. */
-void GwSession_SetUser(GwSession *session, void *user);
-void *GwSession_User(const GwSession *session);
 /** Close; no further callback. Frees the session. */
 void GwSession_Close(GwSession *session);
 
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -862,141 +862,6 @@
   assert(message->base.descriptor == &gw__wire__credit_grant__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   gw__wire__drain__init
-                     (Gw__Wire__Drain         *message)
-{
-  static const Gw__Wire__Drain init_value = GW__WIRE__DRAIN__INIT;
-  *message = init_value;
-}
-size_t gw__wire__drain__get_packed_size
-                     (const Gw__Wire__Drain *message)
-{
-  assert(message->base.descriptor == &gw__wire__drain__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t gw__wire__drain__pack
-                     (const Gw__Wire__Drain *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &gw__wire__drain__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t gw__wire__drain__pack_to_buffer
-                     (const Gw__Wire__Drain *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &gw__wire__drain__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Gw__Wire__Drain *
-       gw__wire__drain__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Gw__Wire__Drain *)
-     protobuf_c_message_unpack (&gw__wire__drain__descriptor,
-                                allocator, len, data);
-}
-void   gw__wire__drain__free_unpacked
-                     (Gw__Wire__Drain *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &gw__wire__drain__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-void   gw__wire__status_ask__init
-                     (Gw__Wire__StatusAsk         *message)
-{
-  static const Gw__Wire__StatusAsk init_value = GW__WIRE__STATUS_ASK__INIT;
-  *message = init_value;
-}
-size_t gw__wire__status_ask__get_packed_size
-                     (const Gw__Wire__StatusAsk *message)
-{
-  assert(message->base.descriptor == &gw__wire__status_ask__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t gw__wire__status_ask__pack
-                     (const Gw__Wire__StatusAsk *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &gw__wire__status_ask__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t gw__wire__status_ask__pack_to_buffer
-                     (const Gw__Wire__StatusAsk *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &gw__wire__status_ask__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Gw__Wire__StatusAsk *
-       gw__wire__status_ask__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Gw__Wire__StatusAsk *)
-     protobuf_c_message_unpack (&gw__wire__status_ask__descriptor,
-                                allocator, len, data);
-}
-void   gw__wire__status_ask__free_unpacked
-                     (Gw__Wire__StatusAsk *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &gw__wire__status_ask__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-void   gw__wire__status__init
-                     (Gw__Wire__Status         *message)
-{
-  static const Gw__Wire__Status init_value = GW__WIRE__STATUS__INIT;
-  *message = init_value;
-}
-size_t gw__wire__status__get_packed_size
-                     (const Gw__Wire__Status *message)
-{
-  assert(message->base.descriptor == &gw__wire__status__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t gw__wire__status__pack
-                     (const Gw__Wire__Status *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &gw__wire__status__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t gw__wire__status__pack_to_buffer
-                     (const Gw__Wire__Status *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &gw__wire__status__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Gw__Wire__Status *
-       gw__wire__status__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Gw__Wire__Status *)
-     protobuf_c_message_unpack (&gw__wire__status__descriptor,
-                                allocator, len, data);
-}
-void   gw__wire__status__free_unpacked
-                     (Gw__Wire__Status *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &gw__wire__status__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   gw__wire__frame__init
                      (Gw__Wire__Frame         *message)
 {
@@ -2687,101 +2552,7 @@
   (ProtobufCMessageInit) gw__wire__credit_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__drain__field_descriptors[1] =
-{
-  {
-    "reason",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Wire__Drain, reason),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned gw__wire__drain__field_indices_by_name[] = {
-  0,   /* field[0] = reason */
-};
-static const ProtobufCIntRange gw__wire__drain__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor gw__wire__drain__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.wire.Drain",
-  "Drain",
-  "Gw__Wire__Drain",
-  "gw.wire",
-  sizeof(Gw__Wire__Drain),
-  1,
-  gw__wire__drain__field_descriptors,
-  gw__wire__drain__field_indices_by_name,
-  1,  gw__wire__drain__number_ranges,
-  (ProtobufCMessageInit) gw__wire__drain__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-#define gw__wire__status_ask__field_descriptors NULL
-#define gw__wire__status_ask__field_indices_by_name NULL
-#define gw__wire__status_ask__number_ranges NULL
-const ProtobufCMessageDescriptor gw__wire__status_ask__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.wire.StatusAsk",
-  "StatusAsk",
-  "Gw__Wire__StatusAsk",
-  "gw.wire",
-  sizeof(Gw__Wire__StatusAsk),
-  0,
-  gw__wire__status_ask__field_descriptors,
-  gw__wire__status_ask__field_indices_by_name,
-  0,  gw__wire__status_ask__number_ranges,
-  (ProtobufCMessageInit) gw__wire__status_ask__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor gw__wire__status__field_descriptors[1] =
-{
-  {
-    "text",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Gw__Wire__Status, text),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned gw__wire__status__field_indices_by_name[] = {
-  0,   /* field[0] = text */
-};
-static const ProtobufCIntRange gw__wire__status__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor gw__wire__status__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "gw.wire.Status",
-  "Status",
-  "Gw__Wire__Status",
-  "gw.wire",
-  sizeof(Gw__Wire__Status),
-  1,
-  gw__wire__status__field_descriptors,
-  gw__wire__status__field_indices_by_name,
-  1,  gw__wire__status__number_ranges,
-  (ProtobufCMessageInit) gw__wire__status__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[22] =
+static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[19] =
 {
   {
     "hello",
@@ -2999,42 +2770,6 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "drain",
-    19,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Wire__Frame, body_case),
-    offsetof(Gw__Wire__Frame, drain),
-    &gw__wire__drain__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "status_ask",
-    20,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Wire__Frame, body_case),
-    offsetof(Gw__Wire__Frame, status_ask),
-    &gw__wire__status_ask__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "status",
-    21,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Gw__Wire__Frame, body_case),
-    offsetof(Gw__Wire__Frame, status),
-    &gw__wire__status__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "release",
     22,
@@ -3056,7 +2791,6 @@
   5,   /* field[5] = config_state */
   16,   /* field[16] = credit_ask */
   17,   /* field[17] = credit_grant */
-  18,   /* field[18] = drain */
   11,   /* field[11] = final */
   0,   /* field[0] = hello */
   3,   /* field[3] = leaving */
@@ -3065,17 +2799,16 @@
   2,   /* field[2] = pong */
   6,   /* field[6] = probe */
   9,   /* field[9] = refused */
-  21,   /* field[21] = release */
+  18,   /* field[18] = release */
   14,   /* field[14] = resume */
   15,   /* field[15] = resume_result */
-  20,   /* field[20] = status */
-  19,   /* field[19] = status_ask */
   8,   /* field[8] = submit */
 };
-static const ProtobufCIntRange gw__wire__frame__number_ranges[1 + 1] =
+static const ProtobufCIntRange gw__wire__frame__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 22 }
+  { 22, 18 },
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor gw__wire__frame__descriptor =
 {
@@ -3085,10 +2818,10 @@
   "Gw__Wire__Frame",
   "gw.wire",
   sizeof(Gw__Wire__Frame),
-  22,
+  19,
   gw__wire__frame__field_descriptors,
   gw__wire__frame__field_indices_by_name,
-  1,  gw__wire__frame__number_ranges,
+  2,  gw__wire__frame__number_ranges,
   (ProtobufCMessageInit) gw__wire__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -3120,20 +2853,18 @@
   gw__wire__ran__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue gw__wire__role__enum_values_by_number[3] =
+static const ProtobufCEnumValue gw__wire__role__enum_values_by_number[2] =
 {
   { "ROLE_ENTRY", "GW__WIRE__ROLE__ROLE_ENTRY", 0 },
   { "ROLE_AGENT", "GW__WIRE__ROLE__ROLE_AGENT", 1 },
-  { "ROLE_OPERATOR", "GW__WIRE__ROLE__ROLE_OPERATOR", 2 },
 };
 static const ProtobufCIntRange gw__wire__role__value_ranges[] = {
-{0, 0},{0, 3}
+{0, 0},{0, 2}
 };
-static const ProtobufCEnumValueIndex gw__wire__role__enum_values_by_name[3] =
+static const ProtobufCEnumValueIndex gw__wire__role__enum_values_by_name[2] =
 {
   { "ROLE_AGENT", 1 },
   { "ROLE_ENTRY", 0 },
-  { "ROLE_OPERATOR", 2 },
 };
 const ProtobufCEnumDescriptor gw__wire__role__descriptor =
 {
@@ -3142,9 +2873,9 @@
   "Role",
   "Gw__Wire__Role",
   "gw.wire",
-  3,
+  2,
   gw__wire__role__enum_values_by_number,
-  3,
+  2,
   gw__wire__role__enum_values_by_name,
   1,
   gw__wire__role__value_ranges,
--- a/packages/wire/src/session.c
+++ b/packages/wire/src/session.c
@@ -18,7 +18,6 @@
     GByteArray *scratch;
     GwTimer timer;
     GwTime last_heard;
-    void *user;
     bool ready;
     bool closed;
     int depth; /* callbacks in progress: the struct must not be freed */
@@ -71,12 +70,6 @@
                    s->scratch->len);
 }
 
-size_t
-GwSession_Pending(const GwSession *s)
-{
-    return s->closed ? 0 : GwRaw_Pending(s->raw);
-}
-
 bool
 GwSession_IsReady(const GwSession *s)
 {
@@ -89,24 +82,6 @@
     return s->ready;
 }
 
-GwTime
-GwSession_LastHeard(const GwSession *s)
-{
-    return s->last_heard;
-}
-
-void
-GwSession_SetUser(GwSession *s, void *user)
-{
-    s->user = user;
-}
-
-void *
-GwSession_User(const GwSession *s)
-{
-    return s->user;
-}
-
 void
 GwSession_Close(GwSession *s)
 {
--- a/packages/wire/tests/wire_test.cc
+++ b/packages/wire/tests/wire_test.cc
@@ -1,4 +1,4 @@
-#include <gtest/gtest.h>
+#include "galenagw/fakes/loop_test.h"
 
 #include <functional>
 #include <string>
@@ -8,8 +8,6 @@
 
 namespace {
 
-const GwAddress kAny = {"127.0.0.1", 0};
-
 std::string
 Encoded(uint64_t nonce)
 {
@@ -43,8 +41,7 @@
     },
 };
 
-struct SessionTest : ::testing::Test {
-    GwLoop *loop = GwLoop_New(nullptr, nullptr);
+struct SessionTest : LoopTest {
     GwCounters counters = {};
     Side server_side, client_side;
     GwSessionServer *server = nullptr;
