Large answers are passed on as they come; tests close with a count

Change: above 1 MB it goes on as a stream, and a break ends its connection visibly; tools/test closes with 'N passed, N failed', the demo being one.

--- a/Makefile
+++ b/Makefile
@@ -11,8 +11,7 @@
 	@tools/demo
 
 test: all
-	@build/gw-tests --gtest_brief=1
-	@tools/demo >/dev/null && echo "demo: passed"
+	@tools/test
 
 sanitize:
 	@tools/install
--- a/fakes/include/galenagw/fakes/fake_service.h
+++ b/fakes/include/galenagw/fakes/fake_service.h
@@ -19,6 +19,7 @@
     GwTime delay;     /**< between running a call and answering */
     int lose_answers; /**< this many calls run, their answers are lost */
     int hang;         /**< this many calls run and are never answered */
+    int padding;      /**< bytes added to each answer */
 } FakeServiceOptions;
 
 typedef struct FakeService FakeService;
--- a/fakes/src/fake_service.c
+++ b/fakes/src/fake_service.c
@@ -120,8 +120,9 @@
     a = g_new0(Answer, 1);
     a->service = s;
     a->call = call;
-    a->text = g_strdup_printf("{\"booked\":true,\"run\":%d,\"path\":\"%s\"}",
-                              count, GwHttpCall_Path(call));
+    a->text =
+        g_strdup_printf("{\"booked\":true,\"run\":%d,\"path\":\"%s\"%*s}",
+                        count, GwHttpCall_Path(call), s->options.padding, "");
     GwHttpCall_SetUser(call, a);
     GwTimer_Init(&a->timer, s->loop, on_answer_, a);
     TAILQ_INSERT_TAIL(&s->answers, a, link);
--- a/packages/endpoint/tests/endpoint_test.cc
+++ b/packages/endpoint/tests/endpoint_test.cc
@@ -164,9 +164,9 @@
         FakeServiceOptions options;
         GwCallEnd end;
     } cases[] = {
-        {"whole", {0, 0, 0}, GW_CALL_COMPLETE},
-        {"answer lost", {0, 1, 0}, GW_CALL_BROKEN},
-        {"never answers", {0, 0, 1}, GW_CALL_BROKEN},
+        {"whole", {0, 0, 0, 0}, GW_CALL_COMPLETE},
+        {"answer lost", {0, 1, 0, 0}, GW_CALL_BROKEN},
+        {"never answers", {0, 0, 1, 0}, GW_CALL_BROKEN},
     };
 
     eo.address.port = FakeService_Port(service);
--- a/packages/entry/src/delivery.c
+++ b/packages/entry/src/delivery.c
@@ -21,12 +21,16 @@
 #define RESUME_TIME_ONCE (3 * GW_SECOND)
 #define RESUME_STEP (20 * GW_MILLISECOND)
 #define DEFAULT_RETRY_AFTER GW_SECOND
+/* Largest answer in one piece that is held back until it is whole. */
+#define WHOLE_MAX (1024 * 1024)
 /* More than the offer promised by this: the place is not idle any more. */
 #define SHORT_WAIT (2 * GW_MILLISECOND)
 
 static Exchange *current_(Peer *peer, uint64_t id, uint32_t attempt);
 static void take_head_(Exchange *x, const Gw__Wire__Chunk *chunk);
 static void deliver_(Exchange *x, const char *data, size_t len);
+static void hold_(Exchange *x, const char *data, size_t len);
+static void begin_answer_(Exchange *x);
 static void remember_(Exchange *x, const char *data, size_t len);
 static void collect_text_(Exchange *x);
 static void complete_(Exchange *x);
@@ -172,8 +176,8 @@
         .keyed = x->request.service && x->request.key != NULL,
         .trial = x->trial,
         .delivered = x->begun_answer,
-        .can_continue = x->request.stream && !x->request.service &&
-                        x->status == 200 && x->text->len < TEXT_MAX,
+        .can_continue = x->events && !x->request.service && x->status == 200 &&
+                        x->text->len < TEXT_MAX,
         .holder_known = owner != NULL && !x->asked_holder,
         .may_have_run = x->may_have_run,
         .attempts = (int)x->attempt,
@@ -236,6 +240,7 @@
     x->status = (int)chunk->status;
     g_free(x->answer_type);
     x->answer_type = g_strdup(chunk->content_type);
+    x->events = g_str_has_prefix(x->answer_type, "text/event-stream");
     if (x->whole != NULL)
         g_byte_array_set_size(x->whole, 0);
 }
@@ -243,31 +248,47 @@
 static void
 deliver_(Exchange *x, const char *data, size_t len)
 {
-    bool events = g_str_has_prefix(x->answer_type, "text/event-stream");
-
     GwCounters_Add(&x->entry->counters, GW_COUNTER_CHUNKS, 1);
     // An answer in one piece is held until it is known to be complete; so
-    // the caller can still get another one, or a plain refusal.
-    if (!events) {
-        if (x->whole == NULL)
-            x->whole = g_byte_array_new();
-        g_byte_array_append(x->whole, (const guint8 *)data, (guint)len);
+    // the caller can still get another one, or a plain refusal. A very
+    // large one would fill memory, and goes on as it comes.
+    if (!x->events && !x->begun_answer) {
+        hold_(x, data, len);
+        if (x->whole->len <= WHOLE_MAX)
+            return;
+        begin_answer_(x);
+        GwHttpCall_Write(x->call, (const char *)x->whole->data, x->whole->len);
+        g_byte_array_set_size(x->whole, 0);
         return;
     }
     if (x->skip_head && body_is_empty_role_(data, len)) {
         x->skip_head = false;
         return;
     }
-    if (!x->begun_answer) {
-        x->begun_answer = true;
-        record_ttft_(x);
-        GwHttpCall_AddHeader(x->call, "x-request-id", x->id_text);
-        GwHttpCall_Begin(x->call, x->status, x->answer_type);
-    }
-    remember_(x, data, len);
+    if (!x->begun_answer)
+        begin_answer_(x);
+    if (x->events)
+        remember_(x, data, len);
     GwHttpCall_Write(x->call, data, len);
 }
 
+static void
+hold_(Exchange *x, const char *data, size_t len)
+{
+    if (x->whole == NULL)
+        x->whole = g_byte_array_new();
+    g_byte_array_append(x->whole, (const guint8 *)data, (guint)len);
+}
+
+static void
+begin_answer_(Exchange *x)
+{
+    x->begun_answer = true;
+    record_ttft_(x);
+    GwHttpCall_AddHeader(x->call, "x-request-id", x->id_text);
+    GwHttpCall_Begin(x->call, x->status, x->answer_type);
+}
+
 static void
 remember_(Exchange *x, const char *data, size_t len)
 {
--- a/packages/entry/src/exchange.c
+++ b/packages/entry/src/exchange.c
@@ -325,18 +325,25 @@
     g_clear_pointer(&x->request.parsed, g_free);
 }
 
-// Say within the stream that it ends here. Its end marker stays out, so it
-// cannot be taken for complete.
+// Say within the stream that it ends here; its end marker stays out, so it
+// cannot be taken for complete. What is no event stream has no room for
+// words: its connection breaks off.
 static void
 break_off_(Exchange *x, GwRefusal refusal, GwRan ran)
 {
     g_autofree char *error = OpenAi_Error(refusal, ran, x->id_text, NULL);
     g_autofree char *event = g_strdup_printf("data: %s\n\n", error);
+    GwHttpCall *call = x->call;
 
     GwCounters_Refuse(&x->entry->counters, refusal);
-    GwHttpCall_Write(x->call, event, strlen(event));
-    GwHttpCall_End(x->call);
-    GwHttpCall_SetUser(x->call, NULL);
+    GwHttpCall_SetUser(call, NULL);
+    if (x->events) {
+        GwHttpCall_Write(call, event, strlen(event));
+        GwHttpCall_End(call);
+    }
+    else {
+        GwHttpCall_Abort(call);
+    }
     delete_(x);
 }
 
--- a/packages/entry/src/exchange_private.h
+++ b/packages/entry/src/exchange_private.h
@@ -72,6 +72,7 @@
     /* Delivery. */
     int status;
     char *answer_type;
+    bool events;        /* the answer is an event stream */
     GByteArray *whole;  /* an answer in one piece, until it is complete */
     bool begun_answer;  /* the caller has got its head */
     GByteArray *recent; /* delivered events whose text was not taken yet */
--- a/packages/entry/tests/failure_test.cc
+++ b/packages/entry/tests/failure_test.cc
@@ -140,7 +140,7 @@
 {
     World w;
     w.Publish(kTestConfig);
-    AgentNode *a = w.AddService({10 * GW_SECOND, 0, 0});
+    AgentNode *a = w.AddService({10 * GW_SECOND, 0, 0, 0});
     w.AddServiceAgent(a->service);
     EntryNode *e = w.AddEntry();
 
@@ -164,7 +164,7 @@
 {
     World w;
     w.Publish(kTestConfig);
-    AgentNode *a = w.AddService({20 * GW_MILLISECOND, 0, 0});
+    AgentNode *a = w.AddService({20 * GW_MILLISECOND, 0, 0, 0});
     w.AddServiceAgent(a->service);
     w.AddServiceAgent(a->service);
     EntryNode *e1 = w.AddEntry();
@@ -291,7 +291,7 @@
 {
     World w;
     w.Publish(kTestConfig);
-    AgentNode *a = w.AddService({10 * GW_SECOND, 0, 0});
+    AgentNode *a = w.AddService({10 * GW_SECOND, 0, 0, 0});
     EntryNode *e = w.AddEntry();
 
     ASSERT_TRUE(w.Ready());
--- a/packages/entry/tests/path_test.cc
+++ b/packages/entry/tests/path_test.cc
@@ -94,6 +94,29 @@
     EXPECT_EQ(FakeEngine_Stats(w.agents[0]->engine)->requests, 0u);
 }
 
+// An answer too large to be held until it is whole is passed on as it comes,
+// whole and in order, to a caller that may be slow.
+TEST(Path, LargeAnswersArePassedOnAsTheyCome)
+{
+    World w;
+    w.Publish(kTestConfig);
+    for (int padding : {1000, 900 * 1000, 5 * 1000 * 1000})
+        w.AddService({0, 0, 0, padding});
+    EntryNode *e = w.AddEntry();
+    size_t most = 0;
+
+    ASSERT_TRUE(w.Ready());
+    for (int i = 0; i < 12; i++) {
+        auto c = w.Book(e, std::to_string(i).c_str());
+
+        ASSERT_TRUE(w.Until([&] { return c->done; }));
+        EXPECT_EQ(c->outcome, GW_HTTP_COMPLETE);
+        EXPECT_EQ(c->body.back(), '}');
+        most = std::max(most, c->body.size());
+    }
+    EXPECT_GT(most, 5000000u);
+}
+
 // A long header is served; one beyond all bounds ends its own connection
 // only.
 TEST(Path, LongHeadersHarmNobodyElse)
