Silence in one direction is found; the fence has a test that fails without it

Cause: safeguards were removed one by one on a scratch copy to see whether a test fails. Without the fence none did: the test meant for it lost its late submission, as the entry heard the agent's pings and waited for the agent to give the session up; and its second submission always went to the same agent, where the finished run closes the id.

Change: a side whose own pings go unanswered for the silence limit calls the session silent, whatever it hears meanwhile. Tests for a restarted agent's 'unknown' and for a repeat whose answer was not kept.

--- a/fakes/src/fake_hop.c
+++ b/fakes/src/fake_hop.c
@@ -133,7 +133,9 @@
         g_byte_array_append(end->kept, data, (guint)len);
     if (end->frozen || end->kept->len == 0)
         return;
-    GwRaw_Write(other, end->kept->data, end->kept->len);
+    // The other side may be gone without this one having been told.
+    if (other != NULL)
+        GwRaw_Write(other, end->kept->data, end->kept->len);
     g_byte_array_set_size(end->kept, 0);
 }
 
--- a/packages/entry/tests/failure_test.cc
+++ b/packages/entry/tests/failure_test.cc
@@ -38,35 +38,49 @@
 // The caller sees one booking. Its Submit is held up on a connection that
 // went silent; the entry asks for the id on a new one, the agent has never
 // seen it and fences it, so the entry submits again. When the old
-// connection delivers after all, the fence must stop the second run.
+// connection delivers after all, there must be no second run.
 TEST(Failure, FencedSubmitThatArrivesLateDoesNotRun)
 {
-    World w;
-    w.with_hops = true;
-    w.Publish(kTestConfig);
-    AgentNode *a = w.AddService({});
-    AgentNode *b = w.AddServiceAgent(a->service);
-    EntryNode *e = w.AddEntry();
+    // Request ids are random: a few different ones are tried.
+    for (int warm = 1; warm <= 3; warm++) {
+        World w;
+        w.with_hops = true;
+        w.Publish(kTestConfig);
+        AgentNode *a = w.AddService({});
+        AgentNode *b = w.AddServiceAgent(a->service);
+        EntryNode *e = w.AddEntry();
 
-    ASSERT_TRUE(w.Ready());
-    auto warm = w.Book(e, "warm");
-    ASSERT_TRUE(w.Until([&] { return warm->done; }));
-    // Offers still come back; what the entry sends from now on does not
-    // arrive, so it must have the offers first.
-    auto c = w.Book(e, "ticket-1");
-    const GwCounters *counters = GwEntry_Counters(e->entry);
-    uint64_t attempts = counters->plain[GW_COUNTER_ATTEMPTS];
-    ASSERT_TRUE(w.Until(
-        [&] { return counters->plain[GW_COUNTER_ATTEMPTS] > attempts; }));
-    FakeHop_FreezeForward(a->hop);
-    FakeHop_FreezeForward(b->hop);
-    ASSERT_TRUE(w.Until([&] { return c->done; }));
-    EXPECT_EQ(c->status, 200) << c->body;
-    FakeHop_Thaw(a->hop);
-    FakeHop_Thaw(b->hop);
-    auto after = w.Book(e, "after");
-    ASSERT_TRUE(w.Until([&] { return after->done; }));
-    EXPECT_EQ(FakeService_Runs(a->service, "ticket-1"), 1);
+        ASSERT_TRUE(w.Ready());
+        for (int i = 0; i < warm; i++) {
+            auto c = w.Book(e, "warm");
+            ASSERT_TRUE(w.Until([&] { return c->done; }));
+        }
+        // Offers still come back; what the entry sends from now on does not
+        // arrive, so it must have the offers first.
+        auto c = w.Book(e, "ticket-1");
+        const GwCounters *counters = GwEntry_Counters(e->entry);
+        uint64_t attempts = counters->plain[GW_COUNTER_ATTEMPTS];
+        ASSERT_TRUE(w.Until(
+            [&] { return counters->plain[GW_COUNTER_ATTEMPTS] > attempts; }));
+        FakeHop_FreezeForward(a->hop);
+        FakeHop_FreezeForward(b->hop);
+        ASSERT_TRUE(w.Until([&] { return c->done; }));
+        EXPECT_EQ(c->status, 200) << c->body;
+        FakeHop_Thaw(a->hop);
+        FakeHop_Thaw(b->hop);
+        // The late submission has arrived, and was stopped.
+        auto requests = [](AgentNode *n) {
+            return GwAgent_Counters(n->agent)->plain[GW_COUNTER_REQUESTS];
+        };
+        EXPECT_TRUE(w.Until([&] {
+            return requests(a) + requests(b) ==
+                   static_cast<uint64_t>(warm) + 2;
+        }));
+        EXPECT_EQ(FakeService_Runs(a->service, "ticket-1"), 1);
+        auto after = w.Book(e, "after");
+        ASSERT_TRUE(w.Until([&] { return after->done; }));
+        EXPECT_EQ(FakeService_Runs(a->service, "ticket-1"), 1);
+    }
 }
 
 // The caller sees one whole stream. The engine breaks off in the middle;
@@ -157,6 +171,48 @@
     EXPECT_EQ(FakeService_Runs(a->service, "t"), 1);
 }
 
+// The caller sees "outcome unknown". The agent restarts while a call without
+// a key runs; its new life is asked for the id and does not know it, which
+// proves nothing of the former life: the call must not go elsewhere.
+TEST(Failure, RestartedAgentsUnknownIsNoProof)
+{
+    World w;
+    w.Publish(kTestConfig);
+    AgentNode *a = w.AddService({10 * GW_SECOND, 0, 0, 0});
+    EntryNode *e = w.AddEntry();
+
+    ASSERT_TRUE(w.Ready());
+    auto c = w.Book(e, "t");
+    ASSERT_TRUE(
+        w.Until([&] { return FakeService_Runs(a->service, "t") == 1; }));
+    w.StopAgent(a);
+    w.StartAgent(a);
+    ASSERT_TRUE(w.Until([&] { return c->done; }));
+    EXPECT_EQ(c->Code(), "outcome_unknown") << c->body;
+    EXPECT_EQ(c->Ran(), "unknown");
+    EXPECT_EQ(FakeService_Runs(a->service, "t"), 1);
+}
+
+// The caller sees "outcome unknown" on its repeat: the first answer was too
+// large to be kept, and the call must not run again to make another.
+TEST(Failure, RepeatOfACallWhoseAnswerWasNotKept)
+{
+    World w;
+    w.Publish(kTestConfig);
+    AgentNode *a = w.AddService({0, 0, 0, 100 * 1000});
+    EntryNode *e = w.AddEntry();
+
+    ASSERT_TRUE(w.Ready());
+    auto first = w.Book(e, "t", "k");
+    ASSERT_TRUE(w.Until([&] { return first->done; }));
+    EXPECT_EQ(first->status, 200);
+    auto again = w.Book(e, "t", "k");
+    ASSERT_TRUE(w.Until([&] { return again->done; }));
+    EXPECT_EQ(again->Code(), "outcome_unknown") << again->body;
+    EXPECT_EQ(again->Ran(), "unknown");
+    EXPECT_EQ(FakeService_Runs(a->service, "t"), 1);
+}
+
 // The caller sees its booking once, also when it repeats the call with its
 // key through another entry: the answer of the first run was lost between
 // agent and caller, and the repeat is answered from the agent's memory.
--- a/packages/wire/include/galenagw/wire/session.h
+++ b/packages/wire/include/galenagw/wire/session.h
@@ -2,10 +2,11 @@
  * @defgroup session Sessions
  * @brief A connection between two of the system's processes.
  *
- * A session begins with a Hello in each direction, then carries frames. It
- * pings when quiet. A session that hears nothing for the silence limit is
- * reported closed with `silent` set: connections that something between the
- * ends has forgotten give no error of their own.
+ * A session begins with a Hello in each direction, then carries frames. Both
+ * sides ping at a steady rate. A session that hears nothing, or no pong, for
+ * the silence limit is reported closed with `silent` set: connections that
+ * something between the ends has forgotten give no error of their own, and
+ * may be forgotten in one direction only.
  * @{
  */
 #ifndef GALENAGW_WIRE_SESSION_H
@@ -43,8 +44,8 @@
     const GwSessionOps *ops;
     void *user;
     GwCounters *counters;
-    GwTime ping_after;   /**< Quiet time before a ping; 0: 1 s. */
-    GwTime silent_after; /**< Nothing heard; 0: 3 s. */
+    GwTime ping_after;   /**< Time between pings; 0: 1 s. */
+    GwTime silent_after; /**< No pong, or nothing at all; 0: 3 s. */
 } GwSessionOptions;
 
 /** Connect; on_ready or on_closed follows. @p options is copied. */
--- a/packages/wire/src/session.c
+++ b/packages/wire/src/session.c
@@ -18,6 +18,7 @@
     GByteArray *scratch;
     GwTimer timer;
     GwTime last_heard;
+    GwTime pinged_at; /* of the first ping without a pong; 0: none */
     bool ready;
     bool closed;
     int depth; /* callbacks in progress: the struct must not be freed */
@@ -222,14 +223,19 @@
     GwTime quiet = GwTime_Now() - s->last_heard;
     GW_FRAME(frame, ping, PING, Ping, ping);
 
-    if (quiet >= s->options.silent_after) {
+    if (quiet >= s->options.silent_after ||
+        (s->pinged_at > 0 &&
+         GwTime_Now() - s->pinged_at >= s->options.silent_after)) {
         // A connection that was forgotten on the way yields no error; only
-        // the missing pong shows it.
+        // the missing pong shows it. What is heard meanwhile proves nothing
+        // of the other direction.
         GwCounters_Add(s->options.counters, GW_COUNTER_SESSIONS_SILENT, 1);
         fail_(s, true);
         return;
     }
-    if (s->ready && quiet >= s->options.ping_after / 2) {
+    if (s->ready) {
+        if (s->pinged_at == 0)
+            s->pinged_at = GwTime_Now();
         ping.revision = revision_(s);
         GwSession_Send(s, &frame);
     }
@@ -247,6 +253,7 @@
         tell_revision_(s, frame->ping->revision);
         return true;
     case GW__WIRE__FRAME__BODY_PONG:
+        s->pinged_at = 0;
         tell_revision_(s, frame->pong->revision);
         return true;
     case GW__WIRE__FRAME__BODY__NOT_SET:
