Test fixtures wait by their common base

Change: one Until; each fixture's bound on waiting stays what it was (5, 5, 8 and 10 s), now a field.

--- a/fakes/include/galenagw/fakes/loop_test.h
+++ b/fakes/include/galenagw/fakes/loop_test.h
@@ -13,12 +13,13 @@
 
 struct LoopTest : ::testing::Test {
     GwLoop *loop = GwLoop_New(nullptr, nullptr);
+    GwTime patience = 8 * GW_SECOND;
 
-    // Step the loop until `done`; false after eight seconds.
+    // Step the loop until `done`; false when patience is over.
     bool
     Until(const std::function<bool()> &done)
     {
-        GwTime end = GwTime_Now() + 8 * GW_SECOND;
+        GwTime end = GwTime_Now() + patience;
 
         while (!done() && GwTime_Now() < end)
             GwLoop_Step(loop);
--- a/packages/agent/tests/orders_test.cc
+++ b/packages/agent/tests/orders_test.cc
@@ -73,15 +73,6 @@
         all.push_back(h->orders);
         h->Loaded("v1");
     }
-    bool
-    Until(const std::function<bool()> &done)
-    {
-        GwTime end = GwTime_Now() + 8 * GW_SECOND;
-
-        while (!done() && GwTime_Now() < end)
-            GwLoop_Step(loop);
-        return done();
-    }
 };
 
 } // namespace
--- a/packages/endpoint/tests/endpoint_test.cc
+++ b/packages/endpoint/tests/endpoint_test.cc
@@ -41,6 +41,7 @@
     void
     SetUp() override
     {
+        patience = 5 * GW_SECOND;
         o.slots = 2;
         o.cache_blocks = 10;
         o.decode = GW_MILLISECOND;
@@ -62,15 +63,6 @@
         FakeService_Delete(service);
         GwLoop_Delete(loop);
     }
-    bool
-    Until(const std::function<bool()> &done)
-    {
-        GwTime end = GwTime_Now() + 5 * GW_SECOND;
-
-        while (!done() && GwTime_Now() < end)
-            GwLoop_Step(loop);
-        return done();
-    }
 };
 
 } // namespace
--- a/packages/platform/tests/platform_test.cc
+++ b/packages/platform/tests/platform_test.cc
@@ -23,6 +23,7 @@
     void
     SetUp() override
     {
+        patience = 10 * GW_SECOND;
         address.port = FakePlatform_Port(platform);
         http = GwHttpLog_New(loop, &address, &counters);
         log = GwHttpLog_Interface(http);
@@ -35,15 +36,6 @@
         GwLoop_Delete(loop);
         g_rand_free(rand);
     }
-    bool
-    Until(const std::function<bool()> &done)
-    {
-        GwTime end = GwTime_Now() + 10 * GW_SECOND;
-
-        while (!done() && GwTime_Now() < end)
-            GwLoop_Step(loop);
-        return done();
-    }
     void
     Append(const char *stream, const char *json)
     {
--- a/packages/wire/tests/wire_test.cc
+++ b/packages/wire/tests/wire_test.cc
@@ -66,6 +66,7 @@
     void
     SetUp() override
     {
+        patience = 5 * GW_SECOND;
         GwSessionOptions o = Options(&server_side);
 
         server = GwSessionServer_New(loop, &kAny, &o, nullptr);
@@ -77,15 +78,6 @@
         GwSessionServer_Delete(server);
         GwLoop_Delete(loop);
     }
-    bool
-    Until(const std::function<bool()> &done)
-    {
-        GwTime end = GwTime_Now() + 5 * GW_SECOND;
-
-        while (!done() && GwTime_Now() < end)
-            GwLoop_Step(loop);
-        return done();
-    }
 };
 
 } // namespace
