Gateway: requests late in a drain are turned away, idle connections closed

Ruled out: exiting earlier, which cuts more; closing kept connections at SIGTERM, which makes every caller reconnect while the balancer still sends here. Now from 2.7 s after SIGTERM new requests get 503, not run.

--- a/packages/gateway/src/callers.c
+++ b/packages/gateway/src/callers.c
@@ -73,6 +73,22 @@
     }
 }
 
+void
+GwCaller_CloseIdle(GwGateway *g)
+{
+    GwCaller *c;
+    GwCaller *next;
+
+    for (c = TAILQ_FIRST(&g->callers); c != NULL; c = next) {
+        next = TAILQ_NEXT(c, link);
+        if (c->for_balancer || c->request != NULL || c->ahead->len > 0 ||
+            GwHttpReader_InMessage(c->reader))
+            continue;
+        GwTcp_Finish(c->tcp);
+        free_(c);
+    }
+}
+
 void
 GwCaller_Write(GwCaller *c, const char *data, size_t len)
 {
--- a/packages/gateway/src/callers.h
+++ b/packages/gateway/src/callers.h
@@ -9,6 +9,8 @@
 /* The same on the balancer's port: only its question is answered. */
 void GwCaller_AcceptBalancer(GwGateway *gateway, GwTcp *tcp);
 void GwCaller_CloseAll(GwGateway *gateway);
+/* Close connections that carry no request and no part of one. */
+void GwCaller_CloseIdle(GwGateway *gateway);
 
 /* For the request in progress. */
 void GwCaller_Write(GwCaller *caller, const char *data, size_t len);
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -18,8 +18,10 @@
 #define DRAIN_LEAST (3 * GW_SECOND)
 /* What is open this long before the grace ends is cut by the platform. */
 #define DRAIN_SPARE (300 * GW_MILLISECOND)
-/* New requests so late would be cut: they go elsewhere. */
-#define CLOSING_BEFORE (1500 * GW_MILLISECOND)
+/* From here on new requests are turned away, unrun, and idle connections
+ * closed: a long stream that began later could be cut by the platform's kill.
+ * By now the balancer has stopped; only kept connections bring requests. */
+#define CLOSING_AFTER (2700 * GW_MILLISECOND)
 #define DRAIN_CHECK (50 * GW_MILLISECOND)
 #define MAX_METRICS_BODY 1024
 
@@ -125,7 +127,7 @@
 GwGateway_IsClosing(const GwGateway *g)
 {
     return g->draining_since != 0 &&
-           GwTime_Now() - g->draining_since > g->grace - CLOSING_BEFORE;
+           GwTime_Now() - g->draining_since > CLOSING_AFTER;
 }
 
 void
@@ -213,6 +215,8 @@
     GwGateway *g = user;
     GwTime since = GwTime_Now() - g->draining_since;
 
+    if (GwGateway_IsClosing(g))
+        GwCaller_CloseIdle(g);
     if ((since >= DRAIN_LEAST && g->active == 0) ||
         since >= g->grace - DRAIN_SPARE) {
         GwEvent_Begin(g->log, "stop", NULL);
