KV cache is saved to and fetched from the store; silent engines are told

Entries follow the store's own events, so they know what it keeps and that it lives; a request saves when the store lacks a shared part. Also: an engine that does not answer its agent is told to the entries, which give up what is in flight there at once; connections that do not open in 300 ms count as not sent; idempotent calls leave a silent endpoint after three fifths of their aim.

--- a/packages/cluster/include/galenagw/cluster/peers.h
+++ b/packages/cluster/include/galenagw/cluster/peers.h
@@ -26,6 +26,7 @@
     const char *instance; /**< id of the engine's incarnation */
     int64_t weights;
     bool switching; /**< new weights are about to be loaded */
+    bool down;      /**< it does not answer the agent beside it */
     unsigned running;
     unsigned queued;
     uint32_t kv_used;
@@ -45,6 +46,9 @@
     GwStoreReader *reader; /**< told when peers are ahead; or NULL */
     GwEventLog *log;
     GwCounters *counters;
+    /** Entry: an agent's engine has stopped answering; or NULL. */
+    void (*on_engine_down)(void *user, GwInstance *instance);
+    void *user;
 } GwPeersOptions;
 
 /** @return NULL with @p err. */
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -460,6 +460,7 @@
     state.instance = p->engine_id;
     state.weights = p->engine.weights;
     state.switching = p->engine.switching;
+    state.down = p->engine.down;
     state.running = p->engine.running;
     state.queued = p->engine.queued;
     state.kv_used = p->engine.kv_used;
@@ -473,28 +474,36 @@
 {
     GwInstance *instance =
         GwInstances_Find(GwView_Instances(p->options.view), state->instance);
+    bool went_down;
 
     if (state->entries > 0)
         p->entries = state->entries;
     if (instance == NULL)
         return;
+    went_down = state->down && !instance->advice.down;
     if (instance->advice.switching != state->switching ||
+        instance->advice.down != state->down ||
         GwInstance_SetWeights(instance, state->weights)) {
         GwEvent_Begin(p->options.log, "engine", NULL);
         GwEvent_Text(p->options.log, "instance", instance->id);
         GwEvent_Number(p->options.log, "weights", instance->weights);
         GwEvent_Text(p->options.log, "state",
-                     state->switching ? "switching" : "serving");
+                     state->down        ? "down"
+                     : state->switching ? "switching"
+                                        : "serving");
         GwEvent_End(p->options.log);
     }
     instance->advice = (GwAdvice){
         .at = GwTime_Now(),
         .switching = state->switching,
+        .down = state->down,
         .running = state->running,
         .queued = state->queued,
         .kv_used = state->kv_used,
         .kv_total = state->kv_total,
     };
+    if (went_down && p->options.on_engine_down != NULL)
+        p->options.on_engine_down(p->options.user, instance);
 }
 
 static unsigned
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -5,6 +5,7 @@
 
 #include "callers.h"
 #include "gateway_private.h"
+#include "request.h"
 #include "upstream.h"
 
 /* Levels of prompts whose holder is remembered, and for how long: engines
@@ -25,8 +26,10 @@
 #define DRAIN_CHECK (50 * GW_MILLISECOND)
 #define MAX_METRICS_BODY 1024
 
+static void on_routes_(void *user);
 static void on_instance_added_(void *user, GwInstance *instance);
 static void on_instance_freed_(void *user, GwInstance *instance);
+static void on_engine_down_(void *user, GwInstance *instance);
 static void on_caller_(void *user, GwTcp *tcp);
 static void on_balancer_(void *user, GwTcp *tcp);
 static void on_metrics_(void *user, GwHttpCall *call);
@@ -37,6 +40,7 @@
 static void copy_bounds_(GwGateway *g, const GwDeployment *d);
 
 static const GwViewOps view_ops = {
+    .on_routes = on_routes_,
     .on_instance_added = on_instance_added_,
     .on_instance_freed = on_instance_freed_,
 };
@@ -59,10 +63,12 @@
     g->failure_domain = g_strdup(d->failure_domain);
     copy_bounds_(g, d);
     TAILQ_INIT(&g->callers);
+    TAILQ_INIT(&g->requests);
     g->budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g->holders = GwHolders_New(MAX_LEVELS, HOLDER_LIFE);
     g->rand = g_rand_new();
+    g->kv_store = GwKvStore_New(loop, g->log, g->rand);
     GwTimer_Init(&g->drain_timer, loop, on_drain_timer_, g);
     GwTimer_Init(&g->flush_timer, loop, on_flush_, g);
     g->view = GwView_New(&view);
@@ -88,6 +94,7 @@
     GwPeers_Delete(g->peers);
     GwStoreReader_Delete(g->reader);
     GwView_Delete(g->view);
+    GwKvStore_Delete(g->kv_store);
     GwHolders_Delete(g->holders);
     g_hash_table_unref(g->budgets);
     g_rand_free(g->rand);
@@ -172,6 +179,16 @@
     return GwHttpServer_Port(g->metrics_server);
 }
 
+static void
+on_routes_(void *user)
+{
+    GwGateway *g = user;
+    const GwService *store = GwRoutes_KvStore(GwView_Routes(g->view));
+
+    GwKvStore_SetAddress(g->kv_store,
+                         store != NULL ? &store->kv_store : NULL);
+}
+
 static void
 on_instance_added_(void *user, GwInstance *instance)
 {
@@ -187,6 +204,12 @@
     GwUpstreamPool_Delete(instance->user);
 }
 
+static void
+on_engine_down_(void *user, GwInstance *instance)
+{
+    GwRequest_EndpointLost(user, instance);
+}
+
 static void
 on_caller_(void *user, GwTcp *tcp)
 {
@@ -281,6 +304,8 @@
         .view = g->view,
         .log = g->log,
         .counters = &g->counters,
+        .on_engine_down = on_engine_down_,
+        .user = g,
     };
 
     memcpy(g->seeds, d->seeds, sizeof(g->seeds));
--- a/packages/gateway/src/gateway_private.h
+++ b/packages/gateway/src/gateway_private.h
@@ -13,7 +13,10 @@
 #include "galenagw/routing/budget.h"
 #include "galenagw/routing/placement.h"
 
+#include "kv_store.h"
+
 typedef struct GwCaller GwCaller;
+struct GwRequest;
 
 struct GwGateway {
     GwLoop *loop;
@@ -38,9 +41,11 @@
 
     GHashTable *budgets; /* service to GwBudget */
     GwHolders *holders;
+    GwKvStore *kv_store;
     GRand *rand;
     GwCounters counters;
-    unsigned active;      /* requests in progress */
+    TAILQ_HEAD(, GwRequest) requests; /* in progress */
+    unsigned active;
     size_t body_bytes;    /* held for them */
     GwTime draining_since; /* 0: not draining */
     GwTimer drain_timer;
--- /dev/null
+++ b/packages/gateway/src/kv_store.c
@@ -0,0 +1,219 @@
+#include "kv_store.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "galenagw/adapter/engine.h"
+#include "galenagw/http/caller.h"
+
+/* The longest wait that the store allows: one call a second. */
+#define WAIT_MS 1000
+#define ANSWER_TIMEOUT (WAIT_MS * GW_MILLISECOND + 500 * GW_MILLISECOND)
+#define PAUSE (500 * GW_MILLISECOND)
+/* A save takes the prefill and a transfer; events come some hundred
+ * milliseconds late. */
+#define SAVE_AGAIN (3 * GW_SECOND)
+/* A save sends the request's own part too, which nobody else can use. For
+ * requests longer than this, another one with the same parts is waited for. */
+#define MAX_OWN_TOKENS 6000
+/* Parts remembered; a store of a million tokens has a thousand or so. */
+#define MAX_PARTS 50000
+
+struct GwKvStore {
+    GwLoop *loop;
+    GwEventLog *log;
+    GRand *rand;
+    GwAddress address;
+    bool has_address;
+    bool is_up;
+    GwHttpCaller *caller;
+    GwTimer timer;
+    int64_t epoch;
+    int64_t next;
+    GHashTable *parts; /* key_() of what is kept, to tokens */
+    GHashTable *saves; /* key_() to GwTime */
+};
+
+static void call_(void *user);
+static void on_done_(void *user, GwCallOutcome outcome, int status,
+                     const char *body, size_t len);
+static void on_event_(void *user, const GwCacheEvent *event);
+static void set_up_(GwKvStore *s, bool up, const char *why);
+static uint64_t key_(const char *scope, uint64_t part);
+
+GwKvStore *
+GwKvStore_New(GwLoop *loop, GwEventLog *log, GRand *rand)
+{
+    GwKvStore *s = g_new0(GwKvStore, 1);
+
+    s->loop = loop;
+    s->log = log;
+    s->rand = rand;
+    s->epoch = -1;
+    s->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                                     NULL);
+    s->saves = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                                     g_free);
+    GwTimer_Init(&s->timer, loop, call_, s);
+    return s;
+}
+
+void
+GwKvStore_Delete(GwKvStore *s)
+{
+    if (s == NULL)
+        return;
+    GwTimer_Stop(&s->timer);
+    GwHttpCaller_Delete(s->caller);
+    g_hash_table_unref(s->parts);
+    g_hash_table_unref(s->saves);
+    g_free(s);
+}
+
+void
+GwKvStore_SetAddress(GwKvStore *s, const GwAddress *address)
+{
+    if (address != NULL && s->has_address &&
+        strcmp(address->host, s->address.host) == 0 &&
+        address->port == s->address.port)
+        return;
+    if (address == NULL && !s->has_address)
+        return;
+    GwTimer_Stop(&s->timer);
+    GwHttpCaller_Delete(s->caller);
+    s->caller = NULL;
+    s->has_address = address != NULL;
+    set_up_(s, false, "address");
+    if (address == NULL)
+        return;
+    s->address = *address;
+    s->caller = GwHttpCaller_New(s->loop, address);
+    call_(s);
+}
+
+const GwAddress *
+GwKvStore_Address(const GwKvStore *s)
+{
+    return s->is_up ? &s->address : NULL;
+}
+
+unsigned
+GwKvStore_Kept(const GwKvStore *s, const GwAsk *ask, const char *scope)
+{
+    unsigned n = 0;
+
+    while (s->is_up && n < ask->n_parts) {
+        uint64_t key = key_(scope, ask->parts[n].id);
+
+        if (!g_hash_table_contains(s->parts, &key))
+            break;
+        n++;
+    }
+    return n;
+}
+
+bool
+GwKvStore_TakeSave(GwKvStore *s, const GwAsk *ask, const char *scope,
+                   GwTime now)
+{
+    uint64_t key;
+    GwTime *asked;
+
+    if (!s->is_up || ask->n_parts < 2 ||
+        ask->parts[ask->n_parts - 1].tokens > MAX_OWN_TOKENS ||
+        GwKvStore_Kept(s, ask, scope) >= ask->n_parts - 1)
+        return false;
+    key = key_(scope, ask->parts[ask->n_parts - 2].id);
+    asked = g_hash_table_lookup(s->saves, &key);
+    if (asked != NULL && now - *asked < SAVE_AGAIN)
+        return false;
+    if (asked == NULL) {
+        if (g_hash_table_size(s->saves) >= MAX_PARTS)
+            g_hash_table_remove_all(s->saves);
+        asked = g_new(GwTime, 1);
+        g_hash_table_insert(s->saves, g_memdup2(&key, sizeof(key)), asked);
+    }
+    *asked = now;
+    return true;
+}
+
+static void
+call_(void *user)
+{
+    GwKvStore *s = user;
+    g_autoptr(GString) out = g_string_new(NULL);
+
+    GwEngine_EncodeEvents(s->next, WAIT_MS, out);
+    GwHttpCaller_Send(s->caller, out, ANSWER_TIMEOUT, on_done_, s);
+}
+
+static void
+on_done_(void *user, GwCallOutcome outcome, int status, const char *body,
+         size_t len)
+{
+    GwKvStore *s = user;
+    GwEventsPage page;
+    GwError err = {0};
+
+    if (outcome != GW_CALL_ANSWERED || status != 200) {
+        // Too many followers is no fault of the store, but without its
+        // events nothing is known of it.
+        set_up_(s, false, GwCallOutcome_Names[outcome]);
+        GwTimer_Start(&s->timer, GwTime_Jitter(s->rand, PAUSE));
+        return;
+    }
+    // The page's own fields are set before its first event is handed over.
+    page.epoch = s->epoch;
+    if (!GwEngine_DecodeEvents(body, len, &page, on_event_, s, &err)) {
+        set_up_(s, false, err.message);
+        GwTimer_Start(&s->timer, GwTime_Jitter(s->rand, PAUSE));
+        return;
+    }
+    if (page.epoch != s->epoch && s->epoch >= 0) {
+        // It came back empty: these events are numbered anew.
+        g_hash_table_remove_all(s->parts);
+        g_hash_table_remove_all(s->saves);
+        s->next = 0;
+    }
+    else {
+        s->next = page.next;
+    }
+    s->epoch = page.epoch;
+    set_up_(s, true, "answered");
+    call_(s);
+}
+
+static void
+on_event_(void *user, const GwCacheEvent *event)
+{
+    GwKvStore *s = user;
+    uint64_t key = key_(event->scope, event->part);
+
+    if (!event->added)
+        g_hash_table_remove(s->parts, &key);
+    else if (g_hash_table_size(s->parts) < MAX_PARTS)
+        g_hash_table_add(s->parts, g_memdup2(&key, sizeof(key)));
+}
+
+static void
+set_up_(GwKvStore *s, bool up, const char *why)
+{
+    if (up == s->is_up)
+        return;
+    s->is_up = up;
+    if (!up) {
+        g_hash_table_remove_all(s->parts);
+        g_hash_table_remove_all(s->saves);
+        s->epoch = -1;
+        s->next = 0;
+    }
+    GwEvent_Begin(s->log, up ? "kv_store_found" : "kv_store_lost", NULL);
+    GwEvent_Text(s->log, "why", why);
+    GwEvent_End(s->log);
+}
+
+static uint64_t
+key_(const char *scope, uint64_t part)
+{
+    return XXH64(scope, strlen(scope), part);
+}
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -26,12 +26,18 @@
 #define ADVICE_LIFE (1 * GW_SECOND)
 /* Tokens of one waiting request, where only their number is known. */
 #define WAITING_TOKENS 3000
+/* Older weights cost nothing for 1.5 s after a new version was named. */
+#define WEIGHTS_FREE (1300 * GW_MILLISECOND)
 /* A version that becomes due this soon is asked for already now. */
 #define WEIGHTS_MARGIN (800 * GW_MILLISECOND)
 #define MAX_TRIED 8
+/* Share of its aim for which a call waits at one endpoint. Three of five
+ * leave time for a second one; most answers take a quarter. */
+#define PATIENCE_SHARE 0.6
 #define MAX_PRIORITY 9
 
 struct GwRequest {
+    TAILQ_ENTRY(GwRequest) link;
     GwGateway *gateway;
     GwCaller *caller;
     GwHttpHead *head;
@@ -44,10 +50,12 @@
     GwTime arrived;
     GwTime deadline;
     GwTimer timer;
+    GwTimer patience; /* with an attempt that could be made elsewhere */
 
     GwInstance *instance; /* of the attempt under way */
     GwUpstream *upstream;
     GwTime sent_at;
+    GwTime first_byte_at; /* 0: none passed on */
     unsigned sends;   /* that may have reached an endpoint */
     unsigned attempts;
     uint64_t tried[MAX_TRIED];
@@ -68,15 +76,17 @@
 
 static GwRefusal admit_(GwRequest *r);
 static void attempt_(GwRequest *r);
-static GwInstance *choose_(GwRequest *r, GwInstance **source);
+static GwInstance *choose_(GwRequest *r, const GwAddress **source);
 static void fill_candidate_(const GwRequest *r, const GwInstance *instance,
                             GwTarget target, double peer_rate, bool desperate,
                             GwCandidate *out);
 static double error_rate_(const GPtrArray *pool);
-static GwInstance *find_source_(GwRequest *r, const GPtrArray *pool,
-                                GwInstance *chosen, GwInstance *home);
+static const GwAddress *find_source_(GwRequest *r, const GPtrArray *pool,
+                                     const GwInstance *chosen,
+                                     const GwInstance *home);
 static GwInstance *by_place_(const GPtrArray *pool, uint64_t place);
-static void send_(GwRequest *r, GwInstance *instance, GwInstance *source);
+static void send_(GwRequest *r, GwInstance *instance,
+                  const GwAddress *source);
 static char *scope_(const GwRequest *r, const GwInstance *instance);
 static uint64_t level_key_(const GwRequest *r, unsigned n);
 static void note_holder_(GwRequest *r);
@@ -91,10 +101,12 @@
 static void after_failure_(GwRequest *r, GwAttemptFate fate, const char *why);
 static bool has_alternative_(const GwRequest *r);
 static void leave_instance_(GwRequest *r);
+static void arm_patience_(GwRequest *r);
+static void on_patience_(void *user);
 static void on_deadline_(void *user);
 static void answer_refusal_(GwRequest *r, GwRefusal refusal);
 static void end_(GwRequest *r);
-static void log_attempt_(GwRequest *r, const GwInstance *source);
+static void log_attempt_(GwRequest *r, const GwDispatch *dispatch);
 static void log_end_(const GwRequest *r, const char *outcome, int status);
 static double retry_after_(const GwRequest *r);
 
@@ -115,7 +127,9 @@
     GwMessages_DecodeAsk(head, &r->ask);
     GwEventSplitter_Init(&r->events);
     GwTimer_Init(&r->timer, g->loop, on_deadline_, r);
+    GwTimer_Init(&r->patience, g->loop, on_patience_, r);
     g->active++;
+    TAILQ_INSERT_TAIL(&g->requests, r, link);
     GwCounters_Add(&g->counters, GW_COUNTER_REQUESTS, 1);
     return r;
 }
@@ -150,6 +164,21 @@
     end_(r);
 }
 
+void
+GwRequest_EndpointLost(GwGateway *g, const GwInstance *instance)
+{
+    GwRequest *r;
+    GwRequest *next;
+
+    for (r = TAILQ_FIRST(&g->requests); r != NULL; r = next) {
+        next = TAILQ_NEXT(r, link);
+        if (r->instance != instance)
+            continue;
+        GwUpstream_Cancel(g_steal_pointer(&r->upstream));
+        after_failure_(r, GW_ATTEMPT_MAY_HAVE_RUN, "endpoint_down");
+    }
+}
+
 void
 GwRequest_CallerDrained(GwRequest *r)
 {
@@ -208,7 +237,7 @@
 static void
 attempt_(GwRequest *r)
 {
-    GwInstance *source = NULL;
+    const GwAddress *source = NULL;
     GwInstance *instance = choose_(r, &source);
 
     if (instance != NULL) {
@@ -226,7 +255,7 @@
 }
 
 static GwInstance *
-choose_(GwRequest *r, GwInstance **source)
+choose_(GwRequest *r, const GwAddress **source)
 {
     GwGateway *g = r->gateway;
     const GPtrArray *pool =
@@ -284,12 +313,15 @@
     *out = (GwCandidate){
         .place = instance->place,
         .near = g_strcmp0(instance->failure_domain, g->failure_domain) == 0,
-        .outdated = target.version > instance->weights,
         .worse = GwHealth_IsWorse(&instance->health, peer_rate),
         .slots = instance->slots,
         .in_flight = instance->in_flight,
         .prefill_tokens = instance->prefill_tokens,
     };
+    GwTime named_ago = now - target.named_at;
+    bool older = target.version > instance->weights;
+
+    out->outdated = older && named_ago > WEIGHTS_FREE;
     if (fresh) {
         out->in_flight =
             MAX(out->in_flight, advice->running + advice->queued);
@@ -298,13 +330,13 @@
         out->kv_used = advice->kv_used;
         out->kv_total = advice->kv_total;
     }
-    out->usable = !instance->draining && !(fresh && advice->switching) &&
+    out->usable = !instance->draining &&
+                  !(fresh && (advice->switching || advice->down)) &&
                   (desperate || (instance->avoid_until <= now &&
                                  GwHealth_IsUsable(&instance->health,
                                                    instance->in_flight, now)));
     // Requests on weights that should be gone by now must not begin.
-    if (out->outdated &&
-        now - target.named_at > g->weights_bound - WEIGHTS_MARGIN)
+    if (older && named_ago > g->weights_bound - WEIGHTS_MARGIN)
         out->usable = false;
     for (unsigned i = 0; i < r->n_tried; i++)
         out->usable = out->usable && r->tried[i] != instance->place;
@@ -325,17 +357,24 @@
     return sum / pool->len;
 }
 
-// Who is likely to hold the deepest shared part: whoever was last seen to,
-// else the home, else nobody. A source without it costs a millisecond.
-static GwInstance *
-find_source_(GwRequest *r, const GPtrArray *pool, GwInstance *chosen,
-             GwInstance *home)
+// Who is likely to hold the deepest shared part: the engine itself, the
+// store, whoever was last seen to, the home; else nobody. A source without it
+// costs a millisecond.
+static const GwAddress *
+find_source_(GwRequest *r, const GPtrArray *pool, const GwInstance *chosen,
+             const GwInstance *home)
 {
+    const GwKvStore *store = r->gateway->kv_store;
     GwTime now = GwTime_Now();
+    unsigned shared = MAX(r->ask.n_parts, 1) - 1;
+    unsigned kept;
 
     g_free(r->scope);
     r->scope = scope_(r, chosen);
-    for (unsigned n = r->ask.n_parts; n > 0; n--) {
+    kept = GwKvStore_Kept(store, &r->ask, r->scope);
+    if (kept > 0 && kept >= shared)
+        return GwKvStore_Address(store);
+    for (unsigned n = r->ask.n_parts; n > kept; n--) {
         uint64_t place =
             GwHolders_Find(r->gateway->holders, level_key_(r, n), now);
         GwInstance *holder = by_place_(pool, place);
@@ -343,10 +382,12 @@
         if (holder == NULL)
             continue;
         if (holder == chosen || holder->weights != chosen->weights)
-            return NULL;
-        return holder;
+            break;
+        return &holder->address;
     }
-    return home != chosen ? home : NULL;
+    if (kept > 0)
+        return GwKvStore_Address(store);
+    return home != NULL && home != chosen ? &home->address : NULL;
 }
 
 static GwInstance *
@@ -362,7 +403,7 @@
 }
 
 static void
-send_(GwRequest *r, GwInstance *instance, GwInstance *source)
+send_(GwRequest *r, GwInstance *instance, const GwAddress *source)
 {
     GwGateway *g = r->gateway;
     GwTime now = GwTime_Now();
@@ -377,7 +418,7 @@
             MAX(r->deadline - now - WAY_BACK, GW_MILLISECOND) / GW_MILLISECOND,
         .priority = instance->model != NULL ? MIN(priority, MAX_PRIORITY) : -1,
         .weights = instance->model != NULL ? instance->weights : -1,
-        .fetch_from = source != NULL ? &source->address : NULL,
+        .fetch_from = source,
         .last_event_id = r->events.has_id ? r->events.last_id
                                           : r->ask.last_event_id,
         .body_len = r->body->len,
@@ -394,6 +435,8 @@
         g_free(r->scope);
         r->scope = scope_(r, instance);
         dispatch.cache_scope = r->scope;
+        if (GwKvStore_TakeSave(g->kv_store, &r->ask, r->scope, now))
+            dispatch.save_to = GwKvStore_Address(g->kv_store);
     }
     GwMessages_EncodeRequest(r->head, &dispatch, out);
     g_string_append_len(out, r->body->str, (gssize)r->body->len);
@@ -409,8 +452,9 @@
     if (r->n_tried < MAX_TRIED)
         r->tried[r->n_tried++] = instance->place;
     GwCounters_Add(&g->counters, GW_COUNTER_ATTEMPTS, 1);
-    log_attempt_(r, source);
+    log_attempt_(r, &dispatch);
     r->upstream = GwUpstream_Send(instance->user, &options);
+    arm_patience_(r);
 }
 
 static char *
@@ -578,6 +622,7 @@
     GwMessages_EncodeReply(r->reply_head, r->framing, close, out);
     GwCaller_Write(r->caller, out->str, out->len);
     r->head_sent = true;
+    r->first_byte_at = GwTime_Now();
     GwHistogram_Record(
         &r->gateway->counters.histograms[GW_HISTOGRAM_FORWARD_FIRST_BYTE],
         (uint64_t)(GwTime_Now() - r->arrived));
@@ -706,6 +751,7 @@
 static void
 leave_instance_(GwRequest *r)
 {
+    GwTimer_Stop(&r->patience);
     if (r->instance == NULL)
         return;
     r->instance->in_flight--;
@@ -715,6 +761,41 @@
     r->instance = NULL;
 }
 
+// A call that may be repeated leaves a silent endpoint while there is time
+// for another one to answer within the aim.
+static void
+arm_patience_(GwRequest *r)
+{
+    if (r->instance->model != NULL ||
+        r->route->type != GW_ROUTE_IDEMPOTENT ||
+        r->route->target_latency == 0 ||
+        r->sends >= r->route->max_attempts || !has_alternative_(r))
+        return;
+    GwTimer_Start(&r->patience, (GwTime)(PATIENCE_SHARE *
+                                         (double)r->route->target_latency));
+}
+
+static void
+on_patience_(void *user)
+{
+    GwRequest *r = user;
+
+    // Without the budget, waiting on is all that is left.
+    if (r->has_reply ||
+        !GwBudget_TakeRepeat(GwGateway_Budget(r->gateway, r->service),
+                             &r->gateway->budget_bound,
+                             GwPeers_Entries(r->gateway->peers), GwTime_Now()))
+        return;
+    GwHealth_Note(&r->instance->health, GW_HEALTH_SILENT, GwTime_Now());
+    GwEvent_Begin(r->gateway->log, "attempt_left", r->ask.id);
+    GwEvent_Text(r->gateway->log, "instance", r->instance->id);
+    GwEvent_Time(r->gateway->log, "after_ms", GwTime_Now() - r->sent_at);
+    GwEvent_End(r->gateway->log);
+    GwUpstream_Cancel(g_steal_pointer(&r->upstream));
+    leave_instance_(r);
+    attempt_(r);
+}
+
 static void
 on_deadline_(void *user)
 {
@@ -764,6 +845,8 @@
     GwUpstream_Cancel(g_steal_pointer(&r->upstream));
     leave_instance_(r);
     GwTimer_Stop(&r->timer);
+    GwTimer_Stop(&r->patience);
+    TAILQ_REMOVE(&g->requests, r, link);
     g->body_bytes -= r->body->len;
     g_string_free(r->body, TRUE);
     GwHttpHead_Free(r->head);
@@ -778,7 +861,7 @@
 }
 
 static void
-log_attempt_(GwRequest *r, const GwInstance *source)
+log_attempt_(GwRequest *r, const GwDispatch *dispatch)
 {
     GwEventLog *log = r->gateway->log;
     const GwInstance *instance = r->instance;
@@ -791,9 +874,16 @@
     GwEvent_Number(log, "in_flight", instance->in_flight);
     if (instance->model != NULL) {
         GwEvent_Number(log, "weights", instance->weights);
-        GwEvent_Text(log, "fetch_from", source != NULL ? source->id : "none");
+        GwEvent_Number(log, "prefill_tokens",
+                       (int64_t)instance->prefill_tokens);
+        GwEvent_Text(log, "fetch_from",
+                     dispatch->fetch_from != NULL ? dispatch->fetch_from->host
+                                                  : "none");
+        GwEvent_Number(log, "save", dispatch->save_to != NULL);
         if (instance->advice.at != 0) {
             GwEvent_Number(log, "running", instance->advice.running);
+            GwEvent_Number(log, "queued", instance->advice.queued);
+            GwEvent_Number(log, "kv_used", instance->advice.kv_used);
             GwEvent_Time(log, "advice_age_ms", now - instance->advice.at);
         }
     }
@@ -811,6 +901,8 @@
     GwEvent_Number(log, "status", status);
     GwEvent_Number(log, "attempts", r->attempts);
     GwEvent_Text(log, "route", r->route != NULL ? r->route->name : NULL);
+    if (r->first_byte_at != 0)
+        GwEvent_Time(log, "first_ms", r->first_byte_at - r->arrived);
     GwEvent_Time(log, "took_ms", GwTime_Now() - r->arrived);
     GwEvent_End(log);
 }
--- a/packages/gateway/src/request.h
+++ b/packages/gateway/src/request.h
@@ -15,6 +15,8 @@
 void GwRequest_Start(GwRequest *request);
 /* The caller left: stop the endpoint's work. Frees the request. */
 void GwRequest_CallerGone(GwRequest *request);
+/* An endpoint has fallen silent: what is in flight there has failed. */
+void GwRequest_EndpointLost(GwGateway *gateway, const GwInstance *instance);
 /* The caller has read what it was sent. */
 void GwRequest_CallerDrained(GwRequest *request);
 /* Refuse before a request is whole; @p head may be NULL. */
--- a/packages/gateway/src/upstream.c
+++ b/packages/gateway/src/upstream.c
@@ -12,12 +12,18 @@
 /* For endpoints that tell no limit. */
 #define IDLE_UNTOLD (500 * GW_MILLISECOND)
 
+/* A connection to a live endpoint takes a few milliseconds. One that takes
+ * longer than this is to a dead one, or its packets were lost; nothing was
+ * sent, so the request may go elsewhere at once. */
+#define CONNECT_TIMEOUT (300 * GW_MILLISECOND)
+
 struct GwUpstream {
     TAILQ_ENTRY(GwUpstream) link; /* in the pool's idle or busy list */
     GwUpstreamPool *pool;
     GwTcp *tcp;
     GwHttpReader *reader;
     GString *request; /* until the connection is open */
+    GwTimer timer;    /* for the connection to open */
     const GwUpstreamOps *ops;
     void *user; /* NULL ops: idle */
     bool open;
@@ -51,6 +57,7 @@
 static void free_(GwUpstream *u);
 static void release_(GwUpstream *u);
 static void read_(GwUpstream *u, const char *data, size_t len);
+static void on_connect_timeout_(void *user);
 static void on_open_(void *user);
 static void on_data_(void *user, const uint8_t *data, size_t len);
 static void on_closed_(void *user, GwTcpEnd end);
@@ -170,6 +177,8 @@
     u->pool = pool;
     u->reader = GwHttpReader_New(&options);
     u->idle_limit = IDLE_UNTOLD;
+    GwTimer_Init(&u->timer, pool->loop, on_connect_timeout_, u);
+    GwTimer_Start(&u->timer, CONNECT_TIMEOUT);
     u->tcp = GwTcp_Connect(pool->loop, &pool->address, &tcp_ops, u);
     pool->open++;
     GwCounters_Add(pool->counters, GW_COUNTER_UPSTREAM_OPENED, 1);
@@ -184,6 +193,7 @@
     u->pool->open--;
     u->dead = true;
     u->ops = NULL;
+    GwTimer_Stop(&u->timer);
     GwTcp_Close(u->tcp);
     u->tcp = NULL;
     if (u->depth == 0)
@@ -199,12 +209,24 @@
     g_free(u);
 }
 
+static void
+on_connect_timeout_(void *user)
+{
+    GwUpstream *u = user;
+
+    if (u->ops != NULL)
+        end_(u, GW_UPSTREAM_NOT_SENT, false);
+    else
+        free_(u);
+}
+
 static void
 on_open_(void *user)
 {
     GwUpstream *u = user;
 
     u->open = true;
+    GwTimer_Stop(&u->timer);
     if (u->request == NULL)
         return;
     GwTcp_Write(u->tcp, (const uint8_t *)u->request->str, u->request->len);
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -37,6 +37,7 @@
 typedef struct {
     GwTime at; /**< when it came; 0: never */
     bool switching; /**< new weights are about to be loaded */
+    bool down;      /**< it does not answer the agent beside it */
     unsigned running;
     unsigned queued;
     uint32_t kv_used;
--- a/packages/routing/include/galenagw/routing/placement.h
+++ b/packages/routing/include/galenagw/routing/placement.h
@@ -38,7 +38,11 @@
     uint32_t kv_total;   /**< 0: not known */
 } GwCandidate;
 
-/** Anchor of a prompt: the deepest part that others can share. */
+/**
+ * Anchor of a prompt: the level that decides its home. That is the deepest
+ * shared one, but for levels that add less than lies above them: those would
+ * only spread copies of what lies above over more engines.
+ */
 uint64_t GwPlacement_Anchor(const GwPart *parts, unsigned n_parts);
 /** Hash of the leading @p n parts. */
 uint64_t GwPlacement_Level(const GwPart *parts, unsigned n);
--- a/packages/routing/src/placement.c
+++ b/packages/routing/src/placement.c
@@ -14,8 +14,10 @@
 #define LEAVE_HOME_MS 60.0
 /* Engines preempt, and read again, what does not fit their memory. */
 #define NO_MEMORY_MS 400.0
-/* A request on older weights is worth a fifth less after a short while. */
-#define OUTDATED_MS 150.0
+/* A request on older weights is worth a fifth less after a short while; one
+ * that waits past its aim loses two thirds. The first engines with a new
+ * version must not draw all requests, so the preference is slight. */
+#define OUTDATED_MS 40.0
 /* Failing endpoints are a last resort, but one. */
 #define WORSE_MS 2000.0
 /* A plain endpoint in another failure domain takes two more hops. */
@@ -32,6 +34,7 @@
     GwTime life;
 };
 
+static uint32_t tokens_(const GwPart *parts, unsigned n);
 static double engine_cost_(const GwCandidate *c, const GwAsk *ask);
 static gboolean is_old_(gpointer key, gpointer value, gpointer user);
 
@@ -50,7 +53,11 @@
 {
     // The last part is the request's own; where there is nothing else, it
     // belongs to a session, whose next request comes with it again.
-    return GwPlacement_Level(parts, n_parts > 1 ? n_parts - 1 : n_parts);
+    unsigned n = n_parts > 1 ? n_parts - 1 : n_parts;
+
+    while (n > 1 && parts[n - 1].tokens < tokens_(parts, n - 1))
+        n--;
+    return GwPlacement_Level(parts, n);
 }
 
 uint64_t
@@ -167,6 +174,16 @@
     return holder->place;
 }
 
+static uint32_t
+tokens_(const GwPart *parts, unsigned n)
+{
+    uint32_t sum = 0;
+
+    for (unsigned i = 0; i < n; i++)
+        sum += parts[i].tokens;
+    return sum;
+}
+
 // Milliseconds until the first token, as far as engines differ.
 static double
 engine_cost_(const GwCandidate *c, const GwAsk *ask)
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -16,7 +16,11 @@
 #define POLL_EVERY (250 * GW_MILLISECOND)
 /* While a load is under way, each report may end the pause in service. */
 #define POLL_LOADING (40 * GW_MILLISECOND)
-#define REPORT_TIMEOUT (1 * GW_SECOND)
+/* Reports do not wait for a slot and come from this machine: one that takes
+ * this long is missing. The first one missed may be our own machine's pause,
+ * so it takes two to call the engine down. */
+#define REPORT_TIMEOUT (250 * GW_MILLISECOND)
+#define MISSED_LIMIT 2
 #define ORDER_TIMEOUT (1 * GW_SECOND)
 #define FENCE_TIMEOUT (2 * GW_SECOND)
 #define FENCE_RETRY (500 * GW_MILLISECOND)
@@ -65,6 +69,7 @@
     int64_t fence; /* 0: none drawn yet */
     GwEngineReport report;
     GwTime reported_at; /* 0: the engine does not answer */
+    unsigned missed;    /* reports in a row */
     Stage stage;
     int64_t loading;     /* the version being loaded */
     GwTime ordered_at;
@@ -76,6 +81,7 @@
 static void poll_(void *user);
 static void on_report_(void *user, GwCallOutcome outcome, int status,
                        const char *body, size_t len);
+static void missed_(GwSidecar *s, GwCallOutcome outcome);
 static void decide_(GwSidecar *s);
 static void tell_(GwSidecar *s, const GwInstance *instance);
 static bool is_news_(const GwSidecar *s, const GwEngineState *state);
@@ -183,8 +189,8 @@
 
     if (outcome != GW_CALL_ANSWERED || status != 200 ||
         !GwEngine_DecodeReport(body, len, &s->report, &err)) {
-        s->reported_at = 0;
-        if (!had)
+        missed_(s, outcome);
+        if (!had || s->reported_at != 0)
             return;
         GwEvent_Begin(s->log, "engine_lost", NULL);
         GwEvent_Text(s->log, "why", GwCallOutcome_Names[outcome]);
@@ -194,6 +200,7 @@
         return;
     }
     s->reported_at = GwTime_Now();
+    s->missed = 0;
     if (!had) {
         GwEvent_Begin(s->log, "engine_found", NULL);
         GwEvent_Text(s->log, "model", s->report.model);
@@ -203,6 +210,22 @@
     decide_(s);
 }
 
+// Entries learn of a silent engine here long before the list drops it.
+static void
+missed_(GwSidecar *s, GwCallOutcome outcome)
+{
+    const GwInstance *instance = own_(s);
+
+    s->missed++;
+    if (outcome != GW_CALL_NOT_SENT && s->missed < MISSED_LIMIT) {
+        poll_(s);
+        return;
+    }
+    s->reported_at = 0;
+    if (instance != NULL)
+        tell_(s, instance);
+}
+
 static void
 decide_(GwSidecar *s)
 {
@@ -249,6 +272,7 @@
         .instance = instance->id,
         .weights = s->report.weights,
         .switching = s->stage != STAGE_SERVING,
+        .down = s->reported_at == 0,
         .running = s->report.running,
         .queued = s->report.queued,
         .kv_used = s->report.kv_used,
@@ -270,6 +294,7 @@
     return GwTime_Now() - s->told_at >= TELL_EVERY ||
            state->weights != told->weights ||
            state->switching != told->switching ||
+           state->down != told->down ||
            ABS((int)state->running - (int)told->running) >= TELL_REQUESTS ||
            (state->queued > 0) != (told->queued > 0) ||
            ABS((double)state->kv_used - (double)told->kv_used) >
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -471,10 +471,14 @@
    * how many share the retry budget
    */
   uint32_t entries;
+  /*
+   * it does not answer the agent beside it
+   */
+  protobuf_c_boolean down;
 };
 #define GW__WIRE__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -2924,7 +2924,7 @@
   (ProtobufCMessageInit) gw__wire__records_tell__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__engine_state__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gw__wire__engine_state__field_descriptors[9] =
 {
   {
     "instance",
@@ -3022,8 +3022,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "down",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EngineState, down),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__engine_state__field_indices_by_name[] = {
+  8,   /* field[8] = down */
   7,   /* field[7] = entries */
   0,   /* field[0] = instance */
   6,   /* field[6] = kv_total */
@@ -3036,7 +3049,7 @@
 static const ProtobufCIntRange gw__wire__engine_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gw__wire__engine_state__descriptor =
 {
@@ -3046,7 +3059,7 @@
   "Gw__Wire__EngineState",
   "gw.wire",
   sizeof(Gw__Wire__EngineState),
-  8,
+  9,
   gw__wire__engine_state__field_descriptors,
   gw__wire__engine_state__field_indices_by_name,
   1,  gw__wire__engine_state__number_ranges,
