Rolls follow a watched engine; entries share what waits at each engine

Cause: engines switched by time alone while a switch lasts as long as its running requests (2 to 5 s under load), so nearly all were out at once; the order also turned away what waited in the engine's queue. Now an agent starts when the engine it follows is done, orders once nothing waits, and passes each entry's backlog on to the others.

--- a/packages/cluster/include/galenagw/cluster/peers.h
+++ b/packages/cluster/include/galenagw/cluster/peers.h
@@ -57,6 +57,14 @@
 void GwPeers_Delete(GwPeers *peers);
 /** Agent: tell all entries, now and whenever one connects. */
 void GwPeers_TellEngine(GwPeers *peers, const GwEngineState *state);
+/**
+ * Agent: stay connected to the agent at @p address as well; NULL: to none.
+ * Its engine's state then comes as it does to entries.
+ */
+void GwPeers_Watch(GwPeers *peers, const GwAddress *address);
+/** Entry: @p tokens of prompts now wait at @p instance for us. */
+void GwPeers_NotePrefill(GwPeers *peers, const GwInstance *instance,
+                         uint64_t tokens);
 /** How many entries share the load, as far as is known; at least 1. */
 unsigned GwPeers_Entries(const GwPeers *peers);
 
--- a/packages/cluster/include/galenagw/cluster/store_reader.h
+++ b/packages/cluster/include/galenagw/cluster/store_reader.h
@@ -26,6 +26,9 @@
     GwEventLog *log;
     GwCounters *counters;
     GRand *rand;
+    /** Between readings of the endpoints. Changes that come close together
+     * are read at once, each call having its price. */
+    GwTime instances_pause;
 } GwStoreReaderOptions;
 
 GwStoreReader *GwStoreReader_New(GwLoop *loop,
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -16,6 +16,10 @@
 /* Without an agent's word: a guess on the high side, so that the entries
  * together stay within the budget. */
 #define ENTRIES_ASSUMED 8
+/* Between questions for records. */
+#define ASK_EVERY (400 * GW_MILLISECOND)
+/* A change of waiting prompts that is worth a message: 30 ms of reading. */
+#define TELL_TOKENS 2000
 /* Records in one frame; the largest, a configuration, may be megabytes. */
 #define FRAME_RECORDS 200
 #define FRAME_BYTES (1024 * 1024)
@@ -28,7 +32,8 @@
     bool outbound;
     bool wanted; /* by the last comparison with the list */
     bool is_entry;
-    GwTime asked_at; /* 0: no question is open */
+    uint64_t prefill_tokens; /* that an entry waits for at our engine */
+    uint64_t told_tokens;    /* agent: others' tokens, as told last */
 } Peer;
 
 struct GwPeers {
@@ -37,7 +42,9 @@
     GwSessionServer *server;
     TAILQ_HEAD(, Peer) peers;
     GwTimer timer;
-    unsigned entries; /* told by agents */
+    GwAddress watched; /* agent: another agent; port 0: none */
+    GwTime asked_at;   /* for records, of any peer */
+    unsigned entries;  /* told by agents */
     bool has_engine;
     char engine_id[128];
     GwEngineState engine; /* agent: told last */
@@ -73,7 +80,10 @@
 static void add_to_batch_(void *user, GwList list, const GwRecord *record);
 static void send_batch_(Batch *batch);
 static void take_records_(GwPeers *p, const Gw__Wire__RecordsTell *tell);
-static void send_engine_(GwPeers *p, GwSession *session);
+static void send_engine_(GwPeers *p, Peer *peer);
+static void take_note_(GwPeers *p, const GwSession *session,
+                       const Gw__Wire__PrefillNote *note);
+static uint64_t others_tokens_(const GwPeers *p, const Peer *peer);
 static void take_engine_(GwPeers *p, const Gw__Wire__EngineState *state);
 static unsigned count_entries_(const GwPeers *p);
 
@@ -132,11 +142,35 @@
     p->engine.instance = p->engine_id;
     TAILQ_FOREACH(peer, &p->peers, link)
     {
-        if (peer->is_entry)
-            send_engine_(p, peer->session);
+        if (!peer->outbound)
+            send_engine_(p, peer);
     }
 }
 
+void
+GwPeers_Watch(GwPeers *p, const GwAddress *address)
+{
+    if (address != NULL)
+        p->watched = *address;
+    else
+        p->watched.port = 0;
+}
+
+void
+GwPeers_NotePrefill(GwPeers *p, const GwInstance *instance, uint64_t tokens)
+{
+    GwAddress address = instance->address;
+    Peer *peer;
+    GW_FRAME(frame, note, PREFILL_NOTE, PrefillNote, prefill_note);
+
+    address.port = p->options.agent_port;
+    peer = at_(p, &address);
+    if (peer == NULL || !GwSession_IsReady(peer->session))
+        return;
+    note.tokens = tokens;
+    GwSession_Send(peer->session, &frame);
+}
+
 unsigned
 GwPeers_Entries(const GwPeers *p)
 {
@@ -159,8 +193,8 @@
     GwEvent_Begin(p->options.log, "peer_ready", NULL);
     GwEvent_Text(p->options.log, "peer", hello->instance);
     GwEvent_End(p->options.log);
-    if (peer->is_entry && p->has_engine)
-        send_engine_(p, session);
+    if (!peer->outbound && p->has_engine)
+        send_engine_(p, peer);
 }
 
 static void
@@ -175,6 +209,9 @@
     case GW__WIRE__FRAME__BODY_RECORDS_TELL:
         take_records_(p, frame->records_tell);
         return;
+    case GW__WIRE__FRAME__BODY_PREFILL_NOTE:
+        take_note_(p, session, frame->prefill_note);
+        return;
     case GW__WIRE__FRAME__BODY_ENGINE_STATE:
         take_engine_(p, frame->engine_state);
         return;
@@ -199,8 +236,10 @@
         if (p->options.reader != NULL)
             GwStoreReader_Suspect(p->options.reader, (GwList)i);
     }
-    if (!behind)
+    // Several peers are ahead by the same news.
+    if (!behind || GwTime_Now() - p->asked_at < ASK_EVERY)
         return;
+    p->asked_at = GwTime_Now();
     ask.operator_end = (uint64_t)GwRecords_End(records, GW_LIST_OPERATOR);
     ask.instances_end = (uint64_t)GwRecords_End(records, GW_LIST_INSTANCES);
     GwSession_Send(session, &frame);
@@ -263,6 +302,8 @@
         address.port = p->options.agent_port;
         connect_(p, &address);
     }
+    if (p->watched.port != 0)
+        connect_(p, &p->watched);
     for (int i = 0; needs_seeds_(p) && i < p->options.n_seeds; i++) {
         if (!is_self_(p, &p->options.seeds[i]))
             connect_(p, &p->options.seeds[i]);
@@ -349,6 +390,8 @@
 {
     const Peer *peer;
 
+    if (p->options.is_agent)
+        return false;
     if (GwView_Routes(p->options.view) == NULL)
         return true;
     TAILQ_FOREACH(peer, &p->peers, link)
@@ -453,7 +496,7 @@
 }
 
 static void
-send_engine_(GwPeers *p, GwSession *session)
+send_engine_(GwPeers *p, Peer *peer)
 {
     GW_FRAME(frame, state, ENGINE_STATE, EngineState, engine_state);
 
@@ -466,7 +509,44 @@
     state.kv_used = p->engine.kv_used;
     state.kv_total = p->engine.kv_total;
     state.entries = count_entries_(p);
-    GwSession_Send(session, &frame);
+    peer->told_tokens = others_tokens_(p, peer);
+    state.others_tokens = peer->told_tokens;
+    GwSession_Send(peer->session, &frame);
+}
+
+// What one entry waits for matters to the others: each sees only its own.
+static void
+take_note_(GwPeers *p, const GwSession *session,
+           const Gw__Wire__PrefillNote *note)
+{
+    Peer *from = find_(p, session);
+    Peer *peer;
+
+    if (from == NULL || !p->has_engine)
+        return;
+    from->prefill_tokens = note->tokens;
+    TAILQ_FOREACH(peer, &p->peers, link)
+    {
+        uint64_t tokens;
+
+        if (!peer->is_entry || peer == from ||
+            !GwSession_IsReady(peer->session))
+            continue;
+        tokens = others_tokens_(p, peer);
+        if (ABS((int64_t)(tokens - peer->told_tokens)) >= TELL_TOKENS)
+            send_engine_(p, peer);
+    }
+}
+
+static uint64_t
+others_tokens_(const GwPeers *p, const Peer *peer)
+{
+    const Peer *other;
+    uint64_t sum = 0;
+
+    TAILQ_FOREACH(other, &p->peers, link)
+    sum += other != peer ? other->prefill_tokens : 0;
+    return sum;
 }
 
 static void
@@ -497,6 +577,7 @@
         .at = GwTime_Now(),
         .switching = state->switching,
         .down = state->down,
+        .others_tokens = state->others_tokens,
         .running = state->running,
         .queued = state->queued,
         .kv_used = state->kv_used,
--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -48,6 +48,7 @@
 static void call_(void *user);
 static void on_done_(void *user, GwCallOutcome outcome, int status,
                      const char *body, size_t len);
+static void go_on_(Follower *f);
 static bool take_(Follower *f, const char *body, size_t len, GwError *err);
 static void on_record_(void *user, GwList list, const GwRecord *record);
 static void failed_(Follower *f, const char *why, int status);
@@ -151,7 +152,7 @@
     case GW_STORE_OK:
         recovered_(f);
         if (take_(f, body, len, &err))
-            call_(f);
+            go_on_(f);
         else
             failed_(f, err.message, status);
         return;
@@ -167,6 +168,17 @@
     }
 }
 
+static void
+go_on_(Follower *f)
+{
+    GwTime pause = f->owner->options.instances_pause;
+
+    if (f->list == GW_LIST_INSTANCES && !f->whole && pause > 0)
+        GwTimer_Start(&f->timer, pause);
+    else
+        call_(f);
+}
+
 static bool
 take_(Follower *f, const char *body, size_t len, GwError *err)
 {
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -25,6 +25,10 @@
 #define CLOSING_AFTER (2700 * GW_MILLISECOND)
 #define DRAIN_CHECK (50 * GW_MILLISECOND)
 #define MAX_METRICS_BODY 1024
+/* A tenth of the two seconds within which a leaving endpoint must get no new
+ * work. A roll of new weights changes a record for every engine; read one by
+ * one they were the largest price of a quiet day. */
+#define INSTANCES_PAUSE (200 * GW_MILLISECOND)
 
 static void on_routes_(void *user);
 static void on_instance_added_(void *user, GwInstance *instance);
@@ -293,6 +297,7 @@
         .log = g->log,
         .counters = &g->counters,
         .rand = g->rand,
+        .instances_pause = INSTANCES_PAUSE,
     };
     GwPeersOptions peers = {
         .name = g->name,
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -24,8 +24,9 @@
 #define RETRY_SHARE 0.3
 /* Advice of an agent that is older than this says nothing of the load. */
 #define ADVICE_LIFE (1 * GW_SECOND)
-/* Tokens of one waiting request, where only their number is known. */
-#define WAITING_TOKENS 3000
+/* A change of the prompts that wait at an engine is told to its agent from
+ * this size on, in tokens: 15 ms of reading. */
+#define NOTE_TOKENS 1000
 /* Older weights cost nothing for 1.5 s after a new version was named. */
 #define WEIGHTS_FREE (1300 * GW_MILLISECOND)
 /* A version that becomes due this soon is asked for already now. */
@@ -87,6 +88,9 @@
 static GwInstance *by_place_(const GPtrArray *pool, uint64_t place);
 static void send_(GwRequest *r, GwInstance *instance,
                   const GwAddress *source);
+static uint64_t prefill_(const GwRequest *r, const GwInstance *instance,
+                         const GwAddress *source);
+static void add_prefill_(GwGateway *g, GwInstance *instance, int64_t tokens);
 static char *scope_(const GwRequest *r, const GwInstance *instance);
 static uint64_t level_key_(const GwRequest *r, unsigned n);
 static void note_holder_(GwRequest *r);
@@ -325,8 +329,7 @@
     if (fresh) {
         out->in_flight =
             MAX(out->in_flight, advice->running + advice->queued);
-        out->prefill_tokens =
-            MAX(out->prefill_tokens, (uint64_t)advice->queued * WAITING_TOKENS);
+        out->prefill_tokens += advice->others_tokens;
         out->kv_used = advice->kv_used;
         out->kv_total = advice->kv_total;
     }
@@ -446,9 +449,9 @@
     r->sends++;
     r->has_reply = false;
     r->is_usable = false;
-    r->prefill = r->ask.prompt_tokens;
+    r->prefill = prefill_(r, instance, source);
     instance->in_flight++;
-    instance->prefill_tokens += r->prefill;
+    add_prefill_(g, instance, (int64_t)r->prefill);
     if (r->n_tried < MAX_TRIED)
         r->tried[r->n_tried++] = instance->place;
     GwCounters_Add(&g->counters, GW_COUNTER_ATTEMPTS, 1);
@@ -457,6 +460,42 @@
     arm_patience_(r);
 }
 
+// Tokens that the engine will read: its own part, and shared ones that it
+// neither keeps nor can copy.
+static uint64_t
+prefill_(const GwRequest *r, const GwInstance *instance,
+         const GwAddress *source)
+{
+    unsigned n = r->ask.n_parts;
+    uint64_t level;
+
+    if (instance->model == NULL)
+        return 0;
+    if (n < 2 || r->scope == NULL)
+        return r->ask.prompt_tokens;
+    level = level_key_(r, n - 1);
+    if (source != NULL ||
+        GwHolders_Find(r->gateway->holders, level, GwTime_Now()) ==
+            instance->place)
+        return r->ask.parts[n - 1].tokens;
+    return r->ask.prompt_tokens;
+}
+
+static void
+add_prefill_(GwGateway *g, GwInstance *instance, int64_t tokens)
+{
+    int64_t change;
+
+    instance->prefill_tokens += (uint64_t)tokens;
+    change = (int64_t)(instance->prefill_tokens - instance->noted_tokens);
+    if (ABS(change) < NOTE_TOKENS && instance->prefill_tokens != 0)
+        return;
+    if (change == 0)
+        return;
+    instance->noted_tokens = instance->prefill_tokens;
+    GwPeers_NotePrefill(g->peers, instance, instance->prefill_tokens);
+}
+
 static char *
 scope_(const GwRequest *r, const GwInstance *instance)
 {
@@ -525,7 +564,7 @@
     if (!r->is_usable)
         return;
     if (r->prefill > 0) {
-        r->instance->prefill_tokens -= r->prefill;
+        add_prefill_(r->gateway, r->instance, -(int64_t)r->prefill);
         r->prefill = 0;
         note_holder_(r);
     }
@@ -755,7 +794,7 @@
     if (r->instance == NULL)
         return;
     r->instance->in_flight--;
-    r->instance->prefill_tokens -= r->prefill;
+    add_prefill_(r->gateway, r->instance, -(int64_t)r->prefill);
     r->prefill = 0;
     GwInstance_Unref(GwView_Instances(r->gateway->view), r->instance);
     r->instance = NULL;
@@ -883,6 +922,8 @@
         if (instance->advice.at != 0) {
             GwEvent_Number(log, "running", instance->advice.running);
             GwEvent_Number(log, "queued", instance->advice.queued);
+            GwEvent_Number(log, "others_tokens",
+                           (int64_t)instance->advice.others_tokens);
             GwEvent_Number(log, "kv_used", instance->advice.kv_used);
             GwEvent_Time(log, "advice_age_ms", now - instance->advice.at);
         }
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -38,6 +38,7 @@
     GwTime at; /**< when it came; 0: never */
     bool switching; /**< new weights are about to be loaded */
     bool down;      /**< it does not answer the agent beside it */
+    uint64_t others_tokens; /**< of prompts that other entries wait for */
     unsigned running;
     unsigned queued;
     uint32_t kv_used;
@@ -62,6 +63,7 @@
     GwTime avoid_until; /**< it was full or loading; 0: it was not */
     unsigned in_flight;       /**< our own requests there */
     uint64_t prefill_tokens;  /**< of those without a first event yet */
+    uint64_t noted_tokens;    /**< of these, as its agent was told */
     void *user;               /**< the owner's: its connections */
     int refs;
 } GwInstance;
--- a/packages/sidecar/include/galenagw/sidecar/roll.h
+++ b/packages/sidecar/include/galenagw/sidecar/roll.h
@@ -3,9 +3,11 @@
  * @brief When one engine loads a newly named version.
  *
  * The pattern answered is a version for all engines of a service, named
- * every few seconds, while loading takes an engine out for about a second
- * and takes longer when many load at once. Every agent computes its own
- * turn from the list that all share; none is in charge, so none can fail.
+ * every few seconds, while a switch takes an engine out for as long as its
+ * running requests last. By time alone, slow switches pile up until most
+ * engines are out. So each engine follows one that it watches: it starts
+ * when that one is done. All compute the same order from the list they
+ * share; none is in charge, so none can fail.
  * @{
  */
 #ifndef GALENAGW_SIDECAR_ROLL_H
@@ -21,16 +23,19 @@
 extern "C" {
 #endif
 
-/** Where one engine stands among those of its service. */
+/** What decides whether an engine starts to switch. */
 typedef struct {
-    size_t engines;
-    size_t before; /**< engines whose turn comes earlier */
-} GwRollTurn;
+    GwTime outdated;    /**< since a newer version was first named */
+    GwTime bound;       /**< by then all must run the version */
+    bool is_first;      /**< it follows no other engine */
+    bool before_done;   /**< the one it follows has the version */
+    bool before_lost;   /**< that one is down, gone or not heard of */
+} GwRollFacts;
 
-/** How many engines load at once, of @p engines. */
+/** How many engines switch at once, of @p engines. */
 size_t GwRoll_AtOnce(size_t engines);
-/** When the engine's turn comes, after a version was named. */
-GwTime GwRoll_Delay(const GwRollTurn *turn);
+/** Whether it is this engine's turn. */
+bool GwRoll_MayStart(const GwRollFacts *facts);
 
 #ifdef __cplusplus
 }
--- a/packages/sidecar/src/roll.c
+++ b/packages/sidecar/src/roll.c
@@ -1,23 +1,29 @@
 #include "galenagw/sidecar/roll.h"
 
-/* A fifth of the engines at once, two at least: the users' sheets name such
- * numbers, up to which a load takes its shortest time. */
-#define AT_ONCE_SHARE 5
+/* A quarter of the engines at once. The users' sheets allow about a fifth to
+ * load at once at full speed; a switch is a load for half of its time. */
+#define AT_ONCE_SHARE 4
 #define AT_ONCE_LEAST 2
-/* From one turn to the next: running requests finish in about 300 ms and a
- * load takes 430. Half of a turn overlaps with the next one's finishing. */
-#define TURN (450 * GW_MILLISECOND)
+/* Part of the bound after which an engine waits for no other: a switch takes
+ * a second, two under load, and must be over by the bound. */
+#define LATEST_SHARE 0.55
+/* An engine that is not heard of is waited for no longer than a switch. */
+#define LOST_WAIT (1500 * GW_MILLISECOND)
 
 size_t
 GwRoll_AtOnce(size_t engines)
 {
-    size_t n = engines / AT_ONCE_SHARE;
+    size_t n = (engines + AT_ONCE_SHARE - 1) / AT_ONCE_SHARE;
 
     return n > AT_ONCE_LEAST ? n : AT_ONCE_LEAST;
 }
 
-GwTime
-GwRoll_Delay(const GwRollTurn *turn)
+bool
+GwRoll_MayStart(const GwRollFacts *facts)
 {
-    return (GwTime)(turn->before / GwRoll_AtOnce(turn->engines)) * TURN;
+    if (facts->is_first || facts->before_done)
+        return true;
+    if (facts->before_lost && facts->outdated >= LOST_WAIT)
+        return true;
+    return (double)facts->outdated >= LATEST_SHARE * (double)facts->bound;
 }
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -24,9 +24,17 @@
 #define ORDER_TIMEOUT (1 * GW_SECOND)
 #define FENCE_TIMEOUT (2 * GW_SECOND)
 #define FENCE_RETRY (500 * GW_MILLISECOND)
-/* Entries stop sending on our word; what is on the way arrives within one
- * crossing between failure domains. */
-#define SETTLE (10 * GW_MILLISECOND)
+/* Entries stop sending on our word. What is on the way, or waits at the
+ * engine, would be turned away by the order: it is given once nothing waits,
+ * which must have been seen in a report made after the last arrival. Reports
+ * are some hundred milliseconds old at the engine's other callers, not here. */
+#define SETTLE (60 * GW_MILLISECOND)
+#define SETTLE_MOST (900 * GW_MILLISECOND)
+/* The state of the engine that ours follows is told this often at least. */
+#define HEARD_WITHIN (2 * GW_SECOND)
+/* The list of engines changes seldom, but for the versions in it, which
+ * agents have no use for: entries tell of the rest in between. */
+#define INSTANCES_PAUSE (10 * GW_SECOND)
 /* An order without an effect for so long is given again. One that was lost
  * may still be carried out later, and then finds another count of orders. */
 #define ORDER_AGAIN (2500 * GW_MILLISECOND)
@@ -41,7 +49,7 @@
 /* Where a load stands. */
 typedef enum {
     STAGE_SERVING = 0,
-    STAGE_SETTLING, /* entries were told to stop */
+    STAGE_SETTLING, /* entries were told to stop; the queue empties */
     STAGE_ORDERED,  /* the order was sent */
     STAGES
 } Stage;
@@ -52,6 +60,8 @@
     char *name;
     char *failure_domain;
     GwAddress endpoint;
+    int agent_port;
+    GwTime weights_bound;
     GwView *view;
     GwStoreReader *reader;
     GwPeers *peers;
@@ -63,7 +73,6 @@
     GwCounters counters;
 
     GwTimer poll_timer;
-    GwTimer stage_timer;
     GwTimer fence_timer;
     GwTimer flush_timer;
     int64_t fence; /* 0: none drawn yet */
@@ -72,6 +81,7 @@
     unsigned missed;    /* reports in a row */
     Stage stage;
     int64_t loading;     /* the version being loaded */
+    GwTime settling_since;
     GwTime ordered_at;
     GwTime outdated_at;  /* 0: the engine has the newest weights */
     GwEngineState told;
@@ -85,8 +95,10 @@
 static void decide_(GwSidecar *s);
 static void tell_(GwSidecar *s, const GwInstance *instance);
 static bool is_news_(const GwSidecar *s, const GwEngineState *state);
-static GwRollTurn turn_(const GwSidecar *s, const GwInstance *own);
-static void on_stage_timer_(void *user);
+static bool is_our_turn_(GwSidecar *s, const GwInstance *own,
+                         const GwTarget *target);
+static const GwInstance *before_(const GwSidecar *s, const GwInstance *own);
+static int by_place_(gconstpointer a, gconstpointer b);
 static void order_(GwSidecar *s);
 static void on_ordered_(void *user, GwCallOutcome outcome, int status,
                         const char *body, size_t len);
@@ -119,12 +131,13 @@
     s->name = g_strdup(d->name);
     s->failure_domain = g_strdup(d->failure_domain);
     s->endpoint = d->endpoint;
+    s->agent_port = d->agent_port;
+    s->weights_bound = d->weights_bound;
     s->rand = g_rand_new();
     s->reports = GwHttpCaller_New(loop, &s->endpoint);
     s->orders = GwHttpCaller_New(loop, &s->endpoint);
     s->store = GwHttpCaller_New(loop, &d->store);
     GwTimer_Init(&s->poll_timer, loop, poll_, s);
-    GwTimer_Init(&s->stage_timer, loop, on_stage_timer_, s);
     GwTimer_Init(&s->fence_timer, loop, draw_fence_, s);
     GwTimer_Init(&s->flush_timer, loop, on_flush_, s);
     if (!join_(s, d, err)) {
@@ -143,7 +156,6 @@
     if (s == NULL)
         return;
     GwTimer_Stop(&s->poll_timer);
-    GwTimer_Stop(&s->stage_timer);
     GwTimer_Stop(&s->fence_timer);
     GwTimer_Stop(&s->flush_timer);
     GwHttpCaller_Delete(s->reports);
@@ -254,13 +266,16 @@
         now - s->ordered_at > ORDER_AGAIN)
         s->stage = STAGE_SERVING;
     if (s->stage == STAGE_SERVING && s->outdated_at != 0 && s->fence > 0 &&
-        !s->report.busy && !instance->draining) {
-        GwRollTurn turn = turn_(s, instance);
-
-        if (now - s->outdated_at >= GwRoll_Delay(&turn)) {
-            s->stage = STAGE_SETTLING;
-            GwTimer_Start(&s->stage_timer, SETTLE);
-        }
+        !s->report.busy && !instance->draining &&
+        is_our_turn_(s, instance, &target)) {
+        s->stage = STAGE_SETTLING;
+        s->settling_since = now;
+    }
+    else if (s->stage == STAGE_SETTLING &&
+             now - s->settling_since >= SETTLE &&
+             (s->report.queued == 0 ||
+              now - s->settling_since >= SETTLE_MOST)) {
+        order_(s);
     }
     tell_(s, instance);
 }
@@ -301,28 +316,63 @@
                TELL_MEMORY_SHARE * state->kv_total;
 }
 
-static GwRollTurn
-turn_(const GwSidecar *s, const GwInstance *own)
+static bool
+is_our_turn_(GwSidecar *s, const GwInstance *own, const GwTarget *target)
+{
+    const GwInstance *before = before_(s, own);
+    GwTime now = GwTime_Now();
+    GwRollFacts facts = {
+        .outdated = now - s->outdated_at,
+        .bound = s->weights_bound,
+        .is_first = before == NULL,
+    };
+    GwAddress watched;
+
+    if (before == NULL) {
+        GwPeers_Watch(s->peers, NULL);
+        return GwRoll_MayStart(&facts);
+    }
+    watched = before->address;
+    watched.port = s->agent_port;
+    GwPeers_Watch(s->peers, &watched);
+    facts.before_done =
+        before->weights >= target->version && !before->advice.switching;
+    facts.before_lost =
+        before->advice.down || now - before->advice.at > HEARD_WITHIN;
+    return GwRoll_MayStart(&facts);
+}
+
+// The engine that ours follows: so many places before it in the order.
+static const GwInstance *
+before_(const GwSidecar *s, const GwInstance *own)
 {
     const GPtrArray *pool =
         GwInstances_Of(GwView_Instances(s->view), own->service);
-    GwRollTurn turn = {0, 0};
+    g_autoptr(GPtrArray) order = g_ptr_array_new();
+    const GwInstance *before = NULL;
 
     for (guint i = 0; pool != NULL && i < pool->len; i++) {
-        const GwInstance *instance = g_ptr_array_index(pool, i);
+        GwInstance *instance = g_ptr_array_index(pool, i);
 
-        if (instance->draining)
-            continue;
-        turn.engines++;
-        turn.before += instance->place < own->place;
+        if (!instance->draining)
+            g_ptr_array_add(order, instance);
     }
-    return turn;
+    g_ptr_array_sort(order, by_place_);
+    for (guint i = (guint)GwRoll_AtOnce(order->len); i < order->len; i++) {
+        if (g_ptr_array_index(order, i) == own)
+            before = g_ptr_array_index(order,
+                                       i - (guint)GwRoll_AtOnce(order->len));
+    }
+    return before;
 }
 
-static void
-on_stage_timer_(void *user)
+static int
+by_place_(gconstpointer a, gconstpointer b)
 {
-    order_(user);
+    uint64_t x = (*(GwInstance *const *)a)->place;
+    uint64_t y = (*(GwInstance *const *)b)->place;
+
+    return (x > y) - (x < y);
 }
 
 static void
@@ -457,12 +507,14 @@
         .log = s->log,
         .counters = &s->counters,
         .rand = s->rand,
+        .instances_pause = INSTANCES_PAUSE,
     };
     GwPeersOptions peers = {
         .is_agent = true,
         .name = s->name,
         .failure_domain = s->failure_domain,
         .listen = d->peers,
+        .agent_port = d->agent_port,
         .log = s->log,
         .counters = &s->counters,
     };
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -38,6 +38,7 @@
 typedef struct Gw__Wire__ListRecord Gw__Wire__ListRecord;
 typedef struct Gw__Wire__RecordsTell Gw__Wire__RecordsTell;
 typedef struct Gw__Wire__EngineState Gw__Wire__EngineState;
+typedef struct Gw__Wire__PrefillNote Gw__Wire__PrefillNote;
 typedef struct Gw__Wire__Frame Gw__Wire__Frame;
 
 
@@ -475,10 +476,27 @@
    * it does not answer the agent beside it
    */
   protobuf_c_boolean down;
+  /*
+   * prompt tokens that other entries wait for
+   */
+  uint64_t others_tokens;
 };
 #define GW__WIRE__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * An entry tells an agent what it waits for at its engine.
+ */
+struct  Gw__Wire__PrefillNote
+{
+  ProtobufCMessage base;
+  uint64_t tokens;
+};
+#define GW__WIRE__PREFILL_NOTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__wire__prefill_note__descriptor) \
+    , 0 }
 
 
 typedef enum {
@@ -504,7 +522,8 @@
   GW__WIRE__FRAME__BODY_RELEASE = 22,
   GW__WIRE__FRAME__BODY_RECORDS_ASK = 23,
   GW__WIRE__FRAME__BODY_RECORDS_TELL = 24,
-  GW__WIRE__FRAME__BODY_ENGINE_STATE = 25
+  GW__WIRE__FRAME__BODY_ENGINE_STATE = 25,
+  GW__WIRE__FRAME__BODY_PREFILL_NOTE = 26
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__WIRE__FRAME__BODY__CASE)
 } Gw__Wire__Frame__BodyCase;
 
@@ -535,6 +554,7 @@
     Gw__Wire__RecordsAsk *records_ask;
     Gw__Wire__RecordsTell *records_tell;
     Gw__Wire__EngineState *engine_state;
+    Gw__Wire__PrefillNote *prefill_note;
   };
 };
 #define GW__WIRE__FRAME__INIT \
@@ -979,6 +999,25 @@
 void   gw__wire__engine_state__free_unpacked
                      (Gw__Wire__EngineState *message,
                       ProtobufCAllocator *allocator);
+/* Gw__Wire__PrefillNote methods */
+void   gw__wire__prefill_note__init
+                     (Gw__Wire__PrefillNote         *message);
+size_t gw__wire__prefill_note__get_packed_size
+                     (const Gw__Wire__PrefillNote   *message);
+size_t gw__wire__prefill_note__pack
+                     (const Gw__Wire__PrefillNote   *message,
+                      uint8_t             *out);
+size_t gw__wire__prefill_note__pack_to_buffer
+                     (const Gw__Wire__PrefillNote   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Wire__PrefillNote *
+       gw__wire__prefill_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__wire__prefill_note__free_unpacked
+                     (Gw__Wire__PrefillNote *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__Wire__Frame methods */
 void   gw__wire__frame__init
                      (Gw__Wire__Frame         *message);
@@ -1069,6 +1108,9 @@
 typedef void (*Gw__Wire__EngineState_Closure)
                  (const Gw__Wire__EngineState *message,
                   void *closure_data);
+typedef void (*Gw__Wire__PrefillNote_Closure)
+                 (const Gw__Wire__PrefillNote *message,
+                  void *closure_data);
 typedef void (*Gw__Wire__Frame_Closure)
                  (const Gw__Wire__Frame *message,
                   void *closure_data);
@@ -1103,6 +1145,7 @@
 extern const ProtobufCMessageDescriptor gw__wire__list_record__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__records_tell__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__engine_state__descriptor;
+extern const ProtobufCMessageDescriptor gw__wire__prefill_note__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -1042,6 +1042,51 @@
   assert(message->base.descriptor == &gw__wire__engine_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__wire__prefill_note__init
+                     (Gw__Wire__PrefillNote         *message)
+{
+  static const Gw__Wire__PrefillNote init_value = GW__WIRE__PREFILL_NOTE__INIT;
+  *message = init_value;
+}
+size_t gw__wire__prefill_note__get_packed_size
+                     (const Gw__Wire__PrefillNote *message)
+{
+  assert(message->base.descriptor == &gw__wire__prefill_note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__wire__prefill_note__pack
+                     (const Gw__Wire__PrefillNote *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__wire__prefill_note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__wire__prefill_note__pack_to_buffer
+                     (const Gw__Wire__PrefillNote *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__wire__prefill_note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Wire__PrefillNote *
+       gw__wire__prefill_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Wire__PrefillNote *)
+     protobuf_c_message_unpack (&gw__wire__prefill_note__descriptor,
+                                allocator, len, data);
+}
+void   gw__wire__prefill_note__free_unpacked
+                     (Gw__Wire__PrefillNote *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__wire__prefill_note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gw__wire__frame__init
                      (Gw__Wire__Frame         *message)
 {
@@ -2924,7 +2969,7 @@
   (ProtobufCMessageInit) gw__wire__records_tell__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__engine_state__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gw__wire__engine_state__field_descriptors[10] =
 {
   {
     "instance",
@@ -3034,6 +3079,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "others_tokens",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EngineState, others_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__engine_state__field_indices_by_name[] = {
   8,   /* field[8] = down */
@@ -3041,6 +3098,7 @@
   0,   /* field[0] = instance */
   6,   /* field[6] = kv_total */
   5,   /* field[5] = kv_used */
+  9,   /* field[9] = others_tokens */
   4,   /* field[4] = queued */
   3,   /* field[3] = running */
   2,   /* field[2] = switching */
@@ -3049,7 +3107,7 @@
 static const ProtobufCIntRange gw__wire__engine_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gw__wire__engine_state__descriptor =
 {
@@ -3059,14 +3117,52 @@
   "Gw__Wire__EngineState",
   "gw.wire",
   sizeof(Gw__Wire__EngineState),
-  9,
+  10,
   gw__wire__engine_state__field_descriptors,
   gw__wire__engine_state__field_indices_by_name,
   1,  gw__wire__engine_state__number_ranges,
   (ProtobufCMessageInit) gw__wire__engine_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[22] =
+static const ProtobufCFieldDescriptor gw__wire__prefill_note__field_descriptors[1] =
+{
+  {
+    "tokens",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__PrefillNote, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__wire__prefill_note__field_indices_by_name[] = {
+  0,   /* field[0] = tokens */
+};
+static const ProtobufCIntRange gw__wire__prefill_note__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gw__wire__prefill_note__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.wire.PrefillNote",
+  "PrefillNote",
+  "Gw__Wire__PrefillNote",
+  "gw.wire",
+  sizeof(Gw__Wire__PrefillNote),
+  1,
+  gw__wire__prefill_note__field_descriptors,
+  gw__wire__prefill_note__field_indices_by_name,
+  1,  gw__wire__prefill_note__number_ranges,
+  (ProtobufCMessageInit) gw__wire__prefill_note__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[23] =
 {
   {
     "hello",
@@ -3332,6 +3428,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "prefill_note",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Wire__Frame, body_case),
+    offsetof(Gw__Wire__Frame, prefill_note),
+    &gw__wire__prefill_note__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__frame__field_indices_by_name[] = {
   12,   /* field[12] = ack */
@@ -3348,6 +3456,7 @@
   7,   /* field[7] = offer */
   1,   /* field[1] = ping */
   2,   /* field[2] = pong */
+  22,   /* field[22] = prefill_note */
   6,   /* field[6] = probe */
   19,   /* field[19] = records_ask */
   20,   /* field[20] = records_tell */
@@ -3361,7 +3470,7 @@
 {
   { 1, 0 },
   { 22, 18 },
-  { 0, 22 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor gw__wire__frame__descriptor =
 {
@@ -3371,7 +3480,7 @@
   "Gw__Wire__Frame",
   "gw.wire",
   sizeof(Gw__Wire__Frame),
-  22,
+  23,
   gw__wire__frame__field_descriptors,
   gw__wire__frame__field_indices_by_name,
   2,  gw__wire__frame__number_ranges,
