A switch of weights costs an engine half a second, not seconds

Now an engine first gets no more long runs, then nothing, until nothing waits at it; long runs left after 2.5 s go on under the new weights, so that the engine is out for a load's 440 ms. Half of the engines prepare at once.

--- a/packages/cluster/include/galenagw/cluster/peers.h
+++ b/packages/cluster/include/galenagw/cluster/peers.h
@@ -25,6 +25,7 @@
 typedef struct {
     const char *instance; /**< id of the engine's incarnation */
     int64_t weights;
+    bool preparing; /**< it takes no more long runs, to switch soon */
     bool switching; /**< new weights are about to be loaded */
     bool down;      /**< it does not answer the agent beside it */
     unsigned running;
@@ -62,9 +63,12 @@
  * Its engine's state then comes as it does to entries.
  */
 void GwPeers_Watch(GwPeers *peers, const GwAddress *address);
-/** Entry: @p tokens of prompts now wait at @p instance for us. */
-void GwPeers_NotePrefill(GwPeers *peers, const GwInstance *instance,
-                         uint64_t tokens);
+/** Entry: tell @p instance's agent what we now have in flight there. */
+void GwPeers_NoteLoad(GwPeers *peers, const GwInstance *instance);
+/** Agent: long runs that entries have in flight at the engine. */
+unsigned GwPeers_LongRuns(const GwPeers *peers);
+/** Agent: prompt tokens that entries wait for at the engine. */
+uint64_t GwPeers_WaitingTokens(const GwPeers *peers);
 /** How many entries share the load, as far as is known; at least 1. */
 unsigned GwPeers_Entries(const GwPeers *peers);
 
--- a/packages/cluster/include/galenagw/cluster/view.h
+++ b/packages/cluster/include/galenagw/cluster/view.h
@@ -22,12 +22,25 @@
 
 typedef struct GwView GwView;
 
-/** A model's newest named version. */
+/** Versions whose naming is remembered; more come only within seconds. */
+#define GW_TARGET_HISTORY 16
+
+/** A model's named versions. */
 typedef struct {
-    int64_t version; /**< -1: none is named */
-    GwTime named_at; /**< when this process learned of it */
+    int64_t version; /**< the newest; -1: none is named */
+    struct {
+        int64_t version;
+        GwTime named_at; /**< when this process learned of it */
+    } history[GW_TARGET_HISTORY]; /**< newest first */
+    unsigned n_history;
 } GwTarget;
 
+/**
+ * Since when @p weights are outdated: the naming of the first newer version,
+ * not of the newest, which may be seconds younger. 0: they are the newest.
+ */
+GwTime GwTarget_OutdatedSince(const GwTarget *target, int64_t weights);
+
 /** Callbacks; any may be NULL. */
 typedef struct {
     void (*on_routes)(void *user);
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -33,6 +33,7 @@
     bool wanted; /* by the last comparison with the list */
     bool is_entry;
     uint64_t prefill_tokens; /* that an entry waits for at our engine */
+    unsigned long_runs;      /* that it has in flight there */
     uint64_t told_tokens;    /* agent: others' tokens, as told last */
 } Peer;
 
@@ -157,7 +158,7 @@
 }
 
 void
-GwPeers_NotePrefill(GwPeers *p, const GwInstance *instance, uint64_t tokens)
+GwPeers_NoteLoad(GwPeers *p, const GwInstance *instance)
 {
     GwAddress address = instance->address;
     Peer *peer;
@@ -167,10 +168,28 @@
     peer = at_(p, &address);
     if (peer == NULL || !GwSession_IsReady(peer->session))
         return;
-    note.tokens = tokens;
+    note.tokens = instance->prefill_tokens;
+    note.long_runs = instance->long_runs;
     GwSession_Send(peer->session, &frame);
 }
 
+unsigned
+GwPeers_LongRuns(const GwPeers *p)
+{
+    const Peer *peer;
+    unsigned n = 0;
+
+    TAILQ_FOREACH(peer, &p->peers, link)
+    n += peer->long_runs;
+    return n;
+}
+
+uint64_t
+GwPeers_WaitingTokens(const GwPeers *p)
+{
+    return others_tokens_(p, NULL);
+}
+
 unsigned
 GwPeers_Entries(const GwPeers *p)
 {
@@ -502,6 +521,7 @@
 
     state.instance = p->engine_id;
     state.weights = p->engine.weights;
+    state.preparing = p->engine.preparing;
     state.switching = p->engine.switching;
     state.down = p->engine.down;
     state.running = p->engine.running;
@@ -525,6 +545,7 @@
     if (from == NULL || !p->has_engine)
         return;
     from->prefill_tokens = note->tokens;
+    from->long_runs = note->long_runs;
     TAILQ_FOREACH(peer, &p->peers, link)
     {
         uint64_t tokens;
@@ -562,6 +583,7 @@
         return;
     went_down = state->down && !instance->advice.down;
     if (instance->advice.switching != state->switching ||
+        instance->advice.preparing != state->preparing ||
         instance->advice.down != state->down ||
         GwInstance_SetWeights(instance, state->weights)) {
         GwEvent_Begin(p->options.log, "engine", NULL);
@@ -570,11 +592,13 @@
         GwEvent_Text(p->options.log, "state",
                      state->down        ? "down"
                      : state->switching ? "switching"
+                     : state->preparing ? "preparing"
                                         : "serving");
         GwEvent_End(p->options.log);
     }
     instance->advice = (GwAdvice){
         .at = GwTime_Now(),
+        .preparing = state->preparing,
         .switching = state->switching,
         .down = state->down,
         .others_tokens = state->others_tokens,
--- a/packages/cluster/src/view.c
+++ b/packages/cluster/src/view.c
@@ -1,6 +1,8 @@
 #define GW_LOG_PART "view"
 #include "galenagw/cluster/view.h"
 
+#include <string.h>
+
 #include "galenagw/adapter/documents.h"
 #include "galenagw/base/log.h"
 
@@ -82,7 +84,20 @@
     const GwTarget *target =
         model != NULL ? g_hash_table_lookup(view->targets, model) : NULL;
 
-    return target != NULL ? *target : (GwTarget){-1, 0};
+    return target != NULL ? *target : (GwTarget){.version = -1};
+}
+
+GwTime
+GwTarget_OutdatedSince(const GwTarget *target, int64_t weights)
+{
+    GwTime since = 0;
+
+    for (unsigned i = 0; i < target->n_history; i++) {
+        if (target->history[i].version <= weights)
+            break;
+        since = target->history[i].named_at;
+    }
+    return since;
 }
 
 static void
@@ -162,8 +177,12 @@
     }
     if (named.version <= target->version)
         return;
+    memmove(&target->history[1], &target->history[0],
+            sizeof(target->history) - sizeof(target->history[0]));
+    target->history[0].version = named.version;
+    target->history[0].named_at = GwTime_Now();
+    target->n_history = MIN(target->n_history + 1, GW_TARGET_HISTORY);
     target->version = named.version;
-    target->named_at = GwTime_Now();
     GwEvent_Begin(view->options.log, "weights_named", NULL);
     GwEvent_Text(view->options.log, "model", named.model);
     GwEvent_Number(view->options.log, "version", named.version);
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -27,6 +27,8 @@
 /* A change of the prompts that wait at an engine is told to its agent from
  * this size on, in tokens: 15 ms of reading. */
 #define NOTE_TOKENS 1000
+/* Output tokens from which on a request runs for long: some 200 ms. */
+#define LONG_OUTPUT 24
 /* Older weights cost nothing for 1.5 s after a new version was named. */
 #define WEIGHTS_FREE (1300 * GW_MILLISECOND)
 /* A version that becomes due this soon is asked for already now. */
@@ -91,6 +93,8 @@
 static uint64_t prefill_(const GwRequest *r, const GwInstance *instance,
                          const GwAddress *source);
 static void add_prefill_(GwGateway *g, GwInstance *instance, int64_t tokens);
+static void note_load_(GwGateway *g, GwInstance *instance);
+static bool is_long_(const GwRequest *r);
 static char *scope_(const GwRequest *r, const GwInstance *instance);
 static uint64_t level_key_(const GwRequest *r, unsigned n);
 static void note_holder_(GwRequest *r);
@@ -322,10 +326,9 @@
         .in_flight = instance->in_flight,
         .prefill_tokens = instance->prefill_tokens,
     };
-    GwTime named_ago = now - target.named_at;
-    bool older = target.version > instance->weights;
+    GwTime outdated = GwTarget_OutdatedSince(&target, instance->weights);
 
-    out->outdated = older && named_ago > WEIGHTS_FREE;
+    out->outdated = outdated != 0 && now - outdated > WEIGHTS_FREE;
     if (fresh) {
         out->in_flight =
             MAX(out->in_flight, advice->running + advice->queued);
@@ -335,11 +338,12 @@
     }
     out->usable = !instance->draining &&
                   !(fresh && (advice->switching || advice->down)) &&
+                  !(fresh && advice->preparing && is_long_(r) && !desperate) &&
                   (desperate || (instance->avoid_until <= now &&
                                  GwHealth_IsUsable(&instance->health,
                                                    instance->in_flight, now)));
     // Requests on weights that should be gone by now must not begin.
-    if (older && named_ago > g->weights_bound - WEIGHTS_MARGIN)
+    if (outdated != 0 && now - outdated > g->weights_bound - WEIGHTS_MARGIN)
         out->usable = false;
     for (unsigned i = 0; i < r->n_tried; i++)
         out->usable = out->usable && r->tried[i] != instance->place;
@@ -451,7 +455,14 @@
     r->is_usable = false;
     r->prefill = prefill_(r, instance, source);
     instance->in_flight++;
-    add_prefill_(g, instance, (int64_t)r->prefill);
+    if (is_long_(r)) {
+        instance->long_runs++;
+        instance->prefill_tokens += r->prefill;
+        note_load_(g, instance);
+    }
+    else {
+        add_prefill_(g, instance, (int64_t)r->prefill);
+    }
     if (r->n_tried < MAX_TRIED)
         r->tried[r->n_tried++] = instance->place;
     GwCounters_Add(&g->counters, GW_COUNTER_ATTEMPTS, 1);
@@ -488,12 +499,23 @@
 
     instance->prefill_tokens += (uint64_t)tokens;
     change = (int64_t)(instance->prefill_tokens - instance->noted_tokens);
-    if (ABS(change) < NOTE_TOKENS && instance->prefill_tokens != 0)
-        return;
-    if (change == 0)
+    if (change == 0 ||
+        (ABS(change) < NOTE_TOKENS && instance->prefill_tokens != 0))
         return;
+    note_load_(g, instance);
+}
+
+static void
+note_load_(GwGateway *g, GwInstance *instance)
+{
     instance->noted_tokens = instance->prefill_tokens;
-    GwPeers_NotePrefill(g->peers, instance, instance->prefill_tokens);
+    GwPeers_NoteLoad(g->peers, instance);
+}
+
+static bool
+is_long_(const GwRequest *r)
+{
+    return r->ask.output_tokens > LONG_OUTPUT;
 }
 
 static char *
@@ -796,6 +818,10 @@
     r->instance->in_flight--;
     add_prefill_(r->gateway, r->instance, -(int64_t)r->prefill);
     r->prefill = 0;
+    if (is_long_(r)) {
+        r->instance->long_runs--;
+        note_load_(r->gateway, r->instance);
+    }
     GwInstance_Unref(GwView_Instances(r->gateway->view), r->instance);
     r->instance = NULL;
 }
--- a/packages/sidecar/include/galenagw/sidecar/roll.h
+++ b/packages/sidecar/include/galenagw/sidecar/roll.h
@@ -28,7 +28,7 @@
     GwTime outdated;    /**< since a newer version was first named */
     GwTime bound;       /**< by then all must run the version */
     bool is_first;      /**< it follows no other engine */
-    bool before_done;   /**< the one it follows has the version */
+    bool before_done;   /**< the one it follows has newer weights */
     bool before_lost;   /**< that one is down, gone or not heard of */
 } GwRollFacts;
 
--- a/packages/sidecar/src/roll.c
+++ b/packages/sidecar/src/roll.c
@@ -2,7 +2,7 @@
 
 /* A quarter of the engines at once. The users' sheets allow about a fifth to
  * load at once at full speed; a switch is a load for half of its time. */
-#define AT_ONCE_SHARE 4
+#define AT_ONCE_SHARE 2
 #define AT_ONCE_LEAST 2
 /* Part of the bound after which an engine waits for no other: a switch takes
  * a second, two under load, and must be over by the bound. */
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -28,6 +28,11 @@
  * engine, would be turned away by the order: it is given once nothing waits,
  * which must have been seen in a report made after the last arrival. Reports
  * are some hundred milliseconds old at the engine's other callers, not here. */
+/* An order waits for all that runs, and the engine takes nothing meanwhile.
+ * So the engine gets no more long runs first, and goes on with short ones
+ * until the long ones are over; most last less than a second. */
+#define PREPARE (60 * GW_MILLISECOND)
+#define PREPARE_MOST (2500 * GW_MILLISECOND)
 #define SETTLE (60 * GW_MILLISECOND)
 #define SETTLE_MOST (900 * GW_MILLISECOND)
 /* The state of the engine that ours follows is told this often at least. */
@@ -49,6 +54,7 @@
 /* Where a load stands. */
 typedef enum {
     STAGE_SERVING = 0,
+    STAGE_PREPARING, /* no more long runs; short ones go on */
     STAGE_SETTLING, /* entries were told to stop; the queue empties */
     STAGE_ORDERED,  /* the order was sent */
     STAGES
@@ -81,6 +87,7 @@
     unsigned missed;    /* reports in a row */
     Stage stage;
     int64_t loading;     /* the version being loaded */
+    GwTime preparing_since;
     GwTime settling_since;
     GwTime ordered_at;
     GwTime outdated_at;  /* 0: the engine has the newest weights */
@@ -95,8 +102,8 @@
 static void decide_(GwSidecar *s);
 static void tell_(GwSidecar *s, const GwInstance *instance);
 static bool is_news_(const GwSidecar *s, const GwEngineState *state);
-static bool is_our_turn_(GwSidecar *s, const GwInstance *own,
-                         const GwTarget *target);
+static bool is_our_turn_(GwSidecar *s, const GwInstance *own);
+static bool is_prepared_(const GwSidecar *s, GwTime now);
 static const GwInstance *before_(const GwSidecar *s, const GwInstance *own);
 static int by_place_(gconstpointer a, gconstpointer b);
 static void order_(GwSidecar *s);
@@ -248,12 +255,7 @@
     if (instance == NULL)
         return;
     GwInstance_SetWeights(instance, s->report.weights);
-    if (s->report.weights >= target.version) {
-        s->outdated_at = 0;
-    }
-    else if (s->outdated_at == 0) {
-        s->outdated_at = now;
-    }
+    s->outdated_at = GwTarget_OutdatedSince(&target, s->report.weights);
     if (s->stage == STAGE_ORDERED && !s->report.busy &&
         s->report.weights >= s->loading) {
         GwEvent_Begin(s->log, "weights_loaded", NULL);
@@ -267,13 +269,18 @@
         s->stage = STAGE_SERVING;
     if (s->stage == STAGE_SERVING && s->outdated_at != 0 && s->fence > 0 &&
         !s->report.busy && !instance->draining &&
-        is_our_turn_(s, instance, &target)) {
+        is_our_turn_(s, instance)) {
+        s->stage = STAGE_PREPARING;
+        s->preparing_since = now;
+    }
+    else if (s->stage == STAGE_PREPARING && is_prepared_(s, now)) {
         s->stage = STAGE_SETTLING;
         s->settling_since = now;
     }
     else if (s->stage == STAGE_SETTLING &&
              now - s->settling_since >= SETTLE &&
-             (s->report.queued == 0 ||
+             ((s->report.queued == 0 &&
+               GwPeers_WaitingTokens(s->peers) == 0) ||
               now - s->settling_since >= SETTLE_MOST)) {
         order_(s);
     }
@@ -286,7 +293,8 @@
     GwEngineState state = {
         .instance = instance->id,
         .weights = s->report.weights,
-        .switching = s->stage != STAGE_SERVING,
+        .preparing = s->stage == STAGE_PREPARING,
+        .switching = s->stage > STAGE_PREPARING,
         .down = s->reported_at == 0,
         .running = s->report.running,
         .queued = s->report.queued,
@@ -309,6 +317,7 @@
     return GwTime_Now() - s->told_at >= TELL_EVERY ||
            state->weights != told->weights ||
            state->switching != told->switching ||
+           state->preparing != told->preparing ||
            state->down != told->down ||
            ABS((int)state->running - (int)told->running) >= TELL_REQUESTS ||
            (state->queued > 0) != (told->queued > 0) ||
@@ -317,7 +326,7 @@
 }
 
 static bool
-is_our_turn_(GwSidecar *s, const GwInstance *own, const GwTarget *target)
+is_our_turn_(GwSidecar *s, const GwInstance *own)
 {
     const GwInstance *before = before_(s, own);
     GwTime now = GwTime_Now();
@@ -335,13 +344,23 @@
     watched = before->address;
     watched.port = s->agent_port;
     GwPeers_Watch(s->peers, &watched);
-    facts.before_done =
-        before->weights >= target->version && !before->advice.switching;
+    // Not the newest one: where versions follow each other closely, the one
+    // before would never be done.
+    facts.before_done = before->weights > s->report.weights;
     facts.before_lost =
         before->advice.down || now - before->advice.at > HEARD_WITHIN;
     return GwRoll_MayStart(&facts);
 }
 
+static bool
+is_prepared_(const GwSidecar *s, GwTime now)
+{
+    GwTime since = now - s->preparing_since;
+
+    return (since >= PREPARE && GwPeers_LongRuns(s->peers) == 0) ||
+           since >= PREPARE_MOST;
+}
+
 // The engine that ours follows: so many places before it in the order.
 static const GwInstance *
 before_(const GwSidecar *s, const GwInstance *own)
@@ -387,6 +406,13 @@
         .holder = s->name,
         .fence = s->fence,
         .orders = s->report.orders,
+        // Long runs that are left would keep the engine idle for seconds;
+        // they lose their worth alone. What is being read must finish: a
+        // prompt read under two versions must not be kept.
+        .mode = GwPeers_LongRuns(s->peers) > 0 &&
+                        GwPeers_WaitingTokens(s->peers) == 0
+                    ? GW_SWITCH_GO_ON
+                    : GW_SWITCH_FINISH,
     };
 
     if (instance == NULL || target.version <= s->report.weights ||
@@ -404,7 +430,9 @@
     GwEvent_Number(s->log, "version", target.version);
     GwEvent_Number(s->log, "fence", s->fence);
     GwEvent_Number(s->log, "orders", s->report.orders);
-    GwEvent_Time(s->log, "named_ago_ms", s->ordered_at - target.named_at);
+    GwEvent_Text(s->log, "mode", GwSwitch_Names[order.mode]);
+    GwEvent_Number(s->log, "long_runs", GwPeers_LongRuns(s->peers));
+    GwEvent_Time(s->log, "outdated_ms", s->ordered_at - s->outdated_at);
     GwEvent_End(s->log);
     GwEngine_EncodeOrder(&order, out);
     GwHttpCaller_Send(s->orders, out, ORDER_TIMEOUT, on_ordered_, s);
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -476,6 +476,10 @@
    * it does not answer the agent beside it
    */
   protobuf_c_boolean down;
+  /*
+   * it will switch once its long runs are over
+   */
+  protobuf_c_boolean preparing;
   /*
    * prompt tokens that other entries wait for
    */
@@ -483,7 +487,7 @@
 };
 #define GW__WIRE__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -492,11 +496,18 @@
 struct  Gw__Wire__PrefillNote
 {
   ProtobufCMessage base;
+  /*
+   * of prompts that have no first token yet
+   */
   uint64_t tokens;
+  /*
+   * requests in flight that will run for long
+   */
+  uint32_t long_runs;
 };
 #define GW__WIRE__PREFILL_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__prefill_note__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 typedef enum {
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -2969,7 +2969,7 @@
   (ProtobufCMessageInit) gw__wire__records_tell__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__engine_state__field_descriptors[10] =
+static const ProtobufCFieldDescriptor gw__wire__engine_state__field_descriptors[11] =
 {
   {
     "instance",
@@ -3091,6 +3091,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "preparing",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EngineState, preparing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__engine_state__field_indices_by_name[] = {
   8,   /* field[8] = down */
@@ -3099,6 +3111,7 @@
   6,   /* field[6] = kv_total */
   5,   /* field[5] = kv_used */
   9,   /* field[9] = others_tokens */
+  10,   /* field[10] = preparing */
   4,   /* field[4] = queued */
   3,   /* field[3] = running */
   2,   /* field[2] = switching */
@@ -3107,7 +3120,7 @@
 static const ProtobufCIntRange gw__wire__engine_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor gw__wire__engine_state__descriptor =
 {
@@ -3117,14 +3130,14 @@
   "Gw__Wire__EngineState",
   "gw.wire",
   sizeof(Gw__Wire__EngineState),
-  10,
+  11,
   gw__wire__engine_state__field_descriptors,
   gw__wire__engine_state__field_indices_by_name,
   1,  gw__wire__engine_state__number_ranges,
   (ProtobufCMessageInit) gw__wire__engine_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__prefill_note__field_descriptors[1] =
+static const ProtobufCFieldDescriptor gw__wire__prefill_note__field_descriptors[2] =
 {
   {
     "tokens",
@@ -3138,14 +3151,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "long_runs",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__PrefillNote, long_runs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__prefill_note__field_indices_by_name[] = {
+  1,   /* field[1] = long_runs */
   0,   /* field[0] = tokens */
 };
 static const ProtobufCIntRange gw__wire__prefill_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor gw__wire__prefill_note__descriptor =
 {
@@ -3155,7 +3181,7 @@
   "Gw__Wire__PrefillNote",
   "gw.wire",
   sizeof(Gw__Wire__PrefillNote),
-  1,
+  2,
   gw__wire__prefill_note__field_descriptors,
   gw__wire__prefill_note__field_indices_by_name,
   1,  gw__wire__prefill_note__number_ranges,
