Shared parts that nobody keeps yet are read at their home

Now leaving home weighs three times the reading of what is missing, unless the store or an engine is known to keep it.

--- a/packages/base/include/galenagw/base/event_log.h
+++ b/packages/base/include/galenagw/base/event_log.h
@@ -25,9 +25,9 @@
 
 /** Construction options; zero means the default. */
 typedef struct {
-    int fd;                 /**< descriptor to write to; made non-blocking */
-    unsigned lines_per_s;   /**< default 300 */
-    size_t max_pending;     /**< bytes; default 256 KiB */
+    int fd;               /**< descriptor to write to; made non-blocking */
+    unsigned lines_per_s; /**< default 300 */
+    size_t max_pending;   /**< bytes; default 256 KiB */
 } GwEventLogOptions;
 
 GwEventLog *GwEventLog_New(const GwEventLogOptions *options);
--- a/packages/base/src/counters.c
+++ b/packages/base/src/counters.c
@@ -6,25 +6,29 @@
 #define SUB_BUCKETS (1 << SUB_BUCKET_BITS)
 
 const char *const GwCounter_Names[GW_COUNTERS] = {
-    "requests",      "answers",         "attempts",         "callers_gone",
-    "probes",        "offers_expired",  "trials_preempted", "prompt_tokens",
-    "cached_tokens", "chunks",          "cache_events",     "cache_gaps",
-    "cache_resets",  "config_changes",  "config_rejected",  "config_from_peer",
-    "log_appends",   "log_records",     "log_errors",       "sessions_opened",
-    "sessions_lost", "sessions_silent", "frames_sent",      "frames_received",
-    "bytes_sent",    "ejections",       "replayed_answers", "orders",
-    "orders_fenced", "store_calls",     "store_errors",
-    "records_from_peers", "upstream_opened", "upstream_reused", "resumed",
-    "spilled",
+    "requests",         "answers",
+    "attempts",         "callers_gone",
+    "probes",           "offers_expired",
+    "trials_preempted", "prompt_tokens",
+    "cached_tokens",    "chunks",
+    "cache_events",     "cache_gaps",
+    "cache_resets",     "config_changes",
+    "config_rejected",  "config_from_peer",
+    "log_appends",      "log_records",
+    "log_errors",       "sessions_opened",
+    "sessions_lost",    "sessions_silent",
+    "frames_sent",      "frames_received",
+    "bytes_sent",       "ejections",
+    "replayed_answers", "orders",
+    "orders_fenced",    "store_calls",
+    "store_errors",     "records_from_peers",
+    "upstream_opened",  "upstream_reused",
+    "resumed",          "spilled",
 };
 
 const char *const GwHistogram_Names[GW_HISTOGRAMS] = {
-    "ttft_paying_us",
-    "ttft_trial_us",
-    "queue_wait_us",
-    "claim_us",
-    "forward_first_byte_us",
-    "forward_whole_us",
+    "ttft_paying_us", "ttft_trial_us",         "queue_wait_us",
+    "claim_us",       "forward_first_byte_us", "forward_whole_us",
 };
 
 static unsigned bucket_of_(uint64_t value);
--- a/packages/base/src/event_log.c
+++ b/packages/base/src/event_log.c
@@ -67,10 +67,9 @@
     if (!log->in_line)
         return;
     now = g_get_real_time();
-    g_string_append_printf(log->pending,
-                           "{\"time\":%" G_GINT64_FORMAT
-                           ".%06d,\"event\":\"%s\"",
-                           now / GW_SECOND, (int)(now % GW_SECOND), event);
+    g_string_append_printf(
+        log->pending, "{\"time\":%" G_GINT64_FORMAT ".%06d,\"event\":\"%s\"",
+        now / GW_SECOND, (int)(now % GW_SECOND), event);
     if (id != NULL)
         GwEvent_Text(log, "id", id);
     if (log->dropped > log->dropped_told) {
--- a/packages/cluster/include/galenagw/cluster/view.h
+++ b/packages/cluster/include/galenagw/cluster/view.h
@@ -30,7 +30,7 @@
     int64_t version; /**< the newest; -1: none is named */
     struct {
         int64_t version;
-        GwTime named_at; /**< when this process learned of it */
+        GwTime named_at;          /**< when this process learned of it */
     } history[GW_TARGET_HISTORY]; /**< newest first */
     unsigned n_history;
 } GwTarget;
--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -27,13 +27,13 @@
     GwStoreReader *owner;
     GwList list;
     GwHttpCaller *caller;
-    GwTimer timer;    /* the pause after a failure */
+    GwTimer timer; /* the pause after a failure */
     GwTimer suspicion;
     GString *request;
-    char *after;      /* key to go on behind, within a whole reading */
-    bool whole;       /* the next call reads the whole list */
-    int64_t from;     /* offset that the call under way reads from */
-    bool current;     /* the last call was answered */
+    char *after;  /* key to go on behind, within a whole reading */
+    bool whole;   /* the next call reads the whole list */
+    int64_t from; /* offset that the call under way reads from */
+    bool current; /* the last call was answered */
     int64_t suspected_end;
     unsigned failures;
     GwTime failing_since; /* 0: not failing */
@@ -257,8 +257,7 @@
     GwEvent_Text(r->options.log, "list", GwList_Names[f->list]);
     GwEvent_Time(r->options.log, "away_ms", now - f->failing_since);
     GwEvent_End(r->options.log);
-    if (f->list == GW_LIST_INSTANCES &&
-        now - f->failing_since > SHORT_OUTAGE)
+    if (f->list == GW_LIST_INSTANCES && now - f->failing_since > SHORT_OUTAGE)
         GwInstances_HoldRemovals(GwView_Instances(r->options.view),
                                  now + RETURN_GRACE);
     f->failing_since = 0;
--- a/packages/gateway/program/gateway_command.c
+++ b/packages/gateway/program/gateway_command.c
@@ -20,8 +20,9 @@
 #define FIELD(name) offsetof(GatewayProgram, name)
 
 static const GwSetting gateway_settings[] = {
-    {"settings", "FILE", "The platform's settings file (default: where the "
-                         "platform's variable points)",
+    {"settings", "FILE",
+     "The platform's settings file (default: where the "
+     "platform's variable points)",
      GW_SETTING_TEXT, FIELD(settings), 0, 0, false},
     {"log-level", "LEVEL", "error, warning, info or debug, of plain messages",
      GW_SETTING_TEXT, FIELD(log_level), 0, 0, false},
@@ -96,8 +97,7 @@
 bool
 Command_Gateway(int argc, char **argv, GwError *err)
 {
-    GatewayProgram p = {.log_level = "info",
-                        .settings = GwDeployment_Path()};
+    GatewayProgram p = {.log_level = "info", .settings = GwDeployment_Path()};
     GwSettingsOptions parse = {
         .table = gateway_settings,
         .doc = "Serve callers on the users' platform, by its settings file.",
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -55,9 +55,10 @@
 {
     const GwDeployment *d = options->deployment;
     GwGateway *g = g_new0(GwGateway, 1);
-    GwViewOptions view = {
-        .ops = &view_ops, .user = g, .log = options->log,
-        .counters = &g->counters};
+    GwViewOptions view = {.ops = &view_ops,
+                          .user = g,
+                          .log = options->log,
+                          .counters = &g->counters};
 
     g->loop = loop;
     g->log = options->log;
@@ -189,8 +190,7 @@
     GwGateway *g = user;
     const GwService *store = GwRoutes_KvStore(GwView_Routes(g->view));
 
-    GwKvStore_SetAddress(g->kv_store,
-                         store != NULL ? &store->kv_store : NULL);
+    GwKvStore_SetAddress(g->kv_store, store != NULL ? &store->kv_store : NULL);
 }
 
 static void
--- a/packages/gateway/src/gateway_private.h
+++ b/packages/gateway/src/gateway_private.h
@@ -46,7 +46,7 @@
     GwCounters counters;
     TAILQ_HEAD(, GwRequest) requests; /* in progress */
     unsigned active;
-    size_t body_bytes;    /* held for them */
+    size_t body_bytes;     /* held for them */
     GwTime draining_since; /* 0: not draining */
     GwTimer drain_timer;
     GwTimer flush_timer;
--- a/packages/gateway/src/kv_store.c
+++ b/packages/gateway/src/kv_store.c
@@ -50,10 +50,10 @@
     s->log = log;
     s->rand = rand;
     s->epoch = -1;
-    s->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-                                     NULL);
-    s->saves = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-                                     g_free);
+    s->parts =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    s->saves =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     GwTimer_Init(&s->timer, loop, call_, s);
     return s;
 }
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -59,7 +59,7 @@
     GwUpstream *upstream;
     GwTime sent_at;
     GwTime first_byte_at; /* 0: none passed on */
-    unsigned sends;   /* that may have reached an endpoint */
+    unsigned sends;       /* that may have reached an endpoint */
     unsigned attempts;
     uint64_t tried[MAX_TRIED];
     unsigned n_tried;
@@ -71,7 +71,7 @@
     GwHttpHead *reply_head; /* held until it is passed on */
     GString *held;          /* body held with it */
     bool is_events;
-    bool is_held;   /* the answer is passed on only when it is whole */
+    bool is_held; /* the answer is passed on only when it is whole */
     bool head_sent;
     GwFraming framing;
     GwEventSplitter events;
@@ -83,20 +83,21 @@
 static void fill_candidate_(const GwRequest *r, const GwInstance *instance,
                             GwTarget target, double peer_rate, bool desperate,
                             GwCandidate *out);
+static uint64_t missing_tokens_(const GwRequest *r,
+                                const GwInstance *instance);
 static double error_rate_(const GPtrArray *pool);
 static const GwAddress *find_source_(GwRequest *r, const GPtrArray *pool,
                                      const GwInstance *chosen,
                                      const GwInstance *home);
 static GwInstance *by_place_(const GPtrArray *pool, uint64_t place);
-static void send_(GwRequest *r, GwInstance *instance,
-                  const GwAddress *source);
+static void send_(GwRequest *r, GwInstance *instance, const GwAddress *source);
 static uint64_t prefill_(const GwRequest *r, const GwInstance *instance,
                          const GwAddress *source);
 static void add_prefill_(GwGateway *g, GwInstance *instance, int64_t tokens);
 static void note_load_(GwGateway *g, GwInstance *instance);
 static bool is_long_(const GwRequest *r);
 static char *scope_(const GwRequest *r, const GwInstance *instance);
-static uint64_t level_key_(const GwRequest *r, unsigned n);
+static uint64_t level_key_(const GwRequest *r, const char *scope, unsigned n);
 static void note_holder_(GwRequest *r);
 static GwHeadVerdict on_head_(void *user, const GwHttpHead *head);
 static void on_body_(void *user, const char *data, size_t len);
@@ -283,8 +284,8 @@
             const GwInstance *instance = g_ptr_array_index(pool, i);
 
             fill_candidate_(r, instance,
-                            GwView_Target(g->view, instance->model),
-                            peer_rate, pass > 0, &list[i]);
+                            GwView_Target(g->view, instance->model), peer_rate,
+                            pass > 0, &list[i]);
         }
         if (r->ask.n_parts > 0)
             chosen = GwPlacement_ChooseEngine(
@@ -292,8 +293,8 @@
                 GwPlacement_Anchor(r->ask.parts, r->ask.n_parts), &r->ask,
                 &home);
         else
-            chosen = GwPlacement_ChoosePlain(list, pool->len,
-                                             g_rand_int(g->rand));
+            chosen =
+                GwPlacement_ChoosePlain(list, pool->len, g_rand_int(g->rand));
     }
     if (chosen < 0)
         return NULL;
@@ -329,9 +330,10 @@
     GwTime outdated = GwTarget_OutdatedSince(&target, instance->weights);
 
     out->outdated = outdated != 0 && now - outdated > WEIGHTS_FREE;
+    if (instance->model != NULL && r->ask.n_parts > 1)
+        out->missing_tokens = missing_tokens_(r, instance);
     if (fresh) {
-        out->in_flight =
-            MAX(out->in_flight, advice->running + advice->queued);
+        out->in_flight = MAX(out->in_flight, advice->running + advice->queued);
         out->prefill_tokens += advice->others_tokens;
         out->kv_used = advice->kv_used;
         out->kv_total = advice->kv_total;
@@ -353,6 +355,23 @@
         out->usable = false;
 }
 
+static uint64_t
+missing_tokens_(const GwRequest *r, const GwInstance *instance)
+{
+    unsigned shared = r->ask.n_parts - 1;
+    g_autofree char *scope = scope_(r, instance);
+    unsigned kept = GwKvStore_Kept(r->gateway->kv_store, &r->ask, scope);
+    uint64_t sum = 0;
+
+    if (kept >= shared ||
+        GwHolders_Find(r->gateway->holders, level_key_(r, scope, shared),
+                       GwTime_Now()) != 0)
+        return 0;
+    for (unsigned i = kept; i < shared; i++)
+        sum += r->ask.parts[i].tokens;
+    return sum;
+}
+
 static double
 error_rate_(const GPtrArray *pool)
 {
@@ -382,8 +401,8 @@
     if (kept > 0 && kept >= shared)
         return GwKvStore_Address(store);
     for (unsigned n = r->ask.n_parts; n > kept; n--) {
-        uint64_t place =
-            GwHolders_Find(r->gateway->holders, level_key_(r, n), now);
+        uint64_t place = GwHolders_Find(r->gateway->holders,
+                                        level_key_(r, r->scope, n), now);
         GwInstance *holder = by_place_(pool, place);
 
         if (holder == NULL)
@@ -426,8 +445,8 @@
         .priority = instance->model != NULL ? MIN(priority, MAX_PRIORITY) : -1,
         .weights = instance->model != NULL ? instance->weights : -1,
         .fetch_from = source,
-        .last_event_id = r->events.has_id ? r->events.last_id
-                                          : r->ask.last_event_id,
+        .last_event_id =
+            r->events.has_id ? r->events.last_id : r->ask.last_event_id,
         .body_len = r->body->len,
     };
     GwUpstreamOptions options = {
@@ -484,10 +503,9 @@
         return 0;
     if (n < 2 || r->scope == NULL)
         return r->ask.prompt_tokens;
-    level = level_key_(r, n - 1);
-    if (source != NULL ||
-        GwHolders_Find(r->gateway->holders, level, GwTime_Now()) ==
-            instance->place)
+    level = level_key_(r, r->scope, n - 1);
+    if (source != NULL || GwHolders_Find(r->gateway->holders, level,
+                                         GwTime_Now()) == instance->place)
         return r->ask.parts[n - 1].tokens;
     return r->ask.prompt_tokens;
 }
@@ -530,9 +548,9 @@
 }
 
 static uint64_t
-level_key_(const GwRequest *r, unsigned n)
+level_key_(const GwRequest *r, const char *scope, unsigned n)
 {
-    return GwPlacement_Level(r->ask.parts, n) ^ g_str_hash(r->scope);
+    return GwPlacement_Level(r->ask.parts, n) ^ g_str_hash(scope);
 }
 
 static void
@@ -543,7 +561,7 @@
     if (r->scope == NULL || r->instance == NULL)
         return;
     for (unsigned n = 1; n <= r->ask.n_parts; n++)
-        GwHolders_Note(r->gateway->holders, level_key_(r, n),
+        GwHolders_Note(r->gateway->holders, level_key_(r, r->scope, n),
                        r->instance->place, now);
 }
 
@@ -563,15 +581,14 @@
     r->is_usable = is_usable_reply_(r);
     if (!r->is_usable)
         return GW_HEAD_TAKE;
-    r->is_events =
-        r->route->type == GW_ROUTE_STREAMING && head->status == 200;
+    r->is_events = r->route->type == GW_ROUTE_STREAMING && head->status == 200;
     // A stream that goes on keeps the head of its first endpoint.
     if (r->head_sent)
         return GW_HEAD_TAKE;
     GwHttpHead_Free(r->reply_head);
     r->reply_head = GwHttpHead_Copy(head);
-    r->is_held = !r->is_events && head->length >= 0 &&
-                 head->length <= HOLD_BELOW;
+    r->is_held =
+        !r->is_events && head->length >= 0 && head->length <= HOLD_BELOW;
     if (r->held == NULL)
         r->held = g_string_new(NULL);
     g_string_truncate(r->held, 0);
@@ -605,10 +622,9 @@
 
     r->upstream = NULL;
     if (end == GW_UPSTREAM_COMPLETE && r->has_reply && r->is_usable) {
-        GwHealth_Note(&instance->health,
-                      r->reply.status >= 500 ? GW_HEALTH_ERROR
-                                             : GW_HEALTH_GOOD,
-                      now);
+        GwHealth_Note(
+            &instance->health,
+            r->reply.status >= 500 ? GW_HEALTH_ERROR : GW_HEALTH_GOOD, now);
         if (r->reply.status >= 500 && !r->head_sent) {
             after_failure_(r, GW_ATTEMPT_HAS_RUN, "error");
             return;
@@ -794,8 +810,8 @@
 static bool
 has_alternative_(const GwRequest *r)
 {
-    const GPtrArray *pool = GwInstances_Of(
-        GwView_Instances(r->gateway->view), r->service);
+    const GPtrArray *pool =
+        GwInstances_Of(GwView_Instances(r->gateway->view), r->service);
 
     for (guint i = 0; pool != NULL && i < pool->len; i++) {
         const GwInstance *instance = g_ptr_array_index(pool, i);
@@ -831,13 +847,12 @@
 static void
 arm_patience_(GwRequest *r)
 {
-    if (r->instance->model != NULL ||
-        r->route->type != GW_ROUTE_IDEMPOTENT ||
-        r->route->target_latency == 0 ||
-        r->sends >= r->route->max_attempts || !has_alternative_(r))
+    if (r->instance->model != NULL || r->route->type != GW_ROUTE_IDEMPOTENT ||
+        r->route->target_latency == 0 || r->sends >= r->route->max_attempts ||
+        !has_alternative_(r))
         return;
-    GwTimer_Start(&r->patience, (GwTime)(PATIENCE_SHARE *
-                                         (double)r->route->target_latency));
+    GwTimer_Start(&r->patience,
+                  (GwTime)(PATIENCE_SHARE * (double)r->route->target_latency));
 }
 
 static void
--- a/packages/http/include/galenagw/http/message.h
+++ b/packages/http/include/galenagw/http/message.h
@@ -27,8 +27,8 @@
 
 /** The head of one message. Fields are read-only for users. */
 typedef struct {
-    GString *text;      /**< backs all strings */
-    GArray *offsets;    /**< of names and values, while they arrive */
+    GString *text;   /**< backs all strings */
+    GArray *offsets; /**< of names and values, while they arrive */
     GwHttpField *fields;
     guint n_fields;
     const char *method; /**< of a request; static */
@@ -36,7 +36,7 @@
     int status;         /**< of a response */
     bool keep_alive;    /**< as its version and Connection say */
     bool chunked;
-    int64_t length;     /**< of the body; -1: not told */
+    int64_t length; /**< of the body; -1: not told */
 } GwHttpHead;
 
 /** The first value of header @p name, in any case; NULL if absent. */
--- a/packages/http/src/caller.c
+++ b/packages/http/src/caller.c
@@ -109,8 +109,7 @@
 
     c->open = true;
     if (c->fn != NULL)
-        GwTcp_Write(c->tcp, (const uint8_t *)c->request->str,
-                    c->request->len);
+        GwTcp_Write(c->tcp, (const uint8_t *)c->request->str, c->request->len);
 }
 
 static void
--- a/packages/http/src/message.c
+++ b/packages/http/src/message.c
@@ -149,8 +149,7 @@
         return GW_HTTP_HEAD_TOO_LONG;
     if (reader->done)
         return GW_HTTP_DONE;
-    if (HTTP_PARSER_ERRNO(&reader->parser) != HPE_OK ||
-        reader->parser.upgrade)
+    if (HTTP_PARSER_ERRNO(&reader->parser) != HPE_OK || reader->parser.upgrade)
         return GW_HTTP_MALFORMED;
     return GW_HTTP_MORE;
 }
--- a/packages/net/src/tcp.c
+++ b/packages/net/src/tcp.c
@@ -308,10 +308,9 @@
 adopt_(GwLoop *loop, int fd, const char *protocol, void *opaque)
 {
     lws_sock_file_fd_type adopted = {.filefd = fd};
-    struct lws *wsi =
-        lws_adopt_descriptor_vhost(GwLoop_ClientHost(loop),
-                                   LWS_ADOPT_RAW_FILE_DESC, adopted, protocol,
-                                   NULL);
+    struct lws *wsi = lws_adopt_descriptor_vhost(GwLoop_ClientHost(loop),
+                                                 LWS_ADOPT_RAW_FILE_DESC,
+                                                 adopted, protocol, NULL);
 
     if (wsi != NULL)
         lws_set_opaque_user_data(wsi, opaque);
--- a/packages/routing/include/galenagw/routing/ask.h
+++ b/packages/routing/include/galenagw/routing/ask.h
@@ -55,10 +55,10 @@
 /** An endpoint's response head, decoded. */
 typedef struct {
     int status;
-    bool has_signature;  /**< the endpoint vouches for the body */
-    bool not_run;        /**< the endpoint states it did not run it */
-    bool is_ours;        /**< it names our request, or none */
-    int64_t weights;     /**< version that runs it; -1: not told */
+    bool has_signature;   /**< the endpoint vouches for the body */
+    bool not_run;         /**< the endpoint states it did not run it */
+    bool is_ours;         /**< it names our request, or none */
+    int64_t weights;      /**< version that runs it; -1: not told */
     int64_t keep_alive_s; /**< idle time it allows; -1: not told */
 } GwReply;
 
--- a/packages/routing/include/galenagw/routing/attempt.h
+++ b/packages/routing/include/galenagw/routing/attempt.h
@@ -30,14 +30,14 @@
 /** Facts that decide. */
 typedef struct {
     GwAttemptFate fate;
-    bool may_repeat;   /**< running it twice does no harm */
-    bool head_sent;    /**< the caller has the head of an answer */
-    bool is_events;    /**< the answer is a stream of events */
+    bool may_repeat; /**< running it twice does no harm */
+    bool head_sent;  /**< the caller has the head of an answer */
+    bool is_events;  /**< the answer is a stream of events */
     bool client_gone;
-    bool time_left;    /**< enough for another attempt */
-    bool sends_left;   /**< the route allows another endpoint */
-    bool budget_left;  /**< asked last: true takes one repeat */
-    bool elsewhere;    /**< another endpoint could take it */
+    bool time_left;   /**< enough for another attempt */
+    bool sends_left;  /**< the route allows another endpoint */
+    bool budget_left; /**< asked last: true takes one repeat */
+    bool elsewhere;   /**< another endpoint could take it */
 } GwAttemptFacts;
 
 /** What to do. */
--- a/packages/routing/include/galenagw/routing/health.h
+++ b/packages/routing/include/galenagw/routing/health.h
@@ -33,9 +33,9 @@
 
 /** Plain data, zero-initialised: nothing is known, which counts as well. */
 typedef struct {
-    double error_rate;   /**< decayed share of bad signs */
-    double samples;      /**< decayed number of signs */
-    unsigned streak;     /**< unreachable or silent, in a row */
+    double error_rate; /**< decayed share of bad signs */
+    double samples;    /**< decayed number of signs */
+    unsigned streak;   /**< unreachable or silent, in a row */
     GwTime excluded_until;
     bool on_trial; /**< the exclusion ran out; one attempt decides */
 } GwHealth;
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -35,10 +35,10 @@
 
 /** What the agent beside an engine said last. */
 typedef struct {
-    GwTime at; /**< when it came; 0: never */
-    bool preparing; /**< it takes no more long runs, to switch soon */
-    bool switching; /**< new weights are about to be loaded */
-    bool down;      /**< it does not answer the agent beside it */
+    GwTime at;              /**< when it came; 0: never */
+    bool preparing;         /**< it takes no more long runs, to switch soon */
+    bool switching;         /**< new weights are about to be loaded */
+    bool down;              /**< it does not answer the agent beside it */
     uint64_t others_tokens; /**< of prompts that other entries wait for */
     unsigned running;
     unsigned queued;
@@ -61,12 +61,12 @@
     int64_t weights;   /**< newest version it is known to have; -1: none */
     GwHealth health;
     GwAdvice advice;
-    GwTime avoid_until; /**< it was full or loading; 0: it was not */
-    unsigned in_flight;       /**< our own requests there */
-    uint64_t prefill_tokens;  /**< of those without a first event yet */
-    unsigned long_runs;       /**< of those, expected to run for long */
-    uint64_t noted_tokens;    /**< of these, as its agent was told */
-    void *user;               /**< the owner's: its connections */
+    GwTime avoid_until;      /**< it was full or loading; 0: it was not */
+    unsigned in_flight;      /**< our own requests there */
+    uint64_t prefill_tokens; /**< of those without a first event yet */
+    unsigned long_runs;      /**< of those, expected to run for long */
+    uint64_t noted_tokens;   /**< of these, as its agent was told */
+    void *user;              /**< the owner's: its connections */
     int refs;
 } GwInstance;
 
--- a/packages/routing/include/galenagw/routing/placement.h
+++ b/packages/routing/include/galenagw/routing/placement.h
@@ -26,16 +26,18 @@
 
 /** One endpoint that could take a request. */
 typedef struct {
-    uint64_t place;      /**< for rendezvous; outlives restarts */
-    bool usable;         /**< may get new work */
-    bool worse;          /**< fails more often than its peers */
-    bool near;           /**< in our failure domain */
-    bool outdated;       /**< its weights are not the newest named */
+    uint64_t place; /**< for rendezvous; outlives restarts */
+    bool usable;    /**< may get new work */
+    bool worse;     /**< fails more often than its peers */
+    bool near;      /**< in our failure domain */
+    bool outdated;  /**< its weights are not the newest named */
     unsigned slots;
-    unsigned in_flight;  /**< ours and, as far as is known, others' */
+    unsigned in_flight;      /**< ours and, as far as is known, others' */
     uint64_t prefill_tokens; /**< waiting or being read there */
-    uint32_t kv_used;    /**< tokens of memory that cannot yield */
-    uint32_t kv_total;   /**< 0: not known */
+    uint64_t missing_tokens; /**< shared ones, if nobody is known to keep
+                                  them for its weights */
+    uint32_t kv_used;        /**< tokens of memory that cannot yield */
+    uint32_t kv_total;       /**< 0: not known */
 } GwCandidate;
 
 /**
--- a/packages/routing/include/galenagw/routing/records.h
+++ b/packages/routing/include/galenagw/routing/records.h
@@ -70,8 +70,7 @@
 /** Both ends in one number, for heartbeats between peers. */
 uint64_t GwRecords_Stamp(const GwRecords *records);
 /** Whether @p stamp of a peer is ahead of ours for @p list. */
-bool GwRecords_IsBehind(const GwRecords *records, GwList list,
-                        uint64_t stamp);
+bool GwRecords_IsBehind(const GwRecords *records, GwList list, uint64_t stamp);
 
 #ifdef __cplusplus
 }
--- a/packages/routing/include/galenagw/routing/routes.h
+++ b/packages/routing/include/galenagw/routing/routes.h
@@ -54,7 +54,7 @@
 
 typedef struct {
     char *name;
-    int priority; /**< goes before the route's; -1: none */
+    int priority;  /**< goes before the route's; -1: none */
     bool isolated; /**< shares no KV cache with other accounts */
 } GwAccount;
 
@@ -82,11 +82,11 @@
 typedef struct {
     int refs;
     uint64_t version;
-    GPtrArray *routes;     /**< of GwRoute, owned */
-    GHashTable *by_host;   /**< host to GPtrArray of GwRoute, longest first */
-    GHashTable *accounts;  /**< key to GwAccount */
+    GPtrArray *routes;    /**< of GwRoute, owned */
+    GHashTable *by_host;  /**< host to GPtrArray of GwRoute, longest first */
+    GHashTable *accounts; /**< key to GwAccount */
     GPtrArray *account_list; /**< owns the accounts */
-    GHashTable *services;  /**< name to GwService, owned */
+    GHashTable *services;    /**< name to GwService, owned */
     bool has_accounts;
     GwLimits limits;
 } GwRoutes;
--- a/packages/routing/src/health.c
+++ b/packages/routing/src/health.c
@@ -15,10 +15,8 @@
 #define SILENT_LIMIT 3
 
 const char *const GwHealthSign_Names[GW_HEALTH_SIGNS] = {
-    [GW_HEALTH_GOOD] = "good",
-    [GW_HEALTH_ERROR] = "error",
-    [GW_HEALTH_BROKEN] = "broken",
-    [GW_HEALTH_UNREACHABLE] = "unreachable",
+    [GW_HEALTH_GOOD] = "good",     [GW_HEALTH_ERROR] = "error",
+    [GW_HEALTH_BROKEN] = "broken", [GW_HEALTH_UNREACHABLE] = "unreachable",
     [GW_HEALTH_SILENT] = "silent",
 };
 
--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -4,8 +4,8 @@
 #include <xxhash.h>
 
 struct GwInstances {
-    GHashTable *by_id;   /* listed ones; each entry holds a reference */
-    GHashTable *pools;   /* service to GPtrArray of GwInstance */
+    GHashTable *by_id; /* listed ones; each entry holds a reference */
+    GHashTable *pools; /* service to GPtrArray of GwInstance */
     GPtrArray *all;
     GwInstancesOps ops;
     void *user;
@@ -173,9 +173,8 @@
     instance->failure_domain = g_strdup(row->failure_domain);
     instance->model = g_strdup(row->model);
     instance->address = row->address;
-    instance->place =
-        XXH64(row->address.host, strlen(row->address.host),
-              (XXH64_hash_t)row->address.port);
+    instance->place = XXH64(row->address.host, strlen(row->address.host),
+                            (XXH64_hash_t)row->address.port);
     instance->slots = row->slots;
     instance->weights = -1;
     instance->listed = true;
--- a/packages/routing/src/placement.c
+++ b/packages/routing/src/placement.c
@@ -12,6 +12,11 @@
  * that, the copy of the cache (about 20 ms) and the second place that then
  * has to be kept warm cost more than the wait. */
 #define LEAVE_HOME_MS 60.0
+/* Shared tokens that nobody keeps yet are read at their home, or on the way
+ * to it: read elsewhere too, they cost the fleet their time once more, and
+ * under load each entry would have them read by another engine. Weighed three
+ * times against the request's own wait. */
+#define READ_AGAIN 3.0
 /* Engines preempt, and read again, what does not fit their memory. */
 #define NO_MEMORY_MS 400.0
 /* A request on older weights is worth a fifth less after a short while; one
@@ -90,7 +95,9 @@
             continue;
         cost = engine_cost_(&list[i], ask);
         if ((int)i != *home)
-            cost += LEAVE_HOME_MS;
+            cost += LEAVE_HOME_MS + READ_AGAIN *
+                                        (double)list[i].missing_tokens /
+                                        PREFILL_TOKENS_PER_MS;
         if (best < 0 || cost < best_cost) {
             best = (int)i;
             best_cost = cost;
@@ -127,8 +134,8 @@
 {
     GwHolders *h = g_new0(GwHolders, 1);
 
-    h->levels = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-                                      g_free);
+    h->levels =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     h->max_levels = max_levels;
     h->life = life;
     return h;
@@ -193,9 +200,9 @@
 
     if (c->in_flight >= c->slots)
         cost += (c->in_flight + 1 - c->slots) * RUNNING_MS * c->slots;
-    if (c->kv_total > 0 && (uint64_t)c->kv_used + ask->prompt_tokens +
-                                   ask->output_tokens >
-                               c->kv_total)
+    if (c->kv_total > 0 &&
+        (uint64_t)c->kv_used + ask->prompt_tokens + ask->output_tokens >
+            c->kv_total)
         cost += NO_MEMORY_MS;
     if (c->outdated)
         cost += OUTDATED_MS;
--- a/packages/routing/src/records.c
+++ b/packages/routing/src/records.c
@@ -147,8 +147,8 @@
 bool
 GwRecords_IsBehind(const GwRecords *records, GwList list, uint64_t stamp)
 {
-    uint64_t theirs = list == GW_LIST_OPERATOR ? stamp >> STAMP_SHIFT
-                                               : stamp & STAMP_MASK;
+    uint64_t theirs =
+        list == GW_LIST_OPERATOR ? stamp >> STAMP_SHIFT : stamp & STAMP_MASK;
 
     return theirs > (uint64_t)records->ends[list];
 }
--- a/packages/routing/src/routes.c
+++ b/packages/routing/src/routes.c
@@ -28,11 +28,9 @@
     r->refs = 1;
     r->version = version;
     r->routes = g_ptr_array_new_with_free_func(free_route_);
-    r->by_host =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                              (GDestroyNotify)g_ptr_array_unref);
-    r->accounts =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    r->by_host = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                       (GDestroyNotify)g_ptr_array_unref);
+    r->accounts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     r->account_list = g_ptr_array_new_with_free_func(free_account_);
     r->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service_);
--- a/packages/sidecar/include/galenagw/sidecar/roll.h
+++ b/packages/sidecar/include/galenagw/sidecar/roll.h
@@ -25,11 +25,11 @@
 
 /** What decides whether an engine starts to switch. */
 typedef struct {
-    GwTime outdated;    /**< since a newer version was first named */
-    GwTime bound;       /**< by then all must run the version */
-    bool is_first;      /**< it follows no other engine */
-    bool before_done;   /**< the one it follows has newer weights */
-    bool before_lost;   /**< that one is down, gone or not heard of */
+    GwTime outdated;  /**< since a newer version was first named */
+    GwTime bound;     /**< by then all must run the version */
+    bool is_first;    /**< it follows no other engine */
+    bool before_done; /**< the one it follows has newer weights */
+    bool before_lost; /**< that one is down, gone or not heard of */
 } GwRollFacts;
 
 /** How many engines switch at once, of @p engines. */
--- a/packages/sidecar/program/sidecar_command.c
+++ b/packages/sidecar/program/sidecar_command.c
@@ -17,8 +17,9 @@
 #define FIELD(name) offsetof(SidecarProgram, name)
 
 static const GwSetting sidecar_settings[] = {
-    {"settings", "FILE", "The platform's settings file (default: where the "
-                         "platform's variable points)",
+    {"settings", "FILE",
+     "The platform's settings file (default: where the "
+     "platform's variable points)",
      GW_SETTING_TEXT, FIELD(settings), 0, 0, false},
     {"log-level", "LEVEL", "error, warning, info or debug, of plain messages",
      GW_SETTING_TEXT, FIELD(log_level), 0, 0, false},
@@ -75,8 +76,7 @@
 bool
 Command_Sidecar(int argc, char **argv, GwError *err)
 {
-    SidecarProgram p = {.log_level = "info",
-                        .settings = GwDeployment_Path()};
+    SidecarProgram p = {.log_level = "info", .settings = GwDeployment_Path()};
     GwSettingsOptions parse = {
         .table = sidecar_settings,
         .doc = "The process beside one engine of the users' platform.",
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -27,7 +27,8 @@
 /* Entries stop sending on our word. What is on the way, or waits at the
  * engine, would be turned away by the order: it is given once nothing waits,
  * which must have been seen in a report made after the last arrival. Reports
- * are some hundred milliseconds old at the engine's other callers, not here. */
+ * are some hundred milliseconds old at the engine's other callers, not here.
+ */
 /* An order waits for all that runs, and the engine takes nothing meanwhile.
  * So the engine gets no more long runs first, and goes on with short ones
  * until the long ones are over; most last less than a second. */
@@ -55,8 +56,8 @@
 typedef enum {
     STAGE_SERVING = 0,
     STAGE_PREPARING, /* no more long runs; short ones go on */
-    STAGE_SETTLING, /* entries were told to stop; the queue empties */
-    STAGE_ORDERED,  /* the order was sent */
+    STAGE_SETTLING,  /* entries were told to stop; the queue empties */
+    STAGE_ORDERED,   /* the order was sent */
     STAGES
 } Stage;
 
@@ -86,11 +87,11 @@
     GwTime reported_at; /* 0: the engine does not answer */
     unsigned missed;    /* reports in a row */
     Stage stage;
-    int64_t loading;     /* the version being loaded */
+    int64_t loading; /* the version being loaded */
     GwTime preparing_since;
     GwTime settling_since;
     GwTime ordered_at;
-    GwTime outdated_at;  /* 0: the engine has the newest weights */
+    GwTime outdated_at; /* 0: the engine has the newest weights */
     GwEngineState told;
     GwTime told_at;
 };
@@ -268,8 +269,7 @@
         now - s->ordered_at > ORDER_AGAIN)
         s->stage = STAGE_SERVING;
     if (s->stage == STAGE_SERVING && s->outdated_at != 0 && s->fence > 0 &&
-        !s->report.busy && !instance->draining &&
-        is_our_turn_(s, instance)) {
+        !s->report.busy && !instance->draining && is_our_turn_(s, instance)) {
         s->stage = STAGE_PREPARING;
         s->preparing_since = now;
     }
@@ -277,8 +277,7 @@
         s->stage = STAGE_SETTLING;
         s->settling_since = now;
     }
-    else if (s->stage == STAGE_SETTLING &&
-             now - s->settling_since >= SETTLE &&
+    else if (s->stage == STAGE_SETTLING && now - s->settling_since >= SETTLE &&
              ((s->report.queued == 0 &&
                GwPeers_WaitingTokens(s->peers) == 0) ||
               now - s->settling_since >= SETTLE_MOST)) {
@@ -317,8 +316,7 @@
     return GwTime_Now() - s->told_at >= TELL_EVERY ||
            state->weights != told->weights ||
            state->switching != told->switching ||
-           state->preparing != told->preparing ||
-           state->down != told->down ||
+           state->preparing != told->preparing || state->down != told->down ||
            ABS((int)state->running - (int)told->running) >= TELL_REQUESTS ||
            (state->queued > 0) != (told->queued > 0) ||
            ABS((double)state->kv_used - (double)told->kv_used) >
@@ -379,8 +377,8 @@
     g_ptr_array_sort(order, by_place_);
     for (guint i = (guint)GwRoll_AtOnce(order->len); i < order->len; i++) {
         if (g_ptr_array_index(order, i) == own)
-            before = g_ptr_array_index(order,
-                                       i - (guint)GwRoll_AtOnce(order->len));
+            before =
+                g_ptr_array_index(order, i - (guint)GwRoll_AtOnce(order->len));
     }
     return before;
 }
