One HTTP server for callers, admin and stand-ins, on the strict reader

Cause: the library's HTTP role spun for ever on two pipelined requests, gave two answers to a request with two lengths or with a length and chunks, and refused chunked bodies. Ruled out: a second server beside the library's, for the gateway alone; its connection code became packages/http/server.c and the library's role is gone from the callers' side.

--- a/fakes/include/galenagw/fakes/fake_engine.h
+++ b/fakes/include/galenagw/fakes/fake_engine.h
@@ -12,7 +12,7 @@
 #define GALENAGW_FAKES_FAKE_ENGINE_H
 
 #include "galenagw/fakes/block_cache.h"
-#include "galenagw/net/http_server.h"
+#include "galenagw/http/server.h"
 
 #ifdef __cplusplus
 extern "C" {
--- a/fakes/include/galenagw/fakes/fake_platform.h
+++ b/fakes/include/galenagw/fakes/fake_platform.h
@@ -11,7 +11,7 @@
 
 #include <jansson.h>
 
-#include "galenagw/net/http_server.h"
+#include "galenagw/http/server.h"
 
 #ifdef __cplusplus
 extern "C" {
--- a/fakes/include/galenagw/fakes/fake_service.h
+++ b/fakes/include/galenagw/fakes/fake_service.h
@@ -8,7 +8,7 @@
 #ifndef GALENAGW_FAKES_FAKE_SERVICE_H
 #define GALENAGW_FAKES_FAKE_SERVICE_H
 
-#include "galenagw/net/http_server.h"
+#include "galenagw/http/server.h"
 
 #ifdef __cplusplus
 extern "C" {
--- a/fakes/src/fake_http.c
+++ b/fakes/src/fake_http.c
@@ -9,8 +9,12 @@
 FakeHttp_Listen(GwLoop *loop, const GwAddress *address,
                 const GwHttpServerOps *ops, void *user, GwError *err)
 {
-    GwHttpServerOptions options = {*address, MAX_BODY, BODY_TIMEOUT, ops,
-                                   user};
+    GwHttpServerOptions options = {
+        .address = *address,
+        .limits = {.max_body = MAX_BODY, .body_timeout = BODY_TIMEOUT},
+        .ops = ops,
+        .user = user,
+    };
 
     return GwHttpServer_New(loop, &options, err);
 }
--- a/fakes/src/fake_http.h
+++ b/fakes/src/fake_http.h
@@ -2,7 +2,7 @@
 #ifndef GALENAGW_FAKES_FAKE_HTTP_H
 #define GALENAGW_FAKES_FAKE_HTTP_H
 
-#include "galenagw/net/http_server.h"
+#include "galenagw/http/server.h"
 
 GwHttpServer *FakeHttp_Listen(GwLoop *loop, const GwAddress *address,
                               const GwHttpServerOps *ops, void *user,
--- a/packages/agent/src/admin.c
+++ b/packages/agent/src/admin.c
@@ -19,8 +19,7 @@
 {
     GwHttpServerOptions options = {
         .address = agent->options.admin,
-        .max_body = MAX_BODY,
-        .body_timeout = 10 * GW_SECOND,
+        .limits = {.max_body = MAX_BODY, .body_timeout = 10 * GW_SECOND},
         .ops = &server_ops,
         .user = agent,
     };
--- a/packages/agent/src/agent_private.h
+++ b/packages/agent/src/agent_private.h
@@ -4,7 +4,7 @@
 
 #include "galenagw/agent/agent.h"
 #include "galenagw/endpoint/endpoint.h"
-#include "galenagw/net/http_server.h"
+#include "galenagw/http/server.h"
 #include "galenagw/platform/config_feed.h"
 #include "galenagw/policy/admission.h"
 #include "galenagw/policy/cache_view.h"
--- a/packages/entry/src/api.c
+++ b/packages/entry/src/api.c
@@ -15,7 +15,7 @@
 static void on_call_(void *user, GwHttpCall *call);
 static void on_gone_(void *user, GwHttpCall *call);
 static void on_drained_(void *user, GwHttpCall *call);
-static void on_refused_(void *user, int status);
+static void on_refused_(void *user, GwHttpCall *call, GwHttpRefusal why);
 static void on_admin_(void *user, GwHttpCall *call);
 static void start_model_(GwEntry *entry, GwHttpCall *call, bool chat);
 static void start_service_(GwEntry *entry, GwHttpCall *call, const char *path);
@@ -34,15 +34,14 @@
 {
     GwHttpServerOptions callers = {
         .address = entry->options.listen,
-        .max_body = entry->options.max_body,
-        .body_timeout = BODY_TIMEOUT,
+        .limits = {.max_body = entry->options.max_body,
+                   .body_timeout = BODY_TIMEOUT},
         .ops = &caller_ops,
         .user = entry,
     };
     GwHttpServerOptions admin = {
         .address = entry->options.admin,
-        .max_body = ADMIN_MAX_BODY,
-        .body_timeout = BODY_TIMEOUT,
+        .limits = {.max_body = ADMIN_MAX_BODY, .body_timeout = BODY_TIMEOUT},
         .ops = &admin_ops,
         .user = entry,
     };
@@ -127,13 +126,18 @@
 }
 
 static void
-on_refused_(void *user, int status)
+on_refused_(void *user, GwHttpCall *call, GwHttpRefusal why)
 {
+    static const GwRefusal refusals[GW_HTTP_REFUSALS] = {
+        [GW_HTTP_REFUSED_MALFORMED] = GW_REFUSAL_BAD_REQUEST,
+        [GW_HTTP_REFUSED_HEAD_TOO_LONG] = GW_REFUSAL_HEAD_TOO_LARGE,
+        [GW_HTTP_REFUSED_BODY_TOO_LONG] = GW_REFUSAL_TOO_LARGE,
+        [GW_HTTP_REFUSED_TOO_SLOW] = GW_REFUSAL_SLOW_REQUEST,
+        [GW_HTTP_REFUSED_NO_MEMORY] = GW_REFUSAL_BUFFERS_FULL,
+    };
     GwEntry *entry = user;
 
-    GwCounters_Refuse(&entry->counters, status == 413
-                                            ? GW_REFUSAL_TOO_LARGE
-                                            : GW_REFUSAL_LENGTH_REQUIRED);
+    GwCounters_Refuse(&entry->counters, refusals[why]);
 }
 
 static void
--- a/packages/entry/src/entry.c
+++ b/packages/entry/src/entry.c
@@ -238,7 +238,7 @@
     GwEntry *entry = user;
 
     entry->lag_over = true;
-    GwHttpServer_CloseIdle(entry->server);
+    GwHttpServer_Drain(entry->server);
     Entry_CheckDrained(entry);
 }
 
--- a/packages/entry/src/entry_private.h
+++ b/packages/entry/src/entry_private.h
@@ -5,7 +5,7 @@
 #include <sys/queue.h>
 
 #include "galenagw/entry/entry.h"
-#include "galenagw/net/http_server.h"
+#include "galenagw/http/server.h"
 #include "galenagw/platform/config_feed.h"
 #include "galenagw/platform/instance_list.h"
 #include "galenagw/policy/affinity.h"
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -3,7 +3,7 @@
 
 #include <string.h>
 
-#include "callers.h"
+#include "galenagw/adapter/messages.h"
 #include "gateway_private.h"
 #include "request.h"
 #include "upstream.h"
@@ -25,6 +25,8 @@
 #define CLOSING_AFTER (2700 * GW_MILLISECOND)
 #define DRAIN_CHECK (50 * GW_MILLISECOND)
 #define MAX_METRICS_BODY 1024
+/* Bodies of all requests in progress; a third of the smallest instance. */
+#define MAX_BODIES (32 * 1024 * 1024)
 /* A tenth of the two seconds within which a leaving endpoint must get no new
  * work. A roll of new weights changes a record for every engine; read one by
  * one they were the largest price of a quiet day. */
@@ -34,8 +36,11 @@
 static void on_instance_added_(void *user, GwInstance *instance);
 static void on_instance_freed_(void *user, GwInstance *instance);
 static void on_engine_down_(void *user, GwInstance *instance);
-static void on_caller_(void *user, GwTcp *tcp);
-static void on_balancer_(void *user, GwTcp *tcp);
+static void on_call_(void *user, GwHttpCall *call);
+static void on_gone_(void *user, GwHttpCall *call);
+static void on_drained_(void *user, GwHttpCall *call);
+static void on_refused_(void *user, GwHttpCall *call, GwHttpRefusal why);
+static void on_balancer_(void *user, GwHttpCall *call);
 static void on_metrics_(void *user, GwHttpCall *call);
 static void on_drain_timer_(void *user);
 static void on_flush_(void *user);
@@ -48,6 +53,9 @@
     .on_instance_added = on_instance_added_,
     .on_instance_freed = on_instance_freed_,
 };
+static const GwHttpServerOps caller_ops = {on_call_, on_gone_, on_drained_,
+                                           on_refused_};
+static const GwHttpServerOps balancer_ops = {.on_call = on_balancer_};
 static const GwHttpServerOps metrics_ops = {.on_call = on_metrics_};
 
 GwGateway *
@@ -67,7 +75,6 @@
     g->name = g_strdup(d->name);
     g->failure_domain = g_strdup(d->failure_domain);
     copy_bounds_(g, d);
-    TAILQ_INIT(&g->callers);
     TAILQ_INIT(&g->requests);
     g->budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -92,9 +99,9 @@
         return;
     GwTimer_Stop(&g->drain_timer);
     GwTimer_Stop(&g->flush_timer);
-    GwCaller_CloseAll(g);
-    GwTcpServer_Delete(g->callers_server);
-    GwTcpServer_Delete(g->readiness_server);
+    GwRequest_EndAll(g);
+    GwHttpServer_Delete(g->callers_server);
+    GwHttpServer_Delete(g->readiness_server);
     GwHttpServer_Delete(g->metrics_server);
     GwPeers_Delete(g->peers);
     GwStoreReader_Delete(g->reader);
@@ -114,6 +121,7 @@
     if (g->draining_since != 0)
         return;
     g->draining_since = GwTime_Now();
+    GwHttpServer_Drain(g->callers_server);
     GwEvent_Begin(g->log, "drain", NULL);
     GwEvent_Number(g->log, "active", g->active);
     GwEvent_End(g->log);
@@ -169,13 +177,13 @@
 int
 GwGateway_CallerPort(const GwGateway *g)
 {
-    return GwTcpServer_Port(g->callers_server);
+    return GwHttpServer_Port(g->callers_server);
 }
 
 int
 GwGateway_ReadinessPort(const GwGateway *g)
 {
-    return GwTcpServer_Port(g->readiness_server);
+    return GwHttpServer_Port(g->readiness_server);
 }
 
 int
@@ -189,7 +197,16 @@
 {
     GwGateway *g = user;
     const GwService *store = GwRoutes_KvStore(GwView_Routes(g->view));
+    const GwLimits *limits = &GwView_Routes(g->view)->limits;
+    GwHttpLimits accepted = {
+        .max_head = limits->max_head,
+        .max_body = limits->max_body,
+        .head_timeout = limits->head_timeout,
+        .body_timeout = limits->idle_timeout,
+        .idle_timeout = limits->idle_timeout,
+    };
 
+    GwHttpServer_SetLimits(g->callers_server, &accepted);
     GwKvStore_SetAddress(g->kv_store, store != NULL ? &store->kv_store : NULL);
 }
 
@@ -215,15 +232,50 @@
 }
 
 static void
-on_caller_(void *user, GwTcp *tcp)
+on_call_(void *user, GwHttpCall *call)
+{
+    GwRequest_Start(user, call);
+}
+
+static void
+on_gone_(void *user, GwHttpCall *call)
+{
+    GwRequest_CallerGone(GwHttpCall_User(call));
+}
+
+static void
+on_drained_(void *user, GwHttpCall *call)
+{
+    GwRequest_CallerDrained(GwHttpCall_User(call));
+}
+
+static void
+on_refused_(void *user, GwHttpCall *call, GwHttpRefusal why)
 {
-    GwCaller_Accept(user, tcp);
+    static const GwRefusal refusals[GW_HTTP_REFUSALS] = {
+        [GW_HTTP_REFUSED_MALFORMED] = GW_REFUSAL_BAD_REQUEST,
+        [GW_HTTP_REFUSED_HEAD_TOO_LONG] = GW_REFUSAL_HEAD_TOO_LARGE,
+        [GW_HTTP_REFUSED_BODY_TOO_LONG] = GW_REFUSAL_TOO_LARGE,
+        [GW_HTTP_REFUSED_TOO_SLOW] = GW_REFUSAL_SLOW_REQUEST,
+        [GW_HTTP_REFUSED_NO_MEMORY] = GW_REFUSAL_BUFFERS_FULL,
+    };
+
+    GwRequest_RefuseEarly(user, call, refusals[why]);
 }
 
 static void
-on_balancer_(void *user, GwTcp *tcp)
+on_balancer_(void *user, GwHttpCall *call)
 {
-    GwCaller_AcceptBalancer(user, tcp);
+    GwGateway *g = user;
+    g_autoptr(GString) out = g_string_new(NULL);
+
+    if (GwMessages_IsReadiness(GwHttpCall_Head(call)))
+        GwMessages_EncodeReadiness(GwGateway_IsReady(g), out);
+    else
+        GwMessages_EncodeFailure(
+            &(GwFailure){.status = 404, .message = "ask for readiness"}, out);
+    GwHttpCall_Send(call, out->str, out->len);
+    GwHttpCall_Done(call, false);
 }
 
 static void
@@ -243,7 +295,7 @@
     GwTime since = GwTime_Now() - g->draining_since;
 
     if (GwGateway_IsClosing(g))
-        GwCaller_CloseIdle(g);
+        GwHttpServer_CloseIdle(g->callers_server);
     if ((since >= DRAIN_LEAST && g->active == 0) ||
         since >= g->grace - DRAIN_SPARE) {
         GwEvent_Begin(g->log, "stop", NULL);
@@ -269,19 +321,29 @@
 static bool
 listen_(GwGateway *g, const GwDeployment *d, GwError *err)
 {
+    GwHttpServerOptions callers = {
+        .address = d->callers,
+        .max_bodies = MAX_BODIES,
+        .ops = &caller_ops,
+        .user = g,
+    };
+    GwHttpServerOptions readiness = {
+        .address = d->readiness,
+        .limits = {.max_body = MAX_METRICS_BODY},
+        .ops = &balancer_ops,
+        .user = g,
+    };
     GwHttpServerOptions metrics = {
         .address = d->metrics,
-        .max_body = MAX_METRICS_BODY,
+        .limits = {.max_body = MAX_METRICS_BODY},
         .ops = &metrics_ops,
         .user = g,
     };
 
-    g->callers_server =
-        GwTcpServer_New(g->loop, &d->callers, on_caller_, g, err);
+    g->callers_server = GwHttpServer_New(g->loop, &callers, err);
     if (g->callers_server == NULL)
         return false;
-    g->readiness_server =
-        GwTcpServer_New(g->loop, &d->readiness, on_balancer_, g, err);
+    g->readiness_server = GwHttpServer_New(g->loop, &readiness, err);
     if (g->readiness_server == NULL)
         return false;
     g->metrics_server = GwHttpServer_New(g->loop, &metrics, err);
--- a/packages/gateway/src/gateway_private.h
+++ b/packages/gateway/src/gateway_private.h
@@ -8,14 +8,12 @@
 #include "galenagw/cluster/store_reader.h"
 #include "galenagw/cluster/view.h"
 #include "galenagw/gateway/gateway.h"
-#include "galenagw/net/http_server.h"
-#include "galenagw/net/tcp.h"
+#include "galenagw/http/server.h"
 #include "galenagw/routing/budget.h"
 #include "galenagw/routing/placement.h"
 
 #include "kv_store.h"
 
-typedef struct GwCaller GwCaller;
 struct GwRequest;
 
 struct GwGateway {
@@ -34,10 +32,9 @@
     GwView *view;
     GwStoreReader *reader;
     GwPeers *peers;
-    GwTcpServer *callers_server;
-    GwTcpServer *readiness_server;
+    GwHttpServer *callers_server;
+    GwHttpServer *readiness_server;
     GwHttpServer *metrics_server;
-    TAILQ_HEAD(, GwCaller) callers;
 
     GHashTable *budgets; /* service to GwBudget */
     GwHolders *holders;
@@ -46,7 +43,6 @@
     GwCounters counters;
     TAILQ_HEAD(, GwRequest) requests; /* in progress */
     unsigned active;
-    size_t body_bytes;     /* held for them */
     GwTime draining_since; /* 0: not draining */
     GwTimer drain_timer;
     GwTimer flush_timer;
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#include "callers.h"
 #include "events.h"
 #include "galenagw/adapter/messages.h"
 #include "galenagw/routing/attempt.h"
@@ -11,6 +10,8 @@
 /* An answer with a length up to this is held until it is whole, so that a
  * cut one can still be made good elsewhere. */
 #define HOLD_BELOW (256 * 1024)
+/* Unsent bytes of one caller before its endpoint has to wait. */
+#define FULL_ABOVE (64 * 1024)
 /* A caller's time is spent by the way back too. */
 #define WAY_BACK (6 * GW_MILLISECOND)
 /* Less than this is no time for another attempt. */
@@ -42,9 +43,11 @@
 struct GwRequest {
     TAILQ_ENTRY(GwRequest) link;
     GwGateway *gateway;
-    GwCaller *caller;
-    GwHttpHead *head;
-    GString *body;
+    GwHttpCall *call;
+    /* Both belong to the call, and so do strings of the ask. */
+    const GwHttpHead *head;
+    const char *body;
+    size_t body_len;
     GwAsk ask;
     GwRoutes *routes; /* in force when it came */
     const GwRoute *route;
@@ -77,6 +80,7 @@
     GwEventSplitter events;
 };
 
+static GwRequest *new_(GwGateway *g, GwHttpCall *call);
 static GwRefusal admit_(GwRequest *r);
 static void attempt_(GwRequest *r);
 static GwInstance *choose_(GwRequest *r, const GwAddress **source);
@@ -114,6 +118,8 @@
 static void on_patience_(void *user);
 static void on_deadline_(void *user);
 static void answer_refusal_(GwRequest *r, GwRefusal refusal);
+static void done_(GwRequest *r);
+static void break_(GwRequest *r);
 static void end_(GwRequest *r);
 static void log_attempt_(GwRequest *r, const GwDispatch *dispatch);
 static void log_end_(const GwRequest *r, const char *outcome, int status);
@@ -121,31 +127,10 @@
 
 static const GwUpstreamOps upstream_ops = {on_head_, on_body_, on_end_};
 
-GwRequest *
-GwRequest_New(GwGateway *g, GwCaller *caller, GwHttpHead *head, GString *body,
-              GwTime arrived)
-{
-    GwRequest *r = g_new0(GwRequest, 1);
-
-    r->gateway = g;
-    r->caller = caller;
-    r->head = head;
-    r->body = body;
-    r->arrived = arrived;
-    r->routes = GwRoutes_Ref(GwView_Routes(g->view));
-    GwMessages_DecodeAsk(head, &r->ask);
-    GwEventSplitter_Init(&r->events);
-    GwTimer_Init(&r->timer, g->loop, on_deadline_, r);
-    GwTimer_Init(&r->patience, g->loop, on_patience_, r);
-    g->active++;
-    TAILQ_INSERT_TAIL(&g->requests, r, link);
-    GwCounters_Add(&g->counters, GW_COUNTER_REQUESTS, 1);
-    return r;
-}
-
 void
-GwRequest_Start(GwRequest *r)
+GwRequest_Start(GwGateway *g, GwHttpCall *call)
 {
+    GwRequest *r = new_(g, call);
     GwRefusal refusal = admit_(r);
     GwTime limit;
 
@@ -169,7 +154,6 @@
 {
     GwCounters_Add(&r->gateway->counters, GW_COUNTER_CALLERS_GONE, 1);
     log_end_(r, "caller_gone", 0);
-    r->caller = NULL;
     end_(r);
 }
 
@@ -196,8 +180,7 @@
 }
 
 void
-GwRequest_RefuseEarly(GwGateway *g, GwCaller *caller, const GwHttpHead *head,
-                      GwRefusal refusal)
+GwRequest_RefuseEarly(GwGateway *g, GwHttpCall *call, GwRefusal refusal)
 {
     g_autoptr(GString) out = g_string_new(NULL);
     GwAsk ask = {0};
@@ -207,13 +190,13 @@
         .message = GwRefusal_Message(refusal),
     };
 
-    if (head != NULL)
-        GwMessages_DecodeAsk(head, &ask);
+    if (GwHttpCall_Head(call) != NULL)
+        GwMessages_DecodeAsk(GwHttpCall_Head(call), &ask);
     failure.request_id = ask.id;
     if (failure.status == 503)
         failure.retry_after_s = RETRY_SOON_S;
     GwMessages_EncodeFailure(&failure, out);
-    GwCaller_Write(caller, out->str, out->len);
+    GwHttpCall_Send(call, out->str, out->len);
     GwCounters_Refuse(&g->counters, refusal);
     GwEvent_Begin(g->log, "refused_early", ask.id);
     GwEvent_Text(g->log, "reason", GwRefusal_Names[refusal]);
@@ -221,6 +204,35 @@
     GwEvent_End(g->log);
 }
 
+void
+GwRequest_EndAll(GwGateway *g)
+{
+    while (!TAILQ_EMPTY(&g->requests))
+        end_(TAILQ_FIRST(&g->requests));
+}
+
+static GwRequest *
+new_(GwGateway *g, GwHttpCall *call)
+{
+    GwRequest *r = g_new0(GwRequest, 1);
+
+    r->gateway = g;
+    r->call = call;
+    r->head = GwHttpCall_Head(call);
+    r->body = GwHttpCall_Body(call, &r->body_len);
+    r->arrived = GwTime_Now();
+    r->routes = GwRoutes_Ref(GwView_Routes(g->view));
+    GwMessages_DecodeAsk(r->head, &r->ask);
+    GwEventSplitter_Init(&r->events);
+    GwTimer_Init(&r->timer, g->loop, on_deadline_, r);
+    GwTimer_Init(&r->patience, g->loop, on_patience_, r);
+    GwHttpCall_SetUser(call, r);
+    g->active++;
+    TAILQ_INSERT_TAIL(&g->requests, r, link);
+    GwCounters_Add(&g->counters, GW_COUNTER_REQUESTS, 1);
+    return r;
+}
+
 static GwRefusal
 admit_(GwRequest *r)
 {
@@ -255,9 +267,7 @@
     }
     if (r->head_sent) {
         log_end_(r, "broken", 0);
-        GwCaller_Break(r->caller);
-        r->caller = NULL;
-        end_(r);
+        break_(r);
         return;
     }
     answer_refusal_(r, GW_REFUSAL_NO_ENDPOINT);
@@ -433,7 +443,7 @@
 {
     GwGateway *g = r->gateway;
     GwTime now = GwTime_Now();
-    g_autoptr(GString) out = g_string_sized_new(r->body->len + 1024);
+    g_autoptr(GString) out = g_string_sized_new(r->body_len + 1024);
     int priority = r->account != NULL && r->account->priority >= 0
                        ? r->account->priority
                        : r->route->priority;
@@ -447,7 +457,7 @@
         .fetch_from = source,
         .last_event_id =
             r->events.has_id ? r->events.last_id : r->ask.last_event_id,
-        .body_len = r->body->len,
+        .body_len = r->body_len,
     };
     GwUpstreamOptions options = {
         .request = out,
@@ -465,7 +475,7 @@
             dispatch.save_to = GwKvStore_Address(g->kv_store);
     }
     GwMessages_EncodeRequest(r->head, &dispatch, out);
-    g_string_append_len(out, r->body->str, (gssize)r->body->len);
+    g_string_append_len(out, r->body, (gssize)r->body_len);
     r->instance = GwInstance_Ref(instance);
     r->sent_at = now;
     r->attempts++;
@@ -680,7 +690,7 @@
     if (!r->head_sent)
         send_head_(r);
     write_body_(r, data, len);
-    if (GwCaller_IsFull(r->caller))
+    if (GwHttpCall_Pending(r->call) > FULL_ABOVE)
         GwUpstream_Pause(r->upstream, true);
 }
 
@@ -688,7 +698,7 @@
 send_head_(GwRequest *r)
 {
     g_autoptr(GString) out = g_string_new(NULL);
-    bool close = GwCaller_MustClose(r->caller);
+    bool close = GwHttpCall_MustClose(r->call);
 
     r->framing = GW_FRAMING_LENGTH;
     if (strcmp(r->head->method, "HEAD") == 0 || r->reply_head->status == 204 ||
@@ -697,7 +707,7 @@
     else if (r->is_events || r->reply_head->length < 0)
         r->framing = GW_FRAMING_CHUNKED;
     GwMessages_EncodeReply(r->reply_head, r->framing, close, out);
-    GwCaller_Write(r->caller, out->str, out->len);
+    GwHttpCall_Send(r->call, out->str, out->len);
     r->head_sent = true;
     r->first_byte_at = GwTime_Now();
     GwHistogram_Record(
@@ -713,21 +723,19 @@
     if (len == 0)
         return;
     if (r->framing != GW_FRAMING_CHUNKED) {
-        GwCaller_Write(r->caller, data, len);
+        GwHttpCall_Send(r->call, data, len);
         return;
     }
     out = g_string_sized_new(len + 16);
     g_string_append_printf(out, "%zx\r\n", len);
     g_string_append_len(out, data, (gssize)len);
     g_string_append(out, "\r\n");
-    GwCaller_Write(r->caller, out->str, out->len);
+    GwHttpCall_Send(r->call, out->str, out->len);
 }
 
 static void
 complete_(GwRequest *r)
 {
-    bool close = GwCaller_MustClose(r->caller);
-
     if (!r->head_sent)
         send_head_(r);
     if (r->is_held)
@@ -735,15 +743,14 @@
     if (r->is_events)
         write_body_(r, r->events.tail->str, r->events.tail->len);
     if (r->framing == GW_FRAMING_CHUNKED)
-        GwCaller_Write(r->caller, "0\r\n\r\n", 5);
+        GwHttpCall_Send(r->call, "0\r\n\r\n", 5);
     GwCounters_Add(&r->gateway->counters, GW_COUNTER_ANSWERS, 1);
     GwHistogram_Record(
         &r->gateway->counters.histograms[GW_HISTOGRAM_FORWARD_WHOLE],
         (uint64_t)(GwTime_Now() - r->arrived));
     log_end_(r, "answered", r->reply.status);
     leave_instance_(r);
-    GwCaller_Answered(g_steal_pointer(&r->caller), close);
-    end_(r);
+    done_(r);
 }
 
 static void
@@ -793,8 +800,7 @@
         return;
     case GW_NEXT_BREAK:
         log_end_(r, "broken", 0);
-        GwCaller_Break(g_steal_pointer(&r->caller));
-        end_(r);
+        break_(r);
         return;
     case GW_NEXT_REFUSE:
         answer_refusal_(r, fate == GW_ATTEMPT_NOT_SENT
@@ -887,8 +893,7 @@
     if (r->head_sent) {
         log_end_(r, "broken_at_deadline", 0);
         leave_instance_(r);
-        GwCaller_Break(g_steal_pointer(&r->caller));
-        end_(r);
+        break_(r);
         return;
     }
     leave_instance_(r);
@@ -899,7 +904,7 @@
 answer_refusal_(GwRequest *r, GwRefusal refusal)
 {
     g_autoptr(GString) out = g_string_new(NULL);
-    bool close = GwCaller_MustClose(r->caller);
+    bool close = GwHttpCall_MustClose(r->call);
     GwFailure failure = {
         .request_id = r->ask.id,
         .status = GwRefusal_Status(refusal),
@@ -910,11 +915,31 @@
     if (failure.status == 503)
         failure.retry_after_s = retry_after_(r);
     GwMessages_EncodeFailure(&failure, out);
-    GwCaller_Write(r->caller, out->str, out->len);
+    GwHttpCall_Send(r->call, out->str, out->len);
     GwCounters_Refuse(&r->gateway->counters, refusal);
     log_end_(r, GwRefusal_Names[refusal], failure.status);
-    GwCaller_Answered(g_steal_pointer(&r->caller), close);
+    done_(r);
+}
+
+// The answer is whole. The connection may serve its next request from inside
+// Done, so this one ends first.
+static void
+done_(GwRequest *r)
+{
+    GwHttpCall *call = r->call;
+
+    end_(r);
+    GwHttpCall_Done(call, false);
+}
+
+// The answer is cut, and must show it.
+static void
+break_(GwRequest *r)
+{
+    GwHttpCall *call = r->call;
+
     end_(r);
+    GwHttpCall_Abort(call);
 }
 
 static void
@@ -927,9 +952,6 @@
     GwTimer_Stop(&r->timer);
     GwTimer_Stop(&r->patience);
     TAILQ_REMOVE(&g->requests, r, link);
-    g->body_bytes -= r->body->len;
-    g_string_free(r->body, TRUE);
-    GwHttpHead_Free(r->head);
     GwHttpHead_Free(r->reply_head);
     if (r->held != NULL)
         g_string_free(r->held, TRUE);
--- a/packages/routing/tests/membership_records_test.cc
+++ b/packages/routing/tests/membership_records_test.cc
@@ -73,7 +73,8 @@
 
 TEST(Records, StampsTellWhoIsBehindInWhichList)
 {
-    GwRecords *a = GwRecords_New(OnRecord, new Seen);
+    Seen seen;
+    GwRecords *a = GwRecords_New(OnRecord, &seen);
     const struct {
         int64_t op, instances;
         bool op_behind, instances_behind;
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -9,7 +9,7 @@
 #include "galenagw/cluster/store_reader.h"
 #include "galenagw/cluster/view.h"
 #include "galenagw/http/caller.h"
-#include "galenagw/net/http_server.h"
+#include "galenagw/http/server.h"
 #include "galenagw/sidecar/roll.h"
 
 /* Between reports: a queue builds up in some hundred milliseconds. */
@@ -546,7 +546,7 @@
     };
     GwHttpServerOptions metrics = {
         .address = d->metrics,
-        .max_body = MAX_METRICS_BODY,
+        .limits = {.max_body = MAX_METRICS_BODY},
         .ops = &metrics_ops,
         .user = s,
     };
