--- a/fakes/include/galenagw/fakes/fake_httpd.h
+++ b/fakes/include/galenagw/fakes/fake_httpd.h
@@ -35,6 +35,8 @@
 int FakeHttpd_Port(const FakeHttpd *httpd);
 /** Connections open now. */
 unsigned FakeHttpd_Open(const FakeHttpd *httpd);
+/** Connections that peers have reset so far. */
+unsigned FakeHttpd_Resets(const FakeHttpd *httpd);
 /** Reset all connections. */
 void FakeHttpd_ResetAll(FakeHttpd *httpd);
 /** Take connections and requests, and answer nothing any more. */
--- a/fakes/src/fake_httpd.c
+++ b/fakes/src/fake_httpd.c
@@ -18,6 +18,7 @@
     void *user;
     bool silent;
     unsigned open;
+    unsigned resets;
     TAILQ_HEAD(, Link) links;
 };
 
@@ -69,6 +70,12 @@
     return h->open;
 }
 
+unsigned
+FakeHttpd_Resets(const FakeHttpd *h)
+{
+    return h->resets;
+}
+
 void
 FakeHttpd_ResetAll(FakeHttpd *h)
 {
@@ -156,7 +163,10 @@
 static void
 on_closed_(void *user, GwTcpEnd end)
 {
-    free_(user);
+    Link *l = user;
+
+    l->httpd->resets += end == GW_TCP_RESET;
+    free_(l);
 }
 
 static bool
--- a/fakes/src/fake_platform.c
+++ b/fakes/src/fake_platform.c
@@ -388,13 +388,18 @@
 on_later_(void *user)
 {
     Later *l = user;
+    GwHttpCall *call = l->call;
 
+    // A call ends with its answer; nothing may be set on it after that.
+    if (call != NULL)
+        GwHttpCall_SetUser(call, NULL);
+    l->call = NULL;
     if (l->record != NULL)
         FakePlatform_Append(l->platform, l->stream, l->record);
-    else if (l->text != NULL && l->call != NULL)
-        FakeHttp_Respond(l->call, 200, l->text);
-    else if (l->stream != NULL && l->call != NULL)
-        answer_read_(l->call, stream_(l->platform, l->stream), l->from);
+    else if (l->text != NULL && call != NULL)
+        FakeHttp_Respond(call, 200, l->text);
+    else if (l->stream != NULL && call != NULL)
+        answer_read_(call, stream_(l->platform, l->stream), l->from);
     later_delete_(l);
 }
 
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -67,6 +67,7 @@
 static void on_frame_(void *user, GwSession *session, const GwFrame *frame);
 static void on_revision_(void *user, GwSession *session, uint64_t revision);
 static void on_closed_(void *user, GwSession *session, bool silent);
+static void forget_advice_(GwPeers *p, const Peer *peer);
 static void fill_hello_(void *user, Gw__Wire__Hello *hello);
 static uint64_t revision_(void *user);
 static void on_timer_(void *user);
@@ -278,10 +279,27 @@
         GwEvent_Text(p->options.log, "why", silent ? "silent" : "closed");
         GwEvent_End(p->options.log);
     }
+    if (!silent)
+        forget_advice_(p, peer);
     TAILQ_REMOVE(&p->peers, peer, link);
     g_free(peer);
 }
 
+// An agent that ended, not one that fell silent: its engine may serve on.
+static void
+forget_advice_(GwPeers *p, const Peer *peer)
+{
+    const GPtrArray *all = GwInstances_All(GwView_Instances(p->options.view));
+
+    for (guint i = 0; peer->outbound && i < all->len; i++) {
+        GwInstance *instance = g_ptr_array_index(all, i);
+
+        if (instance->model != NULL &&
+            strcmp(instance->address.host, peer->address.host) == 0)
+            instance->advice.at = 0;
+    }
+}
+
 static void
 fill_hello_(void *user, Gw__Wire__Hello *hello)
 {
--- a/packages/entry/src/delivery.c
+++ b/packages/entry/src/delivery.c
@@ -312,6 +312,7 @@
 {
     static const char none[] = "";
 
+    GwHttpCall_SetUser(x->call, NULL);
     if (x->begun_answer) {
         GwHttpCall_End(x->call);
         Exchange_Finish(x);
--- a/packages/entry/src/exchange.c
+++ b/packages/entry/src/exchange.c
@@ -147,7 +147,7 @@
 void
 Exchange_Finish(Exchange *x)
 {
-    GwHttpCall_SetUser(x->call, NULL);
+    // The call has ended with its answer.
     GwCounters_Add(&x->entry->counters, GW_COUNTER_ANSWERS, 1);
     delete_(x);
 }
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -44,6 +44,7 @@
 static void on_metrics_(void *user, GwHttpCall *call);
 static void on_drain_timer_(void *user);
 static void on_flush_(void *user);
+static void leave_silent_(GwGateway *g);
 static bool listen_(GwGateway *g, const GwDeployment *d, GwError *err);
 static bool join_(GwGateway *g, const GwDeployment *d, GwError *err);
 static void copy_bounds_(GwGateway *g, const GwDeployment *d);
@@ -228,7 +229,7 @@
 static void
 on_engine_down_(void *user, GwInstance *instance)
 {
-    GwRequest_EndpointLost(user, instance);
+    GwRequest_EndpointLost(user, instance, true);
 }
 
 static void
@@ -315,9 +316,26 @@
 
     if (g->log != NULL)
         GwEventLog_Flush(g->log);
+    leave_silent_(g);
     GwTimer_Start(&g->flush_timer, FLUSH_EVERY);
 }
 
+// An engine that stands still with its machine gives no error of its own.
+static void
+leave_silent_(GwGateway *g)
+{
+    const GPtrArray *all = GwInstances_All(GwView_Instances(g->view));
+    GwTime now = GwTime_Now();
+
+    for (guint i = 0; i < all->len; i++) {
+        const GwInstance *instance = g_ptr_array_index(all, i);
+
+        if (instance->in_flight > 0 &&
+            GwInstance_Heard(instance, now) == GW_HEARD_OVERDUE)
+            GwRequest_EndpointLost(g, instance, false);
+    }
+}
+
 static bool
 listen_(GwGateway *g, const GwDeployment *d, GwError *err)
 {
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -23,8 +23,9 @@
  * the caller's time, beyond which callers give up. */
 #define RETRY_SOON_S 0.2
 #define RETRY_SHARE 0.3
-/* Advice of an agent that is older than this says nothing of the load. */
-#define ADVICE_LIFE (1 * GW_SECOND)
+/* Without routes, as after a start with the store away, nobody can tell when
+ * it ends; a caller that comes back at once would only be refused again. */
+#define RETRY_UNKNOWN_S 2.0
 /* A change of the prompts that wait at an engine is told to its agent from
  * this size on, in tokens: 15 ms of reading. */
 #define NOTE_TOKENS 1000
@@ -123,7 +124,7 @@
 static void end_(GwRequest *r);
 static void log_attempt_(GwRequest *r, const GwDispatch *dispatch);
 static void log_end_(const GwRequest *r, const char *outcome, int status);
-static double retry_after_(const GwRequest *r);
+static double retry_after_(const GwRequest *r, double most);
 
 static const GwUpstreamOps upstream_ops = {on_head_, on_body_, on_end_};
 
@@ -158,17 +159,19 @@
 }
 
 void
-GwRequest_EndpointLost(GwGateway *g, const GwInstance *instance)
+GwRequest_EndpointLost(GwGateway *g, const GwInstance *instance, bool certain)
 {
     GwRequest *r;
     GwRequest *next;
 
     for (r = TAILQ_FIRST(&g->requests); r != NULL; r = next) {
         next = TAILQ_NEXT(r, link);
-        if (r->instance != instance)
+        if (r->instance != instance ||
+            (!certain && !GwRoute_MayRepeat(r->route)))
             continue;
         GwUpstream_Cancel(g_steal_pointer(&r->upstream));
-        after_failure_(r, GW_ATTEMPT_MAY_HAVE_RUN, "endpoint_down");
+        after_failure_(r, GW_ATTEMPT_MAY_HAVE_RUN,
+                       certain ? "endpoint_down" : "endpoint_silent");
     }
 }
 
@@ -327,7 +330,8 @@
     const GwService *service = GwRoutes_Service(r->routes, r->service);
     const GwAdvice *advice = &instance->advice;
     GwTime now = GwTime_Now();
-    bool fresh = advice->at != 0 && now - advice->at < ADVICE_LIFE;
+    GwHeard heard = GwInstance_Heard(instance, now);
+    bool fresh = heard == GW_HEARD_FRESH;
 
     *out = (GwCandidate){
         .place = instance->place,
@@ -348,12 +352,13 @@
         out->kv_used = advice->kv_used;
         out->kv_total = advice->kv_total;
     }
-    out->usable = !instance->draining &&
-                  !(fresh && (advice->switching || advice->down)) &&
-                  !(fresh && advice->preparing && is_long_(r) && !desperate) &&
-                  (desperate || (instance->avoid_until <= now &&
-                                 GwHealth_IsUsable(&instance->health,
-                                                   instance->in_flight, now)));
+    out->usable =
+        !instance->draining &&
+        !(fresh && (advice->switching || advice->down)) &&
+        !(fresh && advice->preparing && is_long_(r) && !desperate) &&
+        (desperate ||
+         (heard != GW_HEARD_OVERDUE && instance->avoid_until <= now &&
+          GwHealth_IsUsable(&instance->health, instance->in_flight, now)));
     // Requests on weights that should be gone by now must not begin.
     if (outdated != 0 && now - outdated > g->weights_bound - WEIGHTS_MARGIN)
         out->usable = false;
@@ -913,7 +918,9 @@
     };
 
     if (failure.status == 503)
-        failure.retry_after_s = retry_after_(r);
+        failure.retry_after_s =
+            retry_after_(r, refusal == GW_REFUSAL_NO_CONFIG ? RETRY_UNKNOWN_S
+                                                            : RETRY_SOON_S);
     GwMessages_EncodeFailure(&failure, out);
     GwHttpCall_Send(r->call, out->str, out->len);
     GwCounters_Refuse(&r->gateway->counters, refusal);
@@ -1012,14 +1019,14 @@
 }
 
 static double
-retry_after_(const GwRequest *r)
+retry_after_(const GwRequest *r, double most)
 {
     double share;
 
     if (r->ask.deadline_ms < 0)
-        return RETRY_SOON_S;
+        return most;
     share = (double)(r->arrived + r->ask.deadline_ms * GW_MILLISECOND -
                      GwTime_Now()) /
             (double)GW_SECOND * RETRY_SHARE;
-    return CLAMP(share, 0.01, RETRY_SOON_S);
+    return CLAMP(share, 0.01, most);
 }
--- a/packages/gateway/src/request.h
+++ b/packages/gateway/src/request.h
@@ -11,8 +11,11 @@
 void GwRequest_Start(GwGateway *gateway, GwHttpCall *call);
 /* The caller left: stop the endpoint's work. Frees the request. */
 void GwRequest_CallerGone(GwRequest *request);
-/* An endpoint has fallen silent: what is in flight there has failed. */
-void GwRequest_EndpointLost(GwGateway *gateway, const GwInstance *instance);
+/* An endpoint does not answer. What is in flight there has failed if that is
+ * certain; else only what may be repeated goes elsewhere, and the rest waits
+ * for it to come back. */
+void GwRequest_EndpointLost(GwGateway *gateway, const GwInstance *instance,
+                            bool certain);
 /* The caller has read what it was sent. */
 void GwRequest_CallerDrained(GwRequest *request);
 /* Answer a request that was refused before it was whole. */
--- a/packages/gateway/src/upstream.c
+++ b/packages/gateway/src/upstream.c
@@ -136,6 +136,10 @@
     TAILQ_REMOVE(&u->pool->busy, u, link);
     TAILQ_INSERT_TAIL(&u->pool->idle, u, link);
     u->ops = NULL;
+    // A reset, not an orderly end: an endpoint that stands still would find
+    // the whole request before that end, and run it for nobody.
+    GwTcp_Reset(u->tcp);
+    u->tcp = NULL;
     free_(u);
 }
 
--- a/packages/gateway/tests/gateway_failure_test.cc
+++ b/packages/gateway/tests/gateway_failure_test.cc
@@ -184,7 +184,9 @@
 }
 
 // The caller leaves while the endpoint works: the endpoint's connection is
-// closed at once, which tells it to stop.
+// reset at once, which tells it to stop. An orderly end would not do: an
+// endpoint that stood still finds the whole request before that end, and runs
+// it for nobody.
 TEST(GatewayFailure, ACallerThatLeavesStopsTheEndpoint)
 {
     Fleet f;
@@ -199,6 +201,7 @@
     EXPECT_EQ(e->gone, 0);
     c->Close();
     EXPECT_TRUE(f.Until([&] { return e->gone == 1; }));
+    EXPECT_EQ(FakeHttpd_Resets(e->httpd), 1u);
 }
 
 // An endpoint never answers. The caller gets its final answer when its time
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -33,9 +33,18 @@
     int64_t weights;   /**< version of the model; -1: none */
 } GwInstanceRow;
 
+/** How far an engine can be judged by its agent's words. */
+typedef enum {
+    GW_HEARD_NEVER = 0, /**< no agent is connected: nothing is known */
+    GW_HEARD_FRESH,
+    GW_HEARD_OVERDUE, /**< it stands still, or its machine is cut off */
+    GW_HEARD_STATES
+} GwHeard;
+
 /** What the agent beside an engine said last. */
 typedef struct {
-    GwTime at;              /**< when it came; 0: never */
+    GwTime at;              /**< when it came; 0: never, or its session has
+                                 ended */
     bool preparing;         /**< it takes no more long runs, to switch soon */
     bool switching;         /**< new weights are about to be loaded */
     bool down;              /**< it does not answer the agent beside it */
@@ -105,6 +114,8 @@
 /** All listed endpoints. */
 const GPtrArray *GwInstances_All(const GwInstances *instances);
 
+/** Agents speak several times a second; this tells if one is overdue. */
+GwHeard GwInstance_Heard(const GwInstance *instance, GwTime now);
 /** It said, or an answer showed, that it has this version. */
 bool GwInstance_SetWeights(GwInstance *instance, int64_t weights);
 GwInstance *GwInstance_Ref(GwInstance *instance);
--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -3,6 +3,14 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* Agents speak four times a second; two words that did not come, or a packet
+ * that was sent again, are no sign yet. A killed agent ends its session, which
+ * is no such case. */
+#define OVERDUE_AFTER (700 * GW_MILLISECOND)
+/* By then either the list has dropped the engine, or only its agent is
+ * missing: requests find out which. */
+#define FORGOTTEN_AFTER (6 * GW_SECOND)
+
 struct GwInstances {
     GHashTable *by_id; /* listed ones; each entry holds a reference */
     GHashTable *pools; /* service to GPtrArray of GwInstance */
@@ -132,6 +140,16 @@
     return m->all;
 }
 
+GwHeard
+GwInstance_Heard(const GwInstance *instance, GwTime now)
+{
+    GwTime age = now - instance->advice.at;
+
+    if (instance->advice.at == 0 || age > FORGOTTEN_AFTER)
+        return GW_HEARD_NEVER;
+    return age <= OVERDUE_AFTER ? GW_HEARD_FRESH : GW_HEARD_OVERDUE;
+}
+
 bool
 GwInstance_SetWeights(GwInstance *instance, int64_t weights)
 {
--- a/packages/routing/tests/membership_records_test.cc
+++ b/packages/routing/tests/membership_records_test.cc
@@ -194,3 +194,27 @@
     List("i-1", 1, false, 3);
     EXPECT_EQ(i->weights, 5) << "the list lags";
 }
+
+// An engine's machine stands still: its agent's word is overdue well before
+// the list or the connection tells, and forgotten once only requests can tell.
+TEST_F(InstancesTest, AnAgentThatIsNotHeardOfIsOverdueThenForgotten)
+{
+    List("i-1", 1, false);
+    GwInstance *i = GwInstances_Find(m, "i-1");
+    GwTime at = 10 * GW_SECOND;
+    const struct {
+        GwTime told, now;
+        GwHeard want;
+    } cases[] = {
+        {0, at, GW_HEARD_NEVER},
+        {at, at + 500 * GW_MILLISECOND, GW_HEARD_FRESH},
+        {at, at + 900 * GW_MILLISECOND, GW_HEARD_OVERDUE},
+        {at, at + 5 * GW_SECOND, GW_HEARD_OVERDUE},
+        {at, at + 7 * GW_SECOND, GW_HEARD_NEVER},
+    };
+
+    for (auto &c : cases) {
+        i->advice.at = c.told;
+        EXPECT_EQ(GwInstance_Heard(i, c.now), c.want) << c.now - c.told;
+    }
+}
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -36,7 +36,7 @@
 #define PREPARE_MOST (2500 * GW_MILLISECOND)
 #define SETTLE (60 * GW_MILLISECOND)
 #define SETTLE_MOST (900 * GW_MILLISECOND)
-/* The state of the engine that ours follows is told this often at least. */
+/* The state of the engine that ours follows comes more often than this. */
 #define HEARD_WITHIN (2 * GW_SECOND)
 /* The list of engines changes seldom, but for the versions in it, which
  * agents have no use for: entries tell of the rest in between. */
@@ -44,8 +44,9 @@
 /* An order without an effect for so long is given again. One that was lost
  * may still be carried out later, and then finds another count of orders. */
 #define ORDER_AGAIN (2500 * GW_MILLISECOND)
-/* Entries forget what they were told after a second. */
-#define TELL_EVERY (700 * GW_MILLISECOND)
+/* Entries take an engine whose agent is overdue for one that stands still with
+ * its machine: each report is told, whether it brings news or not. */
+#define TELL_EVERY (200 * GW_MILLISECOND)
 /* Changes of load below these are not worth a message. */
 #define TELL_REQUESTS 4
 #define TELL_MEMORY_SHARE 0.05
