Of two endpoints at one address the older one gets no work

Ruled out: weights that differ (the version was named before and in place). Now the row with the smaller offset of two at one address is taken as replaced, and so is whoever a 421 names another one for.

--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -269,7 +269,9 @@
     Follower *f = user;
     GwRecords *records = GwView_Records(f->owner->options.view);
 
-    if (GwRecords_End(records, f->list) == f->suspected_end)
+    // Between two calls there is no connection to suspect.
+    if (GwHttpCaller_IsBusy(f->caller) &&
+        GwRecords_End(records, f->list) == f->suspected_end)
         reopen_(f);
 }
 
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -590,6 +590,11 @@
     if (!r->reply.is_ours)
         return GW_HEAD_SKIP;
     r->has_reply = true;
+    if (r->reply.not_run && r->reply.instance_id != NULL &&
+        strcmp(r->reply.instance_id, r->instance->id) != 0)
+        GwInstance_SetReplaced(r->instance);
+    // Borrowed from the head, which goes.
+    r->reply.instance_id = NULL;
     if (r->reply.weights >= 0)
         GwInstance_SetWeights(r->instance, r->reply.weights);
     GwUpstream_SetKeepAlive(r->upstream, r->reply.keep_alive_s);
--- a/packages/gateway/tests/gateway_failure_test.cc
+++ b/packages/gateway/tests/gateway_failure_test.cc
@@ -313,6 +313,26 @@
     EXPECT_EQ(c->received.find("an error page"), std::string::npos);
 }
 
+// An endpoint has crashed and another one answers at its address; the list
+// still tells the old one. One request finds out; those after it do not ask.
+TEST(GatewayFailure, AReplacedEndpointIsAskedOnce)
+{
+    Fleet f;
+    f.Configure(1);
+    Endpoint *e = f.AddEndpoint("i-old", "plain");
+    e->serve = [](Endpoint *, FakeExchange *x) {
+        FakeExchange_Answer(x, 421, "X-Instance-Id: i-new\r\n", "", 0);
+    };
+    GwGateway *g = f.AddGateway();
+    ASSERT_TRUE(f.Ready());
+    for (int i = 0; i < 4; i++) {
+        auto c = f.Call(g, Fleet::Request("GET", "/plain/1"));
+        EXPECT_TRUE(f.Until([&] { return c->Has(1); }));
+        EXPECT_EQ(c->Status(), 503);
+    }
+    EXPECT_EQ(e->seen.size(), 1u);
+}
+
 // The store turns one gateway away from the start, and serves the other. The
 // first one becomes ready by what its peer knows, and follows a revocation.
 TEST(GatewayFailure, AGatewayThatTheStoreTurnsAwayFollowsItsPeer)
--- a/packages/routing/include/galenagw/routing/ask.h
+++ b/packages/routing/include/galenagw/routing/ask.h
@@ -55,11 +55,12 @@
 /** An endpoint's response head, decoded. */
 typedef struct {
     int status;
-    bool has_signature;   /**< the endpoint vouches for the body */
-    bool not_run;         /**< the endpoint states it did not run it */
-    bool is_ours;         /**< it names our request, or none */
-    int64_t weights;      /**< version that runs it; -1: not told */
-    int64_t keep_alive_s; /**< idle time it allows; -1: not told */
+    bool has_signature;      /**< the endpoint vouches for the body */
+    bool not_run;            /**< the endpoint states it did not run it */
+    const char *instance_id; /**< who answers, if it tells; borrowed */
+    bool is_ours;            /**< it names our request, or none */
+    int64_t weights;         /**< version that runs it; -1: not told */
+    int64_t keep_alive_s;    /**< idle time it allows; -1: not told */
 } GwReply;
 
 #ifdef __cplusplus
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -31,6 +31,7 @@
     bool draining;
     const char *model; /**< NULL: no model engine */
     int64_t weights;   /**< version of the model; -1: none */
+    int64_t offset;    /**< of its record: what is newer has the larger one */
 } GwInstanceRow;
 
 /** How far an engine can be judged by its agent's words. */
@@ -64,7 +65,8 @@
     GwAddress address;
     uint64_t place; /**< hash of the address: a restart keeps its prefixes */
     unsigned slots;
-    bool draining;
+    bool draining;  /**< or replaced by another at its address */
+    int64_t offset; /**< of its newest record */
     bool listed;
     GwTime removed_at; /**< when the list dropped it; 0: it has not */
     int64_t weights;   /**< newest version it is known to have; -1: none */
@@ -94,6 +96,8 @@
 
 /** A row is there. @return whether anything but its counter changed. */
 bool GwInstances_Listed(GwInstances *instances, const GwInstanceRow *row);
+/** Another incarnation answers at its address: it gets no new work. */
+void GwInstance_SetReplaced(GwInstance *instance);
 /** The list dropped @p id: it gets no new work. */
 void GwInstances_Removed(GwInstances *instances, const char *id, GwTime now);
 /**
--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -22,6 +22,7 @@
 };
 
 static GwInstance *add_(GwInstances *m, const GwInstanceRow *row);
+static bool replace_at_(GwInstances *m, const GwInstance *row);
 static GPtrArray *pool_(GwInstances *m, const char *service);
 static void drop_(GwInstances *m, GwInstance *instance);
 
@@ -67,6 +68,8 @@
         m->held--;
         changed = true;
     }
+    instance->offset = MAX(instance->offset, row->offset);
+    changed = replace_at_(m, instance) || changed;
     // Leaving is final for an incarnation.
     if (row->draining && !instance->draining) {
         instance->draining = true;
@@ -75,6 +78,12 @@
     return GwInstance_SetWeights(instance, row->weights) || changed;
 }
 
+void
+GwInstance_SetReplaced(GwInstance *instance)
+{
+    instance->draining = true;
+}
+
 void
 GwInstances_Removed(GwInstances *m, const char *id, GwTime now)
 {
@@ -205,6 +214,29 @@
     return instance;
 }
 
+// Of two that are listed at one address, the older one has ended, whatever its
+// service: after a crash its row stays until it lapses, and each request sent
+// by it would only be turned away.
+static bool
+replace_at_(GwInstances *m, const GwInstance *row)
+{
+    bool changed = false;
+
+    for (guint i = 0; i < m->all->len; i++) {
+        GwInstance *other = g_ptr_array_index(m->all, i);
+        GwInstance *older =
+            other->offset < row->offset ? other : (GwInstance *)row;
+
+        if (other == row || other->address.port != row->address.port ||
+            strcmp(other->address.host, row->address.host) != 0 ||
+            older->draining)
+            continue;
+        GwInstance_SetReplaced(older);
+        changed = true;
+    }
+    return changed;
+}
+
 static GPtrArray *
 pool_(GwInstances *m, const char *service)
 {
--- a/packages/routing/tests/membership_records_test.cc
+++ b/packages/routing/tests/membership_records_test.cc
@@ -186,6 +186,35 @@
     EXPECT_EQ(Count(), 0u) << "in calm times at once";
 }
 
+// All endpoints crash and come back as others at their addresses; the rows of
+// the old ones stay for seconds, and the list tells them in any order. Only
+// the newer one of each address gets work.
+TEST_F(InstancesTest, OfTwoAtOneAddressTheOlderHasEnded)
+{
+    for (bool old_first : {true, false}) {
+        std::string before = old_first ? "a-old" : "b-old";
+        std::string after = old_first ? "a-new" : "b-new";
+        auto list = [&](const std::string &id, int64_t offset) {
+            GwInstanceRow row = {};
+            row.id = id.c_str();
+            row.service = "s";
+            row.address = {"10.0.0.9", old_first ? 1 : 2};
+            row.failure_domain = "d";
+            row.weights = -1;
+            row.offset = offset;
+            GwInstances_Listed(m, &row);
+        };
+
+        if (old_first)
+            list(before, 5);
+        list(after, 9);
+        if (!old_first)
+            list(before, 5);
+        EXPECT_TRUE(GwInstances_Find(m, before.c_str())->draining);
+        EXPECT_FALSE(GwInstances_Find(m, after.c_str())->draining);
+    }
+}
+
 TEST_F(InstancesTest, WeightsOnlyGrow)
 {
     List("i-1", 1, false, 3);
