--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -7,8 +7,8 @@
 #include "galenagw/routing/attempt.h"
 #include "upstream.h"
 
-/* An answer with a length up to this is held until it is whole, so that a
- * cut one can still be made good elsewhere. */
+/* An answer of up to so many bytes is held until it is whole, so that a cut
+ * one can still be made good elsewhere, or be told from a whole one. */
 #define HOLD_BELOW (256 * 1024)
 /* Unsent bytes of one caller before its endpoint has to wait. */
 #define FULL_ABOVE (64 * 1024)
@@ -607,8 +607,7 @@
         return GW_HEAD_TAKE;
     GwHttpHead_Free(r->reply_head);
     r->reply_head = GwHttpHead_Copy(head);
-    r->is_held =
-        !r->is_events && head->length >= 0 && head->length <= HOLD_BELOW;
+    r->is_held = !r->is_events && head->length <= HOLD_BELOW;
     if (r->held == NULL)
         r->held = g_string_new(NULL);
     g_string_truncate(r->held, 0);
@@ -627,10 +626,17 @@
         r->prefill = 0;
         note_holder_(r);
     }
-    if (r->is_held)
-        g_string_append_len(r->held, data, (gssize)len);
-    else
+    if (!r->is_held) {
         pass_on_(r, data, len);
+        return;
+    }
+    g_string_append_len(r->held, data, (gssize)len);
+    if (r->held->len <= HOLD_BELOW)
+        return;
+    // Without a length, and longer than what is worth holding.
+    r->is_held = false;
+    pass_on_(r, r->held->str, r->held->len);
+    g_string_truncate(r->held, 0);
 }
 
 static void
--- a/packages/gateway/tests/gateway_failure_test.cc
+++ b/packages/gateway/tests/gateway_failure_test.cc
@@ -72,6 +72,12 @@
         FakeExchange_Write(x, text.data(), text.size());
         FakeExchange_Close(x, true);
     };
+    const Serve part_of_chunks = [](Endpoint *, FakeExchange *x) {
+        std::string text = "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n";
+        FakeExchange_Write(x, text.data(), text.size());
+        FakeExchange_Close(x, true);
+    };
     const struct {
         const char *name;
         Serve serve;
@@ -88,6 +94,7 @@
         {"garbage", garbage, 200, 502},
         {"a cut answer", cut, 200, 502},
         {"a head, then a reset", unframed_reset, 200, 502},
+        {"a part, then a reset", part_of_chunks, 200, 502},
     };
 
     for (auto &c : cases) {
