Demo of the users' platform: the real programs against stand-ins

A stand-in deployment (store, three engines, a plain service) on loopback addresses, two gateways and three sidecars as processes: a stream, a booking, new weights while calls go on, a gateway that starts without the store, a graceful stop, a wrong setting.

--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 
 demo: all
 	@tools/demo
+	@tools/demo_platform
 
 test: all
 	@tools/test
--- a/fakes/program/gw_standin.c
+++ b/fakes/program/gw_standin.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "galenagw/base/log.h"
+#include "galenagw/fakes/fake_deployment.h"
 #include "galenagw/fakes/fake_engine.h"
 #include "galenagw/fakes/fake_platform.h"
 #include "galenagw/fakes/fake_service.h"
@@ -85,6 +86,46 @@
     return true;
 }
 
+// A file that appears names the next weights: the demo has no operator's call.
+typedef struct {
+    FakeDeployment *deployment;
+    GwTimer timer;
+    int version;
+} Operator;
+
+static void
+on_look_(void *user)
+{
+    Operator *o = user;
+    const char *file = g_getenv("GW_STANDIN_WEIGHTS");
+
+    if (file != NULL && g_file_test(file, G_FILE_TEST_EXISTS)) {
+        remove(file);
+        FakeDeployment_NameWeights(o->deployment, ++o->version);
+    }
+    GwTimer_Start(&o->timer, 50 * GW_MILLISECOND);
+}
+
+static bool
+start_deployment_(GwLoop *loop, const Standin *s, GwError *err)
+{
+    static Operator operator= {.version = 1};
+    FakeDeployment *d = FakeDeployment_New(loop, (int)s->count, err);
+
+    if (d == NULL)
+        return false;
+    operator.deployment = d;
+    GwTimer_Init(&operator.timer, loop, on_look_, &operator);
+    on_look_(&operator);
+    printf("listening port=%d\n", FakeDeployment_StorePort(d));
+    for (int i = 0; i < s->count; i++) {
+        GwAddress a = FakeDeployment_Engine(d, i);
+
+        printf("engine %s:%d\n", a.host, a.port);
+    }
+    return true;
+}
+
 static bool
 start_(GwLoop *loop, const char *kind, const Standin *s, GwError *err)
 {
@@ -99,9 +140,12 @@
             printf("listening port=%d\n", FakePlatform_Port(p));
         return p != NULL;
     }
+    if (strcmp(kind, "deployment") == 0)
+        return start_deployment_(loop, s, err);
     if (strcmp(kind, "service") != 0)
         return GwError_Set(err, GW_ERROR_USAGE,
-                           "'%s' is unknown; say platform, engine or service",
+                           "'%s' is unknown; say platform, deployment, "
+                           "engine or service",
                            kind);
     for (int64_t i = 0; i < s->count; i++) {
         FakeService *f = FakeService_New(loop, &s->listen, &service, err);
--- /dev/null
+++ b/fakes/src/fake_deployment.c
@@ -0,0 +1,282 @@
+#include "galenagw/fakes/fake_deployment.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Between events of a stream, and the time that weights take. */
+#define EVENT_EVERY (5 * GW_MILLISECOND)
+#define LOAD_TIME (200 * GW_MILLISECOND)
+#define EVENTS 4
+
+static const char config[] =
+    "{\"version\":1,\"routes\":["
+    "{\"name\":\"chat\",\"host\":\"desk\",\"path_prefix\":\"/chat/\","
+    "\"route_type\":\"streaming\",\"resumable\":true,\"timeout_ms\":5000,"
+    "\"target_latency_ms\":400,\"max_attempts\":2,\"service\":\"model\"},"
+    "{\"name\":\"booking\",\"host\":\"desk\",\"path_prefix\":\"/booking/\","
+    "\"route_type\":\"non_idempotent\",\"timeout_ms\":1000,"
+    "\"target_latency_ms\":100,\"max_attempts\":1,\"service\":\"plain\"}],"
+    "\"services\":[{\"name\":\"plain\"},{\"name\":\"model\","
+    "\"engine\":{\"slots\":64}}],"
+    "\"limits\":{},\"tenants\":[{\"name\":\"desk\",\"api_keys\":[\"key\"]}]}";
+
+typedef struct {
+    FakeDeployment *deployment;
+    FakeHttpd *httpd;
+    GwAddress address;
+    char id[32];
+    bool is_engine;
+    int weights;
+    int loading; /* version, or 0 */
+    int orders;
+    GwTimer load_timer;
+} Node;
+
+/* A stream under way. */
+typedef struct {
+    FakeExchange *exchange;
+    GwTimer timer;
+    int next;
+} Run;
+
+struct FakeDeployment {
+    GwLoop *loop;
+    FakeStore *store;
+    Node nodes[FAKE_DEPLOYMENT_ENGINES + 1];
+    int n_engines;
+};
+
+static bool start_node_(FakeDeployment *d, int i, GwError *err);
+static void list_(const Node *n);
+static void on_request_(void *user, FakeExchange *x);
+static void on_gone_(void *user, FakeExchange *x);
+static void report_(const Node *n, FakeExchange *x);
+static void order_(Node *n, FakeExchange *x);
+static void on_loaded_(void *user);
+static void generate_(Node *n, FakeExchange *x);
+static void on_event_(void *user);
+static void decline_(const Node *n, FakeExchange *x, int status);
+static const char *header_(FakeExchange *x, const char *name);
+
+static const FakeHttpdOps ops = {on_request_, on_gone_};
+
+FakeDeployment *
+FakeDeployment_New(GwLoop *loop, int engines, GwError *err)
+{
+    FakeDeployment *d = g_new0(FakeDeployment, 1);
+    const GwAddress any = {"127.0.0.1", 0};
+
+    d->loop = loop;
+    d->n_engines = MIN(engines, FAKE_DEPLOYMENT_ENGINES);
+    d->store = FakeStore_New(loop, &any, err);
+    if (d->store == NULL)
+        return NULL;
+    FakeStore_Put(d->store, "keyed.op", "config", config);
+    for (int i = 0; i <= d->n_engines; i++) {
+        if (!start_node_(d, i, err))
+            return NULL;
+    }
+    return d;
+}
+
+void
+FakeDeployment_Delete(FakeDeployment *d)
+{
+    if (d == NULL)
+        return;
+    for (int i = 0; i <= d->n_engines; i++) {
+        GwTimer_Stop(&d->nodes[i].load_timer);
+        FakeHttpd_Delete(d->nodes[i].httpd);
+    }
+    FakeStore_Delete(d->store);
+    g_free(d);
+}
+
+int
+FakeDeployment_StorePort(const FakeDeployment *d)
+{
+    return FakeStore_Port(d->store);
+}
+
+GwAddress
+FakeDeployment_Engine(const FakeDeployment *d, int i)
+{
+    return d->nodes[i].address;
+}
+
+void
+FakeDeployment_NameWeights(FakeDeployment *d, int version)
+{
+    g_autofree char *text =
+        g_strdup_printf("{\"model\":\"m\",\"version\":%d}", version);
+
+    FakeStore_Put(d->store, "keyed.op", "version/m", text);
+}
+
+// The last node is the plain service.
+static bool
+start_node_(FakeDeployment *d, int i, GwError *err)
+{
+    Node *n = &d->nodes[i];
+
+    n->deployment = d;
+    n->is_engine = i < d->n_engines;
+    n->weights = 1;
+    g_snprintf(n->id, sizeof(n->id), "i-%d", i + 1);
+    g_snprintf(n->address.host, sizeof(n->address.host), "127.0.0.%d", 11 + i);
+    n->httpd = FakeHttpd_New(d->loop, &n->address, &ops, n, err);
+    if (n->httpd == NULL)
+        return false;
+    n->address.port = FakeHttpd_Port(n->httpd);
+    GwTimer_Init(&n->load_timer, d->loop, on_loaded_, n);
+    list_(n);
+    return true;
+}
+
+static void
+list_(const Node *n)
+{
+    g_autofree char *models = g_strdup_printf(
+        ",\"models\":[{\"name\":\"m\",\"version\":%d}]", n->weights);
+    g_autofree char *text = g_strdup_printf(
+        "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"medeu\","
+        "\"slots\":64,\"state\":\"ready\"%s}",
+        n->is_engine ? "model" : "plain", n->address.host, n->address.port,
+        n->is_engine ? models : "");
+
+    FakeStore_Put(n->deployment->store, "keyed.servers", n->id, text);
+}
+
+static void
+on_request_(void *user, FakeExchange *x)
+{
+    Node *n = user;
+    const char *expected = header_(x, "X-Expect-Instance");
+    const char *weights = header_(x, "X-Expect-Version");
+
+    if (n->is_engine && strcmp(x->head->target, "/galenagw/report") == 0)
+        report_(n, x);
+    else if (expected == NULL || strcmp(expected, n->id) != 0)
+        decline_(n, x, 421);
+    else if (n->is_engine && strcmp(x->head->target, "/galenagw/order") == 0)
+        order_(n, x);
+    else if (n->loading != 0)
+        decline_(n, x, 503);
+    else if (weights != NULL && atoi(weights) != n->weights)
+        decline_(n, x, 421);
+    else
+        generate_(n, x);
+}
+
+static void
+on_gone_(void *user, FakeExchange *x)
+{
+    Run *run = x->user;
+
+    if (run == NULL)
+        return;
+    GwTimer_Stop(&run->timer);
+    g_free(run);
+}
+
+static void
+report_(const Node *n, FakeExchange *x)
+{
+    g_autofree char *text = g_strdup_printf(
+        "{\"models\":[{\"name\":\"m\",\"version\":%d}],\"busy\":%s,"
+        "\"seq\":%d,\"queued\":0,\"running\":0,\"kv_used\":0,"
+        "\"kv_total\":100000}",
+        n->weights, n->loading != 0 ? "true" : "false", n->orders);
+
+    FakeExchange_Answer(x, 200, "", text, strlen(text));
+}
+
+static void
+order_(Node *n, FakeExchange *x)
+{
+    const char *at = strstr(x->body->str, "\"version\":");
+
+    if (at == NULL || n->loading != 0) {
+        FakeExchange_Answer(x, at == NULL ? 400 : 409, "", "", 0);
+        return;
+    }
+    n->loading = atoi(at + strlen("\"version\":"));
+    n->orders++;
+    GwTimer_Start(&n->load_timer, LOAD_TIME);
+    FakeExchange_Answer(x, 202, "", "", 0);
+}
+
+static void
+on_loaded_(void *user)
+{
+    Node *n = user;
+
+    n->weights = n->loading;
+    n->loading = 0;
+    list_(n);
+}
+
+static void
+generate_(Node *n, FakeExchange *x)
+{
+    const char *id = header_(x, "X-Request-Id");
+    const char *behind = header_(x, "Last-Event-Id");
+    g_autofree char *headers =
+        g_strdup_printf("X-Request-Id: %s\r\nX-Response-Signature: by-%s\r\n"
+                        "Keep-Alive: timeout=5\r\nX-Weight-Versions: %d\r\n",
+                        id != NULL ? id : "", n->id, n->weights);
+    g_autofree char *head = NULL;
+    Run *run;
+
+    if (!n->is_engine) {
+        FakeExchange_Answer(x, 200, headers, "booked\n", 7);
+        return;
+    }
+    head = g_strconcat("HTTP/1.1 200 OK\r\n", headers,
+                       "Content-Type: text/event-stream\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n",
+                       NULL);
+    FakeExchange_Write(x, head, strlen(head));
+    run = g_new0(Run, 1);
+    run->exchange = x;
+    run->next = behind != NULL ? atoi(behind) + 1 : 1;
+    x->user = run;
+    GwTimer_Init(&run->timer, n->deployment->loop, on_event_, run);
+    GwTimer_Start(&run->timer, EVENT_EVERY);
+}
+
+static void
+on_event_(void *user)
+{
+    Run *run = user;
+    g_autofree char *event = NULL;
+    g_autofree char *chunk = NULL;
+
+    if (run->next > EVENTS) {
+        run->exchange->user = NULL;
+        FakeExchange_Write(run->exchange, "0\r\n\r\n", 5);
+        g_free(run);
+        return;
+    }
+    event =
+        g_strdup_printf("id: %d\ndata: piece %d\n\n", run->next, run->next);
+    chunk = g_strdup_printf("%zx\r\n%s\r\n", strlen(event), event);
+    FakeExchange_Write(run->exchange, chunk, strlen(chunk));
+    run->next++;
+    GwTimer_Start(&run->timer, EVENT_EVERY);
+}
+
+static void
+decline_(const Node *n, FakeExchange *x, int status)
+{
+    g_autofree char *headers =
+        g_strdup_printf("X-Not-Executed: 1\r\nX-Instance-Id: %s\r\n", n->id);
+
+    FakeExchange_Answer(x, status, headers, "", 0);
+}
+
+static const char *
+header_(FakeExchange *x, const char *name)
+{
+    return GwHttpHead_Find(x->head, name);
+}
