Prompts spread over all stores of KV cache; one that is blind is still used

Cause: grown deployments have three stores, and only one was used; and each lets 12 callers follow its events, so 8 of 20 gateways knew nothing of it and neither fetched nor saved. Each prompt now belongs to one store by rendezvous hashing on its anchor; a store that has too many followers lives, and is used by what this gateway has saved itself. Ruled out: following with fewer gateways and telling the others (a further message for each of some hundred events a second).

--- a/fakes/include/galenagw/fakes/fleet.h
+++ b/fakes/include/galenagw/fakes/fleet.h
@@ -84,8 +84,8 @@
     std::vector<GwGateway *> gateways;
     std::vector<GwDeployment> deployments;
     int stopped = 0;
-    std::string routes_json; // sets the timeouts of the routes
     int timeout_ms = 3000;
+    std::vector<int> kv_stores; // ports of stores of KV cache
 };
 
 #endif
--- a/fakes/tests/fleet.cc
+++ b/fakes/tests/fleet.cc
@@ -212,6 +212,13 @@
 {
     std::string common = "\"host\":\"h\",\"max_attempts\":2,\"timeout_ms\":" +
                          std::to_string(timeout_ms);
+    std::string stores;
+
+    for (int port : kv_stores) {
+        stores += ",{\"name\":\"kv" + std::to_string(port) +
+                  "\",\"kv_store_addr\":\"127.0.0.1:" + std::to_string(port) +
+                  "\"}";
+    }
     std::string text =
         "{\"version\":" + std::to_string(version) +
         ",\"routes\":["
@@ -228,7 +235,9 @@
         "\"model\",\"route_type\":\"streaming\",\"resumable\":true," +
         common + "}" + more_routes +
         "],\"services\":[{\"name\":\"plain\"},{\"name\":\"model\","
-        "\"engine\":{\"slots\":64}}],"
+        "\"engine\":{\"slots\":64}}" +
+        stores +
+        "],"
         "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":65536,"
         "\"header_timeout_ms\":300,\"idle_timeout_ms\":2000},"
         "\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"key\"]},"
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -81,7 +81,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g->holders = GwHolders_New(MAX_LEVELS, HOLDER_LIFE);
     g->rand = g_rand_new();
-    g->kv_store = GwKvStore_New(loop, g->log, g->rand);
+    g->kv_stores = GwKvStores_New(loop, g->log, g->rand);
     GwTimer_Init(&g->drain_timer, loop, on_drain_timer_, g);
     GwTimer_Init(&g->flush_timer, loop, on_flush_, g);
     g->view = GwView_New(&view);
@@ -107,7 +107,7 @@
     GwPeers_Delete(g->peers);
     GwStoreReader_Delete(g->reader);
     GwView_Delete(g->view);
-    GwKvStore_Delete(g->kv_store);
+    GwKvStores_Delete(g->kv_stores);
     GwHolders_Delete(g->holders);
     g_hash_table_unref(g->budgets);
     g_rand_free(g->rand);
@@ -197,7 +197,6 @@
 on_routes_(void *user)
 {
     GwGateway *g = user;
-    const GwService *store = GwRoutes_KvStore(GwView_Routes(g->view));
     const GwLimits *limits = &GwView_Routes(g->view)->limits;
     GwHttpLimits accepted = {
         .max_head = limits->max_head,
@@ -208,7 +207,7 @@
     };
 
     GwHttpServer_SetLimits(g->callers_server, &accepted);
-    GwKvStore_SetAddress(g->kv_store, store != NULL ? &store->kv_store : NULL);
+    GwKvStores_Follow(g->kv_stores, GwView_Routes(g->view));
 }
 
 static void
--- a/packages/gateway/src/gateway_private.h
+++ b/packages/gateway/src/gateway_private.h
@@ -12,7 +12,7 @@
 #include "galenagw/routing/budget.h"
 #include "galenagw/routing/placement.h"
 
-#include "kv_store.h"
+#include "kv_stores.h"
 
 struct GwRequest;
 
@@ -38,7 +38,7 @@
 
     GHashTable *budgets; /* service to GwBudget */
     GwHolders *holders;
-    GwKvStore *kv_store;
+    GwKvStores *kv_stores;
     GRand *rand;
     GwCounters counters;
     TAILQ_HEAD(, GwRequest) requests; /* in progress */
--- a/packages/gateway/src/kv_store.c
+++ b/packages/gateway/src/kv_store.c
@@ -13,6 +13,13 @@
 /* A save takes the prefill and a transfer; events come some hundred
  * milliseconds late. */
 #define SAVE_AGAIN (3 * GW_SECOND)
+#define STATUS_TOO_MANY 429
+/* Between tries to become a follower again. Each one that is turned away has
+ * its price, and shows that the store lives. */
+#define BLIND_PAUSE (4 * GW_SECOND)
+/* Without its events: how long a save takes, and how long it is relied on. */
+#define SAVE_TAKES (600 * GW_MILLISECOND)
+#define SAVE_LASTS (8 * GW_SECOND)
 /* A save sends the request's own part too, which nobody else can use: it takes
  * the store's link and pushes shared parts out. So a request saves only if its
  * own part is no longer than the shared ones; about half are. */
@@ -21,12 +28,11 @@
 #define MAX_PARTS 50000
 
 struct GwKvStore {
-    GwLoop *loop;
     GwEventLog *log;
     GRand *rand;
     GwAddress address;
-    bool has_address;
     bool is_up;
+    bool is_blind; /* it lives, and does not tell us what it keeps */
     GwHttpCaller *caller;
     GwTimer timer;
     int64_t epoch;
@@ -40,23 +46,28 @@
                      const char *body, size_t len);
 static void on_event_(void *user, const GwCacheEvent *event);
 static void set_up_(GwKvStore *s, bool up, const char *why);
+static bool was_saved_(const GwKvStore *s, const GwAsk *ask, const char *scope,
+                       GwTime now);
 static uint32_t shared_tokens_(const GwAsk *ask);
 static uint64_t key_(const char *scope, uint64_t part);
 
 GwKvStore *
-GwKvStore_New(GwLoop *loop, GwEventLog *log, GRand *rand)
+GwKvStore_New(GwLoop *loop, const GwAddress *address, GwEventLog *log,
+              GRand *rand)
 {
     GwKvStore *s = g_new0(GwKvStore, 1);
 
-    s->loop = loop;
     s->log = log;
     s->rand = rand;
+    s->address = *address;
     s->epoch = -1;
     s->parts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     s->saves =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    s->caller = GwHttpCaller_New(loop, address);
     GwTimer_Init(&s->timer, loop, call_, s);
+    call_(s);
     return s;
 }
 
@@ -72,39 +83,29 @@
     g_free(s);
 }
 
-void
-GwKvStore_SetAddress(GwKvStore *s, const GwAddress *address)
-{
-    if (address != NULL && s->has_address &&
-        strcmp(address->host, s->address.host) == 0 &&
-        address->port == s->address.port)
-        return;
-    if (address == NULL && !s->has_address)
-        return;
-    GwTimer_Stop(&s->timer);
-    GwHttpCaller_Delete(s->caller);
-    s->caller = NULL;
-    s->has_address = address != NULL;
-    set_up_(s, false, "address");
-    if (address == NULL)
-        return;
-    s->address = *address;
-    s->caller = GwHttpCaller_New(s->loop, address);
-    call_(s);
-}
-
 const GwAddress *
 GwKvStore_Address(const GwKvStore *s)
 {
     return s->is_up ? &s->address : NULL;
 }
 
+bool
+GwKvStore_IsBlind(const GwKvStore *s)
+{
+    return s->is_up && s->is_blind;
+}
+
 unsigned
-GwKvStore_Kept(const GwKvStore *s, const GwAsk *ask, const char *scope)
+GwKvStore_Kept(const GwKvStore *s, const GwAsk *ask, const char *scope,
+               GwTime now)
 {
     unsigned n = 0;
 
-    while (s->is_up && n < ask->n_parts) {
+    if (!s->is_up || ask->n_parts == 0)
+        return 0;
+    if (s->is_blind)
+        return was_saved_(s, ask, scope, now) ? ask->n_parts - 1 : 0;
+    while (n < ask->n_parts) {
         uint64_t key = key_(scope, ask->parts[n].id);
 
         if (!g_hash_table_contains(s->parts, &key))
@@ -124,7 +125,7 @@
     if (!s->is_up || ask->n_parts < 2 ||
         ask->parts[ask->n_parts - 1].tokens >
             MAX_OWN_SHARE * shared_tokens_(ask) ||
-        GwKvStore_Kept(s, ask, scope) >= ask->n_parts - 1)
+        GwKvStore_Kept(s, ask, scope, now) >= ask->n_parts - 1)
         return false;
     key = key_(scope, ask->parts[ask->n_parts - 2].id);
     asked = g_hash_table_lookup(s->saves, &key);
@@ -158,9 +159,14 @@
     GwEventsPage page;
     GwError err = {0};
 
+    if (outcome == GW_CALL_ANSWERED && status == STATUS_TOO_MANY) {
+        // It lives; what it keeps has to be guessed from our own saves.
+        s->is_blind = true;
+        set_up_(s, true, "too many followers");
+        GwTimer_Start(&s->timer, GwTime_Jitter(s->rand, BLIND_PAUSE));
+        return;
+    }
     if (outcome != GW_CALL_ANSWERED || status != 200) {
-        // Too many followers is no fault of the store, but without its
-        // events nothing is known of it.
         set_up_(s, false, GwCallOutcome_Names[outcome]);
         GwTimer_Start(&s->timer, GwTime_Jitter(s->rand, PAUSE));
         return;
@@ -182,6 +188,7 @@
         s->next = page.next;
     }
     s->epoch = page.epoch;
+    s->is_blind = false;
     set_up_(s, true, "answered");
     call_(s);
 }
@@ -215,6 +222,22 @@
     GwEvent_End(s->log);
 }
 
+// Whether a request of ours has saved its shared parts long enough ago to be
+// there, and not so long ago that they may have been pushed out.
+static bool
+was_saved_(const GwKvStore *s, const GwAsk *ask, const char *scope, GwTime now)
+{
+    uint64_t key;
+    const GwTime *asked;
+
+    if (ask->n_parts < 2)
+        return false;
+    key = key_(scope, ask->parts[ask->n_parts - 2].id);
+    asked = g_hash_table_lookup(s->saves, &key);
+    return asked != NULL && now - *asked > SAVE_TAKES &&
+           now - *asked < SAVE_LASTS;
+}
+
 static uint32_t
 shared_tokens_(const GwAsk *ask)
 {
--- a/packages/gateway/src/kv_store.h
+++ b/packages/gateway/src/kv_store.h
@@ -13,16 +13,18 @@
 
 typedef struct GwKvStore GwKvStore;
 
-GwKvStore *GwKvStore_New(GwLoop *loop, GwEventLog *log, GRand *rand);
+/* Follow the store at @p address. */
+GwKvStore *GwKvStore_New(GwLoop *loop, const GwAddress *address,
+                         GwEventLog *log, GRand *rand);
 void GwKvStore_Delete(GwKvStore *store);
-/* Follow the store at @p address; NULL: there is none. */
-void GwKvStore_SetAddress(GwKvStore *store, const GwAddress *address);
 /* Its address while it answers, else NULL: a dead source costs an engine
  * some hundred milliseconds. */
 const GwAddress *GwKvStore_Address(const GwKvStore *store);
-/* How many leading parts of @p ask it keeps for @p scope. */
+/* Whether it answers, but has too many followers to tell what it keeps. */
+bool GwKvStore_IsBlind(const GwKvStore *store);
+/* How many leading parts of @p ask it is known to keep for @p scope. */
 unsigned GwKvStore_Kept(const GwKvStore *store, const GwAsk *ask,
-                        const char *scope);
+                        const char *scope, GwTime now);
 /* Whether this request should save its parts: the store lacks a shared one,
  * and nobody here has asked for it a moment ago. Notes that it was asked. */
 bool GwKvStore_TakeSave(GwKvStore *store, const GwAsk *ask, const char *scope,
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -87,6 +87,7 @@
 static void fill_candidate_(const GwRequest *r, const GwInstance *instance,
                             GwTarget target, double peer_rate, bool desperate,
                             GwCandidate *out);
+static GwKvStore *store_(const GwRequest *r);
 static uint64_t missing_tokens_(const GwRequest *r,
                                 const GwInstance *instance);
 static double error_rate_(const GPtrArray *pool);
@@ -369,12 +370,25 @@
         out->usable = false;
 }
 
+// The store of KV cache that the request's parts belong to, or NULL.
+static GwKvStore *
+store_(const GwRequest *r)
+{
+    if (r->ask.n_parts < 2)
+        return NULL;
+    return GwKvStores_Pick(r->gateway->kv_stores,
+                           GwPlacement_Anchor(r->ask.parts, r->ask.n_parts));
+}
+
 static uint64_t
 missing_tokens_(const GwRequest *r, const GwInstance *instance)
 {
     unsigned shared = r->ask.n_parts - 1;
     g_autofree char *scope = scope_(r, instance);
-    unsigned kept = GwKvStore_Kept(r->gateway->kv_store, &r->ask, scope);
+    const GwKvStore *store = store_(r);
+    unsigned kept = store != NULL
+                        ? GwKvStore_Kept(store, &r->ask, scope, GwTime_Now())
+                        : 0;
     uint64_t sum = 0;
 
     if (kept >= shared ||
@@ -404,14 +418,15 @@
 find_source_(GwRequest *r, const GPtrArray *pool, const GwInstance *chosen,
              const GwInstance *home)
 {
-    const GwKvStore *store = r->gateway->kv_store;
+    const GwKvStore *store = store_(r);
     GwTime now = GwTime_Now();
     unsigned shared = MAX(r->ask.n_parts, 1) - 1;
-    unsigned kept;
+    unsigned kept = 0;
 
     g_free(r->scope);
     r->scope = scope_(r, chosen);
-    kept = GwKvStore_Kept(store, &r->ask, r->scope);
+    if (store != NULL)
+        kept = GwKvStore_Kept(store, &r->ask, r->scope, now);
     if (kept > 0 && kept >= shared)
         return GwKvStore_Address(store);
     for (unsigned n = r->ask.n_parts; n > kept; n--) {
@@ -425,7 +440,7 @@
             break;
         return &holder->address;
     }
-    if (kept > 0)
+    if (kept > 0 || (store != NULL && GwKvStore_IsBlind(store)))
         return GwKvStore_Address(store);
     return home != NULL && home != chosen ? &home->address : NULL;
 }
@@ -448,6 +463,7 @@
     GwGateway *g = r->gateway;
     GwTime now = GwTime_Now();
     g_autoptr(GString) out = g_string_sized_new(r->body_len + 1024);
+    GwKvStore *store;
     GwDispatch dispatch = {
         .instance_id = instance->id,
         .account = r->account != NULL ? r->account->name : NULL,
@@ -474,8 +490,9 @@
         g_free(r->scope);
         r->scope = scope_(r, instance);
         dispatch.cache_scope = r->scope;
-        if (GwKvStore_TakeSave(g->kv_store, &r->ask, r->scope, now))
-            dispatch.save_to = GwKvStore_Address(g->kv_store);
+        store = store_(r);
+        if (store != NULL && GwKvStore_TakeSave(store, &r->ask, r->scope, now))
+            dispatch.save_to = GwKvStore_Address(store);
     }
     GwMessages_EncodeRequest(r->head, &dispatch, out);
     g_string_append_len(out, r->body, (gssize)r->body_len);
--- /dev/null
+++ b/packages/gateway/tests/kv_stores_test.cc
@@ -0,0 +1,132 @@
+#include <set>
+
+#include "galenagw/fakes/fleet.h"
+
+// A store of KV cache: tells as kept what a test puts in.
+struct KvStore {
+    FakeHttpd *httpd = nullptr;
+    std::string events; // of all, as JSON rows
+    int status = 200;
+    int calls = 0;
+
+    explicit KvStore(GwLoop *loop)
+    {
+        static const FakeHttpdOps ops = {OnRequest, nullptr};
+        GwAddress any = {"127.0.0.1", 0};
+        GwError err = {};
+
+        httpd = FakeHttpd_New(loop, &any, &ops, this, &err);
+    }
+    ~KvStore()
+    {
+        FakeHttpd_Delete(httpd);
+    }
+    int
+    Port() const
+    {
+        return FakeHttpd_Port(httpd);
+    }
+    static void
+    OnRequest(void *user, FakeExchange *x)
+    {
+        KvStore *s = static_cast<KvStore *>(user);
+        std::string body =
+            "{\"boot_epoch\":7,\"next_token\":1,\"lost\":false,\"events\":[" +
+            (s->calls++ == 0 ? s->events : "") + "]}";
+
+        // The first answer at once, later ones when something would come.
+        if (s->calls > 1 && s->status == 200)
+            return;
+        FakeExchange_Answer(x, s->status, "", body.data(), body.size());
+    }
+};
+
+class KvStoresTest : public testing::Test {
+  protected:
+    void
+    Start(const std::vector<KvStore *> &stores)
+    {
+        for (KvStore *s : stores)
+            f.kv_stores.push_back(s->Port());
+        f.Configure(1);
+        e = f.AddEndpoint("i-1", "model");
+        g = f.AddGateway();
+        ASSERT_TRUE(f.Ready());
+    }
+    // The header as the engine saw it for a prompt with this shared part.
+    std::string
+    Ask(const std::string &part, const char *header)
+    {
+        auto c = f.Call(g, Fleet::Request("POST", "/stream/1", "x",
+                                          "X-Model: m\r\n"
+                                          "X-Token-Usage: 900,5\r\n"
+                                          "X-Prefix-Hash: " +
+                                              part + ":800,ff:100\r\n"));
+        EXPECT_TRUE(f.Until([&] { return c->Has(1); }));
+        const std::string &text = e->seen.back();
+        size_t at = text.find(std::string(header) + ": ");
+        if (at == std::string::npos)
+            return "";
+        at += strlen(header) + 2;
+        return text.substr(at, text.find('\n', at) - at);
+    }
+
+    Fleet f;
+    Endpoint *e = nullptr;
+    GwGateway *g = nullptr;
+};
+
+TEST_F(KvStoresTest, WhatAStoreKeepsIsFetchedAndWhatItLacksIsSaved)
+{
+    KvStore s(f.loop);
+    s.events = "[1,\"+\",\"w1\",\"a1\",800,\"m\"]";
+    Start({&s});
+    std::string address = "127.0.0.1:" + std::to_string(s.Port());
+
+    EXPECT_EQ(Ask("a1", "X-Kv-Fetch"), address);
+    EXPECT_EQ(Ask("a1", "X-Kv-Save"), "");
+    EXPECT_EQ(Ask("b2", "X-Kv-Save"), address);
+    EXPECT_EQ(Ask("b2", "X-Kv-Save"), "") << "asked for a moment ago";
+}
+
+// Many gateways follow a store, and it turns this one away: it lives, so it is
+// used, by what this gateway has saved itself.
+TEST_F(KvStoresTest, AStoreWithTooManyFollowersIsUsedBlindly)
+{
+    KvStore s(f.loop);
+    s.status = 429;
+    Start({&s});
+    std::string address = "127.0.0.1:" + std::to_string(s.Port());
+
+    EXPECT_EQ(Ask("a1", "X-Kv-Save"), address);
+    EXPECT_EQ(Ask("a1", "X-Kv-Fetch"), address);
+}
+
+// The store is dead. Named as a source it would cost an engine some hundred
+// milliseconds, so it is not named.
+TEST_F(KvStoresTest, AStoreThatDoesNotAnswerIsNotUsed)
+{
+    KvStore s(f.loop);
+    FakeHttpd_SetSilent(s.httpd, true);
+    Start({&s});
+
+    EXPECT_EQ(Ask("a1", "X-Kv-Save"), "");
+    EXPECT_EQ(Ask("a1", "X-Kv-Fetch"), "");
+}
+
+TEST_F(KvStoresTest, PromptsSpreadOverAllStoresThatAnswer)
+{
+    KvStore a(f.loop), b(f.loop), dead(f.loop);
+    std::set<std::string> used;
+    FakeHttpd_SetSilent(dead.httpd, true);
+    Start({&a, &b, &dead});
+
+    for (int i = 16; i < 48; i++) {
+        char part[8];
+        snprintf(part, sizeof(part), "%x", i);
+        used.insert(Ask(part, "X-Kv-Save"));
+    }
+    EXPECT_EQ(used, (std::set<std::string>{
+                        "127.0.0.1:" + std::to_string(a.Port()),
+                        "127.0.0.1:" + std::to_string(b.Port())}));
+}
--- a/packages/routing/include/galenagw/routing/routes.h
+++ b/packages/routing/include/galenagw/routing/routes.h
@@ -110,8 +110,6 @@
 /** The account that holds @p key, or NULL. */
 const GwAccount *GwRoutes_Account(const GwRoutes *routes, const char *key);
 const GwService *GwRoutes_Service(const GwRoutes *routes, const char *name);
-/** The first store of KV cache, or NULL. */
-const GwService *GwRoutes_KvStore(const GwRoutes *routes);
 /** A service by the route's weights; @p draw is uniform in [0, 1). */
 const char *GwRoute_PickService(const GwRoute *route, double draw);
 /** Priorities that engines know: 0, the first, to 9. */
--- a/packages/routing/src/routes.c
+++ b/packages/routing/src/routes.c
@@ -159,22 +159,6 @@
     return g_hash_table_lookup(r->services, name);
 }
 
-const GwService *
-GwRoutes_KvStore(const GwRoutes *r)
-{
-    GHashTableIter iter;
-    gpointer item;
-
-    g_hash_table_iter_init(&iter, r->services);
-    while (g_hash_table_iter_next(&iter, NULL, &item)) {
-        const GwService *service = item;
-
-        if (service->is_kv_store)
-            return service;
-    }
-    return NULL;
-}
-
 const char *
 GwRoute_PickService(const GwRoute *route, double draw)
 {
