--- /dev/null
+++ b/packages/gateway/src/choosing.c
@@ -0,0 +1,277 @@
+#include "choosing.h"
+
+#include <string.h>
+
+/* Older weights cost nothing for 1.5 s after a new version was named. */
+#define WEIGHTS_FREE (1300 * GW_MILLISECOND)
+
+/* A version that becomes due this soon is asked for already now. */
+#define WEIGHTS_MARGIN (800 * GW_MILLISECOND)
+/* Output tokens from which on a request runs for long: some 200 ms. */
+#define LONG_OUTPUT 24
+
+static void fill_candidate_(const GwRequest *r, const GwInstance *instance,
+                            GwTarget target, double peer_rate, bool desperate,
+                            GwCandidate *out);
+static uint64_t missing_tokens_(const GwRequest *r,
+                                const GwInstance *instance);
+static double error_rate_(const GPtrArray *pool);
+static const GwAddress *find_source_(GwRequest *r, const GPtrArray *pool,
+                                     const GwInstance *chosen,
+                                     const GwInstance *home);
+static GwInstance *by_place_(const GPtrArray *pool, uint64_t place);
+static uint64_t level_key_(const GwRequest *r, const char *scope, unsigned n);
+
+GwInstance *
+GwChoosing_Choose(GwRequest *r, const GwAddress **source)
+{
+    GwGateway *g = r->gateway;
+    const GPtrArray *pool =
+        GwInstances_Of(GwView_Instances(g->view), r->service);
+    g_autofree GwCandidate *list = NULL;
+    double peer_rate;
+    int home = -1;
+    int chosen = -1;
+
+    if (pool == NULL || pool->len == 0)
+        return NULL;
+    list = g_new0(GwCandidate, pool->len);
+    peer_rate = error_rate_(pool);
+    // Where all are excluded, what is known of them is old: one is tried.
+    for (int pass = 0; pass < 2 && chosen < 0; pass++) {
+        for (guint i = 0; i < pool->len; i++) {
+            const GwInstance *instance = g_ptr_array_index(pool, i);
+
+            fill_candidate_(r, instance,
+                            GwView_Target(g->view, instance->model), peer_rate,
+                            pass > 0, &list[i]);
+        }
+        if (r->ask.n_parts > 0)
+            chosen = GwPlacement_ChooseEngine(
+                list, pool->len,
+                GwPlacement_Anchor(r->ask.parts, r->ask.n_parts), &r->ask,
+                &home);
+        else
+            chosen =
+                GwPlacement_ChoosePlain(list, pool->len, g_rand_int(g->rand));
+    }
+    if (chosen < 0)
+        return NULL;
+    if (r->ask.n_parts > 0) {
+        if (chosen != home)
+            GwCounters_Add(&g->counters, GW_COUNTER_SPILLED, 1);
+        *source =
+            find_source_(r, pool, g_ptr_array_index(pool, chosen),
+                         home >= 0 ? g_ptr_array_index(pool, home) : NULL);
+    }
+    return g_ptr_array_index(pool, chosen);
+}
+
+bool
+GwChoosing_HasAlternative(const GwRequest *r)
+{
+    const GPtrArray *pool =
+        GwInstances_Of(GwView_Instances(r->gateway->view), r->service);
+
+    for (guint i = 0; pool != NULL && i < pool->len; i++) {
+        const GwInstance *instance = g_ptr_array_index(pool, i);
+        bool tried = instance->draining;
+
+        for (unsigned k = 0; k < r->n_tried; k++)
+            tried = tried || r->tried[k] == instance->place;
+        if (!tried)
+            return true;
+    }
+    return false;
+}
+
+void
+GwChoosing_NoteHolder(GwRequest *r)
+{
+    GwTime now = GwTime_Now();
+
+    if (r->scope == NULL || r->instance == NULL)
+        return;
+    for (unsigned n = 1; n <= r->ask.n_parts; n++)
+        GwHolders_Note(r->gateway->holders, level_key_(r, r->scope, n),
+                       r->instance->place, now);
+}
+
+// The store of KV cache that the request's parts belong to, or NULL.
+GwKvStore *
+GwChoosing_KvStore(const GwRequest *r)
+{
+    if (r->ask.n_parts < 2)
+        return NULL;
+    return GwKvStores_Pick(r->gateway->kv_stores,
+                           GwPlacement_Anchor(r->ask.parts, r->ask.n_parts));
+}
+
+char *
+GwChoosing_Scope(const GwRequest *r, const GwInstance *instance)
+{
+    // Older weights' cache, and an isolated account's, can match nothing:
+    // engines compare the scope alone.
+    if (r->account != NULL && r->account->isolated)
+        return g_strdup_printf("w%" G_GINT64_FORMAT ".%s", instance->weights,
+                               r->account->name);
+    return g_strdup_printf("w%" G_GINT64_FORMAT, instance->weights);
+}
+
+// Tokens that the engine will read: its own part, and shared ones that it
+// neither keeps nor can copy.
+uint64_t
+GwChoosing_Prefill(const GwRequest *r, const GwInstance *instance,
+                   const GwAddress *source)
+{
+    unsigned n = r->ask.n_parts;
+    uint64_t level;
+
+    if (instance->model == NULL)
+        return 0;
+    if (n < 2 || r->scope == NULL)
+        return r->ask.prompt_tokens;
+    level = level_key_(r, r->scope, n - 1);
+    if (source != NULL || GwHolders_Find(r->gateway->holders, level,
+                                         GwTime_Now()) == instance->place)
+        return r->ask.parts[n - 1].tokens;
+    return r->ask.prompt_tokens;
+}
+
+bool
+GwChoosing_IsLong(const GwRequest *r)
+{
+    return r->ask.output_tokens > LONG_OUTPUT;
+}
+
+static void
+fill_candidate_(const GwRequest *r, const GwInstance *instance,
+                GwTarget target, double peer_rate, bool desperate,
+                GwCandidate *out)
+{
+    const GwGateway *g = r->gateway;
+    const GwService *service = GwRoutes_Service(r->routes, r->service);
+    const GwAdvice *advice = &instance->advice;
+    GwTime now = GwTime_Now();
+    GwHeard heard = GwInstance_Heard(instance, now);
+    bool fresh = heard == GW_HEARD_FRESH;
+
+    *out = (GwCandidate){
+        .place = instance->place,
+        .near = g_strcmp0(instance->failure_domain, g->failure_domain) == 0,
+        .worse = GwHealth_IsWorse(&instance->health, peer_rate),
+        .slots = instance->slots,
+        .in_flight = instance->in_flight,
+        .prefill_tokens = instance->prefill_tokens,
+    };
+    GwTime outdated = GwTarget_OutdatedSince(&target, instance->weights);
+
+    out->outdated = outdated != 0 && now - outdated > WEIGHTS_FREE;
+    if (instance->model != NULL && r->ask.n_parts > 1)
+        out->missing_tokens = missing_tokens_(r, instance);
+    if (fresh) {
+        out->in_flight = MAX(out->in_flight, advice->running + advice->queued);
+        out->prefill_tokens += advice->others_tokens;
+        out->kv_used = advice->kv_used;
+        out->kv_total = advice->kv_total;
+    }
+    out->usable =
+        !instance->draining &&
+        !(fresh && (advice->switching || advice->down)) &&
+        !(fresh && advice->preparing && GwChoosing_IsLong(r) && !desperate) &&
+        (desperate ||
+         (heard != GW_HEARD_OVERDUE && instance->avoid_until <= now &&
+          GwHealth_IsUsable(&instance->health, instance->in_flight, now)));
+    // Requests on weights that should be gone by now must not begin.
+    if (outdated != 0 && now - outdated > g->weights_bound - WEIGHTS_MARGIN)
+        out->usable = false;
+    for (unsigned i = 0; i < r->n_tried; i++)
+        out->usable = out->usable && r->tried[i] != instance->place;
+    if (service != NULL && service->max_connections > 0 &&
+        GwUpstreamPool_Open(instance->user) >= service->max_connections &&
+        instance->in_flight >= service->max_connections)
+        out->usable = false;
+}
+
+static uint64_t
+missing_tokens_(const GwRequest *r, const GwInstance *instance)
+{
+    unsigned shared = r->ask.n_parts - 1;
+    g_autofree char *scope = GwChoosing_Scope(r, instance);
+    const GwKvStore *store = GwChoosing_KvStore(r);
+    unsigned kept = store != NULL
+                        ? GwKvStore_Kept(store, &r->ask, scope, GwTime_Now())
+                        : 0;
+    uint64_t sum = 0;
+
+    if (kept >= shared ||
+        GwHolders_Find(r->gateway->holders, level_key_(r, scope, shared),
+                       GwTime_Now()) != 0)
+        return 0;
+    for (unsigned i = kept; i < shared; i++)
+        sum += r->ask.parts[i].tokens;
+    return sum;
+}
+
+static double
+error_rate_(const GPtrArray *pool)
+{
+    double sum = 0;
+
+    for (guint i = 0; i < pool->len; i++)
+        sum += ((const GwInstance *)g_ptr_array_index(pool, i))
+                   ->health.error_rate;
+    return sum / pool->len;
+}
+
+// Who is likely to hold the deepest shared part: the engine itself, the
+// store, whoever was last seen to, the home; else nobody. A source without it
+// costs a millisecond.
+static const GwAddress *
+find_source_(GwRequest *r, const GPtrArray *pool, const GwInstance *chosen,
+             const GwInstance *home)
+{
+    const GwKvStore *store = GwChoosing_KvStore(r);
+    GwTime now = GwTime_Now();
+    unsigned shared = MAX(r->ask.n_parts, 1) - 1;
+    unsigned kept = 0;
+
+    g_free(r->scope);
+    r->scope = GwChoosing_Scope(r, chosen);
+    if (store != NULL)
+        kept = GwKvStore_Kept(store, &r->ask, r->scope, now);
+    if (kept > 0 && kept >= shared)
+        return GwKvStore_Address(store);
+    for (unsigned n = r->ask.n_parts; n > kept; n--) {
+        uint64_t place = GwHolders_Find(r->gateway->holders,
+                                        level_key_(r, r->scope, n), now);
+        GwInstance *holder = by_place_(pool, place);
+
+        if (holder == NULL)
+            continue;
+        if (holder == chosen || holder->weights != chosen->weights)
+            break;
+        return &holder->address;
+    }
+    if (kept > 0 || (store != NULL && GwKvStore_IsBlind(store)))
+        return GwKvStore_Address(store);
+    return home != NULL && home != chosen ? &home->address : NULL;
+}
+
+static GwInstance *
+by_place_(const GPtrArray *pool, uint64_t place)
+{
+    for (guint i = 0; place != 0 && i < pool->len; i++) {
+        GwInstance *instance = g_ptr_array_index(pool, i);
+
+        if (instance->place == place)
+            return instance;
+    }
+    return NULL;
+}
+
+static uint64_t
+level_key_(const GwRequest *r, const char *scope, unsigned n)
+{
+    return GwPlacement_Level(r->ask.parts, n) ^ g_str_hash(scope);
+}
--- /dev/null
+++ b/packages/gateway/src/choosing.h
@@ -0,0 +1,25 @@
+/* Where a request is sent, and what comes with it: the inputs of the pure
+ * decisions in routing/placement, gathered from what the gateway knows. */
+#ifndef GALENAGW_GATEWAY_CHOOSING_H
+#define GALENAGW_GATEWAY_CHOOSING_H
+
+#include "request_private.h"
+
+/* The endpoint to send it to, or NULL; and where KV cache comes from. */
+GwInstance *GwChoosing_Choose(GwRequest *request, const GwAddress **source);
+/* Whether any endpoint is left that was not tried. */
+bool GwChoosing_HasAlternative(const GwRequest *request);
+/* Cache scope of the request at @p instance, newly allocated. */
+char *GwChoosing_Scope(const GwRequest *request, const GwInstance *instance);
+/* The store of KV cache that its parts belong to, or NULL. */
+GwKvStore *GwChoosing_KvStore(const GwRequest *request);
+/* Tokens that @p instance will read for it. */
+uint64_t GwChoosing_Prefill(const GwRequest *request,
+                            const GwInstance *instance,
+                            const GwAddress *source);
+/* Whether it will run for long, by the output it asks for. */
+bool GwChoosing_IsLong(const GwRequest *request);
+/* Its engine has read its parts. */
+void GwChoosing_NoteHolder(GwRequest *request);
+
+#endif
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -19,10 +19,6 @@
 #define DRAIN_LEAST (3 * GW_SECOND)
 /* What is open this long before the grace ends is cut by the platform. */
 #define DRAIN_SPARE (300 * GW_MILLISECOND)
-/* From here on new requests are turned away, unrun, and idle connections
- * closed: a long stream that began later could be cut by the platform's kill.
- * By now the balancer has stopped; only kept connections bring requests. */
-#define CLOSING_AFTER (2700 * GW_MILLISECOND)
 #define DRAIN_CHECK (50 * GW_MILLISECOND)
 #define MAX_METRICS_BODY 1024
 /* Bodies of all requests in progress; a third of the smallest instance. */
@@ -144,31 +140,6 @@
     return g->draining_since == 0 && GwView_Routes(g->view) != NULL;
 }
 
-bool
-GwGateway_IsClosing(const GwGateway *g)
-{
-    return g->draining_since != 0 &&
-           GwTime_Now() - g->draining_since > CLOSING_AFTER;
-}
-
-void
-GwGateway_RequestEnded(GwGateway *g)
-{
-    g->active--;
-}
-
-GwBudget *
-GwGateway_Budget(GwGateway *g, const char *service)
-{
-    GwBudget *budget = g_hash_table_lookup(g->budgets, service);
-
-    if (budget == NULL) {
-        budget = g_new0(GwBudget, 1);
-        g_hash_table_insert(g->budgets, g_strdup(service), budget);
-    }
-    return budget;
-}
-
 const GwCounters *
 GwGateway_Counters(const GwGateway *g)
 {
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -2,10 +2,9 @@
 
 #include <string.h>
 
-#include "events.h"
-#include "galenagw/adapter/messages.h"
+#include "choosing.h"
 #include "galenagw/routing/attempt.h"
-#include "upstream.h"
+#include "request_private.h"
 
 /* An answer of up to so many bytes is held until it is whole, so that a cut
  * one can still be made good elsewhere, or be told from a whole one. */
@@ -29,81 +28,16 @@
 /* A change of the prompts that wait at an engine is told to its agent from
  * this size on, in tokens: 15 ms of reading. */
 #define NOTE_TOKENS 1000
-/* Output tokens from which on a request runs for long: some 200 ms. */
-#define LONG_OUTPUT 24
-/* Older weights cost nothing for 1.5 s after a new version was named. */
-#define WEIGHTS_FREE (1300 * GW_MILLISECOND)
-/* A version that becomes due this soon is asked for already now. */
-#define WEIGHTS_MARGIN (800 * GW_MILLISECOND)
-#define MAX_TRIED 8
 /* Share of its aim for which a call waits at one endpoint. Three of five
  * leave time for a second one; most answers take a quarter. */
 #define PATIENCE_SHARE 0.6
 
-struct GwRequest {
-    TAILQ_ENTRY(GwRequest) link;
-    GwGateway *gateway;
-    GwHttpCall *call;
-    /* Both belong to the call, and so do strings of the ask. */
-    const GwHttpHead *head;
-    const char *body;
-    size_t body_len;
-    GwAsk ask;
-    GwRoutes *routes; /* in force when it came */
-    const GwRoute *route;
-    const GwAccount *account;
-    const char *service;
-    GwTime arrived;
-    GwTime deadline;
-    GwTimer timer;
-    GwTimer patience; /* with an attempt that could be made elsewhere */
-
-    GwInstance *instance; /* of the attempt under way */
-    GwUpstream *upstream;
-    GwTime sent_at;
-    GwTime first_byte_at; /* 0: none passed on */
-    unsigned sends;       /* that may have reached an endpoint */
-    unsigned attempts;
-    uint64_t tried[MAX_TRIED];
-    unsigned n_tried;
-    char *scope;      /* KV cache of this attempt */
-    uint64_t prefill; /* tokens counted at the instance */
-    GwReply reply;    /* of the attempt under way */
-    bool has_reply;
-    bool is_usable; /* the reply may be passed on, as far as its head tells */
-    GwHttpHead *reply_head; /* held until it is passed on */
-    GString *held;          /* body held with it */
-    bool is_events;
-    bool is_held; /* the answer is passed on only when it is whole */
-    bool head_sent;
-    GwFraming framing;
-    GwEventSplitter events;
-};
-
 static GwRequest *new_(GwGateway *g, GwHttpCall *call);
 static GwRefusal admit_(GwRequest *r);
 static void attempt_(GwRequest *r);
-static GwInstance *choose_(GwRequest *r, const GwAddress **source);
-static void fill_candidate_(const GwRequest *r, const GwInstance *instance,
-                            GwTarget target, double peer_rate, bool desperate,
-                            GwCandidate *out);
-static GwKvStore *store_(const GwRequest *r);
-static uint64_t missing_tokens_(const GwRequest *r,
-                                const GwInstance *instance);
-static double error_rate_(const GPtrArray *pool);
-static const GwAddress *find_source_(GwRequest *r, const GPtrArray *pool,
-                                     const GwInstance *chosen,
-                                     const GwInstance *home);
-static GwInstance *by_place_(const GPtrArray *pool, uint64_t place);
 static void send_(GwRequest *r, GwInstance *instance, const GwAddress *source);
-static uint64_t prefill_(const GwRequest *r, const GwInstance *instance,
-                         const GwAddress *source);
 static void add_prefill_(GwGateway *g, GwInstance *instance, int64_t tokens);
 static void note_load_(GwGateway *g, GwInstance *instance);
-static bool is_long_(const GwRequest *r);
-static char *scope_(const GwRequest *r, const GwInstance *instance);
-static uint64_t level_key_(const GwRequest *r, const char *scope, unsigned n);
-static void note_holder_(GwRequest *r);
 static GwHeadVerdict on_head_(void *user, const GwHttpHead *head);
 static void on_body_(void *user, const char *data, size_t len);
 static void on_end_(void *user, GwUpstreamEnd end);
@@ -113,7 +47,6 @@
 static void write_body_(GwRequest *r, const char *data, size_t len);
 static void complete_(GwRequest *r);
 static void after_failure_(GwRequest *r, GwAttemptFate fate, const char *why);
-static bool has_alternative_(const GwRequest *r);
 static void leave_instance_(GwRequest *r);
 static void arm_patience_(GwRequest *r);
 static void on_patience_(void *user);
@@ -262,7 +195,7 @@
 attempt_(GwRequest *r)
 {
     const GwAddress *source = NULL;
-    GwInstance *instance = choose_(r, &source);
+    GwInstance *instance = GwChoosing_Choose(r, &source);
 
     if (instance != NULL) {
         send_(r, instance, source);
@@ -276,187 +209,6 @@
     answer_refusal_(r, GW_REFUSAL_NO_ENDPOINT);
 }
 
-static GwInstance *
-choose_(GwRequest *r, const GwAddress **source)
-{
-    GwGateway *g = r->gateway;
-    const GPtrArray *pool =
-        GwInstances_Of(GwView_Instances(g->view), r->service);
-    g_autofree GwCandidate *list = NULL;
-    double peer_rate;
-    int home = -1;
-    int chosen = -1;
-
-    if (pool == NULL || pool->len == 0)
-        return NULL;
-    list = g_new0(GwCandidate, pool->len);
-    peer_rate = error_rate_(pool);
-    // Where all are excluded, what is known of them is old: one is tried.
-    for (int pass = 0; pass < 2 && chosen < 0; pass++) {
-        for (guint i = 0; i < pool->len; i++) {
-            const GwInstance *instance = g_ptr_array_index(pool, i);
-
-            fill_candidate_(r, instance,
-                            GwView_Target(g->view, instance->model), peer_rate,
-                            pass > 0, &list[i]);
-        }
-        if (r->ask.n_parts > 0)
-            chosen = GwPlacement_ChooseEngine(
-                list, pool->len,
-                GwPlacement_Anchor(r->ask.parts, r->ask.n_parts), &r->ask,
-                &home);
-        else
-            chosen =
-                GwPlacement_ChoosePlain(list, pool->len, g_rand_int(g->rand));
-    }
-    if (chosen < 0)
-        return NULL;
-    if (r->ask.n_parts > 0) {
-        if (chosen != home)
-            GwCounters_Add(&g->counters, GW_COUNTER_SPILLED, 1);
-        *source =
-            find_source_(r, pool, g_ptr_array_index(pool, chosen),
-                         home >= 0 ? g_ptr_array_index(pool, home) : NULL);
-    }
-    return g_ptr_array_index(pool, chosen);
-}
-
-static void
-fill_candidate_(const GwRequest *r, const GwInstance *instance,
-                GwTarget target, double peer_rate, bool desperate,
-                GwCandidate *out)
-{
-    const GwGateway *g = r->gateway;
-    const GwService *service = GwRoutes_Service(r->routes, r->service);
-    const GwAdvice *advice = &instance->advice;
-    GwTime now = GwTime_Now();
-    GwHeard heard = GwInstance_Heard(instance, now);
-    bool fresh = heard == GW_HEARD_FRESH;
-
-    *out = (GwCandidate){
-        .place = instance->place,
-        .near = g_strcmp0(instance->failure_domain, g->failure_domain) == 0,
-        .worse = GwHealth_IsWorse(&instance->health, peer_rate),
-        .slots = instance->slots,
-        .in_flight = instance->in_flight,
-        .prefill_tokens = instance->prefill_tokens,
-    };
-    GwTime outdated = GwTarget_OutdatedSince(&target, instance->weights);
-
-    out->outdated = outdated != 0 && now - outdated > WEIGHTS_FREE;
-    if (instance->model != NULL && r->ask.n_parts > 1)
-        out->missing_tokens = missing_tokens_(r, instance);
-    if (fresh) {
-        out->in_flight = MAX(out->in_flight, advice->running + advice->queued);
-        out->prefill_tokens += advice->others_tokens;
-        out->kv_used = advice->kv_used;
-        out->kv_total = advice->kv_total;
-    }
-    out->usable =
-        !instance->draining &&
-        !(fresh && (advice->switching || advice->down)) &&
-        !(fresh && advice->preparing && is_long_(r) && !desperate) &&
-        (desperate ||
-         (heard != GW_HEARD_OVERDUE && instance->avoid_until <= now &&
-          GwHealth_IsUsable(&instance->health, instance->in_flight, now)));
-    // Requests on weights that should be gone by now must not begin.
-    if (outdated != 0 && now - outdated > g->weights_bound - WEIGHTS_MARGIN)
-        out->usable = false;
-    for (unsigned i = 0; i < r->n_tried; i++)
-        out->usable = out->usable && r->tried[i] != instance->place;
-    if (service != NULL && service->max_connections > 0 &&
-        GwUpstreamPool_Open(instance->user) >= service->max_connections &&
-        instance->in_flight >= service->max_connections)
-        out->usable = false;
-}
-
-// The store of KV cache that the request's parts belong to, or NULL.
-static GwKvStore *
-store_(const GwRequest *r)
-{
-    if (r->ask.n_parts < 2)
-        return NULL;
-    return GwKvStores_Pick(r->gateway->kv_stores,
-                           GwPlacement_Anchor(r->ask.parts, r->ask.n_parts));
-}
-
-static uint64_t
-missing_tokens_(const GwRequest *r, const GwInstance *instance)
-{
-    unsigned shared = r->ask.n_parts - 1;
-    g_autofree char *scope = scope_(r, instance);
-    const GwKvStore *store = store_(r);
-    unsigned kept = store != NULL
-                        ? GwKvStore_Kept(store, &r->ask, scope, GwTime_Now())
-                        : 0;
-    uint64_t sum = 0;
-
-    if (kept >= shared ||
-        GwHolders_Find(r->gateway->holders, level_key_(r, scope, shared),
-                       GwTime_Now()) != 0)
-        return 0;
-    for (unsigned i = kept; i < shared; i++)
-        sum += r->ask.parts[i].tokens;
-    return sum;
-}
-
-static double
-error_rate_(const GPtrArray *pool)
-{
-    double sum = 0;
-
-    for (guint i = 0; i < pool->len; i++)
-        sum += ((const GwInstance *)g_ptr_array_index(pool, i))
-                   ->health.error_rate;
-    return sum / pool->len;
-}
-
-// Who is likely to hold the deepest shared part: the engine itself, the
-// store, whoever was last seen to, the home; else nobody. A source without it
-// costs a millisecond.
-static const GwAddress *
-find_source_(GwRequest *r, const GPtrArray *pool, const GwInstance *chosen,
-             const GwInstance *home)
-{
-    const GwKvStore *store = store_(r);
-    GwTime now = GwTime_Now();
-    unsigned shared = MAX(r->ask.n_parts, 1) - 1;
-    unsigned kept = 0;
-
-    g_free(r->scope);
-    r->scope = scope_(r, chosen);
-    if (store != NULL)
-        kept = GwKvStore_Kept(store, &r->ask, r->scope, now);
-    if (kept > 0 && kept >= shared)
-        return GwKvStore_Address(store);
-    for (unsigned n = r->ask.n_parts; n > kept; n--) {
-        uint64_t place = GwHolders_Find(r->gateway->holders,
-                                        level_key_(r, r->scope, n), now);
-        GwInstance *holder = by_place_(pool, place);
-
-        if (holder == NULL)
-            continue;
-        if (holder == chosen || holder->weights != chosen->weights)
-            break;
-        return &holder->address;
-    }
-    if (kept > 0 || (store != NULL && GwKvStore_IsBlind(store)))
-        return GwKvStore_Address(store);
-    return home != NULL && home != chosen ? &home->address : NULL;
-}
-
-static GwInstance *
-by_place_(const GPtrArray *pool, uint64_t place)
-{
-    for (guint i = 0; place != 0 && i < pool->len; i++) {
-        GwInstance *instance = g_ptr_array_index(pool, i);
-
-        if (instance->place == place)
-            return instance;
-    }
-    return NULL;
-}
-
 static void
 send_(GwRequest *r, GwInstance *instance, const GwAddress *source)
 {
@@ -488,9 +240,9 @@
 
     if (instance->model != NULL) {
         g_free(r->scope);
-        r->scope = scope_(r, instance);
+        r->scope = GwChoosing_Scope(r, instance);
         dispatch.cache_scope = r->scope;
-        store = store_(r);
+        store = GwChoosing_KvStore(r);
         if (store != NULL && GwKvStore_TakeSave(store, &r->ask, r->scope, now))
             dispatch.save_to = GwKvStore_Address(store);
     }
@@ -502,9 +254,9 @@
     r->sends++;
     r->has_reply = false;
     r->is_usable = false;
-    r->prefill = prefill_(r, instance, source);
+    r->prefill = GwChoosing_Prefill(r, instance, source);
     instance->in_flight++;
-    if (is_long_(r)) {
+    if (GwChoosing_IsLong(r)) {
         instance->long_runs++;
         instance->prefill_tokens += r->prefill;
         note_load_(g, instance);
@@ -520,26 +272,6 @@
     arm_patience_(r);
 }
 
-// Tokens that the engine will read: its own part, and shared ones that it
-// neither keeps nor can copy.
-static uint64_t
-prefill_(const GwRequest *r, const GwInstance *instance,
-         const GwAddress *source)
-{
-    unsigned n = r->ask.n_parts;
-    uint64_t level;
-
-    if (instance->model == NULL)
-        return 0;
-    if (n < 2 || r->scope == NULL)
-        return r->ask.prompt_tokens;
-    level = level_key_(r, r->scope, n - 1);
-    if (source != NULL || GwHolders_Find(r->gateway->holders, level,
-                                         GwTime_Now()) == instance->place)
-        return r->ask.parts[n - 1].tokens;
-    return r->ask.prompt_tokens;
-}
-
 static void
 add_prefill_(GwGateway *g, GwInstance *instance, int64_t tokens)
 {
@@ -560,41 +292,6 @@
     GwPeers_NoteLoad(g->peers, instance);
 }
 
-static bool
-is_long_(const GwRequest *r)
-{
-    return r->ask.output_tokens > LONG_OUTPUT;
-}
-
-static char *
-scope_(const GwRequest *r, const GwInstance *instance)
-{
-    // Older weights' cache, and an isolated account's, can match nothing:
-    // engines compare the scope alone.
-    if (r->account != NULL && r->account->isolated)
-        return g_strdup_printf("w%" G_GINT64_FORMAT ".%s", instance->weights,
-                               r->account->name);
-    return g_strdup_printf("w%" G_GINT64_FORMAT, instance->weights);
-}
-
-static uint64_t
-level_key_(const GwRequest *r, const char *scope, unsigned n)
-{
-    return GwPlacement_Level(r->ask.parts, n) ^ g_str_hash(scope);
-}
-
-static void
-note_holder_(GwRequest *r)
-{
-    GwTime now = GwTime_Now();
-
-    if (r->scope == NULL || r->instance == NULL)
-        return;
-    for (unsigned n = 1; n <= r->ask.n_parts; n++)
-        GwHolders_Note(r->gateway->holders, level_key_(r, r->scope, n),
-                       r->instance->place, now);
-}
-
 static GwHeadVerdict
 on_head_(void *user, const GwHttpHead *head)
 {
@@ -639,7 +336,7 @@
     if (r->prefill > 0) {
         add_prefill_(r->gateway, r->instance, -(int64_t)r->prefill);
         r->prefill = 0;
-        note_holder_(r);
+        GwChoosing_NoteHolder(r);
     }
     if (!r->is_held) {
         pass_on_(r, data, len);
@@ -797,7 +494,7 @@
         .is_events = r->is_events,
         .time_left = left > MIN_ATTEMPT,
         .sends_left = r->sends < MAX(r->route->max_attempts, 1),
-        .elsewhere = has_alternative_(r),
+        .elsewhere = GwChoosing_HasAlternative(r),
     };
 
     facts.budget_left =
@@ -844,24 +541,6 @@
     }
 }
 
-static bool
-has_alternative_(const GwRequest *r)
-{
-    const GPtrArray *pool =
-        GwInstances_Of(GwView_Instances(r->gateway->view), r->service);
-
-    for (guint i = 0; pool != NULL && i < pool->len; i++) {
-        const GwInstance *instance = g_ptr_array_index(pool, i);
-        bool tried = instance->draining;
-
-        for (unsigned k = 0; k < r->n_tried; k++)
-            tried = tried || r->tried[k] == instance->place;
-        if (!tried)
-            return true;
-    }
-    return false;
-}
-
 static void
 leave_instance_(GwRequest *r)
 {
@@ -871,7 +550,7 @@
     r->instance->in_flight--;
     add_prefill_(r->gateway, r->instance, -(int64_t)r->prefill);
     r->prefill = 0;
-    if (is_long_(r)) {
+    if (GwChoosing_IsLong(r)) {
         r->instance->long_runs--;
         note_load_(r->gateway, r->instance);
     }
@@ -886,7 +565,7 @@
 {
     if (r->instance->model != NULL || r->route->type != GW_ROUTE_IDEMPOTENT ||
         r->route->target_latency == 0 || r->sends >= r->route->max_attempts ||
-        !has_alternative_(r))
+        !GwChoosing_HasAlternative(r))
         return;
     GwTimer_Start(&r->patience,
                   (GwTime)(PATIENCE_SHARE * (double)r->route->target_latency));
--- /dev/null
+++ b/packages/gateway/src/request_private.h
@@ -0,0 +1,53 @@
+/* A request in progress, for the modules that serve it. */
+#ifndef GALENAGW_GATEWAY_REQUEST_PRIVATE_H
+#define GALENAGW_GATEWAY_REQUEST_PRIVATE_H
+
+#include "events.h"
+#include "galenagw/adapter/messages.h"
+#include "request.h"
+#include "upstream.h"
+
+/* Endpoints that one request is sent to, at most. */
+#define MAX_TRIED 8
+
+struct GwRequest {
+    TAILQ_ENTRY(GwRequest) link;
+    GwGateway *gateway;
+    GwHttpCall *call;
+    /* Both belong to the call, and so do strings of the ask. */
+    const GwHttpHead *head;
+    const char *body;
+    size_t body_len;
+    GwAsk ask;
+    GwRoutes *routes; /* in force when it came */
+    const GwRoute *route;
+    const GwAccount *account;
+    const char *service;
+    GwTime arrived;
+    GwTime deadline;
+    GwTimer timer;
+    GwTimer patience; /* with an attempt that could be made elsewhere */
+
+    GwInstance *instance; /* of the attempt under way */
+    GwUpstream *upstream;
+    GwTime sent_at;
+    GwTime first_byte_at; /* 0: none passed on */
+    unsigned sends;       /* that may have reached an endpoint */
+    unsigned attempts;
+    uint64_t tried[MAX_TRIED];
+    unsigned n_tried;
+    char *scope;      /* KV cache of this attempt */
+    uint64_t prefill; /* tokens counted at the instance */
+    GwReply reply;    /* of the attempt under way */
+    bool has_reply;
+    bool is_usable; /* the reply may be passed on, as far as its head tells */
+    GwHttpHead *reply_head; /* held until it is passed on */
+    GString *held;          /* body held with it */
+    bool is_events;
+    bool is_held; /* the answer is passed on only when it is whole */
+    bool head_sent;
+    GwFraming framing;
+    GwEventSplitter events;
+};
+
+#endif
--- /dev/null
+++ b/packages/policy/tests/choice_test.cc
@@ -0,0 +1,135 @@
+// Which offer is taken, what spreads, what is limited.
+// Time and randomness are given.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstring>
+#include <string>
+#include <vector>
+
+#include "galenagw/policy/choice.h"
+#include "galenagw/policy/heat.h"
+#include "galenagw/policy/limits.h"
+
+TEST(Choice, WeighsWaitAgainstRecomputation)
+{
+    const struct {
+        const char *name;
+        std::vector<GwOffer> offers;
+        double weight;
+        int best;
+    } cases[] = {
+        {"none answered",
+         {{false, GW_REFUSAL_NONE, 0, 0, false, 0, 0}},
+         1,
+         -1},
+        {"declined", {{true, GW_REFUSAL_LEAVING, 1, 0, false, 0, 9}}, 1, -1},
+        {"sooner",
+         {{true, GW_REFUSAL_NONE, 90, 0, false, 0, 0},
+          {true, GW_REFUSAL_NONE, 80, 0, false, 0, 0}},
+         1,
+         1},
+        {"held, though later",
+         {{true, GW_REFUSAL_NONE, 90, 0, false, 0, 0},
+          {true, GW_REFUSAL_NONE, 80, 80, false, 0, 0}},
+         1,
+         0},
+        {"held, but far too late",
+         {{true, GW_REFUSAL_NONE, 500, 0, false, 0, 0},
+          {true, GW_REFUSAL_NONE, 80, 80, false, 0, 0}},
+         1,
+         1},
+        {"tie goes to the earlier place",
+         {{true, GW_REFUSAL_NONE, 90, 0, false, 0, 0},
+          {true, GW_REFUSAL_NONE, 90, 0, false, 0, 0}},
+         1,
+         0},
+        {"far away",
+         {{true, GW_REFUSAL_NONE, 90, 0, false, 900, 0},
+          {true, GW_REFUSAL_NONE, 99, 0, false, 10, 0}},
+         1,
+         1},
+    };
+
+    for (auto &c : cases)
+        EXPECT_EQ(GwChoice_Best(c.offers.data(), c.offers.size(), c.weight),
+                  c.best)
+            << c.name;
+    GwOffer good = {true, GW_REFUSAL_NONE, 900, 800, true, 0, 0};
+    EXPECT_TRUE(GwChoice_IsGoodEnough(&good));
+    good.ttft = 5000;
+    EXPECT_FALSE(GwChoice_IsGoodEnough(&good)) << "it would wait";
+    good = {true, GW_REFUSAL_NONE, 900, 800, false, 0, 0};
+    EXPECT_FALSE(GwChoice_IsGoodEnough(&good)) << "it lacks shared blocks";
+    GwOffer refused[] = {{true, GW_REFUSAL_QUEUE_FULL, 0, 0, false, 0, 500},
+                         {true, GW_REFUSAL_DEADLINE, 0, 0, false, 0, 200}};
+    GwTime retry_after;
+    EXPECT_EQ(GwChoice_Refusal(refused, 2, &retry_after), GW_REFUSAL_DEADLINE);
+    EXPECT_EQ(retry_after, 200);
+}
+
+TEST(PrefillCost, FirstSampleReplacesTheGuess)
+{
+    GwPrefillCost c;
+
+    GwPrefillCost_Init(&c);
+    GwPrefillCost_Learn(&c, 1000, 1000500);
+    EXPECT_NEAR(c.us_per_token, 1000, 1);
+    for (int i = 0; i < 100; i++)
+        GwPrefillCost_Learn(&c, 1000, 200500);
+    EXPECT_NEAR(c.us_per_token, 200, 10);
+    GwPrefillCost_Learn(&c, 1, 300);
+    EXPECT_NEAR(c.base_us, 300, 1);
+}
+
+TEST(Heat, WidensWithWorkAndShrinksAgain)
+{
+    GwHeat *h = GwHeat_New(1000, 4);
+
+    EXPECT_EQ(GwHeat_Width(0, 1000), 1u);
+    EXPECT_EQ(GwHeat_Width(600, 1000), 1u);
+    EXPECT_EQ(GwHeat_Width(1500, 1000), 3u);
+    GwHeat_Add(h, 1, 8, 0);
+    EXPECT_DOUBLE_EQ(GwHeat_Get(h, 1, 1000), 4);
+    GwHeat_Raise(h, 1, 6, 1000);
+    EXPECT_DOUBLE_EQ(GwHeat_Get(h, 1, 1000), 6);
+    // Distinct keys without end must not grow it.
+    for (uint64_t k = 2; k < 1000; k++)
+        GwHeat_Add(h, k, 1, 1000);
+    EXPECT_DOUBLE_EQ(GwHeat_Get(h, 999, 1000), 1);
+    GwHeat_Delete(h);
+}
+
+TEST(Limits, CreditsAndLocalShare)
+{
+    GwCredit c = {};
+    GwTime now = GW_SECOND;
+
+    EXPECT_EQ(GwCredit_Spend(&c, now), GW_CREDIT_ASK);
+    GwCredit_Granted(&c, 2, 0, now);
+    EXPECT_EQ(GwCredit_Spend(&c, now), GW_CREDIT_GO);
+    // A lease that ran out is not spent: others may have its credits.
+    EXPECT_EQ(GwCredit_Spend(&c, now + 2 * GW_SECOND), GW_CREDIT_ASK);
+    GwCredit_Granted(&c, 0, 100, now);
+    EXPECT_EQ(GwCredit_Spend(&c, now + 99), GW_CREDIT_REFUSE);
+    EXPECT_EQ(GwCredit_Spend(&c, now + 100), GW_CREDIT_ASK);
+    // Home away: four entries take a quarter each.
+    int spent = 0;
+    for (int ms = 0; ms < 10000; ms++)
+        spent += GwCredit_SpendLocal(&c, 40, 4, now + ms * GW_MILLISECOND);
+    EXPECT_NEAR(spent, 100, 11);
+}
+
+TEST(Limits, RetryBudgetIsAShareOfFirstAttempts)
+{
+    GwRetryBudget b;
+    int retries = 0;
+
+    GwRetryBudget_Init(&b, 0.1, 5);
+    for (int i = 0; i < 1000; i++) {
+        GwRetryBudget_First(&b);
+        retries += GwRetryBudget_Take(&b);
+    }
+    EXPECT_LE(retries, 106);
+    EXPECT_GE(retries, 95);
+}
