--- a/bench/src/scenarios.c
+++ b/bench/src/scenarios.c
@@ -41,6 +41,7 @@
     {"faults", fail_endpoints_, "one killed, one silent, one leaving"},
     {"latency", measure_latency_, "latency added to a direct call"},
     {"cost", measure_cost_, "requests, tokens and memory per core"},
+    {"forward", Forward_Run, "cost of forwarding on the users' platform"},
     {NULL, NULL, NULL},
 };
 
--- a/bench/src/scenarios.h
+++ b/bench/src/scenarios.h
@@ -13,6 +13,8 @@
 /* The table ends with a NULL name. */
 extern const Scenario Scenarios_All[];
 
+/* Processor time of forwarding on the users' platform. */
+void Forward_Run(uint32_t seed);
 /* Cost against size, for docs/CAPACITY.md. */
 void Slopes_Run(uint32_t seed);
 
--- a/packages/net/src/tcp.c
+++ b/packages/net/src/tcp.c
@@ -1,3 +1,4 @@
+#define GW_LOG_PART "net"
 #include "galenagw/net/tcp.h"
 
 #include <arpa/inet.h>
@@ -9,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "galenagw/base/log.h"
 #include "net_private.h"
 
 /* Bytes taken from a socket at once; larger answers come in more turns. */
@@ -16,6 +18,9 @@
 /* Turns of reading before other sockets get theirs. */
 #define READS_AT_ONCE 4
 #define BACKLOG 512
+/* Without descriptors a waiting caller would wake the loop for ever; the
+ * listener rests so long instead. Connections end within such times. */
+#define ACCEPT_REST (100 * GW_MILLISECOND)
 /* Bytes already sent that are worth moving the rest for. */
 #define COMPACT_ABOVE (64 * 1024)
 /* How long a finished stream still reads what its peer sends: longer than a
@@ -54,6 +59,7 @@
 struct GwTcpServer {
     struct lws *wsi;
     GwLoop *loop;
+    GwTimer rest; /* until the next try, without descriptors */
     int fd;
     int port;
     void (*on_accept)(void *user, GwTcp *tcp);
@@ -83,6 +89,7 @@
 static void on_timer_(void *user);
 static void on_rearm_(void *user);
 static void accept_(GwTcpServer *server);
+static void on_rested_(void *user);
 
 GwTcp *
 GwTcp_Connect(GwLoop *loop, const GwAddress *address, const GwTcpOps *ops,
@@ -185,6 +192,7 @@
     server->on_accept = on_accept;
     server->user = user;
     TAILQ_INIT(&server->accepted);
+    GwTimer_Init(&server->rest, loop, on_rested_, server);
     server->fd =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     setsockopt(server->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
@@ -226,6 +234,7 @@
 
     if (server == NULL)
         return;
+    GwTimer_Stop(&server->rest);
     lws_set_opaque_user_data(server->wsi, NULL);
     shutdown(server->fd, SHUT_RDWR);
     lws_set_timeout(server->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
@@ -545,4 +554,18 @@
         if (tcp->ops != NULL && tcp->ops->on_open != NULL && !tcp->closed)
             tcp->ops->on_open(tcp->user);
     }
+    if (errno == EMFILE || errno == ENFILE) {
+        GW_WARN("no descriptor is left for a caller; raise the limit of open "
+                "files (ulimit -n)");
+        lws_rx_flow_control(server->wsi, 0);
+        GwTimer_Start(&server->rest, ACCEPT_REST);
+    }
+}
+
+static void
+on_rested_(void *user)
+{
+    GwTcpServer *server = user;
+
+    lws_rx_flow_control(server->wsi, 1);
 }
--- /dev/null
+++ b/packages/net/tests/tcp_test.cc
@@ -0,0 +1,204 @@
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <sys/resource.h>
+#include <unistd.h>
+#include <vector>
+
+#include "galenagw/net/tcp.h"
+
+// One end of a stream, as a test sees it.
+struct End {
+    GwTcp *tcp = nullptr;
+    std::string received;
+    bool open = false, closed = false, drained = false;
+    GwTcpEnd end = GW_TCP_ENDS;
+};
+
+static const GwTcpOps kOps = {
+    [](void *u) { static_cast<End *>(u)->open = true; },
+    [](void *u, const uint8_t *data, size_t len) {
+        static_cast<End *>(u)->received.append(
+            reinterpret_cast<const char *>(data), len);
+    },
+    [](void *u, GwTcpEnd end) {
+        End *e = static_cast<End *>(u);
+        e->closed = true;
+        e->end = end;
+        e->tcp = nullptr;
+    },
+    [](void *u) { static_cast<End *>(u)->drained = true; }};
+
+class TcpTest : public testing::Test {
+  protected:
+    void
+    SetUp() override
+    {
+        GwError err = {};
+        GwAddress any = {"127.0.0.1", 0};
+
+        loop = GwLoop_New(nullptr, &err);
+        server = GwTcpServer_New(
+            loop, &any,
+            [](void *user, GwTcp *tcp) {
+                TcpTest *t = static_cast<TcpTest *>(user);
+                t->accepted.push_back(std::make_unique<End>());
+                t->accepted.back()->tcp = tcp;
+                GwTcp_SetOps(tcp, &kOps, t->accepted.back().get());
+            },
+            this, &err);
+        ASSERT_NE(server, nullptr) << err.message;
+    }
+    void
+    TearDown() override
+    {
+        GwTcpServer_Delete(server);
+        GwLoop_Delete(loop);
+    }
+    bool
+    Until(const std::function<bool()> &done)
+    {
+        GwTime limit = GwTime_Now() + 5 * GW_SECOND;
+        GwTimer tick;
+
+        GwTimer_Init(
+            &tick, loop, [](void *) {}, nullptr);
+        while (!done() && GwTime_Now() < limit) {
+            GwTimer_Start(&tick, 10 * GW_MILLISECOND);
+            GwLoop_Step(loop);
+        }
+        GwTimer_Stop(&tick);
+        return done();
+    }
+    void
+    Connect(End *e)
+    {
+        GwAddress address = {"127.0.0.1", GwTcpServer_Port(server)};
+        size_t before = accepted.size();
+
+        e->tcp = GwTcp_Connect(loop, &address, &kOps, e);
+        ASSERT_TRUE(
+            Until([&] { return e->open && accepted.size() > before; }));
+    }
+    static void
+    Write(GwTcp *tcp, const std::string &text)
+    {
+        GwTcp_Write(tcp, reinterpret_cast<const uint8_t *>(text.data()),
+                    text.size());
+    }
+
+    GwLoop *loop = nullptr;
+    GwTcpServer *server = nullptr;
+    std::vector<std::unique_ptr<End>> accepted;
+};
+
+// A reader of an answer without a length must know which of the two it was.
+TEST_F(TcpTest, AnOrderlyEndAndAResetAreToldApart)
+{
+    const struct {
+        const char *name;
+        void (*close)(GwTcp *);
+        GwTcpEnd want;
+    } cases[] = {
+        {"finish", GwTcp_Finish, GW_TCP_FINISHED},
+        {"close", GwTcp_Close, GW_TCP_FINISHED},
+        {"reset", GwTcp_Reset, GW_TCP_RESET},
+    };
+
+    for (auto &c : cases) {
+        End e;
+
+        Connect(&e);
+        Write(e.tcp, "last words");
+        c.close(e.tcp);
+        End *peer = accepted.back().get();
+        EXPECT_TRUE(Until([&] { return peer->closed; })) << c.name;
+        EXPECT_EQ(peer->end, c.want) << c.name;
+        if (c.want == GW_TCP_FINISHED) {
+            EXPECT_EQ(peer->received, "last words") << c.name;
+        }
+    }
+}
+
+// The peer still sends when we have given our last answer: closing at once
+// would reset the connection, and take that answer with it.
+TEST_F(TcpTest, FinishDeliversThoughThePeerStillSends)
+{
+    End e;
+    std::string answer(3 * 1024 * 1024, 'a');
+
+    Connect(&e);
+    End *peer = accepted.back().get();
+    GwTcp_Pause(e.tcp, true);
+    Write(peer->tcp, answer);
+    GwTcp_Finish(peer->tcp);
+    for (int i = 0; i < 50; i++)
+        Write(e.tcp, std::string(1000, 'x'));
+    GwTcp_Pause(e.tcp, false);
+    EXPECT_TRUE(Until([&] { return e.closed; }));
+    EXPECT_EQ(e.received.size(), answer.size());
+    EXPECT_EQ(e.end, GW_TCP_FINISHED);
+}
+
+TEST_F(TcpTest, WhatDoesNotFitTheSocketFollowsByItself)
+{
+    End e;
+    const size_t size = 32 * 1024 * 1024;
+
+    Connect(&e);
+    GwTime start = GwTime_Now();
+    Write(e.tcp, std::string(size, 'x'));
+    EXPECT_GT(GwTcp_Pending(e.tcp), 0u);
+    EXPECT_TRUE(
+        Until([&] { return accepted.back()->received.size() == size; }));
+    EXPECT_LT(GwTime_Now() - start, 3 * GW_SECOND);
+    EXPECT_TRUE(Until([&] { return e.drained; }));
+    GwTcp_Close(e.tcp);
+}
+
+TEST_F(TcpTest, NobodyListensIsUnreachable)
+{
+    GwAddress nobody = {"127.0.0.1", 1};
+    GwAddress no_number = {"not-a-number", 1};
+
+    for (const GwAddress &address : {nobody, no_number}) {
+        End e;
+
+        e.tcp = GwTcp_Connect(loop, &address, &kOps, &e);
+        EXPECT_TRUE(Until([&] { return e.closed; }));
+        EXPECT_EQ(e.end, GW_TCP_UNREACHABLE);
+    }
+}
+
+// No descriptor is left, and callers keep coming: those that are connected are
+// served on, the loop does not spin, and the others are taken once there are
+// descriptors again.
+TEST_F(TcpTest, WithoutDescriptorsTheLoopRestsAndRecovers)
+{
+    End first, second;
+    rlimit before, low;
+
+    Connect(&first);
+    GwAddress address = {"127.0.0.1", GwTcpServer_Port(server)};
+    second.tcp = GwTcp_Connect(loop, &address, &kOps, &second);
+    ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+    low = before;
+    int lowest_free = dup(0);
+    close(lowest_free);
+    low.rlim_cur = (rlim_t)lowest_free;
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &low), 0);
+    int steps = 0;
+    GwTime until = GwTime_Now() + 300 * GW_MILLISECOND;
+    Until([&] {
+        steps++;
+        return GwTime_Now() > until;
+    });
+    EXPECT_EQ(accepted.size(), 1u);
+    EXPECT_LT(steps, 100) << "about 30 by our own tick";
+    setrlimit(RLIMIT_NOFILE, &before);
+    EXPECT_TRUE(Until([&] { return accepted.size() == 2; }));
+    GwTcp_Close(first.tcp);
+    GwTcp_Close(second.tcp);
+}
