One memory of who holds what: the gateway takes affinity from policy

GwHolders in routing/placement was GwAffinity of packages/policy once more: a key, a place, a life, a bound. It goes, with its test; Affinity's own test checks the same (remembered, forgotten after its life, bounded).

--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -62,6 +62,7 @@
     size_t bytes;
 } Batch;
 
+static GwSessionOptions session_options_(GwPeers *p);
 static void on_ready_(void *user, GwSession *session,
                       const Gw__Wire__Hello *hello);
 static void on_frame_(void *user, GwSession *session, const GwFrame *frame);
@@ -96,18 +97,11 @@
 GwPeers_New(GwLoop *loop, const GwPeersOptions *options, GwError *err)
 {
     GwPeers *p = g_new0(GwPeers, 1);
-    GwSessionOptions session = {
-        .fill_hello = fill_hello_,
-        .revision = revision_,
-        .ops = &session_ops,
-        .user = p,
-        .counters = options->counters,
-        .ping_after = PING_AFTER,
-        .silent_after = SILENT_AFTER,
-    };
+    GwSessionOptions session;
 
     p->loop = loop;
     p->options = *options;
+    session = session_options_(p);
     TAILQ_INIT(&p->peers);
     GwTimer_Init(&p->timer, loop, on_timer_, p);
     p->server = GwSessionServer_New(loop, &options->listen, &session, err);
@@ -197,6 +191,20 @@
     return p->entries > 0 ? p->entries : ENTRIES_ASSUMED;
 }
 
+static GwSessionOptions
+session_options_(GwPeers *p)
+{
+    return (GwSessionOptions){
+        .fill_hello = fill_hello_,
+        .revision = revision_,
+        .ops = &session_ops,
+        .user = p,
+        .counters = p->options.counters,
+        .ping_after = PING_AFTER,
+        .silent_after = SILENT_AFTER,
+    };
+}
+
 static void
 on_ready_(void *user, GwSession *session, const Gw__Wire__Hello *hello)
 {
@@ -357,15 +365,7 @@
 connect_(GwPeers *p, const GwAddress *address)
 {
     Peer *peer = at_(p, address);
-    GwSessionOptions session = {
-        .fill_hello = fill_hello_,
-        .revision = revision_,
-        .ops = &session_ops,
-        .user = p,
-        .counters = p->options.counters,
-        .ping_after = PING_AFTER,
-        .silent_after = SILENT_AFTER,
-    };
+    GwSessionOptions session = session_options_(p);
 
     if (peer == NULL) {
         peer = g_new0(Peer, 1);
--- a/packages/gateway/src/choosing.c
+++ b/packages/gateway/src/choosing.c
@@ -20,6 +20,7 @@
                                      const GwInstance *chosen,
                                      const GwInstance *home);
 static GwInstance *by_place_(const GPtrArray *pool, uint64_t place);
+static uint64_t holder_(const GwRequest *r, const char *scope, unsigned n);
 static uint64_t level_key_(const GwRequest *r, const char *scope, unsigned n);
 
 GwInstance *
@@ -93,8 +94,8 @@
     if (r->scope == NULL || r->instance == NULL)
         return;
     for (unsigned n = 1; n <= r->ask.n_parts; n++)
-        GwHolders_Note(r->gateway->holders, level_key_(r, r->scope, n),
-                       r->instance->place, now);
+        GwAffinity_Remember(r->gateway->holders, level_key_(r, r->scope, n),
+                            r->instance->place, 0, now);
 }
 
 // The store of KV cache that the request's parts belong to, or NULL.
@@ -125,15 +126,12 @@
                    const GwAddress *source)
 {
     unsigned n = r->ask.n_parts;
-    uint64_t level;
 
     if (instance->model == NULL)
         return 0;
     if (n < 2 || r->scope == NULL)
         return r->ask.prompt_tokens;
-    level = level_key_(r, r->scope, n - 1);
-    if (source != NULL || GwHolders_Find(r->gateway->holders, level,
-                                         GwTime_Now()) == instance->place)
+    if (source != NULL || holder_(r, r->scope, n - 1) == instance->place)
         return r->ask.parts[n - 1].tokens;
     return r->ask.prompt_tokens;
 }
@@ -204,9 +202,7 @@
                         : 0;
     uint64_t sum = 0;
 
-    if (kept >= shared ||
-        GwHolders_Find(r->gateway->holders, level_key_(r, scope, shared),
-                       GwTime_Now()) != 0)
+    if (kept >= shared || holder_(r, scope, shared) != 0)
         return 0;
     for (unsigned i = kept; i < shared; i++)
         sum += r->ask.parts[i].tokens;
@@ -243,8 +239,7 @@
     if (kept > 0 && kept >= shared)
         return GwKvStore_Address(store);
     for (unsigned n = r->ask.n_parts; n > kept; n--) {
-        uint64_t place = GwHolders_Find(r->gateway->holders,
-                                        level_key_(r, r->scope, n), now);
+        uint64_t place = holder_(r, r->scope, n);
         GwInstance *holder = by_place_(pool, place);
 
         if (holder == NULL)
@@ -270,6 +265,16 @@
     return NULL;
 }
 
+// Place of the engine last seen to hold the leading @p n parts; 0: none.
+static uint64_t
+holder_(const GwRequest *r, const char *scope, unsigned n)
+{
+    GwTime unused;
+
+    return GwAffinity_Find(r->gateway->holders, level_key_(r, scope, n),
+                           GwTime_Now(), &unused);
+}
+
 static uint64_t
 level_key_(const GwRequest *r, const char *scope, unsigned n)
 {
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -75,7 +75,7 @@
     TAILQ_INIT(&g->requests);
     g->budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    g->holders = GwHolders_New(MAX_LEVELS, HOLDER_LIFE);
+    g->holders = GwAffinity_New(HOLDER_LIFE, MAX_LEVELS);
     g->rand = g_rand_new();
     g->kv_stores = GwKvStores_New(loop, g->log, g->rand);
     GwTimer_Init(&g->drain_timer, loop, on_drain_timer_, g);
@@ -104,7 +104,7 @@
     GwStoreReader_Delete(g->reader);
     GwView_Delete(g->view);
     GwKvStores_Delete(g->kv_stores);
-    GwHolders_Delete(g->holders);
+    GwAffinity_Delete(g->holders);
     g_hash_table_unref(g->budgets);
     g_rand_free(g->rand);
     g_free(g->name);
--- a/packages/gateway/src/gateway_private.h
+++ b/packages/gateway/src/gateway_private.h
@@ -9,6 +9,7 @@
 #include "galenagw/cluster/view.h"
 #include "galenagw/gateway/gateway.h"
 #include "galenagw/http/server.h"
+#include "galenagw/policy/affinity.h"
 #include "galenagw/routing/budget.h"
 #include "galenagw/routing/placement.h"
 
@@ -37,7 +38,7 @@
     GwHttpServer *metrics_server;
 
     GHashTable *budgets; /* service to GwBudget */
-    GwHolders *holders;
+    GwAffinity *holders; /* engine last seen to hold a level */
     GwKvStores *kv_stores;
     GRand *rand;
     GwCounters counters;
--- a/packages/routing/include/galenagw/routing/placement.h
+++ b/packages/routing/include/galenagw/routing/placement.h
@@ -61,16 +61,6 @@
 /** Choose an endpoint of a plain service; @p draw breaks ties. */
 int GwPlacement_ChoosePlain(const GwCandidate *list, size_t n, uint64_t draw);
 
-typedef struct GwHolders GwHolders;
-
-/** Who was last seen to hold a level of a prompt, by its hash. */
-GwHolders *GwHolders_New(size_t max_levels, GwTime life);
-void GwHolders_Delete(GwHolders *holders);
-void GwHolders_Note(GwHolders *holders, uint64_t level, uint64_t place,
-                    GwTime now);
-/** @return its place, or 0 */
-uint64_t GwHolders_Find(const GwHolders *holders, uint64_t level, GwTime now);
-
 #ifdef __cplusplus
 }
 #endif
--- a/packages/routing/src/placement.c
+++ b/packages/routing/src/placement.c
@@ -28,20 +28,8 @@
 /* A plain endpoint in another failure domain takes two more hops. */
 #define FAR_LOAD 0.02
 
-typedef struct {
-    uint64_t place;
-    GwTime at;
-} Holder;
-
-struct GwHolders {
-    GHashTable *levels; /* uint64_t to Holder */
-    size_t max_levels;
-    GwTime life;
-};
-
 static uint32_t tokens_(const GwPart *parts, unsigned n);
 static double engine_cost_(const GwCandidate *c, const GwAsk *ask);
-static gboolean is_old_(gpointer key, gpointer value, gpointer user);
 
 uint64_t
 GwPlacement_Level(const GwPart *parts, unsigned n)
@@ -129,58 +117,6 @@
     return best;
 }
 
-GwHolders *
-GwHolders_New(size_t max_levels, GwTime life)
-{
-    GwHolders *h = g_new0(GwHolders, 1);
-
-    h->levels =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    h->max_levels = max_levels;
-    h->life = life;
-    return h;
-}
-
-void
-GwHolders_Delete(GwHolders *h)
-{
-    if (h == NULL)
-        return;
-    g_hash_table_unref(h->levels);
-    g_free(h);
-}
-
-void
-GwHolders_Note(GwHolders *h, uint64_t level, uint64_t place, GwTime now)
-{
-    Holder *holder = g_hash_table_lookup(h->levels, &level);
-
-    if (holder == NULL) {
-        GwTime limit = now - h->life;
-
-        if (g_hash_table_size(h->levels) >= h->max_levels)
-            g_hash_table_foreach_remove(h->levels, is_old_, &limit);
-        // All of them in use: what is not remembered costs a copy at most.
-        if (g_hash_table_size(h->levels) >= h->max_levels)
-            return;
-        holder = g_new0(Holder, 1);
-        g_hash_table_insert(h->levels, g_memdup2(&level, sizeof(level)),
-                            holder);
-    }
-    holder->place = place;
-    holder->at = now;
-}
-
-uint64_t
-GwHolders_Find(const GwHolders *h, uint64_t level, GwTime now)
-{
-    const Holder *holder = g_hash_table_lookup(h->levels, &level);
-
-    if (holder == NULL || now - holder->at > h->life)
-        return 0;
-    return holder->place;
-}
-
 static uint32_t
 tokens_(const GwPart *parts, unsigned n)
 {
@@ -210,9 +146,3 @@
         cost += WORSE_MS;
     return cost;
 }
-
-static gboolean
-is_old_(gpointer key, gpointer value, gpointer user)
-{
-    return ((const Holder *)value)->at < *(const GwTime *)user;
-}
--- a/packages/routing/tests/placement_test.cc
+++ b/packages/routing/tests/placement_test.cc
@@ -214,20 +214,3 @@
                 << c.name;
     }
 }
-
-TEST(Holders, AreForgottenAndBounded)
-{
-    GwHolders *h = GwHolders_New(10, GW_SECOND);
-
-    GwHolders_Note(h, 1, 77, GW_SECOND);
-    EXPECT_EQ(GwHolders_Find(h, 1, GW_SECOND), 77u);
-    EXPECT_EQ(GwHolders_Find(h, 2, GW_SECOND), 0u);
-    EXPECT_EQ(GwHolders_Find(h, 1, 3 * GW_SECOND), 0u);
-    for (uint64_t i = 0; i < 1000; i++)
-        GwHolders_Note(h, 100 + i, 1, 3 * GW_SECOND);
-    EXPECT_EQ(GwHolders_Find(h, 100, 3 * GW_SECOND), 1u);
-    EXPECT_EQ(GwHolders_Find(h, 1099, 3 * GW_SECOND), 0u);
-    GwHolders_Note(h, 5000, 8, 10 * GW_SECOND);
-    EXPECT_EQ(GwHolders_Find(h, 5000, 10 * GW_SECOND), 8u);
-    GwHolders_Delete(h);
-}
