A refusal after an attempt that may have run is no promise

Cause, found reading the diff: an attempt whose stream broke may have run, and a second instance's decline then became the client's 503 with Retry-After. A 503 says "nothing ran, send it again", so the client would pay twice for an order.

Ruled out: hiding it in the router's retry table, which cannot know what the broken instance did.

Conclusion: may_have_run is kept per request, from the first attempt whose end is unknown, and every refusal asks it.

--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -77,6 +77,12 @@
     if (r->ask.deadline_ms >= 0)
         limit = MIN(limit, r->ask.deadline_ms * GW_MILLISECOND);
     r->deadline = r->arrived + limit;
+    // No endpoint could answer in so little time: said at once, it is true
+    // that nothing has run.
+    if (limit < MIN_ATTEMPT) {
+        answer_refusal_(r, GW_REFUSAL_DEADLINE);
+        return;
+    }
     GwTimer_Start(&r->timer, r->deadline - GwTime_Now());
     GwBudget_AddRequest(GwGateway_Budget(r->gateway, r->service),
                         &r->gateway->budget_bound, GwTime_Now());
@@ -511,6 +517,8 @@
     GwEvent_Time(g->log, "left_ms", left);
     GwEvent_Text(g->log, "next", GwNext_Names[next]);
     GwEvent_End(g->log);
+    r->may_have_run = r->may_have_run || fate == GW_ATTEMPT_MAY_HAVE_RUN ||
+                      fate == GW_ATTEMPT_HAS_RUN;
     leave_instance_(r);
     switch (next) {
     case GW_NEXT_RESUME:
@@ -589,6 +597,7 @@
     GwEvent_End(r->gateway->log);
     GwUpstream_Cancel(g_steal_pointer(&r->upstream));
     leave_instance_(r);
+    r->may_have_run = true;
     attempt_(r);
 }
 
@@ -615,12 +624,13 @@
 {
     g_autoptr(GString) out = g_string_new(NULL);
     bool close = GwHttpCall_MustClose(r->call);
-    GwFailure failure = {
-        .request_id = r->ask.id,
-        .status = GwRefusal_Status(refusal),
-        .close = close,
-        .message = GwRefusal_Message(refusal),
-    };
+    GwFailure failure = {.request_id = r->ask.id, .close = close};
+
+    // 503 promises that nothing has run, here or anywhere.
+    if (r->may_have_run && GwRefusal_Status(refusal) == 503)
+        refusal = GW_REFUSAL_OUTCOME_UNKNOWN;
+    failure.status = GwRefusal_Status(refusal);
+    failure.message = GwRefusal_Message(refusal);
 
     if (failure.status == 503)
         failure.retry_after_s =
--- a/packages/gateway/src/request_private.h
+++ b/packages/gateway/src/request_private.h
@@ -34,6 +34,7 @@
     GwTime first_byte_at; /* 0: none passed on */
     unsigned sends;       /* that may have reached an endpoint */
     unsigned attempts;
+    bool may_have_run; /* an earlier attempt; "not run" would be untrue */
     uint64_t tried[MAX_TRIED];
     unsigned n_tried;
     char *scope;      /* KV cache of this attempt */
--- a/packages/gateway/tests/gateway_failure_test.cc
+++ b/packages/gateway/tests/gateway_failure_test.cc
@@ -126,6 +126,31 @@
     }
 }
 
+// A call that may be repeated breaks off at one endpoint, and the other one
+// turns it away. The last word is a decline, but "not run" would be untrue.
+TEST(GatewayFailure, ADeclineAfterABreakIsNoProofThatNothingRan)
+{
+    Fleet f;
+    int asked = 0;
+    f.Configure(1);
+    Endpoint *a = f.AddEndpoint("i-1", "plain");
+    Endpoint *b = f.AddEndpoint("i-2", "plain");
+    a->serve = b->serve = [&](Endpoint *, FakeExchange *x) {
+        if (asked++ == 0)
+            FakeExchange_Close(x, true);
+        else
+            Endpoint::Decline(x);
+    };
+    GwGateway *g = f.AddGateway();
+    ASSERT_TRUE(f.Ready());
+    auto c = f.Call(g, Fleet::Request("GET", "/plain/1"));
+
+    EXPECT_TRUE(f.Until([&] { return c->Has(1); }));
+    EXPECT_EQ(asked, 2);
+    EXPECT_EQ(c->Status(), 502);
+    EXPECT_EQ(c->Header("Retry-After"), "");
+}
+
 // The caller sees 503 with a time to come back, at once: no endpoint listens,
 // so nothing was sent, and a call that must not run twice is safe to repeat.
 TEST(GatewayFailure, NothingSentIsRefusedAsNotRun)
--- a/packages/gateway/tests/gateway_test.cc
+++ b/packages/gateway/tests/gateway_test.cc
@@ -84,6 +84,13 @@
          "GET /plain/1 HTTP/1.1\r\nHost: h\r\nX-Key: no\r\n\r\n", 401, false},
         {"no key", "GET /plain/1 HTTP/1.1\r\nHost: h\r\n\r\n", 401, false},
         {"no endpoint", Fleet::Request("GET", "/stream/1"), 503, false},
+        {"no time left",
+         Fleet::Request("GET", "/plain/1", "", "X-Deadline-Ms: 3\r\n"), 503,
+         false},
+        {"time without end",
+         Fleet::Request("GET", "/plain/1", "",
+                        "X-Deadline-Ms: 99999999999999999999\r\n"),
+         200, true},
     };
 
     for (auto &c : cases) {
