--- a/bench/src/forward.c
+++ b/bench/src/forward.c
@@ -151,7 +151,7 @@
         (const char *const[]){"galenagw", "gateway", settings_flag, NULL});
     g_usleep(GW_SECOND);
     for (size_t r = 0; r < G_N_ELEMENTS(rates); r++) {
-        double cost[G_N_ELEMENTS(names)];
+        double cost[G_N_ELEMENTS(names)] = {0};
         g_autofree char *event = g_strdup_printf(
             "one event of a stream at %u/s, ms", rates[r].per_s);
 
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -631,7 +631,6 @@
         refusal = GW_REFUSAL_OUTCOME_UNKNOWN;
     failure.status = GwRefusal_Status(refusal);
     failure.message = GwRefusal_Message(refusal);
-
     if (failure.status == 503)
         failure.retry_after_s =
             retry_after_(r, refusal == GW_REFUSAL_NO_CONFIG ? RETRY_UNKNOWN_S
--- a/packages/http/src/server.c
+++ b/packages/http/src/server.c
@@ -439,6 +439,9 @@
 {
     GwHttpCall *call = c->call;
 
+    // The reader reports a message's head, which makes its call, before it
+    // reports the message done.
+    g_assert(call != NULL);
     GwTimer_Stop(&c->timer);
     // The length does not count this NUL; parsers may rely on it.
     g_byte_array_append(call->body, (const guint8 *)"", 1);
