Gateway counts why it repeats a call

Ruled out: a counter by status, which says nothing of broken streams. Conclusion: fate of the attempt and reason of the repetition are one table.

--- a/packages/base/include/galenagw/base/reason.h
+++ b/packages/base/include/galenagw/base/reason.h
@@ -73,6 +73,9 @@
     GW_RETRY_CONTINUE,    /**< Engine died: continued elsewhere. */
     GW_RETRY_APPEND_LOST, /**< Append answer lost: read back. */
     GW_RETRY_STALE,       /**< Frame of an older attempt dropped. */
+    GW_RETRY_BROKEN,      /**< Sent; no answer that could be used. */
+    GW_RETRY_ERROR,       /**< The endpoint answered with an error. */
+    GW_RETRY_SILENT,      /**< No answer in good time: left for another. */
     GW_RETRIES
 } GwRetry;
 
--- a/packages/base/src/reason.c
+++ b/packages/base/src/reason.c
@@ -86,8 +86,8 @@
 };
 
 const char *const GwRetry_Names[GW_RETRIES] = {
-    "none",       "declined", "refused",     "connect", "resume",
-    "unknown_id", "continue", "append_lost", "stale",
+    "none",     "declined",    "refused", "connect", "resume", "unknown_id",
+    "continue", "append_lost", "stale",   "broken",  "error",  "silent",
 };
 
 int
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -59,6 +59,14 @@
 static void log_end_(const GwRequest *r, const char *outcome, int status);
 static double retry_after_(const GwRequest *r, double most);
 
+/* As what a repetition is counted. */
+static const GwRetry retry_reasons[GW_ATTEMPT_FATES] = {
+    [GW_ATTEMPT_NOT_SENT] = GW_RETRY_CONNECT,
+    [GW_ATTEMPT_NOT_RUN] = GW_RETRY_DECLINED,
+    [GW_ATTEMPT_MAY_HAVE_RUN] = GW_RETRY_BROKEN,
+    [GW_ATTEMPT_HAS_RUN] = GW_RETRY_ERROR,
+};
+
 static const GwUpstreamOps upstream_ops = {on_head_, on_body_, on_end_};
 
 void
@@ -523,11 +531,12 @@
     switch (next) {
     case GW_NEXT_RESUME:
         GwCounters_Add(&g->counters, GW_COUNTER_RESUMED, 1);
+        GwCounters_Retry(&g->counters, GW_RETRY_CONTINUE);
         GwEventSplitter_Restart(&r->events);
         attempt_(r);
         return;
     case GW_NEXT_RETRY:
-        GwCounters_Retry(&g->counters, GW_RETRY_REFUSED);
+        GwCounters_Retry(&g->counters, retry_reasons[fate]);
         GwEventSplitter_Restart(&r->events);
         attempt_(r);
         return;
@@ -590,6 +599,7 @@
                              &r->gateway->budget_bound,
                              GwPeers_Entries(r->gateway->peers), GwTime_Now()))
         return;
+    GwCounters_Retry(&r->gateway->counters, GW_RETRY_SILENT);
     GwHealth_Note(&r->instance->health, GW_HEALTH_SILENT, GwTime_Now());
     GwEvent_Begin(r->gateway->log, "attempt_left", r->ask.id);
     GwEvent_Text(r->gateway->log, "instance", r->instance->id);
--- a/packages/gateway/tests/gateway_failure_test.cc
+++ b/packages/gateway/tests/gateway_failure_test.cc
@@ -81,20 +81,21 @@
     const struct {
         const char *name;
         Serve serve;
-        int idempotent; // status when it may be repeated
-        int once;       // and when it may not
+        int idempotent;  // status when it may be repeated
+        int once;        // and when it may not
+        GwRetry retried; // as what the repetition is counted
     } cases[] = {
-        {"declined", decline, 200, 200},
-        {"another incarnation", misdirected, 200, 200},
-        {"reset", reset, 200, 502},
-        {"closed", close, 200, 502},
-        {"an error", error, 200, 500},
-        {"an unsigned success", unsigned_success, 200, 502},
-        {"503 that promises nothing", bare_503, 200, 502},
-        {"garbage", garbage, 200, 502},
-        {"a cut answer", cut, 200, 502},
-        {"a head, then a reset", unframed_reset, 200, 502},
-        {"a part, then a reset", part_of_chunks, 200, 502},
+        {"declined", decline, 200, 200, GW_RETRY_DECLINED},
+        {"another incarnation", misdirected, 200, 200, GW_RETRY_DECLINED},
+        {"reset", reset, 200, 502, GW_RETRY_BROKEN},
+        {"closed", close, 200, 502, GW_RETRY_BROKEN},
+        {"an error", error, 200, 500, GW_RETRY_ERROR},
+        {"an unsigned success", unsigned_success, 200, 502, GW_RETRY_BROKEN},
+        {"503 that promises nothing", bare_503, 200, 502, GW_RETRY_BROKEN},
+        {"garbage", garbage, 200, 502, GW_RETRY_BROKEN},
+        {"a cut answer", cut, 200, 502, GW_RETRY_BROKEN},
+        {"a head, then a reset", unframed_reset, 200, 502, GW_RETRY_BROKEN},
+        {"a part, then a reset", part_of_chunks, 200, 502, GW_RETRY_BROKEN},
     };
 
     for (auto &c : cases) {
@@ -122,6 +123,9 @@
             EXPECT_EQ(caller->Status(), want) << c.name << " once " << once;
             EXPECT_EQ(first, want == 200 ? 2 : 1)
                 << c.name << " once " << once;
+            EXPECT_EQ(GwGateway_Counters(g)->retries[c.retried],
+                      want == 200 ? 1U : 0U)
+                << c.name << " once " << once;
         }
     }
 }
