The test of stopping counts once all its requests are at an engine

It noted how many requests an engine had had when the sixth of them had its first tokens; an earlier one, granted by the agent before it was told to leave, could reach the engine after that and was taken for new work. Ruled out: that a leaving agent takes new work. Conclusion: the test waits for all six, keeps its equality, and now also checks that requests are under way when the stop comes.

--- a/packages/entry/tests/failure_test.cc
+++ b/packages/entry/tests/failure_test.cc
@@ -1,4 +1,5 @@
 // Failures on real sockets: what callers see, and how often calls run.
+#include <algorithm>
 #include <cstring>
 
 #include "galenagw/fakes/world.h"
@@ -386,7 +387,13 @@
     for (int i = 0; i < 6; i++)
         calls.push_back(w.Chat(i % 2 ? e1 : e2, "desk.secret",
                                std::to_string(i).c_str(), 100));
-    ASSERT_TRUE(w.Until([&] { return calls[5]->Text().size() > 20; }));
+    // All are at an engine: what comes to this one later is new work.
+    ASSERT_TRUE(w.Until([&] {
+        return std::all_of(calls.begin(), calls.end(),
+                           [](auto &c) { return c->Text().size() > 20; });
+    }));
+    EXPECT_TRUE(std::any_of(calls.begin(), calls.end(),
+                            [](auto &c) { return !c->done; }));
     GwAgent_Drain(a->agent);
     GwEntry_Drain(e1->entry);
     GwEntry_Drain(e1->entry);
