One piece of code where the change had written two

Found reading the whole change again; behaviour stays as it is.

Written twice: the comparison of two addresses (six places, one of them the product's membership) is GwAddress_Equal; an address' place in the hashing is GwPlacement_Place; the sum of parts' tokens is GwPlacement_Tokens; refusals of the HTTP server become ours in GwHttpRefusal_Reason, for entry and gateway; the gateway's own chunks are GwHttpCall_Write, which now sends a chunk in one write for both, where the entry took three. Done twice: a request's cache scope, made again after the choice; what is missing of a prompt, counted for each engine though it depends on the weights alone; two notes of load to an agent at the end of one long run; a reader made for each caller and thrown away at its first connection. Dead: a verdict on heads that nobody gives, the time of the routes, a trial's flag, an instance's flag, a reader's question, and six decoded fields without a reader.

Left: GW_NEXT_DROP and client_gone of routing/attempt, which only its test asks for; the two commands' tables of settings, which differ by an offset.

No test was changed.

--- a/packages/base/include/galenagw/base/settings.h
+++ b/packages/base/include/galenagw/base/settings.h
@@ -37,6 +37,8 @@
 
 /** Parse `IP:PORT` or `[IP6]:PORT`. */
 bool GwAddress_Parse(GwAddress *addr, const char *text, GwError *err);
+/** Whether both name the same number and port. */
+bool GwAddress_Equal(const GwAddress *a, const GwAddress *b);
 
 /** One row of a settings table; the table ends with a NULL name. */
 typedef struct {
--- a/packages/base/src/settings.c
+++ b/packages/base/src/settings.c
@@ -36,6 +36,12 @@
 static bool check_required_(ParseState *ps);
 static void env_name_(const char *name, char *out, size_t size);
 
+bool
+GwAddress_Equal(const GwAddress *a, const GwAddress *b)
+{
+    return a->port == b->port && strcmp(a->host, b->host) == 0;
+}
+
 bool
 GwAddress_Parse(GwAddress *addr, const char *text, GwError *err)
 {
--- a/packages/cluster/include/galenagw/cluster/store_reader.h
+++ b/packages/cluster/include/galenagw/cluster/store_reader.h
@@ -39,8 +39,6 @@
  * has gone silent and is opened anew.
  */
 void GwStoreReader_Suspect(GwStoreReader *reader, GwList list);
-/** Whether the last call on @p list was answered. */
-bool GwStoreReader_IsCurrent(const GwStoreReader *reader, GwList list);
 
 #ifdef __cplusplus
 }
--- a/packages/cluster/include/galenagw/cluster/view.h
+++ b/packages/cluster/include/galenagw/cluster/view.h
@@ -65,8 +65,6 @@
 GwInstances *GwView_Instances(GwView *view);
 /** The newest routes, or NULL as long as none are known. */
 GwRoutes *GwView_Routes(const GwView *view);
-/** When the routes in force arrived. */
-GwTime GwView_RoutesAt(const GwView *view);
 GwTarget GwView_Target(const GwView *view, const char *model);
 
 #ifdef __cplusplus
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -76,7 +76,6 @@
 static Peer *find_(GwPeers *p, const GwSession *session);
 static Peer *at_(GwPeers *p, const GwAddress *address);
 static void drop_(Peer *peer);
-static bool is_self_(const GwPeers *p, const GwAddress *address);
 static bool needs_seeds_(const GwPeers *p);
 static void tell_records_(GwPeers *p, GwSession *session,
                           const Gw__Wire__RecordsAsk *ask);
@@ -350,7 +349,7 @@
     if (p->watched.port != 0)
         connect_(p, &p->watched);
     for (int i = 0; needs_seeds_(p) && i < p->options.n_seeds; i++) {
-        if (!is_self_(p, &p->options.seeds[i]))
+        if (!GwAddress_Equal(&p->options.seeds[i], &p->options.listen))
             connect_(p, &p->options.seeds[i]);
     }
     for (peer = TAILQ_FIRST(&p->peers); peer != NULL; peer = next) {
@@ -398,8 +397,7 @@
 
     TAILQ_FOREACH(peer, &p->peers, link)
     {
-        if (peer->outbound && peer->address.port == address->port &&
-            strcmp(peer->address.host, address->host) == 0)
+        if (peer->outbound && GwAddress_Equal(&peer->address, address))
             return peer;
     }
     return NULL;
@@ -413,13 +411,6 @@
     g_free(peer);
 }
 
-static bool
-is_self_(const GwPeers *p, const GwAddress *address)
-{
-    return address->port == p->options.listen.port &&
-           strcmp(address->host, p->options.listen.host) == 0;
-}
-
 // Seeds may be stale or down, and are as many hops as an agent: they are
 // needed only until agents are known.
 static bool
--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -106,12 +106,6 @@
     GwTimer_Start(&f->suspicion, SUSPECT_AFTER);
 }
 
-bool
-GwStoreReader_IsCurrent(const GwStoreReader *r, GwList list)
-{
-    return r->followers[list].current;
-}
-
 static void
 call_(void *user)
 {
--- a/packages/cluster/src/view.c
+++ b/packages/cluster/src/view.c
@@ -11,7 +11,6 @@
     GwRecords *records;
     GwInstances *instances;
     GwRoutes *routes;
-    GwTime routes_at;
     GHashTable *targets; /* model to GwTarget */
 };
 
@@ -72,12 +71,6 @@
     return view->routes;
 }
 
-GwTime
-GwView_RoutesAt(const GwView *view)
-{
-    return view->routes_at;
-}
-
 GwTarget
 GwView_Target(const GwView *view, const char *model)
 {
@@ -153,7 +146,6 @@
     GwCounters_Add(view->options.counters, GW_COUNTER_CONFIG_CHANGES, 1);
     GwRoutes_Unref(view->routes);
     view->routes = routes;
-    view->routes_at = GwTime_Now();
     if (view->options.ops->on_routes != NULL)
         view->options.ops->on_routes(view->options.user);
 }
--- a/packages/gateway/src/choosing.c
+++ b/packages/gateway/src/choosing.c
@@ -10,13 +10,25 @@
 /* Output tokens from which on a request runs for long: some 200 ms. */
 #define LONG_OUTPUT 24
 
+/* What holds for all endpoints of the service. */
+typedef struct {
+    const GwService *service; /* NULL: the routes name no such one */
+    double error_rate;        /* mean of all */
+    GwTime now;
+    bool desperate;          /* exclusions are set aside */
+    int64_t weights;         /* last ones that were asked for; -1: none */
+    uint64_t missing_tokens; /* with these */
+} Survey;
+
 static void fill_candidate_(const GwRequest *r, const GwInstance *instance,
-                            GwTarget target, double peer_rate, bool desperate,
-                            GwCandidate *out);
-static uint64_t missing_tokens_(const GwRequest *r,
-                                const GwInstance *instance);
+                            Survey *survey, GwCandidate *out);
+static char *scope_(const GwRequest *r, const GwInstance *instance);
+static uint64_t missing_tokens_(const GwRequest *r, const GwInstance *instance,
+                                Survey *survey);
+static uint64_t count_missing_(const GwRequest *r, const GwInstance *instance,
+                               GwTime now);
 static double error_rate_(const GPtrArray *pool);
-static const GwAddress *find_source_(GwRequest *r, const GPtrArray *pool,
+static const GwAddress *find_source_(const GwRequest *r, const GPtrArray *pool,
                                      const GwInstance *chosen,
                                      const GwInstance *home);
 static GwInstance *by_place_(const GPtrArray *pool, uint64_t place);
@@ -30,23 +42,25 @@
     const GPtrArray *pool =
         GwInstances_Of(GwView_Instances(g->view), r->service);
     g_autofree GwCandidate *list = NULL;
-    double peer_rate;
+    GwInstance *instance;
+    Survey survey;
     int home = -1;
     int chosen = -1;
 
     if (pool == NULL || pool->len == 0)
         return NULL;
     list = g_new0(GwCandidate, pool->len);
-    peer_rate = error_rate_(pool);
+    survey = (Survey){
+        .service = GwRoutes_Service(r->routes, r->service),
+        .error_rate = error_rate_(pool),
+        .now = GwTime_Now(),
+        .weights = -1,
+    };
     // Where all are excluded, what is known of them is old: one is tried.
     for (int pass = 0; pass < 2 && chosen < 0; pass++) {
-        for (guint i = 0; i < pool->len; i++) {
-            const GwInstance *instance = g_ptr_array_index(pool, i);
-
-            fill_candidate_(r, instance,
-                            GwView_Target(g->view, instance->model), peer_rate,
-                            pass > 0, &list[i]);
-        }
+        survey.desperate = pass > 0;
+        for (guint i = 0; i < pool->len; i++)
+            fill_candidate_(r, g_ptr_array_index(pool, i), &survey, &list[i]);
         if (r->ask.n_parts > 0)
             chosen = GwPlacement_ChooseEngine(
                 list, pool->len,
@@ -58,14 +72,19 @@
     }
     if (chosen < 0)
         return NULL;
+    instance = g_ptr_array_index(pool, chosen);
+    if (instance->model != NULL || r->ask.n_parts > 0) {
+        g_free(r->scope);
+        r->scope = scope_(r, instance);
+    }
     if (r->ask.n_parts > 0) {
         if (chosen != home)
             GwCounters_Add(&g->counters, GW_COUNTER_SPILLED, 1);
         *source =
-            find_source_(r, pool, g_ptr_array_index(pool, chosen),
+            find_source_(r, pool, instance,
                          home >= 0 ? g_ptr_array_index(pool, home) : NULL);
     }
-    return g_ptr_array_index(pool, chosen);
+    return instance;
 }
 
 bool
@@ -108,17 +127,6 @@
                            GwPlacement_Anchor(r->ask.parts, r->ask.n_parts));
 }
 
-char *
-GwChoosing_Scope(const GwRequest *r, const GwInstance *instance)
-{
-    // Older weights' cache, and an isolated account's, can match nothing:
-    // engines compare the scope alone.
-    if (r->account != NULL && r->account->isolated)
-        return g_strdup_printf("w%" G_GINT64_FORMAT ".%s", instance->weights,
-                               r->account->name);
-    return g_strdup_printf("w%" G_GINT64_FORMAT, instance->weights);
-}
-
 // Tokens that the engine will read: its own part, and shared ones that it
 // neither keeps nor can copy.
 uint64_t
@@ -143,30 +151,29 @@
 }
 
 static void
-fill_candidate_(const GwRequest *r, const GwInstance *instance,
-                GwTarget target, double peer_rate, bool desperate,
+fill_candidate_(const GwRequest *r, const GwInstance *instance, Survey *survey,
                 GwCandidate *out)
 {
     const GwGateway *g = r->gateway;
-    const GwService *service = GwRoutes_Service(r->routes, r->service);
+    const GwService *service = survey->service;
     const GwAdvice *advice = &instance->advice;
-    GwTime now = GwTime_Now();
+    GwTarget target = GwView_Target(g->view, instance->model);
+    GwTime now = survey->now;
+    GwTime outdated = GwTarget_OutdatedSince(&target, instance->weights);
     GwHeard heard = GwInstance_Heard(instance, now);
     bool fresh = heard == GW_HEARD_FRESH;
 
     *out = (GwCandidate){
         .place = instance->place,
         .near = g_strcmp0(instance->failure_domain, g->failure_domain) == 0,
-        .worse = GwHealth_IsWorse(&instance->health, peer_rate),
+        .worse = GwHealth_IsWorse(&instance->health, survey->error_rate),
         .slots = instance->slots,
         .in_flight = instance->in_flight,
         .prefill_tokens = instance->prefill_tokens,
     };
-    GwTime outdated = GwTarget_OutdatedSince(&target, instance->weights);
-
     out->outdated = outdated != 0 && now - outdated > WEIGHTS_FREE;
     if (instance->model != NULL && r->ask.n_parts > 1)
-        out->missing_tokens = missing_tokens_(r, instance);
+        out->missing_tokens = missing_tokens_(r, instance, survey);
     if (fresh) {
         out->in_flight = MAX(out->in_flight, advice->running + advice->queued);
         out->prefill_tokens += advice->others_tokens;
@@ -176,8 +183,9 @@
     out->usable =
         !instance->draining &&
         !(fresh && (advice->switching || advice->down)) &&
-        !(fresh && advice->preparing && GwChoosing_IsLong(r) && !desperate) &&
-        (desperate ||
+        !(fresh && advice->preparing && GwChoosing_IsLong(r) &&
+          !survey->desperate) &&
+        (survey->desperate ||
          (heard != GW_HEARD_OVERDUE && instance->avoid_until <= now &&
           GwHealth_IsUsable(&instance->health, instance->in_flight, now)));
     // Requests on weights that should be gone by now must not begin.
@@ -191,22 +199,42 @@
         out->usable = false;
 }
 
+// Cache scope of the request at @p instance, newly allocated.
+static char *
+scope_(const GwRequest *r, const GwInstance *instance)
+{
+    // Older weights' cache, and an isolated account's, can match nothing:
+    // engines compare the scope alone.
+    if (r->account != NULL && r->account->isolated)
+        return g_strdup_printf("w%" G_GINT64_FORMAT ".%s", instance->weights,
+                               r->account->name);
+    return g_strdup_printf("w%" G_GINT64_FORMAT, instance->weights);
+}
+
+// Most engines have the same weights, and what is kept of a prompt depends
+// on nothing else of them.
+static uint64_t
+missing_tokens_(const GwRequest *r, const GwInstance *instance, Survey *survey)
+{
+    if (survey->weights < 0 || survey->weights != instance->weights) {
+        survey->weights = instance->weights;
+        survey->missing_tokens = count_missing_(r, instance, survey->now);
+    }
+    return survey->missing_tokens;
+}
+
 static uint64_t
-missing_tokens_(const GwRequest *r, const GwInstance *instance)
+count_missing_(const GwRequest *r, const GwInstance *instance, GwTime now)
 {
     unsigned shared = r->ask.n_parts - 1;
-    g_autofree char *scope = GwChoosing_Scope(r, instance);
+    g_autofree char *scope = scope_(r, instance);
     const GwKvStore *store = GwChoosing_KvStore(r);
-    unsigned kept = store != NULL
-                        ? GwKvStore_Kept(store, &r->ask, scope, GwTime_Now())
-                        : 0;
-    uint64_t sum = 0;
+    unsigned kept =
+        store != NULL ? GwKvStore_Kept(store, &r->ask, scope, now) : 0;
 
     if (kept >= shared || holder_(r, scope, shared) != 0)
         return 0;
-    for (unsigned i = kept; i < shared; i++)
-        sum += r->ask.parts[i].tokens;
-    return sum;
+    return GwPlacement_Tokens(&r->ask.parts[kept], shared - kept);
 }
 
 static double
@@ -224,16 +252,14 @@
 // store, whoever was last seen to, the home; else nobody. A source without it
 // costs a millisecond.
 static const GwAddress *
-find_source_(GwRequest *r, const GPtrArray *pool, const GwInstance *chosen,
-             const GwInstance *home)
+find_source_(const GwRequest *r, const GPtrArray *pool,
+             const GwInstance *chosen, const GwInstance *home)
 {
     const GwKvStore *store = GwChoosing_KvStore(r);
     GwTime now = GwTime_Now();
     unsigned shared = MAX(r->ask.n_parts, 1) - 1;
     unsigned kept = 0;
 
-    g_free(r->scope);
-    r->scope = GwChoosing_Scope(r, chosen);
     if (store != NULL)
         kept = GwKvStore_Kept(store, &r->ask, r->scope, now);
     if (kept > 0 && kept >= shared)
--- a/packages/gateway/src/choosing.h
+++ b/packages/gateway/src/choosing.h
@@ -5,12 +5,11 @@
 
 #include "request_private.h"
 
-/* The endpoint to send it to, or NULL; and where KV cache comes from. */
+/* The endpoint to send it to, or NULL; and where KV cache comes from. Sets
+ * the request's cache scope. */
 GwInstance *GwChoosing_Choose(GwRequest *request, const GwAddress **source);
 /* Whether any endpoint is left that was not tried. */
 bool GwChoosing_HasAlternative(const GwRequest *request);
-/* Cache scope of the request at @p instance, newly allocated. */
-char *GwChoosing_Scope(const GwRequest *request, const GwInstance *instance);
 /* The store of KV cache that its parts belong to, or NULL. */
 GwKvStore *GwChoosing_KvStore(const GwRequest *request);
 /* Tokens that @p instance will read for it. */
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -223,15 +223,7 @@
 static void
 on_refused_(void *user, GwHttpCall *call, GwHttpRefusal why)
 {
-    static const GwRefusal refusals[GW_HTTP_REFUSALS] = {
-        [GW_HTTP_REFUSED_MALFORMED] = GW_REFUSAL_BAD_REQUEST,
-        [GW_HTTP_REFUSED_HEAD_TOO_LONG] = GW_REFUSAL_HEAD_TOO_LARGE,
-        [GW_HTTP_REFUSED_BODY_TOO_LONG] = GW_REFUSAL_TOO_LARGE,
-        [GW_HTTP_REFUSED_TOO_SLOW] = GW_REFUSAL_SLOW_REQUEST,
-        [GW_HTTP_REFUSED_NO_MEMORY] = GW_REFUSAL_BUFFERS_FULL,
-    };
-
-    GwRequest_RefuseEarly(user, call, refusals[why]);
+    GwRequest_RefuseEarly(user, call, GwHttpRefusal_Reason(why));
 }
 
 static void
--- a/packages/gateway/src/kv_store.c
+++ b/packages/gateway/src/kv_store.c
@@ -5,6 +5,7 @@
 
 #include "galenagw/adapter/engine.h"
 #include "galenagw/http/caller.h"
+#include "galenagw/routing/placement.h"
 
 /* The longest wait that the store allows: one call a second. */
 #define WAIT_MS 1000
@@ -48,7 +49,6 @@
 static void set_up_(GwKvStore *s, bool up, const char *why);
 static bool was_saved_(const GwKvStore *s, const GwAsk *ask, const char *scope,
                        GwTime now);
-static uint32_t shared_tokens_(const GwAsk *ask);
 static uint64_t key_(const char *scope, uint64_t part);
 
 GwKvStore *
@@ -124,7 +124,7 @@
 
     if (!s->is_up || ask->n_parts < 2 ||
         ask->parts[ask->n_parts - 1].tokens >
-            MAX_OWN_SHARE * shared_tokens_(ask) ||
+            MAX_OWN_SHARE * GwPlacement_Tokens(ask->parts, ask->n_parts - 1) ||
         GwKvStore_Kept(s, ask, scope, now) >= ask->n_parts - 1)
         return false;
     key = key_(scope, ask->parts[ask->n_parts - 2].id);
@@ -238,16 +238,6 @@
            now - *asked < SAVE_LASTS;
 }
 
-static uint32_t
-shared_tokens_(const GwAsk *ask)
-{
-    uint32_t sum = 0;
-
-    for (unsigned i = 0; i + 1 < ask->n_parts; i++)
-        sum += ask->parts[i].tokens;
-    return sum;
-}
-
 static uint64_t
 key_(const char *scope, uint64_t part)
 {
--- a/packages/gateway/src/kv_stores.c
+++ b/packages/gateway/src/kv_stores.c
@@ -1,8 +1,5 @@
 #include "kv_stores.h"
 
-#include <string.h>
-#include <xxhash.h>
-
 #include "galenagw/routing/placement.h"
 
 typedef struct {
@@ -96,8 +93,7 @@
     for (guint i = 0; i < s->entries->len; i++) {
         Entry *entry = g_ptr_array_index(s->entries, i);
 
-        if (entry->address.port == address->port &&
-            strcmp(entry->address.host, address->host) == 0)
+        if (GwAddress_Equal(&entry->address, address))
             return entry;
     }
     return NULL;
@@ -109,8 +105,7 @@
     Entry *entry = g_new0(Entry, 1);
 
     entry->address = *address;
-    entry->place = XXH64(address->host, strlen(address->host),
-                         (XXH64_hash_t)address->port);
+    entry->place = GwPlacement_Place(address);
     entry->store = GwKvStore_New(s->loop, address, s->log, s->rand);
     entry->wanted = true;
     g_ptr_array_add(s->entries, entry);
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -36,8 +36,7 @@
 static GwRefusal admit_(GwRequest *r);
 static void attempt_(GwRequest *r);
 static void send_(GwRequest *r, GwInstance *instance, const GwAddress *source);
-static void add_prefill_(GwGateway *g, GwInstance *instance, int64_t tokens);
-static void note_load_(GwGateway *g, GwInstance *instance);
+static void add_load_(GwRequest *r, int64_t tokens, int runs);
 static GwHeadVerdict on_head_(void *user, const GwHttpHead *head);
 static void on_body_(void *user, const char *data, size_t len);
 static void on_end_(void *user, GwUpstreamEnd end);
@@ -253,8 +252,6 @@
     };
 
     if (instance->model != NULL) {
-        g_free(r->scope);
-        r->scope = GwChoosing_Scope(r, instance);
         dispatch.cache_scope = r->scope;
         store = GwChoosing_KvStore(r);
         if (store != NULL && GwKvStore_TakeSave(store, &r->ask, r->scope, now))
@@ -270,14 +267,7 @@
     r->is_usable = false;
     r->prefill = GwChoosing_Prefill(r, instance, source);
     instance->in_flight++;
-    if (GwChoosing_IsLong(r)) {
-        instance->long_runs++;
-        instance->prefill_tokens += r->prefill;
-        note_load_(g, instance);
-    }
-    else {
-        add_prefill_(g, instance, (int64_t)r->prefill);
-    }
+    add_load_(r, (int64_t)r->prefill, 1);
     if (r->n_tried < MAX_TRIED)
         r->tried[r->n_tried++] = instance->place;
     GwCounters_Add(&g->counters, GW_COUNTER_ATTEMPTS, 1);
@@ -286,24 +276,23 @@
     arm_patience_(r);
 }
 
+// Its agent is told at once when a long run comes or goes, else when enough
+// tokens have changed.
 static void
-add_prefill_(GwGateway *g, GwInstance *instance, int64_t tokens)
+add_load_(GwRequest *r, int64_t tokens, int runs)
 {
+    GwInstance *instance = r->instance;
     int64_t change;
 
     instance->prefill_tokens += (uint64_t)tokens;
     change = (int64_t)(instance->prefill_tokens - instance->noted_tokens);
-    if (change == 0 ||
-        (ABS(change) < NOTE_TOKENS && instance->prefill_tokens != 0))
+    if (runs != 0 && GwChoosing_IsLong(r))
+        instance->long_runs += (unsigned)runs;
+    else if (change == 0 ||
+             (ABS(change) < NOTE_TOKENS && instance->prefill_tokens != 0))
         return;
-    note_load_(g, instance);
-}
-
-static void
-note_load_(GwGateway *g, GwInstance *instance)
-{
     instance->noted_tokens = instance->prefill_tokens;
-    GwPeers_NoteLoad(g->peers, instance);
+    GwPeers_NoteLoad(r->gateway->peers, instance);
 }
 
 static GwHeadVerdict
@@ -348,7 +337,7 @@
     if (!r->is_usable)
         return;
     if (r->prefill > 0) {
-        add_prefill_(r->gateway, r->instance, -(int64_t)r->prefill);
+        add_load_(r, -(int64_t)r->prefill, 0);
         r->prefill = 0;
         GwChoosing_NoteHolder(r);
     }
@@ -454,25 +443,16 @@
     r->first_byte_at = GwTime_Now();
     GwHistogram_Record(
         &r->gateway->counters.histograms[GW_HISTOGRAM_FORWARD_FIRST_BYTE],
-        (uint64_t)(GwTime_Now() - r->arrived));
+        (uint64_t)(r->first_byte_at - r->arrived));
 }
 
 static void
 write_body_(GwRequest *r, const char *data, size_t len)
 {
-    g_autoptr(GString) out = NULL;
-
-    if (len == 0)
-        return;
-    if (r->framing != GW_FRAMING_CHUNKED) {
+    if (r->framing == GW_FRAMING_CHUNKED)
+        GwHttpCall_Write(r->call, data, len);
+    else if (len > 0)
         GwHttpCall_Send(r->call, data, len);
-        return;
-    }
-    out = g_string_sized_new(len + 16);
-    g_string_append_printf(out, "%zx\r\n", len);
-    g_string_append_len(out, data, (gssize)len);
-    g_string_append(out, "\r\n");
-    GwHttpCall_Send(r->call, out->str, out->len);
 }
 
 static void
@@ -565,12 +545,8 @@
     if (r->instance == NULL)
         return;
     r->instance->in_flight--;
-    add_prefill_(r->gateway, r->instance, -(int64_t)r->prefill);
+    add_load_(r, -(int64_t)r->prefill, -1);
     r->prefill = 0;
-    if (GwChoosing_IsLong(r)) {
-        r->instance->long_runs--;
-        note_load_(r->gateway, r->instance);
-    }
     GwInstance_Unref(GwView_Instances(r->gateway->view), r->instance);
     r->instance = NULL;
 }
--- a/packages/gateway/src/upstream.c
+++ b/packages/gateway/src/upstream.c
@@ -312,8 +312,6 @@
     }
     GwHttpReader_ExpectNoBody(u->reader, u->has_no_body);
     verdict = u->ops->on_head(u->user, head);
-    if (verdict == GW_HEAD_STOP)
-        return false;
     u->skipping = verdict == GW_HEAD_SKIP;
     u->keep = head->keep_alive;
     return !u->skipping || ++u->foreign <= MAX_FOREIGN;
--- a/packages/gateway/src/upstream.h
+++ b/packages/gateway/src/upstream.h
@@ -14,7 +14,6 @@
 typedef enum {
     GW_HEAD_TAKE = 0, /* it answers the request */
     GW_HEAD_SKIP,     /* it answers another one: read past it */
-    GW_HEAD_STOP,     /* the callee has given the connection up */
 } GwHeadVerdict;
 
 /* How the answer ended. */
--- a/packages/http/include/galenagw/http/server.h
+++ b/packages/http/include/galenagw/http/server.h
@@ -12,6 +12,7 @@
 #ifndef GALENAGW_HTTP_SERVER_H
 #define GALENAGW_HTTP_SERVER_H
 
+#include "galenagw/base/reason.h"
 #include "galenagw/base/settings.h"
 #include "galenagw/http/message.h"
 #include "galenagw/net/loop.h"
@@ -35,6 +36,9 @@
 
 extern const char *const GwHttpRefusal_Names[GW_HTTP_REFUSALS];
 
+/** As what callers are told of it, and it is counted. */
+GwRefusal GwHttpRefusal_Reason(GwHttpRefusal refusal);
+
 /** What callers may send; zero means the default. */
 typedef struct {
     size_t max_head;     /**< bytes; default 16 KiB */
--- a/packages/http/src/caller.c
+++ b/packages/http/src/caller.c
@@ -8,7 +8,7 @@
     GwAddress address;
     GwTcp *tcp;
     bool open;
-    GwHttpReader *reader;
+    GwHttpReader *reader; /* of the connection */
     GString *request;
     GString *body;
     int status;
@@ -43,14 +43,11 @@
 GwHttpCaller_New(GwLoop *loop, const GwAddress *address)
 {
     GwHttpCaller *c = g_new0(GwHttpCaller, 1);
-    GwHttpReaderOptions options = {
-        .reads = GW_HTTP_RESPONSES, .ops = &reader_ops, .user = c};
 
     c->loop = loop;
     c->address = *address;
     c->request = g_string_new(NULL);
     c->body = g_string_new(NULL);
-    c->reader = GwHttpReader_New(&options);
     GwTimer_Init(&c->timer, loop, on_timeout_, c);
     return c;
 }
--- a/packages/http/src/server.c
+++ b/packages/http/src/server.c
@@ -13,6 +13,8 @@
 #define DEFAULT_IDLE_TIMEOUT (60 * GW_SECOND)
 /* Bytes of further requests that are taken in while one is served. */
 #define MAX_AHEAD (64 * 1024)
+/* A chunk's size line and end, at most. */
+#define CHUNK_FRAME 24
 
 typedef struct Connection Connection;
 
@@ -68,6 +70,14 @@
     [GW_HTTP_REFUSED_NO_MEMORY] = {503, "too many large bodies\n"},
 };
 
+static const GwRefusal refusal_reasons[GW_HTTP_REFUSALS] = {
+    [GW_HTTP_REFUSED_MALFORMED] = GW_REFUSAL_BAD_REQUEST,
+    [GW_HTTP_REFUSED_HEAD_TOO_LONG] = GW_REFUSAL_HEAD_TOO_LARGE,
+    [GW_HTTP_REFUSED_BODY_TOO_LONG] = GW_REFUSAL_TOO_LARGE,
+    [GW_HTTP_REFUSED_TOO_SLOW] = GW_REFUSAL_SLOW_REQUEST,
+    [GW_HTTP_REFUSED_NO_MEMORY] = GW_REFUSAL_BUFFERS_FULL,
+};
+
 static void on_accept_(void *user, GwTcp *tcp);
 static void on_data_(void *user, const uint8_t *data, size_t len);
 static void on_closed_(void *user, GwTcpEnd end);
@@ -90,6 +100,12 @@
 static const GwTcpOps tcp_ops = {NULL, on_data_, on_closed_, on_drained_};
 static const GwHttpReaderOps reader_ops = {on_head_, on_body_};
 
+GwRefusal
+GwHttpRefusal_Reason(GwHttpRefusal refusal)
+{
+    return refusal_reasons[refusal];
+}
+
 GwHttpServer *
 GwHttpServer_New(GwLoop *loop, const GwHttpServerOptions *options,
                  GwError *err)
@@ -236,15 +252,17 @@
 void
 GwHttpCall_Write(GwHttpCall *call, const char *data, size_t len)
 {
-    char size[24];
+    g_autoptr(GString) chunk = NULL;
 
     // A chunk of size zero would end the answer early.
     if (len == 0)
         return;
-    g_snprintf(size, sizeof(size), "%zx\r\n", len);
-    GwHttpCall_Send(call, size, strlen(size));
-    GwHttpCall_Send(call, data, len);
-    GwHttpCall_Send(call, "\r\n", 2);
+    // In one piece: each write is a system call and a packet of its own.
+    chunk = g_string_sized_new(len + CHUNK_FRAME);
+    g_string_append_printf(chunk, "%zx\r\n", len);
+    g_string_append_len(chunk, data, (gssize)len);
+    g_string_append(chunk, "\r\n");
+    GwHttpCall_Send(call, chunk->str, chunk->len);
 }
 
 void
--- a/packages/policy/src/membership.c
+++ b/packages/policy/src/membership.c
@@ -65,8 +65,7 @@
     member->failure_domain = g_strdup(failure_domain);
     // A replaced instance keeps its name but not its address: what was
     // known of the old one does not hold for the new.
-    if (strcmp(member->address.host, address->host) != 0 ||
-        member->address.port != address->port) {
+    if (!GwAddress_Equal(&member->address, address)) {
         member->address = *address;
         member->state = GW_MEMBER_NEW;
         member->retry_at = 0;
--- a/packages/routing/include/galenagw/routing/health.h
+++ b/packages/routing/include/galenagw/routing/health.h
@@ -37,7 +37,6 @@
     double samples;    /**< decayed number of signs */
     unsigned streak;   /**< unreachable or silent, in a row */
     GwTime excluded_until;
-    bool on_trial; /**< the exclusion ran out; one attempt decides */
 } GwHealth;
 
 /** Note how an attempt ended. @return true if it is excluded by that. */
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -65,9 +65,8 @@
     GwAddress address;
     uint64_t place; /**< hash of the address: a restart keeps its prefixes */
     unsigned slots;
-    bool draining;  /**< or replaced by another at its address */
-    int64_t offset; /**< of its newest record */
-    bool listed;
+    bool draining;     /**< or replaced by another at its address */
+    int64_t offset;    /**< of its newest record */
     GwTime removed_at; /**< when the list dropped it; 0: it has not */
     int64_t weights;   /**< newest version it is known to have; -1: none */
     GwHealth health;
--- a/packages/routing/include/galenagw/routing/placement.h
+++ b/packages/routing/include/galenagw/routing/placement.h
@@ -18,6 +18,7 @@
 #include <stdint.h>
 
 #include "galenagw/base/clock.h"
+#include "galenagw/base/settings.h"
 #include "galenagw/routing/ask.h"
 
 #ifdef __cplusplus
@@ -48,6 +49,10 @@
 uint64_t GwPlacement_Anchor(const GwPart *parts, unsigned n_parts);
 /** Hash of the leading @p n parts. */
 uint64_t GwPlacement_Level(const GwPart *parts, unsigned n);
+/** Place of whatever runs at @p address: a restart keeps it. */
+uint64_t GwPlacement_Place(const GwAddress *address);
+/** Sum over the leading @p n parts. */
+uint32_t GwPlacement_Tokens(const GwPart *parts, unsigned n);
 /** Weight of @p place for @p anchor; the highest one is its home. */
 uint64_t GwPlacement_Rank(uint64_t anchor, uint64_t place);
 
--- a/packages/routing/include/galenagw/routing/routes.h
+++ b/packages/routing/include/galenagw/routing/routes.h
@@ -43,7 +43,6 @@
     GwRouteType type;
     GwTime timeout;        /**< the longest a caller is kept waiting */
     GwTime target_latency; /**< up to the first event, for streams */
-    GwTime event_gap;      /**< longest pause between events; 0: none told */
     int priority;          /**< 0 first */
     unsigned max_attempts; /**< endpoints that one request may be sent to */
     bool is_public;        /**< no key is asked for */
@@ -61,14 +60,10 @@
 /** A service, or a store of KV cache. */
 typedef struct {
     char *name;
-    char *health_path;
     unsigned max_connections; /**< of one endpoint, from all callers */
     bool is_model;            /**< its endpoints are model engines */
-    unsigned slots;           /**< requests at once, of an engine */
-    uint32_t kv_tokens;       /**< memory of an engine or store */
     bool is_kv_store;
     GwAddress kv_store; /**< of a store */
-    char *failure_domain;
 } GwService;
 
 /** What a caller may send. */
--- a/packages/routing/src/health.c
+++ b/packages/routing/src/health.c
@@ -29,7 +29,6 @@
 
     health->samples = health->samples * DECAY + 1.0;
     health->error_rate += (bad - health->error_rate) / health->samples;
-    health->on_trial = false;
     if (sign == GW_HEALTH_GOOD || sign == GW_HEALTH_ERROR) {
         health->streak = 0;
         health->excluded_until = 0;
--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -1,7 +1,8 @@
 #include "galenagw/routing/instances.h"
 
 #include <string.h>
-#include <xxhash.h>
+
+#include "galenagw/routing/placement.h"
 
 /* Agents speak four times a second; two words that did not come, or a packet
  * that was sent again, are no sign yet. A killed agent ends its session, which
@@ -130,8 +131,7 @@
     for (guint i = m->all->len; i > 0; i--) {
         GwInstance *instance = g_ptr_array_index(m->all, i - 1);
 
-        if (instance->address.port == address->port &&
-            strcmp(instance->address.host, address->host) == 0)
+        if (GwAddress_Equal(&instance->address, address))
             return instance;
     }
     return NULL;
@@ -200,11 +200,9 @@
     instance->failure_domain = g_strdup(row->failure_domain);
     instance->model = g_strdup(row->model);
     instance->address = row->address;
-    instance->place = XXH64(row->address.host, strlen(row->address.host),
-                            (XXH64_hash_t)row->address.port);
+    instance->place = GwPlacement_Place(&row->address);
     instance->slots = row->slots;
     instance->weights = -1;
-    instance->listed = true;
     instance->refs = 1;
     g_hash_table_insert(m->by_id, instance->id, instance);
     g_ptr_array_add(pool_(m, row->service), instance);
@@ -227,9 +225,8 @@
         GwInstance *older =
             other->offset < row->offset ? other : (GwInstance *)row;
 
-        if (other == row || other->address.port != row->address.port ||
-            strcmp(other->address.host, row->address.host) != 0 ||
-            older->draining)
+        if (other == row || older->draining ||
+            !GwAddress_Equal(&other->address, &row->address))
             continue;
         GwInstance_SetReplaced(older);
         changed = true;
@@ -254,7 +251,6 @@
 {
     if (instance->removed_at != 0)
         m->held--;
-    instance->listed = false;
     g_hash_table_remove(m->by_id, instance->id);
     g_ptr_array_remove(pool_(m, instance->service), instance);
     g_ptr_array_remove(m->all, instance);
--- a/packages/routing/src/placement.c
+++ b/packages/routing/src/placement.c
@@ -1,6 +1,7 @@
 #include "galenagw/routing/placement.h"
 
 #include <glib.h>
+#include <string.h>
 #include <xxhash.h>
 
 /* Prompt tokens that an engine reads in a millisecond: the users' sheet
@@ -28,7 +29,6 @@
 /* A plain endpoint in another failure domain takes two more hops. */
 #define FAR_LOAD 0.02
 
-static uint32_t tokens_(const GwPart *parts, unsigned n);
 static double engine_cost_(const GwCandidate *c, const GwAsk *ask);
 
 uint64_t
@@ -48,11 +48,28 @@
     // belongs to a session, whose next request comes with it again.
     unsigned n = n_parts > 1 ? n_parts - 1 : n_parts;
 
-    while (n > 1 && parts[n - 1].tokens < tokens_(parts, n - 1))
+    while (n > 1 && parts[n - 1].tokens < GwPlacement_Tokens(parts, n - 1))
         n--;
     return GwPlacement_Level(parts, n);
 }
 
+uint64_t
+GwPlacement_Place(const GwAddress *address)
+{
+    return XXH64(address->host, strlen(address->host),
+                 (XXH64_hash_t)address->port);
+}
+
+uint32_t
+GwPlacement_Tokens(const GwPart *parts, unsigned n)
+{
+    uint32_t sum = 0;
+
+    for (unsigned i = 0; i < n; i++)
+        sum += parts[i].tokens;
+    return sum;
+}
+
 uint64_t
 GwPlacement_Rank(uint64_t anchor, uint64_t place)
 {
@@ -117,16 +134,6 @@
     return best;
 }
 
-static uint32_t
-tokens_(const GwPart *parts, unsigned n)
-{
-    uint32_t sum = 0;
-
-    for (unsigned i = 0; i < n; i++)
-        sum += parts[i].tokens;
-    return sum;
-}
-
 // Milliseconds until the first token, as far as engines differ.
 static double
 engine_cost_(const GwCandidate *c, const GwAsk *ask)
--- a/packages/routing/src/routes.c
+++ b/packages/routing/src/routes.c
@@ -223,8 +223,6 @@
     GwService *service = item;
 
     g_free(service->name);
-    g_free(service->health_path);
-    g_free(service->failure_domain);
     g_free(service);
 }
 
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -367,7 +367,8 @@
     const GPtrArray *pool =
         GwInstances_Of(GwView_Instances(s->view), own->service);
     g_autoptr(GPtrArray) order = g_ptr_array_new();
-    const GwInstance *before = NULL;
+    guint at_once;
+    guint at;
 
     for (guint i = 0; pool != NULL && i < pool->len; i++) {
         GwInstance *instance = g_ptr_array_index(pool, i);
@@ -376,12 +377,10 @@
             g_ptr_array_add(order, instance);
     }
     g_ptr_array_sort(order, by_place_);
-    for (guint i = (guint)GwRoll_AtOnce(order->len); i < order->len; i++) {
-        if (g_ptr_array_index(order, i) == own)
-            before =
-                g_ptr_array_index(order, i - (guint)GwRoll_AtOnce(order->len));
-    }
-    return before;
+    at_once = (guint)GwRoll_AtOnce(order->len);
+    if (!g_ptr_array_find(order, own, &at) || at < at_once)
+        return NULL;
+    return g_ptr_array_index(order, at - at_once);
 }
 
 static int
