Overloaded engines: what can wait comes back; stores known to all, and near

Memory in use stood at 126,000 to 136,000 of 143,496 tokens for sixteen seconds after all engines were back: the overload kept itself up.

Changes, each tried alone first: - more gateways than a store lets wait follow it by short calls; - a prompt belongs to a failure domain, by the engines there; its engine and its store are chosen in it (copies take half of the time); - the store is chosen by the deepest shared part: one store had 54 in 100 of the short prompts, whose first events took 491 ms there and 163 to 196 elsewhere; - a request that can wait and would start after its aim is refused at once as not run, with the time after which the queue is read (routing/overload).

--- a/fakes/include/galenagw/fakes/fleet.h
+++ b/fakes/include/galenagw/fakes/fleet.h
@@ -17,7 +17,7 @@
 
 // An endpoint: by default it answers 200 with its id as the body.
 struct Endpoint {
-    std::string id, service;
+    std::string id, service, failure_domain;
     FakeHttpd *httpd = nullptr;
     GwAddress address = {};
     std::vector<std::string> seen; // request lines and headers, as text
@@ -64,7 +64,8 @@
     // plain, plain, model and model; key "key" belongs to account acme.
     void Configure(int version, const std::string &more_routes = "");
     Endpoint *AddEndpoint(const char *id, const char *service,
-                          bool draining = false);
+                          bool draining = false,
+                          const char *failure_domain = "d");
     void ListEndpoint(const Endpoint *e, const char *state, int weights = 1);
     void RemoveEndpoint(const Endpoint *e);
     void NameWeights(int version);
@@ -85,7 +86,13 @@
     std::vector<GwDeployment> deployments;
     int stopped = 0;
     int timeout_ms = 3000;
-    std::vector<int> kv_stores; // ports of stores of KV cache
+    // Stores of KV cache.
+    struct KvStoreRow {
+        int port;
+        std::string failure_domain = "d";
+        int max_followers = 8;
+    };
+    std::vector<KvStoreRow> kv_stores;
 };
 
 #endif
--- a/fakes/tests/fleet.cc
+++ b/fakes/tests/fleet.cc
@@ -214,10 +214,14 @@
                          std::to_string(timeout_ms);
     std::string stores;
 
-    for (int port : kv_stores) {
-        stores += ",{\"name\":\"kv" + std::to_string(port) +
-                  "\",\"kv_store_addr\":\"127.0.0.1:" + std::to_string(port) +
-                  "\"}";
+    for (const KvStoreRow &row : kv_stores) {
+        std::string port = std::to_string(row.port);
+
+        stores += ",{\"name\":\"kv" + port +
+                  "\",\"kv_store_addr\":\"127.0.0.1:" + port +
+                  "\",\"zone\":\"" + row.failure_domain +
+                  "\",\"max_inflight\":" + std::to_string(row.max_followers) +
+                  "}";
     }
     std::string text =
         "{\"version\":" + std::to_string(version) +
@@ -271,7 +275,8 @@
 }
 
 Endpoint *
-Fleet::AddEndpoint(const char *id, const char *service, bool draining)
+Fleet::AddEndpoint(const char *id, const char *service, bool draining,
+                   const char *failure_domain)
 {
     static const FakeHttpdOps ops = {OnEndpointRequest, OnEndpointGone};
     auto e = std::make_unique<Endpoint>();
@@ -279,6 +284,7 @@
 
     e->id = id;
     e->service = service;
+    e->failure_domain = failure_domain;
     e->httpd = FakeHttpd_New(loop, &kAny, &ops, e.get(), &err);
     e->address = kAny;
     e->address.port = FakeHttpd_Port(e->httpd);
@@ -293,7 +299,8 @@
     std::string text =
         "{\"service\":\"" + e->service +
         "\",\"address\":\"127.0.0.1:" + std::to_string(e->address.port) +
-        "\",\"zone\":\"d\",\"slots\":64,\"state\":\"" + state + "\"";
+        "\",\"zone\":\"" + e->failure_domain + "\",\"slots\":64,\"state\":\"" +
+        state + "\"";
 
     if (e->service == "model") {
         text += ",\"models\":[{\"name\":\"m\",\"version\":" +
--- a/packages/base/src/reason.c
+++ b/packages/base/src/reason.c
@@ -31,6 +31,7 @@
     "timeout",
     "slow_request",
     "buffers_full",
+    "deferred",
 };
 
 typedef struct {
@@ -81,6 +82,9 @@
     [GW_REFUSAL_TIMEOUT] = {504, "no answer in time; it may have run"},
     [GW_REFUSAL_SLOW_REQUEST] = {408, "the request did not arrive in time; "
                                       "send it again"},
+    [GW_REFUSAL_DEFERRED] = {503, "the engines have more to read than can "
+                                  "start in time; come back after "
+                                  "Retry-After"},
     [GW_REFUSAL_BUFFERS_FULL] = {503, "too many large bodies are in flight; "
                                       "come back after Retry-After"},
 };
--- a/packages/gateway/src/choosing.c
+++ b/packages/gateway/src/choosing.c
@@ -10,6 +10,9 @@
 /* Output tokens from which on a request runs for long: some 200 ms. */
 #define LONG_OUTPUT 24
 
+/* Failure domains told apart; a region has a handful. */
+#define MAX_DOMAINS 16
+
 /* What holds for all endpoints of the service. */
 typedef struct {
     const GwService *service; /* NULL: the routes name no such one */
@@ -27,6 +30,7 @@
                                 Survey *survey);
 static uint64_t count_missing_(const GwRequest *r, const GwInstance *instance,
                                GwTime now);
+static uint64_t domain_(const GwRequest *r, const GPtrArray *pool);
 static double error_rate_(const GPtrArray *pool);
 static const GwAddress *find_source_(const GwRequest *r, const GPtrArray *pool,
                                      const GwInstance *chosen,
@@ -56,6 +60,7 @@
         .now = GwTime_Now(),
         .weights = -1,
     };
+    r->domain = domain_(r, pool);
     // Where all are excluded, what is known of them is old: one is tried.
     for (int pass = 0; pass < 2 && chosen < 0; pass++) {
         survey.desperate = pass > 0;
@@ -73,6 +78,7 @@
     if (chosen < 0)
         return NULL;
     instance = g_ptr_array_index(pool, chosen);
+    r->chosen = list[chosen];
     if (instance->model != NULL || r->ask.n_parts > 0) {
         g_free(r->scope);
         r->scope = scope_(r, instance);
@@ -124,7 +130,8 @@
     if (r->ask.n_parts < 2)
         return NULL;
     return GwKvStores_Pick(r->gateway->kv_stores,
-                           GwPlacement_Anchor(r->ask.parts, r->ask.n_parts));
+                           GwPlacement_Level(r->ask.parts, r->ask.n_parts - 1),
+                           r->domain);
 }
 
 // Tokens that the engine will read: its own part, and shared ones that it
@@ -166,6 +173,7 @@
     *out = (GwCandidate){
         .place = instance->place,
         .near = g_strcmp0(instance->failure_domain, g->failure_domain) == 0,
+        .by_store = r->domain == 0 || instance->domain == r->domain,
         .worse = GwHealth_IsWorse(&instance->health, survey->error_rate),
         .slots = instance->slots,
         .in_flight = instance->in_flight,
@@ -237,6 +245,34 @@
     return GwPlacement_Tokens(&r->ask.parts[kept], shared - kept);
 }
 
+// Failure domain that the request's prompt belongs to; 0: there is but one
+// store, or none, and so no nearest one.
+static uint64_t
+domain_(const GwRequest *r, const GPtrArray *pool)
+{
+    GwDomainShare shares[MAX_DOMAINS] = {{0}};
+    size_t n = 0;
+
+    if (r->ask.n_parts < 2 || GwKvStores_Count(r->gateway->kv_stores) < 2)
+        return 0;
+    for (guint i = 0; i < pool->len; i++) {
+        const GwInstance *instance = g_ptr_array_index(pool, i);
+        size_t k = 0;
+
+        while (k < n && shares[k].domain != instance->domain)
+            k++;
+        if (instance->draining || k == MAX_DOMAINS)
+            continue;
+        n = MAX(n, k + 1);
+        shares[k].domain = instance->domain;
+        shares[k].engines++;
+    }
+    // By the deepest shared part, not by the one that decides the home: a hot
+    // one of few upper parts would fill the link of its store.
+    return GwPlacement_ChooseDomain(
+        shares, n, GwPlacement_Level(r->ask.parts, r->ask.n_parts - 1));
+}
+
 static double
 error_rate_(const GPtrArray *pool)
 {
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -279,6 +279,7 @@
     if (g->log != NULL)
         GwEventLog_Flush(g->log);
     leave_silent_(g);
+    GwKvStores_SetFollowers(g->kv_stores, GwPeers_Entries(g->peers));
     GwTimer_Start(&g->flush_timer, FLUSH_EVERY);
 }
 
--- a/packages/gateway/src/kv_store.c
+++ b/packages/gateway/src/kv_store.c
@@ -18,6 +18,13 @@
 /* Between tries to become a follower again. Each one that is turned away has
  * its price, and shows that the store lives. */
 #define BLIND_PAUSE (4 * GW_SECOND)
+/* More gateways than a store lets wait follow it by short calls, so that none
+ * of them is blind to what it keeps. A save shows up some hundred milliseconds
+ * late anyway. */
+#define POLL_EVERY (400 * GW_MILLISECOND)
+/* Share of the store's places for waiting calls that is used: a restarted
+ * gateway's last call holds its place for a second more. */
+#define WAITING_SHARE 0.75
 /* Without its events: how long a save takes, and how long it is relied on. */
 #define SAVE_TAKES (600 * GW_MILLISECOND)
 #define SAVE_LASTS (8 * GW_SECOND)
@@ -36,12 +43,15 @@
     bool is_blind; /* it lives, and does not tell us what it keeps */
     GwHttpCaller *caller;
     GwTimer timer;
+    unsigned max_followers;
+    unsigned followers;
     int64_t epoch;
     int64_t next;
     GHashTable *parts; /* key_() of what is kept, to tokens */
     GHashTable *saves; /* key_() to GwTime */
 };
 
+static bool must_poll_(const GwKvStore *s);
 static void call_(void *user);
 static void on_done_(void *user, GwCallOutcome outcome, int status,
                      const char *body, size_t len);
@@ -52,20 +62,20 @@
 static uint64_t key_(const char *scope, uint64_t part);
 
 GwKvStore *
-GwKvStore_New(GwLoop *loop, const GwAddress *address, GwEventLog *log,
-              GRand *rand)
+GwKvStore_New(GwLoop *loop, const GwKvStoreOptions *options)
 {
     GwKvStore *s = g_new0(GwKvStore, 1);
 
-    s->log = log;
-    s->rand = rand;
-    s->address = *address;
+    s->log = options->log;
+    s->rand = options->rand;
+    s->address = options->address;
+    s->max_followers = options->max_followers;
     s->epoch = -1;
     s->parts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     s->saves =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    s->caller = GwHttpCaller_New(loop, address);
+    s->caller = GwHttpCaller_New(loop, &s->address);
     GwTimer_Init(&s->timer, loop, call_, s);
     call_(s);
     return s;
@@ -141,13 +151,26 @@
     return true;
 }
 
+void
+GwKvStore_SetFollowers(GwKvStore *s, unsigned followers)
+{
+    s->followers = followers;
+}
+
+static bool
+must_poll_(const GwKvStore *s)
+{
+    return s->max_followers > 0 &&
+           s->followers > WAITING_SHARE * s->max_followers;
+}
+
 static void
 call_(void *user)
 {
     GwKvStore *s = user;
     g_autoptr(GString) out = g_string_new(NULL);
 
-    GwEngine_EncodeEvents(s->next, WAIT_MS, out);
+    GwEngine_EncodeEvents(s->next, must_poll_(s) ? 0 : WAIT_MS, out);
     GwHttpCaller_Send(s->caller, out, ANSWER_TIMEOUT, on_done_, s);
 }
 
@@ -163,7 +186,9 @@
         // It lives; what it keeps has to be guessed from our own saves.
         s->is_blind = true;
         set_up_(s, true, "too many followers");
-        GwTimer_Start(&s->timer, GwTime_Jitter(s->rand, BLIND_PAUSE));
+        GwTimer_Start(
+            &s->timer,
+            GwTime_Jitter(s->rand, must_poll_(s) ? POLL_EVERY : BLIND_PAUSE));
         return;
     }
     if (outcome != GW_CALL_ANSWERED || status != 200) {
@@ -190,7 +215,10 @@
     s->epoch = page.epoch;
     s->is_blind = false;
     set_up_(s, true, "answered");
-    call_(s);
+    if (must_poll_(s))
+        GwTimer_Start(&s->timer, GwTime_Jitter(s->rand, POLL_EVERY));
+    else
+        call_(s);
 }
 
 static void
--- a/packages/gateway/src/kv_store.h
+++ b/packages/gateway/src/kv_store.h
@@ -13,10 +13,19 @@
 
 typedef struct GwKvStore GwKvStore;
 
-/* Follow the store at @p address. */
-GwKvStore *GwKvStore_New(GwLoop *loop, const GwAddress *address,
-                         GwEventLog *log, GRand *rand);
+typedef struct {
+    GwAddress address;
+    unsigned max_followers; /* whose calls may wait at once; 0: not told */
+    GwEventLog *log;
+    GRand *rand;
+} GwKvStoreOptions;
+
+/* Follow a store. */
+GwKvStore *GwKvStore_New(GwLoop *loop, const GwKvStoreOptions *options);
 void GwKvStore_Delete(GwKvStore *store);
+/* How many gateways follow it. Where that is more than may wait for events at
+ * once, all ask now and then and wait for none. */
+void GwKvStore_SetFollowers(GwKvStore *store, unsigned followers);
 /* Its address while it answers, else NULL: a dead source costs an engine
  * some hundred milliseconds. */
 const GwAddress *GwKvStore_Address(const GwKvStore *store);
--- a/packages/gateway/src/kv_stores.c
+++ b/packages/gateway/src/kv_stores.c
@@ -5,6 +5,7 @@
 typedef struct {
     GwAddress address;
     uint64_t place;
+    uint64_t domain;
     GwKvStore *store;
     bool wanted; /* by the routes in force */
 } Entry;
@@ -17,7 +18,7 @@
 };
 
 static Entry *find_(const GwKvStores *s, const GwAddress *address);
-static void add_(GwKvStores *s, const GwAddress *address);
+static void add_(GwKvStores *s, const GwService *service);
 static void free_entry_(void *item);
 
 GwKvStores *
@@ -60,7 +61,7 @@
         if (entry != NULL)
             entry->wanted = true;
         else
-            add_(s, &service->kv_store);
+            add_(s, service);
     }
     for (guint i = s->entries->len; i > 0; i--) {
         if (!((Entry *)g_ptr_array_index(s->entries, i - 1))->wanted)
@@ -69,22 +70,44 @@
 }
 
 GwKvStore *
-GwKvStores_Pick(const GwKvStores *s, uint64_t anchor)
+GwKvStores_Pick(const GwKvStores *s, uint64_t anchor, uint64_t domain)
 {
-    GwKvStore *best = NULL;
+    const Entry *best = NULL;
     uint64_t best_rank = 0;
 
     for (guint i = 0; i < s->entries->len; i++) {
         const Entry *entry = g_ptr_array_index(s->entries, i);
         uint64_t rank = GwPlacement_Rank(anchor, entry->place);
+        bool is_near = entry->domain == domain;
 
-        if (GwKvStore_Address(entry->store) == NULL ||
-            (best != NULL && rank <= best_rank))
+        if (GwKvStore_Address(entry->store) == NULL)
             continue;
-        best = entry->store;
+        if (best != NULL && (best->domain == domain) != is_near) {
+            if (!is_near)
+                continue;
+        }
+        else if (best != NULL && rank <= best_rank)
+            continue;
+        best = entry;
         best_rank = rank;
     }
-    return best;
+    return best != NULL ? best->store : NULL;
+}
+
+void
+GwKvStores_SetFollowers(GwKvStores *s, unsigned followers)
+{
+    for (guint i = 0; i < s->entries->len; i++) {
+        Entry *entry = g_ptr_array_index(s->entries, i);
+
+        GwKvStore_SetFollowers(entry->store, followers);
+    }
+}
+
+unsigned
+GwKvStores_Count(const GwKvStores *s)
+{
+    return s->entries->len;
 }
 
 static Entry *
@@ -100,13 +123,20 @@
 }
 
 static void
-add_(GwKvStores *s, const GwAddress *address)
+add_(GwKvStores *s, const GwService *service)
 {
     Entry *entry = g_new0(Entry, 1);
-
-    entry->address = *address;
-    entry->place = GwPlacement_Place(address);
-    entry->store = GwKvStore_New(s->loop, address, s->log, s->rand);
+    GwKvStoreOptions options = {
+        .address = service->kv_store,
+        .max_followers = service->max_followers,
+        .log = s->log,
+        .rand = s->rand,
+    };
+
+    entry->address = service->kv_store;
+    entry->place = GwPlacement_Place(&service->kv_store);
+    entry->domain = GwPlacement_Domain(service->failure_domain);
+    entry->store = GwKvStore_New(s->loop, &options);
     entry->wanted = true;
     g_ptr_array_add(s->entries, entry);
 }
--- a/packages/gateway/src/kv_stores.h
+++ b/packages/gateway/src/kv_stores.h
@@ -15,7 +15,12 @@
 void GwKvStores_Delete(GwKvStores *stores);
 /* Follow the stores of @p routes, and no others. */
 void GwKvStores_Follow(GwKvStores *stores, const GwRoutes *routes);
-/* The store of @p anchor among those that answer, or NULL. */
-GwKvStore *GwKvStores_Pick(const GwKvStores *stores, uint64_t anchor);
+/* How many gateways follow the stores, this one included. */
+void GwKvStores_SetFollowers(GwKvStores *stores, unsigned followers);
+unsigned GwKvStores_Count(const GwKvStores *stores);
+/* The store of @p anchor among those that answer, or NULL: one in the failure
+ * domain @p domain if there is any. */
+GwKvStore *GwKvStores_Pick(const GwKvStores *stores, uint64_t anchor,
+                           uint64_t domain);
 
 #endif
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -4,6 +4,7 @@
 
 #include "choosing.h"
 #include "galenagw/routing/attempt.h"
+#include "galenagw/routing/overload.h"
 #include "request_private.h"
 
 /* An answer of up to so many bytes is held until it is whole, so that a cut
@@ -35,6 +36,9 @@
 static GwRequest *new_(GwGateway *g, GwHttpCall *call);
 static GwRefusal admit_(GwRequest *r);
 static void attempt_(GwRequest *r);
+static bool can_wait_(const GwRequest *r);
+static GwTime defer_(const GwRequest *r, const GwInstance *instance,
+                     const GwAddress *source);
 static void send_(GwRequest *r, GwInstance *instance, const GwAddress *source);
 static void add_load_(GwRequest *r, int64_t tokens, int runs);
 static GwHeadVerdict on_head_(void *user, const GwHttpHead *head);
@@ -55,6 +59,9 @@
 static void break_(GwRequest *r);
 static void end_(GwRequest *r);
 static void log_attempt_(GwRequest *r, const GwDispatch *dispatch);
+static void log_deferred_(const GwRequest *r, const GwInstance *instance,
+                          GwTime defer);
+static void log_prompt_(const GwRequest *r);
 static void log_end_(const GwRequest *r, const char *outcome, int status);
 static double retry_after_(const GwRequest *r, double most);
 
@@ -211,7 +218,15 @@
     GwInstance *instance = GwChoosing_Choose(r, &source);
 
     if (instance != NULL) {
-        send_(r, instance, source);
+        GwTime defer = defer_(r, instance, source);
+
+        if (defer == 0) {
+            send_(r, instance, source);
+            return;
+        }
+        log_deferred_(r, instance, defer);
+        r->retry_after = defer;
+        answer_refusal_(r, GW_REFUSAL_DEFERRED);
         return;
     }
     if (r->head_sent) {
@@ -222,6 +237,34 @@
     answer_refusal_(r, GW_REFUSAL_NO_ENDPOINT);
 }
 
+// Whether engines read others before it.
+static bool
+can_wait_(const GwRequest *r)
+{
+    return GwRoute_EnginePriority(r->route, r->account) >
+           r->routes->most_urgent;
+}
+
+// How long its caller should stay away, or 0 to send it now.
+static GwTime
+defer_(const GwRequest *r, const GwInstance *instance, const GwAddress *source)
+{
+    GwOverloadFacts facts = {
+        .can_wait = can_wait_(r),
+        .aim = r->route->target_latency,
+        .left = r->deadline - GwTime_Now(),
+        .waiting_tokens = r->chosen.prefill_tokens,
+        .own_tokens = GwChoosing_Prefill(r, instance, source),
+        .kv_used = r->chosen.kv_used,
+        .kv_total = r->chosen.kv_total,
+        .kv_needed = r->ask.prompt_tokens + r->ask.output_tokens,
+    };
+
+    if (instance->model == NULL || r->attempts > 0)
+        return 0;
+    return GwOverload_Defer(&facts);
+}
+
 static void
 send_(GwRequest *r, GwInstance *instance, const GwAddress *source)
 {
@@ -618,9 +661,10 @@
     failure.status = GwRefusal_Status(refusal);
     failure.message = GwRefusal_Message(refusal);
     if (failure.status == 503)
-        failure.retry_after_s =
-            retry_after_(r, refusal == GW_REFUSAL_NO_CONFIG ? RETRY_UNKNOWN_S
-                                                            : RETRY_SOON_S);
+        failure.retry_after_s = retry_after_(
+            r, r->retry_after > 0 ? (double)r->retry_after / GW_SECOND
+               : refusal == GW_REFUSAL_NO_CONFIG ? RETRY_UNKNOWN_S
+                                                 : RETRY_SOON_S);
     GwMessages_EncodeFailure(&failure, out);
     GwHttpCall_Send(r->call, out->str, out->len);
     GwCounters_Refuse(&r->gateway->counters, refusal);
@@ -689,6 +733,7 @@
                      dispatch->fetch_from != NULL ? dispatch->fetch_from->host
                                                   : "none");
         GwEvent_Number(log, "save", dispatch->save_to != NULL);
+        log_prompt_(r);
         if (instance->advice.at != 0) {
             GwEvent_Number(log, "running", instance->advice.running);
             GwEvent_Number(log, "queued", instance->advice.queued);
@@ -702,6 +747,46 @@
     GwEvent_End(log);
 }
 
+static void
+log_deferred_(const GwRequest *r, const GwInstance *instance, GwTime defer)
+{
+    GwEventLog *log = r->gateway->log;
+
+    GwEvent_Begin(log, "deferred", r->ask.id);
+    GwEvent_Text(log, "route", r->route->name);
+    GwEvent_Text(log, "instance", instance->id);
+    GwEvent_Number(log, "waiting_tokens", (int64_t)r->chosen.prefill_tokens);
+    GwEvent_Number(log, "kv_used", r->chosen.kv_used);
+    GwEvent_Number(log, "kv_total", r->chosen.kv_total);
+    GwEvent_Time(log, "advice_age_ms", GwTime_Now() - instance->advice.at);
+    GwEvent_Time(log, "retry_after_ms", defer);
+    GwEvent_End(log);
+}
+
+// What it shares with others, so that the lines of one subject can be found,
+// and how many of those parts the store is known to keep.
+static void
+log_prompt_(const GwRequest *r)
+{
+    GwEventLog *log = r->gateway->log;
+    const GwKvStore *store = GwChoosing_KvStore(r);
+    char subject[17];
+
+    if (r->ask.n_parts < 2)
+        return;
+    g_snprintf(subject, sizeof(subject), "%016" G_GINT64_MODIFIER "x",
+               GwPlacement_Level(r->ask.parts, r->ask.n_parts - 1));
+    GwEvent_Text(log, "subject", subject);
+    GwEvent_Text(log, "scope", r->scope);
+    GwEvent_Number(log, "shared_tokens",
+                   GwPlacement_Tokens(r->ask.parts, r->ask.n_parts - 1));
+    GwEvent_Number(log, "shared_parts", r->ask.n_parts - 1);
+    GwEvent_Number(log, "kept_parts",
+                   store != NULL
+                       ? GwKvStore_Kept(store, &r->ask, r->scope, GwTime_Now())
+                       : 0);
+}
+
 static void
 log_end_(const GwRequest *r, const char *outcome, int status)
 {
--- a/packages/gateway/src/request_private.h
+++ b/packages/gateway/src/request_private.h
@@ -4,6 +4,7 @@
 
 #include "events.h"
 #include "galenagw/adapter/messages.h"
+#include "galenagw/routing/placement.h"
 #include "request.h"
 #include "upstream.h"
 
@@ -34,12 +35,15 @@
     GwTime first_byte_at; /* 0: none passed on */
     unsigned sends;       /* that may have reached an endpoint */
     unsigned attempts;
-    bool may_have_run; /* an earlier attempt; "not run" would be untrue */
+    GwTime retry_after; /* for its caller, if it is refused; 0: not decided */
+    bool may_have_run;  /* an earlier attempt; "not run" would be untrue */
     uint64_t tried[MAX_TRIED];
     unsigned n_tried;
-    char *scope;      /* KV cache of this attempt */
-    uint64_t prefill; /* tokens counted at the instance */
-    GwReply reply;    /* of the attempt under way */
+    uint64_t domain;    /* that its prompt belongs to; 0: none */
+    GwCandidate chosen; /* the instance, as it looked when it was chosen */
+    char *scope;        /* KV cache of this attempt */
+    uint64_t prefill;   /* tokens counted at the instance */
+    GwReply reply;      /* of the attempt under way */
     bool has_reply;
     bool is_usable; /* the reply may be passed on, as far as its head tells */
     GwHttpHead *reply_head; /* held until it is passed on */
--- a/packages/gateway/tests/gateway_failure_test.cc
+++ b/packages/gateway/tests/gateway_failure_test.cc
@@ -539,3 +539,44 @@
     EXPECT_NE(walled, scope("wall"));
     EXPECT_NE(e->seen.back().find("X-Expect-Version: 2"), std::string::npos);
 }
+
+// Engines have more prompts to read than fit into the aim. A report that can
+// wait is refused at once, as not run, with a time to come back; it reaches no
+// engine, where it would only be late and make the next ones late. An urgent
+// request is sent on: engines read it first.
+TEST(GatewayFailure, WhereEnginesAreFullWhatCanWaitIsToldToComeBack)
+{
+    Fleet f;
+    auto route = [](const char *name, int priority) {
+        return std::string(",{\"name\":\"") + name + "\",\"path_prefix\":\"/" +
+               name +
+               "/\",\"host\":\"h\",\"service\":\"model\",\"route_type\":"
+               "\"streaming\",\"sticky\":true,\"max_attempts\":1,"
+               "\"timeout_ms\":15000,\"target_latency_ms\":800,"
+               "\"priority\":" +
+               std::to_string(priority) + "}";
+    };
+    const std::string prompt = "X-Model: m\r\nX-Token-Usage: 16900,5\r\n"
+                               "X-Prefix-Hash: a1:900,b2:16000\r\n"
+                               "X-Deadline-Ms: 15000\r\n";
+    f.Configure(1, route("check", 0) + route("report", 1));
+    Endpoint *e = f.AddEndpoint("i-1", "model");
+    GwGateway *g = f.AddGateway();
+    ASSERT_TRUE(f.Ready());
+    std::vector<std::shared_ptr<Caller>> waiting;
+
+    e->serve = [](Endpoint *, FakeExchange *) {};
+    for (size_t i = 1; i <= 4; i++) {
+        waiting.push_back(
+            f.Call(g, Fleet::Request("POST", "/report/1", "x", prompt)));
+        ASSERT_TRUE(f.Until(
+            [&] { return e->seen.size() == i || waiting.back()->Has(1); }));
+    }
+    size_t taken = e->seen.size();
+    EXPECT_LT(taken, 4u);
+    EXPECT_GT(taken, 1u);
+    EXPECT_EQ(waiting.back()->Status(), 503);
+    EXPECT_GE(atof(waiting.back()->Header("Retry-After").c_str()), 0.3);
+    auto urgent = f.Call(g, Fleet::Request("POST", "/check/1", "x", prompt));
+    EXPECT_TRUE(f.Until([&] { return e->seen.size() == taken + 1; }));
+}
--- a/packages/gateway/tests/kv_stores_test.cc
+++ b/packages/gateway/tests/kv_stores_test.cc
@@ -5,9 +5,12 @@
 // A store of KV cache: tells as kept what a test puts in.
 struct KvStore {
     FakeHttpd *httpd = nullptr;
+    std::string failure_domain = "d";
     std::string events; // of all, as JSON rows
     int status = 200;
     int calls = 0;
+    int polls = 0;     // calls that did not wait
+    std::string later; // told to the second such call
 
     explicit KvStore(GwLoop *loop)
     {
@@ -30,12 +33,17 @@
     OnRequest(void *user, FakeExchange *x)
     {
         KvStore *s = static_cast<KvStore *>(user);
+        const char *wait = GwHttpHead_Find(x->head, "Wait-Ms");
+        bool waits = wait != nullptr && atoi(wait) > 0;
+
+        if (!waits && ++s->polls == 2)
+            s->events = s->later;
         std::string body =
             "{\"boot_epoch\":7,\"next_token\":1,\"lost\":false,\"events\":[" +
-            (s->calls++ == 0 ? s->events : "") + "]}";
+            (s->calls++ == 0 || s->polls == 2 ? s->events : "") + "]}";
 
         // The first answer at once, later ones when something would come.
-        if (s->calls > 1 && s->status == 200)
+        if (s->calls > 1 && s->status == 200 && waits)
             return;
         FakeExchange_Answer(x, s->status, "", body.data(), body.size());
     }
@@ -47,7 +55,8 @@
     Start(const std::vector<KvStore *> &stores)
     {
         for (KvStore *s : stores)
-            f.kv_stores.push_back(s->Port());
+            f.kv_stores.push_back(
+                {s->Port(), s->failure_domain, max_followers});
         f.Configure(1);
         e = f.AddEndpoint("i-1", "model");
         g = f.AddGateway();
@@ -55,7 +64,7 @@
     }
     // The header as the engine saw it for a prompt with this shared part.
     std::string
-    Ask(const std::string &part, const char *header)
+    Ask(const std::string &part, const char *header, bool reads = true)
     {
         auto c = f.Call(g, Fleet::Request("POST", "/stream/1", "x",
                                           "X-Model: m\r\n"
@@ -63,6 +72,8 @@
                                           "X-Prefix-Hash: " +
                                               part + ":800,ff:100\r\n"));
         EXPECT_TRUE(f.Until([&] { return c->Has(1); }));
+        if (!reads)
+            return "";
         const std::string &text = e->seen.back();
         size_t at = text.find(std::string(header) + ": ");
         if (at == std::string::npos)
@@ -74,6 +85,7 @@
     Fleet f;
     Endpoint *e = nullptr;
     GwGateway *g = nullptr;
+    int max_followers = 8;
 };
 
 TEST_F(KvStoresTest, WhatAStoreKeepsIsFetchedAndWhatItLacksIsSaved)
@@ -130,3 +142,44 @@
                         "127.0.0.1:" + std::to_string(a.Port()),
                         "127.0.0.1:" + std::to_string(b.Port())}));
 }
+
+// More gateways follow a store than may wait for its events. Those that were
+// turned away used to guess what it keeps, and had engines read a third of
+// all shared parts again; now all ask in short calls, and each learns.
+TEST_F(KvStoresTest, AStoreWithManyFollowersIsAskedInShortCalls)
+{
+    KvStore s(f.loop);
+    s.later = "[1,\"+\",\"w1\",\"a1\",800,\"m\"]";
+    max_followers = 1;
+    Start({&s});
+    std::string address = "127.0.0.1:" + std::to_string(s.Port());
+
+    ASSERT_TRUE(f.Until([&] { return s.polls >= 3; }));
+    EXPECT_EQ(Ask("a1", "X-Kv-Fetch"), address);
+    EXPECT_EQ(Ask("a1", "X-Kv-Save"), "");
+}
+
+// An engine and a store in each of two failure domains: every prompt has its
+// engine and its store in the same one.
+TEST_F(KvStoresTest, APromptsStoreIsInTheFailureDomainOfItsEngine)
+{
+    KvStore a(f.loop), b(f.loop);
+    b.failure_domain = "e";
+    Start({&a, &b});
+    Endpoint *far = f.AddEndpoint("i-2", "model", false, "e");
+    f.Wait(400 * GW_MILLISECOND);
+    std::string near_store = "127.0.0.1:" + std::to_string(a.Port());
+    std::string far_store = "127.0.0.1:" + std::to_string(b.Port());
+
+    for (int i = 16; i < 48; i++) {
+        char part[8];
+        snprintf(part, sizeof(part), "%x", i);
+        Ask(part, "X-Kv-Save", false);
+    }
+    ASSERT_FALSE(e->seen.empty());
+    ASSERT_FALSE(far->seen.empty());
+    for (const std::string &text : e->seen)
+        EXPECT_NE(text.find("X-Kv-Save: " + near_store), std::string::npos);
+    for (const std::string &text : far->seen)
+        EXPECT_NE(text.find("X-Kv-Save: " + far_store), std::string::npos);
+}
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -63,7 +63,8 @@
     char *failure_domain;
     char *model;
     GwAddress address;
-    uint64_t place; /**< hash of the address: a restart keeps its prefixes */
+    uint64_t place;  /**< hash of the address: a restart keeps its prefixes */
+    uint64_t domain; /**< hash of the failure domain */
     unsigned slots;
     bool draining;     /**< or replaced by another at its address */
     int64_t offset;    /**< of its newest record */
--- a/packages/routing/include/galenagw/routing/placement.h
+++ b/packages/routing/include/galenagw/routing/placement.h
@@ -32,6 +32,7 @@
     bool worse;     /**< fails more often than its peers */
     bool near;      /**< in our failure domain */
     bool outdated;  /**< its weights are not the newest named */
+    bool by_store;  /**< in the failure domain that its prompt belongs to */
     unsigned slots;
     unsigned in_flight;      /**< ours and, as far as is known, others' */
     uint64_t prefill_tokens; /**< waiting or being read there */
@@ -55,6 +56,24 @@
 uint32_t GwPlacement_Tokens(const GwPart *parts, unsigned n);
 /** Weight of @p place for @p anchor; the highest one is its home. */
 uint64_t GwPlacement_Rank(uint64_t anchor, uint64_t place);
+/** Hash of a failure domain's name; 0: none. */
+uint64_t GwPlacement_Domain(const char *name);
+
+/** A failure domain, and how many engines share its prompts. */
+typedef struct {
+    uint64_t domain;
+    unsigned engines;
+} GwDomainShare;
+
+/**
+ * Failure domain that @p anchor belongs to, by rendezvous hashing with the
+ * domains' engines as weights: the store of KV cache there keeps its parts,
+ * and the engines there read them. Copies within a domain take half of the
+ * time that others take, and a third of their price.
+ * @return 0 when there are none
+ */
+uint64_t GwPlacement_ChooseDomain(const GwDomainShare *list, size_t n,
+                                  uint64_t anchor);
 
 /**
  * Choose an engine for a prompt. @p home is set to the endpoint with the
--- a/packages/routing/include/galenagw/routing/routes.h
+++ b/packages/routing/include/galenagw/routing/routes.h
@@ -63,7 +63,10 @@
     unsigned max_connections; /**< of one endpoint, from all callers */
     bool is_model;            /**< its endpoints are model engines */
     bool is_kv_store;
-    GwAddress kv_store; /**< of a store */
+    GwAddress kv_store;     /**< of a store */
+    char *failure_domain;   /**< of a store; NULL: not told */
+    unsigned max_followers; /**< callers whose calls for a store's events may
+                                 wait at once; 0: not told */
 } GwService;
 
 /** What a caller may send. */
@@ -83,6 +86,7 @@
     GPtrArray *account_list; /**< owns the accounts */
     GHashTable *services;    /**< name to GwService, owned */
     bool has_accounts;
+    int most_urgent; /**< engine priority of the first routes with prompts */
     GwLimits limits;
 } GwRoutes;
 
--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -201,6 +201,7 @@
     instance->model = g_strdup(row->model);
     instance->address = row->address;
     instance->place = GwPlacement_Place(&row->address);
+    instance->domain = GwPlacement_Domain(row->failure_domain);
     instance->slots = row->slots;
     instance->weights = -1;
     instance->refs = 1;
--- a/packages/routing/src/placement.c
+++ b/packages/routing/src/placement.c
@@ -1,6 +1,7 @@
 #include "galenagw/routing/placement.h"
 
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -13,6 +14,9 @@
  * that, the copy of the cache (about 20 ms) and the second place that then
  * has to be kept warm cost more than the wait. */
 #define LEAVE_HOME_MS 60.0
+/* On top of that, a copy between failure domains takes twice as long, both at
+ * the store's link, which all its engines share, and at the engine's. */
+#define LEAVE_DOMAIN_MS 25.0
 /* Shared tokens that nobody keeps yet are read at their home, or on the way
  * to it: read elsewhere too, they cost the fleet their time once more, and
  * under load each entry would have them read by another engine. Weighed three
@@ -60,6 +64,33 @@
                  (XXH64_hash_t)address->port);
 }
 
+uint64_t
+GwPlacement_Domain(const char *name)
+{
+    return name != NULL ? XXH64(name, strlen(name), 0) : 0;
+}
+
+uint64_t
+GwPlacement_ChooseDomain(const GwDomainShare *list, size_t n, uint64_t anchor)
+{
+    double best_score = 0;
+    uint64_t best = 0;
+
+    for (size_t i = 0; i < n; i++) {
+        double draw = ((double)GwPlacement_Rank(anchor, list[i].domain) + 1) /
+                      ((double)UINT64_MAX + 2);
+        // The weighted form: a domain that loses an engine loses its share
+        // of the anchors, and no others move.
+        double score = -(double)list[i].engines / log(draw);
+
+        if (list[i].engines == 0 || score <= best_score)
+            continue;
+        best_score = score;
+        best = list[i].domain;
+    }
+    return best;
+}
+
 uint32_t
 GwPlacement_Tokens(const GwPart *parts, unsigned n)
 {
@@ -88,7 +119,13 @@
     for (size_t i = 0; i < n; i++) {
         uint64_t rank = GwPlacement_Rank(anchor, list[i].place);
 
-        if (!list[i].usable || (*home >= 0 && rank <= best_rank))
+        if (!list[i].usable)
+            continue;
+        if (*home >= 0 && list[*home].by_store != list[i].by_store) {
+            if (list[*home].by_store)
+                continue;
+        }
+        else if (*home >= 0 && rank <= best_rank)
             continue;
         *home = (int)i;
         best_rank = rank;
@@ -103,6 +140,8 @@
             cost += LEAVE_HOME_MS + READ_AGAIN *
                                         (double)list[i].missing_tokens /
                                         PREFILL_TOKENS_PER_MS;
+        if (!list[i].by_store)
+            cost += LEAVE_DOMAIN_MS;
         if (best < 0 || cost < best_cost) {
             best = (int)i;
             best_cost = cost;
--- a/packages/routing/src/routes.c
+++ b/packages/routing/src/routes.c
@@ -118,6 +118,7 @@
     GHashTableIter iter;
     gpointer list;
 
+    r->most_urgent = GW_ENGINE_PRIORITIES - 1;
     for (guint i = 0; i < r->routes->len; i++) {
         GwRoute *route = g_ptr_array_index(r->routes, i);
         GPtrArray *routes = g_hash_table_lookup(r->by_host, route->host);
@@ -127,6 +128,9 @@
             g_hash_table_insert(r->by_host, route->host, routes);
         }
         g_ptr_array_add(routes, route);
+        if (route->has_prompts)
+            r->most_urgent =
+                MIN(r->most_urgent, GwRoute_EnginePriority(route, NULL));
     }
     g_hash_table_iter_init(&iter, r->by_host);
     while (g_hash_table_iter_next(&iter, NULL, &list))
@@ -223,6 +227,7 @@
     GwService *service = item;
 
     g_free(service->name);
+    g_free(service->failure_domain);
     g_free(service);
 }
 
--- a/packages/routing/tests/placement_test.cc
+++ b/packages/routing/tests/placement_test.cc
@@ -214,3 +214,62 @@
                 << c.name;
     }
 }
+
+// Three failure domains with 13, 13 and 12 engines: prompts spread over the
+// domains as the engines do, and when a domain loses engines only prompts
+// that belonged to it move.
+TEST(Placement, DomainsGetPromptsByTheirEngines)
+{
+    GwDomainShare shares[] = {{11, 13}, {22, 13}, {33, 12}};
+    std::vector<int> count(3);
+    int moved = 0;
+
+    for (uint64_t subject = 1; subject <= 7600; subject++) {
+        uint64_t anchor = GwPlacement_Rank(subject, 7);
+        uint64_t domain = GwPlacement_ChooseDomain(shares, 3, anchor);
+
+        shares[1].engines = 6;
+        uint64_t then = GwPlacement_ChooseDomain(shares, 3, anchor);
+        shares[1].engines = 13;
+        count[domain / 11 - 1]++;
+        moved += then != domain;
+        if (domain != 22) {
+            EXPECT_EQ(then, domain);
+        }
+    }
+    EXPECT_NEAR(count[0], 2600, 200);
+    EXPECT_NEAR(count[1], 2600, 200);
+    EXPECT_NEAR(count[2], 2400, 200);
+    EXPECT_LT(moved, count[1]);
+    EXPECT_EQ(GwPlacement_ChooseDomain(shares, 0, 1), 0u);
+}
+
+// Copies come from the store in the prompt's failure domain, whose link all
+// engines share: prompts stay there until its engines are busier than others.
+TEST(Placement, APromptStaysInItsFailureDomain)
+{
+    GwAsk ask = Ask({{1, 512}, {2, 4870}, {3, 6000}});
+    const struct {
+        const char *name;
+        uint64_t waiting;
+        bool usable, stays;
+    } cases[] = {
+        {"idle", 0, true, true},
+        {"some work", 4000, true, true},
+        {"much more work than elsewhere", 9000, true, false},
+        {"no engine there is in use", 0, false, false},
+    };
+
+    for (auto &c : cases) {
+        auto list = Fleet(9);
+        int home = -1;
+        for (size_t i = 0; i < list.size(); i++) {
+            list[i].by_store = i < 3;
+            list[i].usable = i >= 3 || c.usable;
+            list[i].prefill_tokens = i < 3 ? c.waiting : 0;
+        }
+        int chosen = Choose(list, ask, &home);
+        EXPECT_EQ(home < 3, c.usable) << c.name;
+        EXPECT_EQ(chosen < 3, c.stays) << c.name;
+    }
+}
