Many gateways read the list of endpoints less often each

Each of twenty gateways read every change of the list within 200 ms, and five rolls of new weights change a record for each of 38 engines.

The pause between a gateway's readings grows with the number of gateways, to a second; peers tell of news in between. Up to four gateways nothing changes.

Ruled out: reading less often in sidecars (they do so every 10 s already).

--- a/packages/cluster/include/galenagw/cluster/store_reader.h
+++ b/packages/cluster/include/galenagw/cluster/store_reader.h
@@ -34,6 +34,16 @@
 GwStoreReader *GwStoreReader_New(GwLoop *loop,
                                  const GwStoreReaderOptions *options);
 void GwStoreReader_Delete(GwStoreReader *reader);
+/**
+ * Pause between an entry's readings of the endpoints when @p entries read
+ * them. A roll of new weights changes a record for each engine; read one by
+ * one by each entry these calls were the largest price of a quiet day. Many
+ * entries read less often each, so that all of them together do not read more
+ * than a few do, up to half of the shortest time within which a leaving
+ * endpoint must get no new work.
+ */
+GwTime GwStoreReader_EntryPause(unsigned entries);
+void GwStoreReader_SetInstancesPause(GwStoreReader *reader, GwTime pause);
 /**
  * A peer knows more of @p list than we do. If that lasts, the connection
  * has gone silent and is opened anew.
--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -23,6 +23,12 @@
 /* A peer may be ahead by one round trip for a moment. */
 #define SUSPECT_AFTER (300 * GW_MILLISECOND)
 
+/* A tenth of two seconds, the shortest time within which a leaving endpoint
+ * must get no new work, for up to so many entries; and half of it. */
+#define ENTRY_PAUSE (200 * GW_MILLISECOND)
+#define ENTRY_PAUSE_ENTRIES 4
+#define ENTRY_PAUSE_MOST (1 * GW_SECOND)
+
 typedef struct {
     GwStoreReader *owner;
     GwList list;
@@ -95,6 +101,20 @@
     g_free(r);
 }
 
+GwTime
+GwStoreReader_EntryPause(unsigned entries)
+{
+    GwTime pause = ENTRY_PAUSE * MAX(entries, 1) / ENTRY_PAUSE_ENTRIES;
+
+    return CLAMP(pause, ENTRY_PAUSE, ENTRY_PAUSE_MOST);
+}
+
+void
+GwStoreReader_SetInstancesPause(GwStoreReader *r, GwTime pause)
+{
+    r->options.instances_pause = pause;
+}
+
 void
 GwStoreReader_Suspect(GwStoreReader *r, GwList list)
 {
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -23,10 +23,6 @@
 #define MAX_METRICS_BODY 1024
 /* Bodies of all requests in progress; a third of the smallest instance. */
 #define MAX_BODIES (32 * 1024 * 1024)
-/* A tenth of the two seconds within which a leaving endpoint must get no new
- * work. A roll of new weights changes a record for every engine; read one by
- * one they were the largest price of a quiet day. */
-#define INSTANCES_PAUSE (200 * GW_MILLISECOND)
 
 static void on_routes_(void *user);
 static void on_instance_added_(void *user, GwInstance *instance);
@@ -275,11 +271,14 @@
 on_flush_(void *user)
 {
     GwGateway *g = user;
+    unsigned entries = GwPeers_Entries(g->peers);
 
     if (g->log != NULL)
         GwEventLog_Flush(g->log);
     leave_silent_(g);
-    GwKvStores_SetFollowers(g->kv_stores, GwPeers_Entries(g->peers));
+    GwKvStores_SetFollowers(g->kv_stores, entries);
+    GwStoreReader_SetInstancesPause(g->reader,
+                                    GwStoreReader_EntryPause(entries));
     GwTimer_Start(&g->flush_timer, FLUSH_EVERY);
 }
 
@@ -340,7 +339,7 @@
         .log = g->log,
         .counters = &g->counters,
         .rand = g->rand,
-        .instances_pause = INSTANCES_PAUSE,
+        .instances_pause = GwStoreReader_EntryPause(1),
     };
     GwPeersOptions peers = {
         .name = g->name,
