--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README. Each installs and builds what it needs.
-.PHONY: all demo test sanitize lint format bench bench-slopes model \
+.PHONY: all demo test sanitize lint format bench bench-slopes model soak \
         model-mutants clean
 
 all:
@@ -27,6 +27,9 @@
 format:
 	@tools/sources | xargs clang-format -i
 
+soak: all
+	@build/gw-soak --seeds=10 --seconds=25
+
 bench: all
 	@build/gw-bench all
 
--- a/soak/src/faults.cc
+++ b/soak/src/faults.cc
@@ -11,6 +11,7 @@
 static const GwTime kMost = 2500 * GW_MILLISECOND;
 /* A drained endpoint is gone after this; a stopped gateway is back. */
 static const GwTime kDrained = 3500 * GW_MILLISECOND;
+static const GwTime kPortClosed = 1200 * GW_MILLISECOND;
 
 Faults::Faults(const World &world,
                std::function<void(const std::string &)> log)
@@ -344,7 +345,10 @@
         return;
     log_("planned drain of " + e->id);
     e->Drain();
+    // It closes its port first, and then finishes what it runs.
+    During(kPortClosed, [e] { e->proxy->SetRefusing(true); });
     During(kDrained, [e] {
+        e->proxy->SetRefusing(false);
         e->proxy->disturbance.Begin();
         e->Crash();
         e->ComeBack();
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -332,7 +332,11 @@
         ",\"seq\":" + std::to_string(orders_) +
         ",\"queued\":0,\"running\":0,\"kv_used\":0,\"kv_total\":100000}";
 
-    FakeExchange_Answer(x, 200, "", text.data(), text.size());
+    // One that leaves keeps no connection behind an answer.
+    FakeExchange_Answer(x, 200, draining_ ? "Connection: close\r\n" : "",
+                        text.data(), text.size());
+    if (draining_)
+        FakeExchange_Close(x, false);
 }
 
 void
--- a/soak/src/proxy.cc
+++ b/soak/src/proxy.cc
@@ -46,6 +46,12 @@
     }
 }
 
+void
+Proxy::SetRefusing(bool refuse)
+{
+    refusing_ = refuse;
+}
+
 void
 Proxy::ResetAll()
 {
@@ -66,6 +72,12 @@
 {
     static const GwTcpOps ops = {OnOpen, OnData, OnClosed, nullptr};
     Proxy *p = static_cast<Proxy *>(user);
+
+    if (p->refusing_) {
+        GwTcp_SetOps(tcp, &ops, nullptr);
+        GwTcp_Reset(tcp);
+        return;
+    }
     Pair *pair = new Pair();
 
     pair->proxy = p;
--- a/soak/src/proxy.h
+++ b/soak/src/proxy.h
@@ -21,6 +21,8 @@
     /* Open connections go silent for good; new ones work. */
     void SilenceOpen();
     void ResetAll();
+    /* New connections are reset, open ones go on. */
+    void SetRefusing(bool refuse);
 
     Disturbance disturbance;
     GwAddress address;
@@ -57,7 +59,7 @@
     GwAddress target_;
     GwTcpServer *server_;
     GwTime delay_ = 0;
-    bool cut_forward_ = false, cut_back_ = false;
+    bool cut_forward_ = false, cut_back_ = false, refusing_ = false;
     std::list<Pair *> pairs_;
 };
 
