--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -5,6 +5,7 @@
 #include "choosing.h"
 #include "galenagw/routing/attempt.h"
 #include "galenagw/routing/overload.h"
+#include "request_log.h"
 #include "request_private.h"
 
 /* An answer of up to so many bytes is held until it is whole, so that a cut
@@ -62,11 +63,6 @@
 static void done_(GwRequest *r);
 static void break_(GwRequest *r);
 static void end_(GwRequest *r);
-static void log_attempt_(GwRequest *r, const GwDispatch *dispatch);
-static void log_deferred_(const GwRequest *r, const GwInstance *instance,
-                          GwTime defer);
-static void log_prompt_(const GwRequest *r);
-static void log_end_(const GwRequest *r, const char *outcome, int status);
 static double retry_after_(const GwRequest *r, double most);
 
 /* As what a repetition is counted. */
@@ -111,7 +107,7 @@
 GwRequest_CallerGone(GwRequest *r)
 {
     GwCounters_Add(&r->gateway->counters, GW_COUNTER_CALLERS_GONE, 1);
-    log_end_(r, "caller_gone", 0);
+    GwRequestLog_End(r, "caller_gone", 0);
     end_(r);
 }
 
@@ -239,13 +235,13 @@
             send_(r, instance, source);
             return;
         }
-        log_deferred_(r, instance, defer);
+        GwRequestLog_Deferred(r, instance, defer);
         r->retry_after = defer;
         answer_refusal_(r, GW_REFUSAL_DEFERRED);
         return;
     }
     if (r->head_sent) {
-        log_end_(r, "broken", 0);
+        GwRequestLog_End(r, "broken", 0);
         break_(r);
         return;
     }
@@ -330,7 +326,7 @@
     if (r->n_tried < MAX_TRIED)
         r->tried[r->n_tried++] = instance->place;
     GwCounters_Add(&g->counters, GW_COUNTER_ATTEMPTS, 1);
-    log_attempt_(r, &dispatch);
+    GwRequestLog_Attempt(r, &dispatch);
     r->upstream = GwUpstream_Send(instance->user, &options);
     arm_patience_(r);
 }
@@ -531,7 +527,7 @@
     GwHistogram_Record(
         &r->gateway->counters.histograms[GW_HISTOGRAM_FORWARD_WHOLE],
         (uint64_t)(GwTime_Now() - r->arrived));
-    log_end_(r, "answered", r->reply.status);
+    GwRequestLog_End(r, "answered", r->reply.status);
     leave_instance_(r);
     done_(r);
 }
@@ -557,15 +553,7 @@
         GwBudget_TakeRepeat(GwGateway_Budget(g, r->service), &g->budget_bound,
                             GwPeers_Entries(g->peers), GwTime_Now());
     next = GwAttempt_Next(&facts);
-    GwEvent_Begin(g->log, "attempt_failed", r->ask.id);
-    GwEvent_Text(g->log, "instance", r->instance->id);
-    GwEvent_Text(g->log, "why", why);
-    GwEvent_Number(g->log, "status", r->has_reply ? r->reply.status : 0);
-    GwEvent_Text(g->log, "fate", GwAttemptFate_Names[fate]);
-    GwEvent_Time(g->log, "after_ms", GwTime_Now() - r->sent_at);
-    GwEvent_Time(g->log, "left_ms", left);
-    GwEvent_Text(g->log, "next", GwNext_Names[next]);
-    GwEvent_End(g->log);
+    GwRequestLog_Failed(r, fate, why, next);
     r->may_have_run = r->may_have_run || fate == GW_ATTEMPT_MAY_HAVE_RUN ||
                       fate == GW_ATTEMPT_HAS_RUN;
     leave_instance_(r);
@@ -585,7 +573,7 @@
         complete_(r);
         return;
     case GW_NEXT_BREAK:
-        log_end_(r, "broken", 0);
+        GwRequestLog_End(r, "broken", 0);
         break_(r);
         return;
     case GW_NEXT_REFUSE:
@@ -638,10 +626,7 @@
         return;
     GwCounters_Retry(&r->gateway->counters, GW_RETRY_SILENT);
     GwHealth_Note(&r->instance->health, GW_HEALTH_SILENT, GwTime_Now());
-    GwEvent_Begin(r->gateway->log, "attempt_left", r->ask.id);
-    GwEvent_Text(r->gateway->log, "instance", r->instance->id);
-    GwEvent_Time(r->gateway->log, "after_ms", GwTime_Now() - r->sent_at);
-    GwEvent_End(r->gateway->log);
+    GwRequestLog_Left(r);
     GwUpstream_Cancel(g_steal_pointer(&r->upstream));
     leave_instance_(r);
     r->may_have_run = true;
@@ -657,7 +642,7 @@
         GwHealth_Note(&r->instance->health, GW_HEALTH_SILENT, GwTime_Now());
     GwUpstream_Cancel(g_steal_pointer(&r->upstream));
     if (r->head_sent) {
-        log_end_(r, "broken_at_deadline", 0);
+        GwRequestLog_End(r, "broken_at_deadline", 0);
         leave_instance_(r);
         break_(r);
         return;
@@ -686,7 +671,7 @@
     GwMessages_EncodeFailure(&failure, out);
     GwHttpCall_Send(r->call, out->str, out->len);
     GwCounters_Refuse(&r->gateway->counters, refusal);
-    log_end_(r, GwRefusal_Names[refusal], failure.status);
+    GwRequestLog_End(r, GwRefusal_Names[refusal], failure.status);
     done_(r);
 }
 
@@ -731,96 +716,6 @@
     GwGateway_RequestEnded(g);
 }
 
-static void
-log_attempt_(GwRequest *r, const GwDispatch *dispatch)
-{
-    GwEventLog *log = r->gateway->log;
-    const GwInstance *instance = r->instance;
-    GwTime now = GwTime_Now();
-
-    GwEvent_Begin(log, "attempt", r->ask.id);
-    GwEvent_Text(log, "route", r->route->name);
-    GwEvent_Number(log, "routes_version", (int64_t)r->routes->version);
-    GwEvent_Text(log, "instance", instance->id);
-    GwEvent_Number(log, "in_flight", instance->in_flight);
-    if (instance->model != NULL) {
-        GwEvent_Number(log, "weights", instance->weights);
-        GwEvent_Number(log, "prefill_tokens",
-                       (int64_t)instance->prefill_tokens);
-        GwEvent_Text(log, "fetch_from",
-                     dispatch->fetch_from != NULL ? dispatch->fetch_from->host
-                                                  : "none");
-        GwEvent_Number(log, "save", dispatch->save_to != NULL);
-        log_prompt_(r);
-        if (instance->advice.at != 0) {
-            GwEvent_Number(log, "running", instance->advice.running);
-            GwEvent_Number(log, "queued", instance->advice.queued);
-            GwEvent_Number(log, "others_tokens",
-                           (int64_t)instance->advice.others_tokens);
-            GwEvent_Number(log, "kv_used", instance->advice.kv_used);
-            GwEvent_Time(log, "advice_age_ms", now - instance->advice.at);
-        }
-    }
-    GwEvent_Time(log, "left_ms", r->deadline - now);
-    GwEvent_End(log);
-}
-
-static void
-log_deferred_(const GwRequest *r, const GwInstance *instance, GwTime defer)
-{
-    GwEventLog *log = r->gateway->log;
-
-    GwEvent_Begin(log, "deferred", r->ask.id);
-    GwEvent_Text(log, "route", r->route->name);
-    GwEvent_Text(log, "instance", instance->id);
-    GwEvent_Number(log, "waiting_tokens", (int64_t)r->chosen.prefill_tokens);
-    GwEvent_Number(log, "kv_used", r->chosen.kv_used);
-    GwEvent_Number(log, "kv_total", r->chosen.kv_total);
-    GwEvent_Time(log, "advice_age_ms", GwTime_Now() - instance->advice.at);
-    GwEvent_Time(log, "retry_after_ms", defer);
-    GwEvent_End(log);
-}
-
-// What it shares with others, so that the lines of one subject can be found,
-// and how many of those parts the store is known to keep.
-static void
-log_prompt_(const GwRequest *r)
-{
-    GwEventLog *log = r->gateway->log;
-    const GwKvStore *store = GwChoosing_KvStore(r);
-    char subject[17];
-
-    if (r->ask.n_parts < 2)
-        return;
-    g_snprintf(subject, sizeof(subject), "%016" G_GINT64_MODIFIER "x",
-               GwPlacement_Level(r->ask.parts, r->ask.n_parts - 1));
-    GwEvent_Text(log, "subject", subject);
-    GwEvent_Text(log, "scope", r->scope);
-    GwEvent_Number(log, "shared_tokens",
-                   GwPlacement_Tokens(r->ask.parts, r->ask.n_parts - 1));
-    GwEvent_Number(log, "shared_parts", r->ask.n_parts - 1);
-    GwEvent_Number(log, "kept_parts",
-                   store != NULL
-                       ? GwKvStore_Kept(store, &r->ask, r->scope, GwTime_Now())
-                       : 0);
-}
-
-static void
-log_end_(const GwRequest *r, const char *outcome, int status)
-{
-    GwEventLog *log = r->gateway->log;
-
-    GwEvent_Begin(log, "end", r->ask.id);
-    GwEvent_Text(log, "outcome", outcome);
-    GwEvent_Number(log, "status", status);
-    GwEvent_Number(log, "attempts", r->attempts);
-    GwEvent_Text(log, "route", r->route != NULL ? r->route->name : NULL);
-    if (r->first_byte_at != 0)
-        GwEvent_Time(log, "first_ms", r->first_byte_at - r->arrived);
-    GwEvent_Time(log, "took_ms", GwTime_Now() - r->arrived);
-    GwEvent_End(log);
-}
-
 static double
 retry_after_(const GwRequest *r, double most)
 {
--- /dev/null
+++ b/packages/gateway/src/request_log.c
@@ -0,0 +1,126 @@
+#include "request_log.h"
+
+#include "choosing.h"
+
+static void log_prompt_(const GwRequest *r);
+
+void
+GwRequestLog_Attempt(const GwRequest *r, const GwDispatch *dispatch)
+{
+    GwEventLog *log = r->gateway->log;
+    const GwInstance *instance = r->instance;
+    GwTime now = GwTime_Now();
+
+    GwEvent_Begin(log, "attempt", r->ask.id);
+    GwEvent_Text(log, "route", r->route->name);
+    GwEvent_Number(log, "routes_version", (int64_t)r->routes->version);
+    GwEvent_Text(log, "instance", instance->id);
+    GwEvent_Number(log, "in_flight", instance->in_flight);
+    if (instance->model != NULL) {
+        GwEvent_Number(log, "weights", instance->weights);
+        GwEvent_Number(log, "prefill_tokens",
+                       (int64_t)instance->prefill_tokens);
+        GwEvent_Text(log, "fetch_from",
+                     dispatch->fetch_from != NULL ? dispatch->fetch_from->host
+                                                  : "none");
+        GwEvent_Number(log, "save", dispatch->save_to != NULL);
+        log_prompt_(r);
+        if (instance->advice.at != 0) {
+            GwEvent_Number(log, "running", instance->advice.running);
+            GwEvent_Number(log, "queued", instance->advice.queued);
+            GwEvent_Number(log, "others_tokens",
+                           (int64_t)instance->advice.others_tokens);
+            GwEvent_Number(log, "kv_used", instance->advice.kv_used);
+            GwEvent_Time(log, "advice_age_ms", now - instance->advice.at);
+        }
+    }
+    GwEvent_Time(log, "left_ms", r->deadline - now);
+    GwEvent_End(log);
+}
+
+void
+GwRequestLog_Failed(const GwRequest *r, GwAttemptFate fate, const char *why,
+                    GwNext next)
+{
+    GwEventLog *log = r->gateway->log;
+    GwTime now = GwTime_Now();
+
+    GwEvent_Begin(log, "attempt_failed", r->ask.id);
+    GwEvent_Text(log, "instance", r->instance->id);
+    GwEvent_Text(log, "why", why);
+    GwEvent_Number(log, "status", r->has_reply ? r->reply.status : 0);
+    GwEvent_Text(log, "fate", GwAttemptFate_Names[fate]);
+    GwEvent_Time(log, "after_ms", now - r->sent_at);
+    GwEvent_Time(log, "left_ms", r->deadline - now);
+    GwEvent_Text(log, "next", GwNext_Names[next]);
+    GwEvent_End(log);
+}
+
+void
+GwRequestLog_Left(const GwRequest *r)
+{
+    GwEventLog *log = r->gateway->log;
+
+    GwEvent_Begin(log, "attempt_left", r->ask.id);
+    GwEvent_Text(log, "instance", r->instance->id);
+    GwEvent_Time(log, "after_ms", GwTime_Now() - r->sent_at);
+    GwEvent_End(log);
+}
+
+void
+GwRequestLog_Deferred(const GwRequest *r, const GwInstance *instance,
+                      GwTime defer)
+{
+    GwEventLog *log = r->gateway->log;
+
+    GwEvent_Begin(log, "deferred", r->ask.id);
+    GwEvent_Text(log, "route", r->route->name);
+    GwEvent_Text(log, "instance", instance->id);
+    GwEvent_Number(log, "waiting_tokens", (int64_t)r->chosen.prefill_tokens);
+    GwEvent_Number(log, "kv_used", r->chosen.kv_used);
+    GwEvent_Number(log, "kv_total", r->chosen.kv_total);
+    if (instance->advice.at != 0)
+        GwEvent_Time(log, "advice_age_ms", GwTime_Now() - instance->advice.at);
+    GwEvent_Time(log, "retry_after_ms", defer);
+    GwEvent_End(log);
+}
+
+void
+GwRequestLog_End(const GwRequest *r, const char *outcome, int status)
+{
+    GwEventLog *log = r->gateway->log;
+
+    GwEvent_Begin(log, "end", r->ask.id);
+    GwEvent_Text(log, "outcome", outcome);
+    GwEvent_Number(log, "status", status);
+    GwEvent_Number(log, "attempts", r->attempts);
+    GwEvent_Text(log, "route", r->route != NULL ? r->route->name : NULL);
+    if (r->first_byte_at != 0)
+        GwEvent_Time(log, "first_ms", r->first_byte_at - r->arrived);
+    GwEvent_Time(log, "took_ms", GwTime_Now() - r->arrived);
+    GwEvent_End(log);
+}
+
+// What it shares with others, so that the lines of one subject can be found,
+// and how many of those parts the store is known to keep.
+static void
+log_prompt_(const GwRequest *r)
+{
+    GwEventLog *log = r->gateway->log;
+    const GwKvStore *store = GwChoosing_KvStore(r);
+    char subject[17];
+
+    if (r->ask.n_parts < 2)
+        return;
+    g_snprintf(subject, sizeof(subject), "%016" G_GINT64_MODIFIER "x",
+               GwPlacement_Level(r->ask.parts, r->ask.n_parts - 1));
+    GwEvent_Text(log, "subject", subject);
+    GwEvent_Text(log, "scope", r->scope);
+    GwEvent_Number(log, "shared_tokens",
+                   GwPlacement_Tokens(r->ask.parts, r->ask.n_parts - 1));
+    GwEvent_Number(log, "shared_parts", r->ask.n_parts - 1);
+    GwEvent_Number(log, "kept_parts",
+                   store != NULL
+                       ? GwKvStore_Kept(store, &r->ask, r->scope, GwTime_Now())
+                       : 0);
+}
