No paying request is deferred, or kept from its home, for trials that wait

Trials could fill the queue up to the bound; a paying report was then refused for prompts that the engine reads after it.

Tokens of accounts that come after others are counted apart, passed on by sidecars, and left out for a paying request, in the choice of the engine too.

GatewayFailure.NoPayingRequestIsToldToComeBackForTrials failed before.

--- a/fakes/include/galenagw/fakes/fleet.h
+++ b/fakes/include/galenagw/fakes/fleet.h
@@ -61,7 +61,8 @@
     bool Until(const std::function<bool()> &done);
     void Wait(GwTime time);
     // Routes /plain/, /once/, /stream/ and /resume/ of host "h" to services
-    // plain, plain, model and model; key "key" belongs to account acme.
+    // plain, plain, model and model; key "key" belongs to account acme, key
+    // "try" to a trial account.
     void Configure(int version, const std::string &more_routes = "");
     Endpoint *AddEndpoint(const char *id, const char *service,
                           bool draining = false,
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -33,8 +33,10 @@
     bool wanted; /* by the last comparison with the list */
     bool is_entry;
     uint64_t prefill_tokens; /* that an entry waits for at our engine */
+    uint64_t yielding;       /* of these, of accounts after others */
     unsigned long_runs;      /* that it has in flight there */
     uint64_t told_tokens;    /* agent: others' tokens, as told last */
+    uint64_t told_yielding;
 } Peer;
 
 struct GwPeers {
@@ -52,6 +54,12 @@
     GwEngineState engine; /* agent: told last */
 };
 
+/* Prompt tokens that entries wait for at our engine. */
+typedef struct {
+    uint64_t tokens;
+    uint64_t yielding; /* of these, of accounts after others */
+} Waiting;
+
 /* Collects records for one peer and sends them in frames. */
 typedef struct {
     GwSession *session;
@@ -86,7 +94,8 @@
 static void send_engine_(GwPeers *p, Peer *peer);
 static void take_note_(GwPeers *p, const GwSession *session,
                        const Gw__Wire__PrefillNote *note);
-static uint64_t others_tokens_(const GwPeers *p, const Peer *peer);
+static bool differs_(uint64_t tokens, uint64_t told);
+static Waiting others_(const GwPeers *p, const Peer *peer);
 static void take_engine_(GwPeers *p, const Gw__Wire__EngineState *state);
 static unsigned count_entries_(const GwPeers *p);
 
@@ -164,6 +173,7 @@
     if (peer == NULL || !GwSession_IsReady(peer->session))
         return;
     note.tokens = instance->prefill_tokens;
+    note.yielding = instance->yielding_tokens;
     note.long_runs = instance->long_runs;
     GwSession_Send(peer->session, &frame);
 }
@@ -182,7 +192,7 @@
 uint64_t
 GwPeers_WaitingTokens(const GwPeers *p)
 {
-    return others_tokens_(p, NULL);
+    return others_(p, NULL).tokens;
 }
 
 void
@@ -541,6 +551,7 @@
 send_engine_(GwPeers *p, Peer *peer)
 {
     GW_FRAME(frame, state, ENGINE_STATE, EngineState, engine_state);
+    Waiting others;
 
     state.instance = p->engine_id;
     state.weights = p->engine.weights;
@@ -552,8 +563,11 @@
     state.kv_used = p->engine.kv_used;
     state.kv_total = p->engine.kv_total;
     state.entries = count_entries_(p);
-    peer->told_tokens = others_tokens_(p, peer);
-    state.others_tokens = peer->told_tokens;
+    others = others_(p, peer);
+    peer->told_tokens = others.tokens;
+    peer->told_yielding = others.yielding;
+    state.others_tokens = others.tokens;
+    state.others_yielding = others.yielding;
     GwSession_Send(peer->session, &frame);
 }
 
@@ -568,28 +582,42 @@
     if (from == NULL || !p->has_engine)
         return;
     from->prefill_tokens = note->tokens;
+    from->yielding = note->yielding;
     from->long_runs = note->long_runs;
     TAILQ_FOREACH(peer, &p->peers, link)
     {
-        uint64_t tokens;
+        Waiting others;
 
         if (!peer->is_entry || peer == from ||
             !GwSession_IsReady(peer->session))
             continue;
-        tokens = others_tokens_(p, peer);
-        if (ABS((int64_t)(tokens - peer->told_tokens)) >= TELL_TOKENS)
+        others = others_(p, peer);
+        if (differs_(others.tokens, peer->told_tokens) ||
+            differs_(others.yielding, peer->told_yielding))
             send_engine_(p, peer);
     }
 }
 
-static uint64_t
-others_tokens_(const GwPeers *p, const Peer *peer)
+static bool
+differs_(uint64_t tokens, uint64_t told)
+{
+    return ABS((int64_t)(tokens - told)) >= TELL_TOKENS;
+}
+
+// What all entries but @p peer wait for.
+static Waiting
+others_(const GwPeers *p, const Peer *peer)
 {
     const Peer *other;
-    uint64_t sum = 0;
+    Waiting sum = {0};
 
     TAILQ_FOREACH(other, &p->peers, link)
-    sum += other != peer ? other->prefill_tokens : 0;
+    {
+        if (other == peer)
+            continue;
+        sum.tokens += other->prefill_tokens;
+        sum.yielding += other->yielding;
+    }
     return sum;
 }
 
@@ -625,6 +653,7 @@
         .switching = state->switching,
         .down = state->down,
         .others_tokens = state->others_tokens,
+        .others_yielding = state->others_yielding,
         .running = state->running,
         .queued = state->queued,
         .kv_used = state->kv_used,
--- a/packages/gateway/src/choosing.c
+++ b/packages/gateway/src/choosing.c
@@ -169,6 +169,7 @@
     GwTime outdated = GwTarget_OutdatedSince(&target, instance->weights);
     GwHeard heard = GwInstance_Heard(instance, now);
     bool fresh = heard == GW_HEARD_FRESH;
+    uint64_t yielding = instance->yielding_tokens;
 
     *out = (GwCandidate){
         .place = instance->place,
@@ -185,9 +186,14 @@
     if (fresh) {
         out->in_flight = MAX(out->in_flight, advice->running + advice->queued);
         out->prefill_tokens += advice->others_tokens;
+        yielding += advice->others_yielding;
         out->kv_used = advice->kv_used;
         out->kv_total = advice->kv_total;
     }
+    // Trials that wait are read after a paying request, and must neither keep
+    // it from its home nor have it told to come back.
+    if (!GwAccount_Yields(r->account))
+        out->prefill_tokens -= MIN(yielding, out->prefill_tokens);
     out->usable =
         !instance->draining &&
         !(fresh && (advice->switching || advice->down)) &&
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -340,13 +340,19 @@
     int64_t change;
 
     instance->prefill_tokens += (uint64_t)tokens;
+    if (GwAccount_Yields(r->account))
+        instance->yielding_tokens += (uint64_t)tokens;
     change = (int64_t)(instance->prefill_tokens - instance->noted_tokens);
+    if (change == 0)
+        change =
+            (int64_t)(instance->yielding_tokens - instance->noted_yielding);
     if (runs != 0 && GwChoosing_IsLong(r))
         instance->long_runs += (unsigned)runs;
     else if (change == 0 ||
              (ABS(change) < NOTE_TOKENS && instance->prefill_tokens != 0))
         return;
     instance->noted_tokens = instance->prefill_tokens;
+    instance->noted_yielding = instance->yielding_tokens;
     GwPeers_NoteLoad(r->gateway->peers, instance);
 }
 
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -50,6 +50,7 @@
     bool switching;         /**< new weights are about to be loaded */
     bool down;              /**< it does not answer the agent beside it */
     uint64_t others_tokens; /**< of prompts that other entries wait for */
+    uint64_t others_yielding; /**< of these, see yielding_tokens */
     unsigned running;
     unsigned queued;
     uint32_t kv_used;
@@ -72,12 +73,15 @@
     int64_t weights;   /**< newest version it is known to have; -1: none */
     GwHealth health;
     GwAdvice advice;
-    GwTime avoid_until;      /**< it was full or loading; 0: it was not */
-    unsigned in_flight;      /**< our own requests there */
-    uint64_t prefill_tokens; /**< of those without a first event yet */
-    unsigned long_runs;      /**< of those, expected to run for long */
-    uint64_t noted_tokens;   /**< of these, as its agent was told */
-    void *user;              /**< the owner's: its connections */
+    GwTime avoid_until;       /**< it was full or loading; 0: it was not */
+    unsigned in_flight;       /**< our own requests there */
+    uint64_t prefill_tokens;  /**< of those without a first event yet */
+    uint64_t yielding_tokens; /**< of these, of accounts that engines put
+                                   after others, such as trials */
+    unsigned long_runs;       /**< of those, expected to run for long */
+    uint64_t noted_tokens;    /**< prefill_tokens, as its agent was told */
+    uint64_t noted_yielding;  /**< yielding_tokens, as its agent was told */
+    void *user;               /**< the owner's: its connections */
     int refs;
 } GwInstance;
 
--- a/packages/routing/include/galenagw/routing/placement.h
+++ b/packages/routing/include/galenagw/routing/placement.h
@@ -35,7 +35,7 @@
     bool by_store;  /**< in the failure domain that its prompt belongs to */
     unsigned slots;
     unsigned in_flight;      /**< ours and, as far as is known, others' */
-    uint64_t prefill_tokens; /**< waiting or being read there */
+    uint64_t prefill_tokens; /**< read there before this request */
     uint64_t missing_tokens; /**< shared ones, if nobody is known to keep
                                   them for its weights */
     uint32_t kv_used;        /**< tokens of memory that cannot yield */
--- a/packages/routing/include/galenagw/routing/routes.h
+++ b/packages/routing/include/galenagw/routing/routes.h
@@ -119,6 +119,8 @@
  * long prompts. @p account may be NULL.
  */
 int GwRoute_EnginePriority(const GwRoute *route, const GwAccount *account);
+/** Whether engines put the account's requests after those of others. */
+bool GwAccount_Yields(const GwAccount *account);
 /** Whether a request that may have run may be sent again. */
 bool GwRoute_MayRepeat(const GwRoute *route);
 
--- a/packages/routing/src/routes.c
+++ b/packages/routing/src/routes.c
@@ -193,6 +193,12 @@
     return MIN(first * ROUTE_PRIORITIES + own, GW_ENGINE_PRIORITIES - 1);
 }
 
+bool
+GwAccount_Yields(const GwAccount *account)
+{
+    return account != NULL && account->priority > 0;
+}
+
 bool
 GwRoute_MayRepeat(const GwRoute *route)
 {
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -484,10 +484,14 @@
    * prompt tokens that other entries wait for
    */
   uint64_t others_tokens;
+  /*
+   * of these, of accounts that come after others
+   */
+  uint64_t others_yielding;
 };
 #define GW__WIRE__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -504,10 +508,14 @@
    * requests in flight that will run for long
    */
   uint32_t long_runs;
+  /*
+   * of the tokens, of accounts after others
+   */
+  uint64_t yielding;
 };
 #define GW__WIRE__PREFILL_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__prefill_note__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 typedef enum {
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -2969,7 +2969,7 @@
   (ProtobufCMessageInit) gw__wire__records_tell__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__engine_state__field_descriptors[11] =
+static const ProtobufCFieldDescriptor gw__wire__engine_state__field_descriptors[12] =
 {
   {
     "instance",
@@ -3103,6 +3103,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "others_yielding",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EngineState, others_yielding),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__engine_state__field_indices_by_name[] = {
   8,   /* field[8] = down */
@@ -3111,6 +3123,7 @@
   6,   /* field[6] = kv_total */
   5,   /* field[5] = kv_used */
   9,   /* field[9] = others_tokens */
+  11,   /* field[11] = others_yielding */
   10,   /* field[10] = preparing */
   4,   /* field[4] = queued */
   3,   /* field[3] = running */
@@ -3120,7 +3133,7 @@
 static const ProtobufCIntRange gw__wire__engine_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor gw__wire__engine_state__descriptor =
 {
@@ -3130,14 +3143,14 @@
   "Gw__Wire__EngineState",
   "gw.wire",
   sizeof(Gw__Wire__EngineState),
-  11,
+  12,
   gw__wire__engine_state__field_descriptors,
   gw__wire__engine_state__field_indices_by_name,
   1,  gw__wire__engine_state__number_ranges,
   (ProtobufCMessageInit) gw__wire__engine_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__prefill_note__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gw__wire__prefill_note__field_descriptors[3] =
 {
   {
     "tokens",
@@ -3163,15 +3176,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "yielding",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__PrefillNote, yielding),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__prefill_note__field_indices_by_name[] = {
   1,   /* field[1] = long_runs */
   0,   /* field[0] = tokens */
+  2,   /* field[2] = yielding */
 };
 static const ProtobufCIntRange gw__wire__prefill_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor gw__wire__prefill_note__descriptor =
 {
@@ -3181,7 +3207,7 @@
   "Gw__Wire__PrefillNote",
   "gw.wire",
   sizeof(Gw__Wire__PrefillNote),
-  2,
+  3,
   gw__wire__prefill_note__field_descriptors,
   gw__wire__prefill_note__field_indices_by_name,
   1,  gw__wire__prefill_note__number_ranges,
