Memory that trials hold counts for no paying request

Deferral, and the choice of an engine, take the engine's memory in use as taken; engines preempt trials for paying requests, so a paying report could be told to come back for memory that it would have got.

Entries tell sidecars how much memory their requests of such accounts hold, or will; it is left out for a paying request.

--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -34,8 +34,9 @@
     bool is_entry;
     uint64_t prefill_tokens; /* that an entry waits for at our engine */
     uint64_t yielding;       /* of these, of accounts after others */
-    unsigned long_runs;      /* that it has in flight there */
-    uint64_t told_tokens;    /* agent: others' tokens, as told last */
+    uint64_t yielding_memory;
+    unsigned long_runs;   /* that it has in flight there */
+    uint64_t told_tokens; /* agent: others' tokens, as told last */
     uint64_t told_yielding;
 } Peer;
 
@@ -58,6 +59,7 @@
 typedef struct {
     uint64_t tokens;
     uint64_t yielding; /* of these, of accounts after others */
+    uint64_t yielding_memory;
 } Waiting;
 
 /* Collects records for one peer and sends them in frames. */
@@ -174,6 +176,7 @@
         return;
     note.tokens = instance->prefill_tokens;
     note.yielding = instance->yielding_tokens;
+    note.yielding_memory = instance->yielding_memory;
     note.long_runs = instance->long_runs;
     GwSession_Send(peer->session, &frame);
 }
@@ -568,6 +571,7 @@
     peer->told_yielding = others.yielding;
     state.others_tokens = others.tokens;
     state.others_yielding = others.yielding;
+    state.others_yielding_memory = others.yielding_memory;
     GwSession_Send(peer->session, &frame);
 }
 
@@ -583,6 +587,7 @@
         return;
     from->prefill_tokens = note->tokens;
     from->yielding = note->yielding;
+    from->yielding_memory = note->yielding_memory;
     from->long_runs = note->long_runs;
     TAILQ_FOREACH(peer, &p->peers, link)
     {
@@ -617,6 +622,7 @@
             continue;
         sum.tokens += other->prefill_tokens;
         sum.yielding += other->yielding;
+        sum.yielding_memory += other->yielding_memory;
     }
     return sum;
 }
@@ -654,6 +660,7 @@
         .down = state->down,
         .others_tokens = state->others_tokens,
         .others_yielding = state->others_yielding,
+        .others_yielding_memory = state->others_yielding_memory,
         .running = state->running,
         .queued = state->queued,
         .kv_used = state->kv_used,
--- a/packages/gateway/src/choosing.c
+++ b/packages/gateway/src/choosing.c
@@ -170,6 +170,7 @@
     GwHeard heard = GwInstance_Heard(instance, now);
     bool fresh = heard == GW_HEARD_FRESH;
     uint64_t yielding = instance->yielding_tokens;
+    uint64_t yielding_memory = instance->yielding_memory;
 
     *out = (GwCandidate){
         .place = instance->place,
@@ -187,13 +188,17 @@
         out->in_flight = MAX(out->in_flight, advice->running + advice->queued);
         out->prefill_tokens += advice->others_tokens;
         yielding += advice->others_yielding;
+        yielding_memory += advice->others_yielding_memory;
         out->kv_used = advice->kv_used;
         out->kv_total = advice->kv_total;
     }
-    // Trials that wait are read after a paying request, and must neither keep
-    // it from its home nor have it told to come back.
-    if (!GwAccount_Yields(r->account))
+    // Trials that wait are read after a paying request, and those that run are
+    // preempted for it: they must neither keep it from its home nor have it
+    // told to come back.
+    if (!GwAccount_Yields(r->account)) {
         out->prefill_tokens -= MIN(yielding, out->prefill_tokens);
+        out->kv_used -= (uint32_t)MIN(yielding_memory, out->kv_used);
+    }
     out->usable =
         !instance->draining &&
         !(fresh && (advice->switching || advice->down)) &&
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -45,6 +45,7 @@
 static GwTime defer_(const GwRequest *r, const GwInstance *instance,
                      const GwAddress *source);
 static void send_(GwRequest *r, GwInstance *instance, const GwAddress *source);
+static int64_t memory_(const GwRequest *r);
 static void add_load_(GwRequest *r, int64_t tokens, int runs);
 static GwHeadVerdict on_head_(void *user, const GwHttpHead *head);
 static void on_body_(void *user, const char *data, size_t len);
@@ -268,7 +269,7 @@
         .own_tokens = GwChoosing_Prefill(r, instance, source),
         .kv_used = r->chosen.kv_used,
         .kv_total = r->chosen.kv_total,
-        .kv_needed = r->ask.prompt_tokens + r->ask.output_tokens,
+        .kv_needed = (uint32_t)memory_(r),
     };
 
     if (instance->model == NULL || r->attempts > 0)
@@ -331,6 +332,13 @@
     arm_patience_(r);
 }
 
+// Tokens of memory that it takes at an engine, at most.
+static int64_t
+memory_(const GwRequest *r)
+{
+    return (int64_t)r->ask.prompt_tokens + r->ask.output_tokens;
+}
+
 // Its agent is told at once when a long run comes or goes, else when enough
 // tokens have changed.
 static void
@@ -340,8 +348,10 @@
     int64_t change;
 
     instance->prefill_tokens += (uint64_t)tokens;
-    if (GwAccount_Yields(r->account))
+    if (GwAccount_Yields(r->account)) {
         instance->yielding_tokens += (uint64_t)tokens;
+        instance->yielding_memory += (uint64_t)((int64_t)runs * memory_(r));
+    }
     change = (int64_t)(instance->prefill_tokens - instance->noted_tokens);
     if (change == 0)
         change =
--- a/packages/gateway/tests/gateway_failure_test.cc
+++ b/packages/gateway/tests/gateway_failure_test.cc
@@ -659,6 +659,47 @@
     EXPECT_EQ(e->seen.size(), taken + 1);
 }
 
+// An engine's memory is nearly full and something waits there, so that one
+// more long prompt would make it preempt. A report that can wait is told to
+// come back; but where trials hold that memory, the engine preempts those for
+// a paying report, which is sent on.
+TEST(GatewayFailure, MemoryThatTrialsHoldIsFreeForPayingRequests)
+{
+    const struct {
+        const char *name, *key;
+        uint64_t trials_hold;
+        bool sent;
+    } cases[] = {
+        {"paying work holds it", "key", 0, false},
+        {"trials hold it", "key", 60000, true},
+        {"trials hold it, a trial comes", "try", 60000, false},
+    };
+
+    for (auto &c : cases) {
+        Fleet f;
+        f.Configure(1, PromptRoute("check", 0) + PromptRoute("report", 1));
+        Endpoint *e = f.AddEndpoint("i-1", "model");
+        GwGateway *g = f.AddGateway();
+        ASSERT_TRUE(f.Ready());
+        GwInstance *instance =
+            GwInstances_Find(GwView_Instances(g->view), "i-1");
+        std::string report = Fleet::Request("POST", "/report/1", "x", kPrompt);
+
+        report.replace(report.find("X-Key: key"), 10,
+                       std::string("X-Key: ") + c.key);
+        instance->advice.at = GwTime_Now();
+        instance->advice.others_tokens = 3000;
+        instance->advice.kv_used = 97000;
+        instance->advice.kv_total = 100000;
+        instance->advice.others_yielding_memory = c.trials_hold;
+        e->serve = [](Endpoint *, FakeExchange *) {};
+        auto call = f.Call(g, report);
+        EXPECT_TRUE(
+            f.Until([&] { return e->seen.size() == 1 || call->Has(1); }));
+        EXPECT_EQ(e->seen.size(), c.sent ? 1u : 0u) << c.name;
+    }
+}
+
 // The agent says that its engine takes no more connections. A leaving engine
 // closes its port first and then finishes what it runs, for seconds; a caller
 // whose stream still comes must get all of it. Only where nothing comes is the
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -50,7 +50,8 @@
     bool switching;         /**< new weights are about to be loaded */
     bool down;              /**< it does not answer the agent beside it */
     uint64_t others_tokens; /**< of prompts that other entries wait for */
-    uint64_t others_yielding; /**< of these, see yielding_tokens */
+    uint64_t others_yielding;        /**< of these, see yielding_tokens */
+    uint64_t others_yielding_memory; /**< of their runs, as below */
     unsigned running;
     unsigned queued;
     uint32_t kv_used;
@@ -79,6 +80,8 @@
     uint64_t yielding_tokens; /**< of these, of accounts that engines put
                                    after others, such as trials */
     unsigned long_runs;       /**< of those, expected to run for long */
+    uint64_t yielding_memory; /**< tokens that all requests of such accounts
+                                   hold there, or will */
     uint64_t noted_tokens;    /**< prefill_tokens, as its agent was told */
     uint64_t noted_yielding;  /**< yielding_tokens, as its agent was told */
     void *user;               /**< the owner's: its connections */
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -488,10 +488,14 @@
    * of these, of accounts that come after others
    */
   uint64_t others_yielding;
+  /*
+   * tokens that other entries' runs of
+   */
+  uint64_t others_yielding_memory;
 };
 #define GW__WIRE__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -512,10 +516,14 @@
    * of the tokens, of accounts after others
    */
   uint64_t yielding;
+  /*
+   * tokens that runs of such accounts hold or will
+   */
+  uint64_t yielding_memory;
 };
 #define GW__WIRE__PREFILL_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__prefill_note__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -2969,7 +2969,7 @@
   (ProtobufCMessageInit) gw__wire__records_tell__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__engine_state__field_descriptors[12] =
+static const ProtobufCFieldDescriptor gw__wire__engine_state__field_descriptors[13] =
 {
   {
     "instance",
@@ -3115,6 +3115,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "others_yielding_memory",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EngineState, others_yielding_memory),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__engine_state__field_indices_by_name[] = {
   8,   /* field[8] = down */
@@ -3124,6 +3136,7 @@
   5,   /* field[5] = kv_used */
   9,   /* field[9] = others_tokens */
   11,   /* field[11] = others_yielding */
+  12,   /* field[12] = others_yielding_memory */
   10,   /* field[10] = preparing */
   4,   /* field[4] = queued */
   3,   /* field[3] = running */
@@ -3133,7 +3146,7 @@
 static const ProtobufCIntRange gw__wire__engine_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor gw__wire__engine_state__descriptor =
 {
@@ -3143,14 +3156,14 @@
   "Gw__Wire__EngineState",
   "gw.wire",
   sizeof(Gw__Wire__EngineState),
-  12,
+  13,
   gw__wire__engine_state__field_descriptors,
   gw__wire__engine_state__field_indices_by_name,
   1,  gw__wire__engine_state__number_ranges,
   (ProtobufCMessageInit) gw__wire__engine_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__prefill_note__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gw__wire__prefill_note__field_descriptors[4] =
 {
   {
     "tokens",
@@ -3188,16 +3201,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "yielding_memory",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__PrefillNote, yielding_memory),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__prefill_note__field_indices_by_name[] = {
   1,   /* field[1] = long_runs */
   0,   /* field[0] = tokens */
   2,   /* field[2] = yielding */
+  3,   /* field[3] = yielding_memory */
 };
 static const ProtobufCIntRange gw__wire__prefill_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gw__wire__prefill_note__descriptor =
 {
@@ -3207,7 +3233,7 @@
   "Gw__Wire__PrefillNote",
   "gw.wire",
   sizeof(Gw__Wire__PrefillNote),
-  3,
+  4,
   gw__wire__prefill_note__field_descriptors,
   gw__wire__prefill_note__field_indices_by_name,
   1,  gw__wire__prefill_note__number_ranges,
