--- a/fakes/include/galenagw/fakes/block_cache.h
+++ b/fakes/include/galenagw/fakes/block_cache.h
@@ -2,7 +2,8 @@
  * @defgroup block_cache Block cache
  * @brief An engine's prefix cache: named blocks, least recently used out.
  *
- * Used by the stand-in engine, and by the bench's reference that knows all.
+ * Used by the stand-in engine, and by the reference of the measurements, which
+ * knows all.
  * @{
  */
 #ifndef GALENAGW_FAKES_BLOCK_CACHE_H
--- a/packages/entry/include/galenagw/entry/entry.h
+++ b/packages/entry/include/galenagw/entry/entry.h
@@ -36,7 +36,7 @@
     size_t max_body;     /**< of a caller's request; 0: 4 MiB */
     uint64_t snapshot_every;
     uint32_t seed; /**< randomness; 0: from the system */
-    /** How endpoints are placed; NULL: offers, as designed. For the bench. */
+    /** How endpoints are placed; NULL: offers, as designed. For baselines. */
     const GwPlacement *placement;
     void (*on_drained)(void *user);
     void *user;
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -64,7 +64,7 @@
 static void done_(GwRequest *r);
 static void break_(GwRequest *r);
 static void end_(GwRequest *r);
-static double retry_after_(const GwRequest *r, double most);
+static double retry_after_(const GwRequest *r, GwRefusal refusal);
 
 /* As what a repetition is counted. */
 static const GwRetry retry_reasons[GW_ATTEMPT_FATES] = {
@@ -230,15 +230,11 @@
     GwInstance *instance = GwChoosing_Choose(r, &source);
 
     if (instance != NULL) {
-        GwTime defer = defer_(r, instance, source);
-
-        if (defer == 0) {
+        r->retry_after = defer_(r, instance, source);
+        if (r->retry_after == 0)
             send_(r, instance, source);
-            return;
-        }
-        GwRequestLog_Deferred(r, instance, defer);
-        r->retry_after = defer;
-        answer_refusal_(r, GW_REFUSAL_DEFERRED);
+        else
+            answer_refusal_(r, GW_REFUSAL_DEFERRED);
         return;
     }
     if (r->head_sent) {
@@ -271,10 +267,16 @@
         .kv_total = r->chosen.kv_total,
         .kv_needed = (uint32_t)memory_(r),
     };
+    GwTime defer;
 
+    // A plain endpoint has no prompts to read, and a repeat has spent some of
+    // its caller's time already.
     if (instance->model == NULL || r->attempts > 0)
         return 0;
-    return GwOverload_Defer(&facts);
+    defer = GwOverload_Defer(&facts);
+    if (defer > 0)
+        GwRequestLog_Deferred(r, instance, &facts, defer);
+    return defer;
 }
 
 static void
@@ -680,10 +682,7 @@
     failure.status = GwRefusal_Status(refusal);
     failure.message = GwRefusal_Message(refusal);
     if (failure.status == 503)
-        failure.retry_after_s = retry_after_(
-            r, r->retry_after > 0 ? (double)r->retry_after / GW_SECOND
-               : refusal == GW_REFUSAL_NO_CONFIG ? RETRY_UNKNOWN_S
-                                                 : RETRY_SOON_S);
+        failure.retry_after_s = retry_after_(r, refusal);
     GwMessages_EncodeFailure(&failure, out);
     GwHttpCall_Send(r->call, out->str, out->len);
     GwCounters_Refuse(&r->gateway->counters, refusal);
@@ -732,15 +731,21 @@
     GwGateway_RequestEnded(g);
 }
 
+// Seconds, bounded by what the caller is willing to wait.
 static double
-retry_after_(const GwRequest *r, double most)
+retry_after_(const GwRequest *r, GwRefusal refusal)
 {
+    double wanted = RETRY_SOON_S;
     double share;
 
+    if (refusal == GW_REFUSAL_DEFERRED)
+        wanted = (double)r->retry_after / GW_SECOND;
+    else if (refusal == GW_REFUSAL_NO_CONFIG)
+        wanted = RETRY_UNKNOWN_S;
     if (r->ask.deadline_ms < 0)
-        return most;
+        return wanted;
     share = (double)(r->arrived + r->ask.deadline_ms * GW_MILLISECOND -
                      GwTime_Now()) /
             (double)GW_SECOND * RETRY_SHARE;
-    return CLAMP(share, 0.01, most);
+    return CLAMP(share, 0.01, wanted);
 }
--- a/packages/gateway/src/request_log.c
+++ b/packages/gateway/src/request_log.c
@@ -69,16 +69,20 @@
 
 void
 GwRequestLog_Deferred(const GwRequest *r, const GwInstance *instance,
-                      GwTime defer)
+                      const GwOverloadFacts *facts, GwTime defer)
 {
     GwEventLog *log = r->gateway->log;
 
     GwEvent_Begin(log, "deferred", r->ask.id);
     GwEvent_Text(log, "route", r->route->name);
     GwEvent_Text(log, "instance", instance->id);
-    GwEvent_Number(log, "waiting_tokens", (int64_t)r->chosen.prefill_tokens);
-    GwEvent_Number(log, "kv_used", r->chosen.kv_used);
-    GwEvent_Number(log, "kv_total", r->chosen.kv_total);
+    GwEvent_Number(log, "waiting_tokens", (int64_t)facts->waiting_tokens);
+    GwEvent_Number(log, "own_tokens", (int64_t)facts->own_tokens);
+    GwEvent_Number(log, "kv_used", facts->kv_used);
+    GwEvent_Number(log, "kv_needed", facts->kv_needed);
+    GwEvent_Number(log, "kv_total", facts->kv_total);
+    GwEvent_Time(log, "aim_ms", facts->aim);
+    GwEvent_Time(log, "left_ms", facts->left);
     if (instance->advice.at != 0)
         GwEvent_Time(log, "advice_age_ms", GwTime_Now() - instance->advice.at);
     GwEvent_Time(log, "retry_after_ms", defer);
--- a/packages/gateway/src/request_log.h
+++ b/packages/gateway/src/request_log.h
@@ -3,6 +3,7 @@
 #define GALENAGW_GATEWAY_REQUEST_LOG_H
 
 #include "galenagw/routing/attempt.h"
+#include "galenagw/routing/overload.h"
 #include "request_private.h"
 
 /* It is being sent to its instance. */
@@ -14,7 +15,8 @@
 void GwRequestLog_Left(const GwRequest *request);
 /* It is told to come back; @p instance was the best choice. */
 void GwRequestLog_Deferred(const GwRequest *request,
-                           const GwInstance *instance, GwTime defer);
+                           const GwInstance *instance,
+                           const GwOverloadFacts *facts, GwTime defer);
 /* The last line of each request. @p status 0: none was sent. */
 void GwRequestLog_End(const GwRequest *request, const char *outcome,
                       int status);
--- a/packages/gateway/src/request_private.h
+++ b/packages/gateway/src/request_private.h
@@ -36,7 +36,7 @@
     GwTime first_byte_at; /* 0: none passed on */
     unsigned sends;       /* that may have reached an endpoint */
     unsigned attempts;
-    GwTime retry_after; /* for its caller, if it is refused; 0: not decided */
+    GwTime retry_after; /* for its caller, if it is deferred; else 0 */
     bool may_have_run;  /* an earlier attempt; "not run" would be untrue */
     uint64_t tried[MAX_TRIED];
     unsigned n_tried;
--- a/packages/policy/include/galenagw/policy/placement.h
+++ b/packages/policy/include/galenagw/policy/placement.h
@@ -2,7 +2,7 @@
  * @defgroup placement Placement
  * @brief A way to place requests without asking endpoints for offers.
  *
- * The product asks for offers. This table is the seam at which the bench
+ * The product asks for offers. This table is the seam at which gw-bench
  * puts its baselines, so that everything else in a comparison is the same.
  * @{
  */
--- a/packages/routing/src/overload.c
+++ b/packages/routing/src/overload.c
@@ -6,7 +6,10 @@
  * Sheets give 66 for an idle engine; steps that also produce tokens, and the
  * prompts of urgent requests that go first, left 25 of them at engines whose
  * memory was nearly full, and 45 on calm days: waiting tokens over the time to
- * the first event. The memory in use tells these apart. */
+ * the first event. The memory in use, as a share, tells these apart. A little
+ * less than what was seen, and memory far from full, did best: urgent prompts
+ * go on coming while a request waits, and memory is held by those that wait.
+ */
 #define READ_CALM_PER_MS 45.0
 #define READ_FULL_PER_MS 22.0
 #define CALM_MEMORY 0.1
@@ -18,10 +21,15 @@
  * not at all: they are taken up to this many times their aim. */
 #define SHORT_TOKENS 4000
 #define SHORT_SHARE 3.0
-/* Share of an engine's memory above which new prompts make it preempt. */
+/* Share of an engine's memory above which new prompts make it preempt. Prompts
+ * that were preempted are read again: a sixth of all reading under overload.
+ * Without regard to memory a day of high load was worth 0.11 less. */
 #define MEMORY_SHARE 0.95
-/* What is waited for where memory is short: a run's usual length. */
+/* What is waited for where memory is short: the rest of a run, which takes two
+ * to three seconds in all with others ending before it. */
 #define MEMORY_WAIT (600 * GW_MILLISECOND)
+/* A caller sooner back finds the same queue, one later back has lost the time
+ * in which a queue of the longest kind seen (45,000 tokens) is read. */
 #define RETURN_LEAST (300 * GW_MILLISECOND)
 #define RETURN_MOST (2 * GW_SECOND)
 
