Soak: faults follow from the seed alone; silence is excused only where touched

Faults and callers drew from one generator, so timing changed the faults; and a request was excused from "no silence" for three seconds after the last fault at its gateway, though nothing that a fault leaves behind hangs an answer of a new connection.

Faults have a generator of their own. Silence is excused only if the gateway or the path to it was touched after the request was sent. Code without a reader went.

--- a/soak/src/callers.cc
+++ b/soak/src/callers.cc
@@ -25,12 +25,6 @@
     Disconnect();
 }
 
-void
-Caller::Stop()
-{
-    stopped_ = true;
-}
-
 GwTime
 Caller::Draw(GwTime least, GwTime most)
 {
@@ -50,8 +44,8 @@
         }
         else {
             const Gateway &g = *c->gateway_;
-            if (g.process->disturbance.CalmSince(c->sent_at_) &&
-                g.path->disturbance.CalmSince(c->sent_at_) &&
+            if (g.process->disturbance.UntouchedSince(c->sent_at_) &&
+                g.path->disturbance.UntouchedSince(c->sent_at_) &&
                 g.process->incarnation() == c->incarnation_)
                 c->platform_->ledger->Broken(
                     "no silence",
@@ -63,13 +57,13 @@
         }
         c->Disconnect();
     }
-    else if (!c->stopped_) {
+    else {
         if (c->tcp_ == nullptr)
             c->Connect();
         if (c->tcp_ != nullptr)
             c->Ask();
     }
-    if (c->id_.empty() && !c->stopped_)
+    if (c->id_.empty())
         GwTimer_Start(&c->timer_,
                       c->Draw(5 * GW_MILLISECOND, 60 * GW_MILLISECOND));
 }
@@ -233,8 +227,7 @@
         answered++;
     id_.clear();
     GwTimer_Stop(&timer_);
-    if (!stopped_)
-        GwTimer_Start(&timer_, Draw(2 * GW_MILLISECOND, 40 * GW_MILLISECOND));
+    GwTimer_Start(&timer_, Draw(2 * GW_MILLISECOND, 40 * GW_MILLISECOND));
 }
 
 void
--- a/soak/src/callers.h
+++ b/soak/src/callers.h
@@ -24,9 +24,8 @@
     Caller(Platform *platform, std::vector<std::unique_ptr<Gateway>> *gateways,
            int number);
     ~Caller();
-    void Stop(); /* after the answer that is under way */
 
-    /* Of requests since the last Reset of the counts. */
+    /* Of all callers; whoever sets them to zero counts from there. */
     static int asked, answered;
 
   private:
@@ -47,7 +46,6 @@
     Platform *platform_;
     std::vector<std::unique_ptr<Gateway>> *gateways_;
     int number_, asked_ = 0;
-    bool stopped_ = false;
     Gateway *gateway_ = nullptr;
     unsigned incarnation_ = 0;
     GwTcp *tcp_ = nullptr;
--- a/soak/src/faults.cc
+++ b/soak/src/faults.cc
@@ -9,13 +9,15 @@
 static const GwTime kGapMost = 700 * GW_MILLISECOND;
 static const GwTime kLeast = 200 * GW_MILLISECOND;
 static const GwTime kMost = 2500 * GW_MILLISECOND;
-/* A drained endpoint is gone after this; a stopped gateway is back. */
-static const GwTime kDrained = 3500 * GW_MILLISECOND;
+/* A leaving endpoint takes no connection after this, which is longer than it
+ * takes gateways to learn of it and shorter than its longest streams; and is
+ * gone after that, when those have ended. */
 static const GwTime kPortClosed = 1200 * GW_MILLISECOND;
+static const GwTime kDrained = 3500 * GW_MILLISECOND;
 
 Faults::Faults(const World &world,
                std::function<void(const std::string &)> log)
-    : world_(world), log_(std::move(log))
+    : world_(world), log_(std::move(log)), random_(world.seed)
 {
     GwTimer_Init(&next_, world.platform->loop, OnNext, this);
     GwTimer_Init(&plan_, world.platform->loop, OnPlan, this);
@@ -29,14 +31,12 @@
 void
 Faults::Run()
 {
-    running_ = true;
     OnNext(this);
 }
 
 void
 Faults::Heal()
 {
-    running_ = false;
     GwTimer_Stop(&next_);
     GwTimer_Stop(&plan_);
     while (!active_.empty())
@@ -49,17 +49,10 @@
     OnPlan(this);
 }
 
-bool
-Faults::IsQuiet() const
-{
-    return active_.empty();
-}
-
 GwTime
 Faults::Draw(GwTime least, GwTime most)
 {
-    return std::uniform_int_distribution<GwTime>(least, most)(
-        world_.platform->random);
+    return std::uniform_int_distribution<GwTime>(least, most)(random_);
 }
 
 void
--- a/soak/src/faults.h
+++ b/soak/src/faults.h
@@ -12,6 +12,7 @@
 
 /* What faults can be done to. */
 struct World {
+    uint64_t seed; /* of the faults alone: they do not depend on callers */
     Platform *platform;
     std::vector<std::unique_ptr<Gateway>> *gateways;
     std::vector<std::unique_ptr<Process>> *sidecars;
@@ -27,8 +28,6 @@
     void Heal();
     /* Planned work, one kind after the other; needs no healing. */
     void Plan();
-    /* No fault is under way. */
-    bool IsQuiet() const;
 
   private:
     struct Active {
@@ -57,9 +56,9 @@
     World world_;
     std::function<void(const std::string &)> log_;
     std::list<std::unique_ptr<Active>> active_;
+    std::mt19937_64 random_;
     GwTimer next_, plan_;
     int planned_ = 0;
-    bool running_ = false;
 };
 
 #endif
--- a/soak/src/ledger.h
+++ b/soak/src/ledger.h
@@ -37,6 +37,14 @@
         return active_ == 0 && (ended_ == 0 || ended_ + kSettle < since);
     }
 
+    /* Whether no fault has touched it itself since then; for what the end of
+     * a fault cures at once. */
+    bool
+    UntouchedSince(GwTime since) const
+    {
+        return active_ == 0 && ended_ < since;
+    }
+
   private:
     int active_ = 0;
     GwTime ended_ = 0;
--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -77,7 +77,8 @@
         for (int i = 0; i < options.engines; i++)
             AddSidecar(i);
         faults_ = std::make_unique<Faults>(
-            World{platform_.get(), &gateways_, &sidecars_, &store_paths_},
+            World{seed, platform_.get(), &gateways_, &sidecars_,
+                  &store_paths_},
             [this](const std::string &what) { Log(what); });
         GwTimer_Init(&tick_, loop_, OnTick, this);
         OnTick(this);
