Soak: news at the store's return must be in force; the store drops answers, is slow

The soak asked for a configuration in force only where nothing had been disturbed for 3 s before it was written, so what a fault leaves behind was excused: reads that a silence swallowed. It now writes one at the moment all faults end, and asks for it of whoever has been calm for 3 s when the request is sent, which is stricter: it holds for all that was checked before and for more.

A test more: a process that starts while the store is away, 120 cases, all within the bound.

--- a/packages/cluster/tests/store_reader_test.cc
+++ b/packages/cluster/tests/store_reader_test.cc
@@ -30,7 +30,8 @@
 
 // One store, and one process that follows it.
 struct Followed {
-    explicit Followed(GwLoop *loop)
+    explicit Followed(GwLoop *loop,
+                      const std::function<void(FakeStore *)> &at_start = {})
     {
         GwStoreReaderOptions options = {};
         GwViewOptions view_options = {};
@@ -39,6 +40,8 @@
         store = FakeStore_New(loop, &kAny, nullptr);
         Configure(1);
         List("ready");
+        if (at_start)
+            at_start(store);
         view_options.ops = &ops;
         view_options.counters = &counters;
         view = GwView_New(&view_options);
@@ -186,3 +189,25 @@
             << ": " << p.known << " us";
     }
 }
+
+// A process starts while the store is away. Its callers get nothing but
+// refusals until the first whole list is there, which must not take longer
+// than any other news once the store is back.
+TEST_F(StoreAway, AStartMeanwhileEndsSoonAfterTheReturn)
+{
+    std::vector<Play> plays;
+
+    for (const Absence &a : kAbsences)
+        for (GwTime lasts = 100; lasts <= 3000; lasts += 100) {
+            Play p = {std::make_unique<Followed>(loop, a.begin), &a, 0,
+                      lasts * GW_MILLISECOND};
+            p.begun = true;
+            plays.push_back(std::move(p));
+        }
+    PlayAll(&plays);
+    for (const Play &p : plays) {
+        EXPECT_TRUE(p.known > 0 && p.known < kBound)
+            << p.absence->name << " for " << p.lasts << ": " << p.known
+            << " us";
+    }
+}
--- a/soak/src/callers.cc
+++ b/soak/src/callers.cc
@@ -307,7 +307,7 @@
                        id_ + ": " + gateway_->process->name +
                            " has lost version " + std::to_string(added_));
     else if (sent_at_ - platform_->configured_at > kInForce &&
-             platform_->is_calm(platform_->configured_at))
+             platform_->is_calm(sent_at_))
         ledger->Broken("configuration is in force",
                        id_ + ": " + gateway_->process->name +
                            " lacks version " + std::to_string(added_));
--- a/soak/src/faults.cc
+++ b/soak/src/faults.cc
@@ -9,6 +9,8 @@
 static const GwTime kGapMost = 700 * GW_MILLISECOND;
 static const GwTime kLeast = 200 * GW_MILLISECOND;
 static const GwTime kMost = 2500 * GW_MILLISECOND;
+/* Answers of a slow store, a hundred times later than usual. */
+static const GwTime kSlow = 400 * GW_MILLISECOND;
 /* A leaving endpoint takes no connection after this, which is longer than it
  * takes gateways to learn of it and shorter than its longest streams; and is
  * gone after that, when those have ended. */
@@ -269,23 +271,31 @@
 void
 Faults::HarmStore()
 {
+    static const struct {
+        const char *what;
+        void (*begin)(FakeStore *store);
+        void (*end)(FakeStore *store);
+    } harms[] = {
+        {"store is silent", [](FakeStore *s) { FakeStore_SetSilent(s, true); },
+         [](FakeStore *s) { FakeStore_SetSilent(s, false); }},
+        {"store drops answers",
+         [](FakeStore *s) { FakeStore_SetMute(s, true); },
+         [](FakeStore *s) { FakeStore_SetMute(s, false); }},
+        {"store is slow", [](FakeStore *s) { FakeStore_SetDelay(s, kSlow); },
+         [](FakeStore *s) { FakeStore_SetDelay(s, 0); }},
+        {"store refuses", [](FakeStore *s) { FakeStore_Refuse(s, 503); },
+         [](FakeStore *s) { FakeStore_Refuse(s, 0); }},
+        {"store forgets its history",
+         [](FakeStore *s) { FakeStore_Compact(s); }, [](FakeStore *) {}},
+    };
     Platform *p = world_.platform;
-    GwTime draw = Draw(0, 2);
+    auto &harm = harms[Draw(0, G_N_ELEMENTS(harms) - 1)];
 
-    log_((const char *[]){"store is silent", "store refuses",
-                          "store forgets its history"}[draw]);
+    log_(harm.what);
     p->store_disturbance.Begin();
-    if (draw == 0)
-        FakeStore_SetSilent(p->store, true);
-    else if (draw == 1)
-        FakeStore_Refuse(p->store, 503);
-    else
-        FakeStore_Compact(p->store);
-    During(Draw(kLeast, kMost), [p, draw] {
-        if (draw == 0)
-            FakeStore_SetSilent(p->store, false);
-        else if (draw == 1)
-            FakeStore_Refuse(p->store, 0);
+    harm.begin(p->store);
+    During(Draw(kLeast, kMost), [p, &harm] {
+        harm.end(p->store);
         p->store_disturbance.End();
     });
 }
--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -232,6 +232,9 @@
     {
         faults_->Heal();
         Log("calm");
+        // News at the moment of the store's return: a read that it swallowed
+        // must be found to be lost before the news are due.
+        platform_->Configure();
         Wait(kSettle + 500 * GW_MILLISECOND);
     }
     void
