Agent: its modules call one way only

Cause: five headers of the agent included one another in a circle (agent, agent_private, home, job, job_private), and six modules called one another in circles (agent, admin, sessions, job, answer, keyed): agent_private.h declared the functions of three modules beside the state that all share.

Each module has a header of its own now, over agent_private.h and job_private.h, which hold state alone; the options stand in a header of their own, so that the state needs no agent.h. Keyed calls come back to the jobs through a table of functions (KeyedOps), and the chunks of a keyed call are kept where they arrive instead of from the answer: a replayed answer has no key state of its own, so nothing was kept for it before either.

--- a/packages/agent/include/galenagw/agent/agent.h
+++ b/packages/agent/include/galenagw/agent/agent.h
@@ -11,9 +11,8 @@
 #ifndef GALENAGW_AGENT_AGENT_H
 #define GALENAGW_AGENT_AGENT_H
 
+#include "galenagw/agent/options.h"
 #include "galenagw/base/counters.h"
-#include "galenagw/base/settings.h"
-#include "galenagw/net/loop.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -21,26 +20,6 @@
 
 typedef struct GwAgent GwAgent;
 
-/** Construction options; strings must outlive the agent. */
-typedef struct {
-    const char *name;           /**< instance name, as listed */
-    const char *pool;           /**< model or service */
-    const char *failure_domain; /**< of this instance */
-    const char *site;           /**< whose overlay applies */
-    bool plain_service;         /**< else a model engine */
-    GwAddress listen;           /**< inner protocol */
-    GwAddress admin;            /**< /metrics, /healthz, /status, /drain */
-    GwAddress endpoint;
-    GwAddress log;
-    GwTime progress_timeout; /**< endpoint without output; 0: 10 s */
-    GwTime detach_time;      /**< kept for a lost entry; 0: 10 s */
-    GwTime silent_after;     /**< session silence; 0: 1.5 s */
-    uint64_t snapshot_every; /**< records between config snapshots */
-    uint32_t seed;           /**< randomness; 0: from the system */
-    void (*on_drained)(void *user);
-    void *user;
-} GwAgentOptions;
-
 /** Start. @return NULL with @p err. */
 GwAgent *GwAgent_New(GwLoop *loop, const GwAgentOptions *options,
                      GwError *err);
--- a/packages/agent/src/admin.c
+++ b/packages/agent/src/admin.c
@@ -1,9 +1,10 @@
+#include "admin.h"
+
 #include <inttypes.h>
 #include <string.h>
 
-#include "agent_private.h"
 #include "claims.h"
-#include "job.h"
+#include "drain.h"
 
 #define MAX_BODY 4096
 
@@ -76,7 +77,7 @@
     }
     else if (strcmp(path, "/drain") == 0 && is_post) {
         respond_(call, 202, "draining\n");
-        GwAgent_Drain(agent);
+        AgentDrain_Start(agent);
     }
     else {
         respond_(call, 404, "no such path\n");
--- a/packages/agent/src/agent.c
+++ b/packages/agent/src/agent.c
@@ -5,12 +5,17 @@
 #include <unistd.h>
 #include <string.h>
 
+#include "admin.h"
 #include "agent_private.h"
 #include "claims.h"
+#include "drain.h"
 #include "galenagw/base/log.h"
 #include "home.h"
 #include "job.h"
+#include "keyed.h"
+#include "offers.h"
 #include "orders.h"
+#include "sessions.h"
 
 #define TICK_PERIOD (10 * GW_MILLISECOND)
 #define RESERVE_TIME (20 * GW_MILLISECOND)
@@ -20,8 +25,6 @@
 #define DEFAULT_SILENT_AFTER (1500 * GW_MILLISECOND)
 #define FIRST_SLOTS 1
 #define MAX_HEAT_KEYS 4096
-/* The wire must have taken the last frames before the process ends. */
-#define LINGER_TIME (100 * GW_MILLISECOND)
 /* Missed load reports before the engine counts as down. */
 #define DOWN_AFTER 2
 
@@ -29,7 +32,6 @@
 static void make_log_parts_(GwAgent *agent);
 static void make_endpoint_(GwAgent *agent);
 static void on_tick_(void *user);
-static void on_lingered_(void *user);
 static void on_config_(void *user);
 static void apply_limits_(GwAgent *agent);
 static void on_report_(void *user, const GwEndpointReport *report);
@@ -70,7 +72,7 @@
     agent->fences =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     agent->key_states = g_hash_table_new_full(Claims_HashKey, Claims_EqualKey,
-                                              NULL, Jobs_DeleteKeyState);
+                                              NULL, Keyed_DeleteState);
     agent->reservations =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     g_queue_init(&agent->kept);
@@ -79,7 +81,7 @@
     agent->home = Home_New(agent);
     GwTimer_Init(&agent->tick, loop, on_tick_, agent);
     GwTimer_Start(&agent->tick, TICK_PERIOD);
-    GwTimer_Init(&agent->linger, loop, on_lingered_, agent);
+    AgentDrain_Init(agent);
     if (Sessions_Start(agent, err) && Admin_Start(agent, err))
         return agent;
     GwAgent_Delete(agent);
@@ -92,7 +94,7 @@
     if (agent == NULL)
         return;
     GwTimer_Stop(&agent->tick);
-    GwTimer_Stop(&agent->linger);
+    AgentDrain_Stop(agent);
     Jobs_Clear(agent);
     Sessions_Stop(agent);
     Home_Delete(agent->home);
@@ -118,12 +120,7 @@
 void
 GwAgent_Drain(GwAgent *agent)
 {
-    if (agent->draining)
-        return;
-    GW_INFO("draining: %d requests to finish", Jobs_Unfinished(agent));
-    agent->draining = true;
-    Sessions_TellLeaving(agent);
-    Agent_CheckDrained(agent);
+    AgentDrain_Start(agent);
 }
 
 int
@@ -144,25 +141,6 @@
     return &agent->counters;
 }
 
-void
-Agent_CheckDrained(GwAgent *agent)
-{
-    if (!agent->draining || agent->drained || Jobs_Unfinished(agent) > 0)
-        return;
-    agent->drained = true;
-    GwTimer_Start(&agent->linger, LINGER_TIME);
-}
-
-static void
-on_lingered_(void *user)
-{
-    GwAgent *agent = user;
-
-    GW_INFO("drained");
-    if (agent->options.on_drained != NULL)
-        agent->options.on_drained(agent->options.user);
-}
-
 static void
 set_defaults_(GwAgentOptions *o)
 {
--- a/packages/agent/src/agent_private.h
+++ b/packages/agent/src/agent_private.h
@@ -1,8 +1,8 @@
-/* What the agent's modules share; private to this package. */
+/* The state that the agent's modules share; private to this package. */
 #ifndef GALENAGW_AGENT_PRIVATE_H
 #define GALENAGW_AGENT_PRIVATE_H
 
-#include "galenagw/agent/agent.h"
+#include "galenagw/agent/options.h"
 #include "galenagw/endpoint/endpoint.h"
 #include "galenagw/http/server.h"
 #include "galenagw/platform/config_feed.h"
@@ -15,7 +15,7 @@
 /* Half-life of the work counted for a prefix. */
 #define GW_HEAT_HALF_LIFE GW_SECOND
 
-typedef struct Job Job;
+typedef struct GwAgent GwAgent;
 typedef struct Claims Claims;
 typedef struct Orders Orders;
 typedef struct Home Home;
@@ -67,29 +67,4 @@
     bool drained;
 };
 
-/* agent.c */
-void Agent_CheckDrained(GwAgent *agent);
-
-/* sessions.c */
-bool Sessions_Start(GwAgent *agent, GwError *err);
-void Sessions_Stop(GwAgent *agent);
-void Sessions_TellLeaving(GwAgent *agent);
-
-/* offers.c */
-void Offers_Probe(GwAgent *agent, GwSession *session,
-                  const Gw__Wire__Probe *probe);
-/* Give back the reservation of `probe_id`, if it is still held. */
-void Offers_TakeUp(GwAgent *agent, uint64_t probe_id);
-void Offers_Expire(GwAgent *agent, GwTime now);
-/* Chunks of the chain that the engine holds, for its loaded weights. */
-size_t Offers_Resident(const GwAgent *agent, const char *weights,
-                       const uint64_t *chain, size_t n);
-/* Whether a trial with this prompt would pass its share of the cache. */
-bool Offers_TrialCacheFull(const GwAgent *agent, size_t missing);
-GwTime Offers_Prefill(const GwAgent *agent, const uint32_t *bytes,
-                      size_t resident, size_t n);
-
-/* admin.c */
-bool Admin_Start(GwAgent *agent, GwError *err);
-
 #endif
--- a/packages/agent/src/answer.c
+++ b/packages/agent/src/answer.c
@@ -1,5 +1,5 @@
 /* A job's answer: numbered chunks, sent ahead within a window. */
-#include "job_private.h"
+#include "answer.h"
 
 /* Chunks sent ahead of the entry's acknowledgement. */
 #define WINDOW_CHUNKS 64
@@ -32,7 +32,6 @@
     job->held_bytes += len;
     job->count++;
     GwCounters_Add(&job->agent->counters, GW_COUNTER_CHUNKS, 1);
-    Keyed_AddChunk(job, data);
 }
 
 void
--- a/packages/agent/src/job.c
+++ b/packages/agent/src/job.c
@@ -1,10 +1,15 @@
 #define GW_LOG_PART "agent"
-#include "job_private.h"
+#include "job.h"
 
 #include <string.h>
 
+#include "answer.h"
+#include "drain.h"
 #include "galenagw/base/log.h"
 #include "galenagw/policy/chain.h"
+#include "job_private.h"
+#include "keyed.h"
+#include "offers.h"
 
 /* A trial is set aside this often, then refused. */
 #define MAX_SET_ASIDE 1
@@ -12,10 +17,6 @@
 #define SWEEP_PERIOD GW_SECOND
 #define KEY_SWEEP_PERIOD (5 * GW_SECOND)
 
-const char *const JobState_Names[JOB_STATES] = {
-    "claiming", "queued", "running", "following", "finished",
-};
-
 /* Attempts of a request, up to this one, that must not start any more. */
 typedef struct {
     uint64_t id;
@@ -35,6 +36,10 @@
 static void send_refused_(GwAgent *agent, GwSession *session, uint64_t id,
                           uint32_t attempt, GwRefusal refusal, GwRan ran,
                           GwTime retry_after, const char *holder);
+static void refuse_(Job *job, GwRefusal refusal, GwRan ran,
+                    const char *holder);
+static void enter_(Job *job);
+static void finish_(Job *job, const GwEndpointResult *result);
 static void expire_(Job *job);
 static void start_(Job *job);
 static void on_head_(void *user, int status, const char *type);
@@ -46,6 +51,7 @@
 static bool abandoned_(const Job *job, GwTime now);
 
 static const GwEndpointCallOps call_ops = {on_head_, on_chunk_, on_done_};
+static const KeyedOps keyed_ops = {enter_, refuse_, finish_};
 
 void
 Jobs_Submit(GwAgent *agent, GwSession *session, const Gw__Wire__Submit *s)
@@ -70,9 +76,9 @@
     }
     job = new_(agent, session, s);
     if (job->key != NULL)
-        Keyed_Claim(job);
+        Keyed_Claim(job, &keyed_ops);
     else
-        Job_Enter(job);
+        enter_(job);
 }
 
 void
@@ -166,7 +172,7 @@
         job->state = JOB_QUEUED;
         // Over and over it would only burn the engine's time.
         if (++job->set_aside > MAX_SET_ASIDE)
-            Job_Refuse(job, GW_REFUSAL_TRIAL_ROOM, GW_RAN_UNKNOWN, NULL);
+            refuse_(job, GW_REFUSAL_TRIAL_ROOM, GW_RAN_UNKNOWN, NULL);
         while ((t = GwAdmission_Next(agent->admission, now)) != NULL)
             start_((Job *)t);
     }
@@ -188,7 +194,7 @@
     g_hash_table_foreach_remove(agent->fences, fence_is_old_, &now);
     if (agent->claims != NULL && now >= agent->next_key_sweep) {
         agent->next_key_sweep = now + KEY_SWEEP_PERIOD;
-        Jobs_SweepKeys(agent, now);
+        Keyed_Sweep(agent, now);
     }
     old = g_ptr_array_new();
     g_hash_table_iter_init(&it, agent->jobs);
@@ -206,12 +212,6 @@
         Jobs_Pump(agent);
 }
 
-int
-Jobs_Unfinished(const GwAgent *agent)
-{
-    return (int)g_hash_table_size(agent->jobs);
-}
-
 void
 Jobs_Clear(GwAgent *agent)
 {
@@ -278,7 +278,7 @@
     GwAdmission_Leave(agent->admission, &job->ticket, GwTime_Now());
     g_hash_table_remove(agent->jobs, &job->id);
     delete_(job);
-    Agent_CheckDrained(agent);
+    AgentDrain_Check(agent);
 }
 
 static void
@@ -362,8 +362,8 @@
 
 // The refusal ends the job. Should it be lost on the way, a resume finds no
 // job and the entry learns the same: not run, and fenced.
-void
-Job_Refuse(Job *job, GwRefusal refusal, GwRan ran, const char *holder)
+static void
+refuse_(Job *job, GwRefusal refusal, GwRan ran, const char *holder)
 {
     GwEstimate e = GwAdmission_Estimate(job->agent->admission, &job->ticket,
                                         GwTime_Now());
@@ -374,8 +374,8 @@
     remove_(job);
 }
 
-void
-Job_Enter(Job *job)
+static void
+enter_(Job *job)
 {
     GwAgent *agent = job->agent;
     size_t resident =
@@ -389,7 +389,7 @@
         Offers_Prefill(agent, job->chunk_bytes, resident, job->chain_len);
     refusal = GwAdmission_Enter(agent->admission, &job->ticket, GwTime_Now());
     if (refusal != GW_REFUSAL_NONE) {
-        Job_Refuse(job, refusal, GW_RAN_NO, NULL);
+        refuse_(job, refusal, GW_RAN_NO, NULL);
         return;
     }
     job->state = JOB_QUEUED;
@@ -404,8 +404,8 @@
 static void
 expire_(Job *job)
 {
-    Job_Refuse(job, GW_REFUSAL_DEADLINE,
-               job->started > 0 ? GW_RAN_UNKNOWN : GW_RAN_NO, NULL);
+    refuse_(job, GW_REFUSAL_DEADLINE,
+            job->started > 0 ? GW_RAN_UNKNOWN : GW_RAN_NO, NULL);
 }
 
 static void
@@ -461,6 +461,7 @@
     if (!job->has_output)
         first_output_(job);
     Answer_AddChunk(job, bytes);
+    Keyed_AddChunk(job, bytes);
     g_bytes_unref(bytes);
     Answer_Flush(job);
 }
@@ -479,16 +480,16 @@
         // Proven not run, so the key may be tried again.
         if (ks != NULL)
             ks->ran = false;
-        Job_Refuse(job, GW_REFUSAL_ENDPOINT_FAILED, GW_RAN_NO, NULL);
+        refuse_(job, GW_REFUSAL_ENDPOINT_FAILED, GW_RAN_NO, NULL);
     }
     else if (result->end != GW_CALL_COMPLETE && job->count == 0) {
-        Job_Refuse(job,
-                   job->idempotent ? GW_REFUSAL_ENDPOINT_FAILED
-                                   : GW_REFUSAL_OUTCOME_UNKNOWN,
-                   GW_RAN_UNKNOWN, NULL);
+        refuse_(job,
+                job->idempotent ? GW_REFUSAL_ENDPOINT_FAILED
+                                : GW_REFUSAL_OUTCOME_UNKNOWN,
+                GW_RAN_UNKNOWN, NULL);
     }
     else {
-        Job_Finish(job, result);
+        finish_(job, result);
     }
     Jobs_Pump(agent);
 }
@@ -532,8 +533,8 @@
     GwCacheView_Learn(job->agent->view, job->leading, hit);
 }
 
-void
-Job_Finish(Job *job, const GwEndpointResult *result)
+static void
+finish_(Job *job, const GwEndpointResult *result)
 {
     job->state = JOB_FINISHED;
     job->result = *result;
--- a/packages/agent/src/job_private.h
+++ b/packages/agent/src/job_private.h
@@ -1,4 +1,4 @@
-/* A job's state, shared by its three parts: run, answer, key. */
+/* A job's state, shared by its parts: run, answer, key. */
 #ifndef GALENAGW_AGENT_JOB_PRIVATE_H
 #define GALENAGW_AGENT_JOB_PRIVATE_H
 
@@ -6,11 +6,33 @@
 #define XXH_STATIC_LINKING_ONLY
 #include <xxhash.h>
 
+#include "agent_private.h"
 #include "claims.h"
-#include "job.h"
 
+typedef struct Job Job;
 typedef struct KeyState KeyState;
 
+typedef enum {
+    JOB_CLAIMING = 0, /* its key is being claimed */
+    JOB_QUEUED,
+    JOB_RUNNING,
+    JOB_FOLLOWING, /* gets the answer of another job with its key */
+    JOB_FINISHED,  /* answer whole or broken off; kept for its entry */
+    JOB_STATES
+} JobState;
+
+extern const char *const JobState_Names[JOB_STATES];
+
+/* Where a keyed call goes once the log has decided on its key. */
+typedef struct {
+    /* Into the queue; may start it, or refuse and end it. */
+    void (*enter)(Job *job);
+    /* The refusal ends the job. */
+    void (*refuse)(Job *job, GwRefusal refusal, GwRan ran, const char *holder);
+    /* The answer is as complete as it gets. */
+    void (*finish)(Job *job, const GwEndpointResult *result);
+} KeyedOps;
+
 struct Job {
     GwTicket ticket; /* first, so that a ticket is its job */
     GwAgent *agent;
@@ -52,6 +74,7 @@
     GwEndpointResult result;
     bool final_sent;
 
+    const KeyedOps *keyed_ops; /* of a call with a key */
     ClaimKey claim;
     GwTime claimed_at;
     KeyState *key_state;
@@ -70,31 +93,4 @@
     char *answer_type;
 };
 
-/* job.c */
-/* The refusal ends the job. */
-void Job_Refuse(Job *job, GwRefusal refusal, GwRan ran, const char *holder);
-/* Into the queue; may start it, or refuse and end it. */
-void Job_Enter(Job *job);
-/* The answer is as complete as it gets. */
-void Job_Finish(Job *job, const GwEndpointResult *result);
-
-/* answer.c: chunks, kept until their entry has acknowledged them. */
-void Answer_AddHead(Job *job, int status, const char *type);
-void Answer_AddChunk(Job *job, GBytes *data);
-/* Drop what is acknowledged, below `next_seq`. */
-void Answer_Acknowledge(Job *job, uint32_t next_seq);
-/* Send what the window allows; the final frame after the last chunk. */
-void Answer_Flush(Job *job);
-/* Go on at `next_seq` on another session. */
-void Answer_Attach(Job *job, GwSession *session, uint32_t attempt,
-                   uint32_t next_seq);
-
-/* keyed.c: calls with an idempotency key. */
-void Keyed_Claim(Job *job);
-/* Part of the answer, kept for repeats. */
-void Keyed_AddChunk(Job *job, GBytes *data);
-void Keyed_Finish(Job *job, bool complete);
-/* The job leaves; what waited for it is decided anew. */
-void Keyed_Leave(Job *job);
-
 #endif
--- a/packages/agent/src/keyed.c
+++ b/packages/agent/src/keyed.c
@@ -1,7 +1,8 @@
-/* Calls with an idempotency key: claimed in the log, run once, replayed. */
+#include "keyed.h"
+
 #include <string.h>
 
-#include "job_private.h"
+#include "answer.h"
 
 /* Answers of keyed calls above this size are not kept for repeats. */
 #define KEEP_MAX (64 * 1024)
@@ -19,8 +20,9 @@
 static void keep_answer_(Job *job, KeyState *ks);
 
 void
-Keyed_Claim(Job *job)
+Keyed_Claim(Job *job, const KeyedOps *ops)
 {
+    job->keyed_ops = ops;
     job->state = JOB_CLAIMING;
     job->claim = Claims_Key(job->account, job->agent->options.pool, job->key);
     job->claimed_at = GwTime_Now();
@@ -76,7 +78,7 @@
 // In this order: as long as its claim binds, a key without a memory of its
 // run would be run again.
 void
-Jobs_SweepKeys(GwAgent *agent, GwTime now)
+Keyed_Sweep(GwAgent *agent, GwTime now)
 {
     GHashTableIter it;
     gpointer value;
@@ -95,7 +97,7 @@
 }
 
 void
-Jobs_DeleteKeyState(gpointer p)
+Keyed_DeleteState(gpointer p)
 {
     KeyState *ks = p;
 
@@ -121,11 +123,13 @@
     case CLAIM_OTHERS:
         // Another agent's, or ours before a restart. Only a living holder
         // can tell more; the entry asks it, or says "unknown".
-        Job_Refuse(job, GW_REFUSAL_CLAIMED_ELSEWHERE, GW_RAN_UNKNOWN,
-                   strcmp(holder, agent->options.name) != 0 ? holder : "");
+        job->keyed_ops->refuse(
+            job, GW_REFUSAL_CLAIMED_ELSEWHERE, GW_RAN_UNKNOWN,
+            strcmp(holder, agent->options.name) != 0 ? holder : "");
         break;
     default:
-        Job_Refuse(job, GW_REFUSAL_LOG_UNAVAILABLE, GW_RAN_NO, NULL);
+        job->keyed_ops->refuse(job, GW_REFUSAL_LOG_UNAVAILABLE, GW_RAN_NO,
+                               NULL);
     }
 }
 
@@ -137,17 +141,18 @@
     KeyState *ks = key_state_(job);
 
     if (ks->request_digest != digest_request_(job))
-        Job_Refuse(job, GW_REFUSAL_KEY_MISMATCH, GW_RAN_NO, NULL);
+        job->keyed_ops->refuse(job, GW_REFUSAL_KEY_MISMATCH, GW_RAN_NO, NULL);
     else if (ks->runner != NULL)
         follow_(job, ks->runner);
     else if (ks->answer != NULL)
         replay_(job, ks);
     else if (ks->ran)
-        Job_Refuse(job, GW_REFUSAL_OUTCOME_UNKNOWN, GW_RAN_UNKNOWN, NULL);
+        job->keyed_ops->refuse(job, GW_REFUSAL_OUTCOME_UNKNOWN, GW_RAN_UNKNOWN,
+                               NULL);
     else {
         ks->runner = job;
         job->key_state = ks;
-        Job_Enter(job);
+        job->keyed_ops->enter(job);
     }
 }
 
@@ -160,7 +165,7 @@
     Answer_AddHead(job, ks->status, ks->answer_type);
     for (guint i = 0; i < ks->answer->len; i++)
         Answer_AddChunk(job, ks->answer->pdata[i]);
-    Job_Finish(job, &result);
+    job->keyed_ops->finish(job, &result);
 }
 
 // The first call with this key still runs: wait for its answer.
--- a/packages/agent/src/offers.c
+++ b/packages/agent/src/offers.c
@@ -1,6 +1,7 @@
+#include "offers.h"
+
 #include <string.h>
 
-#include "agent_private.h"
 #include "galenagw/policy/chain.h"
 
 /* A probe's place, held until its request comes or the time is over. */
--- a/packages/agent/src/sessions.c
+++ b/packages/agent/src/sessions.c
@@ -1,11 +1,13 @@
 #define GW_LOG_PART "agent"
+#include "sessions.h"
+
 #include <inttypes.h>
 
-#include "agent_private.h"
 #include "galenagw/base/log.h"
 #include "galenagw/sync/config_sync.h"
 #include "home.h"
 #include "job.h"
+#include "offers.h"
 
 static void fill_hello_(void *user, Gw__Wire__Hello *hello);
 static uint64_t revision_(void *user);
@@ -46,19 +48,6 @@
     g_hash_table_unref(agent->sessions);
 }
 
-void
-Sessions_TellLeaving(GwAgent *agent)
-{
-    GHashTableIter it;
-    gpointer session;
-    GW_FRAME(frame, leaving, LEAVING, Leaving, leaving);
-
-    leaving.reason = "draining";
-    g_hash_table_iter_init(&it, agent->sessions);
-    while (g_hash_table_iter_next(&it, &session, NULL))
-        GwSession_Send(session, &frame);
-}
-
 static void
 fill_hello_(void *user, Gw__Wire__Hello *hello)
 {
--- /dev/null
+++ b/packages/agent/src/sessions.h
@@ -0,0 +1,10 @@
+/* Sessions of entries: their frames, each to the module it is for. */
+#ifndef GALENAGW_AGENT_SESSIONS_H
+#define GALENAGW_AGENT_SESSIONS_H
+
+#include "agent_private.h"
+
+bool Sessions_Start(GwAgent *agent, GwError *err);
+void Sessions_Stop(GwAgent *agent);
+
+#endif
