Entry: its modules call one way only

Cause: six headers of the entry included one another in a circle, and sessions, credits, exchanges, placing, delivery and the API called one another: the exchange's functions stood in three modules, and sessions named each receiver of a frame.

exchange_private now holds the exchange with its end (refuse, finish, wait), over refusals, drain and openai; placing stands on it, delivery on placing, exchange on both. Sessions tell their news through PeerOps, and credits through one function, both filled in by the entry. What a lost or opened session means is split into the part of rounds and the part of submissions, called in the order in which it was done before.

--- a/packages/entry/src/api.c
+++ b/packages/entry/src/api.c
@@ -1,17 +1,18 @@
-/* The callers' HTTP, and the operators'. */
-#define GW_LOG_PART "entry"
+#include "api.h"
+
 #include <inttypes.h>
 #include <string.h>
 
-#include "entry_private.h"
+#include "drain.h"
 #include "exchange.h"
-#include "galenagw/base/log.h"
 #include "openai.h"
+#include "refusals.h"
 
 #define ADMIN_MAX_BODY 4096
 #define BODY_TIMEOUT (30 * GW_SECOND)
 #define SERVICE_PREFIX "/v1/services/"
 
+static char *status_text_(GwEntry *entry);
 static void on_call_(void *user, GwHttpCall *call);
 static void on_gone_(void *user, GwHttpCall *call);
 static void on_drained_(void *user, GwHttpCall *call);
@@ -22,6 +23,7 @@
 static void list_models_(GwEntry *entry, GwHttpCall *call);
 static void fill_common_(ExchangeRequest *r, const GwHttpCall *call);
 static char *bearer_(const GwHttpCall *call);
+static int open_(const GwEntry *entry);
 static void respond_metrics_(GwEntry *entry, GwHttpCall *call);
 static void respond_(GwHttpCall *call, int status, const char *text);
 
@@ -53,8 +55,8 @@
     return entry->admin != NULL;
 }
 
-char *
-Api_Status(GwEntry *entry)
+static char *
+status_text_(GwEntry *entry)
 {
     const GPtrArray *all = GwMembership_All(entry->members);
     json_t *members = json_array();
@@ -76,7 +78,7 @@
         "{s:s, s:I, s:b, s:b, s:i, s:o}", "instance", entry->options.name,
         "revision", (json_int_t)GwConfigFeed_Revision(entry->feed),
         "log_current", GwConfigFeed_IsCurrent(entry->feed), "draining",
-        entry->draining, "open", GwEntry_Open(entry), "members", members);
+        entry->draining, "open", open_(entry), "members", members);
     text = json_dumps(root, JSON_COMPACT);
     copy = g_strdup(text);
     free(text);
@@ -104,7 +106,7 @@
         respond_(call, entry->draining ? 503 : 200,
                  entry->draining ? "draining\n" : "ok\n");
     else
-        Exchange_RefuseCall(entry, call, GW_REFUSAL_UNKNOWN_ROUTE, NULL);
+        Refusals_RespondEarly(entry, call, GW_REFUSAL_UNKNOWN_ROUTE, NULL);
 }
 
 static void
@@ -148,14 +150,14 @@
         respond_metrics_(entry, call);
     }
     else if (strcmp(path, "/status") == 0) {
-        char *text = Api_Status(entry);
+        char *text = status_text_(entry);
 
         GwHttpCall_Respond(call, 200, "application/json", text, strlen(text));
         g_free(text);
     }
     else if (strcmp(path, "/drain") == 0 && is_post) {
         respond_(call, 202, "draining\n");
-        GwEntry_Drain(entry);
+        EntryDrain_Start(entry);
     }
     else {
         respond_(call, 404, "no such path\n");
@@ -174,7 +176,8 @@
     if (!OpenAi_Parse(parsed, chat, body, len, &err)) {
         OpenAi_Finish(parsed);
         g_free(parsed);
-        Exchange_RefuseCall(entry, call, GW_REFUSAL_BAD_REQUEST, err.message);
+        Refusals_RespondEarly(entry, call, GW_REFUSAL_BAD_REQUEST,
+                              err.message);
         return;
     }
     fill_common_(&r, call);
@@ -221,10 +224,10 @@
     if (config == NULL || bearer == NULL ||
         GwConfig_Authenticate(config, bearer) == NULL) {
         json_decref(data);
-        Exchange_RefuseCall(entry, call,
-                            config == NULL ? GW_REFUSAL_NO_CONFIG
-                                           : GW_REFUSAL_UNAUTHORIZED,
-                            NULL);
+        Refusals_RespondEarly(entry, call,
+                              config == NULL ? GW_REFUSAL_NO_CONFIG
+                                             : GW_REFUSAL_UNAUTHORIZED,
+                              NULL);
         return;
     }
     g_hash_table_iter_init(&it, config->models);
@@ -266,14 +269,19 @@
     return g_strdup(header + sizeof(scheme) - 1);
 }
 
+static int
+open_(const GwEntry *entry)
+{
+    return (int)g_hash_table_size(entry->exchanges);
+}
+
 static void
 respond_metrics_(GwEntry *entry, GwHttpCall *call)
 {
     g_autoptr(GString) text = g_string_new(NULL);
 
     GwCounters_Print(&entry->counters, text);
-    g_string_append_printf(text, "galenagw_open_requests %d\n",
-                           GwEntry_Open(entry));
+    g_string_append_printf(text, "galenagw_open_requests %d\n", open_(entry));
     g_string_append_printf(text, "galenagw_revision %" PRIu64 "\n",
                            GwConfigFeed_Revision(entry->feed));
     GwHttpCall_Respond(call, 200, "text/plain; version=0.0.4", text->str,
--- a/packages/entry/src/credits.c
+++ b/packages/entry/src/credits.c
@@ -3,7 +3,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "exchange.h"
 #include "peers.h"
 
 /* A question that is not answered by then is asked again. */
@@ -66,7 +65,7 @@
         return;
     GwCredit_Granted(&ac->credit, grant->credits,
                      grant->retry_after_ms * GW_MILLISECOND, GwTime_Now());
-    Exchange_CreditsChanged(entry, grant->account);
+    entry->credits_changed(entry, grant->account);
 }
 
 void
--- a/packages/entry/src/credits.h
+++ b/packages/entry/src/credits.h
@@ -6,7 +6,7 @@
 
 /*
  * Decide on one request of `account`. ASK: the home was asked, and
- * Exchange_CreditsChanged follows; the wait is bounded by the caller, who
+ * entry->credits_changed follows; the wait is bounded by the caller, who
  * then takes Credits_SpendLocal.
  */
 GwCreditState Credits_Spend(GwEntry *entry, const GwAccount *account);
--- a/packages/entry/src/delivery.c
+++ b/packages/entry/src/delivery.c
@@ -1,11 +1,11 @@
-/* The answer's way to its caller: order, acknowledgement, recovery. */
 #define GW_LOG_PART "entry"
-#include <inttypes.h>
+#include "delivery.h"
+
 #include <string.h>
 
-#include "exchange_private.h"
 #include "galenagw/base/log.h"
 #include "openai.h"
+#include "placing.h"
 
 /* Chunks between two acknowledgements. */
 #define ACK_EVERY 16
@@ -20,6 +20,8 @@
 #define RESUME_TIME_IDEMPOTENT GW_SECOND
 #define RESUME_TIME_ONCE (3 * GW_SECOND)
 #define RESUME_STEP (20 * GW_MILLISECOND)
+/* The first look after a loss: its connection may come back at once. */
+#define FIRST_LOOK (5 * GW_MILLISECOND)
 #define DEFAULT_RETRY_AFTER GW_SECOND
 /* Largest answer in one piece that is held back until it is whole. */
 #define WHOLE_MAX (1024 * 1024)
@@ -45,7 +47,7 @@
 static void record_ttft_(Exchange *x);
 
 void
-Exchange_OnChunk(Peer *peer, const Gw__Wire__Chunk *chunk)
+Delivery_OnChunk(Peer *peer, const Gw__Wire__Chunk *chunk)
 {
     Exchange *x = current_(peer, chunk->request_id, chunk->attempt);
 
@@ -69,7 +71,7 @@
 }
 
 void
-Exchange_OnFinal(Peer *peer, const Gw__Wire__Final *final)
+Delivery_OnFinal(Peer *peer, const Gw__Wire__Final *final)
 {
     Exchange *x = current_(peer, final->request_id, final->attempt);
     bool whole;
@@ -95,7 +97,7 @@
 }
 
 void
-Exchange_OnRefused(Peer *peer, const Gw__Wire__Refused *refused)
+Delivery_OnRefused(Peer *peer, const Gw__Wire__Refused *refused)
 {
     Exchange *x = current_(peer, refused->request_id, refused->attempt);
     GwRefusal refusal = refused->refusal < GW_REFUSALS
@@ -118,7 +120,7 @@
 }
 
 void
-Exchange_OnResumeResult(Peer *peer, const Gw__Wire__ResumeResult *result)
+Delivery_OnResumeResult(Peer *peer, const Gw__Wire__ResumeResult *result)
 {
     Exchange *x = current_(peer, result->request_id, result->attempt);
 
@@ -136,17 +138,6 @@
         GW_REFUSAL_NONE, GW_RAN_NO, NULL, 0);
 }
 
-void
-Delivery_Detach(Exchange *x)
-{
-    if (x->peer == NULL)
-        return;
-    TAILQ_REMOVE(&x->peer->exchanges, x, link);
-    x->peer->in_flight--;
-    x->peer->last_used = GwTime_Now();
-    x->peer = NULL;
-}
-
 void
 Delivery_Ack(Exchange *x)
 {
@@ -191,7 +182,7 @@
     if (ran != GW_RAN_NO ||
         (failure != GW_FAILURE_REFUSED && failure != GW_FAILURE_UNKNOWN_ID))
         x->may_have_run = true;
-    Delivery_Detach(x);
+    Exchange_Detach(x);
     GwTimer_Stop(&x->timer);
     x->failed_with = r.refusal;
     act_(x, &r, holder, retry_after);
@@ -219,6 +210,34 @@
     GwTimer_Start(&x->timer, RESUME_STEP);
 }
 
+void
+Delivery_PeerReady(Peer *peer)
+{
+    Exchange *x;
+    Exchange *next;
+
+    for (x = TAILQ_FIRST(&peer->exchanges); x != NULL; x = next) {
+        next = TAILQ_NEXT(x, link);
+        if (x->state == EXCHANGE_RESUMING)
+            Delivery_OnTimer(x);
+    }
+}
+
+void
+Delivery_PeerLost(Peer *peer)
+{
+    Exchange *x;
+
+    TAILQ_FOREACH(x, &peer->exchanges, link)
+    {
+        if (x->state == EXCHANGE_RESUMING)
+            continue;
+        x->state = EXCHANGE_RESUMING;
+        x->lost_at = GwTime_Now();
+        GwTimer_Start(&x->timer, FIRST_LOOK);
+    }
+}
+
 // Late and crossed frames are told by session, id and attempt number.
 static Exchange *
 current_(Peer *peer, uint64_t id, uint32_t attempt)
--- a/packages/entry/src/entry.c
+++ b/packages/entry/src/entry.c
@@ -1,14 +1,16 @@
-#define GW_LOG_PART "entry"
 #include "galenagw/entry/entry.h"
 
 #include <string.h>
 #include <unistd.h>
 
+#include "api.h"
 #include "credits.h"
+#include "delivery.h"
+#include "drain.h"
 #include "entry_private.h"
 #include "exchange.h"
-#include "galenagw/base/log.h"
 #include "peers.h"
+#include "placing.h"
 
 #define TICK_PERIOD (50 * GW_MILLISECOND)
 #define DEFAULT_LIST_PERIOD (500 * GW_MILLISECOND)
@@ -21,8 +23,6 @@
 #define AFFINITY_LIFE (500 * GW_MILLISECOND)
 /* Up to this many members are connected to ahead of need. */
 #define CONNECT_AHEAD 128
-/* A closing socket must have taken the last bytes. */
-#define LINGER_TIME (100 * GW_MILLISECOND)
 
 static void set_defaults_(GwEntryOptions *options);
 static void on_config_(void *user);
@@ -31,11 +31,12 @@
 static void on_list_end_(void *user);
 static void connect_ahead_(GwEntry *entry);
 static void on_tick_(void *user);
-static void on_lag_over_(void *user);
-static void on_lingered_(void *user);
+static void on_frame_(Peer *peer, const GwFrame *frame);
 
 static const GwInstanceListOps list_ops = {on_list_begin_, on_instance_,
                                            on_list_end_};
+static const PeerOps peer_ops = {Exchange_PeerReady, Exchange_PeerLost,
+                                 on_frame_};
 
 GwEntry *
 GwEntry_New(GwLoop *loop, const GwEntryOptions *options, GwError *err)
@@ -54,6 +55,8 @@
                         (entry->incarnation & 0xffffff) << 8;
     entry->n_entries = 1;
     entry->members = GwMembership_New(entry->rand);
+    entry->peer_ops = &peer_ops;
+    entry->credits_changed = Exchange_CreditsChanged;
     entry->credits =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, Credits_Delete);
     entry->exchanges = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -73,8 +76,7 @@
                                      &list_ops, entry);
     GwTimer_Init(&entry->tick, loop, on_tick_, entry);
     GwTimer_Start(&entry->tick, TICK_PERIOD);
-    GwTimer_Init(&entry->drain, loop, on_lag_over_, entry);
-    GwTimer_Init(&entry->linger, loop, on_lingered_, entry);
+    EntryDrain_Init(entry);
     if (Api_Start(entry, err))
         return entry;
     GwEntry_Delete(entry);
@@ -89,8 +91,7 @@
     // Ending exchanges must not end a drain again.
     entry->draining = false;
     GwTimer_Stop(&entry->tick);
-    GwTimer_Stop(&entry->drain);
-    GwTimer_Stop(&entry->linger);
+    EntryDrain_Stop(entry);
     Exchange_Clear(entry);
     Peers_Clear(entry);
     GwInstanceList_Delete(entry->list);
@@ -111,13 +112,7 @@
 void
 GwEntry_Drain(GwEntry *entry)
 {
-    if (entry->draining)
-        return;
-    GW_INFO("draining: %d requests open", GwEntry_Open(entry));
-    entry->draining = true;
-    // The balancer sends new requests until it has seen the failed check;
-    // they are served like any other.
-    GwTimer_Start(&entry->drain, entry->options.balancer_lag);
+    EntryDrain_Start(entry);
 }
 
 int
@@ -144,13 +139,6 @@
     return (int)g_hash_table_size(entry->exchanges);
 }
 
-void
-Entry_CheckDrained(GwEntry *entry)
-{
-    if (entry->draining && entry->lag_over && GwEntry_Open(entry) == 0)
-        GwTimer_Start(&entry->linger, LINGER_TIME);
-}
-
 static void
 set_defaults_(GwEntryOptions *o)
 {
@@ -233,24 +221,28 @@
 }
 
 static void
-on_lag_over_(void *user)
-{
-    GwEntry *entry = user;
-
-    entry->lag_over = true;
-    GwHttpServer_Drain(entry->server);
-    Entry_CheckDrained(entry);
-}
-
-static void
-on_lingered_(void *user)
-{
-    GwEntry *entry = user;
-
-    // A request may have come in on a kept connection in the meantime.
-    if (GwEntry_Open(entry) > 0)
-        return;
-    GW_INFO("drained");
-    if (entry->options.on_drained != NULL)
-        entry->options.on_drained(entry->options.user);
+on_frame_(Peer *peer, const GwFrame *frame)
+{
+    switch (frame->body_case) {
+    case GW__WIRE__FRAME__BODY_OFFER:
+        Placing_OnOffer(peer, frame->offer);
+        break;
+    case GW__WIRE__FRAME__BODY_CHUNK:
+        Delivery_OnChunk(peer, frame->chunk);
+        break;
+    case GW__WIRE__FRAME__BODY_FINAL:
+        Delivery_OnFinal(peer, frame->final);
+        break;
+    case GW__WIRE__FRAME__BODY_REFUSED:
+        Delivery_OnRefused(peer, frame->refused);
+        break;
+    case GW__WIRE__FRAME__BODY_RESUME_RESULT:
+        Delivery_OnResumeResult(peer, frame->resume_result);
+        break;
+    case GW__WIRE__FRAME__BODY_CREDIT_GRANT:
+        Credits_OnGrant(peer->entry, frame->credit_grant);
+        break;
+    default:
+        break;
+    }
 }
--- a/packages/entry/src/entry_private.h
+++ b/packages/entry/src/entry_private.h
@@ -1,10 +1,10 @@
-/* What the entry's modules share; private to this package. */
+/* The state that the entry's modules share; private to this package. */
 #ifndef GALENAGW_ENTRY_PRIVATE_H
 #define GALENAGW_ENTRY_PRIVATE_H
 
 #include <sys/queue.h>
 
-#include "galenagw/entry/entry.h"
+#include "galenagw/entry/options.h"
 #include "galenagw/http/server.h"
 #include "galenagw/platform/config_feed.h"
 #include "galenagw/platform/instance_list.h"
@@ -18,11 +18,20 @@
 
 #define GW_WIDTH_HALF_LIFE GW_SECOND
 
+typedef struct GwEntry GwEntry;
 typedef struct Peer Peer;
 typedef struct Exchange Exchange;
 
 TAILQ_HEAD(ExchangeList, Exchange);
 
+/* Whom the sessions to agents tell. */
+typedef struct {
+    void (*ready)(Peer *peer);
+    void (*lost)(Peer *peer);
+    /* Frames that are about requests and credits. */
+    void (*frame)(Peer *peer, const GwFrame *frame);
+} PeerOps;
+
 struct GwEntry {
     GwLoop *loop;
     GwEntryOptions options;
@@ -37,7 +46,10 @@
     int n_entries;
     int n_entries_read;
     GwMembership *members;
+    const PeerOps *peer_ops;
     GHashTable *credits; /* account to AccountCredit */
+    /* The home of an account has answered. */
+    void (*credits_changed)(GwEntry *entry, const char *account);
 
     GwHttpServer *server;
     GwHttpServer *admin;
@@ -56,11 +68,4 @@
     GwTimer linger; /* between the last answer and the end */
 };
 
-/* entry.c */
-void Entry_CheckDrained(GwEntry *entry);
-
-/* api.c */
-bool Api_Start(GwEntry *entry, GwError *err);
-char *Api_Status(GwEntry *entry);
-
 #endif
--- a/packages/entry/src/exchange.c
+++ b/packages/entry/src/exchange.c
@@ -1,13 +1,13 @@
-#define GW_LOG_PART "entry"
 #include "exchange.h"
 
 #include <inttypes.h>
 #include <string.h>
 
 #include "credits.h"
+#include "delivery.h"
 #include "exchange_private.h"
-#include "galenagw/base/log.h"
 #include "openai.h"
+#include "placing.h"
 
 /* How long a request waits for configuration or members at a start. */
 #define START_PATIENCE (2 * GW_SECOND)
@@ -15,10 +15,6 @@
 /* How long an account's home is waited for. */
 #define CREDIT_PATIENCE (30 * GW_MILLISECOND)
 
-const char *const ExchangeState_Names[EXCHANGE_STATES] = {
-    "waiting", "probing", "submitted", "streaming", "resuming",
-};
-
 static void on_timer_(void *user);
 static void proceed_(Exchange *x);
 static bool admit_(Exchange *x, const GwConfig *config);
@@ -27,11 +23,6 @@
 static bool pay_(Exchange *x, const GwAccount *account);
 static void take_deadline_(Exchange *x, const GwClass *class_);
 static void fill_chain_(Exchange *x);
-static void break_off_(Exchange *x, GwRefusal refusal, GwRan ran);
-static void delete_(Exchange *x);
-static void respond_refusal_(GwEntry *entry, GwHttpCall *call, const char *id,
-                             GwRefusal refusal, GwRan ran, GwTime retry_after,
-                             const char *detail);
 
 void
 Exchange_Start(GwEntry *entry, GwHttpCall *call,
@@ -70,7 +61,7 @@
         cancel.attempt = x->attempt;
         GwSession_Send(x->peer->session, &frame);
     }
-    delete_(x);
+    Exchange_Delete(x);
 }
 
 void
@@ -79,13 +70,6 @@
     Delivery_Ack(x);
 }
 
-void
-Exchange_RefuseCall(GwEntry *entry, GwHttpCall *call, GwRefusal refusal,
-                    const char *detail)
-{
-    respond_refusal_(entry, call, "", refusal, GW_RAN_NO, 0, detail);
-}
-
 void
 Exchange_Clear(GwEntry *entry)
 {
@@ -100,10 +84,24 @@
         Exchange *x = all->pdata[i];
 
         GwHttpCall_SetUser(x->call, NULL);
-        delete_(x);
+        Exchange_Delete(x);
     }
 }
 
+void
+Exchange_PeerReady(Peer *peer)
+{
+    Delivery_PeerReady(peer);
+    Placing_PeerReady(peer);
+}
+
+void
+Exchange_PeerLost(Peer *peer)
+{
+    Delivery_PeerLost(peer);
+    Placing_PeerLost(peer);
+}
+
 void
 Exchange_CreditsChanged(GwEntry *entry, const char *account)
 {
@@ -123,50 +121,6 @@
         proceed_(waiting->pdata[i]);
 }
 
-Exchange *
-Exchange_Find(GwEntry *entry, uint64_t id)
-{
-    return g_hash_table_lookup(entry->exchanges, &id);
-}
-
-void
-Exchange_Refuse(Exchange *x, GwRefusal refusal, GwRan ran, GwTime retry_after)
-{
-    GwHttpCall *call = x->call;
-
-    if (x->begun_answer) {
-        break_off_(x, refusal, ran);
-        return;
-    }
-    GwHttpCall_SetUser(call, NULL);
-    respond_refusal_(x->entry, call, x->id_text, refusal, ran, retry_after,
-                     NULL);
-    delete_(x);
-}
-
-void
-Exchange_Finish(Exchange *x)
-{
-    // The call has ended with its answer.
-    GwCounters_Add(&x->entry->counters, GW_COUNTER_ANSWERS, 1);
-    delete_(x);
-}
-
-void
-Exchange_Wait(Exchange *x, GwTime delay)
-{
-    x->state = EXCHANGE_WAITING;
-    GwTimer_Start(&x->timer, delay);
-}
-
-GwTime
-Exchange_Budget(const Exchange *x)
-{
-    if (x->deadline == GW_NEVER || x->begun_answer)
-        return 0;
-    return MAX(x->deadline - GwTime_Now(), GW_MILLISECOND);
-}
-
 static void
 on_timer_(void *user)
 {
@@ -324,79 +278,3 @@
     OpenAi_Finish(x->request.parsed);
     g_clear_pointer(&x->request.parsed, g_free);
 }
-
-// Say within the stream that it ends here; its end marker stays out, so it
-// cannot be taken for complete. What is no event stream has no room for
-// words: its connection breaks off.
-static void
-break_off_(Exchange *x, GwRefusal refusal, GwRan ran)
-{
-    g_autofree char *error = OpenAi_Error(refusal, ran, x->id_text, NULL);
-    g_autofree char *event = g_strdup_printf("data: %s\n\n", error);
-    GwHttpCall *call = x->call;
-
-    GwCounters_Refuse(&x->entry->counters, refusal);
-    GwHttpCall_SetUser(call, NULL);
-    if (x->events) {
-        GwHttpCall_Write(call, event, strlen(event));
-        GwHttpCall_End(call);
-    }
-    else {
-        GwHttpCall_Abort(call);
-    }
-    delete_(x);
-}
-
-static void
-delete_(Exchange *x)
-{
-    GwEntry *entry = x->entry;
-
-    Placing_Forget(x);
-    Delivery_Detach(x);
-    GwTimer_Stop(&x->timer);
-    g_hash_table_remove(entry->exchanges, &x->id);
-    GwChain_Finish(&x->chain);
-    if (x->request.parsed != NULL)
-        OpenAi_Finish(x->request.parsed);
-    g_free(x->request.parsed);
-    g_free(x->request.bearer);
-    g_free(x->request.pool);
-    g_free(x->request.method);
-    g_free(x->request.path);
-    g_free(x->request.content_type);
-    g_free(x->request.key);
-    free(x->request.body);
-    g_free(x->account);
-    g_free(x->weights);
-    g_free(x->adapter);
-    g_free(x->answer_type);
-    if (x->whole != NULL)
-        g_byte_array_unref(x->whole);
-    g_byte_array_unref(x->recent);
-    g_string_free(x->text, TRUE);
-    g_free(x);
-    Entry_CheckDrained(entry);
-}
-
-static void
-respond_refusal_(GwEntry *entry, GwHttpCall *call, const char *id,
-                 GwRefusal refusal, GwRan ran, GwTime retry_after,
-                 const char *detail)
-{
-    g_autofree char *body = OpenAi_Error(refusal, ran, id, detail);
-    char seconds[24];
-
-    GwCounters_Refuse(&entry->counters, refusal);
-    if (id[0] != '\0')
-        GwHttpCall_AddHeader(call, "x-request-id", id);
-    if (retry_after > 0) {
-        // The header counts whole seconds; rounding up never sends a
-        // caller back too early.
-        g_snprintf(seconds, sizeof(seconds), "%" PRId64,
-                   (retry_after + GW_SECOND - 1) / GW_SECOND);
-        GwHttpCall_AddHeader(call, "retry-after", seconds);
-    }
-    GwHttpCall_Respond(call, GwRefusal_Status(refusal), "application/json",
-                       body, strlen(body));
-}
--- a/packages/entry/src/exchange_private.h
+++ b/packages/entry/src/exchange_private.h
@@ -1,4 +1,4 @@
-/* The exchange's state, shared by its three parts. */
+/* The exchange's state and its end, shared by its three parts. */
 #ifndef GALENAGW_ENTRY_EXCHANGE_PRIVATE_H
 #define GALENAGW_ENTRY_EXCHANGE_PRIVATE_H
 
@@ -6,11 +6,23 @@
 #define XXH_STATIC_LINKING_ONLY
 #include <xxhash.h>
 
-#include "exchange.h"
+#include "exchange_request.h"
 #include "galenagw/policy/recovery.h"
+#include "peers.h"
 
 #define MAX_TRIED 16
 
+typedef enum {
+    EXCHANGE_WAITING = 0, /* for configuration, members or credits */
+    EXCHANGE_PROBING,     /* offers are awaited */
+    EXCHANGE_SUBMITTED,   /* at an agent, nothing back yet */
+    EXCHANGE_STREAMING,   /* chunks arrive */
+    EXCHANGE_RESUMING,    /* session lost; asked for on a new one */
+    EXCHANGE_STATES
+} ExchangeState;
+
+extern const char *const ExchangeState_Names[EXCHANGE_STATES];
+
 /* One candidate of a round of offers. */
 typedef struct {
     Peer *peer;
@@ -81,7 +93,7 @@
     bool skip_head; /* continued: the caller has a head already */
 };
 
-/* exchange.c */
+/* NULL: it has ended, or never was. */
 Exchange *Exchange_Find(GwEntry *entry, uint64_t id);
 /*
  * Answer with a refusal and end. A caller that has part of an answer is told
@@ -91,22 +103,14 @@
                      GwTime retry_after);
 /* End, the answer having been handed to the server. */
 void Exchange_Finish(Exchange *x);
+/* End without a word: its caller has left, or the entry goes. */
+void Exchange_Delete(Exchange *x);
+/* Its attempt is over: its peer has it no more. */
+void Exchange_Detach(Exchange *x);
+/* Its round of offers is over. */
+void Exchange_ForgetRound(Exchange *x);
 /* Wait a moment, then look for endpoints again. */
 void Exchange_Wait(Exchange *x, GwTime delay);
 GwTime Exchange_Budget(const Exchange *x);
 
-/* placing.c */
-void Placing_Start(Exchange *x);
-void Placing_OnTimer(Exchange *x);
-void Placing_Forget(Exchange *x);
-void Placing_NoteTried(Exchange *x, const GwMember *member);
-void Placing_Submit(Exchange *x, Peer *peer);
-
-/* delivery.c */
-void Delivery_Detach(Exchange *x);
-void Delivery_Fail(Exchange *x, GwFailure failure, GwRefusal refusal,
-                   GwRan ran, const char *holder, GwTime retry_after);
-void Delivery_OnTimer(Exchange *x);
-void Delivery_Ack(Exchange *x);
-
 #endif
--- a/packages/entry/src/peers.c
+++ b/packages/entry/src/peers.c
@@ -4,8 +4,6 @@
 #include <inttypes.h>
 #include <string.h>
 
-#include "credits.h"
-#include "exchange.h"
 #include "galenagw/base/log.h"
 #include "galenagw/sync/config_sync.h"
 
@@ -153,7 +151,7 @@
                 hello->instance, peer->member->name);
     GwMembership_Hello(peer->entry->members, peer->member, hello->incarnation,
                        hello->leaving);
-    Exchange_PeerReady(peer);
+    peer->entry->peer_ops->ready(peer);
 }
 
 static void
@@ -164,31 +162,10 @@
 
     if (GwConfigSync_OnFrame(entry->feed, session, frame))
         return;
-    switch (frame->body_case) {
-    case GW__WIRE__FRAME__BODY_OFFER:
-        Exchange_OnOffer(peer, frame->offer);
-        break;
-    case GW__WIRE__FRAME__BODY_CHUNK:
-        Exchange_OnChunk(peer, frame->chunk);
-        break;
-    case GW__WIRE__FRAME__BODY_FINAL:
-        Exchange_OnFinal(peer, frame->final);
-        break;
-    case GW__WIRE__FRAME__BODY_REFUSED:
-        Exchange_OnRefused(peer, frame->refused);
-        break;
-    case GW__WIRE__FRAME__BODY_RESUME_RESULT:
-        Exchange_OnResumeResult(peer, frame->resume_result);
-        break;
-    case GW__WIRE__FRAME__BODY_CREDIT_GRANT:
-        Credits_OnGrant(entry, frame->credit_grant);
-        break;
-    case GW__WIRE__FRAME__BODY_LEAVING:
+    if (frame->body_case == GW__WIRE__FRAME__BODY_LEAVING)
         GwMembership_Leaving(entry->members, peer->member);
-        break;
-    default:
-        break;
-    }
+    else
+        entry->peer_ops->frame(peer, frame);
 }
 
 static void
@@ -213,7 +190,7 @@
         if (!TAILQ_EMPTY(&peer->exchanges))
             Peers_Connect(peer);
     }
-    Exchange_PeerLost(peer);
+    peer->entry->peer_ops->lost(peer);
 }
 
 static void
@@ -247,5 +224,5 @@
     if (was_ready)
         return;
     GwMembership_Lost(peer->entry->members, peer->member, GwTime_Now());
-    Exchange_PeerLost(peer);
+    peer->entry->peer_ops->lost(peer);
 }
--- a/packages/entry/src/placing.c
+++ b/packages/entry/src/placing.c
@@ -1,8 +1,8 @@
-/* Which endpoint gets an attempt: rounds of offers, then a submission. */
 #define GW_LOG_PART "entry"
+#include "placing.h"
+
 #include <string.h>
 
-#include "exchange_private.h"
 #include "galenagw/base/log.h"
 
 /* All candidates together must answer within this. */
@@ -76,12 +76,6 @@
     decide_(x);
 }
 
-void
-Placing_Forget(Exchange *x)
-{
-    g_hash_table_remove(x->entry->probes, &x->probe_id);
-}
-
 void
 Placing_NoteTried(Exchange *x, const GwMember *member)
 {
@@ -94,7 +88,7 @@
 {
     GW_FRAME(frame, s, SUBMIT, Submit, submit);
 
-    Placing_Forget(x);
+    Exchange_ForgetRound(x);
     GwTimer_Stop(&x->timer);
     x->peer = peer;
     x->incarnation = peer->member->incarnation;
@@ -131,7 +125,7 @@
 }
 
 void
-Exchange_OnOffer(Peer *peer, const Gw__Wire__Offer *offer)
+Placing_OnOffer(Peer *peer, const Gw__Wire__Offer *offer)
 {
     GwEntry *entry = peer->entry;
     Exchange *x = g_hash_table_lookup(entry->probes, &offer->probe_id);
@@ -163,18 +157,11 @@
 }
 
 void
-Exchange_PeerReady(Peer *peer)
+Placing_PeerReady(Peer *peer)
 {
     GHashTableIter it;
     gpointer value;
-    Exchange *x;
-    Exchange *next;
 
-    for (x = TAILQ_FIRST(&peer->exchanges); x != NULL; x = next) {
-        next = TAILQ_NEXT(x, link);
-        if (x->state == EXCHANGE_RESUMING)
-            Delivery_OnTimer(x);
-    }
     g_hash_table_iter_init(&it, peer->entry->probes);
     while (g_hash_table_iter_next(&it, NULL, &value)) {
         Candidate *c = find_(value, peer);
@@ -184,6 +171,28 @@
     }
 }
 
+void
+Placing_PeerLost(Peer *peer)
+{
+    GHashTableIter it;
+    gpointer value;
+    g_autoptr(GPtrArray) over = g_ptr_array_new();
+
+    g_hash_table_iter_init(&it, peer->entry->probes);
+    while (g_hash_table_iter_next(&it, NULL, &value)) {
+        Candidate *c = find_(value, peer);
+
+        if (c == NULL)
+            continue;
+        c->failed = true;
+        c->offer.answered = false;
+        if (round_is_over_(value))
+            g_ptr_array_add(over, value);
+    }
+    for (guint i = 0; i < over->len; i++)
+        decide_(over->pdata[i]);
+}
+
 static Field
 gather_(Exchange *x)
 {
@@ -451,7 +460,7 @@
 
     if (x->trial)
         x->entry->trials_closed_until = GwTime_Now() + TRIAL_PAUSE;
-    Placing_Forget(x);
+    Exchange_ForgetRound(x);
     for (int i = 0; i < x->n_candidates; i++)
         Placing_NoteTried(x, x->candidates[i].peer->member);
     x->rounds++;
@@ -512,34 +521,3 @@
     }
     return NULL;
 }
-
-void
-Exchange_PeerLost(Peer *peer)
-{
-    GHashTableIter it;
-    gpointer value;
-    g_autoptr(GPtrArray) over = g_ptr_array_new();
-    Exchange *x;
-
-    TAILQ_FOREACH(x, &peer->exchanges, link)
-    {
-        if (x->state == EXCHANGE_RESUMING)
-            continue;
-        x->state = EXCHANGE_RESUMING;
-        x->lost_at = GwTime_Now();
-        GwTimer_Start(&x->timer, GRACE_TIME);
-    }
-    g_hash_table_iter_init(&it, peer->entry->probes);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        Candidate *c = find_(value, peer);
-
-        if (c == NULL)
-            continue;
-        c->failed = true;
-        c->offer.answered = false;
-        if (round_is_over_(value))
-            g_ptr_array_add(over, value);
-    }
-    for (guint i = 0; i < over->len; i++)
-        decide_(over->pdata[i]);
-}
