Gateway: no header includes its way back to itself

The state included gateway.h for the options, and a request's state included request.h for its type: six modules in one circle. The options have a header of their own, and both types are named with the state. Nothing but includes has changed.

--- a/packages/gateway/include/galenagw/gateway/gateway.h
+++ b/packages/gateway/include/galenagw/gateway/gateway.h
@@ -10,9 +10,8 @@
 #ifndef GALENAGW_GATEWAY_GATEWAY_H
 #define GALENAGW_GATEWAY_GATEWAY_H
 
-#include "galenagw/adapter/deployment.h"
 #include "galenagw/base/counters.h"
-#include "galenagw/base/event_log.h"
+#include "galenagw/gateway/options.h"
 #include "galenagw/net/loop.h"
 
 #ifdef __cplusplus
@@ -21,14 +20,6 @@
 
 typedef struct GwGateway GwGateway;
 
-/** Construction options. */
-typedef struct {
-    const GwDeployment *deployment; /**< copied where it is kept */
-    GwEventLog *log;                /**< or NULL; outlives the gateway */
-    void (*on_stopped)(void *user); /**< a drain is over */
-    void *user;
-} GwGatewayOptions;
-
 /** @return NULL with @p err. */
 GwGateway *GwGateway_New(GwLoop *loop, const GwGatewayOptions *options,
                          GwError *err);
--- a/packages/gateway/src/gateway_private.h
+++ b/packages/gateway/src/gateway_private.h
@@ -4,10 +4,11 @@
 
 #include <sys/queue.h>
 
+#include "galenagw/base/counters.h"
 #include "galenagw/cluster/peers.h"
 #include "galenagw/cluster/store_reader.h"
 #include "galenagw/cluster/view.h"
-#include "galenagw/gateway/gateway.h"
+#include "galenagw/gateway/options.h"
 #include "galenagw/http/server.h"
 #include "galenagw/policy/affinity.h"
 #include "galenagw/routing/budget.h"
@@ -15,7 +16,8 @@
 
 #include "kv_stores.h"
 
-struct GwRequest;
+typedef struct GwGateway GwGateway;
+typedef struct GwRequest GwRequest;
 
 struct GwGateway {
     GwLoop *loop;
--- a/packages/gateway/src/request.h
+++ b/packages/gateway/src/request.h
@@ -5,8 +5,6 @@
 #include "gateway_private.h"
 #include "galenagw/http/message.h"
 
-typedef struct GwRequest GwRequest;
-
 /* Serve @p call, from which on the request ends itself. */
 void GwRequest_Start(GwGateway *gateway, GwHttpCall *call);
 /* The caller left: stop the endpoint's work. Frees the request. */
--- a/packages/gateway/src/request_private.h
+++ b/packages/gateway/src/request_private.h
@@ -4,8 +4,9 @@
 
 #include "events.h"
 #include "galenagw/adapter/messages.h"
+#include "galenagw/http/message.h"
 #include "galenagw/routing/placement.h"
-#include "request.h"
+#include "gateway_private.h"
 #include "upstream.h"
 
 /* Endpoints that one request is sent to, at most. */
