A full loop leaves its callers waiting: a test that shows it

Trace of the soak's ten requests without an answer, each at another gateway and none in its log: what a loop cannot register, the library leaves open. The listener accepts a connection, its adoption fails because the table is full, and the code takes the library to have closed the descriptor. It has not: the connection stays open, nobody reads it, and its caller waits out its deadline. The library closes only what is adopted as a socket; ours are adopted as plain files.

--- a/packages/net/tests/tcp_test.cc
+++ b/packages/net/tests/tcp_test.cc
@@ -1,9 +1,12 @@
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
 
+#include <cerrno>
 #include <functional>
 #include <memory>
 #include <string>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
 
@@ -35,11 +38,16 @@
   protected:
     void
     SetUp() override
+    {
+        Listen(nullptr);
+    }
+    void
+    Listen(const GwLoopOptions *options)
     {
         GwError err = {};
         GwAddress any = {"127.0.0.1", 0};
 
-        loop = GwLoop_New(nullptr, &err);
+        loop = GwLoop_New(options, &err);
         server = GwTcpServer_New(
             loop, &any,
             [](void *user, GwTcp *tcp) {
@@ -202,3 +210,83 @@
     GwTcp_Close(first.tcp);
     GwTcp_Close(second.tcp);
 }
+
+static size_t
+OpenDescriptors()
+{
+    g_autoptr(GDir) dir = g_dir_open("/proc/self/fd", 0, nullptr);
+    size_t n = 0;
+
+    while (g_dir_read_name(dir) != nullptr)
+        n++;
+    return n;
+}
+
+// A plain socket that connects to the server, and what became of it.
+struct Plain {
+    explicit Plain(int port)
+    {
+        sockaddr_in in = {};
+
+        in.sin_family = AF_INET;
+        in.sin_port = htons((uint16_t)port);
+        in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        connected =
+            connect(fd, reinterpret_cast<sockaddr *>(&in), sizeof(in)) == 0;
+    }
+    ~Plain()
+    {
+        close(fd);
+    }
+    bool
+    IsWaiting() const
+    {
+        char byte;
+
+        return recv(fd, &byte, 1, MSG_DONTWAIT) < 0 && errno == EAGAIN;
+    }
+
+    int fd;
+    bool connected;
+};
+
+// Callers keep coming to a loop whose table is full. Each that it cannot take
+// must see its connection end: one that is left open and unread waits out its
+// whole deadline, and no log of ours has a line on it. Nor may its descriptor
+// stay behind, or the process runs out of them for good.
+TEST_F(TcpTest, WhomAFullLoopCannotTakeIsToldAtOnce)
+{
+    GwLoopOptions small = {24};
+    std::vector<std::unique_ptr<Plain>> callers;
+
+    TearDown();
+    Listen(&small);
+    size_t before = OpenDescriptors();
+    for (int i = 0; i < 60; i++) {
+        callers.push_back(std::make_unique<Plain>(GwTcpServer_Port(server)));
+        ASSERT_TRUE(callers.back()->connected);
+    }
+    size_t waiting = 0;
+    EXPECT_TRUE(Until([&] {
+        waiting = 0;
+        for (auto &c : callers)
+            waiting += c->IsWaiting();
+        return waiting == accepted.size();
+    })) << waiting
+        << " wait, " << accepted.size() << " were taken";
+    EXPECT_GT(accepted.size(), 4u);
+    EXPECT_LT(accepted.size(), 24u);
+    callers.clear();
+    EXPECT_TRUE(Until([&] {
+        size_t closed = 0;
+        for (auto &a : accepted)
+            closed += a->closed;
+        return closed == accepted.size();
+    }));
+    EXPECT_TRUE(Until([&] { return OpenDescriptors() == before; }))
+        << OpenDescriptors() - before << " descriptors stayed behind";
+    End served;
+    Connect(&served);
+    GwTcp_Close(served.tcp);
+}
