Whom a full loop cannot take is told at once

Cause: the library closes a descriptor that it cannot register only if it was adopted as a socket; connections here are adopted as plain files, so a failed adoption left the connection open and unread, and its descriptor was lost for good. That held for what a listener accepts and for connections that the loop begins.

Mend: adoption closes what it could not register; callers of a full loop see their connection end, and a warning says so once a second. Ruled out: resting the listener as without descriptors, since those behind it would wait as silently in the kernel's queue.

--- a/packages/net/src/tcp.c
+++ b/packages/net/src/tcp.c
@@ -21,6 +21,8 @@
 /* Without descriptors a waiting caller would wake the loop for ever; the
  * listener rests so long instead. Connections end within such times. */
 #define ACCEPT_REST (100 * GW_MILLISECOND)
+/* A flood of callers that are turned away is told of so often. */
+#define TELL_EVERY GW_SECOND
 /* Bytes already sent that are worth moving the rest for. */
 #define COMPACT_ABOVE (64 * 1024)
 /* How long a finished stream still reads what its peer sends: longer than a
@@ -60,6 +62,7 @@
     struct lws *wsi;
     GwLoop *loop;
     GwTimer rest; /* until the next try, without descriptors */
+    GwTime told;  /* last of callers that were turned away */
     int fd;
     int port;
     void (*on_accept)(void *user, GwTcp *tcp);
@@ -89,6 +92,7 @@
 static void on_timer_(void *user);
 static void on_rearm_(void *user);
 static void accept_(GwTcpServer *server);
+static void tell_full_(GwTcpServer *server);
 static void on_rested_(void *user);
 
 GwTcp *
@@ -320,6 +324,9 @@
     return inet_pton(AF_INET, address->host, &in->sin_addr) == 1;
 }
 
+// What does not fit the loop's table is closed here, for the library leaves a
+// plain descriptor open: the peer would wait for an answer that nobody reads
+// for, and the descriptor would never come back.
 static struct lws *
 adopt_(GwLoop *loop, int fd, const char *protocol, void *opaque)
 {
@@ -330,6 +337,8 @@
 
     if (wsi != NULL)
         lws_set_opaque_user_data(wsi, opaque);
+    else
+        close(fd);
     return wsi;
 }
 
@@ -544,7 +553,7 @@
         tcp->end = GW_TCP_RESET;
         tcp->wsi = adopt_(server->loop, fd, "gw-tcp", tcp);
         if (tcp->wsi == NULL) {
-            // The library has closed the descriptor: the table is full.
+            tell_full_(server);
             tcp_delete_(tcp);
             continue;
         }
@@ -562,6 +571,19 @@
     }
 }
 
+static void
+tell_full_(GwTcpServer *server)
+{
+    GwTime now = GwTime_Now();
+
+    if (server->told != 0 && now - server->told < TELL_EVERY)
+        return;
+    server->told = now;
+    GW_WARN("the table of connections is full, callers of port %d are turned "
+            "away; raise the limit of connections",
+            server->port);
+}
+
 static void
 on_rested_(void *user)
 {
--- a/packages/net/tests/tcp_test.cc
+++ b/packages/net/tests/tcp_test.cc
@@ -290,3 +290,32 @@
     Connect(&served);
     GwTcp_Close(served.tcp);
 }
+
+// The same for a connection that we begin: it fails as one to nobody does.
+TEST_F(TcpTest, AFullLoopConnectsToNobody)
+{
+    GwLoopOptions small = {24};
+    std::vector<std::unique_ptr<End>> ends;
+    size_t told = 0;
+
+    TearDown();
+    Listen(&small);
+    GwAddress address = {"127.0.0.1", GwTcpServer_Port(server)};
+    size_t before = OpenDescriptors();
+    for (int i = 0; i < 40; i++) {
+        ends.push_back(std::make_unique<End>());
+        ends.back()->tcp =
+            GwTcp_Connect(loop, &address, &kOps, ends.back().get());
+    }
+    EXPECT_TRUE(Until([&] {
+        told = 0;
+        for (auto &e : ends)
+            told += e->closed;
+        return told > 16;
+    })) << told;
+    for (auto &e : ends)
+        if (!e->closed)
+            GwTcp_Close(e->tcp);
+    EXPECT_TRUE(Until([&] { return OpenDescriptors() == before; }))
+        << OpenDescriptors() - before << " descriptors stayed behind";
+}
