The soak tells its own strain, and has room for a large run

Each run prints descriptors, lateness and connections that never opened, keeps them with its logs, and fails when it is out of descriptors.

--- a/soak/src/callers.cc
+++ b/soak/src/callers.cc
@@ -2,6 +2,8 @@
 
 #include <cstring>
 
+#include "strain.h"
+
 /* What a caller allows, and how much later its answer may end: the route's
  * timeout, the way, and the soak's own load. */
 static const GwTime kDeadline = 5 * GW_SECOND;
@@ -201,7 +203,7 @@
 }
 
 void
-Caller::OnClosed(void *user, GwTcpEnd)
+Caller::OnClosed(void *user, GwTcpEnd end)
 {
     Caller *c = static_cast<Caller *>(user);
     std::string id = c->id_;
@@ -209,6 +211,7 @@
     c->tcp_ = nullptr;
     GwHttpReader_Delete(c->reader_);
     c->reader_ = nullptr;
+    Strain::unopened += end == GW_TCP_UNREACHABLE;
     if (id.empty())
         return;
     // A close that crosses a request cuts nothing unless it was passed on.
--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -1,5 +1,6 @@
 /* gw-soak: the real programs under random faults, held to their promises. */
 #include <glib/gstdio.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <cstdio>
@@ -10,6 +11,7 @@
 
 #include "faults.h"
 #include "galenagw/base/log.h"
+#include "strain.h"
 
 namespace {
 
@@ -54,6 +56,9 @@
 constexpr double kServed = 0.95;
 constexpr GwTime kTick = 50 * GW_MILLISECOND;
 constexpr GwTime kStart = 2 * GW_SECOND;
+/* Connections of the soak at most: each gateway keeps some to each engine, and
+ * three descriptors of ours belong to each. */
+constexpr int kRoom = 16384;
 
 class Soak {
   public:
@@ -63,11 +68,13 @@
                std::to_string(getpid()))
     {
         GwError err = {};
+        GwLoopOptions loop = {Room()};
         /* The same on all addresses; other soaks take other ones. */
         Ports ports = {20000 + (int)(getpid() % 3000) * 10};
 
         g_mkdir_with_parents(dir_.c_str(), 0755);
-        loop_ = GwLoop_New(nullptr, &err);
+        loop_ = GwLoop_New(&loop, &err);
+        strain_ = std::make_unique<Strain>(loop_, loop.max_connections);
         platform_ = std::make_unique<Platform>(
             loop_, seed, ports, (int)options.engines, 2, &ledger_);
         platform_->is_calm = [this](GwTime since) { return IsCalm(since); };
@@ -86,6 +93,7 @@
     ~Soak()
     {
         faults_.reset();
+        strain_.reset();
         callers_.clear();
         GwTimer_Stop(&tick_);
         gateways_.clear();
@@ -123,6 +131,10 @@
                            std::to_string(Caller::answered) + " of " +
                                std::to_string(Caller::asked) +
                                " were answered at the end");
+        if (strain_->IsFull())
+            ledger_.Broken("the soak keeps up",
+                           "it ran out of descriptors: fewer processes, or "
+                           "more open files (ulimit -n)");
         return Report();
     }
 
@@ -187,6 +199,14 @@
             << more;
         return file;
     }
+    static int
+    Room()
+    {
+        rlimit limit = {};
+
+        getrlimit(RLIMIT_NOFILE, &limit);
+        return (int)std::min<rlim_t>(limit.rlim_cur, kRoom);
+    }
     static std::string
     Text(const GwAddress &a)
     {
@@ -256,7 +276,8 @@
         printf("seed %lu: %zu requests,", seed_, ledger_.requests());
         for (auto &o : ledger_.outcomes)
             printf(" %s %d", o.first.c_str(), o.second);
-        printf(", %zu promises broken\n", ledger_.broken().size());
+        printf(", %zu promises broken\nthe soak itself: %s\n",
+               ledger_.broken().size(), strain_->Text().c_str());
         if (ledger_.broken().empty()) {
             for (const char *name : {"gateway", "sidecar"})
                 for (int i = 0; i < 300; i++)
@@ -271,6 +292,7 @@
         std::ofstream broken(dir_ + "/broken.log");
         for (auto &b : ledger_.broken())
             broken << b << "\n";
+        broken << "the soak itself: " << strain_->Text() << "\n";
         printf("logs: %s\n", dir_.c_str());
         return false;
     }
@@ -287,6 +309,7 @@
     std::vector<std::unique_ptr<Process>> sidecars_;
     std::vector<std::unique_ptr<Caller>> callers_;
     std::unique_ptr<Faults> faults_;
+    std::unique_ptr<Strain> strain_;
     GwTimer tick_;
 };
 
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -120,7 +120,11 @@
     id = std::string(is_engine ? "e" : "p") + std::to_string(number_) + "-" +
          std::to_string(++incarnation_);
     httpd_ = FakeHttpd_New(platform_->loop, &served, &ops, this, &err);
-    g_assert(httpd_ != nullptr);
+    if (httpd_ == nullptr) {
+        // It stays away; the run has failed, and its processes end with it.
+        platform_->ledger->Broken("the soak keeps up", err.message);
+        return;
+    }
     up = true;
     draining_ = false;
     draining_since_ = 0;
--- a/soak/src/proxy.cc
+++ b/soak/src/proxy.cc
@@ -4,6 +4,8 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include "strain.h"
+
 Proxy::Proxy(GwLoop *loop, const GwAddress &listen, const GwAddress &target)
     : address(listen), loop_(loop), target_(target)
 {
@@ -153,6 +155,7 @@
 
     side->ended = true;
     side->end = end;
+    Strain::unopened += end == GW_TCP_UNREACHABLE;
     // A reset overtakes what is on its way; an orderly end does not.
     if (end == GW_TCP_FINISHED && !side->late.empty())
         return;
