--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "galenagw/adapter/messages.h"
+#include "galenagw/http/metrics.h"
 #include "gateway_private.h"
 #include "request.h"
 #include "upstream.h"
@@ -20,7 +21,7 @@
 /* What is open this long before the grace ends is cut by the platform. */
 #define DRAIN_SPARE (300 * GW_MILLISECOND)
 #define DRAIN_CHECK (50 * GW_MILLISECOND)
-#define MAX_METRICS_BODY 1024
+#define MAX_READINESS_BODY 1024
 /* Bodies of all requests in progress; a third of the smallest instance. */
 #define MAX_BODIES (32 * 1024 * 1024)
 
@@ -33,7 +34,6 @@
 static void on_drained_(void *user, GwHttpCall *call);
 static void on_refused_(void *user, GwHttpCall *call, GwHttpRefusal why);
 static void on_balancer_(void *user, GwHttpCall *call);
-static void on_metrics_(void *user, GwHttpCall *call);
 static void on_drain_timer_(void *user);
 static void on_flush_(void *user);
 static void leave_silent_(GwGateway *g);
@@ -49,7 +49,6 @@
 static const GwHttpServerOps caller_ops = {on_call_, on_gone_, on_drained_,
                                            on_refused_};
 static const GwHttpServerOps balancer_ops = {.on_call = on_balancer_};
-static const GwHttpServerOps metrics_ops = {.on_call = on_metrics_};
 
 GwGateway *
 GwGateway_New(GwLoop *loop, const GwGatewayOptions *options, GwError *err)
@@ -237,16 +236,6 @@
     GwHttpCall_Done(call, false);
 }
 
-static void
-on_metrics_(void *user, GwHttpCall *call)
-{
-    GwGateway *g = user;
-    g_autoptr(GString) out = g_string_new(NULL);
-
-    GwCounters_Print(&g->counters, out);
-    GwHttpCall_Respond(call, 200, "text/plain", out->str, out->len);
-}
-
 static void
 on_drain_timer_(void *user)
 {
@@ -314,16 +303,10 @@
     };
     GwHttpServerOptions readiness = {
         .address = d->readiness,
-        .limits = {.max_body = MAX_METRICS_BODY},
+        .limits = {.max_body = MAX_READINESS_BODY},
         .ops = &balancer_ops,
         .user = g,
     };
-    GwHttpServerOptions metrics = {
-        .address = d->metrics,
-        .limits = {.max_body = MAX_METRICS_BODY},
-        .ops = &metrics_ops,
-        .user = g,
-    };
 
     g->callers_server = GwHttpServer_New(g->loop, &callers, err);
     if (g->callers_server == NULL)
@@ -331,7 +314,8 @@
     g->readiness_server = GwHttpServer_New(g->loop, &readiness, err);
     if (g->readiness_server == NULL)
         return false;
-    g->metrics_server = GwHttpServer_New(g->loop, &metrics, err);
+    g->metrics_server =
+        GwMetrics_Serve(g->loop, &d->metrics, &g->counters, err);
     return g->metrics_server != NULL;
 }
 
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -9,7 +9,7 @@
 #include "galenagw/cluster/store_reader.h"
 #include "galenagw/cluster/view.h"
 #include "galenagw/http/caller.h"
-#include "galenagw/http/server.h"
+#include "galenagw/http/metrics.h"
 #include "galenagw/sidecar/roll.h"
 
 /* Between reports: a queue builds up in some hundred milliseconds. */
@@ -46,7 +46,6 @@
 #define TELL_REQUESTS 4
 #define TELL_MEMORY_SHARE 0.05
 #define FLUSH_EVERY (500 * GW_MILLISECOND)
-#define MAX_METRICS_BODY 1024
 
 /* Where a load stands. */
 typedef enum {
@@ -108,13 +107,11 @@
 static void draw_fence_(void *user);
 static void on_fence_(void *user, GwCallOutcome outcome, int status,
                       const char *body, size_t len);
-static void on_metrics_(void *user, GwHttpCall *call);
 static void on_flush_(void *user);
 static GwInstance *own_(const GwSidecar *s);
 static bool join_(GwSidecar *s, const GwDeployment *d, GwError *err);
 
 static const GwViewOps view_ops = {0};
-static const GwHttpServerOps metrics_ops = {.on_call = on_metrics_};
 
 GwSidecar *
 GwSidecar_New(GwLoop *loop, const GwSidecarOptions *options, GwError *err)
@@ -485,16 +482,6 @@
     GwTimer_Start(&s->fence_timer, GwTime_Jitter(s->rand, FENCE_RETRY));
 }
 
-static void
-on_metrics_(void *user, GwHttpCall *call)
-{
-    GwSidecar *s = user;
-    g_autoptr(GString) out = g_string_new(NULL);
-
-    GwCounters_Print(&s->counters, out);
-    GwHttpCall_Respond(call, 200, "text/plain", out->str, out->len);
-}
-
 static void
 on_flush_(void *user)
 {
@@ -532,12 +519,6 @@
         .log = s->log,
         .counters = &s->counters,
     };
-    GwHttpServerOptions metrics = {
-        .address = d->metrics,
-        .limits = {.max_body = MAX_METRICS_BODY},
-        .ops = &metrics_ops,
-        .user = s,
-    };
 
     s->view = GwView_New(&view);
     reader.view = s->view;
@@ -547,6 +528,7 @@
     s->peers = GwPeers_New(s->loop, &peers, err);
     if (s->peers == NULL)
         return false;
-    s->metrics_server = GwHttpServer_New(s->loop, &metrics, err);
+    s->metrics_server =
+        GwMetrics_Serve(s->loop, &d->metrics, &s->counters, err);
     return s->metrics_server != NULL;
 }
