Gateway and sidecar run by one process module

Their commands had twin tables of options and twin ways from arguments to the loop. The package program has both (GwProcess_Run); what differs is a table of functions.

--- a/packages/gateway/program/gateway_command.c
+++ b/packages/gateway/program/gateway_command.c
@@ -1,46 +1,60 @@
 /* galenagw gateway: the program that callers reach, on the users' platform. */
-#define GW_LOG_PART "gateway"
-#include <unistd.h>
-
 #include "commands.h"
-#include "galenagw/base/log.h"
-#include "galenagw/base/settings.h"
 #include "galenagw/gateway/gateway.h"
+#include "galenagw/program/process.h"
 
-typedef struct {
-    const char *settings;
-    const char *log_level;
-    int64_t log_lines;
-    GwDeployment deployment;
-    GwEventLog *log;
-    GwLoop *loop;
-    GwGateway *gateway;
-} GatewayProgram;
-
-#define FIELD(name) offsetof(GatewayProgram, name)
+static bool start_(GwProcess *process, GwError *err);
+static void tell_(const GwProcess *process);
+static void terminate_(GwProcess *process);
+static void hangup_(GwProcess *process);
+static void delete_(GwProcess *process);
+static void on_stopped_(void *user);
 
-static const GwSetting gateway_settings[] = {
-    {"settings", "FILE",
-     "The platform's settings file (default: where the "
-     "platform's variable points)",
-     GW_SETTING_TEXT, FIELD(settings), 0, 0, false},
-    {"log-level", "LEVEL", "error, warning, info or debug, of plain messages",
-     GW_SETTING_TEXT, FIELD(log_level), 0, 0, false},
-    {"log-lines", "N", "Most event lines a second (default 300)",
-     GW_SETTING_INT, FIELD(log_lines), 1, 100000, false},
-    {0},
+static const GwProcessOps gateway_ops = {
+    .doc = "Serve callers on the users' platform, by its settings file.",
+    .bounds_files = true,
+    .start = start_,
+    .tell = tell_,
+    .terminate = terminate_,
+    .hangup = hangup_,
+    .delete_ = delete_,
 };
 
+bool
+Command_Gateway(int argc, char **argv, GwError *err)
+{
+    return GwProcess_Run(&gateway_ops, argc, argv, err);
+}
+
+static bool
+start_(GwProcess *p, GwError *err)
+{
+    GwGatewayOptions options = {
+        .deployment = &p->deployment,
+        .log = p->log,
+        .on_stopped = on_stopped_,
+        .user = p,
+    };
+
+    p->served = GwGateway_New(p->loop, &options, err);
+    return p->served != NULL;
+}
+
 static void
-on_terminate_(void *user)
+tell_(const GwProcess *p)
 {
-    GwGateway_Drain(((GatewayProgram *)user)->gateway);
+    GwEvent_Number(p->log, "port", GwGateway_CallerPort(p->served));
 }
 
 static void
-on_hangup_(void *user)
+terminate_(GwProcess *p)
+{
+    GwGateway_Drain(p->served);
+}
+
+static void
+hangup_(GwProcess *p)
 {
-    GatewayProgram *p = user;
     GwDeployment fresh;
     GwError err = {0};
 
@@ -51,69 +65,18 @@
         GwEvent_End(p->log);
         return;
     }
-    GwGateway_Reload(p->gateway, &fresh);
+    GwGateway_Reload(p->served, &fresh);
     GwDeployment_Clear(&fresh);
 }
 
 static void
-on_stopped_(void *user)
-{
-    GwLoop_Stop(((GatewayProgram *)user)->loop);
-}
-
-static bool
-serve_(GatewayProgram *p, GwError *err)
+delete_(GwProcess *p)
 {
-    GwGatewayOptions options = {
-        .deployment = &p->deployment,
-        .log = p->log,
-        .on_stopped = on_stopped_,
-        .user = p,
-    };
-    GwLoopOptions loop = {.max_connections =
-                              (int)p->deployment.max_connections};
-
-    p->loop = GwLoop_New(&loop, err);
-    if (p->loop == NULL)
-        return false;
-    p->gateway = GwGateway_New(p->loop, &options, err);
-    if (p->gateway == NULL) {
-        GwLoop_Delete(p->loop);
-        return false;
-    }
-    GwEvent_Begin(p->log, "start", NULL);
-    GwEvent_Text(p->log, "instance", p->deployment.name);
-    GwEvent_Text(p->log, "version", GW_VERSION);
-    GwEvent_Number(p->log, "port", GwGateway_CallerPort(p->gateway));
-    GwEvent_End(p->log);
-    GwLoop_OnTerminate(p->loop, on_terminate_, p);
-    GwLoop_OnHangup(p->loop, on_hangup_, p);
-    GwLoop_Run(p->loop);
-    GwGateway_Delete(p->gateway);
-    GwLoop_Delete(p->loop);
-    return true;
+    GwGateway_Delete(p->served);
 }
 
-bool
-Command_Gateway(int argc, char **argv, GwError *err)
+static void
+on_stopped_(void *user)
 {
-    GatewayProgram p = {.log_level = "info", .settings = GwDeployment_Path()};
-    GwSettingsOptions parse = {
-        .table = gateway_settings,
-        .doc = "Serve callers on the users' platform, by its settings file.",
-        .target = &p,
-    };
-    GwEventLogOptions log = {.fd = STDOUT_FILENO};
-    bool ok;
-
-    if (!GwSettings_Parse(&parse, argc, argv, err) ||
-        !GwLog_Init(p.log_level, err) ||
-        !GwDeployment_Load(&p.deployment, p.settings, err))
-        return false;
-    log.lines_per_s = (unsigned)p.log_lines;
-    p.log = GwEventLog_New(&log);
-    ok = serve_(&p, err);
-    GwEventLog_Delete(p.log);
-    GwDeployment_Clear(&p.deployment);
-    return ok;
+    GwLoop_Stop(((GwProcess *)user)->loop);
 }
