Test: requests begin on outdated weights past their bound (red)

A long prompt 1.2 s before the bound is sent to an engine with old weights behind 30,000 waiting tokens, though one with the new weights is there; a request sent in time is left in the queue of an outdated engine beyond the bound.

--- /dev/null
+++ b/packages/gateway/tests/outdated_weights_test.cc
@@ -0,0 +1,72 @@
+#include "galenagw/fakes/fleet.h"
+
+extern "C" {
+#include "gateway_private.h"
+}
+
+static const GwTime kBound = 2 * GW_SECOND;
+static const char kLongPrompt[] = "X-Model: m\r\nX-Token-Usage: 16900,5\r\n"
+                                  "X-Prefix-Hash: a1:900,b2:16000\r\n";
+
+static GwTime
+NamedAt(GwGateway *g)
+{
+    return GwView_Target(g->view, "m").history[0].named_at;
+}
+
+static void
+Waits(GwGateway *g, const char *id, uint64_t tokens)
+{
+    GwInstance *instance = GwInstances_Find(GwView_Instances(g->view), id);
+
+    instance->advice.at = GwTime_Now();
+    instance->advice.others_tokens = tokens;
+}
+
+// New weights are named, and one engine has the old ones still, as after a
+// restart. A long prompt comes 1.2 s before the bound: that engine would read
+// it only after 30,000 tokens that wait there. Sent there, it would begin
+// past the bound, and its caller would get text of weights that should be
+// gone; the engine that has the new ones takes longer, but gets it.
+// A request that was sent in time waits at such an engine for longer than
+// anybody could expect. Shortly before the bound its connection is closed,
+// which takes it out of the queue, and its caller gets the other's answer.
+TEST(OutdatedWeights, NoRequestBeginsOnThemPastTheBound)
+{
+    for (bool sent_before : {false, true}) {
+        Fleet f;
+        f.Configure(1);
+        Endpoint *old = f.AddEndpoint("i-1", "model");
+        Endpoint *fresh =
+            sent_before ? nullptr : f.AddEndpoint("i-2", "model");
+        GwGateway *g = f.AddGateway();
+        old->serve = [](Endpoint *, FakeExchange *) {};
+        ASSERT_TRUE(f.Ready());
+        g->weights_bound = kBound;
+        f.NameWeights(2);
+        ASSERT_TRUE(f.Until([&] { return NamedAt(g) != 0; }));
+        std::shared_ptr<Caller> c;
+        std::string prompt =
+            Fleet::Request("POST", "/resume/1", "x", kLongPrompt);
+
+        if (sent_before) {
+            c = f.Call(g, prompt);
+            ASSERT_TRUE(f.Until([&] { return old->seen.size() == 1; }));
+            fresh = f.AddEndpoint("i-2", "model");
+        }
+        f.ListEndpoint(fresh, "ready", 2);
+        f.Wait(NamedAt(g) + kBound - 1200 * GW_MILLISECOND - GwTime_Now());
+        if (!sent_before) {
+            Waits(g, "i-1", 30000);
+            Waits(g, "i-2", 200000);
+            c = f.Call(g, prompt);
+        }
+        EXPECT_TRUE(f.Until(
+            [&] { return c->Has(1) || GwTime_Now() > NamedAt(g) + kBound; }));
+        EXPECT_LE(GwTime_Now(), NamedAt(g) + kBound) << sent_before;
+        EXPECT_EQ(c->Status(), 200) << sent_before;
+        EXPECT_EQ(old->seen.size(), sent_before ? 1u : 0u);
+        EXPECT_EQ(old->gone, sent_before ? 1 : 0);
+        EXPECT_EQ(fresh->seen.size(), 1u) << sent_before;
+    }
+}
