How long a version has been named travels between peers

Cause: an age of a version was counted from the moment at which a process learned of it. A gateway or sidecar that starts anew counted from zero and had the whole bound once more.

Each process tells its peers the ages that it knows, when a session begins and with records; the earliest time that anybody knows holds. Ages in whole milliseconds only grow younger on the way, so processes never drive each other to ever earlier times. Where nobody can tell, a process counts from when it learned.

With the telling taken out the new test fails in 4 of its 6 comparisons (naming 1 and 2 s ago); with it, none.

--- a/packages/cluster/include/galenagw/cluster/view.h
+++ b/packages/cluster/include/galenagw/cluster/view.h
@@ -30,7 +30,9 @@
     int64_t version; /**< the newest; -1: none is named */
     struct {
         int64_t version;
-        GwTime named_at;          /**< when this process learned of it */
+        GwTime named_at;          /**< as far as is known: when this process
+                                       or the first of its peers learned of
+                                       it */
     } history[GW_TARGET_HISTORY]; /**< newest first */
     unsigned n_history;
 } GwTarget;
@@ -66,6 +68,19 @@
 /** The newest routes, or NULL as long as none are known. */
 GwRoutes *GwView_Routes(const GwView *view);
 GwTarget GwView_Target(const GwView *view, const char *model);
+/**
+ * A peer says that @p version was named at @p named_at, by our clock. A
+ * process that has just started, or that learned late, would count from that
+ * moment, and take for allowed what is past its bound; the earliest time that
+ * anybody knows holds.
+ */
+void GwView_NoteNamed(GwView *view, const char *model, int64_t version,
+                      GwTime named_at);
+/** Call @p fn for each version that is remembered, as (model, version, at). */
+void GwView_EachNamed(const GwView *view,
+                      void (*fn)(void *user, const char *model,
+                                 int64_t version, GwTime named_at),
+                      void *user);
 /**
  * Changes so far that alter what a caller gets: routes, keys, named weights,
  * endpoints that leave. Others, such as the weights of each engine in a roll,
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -93,6 +93,9 @@
 static void add_to_batch_(void *user, GwList list, const GwRecord *record);
 static void send_batch_(Batch *batch);
 static void take_records_(GwPeers *p, const Gw__Wire__RecordsTell *tell);
+static void tell_age_(void *user, const char *model, int64_t version,
+                      GwTime named_at);
+static void take_age_(GwPeers *p, const Gw__Wire__WeightsAge *age);
 static void send_engine_(GwPeers *p, Peer *peer);
 static void take_note_(GwPeers *p, const GwSession *session,
                        const Gw__Wire__PrefillNote *note);
@@ -247,6 +250,7 @@
     GwEvent_Begin(p->options.log, "peer_ready", NULL);
     GwEvent_Text(p->options.log, "peer", hello->instance);
     GwEvent_End(p->options.log);
+    GwView_EachNamed(p->options.view, tell_age_, session);
     if (!peer->outbound && p->has_engine)
         send_engine_(p, peer);
 }
@@ -269,6 +273,9 @@
     case GW__WIRE__FRAME__BODY_ENGINE_STATE:
         take_engine_(p, frame->engine_state);
         return;
+    case GW__WIRE__FRAME__BODY_WEIGHTS_AGE:
+        take_age_(p, frame->weights_age);
+        return;
     default:
         // Of the product's other programs: not for this one.
         return;
@@ -467,6 +474,8 @@
         [GW_LIST_INSTANCES] = ask->instances_end,
     };
 
+    // Before the records: it is then known with them.
+    GwView_EachNamed(p->options.view, tell_age_, session);
     for (int i = 0; i < GW_LISTS; i++) {
         g_autofree Batch *batch = g_new0(Batch, 1);
 
@@ -550,6 +559,31 @@
     GwEvent_End(p->options.log);
 }
 
+static void
+tell_age_(void *user, const char *model, int64_t version, GwTime named_at)
+{
+    GW_FRAME(frame, age, WEIGHTS_AGE, WeightsAge, weights_age);
+
+    age.model = (char *)model;
+    age.version = version;
+    age.named_ms = (uint64_t)MAX(GwTime_Now() - named_at, 0) / GW_MILLISECOND;
+    GwSession_Send(user, &frame);
+}
+
+static void
+take_age_(GwPeers *p, const Gw__Wire__WeightsAge *age)
+{
+    GwTime now = GwTime_Now();
+    // Of a machine that started after the naming, or a wrong number.
+    GwTime most = now / GW_MILLISECOND;
+    GwTime ago = (GwTime)MIN(age->named_ms, (uint64_t)most);
+
+    // Whole milliseconds and the way here only make it younger: processes
+    // that tell each other never drive it to ever earlier times.
+    GwView_NoteNamed(p->options.view, age->model, age->version,
+                     now - ago * GW_MILLISECOND);
+}
+
 static void
 send_engine_(GwPeers *p, Peer *peer)
 {
--- a/packages/cluster/src/view.c
+++ b/packages/cluster/src/view.c
@@ -19,6 +19,7 @@
 static void on_operator_(GwView *view, const GwRecord *record);
 static void on_routes_(GwView *view, const GwRecord *record);
 static void on_weights_(GwView *view, const GwRecord *record);
+static bool remember_(GwTarget *target, int64_t version, GwTime named_at);
 static void on_row_(GwView *view, const GwRecord *record);
 static void on_added_(void *user, GwInstance *instance);
 static void on_freed_(void *user, GwInstance *instance);
@@ -81,6 +82,54 @@
     return target != NULL ? *target : (GwTarget){.version = -1};
 }
 
+void
+GwView_NoteNamed(GwView *view, const char *model, int64_t version,
+                 GwTime named_at)
+{
+    GwTarget *target = g_hash_table_lookup(view->targets, model);
+    GwTime now = GwTime_Now();
+    bool is_newest;
+
+    if (target == NULL) {
+        target = g_new0(GwTarget, 1);
+        target->version = -1;
+        g_hash_table_insert(view->targets, g_strdup(model), target);
+    }
+    is_newest = version > target->version;
+    // 0 stands for a version that was never named.
+    if (!remember_(target, version, MAX(named_at, 1)))
+        return;
+    view->urgent_changes += is_newest;
+    GwEvent_Begin(view->options.log,
+                  is_newest ? "weights_named" : "weights_age", NULL);
+    GwEvent_Text(view->options.log, "model", model);
+    GwEvent_Number(view->options.log, "version", version);
+    GwEvent_Time(view->options.log, "age_ms", now - named_at);
+    GwEvent_End(view->options.log);
+    if (view->options.ops->on_weights != NULL)
+        view->options.ops->on_weights(view->options.user, model, target);
+}
+
+void
+GwView_EachNamed(const GwView *view,
+                 void (*fn)(void *user, const char *model, int64_t version,
+                            GwTime named_at),
+                 void *user)
+{
+    GHashTableIter iter;
+    gpointer model;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, view->targets);
+    while (g_hash_table_iter_next(&iter, &model, &value)) {
+        const GwTarget *target = value;
+
+        for (unsigned i = 0; i < target->n_history; i++)
+            fn(user, model, target->history[i].version,
+               target->history[i].named_at);
+    }
+}
+
 uint64_t
 GwView_UrgentChanges(const GwView *view)
 {
@@ -163,33 +212,38 @@
 {
     GwNamedWeights named;
     GwError err = {0};
-    GwTarget *target;
 
     if (!GwDocuments_DecodeWeights(record, &named, &err)) {
         log_bad_(view, GW_LIST_OPERATOR, record, &err);
         return;
     }
-    target = g_hash_table_lookup(view->targets, named.model);
-    if (target == NULL) {
-        target = g_new0(GwTarget, 1);
-        target->version = -1;
-        g_hash_table_insert(view->targets, g_strdup(named.model), target);
+    GwView_NoteNamed(view, named.model, named.version, GwTime_Now());
+}
+
+// Sorted in, as peers tell of older versions after newer ones. Returns whether
+// anything is new.
+static bool
+remember_(GwTarget *target, int64_t version, GwTime named_at)
+{
+    unsigned i = 0;
+
+    while (i < target->n_history && target->history[i].version > version)
+        i++;
+    if (i == GW_TARGET_HISTORY)
+        return false;
+    if (i < target->n_history && target->history[i].version == version) {
+        if (named_at >= target->history[i].named_at)
+            return false;
+        target->history[i].named_at = named_at;
+        return true;
     }
-    if (named.version <= target->version)
-        return;
-    memmove(&target->history[1], &target->history[0],
-            sizeof(target->history) - sizeof(target->history[0]));
-    target->history[0].version = named.version;
-    target->history[0].named_at = GwTime_Now();
+    memmove(&target->history[i + 1], &target->history[i],
+            (GW_TARGET_HISTORY - 1 - i) * sizeof(target->history[0]));
+    target->history[i].version = version;
+    target->history[i].named_at = named_at;
     target->n_history = MIN(target->n_history + 1, GW_TARGET_HISTORY);
-    target->version = named.version;
-    view->urgent_changes++;
-    GwEvent_Begin(view->options.log, "weights_named", NULL);
-    GwEvent_Text(view->options.log, "model", named.model);
-    GwEvent_Number(view->options.log, "version", named.version);
-    GwEvent_End(view->options.log);
-    if (view->options.ops->on_weights != NULL)
-        view->options.ops->on_weights(view->options.user, named.model, target);
+    target->version = target->history[0].version;
+    return true;
 }
 
 static void
--- /dev/null
+++ b/packages/cluster/tests/view_test.cc
@@ -0,0 +1,77 @@
+#include <gtest/gtest.h>
+
+#include <vector>
+
+#include "galenagw/cluster/view.h"
+
+// Versions are told in any order, more than once, by processes that learned
+// of them at different times. Weights are outdated since the earliest time
+// that anybody knows of the first newer version.
+TEST(View, WeightsAreOutdatedSinceTheEarliestKnownNaming)
+{
+    struct Told {
+        int64_t version;
+        GwTime at;
+    };
+    const struct {
+        const char *name;
+        std::vector<Told> told;
+        int64_t weights, newest;
+        GwTime since;
+    } cases[] = {
+        {"nothing named", {}, 1, -1, 0},
+        {"in order", {{2, 100}, {3, 200}}, 1, 3, 100},
+        {"it has the one before", {{2, 100}, {3, 200}}, 2, 3, 200},
+        {"it has the newest", {{2, 100}, {3, 200}}, 3, 3, 0},
+        {"the older one is told later", {{3, 200}, {2, 100}}, 1, 3, 100},
+        {"the older one in between",
+         {{2, 100}, {4, 300}, {3, 200}},
+         2,
+         4,
+         200},
+        {"an earlier time is told", {{3, 200}, {3, 50}}, 2, 3, 50},
+        {"a later time is told", {{3, 200}, {3, 250}}, 2, 3, 200},
+        {"named before the clock began", {{3, 200}, {3, -40}}, 2, 3, 1},
+        {"its weights are not known", {{3, 200}}, -1, 3, 200},
+    };
+    const GwViewOps ops = {};
+    GwCounters counters = {};
+
+    for (auto &c : cases) {
+        GwViewOptions options = {&ops, nullptr, nullptr, &counters};
+        GwView *view = GwView_New(&options);
+
+        for (const Told &t : c.told)
+            GwView_NoteNamed(view, "m", t.version, t.at);
+        GwTarget target = GwView_Target(view, "m");
+        EXPECT_EQ(target.version, c.newest) << c.name;
+        EXPECT_EQ(GwTarget_OutdatedSince(&target, c.weights), c.since)
+            << c.name;
+        EXPECT_EQ(GwView_Target(view, "other").version, -1);
+        GwView_Delete(view);
+    }
+}
+
+// More versions than are remembered: the oldest are forgotten, the order
+// holds.
+TEST(View, OnlyTheNewestVersionsAreRemembered)
+{
+    const GwViewOps ops = {};
+    GwCounters counters = {};
+    GwViewOptions options = {&ops, nullptr, nullptr, &counters};
+    GwView *view = GwView_New(&options);
+
+    for (int version = 1; version <= 3 * GW_TARGET_HISTORY; version++) {
+        GwView_NoteNamed(view, "m", version, 100 * version);
+        GwView_NoteNamed(view, "m", 1, 7);
+    }
+    GwTarget target = GwView_Target(view, "m");
+    EXPECT_EQ(target.n_history, (unsigned)GW_TARGET_HISTORY);
+    EXPECT_EQ(target.version, 3 * GW_TARGET_HISTORY);
+    for (unsigned i = 0; i < target.n_history; i++) {
+        EXPECT_EQ(target.history[i].version, 3 * GW_TARGET_HISTORY - (int)i);
+        EXPECT_EQ(target.history[i].named_at,
+                  100 * (3 * GW_TARGET_HISTORY - (int)i));
+    }
+    GwView_Delete(view);
+}
--- a/packages/gateway/tests/outdated_weights_test.cc
+++ b/packages/gateway/tests/outdated_weights_test.cc
@@ -70,3 +70,52 @@
         EXPECT_EQ(fresh->seen.size(), 1u) << sent_before;
     }
 }
+
+// A gateway crashes and starts again while an engine still has old weights.
+// Counting from its own start it would send requests there for as long again
+// as the bound, and they would begin far past it. Its peer tells how long the
+// version has been named, before the first request can come, also where the
+// store serves neither of them.
+TEST(OutdatedWeights, AGatewayThatStartsLearnsHowLongAVersionHasBeenNamed)
+{
+    for (bool store_away : {false, true}) {
+        Fleet f;
+        GwError err = {};
+        GwGatewayOptions options = {};
+        GwDeployment first = f.Deployment("gateway-1");
+        GwDeployment late = f.Deployment("gateway-2");
+
+        f.Configure(1);
+        f.AddEndpoint("i-1", "model");
+        first.peers.port = 23745;
+        late.seeds[0] = first.peers;
+        late.n_seeds = 1;
+        if (store_away)
+            late.store.port = 1;
+        options.deployment = &first;
+        f.gateways.push_back(GwGateway_New(f.loop, &options, &err));
+        ASSERT_NE(f.gateways.back(), nullptr) << err.message;
+        ASSERT_TRUE(f.Ready());
+        f.NameWeights(2);
+        GwGateway *g = f.gateways.back();
+        ASSERT_TRUE(f.Until([&] { return NamedAt(g) != 0; }));
+        f.Wait(GW_SECOND);
+        f.NameWeights(3);
+        f.Wait(GW_SECOND);
+        options.deployment = &late;
+        f.gateways.push_back(GwGateway_New(f.loop, &options, &err));
+        ASSERT_NE(f.gateways.back(), nullptr) << err.message;
+        ASSERT_TRUE(f.Ready());
+        for (int weights : {1, 2, 3}) {
+            GwTarget told = GwView_Target(g->view, "m");
+            GwTarget learned = GwView_Target(f.gateways.back()->view, "m");
+
+            EXPECT_NEAR(GwTarget_OutdatedSince(&learned, weights),
+                        GwTarget_OutdatedSince(&told, weights),
+                        50 * GW_MILLISECOND)
+                << weights << " " << store_away;
+        }
+        GwDeployment_Clear(&first);
+        GwDeployment_Clear(&late);
+    }
+}
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -39,6 +39,7 @@
 typedef struct Gw__Wire__RecordsTell Gw__Wire__RecordsTell;
 typedef struct Gw__Wire__EngineState Gw__Wire__EngineState;
 typedef struct Gw__Wire__PrefillNote Gw__Wire__PrefillNote;
+typedef struct Gw__Wire__WeightsAge Gw__Wire__WeightsAge;
 typedef struct Gw__Wire__Frame Gw__Wire__Frame;
 
 
@@ -526,6 +527,25 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * Told when a session begins and with records: a process that has just started
+ * learns from it how long a version of weights has been named.
+ */
+struct  Gw__Wire__WeightsAge
+{
+  ProtobufCMessage base;
+  char *model;
+  int64_t version;
+  /*
+   * ago, as far as the sender knows
+   */
+  uint64_t named_ms;
+};
+#define GW__WIRE__WEIGHTS_AGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__wire__weights_age__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 typedef enum {
   GW__WIRE__FRAME__BODY__NOT_SET = 0,
   GW__WIRE__FRAME__BODY_HELLO = 1,
@@ -550,7 +570,8 @@
   GW__WIRE__FRAME__BODY_RECORDS_ASK = 23,
   GW__WIRE__FRAME__BODY_RECORDS_TELL = 24,
   GW__WIRE__FRAME__BODY_ENGINE_STATE = 25,
-  GW__WIRE__FRAME__BODY_PREFILL_NOTE = 26
+  GW__WIRE__FRAME__BODY_PREFILL_NOTE = 26,
+  GW__WIRE__FRAME__BODY_WEIGHTS_AGE = 27
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__WIRE__FRAME__BODY__CASE)
 } Gw__Wire__Frame__BodyCase;
 
@@ -582,6 +603,7 @@
     Gw__Wire__RecordsTell *records_tell;
     Gw__Wire__EngineState *engine_state;
     Gw__Wire__PrefillNote *prefill_note;
+    Gw__Wire__WeightsAge *weights_age;
   };
 };
 #define GW__WIRE__FRAME__INIT \
@@ -1045,6 +1067,25 @@
 void   gw__wire__prefill_note__free_unpacked
                      (Gw__Wire__PrefillNote *message,
                       ProtobufCAllocator *allocator);
+/* Gw__Wire__WeightsAge methods */
+void   gw__wire__weights_age__init
+                     (Gw__Wire__WeightsAge         *message);
+size_t gw__wire__weights_age__get_packed_size
+                     (const Gw__Wire__WeightsAge   *message);
+size_t gw__wire__weights_age__pack
+                     (const Gw__Wire__WeightsAge   *message,
+                      uint8_t             *out);
+size_t gw__wire__weights_age__pack_to_buffer
+                     (const Gw__Wire__WeightsAge   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Wire__WeightsAge *
+       gw__wire__weights_age__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__wire__weights_age__free_unpacked
+                     (Gw__Wire__WeightsAge *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__Wire__Frame methods */
 void   gw__wire__frame__init
                      (Gw__Wire__Frame         *message);
@@ -1138,6 +1179,9 @@
 typedef void (*Gw__Wire__PrefillNote_Closure)
                  (const Gw__Wire__PrefillNote *message,
                   void *closure_data);
+typedef void (*Gw__Wire__WeightsAge_Closure)
+                 (const Gw__Wire__WeightsAge *message,
+                  void *closure_data);
 typedef void (*Gw__Wire__Frame_Closure)
                  (const Gw__Wire__Frame *message,
                   void *closure_data);
@@ -1173,6 +1217,7 @@
 extern const ProtobufCMessageDescriptor gw__wire__records_tell__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__engine_state__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__prefill_note__descriptor;
+extern const ProtobufCMessageDescriptor gw__wire__weights_age__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -1087,6 +1087,51 @@
   assert(message->base.descriptor == &gw__wire__prefill_note__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__wire__weights_age__init
+                     (Gw__Wire__WeightsAge         *message)
+{
+  static const Gw__Wire__WeightsAge init_value = GW__WIRE__WEIGHTS_AGE__INIT;
+  *message = init_value;
+}
+size_t gw__wire__weights_age__get_packed_size
+                     (const Gw__Wire__WeightsAge *message)
+{
+  assert(message->base.descriptor == &gw__wire__weights_age__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__wire__weights_age__pack
+                     (const Gw__Wire__WeightsAge *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__wire__weights_age__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__wire__weights_age__pack_to_buffer
+                     (const Gw__Wire__WeightsAge *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__wire__weights_age__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Wire__WeightsAge *
+       gw__wire__weights_age__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Wire__WeightsAge *)
+     protobuf_c_message_unpack (&gw__wire__weights_age__descriptor,
+                                allocator, len, data);
+}
+void   gw__wire__weights_age__free_unpacked
+                     (Gw__Wire__WeightsAge *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__wire__weights_age__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gw__wire__frame__init
                      (Gw__Wire__Frame         *message)
 {
@@ -3240,7 +3285,71 @@
   (ProtobufCMessageInit) gw__wire__prefill_note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[23] =
+static const ProtobufCFieldDescriptor gw__wire__weights_age__field_descriptors[3] =
+{
+  {
+    "model",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__WeightsAge, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__WeightsAge, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "named_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__WeightsAge, named_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__wire__weights_age__field_indices_by_name[] = {
+  0,   /* field[0] = model */
+  2,   /* field[2] = named_ms */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange gw__wire__weights_age__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__wire__weights_age__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.wire.WeightsAge",
+  "WeightsAge",
+  "Gw__Wire__WeightsAge",
+  "gw.wire",
+  sizeof(Gw__Wire__WeightsAge),
+  3,
+  gw__wire__weights_age__field_descriptors,
+  gw__wire__weights_age__field_indices_by_name,
+  1,  gw__wire__weights_age__number_ranges,
+  (ProtobufCMessageInit) gw__wire__weights_age__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[24] =
 {
   {
     "hello",
@@ -3518,6 +3627,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "weights_age",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Wire__Frame, body_case),
+    offsetof(Gw__Wire__Frame, weights_age),
+    &gw__wire__weights_age__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__frame__field_indices_by_name[] = {
   12,   /* field[12] = ack */
@@ -3543,12 +3664,13 @@
   14,   /* field[14] = resume */
   15,   /* field[15] = resume_result */
   8,   /* field[8] = submit */
+  23,   /* field[23] = weights_age */
 };
 static const ProtobufCIntRange gw__wire__frame__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 22, 18 },
-  { 0, 23 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor gw__wire__frame__descriptor =
 {
@@ -3558,7 +3680,7 @@
   "Gw__Wire__Frame",
   "gw.wire",
   sizeof(Gw__Wire__Frame),
-  23,
+  24,
   gw__wire__frame__field_descriptors,
   gw__wire__frame__field_indices_by_name,
   2,  gw__wire__frame__number_ranges,
