No request is sent to outdated weights that would begin past the bound

Cause: the last moment of an engine with older weights was 0.8 s before the bound, whatever waited there.

That moment now follows from the tokens that wait there and the request's own, at the slowest reading speed seen, and from a slot or memory that must become free (routing/outdated). A stream that all the same has no reply 0.3 s before the bound is withdrawn and goes elsewhere if it may.

Ruled out: the desperate pass, which never set this exclusion aside. Open: streams that may not be repeated end in 502 when they are withdrawn.

--- a/packages/gateway/src/choosing.c
+++ b/packages/gateway/src/choosing.c
@@ -2,11 +2,11 @@
 
 #include <string.h>
 
+#include "galenagw/routing/outdated.h"
+
 /* Older weights cost nothing for 1.5 s after a new version was named. */
 #define WEIGHTS_FREE (1300 * GW_MILLISECOND)
 
-/* A version that becomes due this soon is asked for already now. */
-#define WEIGHTS_MARGIN (800 * GW_MILLISECOND)
 /* Output tokens from which on a request runs for long: some 200 ms. */
 #define LONG_OUTPUT 24
 
@@ -25,6 +25,8 @@
 
 static void fill_candidate_(const GwRequest *r, const GwInstance *instance,
                             Survey *survey, GwCandidate *out);
+static bool may_begin_in_time_(const GwRequest *r, const GwInstance *instance,
+                               const GwCandidate *c, GwTime now);
 static char *scope_(const GwRequest *r, const GwInstance *instance);
 static uint64_t missing_tokens_(const GwRequest *r, const GwInstance *instance,
                                 Survey *survey);
@@ -207,9 +209,8 @@
         (survey->desperate ||
          (heard != GW_HEARD_OVERDUE && instance->avoid_until <= now &&
           GwHealth_IsUsable(&instance->health, instance->in_flight, now)));
-    // Requests on weights that should be gone by now must not begin.
-    if (outdated != 0 && now - outdated > g->weights_bound - WEIGHTS_MARGIN)
-        out->usable = false;
+    // Not even where all others are excluded.
+    out->usable = out->usable && may_begin_in_time_(r, instance, out, now);
     for (unsigned i = 0; i < r->n_tried; i++)
         out->usable = out->usable && r->tried[i] != instance->place;
     if (service != NULL && service->max_connections > 0 &&
@@ -218,6 +219,27 @@
         out->usable = false;
 }
 
+// Whether it would begin while the engine may still have its weights.
+static bool
+may_begin_in_time_(const GwRequest *r, const GwInstance *instance,
+                   const GwCandidate *c, GwTime now)
+{
+    GwTarget target = GwView_Target(r->gateway->view, instance->model);
+    GwOutdatedFacts facts = {
+        .since = GwTarget_OutdatedSince(&target, instance->weights),
+        .now = now,
+        .bound = r->gateway->weights_bound,
+        .tokens = c->prefill_tokens + r->ask.prompt_tokens,
+        .is_full =
+            c->in_flight >= c->slots ||
+            (c->kv_total > 0 && (uint64_t)c->kv_used + r->ask.prompt_tokens +
+                                        r->ask.output_tokens >
+                                    c->kv_total),
+    };
+
+    return GwOutdated_MaySend(&facts);
+}
+
 // Cache scope of the request at @p instance, newly allocated.
 static char *
 scope_(const GwRequest *r, const GwInstance *instance)
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -25,6 +25,7 @@
 #define MAX_BODIES (32 * 1024 * 1024)
 
 static void on_routes_(void *user);
+static void on_weights_(void *user, const char *model, const GwTarget *target);
 static void on_instance_added_(void *user, GwInstance *instance);
 static void on_instance_freed_(void *user, GwInstance *instance);
 static void on_engine_down_(void *user, GwInstance *instance);
@@ -43,6 +44,7 @@
 
 static const GwViewOps view_ops = {
     .on_routes = on_routes_,
+    .on_weights = on_weights_,
     .on_instance_added = on_instance_added_,
     .on_instance_freed = on_instance_freed_,
 };
@@ -177,6 +179,12 @@
     GwKvStores_Follow(g->kv_stores, GwView_Routes(g->view));
 }
 
+static void
+on_weights_(void *user, const char *model, const GwTarget *target)
+{
+    GwRequest_WeightsNamed(user);
+}
+
 static void
 on_instance_added_(void *user, GwInstance *instance)
 {
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -4,6 +4,7 @@
 
 #include "choosing.h"
 #include "galenagw/routing/attempt.h"
+#include "galenagw/routing/outdated.h"
 #include "galenagw/routing/overload.h"
 #include "request_log.h"
 #include "request_private.h"
@@ -59,6 +60,9 @@
 static void leave_instance_(GwRequest *r);
 static void arm_patience_(GwRequest *r);
 static void on_patience_(void *user);
+static void arm_withdrawal_(GwRequest *r);
+static void on_withdrawal_(void *user);
+static GwTime withdraw_at_(const GwRequest *r);
 static void on_deadline_(void *user);
 static void answer_refusal_(GwRequest *r, GwRefusal refusal);
 static void done_(GwRequest *r);
@@ -130,6 +134,18 @@
     }
 }
 
+void
+GwRequest_WeightsNamed(GwGateway *g)
+{
+    GwRequest *r;
+
+    TAILQ_FOREACH(r, &g->requests, link)
+    {
+        if (r->instance != NULL)
+            arm_withdrawal_(r);
+    }
+}
+
 // An engine that takes no new connection is not dead: a leaving one closes its
 // port first and finishes what it runs. One that does not leave is believed to
 // live as long as the stream comes; its end, if it is dead, is a reset.
@@ -194,6 +210,7 @@
     GwEventSplitter_Init(&r->events);
     GwTimer_Init(&r->timer, g->loop, on_deadline_, r);
     GwTimer_Init(&r->patience, g->loop, on_patience_, r);
+    GwTimer_Init(&r->withdrawal, g->loop, on_withdrawal_, r);
     GwHttpCall_SetUser(call, r);
     g->active++;
     TAILQ_INSERT_TAIL(&g->requests, r, link);
@@ -332,6 +349,7 @@
     GwRequestLog_Attempt(r, &dispatch);
     r->upstream = GwUpstream_Send(instance->user, &options);
     arm_patience_(r);
+    arm_withdrawal_(r);
 }
 
 // Tokens of memory that it takes at an engine, at most.
@@ -609,6 +627,7 @@
 leave_instance_(GwRequest *r)
 {
     GwTimer_Stop(&r->patience);
+    GwTimer_Stop(&r->withdrawal);
     if (r->instance == NULL)
         return;
     r->instance->in_flight--;
@@ -651,6 +670,46 @@
     attempt_(r);
 }
 
+// Streams alone show when they begin; an engine drops from its queue what has
+// lost its connection.
+static void
+arm_withdrawal_(GwRequest *r)
+{
+    GwTime at = withdraw_at_(r);
+
+    if (at != 0 && !r->has_reply && r->route->type == GW_ROUTE_STREAMING)
+        GwTimer_Start(&r->withdrawal, MAX(at - GwTime_Now(), 0));
+}
+
+static void
+on_withdrawal_(void *user)
+{
+    GwRequest *r = user;
+    GwTime at = withdraw_at_(r);
+
+    if (at == 0 || r->has_reply)
+        return;
+    // It has got a version since that is outdated by a later one.
+    if (at > GwTime_Now()) {
+        arm_withdrawal_(r);
+        return;
+    }
+    GwUpstream_Cancel(g_steal_pointer(&r->upstream));
+    after_failure_(r, GW_ATTEMPT_MAY_HAVE_RUN, "outdated_weights");
+}
+
+// When the request is taken back from its engine; 0: the weights there are
+// the newest.
+static GwTime
+withdraw_at_(const GwRequest *r)
+{
+    GwTarget target = GwView_Target(r->gateway->view, r->instance->model);
+
+    return GwOutdated_WithdrawAt(
+        GwTarget_OutdatedSince(&target, r->instance->weights),
+        r->gateway->weights_bound);
+}
+
 static void
 on_deadline_(void *user)
 {
@@ -720,6 +779,7 @@
     leave_instance_(r);
     GwTimer_Stop(&r->timer);
     GwTimer_Stop(&r->patience);
+    GwTimer_Stop(&r->withdrawal);
     TAILQ_REMOVE(&g->requests, r, link);
     GwHttpHead_Free(r->reply_head);
     if (r->held != NULL)
--- a/packages/gateway/src/request.h
+++ b/packages/gateway/src/request.h
@@ -17,6 +17,9 @@
  * waits for it to come back. */
 void GwRequest_EndpointLost(GwGateway *gateway, const GwInstance *instance,
                             bool certain);
+/* A version was named: what still waits at an engine whose weights have become
+ * outdated is taken back shortly before they must be gone. */
+void GwRequest_WeightsNamed(GwGateway *gateway);
 /* The caller has read what it was sent. */
 void GwRequest_CallerDrained(GwRequest *request);
 /* Answer a request that was refused before it was whole. */
--- a/packages/gateway/src/request_private.h
+++ b/packages/gateway/src/request_private.h
@@ -27,7 +27,8 @@
     GwTime arrived;
     GwTime deadline;
     GwTimer timer;
-    GwTimer patience; /* with an attempt that could be made elsewhere */
+    GwTimer patience;   /* with an attempt that could be made elsewhere */
+    GwTimer withdrawal; /* from an engine whose weights must be gone */
 
     GwInstance *instance; /* of the attempt under way */
     GwUpstream *upstream;
--- a/packages/routing/include/galenagw/routing/overload.h
+++ b/packages/routing/include/galenagw/routing/overload.h
@@ -41,6 +41,9 @@
 
 /** @return 0 to send it now, else after how long its caller should return. */
 GwTime GwOverload_Defer(const GwOverloadFacts *facts);
+/** How long an engine takes to read @p tokens, at the slowest that was seen.
+ */
+GwTime GwOverload_SlowestRead(uint64_t tokens);
 
 #ifdef __cplusplus
 }
--- a/packages/routing/src/overload.c
+++ b/packages/routing/src/overload.c
@@ -59,6 +59,12 @@
     return (GwTime)CLAMP(over, RETURN_LEAST, RETURN_MOST);
 }
 
+GwTime
+GwOverload_SlowestRead(uint64_t tokens)
+{
+    return (GwTime)((double)tokens / READ_FULL_PER_MS * GW_MILLISECOND);
+}
+
 static double
 read_per_ms_(const GwOverloadFacts *f)
 {
