The order for new weights comes before the bound however late an engine starts

Causes, each shown by its own test. Being prepared and settling took up to 1.5 s beside an engine that starts with old weights shortly before the bound. And a sidecar whose engine started again kept the id of the one before: it reads the list every 10 s, so its orders and its words to the gateways went by the old id until a peer told it the new one.

Waits shrink to what is left until 0.8 s before the bound: first the preparing, then the settling; then the order comes, and the engine turns away unrun what waits. After an engine was found again the list is read with each report until its new id is known, 3 s at most. A step of the roll is followed 40 ms later by the next report, not by up to 250 ms.

Roll tests: GwRoll_IsPrepared takes what is left as one more argument; all their old cases are kept.

--- a/packages/cluster/include/galenagw/cluster/store_reader.h
+++ b/packages/cluster/include/galenagw/cluster/store_reader.h
@@ -49,6 +49,8 @@
  * has gone silent and is opened anew.
  */
 void GwStoreReader_Suspect(GwStoreReader *reader, GwList list);
+/** End a pause between two readings of @p list. */
+void GwStoreReader_ReadNow(GwStoreReader *reader, GwList list);
 
 #ifdef __cplusplus
 }
--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -126,6 +126,18 @@
     GwTimer_Start(&f->suspicion, SUSPECT_AFTER);
 }
 
+void
+GwStoreReader_ReadNow(GwStoreReader *r, GwList list)
+{
+    Follower *f = &r->followers[list];
+
+    // After a failure the pause spares the store, and stays.
+    if (f->failures > 0 || GwHttpCaller_IsBusy(f->caller))
+        return;
+    GwTimer_Stop(&f->timer);
+    call_(f);
+}
+
 static void
 call_(void *user)
 {
--- a/packages/sidecar/include/galenagw/sidecar/roll.h
+++ b/packages/sidecar/include/galenagw/sidecar/roll.h
@@ -36,12 +36,23 @@
 size_t GwRoll_AtOnce(size_t engines);
 /** Whether it is this engine's turn. */
 bool GwRoll_MayStart(const GwRollFacts *facts);
+/**
+ * How much is left until the order must be given, whatever waits or runs at
+ * the engine: what waits is turned away by it, as not run. 0 or less: now.
+ */
+GwTime GwRoll_Left(GwTime outdated, GwTime bound);
 /**
  * Whether an engine that has taken no more long runs for @p since, with so
  * many still running, takes no more short ones either, to load. Long runs
- * that are left go on under the new weights.
+ * that are left go on under the new weights. With little @p left, the queue
+ * gets that time: what waits there begins at once elsewhere or not at all.
+ */
+bool GwRoll_IsPrepared(GwTime since, unsigned long_runs, GwTime left);
+/**
+ * Whether an engine that entries were told to send nothing to, @p since ago,
+ * gets its order; @p waits: something was seen to wait there.
  */
-bool GwRoll_IsPrepared(GwTime since, unsigned long_runs);
+bool GwRoll_IsSettled(GwTime since, bool waits, GwTime left);
 
 #ifdef __cplusplus
 }
--- a/packages/sidecar/src/roll.c
+++ b/packages/sidecar/src/roll.c
@@ -19,6 +19,21 @@
 #define PREPARE_LEAST (60 * GW_MILLISECOND)
 #define PREPARE_MOST (600 * GW_MILLISECOND)
 
+/* Entries stop sending on our word. What is on the way, or waits at the
+ * engine, would be turned away by the order: it is given once nothing waits,
+ * which must have been seen in a report made after the last arrival. Reports
+ * are some hundred milliseconds old at the engine's other callers, not here.
+ */
+#define SETTLE_LEAST (60 * GW_MILLISECOND)
+#define SETTLE_MOST (900 * GW_MILLISECOND)
+
+/* An engine that starts late, with weights that must soon be gone, still has
+ * requests in its queue that would begin past the bound. The order comes this
+ * much before it: entries learn of a version up to 200 ms after it was
+ * acknowledged, the order takes some milliseconds, and entries withdraw what
+ * waits only 300 ms before, with no promise then that it was not run. */
+#define ORDER_BEFORE (800 * GW_MILLISECOND)
+
 size_t
 GwRoll_AtOnce(size_t engines)
 {
@@ -34,11 +49,27 @@
         return true;
     if (facts->before_lost && facts->outdated >= LOST_WAIT)
         return true;
-    return (double)facts->outdated >= LATEST_SHARE * (double)facts->bound;
+    return (double)facts->outdated >= LATEST_SHARE * (double)facts->bound ||
+           GwRoll_Left(facts->outdated, facts->bound) <= 0;
+}
+
+GwTime
+GwRoll_Left(GwTime outdated, GwTime bound)
+{
+    return bound - ORDER_BEFORE - outdated;
 }
 
 bool
-GwRoll_IsPrepared(GwTime since, unsigned long_runs)
+GwRoll_IsPrepared(GwTime since, unsigned long_runs, GwTime left)
 {
-    return since >= (long_runs == 0 ? PREPARE_LEAST : PREPARE_MOST);
+    return left <= SETTLE_MOST ||
+           since >= (long_runs == 0 ? PREPARE_LEAST : PREPARE_MOST);
+}
+
+bool
+GwRoll_IsSettled(GwTime since, bool waits, GwTime left)
+{
+    if (left <= 0)
+        return true;
+    return since >= (waits ? SETTLE_MOST : SETTLE_LEAST);
 }
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -24,18 +24,16 @@
 #define ORDER_TIMEOUT (1 * GW_SECOND)
 #define FENCE_TIMEOUT (2 * GW_SECOND)
 #define FENCE_RETRY (500 * GW_MILLISECOND)
-/* Entries stop sending on our word. What is on the way, or waits at the
- * engine, would be turned away by the order: it is given once nothing waits,
- * which must have been seen in a report made after the last arrival. Reports
- * are some hundred milliseconds old at the engine's other callers, not here.
- */
-#define SETTLE (60 * GW_MILLISECOND)
-#define SETTLE_MOST (900 * GW_MILLISECOND)
 /* The state of the engine that ours follows comes more often than this. */
 #define HEARD_WITHIN (2 * GW_SECOND)
 /* The list of engines changes seldom, but for the versions in it, which
  * agents have no use for: entries tell of the rest in between. */
 #define INSTANCES_PAUSE (10 * GW_SECOND)
+/* An engine that comes back may be another incarnation: by the id of the one
+ * before, orders are turned away and entries hear nothing of it. Until its id
+ * is known the list is read with each report, for so long at most; others'
+ * news end such a call too. Rows came within a second of a start. */
+#define LOOK_FOR_ID (3 * GW_SECOND)
 /* An order without an effect for so long is given again. One that was lost
  * may still be carried out later, and then finds another count of orders. */
 #define ORDER_AGAIN (2500 * GW_MILLISECOND)
@@ -83,7 +81,10 @@
     GwTime reported_at; /* 0: the engine does not answer */
     unsigned missed;    /* reports in a row */
     Stage stage;
-    int64_t loading; /* the version being loaded */
+    int64_t loading;     /* the version being loaded */
+    GwTime found_at;     /* when the engine was last found; 0: it is known by
+                            its id */
+    int64_t lost_offset; /* of the row that it had before */
     GwTime preparing_since;
     GwTime settling_since;
     GwTime ordered_at;
@@ -96,7 +97,9 @@
 static void on_report_(void *user, GwCallOutcome outcome, int status,
                        const char *body, size_t len);
 static void missed_(GwSidecar *s, GwCallOutcome outcome);
+static void look_for_id_(GwSidecar *s);
 static void decide_(GwSidecar *s);
+static void advance_(GwSidecar *s, const GwInstance *instance);
 static void tell_(GwSidecar *s, const GwInstance *instance);
 static bool is_news_(const GwSidecar *s, const GwEngineState *state);
 static bool is_our_turn_(GwSidecar *s, const GwInstance *own);
@@ -222,7 +225,9 @@
         GwEvent_Text(s->log, "model", s->report.model);
         GwEvent_Number(s->log, "weights", s->report.weights);
         GwEvent_End(s->log);
+        s->found_at = s->reported_at;
     }
+    look_for_id_(s);
     decide_(s);
 }
 
@@ -238,8 +243,25 @@
         return;
     }
     s->reported_at = 0;
-    if (instance != NULL)
+    if (instance != NULL) {
+        s->lost_offset = instance->offset;
         tell_(s, instance);
+    }
+}
+
+static void
+look_for_id_(GwSidecar *s)
+{
+    const GwInstance *instance = own_(s);
+
+    if (s->found_at == 0)
+        return;
+    if ((instance != NULL && instance->offset > s->lost_offset) ||
+        GwTime_Now() - s->found_at > LOOK_FOR_ID) {
+        s->found_at = 0;
+        return;
+    }
+    GwStoreReader_ReadNow(s->reader, GW_LIST_INSTANCES);
 }
 
 static void
@@ -264,24 +286,33 @@
     if (s->stage == STAGE_ORDERED && !s->report.busy &&
         now - s->ordered_at > ORDER_AGAIN)
         s->stage = STAGE_SERVING;
+    advance_(s, instance);
+    tell_(s, instance);
+}
+
+// Close to the bound the stages follow each other without a wait.
+static void
+advance_(GwSidecar *s, const GwInstance *instance)
+{
+    GwTime now = GwTime_Now();
+    GwTime left = GwRoll_Left(now - s->outdated_at, s->weights_bound);
+    bool waits = s->report.queued > 0 || GwPeers_WaitingTokens(s->peers) > 0;
+
     if (s->stage == STAGE_SERVING && s->outdated_at != 0 && s->fence > 0 &&
         !s->report.busy && !instance->draining && is_our_turn_(s, instance)) {
         s->stage = STAGE_PREPARING;
         s->preparing_since = now;
+        GwTimer_Start(&s->poll_timer, POLL_LOADING);
     }
-    else if (s->stage == STAGE_PREPARING &&
-             GwRoll_IsPrepared(now - s->preparing_since,
-                               GwPeers_LongRuns(s->peers))) {
+    if (s->stage == STAGE_PREPARING &&
+        GwRoll_IsPrepared(now - s->preparing_since, GwPeers_LongRuns(s->peers),
+                          left)) {
         s->stage = STAGE_SETTLING;
         s->settling_since = now;
     }
-    else if (s->stage == STAGE_SETTLING && now - s->settling_since >= SETTLE &&
-             ((s->report.queued == 0 &&
-               GwPeers_WaitingTokens(s->peers) == 0) ||
-              now - s->settling_since >= SETTLE_MOST)) {
+    if (s->stage == STAGE_SETTLING &&
+        GwRoll_IsSettled(now - s->settling_since, waits, left))
         order_(s);
-    }
-    tell_(s, instance);
 }
 
 static void
--- a/packages/sidecar/tests/roll_test.cc
+++ b/packages/sidecar/tests/roll_test.cc
@@ -78,16 +78,72 @@
         const char *name;
         GwTime since;
         unsigned long_runs;
+        GwTime left;
         bool want;
     } cases[] = {
-        {"just told", 10 * GW_MILLISECOND, 0, false},
-        {"none is left", 100 * GW_MILLISECOND, 0, true},
-        {"some are left", 100 * GW_MILLISECOND, 4, false},
-        {"some would take seconds", 700 * GW_MILLISECOND, 4, true},
+        {"just told", 10 * GW_MILLISECOND, 0, 4 * GW_SECOND, false},
+        {"none is left", 100 * GW_MILLISECOND, 0, 4 * GW_SECOND, true},
+        {"some are left", 100 * GW_MILLISECOND, 4, 4 * GW_SECOND, false},
+        {"some would take seconds", 700 * GW_MILLISECOND, 4, 4 * GW_SECOND,
+         true},
+        {"the queue needs what is left", 0, 4, 700 * GW_MILLISECOND, true},
+        {"nothing is left", 0, 4, -GW_SECOND, true},
+    };
+
+    for (auto &c : cases)
+        EXPECT_EQ(GwRoll_IsPrepared(c.since, c.long_runs, c.left), c.want)
+            << c.name;
+}
+
+TEST(Roll, TheQueueIsWaitedForOnlyAsLongAsTheBoundAllows)
+{
+    const struct {
+        const char *name;
+        GwTime since;
+        bool waits;
+        GwTime left;
+        bool want;
+    } cases[] = {
+        {"just told", 10 * GW_MILLISECOND, false, GW_SECOND, false},
+        {"nothing waits", 70 * GW_MILLISECOND, false, GW_SECOND, true},
+        {"something waits", 500 * GW_MILLISECOND, true, GW_SECOND, false},
+        {"it waits for long", 950 * GW_MILLISECOND, true, GW_SECOND, true},
+        {"no time is left", 0, true, 0, true},
     };
 
     for (auto &c : cases)
-        EXPECT_EQ(GwRoll_IsPrepared(c.since, c.long_runs), c.want) << c.name;
+        EXPECT_EQ(GwRoll_IsSettled(c.since, c.waits, c.left), c.want)
+            << c.name;
+}
+
+// An engine is found with old weights, at any age of the new version, with
+// long runs and a queue that does not end. Reports come every 40 ms. The
+// order comes half a second before the bound at least, or, found later than
+// that, with the first report.
+TEST(Roll, TheOrderComesBeforeTheBoundHoweverLateTheEngineStarts)
+{
+    for (GwTime bound : {2 * GW_SECOND, 8 * GW_SECOND, 20 * GW_SECOND}) {
+        for (GwTime found = 0; found < bound + GW_SECOND;
+             found += 100 * GW_MILLISECOND) {
+            GwTime preparing = -1, settling = -1, ordered = -1;
+
+            for (GwTime age = found; ordered < 0; age += 40 * GW_MILLISECOND) {
+                GwRollFacts f = {age, bound, false, false, false};
+                GwTime left = GwRoll_Left(age, bound);
+
+                if (preparing < 0 && GwRoll_MayStart(&f))
+                    preparing = age;
+                if (preparing >= 0 && settling < 0 &&
+                    GwRoll_IsPrepared(age - preparing, 4, left))
+                    settling = age;
+                if (settling >= 0 &&
+                    GwRoll_IsSettled(age - settling, true, left))
+                    ordered = age;
+            }
+            EXPECT_LE(ordered, std::max(found, bound - 500 * GW_MILLISECOND))
+                << bound << " " << found;
+        }
+    }
 }
 
 // A fleet of 38 whose long runs last 2.2 s, under high load, rolls a version.
@@ -115,7 +171,8 @@
                 started[i] = now;
             else if (started[i] >= 0 && loaded[i] < 0 &&
                      GwRoll_IsPrepared(now - started[i],
-                                       now - started[i] < long_run))
+                                       now - started[i] < long_run,
+                                       GwRoll_Left(now, bound)))
                 loaded[i] = now;
             done += loaded[i] >= 0 && now == loaded[i] + load;
             taking +=
--- a/packages/sidecar/tests/sidecar_test.cc
+++ b/packages/sidecar/tests/sidecar_test.cc
@@ -8,6 +8,7 @@
     int weights = 1;
     int accepted = 0; // its count of orders
     bool busy = false;
+    int queued = 0;
     std::vector<json_t *> orders;
     std::function<void(Engine *, FakeExchange *)> on_order;
 
@@ -45,6 +46,7 @@
         };
         deployment = f.Deployment("side-1");
         deployment.endpoint = engine.endpoint->address;
+        deployment.weights_bound = bound;
         options.deployment = &deployment;
         sidecar = GwSidecar_New(f.loop, &options, &err);
         ASSERT_NE(sidecar, nullptr) << err.message;
@@ -58,16 +60,22 @@
     void
     Serve(FakeExchange *x)
     {
+        if (down) {
+            FakeExchange_Close(x, true);
+            return;
+        }
         if (strcmp(x->head->target, "/galenagw/report") == 0) {
             std::string text =
                 "{\"models\":[{\"name\":\"m\",\"version\":" +
                 std::to_string(engine.weights) +
                 "}],\"busy\":" + (engine.busy ? "true" : "false") +
                 ",\"seq\":" + std::to_string(engine.accepted) +
-                ",\"queued\":0,\"running\":0,\"kv_total\":100}";
+                ",\"queued\":" + std::to_string(engine.queued) +
+                ",\"running\":0,\"kv_total\":100}";
             FakeExchange_Answer(x, 200, "", text.data(), text.size());
             return;
         }
+        by_id = Endpoint::Header(x, "X-Expect-Instance");
         engine.orders.push_back(
             json_loadb(x->body->str, x->body->len, 0, nullptr));
         if (engine.on_order)
@@ -77,6 +85,9 @@
     }
 
     Fleet f;
+    GwTime bound = 8 * GW_SECOND;
+    bool down = false; // each connection is reset
+    std::string by_id; // the engine that the last order was meant for
     Engine engine;
     GwDeployment deployment = {};
     GwSidecar *sidecar = nullptr;
@@ -174,3 +185,48 @@
     ASSERT_TRUE(f.Until([&] { return engine.weights == 3; }));
     EXPECT_GT(engine.Int(1, "fence"), engine.Int(0, "fence"));
 }
+
+// An engine restarts 0.9 s before its old weights must be gone, and callers'
+// prompts wait there at once. Its sidecar would let them be read first, and
+// the order would come past the bound: those prompts would begin on weights
+// that should be gone. What is left until the bound decides: the order comes
+// in time, and what waits is turned away as not run.
+TEST_F(SidecarTest, AnEngineThatStartsLateGetsItsOrderBeforeTheBound)
+{
+    bound = 3 * GW_SECOND;
+    Start();
+    f.NameWeights(2);
+    ASSERT_TRUE(f.Until([&] { return engine.weights == 2; }));
+    GwTime named = GwTime_Now(); // a little later than it was
+    f.Wait(bound - 900 * GW_MILLISECOND);
+    engine.accepted = 0;
+    engine.queued = 5;
+    engine.weights = 1;
+    ASSERT_TRUE(f.Until([&] { return engine.orders.size() == 2; }));
+    EXPECT_LT(GwTime_Now() - named, bound - 400 * GW_MILLISECOND);
+}
+
+// An engine crashes and starts again under another id. Its sidecar reads the
+// list of engines seldom; by the old id it would give orders that are turned
+// away, and gateways would not hear of the new one, for as long as ten
+// seconds.
+TEST_F(SidecarTest, ARestartedEngineIsOrderedUnderItsNewId)
+{
+    Start();
+    f.NameWeights(2);
+    ASSERT_TRUE(f.Until([&] { return engine.weights == 2; }));
+    Endpoint *first = engine.endpoint;
+    // Two changes of the list: the sidecar has read and pauses now.
+    f.ListEndpoint(first, "ready", 2);
+    f.Wait(300 * GW_MILLISECOND);
+    down = true;
+    f.Wait(700 * GW_MILLISECOND);
+    down = false;
+    engine.weights = 1;
+    engine.accepted = 0;
+    first->id = "i-2";
+    f.ListEndpoint(first, "ready", 1);
+    GwTime started = GwTime_Now();
+    ASSERT_TRUE(f.Until([&] { return by_id == "i-2"; }));
+    EXPECT_LT(GwTime_Now() - started, GW_SECOND);
+}
