--- a/packages/cluster/include/galenagw/cluster/store_reader.h
+++ b/packages/cluster/include/galenagw/cluster/store_reader.h
@@ -54,6 +54,8 @@
  * has gone silent and is opened anew.
  */
 void GwStoreReader_Suspect(GwStoreReader *reader, GwList list);
+/** End a pause between two readings of @p list. */
+void GwStoreReader_ReadNow(GwStoreReader *reader, GwList list);
 
 #ifdef __cplusplus
 }
