Transfers of lists can be seen: asked, told, bytes, and what a cut call had

Cause looked for: a list of 840 kB never arrives over 10 Mbit/s. Until now no line told whether the reader cuts its own download or peers send copies. store_silent tells the bytes received, records_asked and records_told who sends whom how much, records_from_peer its bytes; three counters for the same. No change of behaviour.

--- a/packages/base/src/counters.c
+++ b/packages/base/src/counters.c
@@ -24,6 +24,8 @@
     "store_errors",     "records_from_peers",
     "upstream_opened",  "upstream_reused",
     "resumed",          "spilled",
+    "records_asked",    "records_told_bytes",
+    "bytes_from_peers",
 };
 
 const char *const GwHistogram_Names[GW_HISTOGRAMS] = {
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -29,6 +29,7 @@
     GwPeers *owner;
     GwSession *session;
     GwAddress address; /* of one that we connect to */
+    char name[64];     /* by its hello */
     bool outbound;
     bool wanted; /* by the last comparison with the list */
     bool is_entry;
@@ -71,6 +72,8 @@
     Gw__Wire__ListRecord *pointers[FRAME_RECORDS];
     size_t n;
     size_t bytes;
+    size_t told; /* in all frames */
+    size_t told_bytes;
 } Batch;
 
 static GwSessionOptions session_options_(GwPeers *p);
@@ -90,6 +93,10 @@
 static bool needs_seeds_(const GwPeers *p);
 static void tell_records_(GwPeers *p, GwSession *session,
                           const Gw__Wire__RecordsAsk *ask);
+static void log_asked_(GwPeers *p, const GwSession *session,
+                       const Gw__Wire__RecordsAsk *ask);
+static void log_told_(GwPeers *p, const GwSession *session,
+                      const Batch *batch);
 static void add_to_batch_(void *user, GwList list, const GwRecord *record);
 static void send_batch_(Batch *batch);
 static void take_records_(GwPeers *p, const Gw__Wire__RecordsTell *tell);
@@ -243,6 +250,7 @@
         peer->session = session;
         TAILQ_INSERT_TAIL(&p->peers, peer, link);
     }
+    g_strlcpy(peer->name, hello->instance, sizeof(peer->name));
     peer->is_entry = hello->role == GW__WIRE__ROLE__ROLE_ENTRY;
     GwEvent_Begin(p->options.log, "peer_ready", NULL);
     GwEvent_Text(p->options.log, "peer", hello->instance);
@@ -297,6 +305,7 @@
     ask.operator_end = (uint64_t)GwRecords_End(records, GW_LIST_OPERATOR);
     ask.instances_end = (uint64_t)GwRecords_End(records, GW_LIST_INSTANCES);
     GwSession_Send(session, &frame);
+    log_asked_(p, session, &ask);
 }
 
 static void
@@ -478,9 +487,43 @@
         GwRecords_Each(records, (GwList)i, (int64_t)ends[i], add_to_batch_,
                        batch);
         send_batch_(batch);
+        log_told_(p, session, batch);
     }
 }
 
+// Who sends whom the lists, and how often: copies that follow each other
+// fill a slow link, and no other line shows it.
+static void
+log_asked_(GwPeers *p, const GwSession *session,
+           const Gw__Wire__RecordsAsk *ask)
+{
+    const Peer *peer = find_(p, session);
+
+    GwCounters_Add(p->options.counters, GW_COUNTER_RECORDS_ASKED, 1);
+    GwEvent_Begin(p->options.log, "records_asked", NULL);
+    GwEvent_Text(p->options.log, "peer", peer != NULL ? peer->name : NULL);
+    GwEvent_Number(p->options.log, "operator_end", (int64_t)ask->operator_end);
+    GwEvent_Number(p->options.log, "instances_end",
+                   (int64_t)ask->instances_end);
+    GwEvent_End(p->options.log);
+}
+
+static void
+log_told_(GwPeers *p, const GwSession *session, const Batch *batch)
+{
+    const Peer *peer = find_(p, session);
+
+    GwCounters_Add(p->options.counters, GW_COUNTER_RECORDS_TOLD_BYTES,
+                   batch->told_bytes);
+    GwEvent_Begin(p->options.log, "records_told", NULL);
+    GwEvent_Text(p->options.log, "peer", peer != NULL ? peer->name : NULL);
+    GwEvent_Text(p->options.log, "list", GwList_Names[batch->list]);
+    GwEvent_Number(p->options.log, "records", (int64_t)batch->told);
+    GwEvent_Number(p->options.log, "bytes", (int64_t)batch->told_bytes);
+    GwEvent_Number(p->options.log, "end", (int64_t)batch->end);
+    GwEvent_End(p->options.log);
+}
+
 static void
 add_to_batch_(void *user, GwList list, const GwRecord *record)
 {
@@ -515,6 +558,8 @@
     tell.n_records = batch->n;
     tell.records = batch->pointers;
     GwSession_Send(batch->session, &frame);
+    batch->told += batch->n;
+    batch->told_bytes += batch->bytes;
     batch->n = 0;
     batch->bytes = 0;
 }
@@ -524,6 +569,7 @@
 {
     GwRecords *records = GwView_Records(p->options.view);
     unsigned news = 0;
+    size_t bytes = 0;
 
     if (tell->list >= GW_LISTS)
         return;
@@ -536,16 +582,21 @@
             .offset = (int64_t)r->offset,
         };
 
+        bytes += r->value.len;
         if (GwRecords_Apply(records, (GwList)tell->list, &record))
             news++;
     }
     GwRecords_SetEnd(records, (GwList)tell->list, (int64_t)tell->end);
+    // Also of records that were known already: they took the link all the
+    // same.
+    GwCounters_Add(p->options.counters, GW_COUNTER_BYTES_FROM_PEERS, bytes);
     if (news == 0)
         return;
     GwCounters_Add(p->options.counters, GW_COUNTER_RECORDS_FROM_PEERS, news);
     GwEvent_Begin(p->options.log, "records_from_peer", NULL);
     GwEvent_Text(p->options.log, "list", GwList_Names[tell->list]);
     GwEvent_Number(p->options.log, "records", news);
+    GwEvent_Number(p->options.log, "bytes", (int64_t)bytes);
     GwEvent_Number(p->options.log, "end", (int64_t)tell->end);
     GwEvent_End(p->options.log);
 }
--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -294,6 +294,8 @@
 {
     GwEvent_Begin(f->owner->options.log, "store_silent", NULL);
     GwEvent_Text(f->owner->options.log, "list", GwList_Names[f->list]);
+    GwEvent_Number(f->owner->options.log, "received",
+                   (int64_t)GwHttpCaller_Received(f->caller));
     GwEvent_End(f->owner->options.log);
     GwHttpCaller_Cancel(f->caller);
     call_(f);
--- a/packages/http/include/galenagw/http/caller.h
+++ b/packages/http/include/galenagw/http/caller.h
@@ -45,6 +45,8 @@
 /** Drop the call under way, without its callback, and the connection. */
 void GwHttpCaller_Cancel(GwHttpCaller *caller);
 bool GwHttpCaller_IsBusy(const GwHttpCaller *caller);
+/** Bytes of the answer that have come so far; 0 without a call. */
+size_t GwHttpCaller_Received(const GwHttpCaller *caller);
 
 #ifdef __cplusplus
 }
--- a/packages/http/src/caller.c
+++ b/packages/http/src/caller.c
@@ -11,6 +11,7 @@
     GwHttpReader *reader; /* of the connection */
     GString *request;
     GString *body;
+    size_t received; /* bytes of the answer under way, with its head */
     int status;
     bool keep;
     GwTimer timer;
@@ -76,6 +77,7 @@
     g_string_assign(c->request, "");
     g_string_append_len(c->request, request->str, (gssize)request->len);
     g_string_truncate(c->body, 0);
+    c->received = 0;
     GwTimer_Start(&c->timer, timeout);
     if (c->tcp == NULL)
         connect_(c);
@@ -99,6 +101,12 @@
     return c->fn != NULL;
 }
 
+size_t
+GwHttpCaller_Received(const GwHttpCaller *c)
+{
+    return c->fn != NULL ? c->received : 0;
+}
+
 static void
 on_open_(void *user)
 {
@@ -117,6 +125,7 @@
     GwHttpProgress progress =
         GwHttpReader_Feed(c->reader, (const char *)data, len, &used);
 
+    c->received += len;
     if (progress == GW_HTTP_MORE)
         return;
     // Bytes behind the answer, or with no call under way, belong to none.
