One copy of a large list at a time, and a copy that moves is no silence

Cause: a process behind asked whichever peer pinged next, every 0.4 s, for a whole copy, while earlier ones were on the way; its own call was cut 0.3 s after a peer knew more, whatever had come; pongs waited behind the copies, so sessions counted as silent and asked again when opened anew.

Now GwFetch (no network, table tests) decides when a peer is asked: not while the store's answer or a peer's copy moves, one peer for a list at a time, the next after growing pauses. A session is told a record once. The reader counts from the last byte, and doubles its patience after a call cut without one. A session is not silent while parts of a large frame come, or while the peer's pings tell (new field received) that ours arrive.

--- a/packages/cluster/include/galenagw/cluster/store_reader.h
+++ b/packages/cluster/include/galenagw/cluster/store_reader.h
@@ -10,6 +10,7 @@
 #ifndef GALENAGW_CLUSTER_STORE_READER_H
 #define GALENAGW_CLUSTER_STORE_READER_H
 
+#include "galenagw/cluster/fetch.h"
 #include "galenagw/cluster/view.h"
 #include "galenagw/net/loop.h"
 
@@ -45,10 +46,12 @@
 GwTime GwStoreReader_EntryPause(unsigned entries);
 void GwStoreReader_SetInstancesPause(GwStoreReader *reader, GwTime pause);
 /**
- * A peer knows more of @p list than we do. If that lasts, the connection
- * has gone silent and is opened anew.
+ * A peer knows more of @p list than we do. If that lasts and no byte of an
+ * answer comes, the connection has gone silent and is opened anew.
  */
 void GwStoreReader_Suspect(GwStoreReader *reader, GwList list);
+/** How the reading of @p list does just now. */
+GwSupply GwStoreReader_Supply(const GwStoreReader *reader, GwList list);
 
 #ifdef __cplusplus
 }
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -16,8 +16,10 @@
 /* Without an agent's word: a guess on the high side, so that the entries
  * together stay within the budget. */
 #define ENTRIES_ASSUMED 8
-/* Between questions for records. */
-#define ASK_EVERY (400 * GW_MILLISECOND)
+/* For a list that is not asked for. */
+#define NOT_WANTED ((uint64_t)G_MAXINT64)
+/* Between two looks at whether it is time to ask. */
+#define LOOK_AGAIN (100 * GW_MILLISECOND)
 /* A change of waiting prompts that is worth a message: 30 ms of reading. */
 #define TELL_TOKENS 2000
 /* Records in one frame; the largest, a configuration, may be megabytes. */
@@ -39,6 +41,9 @@
     unsigned long_runs;   /* that it has in flight there */
     uint64_t told_tokens; /* agent: others' tokens, as told last */
     uint64_t told_yielding;
+    uint64_t revision; /* how far it knows the lists, as it told */
+    GwTime revision_at;
+    uint64_t sent_ends[GW_LISTS]; /* what was queued to it, up to here */
 } Peer;
 
 struct GwPeers {
@@ -47,8 +52,11 @@
     GwSessionServer *server;
     TAILQ_HEAD(, Peer) peers;
     GwTimer timer;
-    GwAddress watched;    /* agent: another agent; port 0: none */
-    GwTime asked_at;      /* for records, of any peer */
+    GwAddress watched; /* agent: another agent; port 0: none */
+    GwFetch fetches[GW_LISTS];
+    uint64_t wanted[GW_LISTS]; /* the furthest end that peers told */
+    Peer *asked[GW_LISTS];     /* the last one asked; NULL: none, or gone */
+    GwTimer ask_timer;
     unsigned entries;     /* told by agents */
     uint64_t told_urgent; /* changes that peers were told of */
     bool has_engine;
@@ -81,6 +89,11 @@
                       const Gw__Wire__Hello *hello);
 static void on_frame_(void *user, GwSession *session, const GwFrame *frame);
 static void on_revision_(void *user, GwSession *session, uint64_t revision);
+static void on_ask_(void *user);
+static GwTime ask_at_(GwPeers *p, GwList list, GwTime now);
+static void ask_(GwPeers *p, GwList list, GwTime now);
+static Peer *ahead_(GwPeers *p, GwList list);
+static void forget_asked_(GwPeers *p, const Peer *peer);
 static void on_closed_(void *user, GwSession *session, bool silent);
 static void forget_advice_(GwPeers *p, const Peer *peer);
 static void fill_hello_(void *user, Gw__Wire__Hello *hello);
@@ -122,6 +135,7 @@
     session = session_options_(p);
     TAILQ_INIT(&p->peers);
     GwTimer_Init(&p->timer, loop, on_timer_, p);
+    GwTimer_Init(&p->ask_timer, loop, on_ask_, p);
     p->server = GwSessionServer_New(loop, &options->listen, &session, err);
     if (p->server == NULL) {
         g_free(p);
@@ -139,6 +153,7 @@
     if (p == NULL)
         return;
     GwTimer_Stop(&p->timer);
+    GwTimer_Stop(&p->ask_timer);
     while ((peer = TAILQ_FIRST(&p->peers)) != NULL)
         drop_(peer);
     GwSessionServer_Delete(p->server);
@@ -288,24 +303,120 @@
 {
     GwPeers *p = user;
     GwRecords *records = GwView_Records(p->options.view);
+    Peer *peer = find_(p, session);
     bool behind = false;
-    GW_FRAME(frame, ask, RECORDS_ASK, RecordsAsk, records_ask);
 
+    if (peer == NULL)
+        return;
+    peer->revision = revision;
+    peer->revision_at = GwTime_Now();
     for (int i = 0; i < GW_LISTS; i++) {
         if (!GwRecords_IsBehind(records, (GwList)i, revision))
             continue;
         behind = true;
+        p->wanted[i] =
+            MAX(p->wanted[i], GwRecords_StampEnd((GwList)i, revision));
         if (p->options.reader != NULL)
             GwStoreReader_Suspect(p->options.reader, (GwList)i);
     }
-    // Several peers are ahead by the same news.
-    if (!behind || GwTime_Now() - p->asked_at < ASK_EVERY)
-        return;
-    p->asked_at = GwTime_Now();
-    ask.operator_end = (uint64_t)GwRecords_End(records, GW_LIST_OPERATOR);
-    ask.instances_end = (uint64_t)GwRecords_End(records, GW_LIST_INSTANCES);
-    GwSession_Send(session, &frame);
-    log_asked_(p, session, &ask);
+    if (behind)
+        on_ask_(p);
+}
+
+// Asks peers for what it is time to ask for, and looks again when the next
+// question may be due.
+static void
+on_ask_(void *user)
+{
+    GwPeers *p = user;
+    GwTime now = GwTime_Now();
+    GwTime next = 0;
+
+    for (int i = 0; i < GW_LISTS; i++) {
+        GwTime at = ask_at_(p, (GwList)i, now);
+
+        if (at == 0)
+            continue;
+        if (at <= now) {
+            ask_(p, (GwList)i, now);
+            at = MAX(ask_at_(p, (GwList)i, now), now + LOOK_AGAIN);
+        }
+        next = next == 0 ? at : MIN(next, at);
+    }
+    if (next > 0)
+        GwTimer_Start(&p->ask_timer, next - now);
+}
+
+// When to ask a peer for @p list; 0: not until peers tell of more.
+static GwTime
+ask_at_(GwPeers *p, GwList list, GwTime now)
+{
+    GwFetch *fetch = &p->fetches[list];
+    uint64_t end =
+        (uint64_t)GwRecords_End(GwView_Records(p->options.view), list);
+    GwSupply supply = p->options.reader != NULL
+                          ? GwStoreReader_Supply(p->options.reader, list)
+                          : GW_SUPPLY_AWAY;
+
+    GwFetch_SetBehind(fetch, p->wanted[list] > end, now);
+    if (p->wanted[list] <= end || ahead_(p, list) == NULL)
+        return 0;
+    if (p->asked[list] != NULL)
+        GwFetch_Moved(fetch, GwSession_LargeAt(p->asked[list]->session));
+    return GwFetch_AskAt(fetch, supply, now);
+}
+
+static void
+ask_(GwPeers *p, GwList list, GwTime now)
+{
+    GwRecords *records = GwView_Records(p->options.view);
+    Peer *peer = ahead_(p, list);
+    GW_FRAME(frame, ask, RECORDS_ASK, RecordsAsk, records_ask);
+
+    ask.operator_end = list == GW_LIST_OPERATOR
+                           ? (uint64_t)GwRecords_End(records, list)
+                           : NOT_WANTED;
+    ask.instances_end = list == GW_LIST_INSTANCES
+                            ? (uint64_t)GwRecords_End(records, list)
+                            : NOT_WANTED;
+    p->asked[list] = peer;
+    GwFetch_Asked(&p->fetches[list], now);
+    GwSession_Send(peer->session, &frame);
+    log_asked_(p, peer->session, &ask);
+}
+
+// The peer that told last that it knows more; the one asked before only if
+// no other does.
+static Peer *
+ahead_(GwPeers *p, GwList list)
+{
+    GwRecords *records = GwView_Records(p->options.view);
+    Peer *best = NULL;
+    Peer *peer;
+
+    TAILQ_FOREACH(peer, &p->peers, link)
+    {
+        bool asked = peer == p->asked[list] && p->fetches[list].open;
+
+        if (!GwSession_IsReady(peer->session) ||
+            !GwRecords_IsBehind(records, list, peer->revision))
+            continue;
+        if (best == NULL || best == p->asked[list] ||
+            (!asked && peer->revision_at > best->revision_at))
+            best = peer;
+    }
+    return best;
+}
+
+static void
+forget_asked_(GwPeers *p, const Peer *peer)
+{
+    for (int i = 0; i < GW_LISTS; i++) {
+        if (p->asked[i] != peer)
+            continue;
+        p->asked[i] = NULL;
+        GwFetch_Lost(&p->fetches[i]);
+    }
 }
 
 static void
@@ -324,6 +435,7 @@
     }
     if (!silent)
         forget_advice_(p, peer);
+    forget_asked_(p, peer);
     TAILQ_REMOVE(&p->peers, peer, link);
     g_free(peer);
 }
@@ -442,6 +554,7 @@
 static void
 drop_(Peer *peer)
 {
+    forget_asked_(peer->owner, peer);
     TAILQ_REMOVE(&peer->owner->peers, peer, link);
     GwSession_Close(peer->session);
     g_free(peer);
@@ -471,22 +584,30 @@
 tell_records_(GwPeers *p, GwSession *session, const Gw__Wire__RecordsAsk *ask)
 {
     GwRecords *records = GwView_Records(p->options.view);
-    const uint64_t ends[GW_LISTS] = {
+    Peer *peer = find_(p, session);
+    uint64_t ends[GW_LISTS] = {
         [GW_LIST_OPERATOR] = ask->operator_end,
         [GW_LIST_INSTANCES] = ask->instances_end,
     };
 
+    if (peer == NULL)
+        return;
+
     for (int i = 0; i < GW_LISTS; i++) {
         g_autofree Batch *batch = g_new0(Batch, 1);
 
         batch->session = session;
         batch->list = (GwList)i;
         batch->end = (uint64_t)GwRecords_End(records, (GwList)i);
+        // A session loses nothing: what is queued there comes or is told
+        // anew on another session.
+        ends[i] = MAX(ends[i], peer->sent_ends[i]);
         if (batch->end <= ends[i])
             continue;
         GwRecords_Each(records, (GwList)i, (int64_t)ends[i], add_to_batch_,
                        batch);
         send_batch_(batch);
+        peer->sent_ends[i] = batch->end;
         log_told_(p, session, batch);
     }
 }
@@ -587,6 +708,11 @@
             news++;
     }
     GwRecords_SetEnd(records, (GwList)tell->list, (int64_t)tell->end);
+    // Only the last frame tells the end.
+    if (tell->end > 0)
+        GwFetch_Done(&p->fetches[tell->list]);
+    else
+        GwFetch_Moved(&p->fetches[tell->list], GwTime_Now());
     // Also of records that were known already: they took the link all the
     // same.
     GwCounters_Add(p->options.counters, GW_COUNTER_BYTES_FROM_PEERS, bytes);
--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -22,6 +22,8 @@
 #define SHORT_OUTAGE (1 * GW_SECOND)
 /* A peer may be ahead by one round trip for a moment. */
 #define SUSPECT_AFTER (300 * GW_MILLISECOND)
+/* Between two looks at a call that makes progress. */
+#define LOOK_AGAIN (300 * GW_MILLISECOND)
 
 /* A tenth of two seconds, the shortest time within which a leaving endpoint
  * must get no new work, for up to so many entries; and half of it. */
@@ -41,6 +43,8 @@
     int64_t from; /* offset that the call under way reads from */
     bool current; /* the last call was answered */
     int64_t suspected_end;
+    GwTime suspected_at;
+    unsigned cut; /* calls in a row that were cut without a byte */
     unsigned failures;
     GwTime failing_since; /* 0: not failing */
 } Follower;
@@ -77,6 +81,7 @@
         f->whole = true;
         f->request = g_string_new(NULL);
         f->caller = GwHttpCaller_New(loop, &options->store);
+        GwHttpCaller_SetPatient(f->caller);
         GwTimer_Init(&f->timer, loop, call_, f);
         GwTimer_Init(&f->suspicion, loop, on_suspicion_, f);
         call_(f);
@@ -123,9 +128,19 @@
     if (!f->current || f->suspicion.place != NULL)
         return;
     f->suspected_end = GwRecords_End(GwView_Records(r->options.view), list);
+    f->suspected_at = GwTime_Now();
     GwTimer_Start(&f->suspicion, SUSPECT_AFTER);
 }
 
+GwSupply
+GwStoreReader_Supply(const GwStoreReader *r, GwList list)
+{
+    const Follower *f = &r->followers[list];
+
+    return GwSupply_Of(GwHttpCaller_IsBusy(f->caller), f->failing_since != 0,
+                       GwHttpCaller_Heard(f->caller), GwTime_Now());
+}
+
 static void
 call_(void *user)
 {
@@ -283,9 +298,20 @@
     Follower *f = user;
     GwRecords *records = GwView_Records(f->owner->options.view);
 
+    GwTime heard = GwHttpCaller_Heard(f->caller);
+    GwTime since = MAX(heard, f->suspected_at);
+    GwTime most = GwSupply_QuietMost(heard > 0, f->cut);
+
     // Between two calls there is no connection to suspect.
-    if (GwHttpCaller_IsBusy(f->caller) &&
-        GwRecords_End(records, f->list) == f->suspected_end)
+    if (!GwHttpCaller_IsBusy(f->caller) ||
+        GwRecords_End(records, f->list) != f->suspected_end) {
+        f->cut = 0;
+        return;
+    }
+    // A large answer on a slow link is no silence: cut, it would begin anew.
+    if (GwTime_Now() - since < most)
+        GwTimer_Start(&f->suspicion, LOOK_AGAIN);
+    else
         reopen_(f);
 }
 
@@ -297,6 +323,7 @@
     GwEvent_Number(f->owner->options.log, "received",
                    (int64_t)GwHttpCaller_Received(f->caller));
     GwEvent_End(f->owner->options.log);
+    f->cut = GwHttpCaller_Received(f->caller) > 0 ? 0 : f->cut + 1;
     GwHttpCaller_Cancel(f->caller);
     call_(f);
 }
--- /dev/null
+++ b/packages/cluster/tests/fetch_test.cc
@@ -0,0 +1,88 @@
+#include <gtest/gtest.h>
+
+#include "galenagw/cluster/fetch.h"
+
+// When a peer is asked, in milliseconds: behind since 1000, and what became
+// of the process's own reading and of questions before.
+TEST(Fetch, APeerIsAskedWhenNothingMoves)
+{
+    const struct {
+        const char *name;
+        GwSupply supply;
+        int asked_at; // 0: never
+        int moved_at; // 0: never
+        bool open;
+        unsigned repeats;
+        int now;
+        int at;
+    } cases[] = {
+        {"the store is away", GW_SUPPLY_AWAY, 0, 0, false, 0, 1000, 1000},
+        {"its answer may be coming", GW_SUPPLY_QUIET, 0, 0, false, 0, 1000,
+         1100},
+        {"it comes", GW_SUPPLY_MOVING, 0, 0, false, 0, 5000, 5300},
+        {"asked and answered", GW_SUPPLY_AWAY, 1000, 0, false, 0, 1100, 1400},
+        {"asked, no byte", GW_SUPPLY_AWAY, 1000, 0, true, 1, 1100, 1400},
+        {"the second, no byte", GW_SUPPLY_AWAY, 2000, 0, true, 2, 2100, 2800},
+        {"pauses are bounded", GW_SUPPLY_AWAY, 9000, 0, true, 9, 9100, 12200},
+        {"a copy moves", GW_SUPPLY_AWAY, 1000, 3000, true, 1, 3100, 4000},
+        {"the copy stopped", GW_SUPPLY_AWAY, 1000, 3000, true, 1, 4100, 4000},
+        {"of an earlier copy only", GW_SUPPLY_AWAY, 3000, 2000, true, 1, 3100,
+         3400},
+    };
+
+    for (auto &c : cases) {
+        GwFetch f = {};
+
+        GwFetch_SetBehind(&f, true, 1000 * GW_MILLISECOND);
+        f.asked_at = c.asked_at * GW_MILLISECOND;
+        f.moved_at = c.moved_at * GW_MILLISECOND;
+        f.open = c.open;
+        f.repeats = c.repeats;
+        EXPECT_EQ(GwFetch_AskAt(&f, c.supply, c.now * GW_MILLISECOND),
+                  c.at * GW_MILLISECOND)
+            << c.name;
+    }
+}
+
+TEST(Fetch, AWholeAnswerOrCatchingUpForgetsRepeats)
+{
+    GwFetch f = {};
+
+    GwFetch_SetBehind(&f, true, GW_SECOND);
+    GwFetch_Asked(&f, GW_SECOND);
+    GwFetch_Asked(&f, 2 * GW_SECOND);
+    EXPECT_EQ(f.repeats, 2u);
+    GwFetch_Done(&f);
+    EXPECT_EQ(f.repeats, 0u);
+    EXPECT_FALSE(f.open);
+    GwFetch_Asked(&f, 3 * GW_SECOND);
+    GwFetch_SetBehind(&f, false, 4 * GW_SECOND);
+    EXPECT_EQ(f.repeats, 0u);
+    EXPECT_EQ(f.behind_since, 0);
+}
+
+TEST(Fetch, ACallOfTheStoreCountsByItsLastByte)
+{
+    const struct {
+        bool busy, failing;
+        int heard, now;
+        GwSupply supply;
+    } cases[] = {
+        {true, false, 0, 9000, GW_SUPPLY_QUIET},
+        {true, false, 8500, 9000, GW_SUPPLY_MOVING},
+        {true, false, 7000, 9000, GW_SUPPLY_QUIET},
+        {true, true, 8500, 9000, GW_SUPPLY_MOVING},
+        {true, true, 0, 9000, GW_SUPPLY_AWAY},
+        {false, false, 0, 9000, GW_SUPPLY_AWAY},
+    };
+
+    for (auto &c : cases)
+        EXPECT_EQ(GwSupply_Of(c.busy, c.failing, c.heard * GW_MILLISECOND,
+                              c.now * GW_MILLISECOND),
+                  c.supply)
+            << c.heard;
+    EXPECT_EQ(GwSupply_QuietMost(false, 0), 300 * GW_MILLISECOND);
+    EXPECT_EQ(GwSupply_QuietMost(false, 2), 1200 * GW_MILLISECOND);
+    EXPECT_EQ(GwSupply_QuietMost(false, 9), 2400 * GW_MILLISECOND);
+    EXPECT_EQ(GwSupply_QuietMost(true, 9), 1000 * GW_MILLISECOND);
+}
--- a/packages/http/src/caller.c
+++ b/packages/http/src/caller.c
@@ -2,6 +2,8 @@
 
 /* An answer above this is a fault of the server. */
 #define MAX_BODY (64 * 1024 * 1024)
+/* A patient call's answer, once it has begun, pauses less than this. */
+#define MOVING_TIMEOUT (5 * GW_SECOND)
 
 struct GwHttpCaller {
     GwLoop *loop;
@@ -12,6 +14,8 @@
     GString *request;
     GString *body;
     size_t received; /* bytes of the answer under way, with its head */
+    GwTime heard;    /* when the last of them came */
+    bool patient;
     int status;
     bool keep;
     GwTimer timer;
@@ -78,6 +82,7 @@
     g_string_append_len(c->request, request->str, (gssize)request->len);
     g_string_truncate(c->body, 0);
     c->received = 0;
+    c->heard = 0;
     GwTimer_Start(&c->timer, timeout);
     if (c->tcp == NULL)
         connect_(c);
@@ -107,6 +112,18 @@
     return c->fn != NULL ? c->received : 0;
 }
 
+GwTime
+GwHttpCaller_Heard(const GwHttpCaller *c)
+{
+    return c->fn != NULL ? c->heard : 0;
+}
+
+void
+GwHttpCaller_SetPatient(GwHttpCaller *c)
+{
+    c->patient = true;
+}
+
 static void
 on_open_(void *user)
 {
@@ -126,6 +143,9 @@
         GwHttpReader_Feed(c->reader, (const char *)data, len, &used);
 
     c->received += len;
+    c->heard = GwTime_Now();
+    if (c->patient && c->fn != NULL)
+        GwTimer_Start(&c->timer, MIN(c->timeout, MOVING_TIMEOUT));
     if (progress == GW_HTTP_MORE)
         return;
     // Bytes behind the answer, or with no call under way, belong to none.
--- a/packages/routing/include/galenagw/routing/records.h
+++ b/packages/routing/include/galenagw/routing/records.h
@@ -69,6 +69,8 @@
 
 /** Both ends in one number, for heartbeats between peers. */
 uint64_t GwRecords_Stamp(const GwRecords *records);
+/** The end of @p list that @p stamp tells. */
+uint64_t GwRecords_StampEnd(GwList list, uint64_t stamp);
 /** Whether @p stamp of a peer is ahead of ours for @p list. */
 bool GwRecords_IsBehind(const GwRecords *records, GwList list, uint64_t stamp);
 
--- a/packages/routing/src/records.c
+++ b/packages/routing/src/records.c
@@ -144,13 +144,17 @@
            ((uint64_t)records->ends[GW_LIST_INSTANCES] & STAMP_MASK);
 }
 
+uint64_t
+GwRecords_StampEnd(GwList list, uint64_t stamp)
+{
+    return list == GW_LIST_OPERATOR ? stamp >> STAMP_SHIFT
+                                    : stamp & STAMP_MASK;
+}
+
 bool
 GwRecords_IsBehind(const GwRecords *records, GwList list, uint64_t stamp)
 {
-    uint64_t theirs =
-        list == GW_LIST_OPERATOR ? stamp >> STAMP_SHIFT : stamp & STAMP_MASK;
-
-    return theirs > (uint64_t)records->ends[list];
+    return GwRecords_StampEnd(list, stamp) > (uint64_t)records->ends[list];
 }
 
 static void
--- a/packages/wire/include/galenagw/wire/frame.h
+++ b/packages/wire/include/galenagw/wire/frame.h
@@ -44,6 +44,8 @@
 /** Add received bytes. */
 void GwFrameDecoder_Push(GwFrameDecoder *decoder, const uint8_t *data,
                          size_t len);
+/** Length of the frame of which a part has come; 0: none. After Pop. */
+size_t GwFrameDecoder_Partial(const GwFrameDecoder *decoder);
 /**
  * Take the next whole frame, which the caller frees by GwFrame_Free.
  * @return NULL when more bytes are needed, or with @p err set when the
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -88,10 +88,14 @@
   ProtobufCMessage base;
   uint64_t nonce;
   uint64_t revision;
+  /*
+   * bytes that the sender has received in the session
+   */
+  uint64_t received;
 };
 #define GW__WIRE__PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__ping__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Gw__Wire__Pong
--- a/packages/wire/include/galenagw/wire/session.h
+++ b/packages/wire/include/galenagw/wire/session.h
@@ -6,7 +6,8 @@
  * sides ping at a steady rate. A session that hears nothing, or no pong, for
  * the silence limit is reported closed with `silent` set: connections that
  * something between the ends has forgotten give no error of their own, and
- * may be forgotten in one direction only.
+ * may be forgotten in one direction only. A pong that waits behind a large
+ * frame is not missing as long as the frame moves.
  * @{
  */
 #ifndef GALENAGW_WIRE_SESSION_H
@@ -55,6 +56,8 @@
 void GwSession_Send(GwSession *session, const GwFrame *frame);
 /** Send a ping now, which tells our revision; the next one comes as usual. */
 void GwSession_Ping(GwSession *session);
+/** When a part of a large frame last came; 0: never. */
+GwTime GwSession_LargeAt(const GwSession *session);
 bool GwSession_IsReady(const GwSession *session);
 /** Whether the peer's Hello ever came, also once closed. */
 bool GwSession_WasReady(const GwSession *session);
--- a/packages/wire/src/frame.c
+++ b/packages/wire/src/frame.c
@@ -89,6 +89,16 @@
     return NULL;
 }
 
+size_t
+GwFrameDecoder_Partial(const GwFrameDecoder *decoder)
+{
+    size_t have = decoder->bytes->len - decoder->taken;
+
+    return have >= GW_FRAME_HEAD
+               ? read_length_(decoder->bytes->data + decoder->taken)
+               : 0;
+}
+
 void
 GwFrame_Free(GwFrame *frame)
 {
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -1261,7 +1261,7 @@
   (ProtobufCMessageInit) gw__wire__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__ping__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gw__wire__ping__field_descriptors[3] =
 {
   {
     "nonce",
@@ -1287,15 +1287,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "received",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__Ping, received),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__ping__field_indices_by_name[] = {
   0,   /* field[0] = nonce */
+  2,   /* field[2] = received */
   1,   /* field[1] = revision */
 };
 static const ProtobufCIntRange gw__wire__ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor gw__wire__ping__descriptor =
 {
@@ -1305,7 +1318,7 @@
   "Gw__Wire__Ping",
   "gw.wire",
   sizeof(Gw__Wire__Ping),
-  2,
+  3,
   gw__wire__ping__field_descriptors,
   gw__wire__ping__field_indices_by_name,
   1,  gw__wire__ping__number_ranges,
--- a/packages/wire/src/session.c
+++ b/packages/wire/src/session.c
@@ -7,6 +7,8 @@
 
 #define DEFAULT_PING_AFTER GW_SECOND
 #define DEFAULT_SILENT_AFTER (3 * GW_SECOND)
+/* A frame above this holds up what is queued behind it on a slow link. */
+#define LARGE_FRAME ((size_t)64 * 1024)
 
 struct GwSession {
     TAILQ_ENTRY(GwSession) link; /* in its server's list */
@@ -19,6 +21,10 @@
     GwTimer timer;
     GwTime last_heard;
     GwTime pinged_at; /* of the first ping without a pong; 0: none */
+    uint64_t received;
+    uint64_t told_received; /* what the peer has of ours, by its pings */
+    GwTime proved_at;       /* when that last grew */
+    GwTime large_at;        /* when a part of a large frame last came */
     bool ready;
     bool closed;
     int depth; /* callbacks in progress: the struct must not be freed */
@@ -38,6 +44,7 @@
 static void on_closed_(void *user, GwTcpEnd end);
 static void on_accept_(void *user, GwTcp *tcp);
 static void on_timer_(void *user);
+static GwTime proved_(const GwSession *s);
 static bool handle_(GwSession *s, const GwFrame *frame);
 static bool on_hello_(GwSession *s, const Gw__Wire__Hello *hello);
 static void send_pong_(GwSession *s, uint64_t nonce);
@@ -81,9 +88,16 @@
     if (s->pinged_at == 0)
         s->pinged_at = GwTime_Now();
     ping.revision = revision_(s);
+    ping.received = s->received;
     GwSession_Send(s, &frame);
 }
 
+GwTime
+GwSession_LargeAt(const GwSession *s)
+{
+    return s->large_at;
+}
+
 bool
 GwSession_IsReady(const GwSession *s)
 {
@@ -190,6 +204,7 @@
     bool ok = true;
 
     s->last_heard = GwTime_Now();
+    s->received += len;
     s->depth++;
     GwFrameDecoder_Push(s->decoder, data, len);
     while (ok && !s->closed &&
@@ -199,6 +214,8 @@
         GwFrame_Free(frame);
     }
     s->depth--;
+    if (GwFrameDecoder_Partial(s->decoder) > LARGE_FRAME)
+        s->large_at = s->last_heard;
     if (err.kind != GW_ERROR_NONE)
         GW_WARN("closing a session: %s", err.message);
     if (s->closed && s->depth == 0)
@@ -237,7 +254,7 @@
 
     if (quiet >= s->options.silent_after ||
         (s->pinged_at > 0 &&
-         GwTime_Now() - s->pinged_at >= s->options.silent_after)) {
+         GwTime_Now() - proved_(s) >= s->options.silent_after)) {
         // A connection that was forgotten on the way yields no error; only
         // the missing pong shows it. What is heard meanwhile proves nothing
         // of the other direction.
@@ -249,6 +266,15 @@
     GwTimer_Start(&s->timer, s->options.ping_after);
 }
 
+// When our direction last worked, as far as is known. A pong may wait behind
+// a large frame of either side: behind ours, the peer's own pings tell that
+// it receives; behind the peer's, the frame's parts come.
+static GwTime
+proved_(const GwSession *s)
+{
+    return MAX(s->pinged_at, MAX(s->proved_at, s->large_at));
+}
+
 static bool
 handle_(GwSession *s, const GwFrame *frame)
 {
@@ -256,6 +282,10 @@
     case GW__WIRE__FRAME__BODY_HELLO:
         return on_hello_(s, frame->hello);
     case GW__WIRE__FRAME__BODY_PING:
+        if (frame->ping->received > s->told_received) {
+            s->told_received = frame->ping->received;
+            s->proved_at = GwTime_Now();
+        }
         send_pong_(s, frame->ping->nonce);
         tell_revision_(s, frame->ping->revision);
         return true;
