--- a/packages/wire/tests/wire_test.cc
+++ b/packages/wire/tests/wire_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "galenagw/fakes/fake_hop.h"
+#include "galenagw/fakes/fake_link.h"
 #include "galenagw/wire/session.h"
 
 namespace {
@@ -167,6 +168,70 @@
     FakeHop_Delete(hop);
 }
 
+// What the client sends is lost on the way, and the server's heartbeats go on
+// coming. Only its own direction tells: it must not take what it hears for a
+// sign that it is heard, nor a count of received bytes that does not grow.
+TEST_F(SessionTest, OneDirectionThatIsCutIsFoundThoughTheOtherIsHeard)
+{
+    GwSessionOptions patient = Options(&server_side);
+    GwSessionOptions o = Options(&client_side);
+    GwAddress through = kAny;
+
+    // This one goes on sending, whatever it does not hear.
+    patient.silent_after = 10 * GW_SECOND;
+    GwSessionServer *other =
+        GwSessionServer_New(loop, &kAny, &patient, nullptr);
+    FakeHop *hop = FakeHop_New(loop, GwSessionServer_Port(other), nullptr);
+    through.port = FakeHop_Port(hop);
+    GwSession_Connect(loop, &through, &o);
+    ASSERT_TRUE(Until(
+        [&] { return client_side.ready == 1 && server_side.ready == 1; }));
+    FakeHop_FreezeForward(hop);
+    GwTime cut = GwTime_Now();
+    ASSERT_TRUE(Until([&] { return client_side.closed == 1; }));
+    EXPECT_EQ(client_side.silent, 1);
+    EXPECT_LE(GwTime_Now() - cut, 400 * GW_MILLISECOND);
+    FakeHop_Delete(hop);
+    GwSessionServer_Delete(other);
+}
+
+// A frame that the link needs far longer for than the silence limit goes one
+// way; the sender's pongs wait behind it, and the receiver's pongs for what
+// the sender pinged behind it. Neither side is silent meanwhile.
+TEST_F(SessionTest, PongsBehindALargeFrameAreNotMissing)
+{
+    FakeLink *link = FakeLink_New(loop, 200000);
+    GwSessionOptions patient = Options(&server_side);
+    GwSessionOptions o = Options(&client_side);
+    GwAddress through = kAny;
+    std::string value(400000, 'x');
+    Gw__Wire__ListRecord record = GW__WIRE__LIST_RECORD__INIT;
+    Gw__Wire__ListRecord *records[] = {&record};
+    GW_FRAME(frame, tell, RECORDS_TELL, RecordsTell, records_tell);
+
+    // Longer than a busy machine holds the test up, far below the frame's
+    // two seconds.
+    patient.silent_after = o.silent_after = 500 * GW_MILLISECOND;
+    GwSessionServer *other =
+        GwSessionServer_New(loop, &kAny, &patient, nullptr);
+    through.port = FakeLink_Open(link, GwSessionServer_Port(other));
+    GwSession *s = GwSession_Connect(loop, &through, &o);
+    ASSERT_TRUE(Until(
+        [&] { return client_side.ready == 1 && server_side.ready == 1; }));
+    record.key = const_cast<char *>("large");
+    record.value.data = reinterpret_cast<uint8_t *>(value.data());
+    record.value.len = value.size();
+    tell.n_records = 1;
+    tell.records = records;
+    GwSession_Send(server_side.session, &frame);
+    EXPECT_TRUE(Until([&] { return client_side.frames == 1; }));
+    EXPECT_EQ(client_side.closed + server_side.closed, 0);
+    if (client_side.closed == 0)
+        GwSession_Close(s);
+    FakeLink_Delete(link);
+    GwSessionServer_Delete(other);
+}
+
 TEST_F(SessionTest, StrangersAreClosed)
 {
     struct Raw {
