--- a/packages/cluster/include/galenagw/cluster/store_reader.h
+++ b/packages/cluster/include/galenagw/cluster/store_reader.h
@@ -12,6 +12,7 @@
 #ifndef GALENAGW_CLUSTER_STORE_READER_H
 #define GALENAGW_CLUSTER_STORE_READER_H
 
+#include "galenagw/cluster/fetch.h"
 #include "galenagw/cluster/view.h"
 #include "galenagw/net/loop.h"
 
@@ -50,12 +51,14 @@
 /** Processes that read the lists and tell each other; 1: this one alone. */
 void GwStoreReader_SetSharers(GwStoreReader *reader, unsigned sharers);
 /**
- * A peer knows more of @p list than we do. If that lasts, the connection
- * has gone silent and is opened anew.
+ * A peer knows more of @p list than we do. If that lasts and no byte of an
+ * answer comes, the connection has gone silent and is opened anew.
  */
 void GwStoreReader_Suspect(GwStoreReader *reader, GwList list);
 /** End a pause between two readings of @p list. */
 void GwStoreReader_ReadNow(GwStoreReader *reader, GwList list);
+/** How the reading of @p list does just now. */
+GwSupply GwStoreReader_Supply(const GwStoreReader *reader, GwList list);
 
 #ifdef __cplusplus
 }
--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -17,6 +17,8 @@
 #define SHORT_OUTAGE (1 * GW_SECOND)
 /* A peer may be ahead by one round trip for a moment. */
 #define SUSPECT_AFTER (300 * GW_MILLISECOND)
+/* Between two looks at a call that makes progress. */
+#define LOOK_AGAIN (300 * GW_MILLISECOND)
 
 /* A tenth of two seconds, the shortest time within which a leaving endpoint
  * must get no new work, for up to so many entries; and half of it. */
@@ -37,6 +39,8 @@
     GwLongPoll poll;
     GwTime wait_until; /* of the call under way; 0: it does not wait */
     int64_t suspected_end;
+    GwTime suspected_at;
+    unsigned cut; /* calls in a row that were cut without a byte */
 } Follower;
 
 struct GwStoreReader {
@@ -72,6 +76,7 @@
         GwLongPoll_Init(&f->poll, options->bound);
         f->request = g_string_new(NULL);
         f->caller = GwHttpCaller_New(loop, &options->store);
+        GwHttpCaller_SetPatient(f->caller);
         GwTimer_Init(&f->timer, loop, call_, f);
         GwTimer_Init(&f->suspicion, loop, on_suspicion_, f);
         call_(f);
@@ -135,6 +140,7 @@
     if (!f->poll.is_current || f->suspicion.place != NULL)
         return;
     f->suspected_end = GwRecords_End(GwView_Records(r->options.view), list);
+    f->suspected_at = GwTime_Now();
     GwTimer_Start(&f->suspicion, SUSPECT_AFTER);
 }
 
@@ -150,6 +156,16 @@
     call_(f);
 }
 
+GwSupply
+GwStoreReader_Supply(const GwStoreReader *r, GwList list)
+{
+    const Follower *f = &r->followers[list];
+
+    return GwSupply_Of(GwHttpCaller_IsBusy(f->caller),
+                       f->poll.failing_since != 0,
+                       GwHttpCaller_Heard(f->caller), GwTime_Now());
+}
+
 static void
 call_(void *user)
 {
@@ -306,9 +322,20 @@
     Follower *f = user;
     GwRecords *records = GwView_Records(f->owner->options.view);
 
+    GwTime heard = GwHttpCaller_Heard(f->caller);
+    GwTime since = MAX(heard, f->suspected_at);
+    GwTime most = GwSupply_QuietMost(heard > 0, f->cut);
+
     // Between two calls there is no connection to suspect.
-    if (GwHttpCaller_IsBusy(f->caller) &&
-        GwRecords_End(records, f->list) == f->suspected_end)
+    if (!GwHttpCaller_IsBusy(f->caller) ||
+        GwRecords_End(records, f->list) != f->suspected_end) {
+        f->cut = 0;
+        return;
+    }
+    // A large answer on a slow link is no silence: cut, it would begin anew.
+    if (GwTime_Now() - since < most)
+        GwTimer_Start(&f->suspicion, LOOK_AGAIN);
+    else
         reopen_(f);
 }
 
@@ -317,7 +344,10 @@
 {
     GwEvent_Begin(f->owner->options.log, "store_silent", NULL);
     GwEvent_Text(f->owner->options.log, "list", GwList_Names[f->list]);
+    GwEvent_Number(f->owner->options.log, "received",
+                   (int64_t)GwHttpCaller_Received(f->caller));
     GwEvent_End(f->owner->options.log);
+    f->cut = GwHttpCaller_Received(f->caller) > 0 ? 0 : f->cut + 1;
     GwHttpCaller_Cancel(f->caller);
     GwLongPoll_Doubt(&f->poll);
     call_(f);
