Sidecars report every 40 ms from the first step only close to the bound

In the platform demo, which names a version 0.1 s after the start of everything, two of three engines then got their orders before the gateways were connected to their sidecars, and a call was turned away by both.

Ruled out: the telling of ages and the reading of the list, which had no part in that log. The quick report now comes only with less than 1.5 s left until the order must be given, where it was needed.

--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -16,6 +16,9 @@
 #define POLL_EVERY (250 * GW_MILLISECOND)
 /* While a load is under way, each report may end the pause in service. */
 #define POLL_LOADING (40 * GW_MILLISECOND)
+/* With less than this left until an order must be given, the pause between two
+ * reports is a large part of it: being prepared and settling take 1.5 s. */
+#define HURRY (1500 * GW_MILLISECOND)
 /* Reports do not wait for a slot and come from this machine: one that takes
  * this long is missing. The first one missed may be our own machine's pause,
  * so it takes two to call the engine down. */
@@ -302,7 +305,10 @@
         !s->report.busy && !instance->draining && is_our_turn_(s, instance)) {
         s->stage = STAGE_PREPARING;
         s->preparing_since = now;
-        GwTimer_Start(&s->poll_timer, POLL_LOADING);
+        // Else the next report is soon enough, and entries that have just
+        // connected hear of it before the order.
+        if (left < HURRY)
+            GwTimer_Start(&s->poll_timer, POLL_LOADING);
     }
     if (s->stage == STAGE_PREPARING &&
         GwRoll_IsPrepared(now - s->preparing_since, GwPeers_LongRuns(s->peers),
