An endpoint is told by its id and its start; foreign list rows name nobody

Cause: an id stood for one incarnation. A worker that left, started again under its id and was ready again got no work for ever, as leaving was final for the id; its weights, errors, advice, holders and pooled connections passed to the next life.

Now a row, a report, an agent's word and a note of load carry which life they are of. The greatest wins; a lesser one changes nothing. The later life gets an object of its own and the earlier one lives on by reference until its requests end: those that may be repeated go elsewhere once nothing comes, the others end as 'may have run'. A service that no route knows is set aside until one does.

--- a/fakes/include/galenagw/fakes/fleet.h
+++ b/fakes/include/galenagw/fakes/fleet.h
@@ -18,6 +18,7 @@
 // An endpoint: by default it answers 200 with its id as the body.
 struct Endpoint {
     std::string id, service, failure_domain;
+    int64_t born = 0; // of its life under this id; 0: its rows do not tell
     FakeHttpd *httpd = nullptr;
     GwAddress address = {};
     std::vector<std::string> seen; // request lines and headers, as text
@@ -69,6 +70,8 @@
                           const char *failure_domain = "d");
     void ListEndpoint(const Endpoint *e, const char *state, int weights = 1);
     void RemoveEndpoint(const Endpoint *e);
+    // Any bytes under any key of the endpoints' list.
+    void PutRow(const char *key, const std::string &value);
     void NameWeights(int version);
     GwDeployment Deployment(const char *name);
     GwGateway *AddGateway(const char *name = "gateway-1");
--- a/fakes/src/fake_deployment.c
+++ b/fakes/src/fake_deployment.c
@@ -25,6 +25,7 @@
     FakeHttpd *httpd;
     GwAddress address;
     char id[32];
+    int64_t born; /* Unix milliseconds */
     bool is_engine;
     int weights;
     int loading; /* version, or 0 */
@@ -122,6 +123,7 @@
     n->deployment = d;
     n->is_engine = i < d->n_engines;
     n->weights = 1;
+    n->born = g_get_real_time() / 1000;
     g_snprintf(n->id, sizeof(n->id), "i-%d", i + 1);
     g_snprintf(n->address.host, sizeof(n->address.host), "127.0.0.%d", 11 + i);
     n->httpd = FakeHttpd_New(d->loop, &n->address, &ops, n, err);
@@ -140,9 +142,10 @@
         ",\"models\":[{\"name\":\"m\",\"version\":%d}]", n->weights);
     g_autofree char *text = g_strdup_printf(
         "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"medeu\","
-        "\"slots\":64,\"state\":\"ready\"%s}",
+        "\"version\":\"v1\",\"slots\":64,\"state\":\"ready\","
+        "\"cold_remaining_ms\":0,\"seq\":1,\"born\":%" G_GINT64_FORMAT "%s}",
         n->is_engine ? "model" : "plain", n->address.host, n->address.port,
-        n->is_engine ? models : "");
+        n->born, n->is_engine ? models : "");
 
     FakeStore_Put(n->deployment->store, "keyed.servers", n->id, text);
 }
@@ -185,8 +188,8 @@
     g_autofree char *text = g_strdup_printf(
         "{\"models\":[{\"name\":\"m\",\"version\":%d}],\"busy\":%s,"
         "\"seq\":%d,\"queued\":0,\"running\":0,\"kv_used\":0,"
-        "\"kv_total\":100000}",
-        n->weights, n->loading != 0 ? "true" : "false", n->orders);
+        "\"kv_total\":100000,\"born\":%" G_GINT64_FORMAT "}",
+        n->weights, n->loading != 0 ? "true" : "false", n->orders, n->born);
 
     FakeExchange_Answer(x, 200, "", text, strlen(text));
 }
--- a/fakes/tests/fleet.cc
+++ b/fakes/tests/fleet.cc
@@ -300,9 +300,13 @@
     std::string text =
         "{\"service\":\"" + e->service +
         "\",\"address\":\"127.0.0.1:" + std::to_string(e->address.port) +
-        "\",\"zone\":\"" + e->failure_domain + "\",\"slots\":64,\"state\":\"" +
+        "\",\"zone\":\"" + e->failure_domain +
+        "\",\"version\":\"v1\",\"slots\":64,\"cold_remaining_ms\":0,"
+        "\"seq\":1,\"state\":\"" +
         state + "\"";
 
+    if (e->born != 0)
+        text += ",\"born\":" + std::to_string(e->born);
     if (e->service == "model") {
         text += ",\"models\":[{\"name\":\"m\",\"version\":" +
                 std::to_string(weights) + "}]";
@@ -316,6 +320,12 @@
     FakeStore_Put(store, "keyed.servers", e->id.c_str(), nullptr);
 }
 
+void
+Fleet::PutRow(const char *key, const std::string &value)
+{
+    FakeStore_Put(store, "keyed.servers", key, value.c_str());
+}
+
 void
 Fleet::NameWeights(int version)
 {
--- a/packages/cluster/include/galenagw/cluster/peers.h
+++ b/packages/cluster/include/galenagw/cluster/peers.h
@@ -23,7 +23,8 @@
 
 /** What an agent tells of the engine beside it. */
 typedef struct {
-    const char *instance; /**< id of the engine's incarnation */
+    const char *instance; /**< id of the engine */
+    int64_t incarnation;  /**< which life of that id; 0: not told */
     int64_t weights;
     bool preparing; /**< it takes no more long runs, to switch soon */
     bool switching; /**< new weights are about to be loaded */
@@ -65,6 +66,8 @@
 void GwPeers_Watch(GwPeers *peers, const GwAddress *address);
 /** Entry: tell @p instance's agent what we now have in flight there. */
 void GwPeers_NoteLoad(GwPeers *peers, const GwInstance *instance);
+/** Agent: its engine started anew, and holds nothing that entries told of. */
+void GwPeers_ForgetLoads(GwPeers *peers);
 /** Agent: long runs that entries have in flight at the engine. */
 unsigned GwPeers_LongRuns(const GwPeers *peers);
 /** Agent: prompt tokens that entries wait for at the engine. */
--- a/packages/cluster/include/galenagw/cluster/view.h
+++ b/packages/cluster/include/galenagw/cluster/view.h
@@ -4,7 +4,7 @@
  *
  * Records come from the store or from peers, in any order; the view decodes
  * each once and tells what changed. Nothing here goes back: an older version
- * never replaces a newer one.
+ * never replaces a newer one, nor an unreadable record a good one.
  * @{
  */
 #ifndef GALENAGW_CLUSTER_VIEW_H
@@ -47,6 +47,9 @@
     void (*on_weights)(void *user, const char *model, const GwTarget *target);
     void (*on_instance_added)(void *user, GwInstance *instance);
     void (*on_instance_freed)(void *user, GwInstance *instance);
+    /** See GwInstancesOps. */
+    void (*on_instance_restarted)(void *user, GwInstance *before,
+                                  GwInstance *after);
 } GwViewOps;
 
 /** Construction options. */
@@ -68,8 +71,8 @@
 GwTarget GwView_Target(const GwView *view, const char *model);
 /**
  * Changes so far that alter what a caller gets: routes, keys, named weights,
- * endpoints that leave. Others, such as the weights of each engine in a roll,
- * are many and can wait.
+ * endpoints that leave or started anew. Others, such as the weights of each
+ * engine in a roll, are many and can wait.
  */
 uint64_t GwView_UrgentChanges(const GwView *view);
 
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -172,15 +172,30 @@
 
     address.port = p->options.agent_port;
     peer = at_(p, &address);
-    if (peer == NULL || !GwSession_IsReady(peer->session))
+    // What still waits at an earlier life is no load of this one.
+    if (instance->superseded || peer == NULL ||
+        !GwSession_IsReady(peer->session))
         return;
     note.tokens = instance->prefill_tokens;
     note.yielding = instance->yielding_tokens;
     note.yielding_memory = instance->yielding_memory;
     note.long_runs = instance->long_runs;
+    note.incarnation = instance->incarnation;
     GwSession_Send(peer->session, &frame);
 }
 
+void
+GwPeers_ForgetLoads(GwPeers *p)
+{
+    Peer *peer;
+
+    TAILQ_FOREACH(peer, &p->peers, link)
+    {
+        peer->prefill_tokens = peer->yielding = peer->yielding_memory = 0;
+        peer->long_runs = 0;
+    }
+}
+
 unsigned
 GwPeers_LongRuns(const GwPeers *p)
 {
@@ -557,6 +572,7 @@
     Waiting others;
 
     state.instance = p->engine_id;
+    state.incarnation = p->engine.incarnation;
     state.weights = p->engine.weights;
     state.preparing = p->engine.preparing;
     state.switching = p->engine.switching;
@@ -583,7 +599,8 @@
     Peer *from = find_(p, session);
     Peer *peer;
 
-    if (from == NULL || !p->has_engine)
+    if (from == NULL || !p->has_engine ||
+        note->incarnation < p->engine.incarnation)
         return;
     from->prefill_tokens = note->tokens;
     from->yielding = note->yielding;
@@ -636,8 +653,13 @@
 
     if (state->entries > 0)
         p->entries = state->entries;
-    if (instance == NULL)
+    if (instance == NULL || state->incarnation < instance->incarnation)
         return;
+    // The word of the process beside the engine is ahead of the list.
+    if (state->incarnation > instance->incarnation)
+        instance = GwInstances_Restarted(GwView_Instances(p->options.view),
+                                         state->instance, state->incarnation,
+                                         GW_LEARNED_AGENT);
     went_down = state->down && !instance->advice.down;
     if (instance->advice.switching != state->switching ||
         instance->advice.preparing != state->preparing ||
--- a/packages/cluster/src/view.c
+++ b/packages/cluster/src/view.c
@@ -12,6 +12,7 @@
     GwInstances *instances;
     GwRoutes *routes;
     GHashTable *targets; /* model to GwTarget */
+    GHashTable *aside;   /* keys of rows of services that no route knows */
     uint64_t urgent_changes;
 };
 
@@ -20,14 +21,22 @@
 static void on_routes_(GwView *view, const GwRecord *record);
 static void on_weights_(GwView *view, const GwRecord *record);
 static void on_row_(GwView *view, const GwRecord *record);
+static void judge_rows_anew_(GwView *view, bool first);
+static void on_row_again_(void *user, GwList list, const GwRecord *record);
+static bool is_known_service_(const GwView *view, const GwInstanceRow *row);
+static void set_aside_(GwView *view, const GwRecord *record,
+                       const GwInstanceRow *row);
 static void on_added_(void *user, GwInstance *instance);
 static void on_freed_(void *user, GwInstance *instance);
+static void on_restarted_(void *user, GwInstance *before, GwInstance *after,
+                          GwLearned from);
 static void log_row_(GwView *view, const GwRecord *record,
                      const GwInstanceRow *row);
 static void log_bad_(GwView *view, GwList list, const GwRecord *record,
                      const GwError *err);
 
-static const GwInstancesOps instances_ops = {on_added_, on_freed_};
+static const GwInstancesOps instances_ops = {on_added_, on_freed_,
+                                             on_restarted_};
 
 GwView *
 GwView_New(const GwViewOptions *options)
@@ -39,6 +48,7 @@
     view->instances = GwInstances_New(&instances_ops, view);
     view->targets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    view->aside = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     return view;
 }
 
@@ -51,6 +61,7 @@
     GwRecords_Delete(view->records);
     GwRoutes_Unref(view->routes);
     g_hash_table_unref(view->targets);
+    g_hash_table_unref(view->aside);
     g_free(view);
 }
 
@@ -131,6 +142,7 @@
 {
     GwError err = {0};
     GwRoutes *routes = GwDocuments_DecodeRoutes(record, &err);
+    bool first = view->routes == NULL;
 
     if (routes == NULL) {
         // The version in force stays: an unreadable one must not take the
@@ -154,6 +166,7 @@
     GwRoutes_Unref(view->routes);
     view->routes = routes;
     view->urgent_changes++;
+    judge_rows_anew_(view, first);
     if (view->options.ops->on_routes != NULL)
         view->options.ops->on_routes(view->options.user);
 }
@@ -198,6 +211,7 @@
     GwRowDocument *document;
     GwError err = {0};
 
+    g_hash_table_remove(view->aside, record->key);
     if (record->value == NULL) {
         log_row_(view, record, NULL);
         view->urgent_changes++;
@@ -209,13 +223,75 @@
         log_bad_(view, GW_LIST_INSTANCES, record, &err);
         return;
     }
-    if (GwInstances_Listed(view->instances, GwDocuments_Row(document))) {
+    if (!is_known_service_(view, GwDocuments_Row(document)))
+        set_aside_(view, record, GwDocuments_Row(document));
+    else if (GwInstances_Listed(view->instances, GwDocuments_Row(document))) {
         log_row_(view, record, GwDocuments_Row(document));
         view->urgent_changes += GwDocuments_Row(document)->draining;
     }
     GwDocuments_RowFree(document);
 }
 
+// Rows may come before the routes that name their services. Those that came
+// before any routes were all taken, as nothing could be told of them; a row of
+// nobody's service at the address of an endpoint has passed for its successor.
+static void
+judge_rows_anew_(GwView *view, bool first)
+{
+    const GPtrArray *listed = GwInstances_All(view->instances);
+
+    for (guint i = first ? listed->len : 0; i > 0; i--) {
+        GwInstance *instance = g_ptr_array_index(listed, i - 1);
+
+        if (GwRoutes_Service(view->routes, instance->service) != NULL)
+            continue;
+        g_hash_table_add(view->aside, g_strdup(instance->id));
+        GwInstances_Forget(view->instances, instance->id);
+    }
+    if (first)
+        GwInstances_Review(view->instances);
+    if (g_hash_table_size(view->aside) > 0)
+        GwRecords_Each(view->records, GW_LIST_INSTANCES, 0, on_row_again_,
+                       view);
+}
+
+static void
+on_row_again_(void *user, GwList list, const GwRecord *record)
+{
+    GwView *view = user;
+
+    if (record->value != NULL &&
+        g_hash_table_contains(view->aside, record->key))
+        on_row_(view, record);
+}
+
+// Before any routes are known, no service can be told from nobody's; but an id
+// does not change its service.
+static bool
+is_known_service_(const GwView *view, const GwInstanceRow *row)
+{
+    const GwInstance *known;
+
+    if (view->routes != NULL)
+        return GwRoutes_Service(view->routes, row->service) != NULL;
+    known = GwInstances_Find(view->instances, row->id);
+    return known == NULL || strcmp(known->service, row->service) == 0;
+}
+
+static void
+set_aside_(GwView *view, const GwRecord *record, const GwInstanceRow *row)
+{
+    GwError err = {0};
+
+    GwError_Set(&err, GW_ERROR_CONFIG,
+                "no route knows service %s; it is used once one does",
+                row->service);
+    g_hash_table_add(view->aside, g_strdup(record->key));
+    if (view->routes == NULL)
+        return;
+    log_bad_(view, GW_LIST_INSTANCES, record, &err);
+}
+
 static void
 on_added_(void *user, GwInstance *instance)
 {
@@ -234,6 +310,26 @@
         view->options.ops->on_instance_freed(view->options.user, instance);
 }
 
+static void
+on_restarted_(void *user, GwInstance *before, GwInstance *after,
+              GwLearned from)
+{
+    GwView *view = user;
+    GwEventLog *log = view->options.log;
+
+    view->urgent_changes++;
+    GwCounters_Add(view->options.counters, GW_COUNTER_RESTARTS_SEEN, 1);
+    GwEvent_Begin(log, "restarted", NULL);
+    GwEvent_Text(log, "instance", after->id);
+    GwEvent_Number(log, "before", before->incarnation);
+    GwEvent_Number(log, "incarnation", after->incarnation);
+    GwEvent_Text(log, "learned_from", GwLearned_Names[from]);
+    GwEvent_End(log);
+    if (view->options.ops->on_instance_restarted != NULL)
+        view->options.ops->on_instance_restarted(view->options.user, before,
+                                                 after);
+}
+
 static void
 log_row_(GwView *view, const GwRecord *record, const GwInstanceRow *row)
 {
@@ -249,6 +345,7 @@
         GwEvent_Text(log, "service", row->service);
         GwEvent_Text(log, "address", row->address.host);
         GwEvent_Number(log, "weights", row->weights);
+        GwEvent_Number(log, "incarnation", row->incarnation);
     }
     GwEvent_Number(log, "offset", record->offset);
     GwEvent_End(log);
@@ -257,6 +354,8 @@
 static void
 log_bad_(GwView *view, GwList list, const GwRecord *record, const GwError *err)
 {
+    // Each record is told once, however often it is read.
+    GwCounters_Add(view->options.counters, GW_COUNTER_RECORDS_UNREADABLE, 1);
     GwEvent_Begin(view->options.log, "record_unreadable", NULL);
     GwEvent_Text(view->options.log, "list", GwList_Names[list]);
     GwEvent_Text(view->options.log, "key", record->key);
--- a/packages/gateway/src/choosing.c
+++ b/packages/gateway/src/choosing.c
@@ -104,7 +104,7 @@
         bool tried = instance->draining;
 
         for (unsigned k = 0; k < r->n_tried; k++)
-            tried = tried || r->tried[k] == instance->place;
+            tried = tried || r->tried[k] == instance->serial;
         if (!tried)
             return true;
     }
@@ -116,7 +116,7 @@
 {
     GwTime now = GwTime_Now();
 
-    if (r->scope == NULL || r->instance == NULL)
+    if (r->scope == NULL || r->instance == NULL || r->instance->superseded)
         return;
     for (unsigned n = 1; n <= r->ask.n_parts; n++)
         GwAffinity_Remember(r->gateway->holders, level_key_(r, r->scope, n),
@@ -211,7 +211,7 @@
     if (outdated != 0 && now - outdated > g->weights_bound - WEIGHTS_MARGIN)
         out->usable = false;
     for (unsigned i = 0; i < r->n_tried; i++)
-        out->usable = out->usable && r->tried[i] != instance->place;
+        out->usable = out->usable && r->tried[i] != instance->serial;
     if (service != NULL && service->max_connections > 0 &&
         GwUpstreamPool_Open(instance->user) >= service->max_connections &&
         instance->in_flight >= service->max_connections)
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -27,6 +27,8 @@
 static void on_routes_(void *user);
 static void on_instance_added_(void *user, GwInstance *instance);
 static void on_instance_freed_(void *user, GwInstance *instance);
+static void on_instance_restarted_(void *user, GwInstance *before,
+                                   GwInstance *after);
 static void on_engine_down_(void *user, GwInstance *instance);
 static void on_call_(void *user, GwHttpCall *call);
 static void on_gone_(void *user, GwHttpCall *call);
@@ -45,6 +47,7 @@
     .on_routes = on_routes_,
     .on_instance_added = on_instance_added_,
     .on_instance_freed = on_instance_freed_,
+    .on_instance_restarted = on_instance_restarted_,
 };
 static const GwHttpServerOps caller_ops = {on_call_, on_gone_, on_drained_,
                                            on_refused_};
@@ -192,6 +195,17 @@
     GwUpstreamPool_Delete(instance->user);
 }
 
+// What waits at the earlier life goes with it; see leave_silent_.
+static void
+on_instance_restarted_(void *user, GwInstance *before, GwInstance *after)
+{
+    GwGateway *g = user;
+
+    GwAffinity_ForgetMember(g->holders, before->place);
+    GwUpstreamPool_CloseIdle(before->user);
+    GwPeers_NoteLoad(g->peers, after);
+}
+
 static void
 on_engine_down_(void *user, GwInstance *instance)
 {
@@ -290,6 +304,7 @@
     const GPtrArray *all = GwInstances_All(GwView_Instances(g->view));
     GwTime now = GwTime_Now();
 
+    GwRequest_LeaveEarlierLives(g);
     for (guint i = 0; i < all->len; i++) {
         const GwInstance *instance = g_ptr_array_index(all, i);
 
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -130,6 +130,21 @@
     }
 }
 
+void
+GwRequest_LeaveEarlierLives(GwGateway *g)
+{
+    GwRequest *r;
+    GwRequest *next;
+
+    for (r = TAILQ_FIRST(&g->requests); r != NULL; r = next) {
+        next = TAILQ_NEXT(r, link);
+        if (r->instance == NULL || !r->instance->superseded || may_finish_(r))
+            continue;
+        GwUpstream_Cancel(g_steal_pointer(&r->upstream));
+        after_failure_(r, GW_ATTEMPT_MAY_HAVE_RUN, "endpoint_restarted");
+    }
+}
+
 // An engine that takes no new connection is not dead: a leaving one closes its
 // port first and finishes what it runs. One that does not leave is believed to
 // live as long as the stream comes; its end, if it is dead, is a reset.
@@ -327,7 +342,7 @@
     instance->in_flight++;
     add_load_(r, (int64_t)r->prefill, 1);
     if (r->n_tried < MAX_TRIED)
-        r->tried[r->n_tried++] = instance->place;
+        r->tried[r->n_tried++] = instance->serial;
     GwCounters_Add(&g->counters, GW_COUNTER_ATTEMPTS, 1);
     GwRequestLog_Attempt(r, &dispatch);
     r->upstream = GwUpstream_Send(instance->user, &options);
--- a/packages/gateway/src/request.h
+++ b/packages/gateway/src/request.h
@@ -11,6 +11,10 @@
 void GwRequest_Start(GwGateway *gateway, GwHttpCall *call);
 /* The caller left: stop the endpoint's work. Frees the request. */
 void GwRequest_CallerGone(GwRequest *request);
+/* What waits at an earlier life of an endpoint's id, and of which nothing
+ * comes any more, is given up there: it may have run. Streams that still come,
+ * and what a leaving endpoint is finishing, go on. */
+void GwRequest_LeaveEarlierLives(GwGateway *gateway);
 /* An endpoint does not answer. If its agent says so, what is in flight there
  * has failed, but for streams that still come and for what a leaving endpoint
  * is finishing. Else only what may be repeated goes elsewhere, and the rest
--- a/packages/gateway/src/request_private.h
+++ b/packages/gateway/src/request_private.h
@@ -38,7 +38,7 @@
     unsigned attempts;
     GwTime retry_after; /* for its caller, if it is deferred; else 0 */
     bool may_have_run;  /* an earlier attempt; "not run" would be untrue */
-    uint64_t tried[MAX_TRIED];
+    uint64_t tried[MAX_TRIED]; /* their serials */
     unsigned n_tried;
     uint64_t domain;    /* that its prompt belongs to; 0: none */
     GwCandidate chosen; /* the instance, as it looked when it was chosen */
--- a/packages/gateway/src/upstream.c
+++ b/packages/gateway/src/upstream.c
@@ -87,12 +87,18 @@
 {
     if (pool == NULL)
         return;
-    while (!TAILQ_EMPTY(&pool->idle))
-        free_(TAILQ_FIRST(&pool->idle));
+    GwUpstreamPool_CloseIdle(pool);
     g_assert(TAILQ_EMPTY(&pool->busy));
     g_free(pool);
 }
 
+void
+GwUpstreamPool_CloseIdle(GwUpstreamPool *pool)
+{
+    while (!TAILQ_EMPTY(&pool->idle))
+        free_(TAILQ_FIRST(&pool->idle));
+}
+
 unsigned
 GwUpstreamPool_Open(const GwUpstreamPool *pool)
 {
--- a/packages/gateway/src/upstream.h
+++ b/packages/gateway/src/upstream.h
@@ -44,6 +44,8 @@
 GwUpstreamPool *GwUpstreamPool_New(GwLoop *loop, const GwAddress *address,
                                    GwCounters *counters);
 void GwUpstreamPool_Delete(GwUpstreamPool *pool);
+/* Its endpoint has ended: no idle connection leads anywhere any more. */
+void GwUpstreamPool_CloseIdle(GwUpstreamPool *pool);
 /* Open connections, idle ones too. */
 unsigned GwUpstreamPool_Open(const GwUpstreamPool *pool);
 
--- a/packages/policy/include/galenagw/policy/affinity.h
+++ b/packages/policy/include/galenagw/policy/affinity.h
@@ -32,6 +32,8 @@
                          uint64_t member, GwTime ttft, GwTime now);
 /** It failed or refused there: forget. */
 void GwAffinity_Forget(GwAffinity *affinity, uint64_t anchor);
+/** It holds nothing any more: forget all that is remembered of it. */
+void GwAffinity_ForgetMember(GwAffinity *affinity, uint64_t member);
 /** @return the member, or 0 if none is remembered or it was too long ago */
 uint64_t GwAffinity_Find(const GwAffinity *affinity, uint64_t anchor,
                          GwTime now, GwTime *ttft);
--- a/packages/policy/src/affinity.c
+++ b/packages/policy/src/affinity.c
@@ -15,6 +15,8 @@
     unsigned max_keys;
 };
 
+static gboolean is_at_(gpointer key, gpointer place, gpointer member);
+
 GwAffinity *
 GwAffinity_New(GwTime life, unsigned max_keys)
 {
@@ -62,6 +64,12 @@
     g_hash_table_remove(a->places, &anchor);
 }
 
+void
+GwAffinity_ForgetMember(GwAffinity *a, uint64_t member)
+{
+    g_hash_table_foreach_remove(a->places, is_at_, &member);
+}
+
 uint64_t
 GwAffinity_Find(const GwAffinity *a, uint64_t anchor, GwTime now, GwTime *ttft)
 {
@@ -72,3 +80,9 @@
     *ttft = p->ttft;
     return p->member;
 }
+
+static gboolean
+is_at_(gpointer key, gpointer place, gpointer member)
+{
+    return ((const Place *)place)->member == *(const uint64_t *)member;
+}
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -3,8 +3,10 @@
  * @brief The endpoints of all services, as one process sees them.
  *
  * The list tells who exists; agents and answers tell sooner what changed.
- * An endpoint is one incarnation: after a restart it is another one, and
- * its address may belong to another service.
+ * An endpoint is one incarnation, told by its id and the time of its start:
+ * after a restart it is another one, under the same id or a new one, and its
+ * address may belong to another service. The later life of an id wins, and
+ * nothing that is told of an earlier one is believed of it.
  * @{
  */
 #ifndef GALENAGW_ROUTING_INSTANCES_H
@@ -24,6 +26,9 @@
 /** A list row, decoded; strings are borrowed. */
 typedef struct {
     const char *id;
+    /** Which life of this id: the time of its start by its own clock, of
+     * which only the order counts. 0: not told, before any that is. */
+    int64_t incarnation;
     const char *service;
     GwAddress address;
     const char *failure_domain;
@@ -34,6 +39,16 @@
     int64_t offset;    /**< of its record: what is newer has the larger one */
 } GwInstanceRow;
 
+/** Where a later life of an id was learned of. */
+typedef enum {
+    GW_LEARNED_LIST = 0, /**< its row, from the store or a peer */
+    GW_LEARNED_AGENT,    /**< the word of the agent beside it */
+    GW_LEARNED_REPORT,   /**< its own report to the agent beside it */
+    GW_LEARNED_FROM
+} GwLearned;
+
+extern const char *const GwLearned_Names[GW_LEARNED_FROM];
+
 /** How far an engine can be judged by its agent's words. */
 typedef enum {
     GW_HEARD_NEVER = 0, /**< no agent is connected: nothing is known */
@@ -61,6 +76,9 @@
 /** One endpoint. Fields are read-only but for in_flight and user. */
 typedef struct {
     char *id;
+    int64_t incarnation; /**< see GwInstanceRow */
+    uint64_t serial;     /**< no other one of this process has it */
+    bool superseded;     /**< a later life of its id is known */
     char *service;
     char *failure_domain;
     char *model;
@@ -69,6 +87,7 @@
     uint64_t domain; /**< hash of the failure domain */
     unsigned slots;
     bool draining;     /**< or replaced by another at its address */
+    bool leaving;      /**< it said so itself */
     int64_t offset;    /**< of its newest record */
     GwTime removed_at; /**< when the list dropped it; 0: it has not */
     int64_t weights;   /**< newest version it is known to have; -1: none */
@@ -96,17 +115,36 @@
     void (*on_added)(void *user, GwInstance *instance);
     /** Nobody refers to it any more; it is freed after this. */
     void (*on_freed)(void *user, GwInstance *instance);
+    /** @p after is a later life of the id of @p before, which is listed no
+     * more: only requests still in flight there refer to it. */
+    void (*on_restarted)(void *user, GwInstance *before, GwInstance *after,
+                         GwLearned from);
 } GwInstancesOps;
 
 GwInstances *GwInstances_New(const GwInstancesOps *ops, void *user);
 void GwInstances_Delete(GwInstances *instances);
 
-/** A row is there. @return whether anything but its counter changed. */
+/**
+ * A row is there; one of an earlier life than the known one changes nothing.
+ * @return whether anything but its counter changed
+ */
 bool GwInstances_Listed(GwInstances *instances, const GwInstanceRow *row);
+/**
+ * It was told otherwise that @p id started anew. Until its row is read it is
+ * taken to be where the earlier life was.
+ * @return the later life, or NULL if @p id is not listed or no earlier one
+ */
+GwInstance *GwInstances_Restarted(GwInstances *instances, const char *id,
+                                  int64_t incarnation, GwLearned from);
 /** Another incarnation answers at its address: it gets no new work. */
 void GwInstance_SetReplaced(GwInstance *instance);
 /** The list dropped @p id: it gets no new work. */
 void GwInstances_Removed(GwInstances *instances, const char *id, GwTime now);
+/** Drop @p id at once, as if it had never been listed. */
+void GwInstances_Forget(GwInstances *instances, const char *id);
+/** Judge anew, by the rows alone, who leaves or was replaced by another at
+ * its address: some that passed for successors were forgotten. */
+void GwInstances_Review(GwInstances *instances);
 /**
  * Entries that lapsed while the store was away come back soon after its
  * return. Until @p until, removals are only noted.
--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -19,13 +19,22 @@
     GwInstancesOps ops;
     void *user;
     GwTime hold_until;
-    unsigned held; /* removals that were only noted */
+    unsigned held;   /* removals that were only noted */
+    uint64_t serial; /* of the newest one */
+};
+
+const char *const GwLearned_Names[GW_LEARNED_FROM] = {
+    [GW_LEARNED_LIST] = "list",
+    [GW_LEARNED_AGENT] = "agent",
+    [GW_LEARNED_REPORT] = "report",
 };
 
 static GwInstance *add_(GwInstances *m, const GwInstanceRow *row);
 static bool replace_at_(GwInstances *m, const GwInstance *row);
 static GPtrArray *pool_(GwInstances *m, const char *service);
 static void drop_(GwInstances *m, GwInstance *instance);
+static GwInstance *supersede_(GwInstances *m, GwInstance *before,
+                              const GwInstanceRow *row, GwLearned from);
 
 GwInstances *
 GwInstances_New(const GwInstancesOps *ops, void *user)
@@ -64,6 +73,14 @@
         instance = add_(m, row);
         changed = true;
     }
+    // A page read late, a peer's older copy, or a heartbeat that the store
+    // took after the restart: the worker that wrote it is gone.
+    if (row->incarnation < instance->incarnation)
+        return false;
+    if (row->incarnation > instance->incarnation) {
+        instance = supersede_(m, instance, row, GW_LEARNED_LIST);
+        changed = true;
+    }
     if (instance->removed_at != 0) {
         instance->removed_at = 0;
         m->held--;
@@ -72,13 +89,37 @@
     instance->offset = MAX(instance->offset, row->offset);
     changed = replace_at_(m, instance) || changed;
     // Leaving is final for an incarnation.
-    if (row->draining && !instance->draining) {
+    instance->leaving = instance->leaving || row->draining;
+    if (instance->leaving && !instance->draining) {
         instance->draining = true;
         changed = true;
     }
     return GwInstance_SetWeights(instance, row->weights) || changed;
 }
 
+GwInstance *
+GwInstances_Restarted(GwInstances *m, const char *id, int64_t incarnation,
+                      GwLearned from)
+{
+    GwInstance *before = g_hash_table_lookup(m->by_id, id);
+    GwInstanceRow row;
+
+    if (before == NULL || incarnation <= before->incarnation)
+        return NULL;
+    row = (GwInstanceRow){
+        .id = before->id,
+        .incarnation = incarnation,
+        .service = before->service,
+        .address = before->address,
+        .failure_domain = before->failure_domain,
+        .slots = before->slots,
+        .model = before->model,
+        .weights = -1,
+        .offset = before->offset,
+    };
+    return supersede_(m, before, &row, from);
+}
+
 void
 GwInstance_SetReplaced(GwInstance *instance)
 {
@@ -100,6 +141,27 @@
     m->held++;
 }
 
+void
+GwInstances_Forget(GwInstances *m, const char *id)
+{
+    GwInstance *instance = g_hash_table_lookup(m->by_id, id);
+
+    if (instance != NULL)
+        drop_(m, instance);
+}
+
+void
+GwInstances_Review(GwInstances *m)
+{
+    for (guint i = 0; i < m->all->len; i++) {
+        GwInstance *instance = g_ptr_array_index(m->all, i);
+
+        instance->draining = instance->leaving;
+    }
+    for (guint i = 0; i < m->all->len; i++)
+        replace_at_(m, g_ptr_array_index(m->all, i));
+}
+
 void
 GwInstances_HoldRemovals(GwInstances *m, GwTime until)
 {
@@ -196,6 +258,8 @@
     GwInstance *instance = g_new0(GwInstance, 1);
 
     instance->id = g_strdup(row->id);
+    instance->incarnation = row->incarnation;
+    instance->serial = ++m->serial;
     instance->service = g_strdup(row->service);
     instance->failure_domain = g_strdup(row->failure_domain);
     instance->model = g_strdup(row->model);
@@ -203,6 +267,7 @@
     instance->place = GwPlacement_Place(&row->address);
     instance->domain = GwPlacement_Domain(row->failure_domain);
     instance->slots = row->slots;
+    instance->offset = row->offset;
     instance->weights = -1;
     instance->refs = 1;
     g_hash_table_insert(m->by_id, instance->id, instance);
@@ -257,3 +322,22 @@
     g_ptr_array_remove(m->all, instance);
     GwInstance_Unref(m, instance);
 }
+
+// All that is kept of an endpoint hangs on its object: the later life gets an
+// empty one, and requests in flight keep the earlier one until they end.
+static GwInstance *
+supersede_(GwInstances *m, GwInstance *before, const GwInstanceRow *row,
+           GwLearned from)
+{
+    GwInstance *after;
+
+    // The row may borrow its strings from the earlier one.
+    GwInstance_Ref(before);
+    before->superseded = true;
+    drop_(m, before);
+    after = add_(m, row);
+    if (m->ops.on_restarted != NULL)
+        m->ops.on_restarted(m->user, before, after, from);
+    GwInstance_Unref(m, before);
+    return after;
+}
--- a/packages/routing/tests/membership_records_test.cc
+++ b/packages/routing/tests/membership_records_test.cc
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include "galenagw/routing/instances.h"
 #include "galenagw/routing/records.h"
@@ -105,8 +106,20 @@
     SetUp() override
     {
         static const GwInstancesOps ops = {
-            nullptr, [](void *user, GwInstance *) {
+            nullptr,
+            [](void *user, GwInstance *) {
                 static_cast<InstancesTest *>(user)->freed++;
+            },
+            [](void *user, GwInstance *before, GwInstance *after,
+               GwLearned from) {
+                InstancesTest *t = static_cast<InstancesTest *>(user);
+
+                EXPECT_STREQ(before->id, after->id);
+                EXPECT_LT(before->incarnation, after->incarnation);
+                EXPECT_TRUE(before->superseded);
+                EXPECT_FALSE(after->superseded);
+                t->restarts++;
+                t->from = from;
             }};
         m = GwInstances_New(&ops, this);
     }
@@ -134,10 +147,196 @@
         return pool != nullptr ? pool->len : 0;
     }
 
+    bool
+    ListLife(int64_t incarnation, bool draining, int64_t weights = -1,
+             int port = 1, int64_t offset = 0)
+    {
+        GwInstanceRow row = {};
+        row.id = "i-1";
+        row.incarnation = incarnation;
+        row.service = "s";
+        row.address = {"10.0.0.1", port};
+        row.failure_domain = "d";
+        row.draining = draining;
+        row.weights = weights;
+        row.offset = offset;
+        return GwInstances_Listed(m, &row);
+    }
+
     GwInstances *m = nullptr;
     int freed = 0;
+    int restarts = 0;
+    GwLearned from = GW_LEARNED_FROM;
 };
 
+// Rows of several lives of one id are read in an order that nothing warrants:
+// pages, peers' copies and late heartbeats. The greatest wins; what is known
+// of it afterwards is what its own rows told.
+TEST_F(InstancesTest, TheGreatestIncarnationOfAnIdWins)
+{
+    struct Row {
+        int64_t incarnation;
+        bool draining;
+        int64_t weights;
+    };
+    const struct {
+        const char *name;
+        std::vector<Row> rows;
+        int64_t incarnation;
+        bool draining;
+        int64_t weights;
+        int restarts;
+    } cases[] = {
+        {"one life", {{5, false, 1}, {5, false, 2}}, 5, false, 2, 0},
+        {"restart while draining",
+         {{5, true, 3}, {9, false, 2}},
+         9,
+         false,
+         2,
+         1},
+        {"the old row after the new one",
+         {{9, false, 2}, {5, true, 3}},
+         9,
+         false,
+         2,
+         0},
+        {"old, new, old",
+         {{5, false, 3}, {9, false, 2}, {5, true, 4}},
+         9,
+         false,
+         2,
+         1},
+        {"it leaves in its later life",
+         {{5, false, 3}, {9, true, 3}, {5, false, 3}},
+         9,
+         true,
+         3,
+         1},
+        {"not told, then told",
+         {{0, true, 3}, {9, false, -1}},
+         9,
+         false,
+         -1,
+         1},
+        {"told, then not", {{9, false, 2}, {0, true, 3}}, 9, false, 2, 0},
+        {"never told", {{0, false, 2}, {0, true, 2}}, 0, true, 2, 0},
+        {"a clock that was set back",
+         {{9, false, 2}, {8, false, 1}},
+         9,
+         false,
+         2,
+         0},
+        {"three lives",
+         {{1, true, 1}, {2, true, 1}, {3, false, 1}},
+         3,
+         false,
+         1,
+         2},
+    };
+
+    for (auto &c : cases) {
+        restarts = 0;
+        for (auto &row : c.rows)
+            ListLife(row.incarnation, row.draining, row.weights);
+        GwInstance *i = GwInstances_Find(m, "i-1");
+        ASSERT_NE(i, nullptr) << c.name;
+        EXPECT_EQ(i->incarnation, c.incarnation) << c.name;
+        EXPECT_EQ(i->draining, c.draining) << c.name;
+        EXPECT_EQ(i->weights, c.weights) << c.name;
+        EXPECT_EQ(restarts, c.restarts) << c.name;
+        EXPECT_EQ(Count(), 1u) << c.name;
+        GwInstances_Removed(m, "i-1", 1);
+        // Removed, nothing is known of it; a clock set back does not shut a
+        // worker out for ever.
+        EXPECT_TRUE(ListLife(1, false)) << c.name;
+        GwInstances_Removed(m, "i-1", 1);
+    }
+}
+
+// Requests run at a worker that starts anew. They end with the object of the
+// earlier life: its counts, errors and advice are not the later one's.
+TEST_F(InstancesTest, WhatIsKeptOfTheEarlierLifeGoesWithIt)
+{
+    for (GwLearned learned :
+         {GW_LEARNED_LIST, GW_LEARNED_AGENT, GW_LEARNED_REPORT}) {
+        ListLife(5, false, 7);
+        GwInstance *before = GwInstance_Ref(GwInstances_Find(m, "i-1"));
+        before->in_flight = 3;
+        before->prefill_tokens = 900;
+        before->avoid_until = 77;
+        before->advice.at = 5;
+        before->advice.down = true;
+        GwHealth_Note(&before->health, GW_HEALTH_UNREACHABLE, 1);
+        freed = 0;
+        if (learned == GW_LEARNED_LIST)
+            EXPECT_TRUE(ListLife(6, false, 2));
+        else
+            EXPECT_NE(GwInstances_Restarted(m, "i-1", 6, learned), nullptr);
+        EXPECT_EQ(from, learned);
+        GwInstance *after = GwInstances_Find(m, "i-1");
+        ASSERT_NE(after, before);
+        EXPECT_EQ(after->incarnation, 6);
+        EXPECT_EQ(after->in_flight, 0u);
+        EXPECT_EQ(after->prefill_tokens, 0u);
+        EXPECT_EQ(after->avoid_until, 0);
+        EXPECT_EQ(after->advice.at, 0);
+        EXPECT_EQ(after->health.error_rate, 0);
+        EXPECT_EQ(after->weights, learned == GW_LEARNED_LIST ? 2 : -1);
+        EXPECT_EQ(after->place, before->place);
+        EXPECT_NE(after->serial, before->serial);
+        GwInstance_SetWeights(before, 9);
+        GwInstance_SetReplaced(before);
+        EXPECT_FALSE(after->draining);
+        EXPECT_EQ(Count(), 1u);
+        EXPECT_EQ(freed, 0) << "requests in flight refer to it";
+        GwInstance_Unref(m, before);
+        EXPECT_EQ(freed, 1);
+        GwInstances_Removed(m, "i-1", 1);
+    }
+    EXPECT_EQ(GwInstances_Restarted(m, "i-1", 9, GW_LEARNED_AGENT), nullptr)
+        << "of an id that is not listed nothing is known";
+    ListLife(5, false);
+    EXPECT_EQ(GwInstances_Restarted(m, "i-1", 5, GW_LEARNED_AGENT), nullptr);
+    EXPECT_EQ(GwInstances_Restarted(m, "i-1", 4, GW_LEARNED_AGENT), nullptr);
+}
+
+// The store was away and entries lapsed; a removal that was only noted must
+// not take the later life away, and a row of the earlier one not bring it
+// back.
+TEST_F(InstancesTest, ARemovalThatIsNotedIsOfTheLifeThatWasListed)
+{
+    GwTime now = 10 * GW_SECOND;
+
+    ListLife(5, false);
+    GwInstances_HoldRemovals(m, now + 2 * GW_SECOND);
+    GwInstances_Removed(m, "i-1", now);
+    ListLife(4, false);
+    GwInstances_Sweep(m, now + 2 * GW_SECOND);
+    EXPECT_EQ(Count(), 0u) << "a row of an earlier life does not return it";
+    ListLife(5, false);
+    GwInstances_HoldRemovals(m, now + 4 * GW_SECOND);
+    GwInstances_Removed(m, "i-1", now + 3 * GW_SECOND);
+    ListLife(6, false);
+    GwInstances_Sweep(m, now + 4 * GW_SECOND);
+    EXPECT_EQ(Count(), 1u);
+}
+
+// A worker's row names an address that another one had; its earlier life held
+// the address before. Each address has the newest one only.
+TEST_F(InstancesTest, ALaterLifeMayComeAtAnotherAddress)
+{
+    ListLife(5, false, -1, 1, 10);
+    List("i-2", 2, false);
+    ListLife(6, false, -1, 2, 20);
+    EXPECT_EQ(GwInstances_Find(m, "i-1")->address.port, 2);
+    EXPECT_FALSE(GwInstances_Find(m, "i-1")->draining);
+    EXPECT_TRUE(GwInstances_Find(m, "i-2")->draining);
+    GwInstances_Forget(m, "i-1");
+    GwInstances_Review(m);
+    EXPECT_FALSE(GwInstances_Find(m, "i-2")->draining)
+        << "it passed for replaced by one that is forgotten";
+}
+
 TEST_F(InstancesTest, LeavingIsFinalForAnIncarnation)
 {
     List("i-1", 1, false);
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -96,6 +96,8 @@
 static void on_report_(void *user, GwCallOutcome outcome, int status,
                        const char *body, size_t len);
 static void missed_(GwSidecar *s, GwCallOutcome outcome);
+static GwInstance *reported_instance_(GwSidecar *s);
+static void on_restarted_(void *user, GwInstance *before, GwInstance *after);
 static void decide_(GwSidecar *s);
 static void tell_(GwSidecar *s, const GwInstance *instance);
 static bool is_news_(const GwSidecar *s, const GwEngineState *state);
@@ -113,7 +115,7 @@
 static GwInstance *own_(const GwSidecar *s);
 static bool join_(GwSidecar *s, const GwDeployment *d, GwError *err);
 
-static const GwViewOps view_ops = {0};
+static const GwViewOps view_ops = {.on_instance_restarted = on_restarted_};
 static const GwHttpServerOps metrics_ops = {.on_call = on_metrics_};
 
 GwSidecar *
@@ -242,10 +244,46 @@
         tell_(s, instance);
 }
 
+// Whose report it is, or NULL if it is of an earlier life than the listed one:
+// reports are some hundred milliseconds old. The list may be older still.
+static GwInstance *
+reported_instance_(GwSidecar *s)
+{
+    GwInstance *instance = own_(s);
+
+    if (instance == NULL || s->report.incarnation == 0 ||
+        s->report.incarnation == instance->incarnation)
+        return instance;
+    return GwInstances_Restarted(GwView_Instances(s->view), instance->id,
+                                 s->report.incarnation, GW_LEARNED_REPORT);
+}
+
+// The engine beside us started anew: it holds no order and no load of before.
+// An order whose answer is still out may be carried out by the later life, as
+// it names the id alone; then reports show what it did. The fence stays: it
+// tells lives of this process apart, and the engine has seen no other yet.
+static void
+on_restarted_(void *user, GwInstance *before, GwInstance *after)
+{
+    GwSidecar *s = user;
+
+    if (!GwAddress_Equal(&after->address, &s->endpoint))
+        return;
+    GwHttpCaller_Cancel(s->orders);
+    GwPeers_ForgetLoads(s->peers);
+    s->stage = STAGE_SERVING;
+    s->loading = 0;
+    s->told_at = 0;
+    if (s->report.incarnation < after->incarnation) {
+        memset(&s->report, 0, sizeof(s->report));
+        s->report.weights = -1;
+    }
+}
+
 static void
 decide_(GwSidecar *s)
 {
-    GwInstance *instance = own_(s);
+    GwInstance *instance = reported_instance_(s);
     GwTarget target = GwView_Target(s->view, s->report.model);
     GwTime now = GwTime_Now();
 
@@ -289,6 +327,7 @@
 {
     GwEngineState state = {
         .instance = instance->id,
+        .incarnation = instance->incarnation,
         .weights = s->report.weights,
         .preparing = s->stage == STAGE_PREPARING,
         .switching = s->stage > STAGE_PREPARING,
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -492,10 +492,17 @@
    * tokens that other entries' runs of
    */
   uint64_t others_yielding_memory;
+  /*
+   * such accounts hold or will
+   */
+  /*
+   * which life of the id; 0: not told
+   */
+  int64_t incarnation;
 };
 #define GW__WIRE__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -520,10 +527,14 @@
    * tokens that runs of such accounts hold or will
    */
   uint64_t yielding_memory;
+  /*
+   * which life of the engine; 0: not told
+   */
+  int64_t incarnation;
 };
 #define GW__WIRE__PREFILL_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__prefill_note__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -2969,7 +2969,7 @@
   (ProtobufCMessageInit) gw__wire__records_tell__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__engine_state__field_descriptors[13] =
+static const ProtobufCFieldDescriptor gw__wire__engine_state__field_descriptors[14] =
 {
   {
     "instance",
@@ -3127,10 +3127,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "incarnation",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EngineState, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__engine_state__field_indices_by_name[] = {
   8,   /* field[8] = down */
   7,   /* field[7] = entries */
+  13,   /* field[13] = incarnation */
   0,   /* field[0] = instance */
   6,   /* field[6] = kv_total */
   5,   /* field[5] = kv_used */
@@ -3146,7 +3159,7 @@
 static const ProtobufCIntRange gw__wire__engine_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor gw__wire__engine_state__descriptor =
 {
@@ -3156,14 +3169,14 @@
   "Gw__Wire__EngineState",
   "gw.wire",
   sizeof(Gw__Wire__EngineState),
-  13,
+  14,
   gw__wire__engine_state__field_descriptors,
   gw__wire__engine_state__field_indices_by_name,
   1,  gw__wire__engine_state__number_ranges,
   (ProtobufCMessageInit) gw__wire__engine_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__prefill_note__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gw__wire__prefill_note__field_descriptors[5] =
 {
   {
     "tokens",
@@ -3213,8 +3226,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "incarnation",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__PrefillNote, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__prefill_note__field_indices_by_name[] = {
+  4,   /* field[4] = incarnation */
   1,   /* field[1] = long_runs */
   0,   /* field[0] = tokens */
   2,   /* field[2] = yielding */
@@ -3223,7 +3249,7 @@
 static const ProtobufCIntRange gw__wire__prefill_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gw__wire__prefill_note__descriptor =
 {
@@ -3233,7 +3259,7 @@
   "Gw__Wire__PrefillNote",
   "gw.wire",
   sizeof(Gw__Wire__PrefillNote),
-  4,
+  5,
   gw__wire__prefill_note__field_descriptors,
   gw__wire__prefill_note__field_indices_by_name,
   1,  gw__wire__prefill_note__number_ranges,
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -122,6 +122,7 @@
     httpd_ = FakeHttpd_New(platform_->loop, &served, &ops, this, &err);
     g_assert(httpd_ != nullptr);
     up = true;
+    born_ = std::max(born_ + 1, g_get_real_time() / 1000);
     draining_ = false;
     draining_since_ = 0;
     loading_ = orders_ = 0;
@@ -144,7 +145,9 @@
     std::string text = std::string("{\"service\":\"") +
                        (is_engine ? "model" : "plain") + "\",\"address\":\"" +
                        Text(listed) +
-                       "\",\"zone\":\"d\",\"slots\":64,\"state\":\"" +
+                       "\",\"zone\":\"d\",\"version\":\"v1\",\"slots\":64,"
+                       "\"cold_remaining_ms\":0,\"seq\":1,\"born\":" +
+                       std::to_string(born_) + ",\"state\":\"" +
                        (draining_ ? "draining" : "ready") + "\"";
 
     if (is_engine)
@@ -330,7 +333,9 @@
         std::to_string(weights_) +
         "}],\"busy\":" + (loading_ != 0 ? "true" : "false") +
         ",\"seq\":" + std::to_string(orders_) +
-        ",\"queued\":0,\"running\":0,\"kv_used\":0,\"kv_total\":100000}";
+        ",\"queued\":0,\"running\":0,\"kv_used\":0,\"kv_total\":100000,"
+        "\"born\":" +
+        std::to_string(born_) + "}";
 
     // One that leaves keeps no connection behind an answer.
     FakeExchange_Answer(x, 200, draining_ ? "Connection: close\r\n" : "",
--- a/soak/src/platform.h
+++ b/soak/src/platform.h
@@ -72,6 +72,7 @@
     Platform *platform_;
     int number_;
     int incarnation_ = 0;
+    int64_t born_ = 0; // of this life, in Unix milliseconds
     FakeHttpd *httpd_ = nullptr;
     int weights_ = 1, loading_ = 0, orders_ = 0;
     GwTimer loaded_;
