Restarts under one id: sidecar, peers and soak; odd records hide no others

Ruled out: a new fence for each life of the engine. A lower fence of an order in doubt could then arrive after a higher one, and where the store is away there would be none to order with.

Soak: endpoints come back under their id or a new one, the last heartbeat of the earlier life may be read after the first of the later one, and rows with a spoilt field lie under endpoints' ids and others. Of the draw for faults 97 to 99, named weights before, are these rows now. Tests of sidecar, peers and gateway restarts pass.

--- /dev/null
+++ b/packages/cluster/tests/peers_restart_test.cc
@@ -0,0 +1,161 @@
+#include <string>
+
+#include "galenagw/cluster/peers.h"
+#include "galenagw/cluster/view.h"
+#include "galenagw/fakes/fleet.h"
+
+// One gateway's and one sidecar's ends of the sessions between them, each with
+// its own view of the list.
+class PeersRestartTest : public testing::Test {
+  protected:
+    void
+    SetUp() override
+    {
+        static const GwViewOps ops = {};
+        static const FakeHttpdOps none = {};
+        GwAddress any = {"127.0.0.1", 0};
+        GwPeersOptions agent = {}, entry = {};
+        GwError err = {};
+        FakeHttpd *free_port =
+            FakeHttpd_New(f.loop, &any, &none, nullptr, &err);
+
+        agent.listen = any;
+        agent.listen.port = FakeHttpd_Port(free_port);
+        FakeHttpd_Delete(free_port);
+        for (Side *side : {&agent_, &entry_}) {
+            GwViewOptions options = {&ops, this, nullptr, &side->counters};
+
+            side->view = GwView_New(&options);
+        }
+        agent.is_agent = true;
+        agent.name = "side-1";
+        entry.name = "edge-1";
+        agent.failure_domain = entry.failure_domain = "d";
+        entry.listen = any;
+        entry.agent_port = agent.listen.port;
+        agent.view = agent_.view;
+        entry.view = entry_.view;
+        agent.counters = &agent_.counters;
+        entry.counters = &entry_.counters;
+        agent_.peers = GwPeers_New(f.loop, &agent, &err);
+        ASSERT_NE(agent_.peers, nullptr) << err.message;
+        List(&entry_, 10, 1);
+        entry_.peers = GwPeers_New(f.loop, &entry, &err);
+        ASSERT_NE(entry_.peers, nullptr) << err.message;
+    }
+    void
+    TearDown() override
+    {
+        for (Side *side : {&agent_, &entry_}) {
+            GwPeers_Delete(side->peers);
+            GwView_Delete(side->view);
+        }
+    }
+    struct Side {
+        GwView *view = nullptr;
+        GwPeers *peers = nullptr;
+        GwCounters counters = {};
+    };
+    void
+    List(Side *side, int64_t born, int weights, const char *state = "ready")
+    {
+        std::string text =
+            R"({"service":"model","address":"127.0.0.1:9","zone":"d",)"
+            R"("version":"v1","slots":64,"cold_remaining_ms":0,"seq":1,)"
+            R"("models":[{"name":"m","version":)" +
+            std::to_string(weights) + R"(}],"state":")" + state +
+            R"(","born":)" + std::to_string(born) + "}";
+        GwRecord record = {"i-1", text.data(), text.size(), ++offset_};
+
+        GwRecords_Apply(GwView_Records(side->view), GW_LIST_INSTANCES,
+                        &record);
+    }
+    void
+    Tell(int64_t incarnation, int64_t weights, bool down = false)
+    {
+        GwEngineState state = {};
+
+        state.instance = "i-1";
+        state.incarnation = incarnation;
+        state.weights = weights;
+        state.down = down;
+        state.running = (unsigned)(10 * incarnation);
+        GwPeers_TellEngine(agent_.peers, &state);
+        f.Wait(50 * GW_MILLISECOND);
+    }
+    GwInstance *
+    Known()
+    {
+        return GwInstances_Find(GwView_Instances(entry_.view), "i-1");
+    }
+
+    Fleet f;
+    Side agent_, entry_;
+    int64_t offset_ = 0;
+};
+
+// An agent tells of its engine several times a second, and a word may be on
+// the way while the engine starts anew. A gateway believes it for the life it
+// is of, and learns of a later life from it before any row is read.
+TEST_F(PeersRestartTest, AWordIsBelievedForTheLifeItIsOf)
+{
+    Tell(10, 3);
+    ASSERT_TRUE(f.Until([&] { return Known()->advice.running == 100; }));
+    EXPECT_EQ(Known()->weights, 3);
+    GwInstance *before = Known();
+    before->health.error_rate = 1;
+
+    Tell(20, 2);
+    ASSERT_TRUE(f.Until([&] { return Known()->advice.running == 200; }));
+    EXPECT_EQ(Known()->incarnation, 20);
+    EXPECT_EQ(Known()->weights, 2) << "those of the earlier life are gone";
+    EXPECT_EQ(Known()->health.error_rate, 0);
+    EXPECT_EQ(entry_.counters.plain[GW_COUNTER_RESTARTS_SEEN], 1u);
+
+    Tell(10, 9, true);
+    List(&entry_, 10, 9, "draining");
+    f.Wait(100 * GW_MILLISECOND);
+    EXPECT_EQ(Known()->incarnation, 20);
+    EXPECT_EQ(Known()->weights, 2);
+    EXPECT_FALSE(Known()->advice.down);
+    EXPECT_FALSE(Known()->draining);
+
+    // The list is ahead of the agent this time.
+    List(&entry_, 30, 1);
+    Tell(20, 8);
+    EXPECT_EQ(Known()->incarnation, 30);
+    EXPECT_EQ(Known()->weights, 1);
+    EXPECT_EQ(Known()->advice.at, 0);
+}
+
+// A gateway has prompts waiting at an engine that starts anew, and learns of
+// it late. What it tells the agent then is no load of the later life: the
+// agent would wait for it before it loads new weights.
+TEST_F(PeersRestartTest, ANoteOfLoadIsOfTheLifeItWasSentTo)
+{
+    Tell(10, 1);
+    ASSERT_TRUE(f.Until([&] { return Known()->advice.at != 0; }));
+    GwInstance *before =
+        GwInstance_Ref(GwInstances_Find(GwView_Instances(entry_.view), "i-1"));
+    before->prefill_tokens = 500;
+    before->long_runs = 2;
+    GwPeers_NoteLoad(entry_.peers, before);
+    EXPECT_TRUE(
+        f.Until([&] { return GwPeers_WaitingTokens(agent_.peers) == 500; }));
+    EXPECT_EQ(GwPeers_LongRuns(agent_.peers), 2u);
+    GwPeers_ForgetLoads(agent_.peers);
+    EXPECT_EQ(GwPeers_WaitingTokens(agent_.peers), 0u);
+    EXPECT_EQ(GwPeers_LongRuns(agent_.peers), 0u);
+
+    Tell(20, 1);
+    ASSERT_TRUE(f.Until([&] { return Known()->incarnation == 20; }));
+    before->prefill_tokens = 400;
+    GwPeers_NoteLoad(entry_.peers, before);
+    f.Wait(100 * GW_MILLISECOND);
+    EXPECT_EQ(GwPeers_WaitingTokens(agent_.peers), 0u);
+    Known()->prefill_tokens = 70;
+    GwPeers_NoteLoad(entry_.peers, Known());
+    EXPECT_TRUE(
+        f.Until([&] { return GwPeers_WaitingTokens(agent_.peers) == 70; }));
+    GwInstance_Unref(GwView_Instances(entry_.view), before);
+}
--- a/packages/sidecar/tests/sidecar_test.cc
+++ b/packages/sidecar/tests/sidecar_test.cc
@@ -8,6 +8,7 @@
     int weights = 1;
     int accepted = 0; // its count of orders
     bool busy = false;
+    int64_t born = 0; // as its reports tell; 0: they do not
     std::vector<json_t *> orders;
     std::function<void(Engine *, FakeExchange *)> on_order;
 
@@ -64,6 +65,8 @@
                 std::to_string(engine.weights) +
                 "}],\"busy\":" + (engine.busy ? "true" : "false") +
                 ",\"seq\":" + std::to_string(engine.accepted) +
+                (engine.born != 0 ? ",\"born\":" + std::to_string(engine.born)
+                                  : "") +
                 ",\"queued\":0,\"running\":0,\"kv_total\":100}";
             FakeExchange_Answer(x, 200, "", text.data(), text.size());
             return;
@@ -76,6 +79,22 @@
             engine.Take(x);
     }
 
+    // A life of the engine as the list tells it.
+    void
+    List(int64_t born, const char *state = "ready")
+    {
+        engine.endpoint->born = born;
+        f.ListEndpoint(engine.endpoint, state, engine.weights);
+    }
+    // It starts anew under its id, with the weights it had and no orders.
+    void
+    Restart(int64_t born)
+    {
+        engine.born = born;
+        engine.accepted = 0;
+        engine.busy = false;
+    }
+
     Fleet f;
     Engine engine;
     GwDeployment deployment = {};
@@ -174,3 +193,112 @@
     ASSERT_TRUE(f.Until([&] { return engine.weights == 3; }));
     EXPECT_GT(engine.Int(1, "fence"), engine.Int(0, "fence"));
 }
+
+// The engine starts anew under its id while an order to it is in doubt. That
+// order counts for the earlier life: the later one is ordered at once, by its
+// own count, and not only when the answer would have been given up. Either the
+// list or the engine's own report tells; the store may be away.
+TEST_F(SidecarTest, AnOrderInDoubtIsOfTheLifeItWasMadeFor)
+{
+    const struct {
+        const char *name;
+        bool listed, reported;
+    } cases[] = {
+        {"the report tells", false, true},
+        {"the list and the report tell", true, true},
+    };
+
+    Start();
+    engine.born = 10;
+    List(10);
+    f.Wait(600 * GW_MILLISECOND);
+    for (auto &c : cases) {
+        size_t before = engine.orders.size();
+        int target = engine.weights + 1;
+
+        engine.on_order = [&](Engine *e, FakeExchange *x) {
+            if (e->orders.size() == before + 1) {
+                e->accepted = 5;
+                FakeExchange_Close(x, true);
+            }
+            else
+                e->Take(x);
+        };
+        f.NameWeights(target);
+        ASSERT_TRUE(f.Until([&] {
+            return engine.orders.size() == before + 1;
+        })) << c.name;
+        GwTime at = GwTime_Now();
+        FakeStore_Refuse(f.store, c.listed ? 0 : 503);
+        Restart(engine.born + 10);
+        if (c.listed)
+            List(engine.born);
+        EXPECT_TRUE(f.Until([&] { return engine.weights == target; }))
+            << c.name;
+        EXPECT_LT(GwTime_Now() - at, 2 * GW_SECOND) << c.name;
+        ASSERT_EQ(engine.orders.size(), before + 2) << c.name;
+        EXPECT_EQ(engine.Int(before + 1, "expect"), 0) << c.name;
+        EXPECT_EQ(engine.Int(before + 1, "fence"), engine.Int(before, "fence"))
+            << "a fence that falls behind an order in doubt is none";
+        FakeStore_Refuse(f.store, 0);
+        f.Wait(300 * GW_MILLISECOND);
+    }
+    EXPECT_EQ(GwSidecar_Counters(sidecar)->plain[GW_COUNTER_RESTARTS_SEEN],
+              2u);
+}
+
+// The later life is behind: it had not loaded the newest weights when it
+// ended, or an order of the earlier life, carried out late, took it back. Both
+// look as if the work was done, if the earlier life's word is believed.
+TEST_F(SidecarTest, ALaterLifeOnOlderWeightsIsOrderedAgain)
+{
+    Start();
+    engine.born = 10;
+    List(10);
+    f.NameWeights(2);
+    ASSERT_TRUE(f.Until([&] { return engine.weights == 2; }));
+    f.Wait(300 * GW_MILLISECOND);
+    Restart(20);
+    engine.weights = 1;
+    ASSERT_TRUE(f.Until([&] { return engine.weights == 2; }));
+    EXPECT_EQ(engine.Int(1, "expect"), 0);
+    f.Wait(300 * GW_MILLISECOND);
+    engine.weights = 1;
+    engine.accepted = 2;
+    ASSERT_TRUE(f.Until([&] { return engine.weights == 2; }));
+    EXPECT_EQ(engine.Int(2, "expect"), 2);
+    f.Wait(600 * GW_MILLISECOND);
+    EXPECT_EQ(engine.orders.size(), 3u);
+}
+
+// Reports are some hundred milliseconds old: one of the earlier life comes
+// after the list told of the later one. No order is given by its count; nor is
+// one where the engine's clock was set back, until its row is gone.
+TEST_F(SidecarTest, AReportOfAnEarlierLifeDecidesNothing)
+{
+    Start();
+    engine.born = 10;
+    List(20);
+    f.Wait(600 * GW_MILLISECOND);
+    f.NameWeights(2);
+    f.Wait(900 * GW_MILLISECOND);
+    EXPECT_EQ(engine.orders.size(), 0u);
+    engine.born = 20;
+    EXPECT_TRUE(f.Until([&] { return engine.weights == 2; }));
+    EXPECT_EQ(engine.orders.size(), 1u);
+}
+
+// It was leaving, and starts again under its id: it is to have the newest
+// weights like the others.
+TEST_F(SidecarTest, AnEngineThatLeftAndStartedAnewIsOrdered)
+{
+    Start();
+    engine.born = 10;
+    List(10, "draining");
+    f.Wait(600 * GW_MILLISECOND);
+    f.NameWeights(2);
+    f.Wait(900 * GW_MILLISECOND);
+    EXPECT_EQ(engine.orders.size(), 0u);
+    Restart(20);
+    EXPECT_TRUE(f.Until([&] { return engine.weights == 2; }));
+}
--- a/soak/src/faults.cc
+++ b/soak/src/faults.cc
@@ -147,8 +147,25 @@
         HarmStore();
     else if (draw < 94)
         world_.platform->Configure();
-    else
+    else if (draw < 97)
         world_.platform->NameWeights();
+    else
+        WriteForeign(AnyEndpoint());
+}
+
+// Its own heartbeat follows, as a worker's do.
+void
+Faults::WriteForeign(Endpoint *e)
+{
+    std::string key = e->WriteForeign();
+
+    log_("foreign row under " + key);
+    During(kLeast, [e, key] {
+        if (key != e->id)
+            e->Unlist(key);
+        else if (e->up)
+            e->List();
+    });
 }
 
 void
--- a/soak/src/faults.h
+++ b/soak/src/faults.h
@@ -48,6 +48,7 @@
     void HarmProcess(Process *process);
     void KillMany();
     void HarmProxy(Proxy *proxy);
+    void WriteForeign(Endpoint *endpoint);
     void HarmEndpoint(Endpoint *endpoint);
     void HarmStore();
     void StopGateway();
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -114,11 +114,15 @@
 
     if (up)
         return;
-    // Its old row lapses when its heartbeats stay out.
-    if (!id.empty())
-        FakeStore_Put(platform_->store, "keyed.servers", id.c_str(), nullptr);
-    id = std::string(is_engine ? "e" : "p") + std::to_string(number_) + "-" +
-         std::to_string(++incarnation_);
+    std::string earlier = id.empty() ? "" : Row();
+    bool same_id = !id.empty() && platform_->random() % 2 == 0;
+    if (!same_id) {
+        // Its old row lapses when its heartbeats stay out.
+        if (!id.empty())
+            Unlist(id);
+        id = std::string(is_engine ? "e" : "p") + std::to_string(number_) +
+             "-" + std::to_string(++ids_);
+    }
     httpd_ = FakeHttpd_New(platform_->loop, &served, &ops, this, &err);
     g_assert(httpd_ != nullptr);
     up = true;
@@ -127,6 +131,13 @@
     draining_since_ = 0;
     loading_ = orders_ = 0;
     List();
+    // The last heartbeat of its earlier life reaches the store after the first
+    // one of this life, which is followed by others.
+    if (same_id && platform_->random() % 2 == 0) {
+        FakeStore_Put(platform_->store, "keyed.servers", id.c_str(),
+                      earlier.c_str());
+        List();
+    }
 }
 
 void
@@ -139,6 +150,43 @@
 
 void
 Endpoint::List() const
+{
+    FakeStore_Put(platform_->store, "keyed.servers", id.c_str(),
+                  Row().c_str());
+}
+
+void
+Endpoint::Unlist(const std::string &key) const
+{
+    FakeStore_Put(platform_->store, "keyed.servers", key.c_str(), nullptr);
+}
+
+std::string
+Endpoint::WriteForeign()
+{
+    static const struct {
+        const char *from, *to;
+    } spoilt[] = {
+        {"\"service\":\"", "\"service\":\"nobody's "},
+        {"\"state\":\"", "\"state\":\"un"},
+        {"\"seq\":1,", ""},
+        {"\"slots\":64", "\"slots\":\"64\""},
+        {"\"born\":", "\"born\":0.5"},
+        {"{", "\xff"},
+        {"\"zone\":\"d\"", "\"zone\":null"},
+    };
+    auto &s = spoilt[platform_->random() % (sizeof(spoilt) / sizeof(*spoilt))];
+    std::string key =
+        platform_->random() % 2 == 0 ? id : "foreign-" + std::to_string(ids_);
+    std::string row = Row();
+
+    row.replace(row.find(s.from), strlen(s.from), s.to);
+    FakeStore_Put(platform_->store, "keyed.servers", key.c_str(), row.c_str());
+    return key;
+}
+
+std::string
+Endpoint::Row() const
 {
     GwAddress listed =
         platform_->ports.At(is_engine ? kEngines : kPlain, number_, kListed);
@@ -153,8 +201,7 @@
     if (is_engine)
         text += ",\"models\":[{\"name\":\"m\",\"version\":" +
                 std::to_string(weights_) + "}]";
-    FakeStore_Put(platform_->store, "keyed.servers", id.c_str(),
-                  (text + "}").c_str());
+    return text + "}";
 }
 
 void
--- a/soak/src/platform.h
+++ b/soak/src/platform.h
@@ -43,12 +43,17 @@
   public:
     Endpoint(Platform *platform, int number, bool is_engine);
     ~Endpoint();
-    /* It goes at once, and comes back empty, as another incarnation. */
+    /* It goes at once, and comes back empty, as another incarnation: under
+     * the id that it had, or a new one. */
     void Crash();
     void ComeBack();
+    /* Somebody else writes a row: under its id or another key, which is
+     * returned, with its address, and with one field spoiled. */
+    std::string WriteForeign();
     /* It tells that it leaves; what comes afterwards is a broken promise. */
     void Drain();
     void List() const;
+    void Unlist(const std::string &key) const;
 
     bool is_engine;
     bool up = true;
@@ -68,10 +73,11 @@
     void Report(FakeExchange *x) const;
     void Decline(FakeExchange *x, int status) const;
     bool Check(FakeExchange *x) const;
+    std::string Row() const;
 
     Platform *platform_;
     int number_;
-    int incarnation_ = 0;
+    int ids_ = 0;
     int64_t born_ = 0; // of this life, in Unix milliseconds
     FakeHttpd *httpd_ = nullptr;
     int weights_ = 1, loading_ = 0, orders_ = 0;
