--- a/fakes/include/galenagw/fakes/fake_deployment.h
+++ b/fakes/include/galenagw/fakes/fake_deployment.h
@@ -4,7 +4,8 @@
  *
  * For the demo and for trying the programs by hand. Each engine has a loopback
  * address of its own (127.0.0.11 and on), as a sidecar's port is the same on
- * every machine.
+ * every machine. Rows of other writers lie in the list as well, one of them
+ * with the address of the first engine.
  * @{
  */
 #ifndef GALENAGW_FAKES_FAKE_DEPLOYMENT_H
@@ -26,6 +27,9 @@
 int FakeDeployment_StorePort(const FakeDeployment *deployment);
 /** Where engine @p i answers. */
 GwAddress FakeDeployment_Engine(const FakeDeployment *deployment, int i);
+/** Engine @p i ends and starts anew under its id: its orders are forgotten,
+ * its weights are those that it had. */
+void FakeDeployment_Restart(FakeDeployment *deployment, int i);
 /** Name a version of the model's weights, as operators do. */
 void FakeDeployment_NameWeights(FakeDeployment *deployment, int version);
 
--- a/fakes/program/gw_standin.c
+++ b/fakes/program/gw_standin.c
@@ -86,26 +86,42 @@
     return true;
 }
 
-// A file that appears names the next weights: the demo has no operator's call.
+// A file that appears names the next weights, or starts all engines anew: the
+// demo has no calls for either.
 typedef struct {
     FakeDeployment *deployment;
     GwTimer timer;
     int version;
+    int engines;
 } Operator;
 
+static bool appeared_(const char *variable);
+
 static void
 on_look_(void *user)
 {
     Operator *o = user;
-    const char *file = g_getenv("GW_STANDIN_WEIGHTS");
 
-    if (file != NULL && g_file_test(file, G_FILE_TEST_EXISTS)) {
-        remove(file);
+    if (appeared_("GW_STANDIN_WEIGHTS"))
         FakeDeployment_NameWeights(o->deployment, ++o->version);
+    if (appeared_("GW_STANDIN_RESTART")) {
+        for (int i = 0; i < o->engines; i++)
+            FakeDeployment_Restart(o->deployment, i);
     }
     GwTimer_Start(&o->timer, 50 * GW_MILLISECOND);
 }
 
+static bool
+appeared_(const char *variable)
+{
+    const char *file = g_getenv(variable);
+
+    if (file == NULL || !g_file_test(file, G_FILE_TEST_EXISTS))
+        return false;
+    remove(file);
+    return true;
+}
+
 static bool
 start_deployment_(GwLoop *loop, const Standin *s, GwError *err)
 {
@@ -115,6 +131,7 @@
     if (d == NULL)
         return false;
     operator.deployment = d;
+    operator.engines = (int)s->count;
     GwTimer_Init(&operator.timer, loop, on_look_, &operator);
     on_look_(&operator);
     printf("listening port=%d\n", FakeDeployment_StorePort(d));
--- a/fakes/src/fake_deployment.c
+++ b/fakes/src/fake_deployment.c
@@ -47,6 +47,7 @@
     int n_engines;
 };
 
+static void list_foreign_(FakeDeployment *d);
 static bool start_node_(FakeDeployment *d, int i, GwError *err);
 static void list_(const Node *n);
 static void on_request_(void *user, FakeExchange *x);
@@ -77,6 +78,7 @@
         if (!start_node_(d, i, err))
             return NULL;
     }
+    list_foreign_(d);
     return d;
 }
 
@@ -105,6 +107,19 @@
     return d->nodes[i].address;
 }
 
+void
+FakeDeployment_Restart(FakeDeployment *d, int i)
+{
+    Node *n = &d->nodes[i];
+
+    GwTimer_Stop(&n->load_timer);
+    FakeHttpd_ResetAll(n->httpd);
+    n->loading = 0;
+    n->orders = 0;
+    n->born = MAX(n->born + 1, g_get_real_time() / 1000);
+    list_(n);
+}
+
 void
 FakeDeployment_NameWeights(FakeDeployment *d, int version)
 {
@@ -114,6 +129,22 @@
     FakeStore_Put(d->store, "keyed.op", "version/m", text);
 }
 
+static void
+list_foreign_(FakeDeployment *d)
+{
+    const GwAddress *a = &d->nodes[0].address;
+    g_autofree char *nobodys = g_strdup_printf(
+        "{\"service\":\"nobody's\",\"address\":\"%s:%d\",\"zone\":\"medeu\","
+        "\"version\":\"v1\",\"slots\":1,\"state\":\"ready\","
+        "\"cold_remaining_ms\":0,\"seq\":1,\"born\":1}",
+        a->host, a->port);
+
+    FakeStore_Put(d->store, "keyed.servers", "foreign-1", nobodys);
+    FakeStore_Put(d->store, "keyed.servers", "foreign-2",
+                  "{\"service\":\"model\",\"slots\":\"many\"}");
+    FakeStore_Put(d->store, "keyed.servers", "foreign-3", "\xff\xfe");
+}
+
 // The last node is the plain service.
 static bool
 start_node_(FakeDeployment *d, int i, GwError *err)
