--- a/fakes/src/fake_deployment.c
+++ b/fakes/src/fake_deployment.c
@@ -25,6 +25,7 @@
     FakeHttpd *httpd;
     GwAddress address;
     char id[32];
+    int64_t born; /* Unix milliseconds */
     bool is_engine;
     int weights;
     int loading; /* version, or 0 */
@@ -46,6 +47,7 @@
     int n_engines;
 };
 
+static void list_foreign_(FakeDeployment *d);
 static bool start_node_(FakeDeployment *d, int i, GwError *err);
 static void list_(const Node *n);
 static void on_request_(void *user, FakeExchange *x);
@@ -76,6 +78,7 @@
         if (!start_node_(d, i, err))
             return NULL;
     }
+    list_foreign_(d);
     return d;
 }
 
@@ -104,6 +107,19 @@
     return d->nodes[i].address;
 }
 
+void
+FakeDeployment_Restart(FakeDeployment *d, int i)
+{
+    Node *n = &d->nodes[i];
+
+    GwTimer_Stop(&n->load_timer);
+    FakeHttpd_ResetAll(n->httpd);
+    n->loading = 0;
+    n->orders = 0;
+    n->born = MAX(n->born + 1, g_get_real_time() / 1000);
+    list_(n);
+}
+
 void
 FakeDeployment_NameWeights(FakeDeployment *d, int version)
 {
@@ -113,6 +129,22 @@
     FakeStore_Put(d->store, "keyed.op", "version/m", text);
 }
 
+static void
+list_foreign_(FakeDeployment *d)
+{
+    const GwAddress *a = &d->nodes[0].address;
+    g_autofree char *nobodys = g_strdup_printf(
+        "{\"service\":\"nobody's\",\"address\":\"%s:%d\",\"zone\":\"medeu\","
+        "\"version\":\"v1\",\"slots\":1,\"state\":\"ready\","
+        "\"cold_remaining_ms\":0,\"seq\":1,\"born\":1}",
+        a->host, a->port);
+
+    FakeStore_Put(d->store, "keyed.servers", "foreign-1", nobodys);
+    FakeStore_Put(d->store, "keyed.servers", "foreign-2",
+                  "{\"service\":\"model\",\"slots\":\"many\"}");
+    FakeStore_Put(d->store, "keyed.servers", "foreign-3", "\xff\xfe");
+}
+
 // The last node is the plain service.
 static bool
 start_node_(FakeDeployment *d, int i, GwError *err)
@@ -122,6 +154,7 @@
     n->deployment = d;
     n->is_engine = i < d->n_engines;
     n->weights = 1;
+    n->born = g_get_real_time() / 1000;
     g_snprintf(n->id, sizeof(n->id), "i-%d", i + 1);
     g_snprintf(n->address.host, sizeof(n->address.host), "127.0.0.%d", 11 + i);
     n->httpd = FakeHttpd_New(d->loop, &n->address, &ops, n, err);
@@ -140,9 +173,10 @@
         ",\"models\":[{\"name\":\"m\",\"version\":%d}]", n->weights);
     g_autofree char *text = g_strdup_printf(
         "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"medeu\","
-        "\"slots\":64,\"state\":\"ready\"%s}",
+        "\"version\":\"v1\",\"slots\":64,\"state\":\"ready\","
+        "\"cold_remaining_ms\":0,\"seq\":1,\"born\":%" G_GINT64_FORMAT "%s}",
         n->is_engine ? "model" : "plain", n->address.host, n->address.port,
-        n->is_engine ? models : "");
+        n->born, n->is_engine ? models : "");
 
     FakeStore_Put(n->deployment->store, "keyed.servers", n->id, text);
 }
@@ -185,8 +219,8 @@
     g_autofree char *text = g_strdup_printf(
         "{\"models\":[{\"name\":\"m\",\"version\":%d}],\"busy\":%s,"
         "\"seq\":%d,\"queued\":0,\"running\":0,\"kv_used\":0,"
-        "\"kv_total\":100000}",
-        n->weights, n->loading != 0 ? "true" : "false", n->orders);
+        "\"kv_total\":100000,\"born\":%" G_GINT64_FORMAT "}",
+        n->weights, n->loading != 0 ? "true" : "false", n->orders, n->born);
 
     FakeExchange_Answer(x, 200, "", text, strlen(text));
 }
--- a/packages/base/src/counters.c
+++ b/packages/base/src/counters.c
@@ -25,7 +25,8 @@
     "upstream_opened",  "upstream_reused",
     "resumed",          "spilled",
     "records_asked",    "records_told_bytes",
-    "bytes_from_peers",
+    "bytes_from_peers", "records_unreadable",
+    "restarts_seen",
 };
 
 const char *const GwHistogram_Names[GW_HISTOGRAMS] = {
--- a/packages/cluster/tests/store_reader_test.cc
+++ b/packages/cluster/tests/store_reader_test.cc
@@ -62,18 +62,22 @@
     void
     Configure(int version)
     {
-        std::string text = "{\"version\":" + std::to_string(version) +
-                           ",\"routes\":[],\"services\":[]}";
+        std::string text =
+            "{\"version\":" + std::to_string(version) +
+            ",\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+            "\"path_prefix\":\"/\",\"route_type\":\"idempotent\","
+            "\"service\":\"plain\"}],\"services\":[{\"name\":\"plain\"}]}";
 
         FakeStore_Put(store, "keyed.op", "config", text.c_str());
     }
     void
     List(const char *state)
     {
-        std::string text = "{\"service\":\"plain\",\"address\":"
-                           "\"127.0.0.1:1\",\"zone\":\"d\",\"slots\":6,"
-                           "\"state\":\"" +
-                           std::string(state) + "\"}";
+        std::string text =
+            "{\"service\":\"plain\",\"address\":\"127.0.0.1:1\","
+            "\"zone\":\"d\",\"version\":\"v1\",\"slots\":6,"
+            "\"cold_remaining_ms\":0,\"seq\":1,\"state\":\"" +
+            std::string(state) + "\"}";
 
         FakeStore_Put(store, "keyed.servers", "i-1", text.c_str());
     }
