Failing test: a time limit that passed while the loop was held up

The log tells: routes of 5,617 rows come, and in the same millisecond all streams at two engines are given up as endpoint_silent. Reading 1.4 MB of configuration takes 55 to 61 ms of processor time (measured on this machine, alone), 0.3 s and more on a fifth of a core; limits that passed meanwhile are judged before what lies in the sockets is read.

The test shows that of the loop alone: it fails on the code as it is. Ruled out: the engines (they ran on), the store's size limits (the document arrives).

--- a/packages/net/tests/tcp_test.cc
+++ b/packages/net/tests/tcp_test.cc
@@ -319,3 +319,44 @@
     EXPECT_TRUE(Until([&] { return OpenDescriptors() == before; }))
         << OpenDescriptors() - before << " descriptors stayed behind";
 }
+
+// The loop is held up, as by reading a large configuration on a slow core, and
+// a time limit passes meanwhile. What came in that time lies unread. A limit
+// that is judged first takes whoever sent it for silent: callers' streams were
+// cut at all engines at once, each time the configuration changed.
+TEST_F(TcpTest, ALimitThatPassedMeanwhileIsJudgedAfterWhatHasCome)
+{
+    struct Judge {
+        End *peer;
+        Plain *caller;
+        std::string heard; // at the limit
+        bool judged = false;
+        GwTimer limit;
+    } judge = {};
+    Plain caller(GwTcpServer_Port(server));
+    GwTimer hold;
+
+    ASSERT_TRUE(Until([&] { return accepted.size() == 1; }));
+    judge.peer = accepted[0].get();
+    judge.caller = &caller;
+    GwTimer_Init(
+        &judge.limit, loop,
+        [](void *user) {
+            Judge *j = static_cast<Judge *>(user);
+            j->heard = j->peer->received;
+            j->judged = true;
+        },
+        &judge);
+    GwTimer_Init(
+        &hold, loop,
+        [](void *user) {
+            Judge *j = static_cast<Judge *>(user);
+            EXPECT_EQ(send(j->caller->fd, "alive", 5, 0), 5);
+            g_usleep(300 * GW_MILLISECOND);
+        },
+        &judge);
+    GwTimer_Start(&hold, 20 * GW_MILLISECOND);
+    GwTimer_Start(&judge.limit, 150 * GW_MILLISECOND);
+    ASSERT_TRUE(Until([&] { return judge.judged; }));
+    EXPECT_EQ(judge.heard, "alive");
+}
