What has come is read before time limits are judged

Cause: the loop fired timers in the middle of a round of sockets. Held up by a long callback, a lack of processor time or a pause of its machine, a process judged limits that had passed meanwhile before it read what had come, and took all its peers for silent at once: at each large configuration the streams at all engines were given up, and those that may not be repeated were cut.

Now timers fire behind the sockets of a round; if the first one is late by 50 ms or more, what has come meanwhile is read before.

Ruled out: reading less (the parser of the library takes nearly all of 55 to 61 ms for 1.4 MB); longer limits (an engine that stands still would keep its requests).

--- a/packages/net/src/loop.c
+++ b/packages/net/src/loop.c
@@ -10,6 +10,12 @@
 
 #define DEFAULT_CONNECTIONS 4096
 #define SERVICE_BUFFER (64 * 1024)
+/* A timer this late was held up with all else: by a callback that took long,
+ * by the lack of processor time, or with its machine. */
+#define LATE (50 * GW_MILLISECOND)
+/* Rounds of reading before such timers. Each reads up to the buffer above from
+ * each socket, more than a peer's heartbeats of seconds. */
+#define CATCH_UP_ROUNDS 2
 #define MAX_HEAD (16 * 1024)
 
 struct GwLoop {
@@ -19,6 +25,7 @@
     GSequence *timers; /* GwTimer, by due time */
     int timer_fd;
     GwTime armed_for; /* GW_NEVER: not armed */
+    bool has_due;     /* timers are due, and fire behind the sockets */
     void (*on_terminate)(void *user);
     void *terminate_user;
     void (*on_hangup)(void *user);
@@ -45,6 +52,8 @@
 static int compare_due_(gconstpointer a, gconstpointer b, gpointer user);
 static void arm_(GwLoop *loop, GwTime due);
 static void fire_due_(GwLoop *loop);
+static void catch_up_(GwLoop *loop);
+static GwTimer *first_(const GwLoop *loop);
 static void on_wake_(GwLoop *loop);
 
 GwLoop *
@@ -121,6 +130,10 @@
         return false;
     if (lws_service(loop->context, 0) < 0)
         loop->stopped = true;
+    if (loop->has_due && !loop->stopped) {
+        catch_up_(loop);
+        fire_due_(loop);
+    }
     return !loop->stopped;
 }
 
@@ -172,14 +185,15 @@
                     void *user, void *in, size_t len)
 {
     GwLoop *loop;
+    uint64_t n;
 
     if (reason != LWS_CALLBACK_RAW_RX_FILE)
         return 0;
     loop = lws_get_vhost_user(lws_get_vhost(wsi));
-    if (lws_get_socket_fd(wsi) == loop->timer_fd)
-        fire_due_(loop);
-    else
+    if (lws_get_socket_fd(wsi) != loop->timer_fd)
         on_wake_(loop);
+    else if (read(loop->timer_fd, &n, sizeof(n)) == sizeof(n))
+        loop->has_due = true;
     return 0;
 }
 
@@ -280,29 +294,45 @@
     timerfd_settime(loop->timer_fd, TFD_TIMER_ABSTIME, &at, NULL);
 }
 
+// A limit that passed while the loop was held up says nothing of the peer
+// whose bytes lie unread: judged first, it cut the streams of all engines at
+// once.
+static void
+catch_up_(GwLoop *loop)
+{
+    const GwTimer *first = first_(loop);
+
+    if (first == NULL || GwTime_Now() - first->due < LATE)
+        return;
+    // A negative wait: what is there is served, and nothing is waited for.
+    for (int i = 0; i < CATCH_UP_ROUNDS && !loop->stopped; i++)
+        if (lws_service(loop->context, -1) < 0)
+            loop->stopped = true;
+}
+
 // Timers that a callback starts for now wait for the next round, so that
 // sockets get their turn.
 static void
 fire_due_(GwLoop *loop)
 {
     GwTime now = GwTime_Now();
-    GSequenceIter *first;
-    uint64_t n;
+    GwTimer *timer;
 
-    if (read(loop->timer_fd, &n, sizeof(n)) != sizeof(n))
-        return;
+    loop->has_due = false;
     loop->armed_for = GW_NEVER;
-    for (;;) {
-        GwTimer *timer;
-
-        first = g_sequence_get_begin_iter(loop->timers);
-        if (g_sequence_iter_is_end(first))
-            return;
-        timer = g_sequence_get(first);
-        if (timer->due > now)
-            break;
+    while ((timer = first_(loop)) != NULL && timer->due <= now) {
         GwTimer_Stop(timer);
         timer->fn(timer->user);
     }
-    arm_(loop, ((GwTimer *)g_sequence_get(first))->due);
+    if (timer != NULL)
+        arm_(loop, timer->due);
+}
+
+// The timer that is due first, or NULL.
+static GwTimer *
+first_(const GwLoop *loop)
+{
+    GSequenceIter *first = g_sequence_get_begin_iter(loop->timers);
+
+    return g_sequence_iter_is_end(first) ? NULL : g_sequence_get(first);
 }
--- a/packages/net/tests/tcp_test.cc
+++ b/packages/net/tests/tcp_test.cc
@@ -324,39 +324,82 @@
 // a time limit passes meanwhile. What came in that time lies unread. A limit
 // that is judged first takes whoever sent it for silent: callers' streams were
 // cut at all engines at once, each time the configuration changed.
+struct HeldUp {
+    static constexpr GwTime kHeld = 300 * GW_MILLISECOND;
+
+    // Bytes arrive, and the loop does not get to them.
+    void
+    Hold() const
+    {
+        EXPECT_EQ(send(caller->fd, "alive", 5, 0), 5);
+        g_usleep(kHeld);
+    }
+    void
+    Judge()
+    {
+        heard = peer->received;
+        judged = true;
+    }
+
+    End *peer = nullptr;
+    Plain *caller = nullptr;
+    Plain *other = nullptr;
+    std::string heard; // at the limit
+    bool judged = false;
+    GwTimer hold, limit;
+};
+
 TEST_F(TcpTest, ALimitThatPassedMeanwhileIsJudgedAfterWhatHasCome)
 {
-    struct Judge {
-        End *peer;
-        Plain *caller;
-        std::string heard; // at the limit
-        bool judged = false;
-        GwTimer limit;
-    } judge = {};
     Plain caller(GwTcpServer_Port(server));
-    GwTimer hold;
+    HeldUp held;
 
     ASSERT_TRUE(Until([&] { return accepted.size() == 1; }));
-    judge.peer = accepted[0].get();
-    judge.caller = &caller;
+    held.peer = accepted[0].get();
+    held.caller = &caller;
     GwTimer_Init(
-        &judge.limit, loop,
-        [](void *user) {
-            Judge *j = static_cast<Judge *>(user);
-            j->heard = j->peer->received;
-            j->judged = true;
-        },
-        &judge);
+        &held.limit, loop,
+        [](void *user) { static_cast<HeldUp *>(user)->Judge(); }, &held);
+    GwTimer_Init(
+        &held.hold, loop,
+        [](void *user) { static_cast<HeldUp *>(user)->Hold(); }, &held);
+    GwTimer_Start(&held.hold, 20 * GW_MILLISECOND);
+    GwTimer_Start(&held.limit, 150 * GW_MILLISECOND);
+    ASSERT_TRUE(Until([&] { return held.judged; }));
+    EXPECT_EQ(held.heard, "alive");
+}
+
+// The same where the limit has passed already when a socket's callback begins
+// to hold the loop up: both were seen in one round, and what comes during the
+// callback is of the next one.
+TEST_F(TcpTest, ALimitThatPassedBeforeIsJudgedAfterWhatHasComeToo)
+{
+    static const GwTcpOps holding = {nullptr,
+                                     [](void *u, const uint8_t *, size_t) {
+                                         static_cast<HeldUp *>(u)->Hold();
+                                     },
+                                     [](void *, GwTcpEnd) {}, nullptr};
+    Plain caller(GwTcpServer_Port(server)), other(GwTcpServer_Port(server));
+    HeldUp held;
+
+    ASSERT_TRUE(Until([&] { return accepted.size() == 2; }));
+    held.peer = accepted[0].get();
+    held.caller = &caller;
+    held.other = &other;
+    GwTcp_SetOps(accepted[1]->tcp, &holding, &held);
+    GwTimer_Init(
+        &held.limit, loop,
+        [](void *user) { static_cast<HeldUp *>(user)->Judge(); }, &held);
     GwTimer_Init(
-        &hold, loop,
+        &held.hold, loop,
         [](void *user) {
-            Judge *j = static_cast<Judge *>(user);
-            EXPECT_EQ(send(j->caller->fd, "alive", 5, 0), 5);
-            g_usleep(300 * GW_MILLISECOND);
+            EXPECT_EQ(send(static_cast<HeldUp *>(user)->other->fd, "x", 1, 0),
+                      1);
+            g_usleep(50 * GW_MILLISECOND);
         },
-        &judge);
-    GwTimer_Start(&hold, 20 * GW_MILLISECOND);
-    GwTimer_Start(&judge.limit, 150 * GW_MILLISECOND);
-    ASSERT_TRUE(Until([&] { return judge.judged; }));
-    EXPECT_EQ(judge.heard, "alive");
+        &held);
+    GwTimer_Start(&held.hold, 20 * GW_MILLISECOND);
+    GwTimer_Start(&held.limit, 40 * GW_MILLISECOND);
+    ASSERT_TRUE(Until([&] { return held.judged; }));
+    EXPECT_EQ(held.heard, "alive");
 }
