--- a/fakes/include/galenagw/fakes/fake_store.h
+++ b/fakes/include/galenagw/fakes/fake_store.h
@@ -28,6 +28,8 @@
 void FakeStore_SetMute(FakeStore *store, bool mute);
 /** Answer each call so much later. */
 void FakeStore_SetDelay(FakeStore *store, GwTime delay);
+/** Give whole lists in pages of so many records; 0: in one. */
+void FakeStore_SetPage(FakeStore *store, unsigned records);
 /** Drop the history: reads from before now get 410. */
 void FakeStore_Compact(FakeStore *store);
 /** Calls that were taken so far. */
--- a/fakes/src/fake_store.c
+++ b/fakes/src/fake_store.c
@@ -43,6 +43,7 @@
     int refuse;
     bool mute;
     GwTime delay;
+    unsigned page; /* records in an answer of whole lists; 0: all */
     unsigned calls;
 };
 
@@ -154,6 +155,12 @@
     s->delay = delay;
 }
 
+void
+FakeStore_SetPage(FakeStore *s, unsigned records)
+{
+    s->page = records;
+}
+
 void
 FakeStore_Compact(FakeStore *s)
 {
@@ -300,27 +307,41 @@
     FakeExchange_Answer(exchange, 200, "", (const char *)out->data, out->len);
 }
 
+// The newest records by key, so many in an answer.
 static void
 newest_(FakeStore *s, FakeExchange *exchange)
 {
     g_autofree char *name = query_(exchange->head->target, "topic");
+    g_autofree char *after = query_(exchange->head->target, "after");
     Topic *topic = topic_(s, name);
-    g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
+    g_autoptr(GTree) newest = g_tree_new((GCompareFunc)strcmp);
     g_autoptr(GString) out = g_string_new("{\"items\":[");
+    unsigned n = 0;
+    bool more = false;
 
-    for (guint i = topic->records->len; i > 0; i--) {
-        const Record *r = g_ptr_array_index(topic->records, i - 1);
+    for (guint i = 0; i < topic->records->len; i++) {
+        const Record *r = g_ptr_array_index(topic->records, i);
+
+        g_tree_insert(newest, r->key, GUINT_TO_POINTER(i));
+    }
+    for (GTreeNode *node = g_tree_node_first(newest); node != NULL;
+         node = g_tree_node_next(node)) {
+        guint offset = GPOINTER_TO_UINT(g_tree_node_value(node));
+        const Record *r = g_ptr_array_index(topic->records, offset);
         g_autofree char *value = NULL;
 
-        if (!g_hash_table_add(seen, r->key) || r->value == NULL)
+        if (r->value == NULL || (after != NULL && strcmp(r->key, after) <= 0))
             continue;
+        more = s->page > 0 && n == s->page;
+        if (more)
+            break;
         value = g_base64_encode((const guchar *)r->value, strlen(r->value));
         g_string_append_printf(
             out, "%s{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%u}",
-            out->str[out->len - 1] == '[' ? "" : ",", r->key, value, i - 1);
+            n++ > 0 ? "," : "", r->key, value, offset);
     }
-    g_string_append_printf(out, "],\"more\":false,\"end\":%u}",
-                           topic->records->len);
+    g_string_append_printf(out, "],\"more\":%s,\"end\":%u}",
+                           more ? "true" : "false", topic->records->len);
     FakeExchange_Answer(exchange, 200, "", out->str, out->len);
 }
 
--- a/packages/cluster/tests/store_reader_test.cc
+++ b/packages/cluster/tests/store_reader_test.cc
@@ -215,3 +215,36 @@
             << " us";
     }
 }
+
+// A process starts and reads the whole list in pages; the operator's change
+// of what stands on the first page is confirmed before the last page is
+// given. Pages are no snapshot, but the last one tells an end behind that
+// change: reading on from there skips it. Callers get the older configuration
+// until the next change, and so do those of processes that ask this one.
+TEST_F(StoreAway, AChangeBetweenThePagesOfAWholeListIsRead)
+{
+    Followed followed(loop, [](FakeStore *s) {
+        FakeStore_Put(s, "keyed.op", "version/m",
+                      "{\"model\":\"m\",\"version\":1}");
+        FakeStore_SetPage(s, 1);
+        FakeStore_SetDelay(s, 100 * GW_MILLISECOND);
+    });
+    GwTime start = GwTime_Now();
+    bool changed = false;
+    GwTimer tick;
+
+    GwTimer_Init(
+        &tick, loop, [](void *) {}, nullptr);
+    while (!followed.Knows(2, false) && GwTime_Now() - start < 2 * kBound) {
+        if (!changed && followed.Knows(1, false)) {
+            changed = true;
+            EXPECT_EQ(GwView_Target(followed.view, "m").version, -1)
+                << "the last page is there already";
+            followed.Configure(2);
+        }
+        GwTimer_Start(&tick, 10 * GW_MILLISECOND);
+        GwLoop_Step(loop);
+    }
+    GwTimer_Stop(&tick);
+    EXPECT_TRUE(followed.Knows(2, false));
+}
