A whole list is read on from the end of its first page

Ruled out: keeping the last page's end and reading the list twice, which costs a second copy over a slow link.

Conclusion: it goes on from the first page's end; records that a later page held already are told again and refused as known.

--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -33,9 +33,10 @@
     GwTimer timer; /* the pause after a failure */
     GwTimer suspicion;
     GString *request;
-    char *after;  /* key to go on behind, within a whole reading */
-    bool whole;   /* the next call reads the whole list */
-    int64_t from; /* offset that the call under way reads from */
+    char *after;       /* key to go on behind, within a whole reading */
+    bool whole;        /* the next call reads the whole list */
+    int64_t whole_end; /* that its first page told */
+    int64_t from;      /* offset that the call under way reads from */
     GwLongPoll poll;
     GwTime wait_until; /* of the call under way; 0: it does not wait */
     int64_t suspected_end;
@@ -257,10 +258,14 @@
     if (!GwStore_DecodeWhole(body, len, f->list, on_record_, f, &end, &after,
                              err))
         return false;
+    // Pages are no snapshot: what changed since the first one was given may
+    // stand on a page before, and is read from here on.
+    if (f->after == NULL)
+        f->whole_end = end;
     g_free(f->after);
     f->after = after;
     if (after == NULL) {
-        GwRecords_EndWhole(records, f->list, end);
+        GwRecords_EndWhole(records, f->list, f->whole_end);
         f->whole = false;
     }
     return true;
