Held removals are held by all that are told of them

Cause: what a peer told as held was held for a microsecond after its frame came, in which no record is taken; and a process told others so only in its own half second of doubt, not while it held removals for another.

Ruled out: holding on and on between processes that tell each other.

Conclusion: the time goes with the removals themselves, and removals that count go in frames of their own, so that who has left is not held with the others.

--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -76,6 +76,7 @@
 
 /* Collects records for one peer and sends them in frames. */
 typedef struct {
+    const GwInstances *instances;
     GwSession *session;
     GwList list;
     uint64_t end;
@@ -83,8 +84,9 @@
     Gw__Wire__ListRecord *pointers[FRAME_RECORDS];
     size_t n;
     size_t bytes;
-    uint32_t removals_held_ms;
-    size_t told; /* in all frames */
+    bool has_removal;
+    GwTime held_until; /* the removals in it; 0: they count */
+    size_t told;       /* in all frames */
     size_t told_bytes;
 } Batch;
 
@@ -110,12 +112,13 @@
 static bool needs_seeds_(const GwPeers *p);
 static void tell_records_(GwPeers *p, GwSession *session,
                           const Gw__Wire__RecordsAsk *ask);
-static uint32_t removals_held_ms_(const GwPeers *p);
 static void log_asked_(GwPeers *p, const GwSession *session,
                        const Gw__Wire__RecordsAsk *ask);
 static void log_told_(GwPeers *p, const GwSession *session,
                       const Batch *batch);
 static void add_to_batch_(void *user, GwList list, const GwRecord *record);
+static void note_removal_(Batch *batch, const char *id);
+static void send_part_(Batch *batch);
 static void send_batch_(Batch *batch);
 static void take_records_(GwPeers *p, const Gw__Wire__RecordsTell *tell);
 static void tell_age_(void *user, const char *model, int64_t version,
@@ -641,10 +644,10 @@
     for (int i = 0; i < GW_LISTS; i++) {
         g_autofree Batch *batch = g_new0(Batch, 1);
 
+        batch->instances = GwView_Instances(p->options.view);
         batch->session = session;
         batch->list = (GwList)i;
         batch->end = (uint64_t)GwRecords_End(records, (GwList)i);
-        batch->removals_held_ms = removals_held_ms_(p);
         // A session loses nothing: what is queued there comes or is told
         // anew on another session.
         ends[i] = MAX(ends[i], peer->sent_ends[i]);
@@ -658,16 +661,6 @@
     }
 }
 
-static uint32_t
-removals_held_ms_(const GwPeers *p)
-{
-    GwTime now = GwTime_Now();
-    GwTime until =
-        GwInstances_RemovalsHeldUntil(GwView_Instances(p->options.view), now);
-
-    return until > now ? (uint32_t)((until - now) / GW_MILLISECOND) : 0;
-}
-
 // Who sends whom the lists, and how often: copies that follow each other
 // fill a slow link, and no other line shows it.
 static void
@@ -705,8 +698,11 @@
 add_to_batch_(void *user, GwList list, const GwRecord *record)
 {
     Batch *batch = user;
-    Gw__Wire__ListRecord *r = &batch->records[batch->n];
+    Gw__Wire__ListRecord *r;
 
+    if (list == GW_LIST_INSTANCES && record->value == NULL)
+        note_removal_(batch, record->key);
+    r = &batch->records[batch->n];
     gw__wire__list_record__init(r);
     r->key = (char *)record->key;
     r->offset = (uint64_t)record->offset;
@@ -715,24 +711,45 @@
     r->value.len = record->value != NULL ? record->len : 0;
     batch->pointers[batch->n++] = r;
     batch->bytes += r->value.len;
-    if (batch->n == FRAME_RECORDS || batch->bytes > FRAME_BYTES) {
-        uint64_t end = batch->end;
+    if (batch->n == FRAME_RECORDS || batch->bytes > FRAME_BYTES)
+        send_part_(batch);
+}
 
-        // Records come in no order: only the last frame tells the end.
-        batch->end = 0;
-        send_batch_(batch);
-        batch->end = end;
-    }
+// A frame holds removals that may be undone or those that count, not both:
+// who has left gets no work because others may come back.
+static void
+note_removal_(Batch *batch, const char *id)
+{
+    GwTime until =
+        MAX(GwInstances_RemovalsHeldUntil(batch->instances, GwTime_Now()),
+            GwInstances_HeldUntil(batch->instances, id));
+
+    if (batch->has_removal && (until > 0) != (batch->held_until > 0))
+        send_part_(batch);
+    batch->has_removal = true;
+    batch->held_until = until;
+}
+
+// Records come in no order: only the last frame tells the end.
+static void
+send_part_(Batch *batch)
+{
+    uint64_t end = batch->end;
+
+    batch->end = 0;
+    send_batch_(batch);
+    batch->end = end;
 }
 
 static void
 send_batch_(Batch *batch)
 {
+    GwTime held = MAX(batch->held_until - GwTime_Now(), 0);
     GW_FRAME(frame, tell, RECORDS_TELL, RecordsTell, records_tell);
 
     tell.list = batch->list;
     tell.end = batch->end;
-    tell.removals_held_ms = batch->removals_held_ms;
+    tell.removals_held_ms = (uint32_t)(held / GW_MILLISECOND);
     tell.n_records = batch->n;
     tell.records = batch->pointers;
     GwSession_Send(batch->session, &frame);
@@ -740,6 +757,8 @@
     batch->told_bytes += batch->bytes;
     batch->n = 0;
     batch->bytes = 0;
+    batch->has_removal = false;
+    batch->held_until = 0;
 }
 
 static void
@@ -765,6 +784,7 @@
         if (GwRecords_Apply(records, (GwList)tell->list, &record))
             news++;
     }
+    GwInstances_HoldTold(GwView_Instances(p->options.view), 0);
     GwRecords_SetEnd(records, (GwList)tell->list, (int64_t)tell->end);
     // Only the last frame tells the end.
     if (tell->end > 0)
@@ -972,6 +992,5 @@
                              REMOVALS_HELD_MOST);
 
     if (tell->list == GW_LIST_INSTANCES && tell->removals_held_ms > 0)
-        GwInstances_HoldRemovals(GwView_Instances(p->options.view), now + 1,
-                                 until);
+        GwInstances_HoldTold(GwView_Instances(p->options.view), until);
 }
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -155,6 +155,11 @@
 /** Until when removals that are learned of now are only noted; 0: they count.
  */
 GwTime GwInstances_RemovalsHeldUntil(const GwInstances *instances, GwTime now);
+/** Removals that another process holds are learned of from now on: they are
+ * noted until @p until as well. 0: no longer. */
+void GwInstances_HoldTold(GwInstances *instances, GwTime until);
+/** Until when the removal of @p id is only noted; 0: it is not. */
+GwTime GwInstances_HeldUntil(const GwInstances *instances, const char *id);
 /** Carry out removals that were only noted, once it is time. */
 void GwInstances_Sweep(GwInstances *instances, GwTime now);
 
--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -19,6 +19,7 @@
     GwInstancesOps ops;
     void *user;
     GwTime doubt_until; /* removals learned of before it are only noted */
+    GwTime told_until;  /* the same, of what a peer tells at the moment */
     GwTime hold_until;  /* when noted ones are carried out */
     unsigned held;      /* removals that were only noted */
     uint64_t serial;    /* of the newest one */
@@ -173,7 +174,22 @@
 GwTime
 GwInstances_RemovalsHeldUntil(const GwInstances *m, GwTime now)
 {
-    return now < m->doubt_until ? m->hold_until : 0;
+    return now < MAX(m->doubt_until, m->told_until) ? m->hold_until : 0;
+}
+
+void
+GwInstances_HoldTold(GwInstances *m, GwTime until)
+{
+    m->told_until = until;
+    m->hold_until = MAX(m->hold_until, until);
+}
+
+GwTime
+GwInstances_HeldUntil(const GwInstances *m, const char *id)
+{
+    const GwInstance *instance = g_hash_table_lookup(m->by_id, id);
+
+    return instance != NULL && instance->removed_at != 0 ? m->hold_until : 0;
 }
 
 void
