--- a/packages/gateway/tests/outdated_weights_test.cc
+++ b/packages/gateway/tests/outdated_weights_test.cc
@@ -71,6 +71,30 @@
     }
 }
 
+// The same wait, but the request may run once only. Its connection is closed
+// while it may have begun: its caller must not be told that it has not run, by
+// 503 or 429, nor may another engine get it.
+TEST(OutdatedWeights, AWithdrawnRequestMayHaveRun)
+{
+    Fleet f;
+    f.Configure(1);
+    Endpoint *old = f.AddEndpoint("i-1", "model");
+    GwGateway *g = f.AddGateway();
+    old->serve = [](Endpoint *, FakeExchange *) {};
+    ASSERT_TRUE(f.Ready());
+    g->weights_bound = kBound;
+    f.NameWeights(2);
+    ASSERT_TRUE(f.Until([&] { return NamedAt(g) != 0; }));
+    auto c = f.Call(g, Fleet::Request("POST", "/stream/1", "x", kLongPrompt));
+    ASSERT_TRUE(f.Until([&] { return old->seen.size() == 1; }));
+    Endpoint *fresh = f.AddEndpoint("i-2", "model");
+    f.ListEndpoint(fresh, "ready", 2);
+    EXPECT_TRUE(f.Until([&] { return c->Has(1) || c->closed; }));
+    EXPECT_EQ(c->Status(), 502);
+    EXPECT_EQ(old->gone, 1);
+    EXPECT_EQ(fresh->seen.size(), 0u);
+}
+
 // A gateway crashes and starts again while an engine still has old weights.
 // Counting from its own start it would send requests there for as long again
 // as the bound, and they would begin far past it. Its peer tells how long the
