Test: the end of a load tells the new weights (red)

Fails on this code: a gateway that hears "no longer switching, version 2" goes on with version 1 until the sidecar's next word, 200 ms later.

--- a/packages/cluster/tests/peers_restart_test.cc
+++ b/packages/cluster/tests/peers_restart_test.cc
@@ -159,3 +159,23 @@
         f.Until([&] { return GwPeers_WaitingTokens(agent_.peers) == 70; }));
     GwInstance_Unref(GwView_Instances(entry_.view), before);
 }
+
+// The sidecar's word that a load is over tells the new weights with it. Until
+// its next word a gateway that took only the first half would serve by the old
+// ones: callers' requests name them and are turned away, or go elsewhere.
+TEST_F(PeersRestartTest, TheEndOfALoadTellsTheNewWeights)
+{
+    GwEngineState state = {};
+
+    state.instance = "i-1";
+    state.incarnation = 10;
+    state.weights = 1;
+    state.switching = true;
+    GwPeers_TellEngine(agent_.peers, &state);
+    ASSERT_TRUE(f.Until([&] { return Known()->advice.switching; }));
+    state.weights = 2;
+    state.switching = false;
+    GwPeers_TellEngine(agent_.peers, &state);
+    ASSERT_TRUE(f.Until([&] { return !Known()->advice.switching; }));
+    EXPECT_EQ(Known()->weights, 2);
+}
