A word that changes more than the weights tells the weights as well

Cause: the weights were set as the last part of a condition that is cut short when the engine's state has changed as well; the end of a load changes both, always.

Ruled out: that the reports of requests make up for it, as those go to engines by the version that is believed.

Conclusion: they are set first. The test failed before (1 for 2) and passes, with the 24 others of restarts, removals, the sidecar and outdated weights.

--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -915,6 +915,7 @@
     GwInstance *instance =
         GwInstances_Find(GwView_Instances(p->options.view), state->instance);
     bool went_down;
+    bool has_news;
 
     if (state->entries > 0)
         p->entries = state->entries;
@@ -926,10 +927,10 @@
                                          state->instance, state->incarnation,
                                          GW_LEARNED_AGENT);
     went_down = state->down && !instance->advice.down;
-    if (instance->advice.switching != state->switching ||
+    has_news = GwInstance_SetWeights(instance, state->weights);
+    if (has_news || instance->advice.switching != state->switching ||
         instance->advice.preparing != state->preparing ||
-        instance->advice.down != state->down ||
-        GwInstance_SetWeights(instance, state->weights)) {
+        instance->advice.down != state->down) {
         GwEvent_Begin(p->options.log, "engine", NULL);
         GwEvent_Text(p->options.log, "instance", instance->id);
         GwEvent_Number(p->options.log, "weights", instance->weights);
