--- a/packages/cluster/tests/store_reader_test.cc
+++ b/packages/cluster/tests/store_reader_test.cc
@@ -216,6 +216,41 @@
     }
 }
 
+// The store was away for longer than entries need to lapse, and came back a
+// second ago. Who is removed now did not lapse but left: held like those that
+// may come back, it would get callers' requests for seconds more.
+TEST_F(StoreAway, WhoLeavesASecondAfterTheReturnIsGoneAtOnce)
+{
+    Followed followed(loop);
+    GwTimer tick;
+    const auto is_listed = [&] {
+        return GwInstances_Find(GwView_Instances(followed.view), "i-1") !=
+               nullptr;
+    };
+    const auto wait = [&](GwTime time) {
+        GwTime start = GwTime_Now();
+
+        while (GwTime_Now() - start < time) {
+            GwTimer_Start(&tick, 10 * GW_MILLISECOND);
+            GwLoop_Step(loop);
+        }
+    };
+
+    GwTimer_Init(
+        &tick, loop, [](void *) {}, nullptr);
+    wait(300 * GW_MILLISECOND);
+    ASSERT_TRUE(is_listed());
+    FakeStore_Refuse(followed.store, 503);
+    wait(1600 * GW_MILLISECOND);
+    FakeStore_Refuse(followed.store, 0);
+    wait(1200 * GW_MILLISECOND);
+    ASSERT_TRUE(is_listed());
+    FakeStore_Put(followed.store, "keyed.servers", "i-1", nullptr);
+    wait(300 * GW_MILLISECOND);
+    EXPECT_FALSE(is_listed());
+    GwTimer_Stop(&tick);
+}
+
 // A process starts and reads the whole list in pages; the operator's change
 // of what stands on the first page is confirmed before the last page is
 // given. Pages are no snapshot, but the last one tells an end behind that
