--- a/packages/cluster/tests/slow_link_test.cc
+++ b/packages/cluster/tests/slow_link_test.cc
@@ -218,4 +218,29 @@
     }
 }
 
+// A call has waited for news as one of sixty processes that tell each other,
+// and its large answer is coming. Sessions fail on the full link, so that the
+// process is alone, and waits too long for one that is. The call is not lost:
+// cut, the answer would begin anew, and callers get older routes for longer.
+TEST_F(SlowLinkTest, AnAnswerThatComesIsNotCutWhenOthersLeave)
+{
+    const size_t size = 1000000;
+
+    fleet = std::make_unique<Fleet>();
+    FakeStore_Put(fleet->store, "keyed.op", "note", "small");
+    link = FakeLink_New(fleet->loop, kLinkRate);
+    far = std::make_unique<Node>(
+        fleet.get(), FakeLink_Open(link, FakeStore_Port(fleet->store)),
+        std::vector<int>());
+    ASSERT_TRUE(fleet->Until([&] { return far->End() == 1; }));
+    GwStoreReader_SetSharers(far->reader, 60);
+    fleet->Wait(1500 * GW_MILLISECOND); // the call of one alone ends
+    uint64_t before = Down();
+    Grow(size);
+    ASSERT_TRUE(fleet->Until([&] { return Down() - before > size / 4; }));
+    GwStoreReader_SetSharers(far->reader, 1);
+    ASSERT_TRUE(fleet->Until([&] { return far->End() == 3; }));
+    EXPECT_LE(Down() - before, size * 11 / 10);
+}
+
 } // namespace
