A held-up process takes its own pause for nobody's silence

Cause: SessionTest.PingsKeepAQuietSessionUp failed once after 30 s. Its silent limit is 100 ms. After a pause of the process as long as that, the timer is handled before the sockets in which the peer's frames wait, so both ends judged each other silent and closed; with nothing left to wake the loop, its wait ended after the library's 30 s. The same holds in the product for a pause of the silence limit: the judgement took a clock that had run on while nothing could be read.

Ruled out by reading: a ping not sent or a timer not re-armed (each look pings and re-arms unless it closes), a timer lost by the loop's one timerfd, and the rule by Ping.received (it only ever adds proof).

The time by which a session's timer is late is now left out of the silence. What is left of the limit still runs, so a peer that is gone is found.

A new test holds the loop up ten times by 150 ms and more. No test's limit was changed.

--- a/packages/wire/include/galenagw/wire/session.h
+++ b/packages/wire/include/galenagw/wire/session.h
@@ -7,7 +7,8 @@
  * the silence limit is reported closed with `silent` set: connections that
  * something between the ends has forgotten give no error of their own, and
  * may be forgotten in one direction only. A pong that waits behind a large
- * frame is not missing as long as the frame moves.
+ * frame is not missing as long as the frame moves. Time for which our own loop
+ * was held up is not counted as a peer's silence.
  * @{
  */
 #ifndef GALENAGW_WIRE_SESSION_H
--- a/packages/wire/src/session.c
+++ b/packages/wire/src/session.c
@@ -19,6 +19,7 @@
     GwFrameDecoder *decoder;
     GByteArray *scratch;
     GwTimer timer;
+    GwTime look_at; /* when the timer is due */
     GwTime last_heard;
     GwTime pinged_at; /* of the first ping without a pong; 0: none */
     uint64_t received;
@@ -43,7 +44,10 @@
 static void on_data_(void *user, const uint8_t *data, size_t len);
 static void on_closed_(void *user, GwTcpEnd end);
 static void on_accept_(void *user, GwTcp *tcp);
+static void look_later_(GwSession *s);
 static void on_timer_(void *user);
+static bool is_silent_(const GwSession *s, GwTime now);
+static void excuse_(GwSession *s, GwTime now);
 static GwTime proved_(const GwSession *s);
 static bool handle_(GwSession *s, const GwFrame *frame);
 static bool on_hello_(GwSession *s, const Gw__Wire__Hello *hello);
@@ -169,7 +173,7 @@
     s->scratch = g_byte_array_new();
     s->last_heard = GwTime_Now();
     GwTimer_Init(&s->timer, loop, on_timer_, s);
-    GwTimer_Start(&s->timer, s->options.ping_after);
+    look_later_(s);
     return s;
 }
 
@@ -246,24 +250,52 @@
     GwTcp_SetOps(tcp, &tcp_ops, s);
 }
 
+static void
+look_later_(GwSession *s)
+{
+    s->look_at = GwTime_Now() + s->options.ping_after;
+    GwTimer_Start(&s->timer, s->options.ping_after);
+}
+
 static void
 on_timer_(void *user)
 {
     GwSession *s = user;
-    GwTime quiet = GwTime_Now() - s->last_heard;
-
-    if (quiet >= s->options.silent_after ||
-        (s->pinged_at > 0 &&
-         GwTime_Now() - proved_(s) >= s->options.silent_after)) {
-        // A connection that was forgotten on the way yields no error; only
-        // the missing pong shows it. What is heard meanwhile proves nothing
-        // of the other direction.
+    GwTime now = GwTime_Now();
+
+    excuse_(s, now);
+    if (is_silent_(s, now)) {
         GwCounters_Add(s->options.counters, GW_COUNTER_SESSIONS_SILENT, 1);
         fail_(s, true);
         return;
     }
     GwSession_Ping(s);
-    GwTimer_Start(&s->timer, s->options.ping_after);
+    look_later_(s);
+}
+
+// A connection that was forgotten on the way yields no error; only the missing
+// pong shows it. What is heard meanwhile proves nothing of the other
+// direction.
+static bool
+is_silent_(const GwSession *s, GwTime now)
+{
+    return now - s->last_heard >= s->options.silent_after ||
+           (s->pinged_at > 0 && now - proved_(s) >= s->options.silent_after);
+}
+
+// A process that was held up for the silence limit, by a busy machine or a
+// pause, would find every peer silent: its timers come before its sockets, in
+// which the peers' frames wait. The time by which the timer is late, in which
+// nothing could be read, is nobody's silence. The rest of the limit still
+// runs, so that a peer that is gone is found so much later.
+static void
+excuse_(GwSession *s, GwTime now)
+{
+    GwTime late = now - s->look_at;
+
+    s->last_heard = MIN(s->last_heard + late, now);
+    if (s->pinged_at > 0)
+        s->pinged_at = MIN(s->pinged_at + late, now);
 }
 
 // When our direction last worked, as far as is known. A pong may wait behind
--- a/packages/wire/tests/wire_test.cc
+++ b/packages/wire/tests/wire_test.cc
@@ -150,6 +150,30 @@
     EXPECT_EQ(client_side.closed, 0) << "no callback after a close";
 }
 
+// A busy machine holds the process up for longer than the silent limit. When
+// it runs again, timers come before sockets: what arrived meanwhile is not
+// read yet. Both sides judged each other silent, and a session between two
+// sound processes was lost.
+TEST_F(SessionTest, AHeldUpLoopTakesItsOwnPauseForNobodysSilence)
+{
+    GwSessionOptions o = Options(&client_side);
+    GwSession *s = GwSession_Connect(loop, &address, &o);
+
+    ASSERT_TRUE(Until(
+        [&] { return client_side.ready == 1 && server_side.ready == 1; }));
+    for (int i = 0; i < 10; i++) {
+        uint64_t frames = counters.plain[GW_COUNTER_FRAMES_RECEIVED];
+
+        g_usleep((gulong)(150 * GW_MILLISECOND + i * 3 * GW_MILLISECOND));
+        ASSERT_TRUE(Until([&] {
+            return counters.plain[GW_COUNTER_FRAMES_RECEIVED] > frames + 8 ||
+                   client_side.closed + server_side.closed > 0;
+        }));
+        ASSERT_EQ(client_side.closed + server_side.closed, 0) << i;
+    }
+    GwSession_Close(s);
+}
+
 // The connection is forgotten on the way: neither side gets an error. Both
 // find out by the missing pongs.
 TEST_F(SessionTest, SilenceIsFoundOnBothSides)
