Tests of peers listen where the system lets them

Cause: three tests of gateways that are each other's seeds listened on fixed ports, so two suites at once on a machine took them from each other. Two more chose a free port by opening and closing a listener, which another process could take in between.

GwPeers_Port and GwGateway_PeerPort tell the port in use, as the other servers do; the seeds are given it after the first process listens. The checks are the same. No other test opens a fixed port: what else looks like one is text that the settings are read from, and port 1, where nobody is to listen.

After: the six tests concerned, run twice at the same time, passed in both runs. The clash before was not run again here.

--- a/packages/cluster/include/galenagw/cluster/peers.h
+++ b/packages/cluster/include/galenagw/cluster/peers.h
@@ -57,6 +57,8 @@
 GwPeers *GwPeers_New(GwLoop *loop, const GwPeersOptions *options,
                      GwError *err);
 void GwPeers_Delete(GwPeers *peers);
+/** The port that other processes connect to. */
+int GwPeers_Port(const GwPeers *peers);
 /** Agent: tell all entries, now and whenever one connects. */
 void GwPeers_TellEngine(GwPeers *peers, const GwEngineState *state);
 /**
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -170,6 +170,12 @@
     g_free(p);
 }
 
+int
+GwPeers_Port(const GwPeers *p)
+{
+    return GwSessionServer_Port(p->server);
+}
+
 void
 GwPeers_TellEngine(GwPeers *p, const GwEngineState *state)
 {
--- a/packages/cluster/tests/peers_restart_test.cc
+++ b/packages/cluster/tests/peers_restart_test.cc
@@ -12,16 +12,11 @@
     SetUp() override
     {
         static const GwViewOps ops = {};
-        static const FakeHttpdOps none = {};
         GwAddress any = {"127.0.0.1", 0};
         GwPeersOptions agent = {}, entry = {};
         GwError err = {};
-        FakeHttpd *free_port =
-            FakeHttpd_New(f.loop, &any, &none, nullptr, &err);
 
         agent.listen = any;
-        agent.listen.port = FakeHttpd_Port(free_port);
-        FakeHttpd_Delete(free_port);
         for (Side *side : {&agent_, &entry_}) {
             GwViewOptions options = {&ops, this, nullptr, &side->counters};
 
@@ -32,13 +27,13 @@
         entry.name = "edge-1";
         agent.failure_domain = entry.failure_domain = "d";
         entry.listen = any;
-        entry.agent_port = agent.listen.port;
         agent.view = agent_.view;
         entry.view = entry_.view;
         agent.counters = &agent_.counters;
         entry.counters = &entry_.counters;
         agent_.peers = GwPeers_New(f.loop, &agent, &err);
         ASSERT_NE(agent_.peers, nullptr) << err.message;
+        entry.agent_port = GwPeers_Port(agent_.peers);
         List(&entry_, 10, 1);
         entry_.peers = GwPeers_New(f.loop, &entry, &err);
         ASSERT_NE(entry_.peers, nullptr) << err.message;
--- a/packages/cluster/tests/slow_link_test.cc
+++ b/packages/cluster/tests/slow_link_test.cc
@@ -40,10 +40,9 @@
         reader_options.counters = &counters;
         reader_options.rand = rand;
         reader = GwStoreReader_New(f->loop, &reader_options);
-        listen = FreePort(f->loop);
         peers_options.name = "node";
         peers_options.failure_domain = "d";
-        peers_options.listen = listen;
+        peers_options.listen = kHere;
         peers_options.seeds = seeds.data();
         peers_options.n_seeds = (int)seeds.size();
         peers_options.view = view;
@@ -70,17 +69,6 @@
         GwPeers_TellNews(n->peers);
         GwTimer_Start(&n->news, 250 * GW_MILLISECOND);
     }
-    static GwAddress
-    FreePort(GwLoop *loop)
-    {
-        GwAddress address = kHere;
-        GwTcpServer *server = GwTcpServer_New(
-            loop, &kHere, [](void *, GwTcp *) {}, nullptr, nullptr);
-
-        address.port = GwTcpServer_Port(server);
-        GwTcpServer_Delete(server);
-        return address;
-    }
     int64_t
     End() const
     {
@@ -99,7 +87,6 @@
     GwView *view = nullptr;
     GwStoreReader *reader = nullptr;
     GwPeers *peers = nullptr;
-    GwAddress listen = {};
     std::vector<GwAddress> seeds;
     GwTimer news = {};
 };
@@ -121,7 +108,8 @@
         for (int i = 0; i < n_peers; i++) {
             near.push_back(std::make_unique<Node>(&f, FakeStore_Port(f.store),
                                                   std::vector<int>()));
-            ports.push_back(FakeLink_Open(link, near.back()->listen.port));
+            ports.push_back(
+                FakeLink_Open(link, GwPeers_Port(near.back()->peers)));
         }
         far = std::make_unique<Node>(
             &f, FakeLink_Open(link, FakeHop_Port(hop)), ports);
--- a/packages/gateway/include/galenagw/gateway/gateway.h
+++ b/packages/gateway/include/galenagw/gateway/gateway.h
@@ -35,6 +35,7 @@
 int GwGateway_CallerPort(const GwGateway *gateway);
 int GwGateway_ReadinessPort(const GwGateway *gateway);
 int GwGateway_MetricsPort(const GwGateway *gateway);
+int GwGateway_PeerPort(const GwGateway *gateway);
 
 #ifdef __cplusplus
 }
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -158,6 +158,12 @@
     return GwHttpServer_Port(g->readiness_server);
 }
 
+int
+GwGateway_PeerPort(const GwGateway *g)
+{
+    return GwPeers_Port(g->peers);
+}
+
 int
 GwGateway_MetricsPort(const GwGateway *g)
 {
--- a/packages/gateway/tests/gateway_failure_test.cc
+++ b/packages/gateway/tests/gateway_failure_test.cc
@@ -386,7 +386,6 @@
     GwDeployment seed = f.Deployment("gateway-2");
 
     f.Configure(1);
-    seed.peers.port = 23743;
     cut.store.port = 1;
     cut.seeds[0] = seed.peers;
     cut.n_seeds = 1;
@@ -394,6 +393,7 @@
         options.deployment = d;
         f.gateways.push_back(GwGateway_New(f.loop, &options, &err));
         ASSERT_NE(f.gateways.back(), nullptr) << err.message;
+        cut.seeds[0].port = GwGateway_PeerPort(f.gateways.front());
     }
     ASSERT_TRUE(f.Ready());
     GwGateway *g = f.gateways.back();
@@ -427,7 +427,6 @@
     GwGatewayOptions options = {};
     GwDeployment d = f.Deployment("gateway-2");
     GwDeployment first = f.Deployment("gateway-3");
-    first.peers.port = 23741;
     options.deployment = &first;
     GwGateway *seed = GwGateway_New(f.loop, &options, &err);
     ASSERT_NE(seed, nullptr) << err.message;
@@ -435,6 +434,7 @@
     ASSERT_TRUE(f.Ready());
     d.store.port = 1;
     d.seeds[0] = first.peers;
+    d.seeds[0].port = GwGateway_PeerPort(seed);
     d.n_seeds = 1;
     options.deployment = &d;
     GwGateway *g = GwGateway_New(f.loop, &options, &err);
--- a/packages/gateway/tests/outdated_weights_test.cc
+++ b/packages/gateway/tests/outdated_weights_test.cc
@@ -87,7 +87,6 @@
 
         f.Configure(1);
         f.AddEndpoint("i-1", "model");
-        first.peers.port = 23745;
         late.seeds[0] = first.peers;
         late.n_seeds = 1;
         if (store_away)
@@ -98,6 +97,7 @@
         ASSERT_TRUE(f.Ready());
         f.NameWeights(2);
         GwGateway *g = f.gateways.back();
+        late.seeds[0].port = GwGateway_PeerPort(g);
         ASSERT_TRUE(f.Until([&] { return NamedAt(g) != 0; }));
         f.Wait(GW_SECOND);
         f.NameWeights(3);
