Split the gateway's request by job

Functions were moved whole. Two were cut where a module ends: the head's part on the answer went to request_answer, and the two watches are started by one call. request.h is unchanged, so callers and tests are, too; four of its functions only pass on to the modules below.

Ruled out: watches and their callbacks in one module, since an attempt starts watches and their callbacks make the next attempt, which is a circle.

--- /dev/null
+++ b/packages/gateway/src/request_attempt.c
@@ -0,0 +1,267 @@
+#include "request_attempt.h"
+
+#include <string.h>
+
+#include "choosing.h"
+#include "galenagw/routing/overload.h"
+#include "request_answer.h"
+#include "request_end.h"
+#include "request_load.h"
+#include "request_log.h"
+#include "request_refusal.h"
+#include "request_watch.h"
+
+/* A caller's time is spent by the way back too. */
+#define WAY_BACK (6 * GW_MILLISECOND)
+/* How long an endpoint that said it was full, or loading, is passed over:
+ * about as long as weights take to load, or a queue to move. */
+#define AVOID_FULL (150 * GW_MILLISECOND)
+
+static bool can_wait_(const GwRequest *r);
+static GwTime defer_(const GwRequest *r, const GwInstance *instance,
+                     const GwAddress *source);
+static void send_(GwRequest *r, GwInstance *instance, const GwAddress *source);
+static GwHeadVerdict on_head_(void *user, const GwHttpHead *head);
+static void on_body_(void *user, const char *data, size_t len);
+static void on_end_(void *user, GwUpstreamEnd end);
+
+/* As what a repetition is counted. */
+static const GwRetry retry_reasons[GW_ATTEMPT_FATES] = {
+    [GW_ATTEMPT_NOT_SENT] = GW_RETRY_CONNECT,
+    [GW_ATTEMPT_NOT_RUN] = GW_RETRY_DECLINED,
+    [GW_ATTEMPT_MAY_HAVE_RUN] = GW_RETRY_BROKEN,
+    [GW_ATTEMPT_HAS_RUN] = GW_RETRY_ERROR,
+};
+
+static const GwUpstreamOps upstream_ops = {on_head_, on_body_, on_end_};
+
+void
+GwRequestAttempt_Make(GwRequest *r)
+{
+    const GwAddress *source = NULL;
+    GwInstance *instance = GwChoosing_Choose(r, &source);
+
+    if (instance != NULL) {
+        r->retry_after = defer_(r, instance, source);
+        if (r->retry_after == 0)
+            send_(r, instance, source);
+        else
+            GwRequestRefusal_Answer(r, GW_REFUSAL_DEFERRED);
+        return;
+    }
+    if (r->head_sent) {
+        GwRequestLog_End(r, "broken", 0);
+        GwRequestEnd_Break(r);
+        return;
+    }
+    GwRequestRefusal_Answer(r, GW_REFUSAL_NO_ENDPOINT);
+}
+
+void
+GwRequestAttempt_Failed(GwRequest *r, GwAttemptFate fate, const char *why)
+{
+    GwGateway *g = r->gateway;
+    GwTime left = r->deadline - GwTime_Now();
+    GwNext next;
+    GwAttemptFacts facts = {
+        .fate = fate,
+        .may_repeat = GwRoute_MayRepeat(r->route),
+        .head_sent = r->head_sent,
+        .is_events = r->is_events,
+        .time_left = left > GW_LEAST_ATTEMPT,
+        .sends_left = r->sends < MAX(r->route->max_attempts, 1),
+        .elsewhere = GwChoosing_HasAlternative(r),
+    };
+
+    facts.budget_left =
+        GwAttempt_WantsRepeat(&facts) &&
+        GwBudget_TakeRepeat(GwGateway_Budget(g, r->service), &g->budget_bound,
+                            GwPeers_Entries(g->peers), GwTime_Now());
+    next = GwAttempt_Next(&facts);
+    GwRequestLog_Failed(r, fate, why, next);
+    r->may_have_run = r->may_have_run || fate == GW_ATTEMPT_MAY_HAVE_RUN ||
+                      fate == GW_ATTEMPT_HAS_RUN;
+    GwRequestEnd_LeaveInstance(r);
+    switch (next) {
+    case GW_NEXT_RESUME:
+        GwCounters_Add(&g->counters, GW_COUNTER_RESUMED, 1);
+        GwCounters_Retry(&g->counters, GW_RETRY_CONTINUE);
+        GwEventSplitter_Restart(&r->events);
+        GwRequestAttempt_Make(r);
+        return;
+    case GW_NEXT_RETRY:
+        GwCounters_Retry(&g->counters, retry_reasons[fate]);
+        GwEventSplitter_Restart(&r->events);
+        GwRequestAttempt_Make(r);
+        return;
+    case GW_NEXT_PASS:
+        GwRequestAnswer_Complete(r);
+        return;
+    case GW_NEXT_BREAK:
+        GwRequestLog_End(r, "broken", 0);
+        GwRequestEnd_Break(r);
+        return;
+    case GW_NEXT_REFUSE:
+        GwRequestRefusal_Answer(r, fate == GW_ATTEMPT_NOT_SENT
+                                       ? GW_REFUSAL_NO_ENDPOINT
+                                       : GW_REFUSAL_QUEUE_FULL);
+        return;
+    default:
+        GwRequestRefusal_Answer(r, GW_REFUSAL_OUTCOME_UNKNOWN);
+        return;
+    }
+}
+
+// Whether engines read others before it.
+static bool
+can_wait_(const GwRequest *r)
+{
+    return GwRoute_EnginePriority(r->route, r->account) >
+           r->routes->most_urgent;
+}
+
+// How long its caller should stay away, or 0 to send it now.
+static GwTime
+defer_(const GwRequest *r, const GwInstance *instance, const GwAddress *source)
+{
+    GwOverloadFacts facts = {
+        .can_wait = can_wait_(r),
+        .aim = r->route->target_latency,
+        .left = r->deadline - GwTime_Now(),
+        .waiting_tokens = r->chosen.prefill_tokens,
+        .own_tokens = GwChoosing_Prefill(r, instance, source),
+        .kv_used = r->chosen.kv_used,
+        .kv_total = r->chosen.kv_total,
+        .kv_needed = (uint32_t)GwRequestLoad_Memory(r),
+    };
+    GwTime defer;
+
+    // A plain endpoint has no prompts to read, and a repeat has spent some of
+    // its caller's time already.
+    if (instance->model == NULL || r->attempts > 0)
+        return 0;
+    defer = GwOverload_Defer(&facts);
+    if (defer > 0)
+        GwRequestLog_Deferred(r, instance, &facts, defer);
+    return defer;
+}
+
+static void
+send_(GwRequest *r, GwInstance *instance, const GwAddress *source)
+{
+    GwGateway *g = r->gateway;
+    GwTime now = GwTime_Now();
+    g_autoptr(GString) out = g_string_sized_new(r->body_len + 1024);
+    GwKvStore *store;
+    GwDispatch dispatch = {
+        .instance_id = instance->id,
+        .account = r->account != NULL ? r->account->name : NULL,
+        .deadline_ms =
+            MAX(r->deadline - now - WAY_BACK, GW_MILLISECOND) / GW_MILLISECOND,
+        .priority = instance->model != NULL
+                        ? GwRoute_EnginePriority(r->route, r->account)
+                        : -1,
+        .weights = instance->model != NULL ? instance->weights : -1,
+        .fetch_from = source,
+        .last_event_id =
+            r->events.has_id ? r->events.last_id : r->ask.last_event_id,
+        .body_len = r->body_len,
+    };
+    GwUpstreamOptions options = {
+        .request = out,
+        .has_no_body = strcmp(r->head->method, "HEAD") == 0,
+        .may_repeat = GwRoute_MayRepeat(r->route),
+        .ops = &upstream_ops,
+        .user = r,
+    };
+
+    if (instance->model != NULL) {
+        dispatch.cache_scope = r->scope;
+        store = GwChoosing_KvStore(r);
+        if (store != NULL && GwKvStore_TakeSave(store, &r->ask, r->scope, now))
+            dispatch.save_to = GwKvStore_Address(store);
+    }
+    GwMessages_EncodeRequest(r->head, &dispatch, out);
+    g_string_append_len(out, r->body, (gssize)r->body_len);
+    r->instance = GwInstance_Ref(instance);
+    r->sent_at = now;
+    r->attempts++;
+    r->sends++;
+    r->has_reply = false;
+    r->heard_at = 0;
+    r->is_usable = false;
+    r->prefill = GwChoosing_Prefill(r, instance, source);
+    instance->in_flight++;
+    GwRequestLoad_Add(r, (int64_t)r->prefill, 1);
+    if (r->n_tried < MAX_TRIED)
+        r->tried[r->n_tried++] = instance->serial;
+    GwCounters_Add(&g->counters, GW_COUNTER_ATTEMPTS, 1);
+    GwRequestLog_Attempt(r, &dispatch);
+    r->upstream = GwUpstream_Send(instance->user, &options);
+    GwRequestWatch_Arm(r);
+}
+
+static GwHeadVerdict
+on_head_(void *user, const GwHttpHead *head)
+{
+    GwRequest *r = user;
+
+    GwMessages_DecodeReply(head, r->ask.id, &r->reply);
+    // An extra answer to an earlier request on this connection.
+    if (!r->reply.is_ours)
+        return GW_HEAD_SKIP;
+    r->has_reply = true;
+    r->heard_at = GwTime_Now();
+    if (r->reply.not_run && r->reply.instance_id != NULL &&
+        strcmp(r->reply.instance_id, r->instance->id) != 0)
+        GwInstance_SetReplaced(r->instance);
+    // Borrowed from the head, which goes.
+    r->reply.instance_id = NULL;
+    if (r->reply.weights >= 0)
+        GwInstance_SetWeights(r->instance, r->reply.weights);
+    GwUpstream_SetKeepAlive(r->upstream, r->reply.keep_alive_s);
+    GwRequestAnswer_Begin(r, head);
+    return GW_HEAD_TAKE;
+}
+
+static void
+on_body_(void *user, const char *data, size_t len)
+{
+    GwRequestAnswer_Push(user, data, len);
+}
+
+static void
+on_end_(void *user, GwUpstreamEnd end)
+{
+    GwRequest *r = user;
+    GwInstance *instance = r->instance;
+    GwTime now = GwTime_Now();
+
+    r->upstream = NULL;
+    if (end == GW_UPSTREAM_COMPLETE && r->has_reply && r->is_usable) {
+        GwHealth_Note(
+            &instance->health,
+            r->reply.status >= 500 ? GW_HEALTH_ERROR : GW_HEALTH_GOOD, now);
+        if (r->reply.status >= 500 && !r->head_sent) {
+            GwRequestAttempt_Failed(r, GW_ATTEMPT_HAS_RUN, "error");
+            return;
+        }
+        GwRequestAnswer_Complete(r);
+        return;
+    }
+    if (end == GW_UPSTREAM_NOT_SENT) {
+        r->sends--;
+        GwHealth_Note(&instance->health, GW_HEALTH_UNREACHABLE, now);
+        GwRequestAttempt_Failed(r, GW_ATTEMPT_NOT_SENT, "unreachable");
+    }
+    else if (r->has_reply && r->reply.not_run) {
+        instance->avoid_until = now + AVOID_FULL;
+        GwRequestAttempt_Failed(r, GW_ATTEMPT_NOT_RUN, "declined");
+    }
+    else {
+        GwHealth_Note(&instance->health, GW_HEALTH_BROKEN, now);
+        GwRequestAttempt_Failed(r, GW_ATTEMPT_MAY_HAVE_RUN,
+                                end == GW_UPSTREAM_BROKEN ? "broken"
+                                                          : "unsigned");
+    }
+}
