An answer that comes is not cut when others leave

Cause: a call that waits long relies on others, and is opened anew when these get few; whether its answer was coming was not asked. On a full link sessions fail just then, and the answer began anew.

Ruled out: leaving all that have begun alone. One that began and stands still is found only after 5 s by its own time-out.

Conclusion: what moved within the last second stays.

--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -126,8 +126,10 @@
         if (f->poll.sharers == sharers)
             continue;
         GwLongPoll_SetSharers(&f->poll, sharers);
-        // Few are left, and this call relied on others to tell if it is lost.
+        // Few are left, and this call relied on others to tell if it is lost;
+        // one whose answer comes is not.
         if (GwHttpCaller_IsBusy(f->caller) &&
+            GwStoreReader_Supply(r, f->list) != GW_SUPPLY_MOVING &&
             left > ALONE_FACTOR * GwLongPoll_LongestWait(&f->poll))
             reopen_(f);
     }
