The exchange of lists between peers is a module of its own

Cause: peers.c had grown to 983 lines and held both the sessions with peers and what goes over them.

Functions were moved whole. The exchange keeps its own list of peers, in the order of the sessions, and is given a peer where it looked one up by its session; a frame of a session without a peer is passed over as before.

Ruled out: a private header with the struct of the peers, which would include peers.h and make a circle with peers.c.

--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include "exchange.h"
 #include "galenagw/wire/session.h"
 
 /* How often connections are compared with the list of endpoints. A new
@@ -16,18 +17,8 @@
 /* Without an agent's word: a guess on the high side, so that the entries
  * together stay within the budget. */
 #define ENTRIES_ASSUMED 8
-/* Removals that a peer holds are held here no longer than this, whatever it
- * says: about the time in which entries that lapsed come back. */
-#define REMOVALS_HELD_MOST (2500 * GW_MILLISECOND)
-/* For a list that is not asked for. */
-#define NOT_WANTED ((uint64_t)G_MAXINT64)
-/* Between two looks at whether it is time to ask. */
-#define LOOK_AGAIN (100 * GW_MILLISECOND)
 /* A change of waiting prompts that is worth a message: 30 ms of reading. */
 #define TELL_TOKENS 2000
-/* Records in one frame; the largest, a configuration, may be megabytes. */
-#define FRAME_RECORDS 200
-#define FRAME_BYTES (1024 * 1024)
 
 typedef struct Peer {
     TAILQ_ENTRY(Peer) link;
@@ -44,9 +35,7 @@
     unsigned long_runs;   /* that it has in flight there */
     uint64_t told_tokens; /* agent: others' tokens, as told last */
     uint64_t told_yielding;
-    uint64_t revision; /* how far it knows the lists, as it told */
-    GwTime revision_at;
-    uint64_t sent_ends[GW_LISTS]; /* what was queued to it, up to here */
+    GwExchangePeer lists;
 } Peer;
 
 struct GwPeers {
@@ -56,10 +45,7 @@
     TAILQ_HEAD(, Peer) peers;
     GwTimer timer;
     GwAddress watched; /* agent: another agent; port 0: none */
-    GwFetch fetches[GW_LISTS];
-    uint64_t wanted[GW_LISTS]; /* the furthest end that peers told */
-    Peer *asked[GW_LISTS];     /* the last one asked; NULL: none, or gone */
-    GwTimer ask_timer;
+    GwExchange exchange;
     unsigned entries;     /* told by agents */
     uint64_t told_urgent; /* changes that peers were told of */
     bool has_engine;
@@ -74,62 +60,32 @@
     uint64_t yielding_memory;
 } Waiting;
 
-/* Collects records for one peer and sends them in frames. */
-typedef struct {
-    GwSession *session;
-    GwList list;
-    uint64_t end;
-    Gw__Wire__ListRecord records[FRAME_RECORDS];
-    Gw__Wire__ListRecord *pointers[FRAME_RECORDS];
-    size_t n;
-    size_t bytes;
-    uint32_t removals_held_ms;
-    size_t told; /* in all frames */
-    size_t told_bytes;
-} Batch;
-
+static void init_exchange_(GwPeers *p);
 static GwSessionOptions session_options_(GwPeers *p);
 static void on_ready_(void *user, GwSession *session,
                       const Gw__Wire__Hello *hello);
 static void on_frame_(void *user, GwSession *session, const GwFrame *frame);
 static void on_revision_(void *user, GwSession *session, uint64_t revision);
-static void on_ask_(void *user);
-static GwTime ask_at_(GwPeers *p, GwList list, GwTime now);
-static void ask_(GwPeers *p, GwList list, GwTime now);
-static Peer *ahead_(GwPeers *p, GwList list);
-static void forget_asked_(GwPeers *p, const Peer *peer);
 static void on_closed_(void *user, GwSession *session, bool silent);
 static void forget_advice_(GwPeers *p, const Peer *peer);
 static void fill_hello_(void *user, Gw__Wire__Hello *hello);
 static uint64_t revision_(void *user);
 static void on_timer_(void *user);
 static void connect_(GwPeers *p, const GwAddress *address);
+static Peer *add_(GwPeers *p);
+static void set_session_(Peer *peer, GwSession *session);
 static Peer *find_(GwPeers *p, const GwSession *session);
 static Peer *at_(GwPeers *p, const GwAddress *address);
 static void drop_(Peer *peer);
 static bool needs_seeds_(const GwPeers *p);
-static void tell_records_(GwPeers *p, GwSession *session,
-                          const Gw__Wire__RecordsAsk *ask);
-static uint32_t removals_held_ms_(const GwPeers *p);
-static void log_asked_(GwPeers *p, const GwSession *session,
-                       const Gw__Wire__RecordsAsk *ask);
-static void log_told_(GwPeers *p, const GwSession *session,
-                      const Batch *batch);
-static void add_to_batch_(void *user, GwList list, const GwRecord *record);
-static void send_batch_(Batch *batch);
-static void take_records_(GwPeers *p, const Gw__Wire__RecordsTell *tell);
-static void tell_age_(void *user, const char *model, int64_t version,
-                      GwTime named_at);
-static void take_age_(GwPeers *p, const Gw__Wire__WeightsAge *age);
 static void send_engine_(GwPeers *p, Peer *peer);
-static void take_note_(GwPeers *p, const GwSession *session,
+static void take_note_(GwPeers *p, Peer *from,
                        const Gw__Wire__PrefillNote *note);
 static bool differs_(uint64_t tokens, uint64_t told);
 static Waiting others_(const GwPeers *p, const Peer *peer);
 static void take_engine_(GwPeers *p, const Gw__Wire__EngineState *state);
 static unsigned count_entries_(const GwPeers *p);
 static bool is_connected_(const GwPeers *p);
-static void hold_removals_(GwPeers *p, const Gw__Wire__RecordsTell *tell);
 
 static const GwSessionOps session_ops = {on_ready_, on_frame_, on_revision_,
                                          on_closed_};
@@ -145,7 +101,7 @@
     session = session_options_(p);
     TAILQ_INIT(&p->peers);
     GwTimer_Init(&p->timer, loop, on_timer_, p);
-    GwTimer_Init(&p->ask_timer, loop, on_ask_, p);
+    init_exchange_(p);
     p->server = GwSessionServer_New(loop, &options->listen, &session, err);
     if (p->server == NULL) {
         g_free(p);
@@ -163,7 +119,7 @@
     if (p == NULL)
         return;
     GwTimer_Stop(&p->timer);
-    GwTimer_Stop(&p->ask_timer);
+    GwExchange_Stop(&p->exchange);
     while ((peer = TAILQ_FIRST(&p->peers)) != NULL)
         drop_(peer);
     GwSessionServer_Delete(p->server);
@@ -285,6 +241,19 @@
     return p->entries > 0 ? p->entries : ENTRIES_ASSUMED;
 }
 
+static void
+init_exchange_(GwPeers *p)
+{
+    GwExchangeOptions options = {
+        .view = p->options.view,
+        .reader = p->options.reader,
+        .log = p->options.log,
+        .counters = p->options.counters,
+    };
+
+    GwExchange_Init(&p->exchange, p->loop, &options);
+}
+
 static GwSessionOptions
 session_options_(GwPeers *p)
 {
@@ -306,17 +275,15 @@
     Peer *peer = find_(p, session);
 
     if (peer == NULL) {
-        peer = g_new0(Peer, 1);
-        peer->owner = p;
-        peer->session = session;
-        TAILQ_INSERT_TAIL(&p->peers, peer, link);
+        peer = add_(p);
+        set_session_(peer, session);
     }
     g_strlcpy(peer->name, hello->instance, sizeof(peer->name));
     peer->is_entry = hello->role == GW__WIRE__ROLE__ROLE_ENTRY;
     GwEvent_Begin(p->options.log, "peer_ready", NULL);
     GwEvent_Text(p->options.log, "peer", hello->instance);
     GwEvent_End(p->options.log);
-    GwView_EachNamed(p->options.view, tell_age_, session);
+    GwExchange_TellAges(&p->exchange, session);
     if (!peer->outbound && p->has_engine)
         send_engine_(p, peer);
 }
@@ -325,22 +292,24 @@
 on_frame_(void *user, GwSession *session, const GwFrame *frame)
 {
     GwPeers *p = user;
+    Peer *peer = find_(p, session);
 
     switch (frame->body_case) {
     case GW__WIRE__FRAME__BODY_RECORDS_ASK:
-        tell_records_(p, session, frame->records_ask);
+        if (peer != NULL)
+            GwExchange_Tell(&p->exchange, &peer->lists, frame->records_ask);
         return;
     case GW__WIRE__FRAME__BODY_RECORDS_TELL:
-        take_records_(p, frame->records_tell);
+        GwExchange_Take(&p->exchange, frame->records_tell);
         return;
     case GW__WIRE__FRAME__BODY_PREFILL_NOTE:
-        take_note_(p, session, frame->prefill_note);
+        take_note_(p, peer, frame->prefill_note);
         return;
     case GW__WIRE__FRAME__BODY_ENGINE_STATE:
         take_engine_(p, frame->engine_state);
         return;
     case GW__WIRE__FRAME__BODY_WEIGHTS_AGE:
-        take_age_(p, frame->weights_age);
+        GwExchange_TakeAge(&p->exchange, frame->weights_age);
         return;
     default:
         // Of the product's other programs: not for this one.
@@ -352,121 +321,10 @@
 on_revision_(void *user, GwSession *session, uint64_t revision)
 {
     GwPeers *p = user;
-    GwRecords *records = GwView_Records(p->options.view);
     Peer *peer = find_(p, session);
-    bool behind = false;
-
-    if (peer == NULL)
-        return;
-    peer->revision = revision;
-    peer->revision_at = GwTime_Now();
-    for (int i = 0; i < GW_LISTS; i++) {
-        if (!GwRecords_IsBehind(records, (GwList)i, revision))
-            continue;
-        behind = true;
-        p->wanted[i] =
-            MAX(p->wanted[i], GwRecords_StampEnd((GwList)i, revision));
-        if (p->options.reader != NULL)
-            GwStoreReader_Suspect(p->options.reader, (GwList)i);
-    }
-    if (behind)
-        on_ask_(p);
-}
-
-// Asks peers for what it is time to ask for, and looks again when the next
-// question may be due.
-static void
-on_ask_(void *user)
-{
-    GwPeers *p = user;
-    GwTime now = GwTime_Now();
-    GwTime next = 0;
 
-    for (int i = 0; i < GW_LISTS; i++) {
-        GwTime at = ask_at_(p, (GwList)i, now);
-
-        if (at == 0)
-            continue;
-        if (at <= now) {
-            ask_(p, (GwList)i, now);
-            at = MAX(ask_at_(p, (GwList)i, now), now + LOOK_AGAIN);
-        }
-        next = next == 0 ? at : MIN(next, at);
-    }
-    if (next > 0)
-        GwTimer_Start(&p->ask_timer, next - now);
-}
-
-// When to ask a peer for @p list; 0: not until peers tell of more.
-static GwTime
-ask_at_(GwPeers *p, GwList list, GwTime now)
-{
-    GwFetch *fetch = &p->fetches[list];
-    uint64_t end =
-        (uint64_t)GwRecords_End(GwView_Records(p->options.view), list);
-    GwSupply supply = p->options.reader != NULL
-                          ? GwStoreReader_Supply(p->options.reader, list)
-                          : GW_SUPPLY_AWAY;
-
-    GwFetch_SetBehind(fetch, p->wanted[list] > end, now);
-    if (p->wanted[list] <= end || ahead_(p, list) == NULL)
-        return 0;
-    if (p->asked[list] != NULL)
-        GwFetch_Moved(fetch, GwSession_LargeAt(p->asked[list]->session));
-    return GwFetch_AskAt(fetch, supply, now);
-}
-
-static void
-ask_(GwPeers *p, GwList list, GwTime now)
-{
-    GwRecords *records = GwView_Records(p->options.view);
-    Peer *peer = ahead_(p, list);
-    GW_FRAME(frame, ask, RECORDS_ASK, RecordsAsk, records_ask);
-
-    ask.operator_end = list == GW_LIST_OPERATOR
-                           ? (uint64_t)GwRecords_End(records, list)
-                           : NOT_WANTED;
-    ask.instances_end = list == GW_LIST_INSTANCES
-                            ? (uint64_t)GwRecords_End(records, list)
-                            : NOT_WANTED;
-    p->asked[list] = peer;
-    GwFetch_Asked(&p->fetches[list], now);
-    GwSession_Send(peer->session, &frame);
-    log_asked_(p, peer->session, &ask);
-}
-
-// The peer that told last that it knows more; the one asked before only if
-// no other does.
-static Peer *
-ahead_(GwPeers *p, GwList list)
-{
-    GwRecords *records = GwView_Records(p->options.view);
-    Peer *best = NULL;
-    Peer *peer;
-
-    TAILQ_FOREACH(peer, &p->peers, link)
-    {
-        bool asked = peer == p->asked[list] && p->fetches[list].open;
-
-        if (!GwSession_IsReady(peer->session) ||
-            !GwRecords_IsBehind(records, list, peer->revision))
-            continue;
-        if (best == NULL || best == p->asked[list] ||
-            (!asked && peer->revision_at > best->revision_at))
-            best = peer;
-    }
-    return best;
-}
-
-static void
-forget_asked_(GwPeers *p, const Peer *peer)
-{
-    for (int i = 0; i < GW_LISTS; i++) {
-        if (p->asked[i] != peer)
-            continue;
-        p->asked[i] = NULL;
-        GwFetch_Lost(&p->fetches[i]);
-    }
+    if (peer != NULL)
+        GwExchange_NoteRevision(&p->exchange, &peer->lists, revision);
 }
 
 static void
@@ -485,7 +343,7 @@
     }
     if (!silent)
         forget_advice_(p, peer);
-    forget_asked_(p, peer);
+    GwExchange_Leave(&p->exchange, &peer->lists);
     TAILQ_REMOVE(&p->peers, peer, link);
     g_free(peer);
 }
@@ -565,16 +423,33 @@
     GwSessionOptions session = session_options_(p);
 
     if (peer == NULL) {
-        peer = g_new0(Peer, 1);
-        peer->owner = p;
+        peer = add_(p);
         peer->outbound = true;
         peer->address = *address;
-        TAILQ_INSERT_TAIL(&p->peers, peer, link);
-        peer->session = GwSession_Connect(p->loop, address, &session);
+        set_session_(peer, GwSession_Connect(p->loop, address, &session));
     }
     peer->wanted = true;
 }
 
+static Peer *
+add_(GwPeers *p)
+{
+    Peer *peer = g_new0(Peer, 1);
+
+    peer->owner = p;
+    peer->lists.name = peer->name;
+    TAILQ_INSERT_TAIL(&p->peers, peer, link);
+    GwExchange_Join(&p->exchange, &peer->lists);
+    return peer;
+}
+
+static void
+set_session_(Peer *peer, GwSession *session)
+{
+    peer->session = session;
+    peer->lists.session = session;
+}
+
 static Peer *
 find_(GwPeers *p, const GwSession *session)
 {
@@ -604,7 +479,7 @@
 static void
 drop_(Peer *peer)
 {
-    forget_asked_(peer->owner, peer);
+    GwExchange_Leave(&peer->owner->exchange, &peer->lists);
     TAILQ_REMOVE(&peer->owner->peers, peer, link);
     GwSession_Close(peer->session);
     g_free(peer);
@@ -630,192 +505,6 @@
     return true;
 }
 
-static void
-tell_records_(GwPeers *p, GwSession *session, const Gw__Wire__RecordsAsk *ask)
-{
-    GwRecords *records = GwView_Records(p->options.view);
-    Peer *peer = find_(p, session);
-    uint64_t ends[GW_LISTS] = {
-        [GW_LIST_OPERATOR] = ask->operator_end,
-        [GW_LIST_INSTANCES] = ask->instances_end,
-    };
-
-    if (peer == NULL)
-        return;
-    // Before the records: it is then known with them.
-    GwView_EachNamed(p->options.view, tell_age_, session);
-    for (int i = 0; i < GW_LISTS; i++) {
-        g_autofree Batch *batch = g_new0(Batch, 1);
-
-        batch->session = session;
-        batch->list = (GwList)i;
-        batch->end = (uint64_t)GwRecords_End(records, (GwList)i);
-        batch->removals_held_ms = removals_held_ms_(p);
-        // A session loses nothing: what is queued there comes or is told
-        // anew on another session.
-        ends[i] = MAX(ends[i], peer->sent_ends[i]);
-        if (batch->end <= ends[i])
-            continue;
-        GwRecords_Each(records, (GwList)i, (int64_t)ends[i], add_to_batch_,
-                       batch);
-        send_batch_(batch);
-        peer->sent_ends[i] = batch->end;
-        log_told_(p, session, batch);
-    }
-}
-
-static uint32_t
-removals_held_ms_(const GwPeers *p)
-{
-    GwTime now = GwTime_Now();
-    GwTime until =
-        GwInstances_RemovalsHeldUntil(GwView_Instances(p->options.view), now);
-
-    return until > now ? (uint32_t)((until - now) / GW_MILLISECOND) : 0;
-}
-
-// Who sends whom the lists, and how often: copies that follow each other
-// fill a slow link, and no other line shows it.
-static void
-log_asked_(GwPeers *p, const GwSession *session,
-           const Gw__Wire__RecordsAsk *ask)
-{
-    const Peer *peer = find_(p, session);
-
-    GwCounters_Add(p->options.counters, GW_COUNTER_RECORDS_ASKED, 1);
-    GwEvent_Begin(p->options.log, "records_asked", NULL);
-    GwEvent_Text(p->options.log, "peer", peer != NULL ? peer->name : NULL);
-    GwEvent_Number(p->options.log, "operator_end", (int64_t)ask->operator_end);
-    GwEvent_Number(p->options.log, "instances_end",
-                   (int64_t)ask->instances_end);
-    GwEvent_End(p->options.log);
-}
-
-static void
-log_told_(GwPeers *p, const GwSession *session, const Batch *batch)
-{
-    const Peer *peer = find_(p, session);
-
-    GwCounters_Add(p->options.counters, GW_COUNTER_RECORDS_TOLD_BYTES,
-                   batch->told_bytes);
-    GwEvent_Begin(p->options.log, "records_told", NULL);
-    GwEvent_Text(p->options.log, "peer", peer != NULL ? peer->name : NULL);
-    GwEvent_Text(p->options.log, "list", GwList_Names[batch->list]);
-    GwEvent_Number(p->options.log, "records", (int64_t)batch->told);
-    GwEvent_Number(p->options.log, "bytes", (int64_t)batch->told_bytes);
-    GwEvent_Number(p->options.log, "end", (int64_t)batch->end);
-    GwEvent_End(p->options.log);
-}
-
-static void
-add_to_batch_(void *user, GwList list, const GwRecord *record)
-{
-    Batch *batch = user;
-    Gw__Wire__ListRecord *r = &batch->records[batch->n];
-
-    gw__wire__list_record__init(r);
-    r->key = (char *)record->key;
-    r->offset = (uint64_t)record->offset;
-    r->removed = record->value == NULL;
-    r->value.data = (uint8_t *)record->value;
-    r->value.len = record->value != NULL ? record->len : 0;
-    batch->pointers[batch->n++] = r;
-    batch->bytes += r->value.len;
-    if (batch->n == FRAME_RECORDS || batch->bytes > FRAME_BYTES) {
-        uint64_t end = batch->end;
-
-        // Records come in no order: only the last frame tells the end.
-        batch->end = 0;
-        send_batch_(batch);
-        batch->end = end;
-    }
-}
-
-static void
-send_batch_(Batch *batch)
-{
-    GW_FRAME(frame, tell, RECORDS_TELL, RecordsTell, records_tell);
-
-    tell.list = batch->list;
-    tell.end = batch->end;
-    tell.removals_held_ms = batch->removals_held_ms;
-    tell.n_records = batch->n;
-    tell.records = batch->pointers;
-    GwSession_Send(batch->session, &frame);
-    batch->told += batch->n;
-    batch->told_bytes += batch->bytes;
-    batch->n = 0;
-    batch->bytes = 0;
-}
-
-static void
-take_records_(GwPeers *p, const Gw__Wire__RecordsTell *tell)
-{
-    GwRecords *records = GwView_Records(p->options.view);
-    unsigned news = 0;
-    size_t bytes = 0;
-
-    if (tell->list >= GW_LISTS)
-        return;
-    hold_removals_(p, tell);
-    for (size_t i = 0; i < tell->n_records; i++) {
-        const Gw__Wire__ListRecord *r = tell->records[i];
-        GwRecord record = {
-            .key = r->key,
-            .value = r->removed ? NULL : (const char *)r->value.data,
-            .len = r->value.len,
-            .offset = (int64_t)r->offset,
-        };
-
-        bytes += r->value.len;
-        if (GwRecords_Apply(records, (GwList)tell->list, &record))
-            news++;
-    }
-    GwRecords_SetEnd(records, (GwList)tell->list, (int64_t)tell->end);
-    // Only the last frame tells the end.
-    if (tell->end > 0)
-        GwFetch_Done(&p->fetches[tell->list]);
-    else
-        GwFetch_Moved(&p->fetches[tell->list], GwTime_Now());
-    // Also of records that were known already: they took the link all the
-    // same.
-    GwCounters_Add(p->options.counters, GW_COUNTER_BYTES_FROM_PEERS, bytes);
-    if (news == 0)
-        return;
-    GwCounters_Add(p->options.counters, GW_COUNTER_RECORDS_FROM_PEERS, news);
-    GwEvent_Begin(p->options.log, "records_from_peer", NULL);
-    GwEvent_Text(p->options.log, "list", GwList_Names[tell->list]);
-    GwEvent_Number(p->options.log, "records", news);
-    GwEvent_Number(p->options.log, "bytes", (int64_t)bytes);
-    GwEvent_Number(p->options.log, "end", (int64_t)tell->end);
-    GwEvent_End(p->options.log);
-}
-
-static void
-tell_age_(void *user, const char *model, int64_t version, GwTime named_at)
-{
-    GW_FRAME(frame, age, WEIGHTS_AGE, WeightsAge, weights_age);
-
-    age.model = (char *)model;
-    age.version = version;
-    age.named_ms = (uint64_t)MAX(GwTime_Now() - named_at, 0) / GW_MILLISECOND;
-    GwSession_Send(user, &frame);
-}
-
-static void
-take_age_(GwPeers *p, const Gw__Wire__WeightsAge *age)
-{
-    GwTime now = GwTime_Now();
-    // Of a machine that started after the naming, or a wrong number.
-    GwTime most = now / GW_MILLISECOND;
-    GwTime ago = (GwTime)MIN(age->named_ms, (uint64_t)most);
-
-    // Whole milliseconds and the way here only make it younger: processes
-    // that tell each other never drive it to ever earlier times.
-    GwView_NoteNamed(p->options.view, age->model, age->version,
-                     now - ago * GW_MILLISECOND);
-}
-
 static void
 send_engine_(GwPeers *p, Peer *peer)
 {
@@ -844,10 +533,8 @@
 
 // What one entry waits for matters to the others: each sees only its own.
 static void
-take_note_(GwPeers *p, const GwSession *session,
-           const Gw__Wire__PrefillNote *note)
+take_note_(GwPeers *p, Peer *from, const Gw__Wire__PrefillNote *note)
 {
-    Peer *from = find_(p, session);
     Peer *peer;
 
     if (from == NULL || !p->has_engine ||
@@ -966,18 +653,3 @@
     }
     return false;
 }
-
-// A peer that saw the store go away and return knows that these removals may
-// be undone. We may have missed that: our own call waited all the while, and
-// taking them at once would leave callers without an endpoint.
-static void
-hold_removals_(GwPeers *p, const Gw__Wire__RecordsTell *tell)
-{
-    GwTime now = GwTime_Now();
-    GwTime until = now + MIN((GwTime)tell->removals_held_ms * GW_MILLISECOND,
-                             REMOVALS_HELD_MOST);
-
-    if (tell->list == GW_LIST_INSTANCES && tell->removals_held_ms > 0)
-        GwInstances_HoldRemovals(GwView_Instances(p->options.view), now + 1,
-                                 until);
-}
