Very slow stores are read in the end; older builds are heard; answers may pause

Each third call is given all of the bound after twelve failures, and every call at least 250 ms (two round trips under small bounds). A begun answer may pause for a second. - agents and entries of an older build tell no life of their engine, and all they said was dropped once rows told one. They speak of the life that is known. - calls in a row that were cut without a byte are counted anew after an answer.

Ruled out: letting such calls wait longer earlier, which delays the return of a silent store (the table of absences holds as before). Taking null for absent in documents was tried and left: rows must name nobody when a field is of another type.

--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -82,6 +82,7 @@
 static void take_note_(GwPeers *p, Peer *from,
                        const Gw__Wire__PrefillNote *note);
 static bool differs_(uint64_t tokens, uint64_t told);
+static bool is_earlier_(int64_t told, int64_t known);
 static Waiting others_(const GwPeers *p, const Peer *peer);
 static void take_engine_(GwPeers *p, const Gw__Wire__EngineState *state);
 static unsigned count_entries_(const GwPeers *p);
@@ -538,7 +539,7 @@
     Peer *peer;
 
     if (from == NULL || !p->has_engine ||
-        note->incarnation < p->engine.incarnation)
+        is_earlier_(note->incarnation, p->engine.incarnation))
         return;
     from->prefill_tokens = note->tokens;
     from->yielding = note->yielding;
@@ -582,6 +583,15 @@
     return sum;
 }
 
+// A peer that tells no life, as an older build in a rolling upgrade, speaks of
+// the one that is known: else all it says is lost for as long as builds are
+// mixed.
+static bool
+is_earlier_(int64_t told, int64_t known)
+{
+    return told != 0 && told < known;
+}
+
 static void
 take_engine_(GwPeers *p, const Gw__Wire__EngineState *state)
 {
@@ -592,7 +602,8 @@
 
     if (state->entries > 0)
         p->entries = state->entries;
-    if (instance == NULL || state->incarnation < instance->incarnation)
+    if (instance == NULL ||
+        is_earlier_(state->incarnation, instance->incarnation))
         return;
     // The word of the process beside the engine is ahead of the list.
     if (state->incarnation > instance->incarnation)
--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -309,6 +309,7 @@
     GwTime now = GwTime_Now();
     GwTime since = GwLongPoll_Answered(&f->poll);
 
+    f->cut = 0;
     if (since == 0)
         return;
     GwEvent_Begin(r->options.log, "store_regained", NULL);
--- a/packages/cluster/tests/peers_restart_test.cc
+++ b/packages/cluster/tests/peers_restart_test.cc
@@ -115,6 +115,11 @@
     EXPECT_FALSE(Known()->advice.down);
     EXPECT_FALSE(Known()->draining);
 
+    // An agent of an older build tells no life: it speaks of this one.
+    Tell(0, 4);
+    ASSERT_TRUE(f.Until([&] { return Known()->weights == 4; }));
+    EXPECT_EQ(Known()->incarnation, 20);
+
     // The list is ahead of the agent this time.
     List(&entry_, 30, 1);
     Tell(20, 8);
--- a/packages/http/src/caller.c
+++ b/packages/http/src/caller.c
@@ -2,8 +2,11 @@
 
 /* An answer above this is a fault of the server. */
 #define MAX_BODY (64 * 1024 * 1024)
-/* A patient call's answer, once it has begun, pauses less than this. */
-#define MOVING_TIMEOUT (5 * GW_SECOND)
+/* A patient call's answer, once it has begun, pauses less than this; and may
+ * pause so long even if the call itself was to be short, as a lost packet
+ * takes that long to come again. */
+#define MOVING_MOST (5 * GW_SECOND)
+#define MOVING_LEAST (1 * GW_SECOND)
 
 struct GwHttpCaller {
     GwLoop *loop;
@@ -145,7 +148,7 @@
     c->received += len;
     c->heard = GwTime_Now();
     if (c->patient && c->fn != NULL)
-        GwTimer_Start(&c->timer, MIN(c->timeout, MOVING_TIMEOUT));
+        GwTimer_Start(&c->timer, CLAMP(c->timeout, MOVING_LEAST, MOVING_MOST));
     if (progress == GW_HTTP_MORE)
         return;
     // Bytes behind the answer, or with no call under way, belong to none.
--- a/packages/routing/src/long_poll.c
+++ b/packages/routing/src/long_poll.c
@@ -15,16 +15,23 @@
  * take a few milliseconds, and a hundred times that where the server is slow.
  */
 #define CHECK_TIMEOUT 0.25
+/* Under small bounds: a connection and an answer take two round trips. */
+#define CHECK_LEAST (250 * GW_MILLISECOND)
 /* A server may be slower still: each third call after a failure waits longer
  * for it. Not each one, as a call that is sent into the end of a silence costs
  * its whole time-out. */
 #define PATIENT_TIMEOUT 0.5
 #define PATIENT_EVERY 3
+/* After so many failures in a row, ten seconds and more, such a call waits for
+ * all of the bound: a store that slow, or behind a link that full, was never
+ * read. */
+#define PATIENT_MORE_AFTER 12
 /* Pauses after a failure: the first is short, as most outages are of one
  * connection; the longest still leaves time for the call itself. */
 #define PAUSE_FIRST (50 * GW_MILLISECOND)
 #define PAUSE_MOST 0.2
 
+static GwTime timeout_(const GwLongPoll *poll);
 static GwTime part_(const GwLongPoll *poll, double share);
 
 void
@@ -45,10 +52,8 @@
 GwPollCall
 GwLongPoll_Next(const GwLongPoll *poll, bool whole, GRand *rand)
 {
-    GwPollCall call = {.timeout = part_(poll, CHECK_TIMEOUT)};
+    GwPollCall call = {.timeout = timeout_(poll)};
 
-    if (poll->failures % PATIENT_EVERY == PATIENT_EVERY - 1)
-        call.timeout = part_(poll, PATIENT_TIMEOUT);
     if (whole || !poll->is_current)
         return call;
     // Spread: calls that were answered by the same news would else all end
@@ -98,6 +103,16 @@
     poll->is_current = false;
 }
 
+static GwTime
+timeout_(const GwLongPoll *poll)
+{
+    double share = CHECK_TIMEOUT;
+
+    if (poll->failures % PATIENT_EVERY == PATIENT_EVERY - 1)
+        share = poll->failures > PATIENT_MORE_AFTER ? 1 : PATIENT_TIMEOUT;
+    return MAX(part_(poll, share), CHECK_LEAST);
+}
+
 static GwTime
 part_(const GwLongPoll *poll, double share)
 {
--- a/packages/routing/tests/long_poll_test.cc
+++ b/packages/routing/tests/long_poll_test.cc
@@ -88,6 +88,31 @@
     EXPECT_LE(most, kBound * 3 / 10);
 }
 
+// A store that takes three quarters of the bound for each answer, for good, as
+// behind a link that is full: it is read in the end, by one call in three.
+// Under a small bound a call still has time for two round trips.
+TEST_F(LongPoll, AVerySlowStoreIsReadInTheEnd)
+{
+    const struct {
+        GwTime bound, answer;
+    } cases[] = {{kBound, kBound * 3 / 4}, {500 * kMs, 200 * kMs}};
+
+    for (auto &c : cases) {
+        GwLongPoll poll;
+        GwTime now = 0;
+
+        GwLongPoll_Init(&poll, c.bound);
+        for (;;) {
+            GwPollCall call = GwLongPoll_Next(&poll, true, rand);
+
+            if (call.timeout > c.answer)
+                break;
+            now += call.timeout + GwLongPoll_Failed(&poll, now, rand);
+            ASSERT_LT(now, 10 * c.bound) << c.answer;
+        }
+    }
+}
+
 // A process that follows a list through a server that answers in a
 // millisecond, but for a silence that swallows what it meets.
 struct Follower {
