--- a/packages/cluster/include/galenagw/cluster/fetch.h
+++ b/packages/cluster/include/galenagw/cluster/fetch.h
@@ -31,7 +31,7 @@
     GwTime behind_since; /**< 0: not behind */
     GwTime asked_at;     /**< a peer; 0: never */
     GwTime moved_at;     /**< when its copy last grew */
-    bool open;           /**< what was asked for has not come whole */
+    bool awaited;        /**< what was asked for has not come whole */
     unsigned repeats;    /**< questions in a row without a whole answer */
 } GwFetch;
 
--- a/packages/cluster/src/exchange.c
+++ b/packages/cluster/src/exchange.c
@@ -261,7 +261,7 @@
 
     TAILQ_FOREACH(peer, &x->peers, link)
     {
-        bool asked = peer == x->asked[list] && x->fetches[list].open;
+        bool asked = peer == x->asked[list] && x->fetches[list].awaited;
 
         if (!GwSession_IsReady(peer->session) ||
             !GwRecords_IsBehind(records, list, peer->revision))
--- a/packages/cluster/src/fetch.c
+++ b/packages/cluster/src/fetch.c
@@ -24,7 +24,7 @@
     if (!behind) {
         f->behind_since = 0;
         f->repeats = 0;
-        f->open = false;
+        f->awaited = false;
     }
     else if (f->behind_since == 0) {
         f->behind_since = now;
@@ -43,7 +43,7 @@
         at += GRACE;
     if (f->asked_at == 0)
         return at;
-    if (!f->open)
+    if (!f->awaited)
         return MAX(at, f->asked_at + ASK_EVERY);
     if (f->moved_at > f->asked_at)
         return MAX(at, f->moved_at + MOVING_WITHIN);
@@ -55,7 +55,7 @@
 GwFetch_Asked(GwFetch *f, GwTime now)
 {
     f->asked_at = now;
-    f->open = true;
+    f->awaited = true;
     f->repeats++;
 }
 
@@ -68,14 +68,14 @@
 void
 GwFetch_Done(GwFetch *f)
 {
-    f->open = false;
+    f->awaited = false;
     f->repeats = 0;
 }
 
 void
 GwFetch_Lost(GwFetch *f)
 {
-    f->open = false;
+    f->awaited = false;
 }
 
 GwSupply
--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -59,7 +59,7 @@
 static void failed_(Follower *f, const char *why, int status);
 static void recovered_(Follower *f);
 static void on_suspicion_(void *user);
-static void reopen_(Follower *f);
+static void reopen_(Follower *f, const char *why);
 
 GwStoreReader *
 GwStoreReader_New(GwLoop *loop, const GwStoreReaderOptions *options)
@@ -131,7 +131,7 @@
         if (GwHttpCaller_IsBusy(f->caller) &&
             GwStoreReader_Supply(r, f->list) != GW_SUPPLY_MOVING &&
             left > ALONE_FACTOR * GwLongPoll_LongestWait(&f->poll))
-            reopen_(f);
+            reopen_(f, "few_peers");
     }
 }
 
@@ -329,7 +329,6 @@
 {
     Follower *f = user;
     GwRecords *records = GwView_Records(f->owner->options.view);
-
     GwTime heard = GwHttpCaller_Heard(f->caller);
     GwTime since = MAX(heard, f->suspected_at);
     GwTime most = GwSupply_QuietMost(heard > 0, f->cut);
@@ -344,14 +343,15 @@
     if (GwTime_Now() - since < most)
         GwTimer_Start(&f->suspicion, LOOK_AGAIN);
     else
-        reopen_(f);
+        reopen_(f, "peers_ahead");
 }
 
 static void
-reopen_(Follower *f)
+reopen_(Follower *f, const char *why)
 {
     GwEvent_Begin(f->owner->options.log, "store_silent", NULL);
     GwEvent_Text(f->owner->options.log, "list", GwList_Names[f->list]);
+    GwEvent_Text(f->owner->options.log, "why", why);
     GwEvent_Number(f->owner->options.log, "received",
                    (int64_t)GwHttpCaller_Received(f->caller));
     GwEvent_End(f->owner->options.log);
--- a/packages/cluster/tests/fetch_test.cc
+++ b/packages/cluster/tests/fetch_test.cc
@@ -36,7 +36,7 @@
         GwFetch_SetBehind(&f, true, 1000 * GW_MILLISECOND);
         f.asked_at = c.asked_at * GW_MILLISECOND;
         f.moved_at = c.moved_at * GW_MILLISECOND;
-        f.open = c.open;
+        f.awaited = c.open;
         f.repeats = c.repeats;
         EXPECT_EQ(GwFetch_AskAt(&f, c.supply, c.now * GW_MILLISECOND),
                   c.at * GW_MILLISECOND)
@@ -54,7 +54,7 @@
     EXPECT_EQ(f.repeats, 2u);
     GwFetch_Done(&f);
     EXPECT_EQ(f.repeats, 0u);
-    EXPECT_FALSE(f.open);
+    EXPECT_FALSE(f.awaited);
     GwFetch_Asked(&f, 3 * GW_SECOND);
     GwFetch_SetBehind(&f, false, 4 * GW_SECOND);
     EXPECT_EQ(f.repeats, 0u);
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -86,10 +86,12 @@
     uint64_t place;  /**< hash of the address: a restart keeps its prefixes */
     uint64_t domain; /**< hash of the failure domain */
     unsigned slots;
-    bool draining;     /**< or replaced by another at its address */
-    bool leaving;      /**< it said so itself */
+    bool draining;     /**< it gets no new work: it is leaving, or another
+                            one is listed at its address */
+    bool leaving;      /**< it said so itself; final for its life */
     int64_t offset;    /**< of its newest record */
-    GwTime removed_at; /**< when the list dropped it; 0: it has not */
+    GwTime removed_at; /**< when the list dropped it, while that may still be
+                            undone; 0: it has not */
     int64_t weights;   /**< newest version it is known to have; -1: none */
     GwHealth health;
     GwAdvice advice;
