--- a/packages/cluster/tests/store_reader_test.cc
+++ b/packages/cluster/tests/store_reader_test.cc
@@ -126,6 +126,10 @@
 
 class StoreAway : public LoopTest {
   protected:
+    ~StoreAway() override
+    {
+        GwLoop_Delete(loop);
+    }
     // Play all, and tell for each how long after the return both lists were
     // as the store has them.
     void
