An order that an engine leaves unanswered is given up after 250 ms

The engine's own report tells that it is not busy.

The test was red before: four orders took over 7 s.

--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -42,6 +42,12 @@
 /* An order without an effect for so long is given again. One that was lost
  * may still be carried out later, and then finds another count of orders. */
 #define ORDER_AGAIN (2500 * GW_MILLISECOND)
+/* One that was not even answered, by an engine that is not busy with it, is
+ * given up sooner: orders are answered within some milliseconds, and until
+ * then entries send the engine nothing, though it serves. Waiting as long as
+ * for an effect kept engines out for 2.5 s, often twice; on days on which half
+ * of the orders are lost this is worth 0.04 of the day. */
+#define ORDER_UNANSWERED (250 * GW_MILLISECOND)
 /* Entries take an engine whose agent is overdue for one that stands still with
  * its machine: each report is told, whether it brings news or not. */
 #define TELL_EVERY (200 * GW_MILLISECOND)
@@ -329,8 +335,12 @@
         s->stage = STAGE_SERVING;
     }
     if (s->stage == STAGE_ORDERED && !s->report.busy &&
-        now - s->ordered_at > ORDER_AGAIN)
+        now - s->ordered_at >
+            (s->is_answered ? ORDER_AGAIN : ORDER_UNANSWERED)) {
+        // The next one must not find the call for this one under way.
+        GwHttpCaller_Cancel(s->orders);
         s->stage = STAGE_SERVING;
+    }
     advance_(s, instance);
     tell_(s, instance);
 }
@@ -490,6 +500,7 @@
     s->stage = STAGE_ORDERED;
     s->loading = target.version;
     s->ordered_at = GwTime_Now();
+    s->is_answered = false;
     GwCounters_Add(&s->counters, GW_COUNTER_ORDERS, 1);
     GwEvent_Begin(s->log, "order", NULL);
     GwEvent_Text(s->log, "instance", instance->id);
@@ -511,6 +522,7 @@
     GwSidecar *s = user;
     GwOrderVerdict verdict = GwEngine_OrderVerdict(status);
 
+    s->is_answered = outcome == GW_CALL_ANSWERED;
     GwEvent_Begin(s->log, "order_answer", NULL);
     GwEvent_Text(s->log, "outcome",
                  outcome == GW_CALL_ANSWERED ? GwOrderVerdict_Names[verdict]
--- a/packages/sidecar/tests/sidecar_test.cc
+++ b/packages/sidecar/tests/sidecar_test.cc
@@ -178,6 +178,28 @@
     EXPECT_EQ(engine.Int(1, "expect"), 0);
 }
 
+// An engine leaves orders unanswered for a while, and serves on. Its sidecar
+// told gateways to send it nothing until an order would have had its effect,
+// for seven seconds in a row: a third of the fleet stood idle while the rest
+// was late. The order is given again, by the same count, within half a second.
+TEST_F(SidecarTest, AnEngineThatAnswersNoOrdersIsNotLeftOut)
+{
+    Start();
+    engine.on_order = [](Engine *e, FakeExchange *x) {
+        if (e->orders.size() == 4)
+            e->Take(x);
+    };
+    f.NameWeights(2);
+    ASSERT_TRUE(f.Until([&] { return engine.orders.size() == 1; }));
+    GwTime first = GwTime_Now();
+    ASSERT_TRUE(f.Until([&] { return engine.weights == 2; }));
+    EXPECT_LT(GwTime_Now() - first, 2500 * GW_MILLISECOND);
+    for (size_t i = 0; i < engine.orders.size(); i++) {
+        EXPECT_EQ(engine.Int(i, "expect"), 0) << i;
+        EXPECT_EQ(engine.Int(i, "fence"), engine.Int(0, "fence")) << i;
+    }
+}
+
 // The store is away when the sidecar starts: without a fence that is proven
 // to be the newest it orders nothing; once it has one, it does.
 TEST_F(SidecarTest, WithoutAFenceNothingIsOrdered)
