A home is left for 46 ms less of waiting, not 60

Hypothesis: since agents tell who holds what, leaving a home costs a copy of 11 to 22 ms and a second place, not a guess.

--- a/packages/routing/src/placement.c
+++ b/packages/routing/src/placement.c
@@ -13,10 +13,11 @@
 #define PREFILL_TOKENS_PER_MS 66.0
 /* Each running request lengthens all steps a little: a tenth of a step. */
 #define RUNNING_MS 0.4
-/* A home is left only if another engine would start this much sooner. Below
- * that, the copy of the cache (about 20 ms) and the second place that then
- * has to be kept warm cost more than the wait. */
-#define LEAVE_HOME_MS 60.0
+/* A home is left only if another engine would start this much sooner: as long
+ * as reading 3,000 tokens takes, by which entries' views of one engine differ.
+ * Below that, a second place that has to be kept warm costs more than the
+ * wait; the copy itself is weighed for each engine. */
+#define LEAVE_HOME_MS 46.0
 /* On top of that, a copy between failure domains takes twice as long, both at
  * the store's link, which all its engines share, and at the engine's. */
 #define LEAVE_DOMAIN_MS 25.0
