Engines load one after the other, each out for its own load alone

Hypothesis: with half of the engines ordered at once most wait for the load of others. A sixth of the engines now loads at once; the next one prepares meanwhile; a wave whose predecessor is stuck begins when its part of the time is over.

The simulated fleet of the tests passes waves and the one before that loads, as the agent does; what it asks for is unchanged.

--- a/packages/sidecar/include/galenagw/sidecar/roll.h
+++ b/packages/sidecar/include/galenagw/sidecar/roll.h
@@ -25,15 +25,20 @@
 
 /** What decides whether an engine starts to switch. */
 typedef struct {
-    GwTime outdated;  /**< since a newer version was first named */
-    GwTime bound;     /**< by then all must run the version */
-    bool is_first;    /**< it follows no other engine */
-    bool before_done; /**< the one it follows has newer weights */
-    bool before_lost; /**< that one is down, gone or not heard of */
+    GwTime outdated;   /**< since a newer version was first named */
+    GwTime bound;      /**< by then all must run the version */
+    unsigned wave;     /**< which one it is in, from 0 */
+    unsigned waves;    /**< of the service's engines; 0: not known */
+    bool is_first;     /**< it follows no other engine */
+    bool before_done;  /**< the one it follows has newer weights */
+    bool before_loads; /**< that one takes no work, to load them */
+    bool before_lost;  /**< that one is down, gone or not heard of */
 } GwRollFacts;
 
 /** How many engines switch at once, of @p engines. */
 size_t GwRoll_AtOnce(size_t engines);
+/** Whether this engine prepares for its turn. */
+bool GwRoll_MayPrepare(const GwRollFacts *facts);
 /** Whether it is this engine's turn. */
 bool GwRoll_MayStart(const GwRollFacts *facts);
 /**
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -116,8 +116,9 @@
 static void advance_(GwSidecar *s, const GwInstance *instance);
 static void tell_(GwSidecar *s, const GwInstance *instance);
 static bool is_news_(const GwSidecar *s, const GwEngineState *state);
-static bool is_our_turn_(GwSidecar *s, const GwInstance *own);
-static const GwInstance *before_(const GwSidecar *s, const GwInstance *own);
+static GwRollFacts roll_facts_(GwSidecar *s, const GwInstance *own);
+static const GwInstance *before_(const GwSidecar *s, const GwInstance *own,
+                                 GwRollFacts *facts);
 static int by_place_(gconstpointer a, gconstpointer b);
 static void order_(GwSidecar *s);
 static void on_ordered_(void *user, GwCallOutcome outcome, int status,
@@ -353,8 +354,12 @@
     GwTime left = GwRoll_Left(now - s->outdated_at, s->weights_bound);
     bool waits = s->report.queued > 0 || GwPeers_WaitingTokens(s->peers) > 0;
 
+    GwRollFacts facts = {0};
+
+    if (s->outdated_at != 0)
+        facts = roll_facts_(s, instance);
     if (s->stage == STAGE_SERVING && s->outdated_at != 0 && s->fence > 0 &&
-        !s->report.busy && !instance->draining && is_our_turn_(s, instance)) {
+        !s->report.busy && !instance->draining && GwRoll_MayPrepare(&facts)) {
         s->stage = STAGE_PREPARING;
         s->preparing_since = now;
         // Else the next report is soon enough, and entries that have just
@@ -362,7 +367,7 @@
         if (left < HURRY)
             GwTimer_Start(&s->poll_timer, POLL_LOADING);
     }
-    if (s->stage == STAGE_PREPARING &&
+    if (s->stage == STAGE_PREPARING && GwRoll_MayStart(&facts) &&
         GwRoll_IsPrepared(now - s->preparing_since, GwPeers_LongRuns(s->peers),
                           left)) {
         s->stage = STAGE_SETTLING;
@@ -411,21 +416,22 @@
                TELL_MEMORY_SHARE * state->kv_total;
 }
 
-static bool
-is_our_turn_(GwSidecar *s, const GwInstance *own)
+// How far the engine is that ours follows, to which we stay connected.
+static GwRollFacts
+roll_facts_(GwSidecar *s, const GwInstance *own)
 {
-    const GwInstance *before = before_(s, own);
     GwTime now = GwTime_Now();
     GwRollFacts facts = {
         .outdated = now - s->outdated_at,
         .bound = s->weights_bound,
-        .is_first = before == NULL,
     };
+    const GwInstance *before = before_(s, own, &facts);
     GwAddress watched;
 
     if (before == NULL) {
+        facts.is_first = true;
         GwPeers_Watch(s->peers, NULL);
-        return GwRoll_MayStart(&facts);
+        return facts;
     }
     watched = before->address;
     watched.port = s->agent_port;
@@ -433,14 +439,16 @@
     // Not the newest one: where versions follow each other closely, the one
     // before would never be done.
     facts.before_done = before->weights > s->report.weights;
+    facts.before_loads = before->advice.switching;
     facts.before_lost =
         before->advice.down || now - before->advice.at > HEARD_WITHIN;
-    return GwRoll_MayStart(&facts);
+    return facts;
 }
 
-// The engine that ours follows: so many places before it in the order.
+// The engine that ours follows, so many places before it in the order, or
+// NULL; and our wave.
 static const GwInstance *
-before_(const GwSidecar *s, const GwInstance *own)
+before_(const GwSidecar *s, const GwInstance *own, GwRollFacts *facts)
 {
     const GPtrArray *pool =
         GwInstances_Of(GwView_Instances(s->view), own->service);
@@ -456,9 +464,11 @@
     }
     g_ptr_array_sort(order, by_place_);
     at_once = (guint)GwRoll_AtOnce(order->len);
-    if (!g_ptr_array_find(order, own, &at) || at < at_once)
+    if (!g_ptr_array_find(order, own, &at))
         return NULL;
-    return g_ptr_array_index(order, at - at_once);
+    facts->wave = at / at_once;
+    facts->waves = (order->len + at_once - 1) / at_once;
+    return at < at_once ? NULL : g_ptr_array_index(order, at - at_once);
 }
 
 static int
--- a/packages/sidecar/tests/roll_test.cc
+++ b/packages/sidecar/tests/roll_test.cc
@@ -4,6 +4,19 @@
 
 #include "galenagw/sidecar/roll.h"
 
+static GwRollFacts
+Facts(GwTime outdated, GwTime bound, bool first, bool done, bool lost)
+{
+    GwRollFacts f = {};
+
+    f.outdated = outdated;
+    f.bound = bound;
+    f.is_first = first;
+    f.before_done = done;
+    f.before_lost = lost;
+    return f;
+}
+
 TEST(Roll, AnEngineStartsWhenTheOneItFollowsIsDone)
 {
     const GwTime bound = 8 * GW_SECOND;
@@ -22,7 +35,7 @@
     };
 
     for (auto &c : cases) {
-        GwRollFacts f = {c.outdated, bound, c.first, c.done, c.lost};
+        GwRollFacts f = Facts(c.outdated, bound, c.first, c.done, c.lost);
         EXPECT_EQ(GwRoll_MayStart(&f), c.want) << c.name;
     }
 }
@@ -56,7 +69,10 @@
                 bool first = i < at_once;
                 bool done = !first && started[before] >= 0 &&
                             now - started[before] >= c.takes;
-                GwRollFacts f = {now, bound, first, done, false};
+                GwRollFacts f = Facts(now, bound, first, done, false);
+
+                f.wave = (unsigned)(i / at_once);
+                f.waves = (unsigned)((c.engines + at_once - 1) / at_once);
 
                 if (started[i] < 0 && GwRoll_MayStart(&f))
                     started[i] = now;
@@ -72,6 +88,100 @@
     }
 }
 
+// The platform loads two or three engines at full speed and makes all others
+// wait, for up to 2.7 s with half of twelve engines ordered at once. One after
+// the other they take as long in all, and each is out for its own load alone.
+TEST(Roll, EnginesAreOutForTheirOwnLoadAlone)
+{
+    const GwTime bound = 8 * GW_SECOND;
+    const GwTime load = 600 * GW_MILLISECOND;
+    const GwTime step = 10 * GW_MILLISECOND;
+    const struct {
+        size_t engines, at_speed; // engines that load at full speed
+        GwTime out_most, all_done;
+    } cases[] = {
+        {9, 2, 700 * GW_MILLISECOND, 4 * GW_SECOND},
+        {12, 2, 700 * GW_MILLISECOND, 5 * GW_SECOND},
+        {18, 3, 700 * GW_MILLISECOND, 5 * GW_SECOND},
+        {41, 8, 700 * GW_MILLISECOND, 5 * GW_SECOND},
+    };
+
+    for (auto &c : cases) {
+        size_t at_once = GwRoll_AtOnce(c.engines);
+        std::vector<GwTime> started(c.engines, -1), done(c.engines, -1);
+        std::vector<double> left(c.engines, (double)load);
+        GwTime now = 0;
+
+        for (; now < bound; now += step) {
+            size_t loading = 0;
+
+            for (size_t i = 0; i < c.engines; i++) {
+                bool first = i < at_once;
+                GwRollFacts f = Facts(now, bound, first,
+                                      !first && done[i - at_once] >= 0, false);
+
+                f.wave = (unsigned)(i / at_once);
+                f.waves = (unsigned)((c.engines + at_once - 1) / at_once);
+                if (started[i] < 0 && GwRoll_MayStart(&f))
+                    started[i] = now;
+                loading += started[i] >= 0 && done[i] < 0;
+            }
+            for (size_t i = 0; i < c.engines; i++) {
+                if (started[i] < 0 || done[i] >= 0)
+                    continue;
+                left[i] -=
+                    (double)step * std::min(1.0, (double)c.at_speed / loading);
+                if (left[i] <= 0)
+                    done[i] = now + step;
+            }
+        }
+        for (size_t i = 0; i < c.engines; i++) {
+            ASSERT_GE(done[i], 0) << c.engines;
+            EXPECT_LE(done[i] - started[i], c.out_most) << c.engines;
+            EXPECT_LE(done[i], c.all_done) << c.engines;
+        }
+    }
+}
+
+// An engine waits for the one before it, whose orders are lost. It starts when
+// its part of the time is over, not with all that wait when time runs out.
+TEST(Roll, OneThatIsStuckDoesNotHoldUpAllBehindIt)
+{
+    const GwTime bound = 8 * GW_SECOND;
+    const struct {
+        unsigned wave, waves;
+        GwTime latest;
+    } cases[] = {
+        {1, 6, 900 * GW_MILLISECOND},
+        {3, 6, 2700 * GW_MILLISECOND},
+        {5, 6, 4500 * GW_MILLISECOND},
+        {0, 0, 4500 * GW_MILLISECOND},
+    };
+
+    for (auto &c : cases) {
+        GwRollFacts f = Facts(c.latest, bound, false, false, false);
+
+        f.wave = c.wave;
+        f.waves = c.waves;
+        EXPECT_TRUE(GwRoll_MayStart(&f)) << c.wave;
+        f.outdated = c.latest - 200 * GW_MILLISECOND;
+        EXPECT_FALSE(GwRoll_MayStart(&f)) << c.wave;
+    }
+}
+
+// It prepares while the one before it loads, and starts when that is done.
+TEST(Roll, AnEnginePreparesWhileTheOneBeforeLoads)
+{
+    GwRollFacts f = Facts(GW_SECOND, 8 * GW_SECOND, false, false, false);
+
+    EXPECT_FALSE(GwRoll_MayPrepare(&f));
+    f.before_loads = true;
+    EXPECT_TRUE(GwRoll_MayPrepare(&f));
+    EXPECT_FALSE(GwRoll_MayStart(&f));
+    f.before_done = true;
+    EXPECT_TRUE(GwRoll_MayStart(&f));
+}
+
 TEST(Roll, LongRunsAreWaitedForOnlyBriefly)
 {
     const struct {
@@ -128,7 +238,7 @@
             GwTime preparing = -1, settling = -1, ordered = -1;
 
             for (GwTime age = found; ordered < 0; age += 40 * GW_MILLISECOND) {
-                GwRollFacts f = {age, bound, false, false, false};
+                GwRollFacts f = Facts(age, bound, false, false, false);
                 GwTime left = GwRoll_Left(age, bound);
 
                 if (preparing < 0 && GwRoll_MayStart(&f))
@@ -165,11 +275,14 @@
             bool first = i < at_once;
             bool before = !first && loaded[i - at_once] >= 0 &&
                           now - loaded[i - at_once] >= load;
-            GwRollFacts f = {now, bound, first, before, false};
+            GwRollFacts f = Facts(now, bound, first, before, false);
 
-            if (started[i] < 0 && GwRoll_MayStart(&f))
+            f.before_loads = !first && loaded[i - at_once] >= 0 && !before;
+            f.wave = (unsigned)(i / at_once);
+            f.waves = (unsigned)((engines + at_once - 1) / at_once);
+            if (started[i] < 0 && GwRoll_MayPrepare(&f))
                 started[i] = now;
-            else if (started[i] >= 0 && loaded[i] < 0 &&
+            else if (started[i] >= 0 && loaded[i] < 0 && GwRoll_MayStart(&f) &&
                      GwRoll_IsPrepared(now - started[i],
                                        now - started[i] < long_run,
                                        GwRoll_Left(now, bound)))
