--- a/packages/gateway/src/request_leave.c
+++ b/packages/gateway/src/request_leave.c
@@ -9,6 +9,7 @@
  * it reads another prompt, take a few hundred milliseconds. */
 #define STREAM_PAUSE (500 * GW_MILLISECOND)
 
+static void leave_(GwRequest *r, const char *why);
 static bool may_finish_(const GwRequest *r);
 static void on_patience_(void *user);
 static void on_withdrawal_(void *user);
@@ -33,9 +34,7 @@
             (!certain && !GwRoute_MayRepeat(r->route)) ||
             (certain && may_finish_(r)))
             continue;
-        GwUpstream_Cancel(g_steal_pointer(&r->upstream));
-        GwRequestAttempt_Failed(r, GW_ATTEMPT_MAY_HAVE_RUN,
-                                certain ? "endpoint_down" : "endpoint_silent");
+        leave_(r, certain ? "endpoint_down" : "endpoint_silent");
     }
 }
 
@@ -49,9 +48,7 @@
         next = TAILQ_NEXT(r, link);
         if (r->instance == NULL || !r->instance->superseded || may_finish_(r))
             continue;
-        GwUpstream_Cancel(g_steal_pointer(&r->upstream));
-        GwRequestAttempt_Failed(r, GW_ATTEMPT_MAY_HAVE_RUN,
-                                "endpoint_restarted");
+        leave_(r, "endpoint_restarted");
     }
 }
 
@@ -67,6 +64,14 @@
     }
 }
 
+// Its endpoint may be at work on it still.
+static void
+leave_(GwRequest *r, const char *why)
+{
+    GwUpstream_Cancel(g_steal_pointer(&r->upstream));
+    GwRequestAttempt_Failed(r, GW_ATTEMPT_MAY_HAVE_RUN, why);
+}
+
 // An engine that takes no new connection is not dead: a leaving one closes its
 // port first and finishes what it runs. One that does not leave is believed to
 // live as long as the stream comes; its end, if it is dead, is a reset.
@@ -110,6 +115,5 @@
         GwRequestWatch_ArmWithdrawal(r);
         return;
     }
-    GwUpstream_Cancel(g_steal_pointer(&r->upstream));
-    GwRequestAttempt_Failed(r, GW_ATTEMPT_MAY_HAVE_RUN, "outdated_weights");
+    leave_(r, "outdated_weights");
 }
