--- a/packages/gateway/src/choosing.c
+++ b/packages/gateway/src/choosing.c
@@ -108,14 +108,6 @@
     return false;
 }
 
-void
-GwChoosing_NoteHolder(GwRequest *r)
-{
-    // Its agent tells the same, a little later, and to all.
-    if (r->scope != NULL && r->instance != NULL && r->instance->kept != NULL)
-        GwKeptParts_AddAll(r->instance->kept, &r->ask, r->scope);
-}
-
 // Tokens that the chosen engine will read: the request's own part, and shared
 // ones that it neither holds nor copies.
 uint64_t
--- a/packages/gateway/src/choosing.h
+++ b/packages/gateway/src/choosing.h
@@ -15,7 +15,5 @@
                             const GwInstance *instance);
 /* Whether it will run for long, by the output it asks for. */
 bool GwChoosing_IsLong(const GwRequest *request);
-/* Its engine has read its parts. */
-void GwChoosing_NoteHolder(GwRequest *request);
 
 #endif
--- a/packages/gateway/src/request_answer.c
+++ b/packages/gateway/src/request_answer.c
@@ -45,7 +45,6 @@
     if (r->prefill > 0) {
         GwRequestLoad_Add(r, -(int64_t)r->prefill, 0);
         r->prefill = 0;
-        GwChoosing_NoteHolder(r);
     }
     if (!r->is_held) {
         pass_on_(r, data, len);
--- a/packages/routing/include/galenagw/routing/copying.h
+++ b/packages/routing/include/galenagw/routing/copying.h
@@ -53,16 +53,10 @@
     uint32_t read_tokens; /**< shared ones that it reads itself */
 } GwCopyPlan;
 
-/** The plan by which the engine begins with the request's own part soonest,
- * reading weighed as in GW_READ_AGAIN. */
+/** The plan by which the engine begins with the request's own part soonest. */
 GwCopyPlan GwCopying_Plan(const GwCopyTarget *target, const GwKeeper *list,
                           size_t n);
 
-/** Shared tokens that are read although somebody holds them cost the fleet
- * their time once more, and push out what others will ask for: weighed so many
- * times against a request's own wait. Of 1.5, 2 and 3 times none was better
- * by more than the spread of 20 days. */
-#define GW_READ_AGAIN 2.0
 /** Tokens that an engine reads in a millisecond while it also produces
  * others. Sheets give 40 to 66 for idle engines. */
 #define GW_READ_PER_MS 45.0
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -96,8 +96,8 @@
     int64_t weights;   /**< newest version it is known to have; -1: none */
     GwHealth health;
     GwAdvice advice;
-    GwKeptParts *kept;        /**< what a model engine is known to hold, by
-                                   its agent and our own requests; or NULL */
+    GwKeptParts *kept;        /**< what a model engine holds, as its agent
+                                   tells; NULL: no engine */
     GwTime copying_until;     /**< its link, by copies that our requests asked
                                    for, as its end or its source */
     GwTime avoid_until;       /**< it was full or loading; 0: it was not */
--- a/packages/routing/include/galenagw/routing/kept_parts.h
+++ b/packages/routing/include/galenagw/routing/kept_parts.h
@@ -55,9 +55,6 @@
  */
 unsigned GwKeptParts_Leading(const GwKeptParts *kept, const GwAsk *ask,
                              const char *scope);
-/** An engine has read the whole prompt of @p ask. */
-void GwKeptParts_AddAll(GwKeptParts *kept, const GwAsk *ask,
-                        const char *scope);
 
 #ifdef __cplusplus
 }
--- a/packages/routing/src/copying.c
+++ b/packages/routing/src/copying.c
@@ -18,7 +18,7 @@
 {
     uint32_t missing = t->shared_tokens - t->held_tokens;
     GwCopyPlan best = {.keeper = -1, .read_tokens = missing};
-    double least = t->wait_ms + GW_READ_AGAIN * missing / GW_READ_PER_MS;
+    double least = t->wait_ms + missing / GW_READ_PER_MS;
 
     for (size_t i = 0; i < n; i++) {
         const GwKeeper *k = &list[i];
@@ -30,7 +30,7 @@
             k->tokens <= t->held_tokens)
             continue;
         ms = copy_ms_(t, k);
-        cost = MAX(t->wait_ms, ms) + GW_READ_AGAIN * rest / GW_READ_PER_MS;
+        cost = MAX(t->wait_ms, ms) + rest / GW_READ_PER_MS;
         if (ms < 0 || cost >= least)
             continue;
         least = cost;
--- a/packages/routing/src/kept_parts.c
+++ b/packages/routing/src/kept_parts.c
@@ -93,11 +93,3 @@
     }
     return n;
 }
-
-void
-GwKeptParts_AddAll(GwKeptParts *k, const GwAsk *ask, const char *scope)
-{
-    for (unsigned i = 0; i < ask->n_parts; i++)
-        GwKeptParts_Set(k, GwKeptParts_Key(scope, ask->parts[i].id),
-                        MAX(ask->parts[i].tokens, 1));
-}
--- a/packages/routing/src/placement.c
+++ b/packages/routing/src/placement.c
@@ -5,8 +5,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "galenagw/routing/copying.h"
-
 /* Prompt tokens that an engine reads in a millisecond: the users' sheets give
  * 40.8 and 66.2. Only differences between engines matter here; with 45 for all
  * the mean of 20 days on the slower ones was no better than their spread. */
@@ -185,9 +183,8 @@
 {
     double queue = (double)c->prefill_tokens / PREFILL_TOKENS_PER_MS;
     // Others' prompts are read while the copy is under way.
-    double cost =
-        MAX(queue, c->copy_ms) + c->in_flight * RUNNING_MS +
-        GW_READ_AGAIN * (double)c->read_tokens / PREFILL_TOKENS_PER_MS;
+    double cost = MAX(queue, c->copy_ms) + c->in_flight * RUNNING_MS +
+                  (double)c->read_tokens / PREFILL_TOKENS_PER_MS;
 
     if (c->in_flight >= c->slots)
         cost += (c->in_flight + 1 - c->slots) * RUNNING_MS * c->slots;
