A prompt of one part no longer ends the gateway

Cause: no copy is planned where nothing is shared, and the plan of the chosen engine, all zero, was carried out all the same: keeper 0 of an empty list, and the clock of a store that is none. Any request with one part in its prefix killed the process and cut all that it served.

Plans are now made, and carried out, only where a part is shared; that also takes four allocations off requests to plain services. Ruled out: a check for the store in Take, which would leave a plan that nobody made.

The test ended with a segmentation fault before and passes.

--- a/packages/gateway/src/choosing.c
+++ b/packages/gateway/src/choosing.c
@@ -55,13 +55,15 @@
         .now = GwTime_Now(),
     };
     r->domain = domain_(r, pool);
-    keepers = GwKeepers_New(r, pool);
+    // One part is the request's own: there is nothing to copy.
+    if (r->ask.n_parts > 1)
+        keepers = GwKeepers_New(r, pool);
     // Where all are excluded, what is known of them is old: one is tried.
     for (int pass = 0; pass < 2 && chosen < 0; pass++) {
         survey.desperate = pass > 0;
         for (guint i = 0; i < pool->len; i++) {
             fill_candidate_(r, g_ptr_array_index(pool, i), &survey, &list[i]);
-            if (r->ask.n_parts > 1)
+            if (keepers != NULL)
                 plans[i] = plan_copy_(r, keepers, i, &list[i]);
         }
         if (r->ask.n_parts > 0)
@@ -84,6 +86,8 @@
     if (r->ask.n_parts > 0) {
         if (chosen != home)
             GwCounters_Add(&g->counters, GW_COUNTER_SPILLED, 1);
+    }
+    if (keepers != NULL) {
         r->read_tokens = plans[chosen].read_tokens;
         *source = GwKeepers_Take(keepers, (guint)chosen, &plans[chosen]);
     }
--- a/packages/gateway/src/keepers.c
+++ b/packages/gateway/src/keepers.c
@@ -58,9 +58,7 @@
     k->pool = pool;
     k->store = GwKeepers_Store(r);
     k->now = GwTime_Now();
-    k->shared = r->ask.n_parts > 1
-                    ? GwPlacement_Tokens(r->ask.parts, r->ask.n_parts - 1)
-                    : 0;
+    k->shared = GwPlacement_Tokens(r->ask.parts, r->ask.n_parts - 1);
     k->token_bytes = service != NULL && service->token_bytes > 0
                          ? service->token_bytes
                          : TOKEN_BYTES_UNKNOWN;
@@ -69,10 +67,8 @@
     k->held = g_new0(uint32_t, pool->len);
     k->list = g_new0(GwKeeper, pool->len + MAX_VERSIONS);
     k->from = g_new0(GwInstance *, pool->len + MAX_VERSIONS);
-    if (k->shared > 0) {
-        add_engines_(k);
-        add_store_(k);
-    }
+    add_engines_(k);
+    add_store_(k);
     return k;
 }
 
--- a/packages/gateway/src/keepers.h
+++ b/packages/gateway/src/keepers.h
@@ -11,7 +11,8 @@
 /* The store of KV cache that a request's parts belong to, or NULL. */
 GwKvStore *GwKeepers_Store(const GwRequest *request);
 
-/* Of @p pool, which must stay as it is meanwhile. */
+/* Of @p pool, which must stay as it is meanwhile. The prompt has a part that
+ * others share. */
 GwKeepers *GwKeepers_New(const GwRequest *request, const GPtrArray *pool);
 void GwKeepers_Delete(GwKeepers *keepers);
 /* Shared tokens that the engine at @p at of the pool holds. */
--- a/packages/gateway/tests/kv_stores_test.cc
+++ b/packages/gateway/tests/kv_stores_test.cc
@@ -113,6 +113,22 @@
     EXPECT_EQ(Ask("b2", "X-Kv-Save"), "") << "asked for a moment ago";
 }
 
+// A prompt of one part shares nothing: nobody is asked for a copy, and nothing
+// of it is saved. Callers of such prompts lost their gateway, and with it all
+// others who were being served there.
+TEST_F(KvStoresTest, APromptThatSharesNothingIsServedWithoutACopy)
+{
+    KvStore s(f.loop);
+    Start({&s});
+    auto c = f.Call(g, Fleet::Request("POST", "/stream/1", "x",
+                                      "X-Model: m\r\nX-Token-Usage: 100,5\r\n"
+                                      "X-Prefix-Hash: ff:100\r\n"));
+
+    ASSERT_TRUE(f.Until([&] { return c->Has(1); }));
+    EXPECT_EQ(e->seen.back().find("X-Kv-Fetch: "), std::string::npos);
+    EXPECT_EQ(e->seen.back().find("X-Kv-Save: "), std::string::npos);
+}
+
 // Many gateways follow a store, and it turns this one away: it lives, so it is
 // used, by what this gateway has saved itself.
 TEST_F(KvStoresTest, AStoreWithTooManyFollowersIsUsedBlindly)
