What a choice knows is kept once

The tokens that the chosen engine reads stood in the request and in the candidate beside it; the versions of a pool were looked up by two loops; an agent with nothing to tell filled empty frames before it saw that. Each is there once now.

--- a/packages/cluster/src/kept_words.c
+++ b/packages/cluster/src/kept_words.c
@@ -22,6 +22,8 @@
     Rows rows = {keys, tokens, 0};
     GW_FRAME(frame, told, KEPT_PARTS, KeptParts, kept_parts);
 
+    if (words->is_told && n == 0)
+        return;
     if (words->is_told) {
         for (size_t i = 0; i < n; i++)
             add_row_(&rows, list[i].key, list[i].tokens);
@@ -36,8 +38,6 @@
     told.n_keys = rows.n;
     told.tokens = tokens;
     told.n_tokens = rows.n;
-    if (rows.n == 0 && words->is_told)
-        return;
     words->is_told = true;
     GwSession_Send(session, &frame);
 }
--- a/packages/gateway/src/choosing.c
+++ b/packages/gateway/src/choosing.c
@@ -87,10 +87,8 @@
         if (chosen != home)
             GwCounters_Add(&g->counters, GW_COUNTER_SPILLED, 1);
     }
-    if (keepers != NULL) {
-        r->read_tokens = plans[chosen].read_tokens;
+    if (keepers != NULL)
         *source = GwKeepers_Take(keepers, (guint)chosen, &plans[chosen]);
-    }
     return instance;
 }
 
@@ -122,7 +120,7 @@
     if (instance->model == NULL)
         return 0;
     return n < 2 ? r->ask.prompt_tokens
-                 : r->ask.parts[n - 1].tokens + (uint64_t)r->read_tokens;
+                 : r->ask.parts[n - 1].tokens + r->chosen.read_tokens;
 }
 
 bool
--- a/packages/gateway/src/keepers.c
+++ b/packages/gateway/src/keepers.c
@@ -34,6 +34,7 @@
 
 static void add_store_(GwKeepers *k);
 static void add_engines_(GwKeepers *k);
+static const Version *find_version_(const GwKeepers *k, int64_t weights);
 static Version *version_(GwKeepers *k, int64_t weights);
 static double tokens_per_ms_(const GwKeepers *k, double mbps);
 static bool can_give_(const GwInstance *instance, GwTime now);
@@ -95,12 +96,9 @@
 GwKeepers_Missing(const GwKeepers *k, guint at)
 {
     const GwInstance *instance = g_ptr_array_index(k->pool, at);
+    const Version *version = find_version_(k, instance->weights);
 
-    for (int i = 0; i < k->n_versions; i++) {
-        if (k->versions[i].weights == instance->weights)
-            return k->shared - k->versions[i].most;
-    }
-    return k->shared;
+    return version != NULL ? k->shared - version->most : k->shared;
 }
 
 GwCopyPlan
@@ -212,13 +210,23 @@
     }
 }
 
-static Version *
-version_(GwKeepers *k, int64_t weights)
+static const Version *
+find_version_(const GwKeepers *k, int64_t weights)
 {
     for (int i = 0; i < k->n_versions; i++) {
         if (k->versions[i].weights == weights)
             return &k->versions[i];
     }
+    return NULL;
+}
+
+static Version *
+version_(GwKeepers *k, int64_t weights)
+{
+    const Version *known = find_version_(k, weights);
+
+    if (known != NULL)
+        return &k->versions[known - k->versions];
     if (k->n_versions == MAX_VERSIONS)
         return NULL;
     k->versions[k->n_versions] = (Version){
--- a/packages/gateway/src/request_log.c
+++ b/packages/gateway/src/request_log.c
@@ -25,7 +25,7 @@
                      dispatch->fetch_from != NULL ? dispatch->fetch_from->host
                                                   : "none");
         GwEvent_Number(log, "copy_ms", (int64_t)r->chosen.copy_ms);
-        GwEvent_Number(log, "read_tokens", r->read_tokens);
+        GwEvent_Number(log, "read_tokens", (int64_t)r->chosen.read_tokens);
         GwEvent_Number(log, "save", dispatch->save_to != NULL);
         log_prompt_(r);
         if (instance->advice.at != 0) {
--- a/packages/gateway/src/request_private.h
+++ b/packages/gateway/src/request_private.h
@@ -42,12 +42,11 @@
     bool may_have_run;  /* an earlier attempt; "not run" would be untrue */
     uint64_t tried[MAX_TRIED]; /* their serials */
     unsigned n_tried;
-    uint64_t domain;      /* that its prompt belongs to; 0: none */
-    uint32_t read_tokens; /* shared ones that the chosen one reads */
-    GwCandidate chosen;   /* the instance, as it looked when it was chosen */
-    char *scope;          /* KV cache of this attempt */
-    uint64_t prefill;     /* tokens counted at the instance */
-    GwReply reply;        /* of the attempt under way */
+    uint64_t domain;    /* that its prompt belongs to; 0: none */
+    GwCandidate chosen; /* the instance, as it looked when it was chosen */
+    char *scope;        /* KV cache of this attempt */
+    uint64_t prefill;   /* tokens counted at the instance */
+    GwReply reply;      /* of the attempt under way */
     bool has_reply;
     bool is_usable; /* the reply may be passed on, as far as its head tells */
     GwHttpHead *reply_head; /* held until it is passed on */
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -368,7 +368,6 @@
     GwTime now = GwTime_Now();
     GwTime left = GwRoll_Left(now - s->outdated_at, s->weights_bound);
     bool waits = s->report.queued > 0 || GwPeers_WaitingTokens(s->peers) > 0;
-
     GwRollFacts facts = {0};
 
     if (s->outdated_at != 0)
