Agents are connected to as soon as the list names their engines

Cause: a gateway compared its sessions with the list of engines each half second only. One that had started 0.5 s ago knew three engines and was heard by no agent. New weights were named in that time: two agents prepared, settled and ordered their loads with no gateway to tell, and a call was turned away (503, not run) by one engine after the other, with two attempts allowed. The log of the failing run has no peer_ready of any agent before the order. Where the gateway starts before the agents its first connections are refused, and were tried again half a second later as well. Now: a change of the list is followed after 10 ms, and for two seconds after it agents are tried each 100 ms. Conclusion: a fault of the product, as suspected, but at the start alone.

--- a/fakes/include/galenagw/fakes/fleet.h
+++ b/fakes/include/galenagw/fakes/fleet.h
@@ -90,6 +90,7 @@
     std::vector<GwDeployment> deployments;
     int stopped = 0;
     int timeout_ms = 3000;
+    int agent_port = 1; // of all agents; nobody listens there
     // Stores of KV cache.
     struct KvStoreRow {
         int port;
--- a/fakes/tests/fleet.cc
+++ b/fakes/tests/fleet.cc
@@ -343,7 +343,7 @@
     d.name = g_strdup(name);
     d.failure_domain = g_strdup("d");
     d.callers = d.readiness = d.peers = d.metrics = kAny;
-    d.agent_port = 1; // nobody listens there
+    d.agent_port = agent_port;
     d.store = kAny;
     d.store.port = FakeStore_Port(store);
     d.max_connections = 1024;
--- a/packages/cluster/include/galenagw/cluster/peers.h
+++ b/packages/cluster/include/galenagw/cluster/peers.h
@@ -59,6 +59,8 @@
 void GwPeers_Delete(GwPeers *peers);
 /** The port that other processes connect to. */
 int GwPeers_Port(const GwPeers *peers);
+/** Entry: the list names another engine; its agent is connected to at once. */
+void GwPeers_ListChanged(GwPeers *peers);
 /** Agent: tell all entries, now and whenever one connects. */
 void GwPeers_TellEngine(GwPeers *peers, const GwEngineState *state);
 /**
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -11,6 +11,14 @@
 /* How often connections are compared with the list of endpoints. A new
  * engine is in use before its agent is known; this is for advice only. */
 #define RECONCILE_EVERY (500 * GW_MILLISECOND)
+/* After a change of the list: rows come in pages, and connections to all that
+ * a page names are made together. */
+#define RECONCILE_SOON (10 * GW_MILLISECOND)
+/* An engine and its agent start together, and either may be the first: for
+ * some time after a change, agents that were not there yet are tried again
+ * within half of the 260 ms in which an engine prepares for a load. */
+#define RECONCILE_OFTEN (100 * GW_MILLISECOND)
+#define CHANGED_LATELY (2 * GW_SECOND)
 /* Heartbeats: often enough that a process that the store turns away learns
  * of news within a second, a fraction of the bound on configuration. */
 #define PING_AFTER (800 * GW_MILLISECOND)
@@ -46,6 +54,7 @@
     GwSessionServer *server;
     TAILQ_HEAD(, Peer) peers;
     GwTimer timer;
+    GwTime changed_at; /* entry: when the list last named another engine */
     GwAddress watched; /* agent: another agent; port 0: none */
     GwExchange exchange;
     unsigned entries;     /* told by agents */
@@ -138,6 +147,17 @@
     return GwSessionServer_Port(p->server);
 }
 
+// A gateway that started half a second ago knew the engines and was not yet
+// heard by their agents: those ordered new weights with nobody to tell, and
+// callers were turned away by one engine after another.
+void
+GwPeers_ListChanged(GwPeers *p)
+{
+    p->changed_at = GwTime_Now();
+    if (p->timer.due - p->changed_at > RECONCILE_SOON)
+        GwTimer_Start(&p->timer, RECONCILE_SOON);
+}
+
 void
 GwPeers_TellEngine(GwPeers *p, const GwEngineState *state)
 {
@@ -457,7 +477,9 @@
         if (!peer->wanted)
             drop_(peer);
     }
-    GwTimer_Start(&p->timer, RECONCILE_EVERY);
+    GwTimer_Start(&p->timer, GwTime_Now() - p->changed_at < CHANGED_LATELY
+                                 ? RECONCILE_OFTEN
+                                 : RECONCILE_EVERY);
 }
 
 static void
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -194,6 +194,8 @@
 
     instance->user =
         GwUpstreamPool_New(g->loop, &instance->address, &g->counters);
+    if (instance->model != NULL && g->peers != NULL)
+        GwPeers_ListChanged(g->peers);
 }
 
 static void
