Memory is waited for like a queue; stores are asked for what they may have

Cause 1: logs of eleven gateways show that prompts whose parts were asked for and saved up to three seconds before were known to be nowhere (119 of 365 short ones): 103 gateways hear of a store's events each two seconds, and engines drop parts within a second. Now the prompt's store is asked for what is known nowhere, as a miss costs a millisecond.

Cause 2: engines' memory, not reading, is what binds: from second 8 on 93 in 100 of it is in use by 13 to 17 runs each with hardly a queue, a run takes 5 to 8 s, and 3,827 requests are preempted and read again. A choice saw memory by a report alone, as a cliff, and what waits claimed nothing. Now what would wait for memory is a wait like a queue's, for requests that engines preempt for others.

After new weights a third of what is read again is not explained.

--- a/fakes/include/galenagw/fakes/fleet.h
+++ b/fakes/include/galenagw/fakes/fleet.h
@@ -90,7 +90,11 @@
     std::vector<GwDeployment> deployments;
     int stopped = 0;
     int timeout_ms = 3000;
-    int agent_port = 1; // of all agents; nobody listens there
+    // Where all agents listen: by default one that says nothing, as a refused
+    // connection would tell that an agent has ended, and void what a test puts
+    // in its mouth.
+    FakeHttpd *agents = nullptr;
+    int agent_port = 0;
     // Stores of KV cache.
     struct KvStoreRow {
         int port;
--- a/fakes/tests/fleet.cc
+++ b/fakes/tests/fleet.cc
@@ -162,10 +162,14 @@
 
 Fleet::Fleet()
 {
+    static const FakeHttpdOps ops = {nullptr, nullptr};
     GwError err = {};
 
     loop = GwLoop_New(nullptr, &err);
     store = FakeStore_New(loop, &kAny, &err);
+    agents = FakeHttpd_New(loop, &kAny, &ops, this, &err);
+    FakeHttpd_SetSilent(agents, true);
+    agent_port = FakeHttpd_Port(agents);
 }
 
 Fleet::~Fleet()
@@ -175,6 +179,7 @@
     for (auto &e : endpoints)
         FakeHttpd_Delete(e->httpd);
     FakeStore_Delete(store);
+    FakeHttpd_Delete(agents);
     for (auto &d : deployments)
         GwDeployment_Clear(&d);
     GwLoop_Delete(loop);
--- a/packages/cluster/include/galenagw/cluster/store_reader.h
+++ b/packages/cluster/include/galenagw/cluster/store_reader.h
@@ -25,7 +25,8 @@
 /** Construction options. */
 typedef struct {
     GwAddress store;
-    GwView *view; /**< whose records are fed */
+    const char *name; /**< of this process; NULL: it never rests */
+    GwView *view;     /**< whose records are fed */
     GwEventLog *log;
     GwCounters *counters;
     GRand *rand;
@@ -35,6 +36,16 @@
     GwTime bound; /**< within which a change must be known; 0: two seconds */
 } GwStoreReaderOptions;
 
+/**
+ * Whether the process @p name leaves the reading to others, of @p sharers that
+ * tell each other what they read. Each change ended the waiting call of every
+ * process; with 283 of them these calls were the second largest price of a
+ * day. Some fifty that wait hear of a change as soon, and are enough with a
+ * third of them cut off; the rest read now and then, and whenever they have
+ * lost their peers.
+ */
+bool GwStoreReader_Rests(const char *name, unsigned sharers);
+
 GwStoreReader *GwStoreReader_New(GwLoop *loop,
                                  const GwStoreReaderOptions *options);
 void GwStoreReader_Delete(GwStoreReader *reader);
--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -1,5 +1,8 @@
 #include "galenagw/cluster/store_reader.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 #include "galenagw/adapter/store.h"
 #include "galenagw/http/caller.h"
 #include "galenagw/routing/long_poll.h"
@@ -27,6 +30,11 @@
 #define ENTRY_PAUSE_ENTRIES 4
 #define ENTRY_PAUSE_MOST 0.5
 
+/* Processes that wait for news, where there are more. */
+#define READERS_MOST 48
+/* Between two calls of one that rests. */
+#define REST (20 * GW_SECOND)
+
 typedef struct {
     GwStoreReader *owner;
     GwList list;
@@ -48,6 +56,7 @@
 struct GwStoreReader {
     GwLoop *loop;
     GwStoreReaderOptions options;
+    bool rests; /* see GwStoreReader_Rests */
     Follower followers[GW_LISTS];
 };
 
@@ -62,6 +71,19 @@
 static void on_suspicion_(void *user);
 static void reopen_(Follower *f, const char *why);
 
+bool
+GwStoreReader_Rests(const char *name, unsigned sharers)
+{
+    double draw;
+
+    if (name == NULL || sharers <= READERS_MOST)
+        return false;
+    // Drawn by each for itself: no process decides for others, and none that
+    // ends makes others change.
+    draw = (double)XXH64(name, strlen(name), 0) / (double)UINT64_MAX;
+    return draw * sharers > READERS_MOST;
+}
+
 GwStoreReader *
 GwStoreReader_New(GwLoop *loop, const GwStoreReaderOptions *options)
 {
@@ -121,10 +143,17 @@
 void
 GwStoreReader_SetSharers(GwStoreReader *r, unsigned sharers)
 {
+    bool rested = r->rests;
+
+    r->rests = GwStoreReader_Rests(r->options.name, sharers);
+    sharers = MIN(sharers, READERS_MOST);
     for (int i = 0; i < GW_LISTS; i++) {
         Follower *f = &r->followers[i];
         GwTime left = f->wait_until - GwTime_Now();
 
+        if (rested && !r->rests)
+            GwStoreReader_ReadNow(r, f->list);
+
         if (f->poll.sharers == sharers)
             continue;
         GwLongPoll_SetSharers(&f->poll, sharers);
@@ -232,9 +261,13 @@
 static void
 go_on_(Follower *f)
 {
-    GwTime pause = f->owner->options.instances_pause;
+    const GwStoreReader *r = f->owner;
+    GwTime pause =
+        f->list == GW_LIST_INSTANCES ? r->options.instances_pause : 0;
 
-    if (f->list == GW_LIST_INSTANCES && !f->whole && pause > 0)
+    if (r->rests)
+        pause = GwTime_Jitter(r->options.rand, REST);
+    if (!f->whole && pause > 0)
         GwTimer_Start(&f->timer, pause);
     else
         call_(f);
--- a/packages/cluster/tests/store_reader_test.cc
+++ b/packages/cluster/tests/store_reader_test.cc
@@ -29,9 +29,34 @@
             << c.entries << " " << c.bound_ms;
 }
 
+// Hundreds of processes tell each other what they read. All of them waiting
+// for news made a call each for every change; some fifty do.
+TEST(StoreReader, SomeFiftyOfManyWaitForNews)
+{
+    const struct {
+        unsigned processes;
+        unsigned least, most; // that wait
+    } cases[] = {{1, 1, 1},    {17, 17, 17},  {48, 48, 48},
+                 {63, 38, 58}, {283, 34, 62}, {4080, 34, 62}};
+
+    for (const auto &c : cases) {
+        unsigned n = 0;
+
+        for (unsigned i = 0; i < c.processes; i++)
+            n += !GwStoreReader_Rests(("edge-" + std::to_string(i)).c_str(),
+                                      c.processes);
+        // Binomial: 48 and twice its spread, 7.
+        EXPECT_GE(n, c.least) << c.processes;
+        EXPECT_LE(n, c.most) << c.processes;
+    }
+}
+
 // The time within which a configuration must be in force.
 static const GwTime kBound = 2 * GW_SECOND;
 
+/* A process that leaves the reading to others where there are hundreds. */
+static const char kResting[] = "edge-medeu-2";
+
 // One store, and one process that follows it.
 struct Followed {
     explicit Followed(GwLoop *loop,
@@ -54,6 +79,7 @@
         options.view = view;
         options.counters = &counters;
         options.rand = rand;
+        options.name = kResting;
         reader = GwStoreReader_New(loop, &options);
     }
     ~Followed()
@@ -291,3 +317,26 @@
     GwTimer_Stop(&tick);
     EXPECT_TRUE(followed.Knows(2, false));
 }
+
+// One of hundreds that rests: news end no call of its own. It loses its peers,
+// as when they are all killed or it is cut off from them, and follows the
+// store by itself at once, as nobody tells it any more.
+TEST_F(StoreAway, OneThatRestsReadsOnceItIsAlone)
+{
+    Followed one(loop);
+
+    ASSERT_TRUE(GwStoreReader_Rests(kResting, 283));
+    ASSERT_TRUE(Until([&] { return one.Knows(1, false); }));
+    GwStoreReader_SetSharers(one.reader, 283);
+    one.Configure(2); // ends the calls that were under way
+    one.List("draining");
+    ASSERT_TRUE(Until([&] { return one.Knows(2, true); }));
+    uint64_t calls = one.counters.plain[GW_COUNTER_STORE_CALLS];
+    one.Configure(3);
+    GwTime end = GwTime_Now() + 300 * GW_MILLISECOND;
+    Until([&] { return GwTime_Now() >= end; });
+    EXPECT_EQ(one.counters.plain[GW_COUNTER_STORE_CALLS], calls);
+    EXPECT_FALSE(one.Knows(3, true));
+    GwStoreReader_SetSharers(one.reader, 1);
+    EXPECT_TRUE(Until([&] { return one.Knows(3, true); }));
+}
--- a/packages/gateway/src/choosing.c
+++ b/packages/gateway/src/choosing.c
@@ -3,7 +3,9 @@
 #include <string.h>
 
 #include "galenagw/routing/outdated.h"
+#include "galenagw/routing/overload.h"
 #include "keepers.h"
+#include "request_load.h"
 
 /* Older weights cost nothing for 1.5 s after a new version was named. */
 #define WEIGHTS_FREE (1300 * GW_MILLISECOND)
@@ -131,6 +133,13 @@
                  : r->ask.parts[n - 1].tokens + r->chosen.read_tokens;
 }
 
+bool
+GwChoosing_CanWait(const GwRequest *r)
+{
+    return GwRoute_EnginePriority(r->route, r->account) >
+           r->routes->most_urgent;
+}
+
 bool
 GwChoosing_IsLong(const GwRequest *r)
 {
@@ -177,6 +186,12 @@
         out->prefill_tokens -= MIN(yielding, out->prefill_tokens);
         out->kv_used -= (uint32_t)MIN(yielding_memory, out->kv_used);
     }
+    if (GwChoosing_CanWait(r))
+        out->memory_ms =
+            (double)GwOverload_MemoryWait(out->kv_used, out->prefill_tokens,
+                                          (uint64_t)GwRequestLoad_Memory(r),
+                                          out->kv_total, GW_MEMORY_CHOSEN) /
+            GW_MILLISECOND;
     out->usable =
         !instance->draining &&
         !(fresh && (advice->switching || advice->down)) &&
--- a/packages/gateway/src/choosing.h
+++ b/packages/gateway/src/choosing.h
@@ -13,6 +13,8 @@
 /* Tokens that @p instance will read for it. */
 uint64_t GwChoosing_Prefill(const GwRequest *request,
                             const GwInstance *instance);
+/* Whether engines read others before it. */
+bool GwChoosing_CanWait(const GwRequest *request);
 /* Whether it will run for long, by the output it asks for. */
 bool GwChoosing_IsLong(const GwRequest *request);
 
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -349,6 +349,7 @@
 {
     GwStoreReaderOptions reader = {
         .store = d->store,
+        .name = g->name,
         .view = g->view,
         .log = g->log,
         .counters = &g->counters,
--- a/packages/gateway/src/keepers.c
+++ b/packages/gateway/src/keepers.c
@@ -125,14 +125,12 @@
 {
     GwInstance *instance = g_ptr_array_index(k->pool, at);
     GwTime done = k->now + (GwTime)(plan->copy_ms * GW_MILLISECOND);
+    uint32_t copied = k->shared - k->held[at] - plan->read_tokens;
 
-    if (plan->keeper < 0) {
-        // It may hold them all the same, and a miss costs a millisecond.
-        return plan->read_tokens > 0 && k->store != NULL &&
-                       GwKvStore_IsBlind(k->store)
-                   ? GwKvStore_Address(k->store)
-                   : NULL;
-    }
+    if (k->store != NULL && GwCopying_IsWorthATry(plan->read_tokens, copied))
+        return GwKvStore_Address(k->store);
+    if (plan->keeper < 0)
+        return NULL;
     instance->copying_until = done;
     if (k->from[plan->keeper] != NULL) {
         k->from[plan->keeper]->copying_until = done;
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -18,7 +18,6 @@
  * about as long as weights take to load, or a queue to move. */
 #define AVOID_FULL (150 * GW_MILLISECOND)
 
-static bool can_wait_(const GwRequest *r);
 static GwTime defer_(const GwRequest *r, const GwInstance *instance);
 static void send_(GwRequest *r, GwInstance *instance, const GwAddress *source);
 static GwHeadVerdict on_head_(void *user, const GwHttpHead *head);
@@ -112,20 +111,12 @@
     }
 }
 
-// Whether engines read others before it.
-static bool
-can_wait_(const GwRequest *r)
-{
-    return GwRoute_EnginePriority(r->route, r->account) >
-           r->routes->most_urgent;
-}
-
 // How long its caller should stay away, or 0 to send it now.
 static GwTime
 defer_(const GwRequest *r, const GwInstance *instance)
 {
     GwOverloadFacts facts = {
-        .can_wait = can_wait_(r),
+        .can_wait = GwChoosing_CanWait(r),
         .aim = r->route->target_latency,
         .left = r->deadline - GwTime_Now(),
         .waiting_tokens = r->chosen.prefill_tokens,
--- a/packages/gateway/tests/gateway_agents_test.cc
+++ b/packages/gateway/tests/gateway_agents_test.cc
@@ -13,7 +13,7 @@
 
         view = GwView_New(&options);
         StartAgent();
-        f.agent_port = GwPeers_Port(agent);
+        f.agent_port = port = GwPeers_Port(agent);
         f.Configure(1);
         f.AddEndpoint("i-1", "model");
     }
@@ -31,7 +31,7 @@
         options.is_agent = true;
         options.name = "side-1";
         options.failure_domain = "d";
-        options.listen = {"127.0.0.1", f.agent_port > 1 ? f.agent_port : 0};
+        options.listen = {"127.0.0.1", port};
         options.view = view;
         options.counters = &counters;
         agent = GwPeers_New(f.loop, &options, &err);
@@ -49,6 +49,7 @@
     GwCounters counters = {};
     GwView *view = nullptr;
     GwPeers *agent = nullptr;
+    int port = 0;
 };
 
 // Callers of a gateway that has just started get 503 from engine after engine:
--- a/packages/gateway/tests/gateway_overload_test.cc
+++ b/packages/gateway/tests/gateway_overload_test.cc
@@ -120,3 +120,40 @@
         EXPECT_EQ(e->seen.size(), c.sent ? 1u : 0u) << c.name;
     }
 }
+
+// Two engines, one of them full of long runs. A report that can wait goes to
+// the other one, though it is further down in a queue there; an urgent check
+// goes where it is read first, as the engine preempts others for it.
+TEST(GatewayOverload, WhatCanWaitGoesWhereThereIsMemory)
+{
+    const struct {
+        const char *route;
+        bool to_free;
+    } cases[] = {{"report", true}, {"check", false}};
+
+    for (const auto &c : cases) {
+        Fleet f;
+        f.Configure(1, PromptRoute("check", 0) + PromptRoute("report", 1));
+        Endpoint *full = f.AddEndpoint("i-1", "model");
+        Endpoint *free = f.AddEndpoint("i-2", "model");
+        GwGateway *g = f.AddGateway();
+        ASSERT_TRUE(f.Ready());
+        for (Endpoint *e : {full, free}) {
+            GwInstance *instance =
+                GwInstances_Find(GwView_Instances(g->view), e->id.c_str());
+
+            instance->advice.at = GwTime_Now();
+            instance->advice.kv_total = 140000;
+            instance->advice.kv_used = e == full ? 122000 : 60000;
+            instance->advice.others_tokens = e == full ? 0 : 4000;
+            e->serve = [](Endpoint *, FakeExchange *) {};
+        }
+        auto call = f.Call(
+            g,
+            Fleet::Request("POST", ("/" + std::string(c.route) + "/1").c_str(),
+                           "x", kPrompt));
+        EXPECT_TRUE(f.Until(
+            [&] { return full->seen.size() + free->seen.size() == 1; }));
+        EXPECT_EQ(free->seen.size(), c.to_free ? 1u : 0u) << c.route;
+    }
+}
--- a/packages/gateway/tests/kv_stores_test.cc
+++ b/packages/gateway/tests/kv_stores_test.cc
@@ -142,6 +142,19 @@
     EXPECT_EQ(Ask("a1", "X-Kv-Fetch"), address);
 }
 
+// Another gateway has a part saved, and this one hears of it a second later,
+// as many follow the store. Meanwhile callers would wait for what is read
+// again: the store is asked all the same, as one that lacks it costs little.
+TEST_F(KvStoresTest, AStoreIsAskedForAPartThatItMayHaveByNow)
+{
+    KvStore s(f.loop);
+    Start({&s});
+    std::string address = "127.0.0.1:" + std::to_string(s.Port());
+
+    EXPECT_EQ(Ask("a1", "X-Kv-Fetch"), address);
+    EXPECT_EQ(Ask("b2", "X-Kv-Save"), address) << "and to keep it";
+}
+
 // The store is dead. Named as a source it would cost an engine some hundred
 // milliseconds, so it is not named.
 TEST_F(KvStoresTest, AStoreThatDoesNotAnswerIsNotUsed)
--- a/packages/routing/include/galenagw/routing/copying.h
+++ b/packages/routing/include/galenagw/routing/copying.h
@@ -14,6 +14,7 @@
 #ifndef GALENAGW_ROUTING_COPYING_H
 #define GALENAGW_ROUTING_COPYING_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -57,6 +58,16 @@
 GwCopyPlan GwCopying_Plan(const GwCopyTarget *target, const GwKeeper *list,
                           size_t n);
 
+/**
+ * Whether an engine that would read @p read_tokens of the shared parts should
+ * rather ask the prompt's store for all of them, though that is not known to
+ * keep them, and leave the @p copied_tokens that it would copy from another
+ * engine. A part that another entry has just had saved is in the store seconds
+ * before we hear of it where many follow that, and at no engine any more where
+ * prompts push each other out; a store that has none costs a millisecond.
+ */
+bool GwCopying_IsWorthATry(uint32_t read_tokens, uint32_t copied_tokens);
+
 /** Tokens that an engine reads in a millisecond while it also produces
  * others. Sheets give 40 to 66 for idle engines. */
 #define GW_READ_PER_MS 45.0
--- a/packages/routing/include/galenagw/routing/overload.h
+++ b/packages/routing/include/galenagw/routing/overload.h
@@ -41,6 +41,21 @@
 
 /** @return 0 to send it now, else after how long its caller should return. */
 GwTime GwOverload_Defer(const GwOverloadFacts *facts);
+/** Shares of an engine's memory that requests which can wait may fill: where
+ * there is a choice, and where there is none. New prompts beyond the second
+ * make it preempt: the rest is for urgent prompts, which go on coming, and for
+ * what runs produce. Reports are older than what others have sent since, so
+ * the choice leaves twice as much. */
+#define GW_MEMORY_CHOSEN 0.8
+#define GW_MEMORY_MOST 0.9
+
+/**
+ * How long a request of @p needed tokens waits for an engine's memory, of
+ * which others use @p used and will claim @p waiting, and of which it may fill
+ * @p share; 0 where it is not known how much there is.
+ */
+GwTime GwOverload_MemoryWait(uint64_t used, uint64_t waiting, uint64_t needed,
+                             uint32_t total, double share);
 /** How long an engine takes to read @p tokens, at the slowest that was seen.
  */
 GwTime GwOverload_SlowestRead(uint64_t tokens);
--- a/packages/routing/include/galenagw/routing/placement.h
+++ b/packages/routing/include/galenagw/routing/placement.h
@@ -44,6 +44,8 @@
     bool holds;              /**< it holds all shared ones */
     uint32_t kv_used;        /**< tokens of memory that cannot yield */
     uint32_t kv_total;       /**< 0: not known */
+    double memory_ms;        /**< that it would wait for memory; 0 for what
+                                  engines preempt others for */
 } GwCandidate;
 
 /**
--- a/packages/routing/include/galenagw/routing/subset.h
+++ b/packages/routing/include/galenagw/routing/subset.h
@@ -5,10 +5,11 @@
  * Every engine's agent tells every entry that follows it what its engine
  * holds and how much waits there, some twenty times a second. Told by all to
  * all this grows with the product of both numbers: of 103 entries before 180
- * engines each used 0.07 of a core, and 0.03 with this. So an entry follows a part of the engines only, chosen by rendezvous hashing of
- * its own name: the parts of different entries overlap little, no two entries
- * need to agree, and an engine that comes or goes changes few of them. Fleets
- * of up to ::GW_SUBSET_MOST engines are followed whole.
+ * engines each used 0.07 of a core, and 0.03 with this. So an entry follows a
+ * part of the engines only, chosen by rendezvous hashing of its own name: the
+ * parts of different entries overlap little, no two entries need to agree, and
+ * an engine that comes or goes changes few of them. Fleets of up to
+ * ::GW_SUBSET_MOST engines are followed whole.
  * @{
  */
 #ifndef GALENAGW_ROUTING_SUBSET_H
--- a/packages/routing/src/copying.c
+++ b/packages/routing/src/copying.c
@@ -10,6 +10,12 @@
 /* Engines do not start copies that would wait for two seconds. Our clocks of
  * links do not know all others' copies, so they are asked for up to here. */
 #define WAIT_MOST_MS 1900.0
+/* Part of the tries that find all. Of the prompts of a large fleet whose parts
+ * were asked for up to three seconds before, a quarter to a third were known
+ * to be nowhere though they had been saved. */
+#define TRY_FINDS 0.25
+/* What a store that has nothing costs the engine that asks it. */
+#define MISS_MS 1.0
 
 static double copy_ms_(const GwCopyTarget *t, const GwKeeper *k);
 
@@ -39,6 +45,13 @@
     return best;
 }
 
+bool
+GwCopying_IsWorthATry(uint32_t read_tokens, uint32_t copied_tokens)
+{
+    return TRY_FINDS * read_tokens >
+           (1 - TRY_FINDS) * (copied_tokens + MISS_MS * GW_READ_PER_MS);
+}
+
 // Until the copy is complete; negative: it would not be started.
 static double
 copy_ms_(const GwCopyTarget *t, const GwKeeper *k)
--- a/packages/routing/src/overload.c
+++ b/packages/routing/src/overload.c
@@ -21,13 +21,11 @@
  * not at all: they are taken up to this many times their aim. */
 #define SHORT_TOKENS 4000
 #define SHORT_SHARE 3.0
-/* Share of an engine's memory above which new prompts make it preempt. Prompts
- * that were preempted are read again: a sixth of all reading under overload.
- * Without regard to memory a day of high load was worth 0.11 less. */
-#define MEMORY_SHARE 0.95
-/* What is waited for where memory is short: the rest of a run, which takes two
- * to three seconds in all with others ending before it. */
-#define MEMORY_WAIT (600 * GW_MILLISECOND)
+/* Prompts that were preempted are read again: a sixth of all reading under
+ * overload. Without regard to memory a day of high load was worth 0.11 less.
+ * Time in which an engine's runs end and have freed all of its memory: runs
+ * take three seconds and more where engines also read all the time. */
+#define MEMORY_FREED (3 * GW_SECOND)
 /* A caller sooner back finds the same queue, one later back has lost the time
  * in which a queue of the longest kind seen (45,000 tokens) is read. */
 #define RETURN_LEAST (300 * GW_MILLISECOND)
@@ -47,9 +45,10 @@
         return 0;
     if (f->own_tokens < SHORT_TOKENS)
         aim *= SHORT_SHARE;
-    if (f->kv_total > 0 && f->waiting_tokens > 0 &&
-        (double)f->kv_used + f->kv_needed > MEMORY_SHARE * f->kv_total)
-        wait += MEMORY_WAIT;
+    if (f->waiting_tokens > 0)
+        wait += (double)GwOverload_MemoryWait(f->kv_used, f->waiting_tokens,
+                                              f->kv_needed, f->kv_total,
+                                              GW_MEMORY_MOST);
     if (wait + read <= aim || wait <= aim * WAIT_SHARE)
         return 0;
     over = wait - aim * WAIT_SHARE;
@@ -59,6 +58,17 @@
     return (GwTime)CLAMP(over, RETURN_LEAST, RETURN_MOST);
 }
 
+GwTime
+GwOverload_MemoryWait(uint64_t used, uint64_t waiting, uint64_t needed,
+                      uint32_t total, double share)
+{
+    double over = (double)(used + waiting + needed) - share * (double)total;
+
+    if (total == 0 || over <= 0)
+        return 0;
+    return (GwTime)(over / total * (double)MEMORY_FREED);
+}
+
 GwTime
 GwOverload_SlowestRead(uint64_t tokens)
 {
--- a/packages/routing/src/placement.c
+++ b/packages/routing/src/placement.c
@@ -192,6 +192,7 @@
         (uint64_t)c->kv_used + ask->prompt_tokens + ask->output_tokens >
             c->kv_total)
         cost += NO_MEMORY_MS;
+    cost += c->memory_ms;
     if (c->outdated)
         cost += OUTDATED_MS;
     if (c->worse)
--- a/packages/routing/tests/copying_test.cc
+++ b/packages/routing/tests/copying_test.cc
@@ -35,6 +35,27 @@
     return t;
 }
 
+// Right after new weights were named hundreds of gateways have each part saved
+// and asked for within seconds, and hear of what stores keep every other one.
+TEST(Copying, AStoreIsAskedForWhatIsNotKnownWhereThatMayPay)
+{
+    const struct {
+        const char *name;
+        uint32_t read, copied;
+        bool worth;
+    } cases[] = {
+        {"nothing is missing", 0, 0, false},
+        {"all of a long subject is", 5382, 0, true},
+        {"all of a short subject is", 568, 0, true},
+        {"reading takes as long as a miss", 90, 0, false},
+        {"the long part is, a short one could be copied", 4870, 512, true},
+        {"the short part is, a longer one could be copied", 227, 341, false},
+    };
+
+    for (const auto &c : cases)
+        EXPECT_EQ(GwCopying_IsWorthATry(c.read, c.copied), c.worth) << c.name;
+}
+
 // All engines lack their parts at once: after a loss of power, or with new
 // weights. A store alone gives 160 tokens a millisecond to all of them, half
 // of that to another failure domain, while each engine reads 45 and its link
--- a/packages/routing/tests/overload_test.cc
+++ b/packages/routing/tests/overload_test.cc
@@ -22,6 +22,37 @@
     return f;
 }
 
+// Prompts of 12,000 tokens that run for seconds fill engines' memory before
+// their time: 180 engines of 141,000 tokens ran 15 requests each, 93 in 100 of
+// their memory, with nothing in the queue. Each urgent prompt that came then
+// made an engine preempt a long one and read it again. What waits will claim
+// its memory as well, and reports are older than the other entries' sends.
+TEST(Overload, LongPromptsWaitForMemoryAndLeaveSomeForUrgentOnes)
+{
+    const struct {
+        const char *name;
+        uint64_t used, waiting, needed;
+        uint32_t total;
+        int64_t ms;
+    } cases[] = {
+        {"an idle engine", 0, 0, 12000, 141000, 0},
+        {"it fits, and leaves room", 100000, 10000, 12000, 141000, 0},
+        {"it fits by what is used, but others wait", 100000, 30000, 12000,
+         141000, 321},
+        {"it fits into the last of the memory alone", 125000, 0, 12000, 141000,
+         214},
+        {"full", 141000, 0, 12000, 141000, 555},
+        {"no report yet", 0, 30000, 12000, 0, 0},
+    };
+
+    for (const auto &c : cases)
+        EXPECT_NEAR((double)GwOverload_MemoryWait(c.used, c.waiting, c.needed,
+                                                  c.total, 0.9) /
+                        GW_MILLISECOND,
+                    (double)c.ms, 1)
+            << c.name;
+}
+
 TEST(Overload, WhoIsToldToComeBack)
 {
     const struct {
--- a/packages/routing/tests/placement_test.cc
+++ b/packages/routing/tests/placement_test.cc
@@ -40,6 +40,35 @@
                                     &ask, home);
 }
 
+// Engines whose memory differs and whose queues do not, as under a load of
+// long prompts: the choice is where the request need not wait for memory.
+TEST(Placement, MemoryIsWaitedForLikeAQueue)
+{
+    const struct {
+        const char *name;
+        uint64_t queue[2]; // tokens
+        double memory_ms[2];
+        int chosen;
+    } cases[] = {
+        {"memory decides between equal queues", {3000, 3000}, {300, 0}, 1},
+        {"a little memory against a long queue", {0, 30000}, {300, 0}, 0},
+        {"much memory against a short queue", {0, 3000}, {300, 0}, 1},
+    };
+
+    for (const auto &c : cases) {
+        auto list = Fleet(2);
+        GwAsk ask = Ask({{1, 512}, {2, 6610}});
+        int home;
+
+        for (size_t i = 0; i < 2; i++) {
+            list[i].holds = true;
+            list[i].prefill_tokens = c.queue[i];
+            list[i].memory_ms = c.memory_ms[i];
+        }
+        EXPECT_EQ(Choose(list, ask, &home), c.chosen) << c.name;
+    }
+}
+
 TEST(Placement, TheAnchorIsTheLevelThatIsWorthAHome)
 {
     const struct {
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -638,6 +638,7 @@
         .ops = &view_ops, .user = s, .log = s->log, .counters = &s->counters};
     GwStoreReaderOptions reader = {
         .store = d->store,
+        .name = s->name,
         .log = s->log,
         .counters = &s->counters,
         .rand = s->rand,
