--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -20,6 +20,8 @@
  * within half of the 260 ms in which an engine prepares for a load. */
 #define RECONCILE_OFTEN (100 * GW_MILLISECOND)
 #define CHANGED_LATELY (2 * GW_SECOND)
+/* All processes of a fleet are connected after so long; see follow_. */
+#define SETTLED_AFTER (3 * GW_SECOND)
 /* Heartbeats: often enough that a process that the store turns away learns
  * of news within a second, a fraction of the bound on configuration. */
 #define PING_AFTER (800 * GW_MILLISECOND)
@@ -63,6 +65,8 @@
     GwTime changed_at; /* entry: when the list last named another engine */
     GwAddress watched; /* agent: another agent; port 0: none */
     GwExchange exchange;
+    GwTime connected_at; /* entry: to any agent */
+    unsigned subset;     /* entry: engines that it follows */
     GwTimer waiting_timer;
     GwTime waiting_told_at;
     uint64_t told_urgent; /* changes that peers were told of */
@@ -110,6 +114,8 @@
 static void take_engine_(GwPeers *p, Peer *from,
                          const Gw__Wire__EngineState *state);
 static unsigned count_entries_(const GwPeers *p);
+static void follow_(GwPeers *p, const GPtrArray *all);
+static unsigned known_entries_(const GwPeers *p);
 static double mean_entries_(const GwPeers *p);
 static unsigned count_engines_(const GwPeers *p);
 static bool is_connected_(const GwPeers *p);
@@ -295,18 +301,16 @@
 GwPeers_Sharers(const GwPeers *p)
 {
     unsigned engines = count_engines_(p);
-    double followers =
-        p->options.is_agent ? count_entries_(p) : mean_entries_(p);
 
     if (!is_connected_(p))
         return 1;
-    return MAX(GwSubset_Entries(followers, engines) + engines, 1);
+    return MAX(known_entries_(p) + engines, 1);
 }
 
 unsigned
 GwPeers_Entries(const GwPeers *p)
 {
-    unsigned n = GwSubset_Entries(mean_entries_(p), count_engines_(p));
+    unsigned n = known_entries_(p);
 
     return n > 0 ? n : ENTRIES_ASSUMED;
 }
@@ -476,7 +480,7 @@
     TAILQ_FOREACH(peer, &p->peers, link)
     peer->wanted = !peer->outbound;
     if (!p->options.is_agent)
-        GwSubset_Mark(all, p->options.name);
+        follow_(p, all);
     for (guint i = 0; !p->options.is_agent && i < all->len; i++) {
         const GwInstance *instance = g_ptr_array_index(all, i);
         GwAddress address = instance->address;
@@ -768,6 +772,37 @@
     return n;
 }
 
+// Which engines work is sent to. How many entries there are is told by agents,
+// who hear of them one after the other at a start of all: too few at first,
+// for which each entry would connect to the whole fleet.
+static void
+follow_(GwPeers *p, const GPtrArray *all)
+{
+    GwTime now = GwTime_Now();
+    bool is_settled;
+
+    if (!is_connected_(p))
+        p->connected_at = now;
+    is_settled = now - p->connected_at >= SETTLED_AFTER;
+    p->subset =
+        GwSubset_Size(count_engines_(p), is_settled ? known_entries_(p) : 0);
+    GwSubset_Mark(all, p->options.name, p->subset);
+}
+
+// As far as agents tell, or are told; 0: not at all.
+static unsigned
+known_entries_(const GwPeers *p)
+{
+    unsigned engines = count_engines_(p);
+
+    // Of an agent's entries the least that each may follow: too many of them
+    // assumed only makes it ask the store more seldom.
+    if (p->options.is_agent)
+        return GwSubset_Entries(count_entries_(p), engines,
+                                GwSubset_Size(engines, 0));
+    return GwSubset_Entries(mean_entries_(p), engines, p->subset);
+}
+
 // Entries that follow an engine, in the mean of those whose agents we hear.
 static double
 mean_entries_(const GwPeers *p)
--- a/packages/gateway/tests/gateway_agents_test.cc
+++ b/packages/gateway/tests/gateway_agents_test.cc
@@ -89,7 +89,7 @@
 // More engines than one gateway follows.
 class LargeFleetTest : public testing::Test {
   protected:
-    static constexpr int kEngines = GW_SUBSET_MOST + 12;
+    static constexpr int kEngines = GW_SUBSET_WHOLE + 12;
 
     void
     SetUp() override
@@ -119,7 +119,7 @@
             row.offset = 1;
             GwInstances_Listed(list, &row);
         }
-        GwSubset_Mark(GwInstances_All(list), "gateway-1");
+        GwSubset_Mark(GwInstances_All(list), "gateway-1", GW_SUBSET_LEAST);
         for (const auto &e : f.endpoints) {
             if (GwInstances_Find(list, e->id.c_str())->followed)
                 followed.insert(e->id);
@@ -160,7 +160,7 @@
 
 TEST_F(LargeFleetTest, WorkGoesToFollowedEngines)
 {
-    ASSERT_EQ(followed.size(), (size_t)GW_SUBSET_MOST);
+    ASSERT_EQ(followed.size(), (size_t)GW_SUBSET_LEAST);
     auto asked = Ask(2 * kEngines);
 
     EXPECT_GT(asked.size(), followed.size() / 2);
--- a/packages/routing/include/galenagw/routing/subset.h
+++ b/packages/routing/include/galenagw/routing/subset.h
@@ -8,8 +8,7 @@
  * engines each used 0.07 of a core, and 0.03 with this. So an entry follows a
  * part of the engines only, chosen by rendezvous hashing of its own name: the
  * parts of different entries overlap little, no two entries need to agree, and
- * an engine that comes or goes changes few of them. Fleets of up to
- * ::GW_SUBSET_MOST engines are followed whole.
+ * an engine that comes or goes changes few of them.
  * @{
  */
 #ifndef GALENAGW_ROUTING_SUBSET_H
@@ -22,24 +21,35 @@
 extern "C" {
 #endif
 
+/** Fleets of up to so many engines are followed whole. */
+#define GW_SUBSET_WHOLE 24
+/** Of larger ones, at least so many: with a sixth of them out for new weights
+ * and a quarter lost, eight are left to choose from. */
+#define GW_SUBSET_LEAST 14
+
 /**
- * Engines that one entry follows at most. With a sixth of them out for new
- * weights and a quarter lost, some 30 are left to choose from, which is as
- * good as more: the soonest of 30 is a few milliseconds behind the soonest of
- * all, and fewer entries choose it at the same moment.
+ * Engines that one of @p entries follows, so that some eight entries follow
+ * each; 0 entries: it is not known how many there are. The size grows by steps
+ * of a half, as estimates of their number sway and each change costs sessions.
+ *
+ * What an entry knows of an engine is older than what others have sent there
+ * since, so entries that see the same engines choose the same ones at the same
+ * moment, and the rest idles. With 103 entries before 180 engines that ran
+ * near their limits, callers in aim of the prompts that can wait were 34 in a
+ * hundred when each followed 90 engines, 46 with 48, 52 with 24 and 58 with 14
+ * (one day each, 13,472 callers).
  */
-#define GW_SUBSET_MOST 48
-
+unsigned GwSubset_Size(unsigned engines, unsigned entries);
 /**
- * Set GwInstance::followed on the engines among @p all that the entry @p name
- * follows. Leaving engines take no other's place.
+ * Set GwInstance::followed on the @p size engines among @p all that the entry
+ * @p name follows. Leaving engines take no other's place.
  */
-void GwSubset_Mark(const GPtrArray *all, const char *name);
+void GwSubset_Mark(const GPtrArray *all, const char *name, unsigned size);
 /**
- * Entries in the fleet, where each engine is followed by @p followers in the
- * mean; at least that many.
+ * Entries in the fleet, where each follows @p size of the engines and each
+ * engine is followed by @p followers of them in the mean.
  */
-unsigned GwSubset_Entries(double followers, unsigned engines);
+unsigned GwSubset_Entries(double followers, unsigned engines, unsigned size);
 
 #ifdef __cplusplus
 }
--- a/packages/routing/tests/subset_test.cc
+++ b/packages/routing/tests/subset_test.cc
@@ -49,12 +49,12 @@
             List(i);
     }
     std::set<std::string>
-    Followed(const std::string &entry)
+    Followed(const std::string &entry, unsigned size = kSize)
     {
         const GPtrArray *all = GwInstances_All(list_);
         std::set<std::string> ids;
 
-        GwSubset_Mark(all, entry.c_str());
+        GwSubset_Mark(all, entry.c_str(), size);
         for (guint i = 0; i < all->len; i++) {
             auto *instance =
                 static_cast<const GwInstance *>(g_ptr_array_index(all, i));
@@ -65,15 +65,16 @@
         return ids;
     }
 
+    static const unsigned kSize = 48;
     GwInstances *list_ = nullptr;
     int64_t offset_ = 0;
 };
 
 TEST_F(SubsetTest, AFleetThatFitsIsFollowedWhole)
 {
-    ListAll(GW_SUBSET_MOST);
+    ListAll(kSize);
     List(0, true);
-    EXPECT_EQ(Followed("edge-1").size(), (size_t)GW_SUBSET_MOST)
+    EXPECT_EQ(Followed("edge-1").size(), (size_t)kSize)
         << "leaving ones too: they hold parts that others copy";
 }
 
@@ -90,7 +91,7 @@
     for (int i = 0; i < entries; i++) {
         auto ids = Followed("edge-" + std::to_string(i));
 
-        EXPECT_EQ(ids.size(), (size_t)GW_SUBSET_MOST);
+        EXPECT_EQ(ids.size(), (size_t)kSize);
         for (const std::string &id : ids)
             followers[id]++;
     }
@@ -112,7 +113,7 @@
 
     GwInstances_Forget(list_, gone.c_str());
     auto after = Followed("edge-1");
-    EXPECT_EQ(after.size(), (size_t)GW_SUBSET_MOST);
+    EXPECT_EQ(after.size(), (size_t)kSize);
     before.erase(gone);
     for (const std::string &id : before)
         EXPECT_EQ(after.count(id), 1u) << id;
@@ -128,7 +129,7 @@
     ListAll(180);
     for (int i = 0; i < 45; i++)
         List(i, true);
-    EXPECT_GT(Followed("edge-1").size(), (size_t)GW_SUBSET_MOST);
+    EXPECT_GT(Followed("edge-1").size(), (size_t)kSize);
     all = GwInstances_All(list_);
     for (guint i = 0; i < all->len; i++) {
         auto *instance =
@@ -136,7 +137,7 @@
 
         usable += instance->followed && !instance->draining;
     }
-    EXPECT_EQ(usable, GW_SUBSET_MOST);
+    EXPECT_EQ(usable, (int)kSize);
 }
 
 // Shares of retry budgets and pauses between calls to the store depend on how
@@ -145,16 +146,32 @@
 {
     const struct {
         double followers;
-        unsigned engines;
+        unsigned engines, size;
         unsigned entries;
-    } cases[] = {
-        {4, 9, 4},
-        {22, 41, 22},
-        {22, GW_SUBSET_MOST, 22},
-        {103.0 * GW_SUBSET_MOST / 180, 180, 103},
-        {0, 180, 0},
-    };
+    } cases[] = {{4, 9, 9, 4},
+                 {22, 41, 41, 22},
+                 {22.0 * 14 / 41, 41, 14, 22},
+                 {103.0 * 14 / 180, 180, 14, 103},
+                 {0, 180, 14, 0},
+                 {3, 180, 0, 3}};
 
     for (const auto &c : cases)
-        EXPECT_EQ(GwSubset_Entries(c.followers, c.engines), c.entries);
+        EXPECT_EQ(GwSubset_Entries(c.followers, c.engines, c.size), c.entries);
+}
+
+// The deployments on the users' sheets and the size to design for. Where many
+// entries see the same engines they all choose the one that seems idle; where
+// too few do, some engines get no work.
+TEST_F(SubsetTest, SomeEightEntriesFollowEachEngineOfALargeFleet)
+{
+    const struct {
+        unsigned engines, entries, size;
+    } cases[] = {{9, 4, 9},      {18, 4, 18},   {24, 100, 24},
+                 {41, 22, 14},   {38, 22, 14},  {41, 4, 41},
+                 {180, 103, 14}, {180, 95, 14}, {180, 112, 14},
+                 {180, 0, 14},   {180, 40, 31}, {3700, 380, 69}};
+
+    for (const auto &c : cases)
+        EXPECT_EQ(GwSubset_Size(c.engines, c.entries), c.size)
+            << c.engines << " " << c.entries;
 }
