--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -31,10 +31,6 @@
 #define ENTRIES_ASSUMED 8
 /* A change of waiting prompts that is worth a message: 30 ms of reading. */
 #define TELL_TOKENS 2000
-/* Between two such messages: an engine reads some 3,000 tokens in it. Sent at
- * each note of a gateway instead, their number grew with the square of the
- * gateways, as each request at an engine was told to all others at once. */
-#define TELL_WAITING_EVERY (50 * GW_MILLISECOND)
 
 typedef struct Peer {
     TAILQ_ENTRY(Peer) link;
@@ -67,8 +63,6 @@
     GwExchange exchange;
     GwTime connected_at; /* entry: to any agent */
     unsigned subset;     /* entry: engines that it follows */
-    GwTimer waiting_timer;
-    GwTime waiting_told_at;
     uint64_t told_urgent; /* changes that peers were told of */
     bool has_engine;
     char engine_id[128];
@@ -106,7 +100,7 @@
                        size_t n);
 static void take_note_(GwPeers *p, Peer *from,
                        const Gw__Wire__PrefillNote *note);
-static void tell_waiting_(void *user);
+static void tell_waiting_(GwPeers *p);
 static bool differs_(uint64_t tokens, uint64_t told);
 static bool is_earlier_(int64_t told, int64_t known);
 static Waiting all_(const GwPeers *p);
@@ -134,7 +128,6 @@
     session = session_options_(p);
     TAILQ_INIT(&p->peers);
     GwTimer_Init(&p->timer, loop, on_timer_, p);
-    GwTimer_Init(&p->waiting_timer, loop, tell_waiting_, p);
     init_exchange_(p);
     p->server = GwSessionServer_New(loop, &options->listen, &session, err);
     if (p->server == NULL) {
@@ -153,7 +146,6 @@
     if (p == NULL)
         return;
     GwTimer_Stop(&p->timer);
-    GwTimer_Stop(&p->waiting_timer);
     GwExchange_Stop(&p->exchange);
     while ((peer = TAILQ_FIRST(&p->peers)) != NULL)
         drop_(peer);
@@ -634,8 +626,6 @@
 static void
 take_note_(GwPeers *p, Peer *from, const Gw__Wire__PrefillNote *note)
 {
-    GwTime left;
-
     if (from == NULL || !p->has_engine ||
         is_earlier_(note->incarnation, p->engine.incarnation))
         return;
@@ -643,21 +633,15 @@
     from->yielding = note->yielding;
     from->yielding_memory = note->yielding_memory;
     from->long_runs = note->long_runs;
-    left = p->waiting_told_at + TELL_WAITING_EVERY - GwTime_Now();
-    if (left <= 0)
-        tell_waiting_(p);
-    else if (p->waiting_timer.place == NULL)
-        GwTimer_Start(&p->waiting_timer, left);
+    tell_waiting_(p);
 }
 
 static void
-tell_waiting_(void *user)
+tell_waiting_(GwPeers *p)
 {
-    GwPeers *p = user;
     Waiting all = all_(p);
     Peer *peer;
 
-    p->waiting_told_at = GwTime_Now();
     TAILQ_FOREACH(peer, &p->peers, link)
     {
         Waiting others = but_(&all, peer);
--- a/packages/sidecar/src/engine_cache.c
+++ b/packages/sidecar/src/engine_cache.c
@@ -4,9 +4,8 @@
 
 /* Between an answer and the next call: an engine takes some ten requests a
  * second, and each makes an event for each part that it brings and for each
- * that yields to it. They come some 80 ms late by themselves, and every entry
- * of the fleet is told of each page. */
-#define PACE (250 * GW_MILLISECOND)
+ * that yields to it. They come some 80 ms late by themselves. */
+#define PACE (60 * GW_MILLISECOND)
 
 struct GwEngineCache {
     GwEngineCacheOptions options;
