--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -61,8 +61,8 @@
     GwTime changed_at; /* entry: when the list last named another engine */
     GwAddress watched; /* agent: another agent; port 0: none */
     GwExchange exchange;
-    GwTime connected_at; /* entry: to any agent */
-    unsigned subset;     /* entry: engines that it follows */
+    GwTime connected_at;  /* entry: to any agent */
+    unsigned subset;      /* entry: engines that it follows */
     uint64_t told_urgent; /* changes that peers were told of */
     bool has_engine;
     char engine_id[128];
--- a/packages/gateway/src/choosing.c
+++ b/packages/gateway/src/choosing.c
@@ -5,7 +5,6 @@
 #include "galenagw/routing/outdated.h"
 #include "galenagw/routing/overload.h"
 #include "keepers.h"
-#include "request_load.h"
 
 /* Older weights cost nothing for 1.5 s after a new version was named. */
 #define WEIGHTS_FREE (1300 * GW_MILLISECOND)
@@ -189,7 +188,8 @@
     if (GwChoosing_CanWait(r))
         out->memory_ms =
             (double)GwOverload_MemoryWait(out->kv_used, out->prefill_tokens,
-                                          (uint64_t)GwRequestLoad_Memory(r),
+                                          (uint64_t)r->ask.prompt_tokens +
+                                              r->ask.output_tokens,
                                           out->kv_total, GW_MEMORY_CHOSEN) /
             GW_MILLISECOND;
     out->usable =
--- a/packages/routing/include/galenagw/routing/subset.h
+++ b/packages/routing/include/galenagw/routing/subset.h
@@ -22,9 +22,9 @@
 #endif
 
 /** Fleets of up to so many engines are followed whole: with 14 of 41 followed
- * by 22 entries callers were served better on one day of high load and worse on
- * calm ones, as fewer found the engine that holds their parts; the mean of five
- * days was 0.675, and 0.685 with all. */
+ * by 22 entries callers were served better on one day of high load and worse
+ * on calm ones, as fewer found the engine that holds their parts; the mean of
+ * five days was 0.675, and 0.685 with all. */
 #define GW_SUBSET_WHOLE 48
 /** Of larger ones, at least so many: with a sixth of them out for new weights
  * and a quarter lost, eight are left to choose from. */
--- a/packages/routing/src/overload.c
+++ b/packages/routing/src/overload.c
@@ -21,10 +21,10 @@
  * not at all: they are taken up to this many times their aim. */
 #define SHORT_TOKENS 4000
 #define SHORT_SHARE 3.0
-/* Prompts that were preempted are read again: a sixth of all reading under
- * overload. Without regard to memory a day of high load was worth 0.11 less.
- * Time in which an engine's runs end and have freed all of its memory: runs
- * take three seconds and more where engines also read all the time. */
+/* Time in which an engine's runs end and have freed all of its memory: runs
+ * take three seconds and more where engines also read all the time. Without
+ * regard to memory prompts are preempted and read again, a sixth of all
+ * reading under overload, and a day of high load was worth 0.11 less. */
 #define MEMORY_FREED (3 * GW_SECOND)
 /* A caller sooner back finds the same queue, one later back has lost the time
  * in which a queue of the longest kind seen (45,000 tokens) is read. */
