--- a/packages/routing/src/subset.c
+++ b/packages/routing/src/subset.c
@@ -50,7 +50,9 @@
             list[n++] =
                 (Ranked){instance, GwPlacement_Rank(self, instance->place)};
     }
-    qsort(list, n, sizeof(*list), by_rank_);
+    // An empty list has no first element to point to.
+    if (n > 0)
+        qsort(list, n, sizeof(*list), by_rank_);
     for (size_t i = 0; i < n; i++) {
         list[i].instance->followed = taken < size;
         taken += !list[i].instance->draining;
--- a/packages/routing/tests/subset_test.cc
+++ b/packages/routing/tests/subset_test.cc
@@ -72,6 +72,7 @@
 
 TEST_F(SubsetTest, AFleetThatFitsIsFollowedWhole)
 {
+    EXPECT_TRUE(Followed("edge-1").empty()) << "nothing is listed yet";
     ListAll(kSize);
     List(0, true);
     EXPECT_EQ(Followed("edge-1").size(), (size_t)kSize)
