Failed attempts tell which of them are of one content

What was missing in the timeline of the crashing request: ids are new each time it comes, so no line told that the failures at four gateways and 34 engines were of one request. attempt_failed has a digest of account, method, path and body now; it is made for failures alone.

--- a/packages/gateway/src/request_log.c
+++ b/packages/gateway/src/request_log.c
@@ -2,8 +2,10 @@
 
 #include "choosing.h"
 #include "keepers.h"
+#include "request_quarantine.h"
 
 static void log_prompt_(const GwRequest *r);
+static void log_digest_(const GwRequest *r);
 
 void
 GwRequestLog_Attempt(const GwRequest *r, const GwDispatch *dispatch)
@@ -56,6 +58,7 @@
     GwEvent_Time(log, "after_ms", now - r->sent_at);
     GwEvent_Time(log, "left_ms", r->deadline - now);
     GwEvent_Text(log, "next", GwNext_Names[next]);
+    log_digest_(r);
     GwEvent_End(log);
 }
 
@@ -131,3 +134,15 @@
                        ? GwKvStore_Kept(store, &r->ask, r->scope, GwTime_Now())
                        : 0);
 }
+
+// Ids are new with each attempt of a caller's: this tells which failures are
+// of one request that came again, at whatever gateway.
+static void
+log_digest_(const GwRequest *r)
+{
+    GwDigest digest = GwRequestQuarantine_Digest(r);
+    char text[GW_DIGEST_TEXT];
+
+    GwDigest_Text(&digest, text);
+    GwEvent_Text(r->gateway->log, "digest", text);
+}
--- /dev/null
+++ b/packages/quarantine/src/digest.c
@@ -0,0 +1,50 @@
+#include "galenagw/quarantine/digest.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+GwDigest
+GwDigest_Of(const GwDigestSource *source)
+{
+    const char *account = source->account != NULL ? source->account : "";
+    XXH64_hash_t content;
+
+    // Each part is the seed of the next one, so that bytes cannot move from
+    // one to another unseen.
+    content = XXH3_64bits(source->method, strlen(source->method));
+    content =
+        XXH3_64bits_withSeed(source->target, strlen(source->target), content);
+    content = XXH3_64bits_withSeed(source->body != NULL ? source->body : "",
+                                   source->body_len, content);
+    return (GwDigest){
+        .account = XXH3_64bits(account, strlen(account)),
+        .content = content,
+    };
+}
+
+bool
+GwDigest_Equal(const GwDigest *a, const GwDigest *b)
+{
+    return a->account == b->account && a->content == b->content;
+}
+
+void
+GwDigest_Text(const GwDigest *d, char text[GW_DIGEST_TEXT])
+{
+    g_snprintf(text, GW_DIGEST_TEXT, "%016" G_GINT64_MODIFIER "x",
+               d->account ^ d->content);
+}
+
+guint
+GwDigest_Hash(gconstpointer digest)
+{
+    const GwDigest *d = digest;
+
+    return (guint)(d->content ^ d->account);
+}
+
+gboolean
+GwDigest_EqualKeys(gconstpointer a, gconstpointer b)
+{
+    return GwDigest_Equal(a, b);
+}
