A request that ends its endpoints is sent on for ever: failing test

What callers see: each endpoint of a service ends within seconds and again when it is back, and all that was in flight there breaks.

After the third end it is sent on by every gateway, also by one that has just started; each time another endpoint ends. It fails on plain services and on engines, for what may be repeated and what may not.

--- /dev/null
+++ b/packages/gateway/tests/agent_end.h
@@ -0,0 +1,55 @@
+// A fleet whose agents are one end of the test's own.
+#ifndef GALENAGW_GATEWAY_AGENT_END_H
+#define GALENAGW_GATEWAY_AGENT_END_H
+
+#include "galenagw/cluster/peers.h"
+#include "galenagw/fakes/fleet.h"
+
+// An agent's end of the sessions that gateways open to it.
+struct AgentEnd {
+    AgentEnd()
+    {
+        GwViewOptions options = {&ops, this, nullptr, &counters};
+
+        view = GwView_New(&options);
+        StartAgent();
+        f.agent_port = port = GwPeers_Port(agent);
+        f.Configure(1);
+        f.AddEndpoint("i-1", "model");
+    }
+    ~AgentEnd()
+    {
+        GwPeers_Delete(agent);
+        GwView_Delete(view);
+    }
+    void
+    StartAgent()
+    {
+        GwPeersOptions options = {};
+        GwError err = {};
+
+        options.is_agent = true;
+        options.name = "side-1";
+        options.failure_domain = "d";
+        options.listen = {"127.0.0.1", port};
+        options.view = view;
+        options.counters = &counters;
+        agent = GwPeers_New(f.loop, &options, &err);
+        ASSERT_NE(agent, nullptr) << err.message;
+    }
+    void
+    StopAgent()
+    {
+        GwPeers_Delete(agent);
+        agent = nullptr;
+    }
+
+    Fleet f;
+    GwViewOps ops = {};
+    GwCounters counters = {};
+    GwView *view = nullptr;
+    GwPeers *agent = nullptr;
+    int port = 0;
+};
+
+#endif
--- a/packages/gateway/tests/gateway_agents_test.cc
+++ b/packages/gateway/tests/gateway_agents_test.cc
@@ -1,57 +1,8 @@
-#include "galenagw/fakes/fleet.h"
-
 #include <set>
 
-#include "galenagw/cluster/peers.h"
+#include "agent_end.h"
 #include "galenagw/routing/subset.h"
 
-// An agent's end of the sessions that gateways open to it.
-struct AgentEnd {
-    AgentEnd()
-    {
-        GwViewOptions options = {&ops, this, nullptr, &counters};
-
-        view = GwView_New(&options);
-        StartAgent();
-        f.agent_port = port = GwPeers_Port(agent);
-        f.Configure(1);
-        f.AddEndpoint("i-1", "model");
-    }
-    ~AgentEnd()
-    {
-        GwPeers_Delete(agent);
-        GwView_Delete(view);
-    }
-    void
-    StartAgent()
-    {
-        GwPeersOptions options = {};
-        GwError err = {};
-
-        options.is_agent = true;
-        options.name = "side-1";
-        options.failure_domain = "d";
-        options.listen = {"127.0.0.1", port};
-        options.view = view;
-        options.counters = &counters;
-        agent = GwPeers_New(f.loop, &options, &err);
-        ASSERT_NE(agent, nullptr) << err.message;
-    }
-    void
-    StopAgent()
-    {
-        GwPeers_Delete(agent);
-        agent = nullptr;
-    }
-
-    Fleet f;
-    GwViewOps ops = {};
-    GwCounters counters = {};
-    GwView *view = nullptr;
-    GwPeers *agent = nullptr;
-    int port = 0;
-};
-
 // Callers of a gateway that has just started get 503 from engine after engine:
 // new weights are named, each agent tells the gateways that it hears that its
 // engine stops, and orders the load 260 ms later. The gateway knew the engines
--- /dev/null
+++ b/packages/gateway/tests/gateway_quarantine_test.cc
@@ -0,0 +1,126 @@
+#include "agent_end.h"
+
+extern "C" {
+#include "gateway_private.h"
+}
+
+// Account acme's request with this body ends the process that runs it.
+static const char kFatal[] = "ends its endpoint";
+
+// Four gateways, and endpoints of one service in three failure domains.
+struct FatalFleet {
+    FatalFleet(const char *service, int n)
+    {
+        a.f.RemoveEndpoint(a.f.endpoints[0].get());
+        for (int i = 0; i < n; i++) {
+            std::string id = std::string(service) + std::to_string(i);
+            std::string domain = "d" + std::to_string(i % 3);
+            Endpoint *e =
+                a.f.AddEndpoint(id.c_str(), service, false, domain.c_str());
+
+            e->serve = [this](Endpoint *at, FakeExchange *x) { Serve(at, x); };
+        }
+        for (int i = 0; i < 4; i++)
+            a.f.AddGateway(("gateway-" + std::to_string(i)).c_str());
+    }
+    void
+    Serve(Endpoint *at, FakeExchange *x)
+    {
+        if (at->bodies.back() != kFatal ||
+            Endpoint::Header(x, "X-Tenant-Id") != "acme")
+            Endpoint::Answer(x, 200, at->id);
+        else
+            End(at);
+    }
+    // Its connections are reset, and its port is closed.
+    void
+    End(Endpoint *at)
+    {
+        ended++;
+        FakeHttpd_Delete(at->httpd);
+        at->httpd = nullptr;
+        if (at->service == "model")
+            down.push_back(at->id);
+    }
+    // The agents beside engines find out with their next report.
+    void
+    TellDown()
+    {
+        for (const std::string &id : down) {
+            GwEngineState state = {};
+
+            state.instance = id.c_str();
+            state.weights = 1;
+            state.down = true;
+            GwPeers_TellEngine(a.agent, &state);
+        }
+        down.clear();
+        a.f.Wait(20 * GW_MILLISECOND);
+    }
+    // @return the status of the answer; 0: there was none
+    int
+    Ask(GwGateway *g, const char *path, const std::string &body = kFatal,
+        const char *key = "key")
+    {
+        std::string text = Fleet::Request("POST", path, body);
+        std::string before = "X-Key: key";
+
+        text.replace(text.find(before), before.size(),
+                     std::string("X-Key: ") + key);
+        last = a.f.Call(g, text);
+        EXPECT_TRUE(a.f.Until([&] { return last->Has(1) || last->closed; }));
+        TellDown();
+        return last->Status();
+    }
+
+    AgentEnd a;
+    std::vector<std::string> down;
+    std::shared_ptr<Caller> last;
+    int ended = 0;
+};
+
+// What callers see: every endpoint of a service ends within seconds, and again
+// when it is back, and all that was in flight there breaks. One request ends
+// each endpoint that runs it, and comes again with the same path, account and
+// body, at any gateway. Its id is new each time, so it was a request like any
+// other; the retry budget bounds the repeats of a service, not of a request.
+// In the incident 34 engines ended under one.
+TEST(GatewayQuarantine, ARequestThatEndsItsEndpointsIsNotSentOnForEver)
+{
+    const struct {
+        const char *service, *path;
+    } cases[] = {{"plain", "/plain/1"},
+                 {"plain", "/once/1"},
+                 {"model", "/resume/1"},
+                 {"model", "/stream/1"}};
+
+    for (const auto &c : cases) {
+        FatalFleet t(c.service, 24);
+        Fleet &f = t.a.f;
+
+        SCOPED_TRACE(c.path);
+        ASSERT_TRUE(f.Ready());
+        for (int i = 0; t.ended < 3 && i < 12; i++)
+            t.Ask(f.gateways[i % f.gateways.size()], c.path);
+        ASSERT_GE(t.ended, 3);
+        f.Wait(GW_SECOND);
+        t.ended = 0;
+        f.AddGateway("new");
+        ASSERT_TRUE(f.Ready());
+        for (int round = 0; round < 2; round++) {
+            for (GwGateway *g : f.gateways)
+                t.Ask(g, c.path);
+        }
+        // As many as an answer that was lost on its way may cost.
+        EXPECT_LE(t.ended, 3);
+        t.ended = 0;
+        for (GwGateway *g : f.gateways) {
+            EXPECT_EQ(t.Ask(g, c.path), 503) << "it has not run";
+            EXPECT_NE(t.last->Header("Retry-After"), "");
+            EXPECT_EQ(t.Ask(g, c.path, "another body"), 200);
+            EXPECT_EQ(t.Ask(g, c.path, kFatal, "try"), 200)
+                << "another account";
+        }
+        EXPECT_EQ(t.ended, 0);
+    }
+}
