--- a/packages/base/include/galenagw/base/reason.h
+++ b/packages/base/include/galenagw/base/reason.h
@@ -52,6 +52,7 @@
     GW_REFUSAL_SLOW_REQUEST,      /**< Head or body came too slowly. */
     GW_REFUSAL_BUFFERS_FULL,      /**< No memory left for its body. */
     GW_REFUSAL_DEFERRED,          /**< It can wait, and engines are full. */
+    GW_REFUSAL_QUARANTINED,       /**< Endpoints ended under it. */
     GW_REFUSALS
 } GwRefusal;
 
--- a/packages/base/src/counters.c
+++ b/packages/base/src/counters.c
@@ -26,7 +26,7 @@
     "resumed",          "spilled",
     "records_asked",    "records_told_bytes",
     "bytes_from_peers", "records_unreadable",
-    "restarts_seen",
+    "restarts_seen",    "ends_seen",
 };
 
 const char *const GwHistogram_Names[GW_HISTOGRAMS] = {
--- a/packages/base/src/reason.c
+++ b/packages/base/src/reason.c
@@ -32,6 +32,7 @@
     "slow_request",
     "buffers_full",
     "deferred",
+    "quarantined",
 };
 
 typedef struct {
@@ -85,6 +86,10 @@
     [GW_REFUSAL_DEFERRED] = {503, "the engines have more to read than can "
                                   "start in time; come back after "
                                   "Retry-After"},
+    [GW_REFUSAL_QUARANTINED] = {503, "one endpoint after the other ended "
+                                     "under this request; it is not sent "
+                                     "before Retry-After: change it, or "
+                                     "report it to the operator"},
     [GW_REFUSAL_BUFFERS_FULL] = {503, "too many large bodies are in flight; "
                                       "come back after Retry-After"},
 };
--- a/packages/cluster/include/galenagw/cluster/peers.h
+++ b/packages/cluster/include/galenagw/cluster/peers.h
@@ -14,6 +14,7 @@
 #include "galenagw/cluster/store_reader.h"
 #include "galenagw/cluster/view.h"
 #include "galenagw/net/loop.h"
+#include "galenagw/quarantine/quarantine_words.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -50,6 +51,9 @@
     GwCounters *counters;
     /** Entry: an agent's engine has stopped answering; or NULL. */
     void (*on_engine_down)(void *user, GwInstance *instance);
+    GwQuarantine *quarantine; /**< fed and told to peers; or NULL */
+    /** A peer tells that an endpoint has ended; or NULL. */
+    void (*on_endpoint_ended)(void *user, const GwEndpointEnd *end);
     void *user;
 } GwPeersOptions;
 
@@ -91,6 +95,8 @@
  * learns of it in a fraction of a second instead of a heartbeat for each hop.
  */
 void GwPeers_TellNews(GwPeers *peers);
+/** Tell all peers what this process has found out. */
+void GwPeers_TellQuarantine(GwPeers *peers, const GwQuarantineNews *news);
 /**
  * How many processes follow the store and tell each other news, this one too:
  * entries and agents; 1 while it is connected to none of them.
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -82,6 +82,8 @@
 static void on_ready_(void *user, GwSession *session,
                       const Gw__Wire__Hello *hello);
 static void on_frame_(void *user, GwSession *session, const GwFrame *frame);
+static void on_quarantine_(void *user, GwSession *from,
+                           const GwQuarantineNews *news);
 static void on_revision_(void *user, GwSession *session, uint64_t revision);
 static void on_closed_(void *user, GwSession *session, bool silent);
 static void forget_advice_(GwPeers *p, const Peer *peer);
@@ -289,6 +291,12 @@
     GwSession_Ping(peer->session);
 }
 
+void
+GwPeers_TellQuarantine(GwPeers *p, const GwQuarantineNews *news)
+{
+    on_quarantine_(p, NULL, news);
+}
+
 unsigned
 GwPeers_Sharers(const GwPeers *p)
 {
@@ -357,6 +365,8 @@
     }
     if (peer->is_entry)
         tell_kept_(p, peer, NULL, 0);
+    if (p->options.quarantine != NULL)
+        GwQuarantineWords_SendAll(session, p->options.quarantine);
 }
 
 static void
@@ -365,6 +375,10 @@
     GwPeers *p = user;
     Peer *peer = find_(p, session);
 
+    if (p->options.quarantine != NULL &&
+        GwQuarantineWords_Take(p->options.quarantine, session, frame,
+                               on_quarantine_, p))
+        return;
     switch (frame->body_case) {
     case GW__WIRE__FRAME__BODY_RECORDS_ASK:
         if (peer != NULL)
@@ -394,6 +408,24 @@
     }
 }
 
+// Passed on to all but the one that told it: entries and agents are connected
+// to each other and not among themselves, so a word goes from one entry by its
+// agents to the rest.
+static void
+on_quarantine_(void *user, GwSession *from, const GwQuarantineNews *news)
+{
+    GwPeers *p = user;
+    Peer *peer;
+
+    TAILQ_FOREACH(peer, &p->peers, link)
+    {
+        if (peer->session != from && GwSession_IsReady(peer->session))
+            GwQuarantineWords_Send(peer->session, news);
+    }
+    if (from != NULL && news->is_end && p->options.on_endpoint_ended != NULL)
+        p->options.on_endpoint_ended(p->options.user, &news->end);
+}
+
 static void
 on_revision_(void *user, GwSession *session, uint64_t revision)
 {
--- a/packages/cluster/tests/session_ends.h
+++ b/packages/cluster/tests/session_ends.h
@@ -24,6 +24,7 @@
             GwViewOptions options = {&ops, this, nullptr, &side->counters};
 
             side->view = GwView_New(&options);
+            side->quarantine = GwQuarantine_New(&nothing_);
         }
         agent.is_agent = true;
         agent.name = "side-1";
@@ -32,6 +33,8 @@
         entry.listen = any;
         agent.view = agent_.view;
         entry.view = entry_.view;
+        agent.quarantine = agent_.quarantine;
+        entry.quarantine = entry_.quarantine;
         agent.counters = &agent_.counters;
         entry.counters = &entry_.counters;
         agent_.peers = GwPeers_New(f.loop, &agent, &err);
@@ -47,11 +50,13 @@
         for (Side *side : {&agent_, &entry_}) {
             GwPeers_Delete(side->peers);
             GwView_Delete(side->view);
+            GwQuarantine_Delete(side->quarantine);
         }
     }
     struct Side {
         GwView *view = nullptr;
         GwPeers *peers = nullptr;
+        GwQuarantine *quarantine = nullptr;
         GwCounters counters = {};
     };
     void
@@ -88,6 +93,7 @@
     }
 
     Fleet f;
+    GwQuarantineOptions nothing_ = {};
     Side agent_, entry_;
     int64_t offset_ = 0;
 };
--- /dev/null
+++ b/packages/gateway/src/ends.c
@@ -0,0 +1,186 @@
+#include "ends.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+static uint64_t endpoint_(const GwInstance *instance);
+static GwEndpointEnd end_of_(const GwGateway *g, const GwInstance *instance);
+static void report_(GwGateway *g, GwEndpointEnd *end, const GArray *requests,
+                    const char *why);
+static void log_(GwGateway *g, const GwEndpointEnd *end, const char *why);
+
+void
+GwEnds_OnChanged(void *user, const GwDigest *request, unsigned ends,
+                 bool quarantined)
+{
+    GwGateway *g = user;
+    char text[GW_DIGEST_TEXT];
+
+    GwDigest_Text(request, text);
+    GwEvent_Begin(g->log,
+                  quarantined ? "request_quarantined" : "request_released",
+                  NULL);
+    GwEvent_Text(g->log, "digest", text);
+    GwEvent_Number(g->log, "ends", ends);
+    GwEvent_End(g->log);
+}
+
+// An endpoint with all its connections taken refuses too, but answers what it
+// has: ours are in flight there.
+void
+GwEnds_OnRefused(void *user, GwUpstreamPool *pool)
+{
+    GwGateway *g = user;
+    const GPtrArray *all = GwInstances_All(GwView_Instances(g->view));
+
+    for (guint i = 0; i < all->len; i++) {
+        const GwInstance *instance = g_ptr_array_index(all, i);
+
+        if (instance->user == pool && instance->in_flight == 0)
+            GwEnds_Ended(g, instance, "refused");
+    }
+}
+
+void
+GwEnds_Broke(GwGateway *g, const GwInstance *instance, const GwDigest *request)
+{
+    uint64_t endpoint = endpoint_(instance);
+    GwTime now = GwTime_Now();
+    GwTime ended_at = GwQuarantine_EndedAt(g->quarantine, endpoint);
+
+    // One that leaves may end with what it still runs.
+    if (instance->leaving)
+        return;
+    GwBreaks_Add(g->breaks, endpoint, request, now);
+    // Its agent, or a peer, was sooner than the end of this connection.
+    if (ended_at != 0 && now - ended_at < GW_BREAKS_MEMORY)
+        GwEnds_Ended(g, instance, "told");
+    // Else nobody may tell for seconds: plain endpoints have no agent, and the
+    // list drops who is gone after three heartbeats.
+    else
+        GwUpstreamPool_Check(instance->user);
+}
+
+void
+GwEnds_Ended(GwGateway *g, const GwInstance *instance, const char *why)
+{
+    GwEndpointEnd end = end_of_(g, instance);
+    g_autoptr(GArray) requests = NULL;
+
+    if (instance->leaving)
+        return;
+    requests = GwBreaks_Take(g->breaks, end.endpoint, GwTime_Now(), &end.at);
+    report_(g, &end, requests, why);
+}
+
+// Rows lapse for other reasons too: an end of which nothing broke is none.
+void
+GwEnds_Removed(GwGateway *g, const GwInstance *instance)
+{
+    GwEndpointEnd end = end_of_(g, instance);
+    g_autoptr(GArray) requests =
+        GwBreaks_Take(g->breaks, end.endpoint, GwTime_Now(), &end.at);
+
+    if (requests->len > 0 && !instance->leaving)
+        report_(g, &end, requests, "removed");
+}
+
+// What broke here, though nothing but a peer's word tells why.
+void
+GwEnds_Told(GwGateway *g, const GwEndpointEnd *told)
+{
+    GwEndpointEnd end = *told;
+    GwTime at;
+    g_autoptr(GArray) requests =
+        GwBreaks_Take(g->breaks, end.endpoint, GwTime_Now(), &at);
+
+    log_(g, told, "peer");
+    if (requests->len > 0)
+        report_(g, &end, requests, "told");
+}
+
+void
+GwEnds_Sound(GwGateway *g, const GwDigest *request)
+{
+    GwTime now = GwTime_Now();
+    GwQuarantineNews news = {.sound = *request, .sound_at = now};
+
+    if (GwQuarantine_TakeSound(g->quarantine, request, now, now))
+        GwPeers_TellQuarantine(g->peers, &news);
+}
+
+static uint64_t
+endpoint_(const GwInstance *instance)
+{
+    return MAX(XXH3_64bits_withSeed(instance->id, strlen(instance->id),
+                                    (XXH64_hash_t)instance->incarnation),
+               1);
+}
+
+static GwEndpointEnd
+end_of_(const GwGateway *g, const GwInstance *instance)
+{
+    const GPtrArray *pool =
+        GwInstances_Of(GwView_Instances(g->view), instance->service);
+    GwEndpointEnd end = {
+        .endpoint = endpoint_(instance),
+        .group = XXH3_64bits_withSeed(
+            instance->service, strlen(instance->service), instance->domain),
+        .group_size = 1,
+        .at = GwTime_Now(),
+    };
+
+    for (guint i = 0; pool != NULL && i < pool->len; i++) {
+        const GwInstance *other = g_ptr_array_index(pool, i);
+
+        end.group_size +=
+            other != instance && other->domain == instance->domain;
+    }
+    return end;
+}
+
+static void
+report_(GwGateway *g, GwEndpointEnd *end, const GArray *requests,
+        const char *why)
+{
+    g_autofree GwDigest *fresh = g_new(GwDigest, requests->len);
+    GwQuarantineNews news;
+    bool is_news;
+
+    end->requests = (const GwDigest *)(const void *)requests->data;
+    end->n = MIN(requests->len, GW_QUARANTINE_END_MAX);
+    news = (GwQuarantineNews){.is_end = true, .end = *end};
+    news.end.n = GwQuarantine_TakeEnd(g->quarantine, end, GwTime_Now(), fresh,
+                                      &is_news);
+    news.end.requests = fresh;
+    if (!is_news && news.end.n == 0)
+        return;
+    GwCounters_Add(&g->counters, GW_COUNTER_ENDS_SEEN, is_news);
+    log_(g, &news.end, why);
+    GwPeers_TellQuarantine(g->peers, &news);
+}
+
+static void
+log_(GwGateway *g, const GwEndpointEnd *end, const char *why)
+{
+    const GPtrArray *all = GwInstances_All(GwView_Instances(g->view));
+    const GwInstance *known = NULL;
+    char text[GW_DIGEST_TEXT];
+
+    for (guint i = 0; i < all->len && known == NULL; i++) {
+        const GwInstance *instance = g_ptr_array_index(all, i);
+
+        if (endpoint_(instance) == end->endpoint)
+            known = instance;
+    }
+
+    g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x",
+               end->endpoint);
+    GwEvent_Begin(g->log, "endpoint_ended", NULL);
+    GwEvent_Text(g->log, "endpoint", text);
+    // A peer may know it before or after us.
+    GwEvent_Text(g->log, "instance", known != NULL ? known->id : "");
+    GwEvent_Text(g->log, "why", why);
+    GwEvent_Number(g->log, "requests", (int64_t)end->n);
+    GwEvent_End(g->log);
+}
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "galenagw/adapter/messages.h"
+#include "ends.h"
 #include "galenagw/http/metrics.h"
 #include "gateway_private.h"
 #include "request.h"
@@ -28,6 +29,7 @@
 static void on_instance_restarted_(void *user, GwInstance *before,
                                    GwInstance *after);
 static void on_engine_down_(void *user, GwInstance *instance);
+static void on_endpoint_ended_(void *user, const GwEndpointEnd *end);
 static void on_call_(void *user, GwHttpCall *call);
 static void on_gone_(void *user, GwHttpCall *call);
 static void on_drained_(void *user, GwHttpCall *call);
@@ -60,6 +62,8 @@
                           .user = g,
                           .log = options->log,
                           .counters = &g->counters};
+    GwQuarantineOptions quarantine = {.on_changed = GwEnds_OnChanged,
+                                      .user = g};
 
     g->loop = loop;
     g->log = options->log;
@@ -71,6 +75,8 @@
     TAILQ_INIT(&g->requests);
     g->budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    g->quarantine = GwQuarantine_New(&quarantine);
+    g->breaks = GwBreaks_New();
     g->rand = g_rand_new();
     g->kv_stores = GwKvStores_New(loop, g->log, g->rand);
     GwTimer_Init(&g->drain_timer, loop, on_drain_timer_, g);
@@ -95,11 +101,13 @@
     GwHttpServer_Delete(g->callers_server);
     GwHttpServer_Delete(g->readiness_server);
     GwHttpServer_Delete(g->metrics_server);
-    GwPeers_Delete(g->peers);
+    GwPeers_Delete(g_steal_pointer(&g->peers));
     GwStoreReader_Delete(g->reader);
     GwView_Delete(g->view);
     GwKvStores_Delete(g->kv_stores);
     g_hash_table_unref(g->budgets);
+    GwQuarantine_Delete(g->quarantine);
+    GwBreaks_Delete(g->breaks);
     g_rand_free(g->rand);
     g_free(g->name);
     g_free(g->failure_domain);
@@ -191,9 +199,15 @@
 on_instance_added_(void *user, GwInstance *instance)
 {
     GwGateway *g = user;
+    GwUpstreamPoolOptions options = {
+        .loop = g->loop,
+        .address = instance->address,
+        .counters = &g->counters,
+        .on_refused = GwEnds_OnRefused,
+        .user = g,
+    };
 
-    instance->user =
-        GwUpstreamPool_New(g->loop, &instance->address, &g->counters);
+    instance->user = GwUpstreamPool_New(&options);
     if (instance->model != NULL && g->peers != NULL)
         GwPeers_ListChanged(g->peers);
 }
@@ -201,7 +215,12 @@
 static void
 on_instance_freed_(void *user, GwInstance *instance)
 {
+    GwGateway *g = user;
+
     GwUpstreamPool_Delete(instance->user);
+    // At our own end all are freed.
+    if (g->peers != NULL)
+        GwEnds_Removed(g, instance);
 }
 
 // What waits at the earlier life goes with it; see leave_silent_.
@@ -211,6 +230,7 @@
     GwGateway *g = user;
 
     GwUpstreamPool_CloseIdle(before->user);
+    GwEnds_Ended(g, before, "restarted");
     GwPeers_NoteLoad(g->peers, after);
 }
 
@@ -218,6 +238,13 @@
 on_engine_down_(void *user, GwInstance *instance)
 {
     GwRequest_EndpointLost(user, instance, true);
+    GwEnds_Ended(user, instance, "down");
+}
+
+static void
+on_endpoint_ended_(void *user, const GwEndpointEnd *end)
+{
+    GwEnds_Told(user, end);
 }
 
 static void
@@ -288,6 +315,7 @@
     if (g->log != NULL)
         GwEventLog_Flush(g->log);
     leave_silent_(g);
+    GwQuarantine_Sweep(g->quarantine, GwTime_Now());
     GwPeers_TellNews(g->peers);
     GwKvStores_SetFollowers(g->kv_stores, entries);
     GwStoreReader_SetInstancesPause(
@@ -368,6 +396,8 @@
         .log = g->log,
         .counters = &g->counters,
         .on_engine_down = on_engine_down_,
+        .quarantine = g->quarantine,
+        .on_endpoint_ended = on_endpoint_ended_,
         .user = g,
     };
 
--- a/packages/gateway/src/gateway_private.h
+++ b/packages/gateway/src/gateway_private.h
@@ -10,6 +10,7 @@
 #include "galenagw/cluster/view.h"
 #include "galenagw/gateway/options.h"
 #include "galenagw/http/server.h"
+#include "galenagw/quarantine/breaks.h"
 #include "galenagw/routing/budget.h"
 #include "galenagw/routing/placement.h"
 
@@ -40,6 +41,8 @@
     GwHttpServer *metrics_server;
 
     GHashTable *budgets; /* service to GwBudget */
+    GwQuarantine *quarantine;
+    GwBreaks *breaks;
     GwKvStores *kv_stores;
     GRand *rand;
     GwCounters counters;
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -4,6 +4,7 @@
 #include "request_end.h"
 #include "request_leave.h"
 #include "request_log.h"
+#include "request_quarantine.h"
 #include "request_refusal.h"
 
 static GwRequest *new_(GwGateway *g, GwHttpCall *call);
@@ -32,6 +33,11 @@
         GwRequestRefusal_Answer(r, GW_REFUSAL_DEADLINE);
         return;
     }
+    r->retry_after = GwRequestQuarantine_Left(r);
+    if (r->retry_after > 0) {
+        GwRequestRefusal_Answer(r, GW_REFUSAL_QUARANTINED);
+        return;
+    }
     GwTimer_Start(&r->timer, r->deadline - GwTime_Now());
     GwBudget_AddRequest(GwGateway_Budget(r->gateway, r->service),
                         &r->gateway->budget_bound, GwTime_Now());
--- a/packages/gateway/src/request_answer.c
+++ b/packages/gateway/src/request_answer.c
@@ -6,6 +6,7 @@
 #include "request_end.h"
 #include "request_load.h"
 #include "request_log.h"
+#include "request_quarantine.h"
 
 /* An answer of up to so many bytes is held until it is whole, so that a cut
  * one can still be made good elsewhere, or be told from a whole one. */
@@ -74,6 +75,7 @@
     GwHistogram_Record(
         &r->gateway->counters.histograms[GW_HISTOGRAM_FORWARD_WHOLE],
         (uint64_t)(GwTime_Now() - r->arrived));
+    GwRequestQuarantine_Answered(r);
     GwRequestLog_End(r, "answered", r->reply.status);
     GwRequestEnd_LeaveInstance(r);
     GwRequestEnd_Done(r);
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -3,12 +3,14 @@
 #include <string.h>
 
 #include "choosing.h"
+#include "ends.h"
 #include "galenagw/routing/overload.h"
 #include "keepers.h"
 #include "request_answer.h"
 #include "request_end.h"
 #include "request_load.h"
 #include "request_log.h"
+#include "request_quarantine.h"
 #include "request_refusal.h"
 #include "request_watch.h"
 
@@ -69,7 +71,8 @@
         .is_events = r->is_events,
         .time_left = left > GW_LEAST_ATTEMPT,
         .sends_left = r->sends < MAX(r->route->max_attempts, 1),
-        .elsewhere = GwChoosing_HasAlternative(r),
+        .elsewhere = GwChoosing_HasAlternative(r) &&
+                     GwRequestQuarantine_MayRepeat(r, fate),
     };
 
     facts.budget_left =
@@ -204,8 +207,10 @@
     r->has_reply = true;
     r->heard_at = GwTime_Now();
     if (r->reply.not_run && r->reply.instance_id != NULL &&
-        strcmp(r->reply.instance_id, r->instance->id) != 0)
+        strcmp(r->reply.instance_id, r->instance->id) != 0) {
         GwInstance_SetReplaced(r->instance);
+        GwEnds_Ended(r->gateway, r->instance, "replaced");
+    }
     // Borrowed from the head, which goes.
     r->reply.instance_id = NULL;
     if (r->reply.weights >= 0)
@@ -240,7 +245,10 @@
         GwRequestAnswer_Complete(r);
         return;
     }
-    if (end == GW_UPSTREAM_NOT_SENT) {
+    if (end == GW_UPSTREAM_NOT_SENT || end == GW_UPSTREAM_REFUSED) {
+        // This one is all that is in flight there; see GwEnds_OnRefused.
+        if (end == GW_UPSTREAM_REFUSED && instance->in_flight == 1)
+            GwEnds_Ended(r->gateway, instance, "refused");
         r->sends--;
         GwHealth_Note(&instance->health, GW_HEALTH_UNREACHABLE, now);
         GwRequestAttempt_Failed(r, GW_ATTEMPT_NOT_SENT, "unreachable");
@@ -251,6 +259,8 @@
     }
     else {
         GwHealth_Note(&instance->health, GW_HEALTH_BROKEN, now);
+        if (end == GW_UPSTREAM_BROKEN || !r->has_reply)
+            GwRequestQuarantine_Broke(r);
         GwRequestAttempt_Failed(r, GW_ATTEMPT_MAY_HAVE_RUN,
                                 end == GW_UPSTREAM_BROKEN ? "broken"
                                                           : "unsigned");
--- a/packages/gateway/src/request_quarantine.c
+++ b/packages/gateway/src/request_quarantine.c
@@ -1,5 +1,11 @@
 #include "request_quarantine.h"
 
+#include "ends.h"
+
+/* Ends under a request from which on one attempt is all that it gets: the next
+ * one decides, and a repeat at once would end one endpoint more. */
+#define ENDS_WITHOUT_REPEAT (GW_QUARANTINE_ENDS - 1)
+
 GwDigest
 GwRequestQuarantine_Digest(const GwRequest *r)
 {
@@ -13,3 +19,49 @@
 
     return GwDigest_Of(&source);
 }
+
+GwTime
+GwRequestQuarantine_Left(const GwRequest *r)
+{
+    const GwQuarantine *q = r->gateway->quarantine;
+    GwDigest digest;
+
+    if (GwQuarantine_IsEmpty(q))
+        return 0;
+    digest = GwRequestQuarantine_Digest(r);
+    return GwQuarantine_Left(q, &digest, GwTime_Now());
+}
+
+void
+GwRequestQuarantine_Broke(GwRequest *r)
+{
+    GwDigest digest = GwRequestQuarantine_Digest(r);
+
+    GwEnds_Broke(r->gateway, r->instance, &digest);
+}
+
+void
+GwRequestQuarantine_Answered(GwRequest *r)
+{
+    GwDigest digest;
+
+    if (GwQuarantine_IsEmpty(r->gateway->quarantine))
+        return;
+    digest = GwRequestQuarantine_Digest(r);
+    GwEnds_Sound(r->gateway, &digest);
+}
+
+bool
+GwRequestQuarantine_MayRepeat(const GwRequest *r, GwAttemptFate fate)
+{
+    const GwQuarantine *q = r->gateway->quarantine;
+    GwDigest digest;
+
+    if (GwQuarantine_IsEmpty(q))
+        return true;
+    digest = GwRequestQuarantine_Digest(r);
+    if (GwQuarantine_Left(q, &digest, GwTime_Now()) > 0)
+        return false;
+    return fate != GW_ATTEMPT_MAY_HAVE_RUN ||
+           GwQuarantine_Ends(q, &digest) < ENDS_WITHOUT_REPEAT;
+}
--- a/packages/gateway/src/request_refusal.c
+++ b/packages/gateway/src/request_refusal.c
@@ -66,6 +66,9 @@
     double wanted = RETRY_SOON_S;
     double share;
 
+    // Sooner it is only refused again, however little time is left.
+    if (refusal == GW_REFUSAL_QUARANTINED)
+        return (double)r->retry_after / GW_SECOND;
     if (refusal == GW_REFUSAL_DEFERRED)
         wanted = (double)r->retry_after / GW_SECOND;
     else if (refusal == GW_REFUSAL_NO_CONFIG)
--- a/packages/gateway/src/upstream.c
+++ b/packages/gateway/src/upstream.c
@@ -27,6 +27,7 @@
     const GwUpstreamOps *ops;
     void *user; /* NULL ops: idle */
     bool open;
+    bool is_check; /* shows, once it is open, that the endpoint listens */
     bool has_no_body;
     bool skipping;
     bool keep;
@@ -38,9 +39,8 @@
 };
 
 struct GwUpstreamPool {
-    GwLoop *loop;
-    GwAddress address;
-    GwCounters *counters;
+    GwUpstreamPoolOptions options;
+    bool is_checked; /* a check is under way */
     unsigned open;
     TAILQ_HEAD(Upstreams, GwUpstream) idle; /* newest first */
     struct Upstreams busy;
@@ -49,6 +49,7 @@
 const char *const GwUpstreamEnd_Names[GW_UPSTREAM_ENDS] = {
     [GW_UPSTREAM_COMPLETE] = "complete",
     [GW_UPSTREAM_NOT_SENT] = "not_sent",
+    [GW_UPSTREAM_REFUSED] = "refused",
     [GW_UPSTREAM_BROKEN] = "broken",
 };
 
@@ -56,6 +57,7 @@
 static GwUpstream *open_(GwUpstreamPool *pool);
 static void free_(GwUpstream *u);
 static void release_(GwUpstream *u);
+static void end_check_(GwUpstream *u);
 static void read_(GwUpstream *u, const char *data, size_t len);
 static void on_connect_timeout_(void *user);
 static void on_open_(void *user);
@@ -69,14 +71,11 @@
 static const GwHttpReaderOps reader_ops = {on_head_, on_body_};
 
 GwUpstreamPool *
-GwUpstreamPool_New(GwLoop *loop, const GwAddress *address,
-                   GwCounters *counters)
+GwUpstreamPool_New(const GwUpstreamPoolOptions *options)
 {
     GwUpstreamPool *pool = g_new0(GwUpstreamPool, 1);
 
-    pool->loop = loop;
-    pool->address = *address;
-    pool->counters = counters;
+    pool->options = *options;
     TAILQ_INIT(&pool->idle);
     TAILQ_INIT(&pool->busy);
     return pool;
@@ -99,6 +98,20 @@
         free_(TAILQ_FIRST(&pool->idle));
 }
 
+void
+GwUpstreamPool_Check(GwUpstreamPool *pool)
+{
+    GwUpstream *u;
+
+    if (pool->is_checked)
+        return;
+    u = open_(pool);
+    u->is_check = true;
+    u->idle_since = GwTime_Now();
+    pool->is_checked = true;
+    TAILQ_INSERT_HEAD(&pool->idle, u, link);
+}
+
 unsigned
 GwUpstreamPool_Open(const GwUpstreamPool *pool)
 {
@@ -111,7 +124,7 @@
     GwUpstream *u = take_idle_(pool, options->may_repeat);
 
     if (u != NULL)
-        GwCounters_Add(pool->counters, GW_COUNTER_UPSTREAM_REUSED, 1);
+        GwCounters_Add(pool->options.counters, GW_COUNTER_UPSTREAM_REUSED, 1);
     else
         u = open_(pool);
     TAILQ_INSERT_TAIL(&pool->busy, u, link);
@@ -187,11 +200,12 @@
     u->pool = pool;
     u->reader = GwHttpReader_New(&options);
     u->idle_limit = IDLE_UNTOLD;
-    GwTimer_Init(&u->timer, pool->loop, on_connect_timeout_, u);
+    GwTimer_Init(&u->timer, pool->options.loop, on_connect_timeout_, u);
     GwTimer_Start(&u->timer, CONNECT_TIMEOUT);
-    u->tcp = GwTcp_Connect(pool->loop, &pool->address, &tcp_ops, u);
+    u->tcp =
+        GwTcp_Connect(pool->options.loop, &pool->options.address, &tcp_ops, u);
     pool->open++;
-    GwCounters_Add(pool->counters, GW_COUNTER_UPSTREAM_OPENED, 1);
+    GwCounters_Add(pool->options.counters, GW_COUNTER_UPSTREAM_OPENED, 1);
     return u;
 }
 
@@ -201,6 +215,7 @@
 {
     TAILQ_REMOVE(&u->pool->idle, u, link);
     u->pool->open--;
+    end_check_(u);
     u->dead = true;
     u->ops = NULL;
     GwTimer_Stop(&u->timer);
@@ -210,6 +225,14 @@
         release_(u);
 }
 
+static void
+end_check_(GwUpstream *u)
+{
+    if (u->is_check)
+        u->pool->is_checked = false;
+    u->is_check = false;
+}
+
 static void
 release_(GwUpstream *u)
 {
@@ -236,6 +259,7 @@
     GwUpstream *u = user;
 
     u->open = true;
+    end_check_(u);
     GwTimer_Stop(&u->timer);
     if (u->request == NULL)
         return;
@@ -287,6 +311,8 @@
 on_closed_(void *user, GwTcpEnd end)
 {
     GwUpstream *u = user;
+    GwUpstreamPool *pool = u->pool;
+    bool refused = u->is_check && !u->open;
     bool whole = false;
 
     u->tcp = NULL;
@@ -300,9 +326,11 @@
     else if (whole)
         end_(u, GW_UPSTREAM_COMPLETE, false);
     else
-        end_(u, u->open ? GW_UPSTREAM_BROKEN : GW_UPSTREAM_NOT_SENT, false);
+        end_(u, u->open ? GW_UPSTREAM_BROKEN : GW_UPSTREAM_REFUSED, false);
     if (--u->depth == 0 && u->dead)
         release_(u);
+    if (refused)
+        pool->options.on_refused(pool->options.user, pool);
 }
 
 static bool
--- a/packages/gateway/src/upstream.h
+++ b/packages/gateway/src/upstream.h
@@ -19,7 +19,8 @@
 /* How the answer ended. */
 typedef enum {
     GW_UPSTREAM_COMPLETE = 0,
-    GW_UPSTREAM_NOT_SENT, /* no connection */
+    GW_UPSTREAM_NOT_SENT, /* no connection came about in time */
+    GW_UPSTREAM_REFUSED,  /* nothing listens there */
     GW_UPSTREAM_BROKEN,   /* sent; the answer is missing or cut */
     GW_UPSTREAM_ENDS
 } GwUpstreamEnd;
@@ -41,11 +42,22 @@
     void *user;
 } GwUpstreamOptions;
 
-GwUpstreamPool *GwUpstreamPool_New(GwLoop *loop, const GwAddress *address,
-                                   GwCounters *counters);
+typedef struct {
+    GwLoop *loop;
+    GwAddress address;
+    GwCounters *counters;
+    /* Nothing listens there, as a Check has found. */
+    void (*on_refused)(void *user, GwUpstreamPool *pool);
+    void *user;
+} GwUpstreamPoolOptions;
+
+GwUpstreamPool *GwUpstreamPool_New(const GwUpstreamPoolOptions *options);
 void GwUpstreamPool_Delete(GwUpstreamPool *pool);
 /* Its endpoint has ended: no idle connection leads anywhere any more. */
 void GwUpstreamPool_CloseIdle(GwUpstreamPool *pool);
+/* Find out whether its endpoint still listens. The connection that shows it is
+ * kept for the next request. */
+void GwUpstreamPool_Check(GwUpstreamPool *pool);
 /* Open connections, idle ones too. */
 unsigned GwUpstreamPool_Open(const GwUpstreamPool *pool);
 
--- a/packages/gateway/tests/agent_end.h
+++ b/packages/gateway/tests/agent_end.h
@@ -12,6 +12,7 @@
         GwViewOptions options = {&ops, this, nullptr, &counters};
 
         view = GwView_New(&options);
+        quarantine = GwQuarantine_New(&nothing);
         StartAgent();
         f.agent_port = port = GwPeers_Port(agent);
         f.Configure(1);
@@ -20,6 +21,7 @@
     ~AgentEnd()
     {
         GwPeers_Delete(agent);
+        GwQuarantine_Delete(quarantine);
         GwView_Delete(view);
     }
     void
@@ -34,6 +36,7 @@
         options.listen = {"127.0.0.1", port};
         options.view = view;
         options.counters = &counters;
+        options.quarantine = quarantine;
         agent = GwPeers_New(f.loop, &options, &err);
         ASSERT_NE(agent, nullptr) << err.message;
     }
@@ -48,6 +51,8 @@
     GwViewOps ops = {};
     GwCounters counters = {};
     GwView *view = nullptr;
+    GwQuarantineOptions nothing = {};
+    GwQuarantine *quarantine = nullptr;
     GwPeers *agent = nullptr;
     int port = 0;
 };
--- a/packages/gateway/tests/gateway_quarantine_test.cc
+++ b/packages/gateway/tests/gateway_quarantine_test.cc
@@ -11,7 +11,10 @@
 struct FatalFleet {
     FatalFleet(const char *service, int n)
     {
-        a.f.RemoveEndpoint(a.f.endpoints[0].get());
+        // The engine whose agent all gateways hear.
+        a.f.endpoints[0]->serve = [this](Endpoint *at, FakeExchange *x) {
+            Serve(at, x);
+        };
         for (int i = 0; i < n; i++) {
             std::string id = std::string(service) + std::to_string(i);
             std::string domain = "d" + std::to_string(i % 3);
@@ -124,3 +127,92 @@
         EXPECT_EQ(t.ended, 0);
     }
 }
+
+// Endpoints reset the connections of a request, and live on: a faulty one, or
+// a network that does so. Its callers are answered as before, and nothing is
+// held against the request.
+TEST(GatewayQuarantine, ResetsOfEndpointsThatLiveOnAreNoEnds)
+{
+    for (const char *path : {"/plain/1", "/once/1"}) {
+        FatalFleet t("plain", 6);
+        Fleet &f = t.a.f;
+
+        ASSERT_TRUE(f.Ready());
+        for (auto &e : f.endpoints) {
+            e->serve = [](Endpoint *, FakeExchange *x) {
+                FakeExchange_Close(x, true);
+            };
+        }
+        for (int i = 0; i < 8; i++)
+            EXPECT_EQ(t.Ask(f.gateways[i % 4], path), 502) << path;
+        for (GwGateway *g : f.gateways) {
+            EXPECT_TRUE(GwQuarantine_IsEmpty(g->quarantine)) << path;
+            EXPECT_EQ(GwGateway_Counters(g)->plain[GW_COUNTER_ENDS_SEEN], 0u);
+        }
+    }
+}
+
+// A sound request is in flight beside the fatal one, time and again, and has
+// its answer from another endpoint each time. It must be served to the end.
+TEST(GatewayQuarantine, ASoundRequestBesideItIsServed)
+{
+    FatalFleet t("plain", 12);
+    Fleet &f = t.a.f;
+    Endpoint *fatal = nullptr;
+
+    ASSERT_TRUE(f.Ready());
+    for (int round = 0; round < 5; round++) {
+        int held = 0;
+
+        fatal = nullptr;
+        for (auto &e : f.endpoints) {
+            if (e->service != "plain" || e->httpd == nullptr)
+                continue;
+            e->serve = [&](Endpoint *at, FakeExchange *x) {
+                // The first one waits, and its endpoint ends.
+                if (held++ == 0)
+                    fatal = at;
+                else
+                    Endpoint::Answer(x, 200, at->id);
+            };
+        }
+        auto sound = f.Call(f.gateways[round % 4],
+                            Fleet::Request("POST", "/plain/1", "sound"));
+        ASSERT_TRUE(f.Until([&] { return fatal != nullptr; }));
+        t.End(fatal);
+        ASSERT_TRUE(f.Until([&] { return sound->Has(1); }));
+        EXPECT_EQ(sound->Status(), 200) << round;
+        f.Wait(50 * GW_MILLISECOND);
+    }
+}
+
+// One that leaves closes its port and may break off what it still runs: that
+// is no crash.
+TEST(GatewayQuarantine, AnEndpointThatLeavesHasNotCrashed)
+{
+    FatalFleet t("plain", 3);
+    Fleet &f = t.a.f;
+
+    ASSERT_TRUE(f.Ready());
+    for (int i = 1; i <= 3; i++) {
+        Endpoint *e = f.endpoints[i].get();
+        FakeExchange *held = nullptr;
+
+        e->serve = [&](Endpoint *, FakeExchange *x) { held = x; };
+        for (int k = 1; k <= 3; k++) {
+            if (k != i)
+                f.RemoveEndpoint(f.endpoints[k].get());
+        }
+        f.ListEndpoint(e, "ready");
+        f.Wait(400 * GW_MILLISECOND);
+        auto c =
+            f.Call(f.gateways[0], Fleet::Request("POST", "/once/1", kFatal));
+        ASSERT_TRUE(f.Until([&] { return held != nullptr; })) << i;
+        f.ListEndpoint(e, "draining");
+        f.Wait(400 * GW_MILLISECOND);
+        t.End(e);
+        ASSERT_TRUE(f.Until([&] { return c->Has(1); })) << i;
+        EXPECT_EQ(c->Status(), 502);
+    }
+    EXPECT_TRUE(GwQuarantine_IsEmpty(f.gateways[0]->quarantine));
+}
--- /dev/null
+++ b/packages/quarantine/include/galenagw/quarantine/quarantine.h
@@ -0,0 +1,99 @@
+/**
+ * @defgroup quarantine Quarantine
+ * @brief Requests under which one endpoint after the other ended.
+ *
+ * A request that ends the process that runs it, a query of death, comes again
+ * until every endpoint is gone. Each process collects which requests were in
+ * flight when endpoints ended, from its own attempts and from its peers, and
+ * sends on no request under which three have ended.
+ *
+ * Most requests in flight at an end are sound. One whole answer to a request
+ * clears it, wherever it was given. Ends that come together for a reason of
+ * their own, as when a rack loses power, count as one, and a request that was
+ * at few of the endpoints that ended then is not held to be the reason. What
+ * is found is bounded in number and forgotten in time.
+ * @{
+ */
+#ifndef GALENAGW_QUARANTINE_QUARANTINE_H
+#define GALENAGW_QUARANTINE_QUARANTINE_H
+
+#include "galenagw/base/clock.h"
+#include "galenagw/quarantine/digest.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/** Ends under one request from which on it is not sent any more. */
+#define GW_QUARANTINE_ENDS 3
+/** How long after the last of them. A caller that is wronged waits as long,
+ * and whoever sends such a request in earnest ends one endpoint in as long. */
+#define GW_QUARANTINE_TERM (600 * GW_SECOND)
+/** What is known of a request is forgotten so long after the last end. */
+#define GW_QUARANTINE_MEMORY (1800 * GW_SECOND)
+/** Requests that are remembered; those under which most ended stay. */
+#define GW_QUARANTINE_MAX 2048
+/** Requests that are told of one end; an endpoint runs fewer at once. */
+#define GW_QUARANTINE_END_MAX 256
+
+/** An endpoint's process ended. Plain data; the list is borrowed. */
+typedef struct {
+    uint64_t endpoint;   /**< of its id and its start; never 0 */
+    uint64_t group;      /**< of its service and failure domain */
+    unsigned group_size; /**< endpoints in it, this one too */
+    GwTime at;
+    const GwDigest *requests; /**< that were in flight there */
+    size_t n;
+} GwEndpointEnd;
+
+typedef struct GwQuarantine GwQuarantine;
+
+/** Construction options. */
+typedef struct {
+    /** A request was put under quarantine or let out of it; or NULL. */
+    void (*on_changed)(void *user, const GwDigest *request, unsigned ends,
+                       bool quarantined);
+    void *user;
+} GwQuarantineOptions;
+
+GwQuarantine *GwQuarantine_New(const GwQuarantineOptions *options);
+void GwQuarantine_Delete(GwQuarantine *quarantine);
+
+/** Whether nothing is known of any request: then none needs a digest. */
+bool GwQuarantine_IsEmpty(const GwQuarantine *quarantine);
+/**
+ * An endpoint ended. What was known already is taken again without effect.
+ * @param[out] news those of its requests that were news; has room for all
+ * @return how many; and whether the end itself was news in @p is_news
+ */
+size_t GwQuarantine_TakeEnd(GwQuarantine *quarantine, const GwEndpointEnd *end,
+                            GwTime now, GwDigest *news, bool *is_news);
+/** When this endpoint ended; 0: it is not known to have. */
+GwTime GwQuarantine_EndedAt(const GwQuarantine *quarantine, uint64_t endpoint);
+/**
+ * The request had a whole answer at @p at: ends before it were not its doing.
+ * @return whether that is news; false too if it was under no suspicion
+ */
+bool GwQuarantine_TakeSound(GwQuarantine *quarantine, const GwDigest *request,
+                            GwTime at, GwTime now);
+/** How much longer the request must not be sent; 0: it may be. */
+GwTime GwQuarantine_Left(const GwQuarantine *quarantine,
+                         const GwDigest *request, GwTime now);
+/** Endpoints that ended under it since its last whole answer. */
+unsigned GwQuarantine_Ends(const GwQuarantine *quarantine,
+                           const GwDigest *request);
+/** Forget what is old. */
+void GwQuarantine_Sweep(GwQuarantine *quarantine, GwTime now);
+/**
+ * Call @p fn for what is known, each end with one request, for a peer that may
+ * not know it: of requests under which most ended first, @p most rows.
+ */
+void GwQuarantine_Each(const GwQuarantine *quarantine, size_t most,
+                       void (*fn)(void *user, const GwEndpointEnd *end),
+                       void *user);
+
+#ifdef __cplusplus
+}
+#endif
+/** @} */
+#endif
--- /dev/null
+++ b/packages/quarantine/include/galenagw/quarantine/quarantine_words.h
@@ -0,0 +1,48 @@
+/**
+ * @defgroup quarantine_words Words of the quarantine
+ * @brief What processes tell each other of requests under which endpoints
+ * ended: frames of a session to the quarantine's values, and back.
+ *
+ * Whoever learns something new passes it on to all its peers but the one it
+ * has it from, so a word goes round the fleet once, whatever the paths.
+ * @{
+ */
+#ifndef GALENAGW_QUARANTINE_QUARANTINE_WORDS_H
+#define GALENAGW_QUARANTINE_QUARANTINE_WORDS_H
+
+#include "galenagw/quarantine/quarantine.h"
+#include "galenagw/wire/session.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/** A word that was news, to be passed on. */
+typedef struct {
+    bool is_end; /**< else a whole answer */
+    GwEndpointEnd end;
+    GwDigest sound;
+    GwTime sound_at;
+} GwQuarantineNews;
+
+/** Where news goes; @p from is the session that it came by. */
+typedef void (*GwQuarantineWords_OnNews)(void *user, GwSession *from,
+                                         const GwQuarantineNews *news);
+
+void GwQuarantineWords_Send(GwSession *session, const GwQuarantineNews *news);
+/** Tell all that matters to a peer that may know nothing. */
+void GwQuarantineWords_SendAll(GwSession *session,
+                               const GwQuarantine *quarantine);
+/**
+ * Take a frame of @p from into @p quarantine, and hand what was news to @p fn.
+ * @return false if it is about something else
+ */
+bool GwQuarantineWords_Take(GwQuarantine *quarantine, GwSession *from,
+                            const GwFrame *frame, GwQuarantineWords_OnNews fn,
+                            void *user);
+
+#ifdef __cplusplus
+}
+#endif
+/** @} */
+#endif
--- /dev/null
+++ b/packages/quarantine/src/quarantine.c
@@ -0,0 +1,408 @@
+#include "galenagw/quarantine/quarantine.h"
+
+#include <string.h>
+#include <sys/queue.h>
+
+/* Ends that are remembered of one request, the newest ones. */
+#define MAX_SIGHTINGS 16
+/* Ends that are remembered, of whatever request. */
+#define MAX_ENDS 512
+/* Endpoints that fail together end within this time. */
+#define TOGETHER GW_SECOND
+/* Words take their time from process to process, and ends seem younger by it:
+ * an answer clears what is told to have been so much later, too. */
+#define SOUND_SLACK (500 * GW_MILLISECOND)
+/* A failure domain of which so many ended together lost something that they
+ * share, such as power. */
+#define GROUP_SHARE 0.75
+/* A request that was at fewer than this part of the endpoints that ended
+ * around it is not the reason: two or three that are may come at once. */
+#define NEAR_SHARE 0.25
+
+/* An end under a request. */
+typedef struct {
+    uint64_t endpoint;
+    uint64_t group;
+    unsigned group_size;
+    GwTime at;
+} Sighting;
+
+typedef struct Suspect {
+    TAILQ_ENTRY(Suspect) link;
+    GwDigest digest;
+    Sighting sightings[MAX_SIGHTINGS]; /* oldest first */
+    unsigned n;
+    GwTime sound_at; /* its last whole answer; 0: none is known */
+    GwTime touched_at;
+    GwTime until; /* under quarantine; 0: it is not */
+} Suspect;
+
+TAILQ_HEAD(SuspectList, Suspect);
+
+struct GwQuarantine {
+    GwQuarantineOptions options;
+    GHashTable *by_digest;
+    /* Oldest first. Those with one end, or none since a whole answer, are
+     * many after each end, nearly all of them sound; they must not push out
+     * the others. */
+    struct SuspectList single;
+    struct SuspectList repeated;
+    Sighting ends[MAX_ENDS]; /* a ring */
+    size_t n_ends;           /* ever */
+};
+
+static Suspect *suspect_(GwQuarantine *q, const GwDigest *digest);
+static bool see_(GwQuarantine *q, const GwDigest *digest,
+                 const Sighting *sighting, GwTime now);
+static void insert_(Suspect *s, const Sighting *sighting);
+static void judge_(GwQuarantine *q, Suspect *s, GwTime now);
+static void judge_again_(GwQuarantine *q, GwTime now);
+static bool is_the_reason_(const GwQuarantine *q, const Suspect *s);
+static unsigned count_(const GwQuarantine *q, const Suspect *s);
+static bool counts_(const GwQuarantine *q, const Suspect *s, unsigned i);
+static bool group_failed_(const GwQuarantine *q, const Sighting *sighting);
+static unsigned ended_near_(const GwQuarantine *q, const Suspect *s);
+static bool is_near_(GwTime a, GwTime b);
+static size_t kept_ends_(const GwQuarantine *q);
+static void forget_(GwQuarantine *q, struct SuspectList *list, Suspect *s);
+static void sweep_(GwQuarantine *q, struct SuspectList *list, GwTime now);
+static struct SuspectList *list_of_(GwQuarantine *q, const Suspect *s);
+
+GwQuarantine *
+GwQuarantine_New(const GwQuarantineOptions *options)
+{
+    GwQuarantine *q = g_new0(GwQuarantine, 1);
+
+    q->options = *options;
+    q->by_digest = g_hash_table_new(GwDigest_Hash, GwDigest_EqualKeys);
+    TAILQ_INIT(&q->single);
+    TAILQ_INIT(&q->repeated);
+    return q;
+}
+
+void
+GwQuarantine_Delete(GwQuarantine *q)
+{
+    if (q == NULL)
+        return;
+    while (!TAILQ_EMPTY(&q->single))
+        forget_(q, &q->single, TAILQ_FIRST(&q->single));
+    while (!TAILQ_EMPTY(&q->repeated))
+        forget_(q, &q->repeated, TAILQ_FIRST(&q->repeated));
+    g_hash_table_unref(q->by_digest);
+    g_free(q);
+}
+
+bool
+GwQuarantine_IsEmpty(const GwQuarantine *q)
+{
+    return g_hash_table_size(q->by_digest) == 0;
+}
+
+size_t
+GwQuarantine_TakeEnd(GwQuarantine *q, const GwEndpointEnd *end, GwTime now,
+                     GwDigest *news, bool *is_news)
+{
+    Sighting sighting = {
+        .endpoint = end->endpoint,
+        .group = end->group,
+        .group_size = end->group_size,
+        .at = MIN(end->at, now),
+    };
+    size_t n = 0;
+
+    *is_news = false;
+    if (end->endpoint == 0 || now - sighting.at > GW_QUARANTINE_MEMORY)
+        return 0;
+    if (GwQuarantine_EndedAt(q, end->endpoint) == 0) {
+        *is_news = true;
+        q->ends[q->n_ends++ % MAX_ENDS] = sighting;
+        judge_again_(q, now);
+    }
+    for (size_t i = 0; i < MIN(end->n, GW_QUARANTINE_END_MAX); i++) {
+        if (see_(q, &end->requests[i], &sighting, now))
+            news[n++] = end->requests[i];
+    }
+    return n;
+}
+
+GwTime
+GwQuarantine_EndedAt(const GwQuarantine *q, uint64_t endpoint)
+{
+    for (size_t i = 0; i < kept_ends_(q); i++) {
+        if (q->ends[i].endpoint == endpoint)
+            return q->ends[i].at;
+    }
+    return 0;
+}
+
+// What is told of an earlier end later on must not count again, so the time of
+// the answer stays until the request is forgotten.
+bool
+GwQuarantine_TakeSound(GwQuarantine *q, const GwDigest *request, GwTime at,
+                       GwTime now)
+{
+    Suspect *s = g_hash_table_lookup(q->by_digest, request);
+    struct SuspectList *list;
+    unsigned kept = 0;
+
+    at = MIN(at, now);
+    if (s == NULL || at <= s->sound_at)
+        return false;
+    list = list_of_(q, s);
+    s->sound_at = at;
+    for (unsigned i = 0; i < s->n; i++) {
+        if (s->sightings[i].at > at + SOUND_SLACK)
+            s->sightings[kept++] = s->sightings[i];
+    }
+    if (kept == s->n)
+        return false;
+    TAILQ_REMOVE(list, s, link);
+    s->n = kept;
+    TAILQ_INSERT_TAIL(list_of_(q, s), s, link);
+    s->touched_at = now;
+    judge_(q, s, now);
+    return true;
+}
+
+GwTime
+GwQuarantine_Left(const GwQuarantine *q, const GwDigest *request, GwTime now)
+{
+    const Suspect *s = g_hash_table_lookup(q->by_digest, request);
+
+    return s != NULL ? MAX(s->until - now, 0) : 0;
+}
+
+unsigned
+GwQuarantine_Ends(const GwQuarantine *q, const GwDigest *request)
+{
+    const Suspect *s = g_hash_table_lookup(q->by_digest, request);
+
+    return s != NULL ? s->n : 0;
+}
+
+void
+GwQuarantine_Sweep(GwQuarantine *q, GwTime now)
+{
+    sweep_(q, &q->single, now);
+    sweep_(q, &q->repeated, now);
+}
+
+void
+GwQuarantine_Each(const GwQuarantine *q, size_t most,
+                  void (*fn)(void *user, const GwEndpointEnd *end), void *user)
+{
+    const struct SuspectList *lists[] = {&q->repeated, &q->single};
+    const Suspect *s;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(lists); i++) {
+        TAILQ_FOREACH_REVERSE(s, lists[i], SuspectList, link)
+        {
+            for (unsigned k = 0; k < s->n; k++) {
+                GwEndpointEnd end = {
+                    .endpoint = s->sightings[k].endpoint,
+                    .group = s->sightings[k].group,
+                    .group_size = s->sightings[k].group_size,
+                    .at = s->sightings[k].at,
+                    .requests = &s->digest,
+                    .n = 1,
+                };
+
+                if (most-- == 0)
+                    return;
+                fn(user, &end);
+            }
+        }
+    }
+}
+
+static Suspect *
+suspect_(GwQuarantine *q, const GwDigest *digest)
+{
+    Suspect *s = g_hash_table_lookup(q->by_digest, digest);
+
+    if (s != NULL)
+        return s;
+    if (g_hash_table_size(q->by_digest) >= GW_QUARANTINE_MAX) {
+        struct SuspectList *list =
+            TAILQ_EMPTY(&q->single) ? &q->repeated : &q->single;
+
+        forget_(q, list, TAILQ_FIRST(list));
+    }
+    s = g_new0(Suspect, 1);
+    s->digest = *digest;
+    g_hash_table_insert(q->by_digest, &s->digest, s);
+    TAILQ_INSERT_TAIL(&q->single, s, link);
+    return s;
+}
+
+static bool
+see_(GwQuarantine *q, const GwDigest *digest, const Sighting *sighting,
+     GwTime now)
+{
+    Suspect *s = suspect_(q, digest);
+
+    for (unsigned i = 0; i < s->n; i++) {
+        if (s->sightings[i].endpoint == sighting->endpoint)
+            return false;
+    }
+    if (s->sound_at != 0 && sighting->at <= s->sound_at + SOUND_SLACK)
+        return false;
+    // An old one that was dropped for newer ones is told again for ever else.
+    if (s->n == MAX_SIGHTINGS && sighting->at <= s->sightings[0].at)
+        return false;
+    TAILQ_REMOVE(list_of_(q, s), s, link);
+    insert_(s, sighting);
+    TAILQ_INSERT_TAIL(list_of_(q, s), s, link);
+    s->touched_at = now;
+    judge_(q, s, now);
+    return true;
+}
+
+static void
+insert_(Suspect *s, const Sighting *sighting)
+{
+    unsigned at;
+
+    if (s->n == MAX_SIGHTINGS) {
+        memmove(s->sightings, s->sightings + 1,
+                (MAX_SIGHTINGS - 1) * sizeof(s->sightings[0]));
+        s->n--;
+    }
+    for (at = s->n; at > 0 && s->sightings[at - 1].at > sighting->at; at--)
+        s->sightings[at] = s->sightings[at - 1];
+    s->sightings[at] = *sighting;
+    s->n++;
+}
+
+static void
+judge_(GwQuarantine *q, Suspect *s, GwTime now)
+{
+    bool was = s->until > now;
+    bool is;
+
+    s->until = is_the_reason_(q, s)
+                   ? s->sightings[s->n - 1].at + GW_QUARANTINE_TERM
+                   : 0;
+    is = s->until > now;
+    if (is != was && q->options.on_changed != NULL)
+        q->options.on_changed(q->options.user, &s->digest, s->n, is);
+}
+
+// Ends that belong together are learned of one by one: what looked like the
+// reason of the first three may be one that was beside them, and its caller
+// would be refused for the whole term.
+static void
+judge_again_(GwQuarantine *q, GwTime now)
+{
+    Suspect *s;
+
+    TAILQ_FOREACH(s, &q->repeated, link)
+    {
+        if (s->until > now)
+            judge_(q, s, now);
+    }
+}
+
+static bool
+is_the_reason_(const GwQuarantine *q, const Suspect *s)
+{
+    return s->n >= GW_QUARANTINE_ENDS && count_(q, s) >= GW_QUARANTINE_ENDS &&
+           s->n >= NEAR_SHARE * ended_near_(q, s);
+}
+
+static unsigned
+count_(const GwQuarantine *q, const Suspect *s)
+{
+    unsigned n = 0;
+
+    for (unsigned i = 0; i < s->n; i++)
+        n += counts_(q, s, i);
+    return n;
+}
+
+// Of the ends in a group that failed as one the first counts. Each is compared
+// with the first ones alone, else ends that follow each other closely would
+// never count again.
+static bool
+counts_(const GwQuarantine *q, const Suspect *s, unsigned i)
+{
+    const Sighting *it = &s->sightings[i];
+
+    if (!group_failed_(q, it))
+        return true;
+    for (unsigned k = 0; k < i; k++) {
+        const Sighting *earlier = &s->sightings[k];
+
+        if (earlier->group == it->group && is_near_(earlier->at, it->at) &&
+            counts_(q, s, k))
+            return false;
+    }
+    return true;
+}
+
+static bool
+group_failed_(const GwQuarantine *q, const Sighting *sighting)
+{
+    unsigned ended = 0;
+
+    for (size_t i = 0; i < kept_ends_(q); i++) {
+        const Sighting *end = &q->ends[i];
+
+        ended +=
+            end->group == sighting->group && is_near_(end->at, sighting->at);
+    }
+    return ended > 1 && ended >= GROUP_SHARE * sighting->group_size;
+}
+
+// Endpoints that ended close to an end under this request.
+static unsigned
+ended_near_(const GwQuarantine *q, const Suspect *s)
+{
+    unsigned n = 0;
+
+    for (size_t i = 0; i < kept_ends_(q); i++) {
+        bool near = false;
+
+        for (unsigned k = 0; k < s->n; k++)
+            near = near || is_near_(q->ends[i].at, s->sightings[k].at);
+        n += near;
+    }
+    return n;
+}
+
+static bool
+is_near_(GwTime a, GwTime b)
+{
+    return ABS(a - b) <= TOGETHER;
+}
+
+static size_t
+kept_ends_(const GwQuarantine *q)
+{
+    return MIN(q->n_ends, MAX_ENDS);
+}
+
+static void
+forget_(GwQuarantine *q, struct SuspectList *list, Suspect *s)
+{
+    TAILQ_REMOVE(list, s, link);
+    g_hash_table_remove(q->by_digest, &s->digest);
+    g_free(s);
+}
+
+static void
+sweep_(GwQuarantine *q, struct SuspectList *list, GwTime now)
+{
+    Suspect *s;
+
+    while ((s = TAILQ_FIRST(list)) != NULL &&
+           now - s->touched_at > GW_QUARANTINE_MEMORY)
+        forget_(q, list, s);
+}
+
+static struct SuspectList *
+list_of_(GwQuarantine *q, const Suspect *s)
+{
+    return s->n > 1 ? &q->repeated : &q->single;
+}
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -81,6 +81,7 @@
     GwHttpCaller *orders;
     GwHttpCaller *store;
     GwEngineCache *cache;
+    GwQuarantine *quarantine; /* passed on to entries that do not know it */
     GRand *rand;
     GwCounters counters;
 
@@ -158,6 +159,7 @@
     s->agent_port = d->agent_port;
     s->weights_bound = d->weights_bound;
     s->rand = g_rand_new();
+    s->quarantine = GwQuarantine_New(&(GwQuarantineOptions){0});
     s->reports = GwHttpCaller_New(loop, &s->endpoint);
     s->orders = GwHttpCaller_New(loop, &s->endpoint);
     s->store = GwHttpCaller_New(loop, &d->store);
@@ -191,6 +193,7 @@
     GwPeers_Delete(s->peers);
     GwStoreReader_Delete(s->reader);
     GwView_Delete(s->view);
+    GwQuarantine_Delete(s->quarantine);
     g_rand_free(s->rand);
     g_free(s->name);
     g_free(s->failure_domain);
@@ -608,6 +611,7 @@
 
     if (s->log != NULL)
         GwEventLog_Flush(s->log);
+    GwQuarantine_Sweep(s->quarantine, GwTime_Now());
     GwStoreReader_SetSharers(s->reader, GwPeers_Sharers(s->peers));
     GwTimer_Start(&s->flush_timer, FLUSH_EVERY);
 }
@@ -653,6 +657,7 @@
         .agent_port = d->agent_port,
         .log = s->log,
         .counters = &s->counters,
+        .quarantine = s->quarantine,
     };
 
     s->view = GwView_New(&view);
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -41,6 +41,8 @@
 typedef struct Gw__Wire__PrefillNote Gw__Wire__PrefillNote;
 typedef struct Gw__Wire__KeptParts Gw__Wire__KeptParts;
 typedef struct Gw__Wire__WeightsAge Gw__Wire__WeightsAge;
+typedef struct Gw__Wire__EndpointEnd Gw__Wire__EndpointEnd;
+typedef struct Gw__Wire__SoundRequest Gw__Wire__SoundRequest;
 typedef struct Gw__Wire__Frame Gw__Wire__Frame;
 
 
@@ -598,6 +600,60 @@
     , (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * An endpoint's process ended under these requests: told by who saw it, passed
+ * on by who did not know, and all that is known when a session begins.
+ */
+struct  Gw__Wire__EndpointEnd
+{
+  ProtobufCMessage base;
+  /*
+   * of its id and its start
+   */
+  uint64_t endpoint;
+  /*
+   * of its service and failure domain
+   */
+  uint64_t group;
+  /*
+   * endpoints in it
+   */
+  uint32_t group_size;
+  /*
+   * ago
+   */
+  uint64_t ended_ms;
+  /*
+   * digests of the requests, halves side by side
+   */
+  size_t n_accounts;
+  uint64_t *accounts;
+  size_t n_contents;
+  uint64_t *contents;
+};
+#define GW__WIRE__ENDPOINT_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__wire__endpoint_end__descriptor) \
+    , 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * The request had a whole answer: no end before that was its doing.
+ */
+struct  Gw__Wire__SoundRequest
+{
+  ProtobufCMessage base;
+  uint64_t account;
+  uint64_t content;
+  /*
+   * ago
+   */
+  uint64_t answered_ms;
+};
+#define GW__WIRE__SOUND_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__wire__sound_request__descriptor) \
+    , 0, 0, 0 }
+
+
 typedef enum {
   GW__WIRE__FRAME__BODY__NOT_SET = 0,
   GW__WIRE__FRAME__BODY_HELLO = 1,
@@ -624,7 +680,9 @@
   GW__WIRE__FRAME__BODY_ENGINE_STATE = 25,
   GW__WIRE__FRAME__BODY_PREFILL_NOTE = 26,
   GW__WIRE__FRAME__BODY_WEIGHTS_AGE = 27,
-  GW__WIRE__FRAME__BODY_KEPT_PARTS = 28
+  GW__WIRE__FRAME__BODY_KEPT_PARTS = 28,
+  GW__WIRE__FRAME__BODY_ENDPOINT_END = 29,
+  GW__WIRE__FRAME__BODY_SOUND_REQUEST = 30
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__WIRE__FRAME__BODY__CASE)
 } Gw__Wire__Frame__BodyCase;
 
@@ -658,6 +716,8 @@
     Gw__Wire__PrefillNote *prefill_note;
     Gw__Wire__WeightsAge *weights_age;
     Gw__Wire__KeptParts *kept_parts;
+    Gw__Wire__EndpointEnd *endpoint_end;
+    Gw__Wire__SoundRequest *sound_request;
   };
 };
 #define GW__WIRE__FRAME__INIT \
@@ -1159,6 +1219,44 @@
 void   gw__wire__weights_age__free_unpacked
                      (Gw__Wire__WeightsAge *message,
                       ProtobufCAllocator *allocator);
+/* Gw__Wire__EndpointEnd methods */
+void   gw__wire__endpoint_end__init
+                     (Gw__Wire__EndpointEnd         *message);
+size_t gw__wire__endpoint_end__get_packed_size
+                     (const Gw__Wire__EndpointEnd   *message);
+size_t gw__wire__endpoint_end__pack
+                     (const Gw__Wire__EndpointEnd   *message,
+                      uint8_t             *out);
+size_t gw__wire__endpoint_end__pack_to_buffer
+                     (const Gw__Wire__EndpointEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Wire__EndpointEnd *
+       gw__wire__endpoint_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__wire__endpoint_end__free_unpacked
+                     (Gw__Wire__EndpointEnd *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__Wire__SoundRequest methods */
+void   gw__wire__sound_request__init
+                     (Gw__Wire__SoundRequest         *message);
+size_t gw__wire__sound_request__get_packed_size
+                     (const Gw__Wire__SoundRequest   *message);
+size_t gw__wire__sound_request__pack
+                     (const Gw__Wire__SoundRequest   *message,
+                      uint8_t             *out);
+size_t gw__wire__sound_request__pack_to_buffer
+                     (const Gw__Wire__SoundRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Wire__SoundRequest *
+       gw__wire__sound_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__wire__sound_request__free_unpacked
+                     (Gw__Wire__SoundRequest *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__Wire__Frame methods */
 void   gw__wire__frame__init
                      (Gw__Wire__Frame         *message);
@@ -1258,6 +1356,12 @@
 typedef void (*Gw__Wire__WeightsAge_Closure)
                  (const Gw__Wire__WeightsAge *message,
                   void *closure_data);
+typedef void (*Gw__Wire__EndpointEnd_Closure)
+                 (const Gw__Wire__EndpointEnd *message,
+                  void *closure_data);
+typedef void (*Gw__Wire__SoundRequest_Closure)
+                 (const Gw__Wire__SoundRequest *message,
+                  void *closure_data);
 typedef void (*Gw__Wire__Frame_Closure)
                  (const Gw__Wire__Frame *message,
                   void *closure_data);
@@ -1295,6 +1399,8 @@
 extern const ProtobufCMessageDescriptor gw__wire__prefill_note__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__kept_parts__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__weights_age__descriptor;
+extern const ProtobufCMessageDescriptor gw__wire__endpoint_end__descriptor;
+extern const ProtobufCMessageDescriptor gw__wire__sound_request__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -1177,6 +1177,96 @@
   assert(message->base.descriptor == &gw__wire__weights_age__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__wire__endpoint_end__init
+                     (Gw__Wire__EndpointEnd         *message)
+{
+  static const Gw__Wire__EndpointEnd init_value = GW__WIRE__ENDPOINT_END__INIT;
+  *message = init_value;
+}
+size_t gw__wire__endpoint_end__get_packed_size
+                     (const Gw__Wire__EndpointEnd *message)
+{
+  assert(message->base.descriptor == &gw__wire__endpoint_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__wire__endpoint_end__pack
+                     (const Gw__Wire__EndpointEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__wire__endpoint_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__wire__endpoint_end__pack_to_buffer
+                     (const Gw__Wire__EndpointEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__wire__endpoint_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Wire__EndpointEnd *
+       gw__wire__endpoint_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Wire__EndpointEnd *)
+     protobuf_c_message_unpack (&gw__wire__endpoint_end__descriptor,
+                                allocator, len, data);
+}
+void   gw__wire__endpoint_end__free_unpacked
+                     (Gw__Wire__EndpointEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__wire__endpoint_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__wire__sound_request__init
+                     (Gw__Wire__SoundRequest         *message)
+{
+  static const Gw__Wire__SoundRequest init_value = GW__WIRE__SOUND_REQUEST__INIT;
+  *message = init_value;
+}
+size_t gw__wire__sound_request__get_packed_size
+                     (const Gw__Wire__SoundRequest *message)
+{
+  assert(message->base.descriptor == &gw__wire__sound_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__wire__sound_request__pack
+                     (const Gw__Wire__SoundRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__wire__sound_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__wire__sound_request__pack_to_buffer
+                     (const Gw__Wire__SoundRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__wire__sound_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Wire__SoundRequest *
+       gw__wire__sound_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Wire__SoundRequest *)
+     protobuf_c_message_unpack (&gw__wire__sound_request__descriptor,
+                                allocator, len, data);
+}
+void   gw__wire__sound_request__free_unpacked
+                     (Gw__Wire__SoundRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__wire__sound_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gw__wire__frame__init
                      (Gw__Wire__Frame         *message)
 {
@@ -3536,7 +3626,174 @@
   (ProtobufCMessageInit) gw__wire__weights_age__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[25] =
+static const ProtobufCFieldDescriptor gw__wire__endpoint_end__field_descriptors[6] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointEnd, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "group",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointEnd, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "group_size",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointEnd, group_size),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointEnd, ended_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accounts",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gw__Wire__EndpointEnd, n_accounts),
+    offsetof(Gw__Wire__EndpointEnd, accounts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "contents",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gw__Wire__EndpointEnd, n_contents),
+    offsetof(Gw__Wire__EndpointEnd, contents),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__wire__endpoint_end__field_indices_by_name[] = {
+  4,   /* field[4] = accounts */
+  5,   /* field[5] = contents */
+  3,   /* field[3] = ended_ms */
+  0,   /* field[0] = endpoint */
+  1,   /* field[1] = group */
+  2,   /* field[2] = group_size */
+};
+static const ProtobufCIntRange gw__wire__endpoint_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor gw__wire__endpoint_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.wire.EndpointEnd",
+  "EndpointEnd",
+  "Gw__Wire__EndpointEnd",
+  "gw.wire",
+  sizeof(Gw__Wire__EndpointEnd),
+  6,
+  gw__wire__endpoint_end__field_descriptors,
+  gw__wire__endpoint_end__field_indices_by_name,
+  1,  gw__wire__endpoint_end__number_ranges,
+  (ProtobufCMessageInit) gw__wire__endpoint_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__wire__sound_request__field_descriptors[3] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__SoundRequest, account),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__SoundRequest, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__SoundRequest, answered_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__wire__sound_request__field_indices_by_name[] = {
+  0,   /* field[0] = account */
+  2,   /* field[2] = answered_ms */
+  1,   /* field[1] = content */
+};
+static const ProtobufCIntRange gw__wire__sound_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__wire__sound_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.wire.SoundRequest",
+  "SoundRequest",
+  "Gw__Wire__SoundRequest",
+  "gw.wire",
+  sizeof(Gw__Wire__SoundRequest),
+  3,
+  gw__wire__sound_request__field_descriptors,
+  gw__wire__sound_request__field_indices_by_name,
+  1,  gw__wire__sound_request__number_ranges,
+  (ProtobufCMessageInit) gw__wire__sound_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[27] =
 {
   {
     "hello",
@@ -3838,6 +4095,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoint_end",
+    29,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Wire__Frame, body_case),
+    offsetof(Gw__Wire__Frame, endpoint_end),
+    &gw__wire__endpoint_end__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sound_request",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Wire__Frame, body_case),
+    offsetof(Gw__Wire__Frame, sound_request),
+    &gw__wire__sound_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__frame__field_indices_by_name[] = {
   12,   /* field[12] = ack */
@@ -3847,6 +4128,7 @@
   5,   /* field[5] = config_state */
   16,   /* field[16] = credit_ask */
   17,   /* field[17] = credit_grant */
+  25,   /* field[25] = endpoint_end */
   21,   /* field[21] = engine_state */
   11,   /* field[11] = final */
   0,   /* field[0] = hello */
@@ -3863,6 +4145,7 @@
   18,   /* field[18] = release */
   14,   /* field[14] = resume */
   15,   /* field[15] = resume_result */
+  26,   /* field[26] = sound_request */
   8,   /* field[8] = submit */
   23,   /* field[23] = weights_age */
 };
@@ -3870,7 +4153,7 @@
 {
   { 1, 0 },
   { 22, 18 },
-  { 0, 25 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor gw__wire__frame__descriptor =
 {
@@ -3880,7 +4163,7 @@
   "Gw__Wire__Frame",
   "gw.wire",
   sizeof(Gw__Wire__Frame),
-  25,
+  27,
   gw__wire__frame__field_descriptors,
   gw__wire__frame__field_indices_by_name,
   2,  gw__wire__frame__number_ranges,
