After a restart of all a known request ends endpoints anew: failing test

What callers see: all processes lose power at once, the request comes again within seconds, and endpoints end until it is known anew.

Test: eight comings, quarantine, all gateways and the agent start anew; each of four gateways sends it on again.

--- a/packages/gateway/tests/agent_end.h
+++ b/packages/gateway/tests/agent_end.h
@@ -45,6 +45,8 @@
     {
         GwPeers_Delete(agent);
         agent = nullptr;
+        GwQuarantine_Delete(quarantine);
+        quarantine = GwQuarantine_New(&nothing);
     }
 
     Fleet f;
--- a/packages/gateway/tests/gateway_quarantine_test.cc
+++ b/packages/gateway/tests/gateway_quarantine_test.cc
@@ -76,6 +76,19 @@
         return last->Status();
     }
 
+    // All processes end at once, as when the power fails, and start.
+    void
+    RestartAll()
+    {
+        for (GwGateway *g : a.f.gateways)
+            GwGateway_Delete(g);
+        a.f.gateways.clear();
+        a.StopAgent();
+        a.StartAgent();
+        for (int i = 0; i < 4; i++)
+            a.f.AddGateway(("gateway-" + std::to_string(i)).c_str());
+    }
+
     AgentEnd a;
     std::vector<std::string> down;
     std::shared_ptr<Caller> last;
@@ -128,6 +141,29 @@
     }
 }
 
+// All processes end at once: none is left that knows. The request comes again
+// within seconds, and three more endpoints ended until it was known anew, as
+// what a process finds was kept in memory alone.
+TEST(GatewayQuarantine, IsKnownAfterAllProcessesStartedAnew)
+{
+    FatalFleet t("plain", 12);
+    Fleet &f = t.a.f;
+
+    ASSERT_TRUE(f.Ready());
+    for (int i = 0; i < 8; i++)
+        t.Ask(f.gateways[i % 4], "/once/1");
+    ASSERT_EQ(t.Ask(f.gateways[0], "/once/1"), 503);
+    f.Wait(300 * GW_MILLISECOND);
+    t.RestartAll();
+    ASSERT_TRUE(f.Ready());
+    t.ended = 0;
+    for (GwGateway *g : f.gateways) {
+        EXPECT_EQ(t.Ask(g, "/once/1"), 503);
+        EXPECT_EQ(t.Ask(g, "/once/1", "another body"), 200);
+    }
+    EXPECT_EQ(t.ended, 0);
+}
+
 // Endpoints reset the connections of a request, and live on: a faulty one, or
 // a network that does so. Its callers are answered as before, and nothing is
 // held against the request.
