Requests under quarantine outlive an end of all processes

What callers saw: after a power failure of all machines a request that had been found out ended endpoint after endpoint again, until three had.

Cause: what a process finds was kept in memory alone, and the peers that would have told a new one ended with it. Class: state that must last and does not lie in the platform's store.

The mend: who sees the last end under a request writes until when it is under quarantine, as a record of its key in a list of our own; gateways read that list at their start, one call each. Any number in a row holds for a term at most (a test with INT64_MIN found an overflow on the way); rows long over are removed by who reads them; one that had a whole answer is removed by its writer.

Ruled out: rows of the platform's own lists (the system may not write them) and peers alone (none is left).

--- a/fakes/src/fake_store.c
+++ b/fakes/src/fake_store.c
@@ -345,6 +345,7 @@
     FakeExchange_Answer(exchange, 200, "", out->str, out->len);
 }
 
+// Records of keyed topics are kept as they are read; of others none is.
 static void
 append_(FakeStore *s, FakeExchange *exchange)
 {
@@ -353,8 +354,19 @@
     g_autofree char *body =
         g_strdup_printf("{\"offset\":%u,\"end\":%u}", topic->records->len,
                         topic->records->len + 1);
+    const GString *record = exchange->body;
 
-    FakeStore_Put(s, name, "record", NULL);
+    if (!g_str_has_prefix(name, "keyed.")) {
+        FakeStore_Put(s, name, "record", NULL);
+    }
+    else if (record->len > 5) {
+        size_t key_len = (guint8)record->str[4];
+        size_t at = 5 + MIN(key_len, record->len - 5);
+        g_autofree char *key = g_strndup(record->str + 5, at - 5);
+
+        FakeStore_Put(s, name, key,
+                      at < record->len ? record->str + at : NULL);
+    }
     FakeExchange_Answer(exchange, 200, "", body, strlen(body));
 }
 
--- a/packages/gateway/src/ends.c
+++ b/packages/gateway/src/ends.c
@@ -16,6 +16,8 @@
     GwGateway *g = user;
     char text[GW_DIGEST_TEXT];
 
+    if (!quarantined && g->quarantine_store != NULL)
+        GwQuarantineStore_Drop(g->quarantine_store, request);
     GwDigest_Text(request, text);
     GwEvent_Begin(g->log,
                   quarantined ? "request_quarantined" : "request_released",
@@ -158,6 +160,10 @@
     GwCounters_Add(&g->counters, GW_COUNTER_ENDS_SEEN, is_news);
     log_(g, &news.end, why);
     GwPeers_TellQuarantine(g->peers, &news);
+    for (size_t i = 0; i < news.end.n; i++) {
+        if (GwQuarantine_Left(g->quarantine, &fresh[i], GwTime_Now()) > 0)
+            GwQuarantineStore_Keep(g->quarantine_store, &fresh[i]);
+    }
 }
 
 static void
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -106,6 +106,7 @@
     GwView_Delete(g->view);
     GwKvStores_Delete(g->kv_stores);
     g_hash_table_unref(g->budgets);
+    GwQuarantineStore_Delete(g->quarantine_store);
     GwQuarantine_Delete(g->quarantine);
     GwBreaks_Delete(g->breaks);
     g_rand_free(g->rand);
@@ -401,7 +402,16 @@
         .user = g,
     };
 
+    GwQuarantineStoreOptions quarantine = {
+        .store = d->store,
+        .quarantine = g->quarantine,
+        .log = g->log,
+        .counters = &g->counters,
+        .rand = g->rand,
+    };
+
     memcpy(g->seeds, d->seeds, sizeof(g->seeds));
+    g->quarantine_store = GwQuarantineStore_New(g->loop, &quarantine);
     g->reader = GwStoreReader_New(g->loop, &reader);
     peers.reader = g->reader;
     g->peers = GwPeers_New(g->loop, &peers, err);
--- a/packages/gateway/src/gateway_private.h
+++ b/packages/gateway/src/gateway_private.h
@@ -15,6 +15,7 @@
 #include "galenagw/routing/placement.h"
 
 #include "kv_stores.h"
+#include "quarantine_store.h"
 
 typedef struct GwGateway GwGateway;
 typedef struct GwRequest GwRequest;
@@ -43,6 +44,7 @@
     GHashTable *budgets; /* service to GwBudget */
     GwQuarantine *quarantine;
     GwBreaks *breaks;
+    GwQuarantineStore *quarantine_store;
     GwKvStores *kv_stores;
     GRand *rand;
     GwCounters counters;
--- a/packages/gateway/tests/gateway_quarantine_test.cc
+++ b/packages/gateway/tests/gateway_quarantine_test.cc
@@ -164,6 +164,85 @@
     EXPECT_EQ(t.ended, 0);
 }
 
+// What lies in the store may be of a process that is gone, of another build or
+// of a wrong clock. A sound request must not be refused for longer than a term
+// by it, and what is over goes.
+TEST(GatewayQuarantine, RowsOfTheStoreHoldForATermAtMost)
+{
+    int64_t now = g_get_real_time() / GW_MILLISECOND;
+    const struct {
+        const char *name;
+        int64_t until_ms;
+        bool quarantined;
+    } cases[] = {
+        {"for a while", now + 60 * 1000, true},
+        {"for ever", INT64_MAX, true},
+        {"over", now - 1000, false},
+        {"long over", now - 600 * 1000, false},
+        {"before time began", INT64_MIN, false},
+        {"zero", 0, false},
+    };
+    GwDigestSource source = {"acme", "POST", "/plain/1", kFatal,
+                             sizeof(kFatal) - 1};
+    GwDigest digest = GwDigest_Of(&source);
+    char key[GW_DIGEST_KEY];
+
+    GwDigest_Key(&digest, key);
+    for (const auto &c : cases) {
+        Fleet f;
+        std::string value =
+            "{\"until_ms\":" + std::to_string(c.until_ms) + "}";
+
+        f.Configure(1);
+        f.AddEndpoint("i-1", "plain");
+        for (const char *other : {"", "short", "not hexadecimal, but as long"})
+            FakeStore_Put(f.store, "keyed.quarantine", other, value.c_str());
+        FakeStore_Put(f.store, "keyed.quarantine", key, value.c_str());
+        GwGateway *g = f.AddGateway();
+        ASSERT_TRUE(f.Ready());
+        auto caller = f.Call(g, Fleet::Request("POST", "/plain/1", kFatal));
+        ASSERT_TRUE(f.Until([&] { return caller->Has(1); })) << c.name;
+        EXPECT_EQ(caller->Status(), c.quarantined ? 503 : 200) << c.name;
+        EXPECT_LE(GwQuarantine_Left(g->quarantine, &digest, GwTime_Now()),
+                  GW_QUARANTINE_TERM)
+            << c.name;
+        // A gateway that starts now finds it gone.
+        GwGateway *next = f.AddGateway("next");
+        unsigned calls = FakeStore_Calls(f.store);
+        ASSERT_TRUE(f.Ready());
+        EXPECT_EQ(GwGateway_Counters(g)->plain[GW_COUNTER_STORE_ERRORS], 0u);
+        EXPECT_GE(FakeStore_Calls(f.store) - calls, 3u) << c.name;
+        EXPECT_EQ(GwQuarantine_Left(next->quarantine, &digest, GwTime_Now()) >
+                      0,
+                  c.quarantined)
+            << c.name;
+    }
+}
+
+// The store is away when a gateway starts, and comes back.
+TEST(GatewayQuarantine, RowsAreReadOnceTheStoreIsBack)
+{
+    GwDigestSource source = {"acme", "POST", "/plain/1", kFatal,
+                             sizeof(kFatal) - 1};
+    GwDigest digest = GwDigest_Of(&source);
+    char key[GW_DIGEST_KEY];
+    Fleet f;
+
+    GwDigest_Key(&digest, key);
+    f.Configure(1);
+    f.AddEndpoint("i-1", "plain");
+    FakeStore_Put(f.store, "keyed.quarantine", key,
+                  "{\"until_ms\":9000000000000}");
+    FakeStore_Refuse(f.store, 503);
+    GwGateway *g = f.AddGateway();
+    f.Wait(300 * GW_MILLISECOND);
+    FakeStore_Refuse(f.store, 0);
+    ASSERT_TRUE(f.Ready());
+    EXPECT_TRUE(f.Until([&] {
+        return GwQuarantine_Left(g->quarantine, &digest, GwTime_Now()) > 0;
+    }));
+}
+
 // Endpoints reset the connections of a request, and live on: a faulty one, or
 // a network that does so. Its callers are answered as before, and nothing is
 // held against the request.
--- a/packages/quarantine/include/galenagw/quarantine/digest.h
+++ b/packages/quarantine/include/galenagw/quarantine/digest.h
@@ -41,6 +41,12 @@
 #define GW_DIGEST_TEXT 17
 
 void GwDigest_Text(const GwDigest *digest, char text[GW_DIGEST_TEXT]);
+/** Room for its key, which tells the whole digest: 32 digits. */
+#define GW_DIGEST_KEY 33
+
+void GwDigest_Key(const GwDigest *digest, char key[GW_DIGEST_KEY]);
+/** @return false if @p key is none */
+bool GwDigest_FromKey(const char *key, GwDigest *digest);
 /** For hash tables that are keyed by digests. */
 guint GwDigest_Hash(gconstpointer digest);
 gboolean GwDigest_EqualKeys(gconstpointer a, gconstpointer b);
--- a/packages/quarantine/include/galenagw/quarantine/quarantine.h
+++ b/packages/quarantine/include/galenagw/quarantine/quarantine.h
@@ -76,6 +76,12 @@
  */
 bool GwQuarantine_TakeSound(GwQuarantine *quarantine, const GwDigest *request,
                             GwTime at, GwTime now);
+/**
+ * The request is under quarantine until @p until by what a record tells that
+ * outlived the process which found it out; at most for a whole term.
+ */
+void GwQuarantine_Hold(GwQuarantine *quarantine, const GwDigest *request,
+                       GwTime until, GwTime now);
 /** How much longer the request must not be sent; 0: it may be. */
 GwTime GwQuarantine_Left(const GwQuarantine *quarantine,
                          const GwDigest *request, GwTime now);
--- a/packages/quarantine/src/digest.c
+++ b/packages/quarantine/src/digest.c
@@ -3,6 +3,9 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* Digits of one half. */
+#define HALF ((GW_DIGEST_KEY - 1) / 2)
+
 GwDigest
 GwDigest_Of(const GwDigestSource *source)
 {
@@ -35,6 +38,28 @@
                d->account ^ d->content);
 }
 
+void
+GwDigest_Key(const GwDigest *d, char key[GW_DIGEST_KEY])
+{
+    g_snprintf(key, GW_DIGEST_KEY,
+               "%016" G_GINT64_MODIFIER "x%016" G_GINT64_MODIFIER "x",
+               d->account, d->content);
+}
+
+bool
+GwDigest_FromKey(const char *key, GwDigest *d)
+{
+    char half[HALF + 1] = "";
+
+    if (strlen(key) != GW_DIGEST_KEY - 1 ||
+        strspn(key, "0123456789abcdef") != GW_DIGEST_KEY - 1)
+        return false;
+    memcpy(half, key, HALF);
+    d->account = g_ascii_strtoull(half, NULL, 16);
+    d->content = g_ascii_strtoull(key + HALF, NULL, 16);
+    return true;
+}
+
 guint
 GwDigest_Hash(gconstpointer digest)
 {
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -35,6 +35,7 @@
     GwTime sound_at; /* its last whole answer; 0: none is known */
     GwTime touched_at;
     GwTime until; /* under quarantine; 0: it is not */
+    GwTime held;  /* the same, by a record; 0: none tells */
 } Suspect;
 
 TAILQ_HEAD(SuspectList, Suspect);
@@ -155,16 +156,35 @@
         if (s->sightings[i].at > at + SOUND_SLACK)
             s->sightings[kept++] = s->sightings[i];
     }
-    if (kept == s->n)
+    if (kept == s->n && s->held == 0)
         return false;
     TAILQ_REMOVE(list, s, link);
     s->n = kept;
+    s->held = 0;
     TAILQ_INSERT_TAIL(list_of_(q, s), s, link);
     s->touched_at = now;
     judge_(q, s, now);
     return true;
 }
 
+void
+GwQuarantine_Hold(GwQuarantine *q, const GwDigest *request, GwTime until,
+                  GwTime now)
+{
+    Suspect *s;
+
+    if (until <= now)
+        return;
+    s = suspect_(q, request);
+    if (s->sound_at != 0)
+        return;
+    TAILQ_REMOVE(list_of_(q, s), s, link);
+    s->held = MIN(until, now + GW_QUARANTINE_TERM);
+    TAILQ_INSERT_TAIL(list_of_(q, s), s, link);
+    s->touched_at = now;
+    judge_(q, s, now);
+}
+
 GwTime
 GwQuarantine_Left(const GwQuarantine *q, const GwDigest *request, GwTime now)
 {
@@ -281,9 +301,10 @@
     bool was = s->until > now;
     bool is;
 
-    s->until = is_the_reason_(q, s)
-                   ? s->sightings[s->n - 1].at + GW_QUARANTINE_TERM
-                   : 0;
+    s->until = s->held;
+    if (is_the_reason_(q, s))
+        s->until =
+            MAX(s->until, s->sightings[s->n - 1].at + GW_QUARANTINE_TERM);
     is = s->until > now;
     if (is != was && q->options.on_changed != NULL)
         q->options.on_changed(q->options.user, &s->digest, s->n, is);
@@ -404,5 +425,5 @@
 static struct SuspectList *
 list_of_(GwQuarantine *q, const Suspect *s)
 {
-    return s->n > 1 ? &q->repeated : &q->single;
+    return s->n > 1 || s->held != 0 ? &q->repeated : &q->single;
 }
