--- a/fakes/include/galenagw/fakes/fake_engine.h
+++ b/fakes/include/galenagw/fakes/fake_engine.h
@@ -32,10 +32,12 @@
     bool ignore_fence;
     const char *weights;
     /* Faults: */
-    bool silent;     /**< takes calls, sends nothing */
-    bool reject;     /**< answers 503 to new calls */
-    int break_after; /**< a stream is cut after so many tokens; 0: never */
-    int break_count; /**< how many streams to cut so */
+    bool silent;       /**< takes calls, sends nothing */
+    bool reject;       /**< answers 503 to new calls */
+    int break_after;   /**< a stream is cut after so many tokens; 0: never */
+    int break_count;   /**< how many streams to cut so */
+    const char *fatal; /**< a last user message that ends it, once it is
+                            read; or NULL */
 } FakeEngineOptions;
 
 /** What the engine has seen. */
@@ -49,6 +51,7 @@
     uint64_t loads;
     uint64_t fenced;
     uint64_t last_fence;
+    uint64_t crashes;
 } FakeEngineStats;
 
 typedef struct FakeEngine FakeEngine;
--- a/fakes/src/fake_engine.c
+++ b/fakes/src/fake_engine.c
@@ -81,6 +81,7 @@
 static void enqueue_(FakeEngine *e, Run *r);
 static void prefill_next_(FakeEngine *e);
 static void on_prefilled_(void *user);
+static bool is_fatal_(const FakeEngine *e, const Run *r);
 static void on_decode_(void *user);
 static void emit_token_(Run *r);
 static void finish_run_(Run *r);
@@ -201,6 +202,7 @@
     }
     e->next_seq = 0;
     e->incarnation++;
+    e->stats.crashes++;
 }
 
 void
@@ -392,6 +394,10 @@
     FakeEngine *e = r->engine;
 
     e->prefilling = NULL;
+    if (is_fatal_(e, r)) {
+        FakeEngine_Crash(e);
+        return;
+    }
     e->stats.prompt_tokens += r->prompt_tokens;
     e->stats.cached_tokens += r->cached_tokens;
     e->stats.held_elsewhere += r->held_elsewhere;
@@ -412,6 +418,17 @@
     on_decode_(r);
 }
 
+static bool
+is_fatal_(const FakeEngine *e, const Run *r)
+{
+    char tag[9];
+
+    if (e->options.fatal == NULL)
+        return false;
+    FakeEngine_Tag(e->options.fatal, tag);
+    return strcmp(tag, r->tag) == 0;
+}
+
 static void
 on_decode_(void *user)
 {
