Entries and agents refuse a request under which three endpoints ended

Cause: the class of the crashing request. An agent knew its own engine alone, an entry only that this attempt broke; neither remembered either.

The mend: an agent that finds its endpoint ended (a report of another incarnation, none, or a plain service that refuses a connection) tells entries which requests were in flight; entries pass it on and know how many endpoints a failure domain has. Refused by entries before anything is sent, and by agents, the only gate to an endpoint, should an entry not know yet. From the second end on a request gets one attempt.

Ruled out as needed: digests over a continued answer. Its body differs, but each coming begins with the same one.

Left: after a restart of all entries and agents it is found anew, as this interface does not keep it in the log.

--- a/fakes/include/galenagw/fakes/world.h
+++ b/fakes/include/galenagw/fakes/world.h
@@ -61,6 +61,7 @@
     AgentNode *AddService(const FakeServiceOptions &options);
     AgentNode *AddServiceAgent(FakeService *service); // beside the same one
     EntryNode *AddEntry();
+    void KillService(AgentNode *node); // its port is closed
     void StartAgent(AgentNode *node);
     void StopAgent(AgentNode *node); // at once, like a kill
     void StopEntry(EntryNode *node);
--- a/fakes/tests/world.cc
+++ b/fakes/tests/world.cc
@@ -1,5 +1,7 @@
 #include "galenagw/fakes/world.h"
 
+#include <algorithm>
+
 #include <cstring>
 
 #include "galenagw/base/log.h"
@@ -182,6 +184,16 @@
     return node;
 }
 
+void
+World::KillService(AgentNode *node)
+{
+    services_.erase(
+        std::remove(services_.begin(), services_.end(), node->service),
+        services_.end());
+    FakeService_Delete(node->service);
+    node->service = nullptr;
+}
+
 void
 World::StartAgent(AgentNode *node)
 {
--- a/packages/agent/src/agent.c
+++ b/packages/agent/src/agent.c
@@ -9,6 +9,7 @@
 #include "agent_private.h"
 #include "claims.h"
 #include "drain.h"
+#include "ends.h"
 #include "galenagw/base/log.h"
 #include "home.h"
 #include "job.h"
@@ -76,6 +77,7 @@
     agent->reservations =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     g_queue_init(&agent->kept);
+    Ends_Init(agent);
     make_log_parts_(agent);
     make_endpoint_(agent);
     agent->home = Home_New(agent);
@@ -104,6 +106,7 @@
     GwConfigFeed_Delete(agent->feed);
     GwHttpLog_Delete(agent->http_log);
     GwHttpServer_Delete(agent->admin);
+    Ends_Stop(agent);
     g_hash_table_unref(agent->reservations);
     g_hash_table_unref(agent->key_states);
     g_hash_table_unref(agent->fences);
@@ -217,6 +220,7 @@
     Offers_Expire(agent, now);
     GwTimer_Start(&agent->tick, TICK_PERIOD);
     Jobs_Tick(agent, now);
+    Ends_Sweep(agent, now);
 }
 
 static void
@@ -255,6 +259,10 @@
 
     if (!agent->endpoint_up)
         GW_INFO("the endpoint answers, %d slots", report->slots);
+    if (agent->endpoint_incarnation != 0 &&
+        agent->endpoint_incarnation != report->incarnation)
+        Ends_EndpointEnded(agent);
+    agent->endpoint_incarnation = report->incarnation;
     agent->endpoint_up = true;
     agent->missed_reports = 0;
     agent->endpoint_loading = report->loading;
@@ -295,6 +303,7 @@
         return;
     GW_WARN("the endpoint does not answer; taking no new work");
     agent->endpoint_up = false;
+    Ends_EndpointEnded(agent);
 }
 
 static void
--- a/packages/agent/src/agent_private.h
+++ b/packages/agent/src/agent_private.h
@@ -10,6 +10,8 @@
 #include "galenagw/policy/cache_view.h"
 #include "galenagw/policy/choice.h"
 #include "galenagw/policy/heat.h"
+#include "galenagw/quarantine/breaks.h"
+#include "galenagw/quarantine/quarantine_words.h"
 #include "galenagw/wire/session.h"
 
 /* Half-life of the work counted for a prefix. */
@@ -39,6 +41,11 @@
     bool endpoint_loading;
     bool held; /* an order waits: nothing is started */
     int missed_reports;
+    uint64_t endpoint_incarnation; /* as it last reported; 0: never */
+    GwQuarantine *quarantine;
+    GwBreaks *breaks;
+    uint64_t ends; /* of the endpoint, that were told */
+    GwTcp *check;  /* whether a plain endpoint listens; NULL: none */
     int slots;
     char *weights; /* as the engine last reported */
 
--- /dev/null
+++ b/packages/agent/src/ends.c
@@ -0,0 +1,207 @@
+#define GW_LOG_PART "agent"
+#include "ends.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "galenagw/base/log.h"
+
+static GwDigest digest_(const Job *job);
+static void check_(GwAgent *agent);
+static void on_check_open_(void *user);
+static void on_check_data_(void *user, const uint8_t *data, size_t len);
+static void on_check_closed_(void *user, GwTcpEnd end);
+static void on_changed_(void *user, const GwDigest *request, unsigned ends,
+                        bool quarantined);
+static void on_news_(void *user, GwSession *from,
+                     const GwQuarantineNews *news);
+
+static const GwTcpOps check_ops = {on_check_open_, on_check_data_,
+                                   on_check_closed_, NULL};
+static const GwQuarantineWordsOps words_ops = {.on_news = on_news_};
+
+void
+Ends_Init(GwAgent *agent)
+{
+    GwQuarantineOptions options = {.on_changed = on_changed_};
+
+    agent->quarantine = GwQuarantine_New(&options);
+    agent->breaks = GwBreaks_New();
+}
+
+void
+Ends_Stop(GwAgent *agent)
+{
+    GwTcp_Close(agent->check);
+    GwQuarantine_Delete(agent->quarantine);
+    GwBreaks_Delete(agent->breaks);
+}
+
+void
+Ends_Broke(const Job *job)
+{
+    GwDigest digest = digest_(job);
+
+    // One endpoint is all that an agent has.
+    GwBreaks_Add(job->agent->breaks, 0, &digest, GwTime_Now());
+    // Of an engine its reports tell.
+    if (job->agent->options.plain_service)
+        check_(job->agent);
+}
+
+void
+Ends_Sweep(GwAgent *agent, GwTime now)
+{
+    GwQuarantine_Sweep(agent->quarantine, now);
+}
+
+// An end under nothing is none of the quarantine's business; a load of weights
+// looks like one too.
+void
+Ends_EndpointEnded(GwAgent *agent)
+{
+    const GwAgentOptions *o = &agent->options;
+    GwTime now = GwTime_Now();
+    GwQuarantineNews news = {.is_end = true};
+    g_autoptr(GArray) requests = NULL;
+    g_autofree GwDigest *fresh = NULL;
+    bool is_news;
+
+    requests = GwBreaks_Take(agent->breaks, 0, now, &news.end.at);
+    if (requests->len == 0)
+        return;
+    // Plain services do not tell their lives apart: ends are counted.
+    news.end.endpoint =
+        MAX(XXH3_64bits_withSeed(o->name, strlen(o->name),
+                                 agent->incarnation + ++agent->ends),
+            1);
+    news.end.group = GwQuarantine_Group(o->pool, o->failure_domain);
+    news.end.requests = (const GwDigest *)(const void *)requests->data;
+    news.end.n = MIN(requests->len, GW_QUARANTINE_END_MAX);
+    fresh = g_new(GwDigest, news.end.n);
+    GW_WARN("the endpoint ended under %u requests", requests->len);
+    GwCounters_Add(&agent->counters, GW_COUNTER_ENDS_SEEN, 1);
+    news.end.n = GwQuarantine_TakeEnd(agent->quarantine, &news.end, now, fresh,
+                                      &is_news);
+    news.end.requests = fresh;
+    on_news_(agent, NULL, &news);
+}
+
+void
+Ends_Answered(const Job *job)
+{
+    GwAgent *agent = job->agent;
+    GwTime now = GwTime_Now();
+    GwQuarantineNews news = {.sound_at = now};
+
+    if (GwQuarantine_IsEmpty(agent->quarantine))
+        return;
+    news.sound = digest_(job);
+    if (GwQuarantine_TakeSound(agent->quarantine, &news.sound, now, now))
+        on_news_(agent, NULL, &news);
+}
+
+GwTime
+Ends_Left(const GwAgent *agent, const Gw__Wire__Submit *s)
+{
+    GwDigestSource source = {
+        .account = s->account,
+        .method = s->method,
+        .target = s->path,
+        .body = (const char *)s->body.data,
+        .body_len = s->body.len,
+    };
+    GwDigest digest;
+
+    if (GwQuarantine_IsEmpty(agent->quarantine))
+        return 0;
+    digest = GwDigest_Of(&source);
+    return GwQuarantine_Left(agent->quarantine, &digest, GwTime_Now());
+}
+
+void
+Ends_TellAll(GwAgent *agent, GwSession *session)
+{
+    GwQuarantineWords_SendAll(session, agent->quarantine);
+}
+
+bool
+Ends_Take(GwAgent *agent, GwSession *session, const GwFrame *frame)
+{
+    return GwQuarantineWords_Take(agent->quarantine, session, frame,
+                                  &words_ops, agent);
+}
+
+// Whether anything listens there still. No timeout: a connection that takes
+// long is not refused, and another check is not needed before it ends.
+static void
+check_(GwAgent *agent)
+{
+    if (agent->check == NULL)
+        agent->check = GwTcp_Connect(agent->loop, &agent->options.endpoint,
+                                     &check_ops, agent);
+}
+
+static void
+on_check_open_(void *user)
+{
+    GwAgent *agent = user;
+
+    GwTcp_Close(g_steal_pointer(&agent->check));
+}
+
+static void
+on_check_data_(void *user, const uint8_t *data, size_t len)
+{
+}
+
+static void
+on_check_closed_(void *user, GwTcpEnd end)
+{
+    GwAgent *agent = user;
+
+    agent->check = NULL;
+    if (end == GW_TCP_UNREACHABLE)
+        Ends_EndpointEnded(agent);
+}
+
+static GwDigest
+digest_(const Job *job)
+{
+    gsize len;
+    GwDigestSource source = {
+        .account = job->account,
+        .method = job->method,
+        .target = job->path,
+        .body = g_bytes_get_data(job->body, &len),
+    };
+
+    source.body_len = len;
+    return GwDigest_Of(&source);
+}
+
+static void
+on_changed_(void *user, const GwDigest *request, unsigned ends,
+            bool quarantined)
+{
+    char text[GW_DIGEST_TEXT];
+
+    GwDigest_Text(request, text);
+    GW_WARN("request %s, under which %u endpoints ended, is %s", text, ends,
+            quarantined ? "refused from now on" : "served again");
+}
+
+// To all entries but the one that told it.
+static void
+on_news_(void *user, GwSession *from, const GwQuarantineNews *news)
+{
+    GwAgent *agent = user;
+    GHashTableIter it;
+    gpointer session;
+
+    g_hash_table_iter_init(&it, agent->sessions);
+    while (g_hash_table_iter_next(&it, &session, NULL)) {
+        if (session != from)
+            GwQuarantineWords_Send(session, news);
+    }
+}
--- a/packages/agent/src/job.c
+++ b/packages/agent/src/job.c
@@ -5,6 +5,7 @@
 
 #include "answer.h"
 #include "drain.h"
+#include "ends.h"
 #include "galenagw/base/log.h"
 #include "galenagw/policy/chain.h"
 #include "job_private.h"
@@ -58,6 +59,7 @@
 {
     Job *job = g_hash_table_lookup(agent->jobs, &s->request_id);
     GwRefusal refusal;
+    GwTime quarantined;
 
     GwCounters_Add(&agent->counters, GW_COUNTER_REQUESTS, 1);
     Offers_TakeUp(agent, s->probe_id);
@@ -68,6 +70,12 @@
     }
     if (!check_fence_(agent, session, s))
         return;
+    quarantined = Ends_Left(agent, s);
+    if (quarantined > 0) {
+        send_refused_(agent, session, s->request_id, s->attempt,
+                      GW_REFUSAL_QUARANTINED, GW_RAN_NO, quarantined, NULL);
+        return;
+    }
     refusal = check_(agent, s);
     if (refusal != GW_REFUSAL_NONE) {
         send_refused_(agent, session, s->request_id, s->attempt, refusal,
@@ -476,6 +484,10 @@
     job->call = NULL;
     GwAdmission_Leave(agent->admission, &job->ticket, GwTime_Now());
     learn_hits_(job, result);
+    if (result->end == GW_CALL_BROKEN)
+        Ends_Broke(job);
+    else if (result->end == GW_CALL_COMPLETE)
+        Ends_Answered(job);
     if (result->end == GW_CALL_NOT_RUN && job->count == 0) {
         // Proven not run, so the key may be tried again.
         if (ks != NULL)
--- a/packages/agent/src/sessions.c
+++ b/packages/agent/src/sessions.c
@@ -4,6 +4,7 @@
 #include <inttypes.h>
 
 #include "galenagw/base/log.h"
+#include "ends.h"
 #include "galenagw/sync/config_sync.h"
 #include "home.h"
 #include "job.h"
@@ -73,6 +74,7 @@
     GwAgent *agent = user;
 
     g_hash_table_add(agent->sessions, session);
+    Ends_TellAll(agent, session);
 }
 
 static void
@@ -80,7 +82,8 @@
 {
     GwAgent *agent = user;
 
-    if (GwConfigSync_OnFrame(agent->feed, session, frame))
+    if (GwConfigSync_OnFrame(agent->feed, session, frame) ||
+        Ends_Take(agent, session, frame))
         return;
     switch (frame->body_case) {
     case GW__WIRE__FRAME__BODY_PROBE:
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -118,6 +118,7 @@
 
 static const GwSessionOps session_ops = {on_ready_, on_frame_, on_revision_,
                                          on_closed_};
+static const GwQuarantineWordsOps quarantine_ops = {.on_news = on_quarantine_};
 
 GwPeers *
 GwPeers_New(GwLoop *loop, const GwPeersOptions *options, GwError *err)
@@ -377,7 +378,7 @@
 
     if (p->options.quarantine != NULL &&
         GwQuarantineWords_Take(p->options.quarantine, session, frame,
-                               on_quarantine_, p))
+                               &quarantine_ops, p))
         return;
     switch (frame->body_case) {
     case GW__WIRE__FRAME__BODY_RECORDS_ASK:
--- a/packages/entry/src/delivery.c
+++ b/packages/entry/src/delivery.c
@@ -6,6 +6,7 @@
 #include "galenagw/base/log.h"
 #include "openai.h"
 #include "placing.h"
+#include "suspects.h"
 
 /* Chunks between two acknowledgements. */
 #define ACK_EVERY 16
@@ -171,7 +172,7 @@
                         x->text->len < TEXT_MAX,
         .holder_known = owner != NULL && !x->asked_holder,
         .may_have_run = x->may_have_run,
-        .attempts = (int)x->attempt,
+        .attempts = Suspects_IsLast(x) ? GW_ATTEMPTS_MAX : (int)x->attempt,
     };
     GwRecovery r = GwRecovery_Decide(&facts);
 
--- a/packages/entry/src/entry.c
+++ b/packages/entry/src/entry.c
@@ -11,6 +11,7 @@
 #include "exchange.h"
 #include "peers.h"
 #include "placing.h"
+#include "suspects.h"
 
 #define TICK_PERIOD (50 * GW_MILLISECOND)
 #define DEFAULT_LIST_PERIOD (500 * GW_MILLISECOND)
@@ -31,12 +32,12 @@
 static void on_list_end_(void *user);
 static void connect_ahead_(GwEntry *entry);
 static void on_tick_(void *user);
+static void on_ready_(Peer *peer);
 static void on_frame_(Peer *peer, const GwFrame *frame);
 
 static const GwInstanceListOps list_ops = {on_list_begin_, on_instance_,
                                            on_list_end_};
-static const PeerOps peer_ops = {Exchange_PeerReady, Exchange_PeerLost,
-                                 on_frame_};
+static const PeerOps peer_ops = {on_ready_, Exchange_PeerLost, on_frame_};
 
 GwEntry *
 GwEntry_New(GwLoop *loop, const GwEntryOptions *options, GwError *err)
@@ -63,6 +64,7 @@
     entry->probes = g_hash_table_new(g_int64_hash, g_int64_equal);
     entry->widths = GwHeat_New(GW_WIDTH_HALF_LIFE, MAX_WIDTH_KEYS);
     entry->affinity = GwAffinity_New(AFFINITY_LIFE, MAX_WIDTH_KEYS);
+    Suspects_Init(entry);
     GwRetryBudget_Init(&entry->budget, DEFAULT_RETRY_SHARE, RETRY_BURST);
     entry->http_log = GwHttpLog_New(loop, &options->log, &entry->counters);
     feed.site = options->site;
@@ -94,6 +96,7 @@
     EntryDrain_Stop(entry);
     Exchange_Clear(entry);
     Peers_Clear(entry);
+    Suspects_Stop(entry);
     GwInstanceList_Delete(entry->list);
     GwConfigFeed_Delete(entry->feed);
     GwHttpLog_Delete(entry->http_log);
@@ -218,11 +221,21 @@
 
     GwTimer_Start(&entry->tick, TICK_PERIOD);
     Peers_Tick(entry, GwTime_Now());
+    Suspects_Sweep(entry, GwTime_Now());
+}
+
+static void
+on_ready_(Peer *peer)
+{
+    Suspects_TellAll(peer);
+    Exchange_PeerReady(peer);
 }
 
 static void
 on_frame_(Peer *peer, const GwFrame *frame)
 {
+    if (Suspects_Take(peer, frame))
+        return;
     switch (frame->body_case) {
     case GW__WIRE__FRAME__BODY_OFFER:
         Placing_OnOffer(peer, frame->offer);
--- a/packages/entry/src/entry_private.h
+++ b/packages/entry/src/entry_private.h
@@ -14,6 +14,7 @@
 #include "galenagw/policy/heat.h"
 #include "galenagw/policy/limits.h"
 #include "galenagw/policy/membership.h"
+#include "galenagw/quarantine/quarantine_words.h"
 #include "galenagw/wire/session.h"
 
 #define GW_WIDTH_HALF_LIFE GW_SECOND
@@ -59,6 +60,7 @@
     GwAffinity *affinity;
     GwHeat *widths; /* anchor to width, as offers told it */
     GwRetryBudget budget;
+    GwQuarantine *quarantine;
     GwTime trials_closed_until;
 
     GwTimer tick;
--- a/packages/entry/src/exchange.c
+++ b/packages/entry/src/exchange.c
@@ -8,6 +8,7 @@
 #include "exchange_private.h"
 #include "openai.h"
 #include "placing.h"
+#include "suspects.h"
 
 /* How long a request waits for configuration or members at a start. */
 #define START_PATIENCE (2 * GW_SECOND)
@@ -144,6 +145,7 @@
 {
     const GwConfig *config = GwConfigFeed_Config(x->entry->feed);
     bool patient = GwTime_Now() - x->begun < START_PATIENCE;
+    GwTime quarantined;
 
     if (config == NULL || !x->entry->listed) {
         // A restarted process has these from an agent or the platform in a
@@ -159,7 +161,13 @@
     }
     if (!x->admitted && !admit_(x, config))
         return;
-    Placing_Start(x);
+    quarantined = Suspects_Left(x);
+    if (quarantined > 0)
+        Exchange_Refuse(x, GW_REFUSAL_QUARANTINED,
+                        x->may_have_run ? GW_RAN_UNKNOWN : GW_RAN_NO,
+                        quarantined);
+    else
+        Placing_Start(x);
 }
 
 // False when it was refused, or waits for credits.
--- /dev/null
+++ b/packages/entry/src/suspects.c
@@ -0,0 +1,125 @@
+#define GW_LOG_PART "entry"
+#include "suspects.h"
+
+#include "galenagw/base/log.h"
+
+static GwDigest digest_(const Exchange *x);
+static void on_changed_(void *user, const GwDigest *request, unsigned ends,
+                        bool quarantined);
+static void on_news_(void *user, GwSession *from,
+                     const GwQuarantineNews *news);
+static unsigned group_size_(void *user, uint64_t group);
+
+static const GwQuarantineWordsOps words_ops = {on_news_, group_size_};
+
+void
+Suspects_Init(GwEntry *entry)
+{
+    GwQuarantineOptions options = {.on_changed = on_changed_};
+
+    entry->quarantine = GwQuarantine_New(&options);
+}
+
+void
+Suspects_Stop(GwEntry *entry)
+{
+    GwQuarantine_Delete(entry->quarantine);
+}
+
+GwTime
+Suspects_Left(const Exchange *x)
+{
+    GwDigest digest;
+
+    if (GwQuarantine_IsEmpty(x->entry->quarantine))
+        return 0;
+    digest = digest_(x);
+    return GwQuarantine_Left(x->entry->quarantine, &digest, GwTime_Now());
+}
+
+bool
+Suspects_IsLast(const Exchange *x)
+{
+    GwDigest digest;
+
+    if (GwQuarantine_IsEmpty(x->entry->quarantine))
+        return false;
+    digest = digest_(x);
+    return GwQuarantine_Ends(x->entry->quarantine, &digest) >=
+           GW_QUARANTINE_ENDS - 1;
+}
+
+void
+Suspects_TellAll(Peer *peer)
+{
+    GwQuarantineWords_SendAll(peer->session, peer->entry->quarantine);
+}
+
+bool
+Suspects_Take(Peer *peer, const GwFrame *frame)
+{
+    return GwQuarantineWords_Take(peer->entry->quarantine, peer->session,
+                                  frame, &words_ops, peer->entry);
+}
+
+void
+Suspects_Sweep(GwEntry *entry, GwTime now)
+{
+    GwQuarantine_Sweep(entry->quarantine, now);
+}
+
+static GwDigest
+digest_(const Exchange *x)
+{
+    GwDigestSource source = {
+        .account = x->account,
+        .method = x->request.method,
+        .target = x->request.path,
+        .body = x->request.body,
+        .body_len = x->request.body_len,
+    };
+
+    return GwDigest_Of(&source);
+}
+
+static void
+on_changed_(void *user, const GwDigest *request, unsigned ends,
+            bool quarantined)
+{
+    char text[GW_DIGEST_TEXT];
+
+    GwDigest_Text(request, text);
+    GW_WARN("request %s, under which %u endpoints ended, is %s", text, ends,
+            quarantined ? "refused from now on" : "served again");
+}
+
+// Agents are connected to entries alone: what one tells the others have from
+// here.
+static void
+on_news_(void *user, GwSession *from, const GwQuarantineNews *news)
+{
+    GwEntry *entry = user;
+    const GPtrArray *all = GwMembership_All(entry->members);
+
+    for (guint i = 0; i < all->len; i++) {
+        const Peer *peer = ((GwMember *)all->pdata[i])->user;
+
+        if (peer != NULL && peer->session != from && Peers_IsReady(peer))
+            GwQuarantineWords_Send(peer->session, news);
+    }
+}
+
+static unsigned
+group_size_(void *user, uint64_t group)
+{
+    const GwEntry *entry = user;
+    const GPtrArray *all = GwMembership_All(entry->members);
+    unsigned n = 0;
+
+    for (guint i = 0; i < all->len; i++) {
+        const GwMember *member = all->pdata[i];
+
+        n += GwQuarantine_Group(member->pool, member->failure_domain) == group;
+    }
+    return n;
+}
--- a/packages/entry/tests/quarantine_test.cc
+++ b/packages/entry/tests/quarantine_test.cc
@@ -101,3 +101,44 @@
     for (int i = 0; i < 6; i++)
         EXPECT_NE(Ask(&w, e, "desk.secret", "sound")->Code(), "quarantined");
 }
+
+// A booking ends each service that runs it, which tells no reports: its agent
+// finds that nothing listens there any more.
+TEST(EntryQuarantine, ABookingThatEndsItsServicesIsNotSentOnForEver)
+{
+    World w;
+    FakeServiceOptions options = {};
+
+    w.Publish(kTestConfig);
+    options.hang = 1000;
+    for (int i = 0; i < 8; i++)
+        w.AddService(options);
+    EntryNode *e = w.AddEntry();
+    ASSERT_TRUE(w.Ready());
+    int killed = 0;
+    for (int i = 0; i < 3; i++) {
+        auto c = w.Book(e, "fatal");
+        auto running = [&]() -> AgentNode * {
+            for (auto &a : w.agents) {
+                if (a->service != nullptr &&
+                    FakeService_Runs(a->service, "fatal") > 0)
+                    return a.get();
+            }
+            return nullptr;
+        };
+
+        ASSERT_TRUE(w.Until([&] { return running() != nullptr || c->done; }));
+        ASSERT_NE(running(), nullptr) << c->body;
+        w.KillService(running());
+        killed++;
+        ASSERT_TRUE(w.Until([&] { return c->done; }));
+        EXPECT_EQ(c->Ran(), "unknown") << c->body;
+    }
+    GwTime until = GwTime_Now() + 300 * GW_MILLISECOND;
+    w.Until([&] { return GwTime_Now() >= until; });
+    auto c = w.Book(e, "fatal");
+    ASSERT_TRUE(w.Until([&] { return c->done; }));
+    EXPECT_EQ(c->Code(), "quarantined") << c->body;
+    EXPECT_EQ(c->Ran(), "no");
+    EXPECT_EQ(killed, 3);
+}
--- a/packages/quarantine/include/galenagw/quarantine/quarantine.h
+++ b/packages/quarantine/include/galenagw/quarantine/quarantine.h
@@ -40,7 +40,7 @@
 typedef struct {
     uint64_t endpoint;   /**< of its id and its start; never 0 */
     uint64_t group;      /**< of its service and failure domain */
-    unsigned group_size; /**< endpoints in it, this one too */
+    unsigned group_size; /**< endpoints in it, this one too; 0: not known */
     GwTime at;
     const GwDigest *requests; /**< that were in flight there */
     size_t n;
@@ -56,6 +56,9 @@
     void *user;
 } GwQuarantineOptions;
 
+/** The group of endpoints of a pool or service in a failure domain. */
+uint64_t GwQuarantine_Group(const char *pool, const char *failure_domain);
+
 GwQuarantine *GwQuarantine_New(const GwQuarantineOptions *options);
 void GwQuarantine_Delete(GwQuarantine *quarantine);
 
--- a/packages/quarantine/include/galenagw/quarantine/quarantine_words.h
+++ b/packages/quarantine/include/galenagw/quarantine/quarantine_words.h
@@ -25,21 +25,26 @@
     GwTime sound_at;
 } GwQuarantineNews;
 
-/** Where news goes; @p from is the session that it came by. */
-typedef void (*GwQuarantineWords_OnNews)(void *user, GwSession *from,
-                                         const GwQuarantineNews *news);
+/** Callbacks of whoever takes words. */
+typedef struct {
+    /** Something was news; @p from is the session that it came by. */
+    void (*on_news)(void *user, GwSession *from, const GwQuarantineNews *news);
+    /** Endpoints of a group, for an end of which the teller does not know; or
+     * NULL. */
+    unsigned (*group_size)(void *user, uint64_t group);
+} GwQuarantineWordsOps;
 
 void GwQuarantineWords_Send(GwSession *session, const GwQuarantineNews *news);
 /** Tell all that matters to a peer that may know nothing. */
 void GwQuarantineWords_SendAll(GwSession *session,
                                const GwQuarantine *quarantine);
 /**
- * Take a frame of @p from into @p quarantine, and hand what was news to @p fn.
+ * Take a frame of @p from into @p quarantine.
  * @return false if it is about something else
  */
 bool GwQuarantineWords_Take(GwQuarantine *quarantine, GwSession *from,
-                            const GwFrame *frame, GwQuarantineWords_OnNews fn,
-                            void *user);
+                            const GwFrame *frame,
+                            const GwQuarantineWordsOps *ops, void *user);
 
 #ifdef __cplusplus
 }
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 #include <sys/queue.h>
+#include <xxhash.h>
 
 /* Ends that are remembered of one request, the newest ones. */
 #define MAX_SIGHTINGS 16
@@ -69,6 +70,15 @@
 static void sweep_(GwQuarantine *q, struct SuspectList *list, GwTime now);
 static struct SuspectList *list_of_(GwQuarantine *q, const Suspect *s);
 
+uint64_t
+GwQuarantine_Group(const char *pool, const char *failure_domain)
+{
+    const char *domain = failure_domain != NULL ? failure_domain : "";
+
+    return XXH3_64bits_withSeed(pool, strlen(pool),
+                                XXH3_64bits(domain, strlen(domain)));
+}
+
 GwQuarantine *
 GwQuarantine_New(const GwQuarantineOptions *options)
 {
@@ -373,7 +383,8 @@
         ended +=
             end->group == sighting->group && is_near_(end->at, sighting->at);
     }
-    return ended > 1 && ended >= GROUP_SHARE * sighting->group_size;
+    return ended > 1 && sighting->group_size > 0 &&
+           ended >= GROUP_SHARE * sighting->group_size;
 }
 
 // Endpoints that ended close to an end under this request.
--- a/packages/quarantine/src/quarantine_words.c
+++ b/packages/quarantine/src/quarantine_words.c
@@ -7,10 +7,10 @@
 static void send_sound_(GwSession *session, const GwQuarantineNews *news);
 static void take_end_(GwQuarantine *q, GwSession *from,
                       const Gw__Wire__EndpointEnd *told,
-                      GwQuarantineWords_OnNews fn, void *user);
+                      const GwQuarantineWordsOps *ops, void *user);
 static void take_sound_(GwQuarantine *q, GwSession *from,
                         const Gw__Wire__SoundRequest *told,
-                        GwQuarantineWords_OnNews fn, void *user);
+                        const GwQuarantineWordsOps *ops, void *user);
 static uint64_t ago_ms_(GwTime at);
 static GwTime at_(uint64_t ago_ms, GwTime now);
 
@@ -31,14 +31,14 @@
 
 bool
 GwQuarantineWords_Take(GwQuarantine *q, GwSession *from, const GwFrame *frame,
-                       GwQuarantineWords_OnNews fn, void *user)
+                       const GwQuarantineWordsOps *ops, void *user)
 {
     switch (frame->body_case) {
     case GW__WIRE__FRAME__BODY_ENDPOINT_END:
-        take_end_(q, from, frame->endpoint_end, fn, user);
+        take_end_(q, from, frame->endpoint_end, ops, user);
         return true;
     case GW__WIRE__FRAME__BODY_SOUND_REQUEST:
-        take_sound_(q, from, frame->sound_request, fn, user);
+        take_sound_(q, from, frame->sound_request, ops, user);
         return true;
     default:
         return false;
@@ -82,7 +82,7 @@
 // is still true.
 static void
 take_end_(GwQuarantine *q, GwSession *from, const Gw__Wire__EndpointEnd *told,
-          GwQuarantineWords_OnNews fn, void *user)
+          const GwQuarantineWordsOps *ops, void *user)
 {
     GwTime now = GwTime_Now();
     size_t n =
@@ -100,18 +100,20 @@
     };
     bool is_news;
 
+    if (told->group_size == 0 && ops->group_size != NULL)
+        news.end.group_size = ops->group_size(user, told->group);
     for (size_t i = 0; i < n; i++)
         requests[i] = (GwDigest){told->accounts[i], told->contents[i]};
     news.end.n = GwQuarantine_TakeEnd(q, &news.end, now, fresh, &is_news);
     news.end.requests = fresh;
     if (is_news || news.end.n > 0)
-        fn(user, from, &news);
+        ops->on_news(user, from, &news);
 }
 
 static void
 take_sound_(GwQuarantine *q, GwSession *from,
-            const Gw__Wire__SoundRequest *told, GwQuarantineWords_OnNews fn,
-            void *user)
+            const Gw__Wire__SoundRequest *told,
+            const GwQuarantineWordsOps *ops, void *user)
 {
     GwTime now = GwTime_Now();
     GwQuarantineNews news = {
@@ -120,7 +122,7 @@
     };
 
     if (GwQuarantine_TakeSound(q, &news.sound, news.sound_at, now))
-        fn(user, from, &news);
+        ops->on_news(user, from, &news);
 }
 
 static uint64_t
--- a/packages/quarantine/tests/quarantine_words_test.cc
+++ b/packages/quarantine/tests/quarantine_words_test.cc
@@ -19,20 +19,29 @@
     bool
     Take(const GwFrame *frame)
     {
-        return GwQuarantineWords_Take(
-            q, nullptr, frame,
-            [](void *user, GwSession *, const GwQuarantineNews *n) {
-                Taker *t = static_cast<Taker *>(user);
-
-                t->news++;
-                t->requests += n->end.n;
-            },
-            this);
+        static const GwQuarantineWordsOps ops = {OnNews, GroupSize};
+
+        return GwQuarantineWords_Take(q, nullptr, frame, &ops, this);
+    }
+    static void
+    OnNews(void *user, GwSession *, const GwQuarantineNews *n)
+    {
+        Taker *t = static_cast<Taker *>(user);
+
+        t->news++;
+        t->requests += n->end.n;
+        t->group_size = n->end.group_size;
+    }
+    static unsigned
+    GroupSize(void *, uint64_t)
+    {
+        return 77;
     }
     GwQuarantineOptions options = {};
     GwQuarantine *q;
     size_t news = 0;
     size_t requests = 0;
+    unsigned group_size = 0;
 };
 
 struct EndFrame {
@@ -137,6 +146,23 @@
     }
 }
 
+// An agent knows its own engine alone; an entry knows how many there are.
+TEST(QuarantineWords, WhoKnowsTheGroupTellsItsSize)
+{
+    const struct {
+        unsigned told, taken;
+    } cases[] = {{9, 9}, {0, 77}};
+
+    for (const auto &c : cases) {
+        Taker t;
+        EndFrame f;
+
+        f.told.group_size = c.told;
+        t.Take(&f.frame);
+        EXPECT_EQ(t.group_size, c.taken);
+    }
+}
+
 TEST(QuarantineWords, OtherFramesAreLeftToOthers)
 {
     Taker t;
