An endpoint whose answer says that it leaves gets no new work

What callers saw: requests were sent to an engine up to 3.6 s after its answer had said that it leaves; it was gone at 14.9 s. The store was away, so its row never said so.

Cause: leaving was learned from the list alone; no decoder named the word on answers. Class: what an endpoint says of itself in an answer is passed on and not read.

Ruled out: a peer's older copy or the agent's word (nothing but a row sets leaving, and no row takes it back), and requests chosen before.

The mend: any answer with that word, also a late one to another request, marks its endpoint; so does a report to the agent beside it, four times a second. Told to all processes and to who connects, for the life that gave it, also before the list has named it. Of a successor at its address it is no word. It counts for ten minutes after the last such answer, as bytes may be wrong; a row counts for good.

--- a/packages/cluster/include/galenagw/cluster/peers.h
+++ b/packages/cluster/include/galenagw/cluster/peers.h
@@ -95,6 +95,12 @@
  * learns of it in a fraction of a second instead of a heartbeat for each hop.
  */
 void GwPeers_TellNews(GwPeers *peers);
+/**
+ * An answer of @p instance says that it leaves: it gets no new work here, and
+ * all peers are told.
+ */
+void GwPeers_NoteLeaving(GwPeers *peers, const GwInstance *instance,
+                         GwLearned from);
 /** Tell all peers what this process has found out. */
 void GwPeers_TellQuarantine(GwPeers *peers, const GwQuarantineNews *news);
 /**
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -6,6 +6,7 @@
 
 #include "exchange.h"
 #include "kept_words.h"
+#include "leaving_words.h"
 #include "galenagw/routing/subset.h"
 #include "galenagw/wire/session.h"
 
@@ -84,6 +85,8 @@
 static void on_frame_(void *user, GwSession *session, const GwFrame *frame);
 static void on_quarantine_(void *user, GwSession *from,
                            const GwQuarantineNews *news);
+static void tell_leaving_(GwPeers *p, const GwSession *from,
+                          const GwLeavingWord *word, GwLearned learned);
 static void on_revision_(void *user, GwSession *session, uint64_t revision);
 static void on_closed_(void *user, GwSession *session, bool silent);
 static void forget_advice_(GwPeers *p, const Peer *peer);
@@ -292,6 +295,17 @@
     GwSession_Ping(peer->session);
 }
 
+void
+GwPeers_NoteLeaving(GwPeers *p, const GwInstance *instance, GwLearned from)
+{
+    GwTime now = GwTime_Now();
+    GwLeavingWord word = {instance->id, instance->incarnation, now};
+
+    if (GwInstances_SetLeaving(GwView_Instances(p->options.view), word.id,
+                               word.incarnation, now, now))
+        tell_leaving_(p, NULL, &word, from);
+}
+
 void
 GwPeers_TellQuarantine(GwPeers *p, const GwQuarantineNews *news)
 {
@@ -366,6 +380,7 @@
     }
     if (peer->is_entry)
         tell_kept_(p, peer, NULL, 0);
+    GwLeavingWords_SendAll(session, GwView_Instances(p->options.view));
     if (p->options.quarantine != NULL)
         GwQuarantineWords_SendAll(session, p->options.quarantine);
 }
@@ -375,6 +390,7 @@
 {
     GwPeers *p = user;
     Peer *peer = find_(p, session);
+    GwLeavingWord leaving;
 
     if (p->options.quarantine != NULL &&
         GwQuarantineWords_Take(p->options.quarantine, session, frame,
@@ -400,6 +416,11 @@
             GwKeptWords_Take(&peer->kept, frame->kept_parts,
                              GwView_Instances(p->options.view));
         return;
+    case GW__WIRE__FRAME__BODY_ENDPOINT_LEAVING:
+        if (GwLeavingWords_Take(GwView_Instances(p->options.view),
+                                frame->endpoint_leaving, &leaving))
+            tell_leaving_(p, session, &leaving, GW_LEARNED_PEER);
+        return;
     case GW__WIRE__FRAME__BODY_WEIGHTS_AGE:
         GwExchange_TakeAge(&p->exchange, frame->weights_age);
         return;
@@ -427,6 +448,23 @@
         p->options.on_endpoint_ended(p->options.user, &news->end);
 }
 
+static void
+tell_leaving_(GwPeers *p, const GwSession *from, const GwLeavingWord *word,
+              GwLearned learned)
+{
+    Peer *peer;
+
+    GwEvent_Begin(p->options.log, "endpoint_leaving", NULL);
+    GwEvent_Text(p->options.log, "instance", word->id);
+    GwEvent_Text(p->options.log, "learned_from", GwLearned_Names[learned]);
+    GwEvent_End(p->options.log);
+    TAILQ_FOREACH(peer, &p->peers, link)
+    {
+        if (peer->session != from && GwSession_IsReady(peer->session))
+            GwLeavingWords_Send(peer->session, word);
+    }
+}
+
 static void
 on_revision_(void *user, GwSession *session, uint64_t revision)
 {
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -23,6 +23,7 @@
 static GwTime defer_(const GwRequest *r, const GwInstance *instance);
 static void send_(GwRequest *r, GwInstance *instance, const GwAddress *source);
 static GwHeadVerdict on_head_(void *user, const GwHttpHead *head);
+static void note_leaving_(GwRequest *r);
 static void on_body_(void *user, const char *data, size_t len);
 static void on_end_(void *user, GwUpstreamEnd end);
 
@@ -201,6 +202,7 @@
     GwRequest *r = user;
 
     GwMessages_DecodeReply(head, r->ask.id, &r->reply);
+    note_leaving_(r);
     // An extra answer to an earlier request on this connection.
     if (!r->reply.is_ours)
         return GW_HEAD_SKIP;
@@ -220,6 +222,20 @@
     return GW_HEAD_TAKE;
 }
 
+// Its row may say so later, or never while the store is away; by then its
+// process ends, and breaks what it was sent. Also an answer to another request
+// is this endpoint's; what its successor says is not.
+static void
+note_leaving_(GwRequest *r)
+{
+    bool is_own = r->reply.instance_id != NULL
+                      ? strcmp(r->reply.instance_id, r->instance->id) == 0
+                      : r->reply.status != 421;
+
+    if (r->reply.is_leaving && is_own)
+        GwPeers_NoteLeaving(r->gateway->peers, r->instance, GW_LEARNED_ANSWER);
+}
+
 static void
 on_body_(void *user, const char *data, size_t len)
 {
--- a/packages/http/include/galenagw/http/caller.h
+++ b/packages/http/include/galenagw/http/caller.h
@@ -42,6 +42,8 @@
  */
 void GwHttpCaller_Send(GwHttpCaller *caller, const GString *request,
                        GwTime timeout, GwHttpCaller_OnDone fn, void *user);
+/** The head of the answer, within the callback of an answered call. */
+const GwHttpHead *GwHttpCaller_Head(const GwHttpCaller *caller);
 /** Drop the call under way, without its callback, and the connection. */
 void GwHttpCaller_Cancel(GwHttpCaller *caller);
 bool GwHttpCaller_IsBusy(const GwHttpCaller *caller);
--- a/packages/http/src/caller.c
+++ b/packages/http/src/caller.c
@@ -19,6 +19,7 @@
     size_t received; /* bytes of the answer under way, with its head */
     GwTime heard;    /* when the last of them came */
     bool patient;
+    const GwHttpHead *head; /* the reader's */
     int status;
     bool keep;
     GwTimer timer;
@@ -103,6 +104,12 @@
     disconnect_(c);
 }
 
+const GwHttpHead *
+GwHttpCaller_Head(const GwHttpCaller *c)
+{
+    return c->head;
+}
+
 bool
 GwHttpCaller_IsBusy(const GwHttpCaller *c)
 {
@@ -184,6 +191,7 @@
 {
     GwHttpCaller *c = user;
 
+    c->head = head;
     c->status = head->status;
     c->keep = head->keep_alive;
     return true;
--- a/packages/routing/include/galenagw/routing/ask.h
+++ b/packages/routing/include/galenagw/routing/ask.h
@@ -59,6 +59,7 @@
     bool not_run;            /**< the endpoint states it did not run it */
     const char *instance_id; /**< who answers, if it tells; borrowed */
     bool is_ours;            /**< it names our request, or none */
+    bool is_leaving;         /**< whoever answers says that it leaves */
     int64_t weights;         /**< version that runs it; -1: not told */
     int64_t keep_alive_s;    /**< idle time it allows; -1: not told */
 } GwReply;
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -40,11 +40,13 @@
     int64_t offset;    /**< of its record: what is newer has the larger one */
 } GwInstanceRow;
 
-/** Where a later life of an id was learned of. */
+/** Where something was learned of an endpoint. */
 typedef enum {
     GW_LEARNED_LIST = 0, /**< its row, from the store or a peer */
     GW_LEARNED_AGENT,    /**< the word of the agent beside it */
     GW_LEARNED_REPORT,   /**< its own report to the agent beside it */
+    GW_LEARNED_ANSWER,   /**< its answer to a request */
+    GW_LEARNED_PEER,     /**< another process, whoever told that */
     GW_LEARNED_FROM
 } GwLearned;
 
@@ -87,11 +89,13 @@
     uint64_t place;  /**< hash of the address: a restart keeps its prefixes */
     uint64_t domain; /**< hash of the failure domain */
     unsigned slots;
-    bool draining;     /**< it gets no new work: it is leaving, or another
-                            one is listed at its address */
-    bool leaving;      /**< it said so itself; final for its life */
-    bool followed;     /**< an engine whose agent this process hears */
-    int64_t offset;    /**< of its newest record */
+    bool draining;        /**< it gets no new work: it is leaving, or another
+                               one is listed at its address */
+    bool leaving;         /**< it said so itself */
+    GwTime leaving_until; /**< 0: its row said so, which is final for its
+                               life; else its answers did, and until then */
+    bool followed;        /**< an engine whose agent this process hears */
+    int64_t offset;       /**< of its newest record */
     GwTime removed_at; /**< when the list dropped it, while that may still be
                             undone; 0: it has not */
     int64_t weights;   /**< newest version it is known to have; -1: none */
@@ -115,6 +119,13 @@
     int refs;
 } GwInstance;
 
+/** How long the word of an answer counts: longer than any endpoint takes to
+ * leave. One that was wrong, as bytes may be, must not put an endpoint out of
+ * use for good. */
+#define GW_LEAVING_TERM (600 * GW_SECOND)
+/** Endpoints told to leave before the list has named them, at most. */
+#define GW_LEAVING_MAX 256
+
 typedef struct GwInstances GwInstances;
 
 /** Callbacks. */
@@ -144,6 +155,18 @@
  */
 GwInstance *GwInstances_Restarted(GwInstances *instances, const char *id,
                                   int64_t incarnation, GwLearned from);
+/**
+ * An answer of @p id said at @p told_at that it leaves: it gets no new work.
+ * An id that is not listed yet is remembered.
+ * @return whether that is news
+ */
+bool GwInstances_SetLeaving(GwInstances *instances, const char *id,
+                            int64_t incarnation, GwTime told_at, GwTime now);
+/** Call @p fn for all that are known to leave by their answers. */
+void GwInstances_EachLeaving(const GwInstances *instances,
+                             void (*fn)(void *user, const char *id,
+                                        int64_t incarnation, GwTime told_at),
+                             void *user);
 /** Another incarnation answers at its address: it gets no new work. */
 void GwInstance_SetReplaced(GwInstance *instance);
 /** The list dropped @p id: it gets no new work. */
@@ -168,7 +191,8 @@
 void GwInstances_HoldTold(GwInstances *instances, GwTime until);
 /** Until when the removal of @p id is only noted; 0: it is not. */
 GwTime GwInstances_HeldUntil(const GwInstances *instances, const char *id);
-/** Carry out removals that were only noted, once it is time. */
+/** Carry out removals that were only noted, once it is time, and forget who
+ * leaves by answers that are long past. */
 void GwInstances_Sweep(GwInstances *instances, GwTime now);
 
 GwInstance *GwInstances_Find(const GwInstances *instances, const char *id);
--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -12,9 +12,16 @@
  * missing: requests find out which. */
 #define FORGOTTEN_AFTER (6 * GW_SECOND)
 
+/* An endpoint's word that it leaves. */
+typedef struct {
+    int64_t incarnation;
+    GwTime told_at;
+} Leaving;
+
 struct GwInstances {
-    GHashTable *by_id; /* listed ones; each entry holds a reference */
-    GHashTable *pools; /* service to GPtrArray of GwInstance */
+    GHashTable *told_leaving; /* id to Leaving, by answers */
+    GHashTable *by_id;        /* listed ones; each entry holds a reference */
+    GHashTable *pools;        /* service to GPtrArray of GwInstance */
     GPtrArray *all;
     GwInstancesOps ops;
     void *user;
@@ -26,12 +33,14 @@
 };
 
 const char *const GwLearned_Names[GW_LEARNED_FROM] = {
-    [GW_LEARNED_LIST] = "list",
-    [GW_LEARNED_AGENT] = "agent",
-    [GW_LEARNED_REPORT] = "report",
+    [GW_LEARNED_LIST] = "list",     [GW_LEARNED_AGENT] = "agent",
+    [GW_LEARNED_REPORT] = "report", [GW_LEARNED_ANSWER] = "answer",
+    [GW_LEARNED_PEER] = "peer",
 };
 
 static GwInstance *add_(GwInstances *m, const GwInstanceRow *row);
+static void take_leaving_(GwInstances *m, GwInstance *instance);
+static void forget_leaving_(GwInstances *m, GwTime now);
 static bool replace_at_(GwInstances *m, const GwInstance *row);
 static GPtrArray *pool_(GwInstances *m, const char *service);
 static void drop_(GwInstances *m, GwInstance *instance);
@@ -44,6 +53,8 @@
     GwInstances *m = g_new0(GwInstances, 1);
 
     m->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    m->told_leaving =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     m->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                      (GDestroyNotify)g_ptr_array_unref);
     m->all = g_ptr_array_new();
@@ -60,6 +71,7 @@
     while (m->all->len > 0)
         drop_(m, g_ptr_array_index(m->all, 0));
     g_hash_table_unref(m->by_id);
+    g_hash_table_unref(m->told_leaving);
     g_hash_table_unref(m->pools);
     g_ptr_array_unref(m->all);
     g_free(m);
@@ -92,6 +104,8 @@
     changed = replace_at_(m, instance) || changed;
     // Leaving is final for an incarnation.
     instance->leaving = instance->leaving || row->draining;
+    if (row->draining)
+        instance->leaving_until = 0;
     if (instance->leaving && !instance->draining) {
         instance->draining = true;
         changed = true;
@@ -122,6 +136,49 @@
     return supersede_(m, before, &row, from);
 }
 
+bool
+GwInstances_SetLeaving(GwInstances *m, const char *id, int64_t incarnation,
+                       GwTime told_at, GwTime now)
+{
+    GwInstance *instance = g_hash_table_lookup(m->by_id, id);
+    const Leaving *known = g_hash_table_lookup(m->told_leaving, id);
+    bool is_news = known == NULL || known->incarnation < incarnation;
+
+    told_at = MIN(told_at, now);
+    if (now - told_at >= GW_LEAVING_TERM ||
+        (known != NULL &&
+         (known->incarnation > incarnation || known->told_at >= told_at)) ||
+        (instance != NULL && incarnation != 0 &&
+         incarnation < instance->incarnation))
+        return false;
+    if (known == NULL && g_hash_table_size(m->told_leaving) >= GW_LEAVING_MAX)
+        return false;
+    g_hash_table_insert(
+        m->told_leaving, g_strdup(id),
+        g_memdup2(&(Leaving){incarnation, told_at}, sizeof(Leaving)));
+    if (instance != NULL)
+        take_leaving_(m, instance);
+    return is_news;
+}
+
+void
+GwInstances_EachLeaving(const GwInstances *m,
+                        void (*fn)(void *user, const char *id,
+                                   int64_t incarnation, GwTime told_at),
+                        void *user)
+{
+    GHashTableIter iter;
+    gpointer id;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, m->told_leaving);
+    while (g_hash_table_iter_next(&iter, &id, &value)) {
+        const Leaving *leaving = value;
+
+        fn(user, id, leaving->incarnation, leaving->told_at);
+    }
+}
+
 void
 GwInstance_SetReplaced(GwInstance *instance)
 {
@@ -195,6 +252,7 @@
 void
 GwInstances_Sweep(GwInstances *m, GwTime now)
 {
+    forget_leaving_(m, now);
     if (m->held == 0 || now < m->hold_until)
         return;
     for (guint i = m->all->len; i > 0; i--) {
@@ -303,6 +361,7 @@
     instance->slots = row->slots;
     instance->offset = row->offset;
     instance->weights = -1;
+    take_leaving_(m, instance);
     if (row->model != NULL)
         instance->kept = GwKeptParts_New(GW_MAX_KEPT_PARTS);
     instance->refs = 1;
@@ -314,6 +373,47 @@
     return instance;
 }
 
+// What its answers have said of it, also before it was listed.
+static void
+take_leaving_(GwInstances *m, GwInstance *instance)
+{
+    const Leaving *told = g_hash_table_lookup(m->told_leaving, instance->id);
+
+    if (told == NULL ||
+        (told->incarnation != 0 &&
+         told->incarnation != instance->incarnation) ||
+        (instance->leaving && instance->leaving_until == 0))
+        return;
+    instance->leaving = instance->draining = true;
+    instance->leaving_until = told->told_at + GW_LEAVING_TERM;
+}
+
+static void
+forget_leaving_(GwInstances *m, GwTime now)
+{
+    GHashTableIter iter;
+    gpointer id;
+    gpointer value;
+    bool again = false;
+
+    g_hash_table_iter_init(&iter, m->told_leaving);
+    while (g_hash_table_iter_next(&iter, &id, &value)) {
+        GwInstance *instance = g_hash_table_lookup(m->by_id, id);
+
+        if (now - ((const Leaving *)value)->told_at < GW_LEAVING_TERM)
+            continue;
+        if (instance != NULL && instance->leaving_until != 0) {
+            instance->leaving = false;
+            instance->leaving_until = 0;
+            again = true;
+        }
+        g_hash_table_iter_remove(&iter);
+    }
+    // It may have been replaced at its address meanwhile.
+    if (again)
+        GwInstances_Review(m);
+}
+
 // Of two that are listed at one address, the older one has ended, whatever its
 // service: after a crash its row stays until it lapses, and each request sent
 // by it would only be turned away.
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "galenagw/adapter/engine.h"
+#include "galenagw/adapter/messages.h"
 #include "galenagw/adapter/store.h"
 #include "galenagw/cluster/peers.h"
 #include "galenagw/cluster/store_reader.h"
@@ -111,6 +112,7 @@
                        const char *body, size_t len);
 static void missed_(GwSidecar *s, GwCallOutcome outcome);
 static void look_for_id_(GwSidecar *s);
+static void note_leaving_(GwSidecar *s, const GwHttpCaller *caller);
 static GwInstance *reported_instance_(GwSidecar *s);
 static void on_weights_(void *user, const char *model, const GwTarget *target);
 static void on_restarted_(void *user, GwInstance *before, GwInstance *after);
@@ -251,9 +253,21 @@
         s->found_at = s->reported_at;
     }
     look_for_id_(s);
+    note_leaving_(s, s->reports);
     decide_(s);
 }
 
+// It says so to us before the list does; gateways hear it from here, also
+// those that send it nothing just now.
+static void
+note_leaving_(GwSidecar *s, const GwHttpCaller *caller)
+{
+    const GwInstance *instance = reported_instance_(s);
+
+    if (instance != NULL && GwMessages_TellsLeaving(GwHttpCaller_Head(caller)))
+        GwPeers_NoteLeaving(s->peers, instance, GW_LEARNED_REPORT);
+}
+
 // Entries learn of a silent engine here long before the list drops it.
 static void
 missed_(GwSidecar *s, GwCallOutcome outcome)
--- a/packages/sidecar/tests/sidecar_test.cc
+++ b/packages/sidecar/tests/sidecar_test.cc
@@ -75,7 +75,8 @@
                                   : "") +
                 ",\"queued\":" + std::to_string(engine.queued) +
                 ",\"running\":0,\"kv_total\":100}";
-            FakeExchange_Answer(x, 200, "", text.data(), text.size());
+            FakeExchange_Answer(x, 200, report_headers.c_str(), text.data(),
+                                text.size());
             return;
         }
         // Events of what it holds: none, so the call waits.
@@ -109,6 +110,7 @@
     Fleet f;
     GwTime bound = 8 * GW_SECOND;
     bool down = false; // each connection is reset
+    std::string report_headers;
     std::string by_id; // the engine that the last order was meant for
     Engine engine;
     GwDeployment deployment = {};
@@ -127,6 +129,19 @@
     EXPECT_GE(engine.Int(0, "fence"), 1);
 }
 
+// The engine says in its reports that it leaves, and its row does not, as the
+// store is away: a load would only end what it still runs.
+TEST_F(SidecarTest, AnEngineWhoseReportsSayThatItLeavesGetsNoOrder)
+{
+    Start();
+    ASSERT_TRUE(f.Until([&] { return !engine.endpoint->seen.empty(); }));
+    report_headers = "Server-Leaving: 1\r\n";
+    f.Wait(600 * GW_MILLISECOND);
+    f.NameWeights(2);
+    f.Wait(2 * GW_SECOND);
+    EXPECT_EQ(engine.orders.size(), 0u);
+}
+
 // Versions are named faster than the engine loads: the one in between is
 // skipped, and the engine ends on the newest.
 TEST_F(SidecarTest, ASupersededVersionIsSkipped)
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -43,6 +43,7 @@
 typedef struct Gw__Wire__WeightsAge Gw__Wire__WeightsAge;
 typedef struct Gw__Wire__EndpointEnd Gw__Wire__EndpointEnd;
 typedef struct Gw__Wire__SoundRequest Gw__Wire__SoundRequest;
+typedef struct Gw__Wire__EndpointLeaving Gw__Wire__EndpointLeaving;
 typedef struct Gw__Wire__Frame Gw__Wire__Frame;
 
 
@@ -654,6 +655,28 @@
     , 0, 0, 0 }
 
 
+/*
+ * An endpoint says in its answers that it leaves: told by who got one, passed on
+ * by who did not know, and all of them when a session begins.
+ */
+struct  Gw__Wire__EndpointLeaving
+{
+  ProtobufCMessage base;
+  char *instance;
+  /*
+   * which life of the id; 0: not told
+   */
+  int64_t incarnation;
+  /*
+   * ago, by the endpoint
+   */
+  uint64_t told_ms;
+};
+#define GW__WIRE__ENDPOINT_LEAVING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__wire__endpoint_leaving__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
 typedef enum {
   GW__WIRE__FRAME__BODY__NOT_SET = 0,
   GW__WIRE__FRAME__BODY_HELLO = 1,
@@ -682,7 +705,8 @@
   GW__WIRE__FRAME__BODY_WEIGHTS_AGE = 27,
   GW__WIRE__FRAME__BODY_KEPT_PARTS = 28,
   GW__WIRE__FRAME__BODY_ENDPOINT_END = 29,
-  GW__WIRE__FRAME__BODY_SOUND_REQUEST = 30
+  GW__WIRE__FRAME__BODY_SOUND_REQUEST = 30,
+  GW__WIRE__FRAME__BODY_ENDPOINT_LEAVING = 31
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__WIRE__FRAME__BODY__CASE)
 } Gw__Wire__Frame__BodyCase;
 
@@ -718,6 +742,7 @@
     Gw__Wire__KeptParts *kept_parts;
     Gw__Wire__EndpointEnd *endpoint_end;
     Gw__Wire__SoundRequest *sound_request;
+    Gw__Wire__EndpointLeaving *endpoint_leaving;
   };
 };
 #define GW__WIRE__FRAME__INIT \
@@ -1257,6 +1282,25 @@
 void   gw__wire__sound_request__free_unpacked
                      (Gw__Wire__SoundRequest *message,
                       ProtobufCAllocator *allocator);
+/* Gw__Wire__EndpointLeaving methods */
+void   gw__wire__endpoint_leaving__init
+                     (Gw__Wire__EndpointLeaving         *message);
+size_t gw__wire__endpoint_leaving__get_packed_size
+                     (const Gw__Wire__EndpointLeaving   *message);
+size_t gw__wire__endpoint_leaving__pack
+                     (const Gw__Wire__EndpointLeaving   *message,
+                      uint8_t             *out);
+size_t gw__wire__endpoint_leaving__pack_to_buffer
+                     (const Gw__Wire__EndpointLeaving   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Wire__EndpointLeaving *
+       gw__wire__endpoint_leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__wire__endpoint_leaving__free_unpacked
+                     (Gw__Wire__EndpointLeaving *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__Wire__Frame methods */
 void   gw__wire__frame__init
                      (Gw__Wire__Frame         *message);
@@ -1362,6 +1406,9 @@
 typedef void (*Gw__Wire__SoundRequest_Closure)
                  (const Gw__Wire__SoundRequest *message,
                   void *closure_data);
+typedef void (*Gw__Wire__EndpointLeaving_Closure)
+                 (const Gw__Wire__EndpointLeaving *message,
+                  void *closure_data);
 typedef void (*Gw__Wire__Frame_Closure)
                  (const Gw__Wire__Frame *message,
                   void *closure_data);
@@ -1401,6 +1448,7 @@
 extern const ProtobufCMessageDescriptor gw__wire__weights_age__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__endpoint_end__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__sound_request__descriptor;
+extern const ProtobufCMessageDescriptor gw__wire__endpoint_leaving__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -1267,6 +1267,51 @@
   assert(message->base.descriptor == &gw__wire__sound_request__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__wire__endpoint_leaving__init
+                     (Gw__Wire__EndpointLeaving         *message)
+{
+  static const Gw__Wire__EndpointLeaving init_value = GW__WIRE__ENDPOINT_LEAVING__INIT;
+  *message = init_value;
+}
+size_t gw__wire__endpoint_leaving__get_packed_size
+                     (const Gw__Wire__EndpointLeaving *message)
+{
+  assert(message->base.descriptor == &gw__wire__endpoint_leaving__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__wire__endpoint_leaving__pack
+                     (const Gw__Wire__EndpointLeaving *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__wire__endpoint_leaving__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__wire__endpoint_leaving__pack_to_buffer
+                     (const Gw__Wire__EndpointLeaving *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__wire__endpoint_leaving__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Wire__EndpointLeaving *
+       gw__wire__endpoint_leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Wire__EndpointLeaving *)
+     protobuf_c_message_unpack (&gw__wire__endpoint_leaving__descriptor,
+                                allocator, len, data);
+}
+void   gw__wire__endpoint_leaving__free_unpacked
+                     (Gw__Wire__EndpointLeaving *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__wire__endpoint_leaving__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gw__wire__frame__init
                      (Gw__Wire__Frame         *message)
 {
@@ -3793,7 +3838,71 @@
   (ProtobufCMessageInit) gw__wire__sound_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[27] =
+static const ProtobufCFieldDescriptor gw__wire__endpoint_leaving__field_descriptors[3] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointLeaving, instance),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointLeaving, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "told_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointLeaving, told_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__wire__endpoint_leaving__field_indices_by_name[] = {
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = instance */
+  2,   /* field[2] = told_ms */
+};
+static const ProtobufCIntRange gw__wire__endpoint_leaving__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor gw__wire__endpoint_leaving__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.wire.EndpointLeaving",
+  "EndpointLeaving",
+  "Gw__Wire__EndpointLeaving",
+  "gw.wire",
+  sizeof(Gw__Wire__EndpointLeaving),
+  3,
+  gw__wire__endpoint_leaving__field_descriptors,
+  gw__wire__endpoint_leaving__field_indices_by_name,
+  1,  gw__wire__endpoint_leaving__number_ranges,
+  (ProtobufCMessageInit) gw__wire__endpoint_leaving__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[28] =
 {
   {
     "hello",
@@ -4119,6 +4228,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoint_leaving",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Wire__Frame, body_case),
+    offsetof(Gw__Wire__Frame, endpoint_leaving),
+    &gw__wire__endpoint_leaving__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__frame__field_indices_by_name[] = {
   12,   /* field[12] = ack */
@@ -4129,6 +4250,7 @@
   16,   /* field[16] = credit_ask */
   17,   /* field[17] = credit_grant */
   25,   /* field[25] = endpoint_end */
+  27,   /* field[27] = endpoint_leaving */
   21,   /* field[21] = engine_state */
   11,   /* field[11] = final */
   0,   /* field[0] = hello */
@@ -4153,7 +4275,7 @@
 {
   { 1, 0 },
   { 22, 18 },
-  { 0, 27 }
+  { 0, 28 }
 };
 const ProtobufCMessageDescriptor gw__wire__frame__descriptor =
 {
@@ -4163,7 +4285,7 @@
   "Gw__Wire__Frame",
   "gw.wire",
   sizeof(Gw__Wire__Frame),
-  27,
+  28,
   gw__wire__frame__field_descriptors,
   gw__wire__frame__field_indices_by_name,
   2,  gw__wire__frame__number_ranges,
