An endpoint that refuses with a time gets nothing until it is over

What callers saw: an endpoint that turned requests away and said for how long it wants none got 42 to 84 more within a second, and callers were told to come back within 0.2 s, to be refused again.

Cause: the time on the refusal was not read; an endpoint that was full is passed over for 150 ms whatever it asked for, and not at all where all others are excluded.

Ruled out: sharing it with other processes, as it wants nothing from this one.

The mend: no request is sent there until its time is over, whatever else is left, for ten minutes at most; a repeat does not count it as another endpoint; where all want nothing callers are told when the first takes work again. A sidecar's orders wait too.

--- a/packages/gateway/src/choosing.c
+++ b/packages/gateway/src/choosing.c
@@ -106,10 +106,11 @@
 {
     const GPtrArray *pool =
         GwInstances_Of(GwView_Instances(r->gateway->view), r->service);
+    GwTime now = GwTime_Now();
 
     for (guint i = 0; pool != NULL && i < pool->len; i++) {
         const GwInstance *instance = g_ptr_array_index(pool, i);
-        bool tried = instance->draining;
+        bool tried = instance->draining || instance->closed_until > now;
 
         for (unsigned k = 0; k < r->n_tried; k++)
             tried = tried || r->tried[k] == instance->serial;
@@ -119,6 +120,23 @@
     return false;
 }
 
+GwTime
+GwChoosing_OpensIn(const GwRequest *r)
+{
+    const GPtrArray *pool =
+        GwInstances_Of(GwView_Instances(r->gateway->view), r->service);
+    GwTime now = GwTime_Now();
+    GwTime first = GW_NEVER;
+
+    for (guint i = 0; pool != NULL && i < pool->len; i++) {
+        const GwInstance *instance = g_ptr_array_index(pool, i);
+
+        if (!instance->draining)
+            first = MIN(first, instance->closed_until);
+    }
+    return first != GW_NEVER ? MAX(first - now, 0) : 0;
+}
+
 // Tokens that the chosen engine will read: the request's own part, and shared
 // ones that it neither holds nor copies.
 uint64_t
@@ -192,8 +210,10 @@
                                               r->ask.output_tokens,
                                           out->kv_total, GW_MEMORY_CHOSEN) /
             GW_MILLISECOND;
+    // What it wants itself goes before all reach: sent to all the same, it
+    // would be kept from recovering by those it has turned away.
     out->usable =
-        !instance->draining &&
+        !instance->draining && instance->closed_until <= now &&
         !(fresh && (advice->switching || advice->down)) &&
         !(fresh && advice->preparing && GwChoosing_IsLong(r) &&
           survey->reach != REACH_EXCLUDED) &&
--- a/packages/gateway/src/choosing.h
+++ b/packages/gateway/src/choosing.h
@@ -10,6 +10,9 @@
 GwInstance *GwChoosing_Choose(GwRequest *request, const GwAddress **source);
 /* Whether any endpoint is left that was not tried. */
 bool GwChoosing_HasAlternative(const GwRequest *request);
+/* In how long the first endpoint takes work again, if all want none for a time
+ * that they told; else 0. */
+GwTime GwChoosing_OpensIn(const GwRequest *request);
 /* Tokens that @p instance will read for it. */
 uint64_t GwChoosing_Prefill(const GwRequest *request,
                             const GwInstance *instance);
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -208,6 +208,10 @@
         return GW_HEAD_SKIP;
     r->has_reply = true;
     r->heard_at = GwTime_Now();
+    if (r->reply.status == 503 && r->reply.retry_after_ms > 0)
+        GwInstance_SetClosed(r->instance,
+                             r->reply.retry_after_ms * GW_MILLISECOND,
+                             r->heard_at);
     if (r->reply.not_run && r->reply.instance_id != NULL &&
         strcmp(r->reply.instance_id, r->instance->id) != 0) {
         GwInstance_SetReplaced(r->instance);
--- a/packages/gateway/src/request_refusal.c
+++ b/packages/gateway/src/request_refusal.c
@@ -1,5 +1,6 @@
 #include "request_refusal.h"
 
+#include "choosing.h"
 #include "request_end.h"
 #include "request_log.h"
 
@@ -64,11 +65,14 @@
 retry_after_(const GwRequest *r, GwRefusal refusal)
 {
     double wanted = RETRY_SOON_S;
+    GwTime opens_in = r->service != NULL ? GwChoosing_OpensIn(r) : 0;
     double share;
 
     // Sooner it is only refused again, however little time is left.
     if (refusal == GW_REFUSAL_QUARANTINED)
         return (double)r->retry_after / GW_SECOND;
+    if (opens_in > 0)
+        return (double)opens_in / GW_SECOND;
     if (refusal == GW_REFUSAL_DEFERRED)
         wanted = (double)r->retry_after / GW_SECOND;
     else if (refusal == GW_REFUSAL_NO_CONFIG)
--- a/packages/routing/include/galenagw/routing/ask.h
+++ b/packages/routing/include/galenagw/routing/ask.h
@@ -62,6 +62,8 @@
     bool is_leaving;         /**< whoever answers says that it leaves */
     int64_t weights;         /**< version that runs it; -1: not told */
     int64_t keep_alive_s;    /**< idle time it allows; -1: not told */
+    int64_t retry_after_ms;  /**< of a refusal: it wants nothing from this
+                                  process for so long; -1: not told */
 } GwReply;
 
 #ifdef __cplusplus
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -106,6 +106,7 @@
     GwTime copying_until;     /**< its link, by copies that our requests asked
                                    for, as its end or its source */
     GwTime avoid_until;       /**< it was full or loading; 0: it was not */
+    GwTime closed_until;      /**< it wants nothing from this process */
     unsigned in_flight;       /**< our own requests there */
     uint64_t prefill_tokens;  /**< of those without a first event yet */
     uint64_t yielding_tokens; /**< of these, of accounts that engines put
@@ -205,6 +206,11 @@
 /** All listed endpoints. */
 const GPtrArray *GwInstances_All(const GwInstances *instances);
 
+/** The longest that an endpoint is left alone by its own word, which bytes
+ * that are wrong may pass for. */
+#define GW_CLOSED_MOST (600 * GW_SECOND)
+/** It refused a request, and wants nothing for @p time. */
+void GwInstance_SetClosed(GwInstance *instance, GwTime time, GwTime now);
 /** Agents speak several times a second; this tells if one is overdue. */
 GwHeard GwInstance_Heard(const GwInstance *instance, GwTime now);
 /** It said, or an answer showed, that it has this version. */
--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -293,6 +293,14 @@
     return m->all;
 }
 
+void
+GwInstance_SetClosed(GwInstance *instance, GwTime time, GwTime now)
+{
+    GwTime until = now + MIN(time, GW_CLOSED_MOST);
+
+    instance->closed_until = MAX(instance->closed_until, until);
+}
+
 GwHeard
 GwInstance_Heard(const GwInstance *instance, GwTime now)
 {
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -101,8 +101,9 @@
     GwTime preparing_since;
     GwTime settling_since;
     GwTime ordered_at;
-    bool is_answered;   /* the order; by whatever verdict */
-    GwTime outdated_at; /* 0: the engine has the newest weights */
+    bool is_answered;    /* the order; by whatever verdict */
+    GwTime closed_until; /* the engine wants no order until then */
+    GwTime outdated_at;  /* 0: the engine has the newest weights */
     GwEngineState told;
     GwTime told_at;
 };
@@ -330,6 +331,7 @@
     GwPeers_ForgetLoads(s->peers);
     s->stage = STAGE_SERVING;
     s->loading = 0;
+    s->closed_until = 0;
     s->told_at = 0;
     if (s->report.incarnation < after->incarnation) {
         memset(&s->report, 0, sizeof(s->report));
@@ -390,7 +392,8 @@
     if (s->outdated_at != 0)
         facts = roll_facts_(s, instance);
     if (s->stage == STAGE_SERVING && s->outdated_at != 0 && s->fence > 0 &&
-        !s->report.busy && !instance->draining && GwRoll_MayPrepare(&facts)) {
+        now >= s->closed_until && !s->report.busy && !instance->draining &&
+        GwRoll_MayPrepare(&facts)) {
         s->stage = STAGE_PREPARING;
         s->preparing_since = now;
         // Else the next report is soon enough, and entries that have just
@@ -562,8 +565,15 @@
 {
     GwSidecar *s = user;
     GwOrderVerdict verdict = GwEngine_OrderVerdict(status);
+    int64_t pause_ms =
+        outcome == GW_CALL_ANSWERED
+            ? GwMessages_RetryAfter(GwHttpCaller_Head(s->orders))
+            : -1;
 
     s->is_answered = outcome == GW_CALL_ANSWERED;
+    if (pause_ms > 0)
+        s->closed_until =
+            GwTime_Now() + MIN(pause_ms * GW_MILLISECOND, GW_CLOSED_MOST);
     GwEvent_Begin(s->log, "order_answer", NULL);
     GwEvent_Text(s->log, "outcome",
                  outcome == GW_CALL_ANSWERED ? GwOrderVerdict_Names[verdict]
--- a/packages/sidecar/tests/sidecar_test.cc
+++ b/packages/sidecar/tests/sidecar_test.cc
@@ -142,6 +142,22 @@
     EXPECT_EQ(engine.orders.size(), 0u);
 }
 
+// The engine turns an order away, and wants none for a while: asked again with
+// each report it would turn that away too.
+TEST_F(SidecarTest, AnEngineThatWantsNoOrderForATimeGetsNone)
+{
+    Start();
+    engine.on_order = [](Engine *, FakeExchange *x) {
+        FakeExchange_Answer(x, 503, "Retry-After: 1.5\r\n", "", 0);
+    };
+    f.NameWeights(2);
+    ASSERT_TRUE(f.Until([&] { return engine.orders.size() == 1; }));
+    engine.on_order = nullptr;
+    f.Wait(GW_SECOND);
+    EXPECT_EQ(engine.orders.size(), 1u);
+    EXPECT_TRUE(f.Until([&] { return engine.weights == 2; }));
+}
+
 // Versions are named faster than the engine loads: the one in between is
 // skipped, and the engine ends on the newest.
 TEST_F(SidecarTest, ASupersededVersionIsSkipped)
