A request that was wrongly found out is tried again, by few

What callers would see: a request that many callers send alike, such as a status that is polled, was in flight at three ends without an answer in between, as in an outage; it was refused for ten minutes although all endpoints were well again.

Cause: nothing could clear what was never sent. And once the ten minutes were over all gateways would have sent a fatal one at the same moment.

Now a minute after the third end, twice as long after each further one, up to 16; then each process draws whether it is its turn, one in the mean over the fleet, and sends one request at a time. One answer clears it everywhere, one end begins a longer term.

--- a/packages/entry/src/exchange.c
+++ b/packages/entry/src/exchange.c
@@ -161,7 +161,7 @@
     }
     if (!x->admitted && !admit_(x, config))
         return;
-    quarantined = Suspects_Left(x);
+    quarantined = Suspects_Admit(x);
     if (quarantined > 0)
         Exchange_Refuse(x, GW_REFUSAL_QUARANTINED,
                         x->may_have_run ? GW_RAN_UNKNOWN : GW_RAN_NO,
--- a/packages/entry/src/suspects.c
+++ b/packages/entry/src/suspects.c
@@ -15,7 +15,8 @@
 void
 Suspects_Init(GwEntry *entry)
 {
-    GwQuarantineOptions options = {.on_changed = on_changed_};
+    GwQuarantineOptions options = {.on_changed = on_changed_,
+                                   .name = entry->options.name};
 
     entry->quarantine = GwQuarantine_New(&options);
 }
@@ -27,14 +28,14 @@
 }
 
 GwTime
-Suspects_Left(const Exchange *x)
+Suspects_Admit(const Exchange *x)
 {
     GwDigest digest;
 
     if (GwQuarantine_IsEmpty(x->entry->quarantine))
         return 0;
     digest = digest_(x);
-    return GwQuarantine_Left(x->entry->quarantine, &digest, GwTime_Now());
+    return GwQuarantine_Admit(x->entry->quarantine, &digest, GwTime_Now());
 }
 
 bool
@@ -65,6 +66,7 @@
 void
 Suspects_Sweep(GwEntry *entry, GwTime now)
 {
+    GwQuarantine_SetProcesses(entry->quarantine, (unsigned)entry->n_entries);
     GwQuarantine_Sweep(entry->quarantine, now);
 }
 
--- a/packages/entry/src/suspects.h
+++ b/packages/entry/src/suspects.h
@@ -6,8 +6,8 @@
 
 void Suspects_Init(GwEntry *entry);
 void Suspects_Stop(GwEntry *entry);
-/* How long the request must not be sent; 0: it may be. */
-GwTime Suspects_Left(const Exchange *x);
+/* How long the request must not be sent; 0: it may be, and is. */
+GwTime Suspects_Admit(const Exchange *x);
 /* Whether so many endpoints ended under it that a repeat at once would only
  * end one more. */
 bool Suspects_IsLast(const Exchange *x);
@@ -15,7 +15,7 @@
 void Suspects_TellAll(Peer *peer);
 /* @return false if @p frame is about something else */
 bool Suspects_Take(Peer *peer, const GwFrame *frame);
-/* Forget what is old. */
+/* Forget what is old; who shares in trials may have changed. */
 void Suspects_Sweep(GwEntry *entry, GwTime now);
 
 #endif
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -62,8 +62,8 @@
                           .user = g,
                           .log = options->log,
                           .counters = &g->counters};
-    GwQuarantineOptions quarantine = {.on_changed = GwEnds_OnChanged,
-                                      .user = g};
+    GwQuarantineOptions quarantine = {
+        .on_changed = GwEnds_OnChanged, .user = g, .name = d->name};
 
     g->loop = loop;
     g->log = options->log;
@@ -316,6 +316,7 @@
     if (g->log != NULL)
         GwEventLog_Flush(g->log);
     leave_silent_(g);
+    GwQuarantine_SetProcesses(g->quarantine, entries);
     GwQuarantine_Sweep(g->quarantine, GwTime_Now());
     GwPeers_TellNews(g->peers);
     GwKvStores_SetFollowers(g->kv_stores, entries);
--- a/packages/gateway/src/quarantine_store.c
+++ b/packages/gateway/src/quarantine_store.c
@@ -131,7 +131,7 @@
 {
     GwQuarantineStore *s = user;
     int64_t now_ms = g_get_real_time() / GW_MILLISECOND;
-    int64_t most_ms = now_ms + GW_QUARANTINE_TERM / GW_MILLISECOND;
+    int64_t most_ms = now_ms + GW_QUARANTINE_LONGEST / GW_MILLISECOND;
     GwTime now = GwTime_Now();
     GwDigest request;
 
--- a/packages/gateway/src/request_quarantine.c
+++ b/packages/gateway/src/request_quarantine.c
@@ -21,15 +21,15 @@
 }
 
 GwTime
-GwRequestQuarantine_Left(const GwRequest *r)
+GwRequestQuarantine_Admit(const GwRequest *r)
 {
-    const GwQuarantine *q = r->gateway->quarantine;
+    GwQuarantine *q = r->gateway->quarantine;
     GwDigest digest;
 
     if (GwQuarantine_IsEmpty(q))
         return 0;
     digest = GwRequestQuarantine_Digest(r);
-    return GwQuarantine_Left(q, &digest, GwTime_Now());
+    return GwQuarantine_Admit(q, &digest, GwTime_Now());
 }
 
 void
--- a/packages/gateway/src/request_quarantine.h
+++ b/packages/gateway/src/request_quarantine.h
@@ -8,8 +8,8 @@
 
 /* Reads the whole body: not for each request. */
 GwDigest GwRequestQuarantine_Digest(const GwRequest *request);
-/* How long it must not be sent; 0: it may be. */
-GwTime GwRequestQuarantine_Left(const GwRequest *request);
+/* How long it must not be sent; 0: it may be, and is. */
+GwTime GwRequestQuarantine_Admit(const GwRequest *request);
 /* Its endpoint broke it off. */
 void GwRequestQuarantine_Broke(GwRequest *request);
 /* It has its whole answer. */
--- a/packages/quarantine/include/galenagw/quarantine/quarantine.h
+++ b/packages/quarantine/include/galenagw/quarantine/quarantine.h
@@ -10,7 +10,8 @@
  * Most requests in flight at an end are sound. One whole answer to a request
  * clears it, wherever it was given. Ends that come together for a reason of
  * their own, as when a rack loses power, count as one, and a request that was
- * at few of the endpoints that ended then is not held to be the reason. What
+ * at few of the endpoints that ended then is not held to be the reason. After
+ * a term, processes that are drawn by lot try it, one request at a time. What
  * is found is bounded in number and forgotten in time.
  * @{
  */
@@ -26,9 +27,12 @@
 
 /** Ends under one request from which on it is not sent any more. */
 #define GW_QUARANTINE_ENDS 3
-/** How long after the last of them. A caller that is wronged waits as long,
- * and whoever sends such a request in earnest ends one endpoint in as long. */
-#define GW_QUARANTINE_TERM (600 * GW_SECOND)
+/** How long after the third of them; twice as long after each further one, up
+ * to the longest. Then one process of the fleet may try it, now and then: what
+ * was found out wrongly is served again, and what was not ends one endpoint.
+ */
+#define GW_QUARANTINE_FIRST (60 * GW_SECOND)
+#define GW_QUARANTINE_LONGEST (960 * GW_SECOND)
 /** What is known of a request is forgotten so long after the last end. */
 #define GW_QUARANTINE_MEMORY (1800 * GW_SECOND)
 /** Requests that are remembered; those under which most ended stay. */
@@ -54,6 +58,9 @@
     void (*on_changed)(void *user, const GwDigest *request, unsigned ends,
                        bool quarantined);
     void *user;
+    /** Of this process, for its draws; NULL: others decide what is tried, and
+     * it lets all through once the term is over. */
+    const char *name;
 } GwQuarantineOptions;
 
 /** The group of endpoints of a pool or service in a failure domain. */
@@ -62,6 +69,8 @@
 GwQuarantine *GwQuarantine_New(const GwQuarantineOptions *options);
 void GwQuarantine_Delete(GwQuarantine *quarantine);
 
+/** How many processes draw; until told, it is one. */
+void GwQuarantine_SetProcesses(GwQuarantine *quarantine, unsigned processes);
 /** Whether nothing is known of any request: then none needs a digest. */
 bool GwQuarantine_IsEmpty(const GwQuarantine *quarantine);
 /**
@@ -81,13 +90,17 @@
                             GwTime at, GwTime now);
 /**
  * The request is under quarantine until @p until by what a record tells that
- * outlived the process which found it out; at most for a whole term.
+ * outlived the process which found it out; at most for the longest term.
  */
 void GwQuarantine_Hold(GwQuarantine *quarantine, const GwDigest *request,
                        GwTime until, GwTime now);
 /** How much longer the request must not be sent; 0: it may be. */
 GwTime GwQuarantine_Left(const GwQuarantine *quarantine,
                          const GwDigest *request, GwTime now);
+/** The same, and if it may be it is: a trial is under way then, and no other
+ * one begins before it has shown something. */
+GwTime GwQuarantine_Admit(GwQuarantine *quarantine, const GwDigest *request,
+                          GwTime now);
 /** Endpoints that ended under it since its last whole answer. */
 unsigned GwQuarantine_Ends(const GwQuarantine *quarantine,
                            const GwDigest *request);
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -10,6 +10,8 @@
 #define MAX_ENDS 512
 /* Endpoints that fail together end within this time. */
 #define TOGETHER GW_SECOND
+/* A trial that has shown nothing by then, as its caller left, has failed. */
+#define TRIAL_MOST (10 * GW_SECOND)
 /* Words take their time from process to process, and ends seem younger by it:
  * an answer clears what is told to have been so much later, too. */
 #define SOUND_SLACK (500 * GW_MILLISECOND)
@@ -35,8 +37,10 @@
     unsigned n;
     GwTime sound_at; /* its last whole answer; 0: none is known */
     GwTime touched_at;
-    GwTime until; /* under quarantine; 0: it is not */
-    GwTime held;  /* the same, by a record; 0: none tells */
+    GwTime until; /* under quarantine, then tried; 0: it is not */
+    GwTime term;  /* of it, and of each turn to try it */
+    GwTime held;  /* until then, by a record; 0: none tells */
+    GwTime tried_at;
 } Suspect;
 
 TAILQ_HEAD(SuspectList, Suspect);
@@ -49,6 +53,8 @@
      * the others. */
     struct SuspectList single;
     struct SuspectList repeated;
+    uint64_t self; /* hash of our name */
+    unsigned processes;
     Sighting ends[MAX_ENDS]; /* a ring */
     size_t n_ends;           /* ever */
 };
@@ -58,6 +64,9 @@
                  const Sighting *sighting, GwTime now);
 static void insert_(Suspect *s, const Sighting *sighting);
 static void judge_(GwQuarantine *q, Suspect *s, GwTime now);
+static GwTime term_(unsigned ends);
+static bool is_our_turn_(const GwQuarantine *q, const Suspect *s,
+                         uint64_t turn);
 static void judge_again_(GwQuarantine *q, GwTime now);
 static bool is_the_reason_(const GwQuarantine *q, const Suspect *s);
 static unsigned count_(const GwQuarantine *q, const Suspect *s);
@@ -85,6 +94,9 @@
     GwQuarantine *q = g_new0(GwQuarantine, 1);
 
     q->options = *options;
+    if (options->name != NULL)
+        q->self = XXH3_64bits(options->name, strlen(options->name));
+    q->processes = 1;
     q->by_digest = g_hash_table_new(GwDigest_Hash, GwDigest_EqualKeys);
     TAILQ_INIT(&q->single);
     TAILQ_INIT(&q->repeated);
@@ -104,6 +116,12 @@
     g_free(q);
 }
 
+void
+GwQuarantine_SetProcesses(GwQuarantine *q, unsigned processes)
+{
+    q->processes = MAX(processes, 1);
+}
+
 bool
 GwQuarantine_IsEmpty(const GwQuarantine *q)
 {
@@ -189,7 +207,7 @@
     if (s->sound_at != 0)
         return;
     TAILQ_REMOVE(list_of_(q, s), s, link);
-    s->held = MIN(until, now + GW_QUARANTINE_TERM);
+    s->held = MIN(until, now + GW_QUARANTINE_LONGEST);
     TAILQ_INSERT_TAIL(list_of_(q, s), s, link);
     s->touched_at = now;
     judge_(q, s, now);
@@ -199,8 +217,29 @@
 GwQuarantine_Left(const GwQuarantine *q, const GwDigest *request, GwTime now)
 {
     const Suspect *s = g_hash_table_lookup(q->by_digest, request);
+    GwTime turn;
 
-    return s != NULL ? MAX(s->until - now, 0) : 0;
+    if (s == NULL || s->until == 0)
+        return 0;
+    if (now < s->until)
+        return s->until - now;
+    if (q->options.name == NULL)
+        return 0;
+    turn = (now - s->until) / s->term;
+    if (is_our_turn_(q, s, (uint64_t)turn) && now - s->tried_at > TRIAL_MOST)
+        return 0;
+    return s->until + (turn + 1) * s->term - now;
+}
+
+GwTime
+GwQuarantine_Admit(GwQuarantine *q, const GwDigest *request, GwTime now)
+{
+    Suspect *s = g_hash_table_lookup(q->by_digest, request);
+    GwTime left = GwQuarantine_Left(q, request, now);
+
+    if (left == 0 && s != NULL && s->until != 0)
+        s->tried_at = now;
+    return left;
 }
 
 unsigned
@@ -308,18 +347,44 @@
 static void
 judge_(GwQuarantine *q, Suspect *s, GwTime now)
 {
-    bool was = s->until > now;
+    bool was = s->until != 0;
     bool is;
 
     s->until = s->held;
-    if (is_the_reason_(q, s))
-        s->until =
-            MAX(s->until, s->sightings[s->n - 1].at + GW_QUARANTINE_TERM);
-    is = s->until > now;
+    s->term = GW_QUARANTINE_FIRST;
+    if (is_the_reason_(q, s)) {
+        s->term = term_(s->n);
+        s->until = MAX(s->held, s->sightings[s->n - 1].at + s->term);
+    }
+    is = s->until != 0;
     if (is != was && q->options.on_changed != NULL)
         q->options.on_changed(q->options.user, &s->digest, s->n, is);
 }
 
+static GwTime
+term_(unsigned ends)
+{
+    GwTime term = GW_QUARANTINE_FIRST;
+
+    for (unsigned n = GW_QUARANTINE_ENDS;
+         n < ends && term < GW_QUARANTINE_LONGEST; n++)
+        term *= 2;
+    return term;
+}
+
+// Drawn by each for itself, so that in the mean one process of the fleet tries
+// in each turn: were all to, they would end an endpoint each before they had
+// heard of the first.
+static bool
+is_our_turn_(const GwQuarantine *q, const Suspect *s, uint64_t turn)
+{
+    const uint64_t lot[] = {q->self, s->digest.account, s->digest.content,
+                            turn};
+    double draw = (double)XXH3_64bits(lot, sizeof(lot)) / (double)UINT64_MAX;
+
+    return draw * q->processes < 1;
+}
+
 // Ends that belong together are learned of one by one: what looked like the
 // reason of the first three may be one that was beside them, and its caller
 // would be refused for the whole term.
@@ -330,7 +395,7 @@
 
     TAILQ_FOREACH(s, &q->repeated, link)
     {
-        if (s->until > now)
+        if (s->until != 0)
             judge_(q, s, now);
     }
 }
