The soak plays a request that ends endpoints, and words on answers

A caller at each gateway sends one request, over and over, that ends each endpoint that runs it: from three seconds after the third end on at most three more may end, and all others must be served at the end as before. Endpoints that leave say so in their answers, half of them in these alone; refusals tell a time; some answers carry words that are none, which must put no endpoint out of use.

--- a/soak/src/faults.cc
+++ b/soak/src/faults.cc
@@ -260,17 +260,17 @@
 {
     GwTime time = Draw(kLeast, kMost);
     Disturbance *d = &e->proxy->disturbance;
-    GwTime draw = Draw(0, 3);
+    GwTime draw = Draw(0, 4);
     double *share = (double *[]){&e->error_share, &e->reset_share,
-                                 &e->full_share}[draw % 3];
+                                 &e->full_share, &e->garbled_share}[draw % 4];
 
     if (!e->up)
         return;
     log_(std::string((const char *[]){"errors of", "resets of", "fullness of",
-                                      "crash of"}[draw]) +
+                                      "garbled words of", "crash of"}[draw]) +
          " " + e->id);
     d->Begin();
-    if (draw == 3) {
+    if (draw == 4) {
         e->Crash();
         During(time, [e, d] {
             e->ComeBack();
@@ -363,8 +363,10 @@
 
     if (!e->up)
         return;
-    log_("planned drain of " + e->id);
-    e->Drain();
+    bool by_answers = Draw(0, 1) == 0;
+    log_("planned drain of " + e->id +
+         (by_answers ? ", told by its answers alone" : ""));
+    e->Drain(by_answers);
     // It closes its port first, and then finishes what it runs.
     During(kPortClosed, [e] { e->proxy->SetRefusing(true); });
     During(kDrained, [e] {
--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -9,6 +9,7 @@
 #include <random>
 #include <sstream>
 
+#include "fatal.h"
 #include "faults.h"
 #include "galenagw/base/log.h"
 #include "strain.h"
@@ -54,6 +55,10 @@
 /* At the end, after the settling: what is asked then is served. */
 constexpr GwTime kCalm = 2 * GW_SECOND;
 constexpr double kServed = 0.95;
+/* Some seconds to be found out, and then some to come again. */
+constexpr GwTime kFatalTime = 8 * GW_SECOND;
+/* Ends that an answer which was lost on its way may cost. */
+constexpr int kFatalLate = 3;
 constexpr GwTime kTick = 50 * GW_MILLISECOND;
 constexpr GwTime kStart = 2 * GW_SECOND;
 /* Connections of the soak at most: each gateway keeps some to each engine, and
@@ -123,6 +128,7 @@
             Wait(kPlanned);
         }
         Calm();
+        Fatal();
         Wait(kSettle);
         Caller::asked = Caller::answered = 0;
         Wait(kCalm);
@@ -257,6 +263,33 @@
         platform_->Configure();
         Wait(kSettle + 500 * GW_MILLISECOND);
     }
+    // A request that ends each endpoint that runs it comes again and again, at
+    // any gateway. What the callers ask at the end must be served all the
+    // same.
+    void
+    Fatal()
+    {
+        bool on_engines = platform_->random() % 2 == 0;
+        std::vector<std::unique_ptr<FatalCaller>> senders;
+
+        Log(std::string("fatal request to ") +
+            (on_engines ? "engines" : "plain endpoints"));
+        for (auto &g : gateways_)
+            senders.push_back(std::make_unique<FatalCaller>(
+                loop_, g->path->address, on_engines));
+        Wait(kFatalTime);
+        senders.clear();
+        Log("fatal request ended " +
+            std::to_string(platform_->fatal_ends.size()) + " endpoints, " +
+            std::to_string(platform_->fatal_late) + " of them late");
+        if (platform_->fatal_late > kFatalLate)
+            ledger_.Broken("a fatal request is found out",
+                           std::to_string(platform_->fatal_late) +
+                               " endpoints ended late under it");
+        if (platform_->fatal_ends.size() < 3)
+            ledger_.Broken("the soak keeps up",
+                           "the fatal request reached no three endpoints");
+    }
     void
     Wait(GwTime time)
     {
@@ -279,7 +312,9 @@
         printf("seed %lu: %zu requests,", seed_, ledger_.requests());
         for (auto &o : ledger_.outcomes)
             printf(" %s %d", o.first.c_str(), o.second);
-        printf(", %zu promises broken\nthe soak itself: %s\n",
+        printf(", %zu ends under the fatal one, %d late, %zu promises broken\n"
+               "the soak itself: %s\n",
+               platform_->fatal_ends.size(), platform_->fatal_late,
                ledger_.broken().size(), strain_->Text().c_str());
         if (ledger_.broken().empty()) {
             for (const char *name : {"gateway", "sidecar"})
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -84,6 +84,7 @@
 
     proxy = std::make_unique<Proxy>(platform->loop, listed, served);
     GwTimer_Init(&loaded_, platform->loop, OnLoaded, this);
+    GwTimer_Init(&back_, platform->loop, OnBack, this);
     up = false;
     ComeBack();
 }
@@ -91,6 +92,7 @@
 Endpoint::~Endpoint()
 {
     GwTimer_Stop(&loaded_);
+    GwTimer_Stop(&back_);
     FakeHttpd_Delete(httpd_);
 }
 
@@ -131,7 +133,7 @@
     }
     up = true;
     born_ = std::max(born_ + 1, g_get_real_time() / 1000);
-    draining_ = false;
+    draining_ = row_tells_ = false;
     draining_since_ = 0;
     loading_ = orders_ = 0;
     List();
@@ -145,13 +147,63 @@
 }
 
 void
-Endpoint::Drain()
+Endpoint::Drain(bool by_answers_alone)
 {
     draining_ = true;
+    row_tells_ = !by_answers_alone;
+    if (!row_tells_)
+        return;
     draining_since_ = GwTime_Now();
     List();
 }
 
+// What it says of itself in each answer. The first one that tells it leaves
+// counts; words that are none must not put it out of use.
+std::string
+Endpoint::Words()
+{
+    static const char *const garbled[] = {
+        "Server-Leaving: 0\r\n",   "Server-Leaving: yes\r\n",
+        "Server-Leaving: 1 1\r\n", "Retry-After: soon\r\n",
+        "Retry-After: -5\r\n",     "Retry-After: 1e9\r\n"};
+    std::uniform_real_distribution<double> draw(0, 1);
+
+    if (draining_) {
+        if (draining_since_ == 0)
+            draining_since_ = GwTime_Now();
+        return "Server-Leaving: 1\r\n";
+    }
+    if (draw(platform_->random) < garbled_share)
+        return garbled[platform_->random() % G_N_ELEMENTS(garbled)];
+    return "";
+}
+
+// The fatal request ends it. Three ends find the request out, and what is
+// known by then reaches all gateways within this.
+void
+Endpoint::End()
+{
+    static const GwTime kFound = 3 * GW_SECOND;
+    static const GwTime kAway = 500 * GW_MILLISECOND;
+    std::vector<GwTime> &ends = platform_->fatal_ends;
+    GwTime now = GwTime_Now();
+
+    platform_->fatal_late += ends.size() >= 3 && now - ends[2] > kFound;
+    ends.push_back(now);
+    proxy->disturbance.Begin();
+    GwTimer_Start(&back_, kAway);
+    Crash();
+}
+
+void
+Endpoint::OnBack(void *user)
+{
+    Endpoint *e = static_cast<Endpoint *>(user);
+
+    e->ComeBack();
+    e->proxy->disturbance.End();
+}
+
 void
 Endpoint::List() const
 {
@@ -200,7 +252,7 @@
                        "\",\"zone\":\"d\",\"version\":\"v1\",\"slots\":64,"
                        "\"cold_remaining_ms\":0,\"seq\":1,\"born\":" +
                        std::to_string(born_) + ",\"state\":\"" +
-                       (draining_ ? "draining" : "ready") + "\"";
+                       (row_tells_ ? "draining" : "ready") + "\"";
 
     if (is_engine)
         text += ",\"models\":[{\"name\":\"m\",\"version\":" +
@@ -270,6 +322,10 @@
     std::string request = Header(x, "X-Request-Id");
     bool outdated = Check(x);
 
+    if (x->body->len == strlen(kFatal) && !strcmp(x->body->str, kFatal)) {
+        End();
+        return;
+    }
     if (loading_ != 0 || draw(platform_->random) < full_share) {
         Decline(x, 503);
         return;
@@ -285,7 +341,7 @@
     }
     std::string headers = "X-Request-Id: " + request +
                           "\r\nX-Response-Signature: sig-" + request +
-                          "\r\nKeep-Alive: timeout=5\r\n";
+                          "\r\nKeep-Alive: timeout=5\r\n" + Words();
     if (draw(platform_->random) < error_share) {
         FakeExchange_Answer(x, 500, headers.c_str(), "failed", 6);
         return;
@@ -305,8 +361,8 @@
                        "\r\nX-Response-Signature: sig-" + request +
                        "\r\nX-Weight-Versions: " + std::to_string(weights_) +
                        "\r\nContent-Type: text/event-stream\r\n"
-                       "Keep-Alive: timeout=5\r\n"
-                       "Transfer-Encoding: chunked\r\n\r\n";
+                       "Keep-Alive: timeout=5\r\n" +
+                       Words() + "Transfer-Encoding: chunked\r\n\r\n";
     std::string behind = Header(x, "Last-Event-Id");
     Run *run = new Run();
 
@@ -377,7 +433,7 @@
 }
 
 void
-Endpoint::Report(FakeExchange *x) const
+Endpoint::Report(FakeExchange *x)
 {
     std::string text =
         "{\"models\":[{\"name\":\"m\",\"version\":" +
@@ -389,18 +445,19 @@
         std::to_string(born_) + "}";
 
     // One that leaves keeps no connection behind an answer.
-    FakeExchange_Answer(x, 200, draining_ ? "Connection: close\r\n" : "",
-                        text.data(), text.size());
+    std::string headers = Words() + (draining_ ? "Connection: close\r\n" : "");
+    FakeExchange_Answer(x, 200, headers.c_str(), text.data(), text.size());
     if (draining_)
         FakeExchange_Close(x, false);
 }
 
 void
-Endpoint::Decline(FakeExchange *x, int status) const
+Endpoint::Decline(FakeExchange *x, int status)
 {
     std::string headers =
         "X-Not-Executed: 1\r\nX-Request-Id: " + Header(x, "X-Request-Id") +
-        "\r\nX-Instance-Id: " + id + "\r\n";
+        "\r\nX-Instance-Id: " + id + "\r\n" + Words() +
+        (status == 503 ? "Retry-After: 0.3\r\n" : "");
 
     FakeExchange_Answer(x, status, headers.c_str(), "", 0);
 }
--- a/soak/src/platform.h
+++ b/soak/src/platform.h
@@ -16,6 +16,9 @@
 
 class Platform;
 
+/* A body that ends each endpoint that runs it. */
+constexpr char kFatal[] = "ends its endpoint";
+
 /* Events of a stream, and the length of a plain answer, follow from the
  * request's id: callers know what is whole. */
 int EventsOf(const std::string &id);
@@ -50,14 +53,16 @@
     /* Somebody else writes a row: under its id or another key, which is
      * returned, with its address, and with one field spoiled. */
     std::string WriteForeign();
-    /* It tells that it leaves; what comes afterwards is a broken promise. */
-    void Drain();
+    /* It tells that it leaves, in its row and its answers or in these alone;
+     * what comes afterwards is a broken promise. */
+    void Drain(bool by_answers_alone);
     void List() const;
     void Unlist(const std::string &key) const;
 
     bool is_engine;
     bool up = true;
     double error_share = 0, reset_share = 0, full_share = 0;
+    double garbled_share = 0; /* words of itself that are none */
     std::unique_ptr<Proxy> proxy;
     std::string id;
 
@@ -67,11 +72,14 @@
     static void OnGone(void *user, FakeExchange *x);
     static void OnEvent(void *user);
     static void OnLoaded(void *user);
+    static void OnBack(void *user);
+    void End();
+    std::string Words();
     void Serve(FakeExchange *x);
     void Stream(FakeExchange *x, const std::string &request);
     void Order(FakeExchange *x);
-    void Report(FakeExchange *x) const;
-    void Decline(FakeExchange *x, int status) const;
+    void Report(FakeExchange *x);
+    void Decline(FakeExchange *x, int status);
     bool Check(FakeExchange *x) const;
     std::string Row() const;
 
@@ -82,8 +90,9 @@
     FakeHttpd *httpd_ = nullptr;
     int weights_ = 1, loading_ = 0, orders_ = 0;
     GwTimer loaded_;
-    bool draining_ = false;
+    bool draining_ = false, row_tells_ = false;
     GwTime draining_since_ = 0;
+    GwTimer back_; /* after an end of its own */
 };
 
 class Platform {
@@ -105,6 +114,9 @@
     int version = 0;
     GwTime configured_at = 0;
     int weights = 1;
+    /* When endpoints ended under the fatal request, and came too late. */
+    std::vector<GwTime> fatal_ends;
+    int fatal_late = 0;
     /* Whether nothing but what a check is about was disturbed since then. */
     std::function<bool(GwTime)> is_calm;
 };
