Ends that an agent tells go round once; its engine needs no check

A connection is tried after a break only where no agent speaks, as it would be a new one for each break at an engine that fails some requests; and an end that agents tell, under nothing of ours, is not told again by each gateway that hears them, which were eight words for each engine of a dead rack. Causes of ends have a type with names.

--- a/packages/agent/src/ends.c
+++ b/packages/agent/src/ends.c
@@ -71,10 +71,9 @@
     if (requests->len == 0)
         return;
     // Plain services do not tell their lives apart: ends are counted.
-    news.end.endpoint =
-        MAX(XXH3_64bits_withSeed(o->name, strlen(o->name),
-                                 agent->incarnation + ++agent->ends),
-            1);
+    agent->ends++;
+    news.end.endpoint = XXH3_64bits_withSeed(o->name, strlen(o->name),
+                                             agent->incarnation + agent->ends);
     news.end.group = GwQuarantine_Group(o->pool, o->failure_domain);
     news.end.requests = (const GwDigest *)(const void *)requests->data;
     news.end.n = MIN(requests->len, GW_QUARANTINE_END_MAX);
--- a/packages/gateway/src/ends.c
+++ b/packages/gateway/src/ends.c
@@ -3,11 +3,17 @@
 #include <string.h>
 #include <xxhash.h>
 
+const char *const GwEndCause_Names[GW_ENDS] = {
+    [GW_END_DOWN] = "down",         [GW_END_REFUSED] = "refused",
+    [GW_END_REPLACED] = "replaced", [GW_END_RESTARTED] = "restarted",
+    [GW_END_REMOVED] = "removed",   [GW_END_TOLD] = "told",
+};
+
 static uint64_t endpoint_(const GwInstance *instance);
 static GwEndpointEnd end_of_(const GwGateway *g, const GwInstance *instance);
 static void report_(GwGateway *g, GwEndpointEnd *end, const GArray *requests,
-                    const char *why);
-static void log_(GwGateway *g, const GwEndpointEnd *end, const char *why);
+                    GwEndCause cause);
+static void log_(GwGateway *g, const GwEndpointEnd *end, GwEndCause cause);
 
 void
 GwEnds_OnChanged(void *user, const GwDigest *request, unsigned ends,
@@ -39,7 +45,7 @@
         const GwInstance *instance = g_ptr_array_index(all, i);
 
         if (instance->user == pool && instance->in_flight == 0)
-            GwEnds_Ended(g, instance, "refused");
+            GwEnds_Ended(g, instance, GW_END_REFUSED);
     }
 }
 
@@ -56,15 +62,15 @@
     GwBreaks_Add(g->breaks, endpoint, request, now);
     // Its agent, or a peer, was sooner than the end of this connection.
     if (ended_at != 0 && now - ended_at < GW_BREAKS_MEMORY)
-        GwEnds_Ended(g, instance, "told");
-    // Else nobody may tell for seconds: plain endpoints have no agent, and the
-    // list drops who is gone after three heartbeats.
-    else
+        GwEnds_Ended(g, instance, GW_END_TOLD);
+    // Where no agent speaks, as beside plain endpoints, nobody may tell for
+    // seconds: the list drops who is gone after three heartbeats.
+    else if (GwInstance_Heard(instance, now) != GW_HEARD_FRESH)
         GwUpstreamPool_Check(instance->user);
 }
 
 void
-GwEnds_Ended(GwGateway *g, const GwInstance *instance, const char *why)
+GwEnds_Ended(GwGateway *g, const GwInstance *instance, GwEndCause cause)
 {
     GwEndpointEnd end = end_of_(g, instance);
     g_autoptr(GArray) requests = NULL;
@@ -72,7 +78,7 @@
     if (instance->leaving)
         return;
     requests = GwBreaks_Take(g->breaks, end.endpoint, GwTime_Now(), &end.at);
-    report_(g, &end, requests, why);
+    report_(g, &end, requests, cause);
 }
 
 // Rows lapse for other reasons too: an end of which nothing broke is none.
@@ -84,7 +90,7 @@
         GwBreaks_Take(g->breaks, end.endpoint, GwTime_Now(), &end.at);
 
     if (requests->len > 0 && !instance->leaving)
-        report_(g, &end, requests, "removed");
+        report_(g, &end, requests, GW_END_REMOVED);
 }
 
 // What broke here, though nothing but a peer's word tells why.
@@ -96,9 +102,9 @@
     g_autoptr(GArray) requests =
         GwBreaks_Take(g->breaks, end.endpoint, GwTime_Now(), &at);
 
-    log_(g, told, "peer");
+    log_(g, told, GW_END_TOLD);
     if (requests->len > 0)
-        report_(g, &end, requests, "told");
+        report_(g, &end, requests, GW_END_TOLD);
 }
 
 void
@@ -143,7 +149,7 @@
 
 static void
 report_(GwGateway *g, GwEndpointEnd *end, const GArray *requests,
-        const char *why)
+        GwEndCause cause)
 {
     g_autofree GwDigest *fresh = g_new(GwDigest, requests->len);
     GwQuarantineNews news;
@@ -158,7 +164,11 @@
     if (!is_news && news.end.n == 0)
         return;
     GwCounters_Add(&g->counters, GW_COUNTER_ENDS_SEEN, is_news);
-    log_(g, &news.end, why);
+    log_(g, &news.end, cause);
+    // An agent tells all that hear it; words for each would be many where a
+    // rack dies.
+    if (cause == GW_END_DOWN && news.end.n == 0)
+        return;
     GwPeers_TellQuarantine(g->peers, &news);
     for (size_t i = 0; i < news.end.n; i++) {
         if (GwQuarantine_Left(g->quarantine, &fresh[i], GwTime_Now()) > 0)
@@ -167,7 +177,7 @@
 }
 
 static void
-log_(GwGateway *g, const GwEndpointEnd *end, const char *why)
+log_(GwGateway *g, const GwEndpointEnd *end, GwEndCause cause)
 {
     const GPtrArray *all = GwInstances_All(GwView_Instances(g->view));
     const GwInstance *known = NULL;
@@ -186,7 +196,7 @@
     GwEvent_Text(g->log, "endpoint", text);
     // A peer may know it before or after us.
     GwEvent_Text(g->log, "instance", known != NULL ? known->id : "");
-    GwEvent_Text(g->log, "why", why);
+    GwEvent_Text(g->log, "why", GwEndCause_Names[cause]);
     GwEvent_Number(g->log, "requests", (int64_t)end->n);
     GwEvent_End(g->log);
 }
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -231,7 +231,7 @@
     GwGateway *g = user;
 
     GwUpstreamPool_CloseIdle(before->user);
-    GwEnds_Ended(g, before, "restarted");
+    GwEnds_Ended(g, before, GW_END_RESTARTED);
     GwPeers_NoteLoad(g->peers, after);
 }
 
@@ -239,7 +239,7 @@
 on_engine_down_(void *user, GwInstance *instance)
 {
     GwRequest_EndpointLost(user, instance, true);
-    GwEnds_Ended(user, instance, "down");
+    GwEnds_Ended(user, instance, GW_END_DOWN);
 }
 
 static void
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -215,7 +215,7 @@
     if (r->reply.not_run && r->reply.instance_id != NULL &&
         strcmp(r->reply.instance_id, r->instance->id) != 0) {
         GwInstance_SetReplaced(r->instance);
-        GwEnds_Ended(r->gateway, r->instance, "replaced");
+        GwEnds_Ended(r->gateway, r->instance, GW_END_REPLACED);
     }
     // Borrowed from the head, which goes.
     r->reply.instance_id = NULL;
@@ -268,7 +268,7 @@
     if (end == GW_UPSTREAM_NOT_SENT || end == GW_UPSTREAM_REFUSED) {
         // This one is all that is in flight there; see GwEnds_OnRefused.
         if (end == GW_UPSTREAM_REFUSED && instance->in_flight == 1)
-            GwEnds_Ended(r->gateway, instance, "refused");
+            GwEnds_Ended(r->gateway, instance, GW_END_REFUSED);
         r->sends--;
         GwHealth_Note(&instance->health, GW_HEALTH_UNREACHABLE, now);
         GwRequestAttempt_Failed(r, GW_ATTEMPT_NOT_SENT, "unreachable");
