Leaving endpoints of the soak serve long enough to be missed

Those that say so in their answers alone close no port, and are there two seconds after work must have stopped; planned work lasts seven seconds for it.

--- a/soak/src/faults.cc
+++ b/soak/src/faults.cc
@@ -16,6 +16,8 @@
  * gone after that, when those have ended. */
 static const GwTime kPortClosed = 1200 * GW_MILLISECOND;
 static const GwTime kDrained = 3500 * GW_MILLISECOND;
+/* Two seconds longer than work may come after the first such answer. */
+static const GwTime kToldDrained = 4500 * GW_MILLISECOND;
 
 Faults::Faults(const World &world,
                std::function<void(const std::string &)> log)
@@ -367,9 +369,11 @@
     log_("planned drain of " + e->id +
          (by_answers ? ", told by its answers alone" : ""));
     e->Drain(by_answers);
-    // It closes its port first, and then finishes what it runs.
-    During(kPortClosed, [e] { e->proxy->SetRefusing(true); });
-    During(kDrained, [e] {
+    // It closes its port first, and then finishes what it runs; one that has
+    // told nobody but who asked it takes what comes.
+    if (!by_answers)
+        During(kPortClosed, [e] { e->proxy->SetRefusing(true); });
+    During(by_answers ? kToldDrained : kDrained, [e] {
         e->proxy->SetRefusing(false);
         e->proxy->disturbance.Begin();
         e->Crash();
--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -51,7 +51,7 @@
 
 /* A fault phase, the settling behind it, and planned work on a calm system. */
 constexpr GwTime kFaults = 5 * GW_SECOND;
-constexpr GwTime kPlanned = 4 * GW_SECOND;
+constexpr GwTime kPlanned = 7 * GW_SECOND;
 /* At the end, after the settling: what is asked then is served. */
 constexpr GwTime kCalm = 2 * GW_SECOND;
 constexpr double kServed = 0.95;
