Words that waited keep their age; a rolled fleet's leaving is known

Two faults found on reading the mends once more. The test of the second failed first; that of the first fails with its mend switched off, which was run after it was written. A gateway that stood still takes the words of several seconds at once, and ends of one small domain looked like a rack that died: the request was sent on. Told again with their age, as a new session does, they are corrected and judged anew. And the bound on endpoints told to leave counted those that are listed: with 256 of them, as when a large fleet is rolled, the next one got work on. It is for ids that the list has not named.

Ruled out: larger bounds (ids come from outside) and clocks on the wire (they differ between machines).

--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -59,15 +59,18 @@
     size_t n_ends;           /* ever */
 };
 
+static Sighting *find_end_(GwQuarantine *q, uint64_t endpoint);
 static Suspect *suspect_(GwQuarantine *q, const GwDigest *digest);
 static bool see_(GwQuarantine *q, const GwDigest *digest,
                  const Sighting *sighting, GwTime now);
+static void correct_(GwQuarantine *q, Suspect *s, unsigned i,
+                     const Sighting *told);
 static void insert_(Suspect *s, const Sighting *sighting);
-static void judge_(GwQuarantine *q, Suspect *s, GwTime now);
+static void judge_(GwQuarantine *q, Suspect *s);
 static GwTime term_(unsigned ends);
 static bool is_our_turn_(const GwQuarantine *q, const Suspect *s,
                          uint64_t turn);
-static void judge_again_(GwQuarantine *q, GwTime now);
+static void judge_again_(GwQuarantine *q);
 static bool is_the_reason_(const GwQuarantine *q, const Suspect *s);
 static unsigned count_(const GwQuarantine *q, const Suspect *s);
 static bool counts_(const GwQuarantine *q, const Suspect *s, unsigned i);
@@ -138,15 +141,20 @@
         .group_size = end->group_size,
         .at = MIN(end->at, now),
     };
+    Sighting *known;
     size_t n = 0;
 
     *is_news = false;
     if (end->endpoint == 0 || now - sighting.at > GW_QUARANTINE_MEMORY)
         return 0;
-    if (GwQuarantine_EndedAt(q, end->endpoint) == 0) {
+    known = find_end_(q, end->endpoint);
+    if (known == NULL) {
         *is_news = true;
         q->ends[q->n_ends++ % MAX_ENDS] = sighting;
-        judge_again_(q, now);
+        judge_again_(q);
+    }
+    else {
+        known->at = MIN(known->at, sighting.at);
     }
     for (size_t i = 0; i < MIN(end->n, GW_QUARANTINE_END_MAX); i++) {
         if (see_(q, &end->requests[i], &sighting, now))
@@ -158,11 +166,9 @@
 GwTime
 GwQuarantine_EndedAt(const GwQuarantine *q, uint64_t endpoint)
 {
-    for (size_t i = 0; i < kept_ends_(q); i++) {
-        if (q->ends[i].endpoint == endpoint)
-            return q->ends[i].at;
-    }
-    return 0;
+    const Sighting *known = find_end_((GwQuarantine *)q, endpoint);
+
+    return known != NULL ? known->at : 0;
 }
 
 // What is told of an earlier end later on must not count again, so the time of
@@ -191,7 +197,7 @@
     s->held = 0;
     TAILQ_INSERT_TAIL(list_of_(q, s), s, link);
     s->touched_at = now;
-    judge_(q, s, now);
+    judge_(q, s);
     return true;
 }
 
@@ -210,7 +216,7 @@
     s->held = MIN(until, now + GW_QUARANTINE_LONGEST);
     TAILQ_INSERT_TAIL(list_of_(q, s), s, link);
     s->touched_at = now;
-    judge_(q, s, now);
+    judge_(q, s);
 }
 
 GwTime
@@ -285,6 +291,16 @@
     }
 }
 
+static Sighting *
+find_end_(GwQuarantine *q, uint64_t endpoint)
+{
+    for (size_t i = 0; i < kept_ends_(q); i++) {
+        if (q->ends[i].endpoint == endpoint)
+            return &q->ends[i];
+    }
+    return NULL;
+}
+
 static Suspect *
 suspect_(GwQuarantine *q, const GwDigest *digest)
 {
@@ -312,8 +328,10 @@
     Suspect *s = suspect_(q, digest);
 
     for (unsigned i = 0; i < s->n; i++) {
-        if (s->sightings[i].endpoint == sighting->endpoint)
-            return false;
+        if (s->sightings[i].endpoint != sighting->endpoint)
+            continue;
+        correct_(q, s, i, sighting);
+        return false;
     }
     if (s->sound_at != 0 && sighting->at <= s->sound_at + SOUND_SLACK)
         return false;
@@ -324,10 +342,25 @@
     insert_(s, sighting);
     TAILQ_INSERT_TAIL(list_of_(q, s), s, link);
     s->touched_at = now;
-    judge_(q, s, now);
+    judge_(q, s);
     return true;
 }
 
+// Words that wait in a process that stands still seem all of one moment when
+// it goes on, as if a rack had died: its peers tell it again, as of when it
+// was, once they are connected anew.
+static void
+correct_(GwQuarantine *q, Suspect *s, unsigned i, const Sighting *told)
+{
+    if (told->at >= s->sightings[i].at)
+        return;
+    memmove(s->sightings + i, s->sightings + i + 1,
+            (s->n - i - 1) * sizeof(s->sightings[0]));
+    s->n--;
+    insert_(s, told);
+    judge_(q, s);
+}
+
 static void
 insert_(Suspect *s, const Sighting *sighting)
 {
@@ -345,7 +378,7 @@
 }
 
 static void
-judge_(GwQuarantine *q, Suspect *s, GwTime now)
+judge_(GwQuarantine *q, Suspect *s)
 {
     bool was = s->until != 0;
     bool is;
@@ -389,14 +422,14 @@
 // reason of the first three may be one that was beside them, and its caller
 // would be refused for the whole term.
 static void
-judge_again_(GwQuarantine *q, GwTime now)
+judge_again_(GwQuarantine *q)
 {
     Suspect *s;
 
     TAILQ_FOREACH(s, &q->repeated, link)
     {
         if (s->until != 0)
-            judge_(q, s, now);
+            judge_(q, s);
     }
 }
 
--- a/packages/quarantine/tests/quarantine_test.cc
+++ b/packages/quarantine/tests/quarantine_test.cc
@@ -227,6 +227,25 @@
     EXPECT_GT(t.Left(Request(1), 7 * GW_SECOND), 0);
 }
 
+// A gateway stands still while a request ends one small domain three times,
+// and takes all words at once when it goes on: nine ends of one moment, as of
+// a rack. Told again with their age, they count.
+TEST(Quarantine, WordsThatWaitedAreCorrectedWhenToldAgain)
+{
+    Table t;
+
+    for (uint64_t i = 0; i < 9; i++)
+        t.End(1 + i, 8 * GW_SECOND, {Request(1)}, 7, 3);
+    ASSERT_EQ(t.Left(Request(1), 8 * GW_SECOND), 0);
+    for (uint64_t i = 0; i < 9; i++) {
+        EXPECT_EQ(
+            t.End(1 + i, (GwTime)(i / 3) * 3 * GW_SECOND, {Request(1)}, 7, 3),
+            0u)
+            << "no news";
+    }
+    EXPECT_GT(t.Left(Request(1), 8 * GW_SECOND), 0);
+}
+
 // Many copies at once end forty endpoints within a second.
 TEST(Quarantine, MoreEndsThanAreRememberedAreStillItsOwn)
 {
--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -151,7 +151,9 @@
         (instance != NULL && incarnation != 0 &&
          incarnation < instance->incarnation))
         return false;
-    if (known == NULL && g_hash_table_size(m->told_leaving) >= GW_LEAVING_MAX)
+    // Those that are listed are as many as the list has.
+    if (known == NULL && instance == NULL &&
+        g_hash_table_size(m->told_leaving) >= GW_LEAVING_MAX)
         return false;
     g_hash_table_insert(
         m->told_leaving, g_strdup(id),
--- a/packages/routing/tests/leaving_test.cc
+++ b/packages/routing/tests/leaving_test.cc
@@ -126,6 +126,9 @@
         },
         &n);
     EXPECT_EQ(n, (size_t)GW_LEAVING_MAX);
+    l.Row("listed", 0);
+    EXPECT_TRUE(l.Says("listed", 0)) << "a large fleet that is rolled";
+    EXPECT_FALSE(l.GetsWork("listed"));
     GwInstances_Sweep(l.m, kNow + GW_LEAVING_TERM);
     EXPECT_TRUE(l.Says("later", 0, GW_LEAVING_TERM));
 }
