Limits of accounts are kept over the whole fleet

Ruled out: a late configuration, as the limits stood in the first one.

Now a home keeps a third of each limit in a bucket; three homes an account, in a pool of eight sidecars by rendezvous hashing. A gateway asks one home for what a request needs and the next for what it lacks. The window of the rule is counted at each home.

--- a/fakes/include/galenagw/fakes/fleet.h
+++ b/fakes/include/galenagw/fakes/fleet.h
@@ -90,6 +90,7 @@
     std::vector<GwDeployment> deployments;
     int stopped = 0;
     int timeout_ms = 3000;
+    std::string acme_limit; // fields of account acme, as ",\"rate_per_s\":9"
     // Where all agents listen: by default one that says nothing, as a refused
     // connection would tell that an agent has ended, and void what a test puts
     // in its mouth.
--- a/fakes/tests/fleet.cc
+++ b/fakes/tests/fleet.cc
@@ -249,7 +249,9 @@
         "],"
         "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":65536,"
         "\"header_timeout_ms\":300,\"idle_timeout_ms\":2000},"
-        "\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"key\"]},"
+        "\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"key\"]" +
+        acme_limit +
+        "},"
         "{\"name\":\"walled\",\"api_keys\":[\"wall\"],\"isolated\":true},"
         "{\"name\":\"guest\",\"api_keys\":[\"try\"],\"priority\":1}]}";
 
--- a/packages/agent/src/home.c
+++ b/packages/agent/src/home.c
@@ -50,9 +50,11 @@
     else {
         GwBucket *b = bucket_(home, account, now);
 
-        grant.credits = GwBucket_Take(b, ask->want, now);
+        grant.credits = (uint32_t)GwBucket_Take(b, ask->want, 0, now);
         grant.retry_after_ms =
-            (uint32_t)(GwBucket_Wait(b, now) / GW_MILLISECOND) + 1;
+            (uint32_t)(GwLimit_TimeFor(&b->limit, 1 - b->level) /
+                       GW_MILLISECOND) +
+            1;
     }
     GwSession_Send(session, &frame);
 }
@@ -61,16 +63,19 @@
 bucket_(Home *home, const GwAccount *account, GwTime now)
 {
     GwBucket *b = g_hash_table_lookup(home->buckets, account->name);
-    double burst = account->requests_per_s * BURST_SECONDS;
+    GwLimit limit = {
+        .rate = account->requests_per_s,
+        .burst = MAX(account->requests_per_s * BURST_SECONDS, 1),
+    };
 
     if (b == NULL) {
         b = g_new0(GwBucket, 1);
-        GwBucket_Init(b, account->requests_per_s, burst, now);
+        GwBucket_Init(b, &limit, now);
         // One token lets the first request through at once.
         b->level = 1;
         g_hash_table_insert(home->buckets, g_strdup(account->name), b);
     }
-    if (b->rate != account->requests_per_s)
-        GwBucket_SetRate(b, account->requests_per_s, burst, now);
+    if (b->limit.rate != limit.rate)
+        GwBucket_SetLimit(b, &limit, now);
     return b;
 }
--- a/packages/base/include/galenagw/base/reason.h
+++ b/packages/base/include/galenagw/base/reason.h
@@ -53,6 +53,7 @@
     GW_REFUSAL_BUFFERS_FULL,      /**< No memory left for its body. */
     GW_REFUSAL_DEFERRED,          /**< It can wait, and engines are full. */
     GW_REFUSAL_QUARANTINED,       /**< Endpoints ended under it. */
+    GW_REFUSAL_LIMIT_UNKNOWN,     /**< No home of its account answers. */
     GW_REFUSALS
 } GwRefusal;
 
--- a/packages/base/src/reason.c
+++ b/packages/base/src/reason.c
@@ -33,6 +33,7 @@
     "buffers_full",
     "deferred",
     "quarantined",
+    "limit_unknown",
 };
 
 typedef struct {
@@ -90,6 +91,9 @@
                                      "under this request; it is not sent "
                                      "before Retry-After: change it, or "
                                      "report it to the operator"},
+    [GW_REFUSAL_LIMIT_UNKNOWN] = {503, "whether the account's limit has room "
+                                       "cannot be told now; come back after "
+                                       "Retry-After"},
     [GW_REFUSAL_BUFFERS_FULL] = {503, "too many large bodies are in flight; "
                                       "come back after Retry-After"},
 };
--- a/packages/cluster/include/galenagw/cluster/peers.h
+++ b/packages/cluster/include/galenagw/cluster/peers.h
@@ -14,7 +14,9 @@
 #include "galenagw/cluster/store_reader.h"
 #include "galenagw/cluster/view.h"
 #include "galenagw/net/loop.h"
+#include "galenagw/policy/limit_share.h"
 #include "galenagw/quarantine/quarantine_words.h"
+#include "galenagw/routing/limit_tolerance.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -54,6 +56,10 @@
     GwQuarantine *quarantine; /**< fed and told to peers; or NULL */
     /** A peer tells that an endpoint has ended; or NULL. */
     void (*on_endpoint_ended)(void *user, const GwEndpointEnd *end);
+    GwLimitHome *limit_home;   /**< agent: accounts that it is a home of */
+    GwLimitShare *limit_share; /**< entry: told who homes are, and their
+                                    answers; or NULL */
+    GwLimitTolerance limit_tolerance; /**< agent */
     void *user;
 } GwPeersOptions;
 
@@ -83,6 +89,9 @@
 void GwPeers_Watch(GwPeers *peers, const GwAddress *address);
 /** Entry: tell @p instance's agent what we now have in flight there. */
 void GwPeers_NoteLoad(GwPeers *peers, const GwInstance *instance);
+/** Entry: send @p ask to the home at place @p home. @return false if it can't
+ * be reached. */
+bool GwPeers_AskHome(GwPeers *peers, uint64_t home, const GwLimitAsk *ask);
 /** Agent: its engine started anew, and holds nothing that entries told of. */
 void GwPeers_ForgetLoads(GwPeers *peers);
 /** Agent: long runs that entries have in flight at the engine. */
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -7,6 +7,8 @@
 #include "exchange.h"
 #include "kept_words.h"
 #include "leaving_words.h"
+#include "limit_words.h"
+#include "galenagw/routing/placement.h"
 #include "galenagw/routing/subset.h"
 #include "galenagw/wire/session.h"
 
@@ -42,6 +44,8 @@
     bool outbound;
     bool wanted; /* by the last comparison with the list */
     bool is_entry;
+    bool limits_only; /* entry: it sends nothing to the engine there */
+    uint64_t place;   /* of an agent, by the address that it listens at */
     uint64_t prefill_tokens; /* that an entry waits for at our engine */
     uint64_t yielding;       /* of these, of accounts after others */
     uint64_t yielding_memory;
@@ -69,6 +73,8 @@
     char engine_id[128];
     GwEngineState engine;    /* agent: told last */
     const GwKeptParts *kept; /* agent: of its engine; or NULL */
+    GwLimitPool pool;        /* homes of accounts */
+    uint64_t pool_end;       /* of the list that it was made from */
 };
 
 /* Prompt tokens that entries wait for at our engine. */
@@ -91,9 +97,13 @@
 static void on_closed_(void *user, GwSession *session, bool silent);
 static void forget_advice_(GwPeers *p, const Peer *peer);
 static void fill_hello_(void *user, Gw__Wire__Hello *hello);
+static void fill_limits_hello_(void *user, Gw__Wire__Hello *hello);
 static uint64_t revision_(void *user);
 static void on_timer_(void *user);
-static void connect_(GwPeers *p, const GwAddress *address);
+static void connect_(GwPeers *p, const GwAddress *address, bool limits_only);
+static void set_pool_(GwPeers *p);
+static bool has_limits_(const GwPeers *p);
+static bool is_follower_(const Peer *peer);
 static Peer *add_(GwPeers *p);
 static void set_session_(Peer *peer, GwSession *session);
 static Peer *find_(GwPeers *p, const GwSession *session);
@@ -191,7 +201,7 @@
     p->engine.instance = p->engine_id;
     TAILQ_FOREACH(peer, &p->peers, link)
     {
-        if (!peer->outbound)
+        if (!peer->outbound && !peer->limits_only)
             send_engine_(p, peer, &all);
     }
 }
@@ -209,7 +219,7 @@
 
     TAILQ_FOREACH(peer, &p->peers, link)
     {
-        if (peer->is_entry && GwSession_IsReady(peer->session))
+        if (is_follower_(peer) && GwSession_IsReady(peer->session))
             tell_kept_(p, peer, list, n);
     }
 }
@@ -253,6 +263,22 @@
     GwSession_Send(peer->session, &frame);
 }
 
+bool
+GwPeers_AskHome(GwPeers *p, uint64_t home, const GwLimitAsk *ask)
+{
+    Peer *peer;
+
+    TAILQ_FOREACH(peer, &p->peers, link)
+    {
+        if (peer->outbound && peer->place == home &&
+            GwSession_IsReady(peer->session)) {
+            GwLimitWords_Ask(peer->session, ask);
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 GwPeers_ForgetLoads(GwPeers *p)
 {
@@ -369,16 +395,18 @@
     }
     g_strlcpy(peer->name, hello->instance, sizeof(peer->name));
     peer->is_entry = hello->role == GW__WIRE__ROLE__ROLE_ENTRY;
+    if (!peer->outbound)
+        peer->limits_only = hello->limits_only;
     GwEvent_Begin(p->options.log, "peer_ready", NULL);
     GwEvent_Text(p->options.log, "peer", hello->instance);
     GwEvent_End(p->options.log);
     GwExchange_TellAges(&p->exchange, session);
-    if (!peer->outbound && p->has_engine) {
+    if (!peer->outbound && !peer->limits_only && p->has_engine) {
         Waiting all = all_(p);
 
         send_engine_(p, peer, &all);
     }
-    if (peer->is_entry)
+    if (is_follower_(peer))
         tell_kept_(p, peer, NULL, 0);
     GwLeavingWords_SendAll(session, GwView_Instances(p->options.view));
     if (p->options.quarantine != NULL)
@@ -421,6 +449,18 @@
                                 frame->endpoint_leaving, &leaving))
             tell_leaving_(p, session, &leaving, GW_LEARNED_PEER);
         return;
+    case GW__WIRE__FRAME__BODY_CREDIT_ASK:
+        if (p->options.limit_home == NULL)
+            return;
+        set_pool_(p);
+        GwLimitWords_Answer(session, p->options.limit_home, p->options.view,
+                            &p->options.limit_tolerance, frame->credit_ask);
+        return;
+    case GW__WIRE__FRAME__BODY_CREDIT_GRANT:
+        if (peer != NULL && p->options.limit_share != NULL)
+            GwLimitWords_Take(p->options.limit_share, peer->place,
+                              frame->credit_grant);
+        return;
     case GW__WIRE__FRAME__BODY_WEIGHTS_AGE:
         GwExchange_TakeAge(&p->exchange, frame->weights_age);
         return;
@@ -491,6 +531,9 @@
     }
     if (!silent)
         forget_advice_(p, peer);
+    if (p->options.limit_share != NULL)
+        GwLimitShare_HomeLost(p->options.limit_share, peer->place,
+                              GwTime_Now());
     GwExchange_Leave(&p->exchange, &peer->lists);
     GwKeptWords_Clear(&peer->kept);
     TAILQ_REMOVE(&p->peers, peer, link);
@@ -523,6 +566,13 @@
     hello->failure_domain = (char *)p->options.failure_domain;
 }
 
+static void
+fill_limits_hello_(void *user, Gw__Wire__Hello *hello)
+{
+    fill_hello_(user, hello);
+    hello->limits_only = true;
+}
+
 static uint64_t
 revision_(void *user)
 {
@@ -544,20 +594,25 @@
     peer->wanted = !peer->outbound;
     if (!p->options.is_agent)
         follow_(p, all);
+    set_pool_(p);
     for (guint i = 0; !p->options.is_agent && i < all->len; i++) {
         const GwInstance *instance = g_ptr_array_index(all, i);
         GwAddress address = instance->address;
+        bool is_home;
 
-        if (!instance->followed)
+        if (instance->model == NULL)
             continue;
         address.port = p->options.agent_port;
-        connect_(p, &address);
+        is_home = has_limits_(p) &&
+                  GwLimitPool_Has(&p->pool, GwPlacement_Place(&address));
+        if (instance->followed || is_home)
+            connect_(p, &address, !instance->followed);
     }
     if (p->watched.port != 0)
-        connect_(p, &p->watched);
+        connect_(p, &p->watched, false);
     for (int i = 0; needs_seeds_(p) && i < p->options.n_seeds; i++) {
         if (!GwAddress_Equal(&p->options.seeds[i], &p->options.listen))
-            connect_(p, &p->options.seeds[i]);
+            connect_(p, &p->options.seeds[i], false);
     }
     for (peer = TAILQ_FIRST(&p->peers); peer != NULL; peer = next) {
         next = TAILQ_NEXT(peer, link);
@@ -569,21 +624,65 @@
                                  : RECONCILE_EVERY);
 }
 
+// Two engines at one agent's address, as of an old row and a new one, may be
+// asked for in both ways: what serves both stays.
 static void
-connect_(GwPeers *p, const GwAddress *address)
+connect_(GwPeers *p, const GwAddress *address, bool limits_only)
 {
     Peer *peer = at_(p, address);
     GwSessionOptions session = session_options_(p);
 
+    if (limits_only)
+        session.fill_hello = fill_limits_hello_;
+    if (peer != NULL && peer->limits_only && !limits_only) {
+        drop_(peer);
+        peer = NULL;
+    }
     if (peer == NULL) {
         peer = add_(p);
         peer->outbound = true;
+        peer->limits_only = limits_only;
         peer->address = *address;
+        peer->place = GwPlacement_Place(address);
         set_session_(peer, GwSession_Connect(p->loop, address, &session));
     }
     peer->wanted = true;
 }
 
+// Made anew when the list has changed.
+static void
+set_pool_(GwPeers *p)
+{
+    uint64_t end = GwRecords_StampEnd(GW_LIST_INSTANCES, revision_(p));
+    GwAddress own = p->options.listen;
+
+    if (end == p->pool_end && p->pool.n > 0)
+        return;
+    own.port = p->options.agent_port;
+    p->pool = GwLimitWords_Pool(p->options.view, p->options.agent_port);
+    p->pool_end = end;
+    if (p->options.limit_home != NULL)
+        GwLimitHome_SetPool(p->options.limit_home, &p->pool,
+                            GwPlacement_Place(&own), GwTime_Now());
+    if (p->options.limit_share != NULL)
+        GwLimitShare_SetPool(p->options.limit_share, &p->pool);
+}
+
+static bool
+has_limits_(const GwPeers *p)
+{
+    const GwRoutes *routes = GwView_Routes(p->options.view);
+
+    return routes != NULL && routes->has_limits;
+}
+
+// An entry that sends work to our engine.
+static bool
+is_follower_(const Peer *peer)
+{
+    return peer->is_entry && !peer->limits_only;
+}
+
 static Peer *
 add_(GwPeers *p)
 {
@@ -717,7 +816,7 @@
     {
         Waiting others = but_(&all, peer);
 
-        if (!peer->is_entry || !GwSession_IsReady(peer->session))
+        if (!is_follower_(peer) || !GwSession_IsReady(peer->session))
             continue;
         if (differs_(others.tokens, peer->told_tokens) ||
             differs_(others.yielding, peer->told_yielding))
@@ -823,7 +922,7 @@
     unsigned n = 0;
 
     TAILQ_FOREACH(peer, &p->peers, link)
-    n += peer->is_entry && GwSession_IsReady(peer->session);
+    n += is_follower_(peer) && GwSession_IsReady(peer->session);
     return n;
 }
 
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -8,6 +8,7 @@
 #include "galenagw/http/metrics.h"
 #include "gateway_private.h"
 #include "request.h"
+#include "request_limit.h"
 #include "upstream.h"
 
 /* How often collected log lines are written. */
@@ -37,6 +38,7 @@
 static void on_balancer_(void *user, GwHttpCall *call);
 static void on_drain_timer_(void *user);
 static void on_flush_(void *user);
+static void on_limit_timer_(void *user);
 static void leave_silent_(GwGateway *g);
 static bool listen_(GwGateway *g, const GwDeployment *d, GwError *err);
 static bool join_(GwGateway *g, const GwDeployment *d, GwError *err);
@@ -78,9 +80,11 @@
     g->quarantine = GwQuarantine_New(&quarantine);
     g->breaks = GwBreaks_New();
     g->rand = g_rand_new();
+    g->limits = GwRequestLimit_NewShare(g);
     g->kv_stores = GwKvStores_New(loop, g->log, g->rand);
     GwTimer_Init(&g->drain_timer, loop, on_drain_timer_, g);
     GwTimer_Init(&g->flush_timer, loop, on_flush_, g);
+    GwTimer_Init(&g->limit_timer, loop, on_limit_timer_, g);
     g->view = GwView_New(&view);
     if (!listen_(g, d, err) || !join_(g, d, err)) {
         GwGateway_Delete(g);
@@ -97,6 +101,7 @@
         return;
     GwTimer_Stop(&g->drain_timer);
     GwTimer_Stop(&g->flush_timer);
+    GwTimer_Stop(&g->limit_timer);
     GwRequest_EndAll(g);
     GwHttpServer_Delete(g->callers_server);
     GwHttpServer_Delete(g->readiness_server);
@@ -108,6 +113,7 @@
     g_hash_table_unref(g->budgets);
     GwQuarantineStore_Delete(g->quarantine_store);
     GwQuarantine_Delete(g->quarantine);
+    GwLimitShare_Delete(g->limits);
     GwBreaks_Delete(g->breaks);
     g_rand_free(g->rand);
     g_free(g->name);
@@ -326,6 +332,16 @@
     GwTimer_Start(&g->flush_timer, FLUSH_EVERY);
 }
 
+static void
+on_limit_timer_(void *user)
+{
+    GwGateway *g = user;
+
+    g->limits_tick = GwLimitShare_Tick(g->limits, GwTime_Now());
+    if (g->limits_tick)
+        GwTimer_Start(&g->limit_timer, GW_LIMIT_TICK);
+}
+
 // An engine that stands still with its machine gives no error of its own.
 static void
 leave_silent_(GwGateway *g)
@@ -400,6 +416,7 @@
         .on_engine_down = on_engine_down_,
         .quarantine = g->quarantine,
         .on_endpoint_ended = on_endpoint_ended_,
+        .limit_share = g->limits,
         .user = g,
     };
 
@@ -427,6 +444,7 @@
         .slack = d->retry_slack,
         .window = d->retry_window,
     };
+    g->limit_tolerance = d->limits;
     g->grace = d->grace;
     g->weights_bound = d->weights_bound;
     g->leaving_bound = d->leaving_bound;
--- a/packages/gateway/src/gateway_private.h
+++ b/packages/gateway/src/gateway_private.h
@@ -42,6 +42,10 @@
     GwHttpServer *metrics_server;
 
     GHashTable *budgets; /* service to GwBudget */
+    GwLimitShare *limits;
+    GwLimitTolerance limit_tolerance;
+    GwTimer limit_timer;
+    bool limits_tick; /* the timer runs */
     GwQuarantine *quarantine;
     GwBreaks *breaks;
     GwQuarantineStore *quarantine_store;
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -3,9 +3,11 @@
 #include "request_attempt.h"
 #include "request_end.h"
 #include "request_leave.h"
+#include "request_limit.h"
 #include "request_log.h"
 #include "request_quarantine.h"
 #include "request_refusal.h"
+#include "request_units.h"
 
 static GwRequest *new_(GwGateway *g, GwHttpCall *call);
 static GwRefusal admit_(GwRequest *r);
@@ -41,7 +43,7 @@
     GwTimer_Start(&r->timer, r->deadline - GwTime_Now());
     GwBudget_AddRequest(GwGateway_Budget(r->gateway, r->service),
                         &r->gateway->budget_bound, GwTime_Now());
-    GwRequestAttempt_Make(r);
+    GwRequestLimit_Start(r);
 }
 
 void
@@ -49,6 +51,8 @@
 {
     GwCounters_Add(&r->gateway->counters, GW_COUNTER_CALLERS_GONE, 1);
     GwRequestLog_End(r, "caller_gone", 0);
+    if (r->attempts == 0)
+        GwRequestUnits_GiveBack(r);
     GwRequestEnd_Free(r);
 }
 
--- a/packages/gateway/src/request_end.c
+++ b/packages/gateway/src/request_end.c
@@ -42,6 +42,7 @@
     GwGateway *g = r->gateway;
 
     GwUpstream_Cancel(g_steal_pointer(&r->upstream));
+    GwLimitShare_Leave(&r->limit_waiter);
     GwRequestEnd_LeaveInstance(r);
     GwTimer_Stop(&r->timer);
     GwTimer_Stop(&r->patience);
--- a/packages/gateway/src/request_log.c
+++ b/packages/gateway/src/request_log.c
@@ -95,6 +95,24 @@
     GwEvent_End(log);
 }
 
+void
+GwRequestLog_Limited(const GwRequest *r, const GwLimitVerdict *verdict)
+{
+    GwEventLog *log = r->gateway->log;
+
+    GwEvent_Begin(log, "limited", r->ask.id);
+    GwEvent_Text(log, "account", r->account->name);
+    GwEvent_Text(log, "state", GwLimitState_Names[verdict->state]);
+    GwEvent_Number(log, "rate", (int64_t)r->account->limit_rate);
+    GwEvent_Number(log, "burst", (int64_t)r->account->limit_burst);
+    GwEvent_Number(log, "routes_version", (int64_t)r->routes->version);
+    GwEvent_Number(log, "units", (int64_t)r->units);
+    GwEvent_Number(log, "missing", (int64_t)verdict->missing);
+    GwEvent_Time(log, "waited_ms", GwTime_Now() - r->arrived);
+    GwEvent_Time(log, "retry_after_ms", verdict->retry_after);
+    GwEvent_End(log);
+}
+
 void
 GwRequestLog_End(const GwRequest *r, const char *outcome, int status)
 {
--- a/packages/gateway/src/request_log.h
+++ b/packages/gateway/src/request_log.h
@@ -17,6 +17,9 @@
 void GwRequestLog_Deferred(const GwRequest *request,
                            const GwInstance *instance,
                            const GwOverloadFacts *facts, GwTime defer);
+/* Its account's limit has no room for it, or cannot be told. */
+void GwRequestLog_Limited(const GwRequest *request,
+                          const GwLimitVerdict *verdict);
 /* The last line of each request. @p status 0: none was sent. */
 void GwRequestLog_End(const GwRequest *request, const char *outcome,
                       int status);
--- a/packages/gateway/src/request_private.h
+++ b/packages/gateway/src/request_private.h
@@ -27,6 +27,8 @@
     const char *service;
     GwTime arrived;
     GwTime deadline;
+    GwLimitWaiter limit_waiter;
+    double units; /* of its account's limit that it was granted */
     GwTimer timer;
     GwTimer patience;   /* with an attempt that could be made elsewhere */
     GwTimer withdrawal; /* from an engine whose weights must be gone */
--- a/packages/gateway/src/request_refusal.c
+++ b/packages/gateway/src/request_refusal.c
@@ -3,6 +3,7 @@
 #include "choosing.h"
 #include "request_end.h"
 #include "request_log.h"
+#include "request_units.h"
 
 /* Retry-After of a refusal that a moment cures, and its bound as a share of
  * the caller's time, beyond which callers give up. */
@@ -26,8 +27,10 @@
         refusal = GW_REFUSAL_OUTCOME_UNKNOWN;
     failure.status = GwRefusal_Status(refusal);
     failure.message = GwRefusal_Message(refusal);
-    if (failure.status == 503)
+    if (failure.status == 503 || failure.status == 429) {
         failure.retry_after_s = retry_after_(r, refusal);
+        GwRequestUnits_GiveBack(r);
+    }
     GwMessages_EncodeFailure(&failure, out);
     GwHttpCall_Send(r->call, out->str, out->len);
     GwCounters_Refuse(&r->gateway->counters, refusal);
@@ -69,7 +72,9 @@
     double share;
 
     // Sooner it is only refused again, however little time is left.
-    if (refusal == GW_REFUSAL_QUARANTINED)
+    if (refusal == GW_REFUSAL_QUARANTINED ||
+        refusal == GW_REFUSAL_ACCOUNT_LIMIT ||
+        refusal == GW_REFUSAL_LIMIT_UNKNOWN)
         return (double)r->retry_after / GW_SECOND;
     if (opens_in > 0)
         return (double)opens_in / GW_SECOND;
--- a/packages/gateway/tests/agent_end.h
+++ b/packages/gateway/tests/agent_end.h
@@ -13,6 +13,7 @@
 
         view = GwView_New(&options);
         quarantine = GwQuarantine_New(&nothing);
+        limits = GwLimitHome_New(GwTime_Now() - GW_SECOND);
         StartAgent();
         f.agent_port = port = GwPeers_Port(agent);
         f.Configure(1);
@@ -22,6 +23,7 @@
     {
         GwPeers_Delete(agent);
         GwQuarantine_Delete(quarantine);
+        GwLimitHome_Delete(limits);
         GwView_Delete(view);
     }
     void
@@ -37,6 +39,8 @@
         options.view = view;
         options.counters = &counters;
         options.quarantine = quarantine;
+        options.agent_port = port;
+        options.limit_home = limits;
         agent = GwPeers_New(f.loop, &options, &err);
         ASSERT_NE(agent, nullptr) << err.message;
     }
@@ -55,6 +59,7 @@
     GwView *view = nullptr;
     GwQuarantineOptions nothing = {};
     GwQuarantine *quarantine = nullptr;
+    GwLimitHome *limits = nullptr;
     GwPeers *agent = nullptr;
     int port = 0;
 };
--- a/packages/policy/include/galenagw/policy/limits.h
+++ b/packages/policy/include/galenagw/policy/limits.h
@@ -1,11 +1,11 @@
 /**
  * @defgroup limits Limits
- * @brief Account limits over many entries, and the retry budget.
+ * @brief How much an account may use, and the retry budget.
  *
- * An account's home agent owns its token bucket and leases credits to the
- * entries that ask. An entry spends its lease without a round trip. While
- * the home is unreachable an entry grants itself its share: the limit over
- * the number of entries.
+ * A limit counts units: requests, or tokens of prompt and answer. The amounts
+ * of one account lie in token buckets at its homes, each of which has an equal
+ * part of the limit (see limit_home); entries lease from them what their
+ * requests need (see limit_share).
  * @{
  */
 #ifndef GALENAGW_POLICY_LIMITS_H
@@ -20,51 +20,51 @@
 extern "C" {
 #endif
 
-/** A token bucket; plain data. */
+/** What one account may use, or a part of it. */
 typedef struct {
-    double rate;  /**< tokens a second */
-    double burst; /**< most it can hold */
-    double level;
-    GwTime at;
-} GwBucket;
+    double rate;   /**< units a second; 0: no limit */
+    double burst;  /**< units that an idle account saves up */
+    double debt;   /**< units that may be taken ahead of the rate */
+    GwTime window; /**< in any such time the account may use its rate and its
+                        burst, and no more; 0: there is no such bound */
+} GwLimit;
 
-void GwBucket_Init(GwBucket *bucket, double rate, double burst, GwTime now);
-/** Change the rate; the level is kept, within the new burst. */
-void GwBucket_SetRate(GwBucket *bucket, double rate, double burst, GwTime now);
-/** Take up to @p want whole tokens. @return how many. */
-uint32_t GwBucket_Take(GwBucket *bucket, uint32_t want, GwTime now);
-/** Time until one token is there. */
-GwTime GwBucket_Wait(const GwBucket *bucket, GwTime now);
+/** One of @p parts equal parts of @p limit. */
+GwLimit GwLimit_Part(const GwLimit *limit, unsigned parts);
+/** Time in which @p limit refills by @p units. */
+GwTime GwLimit_TimeFor(const GwLimit *limit, double units);
 
-/** An entry's side of one account's limit; plain data. */
-typedef struct {
-    uint32_t credits; /**< leased and not spent */
-    GwTime lease_end;
-    GwTime refused_until;
-    bool asking;
-    GwBucket local; /**< the share used while the home is away */
-} GwCredit;
-
-/** What an entry may do with one request. */
-typedef enum {
-    GW_CREDIT_GO = 0,
-    GW_CREDIT_ASK,    /**< ask the home, and wait for its grant */
-    GW_CREDIT_REFUSE, /**< the limit is used up */
-    GW_CREDITS
-} GwCreditState;
+/** Steps in which a window is counted. */
+#define GW_LIMIT_STEPS 16
 
-extern const char *const GwCreditState_Names[GW_CREDITS];
+/**
+ * A token bucket; plain data. Under a window it fills a little faster than its
+ * rate, by half of what a burst spread over the window would bring: an account
+ * at its limit gets nearly all that the window allows, and at an even pace.
+ * In its first window it does not, nor does it give anything ahead: what was
+ * taken from an earlier one, whose memory is lost, is not known.
+ */
+typedef struct {
+    GwLimit limit;
+    double level; /**< below zero: a debt */
+    GwTime since;
+    GwTime at;
+    double taken[GW_LIMIT_STEPS + 1]; /**< in the steps of the window */
+    int64_t step;                     /**< the newest one */
+} GwBucket;
 
-/** Credits leased at a time for @p rate: a tenth of a second's worth. */
-uint32_t GwCredit_Batch(double rate);
-/** Decide on one request, spending a credit on GO. */
-GwCreditState GwCredit_Spend(GwCredit *credit, GwTime now);
-/** The home granted @p credits, none for @p retry_after. */
-void GwCredit_Granted(GwCredit *credit, uint32_t credits, GwTime retry_after,
-                      GwTime now);
-/** The home is unreachable: spend the local share. */
-bool GwCredit_SpendLocal(GwCredit *credit, double rate, int entries,
-                         GwTime now);
+/** It was empty at @p since. */
+void GwBucket_Init(GwBucket *bucket, const GwLimit *limit, GwTime since);
+/** Change the limit; the level is kept, within the new burst. */
+void GwBucket_SetLimit(GwBucket *bucket, const GwLimit *limit, GwTime now);
+/**
+ * Take what there is of @p need units, and up to @p ahead units more out of
+ * the upper half.
+ * @return whole units
+ */
+double GwBucket_Take(GwBucket *bucket, double need, double ahead, GwTime now);
+/** @p units that were taken have not been used. */
+void GwBucket_Return(GwBucket *bucket, double units, GwTime now);
 
 /**
  * Retries as a share of first attempts, so that a failure cannot multiply
--- a/packages/policy/src/limits.c
+++ b/packages/policy/src/limits.c
@@ -1,97 +1,89 @@
 #include "galenagw/policy/limits.h"
 
-#include <glib.h>
 #include <math.h>
+#include <string.h>
 
-#define LEASE_TIME GW_SECOND
-#define BATCH_SECONDS 0.1
-
-const char *const GwCreditState_Names[GW_CREDITS] = {"go", "ask", "refuse"};
+/* Part of a burst that is spread over the window. All of it would let more
+ * through than the window allows when a home that granted a burst is followed
+ * by one that does not know of it. */
+#define SPREAD_SHARE 0.5
 
 static void refill_(GwBucket *b, GwTime now);
+static double pace_(const GwBucket *b, GwTime now);
+static double debt_(const GwBucket *b, GwTime now);
+static double room_(const GwBucket *b);
+static void advance_(GwBucket *b, GwTime now);
 
-void
-GwBucket_Init(GwBucket *b, double rate, double burst, GwTime now)
+GwLimit
+GwLimit_Part(const GwLimit *limit, unsigned parts)
 {
-    b->rate = rate;
-    b->burst = MAX(burst, 1);
-    b->level = b->burst;
-    b->at = now;
-}
-
-void
-GwBucket_SetRate(GwBucket *b, double rate, double burst, GwTime now)
-{
-    refill_(b, now);
-    b->rate = rate;
-    b->burst = MAX(burst, 1);
-    b->level = MIN(b->level, b->burst);
-}
-
-uint32_t
-GwBucket_Take(GwBucket *b, uint32_t want, GwTime now)
-{
-    uint32_t n;
-
-    refill_(b, now);
-    n = (uint32_t)MIN((double)want, floor(b->level));
-    b->level -= n;
-    return n;
+    double n = MAX(parts, 1);
+    GwLimit part = *limit;
+
+    part.rate /= n;
+    // Whole units are granted: parts of a burst must add up to it.
+    part.burst = ceil(limit->burst / n);
+    part.debt /= n;
+    return part;
 }
 
 GwTime
-GwBucket_Wait(const GwBucket *b, GwTime now)
+GwLimit_TimeFor(const GwLimit *limit, double units)
 {
-    double level =
-        MIN(b->level + b->rate * (double)(now - b->at) / GW_SECOND, b->burst);
-
-    if (level >= 1)
+    if (units <= 0 || limit->rate <= 0)
         return 0;
-    if (b->rate <= 0)
-        return 60 * GW_SECOND;
-    return (GwTime)ceil((1 - level) / b->rate * (double)GW_SECOND);
+    return (GwTime)ceil(units / limit->rate * (double)GW_SECOND);
 }
 
-uint32_t
-GwCredit_Batch(double rate)
+void
+GwBucket_Init(GwBucket *b, const GwLimit *limit, GwTime since)
 {
-    return (uint32_t)MAX(1, ceil(rate * BATCH_SECONDS));
+    *b = (GwBucket){.limit = *limit, .since = since, .at = since};
 }
 
-GwCreditState
-GwCredit_Spend(GwCredit *credit, GwTime now)
+void
+GwBucket_SetLimit(GwBucket *b, const GwLimit *limit, GwTime now)
 {
-    // Credits of an old lease may have been granted to others since.
-    if (now >= credit->lease_end)
-        credit->credits = 0;
-    if (credit->credits > 0) {
-        credit->credits--;
-        return GW_CREDIT_GO;
-    }
-    return now < credit->refused_until ? GW_CREDIT_REFUSE : GW_CREDIT_ASK;
+    refill_(b, now);
+    b->limit = *limit;
+    b->level = MIN(b->level, limit->burst);
 }
 
-void
-GwCredit_Granted(GwCredit *credit, uint32_t credits, GwTime retry_after,
-                 GwTime now)
+double
+GwBucket_Take(GwBucket *b, double need, double ahead, GwTime now)
 {
-    credit->asking = false;
-    credit->credits += credits;
-    if (credits > 0)
-        credit->lease_end = now + LEASE_TIME;
-    else
-        credit->refused_until = now + retry_after;
+    double there;
+    double taken;
+
+    refill_(b, now);
+    there = MIN(b->level + debt_(b, now), room_(b));
+    taken = MAX(floor(MIN(need, there)), 0);
+    ahead = floor(MIN(ahead, b->level - taken - b->limit.burst / 2));
+    if (taken == need && ahead > 0)
+        taken += ahead;
+    b->level -= taken;
+    b->taken[b->step % (GW_LIMIT_STEPS + 1)] += taken;
+    return taken;
 }
 
-bool
-GwCredit_SpendLocal(GwCredit *credit, double rate, int entries, GwTime now)
+void
+GwBucket_Return(GwBucket *b, double units, GwTime now)
 {
-    double share = rate / MAX(entries, 1);
+    double *taken;
 
-    if (credit->local.at == 0)
-        GwBucket_Init(&credit->local, share, share * BATCH_SECONDS, now);
-    GwBucket_SetRate(&credit->local, share, share, now);
-    return GwBucket_Take(&credit->local, 1, now) == 1;
+    refill_(b, now);
+    units = MAX(units, 0);
+    b->level = MIN(b->level + units, b->limit.burst);
+    // Of which step they were is not told: the newest are the likeliest.
+    for (int i = 0; i <= GW_LIMIT_STEPS && units > 0; i++) {
+        double part;
+
+        taken = &b->taken[(b->step + GW_LIMIT_STEPS + 1 - i) %
+                          (GW_LIMIT_STEPS + 1)];
+        part = MIN(*taken, units);
+        *taken -= part;
+        units -= part;
+    }
 }
 
 void
@@ -120,7 +112,60 @@
 static void
 refill_(GwBucket *b, GwTime now)
 {
-    b->level += b->rate * (double)(now - b->at) / GW_SECOND;
-    b->level = MIN(b->level, b->burst);
-    b->at = now;
+    double time = (double)MAX(now - b->at, 0) / (double)GW_SECOND;
+
+    b->level = MIN(b->level + pace_(b, now) * time, b->limit.burst);
+    b->at = MAX(now, b->at);
+    advance_(b, b->at);
+}
+
+// Units a second.
+static double
+pace_(const GwBucket *b, GwTime now)
+{
+    double spread;
+
+    if (b->limit.window == 0 || now - b->since < b->limit.window)
+        return b->limit.rate;
+    spread = SPREAD_SHARE * b->limit.burst * (double)GW_SECOND /
+             (double)b->limit.window;
+    return b->limit.rate + spread;
+}
+
+static double
+debt_(const GwBucket *b, GwTime now)
+{
+    return now - b->since < b->limit.window ? 0 : b->limit.debt;
+}
+
+// Units that the window has room for.
+static double
+room_(const GwBucket *b)
+{
+    double room = b->limit.burst +
+                  b->limit.rate * (double)b->limit.window / (double)GW_SECOND;
+
+    if (b->limit.window == 0)
+        return INFINITY;
+    for (int i = 0; i <= GW_LIMIT_STEPS; i++)
+        room -= b->taken[i];
+    return room;
+}
+
+static void
+advance_(GwBucket *b, GwTime now)
+{
+    GwTime length = MAX(b->limit.window / GW_LIMIT_STEPS, 1);
+    int64_t step = now / length;
+
+    if (b->limit.window == 0)
+        return;
+    if (step < b->step || step - b->step > GW_LIMIT_STEPS) {
+        memset(b->taken, 0, sizeof(b->taken));
+        b->step = step;
+    }
+    while (b->step < step) {
+        b->step++;
+        b->taken[b->step % (GW_LIMIT_STEPS + 1)] = 0;
+    }
 }
--- a/packages/policy/tests/choice_test.cc
+++ b/packages/policy/tests/choice_test.cc
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "galenagw/policy/choice.h"
+#include "galenagw/policy/credit.h"
 #include "galenagw/policy/heat.h"
-#include "galenagw/policy/limits.h"
 
 TEST(Choice, WeighsWaitAgainstRecomputation)
 {
--- a/packages/routing/include/galenagw/routing/routes.h
+++ b/packages/routing/include/galenagw/routing/routes.h
@@ -53,8 +53,12 @@
 
 typedef struct {
     char *name;
-    int priority;  /**< goes before the route's; -1: none */
-    bool isolated; /**< shares no KV cache with other accounts */
+    int priority;          /**< goes before the route's; -1: none */
+    bool isolated;         /**< shares no KV cache with other accounts */
+    double limit_rate;     /**< what it may use in a second; 0: no limit */
+    double limit_burst;    /**< on top, after a pause; 0: not told */
+    bool counts_tokens;    /**< the limit counts tokens, else requests */
+    uint32_t plain_tokens; /**< that a request counts which tells none */
 } GwAccount;
 
 /** A service, or a store of KV cache. */
@@ -87,8 +91,10 @@
     GHashTable *by_host;  /**< host to GPtrArray of GwRoute, longest first */
     GHashTable *accounts; /**< key to GwAccount */
     GPtrArray *account_list; /**< owns the accounts */
+    GHashTable *by_name;     /**< name to GwAccount */
     GHashTable *services;    /**< name to GwService, owned */
     bool has_accounts;
+    bool has_limits; /**< some account has one */
     int most_urgent; /**< engine priority of the first routes with prompts */
     GwLimits limits;
 } GwRoutes;
@@ -111,6 +117,9 @@
                               const char *target);
 /** The account that holds @p key, or NULL. */
 const GwAccount *GwRoutes_Account(const GwRoutes *routes, const char *key);
+/** The account of that name, or NULL. */
+const GwAccount *GwRoutes_AccountNamed(const GwRoutes *routes,
+                                       const char *name);
 const GwService *GwRoutes_Service(const GwRoutes *routes, const char *name);
 /** A service by the route's weights; @p draw is uniform in [0, 1). */
 const char *GwRoute_PickService(const GwRoute *route, double draw);
@@ -124,6 +133,8 @@
 int GwRoute_EnginePriority(const GwRoute *route, const GwAccount *account);
 /** Whether engines put the account's requests after those of others. */
 bool GwAccount_Yields(const GwAccount *account);
+/** What one request uses of its account's limit, if it tells @p tokens. */
+double GwAccount_Units(const GwAccount *account, uint64_t tokens);
 /** Whether a request that may have run may be sent again. */
 bool GwRoute_MayRepeat(const GwRoute *route);
 
--- a/packages/routing/src/routes.c
+++ b/packages/routing/src/routes.c
@@ -37,6 +37,7 @@
                                        (GDestroyNotify)g_ptr_array_unref);
     r->accounts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     r->account_list = g_ptr_array_new_with_free_func(free_account_);
+    r->by_name = g_hash_table_new(g_str_hash, g_str_equal);
     r->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service_);
     r->limits = (GwLimits){DEFAULT_MAX_HEAD, DEFAULT_MAX_BODY,
@@ -59,6 +60,7 @@
         return;
     g_hash_table_unref(r->by_host);
     g_hash_table_unref(r->accounts);
+    g_hash_table_unref(r->by_name);
     g_hash_table_unref(r->services);
     g_ptr_array_unref(r->account_list);
     g_ptr_array_unref(r->routes);
@@ -92,6 +94,7 @@
     account->name = g_strdup(name);
     account->priority = -1;
     g_ptr_array_add(r->account_list, account);
+    g_hash_table_replace(r->by_name, account->name, account);
     r->has_accounts = true;
     return account;
 }
@@ -132,6 +135,11 @@
             r->most_urgent =
                 MIN(r->most_urgent, GwRoute_EnginePriority(route, NULL));
     }
+    for (guint i = 0; i < r->account_list->len; i++) {
+        const GwAccount *account = g_ptr_array_index(r->account_list, i);
+
+        r->has_limits = r->has_limits || account->limit_rate > 0;
+    }
     g_hash_table_iter_init(&iter, r->by_host);
     while (g_hash_table_iter_next(&iter, NULL, &list))
         g_ptr_array_sort(list, by_length_);
@@ -157,6 +165,12 @@
     return key != NULL ? g_hash_table_lookup(r->accounts, key) : NULL;
 }
 
+const GwAccount *
+GwRoutes_AccountNamed(const GwRoutes *r, const char *name)
+{
+    return g_hash_table_lookup(r->by_name, name);
+}
+
 const GwService *
 GwRoutes_Service(const GwRoutes *r, const char *name)
 {
@@ -199,6 +213,14 @@
     return account != NULL && account->priority > 0;
 }
 
+double
+GwAccount_Units(const GwAccount *account, uint64_t tokens)
+{
+    if (!account->counts_tokens)
+        return 1;
+    return tokens > 0 ? (double)tokens : account->plain_tokens;
+}
+
 bool
 GwRoute_MayRepeat(const GwRoute *route)
 {
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -83,6 +83,7 @@
     GwHttpCaller *store;
     GwEngineCache *cache;
     GwQuarantine *quarantine; /* passed on to entries that do not know it */
+    GwLimitHome *limit_home;
     GRand *rand;
     GwCounters counters;
 
@@ -163,6 +164,7 @@
     s->weights_bound = d->weights_bound;
     s->rand = g_rand_new();
     s->quarantine = GwQuarantine_New(&(GwQuarantineOptions){0});
+    s->limit_home = GwLimitHome_New(GwTime_Now());
     s->reports = GwHttpCaller_New(loop, &s->endpoint);
     s->orders = GwHttpCaller_New(loop, &s->endpoint);
     s->store = GwHttpCaller_New(loop, &d->store);
@@ -197,6 +199,7 @@
     GwStoreReader_Delete(s->reader);
     GwView_Delete(s->view);
     GwQuarantine_Delete(s->quarantine);
+    GwLimitHome_Delete(s->limit_home);
     g_rand_free(s->rand);
     g_free(s->name);
     g_free(s->failure_domain);
@@ -682,6 +685,8 @@
         .log = s->log,
         .counters = &s->counters,
         .quarantine = s->quarantine,
+        .limit_home = s->limit_home,
+        .limit_tolerance = d->limits,
     };
 
     s->view = GwView_New(&view);
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -82,10 +82,14 @@
    * configuration revision held by the sender
    */
   uint64_t revision;
+  /*
+   * an entry that asks this agent for limits, and sends
+   */
+  protobuf_c_boolean limits_only;
 };
 #define GW__WIRE__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__hello__descriptor) \
-    , 0, GW__WIRE__ROLE__ROLE_ENTRY, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, GW__WIRE__ROLE__ROLE_ENTRY, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Gw__Wire__Ping
@@ -385,18 +389,32 @@
 
 
 /*
- * Account limits: credits leased from the account's home agent.
+ * Account limits: credits leased from the account's home agents.
  */
 struct  Gw__Wire__CreditAsk
 {
   ProtobufCMessage base;
   char *account;
+  /*
+   * for requests that wait
+   */
   uint32_t want;
+  /*
+   * of the question; 0: credits only come back
+   */
   uint64_t lease_id;
+  /*
+   * more that will soon be of use
+   */
+  uint32_t ahead;
+  /*
+   * granted before, and given back
+   */
+  uint32_t unused;
 };
 #define GW__WIRE__CREDIT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__credit_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Gw__Wire__CreditGrant
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -1357,7 +1357,7 @@
   assert(message->base.descriptor == &gw__wire__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gw__wire__hello__field_descriptors[8] =
+static const ProtobufCFieldDescriptor gw__wire__hello__field_descriptors[9] =
 {
   {
     "version",
@@ -1455,12 +1455,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limits_only",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__Hello, limits_only),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__hello__field_indices_by_name[] = {
   3,   /* field[3] = failure_domain */
   4,   /* field[4] = incarnation */
   2,   /* field[2] = instance */
   6,   /* field[6] = leaving */
+  8,   /* field[8] = limits_only */
   5,   /* field[5] = pool */
   7,   /* field[7] = revision */
   1,   /* field[1] = role */
@@ -1469,7 +1482,7 @@
 static const ProtobufCIntRange gw__wire__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gw__wire__hello__descriptor =
 {
@@ -1479,7 +1492,7 @@
   "Gw__Wire__Hello",
   "gw.wire",
   sizeof(Gw__Wire__Hello),
-  8,
+  9,
   gw__wire__hello__field_descriptors,
   gw__wire__hello__field_indices_by_name,
   1,  gw__wire__hello__number_ranges,
@@ -2874,7 +2887,7 @@
   (ProtobufCMessageInit) gw__wire__resume_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__credit_ask__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gw__wire__credit_ask__field_descriptors[5] =
 {
   {
     "account",
@@ -2912,16 +2925,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ahead",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__CreditAsk, ahead),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unused",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__CreditAsk, unused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__credit_ask__field_indices_by_name[] = {
   0,   /* field[0] = account */
+  3,   /* field[3] = ahead */
   2,   /* field[2] = lease_id */
+  4,   /* field[4] = unused */
   1,   /* field[1] = want */
 };
 static const ProtobufCIntRange gw__wire__credit_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gw__wire__credit_ask__descriptor =
 {
@@ -2931,7 +2970,7 @@
   "Gw__Wire__CreditAsk",
   "gw.wire",
   sizeof(Gw__Wire__CreditAsk),
-  3,
+  5,
   gw__wire__credit_ask__field_descriptors,
   gw__wire__credit_ask__field_indices_by_name,
   1,  gw__wire__credit_ask__number_ranges,
