The soak plays an account at four times its limit, at all gateways

Now a loud account asks at four times its limit (20 a second, 45 at once) all the time; endpoints count what runs, each request once. Promises: never more in 8 s than rate and burst with the tolerance (240), and at the end, when all is calm, half of the rate is served.

The caller of fatal requests is now one that repeats any request.

--- a/soak/src/ledger.cc
+++ b/soak/src/ledger.cc
@@ -1,5 +1,6 @@
 #include "ledger.h"
 
+#include <algorithm>
 #include <cstdio>
 
 void
@@ -40,6 +41,33 @@
                id + " had run and was answered " + std::to_string(status));
 }
 
+void
+Ledger::Used(const std::string &id)
+{
+    if (used_.insert(id).second)
+        uses_.push_back(GwTime_Now());
+}
+
+int
+Ledger::MostUses(GwTime window) const
+{
+    size_t first = 0, most = 0;
+
+    for (size_t i = 0; i < uses_.size(); i++) {
+        while (uses_[first] <= uses_[i] - window)
+            first++;
+        most = std::max(most, i + 1 - first);
+    }
+    return (int)most;
+}
+
+int
+Ledger::UsesSince(GwTime since) const
+{
+    return (int)(uses_.end() -
+                 std::lower_bound(uses_.begin(), uses_.end(), since));
+}
+
 void
 Ledger::Left(const std::string &id)
 {
--- a/soak/src/ledger.h
+++ b/soak/src/ledger.h
@@ -56,6 +56,11 @@
     void Sent(const std::string &id, Kind kind);
     /* An endpoint has begun to work on it. */
     void Ran(const std::string &id, const std::string &endpoint, bool goes_on);
+    /* A request of the limited account runs; counted once. */
+    void Used(const std::string &id);
+    /* Uses in any span of @p window, at most; and since @p since. */
+    int MostUses(GwTime window) const;
+    int UsesSince(GwTime since) const;
     /* A caller was told that it has not run and never will. */
     void Refused(const std::string &id, int status);
     void Left(const std::string &id);
@@ -93,6 +98,8 @@
     };
     std::map<std::string, Request> requests_;
     std::map<std::string, Scope> scopes_;
+    std::vector<GwTime> uses_; /* in order */
+    std::set<std::string> used_;
     std::vector<std::string> broken_;
 };
 
--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -5,13 +5,14 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <fstream>
 #include <random>
 #include <sstream>
 
-#include "fatal.h"
 #include "faults.h"
 #include "galenagw/base/log.h"
+#include "repeater.h"
 #include "strain.h"
 
 namespace {
@@ -59,6 +60,11 @@
 constexpr GwTime kFatalTime = 8 * GW_SECOND;
 /* Ends that an answer which was lost on its way may cost. */
 constexpr int kFatalLate = 3;
+constexpr GwTime kFatalPause = 150 * GW_MILLISECOND;
+/* What the loud account asks for, as a multiple of its limit; and the share of
+ * the limit that it gets at the end, when all is calm. */
+constexpr int kLoudTimes = 4;
+constexpr double kLoudUsed = 0.5;
 constexpr GwTime kTick = 50 * GW_MILLISECOND;
 constexpr GwTime kStart = 2 * GW_SECOND;
 /* Connections of the soak at most: each gateway keeps some to each engine, and
@@ -99,6 +105,7 @@
     {
         faults_.reset();
         strain_.reset();
+        loud_.clear();
         callers_.clear();
         GwTimer_Stop(&tick_);
         gateways_.clear();
@@ -117,6 +124,7 @@
         for (int i = 0; i < options_.callers; i++)
             callers_.push_back(
                 std::make_unique<Caller>(platform_.get(), &gateways_, i));
+        BeLoud();
         Wait(GW_SECOND);
         while (GwTime_Now() < end - kSettle - kCalm) {
             faults_->Run();
@@ -137,6 +145,7 @@
                            std::to_string(Caller::answered) + " of " +
                                std::to_string(Caller::asked) +
                                " were answered at the end");
+        JudgeLoud();
         if (strain_->IsFull())
             ledger_.Broken("the soak keeps up",
                            "it ran out of descriptors: fewer processes, or "
@@ -201,7 +210,10 @@
             << "node_name=" << name << "\nzone=d\nip=" << ip
             << "\nport_range=" << p.base << "," << p.base + 1
             << "\nplatform.address=" << Text(p.At(kStorePaths, path, kStore))
-            << "\nbounds.retry_ratio=0.2\nbounds.retry_slack=54\n"
+            << "\nbounds.retry_ratio=0.2\nbounds.retry_slack=54"
+            << "\nbounds.quota_window_s=" << kLoudWindow / GW_SECOND
+            << "\nbounds.quota_overage=" << kLoudOverage
+            << "\nbounds.quota_slack=" << kLoudSlack << "\n"
             << more;
         return file;
     }
@@ -270,13 +282,21 @@
     Fatal()
     {
         bool on_engines = platform_->random() % 2 == 0;
-        std::vector<std::unique_ptr<FatalCaller>> senders;
+        auto senders =
+            Repeat(kFatalPause, "fatal", [on_engines](const std::string &id) {
+                return std::string("POST ") +
+                       (on_engines ? "/resume/9" : "/plain/9") +
+                       " HTTP/1.1\r\nHost: h\r\nX-Key: key\r\n"
+                       "X-Deadline-Ms: 4000\r\nX-Request-Id: " +
+                       id +
+                       (on_engines ? "\r\nX-Model: m\r\nX-Token-Usage: 9,5"
+                                   : "") +
+                       "\r\nContent-Length: " +
+                       std::to_string(strlen(kFatal)) + "\r\n\r\n" + kFatal;
+            });
 
         Log(std::string("fatal request to ") +
             (on_engines ? "engines" : "plain endpoints"));
-        for (auto &g : gateways_)
-            senders.push_back(std::make_unique<FatalCaller>(
-                loop_, g->path->address, on_engines));
         Wait(kFatalTime);
         senders.clear();
         Log("fatal request ended " +
@@ -290,6 +310,52 @@
             ledger_.Broken("the soak keeps up",
                            "the fatal request reached no three endpoints");
     }
+    // One sender at each gateway.
+    std::vector<std::unique_ptr<Repeater>>
+    Repeat(GwTime pause, const char *prefix,
+           const std::function<std::string(const std::string &id)> &request)
+    {
+        std::vector<std::unique_ptr<Repeater>> senders;
+
+        for (auto &g : gateways_)
+            senders.push_back(std::make_unique<Repeater>(
+                loop_,
+                Repeater::Options{g->path->address, pause, prefix, request}));
+        return senders;
+    }
+    // An account at many times its limit, at all gateways and all the time.
+    void
+    BeLoud()
+    {
+        GwTime pause = GW_SECOND * options_.gateways / kLoudTimes / kLoudRate;
+
+        loud_ = Repeat(pause, "loud", [this](const std::string &id) {
+            ledger_.Sent(id, Kind::kIdempotent);
+            return "GET /plain/7 HTTP/1.1\r\nHost: h\r\nX-Key: loud\r\n"
+                   "X-Deadline-Ms: 4000\r\nX-Request-Id: " +
+                   id + "\r\n\r\n";
+        });
+    }
+    void
+    JudgeLoud()
+    {
+        double most =
+            (kLoudRate * (double)kLoudWindow / GW_SECOND + kLoudBurst) *
+                (1 + kLoudOverage) +
+            kLoudSlack;
+        int worst = ledger_.MostUses(kLoudWindow);
+        int calm = ledger_.UsesSince(GwTime_Now() - kCalm);
+
+        Log("the loud account used " + std::to_string(worst) +
+            " in a window, " + std::to_string(calm) + " at the end");
+        if (worst > most)
+            ledger_.Broken("an account keeps to its limit",
+                           std::to_string(worst) + " of " +
+                               std::to_string((int)most) + " in a window");
+        if (calm < kLoudUsed * kLoudRate * (double)kCalm / GW_SECOND)
+            ledger_.Broken("an account's limit is there to be used",
+                           std::to_string(calm) + " at the end");
+    }
     void
     Wait(GwTime time)
     {
@@ -346,6 +412,7 @@
     std::vector<std::unique_ptr<Gateway>> gateways_;
     std::vector<std::unique_ptr<Process>> sidecars_;
     std::vector<std::unique_ptr<Caller>> callers_;
+    std::vector<std::unique_ptr<Repeater>> loud_;
     std::unique_ptr<Faults> faults_;
     std::unique_ptr<Strain> strain_;
     GwTimer tick_;
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -300,7 +300,7 @@
     std::string account = Header(x, "X-Tenant-Id");
     std::string scope = Header(x, "X-Cache-Salt");
 
-    if (account != "acme" && account != "walled")
+    if (account != "acme" && account != "walled" && account != "loud")
         ledger->Broken("the key's account", "'" + account + "'");
     if (!Header(x, "X-Key").empty())
         ledger->Broken("the key's account", "the key was passed on");
@@ -335,6 +335,8 @@
         return;
     }
     platform_->ledger->Ran(request, id, !Header(x, "Last-Event-Id").empty());
+    if (Header(x, "X-Tenant-Id") == "loud")
+        platform_->ledger->Used(request);
     if (draw(platform_->random) < reset_share) {
         FakeExchange_Close(x, true);
         return;
@@ -515,7 +517,10 @@
             "4096,\"max_body_bytes\":65536,\"header_timeout_ms\":2000,"
             "\"idle_timeout_ms\":4000},\"tenants\":[{\"name\":\"acme\","
             "\"api_keys\":[\"key\"]},{\"name\":\"walled\",\"api_keys\":"
-            "[\"wall\"],\"isolated\":true}]}";
+            "[\"wall\"],\"isolated\":true},{\"name\":\"loud\",\"api_keys\":"
+            "[\"loud\"],\"rate_per_s\":" +
+            std::to_string(kLoudRate) +
+            ",\"burst\":" + std::to_string(kLoudBurst) + "}]}";
     FakeStore_Put(store, "keyed.op", "config", text.c_str());
     configured_at = GwTime_Now();
 }
--- a/soak/src/platform.h
+++ b/soak/src/platform.h
@@ -19,6 +19,13 @@
 /* A body that ends each endpoint that runs it. */
 constexpr char kFatal[] = "ends its endpoint";
 
+/* The limit of account "loud", in requests, and how exactly it is kept. */
+constexpr int kLoudRate = 20;
+constexpr int kLoudBurst = 45;
+constexpr GwTime kLoudWindow = 8 * GW_SECOND;
+constexpr double kLoudOverage = 0.1;
+constexpr double kLoudSlack = 15;
+
 /* Events of a stream, and the length of a plain answer, follow from the
  * request's id: callers know what is whole. */
 int EventsOf(const std::string &id);
