A gateway looks only at accounts that wait for something

Each 20 ms a gateway with requests at limits walked all accounts that it had seen in the last minute: 1.33 ms at 22,000 of them, 6.6 % of a core. Accounts with a question out, a lease or a waiting request now stand in a list of their own; the rest is swept each 10 s.

--- a/packages/policy/src/limit_share.c
+++ b/packages/policy/src/limit_share.c
@@ -20,6 +20,7 @@
 #define USE_TIME GW_SECOND
 /* An account without requests is forgotten. */
 #define IDLE_TIME (60 * GW_SECOND)
+#define SWEEP_EVERY (10 * GW_SECOND)
 
 const char *const GwLimitState_Names[GW_LIMIT_STATES] = {
     "granted",
@@ -42,6 +43,8 @@
 
 /* All that concerns one account. */
 typedef struct GwLimitLine {
+    TAILQ_ENTRY(GwLimitLine) link; /* while it is busy */
+    bool is_busy;
     GwLimitShare *share;
     char *name;
     GwLimit limit;
@@ -57,7 +60,9 @@
 struct GwLimitShare {
     GwLimitShareOptions options;
     GwLimitPool pool;
-    GHashTable *lines; /* name to Line */
+    GHashTable *lines;              /* name to Line */
+    TAILQ_HEAD(, GwLimitLine) busy; /* with something to wait for */
+    GwTime swept_at;
 };
 
 static Line *line_(GwLimitShare *share, const GwLimitedAccount *account,
@@ -76,7 +81,9 @@
 static void decide_(Line *l, GwLimitWaiter *w, const GwLimitVerdict *verdict);
 static Lease *lease_of_(Line *l, uint64_t home);
 static void tick_(Line *l, GwTime now);
-static bool is_busy_(const Line *l);
+static bool has_work_(const Line *l);
+static void set_busy_(Line *l);
+static gboolean is_idle_(gpointer name, gpointer line, gpointer now);
 static void give_back_(Line *l, Lease *lease, double units);
 
 GwLimitShare *
@@ -85,6 +92,7 @@
     GwLimitShare *share = g_new0(GwLimitShare, 1);
 
     share->options = *options;
+    TAILQ_INIT(&share->busy);
     share->lines =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_line_);
     return share;
@@ -123,6 +131,7 @@
     if (account->limit.rate <= 0)
         return (GwLimitVerdict){.state = GW_LIMIT_GRANTED};
     l = line_(share, account, now);
+    set_busy_(l);
     l->use *= exp(-(double)MAX(now - l->used_at, 0) / (double)USE_TIME);
     l->use += units * GW_SECOND / USE_TIME;
     l->used_at = now;
@@ -201,6 +210,7 @@
     lease->unheard_until = 0;
     lease->units += units;
     lease->until = now + LEASE_TERM;
+    set_busy_(l);
     serve_(l, now);
 }
 
@@ -225,21 +235,25 @@
 bool
 GwLimitShare_Tick(GwLimitShare *share, GwTime now)
 {
-    bool is_busy = false;
-    // A request that is decided may let the next one in, of a new account.
-    GList *lines = g_hash_table_get_values(share->lines);
-
-    for (GList *i = lines; i != NULL; i = i->next)
-        tick_(i->data, now);
-    for (GList *i = lines; i != NULL; i = i->next) {
-        const Line *l = i->data;
-
-        is_busy = is_busy || is_busy_(l);
-        if (!is_busy_(l) && now - l->used_at > IDLE_TIME)
-            g_hash_table_remove(share->lines, l->name);
+    g_autoptr(GPtrArray) due = g_ptr_array_new();
+    Line *l;
+
+    // A request that is decided may let the next one in, of any account.
+    TAILQ_FOREACH(l, &share->busy, link)
+    g_ptr_array_add(due, l);
+    for (guint i = 0; i < due->len; i++) {
+        l = g_ptr_array_index(due, i);
+        tick_(l, now);
+        if (!has_work_(l)) {
+            TAILQ_REMOVE(&share->busy, l, link);
+            l->is_busy = false;
+        }
     }
-    g_list_free(lines);
-    return is_busy;
+    if (now - share->swept_at > SWEEP_EVERY) {
+        share->swept_at = now;
+        g_hash_table_foreach_remove(share->lines, is_idle_, &now);
+    }
+    return !TAILQ_EMPTY(&share->busy);
 }
 
 static Line *
@@ -472,7 +486,7 @@
 }
 
 static bool
-is_busy_(const Line *l)
+has_work_(const Line *l)
 {
     for (unsigned i = 0; i < l->n_leases; i++) {
         if (l->leases[i].units > 0 || l->leases[i].asked_at != 0)
@@ -481,6 +495,22 @@
     return !TAILQ_EMPTY(&l->waiters);
 }
 
+static void
+set_busy_(Line *l)
+{
+    if (!l->is_busy)
+        TAILQ_INSERT_TAIL(&l->share->busy, l, link);
+    l->is_busy = true;
+}
+
+static gboolean
+is_idle_(gpointer name, gpointer line, gpointer now)
+{
+    const Line *l = line;
+
+    return !l->is_busy && *(GwTime *)now - l->used_at > IDLE_TIME;
+}
+
 static void
 give_back_(Line *l, Lease *lease, double units)
 {
