--- a/packages/agent/src/ends.c
+++ b/packages/agent/src/ends.c
@@ -11,8 +11,6 @@
 static void on_check_open_(void *user);
 static void on_check_data_(void *user, const uint8_t *data, size_t len);
 static void on_check_closed_(void *user, GwTcpEnd end);
-static void on_changed_(void *user, const GwDigest *request, unsigned ends,
-                        bool quarantined);
 static void on_news_(void *user, GwSession *from,
                      const GwQuarantineNews *news);
 
@@ -23,7 +21,7 @@
 void
 Ends_Init(GwAgent *agent)
 {
-    GwQuarantineOptions options = {.on_changed = on_changed_};
+    GwQuarantineOptions options = {.on_changed = GwQuarantine_WarnChanged};
 
     agent->quarantine = GwQuarantine_New(&options);
     agent->breaks = GwBreaks_New();
@@ -179,17 +177,6 @@
     return GwDigest_Of(&source);
 }
 
-static void
-on_changed_(void *user, const GwDigest *request, unsigned ends,
-            bool quarantined)
-{
-    char text[GW_DIGEST_TEXT];
-
-    GwDigest_Text(request, text);
-    GW_WARN("request %s, under which %u endpoints ended, is %s", text, ends,
-            quarantined ? "refused from now on" : "served again");
-}
-
 // To all entries but the one that told it.
 static void
 on_news_(void *user, GwSession *from, const GwQuarantineNews *news)
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -8,6 +8,7 @@
 #include "kept_words.h"
 #include "leaving_words.h"
 #include "limit_words.h"
+#include "waiting.h"
 #include "galenagw/routing/placement.h"
 #include "galenagw/routing/subset.h"
 #include "galenagw/wire/session.h"
@@ -32,8 +33,6 @@
 /* Without an agent's word: a guess on the high side, so that the entries
  * together stay within the budget. */
 #define ENTRIES_ASSUMED 8
-/* A change of waiting prompts that is worth a message: 30 ms of reading. */
-#define TELL_TOKENS 2000
 
 typedef struct Peer {
     TAILQ_ENTRY(Peer) link;
@@ -44,15 +43,10 @@
     bool outbound;
     bool wanted; /* by the last comparison with the list */
     bool is_entry;
-    bool limits_only; /* entry: it sends nothing to the engine there */
-    uint64_t place;   /* of an agent, by the address that it listens at */
-    uint64_t prefill_tokens; /* that an entry waits for at our engine */
-    uint64_t yielding;       /* of these, of accounts after others */
-    uint64_t yielding_memory;
-    unsigned long_runs;   /* that it has in flight there */
-    unsigned entries;     /* connected to it, by an agent's word */
-    uint64_t told_tokens; /* agent: others' tokens, as told last */
-    uint64_t told_yielding;
+    bool limits_only;      /* entry: it sends nothing to the engine there */
+    uint64_t place;        /* of an agent, by the address that it listens at */
+    GwWaitingPeer waiting; /* agent: an entry's, at our engine */
+    unsigned entries;      /* connected to it, by an agent's word */
     GwExchangePeer lists;
     GwKeptWords kept;
 } Peer;
@@ -77,13 +71,6 @@
     uint64_t pool_end;       /* of the list that it was made from */
 };
 
-/* Prompt tokens that entries wait for at our engine. */
-typedef struct {
-    uint64_t tokens;
-    uint64_t yielding; /* of these, of accounts after others */
-    uint64_t yielding_memory;
-} Waiting;
-
 static void init_exchange_(GwPeers *p);
 static GwSessionOptions session_options_(GwPeers *p);
 static void on_ready_(void *user, GwSession *session,
@@ -110,16 +97,14 @@
 static Peer *at_(GwPeers *p, const GwAddress *address);
 static void drop_(Peer *peer);
 static bool needs_seeds_(const GwPeers *p);
-static void send_engine_(GwPeers *p, Peer *peer, const Waiting *all);
+static void send_engine_(GwPeers *p, Peer *peer, const GwWaiting *all);
 static void tell_kept_(GwPeers *p, Peer *peer, const GwKeptChange *list,
                        size_t n);
 static void take_note_(GwPeers *p, Peer *from,
                        const Gw__Wire__PrefillNote *note);
 static void tell_waiting_(GwPeers *p);
-static bool differs_(uint64_t tokens, uint64_t told);
 static bool is_earlier_(int64_t told, int64_t known);
-static Waiting all_(const GwPeers *p);
-static Waiting but_(const Waiting *all, const Peer *peer);
+static GwWaiting all_(const GwPeers *p);
 static void take_engine_(GwPeers *p, Peer *from,
                          const Gw__Wire__EngineState *state);
 static unsigned count_entries_(const GwPeers *p);
@@ -189,7 +174,7 @@
 void
 GwPeers_TellEngine(GwPeers *p, const GwEngineState *state)
 {
-    Waiting all = all_(p);
+    GwWaiting all = all_(p);
     Peer *peer;
 
     if (p->has_engine && (strcmp(p->engine_id, state->instance) != 0 ||
@@ -285,10 +270,7 @@
     Peer *peer;
 
     TAILQ_FOREACH(peer, &p->peers, link)
-    {
-        peer->prefill_tokens = peer->yielding = peer->yielding_memory = 0;
-        peer->long_runs = 0;
-    }
+    GwWaiting_Forget(&peer->waiting);
 }
 
 unsigned
@@ -298,7 +280,7 @@
     unsigned n = 0;
 
     TAILQ_FOREACH(peer, &p->peers, link)
-    n += peer->long_runs;
+    n += peer->waiting.long_runs;
     return n;
 }
 
@@ -402,7 +384,7 @@
     GwEvent_End(p->options.log);
     GwExchange_TellAges(&p->exchange, session);
     if (!peer->outbound && !peer->limits_only && p->has_engine) {
-        Waiting all = all_(p);
+        GwWaiting all = all_(p);
 
         send_engine_(p, peer, &all);
     }
@@ -759,10 +741,10 @@
 }
 
 static void
-send_engine_(GwPeers *p, Peer *peer, const Waiting *all)
+send_engine_(GwPeers *p, Peer *peer, const GwWaiting *all)
 {
     GW_FRAME(frame, state, ENGINE_STATE, EngineState, engine_state);
-    Waiting others = but_(all, peer);
+    GwWaiting others = GwWaiting_But(all, &peer->waiting);
 
     state.instance = p->engine_id;
     state.incarnation = p->engine.incarnation;
@@ -775,8 +757,7 @@
     state.kv_used = p->engine.kv_used;
     state.kv_total = p->engine.kv_total;
     state.entries = count_entries_(p);
-    peer->told_tokens = others.tokens;
-    peer->told_yielding = others.yielding;
+    peer->waiting.told = others;
     state.others_tokens = others.tokens;
     state.others_yielding = others.yielding;
     state.others_yielding_memory = others.yielding_memory;
@@ -792,71 +773,45 @@
         GwKeptWords_Tell(&peer->kept, peer->session, &of, list, n);
 }
 
-// What one entry waits for matters to the others: each sees only its own.
 static void
 take_note_(GwPeers *p, Peer *from, const Gw__Wire__PrefillNote *note)
 {
     if (from == NULL || !p->has_engine ||
         is_earlier_(note->incarnation, p->engine.incarnation))
         return;
-    from->prefill_tokens = note->tokens;
-    from->yielding = note->yielding;
-    from->yielding_memory = note->yielding_memory;
-    from->long_runs = note->long_runs;
+    GwWaiting_Take(&from->waiting, note);
     tell_waiting_(p);
 }
 
 static void
 tell_waiting_(GwPeers *p)
 {
-    Waiting all = all_(p);
+    GwWaiting all = all_(p);
     Peer *peer;
 
     TAILQ_FOREACH(peer, &p->peers, link)
     {
-        Waiting others = but_(&all, peer);
+        GwWaiting others = GwWaiting_But(&all, &peer->waiting);
 
         if (!is_follower_(peer) || !GwSession_IsReady(peer->session))
             continue;
-        if (differs_(others.tokens, peer->told_tokens) ||
-            differs_(others.yielding, peer->told_yielding))
+        if (GwWaiting_IsNews(&peer->waiting, &others))
             send_engine_(p, peer, &all);
     }
 }
 
-static bool
-differs_(uint64_t tokens, uint64_t told)
-{
-    return ABS((int64_t)(tokens - told)) >= TELL_TOKENS;
-}
-
 // What all entries wait for.
-static Waiting
+static GwWaiting
 all_(const GwPeers *p)
 {
     const Peer *peer;
-    Waiting sum = {0};
+    GwWaiting sum = {0};
 
     TAILQ_FOREACH(peer, &p->peers, link)
-    {
-        sum.tokens += peer->prefill_tokens;
-        sum.yielding += peer->yielding;
-        sum.yielding_memory += peer->yielding_memory;
-    }
+    GwWaiting_Add(&sum, &peer->waiting);
     return sum;
 }
 
-// What all of them but @p peer wait for.
-static Waiting
-but_(const Waiting *all, const Peer *peer)
-{
-    return (Waiting){
-        .tokens = all->tokens - peer->prefill_tokens,
-        .yielding = all->yielding - peer->yielding,
-        .yielding_memory = all->yielding_memory - peer->yielding_memory,
-    };
-}
-
 // A peer that tells no life, as an older build in a rolling upgrade, speaks of
 // the one that is known: else all it says is lost for as long as builds are
 // mixed.
--- a/packages/entry/src/suspects.c
+++ b/packages/entry/src/suspects.c
@@ -1,11 +1,5 @@
-#define GW_LOG_PART "entry"
 #include "suspects.h"
-
-#include "galenagw/base/log.h"
-
 static GwDigest digest_(const Exchange *x);
-static void on_changed_(void *user, const GwDigest *request, unsigned ends,
-                        bool quarantined);
 static void on_news_(void *user, GwSession *from,
                      const GwQuarantineNews *news);
 static unsigned group_size_(void *user, uint64_t group);
@@ -15,7 +9,7 @@
 void
 Suspects_Init(GwEntry *entry)
 {
-    GwQuarantineOptions options = {.on_changed = on_changed_,
+    GwQuarantineOptions options = {.on_changed = GwQuarantine_WarnChanged,
                                    .name = entry->options.name};
 
     entry->quarantine = GwQuarantine_New(&options);
@@ -84,17 +78,6 @@
     return GwDigest_Of(&source);
 }
 
-static void
-on_changed_(void *user, const GwDigest *request, unsigned ends,
-            bool quarantined)
-{
-    char text[GW_DIGEST_TEXT];
-
-    GwDigest_Text(request, text);
-    GW_WARN("request %s, under which %u endpoints ended, is %s", text, ends,
-            quarantined ? "refused from now on" : "served again");
-}
-
 // Agents are connected to entries alone: what one tells the others have from
 // here.
 static void
--- a/packages/gateway/src/ends.c
+++ b/packages/gateway/src/ends.c
@@ -132,8 +132,8 @@
         GwInstances_Of(GwView_Instances(g->view), instance->service);
     GwEndpointEnd end = {
         .endpoint = endpoint_(instance),
-        .group = XXH3_64bits_withSeed(
-            instance->service, strlen(instance->service), instance->domain),
+        .group =
+            GwQuarantine_Group(instance->service, instance->failure_domain),
         .group_size = 1,
         .at = GwTime_Now(),
     };
--- a/packages/quarantine/include/galenagw/quarantine/quarantine.h
+++ b/packages/quarantine/include/galenagw/quarantine/quarantine.h
@@ -65,6 +65,9 @@
 
 /** The group of endpoints of a pool or service in a failure domain. */
 uint64_t GwQuarantine_Group(const char *pool, const char *failure_domain);
+/** An on_changed that writes a log line and no more. */
+void GwQuarantine_WarnChanged(void *user, const GwDigest *request,
+                              unsigned ends, bool quarantined);
 
 GwQuarantine *GwQuarantine_New(const GwQuarantineOptions *options);
 void GwQuarantine_Delete(GwQuarantine *quarantine);
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -1,9 +1,12 @@
+#define GW_LOG_PART "quarantine"
 #include "galenagw/quarantine/quarantine.h"
 
 #include <string.h>
 #include <sys/queue.h>
 #include <xxhash.h>
 
+#include "galenagw/base/log.h"
+
 /* Ends that are remembered of one request, the newest ones. */
 #define MAX_SIGHTINGS 16
 /* Ends that are remembered, of whatever request. */
@@ -91,6 +94,17 @@
                                 XXH3_64bits(domain, strlen(domain)));
 }
 
+void
+GwQuarantine_WarnChanged(void *user, const GwDigest *request, unsigned ends,
+                         bool quarantined)
+{
+    char text[GW_DIGEST_TEXT];
+
+    GwDigest_Text(request, text);
+    GW_WARN("request %s, under which %u endpoints ended, is %s", text, ends,
+            quarantined ? "refused from now on" : "served again");
+}
+
 GwQuarantine *
 GwQuarantine_New(const GwQuarantineOptions *options)
 {
