Callers behind a home that does not answer are told that nothing has run

A request whose time ran out while its account's homes were asked got 504, which promises nothing and has no time to come back; it had not been sent. It is 503 with Retry-After now (GatewayLimits.AHomeThatDoesNotAnswer..., red without this). Refusals at a limit said "0.000" where almost nothing was missing: callers came back at once among all others that were refused; the least is 50 to 150 ms, drawn.

Read in the diff: a session to a home whose engine had been followed before stayed a full one, and counted as a follower there. Followed engines are connected first now, then homes; a session that serves another end is opened anew. Not tested by itself: engines of a test share one agent's address.

--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -88,6 +88,8 @@
 static uint64_t revision_(void *user);
 static void on_timer_(void *user);
 static void connect_(GwPeers *p, const GwAddress *address, bool limits_only);
+static void connect_engines_(GwPeers *p, const GPtrArray *all,
+                             bool limits_only);
 static void set_pool_(GwPeers *p);
 static bool has_limits_(const GwPeers *p);
 static bool is_follower_(const Peer *peer);
@@ -577,18 +579,9 @@
     if (!p->options.is_agent)
         follow_(p, all);
     set_pool_(p);
-    for (guint i = 0; !p->options.is_agent && i < all->len; i++) {
-        const GwInstance *instance = g_ptr_array_index(all, i);
-        GwAddress address = instance->address;
-        bool is_home;
-
-        if (instance->model == NULL)
-            continue;
-        address.port = p->options.agent_port;
-        is_home = has_limits_(p) &&
-                  GwLimitPool_Has(&p->pool, GwPlacement_Place(&address));
-        if (instance->followed || is_home)
-            connect_(p, &address, !instance->followed);
+    if (!p->options.is_agent) {
+        connect_engines_(p, all, false);
+        connect_engines_(p, all, true);
     }
     if (p->watched.port != 0)
         connect_(p, &p->watched, false);
@@ -606,8 +599,27 @@
                                  : RECONCILE_EVERY);
 }
 
-// Two engines at one agent's address, as of an old row and a new one, may be
-// asked for in both ways: what serves both stays.
+// Those that are followed, or else those that are homes of limits alone.
+static void
+connect_engines_(GwPeers *p, const GPtrArray *all, bool limits_only)
+{
+    for (guint i = 0; i < all->len; i++) {
+        const GwInstance *instance = g_ptr_array_index(all, i);
+        GwAddress address = instance->address;
+
+        if (instance->model == NULL)
+            continue;
+        address.port = p->options.agent_port;
+        if (limits_only
+                ? has_limits_(p) &&
+                      GwLimitPool_Has(&p->pool, GwPlacement_Place(&address))
+                : instance->followed)
+            connect_(p, &address, limits_only);
+    }
+}
+
+// A session that serves another end than it did is opened anew, as its agent
+// was told the end when it began; one that serves both stays.
 static void
 connect_(GwPeers *p, const GwAddress *address, bool limits_only)
 {
@@ -616,7 +628,7 @@
 
     if (limits_only)
         session.fill_hello = fill_limits_hello_;
-    if (peer != NULL && peer->limits_only && !limits_only) {
+    if (peer != NULL && !peer->wanted && peer->limits_only != limits_only) {
         drop_(peer);
         peer = NULL;
     }
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -153,5 +153,7 @@
         return;
     }
     GwRequestEnd_LeaveInstance(r);
-    GwRequestRefusal_Answer(r, GW_REFUSAL_TIMEOUT);
+    // Without an attempt, as behind its account's limit, nothing has run.
+    GwRequestRefusal_Answer(r, r->attempts == 0 ? GW_REFUSAL_DEADLINE
+                                                : GW_REFUSAL_TIMEOUT);
 }
--- a/packages/gateway/src/request_limit.c
+++ b/packages/gateway/src/request_limit.c
@@ -8,6 +8,8 @@
 #include "request_log.h"
 #include "request_refusal.h"
 
+/* Sooner there is room for others that were refused as well. */
+#define RETRY_SOON (100 * GW_MILLISECOND)
 /* Callers of an account whose homes are away come back after this. */
 #define RETRY_HOMES (500 * GW_MILLISECOND)
 
@@ -79,9 +81,12 @@
     }
     GwRequestLog_Limited(r, verdict);
     r->units = 0;
-    r->retry_after = verdict->state == GW_LIMIT_UNKNOWN
-                         ? MAX(verdict->retry_after, RETRY_HOMES)
-                         : verdict->retry_after;
+    if (verdict->retry_after > 0)
+        r->retry_after = MAX(
+            verdict->retry_after,
+            GwTime_Jitter(r->gateway->rand, verdict->state == GW_LIMIT_UNKNOWN
+                                                ? RETRY_HOMES
+                                                : RETRY_SOON));
     GwRequestRefusal_Answer(r, verdict->state == GW_LIMIT_UNKNOWN
                                    ? GW_REFUSAL_LIMIT_UNKNOWN
                                    : GW_REFUSAL_ACCOUNT_LIMIT);
--- a/packages/gateway/tests/agent_end.h
+++ b/packages/gateway/tests/agent_end.h
@@ -40,7 +40,7 @@
         options.counters = &counters;
         options.quarantine = quarantine;
         options.agent_port = port;
-        options.limit_home = limits;
+        options.limit_home = knows_limits ? limits : nullptr;
         agent = GwPeers_New(f.loop, &options, &err);
         ASSERT_NE(agent, nullptr) << err.message;
     }
@@ -60,6 +60,7 @@
     GwQuarantineOptions nothing = {};
     GwQuarantine *quarantine = nullptr;
     GwLimitHome *limits = nullptr;
+    bool knows_limits = true; // else it does not answer questions about them
     GwPeers *agent = nullptr;
     int port = 0;
 };
--- a/packages/gateway/tests/gateway_limits_test.cc
+++ b/packages/gateway/tests/gateway_limits_test.cc
@@ -1,5 +1,6 @@
 #include <map>
 
+#include "agent_end.h"
 #include "galenagw/fakes/fleet.h"
 #include "galenagw/http/server.h"
 
@@ -168,6 +169,35 @@
     EXPECT_EQ(l.Ask(0, "X-Key: try\r\n"), 200) << "it has no limit";
 }
 
+// A home that stands still, or a build that knows no limits: callers are told
+// in time, also those with little of it, and truly that nothing has run.
+TEST(GatewayLimits, AHomeThatDoesNotAnswerIsNotWaitedFor)
+{
+    AgentEnd a;
+
+    a.StopAgent();
+    a.knows_limits = false;
+    a.StartAgent();
+    a.f.acme_limit = R"(,"rate_per_s":20,"burst":20)";
+    a.f.Configure(2);
+    a.f.AddEndpoint("i-2", "plain");
+    a.f.AddGateway();
+    ASSERT_TRUE(a.f.Ready());
+    a.f.Wait(600 * GW_MILLISECOND);
+    for (const char *header : {"", "X-Deadline-Ms: 40\r\n"}) {
+        GwTime since = GwTime_Now();
+        auto c = a.f.Call(a.f.gateways[0],
+                          Fleet::Request("GET", "/plain/1", "", header));
+
+        ASSERT_TRUE(a.f.Until([&] { return c->Has(1); }));
+        EXPECT_EQ(c->Status(), 503) << header;
+        EXPECT_FALSE(c->Header("Retry-After").empty());
+        EXPECT_LT(GwTime_Now() - since, 200 * GW_MILLISECOND) << header;
+        EXPECT_GT(GwTime_Now() - since, 20 * GW_MILLISECOND) << "it was asked";
+        a.f.Wait(600 * GW_MILLISECOND);
+    }
+}
+
 // What its endpoint turned away has used nothing.
 TEST(GatewayLimits, WhatDidNotRunIsGivenBack)
 {
