What a caller sent that has left is dropped where the loop stood still

Cause, as traced then: the loop stands still for up to 0.8 s while a large configuration is read at 0.09 cores. The request and its caller's close lie in one socket, and the request is sent on before the close is read. Now, when no socket was read for 100 ms, streams of callers look for the close before what was read counts, for a second. A busy loop that did not stand still pays nothing, a quiet one a call more.

TcpTest.WhatAPeerThatLeftHadSentIsNotRead shows both: without the look the request is delivered.

--- a/packages/http/src/server.c
+++ b/packages/http/src/server.c
@@ -326,6 +326,7 @@
 
     c->server = server;
     c->tcp = tcp;
+    GwTcp_DropAbandoned(tcp);
     c->reader = GwHttpReader_New(&options);
     c->ahead = g_byte_array_new();
     GwTimer_Init(&c->timer, server->loop, on_timer_, c);
--- a/packages/net/include/galenagw/net/loop.h
+++ b/packages/net/include/galenagw/net/loop.h
@@ -56,6 +56,9 @@
 /** For the other modules of this package. */
 struct lws_context *GwLoop_Context(GwLoop *loop);
 struct lws_vhost *GwLoop_ClientHost(GwLoop *loop);
+/** A socket is read now. @return whether the loop may have stood still before,
+ * so that what is read may be old */
+bool GwLoop_WasHeldUp(GwLoop *loop);
 
 /**
  * A timer; embed it, set its fields by GwTimer_Init.
--- a/packages/net/include/galenagw/net/tcp.h
+++ b/packages/net/include/galenagw/net/tcp.h
@@ -63,6 +63,12 @@
 /** Set the callbacks of an accepted stream, inside on_accept. */
 void GwTcp_SetOps(GwTcp *tcp, const GwTcpOps *ops, void *user);
 
+/**
+ * Of a stream whose peer waits for answers: what it sent before it closed is
+ * dropped if our loop stood still meanwhile, as nobody waits any more.
+ */
+void GwTcp_DropAbandoned(GwTcp *tcp);
+
 /** Listen; @p on_accept gets each new stream and must call SetOps. */
 GwTcpServer *GwTcpServer_New(GwLoop *loop, const GwAddress *address,
                              void (*on_accept)(void *user, GwTcp *tcp),
--- a/packages/net/src/loop.c
+++ b/packages/net/src/loop.c
@@ -24,14 +24,21 @@
     bool stopped;
     GSequence *timers; /* GwTimer, by due time */
     int timer_fd;
-    GwTime armed_for; /* GW_NEVER: not armed */
-    bool has_due;     /* timers are due, and fire behind the sockets */
+    GwTime armed_for;     /* GW_NEVER: not armed */
+    bool has_due;         /* timers are due, and fire behind the sockets */
+    GwTime read_at;       /* when a socket was last read */
+    GwTime held_up_until; /* what is read may be old */
     void (*on_terminate)(void *user);
     void *terminate_user;
     void (*on_hangup)(void *user);
     void *hangup_user;
 };
 
+/* No socket was read for so long: the loop may have stood still. */
+#define HELD_UP_FROM (100 * GW_MILLISECOND)
+/* What came meanwhile has been read after this. */
+#define HELD_UP_LASTS GW_SECOND
+
 /* An eventfd adds up what handlers write: one number for each signal. */
 #define TERMINATE_MARK 1
 #define HANGUP_MARK ((uint64_t)1 << 32)
@@ -168,6 +175,18 @@
         sigaction(SIGHUP, &action, NULL);
 }
 
+// A quiet loop has such gaps too; then it only looks once more.
+bool
+GwLoop_WasHeldUp(GwLoop *loop)
+{
+    GwTime now = GwTime_Now();
+
+    if (now - loop->read_at > HELD_UP_FROM)
+        loop->held_up_until = now + HELD_UP_LASTS;
+    loop->read_at = now;
+    return now < loop->held_up_until;
+}
+
 struct lws_context *
 GwLoop_Context(GwLoop *loop)
 {
--- a/packages/net/src/tcp.c
+++ b/packages/net/src/tcp.c
@@ -51,9 +51,10 @@
     guint sent;
     int fd;
     bool open;
-    bool closed;    /* no callback may be made any more */
-    bool finishing; /* closing in order: see GwTcp_Finish */
-    bool failed;    /* the socket refuses writes */
+    bool closed;          /* no callback may be made any more */
+    bool finishing;       /* closing in order: see GwTcp_Finish */
+    bool failed;          /* the socket refuses writes */
+    bool drops_abandoned; /* see GwTcp_DropAbandoned */
     GwTcpEnd end;
     int depth; /* callbacks in progress: the struct must not be freed */
 };
@@ -85,6 +86,7 @@
 static void start_(GwTcp *tcp, const GwAddress *address);
 static int on_writable_(GwTcp *tcp);
 static int read_(GwTcp *tcp);
+static bool has_closed_(const GwTcp *tcp);
 static bool write_some_(GwTcp *tcp);
 static void compact_(GwTcp *tcp);
 static void ended_(GwTcp *tcp);
@@ -175,6 +177,12 @@
     GwTcp_Close(tcp);
 }
 
+void
+GwTcp_DropAbandoned(GwTcp *tcp)
+{
+    tcp->drops_abandoned = true;
+}
+
 void
 GwTcp_SetOps(GwTcp *tcp, const GwTcpOps *ops, void *user)
 {
@@ -429,6 +437,7 @@
 read_(GwTcp *tcp)
 {
     static uint8_t buffer[READ_SIZE];
+    bool held_up = GwLoop_WasHeldUp(tcp->loop);
 
     for (int i = 0; i < READS_AT_ONCE; i++) {
         ssize_t n = read(tcp->fd, buffer, sizeof(buffer));
@@ -443,6 +452,10 @@
             continue;
         if (tcp->closed)
             return -1;
+        if (held_up && tcp->drops_abandoned && has_closed_(tcp)) {
+            tcp->end = GW_TCP_FINISHED;
+            return -1;
+        }
         tcp->depth++;
         tcp->ops->on_data(tcp->user, buffer, (size_t)n);
         tcp->depth--;
@@ -454,6 +467,15 @@
     return 0;
 }
 
+static bool
+has_closed_(const GwTcp *tcp)
+{
+    uint8_t byte;
+    ssize_t n = recv(tcp->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 static bool
 write_some_(GwTcp *tcp)
 {
--- a/packages/net/tests/tcp_test.cc
+++ b/packages/net/tests/tcp_test.cc
@@ -403,3 +403,54 @@
     ASSERT_TRUE(Until([&] { return held.judged; }));
     EXPECT_EQ(held.heard, "alive");
 }
+
+// Callers wait while the loop stands still over other work, and some leave:
+// their requests were read all the same, and sent on to endpoints seconds
+// after nobody waited for them.
+TEST_F(TcpTest, WhatAPeerThatLeftHadSentIsNotRead)
+{
+    const struct {
+        const char *name;
+        bool leaves, drops, stands_still;
+        const char *received;
+    } cases[] = {
+        {"it left meanwhile", true, true, true, ""},
+        {"it waits", false, true, true, "asked"},
+        {"it left, and the last bytes count", true, false, true, "asked"},
+        {"it left, and nothing stood still", true, true, false, "asked"},
+    };
+
+    for (const auto &c : cases) {
+        SCOPED_TRACE(c.name);
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in to = {};
+        accepted.clear();
+
+        to.sin_family = AF_INET;
+        to.sin_port = htons((uint16_t)GwTcpServer_Port(server));
+        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ASSERT_EQ(connect(fd, (sockaddr *)&to, sizeof(to)), 0);
+        ASSERT_TRUE(Until([&] { return accepted.size() == 1; }));
+        End *end = accepted[0].get();
+        if (c.drops)
+            GwTcp_DropAbandoned(end->tcp);
+        for (int i = 0; !c.stands_still && i < 120; i++) {
+            // Others keep it reading.
+            g_usleep(10000);
+            GwLoop_WasHeldUp(loop);
+        }
+        ASSERT_EQ(send(fd, "asked", 5, 0), 5);
+        if (c.leaves)
+            close(fd);
+        if (c.stands_still)
+            g_usleep(150000);
+        EXPECT_TRUE(Until([&] {
+            return c.leaves ? end->closed : end->received.size() == 5;
+        }));
+        EXPECT_EQ(end->received, c.received);
+        if (!c.leaves) {
+            close(fd);
+            EXPECT_TRUE(Until([&] { return end->closed; }));
+        }
+    }
+}
