Every request at a limit is decided, within 200 ms

Read in the diff: a request that came while the only home had a question out for what would be needed soon was told to wait, and nobody remembered it; its caller waited until its deadline. And far from its homes (54 ms there and back) an entry asked them in turn for ever, as the first might have more again when the last had answered.

Whether anything is out is now told apart from how many units are; a request that has waited 200 ms gets what is there or is refused. Units are whole.

--- a/packages/policy/src/limit_share.c
+++ b/packages/policy/src/limit_share.c
@@ -14,6 +14,9 @@
 #define PASSED_OVER (500 * GW_MILLISECOND)
 /* A home that has no more is asked again after so long at the most. */
 #define DRY_MOST (100 * GW_MILLISECOND)
+/* Far from its homes an entry would ask them in turn, the first one anew when
+ * the last one has answered: a request waits no longer than this. */
+#define WAIT_MOST (200 * GW_MILLISECOND)
 /* Use that is asked for ahead, where requests come this close together. */
 #define AHEAD (100 * GW_MILLISECOND)
 /* Over which an account's use is averaged. */
@@ -71,13 +74,14 @@
 static void set_homes_(Line *l);
 static double held_(const Line *l);
 static double out_(const Line *l);
+static bool is_asking_(const Line *l);
 static void spend_(Line *l, double units);
 static void ask_for_(Line *l, GwTime now);
 static bool ask_(Line *l, Lease *lease, double need, GwTime now);
 static bool can_ask_(const Lease *lease, GwTime now);
 static double ahead_(const Line *l);
 static void serve_(Line *l, GwTime now);
-static GwLimitVerdict judge_(Line *l, double units, GwTime now);
+static GwLimitVerdict judge_(Line *l, double units, bool may_wait, GwTime now);
 static void decide_(Line *l, GwLimitWaiter *w, const GwLimitVerdict *verdict);
 static Lease *lease_of_(Line *l, uint64_t home);
 static void tick_(Line *l, GwTime now);
@@ -130,6 +134,7 @@
 
     if (account->limit.rate <= 0)
         return (GwLimitVerdict){.state = GW_LIMIT_GRANTED};
+    units = ceil(units);
     l = line_(share, account, now);
     set_busy_(l);
     l->use *= exp(-(double)MAX(now - l->used_at, 0) / (double)USE_TIME);
@@ -141,7 +146,7 @@
     if (l->waiting > 0)
         verdict.state = GW_LIMIT_WAITS;
     else
-        verdict = judge_(l, units, now);
+        verdict = judge_(l, units, true, now);
     if (verdict.state == GW_LIMIT_WAITS) {
         waiter->line = l;
         waiter->units = units;
@@ -151,10 +156,10 @@
     }
     ask_for_(l, now);
     // With no home to ask it is decided now, and not in a callback.
-    if (verdict.state == GW_LIMIT_WAITS && out_(l) == 0 &&
+    if (verdict.state == GW_LIMIT_WAITS && !is_asking_(l) &&
         TAILQ_FIRST(&l->waiters) == waiter) {
         GwLimitShare_Leave(waiter);
-        verdict = judge_(l, units, now);
+        verdict = judge_(l, units, false, now);
     }
     return verdict;
 }
@@ -337,6 +342,17 @@
     return units;
 }
 
+// Whether any answer is to come, be it to a question for later.
+static bool
+is_asking_(const Line *l)
+{
+    for (unsigned i = 0; i < l->n_leases; i++) {
+        if (l->leases[i].asked_at != 0)
+            return true;
+    }
+    return false;
+}
+
 static void
 spend_(Line *l, double units)
 {
@@ -359,7 +375,7 @@
         if (can_ask_(&l->leases[i], now) && ask_(l, &l->leases[i], need, now))
             return;
     }
-    if (l->waiting > 0 || out_(l) > 0 || held_(l) > ahead_(l) / 2)
+    if (l->waiting > 0 || is_asking_(l) || held_(l) > ahead_(l) / 2)
         return;
     for (unsigned i = 0; i < l->n_leases && ahead_(l) > 0; i++) {
         if (can_ask_(&l->leases[i], now) && ask_(l, &l->leases[i], 0, now))
@@ -414,7 +430,7 @@
         GwLimitVerdict verdict;
 
         ask_for_(l, now);
-        verdict = judge_(l, w->units, now);
+        verdict = judge_(l, w->units, now - w->since < WAIT_MOST, now);
         if (verdict.state == GW_LIMIT_WAITS)
             return;
         decide_(l, w, &verdict);
@@ -422,7 +438,7 @@
 }
 
 static GwLimitVerdict
-judge_(Line *l, double units, GwTime now)
+judge_(Line *l, double units, bool may_wait, GwTime now)
 {
     GwLimitVerdict verdict = {.missing = units - held_(l)};
     bool is_dry = false;
@@ -434,7 +450,8 @@
     }
     verdict.state = GW_LIMIT_WAITS;
     for (unsigned i = 0; i < l->n_leases; i++) {
-        if (l->leases[i].asked_at != 0 || can_ask_(&l->leases[i], now))
+        if (may_wait &&
+            (l->leases[i].asked_at != 0 || can_ask_(&l->leases[i], now)))
             return verdict;
         is_dry = is_dry || now < l->leases[i].dry_until;
     }
@@ -488,11 +505,7 @@
 static bool
 has_work_(const Line *l)
 {
-    for (unsigned i = 0; i < l->n_leases; i++) {
-        if (l->leases[i].units > 0 || l->leases[i].asked_at != 0)
-            return true;
-    }
-    return !TAILQ_EMPTY(&l->waiters);
+    return held_(l) > 0 || is_asking_(l) || !TAILQ_EMPTY(&l->waiters);
 }
 
 static void
--- a/packages/policy/tests/limits_test.cc
+++ b/packages/policy/tests/limits_test.cc
@@ -314,6 +314,17 @@
             }
         }
     }
+    int
+    Undecided() const
+    {
+        int n = 0;
+
+        for (auto &e : entries) {
+            for (auto &r : e->requests)
+                n += r->verdict.state == GW_LIMIT_WAITS;
+        }
+        return n;
+    }
     // The most that was used in any span of @p window.
     double
     Worst(GwTime window) const
@@ -613,6 +624,33 @@
     EXPECT_EQ(r->verdict.state, GW_LIMIT_GRANTED);
 }
 
+// A question for what will be needed soon is out: a request that came then was
+// told to wait, and nobody remembered it.
+TEST(LimitShare, EveryRequestIsDecided)
+{
+    const struct {
+        const char *name;
+        GwLimit limit;
+        double units;
+    } cases[] = {
+        {"one home, requests", {900, 29, 0, 0}, 1},
+        {"three homes, tokens", {30000, 30000, 0, 0}, 40},
+    };
+
+    for (const auto &c : cases) {
+        LimitFleet f(8, 2, c.limit);
+
+        f.Run(2 * GW_SECOND);
+        for (int ms = 0; ms < 3000; ms++) {
+            for (int i = 0; ms % 7 == 0 && i < 4; i++)
+                f.Take(0, c.units);
+            f.Run(GW_MILLISECOND);
+        }
+        f.Run(200 * GW_MILLISECOND);
+        EXPECT_EQ(f.Undecided(), 0) << c.name;
+    }
+}
+
 TEST(LimitShare, ACallerThatLeavesIsNotWaitedFor)
 {
     LimitFleet f(3, 1, kLimit);
@@ -715,6 +753,9 @@
             }
             f.Run(20 * GW_MILLISECOND);
         }
+        f.frozen.clear();
+        f.Run(GW_SECOND);
+        EXPECT_EQ(f.Undecided(), 0) << "seed " << seed;
         EXPECT_LE(f.Worst(window), (rate * 8 + rate) * (1 + overage) + slack)
             << "seed " << seed;
     }
