--- a/packages/gateway/tests/gateway_limits_test.cc
+++ b/packages/gateway/tests/gateway_limits_test.cc
@@ -40,6 +40,7 @@
     ~LimitedFleet()
     {
         GwSidecar_Delete(sidecar);
+        GwDeployment_Clear(&deployment);
     }
     void
     AddSidecar()
