Limits: what stood twice within the two modules is said once

Read again in the diff, no fault seen by callers. A question that is given up was written out both where a home's connection ends and where it does not answer in time (pass_over_); an account's homes were hashed in two places (homes_); GwLimitPool_Has repeated is_among_; an account's limit was stored twice where its burst changes. Ruled out as twins: held_ and out_, which add up different fields of a lease.

Behaviour and tests are unchanged. The whole test command was not run on this commit.

--- a/packages/policy/src/limit_home.c
+++ b/packages/policy/src/limit_home.c
@@ -17,6 +17,8 @@
  * units, and rounding adds one to its part. */
 #define PARTED_FROM 30
 
+static unsigned homes_(const GwLimitPool *pool, const char *account,
+                       unsigned most, uint64_t *out);
 static unsigned highest_(uint64_t key, const uint64_t *places, size_t n,
                          uint64_t *out, unsigned most);
 static uint64_t rank_(uint64_t key, uint64_t place);
@@ -37,11 +39,7 @@
 bool
 GwLimitPool_Has(const GwLimitPool *pool, uint64_t place)
 {
-    for (unsigned i = 0; i < pool->n; i++) {
-        if (pool->places[i] == place)
-            return true;
-    }
-    return false;
+    return is_among_(place, pool->places, pool->n);
 }
 
 // Both are in the order of their ranks.
@@ -56,8 +54,8 @@
 GwLimitPool_Homes(const GwLimitPool *pool, const char *account,
                   const GwLimit *limit, uint64_t homes[GW_LIMIT_HOMES])
 {
-    return highest_(XXH64(account, strlen(account), 0), pool->places, pool->n,
-                    homes, limit->burst < PARTED_FROM ? 1 : GW_LIMIT_HOMES);
+    return homes_(pool, account,
+                  limit->burst < PARTED_FROM ? 1 : GW_LIMIT_HOMES, homes);
 }
 
 GwLimitHome *
@@ -109,6 +107,14 @@
     return GwBucket_Take(b, ask->need, ask->ahead, now);
 }
 
+static unsigned
+homes_(const GwLimitPool *pool, const char *account, unsigned most,
+       uint64_t *out)
+{
+    return highest_(XXH64(account, strlen(account), 0), pool->places, pool->n,
+                    out, most);
+}
+
 // The places of the highest ranks, highest first, each once.
 static unsigned
 highest_(uint64_t key, const uint64_t *places, size_t n, uint64_t *out,
@@ -154,9 +160,7 @@
 {
     const GwLimitHome *home = user;
     uint64_t homes[GW_LIMIT_HOMES];
-    unsigned n =
-        highest_(XXH64(account, strlen(account), 0), home->pool.places,
-                 home->pool.n, homes, GW_LIMIT_HOMES);
+    unsigned n = homes_(&home->pool, account, GW_LIMIT_HOMES, homes);
 
     return !is_among_(home->self, homes, n);
 }
--- a/packages/policy/src/limit_share.c
+++ b/packages/policy/src/limit_share.c
@@ -79,6 +79,7 @@
 static void ask_for_(Line *l, GwTime now);
 static bool ask_(Line *l, Lease *lease, double need, GwTime now);
 static bool can_ask_(const Lease *lease, GwTime now);
+static void pass_over_(Lease *lease, GwTime now);
 static double ahead_(const Line *l);
 static void serve_(Line *l, GwTime now);
 static GwLimitVerdict judge_(Line *l, double units, bool may_wait, GwTime now);
@@ -230,9 +231,7 @@
         Lease *lease = lease_of_(line, home);
 
         if (lease != NULL && lease->asked_at != 0) {
-            lease->asked_at = 0;
-            lease->asked = 0;
-            lease->unheard_until = now + PASSED_OVER;
+            pass_over_(lease, now);
         }
     }
 }
@@ -265,6 +264,7 @@
 line_(GwLimitShare *share, const GwLimitedAccount *account, GwTime now)
 {
     Line *l = g_hash_table_lookup(share->lines, account->name);
+    bool is_moved;
 
     if (l == NULL) {
         l = g_new0(Line, 1);
@@ -275,11 +275,11 @@
         GwBucket_Init(&l->unheld, &account->unheld, now);
         g_hash_table_insert(share->lines, l->name, l);
     }
-    if (l->limit.burst != account->limit.burst) {
-        l->limit = account->limit;
-        set_homes_(l);
-    }
+    // How many homes it has follows from its burst.
+    is_moved = l->limit.burst != account->limit.burst;
     l->limit = account->limit;
+    if (is_moved)
+        set_homes_(l);
     GwBucket_SetLimit(&l->unheld, &account->unheld, now);
     return l;
 }
@@ -411,6 +411,15 @@
            now >= lease->unheard_until;
 }
 
+// Its question is given up; a late answer still counts.
+static void
+pass_over_(Lease *lease, GwTime now)
+{
+    lease->asked_at = 0;
+    lease->asked = 0;
+    lease->unheard_until = now + PASSED_OVER;
+}
+
 // Only where it saves questions: a few units that lie idle here may be what
 // another entry's request lacks.
 static double
@@ -490,9 +499,7 @@
         Lease *lease = &l->leases[i];
 
         if (lease->asked_at != 0 && now - lease->asked_at > ANSWER_WITHIN) {
-            lease->asked_at = 0;
-            lease->asked = 0;
-            lease->unheard_until = now + PASSED_OVER;
+            pass_over_(lease, now);
         }
         if (lease->units > 0 && now >= lease->until) {
             give_back_(l, lease, lease->units);
