Read and log the rate limits that endpoints name

No change is visible to callers. Two engines that named a limit of requests per second in their answers got as many requests as before, and no log line showed whether any gateway had read the limit.

Decode the limit, store it by id and incarnation (routing/endpoint_limits) and log it: an `endpoint_limit` line when it is first named, changes or is lifted, and a `limit` field on the `attempt` lines to that endpoint. A limit is lifted by an answer without one to a request that was sent after the limit was named. Malformed values change nothing. A limit expires after ten minutes. Nothing acts on it yet.

--- a/packages/base/include/galenagw/base/event_log.h
+++ b/packages/base/include/galenagw/base/event_log.h
@@ -38,6 +38,8 @@
 void GwEvent_Begin(GwEventLog *log, const char *event, const char *id);
 void GwEvent_Text(GwEventLog *log, const char *name, const char *value);
 void GwEvent_Number(GwEventLog *log, const char *name, int64_t value);
+/** A finite number, written with three decimal places. */
+void GwEvent_Real(GwEventLog *log, const char *name, double value);
 /** An interval, told in milliseconds with three digits. */
 void GwEvent_Time(GwEventLog *log, const char *name, GwTime value);
 void GwEvent_End(GwEventLog *log);
--- a/packages/base/src/event_log.c
+++ b/packages/base/src/event_log.c
@@ -100,13 +100,18 @@
 }
 
 void
-GwEvent_Time(GwEventLog *log, const char *name, GwTime value)
+GwEvent_Real(GwEventLog *log, const char *name, double value)
 {
     if (log == NULL || !log->in_line)
         return;
     append_name_(log, name);
-    g_string_append_printf(log->pending, "%.3f",
-                           (double)value / (double)GW_MILLISECOND);
+    g_string_append_printf(log->pending, "%.3f", value);
+}
+
+void
+GwEvent_Time(GwEventLog *log, const char *name, GwTime value)
+{
+    GwEvent_Real(log, name, (double)value / (double)GW_MILLISECOND);
 }
 
 void
--- a/packages/cluster/include/galenagw/cluster/peers.h
+++ b/packages/cluster/include/galenagw/cluster/peers.h
@@ -110,6 +110,14 @@
  */
 void GwPeers_NoteLeaving(GwPeers *peers, const GwInstance *instance,
                          GwLearned from);
+/**
+ * Store the rate limit that an answer of @p instance names, and log it if it
+ * changed.
+ * @param rate requests per second, of all processes combined;
+ *             GW_ENDPOINT_UNLIMITED if the limit was lifted
+ */
+void GwPeers_NoteLimit(GwPeers *peers, const GwInstance *instance, double rate,
+                       GwLearned from);
 /** Tell all peers what this process has found out. */
 void GwPeers_TellQuarantine(GwPeers *peers, const GwQuarantineNews *news);
 /**
--- a/packages/cluster/include/galenagw/cluster/view.h
+++ b/packages/cluster/include/galenagw/cluster/view.h
@@ -12,6 +12,7 @@
 
 #include "galenagw/base/counters.h"
 #include "galenagw/base/event_log.h"
+#include "galenagw/routing/endpoint_limits.h"
 #include "galenagw/routing/instances.h"
 #include "galenagw/routing/records.h"
 #include "galenagw/routing/routes.h"
@@ -68,6 +69,7 @@
 /** The copy of the platform's lists; apply records to it. */
 GwRecords *GwView_Records(GwView *view);
 GwInstances *GwView_Instances(GwView *view);
+GwEndpointLimits *GwView_EndpointLimits(GwView *view);
 /** The newest routes, or NULL as long as none are known. */
 GwRoutes *GwView_Routes(const GwView *view);
 GwTarget GwView_Target(const GwView *view, const char *model);
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -80,6 +80,8 @@
                            const GwQuarantineNews *news);
 static void tell_leaving_(GwPeers *p, const GwSession *from,
                           const GwLeavingWord *word, GwLearned learned);
+static void log_limit_(GwPeers *p, const GwEndpointLimit *limit,
+                       GwLearned learned);
 static void on_revision_(void *user, GwSession *session, uint64_t revision);
 static void on_closed_(void *user, GwSession *session, bool silent);
 static void forget_advice_(GwPeers *p, const Peer *peer);
@@ -316,6 +318,18 @@
         tell_leaving_(p, NULL, &word, from);
 }
 
+void
+GwPeers_NoteLimit(GwPeers *p, const GwInstance *instance, double rate,
+                  GwLearned from)
+{
+    GwTime now = GwTime_Now();
+    GwEndpointLimit limit = {instance->id, instance->incarnation, rate, now};
+
+    if (GwEndpointLimits_Set(GwView_EndpointLimits(p->options.view), &limit,
+                             now))
+        log_limit_(p, &limit, from);
+}
+
 void
 GwPeers_TellQuarantine(GwPeers *p, const GwQuarantineNews *news)
 {
@@ -489,6 +503,19 @@
     }
 }
 
+static void
+log_limit_(GwPeers *p, const GwEndpointLimit *limit, GwLearned learned)
+{
+    GwEvent_Begin(p->options.log, "endpoint_limit", NULL);
+    GwEvent_Text(p->options.log, "instance", limit->id);
+    if (limit->rate >= 0)
+        GwEvent_Real(p->options.log, "rate", limit->rate);
+    else
+        GwEvent_Text(p->options.log, "rate", "none");
+    GwEvent_Text(p->options.log, "learned_from", GwLearned_Names[learned]);
+    GwEvent_End(p->options.log);
+}
+
 static void
 on_revision_(void *user, GwSession *session, uint64_t revision)
 {
--- a/packages/cluster/src/view.c
+++ b/packages/cluster/src/view.c
@@ -10,6 +10,7 @@
     GwViewOptions options;
     GwRecords *records;
     GwInstances *instances;
+    GwEndpointLimits *endpoint_limits;
     GwRoutes *routes;
     GHashTable *targets; /* model to GwTarget */
     GHashTable *aside;   /* keys of rows of services that no route knows */
@@ -47,6 +48,7 @@
     view->options = *options;
     view->records = GwRecords_New(on_record_, view);
     view->instances = GwInstances_New(&instances_ops, view);
+    view->endpoint_limits = GwEndpointLimits_New();
     view->targets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     view->aside = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -59,6 +61,7 @@
     if (view == NULL)
         return;
     GwInstances_Delete(view->instances);
+    GwEndpointLimits_Delete(view->endpoint_limits);
     GwRecords_Delete(view->records);
     GwRoutes_Unref(view->routes);
     g_hash_table_unref(view->targets);
@@ -78,6 +81,12 @@
     return view->instances;
 }
 
+GwEndpointLimits *
+GwView_EndpointLimits(GwView *view)
+{
+    return view->endpoint_limits;
+}
+
 GwRoutes *
 GwView_Routes(const GwView *view)
 {
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -23,7 +23,8 @@
 static GwTime defer_(const GwRequest *r, const GwInstance *instance);
 static void send_(GwRequest *r, GwInstance *instance, const GwAddress *source);
 static GwHeadVerdict on_head_(void *user, const GwHttpHead *head);
-static void note_leaving_(GwRequest *r);
+static void note_endpoint_state_(GwRequest *r);
+static void note_limit_(GwRequest *r);
 static void on_body_(void *user, const char *data, size_t len);
 static void on_end_(void *user, GwUpstreamEnd end);
 
@@ -202,7 +203,7 @@
     GwRequest *r = user;
 
     GwMessages_DecodeReply(head, r->ask.id, &r->reply);
-    note_leaving_(r);
+    note_endpoint_state_(r);
     // An extra answer to an earlier request on this connection.
     if (!r->reply.is_ours)
         return GW_HEAD_SKIP;
@@ -226,18 +227,42 @@
     return GW_HEAD_TAKE;
 }
 
-// Its row may say so later, or never while the store is away; by then its
-// process ends, and breaks what it was sent. Also an answer to another request
-// is this endpoint's; what its successor says is not.
+// Also applies answers to other requests, as they come from the same endpoint,
+// but not those of a successor at its address.
 static void
-note_leaving_(GwRequest *r)
+note_endpoint_state_(GwRequest *r)
 {
     bool is_own = r->reply.instance_id != NULL
                       ? strcmp(r->reply.instance_id, r->instance->id) == 0
                       : r->reply.status != 421;
 
-    if (r->reply.is_leaving && is_own)
+    if (!is_own)
+        return;
+    // The instance's row may be updated too late, or not at all during a store
+    // outage, and requests sent in the meantime would fail when it exits.
+    if (r->reply.is_leaving)
         GwPeers_NoteLeaving(r->gateway->peers, r->instance, GW_LEARNED_ANSWER);
+    note_limit_(r);
+}
+
+// An answer without a limit lifts the known one only if it is to this request:
+// an answer to another request may predate the limit.
+static void
+note_limit_(GwRequest *r)
+{
+    GwGateway *g = r->gateway;
+    GwTime now = GwTime_Now();
+
+    if (!r->reply.has_limit) {
+        if (r->reply.is_ours &&
+            GwEndpointLimits_ShouldLift(GwView_EndpointLimits(g->view),
+                                        r->instance, r->sent_at, now))
+            GwPeers_NoteLimit(g->peers, r->instance, GW_ENDPOINT_UNLIMITED,
+                              GW_LEARNED_ANSWER);
+    }
+    else if (r->reply.limit >= 0)
+        GwPeers_NoteLimit(g->peers, r->instance, r->reply.limit,
+                          GW_LEARNED_ANSWER);
 }
 
 static void
--- a/packages/gateway/src/request_log.c
+++ b/packages/gateway/src/request_log.c
@@ -13,12 +13,17 @@
     GwEventLog *log = r->gateway->log;
     const GwInstance *instance = r->instance;
     GwTime now = GwTime_Now();
+    double limit;
 
     GwEvent_Begin(log, "attempt", r->ask.id);
     GwEvent_Text(log, "route", r->route->name);
     GwEvent_Number(log, "routes_version", (int64_t)r->routes->version);
     GwEvent_Text(log, "instance", instance->id);
     GwEvent_Number(log, "in_flight", instance->in_flight);
+    limit = GwEndpointLimits_Rate(GwView_EndpointLimits(r->gateway->view),
+                                  instance, now);
+    if (limit >= 0)
+        GwEvent_Real(log, "limit", limit);
     if (instance->model != NULL) {
         GwEvent_Number(log, "weights", instance->weights);
         GwEvent_Number(log, "prefill_tokens",
--- a/packages/routing/include/galenagw/routing/ask.h
+++ b/packages/routing/include/galenagw/routing/ask.h
@@ -60,6 +60,9 @@
     const char *instance_id; /**< who answers, if it tells; borrowed */
     bool is_ours;            /**< it names our request, or none */
     bool is_leaving;         /**< whoever answers says that it leaves */
+    bool has_limit;          /**< it has a limit header, valid or not */
+    double limit;            /**< requests per second, of all processes
+                                  combined; -1: invalid */
     int64_t weights;         /**< version that runs it; -1: not told */
     int64_t keep_alive_s;    /**< idle time it allows; -1: not told */
     int64_t retry_after_ms;  /**< of a refusal: it wants nothing from this
--- /dev/null
+++ b/packages/routing/include/galenagw/routing/endpoint_limits.h
@@ -0,0 +1,63 @@
+/**
+ * @defgroup endpoint_limits Endpoint rate limits
+ * @brief Rate limits that endpoints name in their answers.
+ *
+ * A limit applies to one incarnation of an endpoint and to all processes
+ * combined. It is lifted by an answer without a limit to a request that was
+ * sent after the limit was named, and expires after GW_ENDPOINT_LIMIT_TERM.
+ * @{
+ */
+#ifndef GALENAGW_ROUTING_ENDPOINT_LIMITS_H
+#define GALENAGW_ROUTING_ENDPOINT_LIMITS_H
+
+#include "galenagw/routing/instances.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/** Rate of an endpoint without a limit. */
+#define GW_ENDPOINT_UNLIMITED (-1.0)
+/** How long a limit is valid unless it is named again; keeps an erroneous one
+ * from applying indefinitely. */
+#define GW_ENDPOINT_LIMIT_TERM (600 * GW_SECOND)
+/** Maximum number of endpoints whose limits are stored. */
+#define GW_ENDPOINT_LIMITS_MAX 1024
+
+typedef struct GwEndpointLimits GwEndpointLimits;
+
+/** The limit of one endpoint; the string is borrowed. */
+typedef struct {
+    const char *id;
+    int64_t incarnation; /**< see GwInstanceRow */
+    double rate;         /**< requests per second, of all processes combined;
+                              GW_ENDPOINT_UNLIMITED: lifted */
+    GwTime told_at;      /**< when the answer was received */
+} GwEndpointLimit;
+
+GwEndpointLimits *GwEndpointLimits_New(void);
+void GwEndpointLimits_Delete(GwEndpointLimits *limits);
+/**
+ * Store an endpoint's limit. Ignored if it is not finite, expired, older than
+ * the stored one, or the limit of a new endpoint while storage is full.
+ * @return whether the stored limit changed
+ */
+bool GwEndpointLimits_Set(GwEndpointLimits *limits,
+                          const GwEndpointLimit *limit, GwTime now);
+/**
+ * Whether an answer without a limit, to a request sent to @p instance at
+ * @p sent_at, lifts the stored limit: true if there is one and the request was
+ * sent after it was named.
+ */
+bool GwEndpointLimits_ShouldLift(const GwEndpointLimits *limits,
+                                 const GwInstance *instance, GwTime sent_at,
+                                 GwTime now);
+/** Requests per second, or GW_ENDPOINT_UNLIMITED. */
+double GwEndpointLimits_Rate(const GwEndpointLimits *limits,
+                             const GwInstance *instance, GwTime now);
+
+#ifdef __cplusplus
+}
+#endif
+/** @} */
+#endif
