Enforce endpoints' rate limits across all gateways combined

Overloaded endpoints that named a limit in their answers got as many requests as before (71 in 1.5 s of a test where 14 are allowed).

Cause: no decoder knew the limit header; the limit in an endpoint's answer was forwarded to the caller and not read (read and logged since, not acted on).

Each gateway now enforces an equal share of the limit locally, without asking other gateways: it knows how many gateways send to the endpoint. The initial state of a share is random, because all gateways may learn of the limit at once. If there are more, none accumulate, a request that is not sent within 250 ms expires, and 0.6 of the rate is used, because gateways then send at the same time by chance. An endpoint whose share is used up is skipped, like one that asked for no requests for a time. If all are, callers are refused immediately and told when the next request will be accepted. A limit, and its end, is sent to all processes and to those that connect later; it is also read from engines' reports. An endpoint with a limit below 0.1 a second gets 0.1, because only an answer can lift its limit.

The test that was red passes in all seven cases and is renamed from GatewayEndpointLimits.AnEndpointGetsNoMoreThanItsLimitAllows to CombinedRateStaysWithinLimit. Its agent now sends its engine's state, as agents do: without it gateways assume that there are eight of them, and the check that the endpoint gets some requests at all failed. Its bound is unchanged. A loop over the ready peers that was duplicated in peers.c is now a macro.

--- a/packages/cluster/include/galenagw/cluster/peers.h
+++ b/packages/cluster/include/galenagw/cluster/peers.h
@@ -111,8 +111,8 @@
 void GwPeers_NoteLeaving(GwPeers *peers, const GwInstance *instance,
                          GwLearned from);
 /**
- * Store the rate limit that an answer of @p instance names, and log it if it
- * changed.
+ * Store the rate limit that an answer of @p instance names; if it changed, log
+ * it and tell all peers.
  * @param rate requests per second, of all processes combined;
  *             GW_ENDPOINT_UNLIMITED if the limit was lifted
  */
@@ -127,6 +127,10 @@
 unsigned GwPeers_Sharers(const GwPeers *peers);
 /** How many entries share the load, as far as is known; at least 1. */
 unsigned GwPeers_Entries(const GwPeers *peers);
+/** How many entries send requests to @p instance, as far as is known; at least
+ * 1. */
+unsigned GwPeers_EntriesSendingTo(const GwPeers *peers,
+                                  const GwInstance *instance);
 
 #ifdef __cplusplus
 }
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include "endpoint_limit_words.h"
 #include "exchange.h"
 #include "kept_words.h"
 #include "leaving_words.h"
@@ -71,6 +72,11 @@
     uint64_t pool_end;       /* of the list that it was made from */
 };
 
+/* Iterates over the ready peers, except the one whose session is @p from. */
+#define FOREACH_OTHER_PEER_(peer, p, from)                                    \
+    TAILQ_FOREACH(peer, &(p)->peers, link)                                    \
+    if ((peer)->session != (from) && GwSession_IsReady((peer)->session))
+
 static void init_exchange_(GwPeers *p);
 static GwSessionOptions session_options_(GwPeers *p);
 static void on_ready_(void *user, GwSession *session,
@@ -80,8 +86,8 @@
                            const GwQuarantineNews *news);
 static void tell_leaving_(GwPeers *p, const GwSession *from,
                           const GwLeavingWord *word, GwLearned learned);
-static void log_limit_(GwPeers *p, const GwEndpointLimit *limit,
-                       GwLearned learned);
+static void tell_limit_(GwPeers *p, const GwSession *from,
+                        const GwEndpointLimit *limit, GwLearned learned);
 static void on_revision_(void *user, GwSession *session, uint64_t revision);
 static void on_closed_(void *user, GwSession *session, bool silent);
 static void forget_advice_(GwPeers *p, const Peer *peer);
@@ -98,7 +104,7 @@
 static Peer *add_(GwPeers *p);
 static void set_session_(Peer *peer, GwSession *session);
 static Peer *find_(GwPeers *p, const GwSession *session);
-static Peer *at_(GwPeers *p, const GwAddress *address);
+static Peer *at_(const GwPeers *p, const GwAddress *address);
 static void drop_(Peer *peer);
 static bool needs_seeds_(const GwPeers *p);
 static void send_engine_(GwPeers *p, Peer *peer, const GwWaiting *all);
@@ -327,7 +333,7 @@
 
     if (GwEndpointLimits_Set(GwView_EndpointLimits(p->options.view), &limit,
                              now))
-        log_limit_(p, &limit, from);
+        tell_limit_(p, NULL, &limit, from);
 }
 
 void
@@ -354,6 +360,18 @@
     return n > 0 ? n : ENTRIES_ASSUMED;
 }
 
+unsigned
+GwPeers_EntriesSendingTo(const GwPeers *p, const GwInstance *instance)
+{
+    GwAddress address = instance->address;
+    const Peer *agent;
+
+    address.port = p->options.agent_port;
+    agent = instance->model != NULL ? at_(p, &address) : NULL;
+    return agent != NULL && agent->entries > 0 ? agent->entries
+                                               : GwPeers_Entries(p);
+}
+
 static void
 init_exchange_(GwPeers *p)
 {
@@ -407,6 +425,8 @@
     if (is_follower_(peer))
         tell_kept_(p, peer, NULL, 0);
     GwLeavingWords_SendAll(session, GwView_Instances(p->options.view));
+    GwEndpointLimitWords_SendAll(session,
+                                 GwView_EndpointLimits(p->options.view));
     if (p->options.quarantine != NULL)
         GwQuarantineWords_SendAll(session, p->options.quarantine);
 }
@@ -417,6 +437,7 @@
     GwPeers *p = user;
     Peer *peer = find_(p, session);
     GwLeavingWord leaving;
+    GwEndpointLimit limit;
 
     if (p->options.quarantine != NULL &&
         GwQuarantineWords_Take(p->options.quarantine, session, frame,
@@ -447,6 +468,11 @@
                                 frame->endpoint_leaving, &leaving))
             tell_leaving_(p, session, &leaving, GW_LEARNED_PEER);
         return;
+    case GW__WIRE__FRAME__BODY_ENDPOINT_LIMIT:
+        if (GwEndpointLimitWords_Take(GwView_EndpointLimits(p->options.view),
+                                      frame->endpoint_limit, &limit))
+            tell_limit_(p, session, &limit, GW_LEARNED_PEER);
+        return;
     case GW__WIRE__FRAME__BODY_CREDIT_ASK:
         if (p->options.limit_home == NULL)
             return;
@@ -477,11 +503,8 @@
     GwPeers *p = user;
     Peer *peer;
 
-    TAILQ_FOREACH(peer, &p->peers, link)
-    {
-        if (peer->session != from && GwSession_IsReady(peer->session))
-            GwQuarantineWords_Send(peer->session, news);
-    }
+    FOREACH_OTHER_PEER_(peer, p, from)
+    GwQuarantineWords_Send(peer->session, news);
     if (from != NULL && news->is_end && p->options.on_endpoint_ended != NULL)
         p->options.on_endpoint_ended(p->options.user, &news->end);
 }
@@ -496,16 +519,16 @@
     GwEvent_Text(p->options.log, "instance", word->id);
     GwEvent_Text(p->options.log, "learned_from", GwLearned_Names[learned]);
     GwEvent_End(p->options.log);
-    TAILQ_FOREACH(peer, &p->peers, link)
-    {
-        if (peer->session != from && GwSession_IsReady(peer->session))
-            GwLeavingWords_Send(peer->session, word);
-    }
+    FOREACH_OTHER_PEER_(peer, p, from)
+    GwLeavingWords_Send(peer->session, word);
 }
 
 static void
-log_limit_(GwPeers *p, const GwEndpointLimit *limit, GwLearned learned)
+tell_limit_(GwPeers *p, const GwSession *from, const GwEndpointLimit *limit,
+            GwLearned learned)
 {
+    Peer *peer;
+
     GwEvent_Begin(p->options.log, "endpoint_limit", NULL);
     GwEvent_Text(p->options.log, "instance", limit->id);
     if (limit->rate >= 0)
@@ -514,6 +537,8 @@
         GwEvent_Text(p->options.log, "rate", "none");
     GwEvent_Text(p->options.log, "learned_from", GwLearned_Names[learned]);
     GwEvent_End(p->options.log);
+    FOREACH_OTHER_PEER_(peer, p, from)
+    GwEndpointLimitWords_Send(peer->session, limit);
 }
 
 static void
@@ -737,7 +762,7 @@
 }
 
 static Peer *
-at_(GwPeers *p, const GwAddress *address)
+at_(const GwPeers *p, const GwAddress *address)
 {
     Peer *peer;
 
--- a/packages/cluster/src/view.c
+++ b/packages/cluster/src/view.c
@@ -48,7 +48,7 @@
     view->options = *options;
     view->records = GwRecords_New(on_record_, view);
     view->instances = GwInstances_New(&instances_ops, view);
-    view->endpoint_limits = GwEndpointLimits_New();
+    view->endpoint_limits = GwEndpointLimits_New(g_random_int());
     view->targets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     view->aside = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/packages/gateway/src/choosing.c
+++ b/packages/gateway/src/choosing.c
@@ -40,6 +40,8 @@
                                const GwCandidate *c, GwTime now);
 static uint64_t domain_(const GwRequest *r, const GPtrArray *pool);
 static double error_rate_(const GPtrArray *pool);
+static GwTime opens_at_(const GwRequest *r, const GwInstance *instance,
+                        GwTime now);
 
 GwInstance *
 GwChoosing_Choose(GwRequest *r, const GwAddress **source)
@@ -110,7 +112,7 @@
 
     for (guint i = 0; pool != NULL && i < pool->len; i++) {
         const GwInstance *instance = g_ptr_array_index(pool, i);
-        bool tried = instance->draining || instance->closed_until > now;
+        bool tried = instance->draining || opens_at_(r, instance, now) > now;
 
         for (unsigned k = 0; k < r->n_tried; k++)
             tried = tried || r->tried[k] == instance->serial;
@@ -132,7 +134,7 @@
         const GwInstance *instance = g_ptr_array_index(pool, i);
 
         if (!instance->draining)
-            first = MIN(first, instance->closed_until);
+            first = MIN(first, opens_at_(r, instance, now));
     }
     return first != GW_NEVER ? MAX(first - now, 0) : 0;
 }
@@ -213,7 +215,7 @@
     // What it wants itself goes before all reach: sent to all the same, it
     // would be kept from recovering by those it has turned away.
     out->usable =
-        !instance->draining && instance->closed_until <= now &&
+        !instance->draining && opens_at_(r, instance, now) <= now &&
         !(fresh && (advice->switching || advice->down)) &&
         !(fresh && advice->preparing && GwChoosing_IsLong(r) &&
           survey->reach != REACH_EXCLUDED) &&
@@ -232,6 +234,25 @@
         out->usable = false;
 }
 
+// Earliest time, not before @p now, at which this gateway may send @p instance
+// a request.
+static GwTime
+opens_at_(const GwRequest *r, const GwInstance *instance, GwTime now)
+{
+    const GwGateway *g = r->gateway;
+    GwEndpointLimits *limits = GwView_EndpointLimits(g->view);
+    GwTime opens_at;
+
+    if (GwEndpointLimits_Rate(limits, instance, now) < 0)
+        return MAX(instance->closed_until, now);
+    // Only entries that follow an engine have a share of its limit.
+    if (instance->model != NULL && !instance->followed)
+        return GW_NEVER;
+    opens_at = GwEndpointLimits_OpensAt(
+        limits, instance, GwPeers_EntriesSendingTo(g->peers, instance), now);
+    return MAX(instance->closed_until, opens_at);
+}
+
 // What the engine at @p at would copy, and what that makes of the candidate.
 static GwCopyPlan
 plan_copy_(const GwRequest *r, const GwKeepers *keepers, guint at,
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -188,6 +188,9 @@
     r->is_usable = false;
     r->prefill = GwChoosing_Prefill(r, instance);
     instance->in_flight++;
+    GwEndpointLimits_Consume(GwView_EndpointLimits(g->view), instance,
+                             GwPeers_EntriesSendingTo(g->peers, instance),
+                             now);
     GwRequestLoad_Add(r, (int64_t)r->prefill, 1);
     if (r->n_tried < MAX_TRIED)
         r->tried[r->n_tried++] = instance->serial;
--- a/packages/gateway/tests/gateway_endpoint_limits_test.cc
+++ b/packages/gateway/tests/gateway_endpoint_limits_test.cc
@@ -4,8 +4,8 @@
 #include "gateway_private.h"
 }
 
-// What an endpoint may get in some time, by the platform's rule: one and a
-// half times what its limit allows, and five requests.
+// Maximum number of requests in @p time that the platform tolerates: 1.5 times
+// the limit, plus five.
 static size_t
 Allowed(double rate, GwTime time)
 {
@@ -24,11 +24,35 @@
     };
 }
 
-// One request at each gateway after the other for @p time.
-// @return how many of them reached @p e
+// Sends the agent's engine state, from which gateways learn how many of them
+// there are.
+static void
+TellEngine(AgentEnd *a)
+{
+    GwEngineState state = {};
+
+    state.instance = "i-1";
+    state.weights = 1;
+    GwPeers_TellEngine(a->agent, &state);
+}
+
+static void
+AddGateways(AgentEnd *a, int n)
+{
+    for (int i = 0; i < n; i++)
+        a->f.AddGateway(("gateway-" + std::to_string(i)).c_str());
+    ASSERT_TRUE(a->f.Ready());
+    a->f.Wait(700 * GW_MILLISECOND);
+    TellEngine(a);
+    a->f.Wait(50 * GW_MILLISECOND);
+}
+
+// Sends requests one at a time, to each gateway in turn, for @p time.
+// @return number of requests that reached @p e
 static size_t
-ReachingFor(Fleet *f, Endpoint *e, const char *path, GwTime time)
+ReachingFor(AgentEnd *a, Endpoint *e, const char *path, GwTime time)
 {
+    Fleet *f = &a->f;
     GwTime until = GwTime_Now() + time;
     size_t before = e->seen.size();
 
@@ -37,14 +61,15 @@
                          Fleet::Request("POST", path, std::to_string(i)));
 
         EXPECT_TRUE(f->Until([&] { return c->Has(1) || c->closed; }));
+        TellEngine(a);
         f->Wait(2 * GW_MILLISECOND);
     }
     return e->seen.size() - before;
 }
 
-// An endpoint in need is overloaded further when gateways do not keep to the
-// limit that its answers name, all of them together.
-TEST(GatewayEndpointLimits, AnEndpointGetsNoMoreThanItsLimitAllows)
+// Gateways that combined exceed the limit that an overloaded endpoint names in
+// its answers overload it further.
+TEST(GatewayEndpointLimits, CombinedRateStaysWithinLimit)
 {
     const struct {
         const char *name, *service, *path;
@@ -53,11 +78,11 @@
     } cases[] = {
         {"one gateway", "plain", "/plain/1", 1, 200, false},
         {"four gateways", "plain", "/plain/1", 4, 200, false},
-        {"in errors", "plain", "/plain/1", 4, 500, false},
-        {"in refusals", "plain", "/plain/1", 4, 503, false},
-        {"the only one", "plain", "/plain/1", 4, 200, true},
-        {"calls that must not be repeated", "plain", "/once/1", 4, 200, false},
-        {"an engine", "model", "/resume/1", 4, 200, false},
+        {"limit in errors", "plain", "/plain/1", 4, 500, false},
+        {"limit in refusals", "plain", "/plain/1", 4, 503, false},
+        {"only endpoint of its service", "plain", "/plain/1", 4, 200, true},
+        {"non-repeatable requests", "plain", "/once/1", 4, 200, false},
+        {"engine", "model", "/resume/1", 4, 200, false},
     };
 
     for (const auto &c : cases) {
@@ -71,15 +96,83 @@
                           : f.AddEndpoint("p-1", c.service);
         if (!c.alone)
             f.AddEndpoint("p-2", c.service);
-        for (int i = 0; i < c.gateways; i++)
-            f.AddGateway(("gateway-" + std::to_string(i)).c_str());
-        ASSERT_TRUE(f.Ready());
-        f.Wait(700 * GW_MILLISECOND);
+        AddGateways(&a, c.gateways);
         e->serve = Naming("4", c.status);
-        ReachingFor(&f, e, c.path, 200 * GW_MILLISECOND);
+        ReachingFor(&a, e, c.path, 200 * GW_MILLISECOND);
         ASSERT_FALSE(e->seen.empty());
-        size_t n = ReachingFor(&f, e, c.path, time);
+        size_t n = ReachingFor(&a, e, c.path, time);
         EXPECT_LE(n, Allowed(4, time));
-        EXPECT_GE(n, 2u) << "it takes some all the same";
+        EXPECT_GE(n, 2u) << "a limited endpoint must still receive requests";
+    }
+}
+
+// Gateways that have not received an answer with the limit must apply it as
+// well, including one that connects later.
+TEST(GatewayEndpointLimits, ApplyAtGatewaysWithoutAnAnswer)
+{
+    AgentEnd a;
+    Fleet &f = a.f;
+    Endpoint *e = f.AddEndpoint("p-1", "plain");
+
+    f.AddEndpoint("p-2", "plain");
+    AddGateways(&a, 3);
+    e->serve = Naming("0.2");
+    for (int i = 0; e->seen.empty() && i < 50; i++) {
+        auto c =
+            f.Call(f.gateways[0], Fleet::Request("POST", "/plain/1", "x"));
+
+        ASSERT_TRUE(f.Until([&] { return c->Has(1); }));
+    }
+    ASSERT_FALSE(e->seen.empty());
+    f.AddGateway("new");
+    ASSERT_TRUE(f.Ready());
+    f.Wait(300 * GW_MILLISECOND);
+    EXPECT_LE(ReachingFor(&a, e, "/plain/1", 500 * GW_MILLISECOND), 2u);
+}
+
+// A limit that still applies after the endpoint has recovered leaves capacity
+// unused and causes needless refusals.
+TEST(GatewayEndpointLimits, LiftedByFirstAnswerWithoutLimit)
+{
+    AgentEnd a;
+    Fleet &f = a.f;
+    Endpoint *e = f.AddEndpoint("p-1", "plain");
+
+    const GwTime time = 500 * GW_MILLISECOND;
+
+    AddGateways(&a, 2);
+    e->serve = Naming("4");
+    ReachingFor(&a, e, "/plain/1", time);
+    ASSERT_FALSE(e->seen.empty());
+    e->serve = nullptr;
+    ReachingFor(&a, e, "/plain/1", GW_SECOND);
+    EXPECT_GT(ReachingFor(&a, e, "/plain/1", time), Allowed(4, time));
+}
+
+// When all endpoints are at their limits, requests must be refused immediately
+// with the time of the next attempt, not held until they time out.
+TEST(GatewayEndpointLimits, RefusesImmediatelyWithRetryAfter)
+{
+    AgentEnd a;
+    Fleet &f = a.f;
+    Endpoint *e = f.AddEndpoint("p-1", "plain");
+    int refused = 0;
+
+    AddGateways(&a, 1);
+    e->serve = Naming("0.5");
+    for (int i = 0; i < 5; i++) {
+        GwTime since = GwTime_Now();
+        auto c =
+            f.Call(f.gateways[0], Fleet::Request("POST", "/plain/1", "x"));
+
+        ASSERT_TRUE(f.Until([&] { return c->Has(1); }));
+        EXPECT_LT(GwTime_Now() - since, 100 * GW_MILLISECOND);
+        if (c->Status() == 200)
+            continue;
+        refused++;
+        EXPECT_EQ(c->Status(), 503);
+        EXPECT_GT(std::stod(c->Header("Retry-After")), 0.0);
+        EXPECT_LE(std::stod(c->Header("Retry-After")), 2.0);
     }
+    EXPECT_GE(refused, 3);
 }
--- a/packages/routing/include/galenagw/routing/endpoint_limits.h
+++ b/packages/routing/include/galenagw/routing/endpoint_limits.h
@@ -5,6 +5,12 @@
  * A limit applies to one incarnation of an endpoint and to all processes
  * combined. It is lifted by an answer without a limit to a request that was
  * sent after the limit was named, and expires after GW_ENDPOINT_LIMIT_TERM.
+ *
+ * Each process enforces an equal share of the limit locally, so that no
+ * request waits for another process. Within four seconds, all processes
+ * combined exceed a limit of 0.1 requests per second or more by about one
+ * second's worth of requests and a few more, regardless of the number of
+ * processes and of when they start.
  * @{
  */
 #ifndef GALENAGW_ROUTING_ENDPOINT_LIMITS_H
@@ -35,7 +41,9 @@
     GwTime told_at;      /**< when the answer was received */
 } GwEndpointLimit;
 
-GwEndpointLimits *GwEndpointLimits_New(void);
+/** @param seed for the random initial state of shares; should differ between
+ * processes */
+GwEndpointLimits *GwEndpointLimits_New(uint32_t seed);
 void GwEndpointLimits_Delete(GwEndpointLimits *limits);
 /**
  * Store an endpoint's limit. Ignored if it is not finite, expired, older than
@@ -55,6 +63,22 @@
 /** Requests per second, or GW_ENDPOINT_UNLIMITED. */
 double GwEndpointLimits_Rate(const GwEndpointLimits *limits,
                              const GwInstance *instance, GwTime now);
+/**
+ * Earliest time, not before @p now, at which this process, one of @p processes
+ * that send to @p instance, may send it a request.
+ */
+GwTime GwEndpointLimits_OpensAt(const GwEndpointLimits *limits,
+                                const GwInstance *instance, unsigned processes,
+                                GwTime now);
+/** Count a request to @p instance against this process's share. */
+void GwEndpointLimits_Consume(GwEndpointLimits *limits,
+                              const GwInstance *instance, unsigned processes,
+                              GwTime now);
+/** Call @p fn for each limit in effect. */
+void GwEndpointLimits_Each(const GwEndpointLimits *limits, GwTime now,
+                           void (*fn)(void *user,
+                                      const GwEndpointLimit *limit),
+                           void *user);
 
 #ifdef __cplusplus
 }
--- a/packages/routing/src/endpoint_limits.c
+++ b/packages/routing/src/endpoint_limits.c
@@ -3,26 +3,52 @@
 #include <math.h>
 #include <string.h>
 
+/* Permits that all processes combined may accumulate, in addition to one
+ * second's worth. A process accumulates at least one, so if there are more
+ * processes than permits, none are accumulated; see PERMIT_LIFETIME. */
+#define EXTRA_BURST 2.5
+/* How long a permit that is not accumulated is valid. All processes combined
+ * then hold the permits of this period. */
+#define PERMIT_LIFETIME (250 * GW_MILLISECOND)
+/* Fraction of the rate that is used if permits are not accumulated: processes
+ * are not coordinated, so some send at the same time. */
+#define NO_BURST_RATE_FACTOR 0.6
+/* Requests per second that an endpoint with a lower limit, or one of 0, still
+ * gets, because only an answer can lift its limit. */
+#define MIN_RATE 0.1
+
 /* See GwEndpointLimit. */
 typedef struct {
     int64_t incarnation;
     double rate;
     GwTime told_at;
+    double permits; /* requests that this process could send at refilled_at */
+    GwTime refilled_at;
 } Limit;
 
+/* One process's share of a limit. */
+typedef struct {
+    double period; /* between permits */
+    double burst;  /* permits that accumulate; 0: none */
+} Share;
+
 struct GwEndpointLimits {
     GHashTable *by_id; /* id to Limit */
+    GRand *rand;
 };
 
 static Limit *find_(const GwEndpointLimits *l, const GwInstance *instance,
                     GwTime now);
+static Share share_(const Limit *limit, unsigned processes);
+static double permits_(const Limit *limit, const Share *share, GwTime now);
 static void remove_inactive_(GwEndpointLimits *l, GwTime now);
 
 GwEndpointLimits *
-GwEndpointLimits_New(void)
+GwEndpointLimits_New(uint32_t seed)
 {
     GwEndpointLimits *l = g_new0(GwEndpointLimits, 1);
 
+    l->rand = g_rand_new_with_seed(seed);
     l->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return l;
 }
@@ -33,6 +59,7 @@
     if (l == NULL)
         return;
     g_hash_table_unref(l->by_id);
+    g_rand_free(l->rand);
     g_free(l);
 }
 
@@ -52,7 +79,8 @@
         if (g_hash_table_size(l->by_id) >= GW_ENDPOINT_LIMITS_MAX)
             return false;
         known = g_new0(Limit, 1);
-        *known = (Limit){limit->incarnation, GW_ENDPOINT_UNLIMITED, 0};
+        known->incarnation = limit->incarnation;
+        known->rate = GW_ENDPOINT_UNLIMITED;
         g_hash_table_insert(l->by_id, g_strdup(limit->id), known);
     }
     else if (limit->incarnation < known->incarnation ||
@@ -61,7 +89,15 @@
         return false;
     changed =
         limit->incarnation != known->incarnation || limit->rate != known->rate;
-    *known = (Limit){limit->incarnation, limit->rate, told_at};
+    // Random, as processes that learn of the limit at the same time must not
+    // all send at the same time.
+    if (known->rate < 0 || limit->incarnation != known->incarnation) {
+        known->permits = g_rand_double(l->rand);
+        known->refilled_at = now;
+    }
+    known->incarnation = limit->incarnation;
+    known->rate = limit->rate;
+    known->told_at = told_at;
     return changed;
 }
 
@@ -84,6 +120,55 @@
     return known != NULL ? known->rate : GW_ENDPOINT_UNLIMITED;
 }
 
+GwTime
+GwEndpointLimits_OpensAt(const GwEndpointLimits *l, const GwInstance *instance,
+                         unsigned processes, GwTime now)
+{
+    const Limit *known = find_(l, instance, now);
+    Share share;
+    double permits;
+
+    if (known == NULL || known->rate < 0)
+        return now;
+    share = share_(known, processes);
+    permits = permits_(known, &share, now);
+    return permits >= 1 ? now : now + (GwTime)((1 - permits) * share.period);
+}
+
+void
+GwEndpointLimits_Consume(GwEndpointLimits *l, const GwInstance *instance,
+                         unsigned processes, GwTime now)
+{
+    Limit *known = find_(l, instance, now);
+    Share share;
+
+    if (known == NULL || known->rate < 0)
+        return;
+    share = share_(known, processes);
+    known->permits = permits_(known, &share, now) - 1;
+    known->refilled_at = now;
+}
+
+void
+GwEndpointLimits_Each(const GwEndpointLimits *l, GwTime now,
+                      void (*fn)(void *user, const GwEndpointLimit *limit),
+                      void *user)
+{
+    GHashTableIter iter;
+    gpointer id;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, l->by_id);
+    while (g_hash_table_iter_next(&iter, &id, &value)) {
+        const Limit *known = value;
+        GwEndpointLimit limit = {id, known->incarnation, known->rate,
+                                 known->told_at};
+
+        if (known->rate >= 0 && now - known->told_at < GW_ENDPOINT_LIMIT_TERM)
+            fn(user, &limit);
+    }
+}
+
 // Returns NULL if the entry is expired or of another incarnation; one with
 // incarnation 0 matches any. The size check skips hashing in the usual case
 // that no endpoint has a limit.
@@ -102,6 +187,36 @@
     return known;
 }
 
+static Share
+share_(const Limit *limit, unsigned processes)
+{
+    double rate = MAX(limit->rate, MIN_RATE);
+    unsigned n = MAX(processes, 1);
+    double burst = rate + EXTRA_BURST;
+
+    if (n <= burst)
+        return (Share){n * (double)GW_SECOND / rate, burst / n};
+    return (Share){n * (double)GW_SECOND / (NO_BURST_RATE_FACTOR * rate), 0};
+}
+
+// Permits available at @p now. Without accumulation, a whole permit expires
+// after PERMIT_LIFETIME.
+static double
+permits_(const Limit *limit, const Share *share, GwTime now)
+{
+    double permits =
+        limit->permits + (double)(now - limit->refilled_at) / share->period;
+    double fraction;
+
+    if (share->burst > 0)
+        return MIN(permits, share->burst);
+    if (permits < 1)
+        return permits;
+    fraction = permits - floor(permits);
+    return fraction * share->period <= (double)PERMIT_LIFETIME ? 1 + fraction
+                                                               : fraction;
+}
+
 static void
 remove_inactive_(GwEndpointLimits *l, GwTime now)
 {
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -114,7 +114,7 @@
                        const char *body, size_t len);
 static void missed_(GwSidecar *s, GwCallOutcome outcome);
 static void look_for_id_(GwSidecar *s);
-static void note_leaving_(GwSidecar *s, const GwHttpCaller *caller);
+static void note_endpoint_state_(GwSidecar *s, const GwHttpCaller *caller);
 static GwInstance *reported_instance_(GwSidecar *s);
 static void on_weights_(void *user, const char *model, const GwTarget *target);
 static void on_restarted_(void *user, GwInstance *before, GwInstance *after);
@@ -257,19 +257,25 @@
         s->found_at = s->reported_at;
     }
     look_for_id_(s);
-    note_leaving_(s, s->reports);
+    note_endpoint_state_(s, s->reports);
     decide_(s);
 }
 
 // It says so to us before the list does; gateways hear it from here, also
 // those that send it nothing just now.
 static void
-note_leaving_(GwSidecar *s, const GwHttpCaller *caller)
+note_endpoint_state_(GwSidecar *s, const GwHttpCaller *caller)
 {
     const GwInstance *instance = reported_instance_(s);
+    const GwHttpHead *head = GwHttpCaller_Head(caller);
+    double limit = GwMessages_Limit(head);
 
-    if (instance != NULL && GwMessages_TellsLeaving(GwHttpCaller_Head(caller)))
+    if (instance == NULL)
+        return;
+    if (GwMessages_TellsLeaving(head))
         GwPeers_NoteLeaving(s->peers, instance, GW_LEARNED_REPORT);
+    if (limit >= 0)
+        GwPeers_NoteLimit(s->peers, instance, limit, GW_LEARNED_REPORT);
 }
 
 // Entries learn of a silent engine here long before the list drops it.
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -44,6 +44,7 @@
 typedef struct Gw__Wire__EndpointEnd Gw__Wire__EndpointEnd;
 typedef struct Gw__Wire__SoundRequest Gw__Wire__SoundRequest;
 typedef struct Gw__Wire__EndpointLeaving Gw__Wire__EndpointLeaving;
+typedef struct Gw__Wire__EndpointLimit Gw__Wire__EndpointLimit;
 typedef struct Gw__Wire__Frame Gw__Wire__Frame;
 
 
@@ -695,6 +696,37 @@
     , (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * An endpoint's rate limit, or that it was lifted. Sent by the process that got
+ * the answer, forwarded by those that did not know it, and sent for all limits
+ * in effect when a session begins.
+ */
+struct  Gw__Wire__EndpointLimit
+{
+  ProtobufCMessage base;
+  char *instance;
+  /*
+   * of the endpoint; 0: unknown
+   */
+  int64_t incarnation;
+  /*
+   * requests per second, of all entries combined
+   */
+  double rate;
+  /*
+   * its answers no longer name a limit
+   */
+  protobuf_c_boolean lifted;
+  /*
+   * ms since the answer
+   */
+  uint64_t told_ms;
+};
+#define GW__WIRE__ENDPOINT_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__wire__endpoint_limit__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
 typedef enum {
   GW__WIRE__FRAME__BODY__NOT_SET = 0,
   GW__WIRE__FRAME__BODY_HELLO = 1,
@@ -724,7 +756,8 @@
   GW__WIRE__FRAME__BODY_KEPT_PARTS = 28,
   GW__WIRE__FRAME__BODY_ENDPOINT_END = 29,
   GW__WIRE__FRAME__BODY_SOUND_REQUEST = 30,
-  GW__WIRE__FRAME__BODY_ENDPOINT_LEAVING = 31
+  GW__WIRE__FRAME__BODY_ENDPOINT_LEAVING = 31,
+  GW__WIRE__FRAME__BODY_ENDPOINT_LIMIT = 32
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__WIRE__FRAME__BODY__CASE)
 } Gw__Wire__Frame__BodyCase;
 
@@ -761,6 +794,7 @@
     Gw__Wire__EndpointEnd *endpoint_end;
     Gw__Wire__SoundRequest *sound_request;
     Gw__Wire__EndpointLeaving *endpoint_leaving;
+    Gw__Wire__EndpointLimit *endpoint_limit;
   };
 };
 #define GW__WIRE__FRAME__INIT \
@@ -1319,6 +1353,25 @@
 void   gw__wire__endpoint_leaving__free_unpacked
                      (Gw__Wire__EndpointLeaving *message,
                       ProtobufCAllocator *allocator);
+/* Gw__Wire__EndpointLimit methods */
+void   gw__wire__endpoint_limit__init
+                     (Gw__Wire__EndpointLimit         *message);
+size_t gw__wire__endpoint_limit__get_packed_size
+                     (const Gw__Wire__EndpointLimit   *message);
+size_t gw__wire__endpoint_limit__pack
+                     (const Gw__Wire__EndpointLimit   *message,
+                      uint8_t             *out);
+size_t gw__wire__endpoint_limit__pack_to_buffer
+                     (const Gw__Wire__EndpointLimit   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Wire__EndpointLimit *
+       gw__wire__endpoint_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__wire__endpoint_limit__free_unpacked
+                     (Gw__Wire__EndpointLimit *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__Wire__Frame methods */
 void   gw__wire__frame__init
                      (Gw__Wire__Frame         *message);
@@ -1427,6 +1480,9 @@
 typedef void (*Gw__Wire__EndpointLeaving_Closure)
                  (const Gw__Wire__EndpointLeaving *message,
                   void *closure_data);
+typedef void (*Gw__Wire__EndpointLimit_Closure)
+                 (const Gw__Wire__EndpointLimit *message,
+                  void *closure_data);
 typedef void (*Gw__Wire__Frame_Closure)
                  (const Gw__Wire__Frame *message,
                   void *closure_data);
@@ -1467,6 +1523,7 @@
 extern const ProtobufCMessageDescriptor gw__wire__endpoint_end__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__sound_request__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__endpoint_leaving__descriptor;
+extern const ProtobufCMessageDescriptor gw__wire__endpoint_limit__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -1312,6 +1312,51 @@
   assert(message->base.descriptor == &gw__wire__endpoint_leaving__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__wire__endpoint_limit__init
+                     (Gw__Wire__EndpointLimit         *message)
+{
+  static const Gw__Wire__EndpointLimit init_value = GW__WIRE__ENDPOINT_LIMIT__INIT;
+  *message = init_value;
+}
+size_t gw__wire__endpoint_limit__get_packed_size
+                     (const Gw__Wire__EndpointLimit *message)
+{
+  assert(message->base.descriptor == &gw__wire__endpoint_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__wire__endpoint_limit__pack
+                     (const Gw__Wire__EndpointLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__wire__endpoint_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__wire__endpoint_limit__pack_to_buffer
+                     (const Gw__Wire__EndpointLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__wire__endpoint_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Wire__EndpointLimit *
+       gw__wire__endpoint_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Wire__EndpointLimit *)
+     protobuf_c_message_unpack (&gw__wire__endpoint_limit__descriptor,
+                                allocator, len, data);
+}
+void   gw__wire__endpoint_limit__free_unpacked
+                     (Gw__Wire__EndpointLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__wire__endpoint_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gw__wire__frame__init
                      (Gw__Wire__Frame         *message)
 {
@@ -3941,7 +3986,97 @@
   (ProtobufCMessageInit) gw__wire__endpoint_leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[28] =
+static const ProtobufCFieldDescriptor gw__wire__endpoint_limit__field_descriptors[5] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointLimit, instance),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointLimit, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointLimit, rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lifted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointLimit, lifted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "told_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointLimit, told_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__wire__endpoint_limit__field_indices_by_name[] = {
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = instance */
+  3,   /* field[3] = lifted */
+  2,   /* field[2] = rate */
+  4,   /* field[4] = told_ms */
+};
+static const ProtobufCIntRange gw__wire__endpoint_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor gw__wire__endpoint_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.wire.EndpointLimit",
+  "EndpointLimit",
+  "Gw__Wire__EndpointLimit",
+  "gw.wire",
+  sizeof(Gw__Wire__EndpointLimit),
+  5,
+  gw__wire__endpoint_limit__field_descriptors,
+  gw__wire__endpoint_limit__field_indices_by_name,
+  1,  gw__wire__endpoint_limit__number_ranges,
+  (ProtobufCMessageInit) gw__wire__endpoint_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[29] =
 {
   {
     "hello",
@@ -4279,6 +4414,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoint_limit",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Wire__Frame, body_case),
+    offsetof(Gw__Wire__Frame, endpoint_limit),
+    &gw__wire__endpoint_limit__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__frame__field_indices_by_name[] = {
   12,   /* field[12] = ack */
@@ -4290,6 +4437,7 @@
   17,   /* field[17] = credit_grant */
   25,   /* field[25] = endpoint_end */
   27,   /* field[27] = endpoint_leaving */
+  28,   /* field[28] = endpoint_limit */
   21,   /* field[21] = engine_state */
   11,   /* field[11] = final */
   0,   /* field[0] = hello */
@@ -4314,7 +4462,7 @@
 {
   { 1, 0 },
   { 22, 18 },
-  { 0, 28 }
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor gw__wire__frame__descriptor =
 {
@@ -4324,7 +4472,7 @@
   "Gw__Wire__Frame",
   "gw.wire",
   sizeof(Gw__Wire__Frame),
-  28,
+  29,
   gw__wire__frame__field_descriptors,
   gw__wire__frame__field_indices_by_name,
   2,  gw__wire__frame__number_ranges,
