Log the store's era, full list reads and expired reads

Callers received a 404 for a route that was in force. Meanwhile every process made over a hundred calls a second to the store and skipped three configurations, and none of their log lines reported it.

`store_era` now logs the era in the store's answers when it changes. `list_read` logs each list that was read in full: its records, those that were not newer than the held ones, its end and the previously known end. `records_expired` logs a read from an offset that the store does not have. Nothing acts on the era yet.

--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -50,22 +50,28 @@
     GwTime wait_until; /* of the call under way; 0: it does not wait */
     int64_t suspected_end;
     GwTime suspected_at;
-    unsigned cut; /* calls in a row that were cut without a byte */
+    unsigned cut;          /* calls in a row that were cut without a byte */
+    unsigned records_read; /* since the current full read began */
+    unsigned not_newer;    /* of records_read, no newer than the held record */
 } Follower;
 
 struct GwStoreReader {
     GwLoop *loop;
     GwStoreReaderOptions options;
-    bool rests; /* see GwStoreReader_Rests */
+    bool rests;  /* see GwStoreReader_Rests */
+    int64_t era; /* last one the store reported; -1: none yet */
     Follower followers[GW_LISTS];
 };
 
 static void call_(void *user);
 static void on_done_(void *user, GwCallOutcome outcome, int status,
                      const char *body, size_t len);
+static void update_era_(GwStoreReader *r, int64_t era);
 static void go_on_(Follower *f);
 static bool take_(Follower *f, const char *body, size_t len, GwError *err);
 static void on_record_(void *user, GwList list, const GwRecord *record);
+static void log_list_read_(const Follower *f, int64_t known_end);
+static void log_records_expired_(const Follower *f);
 static void failed_(Follower *f, const char *why, int status);
 static void recovered_(Follower *f);
 static void on_suspicion_(void *user);
@@ -91,6 +97,7 @@
 
     r->loop = loop;
     r->options = *options;
+    r->era = -1;
     for (int i = 0; i < GW_LISTS; i++) {
         Follower *f = &r->followers[i];
 
@@ -213,8 +220,10 @@
     f->wait_until = call.wait > 0 ? GwTime_Now() + call.wait : 0;
     g_string_truncate(f->request, 0);
     if (f->whole) {
-        if (f->after == NULL)
+        if (f->after == NULL) {
+            f->records_read = f->not_newer = 0;
             GwRecords_BeginWhole(GwView_Records(r->options.view), f->list);
+        }
         GwStore_EncodeWhole(f->list, f->after, f->request);
     }
     else {
@@ -238,6 +247,7 @@
         failed_(f, GwCallOutcome_Names[outcome], 0);
         return;
     }
+    update_era_(f->owner, GwStore_Era(GwHttpCaller_Head(f->caller)));
     switch (GwStore_Verdict(status)) {
     case GW_STORE_OK:
         recovered_(f);
@@ -249,6 +259,7 @@
     case GW_STORE_EXPIRED:
         // What was missed is gone: only the whole list tells what is left.
         recovered_(f);
+        log_records_expired_(f);
         f->whole = true;
         call_(f);
         return;
@@ -302,6 +313,7 @@
     g_free(f->after);
     f->after = after;
     if (after == NULL) {
+        log_list_read_(f, GwRecords_End(records, f->list));
         GwRecords_EndWhole(records, f->list, f->whole_end);
         f->whole = false;
     }
@@ -313,7 +325,46 @@
 {
     Follower *f = user;
 
-    GwRecords_Apply(GwView_Records(f->owner->options.view), list, record);
+    f->records_read++;
+    if (!GwRecords_Apply(GwView_Records(f->owner->options.view), list, record))
+        f->not_newer++;
+}
+
+static void
+update_era_(GwStoreReader *r, int64_t era)
+{
+    if (era < 0 || era == r->era)
+        return;
+    GwEvent_Begin(r->options.log, "store_era", NULL);
+    GwEvent_Number(r->options.log, "era", era);
+    GwEvent_Number(r->options.log, "before", r->era);
+    GwEvent_End(r->options.log);
+    r->era = era;
+}
+
+static void
+log_list_read_(const Follower *f, int64_t known_end)
+{
+    GwEventLog *log = f->owner->options.log;
+
+    GwEvent_Begin(log, "list_read", NULL);
+    GwEvent_Text(log, "list", GwList_Names[f->list]);
+    GwEvent_Number(log, "records", f->records_read);
+    GwEvent_Number(log, "older", f->not_newer);
+    GwEvent_Number(log, "end", f->whole_end);
+    GwEvent_Number(log, "known_end", known_end);
+    GwEvent_End(log);
+}
+
+static void
+log_records_expired_(const Follower *f)
+{
+    GwEventLog *log = f->owner->options.log;
+
+    GwEvent_Begin(log, "records_expired", NULL);
+    GwEvent_Text(log, "list", GwList_Names[f->list]);
+    GwEvent_Number(log, "from", f->from);
+    GwEvent_End(log);
 }
 
 static void
