Test: what is written to a restored store is passed over

The stand-in for the store can be restored from a backup: later records are gone, offsets are given out again, an era is told. On this code a configuration that is written afterwards is not in force within 2 s, and one process makes 80,243 calls in 2 s, where 12 are allowed: the read from the known end is refused as expired, the whole list is read, and the end stays the known one.

--- a/fakes/include/galenagw/fakes/fake_store.h
+++ b/fakes/include/galenagw/fakes/fake_store.h
@@ -32,6 +32,14 @@
 void FakeStore_SetPage(FakeStore *store, unsigned records);
 /** Drop the history: reads from before now get 410. */
 void FakeStore_Compact(FakeStore *store);
+/** Remember what is in the store now. */
+void FakeStore_Backup(FakeStore *store);
+/**
+ * Come back as it was at the last Backup, with connections reset: later
+ * records are gone and their offsets are given out again. All answers tell an
+ * era from then on, one more each time.
+ */
+void FakeStore_Restore(FakeStore *store);
 /** Calls that were taken so far. */
 unsigned FakeStore_Calls(const FakeStore *store);
 
--- a/fakes/src/fake_store.c
+++ b/fakes/src/fake_store.c
@@ -14,6 +14,7 @@
 typedef struct {
     GPtrArray *records; /* by offset */
     int64_t first;      /* older ones are dropped */
+    guint backup;       /* records at the last backup */
 } Topic;
 
 /* A read that waits for news. */
@@ -45,6 +46,7 @@
     GwTime delay;
     unsigned page; /* records in an answer of whole lists; 0: all */
     unsigned calls;
+    unsigned era; /* 0: not told */
 };
 
 static void on_request_(void *user, FakeExchange *exchange);
@@ -54,8 +56,10 @@
 static void delayed_free_(Delayed *d);
 static void answer_(FakeStore *s, FakeExchange *exchange);
 static void read_(FakeStore *s, FakeExchange *exchange);
-static void answer_read_(FakeExchange *exchange, const Topic *topic,
-                         int64_t from);
+static void answer_read_(const FakeStore *s, FakeExchange *exchange,
+                         const Topic *topic, int64_t from);
+static void reply_(const FakeStore *s, FakeExchange *exchange, int status,
+                   const char *body, size_t len);
 static void newest_(FakeStore *s, FakeExchange *exchange);
 static void append_(FakeStore *s, FakeExchange *exchange);
 static void on_wait_over_(void *user);
@@ -121,7 +125,7 @@
         next = TAILQ_NEXT(w, link);
         if (w->topic != topic)
             continue;
-        answer_read_(w->exchange, topic, w->from);
+        answer_read_(w->store, w->exchange, topic, w->from);
         waiting_free_(w);
     }
 }
@@ -173,6 +177,34 @@
     FakeHttpd_ResetAll(s->httpd);
 }
 
+void
+FakeStore_Backup(FakeStore *s)
+{
+    GHashTableIter iter;
+    gpointer item;
+
+    g_hash_table_iter_init(&iter, s->topics);
+    while (g_hash_table_iter_next(&iter, NULL, &item))
+        ((Topic *)item)->backup = ((Topic *)item)->records->len;
+}
+
+void
+FakeStore_Restore(FakeStore *s)
+{
+    GHashTableIter iter;
+    gpointer item;
+
+    g_hash_table_iter_init(&iter, s->topics);
+    while (g_hash_table_iter_next(&iter, NULL, &item)) {
+        Topic *topic = item;
+
+        g_ptr_array_set_size(topic->records, (int)topic->backup);
+        topic->first = MIN(topic->first, topic->backup);
+    }
+    s->era++;
+    FakeHttpd_ResetAll(s->httpd);
+}
+
 unsigned
 FakeStore_Calls(const FakeStore *s)
 {
@@ -230,7 +262,7 @@
     const char *target = exchange->head->target;
 
     if (s->refuse != 0)
-        FakeExchange_Answer(exchange, s->refuse, "", "", 0);
+        reply_(s, exchange, s->refuse, "", 0);
     else if (g_str_has_prefix(target, "/galenagw/log-read?"))
         read_(s, exchange);
     else if (g_str_has_prefix(target, "/galenagw/log-newest?"))
@@ -238,7 +270,7 @@
     else if (g_str_has_prefix(target, "/galenagw/log-append?"))
         append_(s, exchange);
     else
-        FakeExchange_Answer(exchange, 404, "", "", 0);
+        reply_(s, exchange, 404, "", 0);
 }
 
 static void
@@ -274,12 +306,12 @@
     int64_t offset = from != NULL ? atoll(from) : 0;
     Waiting *w;
 
-    if (offset < topic->first) {
-        FakeExchange_Answer(exchange, 410, "", "", 0);
+    if (offset < topic->first || offset > topic->records->len) {
+        reply_(s, exchange, 410, "", 0);
         return;
     }
     if (offset < topic->records->len || wait == NULL) {
-        answer_read_(exchange, topic, offset);
+        answer_read_(s, exchange, topic, offset);
         return;
     }
     w = g_new0(Waiting, 1);
@@ -293,7 +325,8 @@
 }
 
 static void
-answer_read_(FakeExchange *exchange, const Topic *topic, int64_t from)
+answer_read_(const FakeStore *s, FakeExchange *exchange, const Topic *topic,
+             int64_t from)
 {
     g_autoptr(GByteArray) out = g_byte_array_new();
 
@@ -304,7 +337,18 @@
 
         g_byte_array_append(out, r->frame->data, r->frame->len);
     }
-    FakeExchange_Answer(exchange, 200, "", (const char *)out->data, out->len);
+    reply_(s, exchange, 200, (const char *)out->data, out->len);
+}
+
+static void
+reply_(const FakeStore *s, FakeExchange *exchange, int status,
+       const char *body, size_t len)
+{
+    char headers[32] = "";
+
+    if (s->era > 0)
+        g_snprintf(headers, sizeof(headers), "Store-Era: %u\r\n", s->era);
+    FakeExchange_Answer(exchange, status, headers, body, len);
 }
 
 // The newest records by key, so many in an answer.
@@ -342,7 +386,7 @@
     }
     g_string_append_printf(out, "],\"more\":%s,\"end\":%u}",
                            more ? "true" : "false", topic->records->len);
-    FakeExchange_Answer(exchange, 200, "", out->str, out->len);
+    reply_(s, exchange, 200, out->str, out->len);
 }
 
 // Records of keyed topics are kept as they are read; of others none is.
@@ -367,7 +411,7 @@
         FakeStore_Put(s, name, key,
                       at < record->len ? record->str + at : NULL);
     }
-    FakeExchange_Answer(exchange, 200, "", body, strlen(body));
+    reply_(s, exchange, 200, body, strlen(body));
 }
 
 static void
@@ -375,7 +419,7 @@
 {
     Waiting *w = user;
 
-    answer_read_(w->exchange, w->topic, w->from);
+    answer_read_(w->store, w->exchange, w->topic, w->from);
     waiting_free_(w);
 }
 
