--- a/fakes/include/galenagw/fakes/fake_store.h
+++ b/fakes/include/galenagw/fakes/fake_store.h
@@ -32,14 +32,20 @@
 void FakeStore_SetPage(FakeStore *store, unsigned records);
 /** Drop the history: reads from before now get 410. */
 void FakeStore_Compact(FakeStore *store);
-/** Remember what is in the store now. */
+/** Saves the current contents for FakeStore_Restore. */
 void FakeStore_Backup(FakeStore *store);
 /**
- * Come back as it was at the last Backup, with connections reset: later
- * records are gone and their offsets are given out again. All answers tell an
- * era from then on, one more each time.
+ * Reverts the contents to the last FakeStore_Backup and resets all
+ * connections. Later records are lost and their offsets are reused. The era in
+ * the answers, absent until the first restore, increases by one.
  */
 void FakeStore_Restore(FakeStore *store);
+/** The same, but connections and waiting reads are kept. */
+void FakeStore_RestoreKeepingCalls(FakeStore *store);
+/** Sets the era in the answers. */
+void FakeStore_SetEra(FakeStore *store, unsigned era);
+/** Deletes all records and resets all connections; the era stays the same. */
+void FakeStore_Clear(FakeStore *store);
 /** Calls that were taken so far. */
 unsigned FakeStore_Calls(const FakeStore *store);
 
--- a/fakes/src/fake_store.c
+++ b/fakes/src/fake_store.c
@@ -190,6 +190,19 @@
 
 void
 FakeStore_Restore(FakeStore *s)
+{
+    FakeStore_RestoreKeepingCalls(s);
+    FakeHttpd_ResetAll(s->httpd);
+}
+
+void
+FakeStore_SetEra(FakeStore *s, unsigned era)
+{
+    s->era = era;
+}
+
+void
+FakeStore_RestoreKeepingCalls(FakeStore *s)
 {
     GHashTableIter iter;
     gpointer item;
@@ -202,6 +215,12 @@
         topic->first = MIN(topic->first, topic->backup);
     }
     s->era++;
+}
+
+void
+FakeStore_Clear(FakeStore *s)
+{
+    g_hash_table_remove_all(s->topics);
     FakeHttpd_ResetAll(s->httpd);
 }
 
--- a/packages/cluster/include/galenagw/cluster/store_reader.h
+++ b/packages/cluster/include/galenagw/cluster/store_reader.h
@@ -6,7 +6,8 @@
  * long_poll). A call that fails is followed by short ones, until one of them
  * is answered: so the store's return is noticed when it comes, not with the
  * next news. Records that expired meanwhile are made up for by reading the
- * whole list again.
+ * whole list again. A later era in an answer means that the store was restored
+ * from an older copy; both lists are then read whole again.
  * @{
  */
 #ifndef GALENAGW_CLUSTER_STORE_READER_H
@@ -34,6 +35,10 @@
      * are read at once, each call having its price. */
     GwTime instances_pause;
     GwTime bound; /**< within which a change must be known; 0: two seconds */
+    /** Called when the store was restored from an older copy, which may lack
+     * records that this process wrote; or NULL. */
+    void (*on_restored)(void *user);
+    void *user;
 } GwStoreReaderOptions;
 
 /**
--- a/packages/cluster/src/exchange.c
+++ b/packages/cluster/src/exchange.c
@@ -4,7 +4,7 @@
  * says: about the time in which entries that lapsed come back. */
 #define REMOVALS_HELD_MOST (2500 * GW_MILLISECOND)
 /* For a list that is not asked for. */
-#define NOT_WANTED ((uint64_t)G_MAXINT64)
+#define NOT_WANTED G_MAXINT64
 /* Between two looks at whether it is time to ask. */
 #define LOOK_AGAIN (100 * GW_MILLISECOND)
 /* Records in one frame; the largest, a configuration, may be megabytes. */
@@ -16,7 +16,7 @@
     const GwInstances *instances;
     GwSession *session;
     GwList list;
-    uint64_t end;
+    int64_t end;
     Gw__Wire__ListRecord records[FRAME_RECORDS];
     Gw__Wire__ListRecord *pointers[FRAME_RECORDS];
     size_t n;
@@ -72,19 +72,19 @@
 }
 
 void
-GwExchange_NoteRevision(GwExchange *x, GwExchangePeer *peer, uint64_t revision)
+GwExchange_NoteRevision(GwExchange *x, GwExchangePeer *peer, int64_t era,
+                        uint64_t revision)
 {
     GwRecords *records = GwView_Records(x->options.view);
     bool behind = false;
 
-    peer->revision = revision;
     peer->revision_at = GwTime_Now();
     for (int i = 0; i < GW_LISTS; i++) {
-        if (!GwRecords_IsBehind(records, (GwList)i, revision))
+        peer->ends[i] = GwRecords_StampEnd((GwList)i, era, revision);
+        if (!GwRecords_IsBehind(records, (GwList)i, peer->ends[i]))
             continue;
         behind = true;
-        x->wanted[i] =
-            MAX(x->wanted[i], GwRecords_StampEnd((GwList)i, revision));
+        x->wanted[i] = MAX(x->wanted[i], peer->ends[i]);
         if (x->options.reader != NULL)
             GwStoreReader_Suspect(x->options.reader, (GwList)i);
     }
@@ -97,9 +97,9 @@
                 const Gw__Wire__RecordsAsk *ask)
 {
     GwRecords *records = GwView_Records(x->options.view);
-    uint64_t ends[GW_LISTS] = {
-        [GW_LIST_OPERATOR] = ask->operator_end,
-        [GW_LIST_INSTANCES] = ask->instances_end,
+    int64_t ends[GW_LISTS] = {
+        [GW_LIST_OPERATOR] = (int64_t)ask->operator_end,
+        [GW_LIST_INSTANCES] = (int64_t)ask->instances_end,
     };
 
     // Before the records: it is then known with them.
@@ -110,14 +110,15 @@
         batch->instances = GwView_Instances(x->options.view);
         batch->session = peer->session;
         batch->list = (GwList)i;
-        batch->end = (uint64_t)GwRecords_End(records, (GwList)i);
+        batch->end = GwRecords_End(records, (GwList)i);
         // A session loses nothing: what is queued there comes or is told
         // anew on another session.
         ends[i] = MAX(ends[i], peer->sent_ends[i]);
-        if (batch->end <= ends[i])
+        // An older build would use the position as an offset in the store.
+        if (batch->end <= ends[i] ||
+            (!ask->knows_eras && GwPosition_Era(batch->end) > 0))
             continue;
-        GwRecords_Each(records, (GwList)i, (int64_t)ends[i], add_to_batch_,
-                       batch);
+        GwRecords_Each(records, (GwList)i, ends[i], add_to_batch_, batch);
         send_batch_(batch);
         peer->sent_ends[i] = batch->end;
         log_told_(x, peer, batch);
@@ -164,7 +165,8 @@
     GwEvent_Text(x->options.log, "list", GwList_Names[tell->list]);
     GwEvent_Number(x->options.log, "records", news);
     GwEvent_Number(x->options.log, "bytes", (int64_t)bytes);
-    GwEvent_Number(x->options.log, "end", (int64_t)tell->end);
+    GwEvent_Number(x->options.log, "end",
+                   GwPosition_Offset((int64_t)tell->end));
     GwEvent_End(x->options.log);
 }
 
@@ -217,8 +219,7 @@
 ask_at_(GwExchange *x, GwList list, GwTime now)
 {
     GwFetch *fetch = &x->fetches[list];
-    uint64_t end =
-        (uint64_t)GwRecords_End(GwView_Records(x->options.view), list);
+    int64_t end = GwRecords_End(GwView_Records(x->options.view), list);
     GwSupply supply = x->options.reader != NULL
                           ? GwStoreReader_Supply(x->options.reader, list)
                           : GW_SUPPLY_AWAY;
@@ -238,12 +239,13 @@
     GwExchangePeer *peer = ahead_(x, list);
     GW_FRAME(frame, ask, RECORDS_ASK, RecordsAsk, records_ask);
 
-    ask.operator_end = list == GW_LIST_OPERATOR
-                           ? (uint64_t)GwRecords_End(records, list)
-                           : NOT_WANTED;
-    ask.instances_end = list == GW_LIST_INSTANCES
-                            ? (uint64_t)GwRecords_End(records, list)
-                            : NOT_WANTED;
+    ask.operator_end =
+        (uint64_t)(list == GW_LIST_OPERATOR ? GwRecords_End(records, list)
+                                            : NOT_WANTED);
+    ask.instances_end =
+        (uint64_t)(list == GW_LIST_INSTANCES ? GwRecords_End(records, list)
+                                             : NOT_WANTED);
+    ask.knows_eras = true;
     x->asked[list] = peer;
     GwFetch_Asked(&x->fetches[list], now);
     GwSession_Send(peer->session, &frame);
@@ -264,7 +266,7 @@
         bool asked = peer == x->asked[list] && x->fetches[list].awaited;
 
         if (!GwSession_IsReady(peer->session) ||
-            !GwRecords_IsBehind(records, list, peer->revision))
+            !GwRecords_IsBehind(records, list, peer->ends[list]))
             continue;
         if (best == NULL || best == x->asked[list] ||
             (!asked && peer->revision_at > best->revision_at))
@@ -293,9 +295,10 @@
     GwCounters_Add(x->options.counters, GW_COUNTER_RECORDS_ASKED, 1);
     GwEvent_Begin(x->options.log, "records_asked", NULL);
     GwEvent_Text(x->options.log, "peer", peer->name);
-    GwEvent_Number(x->options.log, "operator_end", (int64_t)ask->operator_end);
+    GwEvent_Number(x->options.log, "operator_end",
+                   GwPosition_Offset((int64_t)ask->operator_end));
     GwEvent_Number(x->options.log, "instances_end",
-                   (int64_t)ask->instances_end);
+                   GwPosition_Offset((int64_t)ask->instances_end));
     GwEvent_End(x->options.log);
 }
 
@@ -309,7 +312,7 @@
     GwEvent_Text(x->options.log, "list", GwList_Names[batch->list]);
     GwEvent_Number(x->options.log, "records", (int64_t)batch->told);
     GwEvent_Number(x->options.log, "bytes", (int64_t)batch->told_bytes);
-    GwEvent_Number(x->options.log, "end", (int64_t)batch->end);
+    GwEvent_Number(x->options.log, "end", GwPosition_Offset(batch->end));
     GwEvent_End(x->options.log);
 }
 
@@ -353,7 +356,7 @@
 static void
 send_part_(Batch *batch)
 {
-    uint64_t end = batch->end;
+    int64_t end = batch->end;
 
     batch->end = 0;
     send_batch_(batch);
@@ -367,7 +370,7 @@
     GW_FRAME(frame, tell, RECORDS_TELL, RecordsTell, records_tell);
 
     tell.list = batch->list;
-    tell.end = batch->end;
+    tell.end = (uint64_t)batch->end;
     tell.removals_held_ms = (uint32_t)(held / GW_MILLISECOND);
     tell.n_records = batch->n;
     tell.records = batch->pointers;
--- a/packages/cluster/src/exchange.h
+++ b/packages/cluster/src/exchange.h
@@ -14,10 +14,10 @@
 typedef struct GwExchangePeer {
     TAILQ_ENTRY(GwExchangePeer) link;
     GwSession *session;
-    const char *name;  /* by its hello; may change */
-    uint64_t revision; /* how far it knows the lists, as it told */
+    const char *name;       /* by its hello; may change */
+    int64_t ends[GW_LISTS]; /* of the lists, as last reported by it */
     GwTime revision_at;
-    uint64_t sent_ends[GW_LISTS]; /* what was queued to it, up to here */
+    int64_t sent_ends[GW_LISTS]; /* of the records queued to it */
 } GwExchangePeer;
 
 typedef struct {
@@ -32,7 +32,7 @@
     GwExchangeOptions options;
     TAILQ_HEAD(, GwExchangePeer) peers;
     GwFetch fetches[GW_LISTS];
-    uint64_t wanted[GW_LISTS];       /* the furthest end that peers told */
+    int64_t wanted[GW_LISTS];        /* latest end reported by a peer */
     GwExchangePeer *asked[GW_LISTS]; /* the last one; NULL: none, or gone */
     GwTimer ask_timer;
 } GwExchange;
@@ -44,9 +44,9 @@
 /* @p peer is all zero; its session and name are set by its owner. */
 void GwExchange_Join(GwExchange *exchange, GwExchangePeer *peer);
 void GwExchange_Leave(GwExchange *exchange, GwExchangePeer *peer);
-/* @p peer told how far it knows the lists. */
+/* Records the ends that @p peer reported: @p revision is a stamp of @p era. */
 void GwExchange_NoteRevision(GwExchange *exchange, GwExchangePeer *peer,
-                             uint64_t revision);
+                             int64_t era, uint64_t revision);
 /* @p peer asked. */
 void GwExchange_Tell(GwExchange *exchange, GwExchangePeer *peer,
                      const Gw__Wire__RecordsAsk *ask);
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -69,7 +69,7 @@
     GwEngineState engine;    /* agent: told last */
     const GwKeptParts *kept; /* agent: of its engine; or NULL */
     GwLimitPool pool;        /* homes of accounts */
-    uint64_t pool_end;       /* of the list that it was made from */
+    int64_t pool_end;        /* of the list that it was made from */
 };
 
 /* Iterates over the ready peers, except the one whose session is @p from. */
@@ -94,6 +94,7 @@
 static void fill_hello_(void *user, Gw__Wire__Hello *hello);
 static void fill_limits_hello_(void *user, Gw__Wire__Hello *hello);
 static uint64_t revision_(void *user);
+static uint64_t epoch_(void *user);
 static void on_timer_(void *user);
 static void connect_(GwPeers *p, const GwAddress *address, bool limits_only);
 static void connect_engines_(GwPeers *p, const GPtrArray *all,
@@ -391,6 +392,7 @@
     return (GwSessionOptions){
         .fill_hello = fill_hello_,
         .revision = revision_,
+        .epoch = epoch_,
         .ops = &session_ops,
         .user = p,
         .counters = p->options.counters,
@@ -548,7 +550,9 @@
     Peer *peer = find_(p, session);
 
     if (peer != NULL)
-        GwExchange_NoteRevision(&p->exchange, &peer->lists, revision);
+        GwExchange_NoteRevision(&p->exchange, &peer->lists,
+                                (int64_t)GwSession_PeerEpoch(session),
+                                revision);
 }
 
 static void
@@ -617,6 +621,14 @@
     return GwRecords_Stamp(GwView_Records(p->options.view));
 }
 
+static uint64_t
+epoch_(void *user)
+{
+    GwPeers *p = user;
+
+    return (uint64_t)GwRecords_Era(GwView_Records(p->options.view));
+}
+
 static void
 on_timer_(void *user)
 {
@@ -699,7 +711,8 @@
 static void
 set_pool_(GwPeers *p)
 {
-    uint64_t end = GwRecords_StampEnd(GW_LIST_INSTANCES, revision_(p));
+    int64_t end =
+        GwRecords_End(GwView_Records(p->options.view), GW_LIST_INSTANCES);
     GwAddress own = p->options.listen;
 
     if (end == p->pool_end && p->pool.n > 0)
--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -16,6 +16,13 @@
 /* A call under way that would wait so many times longer than the next one may
  * is not worth waiting for. */
 #define ALONE_FACTOR 2
+/* Delay before a restored list is read again. Records of keys that were
+ * removed before the restore are ignored until then; entries of endpoints that
+ * are gone lapse within three heartbeats. */
+#define RESTORED_REREAD_DELAY (5 * GW_SECOND)
+/* Delay before a list is read whole again if a read expires right after a
+ * whole reading. */
+#define EXPIRED_REREAD_DELAY (500 * GW_MILLISECOND)
 /* Outages shorter than this let no entry lapse. */
 #define SHORT_OUTAGE (1 * GW_SECOND)
 /* A peer may be ahead by one round trip for a moment. */
@@ -41,11 +48,15 @@
     GwHttpCaller *caller;
     GwTimer timer; /* the pause after a failure */
     GwTimer suspicion;
+    GwTimer reread; /* see RESTORED_REREAD_DELAY */
     GString *request;
     char *after;       /* key to go on behind, within a whole reading */
     bool whole;        /* the next call reads the whole list */
+    bool after_whole;  /* no other read has succeeded since a whole reading */
+    bool is_restored;  /* first whole reading after a restore of the store */
+    int64_t era;       /* in which the list was last read; -1: none yet */
     int64_t whole_end; /* that its first page told */
-    int64_t from;      /* offset that the call under way reads from */
+    int64_t from;      /* start position of the call under way */
     GwLongPoll poll;
     GwTime wait_until; /* of the call under way; 0: it does not wait */
     int64_t suspected_end;
@@ -66,9 +77,15 @@
 static void call_(void *user);
 static void on_done_(void *user, GwCallOutcome outcome, int status,
                      const char *body, size_t len);
-static void update_era_(GwStoreReader *r, int64_t era);
+static bool update_era_(Follower *f, int64_t era);
+static void restart_other_calls_(GwStoreReader *r, const Follower *current);
+static bool adopt_era_(Follower *f);
+static void restart_whole_(Follower *f);
+static void on_reread_(void *user);
+static void read_expired_(Follower *f);
 static void go_on_(Follower *f);
 static bool take_(Follower *f, const char *body, size_t len, GwError *err);
+static void end_whole_(Follower *f);
 static void on_record_(void *user, GwList list, const GwRecord *record);
 static void log_list_read_(const Follower *f, int64_t known_end);
 static void log_records_expired_(const Follower *f);
@@ -104,12 +121,14 @@
         f->owner = r;
         f->list = (GwList)i;
         f->whole = true;
+        f->era = -1;
         GwLongPoll_Init(&f->poll, options->bound);
         f->request = g_string_new(NULL);
         f->caller = GwHttpCaller_New(loop, &options->store);
         GwHttpCaller_SetPatient(f->caller);
         GwTimer_Init(&f->timer, loop, call_, f);
         GwTimer_Init(&f->suspicion, loop, on_suspicion_, f);
+        GwTimer_Init(&f->reread, loop, on_reread_, f);
         call_(f);
     }
     return r;
@@ -125,6 +144,7 @@
 
         GwTimer_Stop(&f->timer);
         GwTimer_Stop(&f->suspicion);
+        GwTimer_Stop(&f->reread);
         GwHttpCaller_Delete(f->caller);
         g_string_free(f->request, TRUE);
         g_free(f->after);
@@ -216,22 +236,21 @@
 
     if (GwHttpCaller_IsBusy(f->caller))
         return;
+    // Peers may move the end on while this call waits.
+    f->from = GwRecords_End(GwView_Records(r->options.view), f->list);
     call = GwLongPoll_Next(&f->poll, f->whole, r->options.rand);
     f->wait_until = call.wait > 0 ? GwTime_Now() + call.wait : 0;
     g_string_truncate(f->request, 0);
-    if (f->whole) {
+    if (!f->whole)
+        GwStore_EncodeRead(f->list, GwPosition_Offset(f->from),
+                           (int)(call.wait / GW_MILLISECOND), f->request);
+    else {
         if (f->after == NULL) {
             f->records_read = f->not_newer = 0;
             GwRecords_BeginWhole(GwView_Records(r->options.view), f->list);
         }
         GwStore_EncodeWhole(f->list, f->after, f->request);
     }
-    else {
-        // Peers may move the end on while this call waits.
-        f->from = GwRecords_End(GwView_Records(r->options.view), f->list);
-        GwStore_EncodeRead(f->list, f->from, (int)(call.wait / GW_MILLISECOND),
-                           f->request);
-    }
     GwCounters_Add(r->options.counters, GW_COUNTER_STORE_CALLS, 1);
     GwHttpCaller_Send(f->caller, f->request, call.timeout, on_done_, f);
 }
@@ -247,21 +266,26 @@
         failed_(f, GwCallOutcome_Names[outcome], 0);
         return;
     }
-    update_era_(f->owner, GwStore_Era(GwHttpCaller_Head(f->caller)));
+    if (!update_era_(f, GwStore_Era(GwHttpCaller_Head(f->caller)))) {
+        failed_(f, "older_era", status);
+        return;
+    }
     switch (GwStore_Verdict(status)) {
     case GW_STORE_OK:
         recovered_(f);
-        if (take_(f, body, len, &err))
-            go_on_(f);
-        else
+        if (!adopt_era_(f))
+            restart_whole_(f);
+        else if (!take_(f, body, len, &err))
             failed_(f, err.message, status);
+        else if (f->whole && f->after == NULL)
+            read_expired_(f);
+        else
+            go_on_(f);
         return;
     case GW_STORE_EXPIRED:
         // What was missed is gone: only the whole list tells what is left.
         recovered_(f);
-        log_records_expired_(f);
-        f->whole = true;
-        call_(f);
+        read_expired_(f);
         return;
     default:
         failed_(f, GwStoreVerdict_Names[GwStore_Verdict(status)], status);
@@ -292,15 +316,16 @@
     char *after = NULL;
 
     if (!f->whole) {
-        int64_t next = f->from;
+        int64_t next = GwPosition_Offset(f->from);
 
         if (!GwStore_DecodeRead(body, len, f->list, &next, on_record_, f, &end,
                                 err))
             return false;
-        GwRecords_SetEnd(records, f->list, next);
-        // The store lost nothing it acknowledged; an end before ours would
-        // be another store, and its offsets would mean nothing to us.
-        f->whole = end < f->from;
+        GwRecords_SetEnd(records, f->list, GwPosition_Of(f->era, next));
+        f->after_whole = false;
+        // Within an era the store keeps all acknowledged records, so an
+        // earlier end means a different store with unrelated offsets.
+        f->whole = GwPosition_Of(f->era, end) < f->from;
         return true;
     }
     if (!GwStore_DecodeWhole(body, len, f->list, on_record_, f, &end, &after,
@@ -312,34 +337,138 @@
         f->whole_end = end;
     g_free(f->after);
     f->after = after;
-    if (after == NULL) {
-        log_list_read_(f, GwRecords_End(records, f->list));
-        GwRecords_EndWhole(records, f->list, f->whole_end);
-        f->whole = false;
-    }
+    if (after == NULL)
+        end_whole_(f);
     return true;
 }
 
+static void
+end_whole_(Follower *f)
+{
+    GwView *view = f->owner->options.view;
+    GwRecords *records = GwView_Records(view);
+    GwTime now = GwTime_Now();
+
+    log_list_read_(f, GwRecords_End(records, f->list));
+    // Live endpoints that the copy lacks write their entries again shortly.
+    if (f->is_restored && f->list == GW_LIST_INSTANCES)
+        GwInstances_HoldRemovals(GwView_Instances(view), now + RETURN_DOUBT,
+                                 now + RETURN_GRACE);
+    GwRecords_EndWhole(records, f->list, GwPosition_Of(f->era, f->whole_end));
+    if (f->is_restored && f->not_newer > 0)
+        GwTimer_Start(&f->reread, RESTORED_REREAD_DELAY);
+    f->is_restored = false;
+    f->after_whole = true;
+    f->whole = false;
+}
+
 static void
 on_record_(void *user, GwList list, const GwRecord *record)
 {
     Follower *f = user;
+    GwRecords *records = GwView_Records(f->owner->options.view);
+    GwRecord positioned = *record;
+    bool is_newer;
 
+    positioned.offset = GwPosition_Of(f->era, record->offset);
+    is_newer = f->is_restored
+                   ? GwRecords_ApplyRestored(records, list, &positioned)
+                   : GwRecords_Apply(records, list, &positioned);
     f->records_read++;
-    if (!GwRecords_Apply(GwView_Records(f->owner->options.view), list, record))
-        f->not_newer++;
+    f->not_newer += !is_newer;
 }
 
-static void
-update_era_(GwStoreReader *r, int64_t era)
+// Returns false if the answer is from an earlier era than a previous one.
+static bool
+update_era_(Follower *f, int64_t era)
 {
-    if (era < 0 || era == r->era)
-        return;
+    GwStoreReader *r = f->owner;
+    int64_t before = r->era;
+
+    // A store that was never restored may omit its era.
+    if (era < 0)
+        era = MAX(before, 0);
+    if (era < before)
+        return false;
+    r->era = era;
+    if (era == MAX(before, 0))
+        return true;
     GwEvent_Begin(r->options.log, "store_era", NULL);
     GwEvent_Number(r->options.log, "era", era);
-    GwEvent_Number(r->options.log, "before", r->era);
+    GwEvent_Number(r->options.log, "before", before);
     GwEvent_End(r->options.log);
-    r->era = era;
+    if (before < 0)
+        return true;
+    restart_other_calls_(r, f);
+    if (r->options.on_restored != NULL)
+        r->options.on_restored(r->options.user);
+    return true;
+}
+
+// A waiting call of the other list may wait for an offset beyond the restored
+// store's end.
+static void
+restart_other_calls_(GwStoreReader *r, const Follower *current)
+{
+    for (int i = 0; i < GW_LISTS; i++) {
+        Follower *f = &r->followers[i];
+
+        if (f == current || !GwHttpCaller_IsBusy(f->caller))
+            continue;
+        GwHttpCaller_Cancel(f->caller);
+        restart_whole_(f);
+    }
+}
+
+// Returns false if the request used an offset or page key of an earlier era.
+// Otherwise sets the follower's era to the store's.
+static bool
+adopt_era_(Follower *f)
+{
+    int64_t era = f->owner->era;
+
+    if (f->era == era)
+        return true;
+    if (!f->whole || f->after != NULL)
+        return false;
+    f->is_restored = f->era >= 0;
+    f->era = era;
+    return true;
+}
+
+static void
+restart_whole_(Follower *f)
+{
+    g_clear_pointer(&f->after, g_free);
+    f->whole = true;
+    call_(f);
+}
+
+static void
+on_reread_(void *user)
+{
+    Follower *f = user;
+
+    f->whole = true;
+    // After a failure the pause spares the store, and stays.
+    if (f->poll.failures > 0)
+        return;
+    GwTimer_Stop(&f->timer);
+    GwHttpCaller_Cancel(f->caller);
+    restart_whole_(f);
+}
+
+// Another whole reading right after the last one would have the same result,
+// so it is delayed to limit the rate of calls.
+static void
+read_expired_(Follower *f)
+{
+    log_records_expired_(f);
+    f->whole = true;
+    if (f->after_whole && f->era == f->owner->era)
+        GwTimer_Start(&f->timer, EXPIRED_REREAD_DELAY);
+    else
+        call_(f);
 }
 
 static void
@@ -352,7 +481,7 @@
     GwEvent_Number(log, "records", f->records_read);
     GwEvent_Number(log, "older", f->not_newer);
     GwEvent_Number(log, "end", f->whole_end);
-    GwEvent_Number(log, "known_end", known_end);
+    GwEvent_Number(log, "known_end", GwPosition_Offset(known_end));
     GwEvent_End(log);
 }
 
@@ -363,7 +492,7 @@
 
     GwEvent_Begin(log, "records_expired", NULL);
     GwEvent_Text(log, "list", GwList_Names[f->list]);
-    GwEvent_Number(log, "from", f->from);
+    GwEvent_Number(log, "from", GwPosition_Offset(f->from));
     GwEvent_End(log);
 }
 
--- a/packages/cluster/src/view.c
+++ b/packages/cluster/src/view.c
@@ -218,7 +218,8 @@
     GwEvent_Number(view->options.log, "before",
                    view->routes != NULL ? (int64_t)view->routes->version : -1);
     GwEvent_Number(view->options.log, "routes", routes->routes->len);
-    GwEvent_Number(view->options.log, "offset", record->offset);
+    GwEvent_Number(view->options.log, "offset",
+                   GwPosition_Offset(record->offset));
     GwEvent_End(view->options.log);
     GwCounters_Add(view->options.counters, GW_COUNTER_CONFIG_CHANGES, 1);
     GwRoutes_Unref(view->routes);
@@ -410,7 +411,7 @@
         GwEvent_Number(log, "weights", row->weights);
         GwEvent_Number(log, "incarnation", row->incarnation);
     }
-    GwEvent_Number(log, "offset", record->offset);
+    GwEvent_Number(log, "offset", GwPosition_Offset(record->offset));
     GwEvent_End(log);
 }
 
@@ -422,7 +423,8 @@
     GwEvent_Begin(view->options.log, "record_unreadable", NULL);
     GwEvent_Text(view->options.log, "list", GwList_Names[list]);
     GwEvent_Text(view->options.log, "key", record->key);
-    GwEvent_Number(view->options.log, "offset", record->offset);
+    GwEvent_Number(view->options.log, "offset",
+                   GwPosition_Offset(record->offset));
     GwEvent_Text(view->options.log, "error", err->message);
     GwEvent_End(view->options.log);
 }
--- a/packages/cluster/tests/store_restored_test.cc
+++ b/packages/cluster/tests/store_restored_test.cc
@@ -9,7 +9,7 @@
 
 static const GwTime kBound = 2 * GW_SECOND;
 
-// One store that is restored from a backup, and one process that follows it.
+// A store reader and a store that is restored from a backup.
 class StoreRestored : public LoopTest {
   protected:
     void
@@ -45,7 +45,7 @@
         reader_ = GwStoreReader_New(loop, &options);
     }
     void
-    Configure(int version)
+    PutConfig(int version)
     {
         std::string text =
             "{\"version\":" + std::to_string(version) +
@@ -56,7 +56,7 @@
         FakeStore_Put(store_, "keyed.op", "config", text.c_str());
     }
     void
-    List(const char *id, const char *state = "ready", int port = 1)
+    PutEndpoint(const char *id, const char *state = "ready", int port = 1)
     {
         std::string text = "{\"service\":\"plain\",\"address\":\"127.0.0.1:" +
                            std::to_string(port) +
@@ -78,7 +78,7 @@
     {
         return GwInstances_Find(GwView_Instances(view_), id);
     }
-    // The loop runs for `time`, or until `done`. Returns how long it took.
+    // Runs the loop for `time` or until `done`. Returns the elapsed time.
     GwTime
     Run(GwTime time, const std::function<bool()> &done = {})
     {
@@ -102,57 +102,240 @@
     GRand *rand_ = g_rand_new_with_seed(1);
 };
 
-// The store comes back as it was some seconds ago, and gives out offsets again
-// that it had given out before. What is written under them is news: passed
-// over, a configuration is not in force and callers meet 404 and 401.
-TEST_F(StoreRestored, WhatIsWrittenAfterwardsIsInForce)
+// A restored store reuses offsets. If records at reused offsets were ignored
+// as older, a new configuration would not take effect and callers would get
+// 404 and 401.
+TEST_F(StoreRestored, WritesAfterRestoreTakeEffect)
 {
-    Configure(1);
-    List("i-1");
+    PutConfig(1);
+    PutEndpoint("i-1");
     FakeStore_Backup(store_);
     for (int version = 2; version <= 6; version++)
-        Configure(version);
+        PutConfig(version);
     Start();
     ASSERT_LT(Run(kBound, [&] { return Version() == 6; }), kBound);
     FakeStore_Restore(store_);
     Run(500 * GW_MILLISECOND);
-    Configure(6);
-    Configure(7);
+    PutConfig(6);
+    PutConfig(7);
     EXPECT_LT(Run(kBound, [&] { return Version() == 7; }), kBound);
-    List("i-1", "draining");
+    PutEndpoint("i-1", "draining");
     EXPECT_LT(Run(kBound, [&] { return Find("i-1")->draining; }), kBound);
 }
 
-// The price of each call: a process must not read the same lists again and
-// again while nothing changes.
+// A process must not read unchanged lists repeatedly after a restore.
 TEST_F(StoreRestored, ListsAreReadOnce)
 {
     unsigned before;
 
-    Configure(1);
-    List("i-1");
+    PutConfig(1);
+    PutEndpoint("i-1");
     FakeStore_Backup(store_);
-    Configure(2);
-    List("i-1");
+    PutConfig(2);
+    PutEndpoint("i-1");
     Start();
     Run(300 * GW_MILLISECOND);
     before = FakeStore_Calls(store_);
     FakeStore_Restore(store_);
     Run(2 * GW_SECOND);
-    // Two whole lists, and reads that wait; some calls meet the reset.
+    // Two whole readings, the waiting reads and calls that fail by the reset.
     EXPECT_LE(FakeStore_Calls(store_) - before, 12u);
 }
 
-// The copy is older than what is in force.
-TEST_F(StoreRestored, AnOlderConfigurationDoesNotComeBack)
+// A configuration in the backup must not replace a newer one.
+TEST_F(StoreRestored, OlderConfigurationIsIgnored)
 {
-    Configure(1);
-    List("i-1");
+    PutConfig(1);
+    PutEndpoint("i-1");
     FakeStore_Backup(store_);
-    Configure(2);
+    PutConfig(2);
     Start();
     Run(300 * GW_MILLISECOND);
     FakeStore_Restore(store_);
     Run(GW_SECOND);
     EXPECT_EQ(Version(), 2u);
 }
+
+// The store is restored again while the lists are still being read.
+TEST_F(StoreRestored, RepeatedRestoresAreFollowed)
+{
+    PutConfig(1);
+    PutEndpoint("i-1");
+    FakeStore_Backup(store_);
+    for (int version = 2; version <= 6; version++)
+        PutConfig(version);
+    Start();
+    ASSERT_LT(Run(kBound, [&] { return Version() == 6; }), kBound);
+    for (int version = 7; version <= 9; version++) {
+        FakeStore_Restore(store_);
+        Run(30 * GW_MILLISECOND);
+    }
+    PutConfig(10);
+    EXPECT_LT(Run(kBound, [&] { return Version() == 10; }), kBound);
+}
+
+// Pages from before and after a restore must not be combined into one list.
+TEST_F(StoreRestored, RestoreBetweenPagesRestartsReading)
+{
+    PutConfig(1);
+    for (int i = 0; i < 6; i++)
+        PutEndpoint(("i-" + std::to_string(i)).c_str(), "ready", 10 + i);
+    FakeStore_SetPage(store_, 2);
+    FakeStore_Backup(store_);
+    PutConfig(2);
+    PutEndpoint("i-6", "ready", 16);
+    FakeStore_SetDelay(store_, 40 * GW_MILLISECOND);
+    Start();
+    Run(100 * GW_MILLISECOND);
+    FakeStore_Restore(store_);
+    FakeStore_SetDelay(store_, 0);
+    Run(GW_SECOND);
+    PutConfig(3);
+    PutEndpoint("i-5", "draining", 15);
+    EXPECT_LT(Run(kBound, [&] { return Version() == 3; }), kBound);
+    EXPECT_LT(Run(kBound, [&] { return Find("i-5")->draining; }), kBound);
+    EXPECT_NE(Find("i-0"), nullptr);
+}
+
+// Live endpoints that the backup lacks write their entries again within two
+// seconds and must stay available until then. Those that do not are removed.
+TEST_F(StoreRestored, EndpointsMissingFromBackupAreKeptUntilRewritten)
+{
+    PutConfig(1);
+    PutEndpoint("i-1", "ready", 1);
+    FakeStore_Backup(store_);
+    PutEndpoint("i-2", "ready", 2);
+    PutEndpoint("i-3", "ready", 3);
+    Start();
+    ASSERT_LT(Run(kBound, [&] { return Find("i-3") != nullptr; }), kBound);
+    FakeStore_Restore(store_);
+    for (int i = 0; i < 15; i++) {
+        Run(100 * GW_MILLISECOND);
+        EXPECT_NE(Find("i-2"), nullptr) << i;
+        EXPECT_NE(Find("i-3"), nullptr) << i;
+    }
+    PutEndpoint("i-2", "ready", 2);
+    Run(2 * GW_SECOND);
+    GwInstances_Sweep(GwView_Instances(view_), GwTime_Now());
+    EXPECT_NE(Find("i-1"), nullptr);
+    EXPECT_NE(Find("i-2"), nullptr);
+    EXPECT_EQ(Find("i-3"), nullptr);
+}
+
+// The backup contains endpoints that have been removed since. They must get no
+// requests: they may run for some more seconds, and their addresses may be
+// reused. An entry that outlasts its lease belongs to a live endpoint.
+TEST_F(StoreRestored, RemovedEndpointsReturnOnlyIfTheyOutlastLease)
+{
+    PutConfig(1);
+    PutEndpoint("i-1", "ready", 1);
+    PutEndpoint("i-2", "ready", 2);
+    PutEndpoint("i-3", "ready", 3);
+    FakeStore_Backup(store_);
+    Start();
+    ASSERT_LT(Run(kBound, [&] { return Find("i-2") != nullptr; }), kBound);
+    FakeStore_Put(store_, "keyed.servers", "i-2", nullptr);
+    FakeStore_Put(store_, "keyed.servers", "i-3", nullptr);
+    ASSERT_LT(Run(kBound, [&] { return Find("i-3") == nullptr; }), kBound);
+    FakeStore_Restore(store_);
+    Run(3600 * GW_MILLISECOND);
+    EXPECT_EQ(Find("i-2"), nullptr);
+    EXPECT_EQ(Find("i-3"), nullptr);
+    // The lease of i-2 expires.
+    FakeStore_Put(store_, "keyed.servers", "i-2", nullptr);
+    Run(3 * GW_SECOND);
+    EXPECT_EQ(Find("i-2"), nullptr);
+    EXPECT_NE(Find("i-3"), nullptr);
+}
+
+// Of two endpoints at one address, the one written later is used. Compared by
+// reused offsets alone, the new endpoint would get no requests.
+TEST_F(StoreRestored, LaterEndpointAtSameAddressIsUsed)
+{
+    PutConfig(1);
+    FakeStore_Backup(store_);
+    for (int i = 0; i < 5; i++)
+        PutEndpoint("i-1", i % 2 == 0 ? "ready" : "starting", 1);
+    Start();
+    ASSERT_LT(Run(kBound, [&] { return Find("i-1") != nullptr; }), kBound);
+    FakeStore_Restore(store_);
+    Run(300 * GW_MILLISECOND);
+    PutEndpoint("i-2", "ready", 1);
+    ASSERT_LT(Run(kBound, [&] { return Find("i-2") != nullptr; }), kBound);
+    EXPECT_FALSE(Find("i-2")->draining);
+    EXPECT_TRUE(Find("i-1") == nullptr || Find("i-1")->draining);
+}
+
+// A store that loses records without a new era must not be called in a tight
+// loop.
+TEST_F(StoreRestored, ExpiredReadAfterWholeReadingIsDelayed)
+{
+    unsigned before;
+
+    PutConfig(1);
+    PutEndpoint("i-1");
+    Start();
+    Run(300 * GW_MILLISECOND);
+    before = FakeStore_Calls(store_);
+    FakeStore_Clear(store_);
+    Run(2 * GW_SECOND);
+    EXPECT_LE(FakeStore_Calls(store_) - before, 30u);
+}
+
+// A read that waited throughout the restore is answered for an offset of the
+// earlier era; the records written since must not be skipped.
+TEST_F(StoreRestored, WaitingReadThatIsKeptDoesNotSkipRecords)
+{
+    PutConfig(1);
+    PutEndpoint("i-1", "ready", 1);
+    FakeStore_Backup(store_);
+    for (int i = 0; i < 5; i++)
+        PutEndpoint("i-1", "ready", 1);
+    Start();
+    ASSERT_LT(Run(kBound, [&] { return Find("i-1") != nullptr; }), kBound);
+    Run(500 * GW_MILLISECOND);
+    FakeStore_RestoreKeepingCalls(store_);
+    PutEndpoint("i-2", "ready", 2);
+    for (int i = 0; i < 6; i++)
+        PutEndpoint("i-1", "ready", 1);
+    EXPECT_LT(Run(kBound, [&] { return Find("i-2") != nullptr; }), kBound);
+}
+
+// The restore is seen by the call for one list while the call for the other
+// one may wait for seconds; an endpoint that is gone must not stay in use.
+TEST_F(StoreRestored, WaitingReadOfOtherListIsRestarted)
+{
+    PutConfig(1);
+    PutEndpoint("i-1", "ready", 1);
+    FakeStore_Backup(store_);
+    PutEndpoint("i-2", "ready", 2);
+    Start();
+    GwStoreReader_SetSharers(reader_, 100);
+    ASSERT_LT(Run(kBound, [&] { return Find("i-2") != nullptr; }), kBound);
+    Run(500 * GW_MILLISECOND);
+    FakeStore_RestoreKeepingCalls(store_);
+    PutConfig(2);
+    Run(2800 * GW_MILLISECOND);
+    GwInstances_Sweep(GwView_Instances(view_), GwTime_Now());
+    EXPECT_EQ(Find("i-2"), nullptr);
+    EXPECT_NE(Find("i-1"), nullptr);
+}
+
+// An answer that was under way during a restore must not be mistaken for the
+// state after it.
+TEST_F(StoreRestored, AnswerOfEarlierEraIsIgnored)
+{
+    PutConfig(1);
+    PutEndpoint("i-1");
+    Start();
+    ASSERT_LT(Run(kBound, [&] { return Version() == 1; }), kBound);
+    FakeStore_SetEra(store_, 3);
+    PutConfig(2);
+    ASSERT_LT(Run(kBound, [&] { return Version() == 2; }), kBound);
+    FakeStore_SetEra(store_, 2);
+    PutConfig(3);
+    Run(500 * GW_MILLISECOND);
+    EXPECT_EQ(Version(), 2u);
+    FakeStore_SetEra(store_, 3);
+    EXPECT_LT(Run(kBound, [&] { return Version() == 3; }), kBound);
+}
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -41,6 +41,7 @@
 static void on_limit_timer_(void *user);
 static void leave_silent_(GwGateway *g);
 static bool listen_(GwGateway *g, const GwDeployment *d, GwError *err);
+static void on_store_restored_(void *user);
 static bool join_(GwGateway *g, const GwDeployment *d, GwError *err);
 static void copy_bounds_(GwGateway *g, const GwDeployment *d);
 
@@ -390,6 +391,14 @@
     return g->metrics_server != NULL;
 }
 
+static void
+on_store_restored_(void *user)
+{
+    GwGateway *g = user;
+
+    GwQuarantineStore_RewriteAll(g->quarantine_store);
+}
+
 static bool
 join_(GwGateway *g, const GwDeployment *d, GwError *err)
 {
@@ -402,6 +411,8 @@
         .rand = g->rand,
         .instances_pause = GwStoreReader_EntryPause(1, d->leaving_bound),
         .bound = d->config_bound,
+        .on_restored = on_store_restored_,
+        .user = g,
     };
     GwPeersOptions peers = {
         .name = g->name,
--- a/packages/gateway/src/quarantine_store.c
+++ b/packages/gateway/src/quarantine_store.c
@@ -81,6 +81,17 @@
         write_(s, key);
 }
 
+void
+GwQuarantineStore_RewriteAll(GwQuarantineStore *s)
+{
+    GHashTableIter iter;
+    gpointer key;
+
+    g_hash_table_iter_init(&iter, s->written);
+    while (g_hash_table_iter_next(&iter, &key, NULL))
+        write_(s, key);
+}
+
 // Reads first, then writes, one call at a time.
 static void
 call_(void *user)
--- a/packages/gateway/src/quarantine_store.h
+++ b/packages/gateway/src/quarantine_store.h
@@ -27,5 +27,7 @@
 void GwQuarantineStore_Keep(GwQuarantineStore *store, const GwDigest *request);
 /* @p request was let out: if we wrote it, it is removed. */
 void GwQuarantineStore_Drop(GwQuarantineStore *store, const GwDigest *request);
+/* Writes all entries of this process again, after the store was restored. */
+void GwQuarantineStore_RewriteAll(GwQuarantineStore *store);
 
 #endif
--- a/packages/gateway/tests/gateway_quarantine_test.cc
+++ b/packages/gateway/tests/gateway_quarantine_test.cc
@@ -164,6 +164,30 @@
     EXPECT_EQ(t.ended, 0);
 }
 
+// The store is restored from a copy that was made before the request was
+// quarantined. Unless gateways write their entries again, processes that start
+// later accept the request.
+TEST(GatewayQuarantine, IsRewrittenToRestoredStore)
+{
+    FatalFleet t("plain", 12);
+    Fleet &f = t.a.f;
+
+    ASSERT_TRUE(f.Ready());
+    FakeStore_Backup(f.store);
+    for (int i = 0; i < 8; i++)
+        t.Ask(f.gateways[i % 4], "/once/1");
+    ASSERT_EQ(t.Ask(f.gateways[0], "/once/1"), 503);
+    f.Wait(300 * GW_MILLISECOND);
+    FakeStore_Restore(f.store);
+    f.Wait(GW_SECOND);
+    t.RestartAll();
+    ASSERT_TRUE(f.Ready());
+    t.ended = 0;
+    for (GwGateway *g : f.gateways)
+        EXPECT_EQ(t.Ask(g, "/once/1"), 503);
+    EXPECT_EQ(t.ended, 0);
+}
+
 // What lies in the store may be of a process that is gone, of another build or
 // of a wrong clock. A sound request must not be refused for longer than a term
 // by it, and what is over goes.
--- a/packages/routing/src/records.c
+++ b/packages/routing/src/records.c
@@ -5,6 +5,11 @@
 /* A stamp holds the operators' end above this bit, the instances' below. */
 #define STAMP_SHIFT 32
 #define STAMP_MASK 0xffffffffu
+/* A position holds the era above this bit, the offset below. */
+#define ERA_SHIFT 40
+#define OFFSET_MASK ((INT64_C(1) << ERA_SHIFT) - 1)
+/* Keeps positions below 2^62. */
+#define ERA_MAX ((INT64_C(1) << (62 - ERA_SHIFT)) - 1)
 
 typedef struct {
     char *key;
@@ -26,9 +31,28 @@
     [GW_LIST_INSTANCES] = "instances",
 };
 
+static uint64_t stamp_end_(const GwRecords *records, GwList list);
 static void free_held_(void *item);
 static void tell_(GwRecords *records, GwList list, const Held *held);
 
+int64_t
+GwPosition_Of(int64_t era, int64_t offset)
+{
+    return CLAMP(era, 0, ERA_MAX) << ERA_SHIFT | CLAMP(offset, 0, OFFSET_MASK);
+}
+
+int64_t
+GwPosition_Era(int64_t position)
+{
+    return position >> ERA_SHIFT;
+}
+
+int64_t
+GwPosition_Offset(int64_t position)
+{
+    return position & OFFSET_MASK;
+}
+
 GwRecords *
 GwRecords_New(GwRecords_OnRecord fn, void *user)
 {
@@ -76,6 +100,18 @@
     return true;
 }
 
+bool
+GwRecords_ApplyRestored(GwRecords *records, GwList list,
+                        const GwRecord *record)
+{
+    const Held *held = g_hash_table_lookup(records->lists[list], record->key);
+
+    if (held != NULL && held->value == NULL &&
+        GwPosition_Era(held->offset) < GwPosition_Era(record->offset))
+        return false;
+    return GwRecords_Apply(records, list, record);
+}
+
 void
 GwRecords_SetEnd(GwRecords *records, GwList list, int64_t end)
 {
@@ -88,6 +124,16 @@
     return records->ends[list];
 }
 
+int64_t
+GwRecords_Era(const GwRecords *records)
+{
+    int64_t era = 0;
+
+    for (int i = 0; i < GW_LISTS; i++)
+        era = MAX(era, GwPosition_Era(records->ends[i]));
+    return era;
+}
+
 void
 GwRecords_BeginWhole(GwRecords *records, GwList list)
 {
@@ -140,21 +186,34 @@
 uint64_t
 GwRecords_Stamp(const GwRecords *records)
 {
-    return (uint64_t)records->ends[GW_LIST_OPERATOR] << STAMP_SHIFT |
-           ((uint64_t)records->ends[GW_LIST_INSTANCES] & STAMP_MASK);
+    return stamp_end_(records, GW_LIST_OPERATOR) << STAMP_SHIFT |
+           (stamp_end_(records, GW_LIST_INSTANCES) & STAMP_MASK);
 }
 
-uint64_t
-GwRecords_StampEnd(GwList list, uint64_t stamp)
+int64_t
+GwRecords_StampEnd(GwList list, int64_t era, uint64_t stamp)
 {
-    return list == GW_LIST_OPERATOR ? stamp >> STAMP_SHIFT
-                                    : stamp & STAMP_MASK;
+    uint64_t end =
+        list == GW_LIST_OPERATOR ? stamp >> STAMP_SHIFT : stamp & STAMP_MASK;
+
+    return end > 0 ? GwPosition_Of(era, (int64_t)end) : 0;
 }
 
 bool
-GwRecords_IsBehind(const GwRecords *records, GwList list, uint64_t stamp)
+GwRecords_IsBehind(const GwRecords *records, GwList list, int64_t end)
 {
-    return GwRecords_StampEnd(list, stamp) > (uint64_t)records->ends[list];
+    return end > records->ends[list];
+}
+
+// Returns 0 for a list that has not been read in the latest era yet.
+static uint64_t
+stamp_end_(const GwRecords *records, GwList list)
+{
+    int64_t end = records->ends[list];
+
+    return GwPosition_Era(end) == GwRecords_Era(records)
+               ? (uint64_t)GwPosition_Offset(end)
+               : 0;
 }
 
 static void
--- a/packages/routing/tests/membership_records_test.cc
+++ b/packages/routing/tests/membership_records_test.cc
@@ -72,16 +72,61 @@
     GwRecords_Delete(r);
 }
 
+// A restored store reuses offsets, so a record of a later era must replace one
+// with a higher offset of an earlier era.
+TEST(Records, LaterEraOutranksHigherOffset)
+{
+    Seen seen;
+    GwRecords *r = GwRecords_New(OnRecord, &seen);
+    GwRecord gone = {"gone", nullptr, 0, GwPosition_Of(0, 901)};
+    GwRecord copied = {"gone", "x", 1, GwPosition_Of(1, 4)};
+
+    EXPECT_TRUE(Apply(r, "a", "old", GwPosition_Of(0, 900)));
+    EXPECT_TRUE(Apply(r, "a", "new", GwPosition_Of(1, 3)));
+    EXPECT_FALSE(Apply(r, "a", "old", GwPosition_Of(0, 901)));
+    EXPECT_TRUE(Apply(r, "gone", "x", GwPosition_Of(0, 5)));
+    GwRecords_Apply(r, GW_LIST_INSTANCES, &gone);
+    EXPECT_FALSE(GwRecords_ApplyRestored(r, GW_LIST_INSTANCES, &copied))
+        << "removed after the copy was made";
+    EXPECT_TRUE(GwRecords_Apply(r, GW_LIST_INSTANCES, &copied));
+    GwRecords_Delete(r);
+}
+
+// Peers and the store may send values that are out of range.
+TEST(Records, PositionsRoundTripAndClamp)
+{
+    const struct {
+        int64_t era, offset, kept_era, kept_offset;
+    } cases[] = {
+        {0, 0, 0, 0},
+        {0, 7, 0, 7},
+        {3, 7, 3, 7},
+        {1000000, (INT64_C(1) << 40) - 1, 1000000, (INT64_C(1) << 40) - 1},
+        {-1, -1, 0, 0},
+        {0, INT64_MAX, 0, (INT64_C(1) << 40) - 1},
+    };
+
+    for (const auto &c : cases) {
+        int64_t position = GwPosition_Of(c.era, c.offset);
+
+        EXPECT_EQ(GwPosition_Era(position), c.kept_era);
+        EXPECT_EQ(GwPosition_Offset(position), c.kept_offset);
+    }
+}
+
 TEST(Records, StampsTellWhoIsBehindInWhichList)
 {
     Seen seen;
     GwRecords *a = GwRecords_New(OnRecord, &seen);
     const struct {
-        int64_t op, instances;
+        int64_t era, op, instances;
         bool op_behind, instances_behind;
     } cases[] = {
-        {0, 0, false, false}, {7, 9, false, false}, {8, 9, true, false},
-        {7, 10, false, true}, {8, 0, true, false},  {100, 100, true, true},
+        {0, 0, 0, false, false}, {0, 7, 9, false, false},
+        {0, 8, 9, true, false},  {0, 7, 10, false, true},
+        {0, 8, 0, true, false},  {0, 100, 100, true, true},
+        {1, 0, 0, false, false}, {1, 1, 0, true, false},
+        {1, 0, 1, false, true},  {1, 2, 3, true, true},
     };
 
     GwRecords_SetEnd(a, GW_LIST_OPERATOR, 7);
@@ -89,12 +134,17 @@
     for (auto &c : cases) {
         GwRecords *b = GwRecords_New(OnRecord, nullptr);
 
-        GwRecords_SetEnd(b, GW_LIST_OPERATOR, c.op);
-        GwRecords_SetEnd(b, GW_LIST_INSTANCES, c.instances);
+        const int64_t ends[GW_LISTS] = {c.op, c.instances};
+        for (int i = 0; i < GW_LISTS; i++)
+            GwRecords_SetEnd(b, (GwList)i, GwPosition_Of(c.era, ends[i]));
         uint64_t stamp = GwRecords_Stamp(b);
-        EXPECT_EQ(GwRecords_IsBehind(a, GW_LIST_OPERATOR, stamp), c.op_behind);
-        EXPECT_EQ(GwRecords_IsBehind(a, GW_LIST_INSTANCES, stamp),
-                  c.instances_behind);
+        int64_t era = GwRecords_Era(b);
+        EXPECT_EQ(era, c.era);
+        for (int i = 0; i < GW_LISTS; i++)
+            EXPECT_EQ(
+                GwRecords_IsBehind(a, (GwList)i,
+                                   GwRecords_StampEnd((GwList)i, era, stamp)),
+                i == GW_LIST_OPERATOR ? c.op_behind : c.instances_behind);
         GwRecords_Delete(b);
     }
     GwRecords_Delete(a);
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -624,7 +624,8 @@
     GwError err = {0};
     bool ok = outcome == GW_CALL_ANSWERED &&
               GwStore_Verdict(status) == GW_STORE_OK &&
-              GwStore_DecodeFence(body, len, &s->fence, &err);
+              GwStore_DecodeFence(GwHttpCaller_Head(s->store), body, len,
+                                  &s->fence, &err);
 
     GwEvent_Begin(s->log, ok ? "fence_drawn" : "fence_failed", NULL);
     GwEvent_Text(s->log, "outcome", GwCallOutcome_Names[outcome]);
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -83,6 +83,10 @@
    * configuration revision held by the sender
    */
   uint64_t revision;
+  /*
+   * of the revision; a later epoch is newer
+   */
+  uint64_t epoch;
   /*
    * an entry that asks this agent for limits, and sends
    */
@@ -90,7 +94,7 @@
 };
 #define GW__WIRE__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__hello__descriptor) \
-    , 0, GW__WIRE__ROLE__ROLE_ENTRY, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, GW__WIRE__ROLE__ROLE_ENTRY, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Gw__Wire__Ping
@@ -102,10 +106,11 @@
    * bytes that the sender has received in the session
    */
   uint64_t received;
+  uint64_t epoch;
 };
 #define GW__WIRE__PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__ping__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 struct  Gw__Wire__Pong
@@ -113,10 +118,11 @@
   ProtobufCMessage base;
   uint64_t nonce;
   uint64_t revision;
+  uint64_t epoch;
 };
 #define GW__WIRE__PONG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__pong__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Gw__Wire__Leaving
@@ -433,16 +439,21 @@
 
 /*
  * The platform's lists, from a process that knows more to one that is behind.
+ * Ends and offsets are positions, which combine the store's era and an offset.
  */
 struct  Gw__Wire__RecordsAsk
 {
   ProtobufCMessage base;
   uint64_t operator_end;
   uint64_t instances_end;
+  /*
+   * else only lists of era 0 are sent
+   */
+  protobuf_c_boolean knows_eras;
 };
 #define GW__WIRE__RECORDS_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__records_ask__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Gw__Wire__ListRecord
--- a/packages/wire/include/galenagw/wire/session.h
+++ b/packages/wire/include/galenagw/wire/session.h
@@ -43,6 +43,8 @@
     void (*fill_hello)(void *user, Gw__Wire__Hello *hello);
     /** Our configuration revision, for pings. */
     uint64_t (*revision)(void *user);
+    /** Epoch of our configuration revision; NULL: always 0. */
+    uint64_t (*epoch)(void *user);
     const GwSessionOps *ops;
     void *user;
     GwCounters *counters;
@@ -57,6 +59,8 @@
 void GwSession_Send(GwSession *session, const GwFrame *frame);
 /** Send a ping now, which tells our revision; the next one comes as usual. */
 void GwSession_Ping(GwSession *session);
+/** Epoch of the last revision received from the peer. */
+uint64_t GwSession_PeerEpoch(const GwSession *session);
 /** When a part of a large frame last came; 0: never. */
 GwTime GwSession_LargeAt(const GwSession *session);
 bool GwSession_IsReady(const GwSession *session);
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -1402,7 +1402,7 @@
   assert(message->base.descriptor == &gw__wire__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gw__wire__hello__field_descriptors[9] =
+static const ProtobufCFieldDescriptor gw__wire__hello__field_descriptors[10] =
 {
   {
     "version",
@@ -1512,8 +1512,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__Hello, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__hello__field_indices_by_name[] = {
+  9,   /* field[9] = epoch */
   3,   /* field[3] = failure_domain */
   4,   /* field[4] = incarnation */
   2,   /* field[2] = instance */
@@ -1527,7 +1540,7 @@
 static const ProtobufCIntRange gw__wire__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor gw__wire__hello__descriptor =
 {
@@ -1537,14 +1550,14 @@
   "Gw__Wire__Hello",
   "gw.wire",
   sizeof(Gw__Wire__Hello),
-  9,
+  10,
   gw__wire__hello__field_descriptors,
   gw__wire__hello__field_indices_by_name,
   1,  gw__wire__hello__number_ranges,
   (ProtobufCMessageInit) gw__wire__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__ping__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gw__wire__ping__field_descriptors[4] =
 {
   {
     "nonce",
@@ -1582,8 +1595,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__Ping, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__ping__field_indices_by_name[] = {
+  3,   /* field[3] = epoch */
   0,   /* field[0] = nonce */
   2,   /* field[2] = received */
   1,   /* field[1] = revision */
@@ -1591,7 +1617,7 @@
 static const ProtobufCIntRange gw__wire__ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gw__wire__ping__descriptor =
 {
@@ -1601,14 +1627,14 @@
   "Gw__Wire__Ping",
   "gw.wire",
   sizeof(Gw__Wire__Ping),
-  3,
+  4,
   gw__wire__ping__field_descriptors,
   gw__wire__ping__field_indices_by_name,
   1,  gw__wire__ping__number_ranges,
   (ProtobufCMessageInit) gw__wire__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__pong__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gw__wire__pong__field_descriptors[3] =
 {
   {
     "nonce",
@@ -1634,15 +1660,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__Pong, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__pong__field_indices_by_name[] = {
+  2,   /* field[2] = epoch */
   0,   /* field[0] = nonce */
   1,   /* field[1] = revision */
 };
 static const ProtobufCIntRange gw__wire__pong__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor gw__wire__pong__descriptor =
 {
@@ -1652,7 +1691,7 @@
   "Gw__Wire__Pong",
   "gw.wire",
   sizeof(Gw__Wire__Pong),
-  2,
+  3,
   gw__wire__pong__field_descriptors,
   gw__wire__pong__field_indices_by_name,
   1,  gw__wire__pong__number_ranges,
@@ -3099,7 +3138,7 @@
   (ProtobufCMessageInit) gw__wire__credit_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__records_ask__field_descriptors[2] =
+static const ProtobufCFieldDescriptor gw__wire__records_ask__field_descriptors[3] =
 {
   {
     "operator_end",
@@ -3125,15 +3164,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "knows_eras",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__RecordsAsk, knows_eras),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__records_ask__field_indices_by_name[] = {
   1,   /* field[1] = instances_end */
+  2,   /* field[2] = knows_eras */
   0,   /* field[0] = operator_end */
 };
 static const ProtobufCIntRange gw__wire__records_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor gw__wire__records_ask__descriptor =
 {
@@ -3143,7 +3195,7 @@
   "Gw__Wire__RecordsAsk",
   "gw.wire",
   sizeof(Gw__Wire__RecordsAsk),
-  2,
+  3,
   gw__wire__records_ask__field_descriptors,
   gw__wire__records_ask__field_indices_by_name,
   1,  gw__wire__records_ask__number_ranges,
--- a/packages/wire/src/session.c
+++ b/packages/wire/src/session.c
@@ -30,6 +30,7 @@
     bool ready;
     bool closed;
     int depth; /* callbacks in progress: the struct must not be freed */
+    uint64_t peer_epoch;
 };
 
 struct GwSessionServer {
@@ -54,10 +55,11 @@
 static bool handle_(GwSession *s, const GwFrame *frame);
 static bool on_hello_(GwSession *s, const Gw__Wire__Hello *hello);
 static void send_pong_(GwSession *s, uint64_t nonce);
-static void tell_revision_(GwSession *s, uint64_t revision);
+static void tell_revision_(GwSession *s, uint64_t epoch, uint64_t revision);
 static void fail_(GwSession *s, bool silent);
 static void leave_(GwSession *s);
 static uint64_t revision_(GwSession *s);
+static uint64_t epoch_(GwSession *s);
 
 static const GwTcpOps tcp_ops = {on_open_, on_data_, on_closed_, NULL};
 
@@ -94,10 +96,17 @@
     if (s->pinged_at == 0)
         s->pinged_at = GwTime_Now();
     ping.revision = revision_(s);
+    ping.epoch = epoch_(s);
     ping.received = s->received;
     GwSession_Send(s, &frame);
 }
 
+uint64_t
+GwSession_PeerEpoch(const GwSession *s)
+{
+    return s->peer_epoch;
+}
+
 GwTime
 GwSession_LargeAt(const GwSession *s)
 {
@@ -197,6 +206,7 @@
     hello.version = GW_WIRE_VERSION;
     s->options.fill_hello(s->options.user, &hello);
     hello.revision = revision_(s);
+    hello.epoch = epoch_(s);
     GwSession_Send(s, &frame);
     GwCounters_Add(s->options.counters, GW_COUNTER_SESSIONS_OPENED, 1);
 }
@@ -333,11 +343,11 @@
             s->proved_at = GwTime_Now();
         }
         send_pong_(s, frame->ping->nonce);
-        tell_revision_(s, frame->ping->revision);
+        tell_revision_(s, frame->ping->epoch, frame->ping->revision);
         return true;
     case GW__WIRE__FRAME__BODY_PONG:
         s->pinged_at = 0;
-        tell_revision_(s, frame->pong->revision);
+        tell_revision_(s, frame->pong->epoch, frame->pong->revision);
         return true;
     case GW__WIRE__FRAME__BODY__NOT_SET:
         // A newer peer's message: skipped, so that versions can be mixed.
@@ -360,7 +370,7 @@
     }
     s->ready = true;
     s->options.ops->on_ready(s->options.user, s, hello);
-    tell_revision_(s, hello->revision);
+    tell_revision_(s, hello->epoch, hello->revision);
     return true;
 }
 
@@ -371,12 +381,14 @@
 
     pong.nonce = nonce;
     pong.revision = revision_(s);
+    pong.epoch = epoch_(s);
     GwSession_Send(s, &frame);
 }
 
 static void
-tell_revision_(GwSession *s, uint64_t revision)
+tell_revision_(GwSession *s, uint64_t epoch, uint64_t revision)
 {
+    s->peer_epoch = epoch;
     if (!s->closed && s->options.ops->on_revision != NULL)
         s->options.ops->on_revision(s->options.user, s, revision);
 }
@@ -403,6 +415,12 @@
                                        : 0;
 }
 
+static uint64_t
+epoch_(GwSession *s)
+{
+    return s->options.epoch != NULL ? s->options.epoch(s->options.user) : 0;
+}
+
 static void
 leave_(GwSession *s)
 {
