--- a/packages/gateway/tests/gateway_quarantine_test.cc
+++ b/packages/gateway/tests/gateway_quarantine_test.cc
@@ -29,7 +29,7 @@
     void
     Serve(Endpoint *at, FakeExchange *x)
     {
-        if (at->bodies.back() != kFatal ||
+        if (at->bodies.back().rfind(kFatal, 0) != 0 ||
             Endpoint::Header(x, "X-Tenant-Id") != "acme")
             Endpoint::Answer(x, 200, at->id);
         else
@@ -141,6 +141,40 @@
     }
 }
 
+// Guards against several fatal requests delaying each other's quarantine, and
+// against refusing harmless requests of the same account and path.
+TEST(GatewayQuarantine, SeveralFatalRequestsAmongHarmlessOnes)
+{
+    const struct {
+        int fatal_bodies, interval; // every interval-th request is fatal
+    } cases[] = {{1, 33}, {2, 10}, {4, 5}};
+
+    for (const auto &c : cases) {
+        FatalFleet t("plain", 24);
+        Fleet &f = t.a.f;
+        int fatal_sent = 0;
+
+        SCOPED_TRACE(c.fatal_bodies);
+        ASSERT_TRUE(f.Ready());
+        for (int i = 0; i < 5 * c.fatal_bodies * c.interval; i++) {
+            GwGateway *g = f.gateways[i % f.gateways.size()];
+
+            if (i % c.interval == 0)
+                t.Ask(g, "/once/1",
+                      kFatal + std::to_string(fatal_sent++ % c.fatal_bodies));
+            else
+                EXPECT_EQ(t.Ask(g, "/once/1", std::to_string(i)), 200);
+        }
+        EXPECT_LE(t.ended, 3 * c.fatal_bodies);
+        t.ended = 0;
+        for (int i = 0; i < c.fatal_bodies; i++)
+            EXPECT_EQ(
+                t.Ask(f.gateways[0], "/once/1", kFatal + std::to_string(i)),
+                503);
+        EXPECT_EQ(t.ended, 0);
+    }
+}
+
 // All processes end at once: none is left that knows. The request comes again
 // within seconds, and three more endpoints ended until it was known anew, as
 // what a process finds was kept in memory alone.
--- a/soak/src/faults.cc
+++ b/soak/src/faults.cc
@@ -16,12 +16,16 @@
  * gone after that, when those have ended. */
 static const GwTime kPortClosed = 1200 * GW_MILLISECOND;
 static const GwTime kDrained = 3500 * GW_MILLISECOND;
+/* Until entries in the copy lapse whose endpoints are gone: three heartbeats.
+ */
+static const GwTime kLapse = 3600 * GW_MILLISECOND;
 /* Two seconds longer than work may come after the first such answer. */
 static const GwTime kToldDrained = 4500 * GW_MILLISECOND;
 
 Faults::Faults(const World &world,
                std::function<void(const std::string &)> log)
-    : world_(world), log_(std::move(log)), random_(world.seed)
+    : world_(world), log_(std::move(log)), random_(world.seed),
+      restores_random_(~world.seed)
 {
     GwTimer_Init(&next_, world.platform->loop, OnNext, this);
     GwTimer_Init(&plan_, world.platform->loop, OnPlan, this);
@@ -36,6 +40,15 @@
 Faults::Run()
 {
     OnNext(this);
+    if (!world_.restores)
+        return;
+    if (!has_backup_)
+        FakeStore_Backup(world_.platform->store);
+    else
+        During(std::uniform_int_distribution<GwTime>(kLeast,
+                                                     kMost)(restores_random_),
+               [this] { RestoreStore(); });
+    has_backup_ = true;
 }
 
 void
@@ -319,6 +332,29 @@
     });
 }
 
+// From the copy of the last time: what was planned since is lost.
+void
+Faults::RestoreStore()
+{
+    Platform *p = world_.platform;
+
+    log_("store is restored");
+    p->store_disturbance.Begin();
+    std::vector<std::string> gone = p->RestoreStore();
+    FakeStore_Backup(p->store);
+    During(kLapse, [p, gone] {
+        for (const std::string &key : gone) {
+            bool is_back = false;
+
+            for (auto &e : p->endpoints)
+                is_back = is_back || (e->up && e->id == key);
+            if (!is_back)
+                FakeStore_Put(p->store, "keyed.servers", key.c_str(), nullptr);
+        }
+        p->store_disturbance.End();
+    });
+}
+
 void
 Faults::OnPlan(void *user)
 {
--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -24,6 +24,7 @@
     int64_t gateways = 3;
     int64_t engines = 4;
     int64_t callers = 24;
+    int64_t restores = 0;
     const char *regressions = nullptr;
     const char *logs = "/tmp/gw-soak";
 };
@@ -43,6 +44,8 @@
      FIELD(engines), 1, 200, false},
     {"callers", "N", "Connections of callers", GW_SETTING_INT, FIELD(callers),
      1, 2000, false},
+    {"restores", nullptr, "The store is restored from older copies, too",
+     GW_SETTING_FLAG, FIELD(restores), 0, 1, false},
     {"regressions", "FILE", "Play the seeds of a file", GW_SETTING_TEXT,
      FIELD(regressions), 0, 0, false},
     {"logs", "DIR", "Where logs of runs that broke a promise stay",
@@ -95,8 +98,8 @@
         for (int i = 0; i < options.engines; i++)
             AddSidecar(i);
         faults_ = std::make_unique<Faults>(
-            World{seed, platform_.get(), &gateways_, &sidecars_,
-                  &store_paths_},
+            World{seed, options.restores != 0, platform_.get(), &gateways_,
+                  &sidecars_, &store_paths_},
             [this](const std::string &what) { Log(what); });
         GwTimer_Init(&tick_, loop_, OnTick, this);
         OnTick(this);
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -207,6 +207,7 @@
 void
 Endpoint::List() const
 {
+    platform_->listed.insert(id);
     FakeStore_Put(platform_->store, "keyed.servers", id.c_str(),
                   Row().c_str());
 }
@@ -237,6 +238,7 @@
     std::string row = Row();
 
     row.replace(row.find(s.from), strlen(s.from), s.to);
+    platform_->listed.insert(key);
     FakeStore_Put(platform_->store, "keyed.servers", key.c_str(), row.c_str());
     return key;
 }
@@ -521,15 +523,40 @@
             "[\"loud\"],\"rate_per_s\":" +
             std::to_string(kLoudRate) +
             ",\"burst\":" + std::to_string(kLoudBurst) + "}]}";
+    config = text;
     FakeStore_Put(store, "keyed.op", "config", text.c_str());
     configured_at = GwTime_Now();
 }
 
+std::vector<std::string>
+Platform::RestoreStore()
+{
+    std::set<std::string> gone = listed;
+
+    FakeStore_Restore(store);
+    FakeStore_Put(store, "keyed.op", "config", config.c_str());
+    PutWeights();
+    for (auto &e : endpoints) {
+        if (!e->up)
+            continue;
+        e->List();
+        gone.erase(e->id);
+    }
+    return {gone.begin(), gone.end()};
+}
+
 void
 Platform::NameWeights()
+{
+    weights++;
+    PutWeights();
+}
+
+void
+Platform::PutWeights()
 {
     std::string text =
-        "{\"model\":\"m\",\"version\":" + std::to_string(++weights) + "}";
+        "{\"model\":\"m\",\"version\":" + std::to_string(weights) + "}";
 
     FakeStore_Put(store, "keyed.op", "version/m", text.c_str());
 }
--- a/soak/src/platform.h
+++ b/soak/src/platform.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -110,6 +111,10 @@
     /* A new version with one route more. */
     void Configure();
     void NameWeights();
+    /* The store comes back as it was at its last backup. What operators and
+     * endpoints wrote is written again. Returns keys of entries that the
+     * backup had and that lapse, as their endpoints are gone. */
+    std::vector<std::string> RestoreStore();
 
     GwLoop *loop;
     std::mt19937_64 random;
@@ -118,14 +123,19 @@
     FakeStore *store;
     Disturbance store_disturbance;
     std::vector<std::unique_ptr<Endpoint>> endpoints;
+    std::set<std::string> listed; /* keys of all entries that ever were */
     int version = 0;
     GwTime configured_at = 0;
     int weights = 1;
+    std::string config; /* as it was written last */
     /* When endpoints ended under the fatal request, and came too late. */
     std::vector<GwTime> fatal_ends;
     int fatal_late = 0;
     /* Whether nothing but what a check is about was disturbed since then. */
     std::function<bool(GwTime)> is_calm;
+
+  private:
+    void PutWeights();
 };
 
 #endif
