--- a/soak/src/faults.cc
+++ b/soak/src/faults.cc
@@ -16,16 +16,15 @@
  * gone after that, when those have ended. */
 static const GwTime kPortClosed = 1200 * GW_MILLISECOND;
 static const GwTime kDrained = 3500 * GW_MILLISECOND;
-/* Until entries in the copy lapse whose endpoints are gone: three heartbeats.
- */
-static const GwTime kLapse = 3600 * GW_MILLISECOND;
+/* Lapse of restored rows of stopped endpoints: three heartbeat intervals. */
+static const GwTime kRowLapse = 3600 * GW_MILLISECOND;
 /* Two seconds longer than work may come after the first such answer. */
 static const GwTime kToldDrained = 4500 * GW_MILLISECOND;
 
 Faults::Faults(const World &world,
                std::function<void(const std::string &)> log)
     : world_(world), log_(std::move(log)), random_(world.seed),
-      restores_random_(~world.seed)
+      restore_random_(~world.seed)
 {
     GwTimer_Init(&next_, world.platform->loop, OnNext, this);
     GwTimer_Init(&plan_, world.platform->loop, OnPlan, this);
@@ -46,7 +45,7 @@
         FakeStore_Backup(world_.platform->store);
     else
         During(std::uniform_int_distribution<GwTime>(kLeast,
-                                                     kMost)(restores_random_),
+                                                     kMost)(restore_random_),
                [this] { RestoreStore(); });
     has_backup_ = true;
 }
@@ -332,23 +331,23 @@
     });
 }
 
-// From the copy of the last time: what was planned since is lost.
+// Uses the backup of the previous fault phase, so that later writes are lost.
 void
 Faults::RestoreStore()
 {
     Platform *p = world_.platform;
 
-    log_("store is restored");
+    log_("store is restored from backup");
     p->store_disturbance.Begin();
-    std::vector<std::string> gone = p->RestoreStore();
+    std::vector<std::string> stale_keys = p->RestoreStore();
     FakeStore_Backup(p->store);
-    During(kLapse, [p, gone] {
-        for (const std::string &key : gone) {
-            bool is_back = false;
+    During(kRowLapse, [p, stale_keys] {
+        for (const std::string &key : stale_keys) {
+            bool is_live = false;
 
             for (auto &e : p->endpoints)
-                is_back = is_back || (e->up && e->id == key);
-            if (!is_back)
+                is_live = is_live || (e->up && e->id == key);
+            if (!is_live)
                 FakeStore_Put(p->store, "keyed.servers", key.c_str(), nullptr);
         }
         p->store_disturbance.End();
--- a/soak/src/faults.h
+++ b/soak/src/faults.h
@@ -13,7 +13,7 @@
 /* What faults can be done to. */
 struct World {
     uint64_t seed; /* of the faults alone: they do not depend on callers */
-    bool restores; /* the store is restored from older copies, too */
+    bool restores; /* also restore the store from older backups */
     Platform *platform;
     std::vector<std::unique_ptr<Gateway>> *gateways;
     std::vector<std::unique_ptr<Process>> *sidecars;
@@ -60,8 +60,8 @@
     std::function<void(const std::string &)> log_;
     std::list<std::unique_ptr<Active>> active_;
     std::mt19937_64 random_;
-    /* Of restores alone, so that other faults are as without them. */
-    std::mt19937_64 restores_random_;
+    /* Separate, so that restores do not change other faults of a seed. */
+    std::mt19937_64 restore_random_;
     GwTimer next_, plan_;
     bool has_backup_ = false;
     int planned_ = 0;
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -207,7 +207,7 @@
 void
 Endpoint::List() const
 {
-    platform_->listed.insert(id);
+    platform_->listed_keys.insert(id);
     FakeStore_Put(platform_->store, "keyed.servers", id.c_str(),
                   Row().c_str());
 }
@@ -238,7 +238,7 @@
     std::string row = Row();
 
     row.replace(row.find(s.from), strlen(s.from), s.to);
-    platform_->listed.insert(key);
+    platform_->listed_keys.insert(key);
     FakeStore_Put(platform_->store, "keyed.servers", key.c_str(), row.c_str());
     return key;
 }
@@ -531,7 +531,7 @@
 std::vector<std::string>
 Platform::RestoreStore()
 {
-    std::set<std::string> gone = listed;
+    std::set<std::string> stale_keys = listed_keys;
 
     FakeStore_Restore(store);
     FakeStore_Put(store, "keyed.op", "config", config.c_str());
@@ -540,9 +540,9 @@
         if (!e->up)
             continue;
         e->List();
-        gone.erase(e->id);
+        stale_keys.erase(e->id);
     }
-    return {gone.begin(), gone.end()};
+    return {stale_keys.begin(), stale_keys.end()};
 }
 
 void
--- a/soak/src/platform.h
+++ b/soak/src/platform.h
@@ -111,9 +111,9 @@
     /* A new version with one route more. */
     void Configure();
     void NameWeights();
-    /* The store comes back as it was at its last backup. What operators and
-     * endpoints wrote is written again. Returns keys of entries that the
-     * backup had and that lapse, as their endpoints are gone. */
+    /* Restores the last backup of the store and rewrites the current
+     * configuration, weights and rows of running endpoints. Returns all other
+     * keys ever listed; their rows, if restored, are stale. */
     std::vector<std::string> RestoreStore();
 
     GwLoop *loop;
@@ -123,11 +123,11 @@
     FakeStore *store;
     Disturbance store_disturbance;
     std::vector<std::unique_ptr<Endpoint>> endpoints;
-    std::set<std::string> listed; /* keys of all entries that ever were */
+    std::set<std::string> listed_keys; /* all ever written, even if removed */
     int version = 0;
     GwTime configured_at = 0;
     int weights = 1;
-    std::string config; /* as it was written last */
+    std::string config; /* last written to the store */
     /* When endpoints ended under the fatal request, and came too late. */
     std::vector<GwTime> fatal_ends;
     int fatal_late = 0;
