Gateways count the entries of an endpoint only where it has a limit

Each request that was sent counted how many entries send to its endpoint, by a walk over peers and endpoints, though only limited ones need it.

--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -146,6 +146,7 @@
 send_(GwRequest *r, GwInstance *instance, const GwAddress *source)
 {
     GwGateway *g = r->gateway;
+    GwEndpointLimits *limits = GwView_EndpointLimits(g->view);
     GwTime now = GwTime_Now();
     g_autoptr(GString) out = g_string_sized_new(r->body_len + 1024);
     GwKvStore *store;
@@ -188,9 +189,10 @@
     r->is_usable = false;
     r->prefill = GwChoosing_Prefill(r, instance);
     instance->in_flight++;
-    GwEndpointLimits_Consume(GwView_EndpointLimits(g->view), instance,
-                             GwPeers_EntriesSendingTo(g->peers, instance),
-                             now);
+    if (GwEndpointLimits_Rate(limits, instance, now) >= 0)
+        GwEndpointLimits_Consume(limits, instance,
+                                 GwPeers_EntriesSendingTo(g->peers, instance),
+                                 now);
     GwRequestLoad_Add(r, (int64_t)r->prefill, 1);
     if (r->n_tried < MAX_TRIED)
         r->tried[r->n_tried++] = instance->serial;
