Test fixture: ports of ended endpoints stay reserved

Traced: the fixture closes the port of an endpoint that ends, and the gateways go on trying it, as its row stays. Ports are drawn from the whole machine's range, so another test process can take a freed one; its store answers 404 to any other path. The port is now bound without listening until the test ends: connections are refused as before, and nobody else answers there. No check, bound or count is changed.

The product passes on an unsigned 404 of whoever listens at an endpoint's address; that is as it was.

--- a/packages/gateway/tests/gateway_quarantine_test.cc
+++ b/packages/gateway/tests/gateway_quarantine_test.cc
@@ -1,3 +1,7 @@
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "agent_end.h"
 
 extern "C" {
@@ -42,9 +46,26 @@
         ended++;
         FakeHttpd_Delete(at->httpd);
         at->httpd = nullptr;
+        Reserve(at->address);
         if (at->service == "model")
             down.push_back(at->id);
     }
+    // Binds the port without listening, so that no other program on the
+    // machine can take it and answer in the endpoint's place.
+    void
+    Reserve(const GwAddress &address)
+    {
+        struct sockaddr_in bound = {};
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        int on = 1;
+
+        bound.sin_family = AF_INET;
+        bound.sin_port = htons((uint16_t)address.port);
+        inet_pton(AF_INET, address.host, &bound.sin_addr);
+        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        EXPECT_EQ(bind(fd, (struct sockaddr *)&bound, sizeof(bound)), 0);
+        reserved.push_back(fd);
+    }
     // The agents beside engines find out with their next report.
     void
     TellDown()
@@ -89,7 +110,14 @@
             a.f.AddGateway(("gateway-" + std::to_string(i)).c_str());
     }
 
+    ~FatalFleet()
+    {
+        for (int fd : reserved)
+            close(fd);
+    }
+
     AgentEnd a;
+    std::vector<int> reserved;
     std::vector<std::string> down;
     std::shared_ptr<Caller> last;
     int ended = 0;
