Quarantine: attribute endpoint ends to the request with the most ends

Concurrent fatal requests no longer prevent each other's quarantine.

Impact: not seen in a deployment yet. With five or more distinct requests that each end their endpoints, none was refused, and endpoints kept ending.

Cause: two safeguards against refusing sound requests compare the ends under a request with all ends around them, whichever request caused those. Three ends are less than a quarter of 13 or more, so a single end more than expected released all four requests of the test, and five that arrive round robin are never refused. Likewise, six ends under several fatal requests in a domain of eight were taken for a failed rack. A trace of a failing run shows the latter: the 12th end lifts the quarantine of two of the four requests (group failed), and the 13th end then lifts that of the others (3 of 13).

Ruled out: late messages between gateways. In the traces, every gateway knew of each end before the next request was sent.

Change: each end is attributed to the request under which most endpoints ended, if there is exactly one such request and it has at least two ends. Ends attributed to another request are excluded from both comparisons and do not count for a request that was also in flight at them. Ends are looked up in a hash table instead of by a linear search.

Tests: Quarantine.FatalRequestsAtTheSameTimeAreEachFound sends two to 16 fatal requests, round robin and at random, and expects at most three ends under each. In FindsTheRequestThatWasAtEachEnd, the case "beside it while many end for another reason" had ten ends under one other request, which is itself a cause. These ends are now under ten different requests; the old input is kept as a separate case with the opposite expectation, and two cases of sound requests are new.

--- a/packages/quarantine/include/galenagw/quarantine/quarantine.h
+++ b/packages/quarantine/include/galenagw/quarantine/quarantine.h
@@ -10,9 +10,11 @@
  * Most requests in flight at an end are sound. One whole answer to a request
  * clears it, wherever it was given. Ends that come together for a reason of
  * their own, as when a rack loses power, count as one, and a request that was
- * at few of the endpoints that ended then is not held to be the reason. After
- * a term, processes that are drawn by lot try it, one request at a time. What
- * is found is bounded in number and forgotten in time.
+ * in flight at few of the endpoints that ended is not treated as the cause. An
+ * end counts only for the request with the most ends among those in flight at
+ * it, unless several are tied. After the quarantine term, randomly selected
+ * processes retry the request, one attempt at a time. The number of tracked
+ * requests is bounded, and entries expire.
  * @{
  */
 #ifndef GALENAGW_QUARANTINE_QUARANTINE_H
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -22,7 +22,7 @@
  * share, such as power. */
 #define GROUP_SHARE 0.75
 /* A request that was at fewer than this part of the endpoints that ended
- * around it is not the reason: two or three that are may come at once. */
+ * around it, excluding ends attributed to another one, is not the cause. */
 #define NEAR_SHARE 0.25
 
 /* An end under a request. */
@@ -48,6 +48,15 @@
 
 TAILQ_HEAD(SuspectList, Suspect);
 
+/* The end of an endpoint, whichever requests were in flight. */
+typedef struct {
+    Sighting sighting;
+    /* Of the repeated requests in flight at this end, the one with the most
+     * ends; NULL if there is none or several are tied. */
+    const Suspect *main_suspect;
+    unsigned max_ends; /* highest number of ends among those requests */
+} End;
+
 struct GwQuarantine {
     GwQuarantineOptions options;
     GHashTable *by_digest;
@@ -58,17 +67,20 @@
     struct SuspectList repeated;
     uint64_t self; /* hash of our name */
     unsigned processes;
-    Sighting ends[MAX_ENDS]; /* a ring */
-    size_t n_ends;           /* ever */
+    End ends[MAX_ENDS];       /* ring buffer */
+    size_t n_ends;            /* ever */
+    GHashTable *by_endpoint;  /* endpoint to its element of ends */
+    bool main_suspects_valid; /* false: recompute before use */
 };
 
-static Sighting *find_end_(GwQuarantine *q, uint64_t endpoint);
+static void add_end_(GwQuarantine *q, const Sighting *sighting);
 static Suspect *suspect_(GwQuarantine *q, const GwDigest *digest);
 static bool see_(GwQuarantine *q, const GwDigest *digest,
                  const Sighting *sighting, GwTime now);
-static void correct_(GwQuarantine *q, Suspect *s, unsigned i,
-                     const Sighting *told);
+static void correct_(Suspect *s, unsigned i, const Sighting *told);
 static void insert_(Suspect *s, const Sighting *sighting);
+static void link_(GwQuarantine *q, Suspect *s);
+static void unlink_(GwQuarantine *q, Suspect *s);
 static void judge_(GwQuarantine *q, Suspect *s);
 static GwTime term_(unsigned ends);
 static bool is_our_turn_(const GwQuarantine *q, const Suspect *s,
@@ -77,11 +89,15 @@
 static bool is_the_reason_(const GwQuarantine *q, const Suspect *s);
 static unsigned count_(const GwQuarantine *q, const Suspect *s);
 static bool counts_(const GwQuarantine *q, const Suspect *s, unsigned i);
-static bool group_failed_(const GwQuarantine *q, const Sighting *sighting);
+static bool group_failed_(const GwQuarantine *q, const Suspect *s,
+                          const Sighting *sighting);
 static unsigned ended_near_(const GwQuarantine *q, const Suspect *s);
+static void find_main_suspects_(GwQuarantine *q);
+static void update_main_suspect_(End *end, const Suspect *s);
+static bool is_attributed_to_another_(const End *end, const Suspect *s);
 static bool is_near_(GwTime a, GwTime b);
 static size_t kept_ends_(const GwQuarantine *q);
-static void forget_(GwQuarantine *q, struct SuspectList *list, Suspect *s);
+static void forget_(GwQuarantine *q, Suspect *s);
 static void sweep_(GwQuarantine *q, struct SuspectList *list, GwTime now);
 static struct SuspectList *list_of_(GwQuarantine *q, const Suspect *s);
 
@@ -115,6 +131,7 @@
         q->self = XXH3_64bits(options->name, strlen(options->name));
     q->processes = 1;
     q->by_digest = g_hash_table_new(GwDigest_Hash, GwDigest_EqualKeys);
+    q->by_endpoint = g_hash_table_new(g_int64_hash, g_int64_equal);
     TAILQ_INIT(&q->single);
     TAILQ_INIT(&q->repeated);
     return q;
@@ -126,10 +143,11 @@
     if (q == NULL)
         return;
     while (!TAILQ_EMPTY(&q->single))
-        forget_(q, &q->single, TAILQ_FIRST(&q->single));
+        forget_(q, TAILQ_FIRST(&q->single));
     while (!TAILQ_EMPTY(&q->repeated))
-        forget_(q, &q->repeated, TAILQ_FIRST(&q->repeated));
+        forget_(q, TAILQ_FIRST(&q->repeated));
     g_hash_table_unref(q->by_digest);
+    g_hash_table_unref(q->by_endpoint);
     g_free(q);
 }
 
@@ -155,34 +173,40 @@
         .group_size = end->group_size,
         .at = MIN(end->at, now),
     };
-    Sighting *known;
+    size_t n_requests = MIN(end->n, GW_QUARANTINE_END_MAX);
+    End *known;
     size_t n = 0;
 
     *is_news = false;
     if (end->endpoint == 0 || now - sighting.at > GW_QUARANTINE_MEMORY)
         return 0;
-    known = find_end_(q, end->endpoint);
-    if (known == NULL) {
-        *is_news = true;
-        q->ends[q->n_ends++ % MAX_ENDS] = sighting;
-        judge_again_(q);
-    }
-    else {
-        known->at = MIN(known->at, sighting.at);
-    }
-    for (size_t i = 0; i < MIN(end->n, GW_QUARANTINE_END_MAX); i++) {
+    known = g_hash_table_lookup(q->by_endpoint, &end->endpoint);
+    *is_news = known == NULL;
+    if (known == NULL)
+        add_end_(q, &sighting);
+    else
+        known->sighting.at = MIN(known->sighting.at, sighting.at);
+    for (size_t i = 0; i < n_requests; i++) {
         if (see_(q, &end->requests[i], &sighting, now))
             news[n++] = end->requests[i];
     }
+    for (size_t i = 0; i < n_requests; i++) {
+        Suspect *s = g_hash_table_lookup(q->by_digest, &end->requests[i]);
+
+        if (s != NULL)
+            judge_(q, s);
+    }
+    if (*is_news)
+        judge_again_(q);
     return n;
 }
 
 GwTime
 GwQuarantine_EndedAt(const GwQuarantine *q, uint64_t endpoint)
 {
-    const Sighting *known = find_end_((GwQuarantine *)q, endpoint);
+    const End *known = g_hash_table_lookup(q->by_endpoint, &endpoint);
 
-    return known != NULL ? known->at : 0;
+    return known != NULL ? known->sighting.at : 0;
 }
 
 // What is told of an earlier end later on must not count again, so the time of
@@ -192,13 +216,11 @@
                        GwTime now)
 {
     Suspect *s = g_hash_table_lookup(q->by_digest, request);
-    struct SuspectList *list;
     unsigned kept = 0;
 
     at = MIN(at, now);
     if (s == NULL || at <= s->sound_at)
         return false;
-    list = list_of_(q, s);
     s->sound_at = at;
     for (unsigned i = 0; i < s->n; i++) {
         if (s->sightings[i].at > at + SOUND_SLACK)
@@ -206,10 +228,10 @@
     }
     if (kept == s->n && s->held == 0)
         return false;
-    TAILQ_REMOVE(list, s, link);
+    unlink_(q, s);
     s->n = kept;
     s->held = 0;
-    TAILQ_INSERT_TAIL(list_of_(q, s), s, link);
+    link_(q, s);
     s->touched_at = now;
     judge_(q, s);
     return true;
@@ -226,9 +248,9 @@
     s = suspect_(q, request);
     if (s->sound_at != 0)
         return;
-    TAILQ_REMOVE(list_of_(q, s), s, link);
+    unlink_(q, s);
     s->held = MIN(until, now + GW_QUARANTINE_LONGEST);
-    TAILQ_INSERT_TAIL(list_of_(q, s), s, link);
+    link_(q, s);
     s->touched_at = now;
     judge_(q, s);
 }
@@ -305,14 +327,17 @@
     }
 }
 
-static Sighting *
-find_end_(GwQuarantine *q, uint64_t endpoint)
+static void
+add_end_(GwQuarantine *q, const Sighting *sighting)
 {
-    for (size_t i = 0; i < kept_ends_(q); i++) {
-        if (q->ends[i].endpoint == endpoint)
-            return &q->ends[i];
-    }
-    return NULL;
+    End *slot = &q->ends[q->n_ends % MAX_ENDS];
+
+    if (q->n_ends >= MAX_ENDS)
+        g_hash_table_remove(q->by_endpoint, &slot->sighting.endpoint);
+    *slot = (End){.sighting = *sighting};
+    g_hash_table_insert(q->by_endpoint, &slot->sighting.endpoint, slot);
+    q->n_ends++;
+    q->main_suspects_valid = false;
 }
 
 static Suspect *
@@ -326,12 +351,12 @@
         struct SuspectList *list =
             TAILQ_EMPTY(&q->single) ? &q->repeated : &q->single;
 
-        forget_(q, list, TAILQ_FIRST(list));
+        forget_(q, TAILQ_FIRST(list));
     }
     s = g_new0(Suspect, 1);
     s->digest = *digest;
     g_hash_table_insert(q->by_digest, &s->digest, s);
-    TAILQ_INSERT_TAIL(&q->single, s, link);
+    link_(q, s);
     return s;
 }
 
@@ -344,7 +369,7 @@
     for (unsigned i = 0; i < s->n; i++) {
         if (s->sightings[i].endpoint != sighting->endpoint)
             continue;
-        correct_(q, s, i, sighting);
+        correct_(s, i, sighting);
         return false;
     }
     if (s->sound_at != 0 && sighting->at <= s->sound_at + SOUND_SLACK)
@@ -352,11 +377,10 @@
     // An old one that was dropped for newer ones is told again for ever else.
     if (s->n == MAX_SIGHTINGS && sighting->at <= s->sightings[0].at)
         return false;
-    TAILQ_REMOVE(list_of_(q, s), s, link);
+    unlink_(q, s);
     insert_(s, sighting);
-    TAILQ_INSERT_TAIL(list_of_(q, s), s, link);
+    link_(q, s);
     s->touched_at = now;
-    judge_(q, s);
     return true;
 }
 
@@ -364,7 +388,7 @@
 // it goes on, as if a rack had died: its peers tell it again, as of when it
 // was, once they are connected anew.
 static void
-correct_(GwQuarantine *q, Suspect *s, unsigned i, const Sighting *told)
+correct_(Suspect *s, unsigned i, const Sighting *told)
 {
     if (told->at >= s->sightings[i].at)
         return;
@@ -372,7 +396,6 @@
             (s->n - i - 1) * sizeof(s->sightings[0]));
     s->n--;
     insert_(s, told);
-    judge_(q, s);
 }
 
 static void
@@ -391,6 +414,20 @@
     s->n++;
 }
 
+static void
+link_(GwQuarantine *q, Suspect *s)
+{
+    TAILQ_INSERT_TAIL(list_of_(q, s), s, link);
+    q->main_suspects_valid = false;
+}
+
+static void
+unlink_(GwQuarantine *q, Suspect *s)
+{
+    TAILQ_REMOVE(list_of_(q, s), s, link);
+    q->main_suspects_valid = false;
+}
+
 static void
 judge_(GwQuarantine *q, Suspect *s)
 {
@@ -399,6 +436,8 @@
 
     s->until = s->held;
     s->term = GW_QUARANTINE_FIRST;
+    if (s->n >= GW_QUARANTINE_ENDS && !q->main_suspects_valid)
+        find_main_suspects_(q);
     if (is_the_reason_(q, s)) {
         s->term = term_(s->n);
         s->until = MAX(s->held, s->sightings[s->n - 1].at + s->term);
@@ -471,8 +510,11 @@
 counts_(const GwQuarantine *q, const Suspect *s, unsigned i)
 {
     const Sighting *it = &s->sightings[i];
+    const End *end = g_hash_table_lookup(q->by_endpoint, &it->endpoint);
 
-    if (!group_failed_(q, it))
+    if (end != NULL && is_attributed_to_another_(end, s))
+        return false;
+    if (!group_failed_(q, s, it))
         return true;
     for (unsigned k = 0; k < i; k++) {
         const Sighting *earlier = &s->sightings[k];
@@ -485,15 +527,17 @@
 }
 
 static bool
-group_failed_(const GwQuarantine *q, const Sighting *sighting)
+group_failed_(const GwQuarantine *q, const Suspect *s,
+              const Sighting *sighting)
 {
     unsigned ended = 0;
 
     for (size_t i = 0; i < kept_ends_(q); i++) {
-        const Sighting *end = &q->ends[i];
+        const Sighting *end = &q->ends[i].sighting;
 
-        ended +=
-            end->group == sighting->group && is_near_(end->at, sighting->at);
+        ended += end->group == sighting->group &&
+                 is_near_(end->at, sighting->at) &&
+                 !is_attributed_to_another_(&q->ends[i], s);
     }
     return ended > 1 && sighting->group_size > 0 &&
            ended >= GROUP_SHARE * sighting->group_size;
@@ -509,12 +553,56 @@
         bool near = false;
 
         for (unsigned k = 0; k < s->n; k++)
-            near = near || is_near_(q->ends[i].at, s->sightings[k].at);
-        n += near;
+            near =
+                near || is_near_(q->ends[i].sighting.at, s->sightings[k].at);
+        n += near && !is_attributed_to_another_(&q->ends[i], s);
     }
     return n;
 }
 
+static void
+find_main_suspects_(GwQuarantine *q)
+{
+    const Suspect *s;
+
+    for (size_t i = 0; i < kept_ends_(q); i++) {
+        q->ends[i].main_suspect = NULL;
+        q->ends[i].max_ends = 0;
+    }
+    TAILQ_FOREACH(s, &q->repeated, link)
+    {
+        for (unsigned i = 0; i < s->n; i++) {
+            End *end =
+                g_hash_table_lookup(q->by_endpoint, &s->sightings[i].endpoint);
+
+            if (end != NULL)
+                update_main_suspect_(end, s);
+        }
+    }
+    q->main_suspects_valid = true;
+}
+
+static void
+update_main_suspect_(End *end, const Suspect *s)
+{
+    if (s->n == end->max_ends) {
+        end->main_suspect = NULL;
+    }
+    else if (s->n > end->max_ends) {
+        end->main_suspect = s;
+        end->max_ends = s->n;
+    }
+}
+
+// Ends caused by one fatal request must not make the ends under another look
+// like a failed rack or an unrelated failure.
+static bool
+is_attributed_to_another_(const End *end, const Suspect *s)
+{
+    return end->main_suspect != NULL && end->main_suspect != s &&
+           end->max_ends > 1;
+}
+
 static bool
 is_near_(GwTime a, GwTime b)
 {
@@ -528,9 +616,9 @@
 }
 
 static void
-forget_(GwQuarantine *q, struct SuspectList *list, Suspect *s)
+forget_(GwQuarantine *q, Suspect *s)
 {
-    TAILQ_REMOVE(list, s, link);
+    unlink_(q, s);
     g_hash_table_remove(q->by_digest, &s->digest);
     g_free(s);
 }
@@ -542,7 +630,7 @@
 
     while ((s = TAILQ_FIRST(list)) != NULL &&
            now - s->touched_at > GW_QUARANTINE_MEMORY)
-        forget_(q, list, s);
+        forget_(q, s);
 }
 
 static struct SuspectList *
--- a/packages/quarantine/tests/quarantine_test.cc
+++ b/packages/quarantine/tests/quarantine_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -128,6 +129,39 @@
           {500, 6, {2}}},
          true},
         {"beside it while many end for another reason",
+         {{0, 1, {1}},
+          {10, 2, {2}},
+          {20, 3, {3}},
+          {30, 4, {4}},
+          {40, 5, {5}},
+          {100, 6, {1}},
+          {110, 7, {6}},
+          {120, 8, {7}},
+          {130, 9, {8}},
+          {140, 10, {9}},
+          {200, 11, {1}},
+          {210, 12, {10}},
+          {220, 13, {11}}},
+         false},
+        {"many end for another reason, several requests retried",
+         {{0, 1, {1, 2, 3}},
+          {10, 2, {2, 3}},
+          {20, 3, {2, 3}},
+          {30, 4, {4, 5}},
+          {40, 5, {4, 5}},
+          {100, 6, {1, 4, 5}},
+          {110, 7, {6, 7}},
+          {120, 8, {6, 7}},
+          {130, 9, {6, 7}},
+          {140, 10, {8, 9}},
+          {200, 11, {1, 8, 9}},
+          {210, 12, {8, 9}},
+          {220, 13, {10}}},
+         false},
+        {"only beside a request with more ends",
+         {{0, 1, {2}}, {100, 2, {1, 2}}, {200, 3, {1, 2}}, {300, 4, {1, 2}}},
+         false},
+        {"many ends around it under one other request",
          {{0, 1, {1}},
           {10, 2, {2}},
           {20, 3, {2}},
@@ -141,7 +175,7 @@
           {200, 11, {1}},
           {210, 12, {2}},
           {220, 13, {2}}},
-         false},
+         true},
     };
 
     for (const auto &c : cases) {
@@ -257,6 +291,87 @@
     EXPECT_GT(t.Left(Request(1), GW_SECOND), 0);
 }
 
+// Guards against concurrent fatal requests hiding each other: their combined
+// ends must not be taken for a failed rack or for an unrelated failure, which
+// would leave all of them admitted.
+TEST(Quarantine, FatalRequestsAtTheSameTimeAreEachFound)
+{
+    const struct {
+        unsigned n_fatal, domains;
+        GwTime apart; // between two ends
+    } cases[] = {
+        {2, 3, 100 * GW_MILLISECOND}, {4, 3, 100 * GW_MILLISECOND},
+        {4, 1, 100 * GW_MILLISECOND}, {5, 3, 20 * GW_MILLISECOND},
+        {8, 3, 20 * GW_MILLISECOND},  {16, 3, 10 * GW_MILLISECOND},
+        {16, 1, 10 * GW_MILLISECOND},
+    };
+
+    for (const auto &c : cases) {
+        for (bool round_robin : {true, false}) {
+            const unsigned domain_size = 8 + c.n_fatal;
+            std::minstd_rand rng(c.n_fatal);
+            std::vector<unsigned> ends(c.n_fatal);
+            Table t;
+            uint64_t endpoint = 1;
+
+            for (unsigned i = 0; i < 20 * c.n_fatal; i++) {
+                unsigned r = round_robin ? i % c.n_fatal : rng() % c.n_fatal;
+                GwTime at = (GwTime)i * c.apart;
+
+                if (t.Left(Request(1 + r), at) > 0)
+                    continue;
+                ends[r]++;
+                t.End(endpoint, at, {Request(1000 + i), Request(1 + r)},
+                      1 + rng() % c.domains, domain_size);
+                endpoint++;
+            }
+            EXPECT_EQ(*std::max_element(ends.begin(), ends.end()), 3u)
+                << c.n_fatal << " fatal requests, " << c.domains
+                << " domains, round robin " << round_robin;
+            for (unsigned r = 0; r < c.n_fatal; r++)
+                EXPECT_GT(t.Left(Request(1 + r), 20 * c.n_fatal * c.apart), 0);
+        }
+    }
+}
+
+// Endpoints in all domains end within a second, and part of their requests is
+// retried on endpoints that end as well. Guards against refusing many sound
+// requests during such a failure.
+TEST(Quarantine, FewRetriedRequestsAreRefusedWhileManyEndpointsEnd)
+{
+    const struct {
+        unsigned endpoints, in_flight, retry_percent;
+    } cases[] = {{36, 1, 10}, {36, 8, 30}, {36, 30, 50}, {100, 20, 20}};
+
+    for (const auto &c : cases) {
+        unsigned refused = 0, requests = 0;
+
+        for (unsigned seed = 1; seed <= 50; seed++) {
+            std::minstd_rand rng(seed);
+            std::vector<GwDigest> running;
+            Table t;
+
+            for (unsigned i = 0; i < c.endpoints; i++) {
+                std::vector<GwDigest> retried;
+
+                while (running.size() < c.in_flight)
+                    running.push_back(Request(++requests));
+                t.End(1 + i, (GwTime)i * GW_SECOND / c.endpoints, running,
+                      1 + i % 3, c.endpoints / 3);
+                for (const GwDigest &r : running) {
+                    if (rng() % 100 < c.retry_percent)
+                        retried.push_back(r);
+                }
+                running = retried;
+            }
+            for (unsigned r = 1; r <= requests; r++)
+                refused += t.Left(Request(r), GW_SECOND) > 0;
+        }
+        EXPECT_LE(refused, requests / 20) << c.in_flight << " in flight, "
+                                          << c.retry_percent << " % retried";
+    }
+}
+
 // The third end is learned of before the rest of the rack: the quarantine that
 // it looked like is taken back.
 TEST(Quarantine, WhatLooksLikeItIsTakenBackWhenTheRestIsKnown)
