Order changes of endpoints' rate limits by version instead of age

Cause: a process forwards a limit if it is later than the one it knows. Which one is later was determined by the age in the message, and that age excludes the transit time, so at each hop a limit seems younger by that time. Each of two limits named within milliseconds of each other seemed later than the other at every process, forever. Entries and agents sent both to each other without a pause: hundreds of `endpoint_limit` lines a second in all logs, from the first change on.

The process that learns of a change from an answer now assigns it a version: the time of day, or one more than the version it knows. All processes order changes by version; of two limits with the same version, the lower one is kept. A version is not altered in transit, so each process accepts each change at most once. An expired limit that is named again is now forwarded as a change; it was not before. `endpoint_limit` log lines contain the version.

Tests: EndpointLimitPeers.ChangedLimitsDoNotCirculate simulates 2 to 22 entries and 2 to 41 agents with clocks up to 2.3 s apart. An endpoint that receives more than the platform's rule allows (1.5 times the limit plus 5 requests in 4 s, from 3 s after the limit was named) is a violation.

--- a/packages/cluster/src/endpoint_limit_words.c
+++ b/packages/cluster/src/endpoint_limit_words.c
@@ -30,6 +30,7 @@
         .incarnation = told->incarnation,
         .rate = told->lifted ? GW_ENDPOINT_UNLIMITED : told->rate,
         .told_at = now - (GwTime)ago_ms * GW_MILLISECOND,
+        .version = told->version,
     };
     return limit->id[0] != '\0' && limit->incarnation >= 0 &&
            (told->lifted || told->rate >= 0) &&
@@ -45,6 +46,7 @@
     told.incarnation = limit->incarnation;
     told.rate = MAX(limit->rate, 0);
     told.lifted = limit->rate < 0;
+    told.version = limit->version;
     told.told_ms =
         (uint64_t)(MAX(GwTime_Now() - limit->told_at, 0) / GW_MILLISECOND);
     GwSession_Send(user, &frame);
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -330,10 +330,11 @@
                   GwLearned from)
 {
     GwTime now = GwTime_Now();
-    GwEndpointLimit limit = {instance->id, instance->incarnation, rate, now};
+    GwEndpointLimit limit = {instance->id, instance->incarnation, rate, now,
+                             0};
 
-    if (GwEndpointLimits_Set(GwView_EndpointLimits(p->options.view), &limit,
-                             now))
+    if (GwEndpointLimits_Note(GwView_EndpointLimits(p->options.view), &limit,
+                              g_get_real_time() / GW_MILLISECOND, now))
         tell_limit_(p, NULL, &limit, from);
 }
 
@@ -537,6 +538,7 @@
         GwEvent_Real(p->options.log, "rate", limit->rate);
     else
         GwEvent_Text(p->options.log, "rate", "none");
+    GwEvent_Number(p->options.log, "version", limit->version);
     GwEvent_Text(p->options.log, "learned_from", GwLearned_Names[learned]);
     GwEvent_End(p->options.log);
     FOREACH_OTHER_PEER_(peer, p, from)
--- a/packages/routing/include/galenagw/routing/endpoint_limits.h
+++ b/packages/routing/include/galenagw/routing/endpoint_limits.h
@@ -5,6 +5,8 @@
  * A limit applies to one incarnation of an endpoint and to all processes
  * combined. It is lifted by an answer without a limit to a request that was
  * sent after the limit was named, and expires after GW_ENDPOINT_LIMIT_TERM.
+ * Processes forward changes to each other. Changes of one incarnation's limit
+ * are ordered by version, which the process that received the answer assigns.
  *
  * Each process enforces an equal share of the limit locally, so that no
  * request waits for another process. Within four seconds, all processes
@@ -39,6 +41,8 @@
     double rate;         /**< requests per second, of all processes combined;
                               GW_ENDPOINT_UNLIMITED: lifted */
     GwTime told_at;      /**< when the answer was received */
+    int64_t version;     /**< increases with each change; see
+                              GwEndpointLimits_Note */
 } GwEndpointLimit;
 
 /** @param seed for the random initial state of shares; should differ between
@@ -46,8 +50,21 @@
 GwEndpointLimits *GwEndpointLimits_New(uint32_t seed);
 void GwEndpointLimits_Delete(GwEndpointLimits *limits);
 /**
- * Store an endpoint's limit. Ignored if it is not finite, expired, older than
- * the stored one, or the limit of a new endpoint while storage is full.
+ * Store a limit named in an answer to this process. If it equals the stored
+ * limit of the same incarnation, it keeps the stored version. Otherwise its
+ * version is @p unix_ms, or one more than the stored version if that is
+ * higher.
+ * @param[in,out] limit its version is set
+ * @param unix_ms current time, in milliseconds since the Unix epoch
+ * @return whether the stored limit changed
+ */
+bool GwEndpointLimits_Note(GwEndpointLimits *limits, GwEndpointLimit *limit,
+                           int64_t unix_ms, GwTime now);
+/**
+ * Store a limit received from another process. Ignored if it is not finite,
+ * expired, of an invalid version, of an earlier incarnation or version than
+ * the stored one, or the limit of a new endpoint while storage is full. Of two
+ * limits with the same version, the lower one is kept.
  * @return whether the stored limit changed
  */
 bool GwEndpointLimits_Set(GwEndpointLimits *limits,
--- a/packages/routing/src/endpoint_limits.c
+++ b/packages/routing/src/endpoint_limits.c
@@ -17,10 +17,14 @@
  * gets, because only an answer can lift its limit. */
 #define MIN_RATE 0.1
 
+/* Higher versions are rejected, so that incrementing one cannot overflow. */
+#define MAX_VERSION (INT64_MAX / 2)
+
 /* See GwEndpointLimit. */
 typedef struct {
     int64_t incarnation;
     double rate;
+    int64_t version;
     GwTime told_at;
     double permits; /* requests that this process could send at refilled_at */
     GwTime refilled_at;
@@ -37,6 +41,11 @@
     GRand *rand;
 };
 
+static bool is_later_(const GwEndpointLimit *limit, const Limit *known);
+static bool is_lower_(double rate, double other);
+static void expire_(Limit *known, GwTime now);
+static bool store_(GwEndpointLimits *l, const GwEndpointLimit *limit,
+                   GwTime now);
 static Limit *find_(const GwEndpointLimits *l, const GwInstance *instance,
                     GwTime now);
 static Share share_(const Limit *limit, unsigned processes);
@@ -63,42 +72,38 @@
     g_free(l);
 }
 
+bool
+GwEndpointLimits_Note(GwEndpointLimits *l, GwEndpointLimit *limit,
+                      int64_t unix_ms, GwTime now)
+{
+    Limit *known = g_hash_table_lookup(l->by_id, limit->id);
+
+    if (known != NULL)
+        expire_(known, now);
+    limit->version = CLAMP(unix_ms, 0, MAX_VERSION);
+    if (known != NULL && known->incarnation == limit->incarnation)
+        limit->version = known->rate == limit->rate
+                             ? known->version
+                             : MAX(limit->version, known->version + 1);
+    return store_(l, limit, now);
+}
+
 bool
 GwEndpointLimits_Set(GwEndpointLimits *l, const GwEndpointLimit *limit,
                      GwTime now)
 {
     Limit *known = g_hash_table_lookup(l->by_id, limit->id);
-    GwTime told_at = MIN(limit->told_at, now);
-    bool changed;
 
-    if (!isfinite(limit->rate) || now - told_at >= GW_ENDPOINT_LIMIT_TERM)
+    if (known != NULL)
+        expire_(known, now);
+    // A peer that has received a later answer renews the limit.
+    if (known != NULL && limit->incarnation == known->incarnation &&
+        limit->version == known->version && limit->rate == known->rate)
+        known->told_at = MAX(known->told_at, MIN(limit->told_at, now));
+    if (limit->version < 0 || limit->version > MAX_VERSION ||
+        (known != NULL && !is_later_(limit, known)))
         return false;
-    if (known == NULL) {
-        if (g_hash_table_size(l->by_id) >= GW_ENDPOINT_LIMITS_MAX)
-            remove_inactive_(l, now);
-        if (g_hash_table_size(l->by_id) >= GW_ENDPOINT_LIMITS_MAX)
-            return false;
-        known = g_new0(Limit, 1);
-        known->incarnation = limit->incarnation;
-        known->rate = GW_ENDPOINT_UNLIMITED;
-        g_hash_table_insert(l->by_id, g_strdup(limit->id), known);
-    }
-    else if (limit->incarnation < known->incarnation ||
-             (limit->incarnation == known->incarnation &&
-              told_at < known->told_at))
-        return false;
-    changed =
-        limit->incarnation != known->incarnation || limit->rate != known->rate;
-    // Random, as processes that learn of the limit at the same time must not
-    // all send at the same time.
-    if (known->rate < 0 || limit->incarnation != known->incarnation) {
-        known->permits = g_rand_double(l->rand);
-        known->refilled_at = now;
-    }
-    known->incarnation = limit->incarnation;
-    known->rate = limit->rate;
-    known->told_at = told_at;
-    return changed;
+    return store_(l, limit, now);
 }
 
 bool
@@ -162,13 +167,76 @@
     while (g_hash_table_iter_next(&iter, &id, &value)) {
         const Limit *known = value;
         GwEndpointLimit limit = {id, known->incarnation, known->rate,
-                                 known->told_at};
+                                 known->told_at, known->version};
 
         if (known->rate >= 0 && now - known->told_at < GW_ENDPOINT_LIMIT_TERM)
             fn(user, &limit);
     }
 }
 
+// Compares versions and not ages, because the age in a message excludes its
+// transit time: each of two limits could seem newer than the other, and
+// processes would forward both of them forever.
+static bool
+is_later_(const GwEndpointLimit *limit, const Limit *known)
+{
+    if (limit->incarnation != known->incarnation)
+        return limit->incarnation > known->incarnation;
+    if (limit->version != known->version)
+        return limit->version > known->version;
+    return is_lower_(limit->rate, known->rate);
+}
+
+static bool
+is_lower_(double rate, double other)
+{
+    return rate >= 0 && (other < 0 || rate < other);
+}
+
+static void
+expire_(Limit *known, GwTime now)
+{
+    if (now - known->told_at >= GW_ENDPOINT_LIMIT_TERM)
+        known->rate = GW_ENDPOINT_UNLIMITED;
+}
+
+static bool
+store_(GwEndpointLimits *l, const GwEndpointLimit *limit, GwTime now)
+{
+    Limit *known = g_hash_table_lookup(l->by_id, limit->id);
+    GwTime told_at = MIN(limit->told_at, now);
+    bool changed;
+
+    if (!isfinite(limit->rate) || now - told_at >= GW_ENDPOINT_LIMIT_TERM)
+        return false;
+    if (known == NULL) {
+        if (g_hash_table_size(l->by_id) >= GW_ENDPOINT_LIMITS_MAX)
+            remove_inactive_(l, now);
+        if (g_hash_table_size(l->by_id) >= GW_ENDPOINT_LIMITS_MAX)
+            return false;
+        known = g_new0(Limit, 1);
+        known->incarnation = limit->incarnation;
+        known->rate = GW_ENDPOINT_UNLIMITED;
+        g_hash_table_insert(l->by_id, g_strdup(limit->id), known);
+    }
+    else if (limit->incarnation < known->incarnation) {
+        return false;
+    }
+    changed =
+        limit->incarnation != known->incarnation || limit->rate != known->rate;
+    // Random, as processes that learn of the limit at the same time must not
+    // all send at the same time.
+    if (known->rate < 0 || limit->incarnation != known->incarnation) {
+        known->permits = g_rand_double(l->rand);
+        known->refilled_at = now;
+    }
+    known->incarnation = limit->incarnation;
+    known->rate = limit->rate;
+    known->version = limit->version;
+    known->told_at = told_at;
+    return changed;
+}
+
 // Returns NULL if the entry is expired or of another incarnation; one with
 // incarnation 0 matches any. The size check skips hashing in the usual case
 // that no endpoint has a limit.
--- a/packages/routing/tests/endpoint_limits_test.cc
+++ b/packages/routing/tests/endpoint_limits_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -18,10 +19,25 @@
     bool
     Set(double rate, GwTime at, int64_t incarnation = 7)
     {
-        GwEndpointLimit limit = {"i-1", incarnation, rate, kNow + at};
+        return SetWithVersion(rate, at / GW_MILLISECOND, at, incarnation);
+    }
+    bool
+    SetWithVersion(double rate, int64_t version, GwTime at,
+                   int64_t incarnation = 7)
+    {
+        GwEndpointLimit limit = {"i-1", incarnation, rate, kNow + at, version};
 
         return GwEndpointLimits_Set(l, &limit, kNow + at);
     }
+    // @return the assigned version
+    int64_t
+    Note(double rate, int64_t unix_ms, GwTime at, int64_t incarnation = 7)
+    {
+        GwEndpointLimit limit = {"i-1", incarnation, rate, kNow + at, 0};
+
+        GwEndpointLimits_Note(l, &limit, unix_ms, kNow + at);
+        return limit.version;
+    }
     double
     Rate(GwTime at, int64_t incarnation = 7)
     {
@@ -83,6 +99,166 @@
     EXPECT_EQ(Rate(GW_ENDPOINT_LIMIT_TERM), GW_ENDPOINT_UNLIMITED);
 }
 
+// An expired limit that is named again must be forwarded, because it has
+// expired at other processes, too.
+TEST_F(EndpointLimits, NamedAgainAfterExpiryIsChange)
+{
+    GwEndpointLimit limit = {"i-1", 7, 2, kNow + GW_ENDPOINT_LIMIT_TERM, 0};
+
+    Note(2, 100, 0);
+    EXPECT_TRUE(GwEndpointLimits_Note(l, &limit, 100, limit.told_at));
+    EXPECT_EQ(limit.version, 101);
+}
+
+// A limit that a peer still sees in answers must not expire here.
+TEST_F(EndpointLimits, RenewedWhenReceivedAgain)
+{
+    Note(2, 100, 0);
+    EXPECT_FALSE(SetWithVersion(2, 100, 10 * GW_SECOND));
+    EXPECT_EQ(Rate(GW_ENDPOINT_LIMIT_TERM), 2);
+    EXPECT_EQ(Rate(GW_ENDPOINT_LIMIT_TERM + 10 * GW_SECOND),
+              GW_ENDPOINT_UNLIMITED);
+}
+
+// A limit that arrives late must not replace a later one, and a wrong clock
+// must not cause later limits to be ignored.
+TEST_F(EndpointLimits, VersionsOrderChanges)
+{
+    EXPECT_EQ(Note(2, 100, 0), 100);
+    EXPECT_EQ(Note(2, 200, 1), 100) << "unchanged";
+    EXPECT_EQ(Note(3, 50, 2), 101) << "clock set back";
+    EXPECT_FALSE(SetWithVersion(9, 100, 3)) << "earlier version";
+    EXPECT_FALSE(SetWithVersion(3, 101, 3)) << "duplicate";
+    EXPECT_FALSE(SetWithVersion(9, 101, 3)) << "same version, higher limit";
+    EXPECT_FALSE(SetWithVersion(GW_ENDPOINT_UNLIMITED, 101, 3));
+    EXPECT_TRUE(SetWithVersion(1, 101, 3)) << "same version, lower limit";
+    EXPECT_TRUE(SetWithVersion(4, 5000, 3)) << "clock of sender is ahead";
+    EXPECT_EQ(Note(5, 300, 4), 5001);
+    EXPECT_TRUE(SetWithVersion(GW_ENDPOINT_UNLIMITED, 5002, 5));
+    EXPECT_FALSE(SetWithVersion(1, -1, 6));
+    EXPECT_FALSE(SetWithVersion(1, INT64_MAX, 6));
+    EXPECT_EQ(Note(6, INT64_MAX, 7, 8), INT64_MAX / 2);
+    EXPECT_EQ(Rate(7, 8), 6);
+}
+
+// Simulates entries and agents that forward changes of a limit; each is
+// connected to all processes of the other kind.
+class SimulatedPeers {
+  public:
+    SimulatedPeers(unsigned n_entries, unsigned n_agents, unsigned seed)
+        : rng_(seed), n_entries_(n_entries)
+    {
+        for (unsigned i = 0; i < n_entries + n_agents; i++)
+            peers_.push_back(GwEndpointLimits_New(i));
+    }
+    ~SimulatedPeers()
+    {
+        for (GwEndpointLimits *l : peers_)
+            GwEndpointLimits_Delete(l);
+    }
+    // An answer to entry @p i, at time @p at, names @p rate.
+    void
+    Note(unsigned i, double rate, GwTime at)
+    {
+        queue_.insert({at, {i, i, rate, 0, 0}});
+    }
+    // Delivers messages until none are left, but at most @p max_messages.
+    // @return how many were delivered
+    unsigned
+    Deliver(unsigned max_messages)
+    {
+        unsigned n = 0;
+
+        while (!queue_.empty() && n < max_messages) {
+            GwTime now = kNow + queue_.begin()->first;
+            Message m = queue_.begin()->second;
+            GwEndpointLimit limit = {"i-1", 7, m.rate, now - m.age, m.version};
+
+            queue_.erase(queue_.begin());
+            n++;
+            if (m.from == m.to
+                    ? GwEndpointLimits_Note(
+                          peers_[m.to], &limit,
+                          (now + clock_skew_[m.to % 4]) / GW_MILLISECOND, now)
+                    : GwEndpointLimits_Set(peers_[m.to], &limit, now))
+                Forward(m, limit, now);
+        }
+        return n;
+    }
+    bool
+    HaveSameRate(GwTime at) const
+    {
+        GwInstance instance = {};
+
+        instance.id = (char *)"i-1";
+        instance.incarnation = 7;
+        for (GwEndpointLimits *l : peers_) {
+            if (GwEndpointLimits_Rate(l, &instance, kNow + at) !=
+                GwEndpointLimits_Rate(peers_[0], &instance, kNow + at))
+                return false;
+        }
+        return true;
+    }
+
+  private:
+    struct Message {
+        unsigned from, to; // equal for an answer
+        double rate;
+        GwTime age; // when sent; excludes transit time
+        int64_t version;
+    };
+    void
+    Forward(const Message &m, const GwEndpointLimit &limit, GwTime now)
+    {
+        bool is_entry = m.to < n_entries_;
+        GwTime age = (now - limit.told_at) / GW_MILLISECOND * GW_MILLISECOND;
+
+        for (unsigned i = 0; i < peers_.size(); i++) {
+            GwTime transit = 100 + (GwTime)(rng_() % 3000);
+
+            if ((i < n_entries_) != is_entry && i != m.from)
+                queue_.insert({now - kNow + transit,
+                               {m.to, i, limit.rate, age, limit.version}});
+        }
+    }
+
+    std::mt19937 rng_;
+    unsigned n_entries_;
+    const GwTime clock_skew_[4] = {0, 2 * GW_SECOND, -300 * GW_MILLISECOND,
+                                   50};
+    std::vector<GwEndpointLimits *> peers_;
+    std::multimap<GwTime, Message> queue_;
+};
+
+// Changes received by several entries within milliseconds must not be
+// forwarded endlessly, which happens if each of two limits seems newer than
+// the other.
+TEST(EndpointLimitPeers, ChangedLimitsDoNotCirculate)
+{
+    const struct {
+        unsigned entries, agents;
+    } cases[] = {{2, 2}, {4, 9}, {22, 41}};
+
+    for (const auto &c : cases) {
+        const unsigned changes = 10;
+        // Each process forwards each change once to all of the other kind.
+        const unsigned max_messages =
+            changes * 2 * c.entries * c.agents + changes;
+
+        for (unsigned seed = 1; seed <= 20; seed++) {
+            SimulatedPeers p(c.entries, c.agents, seed);
+
+            for (unsigned i = 0; i < changes; i++)
+                p.Note(i % c.entries, i % 3 == 2 ? GW_ENDPOINT_UNLIMITED : i,
+                       (GwTime)i * 700);
+            EXPECT_LE(p.Deliver(max_messages + 1), max_messages)
+                << c.entries << " entries, seed " << seed;
+            EXPECT_TRUE(p.HaveSameRate(GW_SECOND))
+                << c.entries << " entries, seed " << seed;
+        }
+    }
+}
+
 // Simulates processes that send requests to one endpoint.
 class SimulatedProcesses {
   public:
@@ -90,7 +266,7 @@
     {
         instance_.id = (char *)"i-1";
         for (unsigned i = 0; i < n; i++) {
-            GwEndpointLimit limit = {"i-1", 0, rate, kNow};
+            GwEndpointLimit limit = {"i-1", 0, rate, kNow, 0};
 
             list_.push_back(GwEndpointLimits_New((*rng)()));
             GwEndpointLimits_Set(list_[i], &limit, kNow);
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -732,10 +732,14 @@
    * ms since the answer
    */
   uint64_t told_ms;
+  /*
+   * of later changes higher, at all processes
+   */
+  int64_t version;
 };
 #define GW__WIRE__ENDPOINT_LIMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__endpoint_limit__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -4038,7 +4038,7 @@
   (ProtobufCMessageInit) gw__wire__endpoint_leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__endpoint_limit__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gw__wire__endpoint_limit__field_descriptors[6] =
 {
   {
     "instance",
@@ -4100,6 +4100,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointLimit, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__endpoint_limit__field_indices_by_name[] = {
   1,   /* field[1] = incarnation */
@@ -4107,11 +4119,12 @@
   3,   /* field[3] = lifted */
   2,   /* field[2] = rate */
   4,   /* field[4] = told_ms */
+  5,   /* field[5] = version */
 };
 static const ProtobufCIntRange gw__wire__endpoint_limit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gw__wire__endpoint_limit__descriptor =
 {
@@ -4121,7 +4134,7 @@
   "Gw__Wire__EndpointLimit",
   "gw.wire",
   sizeof(Gw__Wire__EndpointLimit),
-  5,
+  6,
   gw__wire__endpoint_limit__field_descriptors,
   gw__wire__endpoint_limit__field_indices_by_name,
   1,  gw__wire__endpoint_limit__number_ranges,
--- a/soak/src/faults.cc
+++ b/soak/src/faults.cc
@@ -21,10 +21,16 @@
 /* Two seconds longer than work may come after the first such answer. */
 static const GwTime kToldDrained = 4500 * GW_MILLISECOND;
 
+/* Rate limits of endpoints, in requests per second, and how long they last;
+ * longer than any phase, so that Heal ends them. */
+static const double kLeastLimit = 0.5;
+static const double kMostLimit = 8;
+static const GwTime kLimitTime = 30 * GW_SECOND;
+
 Faults::Faults(const World &world,
                std::function<void(const std::string &)> log)
     : world_(world), log_(std::move(log)), random_(world.seed),
-      restore_random_(~world.seed)
+      restore_random_(~world.seed), limit_random_(world.seed + 1)
 {
     GwTimer_Init(&next_, world.platform->loop, OnNext, this);
     GwTimer_Init(&plan_, world.platform->loop, OnPlan, this);
@@ -39,6 +45,8 @@
 Faults::Run()
 {
     OnNext(this);
+    if (world_.limits)
+        LimitEndpoints(false);
     if (!world_.restores)
         return;
     if (!has_backup_)
@@ -62,6 +70,8 @@
 void
 Faults::Plan()
 {
+    if (world_.limits)
+        LimitEndpoints(false);
     OnPlan(this);
 }
 
@@ -354,6 +364,32 @@
     });
 }
 
+// Half of the limits change once, after kLeast to kMost.
+void
+Faults::LimitEndpoints(bool all)
+{
+    std::uniform_real_distribution<double> rate(kLeastLimit, kMostLimit);
+    std::uniform_int_distribution<GwTime> time(kLeast, kMost);
+
+    for (auto &it : world_.platform->endpoints) {
+        Endpoint *e = it.get();
+
+        if (!all && limit_random_() % 3 != 0)
+            continue;
+        e->SetLimit(rate(limit_random_));
+        log_("rate limit of " + e->id);
+        During(kLimitTime, [e] { e->SetLimit(-1); });
+        if (limit_random_() % 2 == 0) {
+            double changed = rate(limit_random_);
+
+            During(time(limit_random_), [e, changed] {
+                if (e->IsLimited())
+                    e->SetLimit(changed);
+            });
+        }
+    }
+}
+
 void
 Faults::OnPlan(void *user)
 {
--- a/soak/src/faults.h
+++ b/soak/src/faults.h
@@ -14,6 +14,7 @@
 struct World {
     uint64_t seed; /* of the faults alone: they do not depend on callers */
     bool restores; /* also restore the store from older backups */
+    bool limits;   /* endpoints also name rate limits */
     Platform *platform;
     std::vector<std::unique_ptr<Gateway>> *gateways;
     std::vector<std::unique_ptr<Process>> *sidecars;
@@ -29,6 +30,11 @@
     void Heal();
     /* Planned work, one kind after the other; needs no healing. */
     void Plan();
+    /* Make all endpoints, or a random third, name rate limits; Heal ends
+     * them. */
+    void LimitEndpoints(bool all);
+    /* Stop a random gateway, if it is running and is not the only one. */
+    void StopGateway();
 
   private:
     struct Active {
@@ -53,15 +59,16 @@
     void HarmEndpoint(Endpoint *endpoint);
     void HarmStore();
     void RestoreStore();
-    void StopGateway();
     void DrainEndpoint();
 
     World world_;
     std::function<void(const std::string &)> log_;
     std::list<std::unique_ptr<Active>> active_;
     std::mt19937_64 random_;
-    /* Separate, so that restores do not change other faults of a seed. */
+    /* Separate, so that restores and limits do not change the other faults of
+     * a seed. */
     std::mt19937_64 restore_random_;
+    std::mt19937_64 limit_random_;
     GwTimer next_, plan_;
     bool has_backup_ = false;
     int planned_ = 0;
--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -25,6 +25,7 @@
     int64_t engines = 4;
     int64_t callers = 24;
     int64_t restores = 0;
+    int64_t limits = 0;
     const char *regressions = nullptr;
     const char *logs = "/tmp/gw-soak";
 };
@@ -46,6 +47,8 @@
      1, 2000, false},
     {"restores", nullptr, "The store is restored from older copies, too",
      GW_SETTING_FLAG, FIELD(restores), 0, 1, false},
+    {"limits", nullptr, "Endpoints name rate limits, too", GW_SETTING_FLAG,
+     FIELD(limits), 0, 1, false},
     {"regressions", "FILE", "Play the seeds of a file", GW_SETTING_TEXT,
      FIELD(regressions), 0, 0, false},
     {"logs", "DIR", "Where logs of runs that broke a promise stay",
@@ -64,6 +67,10 @@
 /* Ends that an answer which was lost on its way may cost. */
 constexpr int kFatalLate = 3;
 constexpr GwTime kFatalPause = 150 * GW_MILLISECOND;
+/* The phase in which all endpoints name rate limits: its length, and how many
+ * times a gateway is stopped. */
+constexpr GwTime kLimitPhaseTime = 12 * GW_SECOND;
+constexpr int kLimitPhaseStops = 4;
 /* What the loud account asks for, as a multiple of its limit; and the share of
  * the limit that it gets at the end, when all is calm. */
 constexpr int kLoudTimes = 4;
@@ -98,8 +105,8 @@
         for (int i = 0; i < options.engines; i++)
             AddSidecar(i);
         faults_ = std::make_unique<Faults>(
-            World{seed, options.restores != 0, platform_.get(), &gateways_,
-                  &sidecars_, &store_paths_},
+            World{seed, options.restores != 0, options.limits != 0,
+                  platform_.get(), &gateways_, &sidecars_, &store_paths_},
             [this](const std::string &what) { Log(what); });
         GwTimer_Init(&tick_, loop_, OnTick, this);
         OnTick(this);
@@ -140,6 +147,8 @@
         }
         Calm();
         Fatal();
+        if (options_.limits)
+            StopGatewaysUnderLimits();
         Wait(kSettle);
         Caller::asked = Caller::answered = 0;
         Wait(kCalm);
@@ -313,6 +322,20 @@
             ledger_.Broken("the soak keeps up",
                            "the fatal request reached no three endpoints");
     }
+    // All endpoints name rate limits while gateways stop and are restarted:
+    // limits must not be exceeded when the number of gateways changes.
+    void
+    StopGatewaysUnderLimits()
+    {
+        Wait(kSettle);
+        Log("all endpoints name rate limits");
+        faults_->LimitEndpoints(true);
+        for (int i = 0; i < kLimitPhaseStops; i++) {
+            Wait(kLimitPhaseTime / kLimitPhaseStops);
+            faults_->StopGateway();
+        }
+        faults_->Heal();
+    }
     // One sender at each gateway.
     std::vector<std::unique_ptr<Repeater>>
     Repeat(GwTime pause, const char *prefix,
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -9,6 +9,13 @@
 static const int kLongStream = 250;
 /* A leaving endpoint gets no new work after so long. */
 static const GwTime kDrain = 2500 * GW_MILLISECOND;
+/* Later than kLimitGrace after an endpoint's rate limit is set, it receives in
+ * any kLimitWindow at most kLimitFactor times the limit plus kLimitSlack
+ * requests. */
+static const GwTime kLimitGrace = 3 * GW_SECOND;
+static const GwTime kLimitWindow = 4 * GW_SECOND;
+static const double kLimitFactor = 1.5;
+static const double kLimitSlack = 5;
 /* A caller's end is seen through two hops. */
 static const GwTime kGone = 1500 * GW_MILLISECOND;
 
@@ -135,6 +142,7 @@
     born_ = std::max(born_ + 1, g_get_real_time() / 1000);
     draining_ = row_tells_ = false;
     draining_since_ = 0;
+    limit_ = -1;
     loading_ = orders_ = 0;
     List();
     // The last heartbeat of its earlier life reaches the store after the first
@@ -157,6 +165,53 @@
     List();
 }
 
+void
+Endpoint::SetLimit(double rate)
+{
+    limit_ = rate;
+    limit_set_at_ = GwTime_Now();
+    arrivals_.clear();
+}
+
+bool
+Endpoint::IsLimited() const
+{
+    return limit_ >= 0;
+}
+
+std::string
+Endpoint::LimitHeader() const
+{
+    char text[64];
+
+    if (limit_ < 0)
+        return "";
+    snprintf(text, sizeof(text), "Server-Limit: %g\r\n", limit_);
+    return text;
+}
+
+void
+Endpoint::CheckLimit()
+{
+    GwTime now = GwTime_Now();
+
+    if (limit_ < 0 || now - limit_set_at_ < kLimitGrace)
+        return;
+    arrivals_.push_back(now);
+    while (now - arrivals_.front() > kLimitWindow)
+        arrivals_.pop_front();
+    if ((double)arrivals_.size() >
+            kLimitFactor * limit_ * (double)kLimitWindow / GW_SECOND +
+                kLimitSlack &&
+        platform_->is_calm(limit_set_at_)) {
+        platform_->ledger->Broken("an endpoint's rate limit is kept",
+                                  id + " with limit " +
+                                      std::to_string(limit_) + " received " +
+                                      std::to_string(arrivals_.size()));
+        arrivals_.clear();
+    }
+}
+
 // What it says of itself in each answer. The first one that tells it leaves
 // counts; words that are none must not put it out of use.
 std::string
@@ -171,11 +226,12 @@
     if (draining_) {
         if (draining_since_ == 0)
             draining_since_ = GwTime_Now();
-        return "Server-Leaving: 1\r\n";
+        return "Server-Leaving: 1\r\n" + LimitHeader();
     }
     if (draw(platform_->random) < garbled_share)
-        return garbled[platform_->random() % G_N_ELEMENTS(garbled)];
-    return "";
+        return garbled[platform_->random() % G_N_ELEMENTS(garbled)] +
+               LimitHeader();
+    return LimitHeader();
 }
 
 // The fatal request ends it. Three ends find the request out, and what is
@@ -324,6 +380,7 @@
     std::string request = Header(x, "X-Request-Id");
     bool outdated = Check(x);
 
+    CheckLimit();
     if (x->body->len == strlen(kFatal) && !strcmp(x->body->str, kFatal)) {
         End();
         return;
--- a/soak/src/platform.h
+++ b/soak/src/platform.h
@@ -3,6 +3,7 @@
 #ifndef GALENAGW_SOAK_PLATFORM_H
 #define GALENAGW_SOAK_PLATFORM_H
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <random>
@@ -64,6 +65,10 @@
     /* It tells that it leaves, in its row and its answers or in these alone;
      * what comes afterwards is a broken promise. */
     void Drain(bool by_answers_alone);
+    /* Set the rate limit that its answers name, in requests per second of all
+     * gateways combined; negative: none. */
+    void SetLimit(double rate);
+    bool IsLimited() const;
     void List() const;
     void Unlist(const std::string &key) const;
 
@@ -83,6 +88,8 @@
     static void OnBack(void *user);
     void End();
     std::string Words();
+    std::string LimitHeader() const;
+    void CheckLimit();
     void Serve(FakeExchange *x);
     void Stream(FakeExchange *x, const std::string &request);
     void Order(FakeExchange *x);
@@ -100,7 +107,10 @@
     GwTimer loaded_;
     bool draining_ = false, row_tells_ = false;
     GwTime draining_since_ = 0;
-    GwTimer back_; /* after an end of its own */
+    double limit_ = -1;
+    GwTime limit_set_at_ = 0;
+    std::deque<GwTime> arrivals_; /* of requests, in the last kLimitWindow */
+    GwTimer back_;                /* after an end of its own */
 };
 
 class Platform {
