Derive the reread delay of a restored list from the heartbeat interval

Impact: with heartbeat intervals longer than 1.2 s, requests go to an endpoint that has left, or to another one at its address, after the store is restored from an older copy.

Cause: entries in the copy whose endpoints are gone lapse after three heartbeat intervals. Until then they must be ignored.

The list is read again after three heartbeat intervals plus 1.4 s, which for an interval of 1.2 s is five seconds, as before.

Test: StoreRestored.RemovedEndpointsReturnAfterThreeHeartbeats. Before the change, with an interval of 2 s an endpoint that had left is back within 6 s, and with 0.1 s a live one is not back within 2 s.

--- a/packages/cluster/include/galenagw/cluster/store_reader.h
+++ b/packages/cluster/include/galenagw/cluster/store_reader.h
@@ -35,6 +35,9 @@
      * are read at once, each call having its price. */
     GwTime instances_pause;
     GwTime bound; /**< within which a change must be known; 0: two seconds */
+    /** Interval at which endpoints renew their entries. An entry lapses after
+     * three intervals without renewal. 0: 1.2 seconds. */
+    GwTime heartbeat_interval;
     /** Called when the store was restored from an older copy, which may lack
      * records that this process wrote; or NULL. */
     void (*on_restored)(void *user);
--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -16,10 +16,12 @@
 /* A call under way that would wait so many times longer than the next one may
  * is not worth waiting for. */
 #define ALONE_FACTOR 2
-/* Delay before a restored list is read again. Records of keys that were
- * removed before the restore are ignored until then; entries of endpoints that
- * are gone lapse within three heartbeats. */
-#define RESTORED_REREAD_DELAY (5 * GW_SECOND)
+/* Default interval between heartbeats of an endpoint. */
+#define DEFAULT_HEARTBEAT_INTERVAL (1200 * GW_MILLISECOND)
+/* Entries lapse after this many heartbeat intervals without renewal. */
+#define LAPSE_INTERVALS 3
+/* Allowance for the store's delay in removing a lapsed entry. */
+#define REMOVAL_DELAY (1400 * GW_MILLISECOND)
 /* Delay before a list is read whole again if a read expires right after a
  * whole reading. */
 #define EXPIRED_REREAD_DELAY (500 * GW_MILLISECOND)
@@ -48,7 +50,7 @@
     GwHttpCaller *caller;
     GwTimer timer; /* the pause after a failure */
     GwTimer suspicion;
-    GwTimer reread; /* see RESTORED_REREAD_DELAY */
+    GwTimer reread; /* see restored_reread_delay_ */
     GString *request;
     char *after;       /* key to go on behind, within a whole reading */
     bool whole;        /* the next call reads the whole list */
@@ -81,6 +83,7 @@
 static void restart_other_calls_(GwStoreReader *r, const Follower *current);
 static bool adopt_era_(Follower *f);
 static void restart_whole_(Follower *f);
+static GwTime restored_reread_delay_(const GwStoreReader *r);
 static void on_reread_(void *user);
 static void read_expired_(Follower *f);
 static void go_on_(Follower *f);
@@ -356,12 +359,25 @@
                                  now + RETURN_GRACE);
     GwRecords_EndWhole(records, f->list, GwPosition_Of(f->era, f->whole_end));
     if (f->is_restored && f->not_newer > 0)
-        GwTimer_Start(&f->reread, RESTORED_REREAD_DELAY);
+        GwTimer_Start(&f->reread, restored_reread_delay_(f->owner));
     f->is_restored = false;
     f->after_whole = true;
     f->whole = false;
 }
 
+// Delay before a restored list is read again. Records of keys that were
+// removed before the restore are ignored until then: entries of endpoints that
+// are gone have lapsed by that time.
+static GwTime
+restored_reread_delay_(const GwStoreReader *r)
+{
+    GwTime interval = r->options.heartbeat_interval > 0
+                          ? r->options.heartbeat_interval
+                          : DEFAULT_HEARTBEAT_INTERVAL;
+
+    return LAPSE_INTERVALS * interval + REMOVAL_DELAY;
+}
+
 static void
 on_record_(void *user, GwList list, const GwRecord *record)
 {
--- a/packages/cluster/tests/store_restored_test.cc
+++ b/packages/cluster/tests/store_restored_test.cc
@@ -26,7 +26,7 @@
         GwLoop_Delete(loop);
     }
     void
-    Start()
+    Start(GwTime heartbeat_interval = 0)
     {
         GwStoreReaderOptions options = {};
         GwViewOptions view = {};
@@ -42,6 +42,7 @@
         options.rand = rand_;
         options.bound = kBound;
         options.instances_pause = 200 * GW_MILLISECOND;
+        options.heartbeat_interval = heartbeat_interval;
         reader_ = GwStoreReader_New(loop, &options);
     }
     void
@@ -248,6 +249,39 @@
     EXPECT_NE(Find("i-3"), nullptr);
 }
 
+// Guards against using a removed endpoint before its restored entry lapses,
+// and against ignoring a live endpoint for long when the heartbeat interval is
+// short.
+TEST_F(StoreRestored, RemovedEndpointsReturnAfterThreeHeartbeats)
+{
+    const struct {
+        GwTime heartbeat_interval, ignored_for, used_within;
+    } cases[] = {{100 * GW_MILLISECOND, 300 * GW_MILLISECOND, 2 * GW_SECOND},
+                 {1200 * GW_MILLISECOND, 3600 * GW_MILLISECOND, 6 * GW_SECOND},
+                 {2 * GW_SECOND, 6 * GW_SECOND, 9 * GW_SECOND}};
+
+    for (const auto &c : cases) {
+        SCOPED_TRACE(c.heartbeat_interval);
+        PutConfig(1);
+        PutEndpoint("i-1");
+        FakeStore_Backup(store_);
+        Start(c.heartbeat_interval);
+        ASSERT_LT(Run(kBound, [&] { return Find("i-1") != nullptr; }), kBound);
+        FakeStore_Put(store_, "keyed.servers", "i-1", nullptr);
+        ASSERT_LT(Run(kBound, [&] { return Find("i-1") == nullptr; }), kBound);
+        FakeStore_Restore(store_);
+        Run(c.ignored_for);
+        EXPECT_EQ(Find("i-1"), nullptr);
+        Run(c.used_within - c.ignored_for,
+            [&] { return Find("i-1") != nullptr; });
+        EXPECT_NE(Find("i-1"), nullptr);
+        GwStoreReader_Delete(reader_);
+        reader_ = nullptr;
+        GwView_Delete(view_);
+        view_ = nullptr;
+    }
+}
+
 // Of two endpoints at one address, the one written later is used. Compared by
 // reused offsets alone, the new endpoint would get no requests.
 TEST_F(StoreRestored, LaterEndpointAtSameAddressIsUsed)
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -411,6 +411,7 @@
         .rand = g->rand,
         .instances_pause = GwStoreReader_EntryPause(1, d->leaving_bound),
         .bound = d->config_bound,
+        .heartbeat_interval = d->heartbeat_interval,
         .on_restored = on_store_restored_,
         .user = g,
     };
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -682,6 +682,7 @@
         .rand = s->rand,
         .instances_pause = INSTANCES_PAUSE,
         .bound = d->config_bound,
+        .heartbeat_interval = d->heartbeat_interval,
     };
     GwPeersOptions peers = {
         .is_agent = true,
