Move the handling of engine state from peers.c into a separate module

peers.c had grown to 1,032 lines: connections, news, limit homes, and all messages about engines between agents and entries. The latter are now in peers_engine.c (269 lines; peers.c has 731), and the shared structs are in peers_private.h.

No behaviour changes: the lines are the same, in other files, except that functions called across files have new names and that the reply to a peer that connects is one function.

--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -5,14 +5,11 @@
 #include <sys/queue.h>
 
 #include "endpoint_limit_words.h"
-#include "exchange.h"
-#include "kept_words.h"
 #include "leaving_words.h"
 #include "limit_words.h"
-#include "waiting.h"
+#include "peers_private.h"
 #include "galenagw/routing/placement.h"
 #include "galenagw/routing/subset.h"
-#include "galenagw/wire/session.h"
 
 /* How often connections are compared with the list of endpoints. A new
  * engine is in use before its agent is known; this is for advice only. */
@@ -35,43 +32,6 @@
  * together stay within the budget. */
 #define ENTRIES_ASSUMED 8
 
-typedef struct Peer {
-    TAILQ_ENTRY(Peer) link;
-    GwPeers *owner;
-    GwSession *session;
-    GwAddress address; /* of one that we connect to */
-    char name[64];     /* by its hello */
-    bool outbound;
-    bool wanted; /* by the last comparison with the list */
-    bool is_entry;
-    bool limits_only;      /* entry: it sends nothing to the engine there */
-    uint64_t place;        /* of an agent, by the address that it listens at */
-    GwWaitingPeer waiting; /* agent: an entry's, at our engine */
-    unsigned entries;      /* connected to it, by an agent's word */
-    GwExchangePeer lists;
-    GwKeptWords kept;
-} Peer;
-
-struct GwPeers {
-    GwLoop *loop;
-    GwPeersOptions options;
-    GwSessionServer *server;
-    TAILQ_HEAD(, Peer) peers;
-    GwTimer timer;
-    GwTime changed_at; /* entry: when the list last named another engine */
-    GwAddress watched; /* agent: another agent; port 0: none */
-    GwExchange exchange;
-    GwTime connected_at;  /* entry: to any agent */
-    unsigned subset;      /* entry: engines that it follows */
-    uint64_t told_urgent; /* changes that peers were told of */
-    bool has_engine;
-    char engine_id[128];
-    GwEngineState engine;    /* agent: told last */
-    const GwKeptParts *kept; /* agent: of its engine; or NULL */
-    GwLimitPool pool;        /* homes of accounts */
-    int64_t pool_end;        /* of the list that it was made from */
-};
-
 /* Iterates over the ready peers, except the one whose session is @p from. */
 #define FOREACH_OTHER_PEER_(peer, p, from)                                    \
     TAILQ_FOREACH(peer, &(p)->peers, link)                                    \
@@ -101,24 +61,11 @@
                              bool limits_only);
 static void set_pool_(GwPeers *p);
 static bool has_limits_(const GwPeers *p);
-static bool is_follower_(const Peer *peer);
 static Peer *add_(GwPeers *p);
 static void set_session_(Peer *peer, GwSession *session);
 static Peer *find_(GwPeers *p, const GwSession *session);
-static Peer *at_(const GwPeers *p, const GwAddress *address);
 static void drop_(Peer *peer);
 static bool needs_seeds_(const GwPeers *p);
-static void send_engine_(GwPeers *p, Peer *peer, const GwWaiting *all);
-static void tell_kept_(GwPeers *p, Peer *peer, const GwKeptChange *list,
-                       size_t n);
-static void take_note_(GwPeers *p, Peer *from,
-                       const Gw__Wire__PrefillNote *note);
-static void tell_waiting_(GwPeers *p);
-static bool is_earlier_(int64_t told, int64_t known);
-static GwWaiting all_(const GwPeers *p);
-static void take_engine_(GwPeers *p, Peer *from,
-                         const Gw__Wire__EngineState *state);
-static unsigned count_entries_(const GwPeers *p);
 static void follow_(GwPeers *p, const GPtrArray *all);
 static unsigned known_entries_(const GwPeers *p);
 static double mean_entries_(const GwPeers *p);
@@ -182,53 +129,6 @@
         GwTimer_Start(&p->timer, RECONCILE_SOON);
 }
 
-void
-GwPeers_TellEngine(GwPeers *p, const GwEngineState *state)
-{
-    GwWaiting all = all_(p);
-    Peer *peer;
-
-    if (p->has_engine && (strcmp(p->engine_id, state->instance) != 0 ||
-                          p->engine.incarnation != state->incarnation))
-        GwPeers_ResetKept(p);
-    p->has_engine = true;
-    p->engine = *state;
-    g_strlcpy(p->engine_id, state->instance, sizeof(p->engine_id));
-    p->engine.instance = p->engine_id;
-    TAILQ_FOREACH(peer, &p->peers, link)
-    {
-        if (!peer->outbound && !peer->limits_only)
-            send_engine_(p, peer, &all);
-    }
-}
-
-void
-GwPeers_SetKept(GwPeers *p, const GwKeptParts *kept)
-{
-    p->kept = kept;
-}
-
-void
-GwPeers_TellKept(GwPeers *p, const GwKeptChange *list, size_t n)
-{
-    Peer *peer;
-
-    TAILQ_FOREACH(peer, &p->peers, link)
-    {
-        if (is_follower_(peer) && GwSession_IsReady(peer->session))
-            tell_kept_(p, peer, list, n);
-    }
-}
-
-void
-GwPeers_ResetKept(GwPeers *p)
-{
-    Peer *peer;
-
-    TAILQ_FOREACH(peer, &p->peers, link)
-    GwKeptWords_Reset(&peer->kept);
-}
-
 void
 GwPeers_Watch(GwPeers *p, const GwAddress *address)
 {
@@ -238,27 +138,6 @@
         p->watched.port = 0;
 }
 
-void
-GwPeers_NoteLoad(GwPeers *p, const GwInstance *instance)
-{
-    GwAddress address = instance->address;
-    Peer *peer;
-    GW_FRAME(frame, note, PREFILL_NOTE, PrefillNote, prefill_note);
-
-    address.port = p->options.agent_port;
-    peer = at_(p, &address);
-    // What still waits at an earlier life is no load of this one.
-    if (instance->superseded || peer == NULL ||
-        !GwSession_IsReady(peer->session))
-        return;
-    note.tokens = instance->prefill_tokens;
-    note.yielding = instance->yielding_tokens;
-    note.yielding_memory = instance->yielding_memory;
-    note.long_runs = instance->long_runs;
-    note.incarnation = instance->incarnation;
-    GwSession_Send(peer->session, &frame);
-}
-
 bool
 GwPeers_AskHome(GwPeers *p, uint64_t home, const GwLimitAsk *ask)
 {
@@ -275,32 +154,6 @@
     return false;
 }
 
-void
-GwPeers_ForgetLoads(GwPeers *p)
-{
-    Peer *peer;
-
-    TAILQ_FOREACH(peer, &p->peers, link)
-    GwWaiting_Forget(&peer->waiting);
-}
-
-unsigned
-GwPeers_LongRuns(const GwPeers *p)
-{
-    const Peer *peer;
-    unsigned n = 0;
-
-    TAILQ_FOREACH(peer, &p->peers, link)
-    n += peer->waiting.long_runs;
-    return n;
-}
-
-uint64_t
-GwPeers_WaitingTokens(const GwPeers *p)
-{
-    return all_(p).tokens;
-}
-
 void
 GwPeers_TellNews(GwPeers *p)
 {
@@ -369,7 +222,7 @@
     const Peer *agent;
 
     address.port = p->options.agent_port;
-    agent = instance->model != NULL ? at_(p, &address) : NULL;
+    agent = instance->model != NULL ? GwPeers_At(p, &address) : NULL;
     return agent != NULL && agent->entries > 0 ? agent->entries
                                                : GwPeers_Entries(p);
 }
@@ -420,13 +273,7 @@
     GwEvent_Text(p->options.log, "peer", hello->instance);
     GwEvent_End(p->options.log);
     GwExchange_TellAges(&p->exchange, session);
-    if (!peer->outbound && !peer->limits_only && p->has_engine) {
-        GwWaiting all = all_(p);
-
-        send_engine_(p, peer, &all);
-    }
-    if (is_follower_(peer))
-        tell_kept_(p, peer, NULL, 0);
+    GwPeersEngine_SendAll(p, peer);
     GwLeavingWords_SendAll(session, GwView_Instances(p->options.view));
     GwEndpointLimitWords_SendAll(session,
                                  GwView_EndpointLimits(p->options.view));
@@ -455,11 +302,11 @@
         GwExchange_Take(&p->exchange, frame->records_tell);
         return;
     case GW__WIRE__FRAME__BODY_PREFILL_NOTE:
-        take_note_(p, peer, frame->prefill_note);
+        GwPeersEngine_TakeNote(p, peer, frame->prefill_note);
         return;
     case GW__WIRE__FRAME__BODY_ENGINE_STATE:
         if (peer != NULL)
-            take_engine_(p, peer, frame->engine_state);
+            GwPeersEngine_TakeState(p, peer, frame->engine_state);
         return;
     case GW__WIRE__FRAME__BODY_KEPT_PARTS:
         if (peer != NULL)
@@ -689,7 +536,7 @@
 static void
 connect_(GwPeers *p, const GwAddress *address, bool limits_only)
 {
-    Peer *peer = at_(p, address);
+    Peer *peer = GwPeers_At(p, address);
     GwSessionOptions session = session_options_(p);
 
     if (limits_only)
@@ -737,13 +584,6 @@
     return routes != NULL && routes->has_limits;
 }
 
-// An entry that sends work to our engine.
-static bool
-is_follower_(const Peer *peer)
-{
-    return peer->is_entry && !peer->limits_only;
-}
-
 static Peer *
 add_(GwPeers *p)
 {
@@ -776,8 +616,8 @@
     return NULL;
 }
 
-static Peer *
-at_(const GwPeers *p, const GwAddress *address)
+Peer *
+GwPeers_At(const GwPeers *p, const GwAddress *address)
 {
     Peer *peer;
 
@@ -819,147 +659,6 @@
     return true;
 }
 
-static void
-send_engine_(GwPeers *p, Peer *peer, const GwWaiting *all)
-{
-    GW_FRAME(frame, state, ENGINE_STATE, EngineState, engine_state);
-    GwWaiting others = GwWaiting_But(all, &peer->waiting);
-
-    state.instance = p->engine_id;
-    state.incarnation = p->engine.incarnation;
-    state.weights = p->engine.weights;
-    state.preparing = p->engine.preparing;
-    state.switching = p->engine.switching;
-    state.down = p->engine.down;
-    state.running = p->engine.running;
-    state.queued = p->engine.queued;
-    state.kv_used = p->engine.kv_used;
-    state.kv_total = p->engine.kv_total;
-    state.entries = count_entries_(p);
-    peer->waiting.told = others;
-    state.others_tokens = others.tokens;
-    state.others_yielding = others.yielding;
-    state.others_yielding_memory = others.yielding_memory;
-    GwSession_Send(peer->session, &frame);
-}
-
-static void
-tell_kept_(GwPeers *p, Peer *peer, const GwKeptChange *list, size_t n)
-{
-    GwKeptOf of = {p->engine_id, p->engine.incarnation, p->kept};
-
-    if (p->has_engine && p->kept != NULL)
-        GwKeptWords_Tell(&peer->kept, peer->session, &of, list, n);
-}
-
-static void
-take_note_(GwPeers *p, Peer *from, const Gw__Wire__PrefillNote *note)
-{
-    if (from == NULL || !p->has_engine ||
-        is_earlier_(note->incarnation, p->engine.incarnation))
-        return;
-    GwWaiting_Take(&from->waiting, note);
-    tell_waiting_(p);
-}
-
-static void
-tell_waiting_(GwPeers *p)
-{
-    GwWaiting all = all_(p);
-    Peer *peer;
-
-    TAILQ_FOREACH(peer, &p->peers, link)
-    {
-        GwWaiting others = GwWaiting_But(&all, &peer->waiting);
-
-        if (!is_follower_(peer) || !GwSession_IsReady(peer->session))
-            continue;
-        if (GwWaiting_IsNews(&peer->waiting, &others))
-            send_engine_(p, peer, &all);
-    }
-}
-
-// What all entries wait for.
-static GwWaiting
-all_(const GwPeers *p)
-{
-    const Peer *peer;
-    GwWaiting sum = {0};
-
-    TAILQ_FOREACH(peer, &p->peers, link)
-    GwWaiting_Add(&sum, &peer->waiting);
-    return sum;
-}
-
-// A peer that tells no life, as an older build in a rolling upgrade, speaks of
-// the one that is known: else all it says is lost for as long as builds are
-// mixed.
-static bool
-is_earlier_(int64_t told, int64_t known)
-{
-    return told != 0 && told < known;
-}
-
-static void
-take_engine_(GwPeers *p, Peer *from, const Gw__Wire__EngineState *state)
-{
-    GwInstance *instance =
-        GwInstances_Find(GwView_Instances(p->options.view), state->instance);
-    bool went_down;
-    bool has_news;
-
-    from->entries = state->entries;
-    if (instance == NULL ||
-        is_earlier_(state->incarnation, instance->incarnation))
-        return;
-    // The word of the process beside the engine is ahead of the list.
-    if (state->incarnation > instance->incarnation)
-        instance = GwInstances_Restarted(GwView_Instances(p->options.view),
-                                         state->instance, state->incarnation,
-                                         GW_LEARNED_AGENT);
-    went_down = state->down && !instance->advice.down;
-    has_news = GwInstance_SetWeights(instance, state->weights);
-    if (has_news || instance->advice.switching != state->switching ||
-        instance->advice.preparing != state->preparing ||
-        instance->advice.down != state->down) {
-        GwEvent_Begin(p->options.log, "engine", NULL);
-        GwEvent_Text(p->options.log, "instance", instance->id);
-        GwEvent_Number(p->options.log, "weights", instance->weights);
-        GwEvent_Text(p->options.log, "state",
-                     state->down        ? "down"
-                     : state->switching ? "switching"
-                     : state->preparing ? "preparing"
-                                        : "serving");
-        GwEvent_End(p->options.log);
-    }
-    instance->advice = (GwAdvice){
-        .at = GwTime_Now(),
-        .preparing = state->preparing,
-        .switching = state->switching,
-        .down = state->down,
-        .others_tokens = state->others_tokens,
-        .others_yielding = state->others_yielding,
-        .others_yielding_memory = state->others_yielding_memory,
-        .running = state->running,
-        .queued = state->queued,
-        .kv_used = state->kv_used,
-        .kv_total = state->kv_total,
-    };
-    if (went_down && p->options.on_engine_down != NULL)
-        p->options.on_engine_down(p->options.user, instance);
-}
-
-static unsigned
-count_entries_(const GwPeers *p)
-{
-    const Peer *peer;
-    unsigned n = 0;
-
-    TAILQ_FOREACH(peer, &p->peers, link)
-    n += is_follower_(peer) && GwSession_IsReady(peer->session);
-    return n;
-}
-
 // Which engines work is sent to. How many entries there are is told by agents,
 // who hear of them one after the other at a start of all: too few at first,
 // for which each entry would connect to the whole fleet.
@@ -986,7 +685,7 @@
     // Of an agent's entries the least that each may follow: too many of them
     // assumed only makes it ask the store more seldom.
     if (p->options.is_agent)
-        return GwSubset_Entries(count_entries_(p), engines,
+        return GwSubset_Entries(GwPeersEngine_CountEntries(p), engines,
                                 GwSubset_Size(engines, 0));
     return GwSubset_Entries(mean_entries_(p), engines, p->subset);
 }
