Allow a connection pool to be deleted when its last request ends

Impact: a gateway crashes, and all its requests in flight fail.

Cause: if a request uses the connection of a check (which determines whether the endpoint still listens) and that connection is refused, the request ends first, and then the pool reports that nothing listens. If it was the last request of an endpoint that has already been removed, its end deletes the pool, and the address of the function to call is read from freed memory.

Change: a pool that is deleted from inside one of its callbacks is freed when that callback returns, and no longer reports anything.

Tests: RefusedUpstream.PoolMayBeDeletedWhenRequestEnds; before the change, the deleted pool calls on_refused.

--- a/packages/gateway/src/upstream.c
+++ b/packages/gateway/src/upstream.c
@@ -41,6 +41,8 @@
 struct GwUpstreamPool {
     GwUpstreamPoolOptions options;
     bool is_checked; /* a check is under way */
+    int depth;       /* callbacks in progress: the struct must not be freed */
+    bool dead;       /* freed once the last of them returns */
     unsigned open;
     TAILQ_HEAD(Upstreams, GwUpstream) idle; /* newest first */
     struct Upstreams busy;
@@ -88,7 +90,9 @@
         return;
     GwUpstreamPool_CloseIdle(pool);
     g_assert(TAILQ_EMPTY(&pool->busy));
-    g_free(pool);
+    pool->dead = true;
+    if (pool->depth == 0)
+        g_free(pool);
 }
 
 void
@@ -317,6 +321,7 @@
 
     u->tcp = NULL;
     u->depth++;
+    pool->depth++;
     if (u->ops != NULL && end == GW_TCP_FINISHED && !u->skipping)
         whole = GwHttpReader_Finish(u->reader) == GW_HTTP_DONE;
     if (u->dead)
@@ -329,8 +334,12 @@
         end_(u, u->open ? GW_UPSTREAM_BROKEN : GW_UPSTREAM_REFUSED, false);
     if (--u->depth == 0 && u->dead)
         release_(u);
-    if (refused)
+    // on_end may have deleted the pool: its owner does so when the last
+    // request of a removed endpoint ends.
+    if (refused && !pool->dead)
         pool->options.on_refused(pool->options.user, pool);
+    if (--pool->depth == 0 && pool->dead)
+        g_free(pool);
 }
 
 static bool
--- /dev/null
+++ b/packages/gateway/tests/upstream_test.cc
@@ -0,0 +1,95 @@
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "galenagw/fakes/loop_test.h"
+
+extern "C" {
+#include "upstream.h"
+}
+
+// A connection pool for an address on which nothing listens.
+class RefusedUpstream : public LoopTest {
+  protected:
+    RefusedUpstream()
+    {
+        GwUpstreamPoolOptions options = {};
+        sockaddr_in address = {};
+        socklen_t len = sizeof(address);
+
+        // Bound but not listening: connections are refused, and no other
+        // process can take the port.
+        address.sin_family = AF_INET;
+        inet_pton(AF_INET, kAny.host, &address.sin_addr);
+        EXPECT_EQ(bind(fd_, (sockaddr *)&address, len), 0);
+        EXPECT_EQ(getsockname(fd_, (sockaddr *)&address, &len), 0);
+        options.loop = loop;
+        options.address = kAny;
+        options.address.port = ntohs(address.sin_port);
+        options.counters = &counters_;
+        options.on_refused = [](void *user, GwUpstreamPool *) {
+            static_cast<RefusedUpstream *>(user)->on_refused_calls_++;
+        };
+        options.user = this;
+        pool_ = GwUpstreamPool_New(&options);
+    }
+    ~RefusedUpstream() override
+    {
+        GwUpstreamPool_Delete(pool_);
+        GwLoop_Delete(loop);
+        close(fd_);
+    }
+    void
+    Send()
+    {
+        static const GwUpstreamOps ops = {
+            nullptr, nullptr, [](void *user, GwUpstreamEnd end) {
+                RefusedUpstream *t = static_cast<RefusedUpstream *>(user);
+
+                t->end_ = end;
+                t->ended_ = true;
+                if (t->delete_pool_on_end_) {
+                    GwUpstreamPool_Delete(t->pool_);
+                    t->pool_ = nullptr;
+                }
+            }};
+        GString *request = g_string_new("GET / HTTP/1.1\r\n\r\n");
+        GwUpstreamOptions options = {};
+
+        options.request = request;
+        options.may_repeat = true;
+        options.ops = &ops;
+        options.user = this;
+        GwUpstream_Send(pool_, &options);
+        g_string_free(request, TRUE);
+    }
+
+    int fd_ = socket(AF_INET, SOCK_STREAM, 0);
+    GwCounters counters_ = {};
+    GwUpstreamPool *pool_ = nullptr;
+    GwUpstreamEnd end_ = GW_UPSTREAM_COMPLETE;
+    bool delete_pool_on_end_ = false, ended_ = false;
+    int on_refused_calls_ = 0;
+};
+
+// on_refused is called even if the refused connection of a check was already
+// assigned to a request.
+TEST_F(RefusedUpstream, RefusalOfCheckWithRequestIsReported)
+{
+    GwUpstreamPool_Check(pool_);
+    Send();
+    ASSERT_TRUE(Until([&] { return ended_; }));
+    EXPECT_EQ(end_, GW_UPSTREAM_REFUSED);
+    EXPECT_EQ(on_refused_calls_, 1);
+}
+
+// Guards against calling on_refused through a freed pool when on_end deletes
+// the pool.
+TEST_F(RefusedUpstream, PoolMayBeDeletedWhenRequestEnds)
+{
+    delete_pool_on_end_ = true;
+    GwUpstreamPool_Check(pool_);
+    Send();
+    ASSERT_TRUE(Until([&] { return ended_; }));
+    EXPECT_EQ(on_refused_calls_, 0);
+}
