Limits: keep processes from sending at once when their shares change

Impact: an endpoint may receive one request more in four seconds than the bound of rule LIMIT (1.5 times the limit, plus five requests). No effect on callers. Not seen in a deployment; found by simulating limits that fall and rise.

Cause: if more processes share a limit than permits may accumulate, each sends at its own, randomly chosen point of a long period. That point was stored as a time. When the period grows, because the limit falls or processes start, points that were spread over the old period lie within a small part of the new one, and later all processes send within half a second (24 processes at a limit of 3/s that had been 30/s before).

Ruled out as the only cause: processes that start and stop.

Change: when a share changes, because of its limit or the number of processes, the elapsed fraction of the period is kept instead of the time. Processes that have accumulated the maximum, and so are at the same point, choose a new random one.

Test: EndpointLimitShares.CombinedRateStaysWithinChangingLimit, 200 schedules of one minute with up to 50 processes that always have a request, changes every 1 to 12 s that are received up to half a second late, or at once together with starts and stops.

--- a/packages/routing/include/galenagw/routing/endpoint_limits.h
+++ b/packages/routing/include/galenagw/routing/endpoint_limits.h
@@ -84,7 +84,7 @@
  * Earliest time, not before @p now, at which this process, one of @p processes
  * that send to @p instance, may send it a request.
  */
-GwTime GwEndpointLimits_OpensAt(const GwEndpointLimits *limits,
+GwTime GwEndpointLimits_OpensAt(GwEndpointLimits *limits,
                                 const GwInstance *instance, unsigned processes,
                                 GwTime now);
 /** Count a request to @p instance against this process's share. */
--- a/packages/routing/src/endpoint_limits.c
+++ b/packages/routing/src/endpoint_limits.c
@@ -28,6 +28,7 @@
     GwTime told_at;
     double permits; /* requests that this process could send at refilled_at */
     GwTime refilled_at;
+    unsigned processes; /* that share it as of the last query; 0: none yet */
 } Limit;
 
 /* One process's share of a limit. */
@@ -48,7 +49,9 @@
                    GwTime now);
 static Limit *find_(const GwEndpointLimits *l, const GwInstance *instance,
                     GwTime now);
-static Share share_(const Limit *limit, unsigned processes);
+static void update_share_(const GwEndpointLimits *l, Limit *limit, double rate,
+                          unsigned processes, GwTime now);
+static Share share_(double limit_rate, unsigned processes);
 static double permits_(const Limit *limit, const Share *share, GwTime now);
 static void remove_inactive_(GwEndpointLimits *l, GwTime now);
 
@@ -126,16 +129,17 @@
 }
 
 GwTime
-GwEndpointLimits_OpensAt(const GwEndpointLimits *l, const GwInstance *instance,
+GwEndpointLimits_OpensAt(GwEndpointLimits *l, const GwInstance *instance,
                          unsigned processes, GwTime now)
 {
-    const Limit *known = find_(l, instance, now);
+    Limit *known = find_(l, instance, now);
     Share share;
     double permits;
 
     if (known == NULL || known->rate < 0)
         return now;
-    share = share_(known, processes);
+    update_share_(l, known, known->rate, processes, now);
+    share = share_(known->rate, processes);
     permits = permits_(known, &share, now);
     return permits >= 1 ? now : now + (GwTime)((1 - permits) * share.period);
 }
@@ -149,7 +153,8 @@
 
     if (known == NULL || known->rate < 0)
         return;
-    share = share_(known, processes);
+    update_share_(l, known, known->rate, processes, now);
+    share = share_(known->rate, processes);
     known->permits = permits_(known, &share, now) - 1;
     known->refilled_at = now;
 }
@@ -229,6 +234,10 @@
     if (known->rate < 0 || limit->incarnation != known->incarnation) {
         known->permits = g_rand_double(l->rand);
         known->refilled_at = now;
+        known->rate = limit->rate;
+    }
+    else if (limit->rate >= 0) {
+        update_share_(l, known, limit->rate, known->processes, now);
     }
     known->incarnation = limit->incarnation;
     known->rate = limit->rate;
@@ -255,10 +264,33 @@
     return known;
 }
 
+// Counts the time until @p now at the previous share. Otherwise, if the period
+// grows, processes whose next permits were spread over the previous period
+// would receive them within a small part of the new one.
+static void
+update_share_(const GwEndpointLimits *l, Limit *limit, double rate,
+              unsigned processes, GwTime now)
+{
+    Share before = share_(limit->rate, limit->processes);
+    Share after = share_(rate, processes);
+
+    if (limit->processes != 0 &&
+        (before.period != after.period || before.burst != after.burst)) {
+        limit->permits = permits_(limit, &before, now);
+        limit->refilled_at = now;
+        // Random, as idle processes have all accumulated the maximum and would
+        // send at the same time.
+        if (after.burst == 0 && before.burst > 0 && limit->permits >= 1)
+            limit->permits = g_rand_double(l->rand);
+    }
+    limit->rate = rate;
+    limit->processes = processes;
+}
+
 static Share
-share_(const Limit *limit, unsigned processes)
+share_(double limit_rate, unsigned processes)
 {
-    double rate = MAX(limit->rate, MIN_RATE);
+    double rate = MAX(limit_rate, MIN_RATE);
     unsigned n = MAX(processes, 1);
     double burst = rate + EXTRA_BURST;
 
--- a/packages/routing/tests/endpoint_limits_test.cc
+++ b/packages/routing/tests/endpoint_limits_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
@@ -317,6 +318,56 @@
     GwTime now_ = kNow;
 };
 
+// Simulates one process that always has a request to send.
+class LimitedProcess {
+  public:
+    explicit LimitedProcess(uint32_t seed)
+        : limits_(GwEndpointLimits_New(seed))
+    {
+        instance_.id = (char *)"i-1";
+        instance_.incarnation = 7;
+    }
+    ~LimitedProcess()
+    {
+        GwEndpointLimits_Delete(limits_);
+    }
+    void
+    SetLimit(double rate, int64_t version, GwTime now)
+    {
+        GwEndpointLimit limit = {"i-1", 7, rate, now, version};
+
+        GwEndpointLimits_Set(limits_, &limit, now);
+    }
+    void
+    SetLimitAt(double rate, int64_t version, GwTime at)
+    {
+        pending_ = {at, rate, version};
+    }
+    // @return whether a request was sent
+    bool
+    TrySend(unsigned processes, GwTime now)
+    {
+        if (pending_.at != 0 && now >= pending_.at) {
+            SetLimit(pending_.rate, pending_.version, now);
+            pending_.at = 0;
+        }
+        if (GwEndpointLimits_OpensAt(limits_, &instance_, processes, now) >
+            now)
+            return false;
+        GwEndpointLimits_Consume(limits_, &instance_, processes, now);
+        return true;
+    }
+
+  private:
+    struct {
+        GwTime at;
+        double rate;
+        int64_t version;
+    } pending_ = {};
+    GwEndpointLimits *limits_;
+    GwInstance instance_ = {};
+};
+
 // All processes combined must not overload the endpoint: at most 1.5 times the
 // limit, plus five requests, in any four seconds.
 TEST(EndpointLimitShares, CombinedRateStaysWithinLimitUnderRandomDemand)
@@ -340,6 +391,73 @@
     }
 }
 
+// When the limit or the number of processes changes, processes must not start
+// to send at the same time: at most 1.5 times the highest limit of any four
+// seconds, plus five requests. Processes receive a change of the limit up to
+// half a second late, or at once if their number changes too.
+TEST(EndpointLimitShares, CombinedRateStaysWithinChangingLimit)
+{
+    const double rates[] = {0.1, 0.4, 1.0, 1.6, 3.0, 7.5, 30.0};
+    const GwTime window = 4 * GW_SECOND, max_delay = GW_SECOND / 2;
+    std::mt19937 rng(11);
+    const int schedules = 200;
+
+    for (int schedule = 0; schedule < schedules; schedule++) {
+        const unsigned counts[] = {1, 2, 3, 4, 6, 8, 12, 25, 50};
+        const unsigned n = counts[rng() % 9];
+        std::vector<std::unique_ptr<LimitedProcess>> processes;
+        std::vector<std::pair<GwTime, double>> limits = {
+            {kNow, rates[rng() % 7]}};
+        std::vector<GwTime> sent;
+        GwTime next_change = kNow, now = kNow;
+        unsigned running = n;
+
+        for (unsigned i = 0; i < n; i++)
+            processes.push_back(std::make_unique<LimitedProcess>(rng()));
+        for (auto &p : processes)
+            p->SetLimit(limits[0].second, 0, now);
+        for (; now < kNow + 60 * GW_SECOND; now += GW_SECOND / 100) {
+            if (now >= next_change && now > kNow) {
+                limits.push_back({now, rates[rng() % 7]});
+                for (auto &p : processes)
+                    p->SetLimitAt(limits.back().second, (int64_t)limits.size(),
+                                  now + (GwTime)(rng() % max_delay));
+                if (rng() % 2 == 0) {
+                    running = 1 + rng() % n;
+                    processes[rng() % n] =
+                        std::make_unique<LimitedProcess>(rng());
+                    for (auto &p : processes)
+                        p->SetLimit(limits.back().second,
+                                    (int64_t)limits.size(), now);
+                }
+            }
+            if (now >= next_change)
+                next_change = now + (GwTime)(1 + rng() % 12) * GW_SECOND;
+            for (unsigned i = 0; i < running; i++) {
+                if (processes[i]->TrySend(running, now))
+                    sent.push_back(now);
+            }
+        }
+        for (size_t i = 0, from = 0; i < sent.size(); i++) {
+            double max_rate = 0;
+
+            while (sent[from] <= sent[i] - window)
+                from++;
+            for (size_t k = 0; k < limits.size(); k++) {
+                GwTime until = k + 1 < limits.size()
+                                   ? limits[k + 1].first + max_delay
+                                   : now;
+
+                if (limits[k].first <= sent[i] && until > sent[i] - window)
+                    max_rate = std::max(max_rate, limits[k].second);
+            }
+            ASSERT_LE((double)(i - from + 1), 1.5 * 4 * max_rate + 5)
+                << "schedule " << schedule << ", " << n << " processes, at "
+                << (double)(sent[i] - kNow) / GW_SECOND << " s";
+        }
+    }
+}
+
 // An endpoint must not be left idle below its limit while there is demand.
 TEST(EndpointLimitShares, MostOfLimitIsUsedUnderSteadyDemand)
 {
