Endpoints that have left take no place of new ones in the table of leaving

Cause: words of endpoints that leave are kept for ten minutes, and those of endpoints that the list does not name were bounded by the size of the whole table, 256. A roll of 625 engines passes that; a word that comes before its row, as at each start of a process, was dropped then, and the endpoint got new work until its own answers said that it leaves. Change: the bound holds for ids that were never listed since their word came; those that were are as many as the list had.

--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -124,7 +124,8 @@
  * leave. One that was wrong, as bytes may be, must not put an endpoint out of
  * use for good. */
 #define GW_LEAVING_TERM (600 * GW_SECOND)
-/** Endpoints told to leave before the list has named them, at most. */
+/** Endpoints told to leave that the list has not named since, at most: anybody
+ * may tell any id. */
 #define GW_LEAVING_MAX 256
 
 typedef struct GwInstances GwInstances;
--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -16,10 +16,12 @@
 typedef struct {
     int64_t incarnation;
     GwTime told_at;
+    bool was_listed; /* at any time since the word came */
 } Leaving;
 
 struct GwInstances {
     GHashTable *told_leaving; /* id to Leaving, by answers */
+    unsigned unlisted;        /* of these, never listed since */
     GHashTable *by_id;        /* listed ones; each entry holds a reference */
     GHashTable *pools;        /* service to GPtrArray of GwInstance */
     GPtrArray *all;
@@ -143,6 +145,7 @@
     GwInstance *instance = g_hash_table_lookup(m->by_id, id);
     const Leaving *known = g_hash_table_lookup(m->told_leaving, id);
     bool is_news = known == NULL || known->incarnation < incarnation;
+    bool was_listed;
 
     told_at = MIN(told_at, now);
     if (now - told_at >= GW_LEAVING_TERM ||
@@ -151,13 +154,15 @@
         (instance != NULL && incarnation != 0 &&
          incarnation < instance->incarnation))
         return false;
-    // Those that are listed are as many as the list has.
-    if (known == NULL && instance == NULL &&
-        g_hash_table_size(m->told_leaving) >= GW_LEAVING_MAX)
+    was_listed = instance != NULL || (known != NULL && known->was_listed);
+    // Those that are listed, or have been, are as many as the list had.
+    if (known == NULL && !was_listed && m->unlisted >= GW_LEAVING_MAX)
         return false;
-    g_hash_table_insert(
-        m->told_leaving, g_strdup(id),
-        g_memdup2(&(Leaving){incarnation, told_at}, sizeof(Leaving)));
+    m->unlisted += !was_listed;
+    m->unlisted -= known != NULL && !known->was_listed;
+    g_hash_table_insert(m->told_leaving, g_strdup(id),
+                        g_memdup2(&(Leaving){incarnation, told_at, was_listed},
+                                  sizeof(Leaving)));
     if (instance != NULL)
         take_leaving_(m, instance);
     return is_news;
@@ -387,8 +392,12 @@
 static void
 take_leaving_(GwInstances *m, GwInstance *instance)
 {
-    const Leaving *told = g_hash_table_lookup(m->told_leaving, instance->id);
+    Leaving *told = g_hash_table_lookup(m->told_leaving, instance->id);
 
+    if (told != NULL && !told->was_listed) {
+        told->was_listed = true;
+        m->unlisted--;
+    }
     if (told == NULL ||
         (told->incarnation != 0 &&
          told->incarnation != instance->incarnation) ||
@@ -417,6 +426,7 @@
             instance->leaving_until = 0;
             again = true;
         }
+        m->unlisted -= !((const Leaving *)value)->was_listed;
         g_hash_table_iter_remove(&iter);
     }
     // It may have been replaced at its address meanwhile.
--- a/packages/routing/tests/leaving_test.cc
+++ b/packages/routing/tests/leaving_test.cc
@@ -132,3 +132,26 @@
     GwInstances_Sweep(l.m, kNow + GW_LEAVING_TERM);
     EXPECT_TRUE(l.Says("later", 0, GW_LEAVING_TERM));
 }
+
+// A roll of a large fleet passes the bound within the term of the words; a new
+// endpoint's word that came before its row was dropped then, and it got work.
+TEST(Leaving, EndpointsThatHaveLeftTakeNoPlaceOfNewOnes)
+{
+    List l;
+
+    for (int i = 0; i < 3 * GW_LEAVING_MAX; i++) {
+        std::string id = "gone-" + std::to_string(i);
+
+        // Half of the words come before the row.
+        if (i % 2 == 0)
+            l.Says(id.c_str(), 0);
+        l.Row(id.c_str(), 0);
+        if (i % 2 != 0)
+            l.Says(id.c_str(), 0);
+        EXPECT_FALSE(l.GetsWork(id.c_str()));
+        GwInstances_Removed(l.m, id.c_str(), kNow);
+    }
+    EXPECT_TRUE(l.Says("new", 0));
+    l.Row("new", 0);
+    EXPECT_FALSE(l.GetsWork("new"));
+}
