--- a/packages/cluster/src/peers_private.h
+++ b/packages/cluster/src/peers_private.h
@@ -66,4 +66,8 @@
 /* Agent: number of connected entries that send work to the engine. */
 unsigned GwPeersEngine_CountEntries(const GwPeers *p);
 
+/* Entry: choose the engines that work is sent to, by the size of the fleet as
+ * far as it is known. */
+void GwPeersFleet_Follow(GwPeers *p, const GPtrArray *all);
+
 #endif
--- a/packages/routing/include/galenagw/routing/subset.h
+++ b/packages/routing/include/galenagw/routing/subset.h
@@ -4,11 +4,10 @@
  *
  * Every engine's agent tells every entry that follows it what its engine
  * holds and how much waits there, some twenty times a second. Told by all to
- * all this grows with the product of both numbers: of 103 entries before 180
- * engines each used 0.07 of a core, and 0.03 with this. So an entry follows a
- * part of the engines only, chosen by rendezvous hashing of its own name: the
- * parts of different entries overlap little, no two entries need to agree, and
- * an engine that comes or goes changes few of them.
+ * all this grows with the product of both numbers. So an entry follows a part
+ * of the engines only, chosen by rendezvous hashing of its own name: the parts
+ * of different entries overlap little, no two entries need to agree, and an
+ * engine that comes or goes changes few of them.
  * @{
  */
 #ifndef GALENAGW_ROUTING_SUBSET_H
@@ -21,10 +20,8 @@
 extern "C" {
 #endif
 
-/** Fleets of up to so many engines are followed whole: with 14 of 41 followed
- * by 22 entries callers were served better on one day of high load and worse
- * on calm ones, as fewer found the engine that holds their parts; the mean of
- * five days was 0.675, and 0.685 with all. */
+/** Fleets of up to so many engines are followed whole: more prompts find the
+ * engine that holds their parts, and the words are still few. */
 #define GW_SUBSET_WHOLE 48
 /** Of larger ones, at least so many: with a sixth of them out for new weights
  * and a quarter lost, eight are left to choose from. */
@@ -37,10 +34,7 @@
  *
  * What an entry knows of an engine is older than what others have sent there
  * since, so entries that see the same engines choose the same ones at the same
- * moment, and the rest idles. With 103 entries before 180 engines that ran
- * near their limits, callers in aim of the prompts that can wait were 34 in a
- * hundred when each followed 90 engines, 46 with 48, 52 with 24 and 58 with 14
- * (one day each, 13,472 callers).
+ * moment, and the rest idles.
  */
 unsigned GwSubset_Size(unsigned engines, unsigned entries);
 /**
