A configuration is asked for within the failure domain where it can be

Cause: who is behind asked the first process that told of more; on the whole fleet each configuration of 91 kB went to 981 processes, four fifths of the copies between failure domains. Change: a peer elsewhere is asked for the operators' list 100 ms later than one of our own failure domain, if such peers are connected; rows are small and do not wait. The time for which a process has been behind ran on from the time before, as it was looked at only when a peer told of more: it made that wait, that for agents at a start and that before the store is read void. Ruled out: waiting with rows too, as endpoints that leave are known by them. Measured: the test fails without the wait (four of four copies from the other domain).

--- a/packages/cluster/src/exchange.c
+++ b/packages/cluster/src/exchange.c
@@ -15,6 +15,9 @@
 #define SEED_RECORDS 64
 /* For agents to tell a list, before a seed is asked for it. */
 #define SEED_PATIENCE (2 * GW_SECOND)
+/* For a peer in our failure domain to know a configuration as well: each
+ * domain has readers of its own, and copies between domains are dear. */
+#define NEAR_PATIENCE (100 * GW_MILLISECOND)
 /* For another peer to tell the rest of a list, before the store is asked. */
 #define READ_AFTER (1 * GW_SECOND)
 /* Copies that are larger go out one at a time, and leave half of a slow link
@@ -49,6 +52,7 @@
 static void add_bytes_(void *user, GwList list, const GwRecord *record);
 static void refuse_(GwExchangePeer *peer, GwList list);
 static bool has_agent_(const GwExchange *x);
+static bool has_near_(const GwExchange *x);
 static GwTime ask_at_(GwExchange *x, GwList list, GwTime now);
 static void ask_(GwExchange *x, GwList list, GwTime now);
 static GwExchangePeer *ahead_(GwExchange *x, GwList list);
@@ -111,6 +115,10 @@
 
     peer->revision_at = now;
     for (int i = 0; i < GW_LISTS; i++) {
+        // The rest may have come since, from a peer or the store.
+        GwFetch_SetBehind(&x->fetches[i],
+                          GwRecords_IsBehind(records, (GwList)i, x->wanted[i]),
+                          now);
         peer->ends[i] = GwRecords_StampEnd((GwList)i, (int64_t)standing->epoch,
                                            standing->revision);
         if (!GwRecords_IsBehind(records, (GwList)i, peer->ends[i])) {
@@ -369,11 +377,14 @@
     GwSupply supply = x->options.reader != NULL
                           ? GwStoreReader_Supply(x->options.reader, list)
                           : GW_SUPPLY_AWAY;
+    const GwExchangePeer *ahead;
+    GwTime at;
 
     GwFetch_SetBehind(fetch, x->wanted[list] > end, now);
     if (x->wanted[list] <= end)
         return 0;
-    if (ahead_(x, list) == NULL) {
+    ahead = ahead_(x, list);
+    if (ahead == NULL) {
         // Whoever told of more is gone, or cannot tell what it is.
         if (now - fetch->behind_since >= READ_AFTER && end > 0 &&
             x->options.reader != NULL)
@@ -382,7 +393,11 @@
     }
     if (x->asked[list] != NULL)
         GwFetch_Moved(fetch, GwSession_LargeAt(x->asked[list]->session));
-    return GwFetch_AskAt(fetch, supply, now);
+    at = GwFetch_AskAt(fetch, supply, now);
+    // A row is too small to wait for.
+    if (list == GW_LIST_OPERATOR && !ahead->is_near && has_near_(x))
+        at = MAX(at, fetch->behind_since + NEAR_PATIENCE);
+    return at;
 }
 
 static void
@@ -443,6 +458,19 @@
     return false;
 }
 
+static bool
+has_near_(const GwExchange *x)
+{
+    const GwExchangePeer *peer;
+
+    TAILQ_FOREACH(peer, &x->peers, link)
+    {
+        if (peer->is_near && GwSession_IsReady(peer->session))
+            return true;
+    }
+    return false;
+}
+
 static bool
 is_better_(const GwExchange *x, GwList list, const GwExchangePeer *peer,
            const GwExchangePeer *than)
@@ -451,6 +479,8 @@
 
     if (peer->is_seed != than->is_seed)
         return than->is_seed;
+    if (list == GW_LIST_OPERATOR && !asked && peer->is_near != than->is_near)
+        return peer->is_near;
     return than == x->asked[list] ||
            (!asked && peer->revision_at > than->revision_at);
 }
--- a/packages/cluster/src/exchange.h
+++ b/packages/cluster/src/exchange.h
@@ -18,6 +18,7 @@
     int64_t ends[GW_LISTS]; /* of the lists, as last reported by it */
     GwTime revision_at;
     int64_t sent_ends[GW_LISTS]; /* of the records queued to it */
+    bool is_near;                /* in our failure domain */
     bool is_seed;   /* many processes ask it at their start: a last resort */
     bool was_asked; /* by us, for the instances */
     Gw__Wire__RecordsAsk *waiting; /* its question, while our link is busy */
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -247,6 +247,8 @@
     if (!peer->outbound)
         peer->limits_only = hello->limits_only;
     // Entries connect to no other entries but seeds.
+    peer->lists.is_near =
+        g_strcmp0(hello->failure_domain, p->options.failure_domain) == 0;
     peer->lists.is_seed = peer->outbound && peer->is_entry;
     GwEvent_Begin(p->options.log, "peer_ready", NULL);
     GwEvent_Text(p->options.log, "peer", hello->instance);
--- a/packages/cluster/tests/fleet_start_test.cc
+++ b/packages/cluster/tests/fleet_start_test.cc
@@ -27,6 +27,7 @@
     double link_rate = 0; // bytes per second
     const char *host = "127.0.0.1";
     const char *name = "node";
+    const char *domain = "d";
 };
 
 /* A process that leaves the reading to others where there are hundreds. */
@@ -37,12 +38,17 @@
 struct Node {
     Node(Fleet *fleet, const NodeOptions &o) : f(fleet), sharers(o.sharers)
     {
-        static const GwViewOps ops = {};
         GwViewOptions view_options = {&ops, this, nullptr, &counters};
         GwStoreReaderOptions reader_options = {};
         GwPeersOptions peers_options = {};
         GwError err = {};
 
+        ops.on_urgent = [](void *user) {
+            Node *n = static_cast<Node *>(user);
+
+            if (n->peers != nullptr)
+                GwPeers_TellNews(n->peers);
+        };
         view = GwView_New(&view_options);
         reader_options.store = kHere;
         reader_options.store.port = FakeStore_Port(f->store);
@@ -57,7 +63,7 @@
         peers_options.is_agent = o.is_agent;
         peers_options.name = o.name;
         peers_options.link_rate = o.link_rate;
-        peers_options.failure_domain = "d";
+        peers_options.failure_domain = o.domain;
         peers_options.listen = kHere;
         g_strlcpy(peers_options.listen.host, o.host,
                   sizeof(peers_options.listen.host));
@@ -87,7 +93,6 @@
     {
         Node *n = static_cast<Node *>(user);
 
-        GwPeers_TellNews(n->peers);
         if (n->reader != nullptr)
             GwStoreReader_SetSharers(
                 n->reader,
@@ -111,6 +116,7 @@
     }
 
     Fleet *f;
+    GwViewOps ops = {};
     unsigned sharers;
     GwCounters counters = {};
     GRand *rand = g_rand_new_with_seed(1);
@@ -276,6 +282,49 @@
     EXPECT_LE(GwTime_Now() - first, 3 * GW_SECOND);
 }
 
+// A configuration is told by the process that is heard of first, wherever it
+// is: most copies went from one failure domain to another.
+TEST_F(FleetStart, AConfigurationIsToldWithinAFailureDomainWhereItCan)
+{
+    for (bool near_knows : {true, false}) {
+        NodeOptions agent, near, far;
+
+        agent.is_agent = true;
+        agent.reads = false;
+        List(1);
+        agent.port = near.agent_port = far.agent_port = FreePort();
+        far.domain = "e";
+        near.reads = near_knows;
+        Node a(&f, agent);
+        Node of_e(&f, far);
+        ASSERT_TRUE(f.Until([&] { return of_e.Endpoints() == 1; }));
+        if (!near_knows) {
+            // It hears of the engine from a seed, and of the rest with us.
+            near.seed_port = agent.port;
+        }
+        Node of_d(&f, near);
+        ASSERT_TRUE(f.Until([&] { return GwPeers_Sharers(a.peers) == 3; }));
+        f.Wait(300 * GW_MILLISECOND);
+        uint64_t told = of_e.counters.plain[GW_COUNTER_RECORDS_TOLD_BYTES];
+        for (int version = 10; version < 14; version++) {
+            f.Wait(300 * GW_MILLISECOND); // longer than news are held back
+            f.Configure(version + (near_knows ? 0 : 10));
+            GwTime at = GwTime_Now();
+            ASSERT_TRUE(f.Until([&] {
+                return a.End(GW_LIST_OPERATOR) == of_e.End(GW_LIST_OPERATOR) &&
+                       GwView_Routes(a.view)->version ==
+                           (uint64_t)(version + (near_knows ? 0 : 10));
+            }));
+            EXPECT_LE(GwTime_Now() - at, 600 * GW_MILLISECOND);
+        }
+        uint64_t after = of_e.counters.plain[GW_COUNTER_RECORDS_TOLD_BYTES];
+        if (near_knows)
+            EXPECT_EQ(after, told);
+        else
+            EXPECT_GT(after, told);
+    }
+}
+
 // All entries of a fleet that starts connect to the same few seeds. Whole
 // copies for all of them would fill the links of these for seconds; the first
 // rows are enough to find agents, which tell the rest.
