Log where records of endpoints came from and when removals take effect

The logs could not distinguish the hypotheses of the incident: the line 'instance removed' was written when a removal was received, also if it was deferred for seconds, and named no source; a row of an earlier incarnation was ignored without a line.

Now: 'instance' has 'learned_from' (store or the peer's name); a deferred removal is logged as 'removal_deferred' with its time, and as 'removed' when it is applied; 'removals_deferred' is logged when a deferral begins, with its reason and the age of the last confirmation of the list; 'row_ignored' for rows of earlier incarnations. Counters: removals_deferred, rows_ignored. No decision is changed.

--- a/packages/base/include/galenagw/base/counters.h
+++ b/packages/base/include/galenagw/base/counters.h
@@ -90,6 +90,10 @@
     GW_COUNTER_LIMIT_ASKS, /**< Requests for units sent to limit owners. */
     GW_COUNTER_LISTS_UNCONFIRMED, /**< Reads from the store because no peer had
                                      confirmed a list in time. */
+    GW_COUNTER_ROWS_IGNORED,      /**< Rows of the instance list that did not
+                                     take effect. */
+    GW_COUNTER_REMOVALS_DEFERRED, /**< Removals of endpoints that were deferred
+                                     after a store outage. */
     GW_COUNTERS
 } GwCounter;
 
--- a/packages/base/src/counters.c
+++ b/packages/base/src/counters.c
@@ -29,6 +29,7 @@
     "bytes_from_peers", "records_unreadable",
     "restarts_seen",    "ends_seen",
     "limit_asks",       "lists_unconfirmed",
+    "rows_ignored",     "removals_deferred",
 };
 
 const char *const GwHistogram_Names[GW_HISTOGRAMS] = {
--- a/packages/cluster/src/list_sync.c
+++ b/packages/cluster/src/list_sync.c
@@ -322,6 +322,7 @@
             .value = r->removed ? NULL : (const char *)r->value.data,
             .len = r->value.len,
             .offset = (int64_t)r->offset,
+            .learned_from = peer->name,
         };
 
         bytes += r->value.len;
--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -112,6 +112,7 @@
 static void log_records_expired_(const ListReader *lr);
 static void on_call_failed_(ListReader *lr, const char *why, int status);
 static void on_call_answered_(ListReader *lr);
+static void defer_removals_(GwStoreReader *r, const char *why, GwTime outage);
 static void on_silence_timer_(void *user);
 static void reopen_connection_(ListReader *lr, const char *why);
 
@@ -454,15 +455,12 @@
 {
     GwView *view = lr->owner->options.view;
     GwRecords *records = GwView_Records(view);
-    GwTime now = GwTime_Now();
 
     log_list_read_(lr, GwRecords_End(records, lr->list));
     // Live endpoints that the restored copy lacks write their records again
     // shortly.
     if (lr->is_after_restore && lr->list == GW_LIST_INSTANCES)
-        GwInstances_DeferRemovals(GwView_Instances(view),
-                                  now + REMOVAL_DEFERRAL_WINDOW,
-                                  now + REMOVAL_DEFERRAL_TERM);
+        defer_removals_(lr->owner, "restore", 0);
     GwRecords_EndFullRead(records, lr->list,
                           GwPosition_Of(lr->era, lr->full_read_end));
     if (lr->is_after_restore && lr->records_not_newer > 0)
@@ -677,9 +675,25 @@
     // calls during an outage are short. Removals in this answer may therefore
     // be of records that expired during the outage; later removals are not.
     if (lr->list == GW_LIST_INSTANCES && now - since > HARMLESS_OUTAGE_MAX)
-        GwInstances_DeferRemovals(GwView_Instances(r->options.view),
-                                  now + REMOVAL_DEFERRAL_WINDOW,
-                                  now + REMOVAL_DEFERRAL_TERM);
+        defer_removals_(r, "outage", now - since);
+}
+
+// Defers the removals of the next REMOVAL_DEFERRAL_WINDOW. @p outage: the
+// duration of the store outage that is the reason.
+static void
+defer_removals_(GwStoreReader *r, const char *why, GwTime outage)
+{
+    GwEventLog *log = r->options.log;
+    GwTime now = GwTime_Now();
+
+    GwEvent_Begin(log, "removals_deferred", NULL);
+    GwEvent_Text(log, "why", why);
+    GwEvent_Time(log, "away_ms", outage);
+    GwEvent_Time(log, "confirmed_ms", GwStoreReader_Age(r, GW_LIST_INSTANCES));
+    GwEvent_End(log);
+    GwInstances_DeferRemovals(GwView_Instances(r->options.view),
+                              now + REMOVAL_DEFERRAL_WINDOW,
+                              now + REMOVAL_DEFERRAL_TERM);
 }
 
 static void
--- a/packages/cluster/src/view.c
+++ b/packages/cluster/src/view.c
@@ -36,13 +36,21 @@
 static void on_freed_(void *user, GwInstance *instance);
 static void on_restarted_(void *user, GwInstance *before, GwInstance *after,
                           GwUpdateSource from);
+static void on_removal_applied_(void *user, const GwInstance *instance,
+                                GwTime now);
 static void log_instance_(GwView *view, const GwRecord *record,
                           const GwInstanceRow *row);
+static void log_removal_(GwView *view, const GwRecord *record,
+                         GwTime deferred_until);
+static void log_ignored_row_(GwView *view, const GwRecord *record,
+                             const GwInstanceRow *row,
+                             int64_t known_incarnation);
+static void log_source_(GwView *view, const GwRecord *record);
 static void log_unreadable_(GwView *view, GwList list, const GwRecord *record,
                             const GwError *err);
 
-static const GwInstancesOps instances_ops = {on_added_, on_freed_,
-                                             on_restarted_};
+static const GwInstancesOps instances_ops = {
+    on_added_, on_freed_, on_restarted_, on_removal_applied_};
 
 GwView *
 GwView_New(const GwViewOptions *options)
@@ -290,13 +298,15 @@
 on_instance_record_(GwView *view, const GwRecord *record)
 {
     GwRowDocument *document;
+    const GwInstance *known;
     GwError err = {0};
 
     g_hash_table_remove(view->unrouted_rows, record->key);
     if (record->value == NULL) {
-        log_instance_(view, record, NULL);
         note_urgent_change_(view);
-        GwInstances_ApplyRemoval(view->instances, record->key, GwTime_Now());
+        log_removal_(view, record,
+                     GwInstances_ApplyRemoval(view->instances, record->key,
+                                              GwTime_Now()));
         return;
     }
     document = GwDocuments_DecodeRow(record, &err);
@@ -304,8 +314,13 @@
         log_unreadable_(view, GW_LIST_INSTANCES, record, &err);
         return;
     }
+    known = GwInstances_Find(view->instances, record->key);
     if (!is_known_service_(view, GwDocuments_Row(document)))
         add_unrouted_row_(view, record, GwDocuments_Row(document));
+    else if (known != NULL &&
+             GwDocuments_Row(document)->incarnation < known->incarnation)
+        log_ignored_row_(view, record, GwDocuments_Row(document),
+                         known->incarnation);
     else if (GwInstances_ApplyRow(view->instances,
                                   GwDocuments_Row(document))) {
         log_instance_(view, record, GwDocuments_Row(document));
@@ -419,27 +434,82 @@
                                                  after);
 }
 
+static void
+on_removal_applied_(void *user, const GwInstance *instance, GwTime now)
+{
+    GwView *view = user;
+    GwEventLog *log = view->options.log;
+
+    GwEvent_Begin(log, "instance", NULL);
+    GwEvent_Text(log, "instance", instance->id);
+    GwEvent_Text(log, "state", "removed");
+    GwEvent_Time(log, "deferred_ms", now - instance->removed_at);
+    GwEvent_End(log);
+}
+
 static void
 log_instance_(GwView *view, const GwRecord *record, const GwInstanceRow *row)
 {
     GwEventLog *log = view->options.log;
 
+    GwEvent_Begin(log, "instance", NULL);
+    GwEvent_Text(log, "instance", record->key);
+    GwEvent_Text(log, "state", row->draining ? "draining" : "ready");
+    GwEvent_Text(log, "service", row->service);
+    GwEvent_Text(log, "address", row->address.host);
+    GwEvent_Number(log, "weights", row->weights);
+    GwEvent_Number(log, "incarnation", row->incarnation);
+    log_source_(view, record);
+    GwEvent_End(log);
+}
+
+// A deferred removal is logged a second time when it is applied, because the
+// endpoint gets requests until then.
+static void
+log_removal_(GwView *view, const GwRecord *record, GwTime deferred_until)
+{
+    GwEventLog *log = view->options.log;
+
+    GwCounters_Add(view->options.counters, GW_COUNTER_REMOVALS_DEFERRED,
+                   deferred_until != 0);
     GwEvent_Begin(log, "instance", NULL);
     GwEvent_Text(log, "instance", record->key);
     GwEvent_Text(log, "state",
-                 row == NULL     ? "removed"
-                 : row->draining ? "draining"
-                                 : "ready");
-    if (row != NULL) {
-        GwEvent_Text(log, "service", row->service);
-        GwEvent_Text(log, "address", row->address.host);
-        GwEvent_Number(log, "weights", row->weights);
-        GwEvent_Number(log, "incarnation", row->incarnation);
-    }
-    GwEvent_Number(log, "offset", GwPosition_Offset(record->offset));
+                 deferred_until != 0 ? "removal_deferred" : "removed");
+    if (deferred_until != 0)
+        GwEvent_Time(log, "for_ms", deferred_until - GwTime_Now());
+    log_source_(view, record);
     GwEvent_End(log);
 }
 
+static void
+log_ignored_row_(GwView *view, const GwRecord *record,
+                 const GwInstanceRow *row, int64_t known_incarnation)
+{
+    GwEventLog *log = view->options.log;
+
+    GwCounters_Add(view->options.counters, GW_COUNTER_ROWS_IGNORED, 1);
+    GwEvent_Begin(log, "row_ignored", NULL);
+    GwEvent_Text(log, "instance", record->key);
+    GwEvent_Text(log, "why", "earlier_incarnation");
+    GwEvent_Text(log, "state", row->draining ? "draining" : "ready");
+    GwEvent_Number(log, "incarnation", row->incarnation);
+    GwEvent_Number(log, "known", known_incarnation);
+    log_source_(view, record);
+    GwEvent_End(log);
+}
+
+// Logs where a record was learned from and its offset.
+static void
+log_source_(GwView *view, const GwRecord *record)
+{
+    GwEvent_Text(view->options.log, "learned_from",
+                 record->learned_from != NULL ? record->learned_from
+                                              : "store");
+    GwEvent_Number(view->options.log, "offset",
+                   GwPosition_Offset(record->offset));
+}
+
 static void
 log_unreadable_(GwView *view, GwList list, const GwRecord *record,
                 const GwError *err)
--- a/packages/cluster/tests/peer_pair.h
+++ b/packages/cluster/tests/peer_pair.h
@@ -69,7 +69,8 @@
             R"("models":[{"name":"m","version":)" +
             std::to_string(weights) + R"(}],"state":")" + state +
             R"(","born":)" + std::to_string(born) + "}";
-        GwRecord record = {"i-1", text.data(), text.size(), ++offset_};
+        GwRecord record = {"i-1", text.data(), text.size(), ++offset_,
+                           nullptr};
 
         GwRecords_Apply(GwView_Records(side->view), GW_LIST_INSTANCES,
                         &record);
--- a/packages/cluster/tests/peers_removals_test.cc
+++ b/packages/cluster/tests/peers_removals_test.cc
@@ -65,7 +65,7 @@
                            R"(","zone":"d","version":"v1","slots":6,)"
                            R"("cold_remaining_ms":0,"seq":1,)" +
                            more + R"("state":"ready"})";
-        GwRecord record = {id, text.data(), text.size(), offset};
+        GwRecord record = {id, text.data(), text.size(), offset, nullptr};
 
         ApplyRecord(side, &record);
     }
@@ -102,7 +102,7 @@
 TEST_F(PeersRemovalsTest, DeferredRemovalIsDeferredByAllReceivers)
 {
     GwTime now = GwTime_Now();
-    GwRecord removal = {"i-2", nullptr, 0, 2};
+    GwRecord removal = {"i-2", nullptr, 0, 2, nullptr};
 
     GwInstances_DeferRemovals(GwView_Instances(first.view), now + GW_SECOND,
                               now + 2500 * GW_MILLISECOND);
--- a/packages/cluster/tests/restored_store_peers_test.cc
+++ b/packages/cluster/tests/restored_store_peers_test.cc
@@ -13,7 +13,7 @@
             R"("route_type":"idempotent","service":"model"}],)"
             R"("services":[{"name":"model"}]})";
         GwRecord record = {"config", text.data(), text.size(),
-                           GwPosition_Of(era, offset)};
+                           GwPosition_Of(era, offset), nullptr};
         GwRecords *records = GwView_Records(side->view);
 
         GwRecords_Apply(records, GW_LIST_OPERATOR, &record);
--- a/packages/cluster/tests/view_validation_test.cc
+++ b/packages/cluster/tests/view_validation_test.cc
@@ -24,7 +24,7 @@
     void
     Put(GwList list, const char *key, const std::string &value, int times = 1)
     {
-        GwRecord record = {key, value.data(), value.size(), ++offset};
+        GwRecord record = {key, value.data(), value.size(), ++offset, nullptr};
 
         for (int i = 0; i < times; i++)
             GwRecords_Apply(GwView_Records(view), list, &record);
@@ -109,7 +109,7 @@
     leaving.replace(leaving.find("ready"), 5, "draining");
     Put(GW_LIST_INSTANCES, "i-1", leaving);
     EXPECT_TRUE(Find("i-1")->draining);
-    GwRecord removal = {"i-1", nullptr, 0, ++offset};
+    GwRecord removal = {"i-1", nullptr, 0, ++offset, nullptr};
     GwRecords_Apply(GwView_Records(view), GW_LIST_INSTANCES, &removal);
     EXPECT_EQ(Find("i-1"), nullptr);
 }
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -168,6 +168,9 @@
      * longer listed; only requests in flight refer to it. */
     void (*on_restarted)(void *user, GwInstance *before, GwInstance *after,
                          GwUpdateSource from);
+    /** A deferred removal is applied. */
+    void (*on_removal_applied)(void *user, const GwInstance *instance,
+                               GwTime now);
 } GwInstancesOps;
 
 GwInstances *GwInstances_New(const GwInstancesOps *ops, void *user);
@@ -206,10 +209,13 @@
                              void *user);
 /** A different instance answers at its address: it gets no new requests. */
 void GwInstance_SetReplaced(GwInstance *instance);
-/** The list contains @p id no longer. It is removed, unless removals are
- * deferred; see GwInstances_DeferRemovals. */
-void GwInstances_ApplyRemoval(GwInstances *instances, const char *id,
-                              GwTime now);
+/**
+ * The list contains @p id no longer. It is removed, unless removals are
+ * deferred; see GwInstances_DeferRemovals.
+ * @return when the deferred removal will be applied; 0: it is not deferred
+ */
+GwTime GwInstances_ApplyRemoval(GwInstances *instances, const char *id,
+                                GwTime now);
 /** Remove @p id immediately, as if it had never been listed. */
 void GwInstances_Forget(GwInstances *instances, const char *id);
 /** Recompute which instances are draining: those that are leaving, and those
--- a/packages/routing/include/galenagw/routing/records.h
+++ b/packages/routing/include/galenagw/routing/records.h
@@ -54,6 +54,8 @@
     size_t len;
     int64_t offset; /**< the offset as read from the store; the position in
                        all functions of this file, which do not convert it */
+    const char *learned_from; /**< name of the peer that sent it; NULL: it was
+                                 read from the store */
 } GwRecord;
 
 typedef struct GwRecords GwRecords;
--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -210,19 +210,23 @@
     instance->draining = true;
 }
 
-void
+GwTime
 GwInstances_ApplyRemoval(GwInstances *m, const char *id, GwTime now)
 {
     GwInstance *instance = g_hash_table_lookup(m->by_id, id);
 
-    if (instance == NULL || instance->removed_at != 0)
-        return;
-    if (GwInstances_RemovalsDeferredUntil(m, now) == 0) {
+    if (instance == NULL)
+        return 0;
+    if (instance->removed_at == 0 &&
+        GwInstances_RemovalsDeferredUntil(m, now) == 0) {
         remove_instance_(m, instance);
-        return;
+        return 0;
     }
-    instance->removed_at = now;
-    m->n_deferred++;
+    if (instance->removed_at == 0) {
+        instance->removed_at = now;
+        m->n_deferred++;
+    }
+    return m->apply_deferred_at;
 }
 
 void
@@ -288,8 +292,11 @@
     for (guint i = m->all->len; i > 0; i--) {
         GwInstance *instance = g_ptr_array_index(m->all, i - 1);
 
-        if (instance->removed_at != 0)
-            remove_instance_(m, instance);
+        if (instance->removed_at == 0)
+            continue;
+        if (m->ops.on_removal_applied != NULL)
+            m->ops.on_removal_applied(m->user, instance, now);
+        remove_instance_(m, instance);
     }
 }
 
--- a/packages/routing/src/records.c
+++ b/packages/routing/src/records.c
@@ -41,7 +41,8 @@
 static void note_removal_gap_(GwRecords *records, GwList list, int64_t end);
 static void free_stored_record_(void *item);
 static void notify_record_(GwRecords *records, GwList list,
-                           const StoredRecord *stored);
+                           const StoredRecord *stored,
+                           const char *learned_from);
 
 int64_t
 GwPosition_Of(int64_t era, int64_t offset)
@@ -105,7 +106,7 @@
     stored->offset = record->offset;
     stored->in_full_read = true;
     g_hash_table_replace(records->lists[list], stored->key, stored);
-    notify_record_(records, list, stored);
+    notify_record_(records, list, stored, record->learned_from);
     return true;
 }
 
@@ -185,7 +186,7 @@
         g_clear_pointer(&stored->value, g_free);
         stored->len = 0;
         stored->offset = end - 1;
-        notify_record_(records, list, stored);
+        notify_record_(records, list, stored, NULL);
     }
     note_removal_gap_(records, list, end);
     GwRecords_SetEnd(records, list, end);
@@ -202,7 +203,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &item)) {
         const StoredRecord *stored = item;
         GwRecord record = {stored->key, stored->value, stored->len,
-                           stored->offset};
+                           stored->offset, NULL};
 
         if (stored->offset >= from)
             fn(user, list, &record);
@@ -269,10 +270,11 @@
 }
 
 static void
-notify_record_(GwRecords *records, GwList list, const StoredRecord *stored)
+notify_record_(GwRecords *records, GwList list, const StoredRecord *stored,
+               const char *learned_from)
 {
-    GwRecord record = {stored->key, stored->value, stored->len,
-                       stored->offset};
+    GwRecord record = {stored->key, stored->value, stored->len, stored->offset,
+                       learned_from};
 
     records->fn(records->user, list, &record);
 }
--- a/packages/routing/tests/membership_records_test.cc
+++ b/packages/routing/tests/membership_records_test.cc
@@ -29,7 +29,7 @@
 Apply(GwRecords *r, const char *key, const char *value, int64_t offset)
 {
     GwRecord record = {key, value, value != nullptr ? strlen(value) : 0,
-                       offset};
+                       offset, nullptr};
 
     return GwRecords_Apply(r, GW_LIST_INSTANCES, &record);
 }
@@ -114,8 +114,9 @@
 {
     ReceivedRecords received;
     GwRecords *r = GwRecords_New(OnRecord, &received);
-    GwRecord removed_record = {"gone", nullptr, 0, GwPosition_Of(0, 901)};
-    GwRecord restored_record = {"gone", "x", 1, GwPosition_Of(1, 4)};
+    GwRecord removed_record = {"gone", nullptr, 0, GwPosition_Of(0, 901),
+                               nullptr};
+    GwRecord restored_record = {"gone", "x", 1, GwPosition_Of(1, 4), nullptr};
 
     EXPECT_TRUE(Apply(r, "a", "old", GwPosition_Of(0, 900)));
     EXPECT_TRUE(Apply(r, "a", "new", GwPosition_Of(1, 3)));
@@ -207,7 +208,8 @@
                 EXPECT_FALSE(after->superseded);
                 t->restarts++;
                 t->from = from;
-            }};
+            },
+            nullptr};
         m = GwInstances_New(&ops, this);
     }
     void
