Records: an older copy of a peer does not undo a removal

Cause: the replica of the list of endpoints took rows from a peer whose copy is older than its own read. A process starts, or reads the list in full again, while the store is slow; a peer that lags sends its copy first. Rows received during a full read counted as part of it, so that the read did not remove them; rows received after it were unknown keys and were added. Nothing removes such an endpoint later, and the process passes its list on with an end behind the removal, so that its peers do not learn of it either. The range in which it lacks removals was not recorded if its first copy came from a peer during the read.

Change: only rows read from the store are part of a full read. A row from a peer that lies before the end of the list, of a key that is not stored, is ignored: the replica is complete up to its end, so the key was removed since. The range without removals begins at the end of the peer's copy.

--- a/packages/cluster/tests/fleet_start_test.cc
+++ b/packages/cluster/tests/fleet_start_test.cc
@@ -244,6 +244,37 @@
     EXPECT_TRUE(f.Until([&] { return a.Endpoints() == 29; }));
 }
 
+// Guards against requests to an endpoint that was removed: an entry starts
+// while the store is slow, and an agent whose copy is older than the removal
+// sends it that copy before the store has answered.
+TEST_F(FleetStart, OlderCopyOfAgentDoesNotUndoRemoval)
+{
+    NodeOptions before, agent, after;
+
+    PutEndpointRows(30);
+    agent.is_agent = agent.asks_peers_first = true;
+    agent.name = kPeerReadingName;
+    agent.cluster_size = kLargeClusterSize;
+    agent.port = before.agent_port = FreePort();
+    after.seed_port = agent.port;
+    Node a(&f, agent);
+    auto e = std::make_unique<Node>(&f, before);
+    ASSERT_TRUE(f.Until([&] {
+        return a.Endpoints() == 30 &&
+               GwStoreReader_Age(a.reader, GW_LIST_INSTANCES) >= 0;
+    }));
+    e.reset();
+    FakeStore_Put(f.store, "keyed.servers", "i-5", nullptr);
+    f.Wait(50 * GW_MILLISECOND);
+    FakeStore_SetDelay(f.store, 400 * GW_MILLISECOND);
+    Node late(&f, after);
+    ASSERT_TRUE(f.Until([&] { return late.Endpoints() == 30; }))
+        << "it has the agent's copy";
+    FakeStore_SetDelay(f.store, 0);
+    EXPECT_TRUE(f.Until([&] { return late.Endpoints() == 29; }));
+    EXPECT_TRUE(f.Until([&] { return a.Endpoints() == 29; }));
+}
+
 // When a configuration changes, all agents that an entry is connected to
 // request it at the same time. Sent all at once, the copies would fill a slow
 // link for half a second, and answers to callers would wait behind them.
--- a/packages/routing/include/galenagw/routing/records.h
+++ b/packages/routing/include/galenagw/routing/records.h
@@ -70,8 +70,10 @@
 void GwRecords_Delete(GwRecords *records);
 
 /**
- * Store a record unless this one or a newer one of its key is stored. The end
- * of the list is unchanged, because records may arrive in any order.
+ * Store a record unless this one or a newer one of its key is stored. A record
+ * from a peer is also ignored if it is before the end of the list and its key
+ * is not stored: the key has been removed since. The end of the list is
+ * unchanged, because records may arrive in any order.
  * @return whether the record was stored
  */
 bool GwRecords_Apply(GwRecords *records, GwList list, const GwRecord *record);
@@ -93,10 +95,11 @@
 /** The latest era of the two ends. */
 int64_t GwRecords_Era(const GwRecords *records);
 
-/** Begin or end a full read: a read of all current records of a list, from the
- * store or a peer. GwRecords_EndFullRead removes the keys whose records were
- * not part of the read, unless their position is @p end or later, and advances
- * the end of the list to @p end. */
+/** Begin or end a full read: a read of all current records of a list from the
+ * store. GwRecords_EndFullRead removes the keys whose records were not part of
+ * the read, unless their position is @p end or later, and advances the end of
+ * the list to @p end. Records that peers send in the meantime are not part of
+ * the read: a peer's copy may be older than the removal of a key. */
 void GwRecords_BeginFullRead(GwRecords *records, GwList list);
 void GwRecords_EndFullRead(GwRecords *records, GwList list, int64_t end);
 
--- a/packages/routing/src/records.c
+++ b/packages/routing/src/records.c
@@ -17,7 +17,7 @@
     char *value; /* NULL: removed */
     size_t len;
     int64_t offset;
-    bool in_full_read; /* received since the current full read began */
+    bool in_full_read; /* part of the current full read */
 } StoredRecord;
 
 struct GwRecords {
@@ -90,11 +90,17 @@
 {
     StoredRecord *stored =
         g_hash_table_lookup(records->lists[list], record->key);
+    bool is_from_peer = record->learned_from != NULL;
 
-    if (stored != NULL)
+    if (stored != NULL && !is_from_peer)
         stored->in_full_read = true;
     if (stored != NULL && stored->offset >= record->offset)
         return false;
+    // The replica contains all current records before its end. Without a
+    // record of this key, the key was removed after the peer's record was
+    // written.
+    if (stored == NULL && is_from_peer && record->offset < records->ends[list])
+        return false;
     stored = g_new0(StoredRecord, 1);
     stored->key = g_strdup(record->key);
     if (record->value != NULL) {
@@ -104,7 +110,7 @@
     }
     stored->len = record->len;
     stored->offset = record->offset;
-    stored->in_full_read = true;
+    stored->in_full_read = !is_from_peer;
     g_hash_table_replace(records->lists[list], stored->key, stored);
     notify_record_(records, list, stored, record->learned_from);
     return true;
@@ -246,12 +252,15 @@
 // Records the range of positions from the end of the list before the full read
 // to the end after it. Keys that were written and removed within this range
 // were never stored here. A peer whose end is within the range may have stored
-// such a key, and cannot get its removal from this process.
+// such a key, and cannot get its removal from this process. If the first copy
+// was received from a peer during the read, the range begins at its end.
 static void
 note_removal_gap_(GwRecords *records, GwList list, int64_t end)
 {
     int64_t from = records->full_read_from[list];
 
+    if (from == 0)
+        from = records->first_ends[list];
     if (from == 0 || from >= end)
         return;
     records->gap_from[list] =
--- a/packages/routing/tests/membership_records_test.cc
+++ b/packages/routing/tests/membership_records_test.cc
@@ -108,6 +108,65 @@
     GwRecords_Delete(r);
 }
 
+// Guards against an endpoint that stays in the replica for good after it was
+// removed: a peer whose copy is older sends its row while, or after, this
+// process reads the list without it.
+TEST(Records, OlderCopyOfPeerDoesNotUndoRemoval)
+{
+    const struct {
+        const char *when;
+        bool during_read;
+        bool was_known; // the row was stored before the full read
+    } cases[] = {
+        {"during the first read", true, false},
+        {"during a later read", true, true},
+        {"after the first read", false, false},
+        {"after a later read", false, true},
+    };
+
+    for (auto &c : cases) {
+        ReceivedRecords received;
+        GwRecords *r = GwRecords_New(OnRecord, &received);
+        GwRecord from_peer = {"gone", "1", 1, 5, "side-1"};
+
+        if (c.was_known) {
+            Apply(r, "gone", "1", 5);
+            GwRecords_SetEnd(r, GW_LIST_INSTANCES, 7);
+        }
+        GwRecords_BeginFullRead(r, GW_LIST_INSTANCES);
+        if (c.during_read)
+            GwRecords_Apply(r, GW_LIST_INSTANCES, &from_peer);
+        Apply(r, "stays", "1", 6);
+        GwRecords_EndFullRead(r, GW_LIST_INSTANCES, 10);
+        if (!c.during_read)
+            GwRecords_Apply(r, GW_LIST_INSTANCES, &from_peer);
+        EXPECT_EQ(received.values.count("gone"), 0u) << c.when;
+        EXPECT_EQ(received.values.count("stays"), 1u) << c.when;
+        GwRecords_Delete(r);
+    }
+}
+
+// Guards against a removal that a process hides from its peers: it got its
+// first copy of the list from a peer while it was reading the list, which no
+// longer contained a key that was written and removed in between.
+TEST(Records, RemovalsBetweenCopyOfPeerAndFirstReadAreUnknown)
+{
+    GwRecords *r =
+        GwRecords_New([](void *, GwList, const GwRecord *) {}, nullptr);
+    auto has_all_since = [&](int64_t from) {
+        return GwRecords_HasAllSince(r, GW_LIST_INSTANCES, from);
+    };
+
+    GwRecords_BeginFullRead(r, GW_LIST_INSTANCES);
+    GwRecords_SetEnd(r, GW_LIST_INSTANCES, 7);
+    GwRecords_EndFullRead(r, GW_LIST_INSTANCES, 10);
+    EXPECT_TRUE(has_all_since(7));
+    EXPECT_FALSE(has_all_since(8));
+    EXPECT_FALSE(has_all_since(9));
+    EXPECT_TRUE(has_all_since(10));
+    GwRecords_Delete(r);
+}
+
 // A restored store reuses offsets, so a record of a later era must replace one
 // with a higher offset of an earlier era.
 TEST(Records, RecordOfLaterEraReplacesHigherOffset)
