Do not defer removals if the store answered other processes meanwhile

Callers saw: requests reached a departed endpoint up to 2.5 s after the store had removed its row, at gateways that never lost the store (bound 2 s), and 2.4 to 2.8 s at a gateway that alone had lost it.

Cause: after an outage of more than a second removals are deferred for 2.5 s, because rows that expired in an outage of the store are written again. A process cannot tell from its own failed calls whether the store was down or only its own link to it, and a peer adopted the deferral without a check: an agent that had lost its link was often the first to read a removal, as gateways pause between reads, and passed its deferral on to all gateways.

Change: processes know from heartbeats when the store last answered any of them. If there was no gap of more than 1.5 s in the last 2 s, the store was available and no row has expired in an outage: removals take effect at once, whether the process lost its own link or a peer reports a deferral. After an outage of the store itself removals are deferred as before.

PeersRemovalsTest.DeferredRemovalIsDeferredByAllReceivers, the store's own outage, passes as before.

--- a/packages/cluster/include/galenagw/cluster/store_reader.h
+++ b/packages/cluster/include/galenagw/cluster/store_reader.h
@@ -83,6 +83,8 @@
 void GwStoreReader_Confirm(GwStoreReader *reader, GwList list, GwTime at);
 /** Time since @p list was last known to be complete; -1: it never was. */
 GwTime GwStoreReader_Age(const GwStoreReader *reader, GwList list);
+/** See GwReadSchedule_WasStoreAvailable. */
+bool GwStoreReader_WasStoreAvailable(const GwStoreReader *reader, GwList list);
 /** Read @p list now, without waiting for the end of the pause between two
  * reads. A pause after a failure is kept. */
 void GwStoreReader_ReadNow(GwStoreReader *reader, GwList list);
--- a/packages/cluster/src/list_sync.c
+++ b/packages/cluster/src/list_sync.c
@@ -645,7 +645,9 @@
 // The peer has seen a store outage after which these removals may be undone.
 // This process may not have noticed the outage, because its own call to the
 // store was waiting all the time; removing the endpoints now could leave
-// clients without any endpoint.
+// clients without any endpoint. If the store has answered other processes
+// meanwhile, only the peer was disconnected from it, and the endpoints have
+// departed.
 static void
 adopt_peer_deferral_(GwListSync *sync, const Gw__Wire__RecordsTell *reply)
 {
@@ -653,7 +655,11 @@
     GwTime until = now + MIN((GwTime)reply->removals_held_ms * GW_MILLISECOND,
                              REMOVAL_DEFERRAL_MAX);
 
-    if (reply->list == GW_LIST_INSTANCES && reply->removals_held_ms > 0)
+    if (reply->list != GW_LIST_INSTANCES || reply->removals_held_ms == 0)
+        return;
+    if (sync->options.reader == NULL ||
+        !GwStoreReader_WasStoreAvailable(sync->options.reader,
+                                         GW_LIST_INSTANCES))
         GwInstances_SetPeerDeferral(GwView_Instances(sync->options.view),
                                     until);
 }
--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -251,6 +251,12 @@
     return GwReadSchedule_Age(&r->schedule, list, GwTime_Now());
 }
 
+bool
+GwStoreReader_WasStoreAvailable(const GwStoreReader *r, GwList list)
+{
+    return GwReadSchedule_WasStoreAvailable(&r->schedule, list, GwTime_Now());
+}
+
 GwReadState
 GwStoreReader_ReadState(const GwStoreReader *r, GwList list)
 {
@@ -674,7 +680,9 @@
     // The store's return is noticed at most about one call late, because the
     // calls during an outage are short. Removals in this answer may therefore
     // be of records that expired during the outage; later removals are not.
-    if (lr->list == GW_LIST_INSTANCES && now - since > HARMLESS_OUTAGE_MAX)
+    // Nor are any if the store answered peers meanwhile.
+    if (lr->list == GW_LIST_INSTANCES && now - since > HARMLESS_OUTAGE_MAX &&
+        !GwStoreReader_WasStoreAvailable(r, lr->list))
         defer_removals_(r, "outage", now - since);
 }
 
--- a/packages/cluster/tests/fleet_start_test.cc
+++ b/packages/cluster/tests/fleet_start_test.cc
@@ -275,6 +275,36 @@
     EXPECT_TRUE(f.Until([&] { return a.Endpoints() == 29; }));
 }
 
+// Guards against requests to a departed endpoint: an agent that reads the
+// store without interruption must not defer a removal because the entry that
+// sends it was disconnected from the store.
+TEST_F(FleetStart, DisconnectedEntryDelaysNoRemoval)
+{
+    NodeOptions entry, agent;
+
+    PutEndpointRows(30);
+    agent.is_agent = true;
+    agent.port = entry.seed_port = FreePort();
+    entry.reads = false;
+    Node a(&f, agent);
+    Node e(&f, entry);
+    GwRecord removal = {"i-5", nullptr, 0, 0, nullptr};
+
+    ASSERT_TRUE(f.Until([&] { return e.Endpoints() == 30; }));
+    f.Wait(2500 * GW_MILLISECOND);
+    removal.offset = a.End(GW_LIST_INSTANCES);
+    GwInstances_DeferRemovals(GwView_Instances(e.view),
+                              GwTime_Now() + GW_SECOND,
+                              GwTime_Now() + 2500 * GW_MILLISECOND);
+    GwRecords_Apply(GwView_Records(e.view), GW_LIST_INSTANCES, &removal);
+    GwRecords_SetEnd(GwView_Records(e.view), GW_LIST_INSTANCES,
+                     removal.offset + 1);
+    ASSERT_EQ(e.Endpoints(), 30u) << "the entry defers the removal";
+    ASSERT_TRUE(f.Until(
+        [&] { return a.End(GW_LIST_INSTANCES) == removal.offset + 1; }));
+    EXPECT_EQ(a.Endpoints(), 29u);
+}
+
 // When a configuration changes, all agents that an entry is connected to
 // request it at the same time. Sent all at once, the copies would fill a slow
 // link for half a second, and answers to callers would wait behind them.
--- a/packages/cluster/tests/store_reader_test.cc
+++ b/packages/cluster/tests/store_reader_test.cc
@@ -267,6 +267,43 @@
     GwTimer_Stop(&tick);
 }
 
+// Guards against requests to a departed endpoint at a process that alone was
+// disconnected from the store: the removal that it reads first must be applied
+// at once if peers read the store meanwhile, and be deferred otherwise.
+TEST_F(StoreOutage, RemovalIsDeferredOnlyAfterOutageOfStore)
+{
+    for (bool peers_confirm : {true, false}) {
+        StoreAndReader system(loop);
+        GwTimer tick;
+        const auto is_listed = [&] {
+            return GwInstances_Find(GwView_Instances(system.view), "i-1") !=
+                   nullptr;
+        };
+        const auto wait = [&](GwTime time) {
+            GwTime start = GwTime_Now();
+
+            while (GwTime_Now() - start < time) {
+                if (peers_confirm)
+                    GwStoreReader_Confirm(system.reader, GW_LIST_INSTANCES,
+                                          GwTime_Now() - 500 * GW_MILLISECOND);
+                GwTimer_Start(&tick, 10 * GW_MILLISECOND);
+                GwLoop_Step(loop);
+            }
+        };
+
+        GwTimer_Init(
+            &tick, loop, [](void *) {}, nullptr);
+        wait(300 * GW_MILLISECOND);
+        FakeStore_Refuse(system.store, 503);
+        wait(2400 * GW_MILLISECOND);
+        FakeStore_Put(system.store, "keyed.servers", "i-1", nullptr);
+        FakeStore_Refuse(system.store, 0);
+        wait(800 * GW_MILLISECOND);
+        EXPECT_EQ(is_listed(), !peers_confirm);
+        GwTimer_Stop(&tick);
+    }
+}
+
 // A process starts and reads the full list in pages. A record of the first
 // page is changed before the last page is sent. Pages are not a snapshot, but
 // the end given with the last page lies after that change, so reading on from
--- a/packages/routing/include/galenagw/routing/read_schedule.h
+++ b/packages/routing/include/galenagw/routing/read_schedule.h
@@ -44,6 +44,8 @@
                                       send the lists */
     GwTime confirmed_at[GW_LISTS]; /**< when each list was last known to be
                                       complete; 0: never */
+    GwTime available_since[GW_LISTS]; /**< confirmation since which there was
+                                         no gap that suggests an outage */
 } GwReadSchedule;
 
 /**
@@ -92,6 +94,11 @@
 /** All records of @p list that were written before @p at are known, by an
  * answer of the store to this process or to a peer. */
 void GwReadSchedule_Confirm(GwReadSchedule *schedule, GwList list, GwTime at);
+/** Whether the store has answered this process or its peers regularly in the
+ * last seconds. If so, failures of this process's calls were not caused by an
+ * outage of the store, and no records of @p list have expired in one. */
+bool GwReadSchedule_WasStoreAvailable(const GwReadSchedule *schedule,
+                                      GwList list, GwTime now);
 /** Time since @p list was confirmed, to be sent to peers; -1: never. */
 GwTime GwReadSchedule_Age(const GwReadSchedule *schedule, GwList list,
                           GwTime now);
--- a/packages/routing/src/read_schedule.c
+++ b/packages/routing/src/read_schedule.c
@@ -16,6 +16,13 @@
  * of the fleet during this time. It may find that it need not be a store
  * reader. */
 #define START_DELAY (1 * GW_SECOND)
+/* A longer time between two confirmations suggests an outage of the store. In
+ * a shorter outage no record expires: endpoints renew their records every 1.2
+ * s, and records expire after three times that. */
+#define CONFIRMATION_GAP_MAX (1500 * GW_MILLISECOND)
+/* Time after an outage of the store until all processes have read the removals
+ * of the records that expired in it. */
+#define OUTAGE_EFFECT_TIME (2 * GW_SECOND)
 
 void
 GwReadSchedule_Init(GwReadSchedule *schedule, const char *name, GwTime bound)
@@ -109,9 +116,20 @@
 void
 GwReadSchedule_Confirm(GwReadSchedule *schedule, GwList list, GwTime at)
 {
+    if (at - schedule->confirmed_at[list] > CONFIRMATION_GAP_MAX)
+        schedule->available_since[list] = at;
     schedule->confirmed_at[list] = MAX(schedule->confirmed_at[list], at);
 }
 
+bool
+GwReadSchedule_WasStoreAvailable(const GwReadSchedule *schedule, GwList list,
+                                 GwTime now)
+{
+    return schedule->confirmed_at[list] > 0 &&
+           now - schedule->confirmed_at[list] <= CONFIRMATION_GAP_MAX &&
+           now - schedule->available_since[list] >= OUTAGE_EFFECT_TIME;
+}
+
 GwTime
 GwReadSchedule_Age(const GwReadSchedule *schedule, GwList list, GwTime now)
 {
--- a/packages/routing/tests/read_schedule_test.cc
+++ b/packages/routing/tests/read_schedule_test.cc
@@ -311,4 +311,38 @@
     }
 }
 
+// Guards against removals of departed endpoints that are deferred by a process
+// that alone was disconnected from the store.
+TEST(ReadSchedule, StoreWasAvailableIfConfirmedRegularly)
+{
+    const struct {
+        const char *name;
+        std::vector<int> confirmed_ms;
+        int now_ms;
+        bool expected;
+    } cases[] = {
+        {"never confirmed", {}, 9000, false},
+        {"confirmed once", {5000}, 5100, false},
+        {"by peers all the time", {5000, 6000, 7400, 8500}, 9000, true},
+        {"for less than the effects of an outage", {5000, 6000}, 6900, false},
+        {"not lately", {5000, 6000, 7000}, 8600, false},
+        {"again after a gap", {5000, 6000, 7000, 9000, 10000}, 10400, false},
+        {"long after a gap", {5000, 9000, 10000, 11000}, 11200, true},
+        {"by an older age afterwards", {5000, 6400, 5500, 7000}, 7500, true},
+    };
+
+    for (auto &c : cases) {
+        GwReadSchedule schedule;
+
+        GwReadSchedule_Init(&schedule, nullptr, 0);
+        for (int at : c.confirmed_ms)
+            GwReadSchedule_Confirm(&schedule, GW_LIST_INSTANCES,
+                                   at * GW_MILLISECOND);
+        EXPECT_EQ(GwReadSchedule_WasStoreAvailable(
+                      &schedule, GW_LIST_INSTANCES, c.now_ms * GW_MILLISECOND),
+                  c.expected)
+            << c.name;
+    }
+}
+
 } // namespace
