Soak: departures are judged machine by machine at the stated bound

The check 'a leaving endpoint gets no work' allowed 2.5 s (stated: 2 s) and was suspended by any fault of any process or link; endpoints only left after a row or an answer said so, never around outages or restarts. A mutant that ignores the departure in rows passed.

--- a/soak/src/callers.cc
+++ b/soak/src/callers.cc
@@ -135,7 +135,7 @@
     if (!body.empty())
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     text += "\r\n" + body;
-    platform_->ledger->RecordSent(request_id_, kind_);
+    platform_->ledger->RecordSent(request_id_, kind_, gateway_->process->name);
     answer_body_.clear();
     signature_.clear();
     answer_request_id_.clear();
--- a/soak/src/faults.cc
+++ b/soak/src/faults.cc
@@ -26,6 +26,22 @@
  * answer. */
 static const GwTime kAnswerOnlyDrainTime = 4500 * GW_MILLISECOND;
 
+/* Time between two departures, and the time for which a departing endpoint
+ * continues to serve: at times many seconds. */
+static const GwTime kMinDepartureInterval = 300 * GW_MILLISECOND;
+static const GwTime kMaxDepartureInterval = GW_SECOND;
+static const GwTime kMinLongDrainTime = 3500 * GW_MILLISECOND;
+static const GwTime kMaxLongDrainTime = 13 * GW_SECOND;
+/* The store is slow at the begin of a phase of departures only, so that later
+ * the lasting effects are checked. */
+static const GwTime kSlowStoreTime = 5 * GW_SECOND;
+/* A departure is at most this long before or after the end of an outage, or a
+ * restart. */
+static const GwTime kMaxDepartureOffset = 700 * GW_MILLISECOND;
+/* Duration of an outage around whose end endpoints depart. */
+static const GwTime kMinOutage = 1200 * GW_MILLISECOND;
+static const GwTime kMaxOutage = 4 * GW_SECOND;
+
 /* Rate limits of endpoints, in requests per second, and their duration, which
  * is longer than any phase, so that EndAll ends them. */
 static const double kMinEndpointRate = 0.5;
@@ -35,12 +51,15 @@
 Faults::Faults(const FaultOptions &options,
                std::function<void(const std::string &)> log)
     : options_(options), log_(std::move(log)), random_(options.seed),
-      restore_random_(~options.seed), limit_random_(options.seed + 1)
+      restore_random_(~options.seed), limit_random_(options.seed + 1),
+      departure_random_(options.seed + 2)
 {
     GwTimer_Init(&next_fault_timer_, options.platform->loop, OnNextFaultTimer,
                  this);
     GwTimer_Init(&planned_work_timer_, options.platform->loop,
                  OnPlannedWorkTimer, this);
+    GwTimer_Init(&departure_timer_, options.platform->loop, OnDepartureTimer,
+                 this);
 }
 
 Faults::~Faults()
@@ -70,6 +89,7 @@
 {
     GwTimer_Stop(&next_fault_timer_);
     GwTimer_Stop(&planned_work_timer_);
+    GwTimer_Stop(&departure_timer_);
     while (!scheduled_actions_.empty())
         RunAction(scheduled_actions_.front().get());
 }
@@ -82,12 +102,35 @@
     OnPlannedWorkTimer(this);
 }
 
+void
+Faults::StartDepartures()
+{
+    Platform *p = options_.platform;
+
+    log_("store is slow");
+    slow_store_until_ = GwTime_Now() + kSlowStoreTime;
+    p->store_fault_history.BeginFault();
+    FakeStore_SetDelay(p->store, kSlowStoreDelay);
+    ScheduleAction(kSlowStoreTime, [p] {
+        FakeStore_SetDelay(p->store, 0);
+        p->store_fault_history.EndFault();
+    });
+    OnDepartureTimer(this);
+}
+
 GwTime
 Faults::Draw(GwTime least, GwTime most)
 {
     return std::uniform_int_distribution<GwTime>(least, most)(random_);
 }
 
+GwTime
+Faults::DrawForDeparture(GwTime least, GwTime most)
+{
+    return std::uniform_int_distribution<GwTime>(least,
+                                                 most)(departure_random_);
+}
+
 void
 Faults::OnNextFaultTimer(void *user)
 {
@@ -460,7 +503,8 @@
     bool by_answers_only = Draw(0, 1) == 0;
     log_("planned drain of " + e->id +
          (by_answers_only ? ", announced only in its answers" : ""));
-    e->Drain(by_answers_only);
+    e->Depart(by_answers_only ? Departure::kAnswers
+                              : Departure::kRowAndAnswers);
     // An endpoint whose row shows the departure first refuses new connections
     // and then finishes its running requests. One that announces the departure
     // only in its answers accepts connections until it terminates, because
@@ -476,3 +520,212 @@
         e->proxy->fault_history.EndFault();
     });
 }
+
+// Each departure is combined with one disturbance of another part of the
+// system, so that rules that hold machine by machine are judged while other
+// machines are disturbed.
+void
+Faults::OnDepartureTimer(void *user)
+{
+    Faults *f = static_cast<Faults *>(user);
+
+    if (GwTime_Now() < f->slow_store_until_)
+        f->DepartWhileGatewaysStart();
+    else
+        switch (f->DrawForDeparture(0, 2)) {
+        case 0:
+            f->DepartAfterStoreIsolation();
+            break;
+        case 1:
+            f->DepartAfterInterruption();
+            break;
+        default:
+            f->DepartAfterRestart();
+        }
+    GwTimer_Start(
+        &f->departure_timer_,
+        f->DrawForDeparture(kMinDepartureInterval, kMaxDepartureInterval));
+}
+
+// Peers that lag send their copies of the list to gateways that start, before
+// the store answers.
+void
+Faults::DepartWhileGatewaysStart()
+{
+    auto &gateways = *options_.gateways;
+    GwTime departs_in = DrawForDeparture(kSlowStoreDelay, 2 * kSlowStoreDelay);
+    size_t kills = (size_t)DrawForDeparture(1, (GwTime)gateways.size() - 1);
+
+    for (size_t i = 0; i < kills; i++)
+        ScheduleKill(gateways[i]->process.get(),
+                     departs_in + DrawForDeparture(-kSlowStoreDelay,
+                                                   kSlowStoreDelay / 2));
+    ScheduleDeparture(RandomEndpointForDeparture(), departs_in,
+                      kMaxLongDrainTime);
+}
+
+// Several processes lose the store and find it again at one moment.
+void
+Faults::DepartAfterStoreIsolation()
+{
+    GwTime processes = (GwTime)options_.store_proxies->size();
+    GwTime isolated = DrawForDeparture(1, std::max<GwTime>(processes / 3, 1));
+    GwTime outage = DrawForDeparture(kMinOutage, kMaxOutage);
+
+    for (GwTime i = 0; i < isolated; i++)
+        IsolateFromStore((size_t)DrawForDeparture(0, processes - 1),
+                         DrawForDeparture(0, 1) == 0, outage);
+    ScheduleDeparture(
+        RandomEndpointForDeparture(),
+        outage + DrawForDeparture(-kMaxDepartureOffset, kMaxDepartureOffset),
+        DrawForDeparture(kMinLongDrainTime, kMaxLongDrainTime));
+}
+
+void
+Faults::DepartAfterInterruption()
+{
+    GwTime outage = DrawForDeparture(kMinOutage, kMaxOutage);
+
+    ScheduleInterruption(RandomProcessForDeparture(), outage);
+    ScheduleDeparture(
+        RandomEndpointForDeparture(),
+        outage + DrawForDeparture(-kMaxDepartureOffset, kMaxDepartureOffset),
+        DrawForDeparture(kMinLongDrainTime, kMaxLongDrainTime));
+}
+
+void
+Faults::DepartAfterRestart()
+{
+    Endpoint *e = RandomEndpointForDeparture();
+
+    if (!e->is_running || e->IsDeparting())
+        return;
+    log_("restart of " + e->id);
+    e->proxy->fault_history.BeginFault();
+    e->Crash();
+    e->Restart();
+    e->proxy->fault_history.EndFault();
+    ScheduleDeparture(e, DrawForDeparture(0, kMaxDepartureOffset),
+                      DrawForDeparture(kMinLongDrainTime, kMaxLongDrainTime));
+}
+
+void
+Faults::ScheduleDeparture(Endpoint *e, GwTime time, GwTime drain_time)
+{
+    static const Departure departures[] = {
+        Departure::kRemoval, Departure::kRemoval, Departure::kRow,
+        Departure::kAnswers, Departure::kRowAndAnswers};
+    Departure departure =
+        departures[DrawForDeparture(0, (GwTime)G_N_ELEMENTS(departures) - 1)];
+
+    ScheduleAction(time, [this, e, departure, drain_time] {
+        if (e->is_running && !e->IsDeparting() && HasAlternative(e))
+            DepartEndpoint(e, departure, drain_time);
+    });
+}
+
+Endpoint *
+Faults::RandomEndpointForDeparture()
+{
+    auto &all = options_.platform->endpoints;
+
+    return all[(size_t)DrawForDeparture(0, (GwTime)all.size() - 1)].get();
+}
+
+void
+Faults::DepartEndpoint(Endpoint *e, Departure departure, GwTime drain_time)
+{
+    static const char *const how[] = {"row and answers", "row", "answers",
+                                      "removal"};
+
+    log_("departure of " + e->id + " by " + how[(int)departure]);
+    e->Depart(departure);
+    ScheduleAction(drain_time, [e] {
+        e->proxy->fault_history.BeginFault();
+        e->Crash();
+        e->Restart();
+        e->proxy->fault_history.EndFault();
+    });
+}
+
+bool
+Faults::HasAlternative(const Endpoint *endpoint) const
+{
+    for (auto &e : options_.platform->endpoints) {
+        if (e.get() != endpoint && e->is_engine == endpoint->is_engine &&
+            e->is_running && !e->IsDeparting())
+            return true;
+    }
+    return false;
+}
+
+void
+Faults::IsolateFromStore(size_t process, bool refuse, GwTime time)
+{
+    Proxy *proxy = (*options_.store_proxies)[process].get();
+
+    log_(std::string(refuse ? "refuse" : "cut") + " the store to " +
+         proxy->address.host);
+    proxy->fault_history.BeginFault();
+    if (refuse) {
+        proxy->SetRefusing(true);
+        proxy->ResetAll();
+    }
+    else
+        proxy->SetCut(true, true);
+    ScheduleAction(time, [proxy, refuse] {
+        if (refuse)
+            proxy->SetRefusing(false);
+        else {
+            // What was sent during the outage is lost.
+            proxy->StallOpenConnections();
+            proxy->SetCut(false, false);
+        }
+        proxy->fault_history.EndFault();
+    });
+}
+
+Process *
+Faults::RandomProcessForDeparture()
+{
+    size_t n = options_.gateways->size();
+    size_t i = (size_t)DrawForDeparture(
+        0, (GwTime)(n + options_.sidecars->size()) - 1);
+
+    return i < n ? (*options_.gateways)[i]->process.get()
+                 : (*options_.sidecars)[i - n].get();
+}
+
+void
+Faults::ScheduleInterruption(Process *process, GwTime time)
+{
+    GwTime draw = DrawForDeparture(0, 2);
+
+    if (draw == 0)
+        ScheduleKill(process, time);
+    else if (draw == 1)
+        ScheduleAction(time, [this, process] {
+            log_("stop " + process->name);
+            process->Stop();
+        });
+    else if (process->IsRunning() && !process->IsStopping()) {
+        log_("suspend " + process->name);
+        process->fault_history.BeginFault();
+        process->Signal(SIGSTOP);
+        ScheduleAction(time, [process] {
+            process->Signal(SIGCONT);
+            process->fault_history.EndFault();
+        });
+    }
+}
+
+void
+Faults::ScheduleKill(Process *process, GwTime time)
+{
+    ScheduleAction(time, [this, process] {
+        if (!process->IsRunning())
+            return;
+        log_("kill " + process->name);
+        process->Kill();
+    });
+}
--- a/soak/src/faults.h
+++ b/soak/src/faults.h
@@ -36,6 +36,9 @@
      * drain an endpoint, release weights. Planned work is no fault: the system
      * must keep all promises meanwhile. */
     void StartPlannedWork();
+    /* Start to let endpoints depart, many of them around the end of an outage
+     * or a restart of a machine, until EndAll is called. */
+    void StartDepartures();
     /* Make all endpoints, or a random third of them, announce rate limits
      * until EndAll is called. */
     void LimitEndpoints(bool all);
@@ -53,12 +56,15 @@
     };
     static void OnNextFaultTimer(void *user);
     static void OnPlannedWorkTimer(void *user);
+    static void OnDepartureTimer(void *user);
     static void OnActionTimer(void *user);
     /* Run @p action after @p time, or in EndAll if that is called earlier. */
     void ScheduleAction(GwTime time, std::function<void()> action);
     void RunAction(ScheduledAction *scheduled);
     /* A random number from @p least to @p most, both included. */
     GwTime Draw(GwTime least, GwTime most);
+    /* The same, for departures. */
+    GwTime DrawForDeparture(GwTime least, GwTime most);
     Process *RandomProcess();
     Proxy *RandomProxy();
     Endpoint *RandomEndpoint();
@@ -73,18 +79,42 @@
     void InjectStoreFault();
     void RestoreStore();
     void DrainEndpoint();
+    /* Let an endpoint depart around a disturbance of another part. */
+    void DepartWhileGatewaysStart();
+    void DepartAfterStoreIsolation();
+    void DepartAfterInterruption();
+    void DepartAfterRestart();
+    /* Let the endpoint depart at @p time from now, in a random way, unless it
+     * is the last one of its service. */
+    void ScheduleDeparture(Endpoint *endpoint, GwTime time, GwTime drain_time);
+    Endpoint *RandomEndpointForDeparture();
+    /* Let the endpoint depart and end, and start it again. */
+    void DepartEndpoint(Endpoint *endpoint, Departure departure,
+                        GwTime drain_time);
+    /* Whether another endpoint of its service is neither departing nor down.
+     */
+    bool HasAlternative(const Endpoint *endpoint) const;
+    /* Disconnect one process from the store until @p time from now. */
+    void IsolateFromStore(size_t process, bool refuse, GwTime time);
+    Process *RandomProcessForDeparture();
+    /* Kill or stop the process at @p time from now, or suspend it until then.
+     */
+    void ScheduleInterruption(Process *process, GwTime time);
+    void ScheduleKill(Process *process, GwTime time);
 
     FaultOptions options_;
     std::function<void(const std::string &)> log_;
     std::list<std::unique_ptr<ScheduledAction>> scheduled_actions_;
     std::mt19937_64 random_;
-    /* Separate generators, so that restores and limits do not change the other
-     * faults of a seed. */
+    /* Separate generators, so that restores, limits and departures do not
+     * change the other faults of a seed. */
     std::mt19937_64 restore_random_;
     std::mt19937_64 limit_random_;
-    GwTimer next_fault_timer_, planned_work_timer_;
-    bool has_backup_ = false; /* of the store */
-    int planned_count_ = 0;   /* planned work done so far */
+    std::mt19937_64 departure_random_;
+    GwTimer next_fault_timer_, planned_work_timer_, departure_timer_;
+    bool has_backup_ = false;     /* of the store */
+    GwTime slow_store_until_ = 0; /* in a phase of departures */
+    int planned_count_ = 0;       /* planned work done so far */
 };
 
 #endif
--- a/soak/src/ledger.cc
+++ b/soak/src/ledger.cc
@@ -4,9 +4,19 @@
 #include <cstdio>
 
 void
-Ledger::RecordSent(const std::string &id, RequestKind kind)
+Ledger::RecordSent(const std::string &id, RequestKind kind,
+                   const std::string &gateway)
 {
     requests_[id].kind = kind;
+    requests_[id].gateway = gateway;
+}
+
+std::string
+Ledger::GatewayOf(const std::string &id) const
+{
+    auto it = requests_.find(id);
+
+    return it != requests_.end() ? it->second.gateway : "";
 }
 
 void
--- a/soak/src/ledger.h
+++ b/soak/src/ledger.h
@@ -17,6 +17,10 @@
 /* Time that the effects of a fault may last after its end. Processes detect
  * stalled connections, reconnect and read the lists again. */
 constexpr GwTime kSettleTime = 3 * GW_SECOND;
+/* A machine is in touch if neither it nor its links nor the store had a fault
+ * for this time. Rules with a time bound hold for each such machine, whatever
+ * happens to others. */
+constexpr GwTime kContactTime = 3 * GW_SECOND;
 
 /* Number of active faults of a part of the system, and the end of the last
  * one. */
@@ -58,7 +62,10 @@
 /* The requests by id, and the broken promises. */
 class Ledger {
   public:
-    void RecordSent(const std::string &id, RequestKind kind);
+    void RecordSent(const std::string &id, RequestKind kind,
+                    const std::string &gateway);
+    /* The name of the gateway that the request was sent to; empty: unknown. */
+    std::string GatewayOf(const std::string &id) const;
     /* An endpoint starts to run the request. @p is_resumption: it continues a
      * stream after the last event that arrived. */
     void RecordRun(const std::string &id, const std::string &endpoint,
@@ -105,6 +112,7 @@
   private:
     struct Request {
         RequestKind kind;
+        std::string gateway;
         int run_count = 0;
         int refusal_status = 0;  /* of the RecordRefusal call, or 0 */
         GwTime abandoned_at = 0; /* 0: not abandoned */
--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -27,6 +27,7 @@
     int64_t callers = 24;
     int64_t restores = 0;
     int64_t limits = 0;
+    int64_t departures = 0;
     const char *regressions = nullptr;
     const char *logs = "/tmp/gw-soak";
 };
@@ -50,6 +51,9 @@
      GW_SETTING_FLAG, FIELD(restores), 0, 1, false},
     {"limits", nullptr, "Let endpoints also announce rate limits",
      GW_SETTING_FLAG, FIELD(limits), 0, 1, false},
+    {"departures", nullptr,
+     "Also let endpoints depart around outages and restarts of machines",
+     GW_SETTING_FLAG, FIELD(departures), 0, 1, false},
     {"regressions", "FILE", "Run the seeds listed in a file", GW_SETTING_TEXT,
      FIELD(regressions), 0, 0, false},
     {"logs", "DIR", "Directory for the logs of runs that broke a promise",
@@ -61,6 +65,8 @@
  * faults end and the system gets time to recover. */
 constexpr GwTime kFaultPhaseTime = 5 * GW_SECOND;
 constexpr GwTime kPlannedWorkTime = 7 * GW_SECOND;
+/* Duration of the phase in which endpoints depart. */
+constexpr GwTime kDeparturePhaseTime = 22 * GW_SECOND;
 /* In the final phase, after recovery, at least kMinAnsweredShare of the
  * callers' requests must be answered. */
 constexpr GwTime kFinalPhaseTime = 2 * GW_SECOND;
@@ -115,6 +121,9 @@
         platform_->is_settled_since = [this](GwTime since) {
             return AllSettledSince(since);
         };
+        platform_->is_sender_in_touch = [this](const std::string &request) {
+            return IsInTouch(ledger_.GatewayOf(request));
+        };
         log_.open(run_dir_ + "/faults.log");
         for (int i = 0; i < options.gateways; i++)
             AddGateway(i);
@@ -159,6 +168,11 @@
             faults_->StartRandomFaults();
             RunLoopFor(kFaultPhaseTime);
             EndFaultsAndSettle();
+            if (options_.departures) {
+                faults_->StartDepartures();
+                RunLoopFor(kDeparturePhaseTime);
+                EndFaultsAndSettle();
+            }
             if (GwTime_Now() >
                 end - kSettleTime - kFinalPhaseTime - kPlannedWorkTime)
                 break;
@@ -292,6 +306,24 @@
             settled = settled && e->proxy->fault_history.IsSettledSince(since);
         return settled;
     }
+    // Whether the machine of a gateway was without faults for kContactTime.
+    bool
+    IsInTouch(const std::string &gateway) const
+    {
+        GwTime since = GwTime_Now() - kContactTime;
+
+        for (size_t i = 0; i < gateways_.size(); i++) {
+            const Gateway &g = *gateways_[i];
+
+            if (g.process->name == gateway)
+                return g.process->HasRunSince(since) &&
+                       g.process->fault_history.IsFaultFreeSince(since) &&
+                       g.caller_proxy->fault_history.IsFaultFreeSince(since) &&
+                       store_proxies_[i]->fault_history.IsFaultFreeSince(
+                           since);
+        }
+        return false;
+    }
     // The platform restarts processes that ended.
     static void
     OnReapTimer(void *user)
@@ -332,7 +364,8 @@
     {
         bool on_engines = platform_->random() % 2 == 0;
         auto senders = StartSenders(
-            kFatalInterval, "fatal", [on_engines](const std::string &id) {
+            kFatalInterval, "fatal",
+            [on_engines](const std::string &, const std::string &id) {
                 return std::string("POST ") +
                        (on_engines ? "/resume/9" : "/plain/9") +
                        " HTTP/1.1\r\nHost: h\r\nX-Key: key\r\n"
@@ -384,14 +417,19 @@
     std::vector<std::unique_ptr<Repeater>>
     StartSenders(
         GwTime interval, const char *prefix,
-        const std::function<std::string(const std::string &id)> &request)
+        const std::function<std::string(const std::string &gateway,
+                                        const std::string &id)> &request)
     {
         std::vector<std::unique_ptr<Repeater>> senders;
 
         for (auto &g : gateways_)
             senders.push_back(std::make_unique<Repeater>(
-                loop_, Repeater::Options{g->caller_proxy->address, interval,
-                                         prefix, request}));
+                loop_,
+                Repeater::Options{
+                    g->caller_proxy->address, interval, prefix,
+                    [request, name = g->process->name](const std::string &id) {
+                        return request(name, id);
+                    }}));
         return senders;
     }
     // Sends requests of account "loud" to all gateways during the whole run,
@@ -402,9 +440,10 @@
         GwTime interval =
             GW_SECOND * options_.gateways / kLoudRateFactor / kLoudRate;
 
-        loud_senders_ =
-            StartSenders(interval, "loud", [this](const std::string &id) {
-                ledger_.RecordSent(id, RequestKind::kIdempotent);
+        loud_senders_ = StartSenders(
+            interval, "loud",
+            [this](const std::string &gateway, const std::string &id) {
+                ledger_.RecordSent(id, RequestKind::kIdempotent, gateway);
                 return "GET /plain/7 HTTP/1.1\r\nHost: h\r\nX-Key: loud\r\n"
                        "X-Deadline-Ms: 4000\r\nX-Request-Id: " +
                        id + "\r\n\r\n";
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -11,7 +11,7 @@
 static const int kLongStreamEvents = 250;
 /* Time after the announcement of its departure from which an endpoint must
  * receive no requests. */
-static const GwTime kMaxDrainPropagation = 2500 * GW_MILLISECOND;
+static const GwTime kMaxDrainPropagation = 2 * GW_SECOND;
 /* Later than kLimitGrace after an endpoint's rate limit is set, it receives in
  * any kLimitWindow at most kLimitFactor times the limit plus kLimitSlack
  * requests. */
@@ -147,8 +147,8 @@
     }
     is_running = true;
     started_at_ms_ = std::max(started_at_ms_ + 1, g_get_real_time() / 1000);
-    is_draining_ = row_shows_draining_ = false;
-    draining_since_ = 0;
+    is_draining_ = row_shows_draining_ = is_unlisted = false;
+    departed_at_ = 0;
     rate_limit_ = -1;
     loading_version_ = load_order_count_ = 0;
     WriteRow();
@@ -162,16 +162,59 @@
 }
 
 void
-Endpoint::Drain(bool by_answers_only)
-{
-    is_draining_ = true;
-    row_shows_draining_ = !by_answers_only;
-    if (!row_shows_draining_)
+Endpoint::Depart(Departure departure)
+{
+    is_draining_ = departure == Departure::kRowAndAnswers ||
+                   departure == Departure::kAnswers;
+    row_shows_draining_ =
+        departure == Departure::kRowAndAnswers || departure == Departure::kRow;
+    is_unlisted = departure == Departure::kRemoval;
+    if (departure == Departure::kAnswers)
         return;
-    draining_since_ = GwTime_Now();
+    departed_at_ = GwTime_Now();
     WriteRow();
 }
 
+bool
+Endpoint::IsDeparting() const
+{
+    return is_draining_ || row_shows_draining_ || is_unlisted;
+}
+
+// A gateway in touch acknowledges a departure by passing on an answer that
+// announces it.
+void
+Endpoint::NoteAnnounced(const std::string &request)
+{
+    GwTime now = GwTime_Now();
+
+    if (is_draining_ && departed_at_ == 0 &&
+        platform_->is_sender_in_touch(request) &&
+        proxy->fault_history.IsFaultFreeSince(now - kContactTime))
+        departed_at_ = now;
+}
+
+// The time runs from the acknowledgement, or from the moment at which the
+// store has been without faults for kContactTime if that is later. Faults of
+// other machines than the sender's excuse nothing.
+void
+Endpoint::CheckDeparture(const std::string &request) const
+{
+    GwTime now = GwTime_Now();
+
+    if (departed_at_ == 0 || now - departed_at_ <= kMaxDrainPropagation ||
+        !proxy->fault_history.IsFaultFreeSince(now - kContactTime) ||
+        !platform_->store_fault_history.IsFaultFreeSince(
+            now - kMaxDrainPropagation - kContactTime) ||
+        !platform_->is_sender_in_touch(request))
+        return;
+    platform_->ledger->RecordViolation(
+        "a leaving endpoint gets no work",
+        request + " of " + platform_->ledger->GatewayOf(request) + " at " +
+            id + ", " + std::to_string((now - departed_at_) / GW_MILLISECOND) +
+            " ms after its departure");
+}
+
 void
 Endpoint::SetRateLimit(double rate)
 {
@@ -220,8 +263,7 @@
     }
 }
 
-// The time for gateways to stop sending requests starts with the first answer
-// that announces the departure. Invalid headers must be ignored: they must not
+// Invalid headers must be ignored: they must not
 // make gateways stop using the endpoint.
 std::string
 Endpoint::StatusHeaders()
@@ -232,11 +274,8 @@
         "Retry-After: -5\r\n",     "Retry-After: 1e9\r\n"};
     std::uniform_real_distribution<double> draw(0, 1);
 
-    if (is_draining_) {
-        if (draining_since_ == 0)
-            draining_since_ = GwTime_Now();
+    if (is_draining_)
         return "Server-Leaving: 1\r\n" + LimitHeader();
-    }
     if (draw(platform_->random) < invalid_header_share)
         return invalid_headers[platform_->random() %
                                G_N_ELEMENTS(invalid_headers)] +
@@ -276,6 +315,10 @@
 void
 Endpoint::WriteRow() const
 {
+    if (is_unlisted) {
+        RemoveRow(id);
+        return;
+    }
     platform_->listed_keys.insert(id);
     FakeStore_Put(platform_->store, "keyed.servers", id.c_str(),
                   RowText().c_str());
@@ -382,11 +425,7 @@
     if (!scope.empty())
         ledger->RecordCacheScope(scope, HeaderValue(x, "X-Expect-Version"),
                                  account, account == "walled");
-    if (draining_since_ != 0 &&
-        GwTime_Now() - draining_since_ > kMaxDrainPropagation &&
-        platform_->is_settled_since(draining_since_))
-        ledger->RecordViolation("a leaving endpoint gets no work",
-                                HeaderValue(x, "X-Request-Id") + " at " + id);
+    CheckDeparture(HeaderValue(x, "X-Request-Id"));
     return is_engine && atoi(HeaderValue(x, "X-Expect-Version").c_str()) !=
                             weights_version_;
 }
@@ -427,6 +466,7 @@
         FakeExchange_Answer(x, 500, headers.c_str(), "failed", 6);
         return;
     }
+    NoteAnnounced(request);
     if (is_engine) {
         StartStream(x, request);
         return;
@@ -622,7 +662,7 @@
     FakeStore_Put(store, "keyed.op", "config", config.c_str());
     WriteReleasedWeights();
     for (auto &e : endpoints) {
-        if (!e->is_running)
+        if (!e->is_running || e->is_unlisted)
             continue;
         e->WriteRow();
         stale_keys.erase(e->id);
--- a/soak/src/platform.h
+++ b/soak/src/platform.h
@@ -63,6 +63,14 @@
     kGatewayProxyGroup = 4
 };
 
+/* How an endpoint announces its departure. */
+enum class Departure {
+    kRowAndAnswers,
+    kRow,
+    kAnswers,
+    kRemoval /* its row is removed, while it continues to serve */
+};
+
 /* One endpoint. Its row in the store has the address of its proxy. */
 class Endpoint {
   public:
@@ -76,20 +84,22 @@
     /* Write a row with the address of this endpoint and one invalid field, as
      * another writer could, under its id or another key. Returns the key. */
     std::string WriteInvalidRow();
-    /* Announce the departure in the row and the answers, or in the answers
-     * only. Requests that arrive more than kMaxDrainPropagation later break a
-     * promise. */
-    void Drain(bool by_answers_only);
+    /* Announce the departure. Requests that arrive more than
+     * kMaxDrainPropagation later break a promise. */
+    void Depart(Departure departure);
+    bool IsDeparting() const;
     /* Set the rate limit that the answers announce, in requests per second of
      * all gateways combined; negative: none. */
     void SetRateLimit(double rate);
     bool HasRateLimit() const;
-    /* Write the endpoint's row to the store, as its heartbeat. */
+    /* Write the endpoint's row to the store, as its heartbeat, or remove it if
+     * the endpoint departs by removal. */
     void WriteRow() const;
     void RemoveRow(const std::string &key) const;
 
     bool is_engine;
     bool is_running = true;
+    bool is_unlisted = false; /* departs by removal of its row */
     /* Shares of requests that are answered with 500, reset, or rejected with
      * 503. */
     double error_share = 0, reset_share = 0, overload_share = 0;
@@ -109,6 +119,9 @@
     /* Headers in which the endpoint announces its departure and rate limit. */
     std::string StatusHeaders();
     std::string LimitHeader() const;
+    /* An answer to @p request announces the departure. */
+    void NoteAnnounced(const std::string &request);
+    void CheckDeparture(const std::string &request) const;
     void CheckRateLimit();
     void ServeRequest(FakeExchange *x);
     void StartStream(FakeExchange *x, const std::string &request);
@@ -134,8 +147,9 @@
     int weights_version_ = 1, loading_version_ = 0, load_order_count_ = 0;
     GwTimer load_timer_;
     bool is_draining_ = false, row_shows_draining_ = false;
-    GwTime draining_since_ = 0; /* first announcement; 0: none yet */
-    double rate_limit_ = -1;    /* requests per second; negative: none */
+    GwTime departed_at_ = 0; /* when the store or a machine in touch
+                                acknowledged the departure; 0: not yet */
+    double rate_limit_ = -1; /* requests per second; negative: none */
     GwTime rate_limit_set_at_ = 0;
     std::deque<GwTime> arrivals_; /* of requests, in the last kLimitWindow */
     GwTimer restart_timer_; /* after a termination by the fatal request */
@@ -177,6 +191,9 @@
     /* Whether the effects of all faults had ended before the given time, so
      * that a check can require the promise without exceptions. */
     std::function<bool(GwTime)> is_settled_since;
+    /* Whether the gateway that the request was sent to is in touch; see
+     * kContactTime. */
+    std::function<bool(const std::string &request)> is_sender_in_touch;
 
   private:
     void WriteReleasedWeights();
--- a/soak/src/processes.cc
+++ b/soak/src/processes.cc
@@ -44,6 +44,7 @@
     posix_spawn_file_actions_destroy(&actions);
     is_end_expected_ = false;
     incarnation_++;
+    started_at_ = GwTime_Now();
 }
 
 void
--- a/soak/src/processes.h
+++ b/soak/src/processes.h
@@ -37,6 +37,12 @@
     {
         return pid_ != 0 && is_end_expected_;
     }
+    /* Whether the process has run since @p since and was not stopped. */
+    bool
+    HasRunSince(GwTime since) const
+    {
+        return pid_ != 0 && !is_end_expected_ && started_at_ < since;
+    }
     unsigned
     incarnation() const
     {
@@ -51,6 +57,7 @@
     pid_t pid_ = 0;
     bool is_end_expected_ = false; /* after Stop or Kill */
     unsigned incarnation_ = 0;     /* number of starts */
+    GwTime started_at_ = 0;
 };
 
 #endif
