Records: a late answer of the store does not undo a removal either

Same class as the fault before: a read of changes that waited at the store can arrive after a peer has sent later changes. A row in it that was written and removed in between was added as new, and the next read began behind its removal. The check is now in GwRecords_Apply for all records but those of a full read, which have a function of their own (GwRecords_ApplyFullRead), and does not depend on the source of a record.

--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -498,9 +498,12 @@
     bool is_newer;
 
     positioned.offset = GwPosition_Of(lr->era, record->offset);
-    is_newer = lr->is_after_restore
-                   ? GwRecords_ApplyRestored(records, list, &positioned)
-                   : GwRecords_Apply(records, list, &positioned);
+    if (!lr->needs_full_read)
+        is_newer = GwRecords_Apply(records, list, &positioned);
+    else if (lr->is_after_restore)
+        is_newer = GwRecords_ApplyRestored(records, list, &positioned);
+    else
+        is_newer = GwRecords_ApplyFullRead(records, list, &positioned);
     lr->records_read++;
     lr->records_not_newer += !is_newer;
 }
--- a/packages/routing/include/galenagw/routing/records.h
+++ b/packages/routing/include/galenagw/routing/records.h
@@ -70,19 +70,28 @@
 void GwRecords_Delete(GwRecords *records);
 
 /**
- * Store a record unless this one or a newer one of its key is stored. A record
- * from a peer is also ignored if it is before the end of the list and its key
- * is not stored: the key has been removed since. The end of the list is
- * unchanged, because records may arrive in any order.
+ * Store a record that a peer sent or that was read as a change, unless this
+ * one or a newer one of its key is stored. It is also ignored if it is before
+ * the end of the list and no record of its key is stored: the key has been
+ * removed since. The end of the list is unchanged, because records may arrive
+ * in any order.
  * @return whether the record was stored
  */
 bool GwRecords_Apply(GwRecords *records, GwList list, const GwRecord *record);
 /**
- * Like GwRecords_Apply, for a record that the platform's store had when it was
- * restored from a backup. If the key was removed in an earlier era, the record
- * is ignored, because the backup may predate the removal. Only for the first
- * full read after the restoration: a record that was written later makes the
- * key current again, and is passed to GwRecords_Apply.
+ * Store a record of the current full read, unless this one or a newer one of
+ * its key is stored.
+ * @return whether the record was stored
+ */
+bool GwRecords_ApplyFullRead(GwRecords *records, GwList list,
+                             const GwRecord *record);
+/**
+ * Like GwRecords_ApplyFullRead, for a record that the platform's store had
+ * when it was restored from a backup. If the key was removed in an earlier
+ * era, the record is ignored, because the backup may predate the removal. Only
+ * for the first full read after the restoration: a record that was written
+ * later makes the key current again, and is passed to one of the other
+ * functions.
  * @return whether the record was stored
  */
 bool GwRecords_ApplyRestored(GwRecords *records, GwList list,
--- a/packages/routing/src/records.c
+++ b/packages/routing/src/records.c
@@ -40,6 +40,8 @@
 static uint64_t stamp_end_(const GwRecords *records, GwList list);
 static void note_removal_gap_(GwRecords *records, GwList list, int64_t end);
 static void free_stored_record_(void *item);
+static StoredRecord *store_if_newer_(GwRecords *records, GwList list,
+                                     const GwRecord *record);
 static void notify_record_(GwRecords *records, GwList list,
                            const StoredRecord *stored,
                            const char *learned_from);
@@ -88,32 +90,26 @@
 bool
 GwRecords_Apply(GwRecords *records, GwList list, const GwRecord *record)
 {
-    StoredRecord *stored =
+    const StoredRecord *stored =
         g_hash_table_lookup(records->lists[list], record->key);
-    bool is_from_peer = record->learned_from != NULL;
 
-    if (stored != NULL && !is_from_peer)
-        stored->in_full_read = true;
-    if (stored != NULL && stored->offset >= record->offset)
-        return false;
     // The replica contains all current records before its end. Without a
-    // record of this key, the key was removed after the peer's record was
-    // written.
-    if (stored == NULL && is_from_peer && record->offset < records->ends[list])
+    // record of this key, the key was removed after this record was written.
+    if (stored == NULL && record->offset < records->ends[list])
         return false;
-    stored = g_new0(StoredRecord, 1);
-    stored->key = g_strdup(record->key);
-    if (record->value != NULL) {
-        stored->value = g_malloc(record->len + 1);
-        memcpy(stored->value, record->value, record->len);
-        stored->value[record->len] = '\0';
-    }
-    stored->len = record->len;
-    stored->offset = record->offset;
-    stored->in_full_read = !is_from_peer;
-    g_hash_table_replace(records->lists[list], stored->key, stored);
-    notify_record_(records, list, stored, record->learned_from);
-    return true;
+    return store_if_newer_(records, list, record) != NULL;
+}
+
+bool
+GwRecords_ApplyFullRead(GwRecords *records, GwList list,
+                        const GwRecord *record)
+{
+    bool is_newer = store_if_newer_(records, list, record) != NULL;
+    StoredRecord *stored =
+        g_hash_table_lookup(records->lists[list], record->key);
+
+    stored->in_full_read = true;
+    return is_newer;
 }
 
 bool
@@ -126,7 +122,7 @@
     if (stored != NULL && stored->value == NULL &&
         GwPosition_Era(stored->offset) < GwPosition_Era(record->offset))
         return false;
-    return GwRecords_Apply(records, list, record);
+    return GwRecords_ApplyFullRead(records, list, record);
 }
 
 void
@@ -278,6 +274,30 @@
     g_free(stored);
 }
 
+// Stores the record unless this one or a newer one of its key is stored.
+// Returns the stored record, or NULL.
+static StoredRecord *
+store_if_newer_(GwRecords *records, GwList list, const GwRecord *record)
+{
+    StoredRecord *stored =
+        g_hash_table_lookup(records->lists[list], record->key);
+
+    if (stored != NULL && stored->offset >= record->offset)
+        return NULL;
+    stored = g_new0(StoredRecord, 1);
+    stored->key = g_strdup(record->key);
+    if (record->value != NULL) {
+        stored->value = g_malloc(record->len + 1);
+        memcpy(stored->value, record->value, record->len);
+        stored->value[record->len] = '\0';
+    }
+    stored->len = record->len;
+    stored->offset = record->offset;
+    g_hash_table_replace(records->lists[list], stored->key, stored);
+    notify_record_(records, list, stored, record->learned_from);
+    return stored;
+}
+
 static void
 notify_record_(GwRecords *records, GwList list, const StoredRecord *stored,
                const char *learned_from)
--- a/packages/routing/tests/membership_records_test.cc
+++ b/packages/routing/tests/membership_records_test.cc
@@ -34,6 +34,14 @@
     return GwRecords_Apply(r, GW_LIST_INSTANCES, &record);
 }
 
+static bool
+ApplyFullRead(GwRecords *r, const char *key, const char *value, int64_t offset)
+{
+    GwRecord record = {key, value, strlen(value), offset, nullptr};
+
+    return GwRecords_ApplyFullRead(r, GW_LIST_INSTANCES, &record);
+}
+
 // A full read contains no removals, so a process that performed one lacks
 // removals from before its end. If it sent its records to a peer from the
 // peer's earlier position on, the peer would not remove endpoints that have
@@ -97,8 +105,8 @@
     Apply(r, "stays", "1", 1);
     Apply(r, "goes", "1", 2);
     GwRecords_BeginFullRead(r, GW_LIST_INSTANCES);
-    Apply(r, "stays", "1", 1);
-    Apply(r, "newer", "1", 12);
+    ApplyFullRead(r, "stays", "1", 1);
+    ApplyFullRead(r, "newer", "1", 12);
     Apply(r, "from-peer", "1", 20);
     GwRecords_EndFullRead(r, GW_LIST_INSTANCES, 15);
     EXPECT_EQ(received.values.size(), 3u);
@@ -127,19 +135,17 @@
     for (auto &c : cases) {
         ReceivedRecords received;
         GwRecords *r = GwRecords_New(OnRecord, &received);
-        GwRecord from_peer = {"gone", "1", 1, 5, "side-1"};
-
         if (c.was_known) {
             Apply(r, "gone", "1", 5);
             GwRecords_SetEnd(r, GW_LIST_INSTANCES, 7);
         }
         GwRecords_BeginFullRead(r, GW_LIST_INSTANCES);
         if (c.during_read)
-            GwRecords_Apply(r, GW_LIST_INSTANCES, &from_peer);
-        Apply(r, "stays", "1", 6);
+            Apply(r, "gone", "1", 5);
+        ApplyFullRead(r, "stays", "1", 6);
         GwRecords_EndFullRead(r, GW_LIST_INSTANCES, 10);
         if (!c.during_read)
-            GwRecords_Apply(r, GW_LIST_INSTANCES, &from_peer);
+            Apply(r, "gone", "1", 5);
         EXPECT_EQ(received.values.count("gone"), 0u) << c.when;
         EXPECT_EQ(received.values.count("stays"), 1u) << c.when;
         GwRecords_Delete(r);
