--- a/packages/cluster/tests/fleet_start_test.cc
+++ b/packages/cluster/tests/fleet_start_test.cc
@@ -162,6 +162,33 @@
                     R"("state":"ready"})");
         }
     }
+    // Starts an agent that gets a copy of 30 endpoints from an entry; the
+    // entry ends, and "i-5" is removed from the store. Sets the agent's port
+    // in the options of an entry that starts later. Returns NULL if that
+    // fails.
+    std::unique_ptr<Node>
+    StartAgentWithOlderCopy(NodeOptions *later_entry)
+    {
+        NodeOptions before, agent;
+
+        PutEndpointRows(30);
+        agent.is_agent = agent.asks_peers_first = true;
+        agent.name = kPeerReadingName;
+        agent.cluster_size = kLargeClusterSize;
+        agent.port = before.agent_port = later_entry->agent_port = FreePort();
+        auto a = std::make_unique<Node>(&f, agent);
+        auto e = std::make_unique<Node>(&f, before);
+        if (!f.Until([&] {
+                return a->Endpoints() == 30 &&
+                       GwStoreReader_Age(a->reader, GW_LIST_INSTANCES) >= 0;
+            }))
+            return nullptr;
+        EXPECT_EQ(a->Calls(), 0u);
+        e.reset();
+        FakeStore_Put(f.store, "keyed.servers", "i-5", nullptr);
+        f.Wait(50 * GW_MILLISECOND);
+        return a;
+    }
 
     Fleet f;
 };
@@ -222,26 +249,13 @@
 // and would keep sending requests to the removed endpoint.
 TEST_F(FleetStart, EntryStartedAfterRemovalDoesNotHideIt)
 {
-    NodeOptions before, agent, after;
+    NodeOptions after;
+    auto a = StartAgentWithOlderCopy(&after);
+    ASSERT_NE(a, nullptr);
 
-    PutEndpointRows(30);
-    agent.is_agent = agent.asks_peers_first = true;
-    agent.name = kPeerReadingName;
-    agent.cluster_size = kLargeClusterSize;
-    agent.port = before.agent_port = after.agent_port = FreePort();
-    Node a(&f, agent);
-    auto e = std::make_unique<Node>(&f, before);
-    ASSERT_TRUE(f.Until([&] {
-        return a.Endpoints() == 30 &&
-               GwStoreReader_Age(a.reader, GW_LIST_INSTANCES) >= 0;
-    }));
-    EXPECT_EQ(a.Calls(), 0u);
-    e.reset();
-    FakeStore_Put(f.store, "keyed.servers", "i-5", nullptr);
-    f.Wait(50 * GW_MILLISECOND);
     Node late(&f, after);
     ASSERT_TRUE(f.Until([&] { return late.Endpoints() == 29; }));
-    EXPECT_TRUE(f.Until([&] { return a.Endpoints() == 29; }));
+    EXPECT_TRUE(f.Until([&] { return a->Endpoints() == 29; }));
 }
 
 // Guards against requests to an endpoint that was removed: an entry starts
@@ -249,30 +263,19 @@
 // sends it that copy before the store has answered.
 TEST_F(FleetStart, OlderCopyOfAgentDoesNotUndoRemoval)
 {
-    NodeOptions before, agent, after;
+    NodeOptions after;
+    auto a = StartAgentWithOlderCopy(&after);
+    ASSERT_NE(a, nullptr);
 
-    PutEndpointRows(30);
-    agent.is_agent = agent.asks_peers_first = true;
-    agent.name = kPeerReadingName;
-    agent.cluster_size = kLargeClusterSize;
-    agent.port = before.agent_port = FreePort();
-    after.seed_port = agent.port;
-    Node a(&f, agent);
-    auto e = std::make_unique<Node>(&f, before);
-    ASSERT_TRUE(f.Until([&] {
-        return a.Endpoints() == 30 &&
-               GwStoreReader_Age(a.reader, GW_LIST_INSTANCES) >= 0;
-    }));
-    e.reset();
-    FakeStore_Put(f.store, "keyed.servers", "i-5", nullptr);
-    f.Wait(50 * GW_MILLISECOND);
+    after.seed_port = after.agent_port;
+    after.agent_port = NodeOptions().agent_port;
     FakeStore_SetDelay(f.store, 400 * GW_MILLISECOND);
     Node late(&f, after);
     ASSERT_TRUE(f.Until([&] { return late.Endpoints() == 30; }))
         << "it has the agent's copy";
     FakeStore_SetDelay(f.store, 0);
     EXPECT_TRUE(f.Until([&] { return late.Endpoints() == 29; }));
-    EXPECT_TRUE(f.Until([&] { return a.Endpoints() == 29; }));
+    EXPECT_TRUE(f.Until([&] { return a->Endpoints() == 29; }));
 }
 
 // Guards against requests to a departed endpoint: an agent that reads the
--- a/packages/cluster/tests/store_reader_test.cc
+++ b/packages/cluster/tests/store_reader_test.cc
@@ -89,6 +89,11 @@
 
         FakeStore_Put(store, "keyed.servers", "i-1", text.c_str());
     }
+    bool
+    IsListed() const
+    {
+        return GwInstances_Find(GwView_Instances(view), "i-1") != nullptr;
+    }
     // Whether the process has the records that the store holds in both lists.
     bool
     IsCurrent(uint64_t version, bool draining) const
@@ -138,6 +143,23 @@
     {
         GwLoop_Delete(loop);
     }
+    // Runs the loop for @p time, and calls @p at_step at each step.
+    void
+    Wait(
+        GwTime time, const std::function<void()> &at_step = [] {})
+    {
+        GwTime start = GwTime_Now();
+        GwTimer tick;
+
+        GwTimer_Init(
+            &tick, loop, [](void *) {}, nullptr);
+        while (GwTime_Now() - start < time) {
+            at_step();
+            GwTimer_Start(&tick, 10 * GW_MILLISECOND);
+            GwLoop_Step(loop);
+        }
+        GwTimer_Stop(&tick);
+    }
     // Runs all cases, and sets for each how long after the end of the outage
     // both lists were as in the store.
     void
@@ -238,33 +260,17 @@
 TEST_F(StoreOutage, RemovalASecondAfterOutageIsFinal)
 {
     StoreAndReader system(loop);
-    GwTimer tick;
-    const auto is_listed = [&] {
-        return GwInstances_Find(GwView_Instances(system.view), "i-1") !=
-               nullptr;
-    };
-    const auto wait = [&](GwTime time) {
-        GwTime start = GwTime_Now();
-
-        while (GwTime_Now() - start < time) {
-            GwTimer_Start(&tick, 10 * GW_MILLISECOND);
-            GwLoop_Step(loop);
-        }
-    };
 
-    GwTimer_Init(
-        &tick, loop, [](void *) {}, nullptr);
-    wait(300 * GW_MILLISECOND);
-    ASSERT_TRUE(is_listed());
+    Wait(300 * GW_MILLISECOND);
+    ASSERT_TRUE(system.IsListed());
     FakeStore_Refuse(system.store, 503);
-    wait(1600 * GW_MILLISECOND);
+    Wait(1600 * GW_MILLISECOND);
     FakeStore_Refuse(system.store, 0);
-    wait(1200 * GW_MILLISECOND);
-    ASSERT_TRUE(is_listed());
+    Wait(1200 * GW_MILLISECOND);
+    ASSERT_TRUE(system.IsListed());
     FakeStore_Put(system.store, "keyed.servers", "i-1", nullptr);
-    wait(300 * GW_MILLISECOND);
-    EXPECT_FALSE(is_listed());
-    GwTimer_Stop(&tick);
+    Wait(300 * GW_MILLISECOND);
+    EXPECT_FALSE(system.IsListed());
 }
 
 // Guards against requests to a departed endpoint at a process that alone was
@@ -274,33 +280,19 @@
 {
     for (bool peers_confirm : {true, false}) {
         StoreAndReader system(loop);
-        GwTimer tick;
-        const auto is_listed = [&] {
-            return GwInstances_Find(GwView_Instances(system.view), "i-1") !=
-                   nullptr;
-        };
-        const auto wait = [&](GwTime time) {
-            GwTime start = GwTime_Now();
-
-            while (GwTime_Now() - start < time) {
-                if (peers_confirm)
-                    GwStoreReader_Confirm(system.reader, GW_LIST_INSTANCES,
-                                          GwTime_Now() - 500 * GW_MILLISECOND);
-                GwTimer_Start(&tick, 10 * GW_MILLISECOND);
-                GwLoop_Step(loop);
-            }
+        const auto confirm = [&] {
+            if (peers_confirm)
+                GwStoreReader_Confirm(system.reader, GW_LIST_INSTANCES,
+                                      GwTime_Now() - 500 * GW_MILLISECOND);
         };
 
-        GwTimer_Init(
-            &tick, loop, [](void *) {}, nullptr);
-        wait(300 * GW_MILLISECOND);
+        Wait(300 * GW_MILLISECOND, confirm);
         FakeStore_Refuse(system.store, 503);
-        wait(2400 * GW_MILLISECOND);
+        Wait(2400 * GW_MILLISECOND, confirm);
         FakeStore_Put(system.store, "keyed.servers", "i-1", nullptr);
         FakeStore_Refuse(system.store, 0);
-        wait(800 * GW_MILLISECOND);
-        EXPECT_EQ(is_listed(), !peers_confirm);
-        GwTimer_Stop(&tick);
+        Wait(800 * GW_MILLISECOND, confirm);
+        EXPECT_EQ(system.IsListed(), !peers_confirm);
     }
 }
 
--- a/soak/src/faults.cc
+++ b/soak/src/faults.cc
@@ -575,10 +575,7 @@
     for (GwTime i = 0; i < isolated; i++)
         IsolateFromStore((size_t)DrawForDeparture(0, processes - 1),
                          DrawForDeparture(0, 1) == 0, outage);
-    ScheduleDeparture(
-        RandomEndpointForDeparture(),
-        outage + DrawForDeparture(-kMaxDepartureOffset, kMaxDepartureOffset),
-        DrawForDeparture(kMinLongDrainTime, kMaxLongDrainTime));
+    ScheduleDepartureAround(outage);
 }
 
 void
@@ -587,10 +584,7 @@
     GwTime outage = DrawForDeparture(kMinOutage, kMaxOutage);
 
     ScheduleInterruption(RandomProcessForDeparture(), outage);
-    ScheduleDeparture(
-        RandomEndpointForDeparture(),
-        outage + DrawForDeparture(-kMaxDepartureOffset, kMaxDepartureOffset),
-        DrawForDeparture(kMinLongDrainTime, kMaxLongDrainTime));
+    ScheduleDepartureAround(outage);
 }
 
 void
@@ -609,6 +603,15 @@
                       DrawForDeparture(kMinLongDrainTime, kMaxLongDrainTime));
 }
 
+void
+Faults::ScheduleDepartureAround(GwTime time)
+{
+    ScheduleDeparture(
+        RandomEndpointForDeparture(),
+        time + DrawForDeparture(-kMaxDepartureOffset, kMaxDepartureOffset),
+        DrawForDeparture(kMinLongDrainTime, kMaxLongDrainTime));
+}
+
 void
 Faults::ScheduleDeparture(Endpoint *e, GwTime time, GwTime drain_time)
 {
--- a/soak/src/faults.h
+++ b/soak/src/faults.h
@@ -87,6 +87,9 @@
     /* Let the endpoint depart at @p time from now, in a random way, unless it
      * is the last one of its service. */
     void ScheduleDeparture(Endpoint *endpoint, GwTime time, GwTime drain_time);
+    /* Let a random endpoint depart shortly before or after @p time from now.
+     */
+    void ScheduleDepartureAround(GwTime time);
     Endpoint *RandomEndpointForDeparture();
     /* Let the endpoint depart and end, and start it again. */
     void DepartEndpoint(Endpoint *endpoint, Departure departure,
