Tolerate gaps of up to 1.7 heartbeats between confirmations of a list

Rows expire after three heartbeat intervals without renewal, so an outage of less than two intervals expires none: the limit is now 1.7 intervals of the deployment's own heartbeat (2.04 s at 1.2 s) instead of a constant 1.5 s.

--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -17,8 +17,6 @@
 /* A call under way is replaced if the rest of its wait is longer than this
  * multiple of the longest wait of a new call. */
 #define OVERLONG_WAIT_FACTOR 2
-/* Default interval between heartbeats of an endpoint. */
-#define DEFAULT_HEARTBEAT_INTERVAL (1200 * GW_MILLISECOND)
 /* An endpoint's record expires after this many heartbeat intervals without
  * renewal. */
 #define EXPIRE_AFTER_INTERVALS 3
@@ -125,6 +123,8 @@
     r->options = *options;
     r->era = -1;
     GwReadSchedule_Init(&r->schedule, options->name, options->bound);
+    GwReadSchedule_SetHeartbeatInterval(&r->schedule,
+                                        options->heartbeat_interval);
     if (options->asks_peers_first)
         GwReadSchedule_WaitForPeers(&r->schedule, GwTime_Now(), options->rand);
     for (int i = 0; i < GW_LISTS; i++) {
@@ -484,7 +484,7 @@
 {
     GwTime interval = r->options.heartbeat_interval > 0
                           ? r->options.heartbeat_interval
-                          : DEFAULT_HEARTBEAT_INTERVAL;
+                          : GW_HEARTBEAT_INTERVAL_DEFAULT;
 
     return EXPIRE_AFTER_INTERVALS * interval + REMOVAL_DELAY;
 }
--- a/packages/routing/include/galenagw/routing/read_schedule.h
+++ b/packages/routing/include/galenagw/routing/read_schedule.h
@@ -33,6 +33,9 @@
 #define GW_STORE_READERS 24
 /** Default time within which a change must be known. */
 #define GW_READ_BOUND_DEFAULT (2 * GW_SECOND)
+/** Default interval between heartbeats of an endpoint, with which it renews
+ * its record. */
+#define GW_HEARTBEAT_INTERVAL_DEFAULT (1200 * GW_MILLISECOND)
 
 /** State of one process. Initialise with GwReadSchedule_Init. */
 typedef struct {
@@ -44,6 +47,8 @@
                                       send the lists */
     GwTime confirmed_at[GW_LISTS]; /**< when each list was last known to be
                                       complete; 0: never */
+    GwTime max_gap; /**< between two confirmations; a longer one suggests an
+                       outage in which records expired */
     GwTime available_since[GW_LISTS]; /**< confirmation since which there was
                                          no gap that suggests an outage */
 } GwReadSchedule;
@@ -55,6 +60,10 @@
  */
 void GwReadSchedule_Init(GwReadSchedule *schedule, const char *name,
                          GwTime bound);
+/** Set the interval between heartbeats of endpoints; 0:
+ * GW_HEARTBEAT_INTERVAL_DEFAULT. */
+void GwReadSchedule_SetHeartbeatInterval(GwReadSchedule *schedule,
+                                         GwTime interval);
 /** Wait at the start until peers have sent the lists, for one to two times the
  * bound. For processes that serve no clients. */
 void GwReadSchedule_WaitForPeers(GwReadSchedule *schedule, GwTime now,
--- a/packages/routing/src/read_schedule.c
+++ b/packages/routing/src/read_schedule.c
@@ -16,10 +16,11 @@
  * of the fleet during this time. It may find that it need not be a store
  * reader. */
 #define START_DELAY (1 * GW_SECOND)
-/* A longer time between two confirmations suggests an outage of the store. In
- * a shorter outage no record expires: endpoints renew their records every 1.2
- * s, and records expire after three times that. */
-#define CONFIRMATION_GAP_MAX (1500 * GW_MILLISECOND)
+/* In heartbeat intervals of endpoints: a longer time between two confirmations
+ * suggests an outage of the store in which records expired. Records expire
+ * after three intervals without renewal, so none does in an outage of less
+ * than two. */
+#define CONFIRMATION_GAP_MAX 1.7
 /* Time after an outage of the store until all processes have read the removals
  * of the records that expired in it. */
 #define OUTAGE_EFFECT_TIME (2 * GW_SECOND)
@@ -31,11 +32,20 @@
         .bound = bound > 0 ? bound : GW_READ_BOUND_DEFAULT,
         .cluster_size = 1,
     };
+    GwReadSchedule_SetHeartbeatInterval(schedule, 0);
     if (name != NULL)
         schedule->hash_fraction =
             (double)XXH64(name, strlen(name), 0) / (double)UINT64_MAX;
 }
 
+void
+GwReadSchedule_SetHeartbeatInterval(GwReadSchedule *schedule, GwTime interval)
+{
+    if (interval <= 0)
+        interval = GW_HEARTBEAT_INTERVAL_DEFAULT;
+    schedule->max_gap = (GwTime)(CONFIRMATION_GAP_MAX * (double)interval);
+}
+
 void
 GwReadSchedule_WaitForPeers(GwReadSchedule *schedule, GwTime now, GRand *rand)
 {
@@ -116,7 +126,7 @@
 void
 GwReadSchedule_Confirm(GwReadSchedule *schedule, GwList list, GwTime at)
 {
-    if (at - schedule->confirmed_at[list] > CONFIRMATION_GAP_MAX)
+    if (at - schedule->confirmed_at[list] > schedule->max_gap)
         schedule->available_since[list] = at;
     schedule->confirmed_at[list] = MAX(schedule->confirmed_at[list], at);
 }
@@ -126,7 +136,7 @@
                                  GwTime now)
 {
     return schedule->confirmed_at[list] > 0 &&
-           now - schedule->confirmed_at[list] <= CONFIRMATION_GAP_MAX &&
+           now - schedule->confirmed_at[list] <= schedule->max_gap &&
            now - schedule->available_since[list] >= OUTAGE_EFFECT_TIME;
 }
 
