Small clusters: calls to the store end one after another

Cause: an update answers the waiting calls of all processes at once, and in clusters of fewer than 24 the next calls then waited for at least half of the longest wait (2.75 s for 22 processes).

Change: waits are drawn from 0 on for all sizes, as for 24 readers and more before.

--- a/packages/routing/src/long_poll.c
+++ b/packages/routing/src/long_poll.c
@@ -13,11 +13,6 @@
 #define CALL_END_INTERVAL_SHARE 0.125
 /* Maximum wait of a process without peers, as a share of the bound. */
 #define SINGLE_WAIT_SHARE 0.5
-/* Minimum wait, as a share of the maximum wait, of fewer than GW_STORE_READERS
- * processes. With more processes waits start at 0. Calls that were answered by
- * the same update then end one after another, so that the list is confirmed at
- * any time, however often it changes. */
-#define WAIT_MIN_SHARE 0.5
 /* Each call is a cost for the store. Hundreds of processes do not need more
  * frequent calls than this. */
 #define WAIT_MAX (20 * GW_SECOND)
@@ -66,15 +61,15 @@
 GwLongPoll_Next(const GwLongPoll *poll, bool full_read, GRand *rand)
 {
     GwPollCall call = {.timeout = answer_timeout_(poll)};
-    double min_share;
 
     if (full_read || !poll->is_current)
         return call;
-    // Random, because calls that were answered by the same update would
-    // otherwise all end, or all be lost, at the same time.
-    min_share = poll->cluster_size < GW_STORE_READERS ? WAIT_MIN_SHARE : 0;
-    call.wait = (GwTime)(g_rand_double_range(rand, min_share, 1) *
-                         (double)GwLongPoll_MaxWait(poll));
+    // Random from 0 on, because calls that were answered by the same update
+    // would otherwise all end, or all be lost, at the same time. As they end
+    // one after another, the list is confirmed at any time, however often it
+    // changes.
+    call.wait =
+        (GwTime)(g_rand_double(rand) * (double)GwLongPoll_MaxWait(poll));
     call.timeout += call.wait;
     return call;
 }
