Streams: an answer that ends inside an event is broken off, in every framing

Callers saw a 200 that was complete by its framing and had a short body: the endpoint's run had crashed inside an event.

Cause: the end of the answer's framing counted as the end of the stream. An answer without length and chunks ends with its connection, also if its endpoint breaks off; the gateway then wrote the part of the event that it had held back, and the final chunk. The content was never looked at. An answer in chunks or with a length was treated alike.

Change: an answer whose framing ends while the event splitter is inside an event, or an unframed one without any event, failed: it is resumed, retried, answered with 502 or aborted like one that was reset, and counts for the endpoint's health and for the quarantine. The log has the reason "truncated". The event splitter knows all three line ends, as a stream with CR alone would otherwise never leave its first event.

GatewayQuarantine and GatewayRestart failed with this change because the stand-in answered streams with a text that is no event; it now sends its id as an event, and their checks are unchanged.

Ruled out: a reset taken for an orderly close; the reader reports it as broken in every framing, and GatewayFailure has these cases.

--- a/fakes/include/galenagw/fakes/fleet.h
+++ b/fakes/include/galenagw/fakes/fleet.h
@@ -15,7 +15,7 @@
 #include "galenagw/gateway/gateway.h"
 #include "galenagw/sidecar/sidecar.h"
 
-// An endpoint: by default it answers 200 with its id as the body.
+// An endpoint: by default it answers with its id, see AnswerId.
 struct Endpoint {
     std::string id, service, failure_domain;
     int64_t born = 0; // start of its incarnation, Unix ms; 0: not in its rows
@@ -30,6 +30,8 @@
     // Writes a complete answer with the request's id and a signature.
     static void Answer(FakeExchange *x, int status, const std::string &body,
                        const std::string &headers = "");
+    // Answers 200 with the endpoint's id: as an event if it is an engine.
+    static void AnswerId(const Endpoint *e, FakeExchange *x);
     // Answers that the request was not executed.
     static void Decline(FakeExchange *x, int status = 503);
     static std::string RequestId(FakeExchange *x);
--- a/fakes/tests/fleet.cc
+++ b/fakes/tests/fleet.cc
@@ -16,6 +16,12 @@
     FakeExchange_Answer(x, status, all.c_str(), body.data(), body.size());
 }
 
+void
+Endpoint::AnswerId(const Endpoint *e, FakeExchange *x)
+{
+    Answer(x, 200, e->service == "model" ? "data: " + e->id + "\n\n" : e->id);
+}
+
 void
 Endpoint::Decline(FakeExchange *x, int status)
 {
@@ -276,7 +282,7 @@
     if (e->serve)
         e->serve(e, x);
     else
-        Endpoint::Answer(x, 200, e->id);
+        Endpoint::AnswerId(e, x);
 }
 
 static void
--- a/packages/gateway/src/event_splitter.h
+++ b/packages/gateway/src/event_splitter.h
@@ -24,5 +24,8 @@
 /* Add received bytes, and append the events that they complete to @p out. */
 void GwEventSplitter_Push(GwEventSplitter *splitter, const char *data,
                           size_t len, GString *out);
+/* Whether the bytes received so far end inside an event. A stream that ends
+ * there was broken off. */
+bool GwEventSplitter_IsInsideEvent(const GwEventSplitter *splitter);
 
 #endif
--- a/packages/gateway/src/request_answer.c
+++ b/packages/gateway/src/request_answer.c
@@ -62,6 +62,21 @@
     g_string_truncate(r->held_body, 0);
 }
 
+bool
+GwRequestAnswer_IsTruncated(const GwRequest *r)
+{
+    if (!r->is_events || strcmp(r->head->method, "HEAD") == 0)
+        return false;
+    if (GwEventSplitter_IsInsideEvent(&r->event_splitter))
+        return true;
+    // Without framing, an endpoint that breaks off before the first event
+    // sends the same bytes as for an empty stream. Only a stream that the
+    // caller resumes may have no events left.
+    return r->event_splitter.n_complete == 0 &&
+           r->info.last_event_id == NULL && r->reply_head->length < 0 &&
+           !r->reply_head->chunked;
+}
+
 void
 GwRequestAnswer_Complete(GwRequest *r)
 {
@@ -69,9 +84,6 @@
         send_head_(r);
     if (r->is_held)
         write_body_(r, r->held_body->str, r->held_body->len);
-    if (r->is_events)
-        write_body_(r, r->event_splitter.tail->str,
-                    r->event_splitter.tail->len);
     if (r->framing == GW_FRAMING_CHUNKED)
         GwHttpCall_Send(r->call, "0\r\n\r\n", 5);
     GwCounters_Add(&r->gateway->counters, GW_COUNTER_ANSWERS, 1);
--- a/packages/gateway/src/request_answer.h
+++ b/packages/gateway/src/request_answer.h
@@ -10,6 +10,10 @@
 void GwRequestAnswer_Begin(GwRequest *request, const GwHttpHead *head);
 /* Bytes of its body arrived. */
 void GwRequestAnswer_Push(GwRequest *request, const char *data, size_t len);
+/* Whether the endpoint's answer, although its framing is complete, is a stream
+ * that was broken off: it ends inside an event, or has none where the end of
+ * the connection is its only end. */
+bool GwRequestAnswer_IsTruncated(const GwRequest *request);
 /* The answer is complete, or is an endpoint's error that is forwarded as it
  * is. Send what is still held, and end the request. Frees the request. */
 void GwRequestAnswer_Complete(GwRequest *request);
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -291,9 +291,12 @@
     GwRequest *r = user;
     GwInstance *instance = r->instance;
     GwTime now = GwTime_Now();
+    bool is_truncated = outcome == GW_UPSTREAM_COMPLETE && r->has_reply &&
+                        r->is_usable && GwRequestAnswer_IsTruncated(r);
 
     r->upstream = NULL;
-    if (outcome == GW_UPSTREAM_COMPLETE && r->has_reply && r->is_usable) {
+    if (outcome == GW_UPSTREAM_COMPLETE && r->has_reply && r->is_usable &&
+        !is_truncated) {
         GwHealth_Note(
             &instance->health,
             r->reply.status >= 500 ? GW_HEALTH_ERROR : GW_HEALTH_GOOD, now);
@@ -320,10 +323,11 @@
     }
     else {
         GwHealth_Note(&instance->health, GW_HEALTH_BROKEN, now);
-        if (outcome == GW_UPSTREAM_BROKEN || !r->has_reply)
+        if (outcome == GW_UPSTREAM_BROKEN || !r->has_reply || is_truncated)
             GwRequestQuarantine_OnBroken(r);
         GwRequestAttempt_Failed(r, GW_ATTEMPT_MAY_HAVE_RUN,
-                                outcome == GW_UPSTREAM_BROKEN ? "broken"
-                                                              : "unsigned");
+                                is_truncated                    ? "truncated"
+                                : outcome == GW_UPSTREAM_BROKEN ? "broken"
+                                                                : "unsigned");
     }
 }
--- a/packages/gateway/tests/gateway_quarantine_test.cc
+++ b/packages/gateway/tests/gateway_quarantine_test.cc
@@ -36,7 +36,7 @@
     {
         if (at->bodies.back().rfind(kFatal, 0) != 0 ||
             Endpoint::Header(x, "X-Tenant-Id") != "acme")
-            Endpoint::Answer(x, 200, at->id);
+            Endpoint::AnswerId(at, x);
         else
             Terminate(at);
     }
@@ -382,7 +382,7 @@
                 if (held++ == 0)
                     fatal = at;
                 else
-                    Endpoint::Answer(x, 200, at->id);
+                    Endpoint::AnswerId(at, x);
             };
         }
         auto harmless = f.Call(f.gateways[round % 4],
--- a/packages/gateway/tests/gateway_test.cc
+++ b/packages/gateway/tests/gateway_test.cc
@@ -18,6 +18,12 @@
          "id: 3\nda", "2", 2},
         {"version first", "x-weight-versions: 2\nid: 9\ndata: a\n\n",
          "x-weight-versions: 2\nid: 9\ndata: a\n\n", "", "9", 1},
+        {"CR alone", "id: 1\rdata: a\r\rid: 2\rd", "id: 1\rdata: a\r\r",
+         "id: 2\rd", "1", 1},
+        {"CRLF, without the last LF", "id:1\r\ndata: a\r\n\r", "",
+         "id:1\r\ndata: a\r\n\r", "", 0},
+        {"empty lines behind it", "id: 1\n\n\n\r\n", "id: 1\n\n\n\r\n", "",
+         "1", 1},
         {"no complete event", "data: id: 5\n", "", "data: id: 5\n", "", 0},
     };
 
