--- a/packages/base/src/counters.c
+++ b/packages/base/src/counters.c
@@ -30,6 +30,7 @@
     "restarts_seen",    "ends_seen",
     "limit_asks",       "lists_unconfirmed",
     "rows_ignored",     "removals_deferred",
+    "origins_told",     "origin_asks",
 };
 
 const char *const GwHistogram_Names[GW_HISTOGRAMS] = {
--- a/packages/cluster/include/galenagw/cluster/peers.h
+++ b/packages/cluster/include/galenagw/cluster/peers.h
@@ -13,6 +13,7 @@
 #ifndef GALENAGW_CLUSTER_PEERS_H
 #define GALENAGW_CLUSTER_PEERS_H
 
+#include "galenagw/cluster/origin_ask.h"
 #include "galenagw/cluster/peers_options.h"
 
 #ifdef __cplusplus
@@ -50,6 +51,26 @@
  * owner_hash. @return false if it is not connected */
 bool GwPeers_AskLimitOwner(GwPeers *peers, uint64_t owner_hash,
                            const GwLimitRequest *request);
+/** Entry: while @p wanted, stay connected to the agents of the limit owner
+ * pool, which also store the origins of streams, even if none of the accounts
+ * has a limit and their engines are not followed. */
+void GwPeers_WantOriginOwners(GwPeers *peers, bool wanted);
+/**
+ * Entry: send the origin of a stream to two connected agents of the limit
+ * owner pool, of different failure domains if possible.
+ * @param stream see GwStreamOrigins_Hash
+ * @param software identity of service and version; not 0
+ */
+void GwPeers_TellStreamOrigin(GwPeers *peers, uint64_t stream,
+                              uint64_t software);
+/**
+ * Entry: ask all connected agents of the limit owner pool for the origin of a
+ * stream. The query is decided within GW_ORIGIN_ASK_TIMEOUT, or never if
+ * @p peers is deleted before.
+ * @param ask not waiting; its on_decided is set
+ */
+void GwPeers_AskStreamOrigin(GwPeers *peers, uint64_t stream,
+                             GwOriginAsk *ask);
 /** Agent: its engine has restarted; drop the loads that entries reported for
  * the earlier incarnation. */
 void GwPeers_ResetLoads(GwPeers *peers);
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -45,6 +45,9 @@
 typedef struct Gw__Wire__SoundRequest Gw__Wire__SoundRequest;
 typedef struct Gw__Wire__EndpointLeaving Gw__Wire__EndpointLeaving;
 typedef struct Gw__Wire__EndpointLimit Gw__Wire__EndpointLimit;
+typedef struct Gw__Wire__StreamOriginTell Gw__Wire__StreamOriginTell;
+typedef struct Gw__Wire__StreamOriginAsk Gw__Wire__StreamOriginAsk;
+typedef struct Gw__Wire__StreamOriginAnswer Gw__Wire__StreamOriginAnswer;
 typedef struct Gw__Wire__Frame Gw__Wire__Frame;
 
 
@@ -88,11 +91,11 @@
    */
   uint64_t epoch;
   /*
-   * an entry that asks this agent for limits, and sends
+   * an entry that asks this agent for limits and origins
    */
   protobuf_c_boolean limits_only;
   /*
-   * nothing to its engine
+   * of streams, and sends nothing to its engine
    */
   /*
    * see Ping
@@ -776,6 +779,53 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
+/*
+ * An entry tells an agent which software began a stream.
+ */
+struct  Gw__Wire__StreamOriginTell
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the request's id
+   */
+  uint64_t stream;
+  /*
+   * identity of service and version; not 0
+   */
+  uint64_t software;
+};
+#define GW__WIRE__STREAM_ORIGIN_TELL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__wire__stream_origin_tell__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * An entry asks an agent which software began a stream.
+ */
+struct  Gw__Wire__StreamOriginAsk
+{
+  ProtobufCMessage base;
+  uint64_t stream;
+};
+#define GW__WIRE__STREAM_ORIGIN_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__wire__stream_origin_ask__descriptor) \
+    , 0 }
+
+
+struct  Gw__Wire__StreamOriginAnswer
+{
+  ProtobufCMessage base;
+  uint64_t stream;
+  /*
+   * 0: unknown
+   */
+  uint64_t software;
+};
+#define GW__WIRE__STREAM_ORIGIN_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__wire__stream_origin_answer__descriptor) \
+    , 0, 0 }
+
+
 typedef enum {
   GW__WIRE__FRAME__BODY__NOT_SET = 0,
   GW__WIRE__FRAME__BODY_HELLO = 1,
@@ -806,7 +856,10 @@
   GW__WIRE__FRAME__BODY_ENDPOINT_END = 29,
   GW__WIRE__FRAME__BODY_SOUND_REQUEST = 30,
   GW__WIRE__FRAME__BODY_ENDPOINT_LEAVING = 31,
-  GW__WIRE__FRAME__BODY_ENDPOINT_LIMIT = 32
+  GW__WIRE__FRAME__BODY_ENDPOINT_LIMIT = 32,
+  GW__WIRE__FRAME__BODY_STREAM_ORIGIN_TELL = 33,
+  GW__WIRE__FRAME__BODY_STREAM_ORIGIN_ASK = 34,
+  GW__WIRE__FRAME__BODY_STREAM_ORIGIN_ANSWER = 35
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__WIRE__FRAME__BODY__CASE)
 } Gw__Wire__Frame__BodyCase;
 
@@ -844,6 +897,9 @@
     Gw__Wire__SoundRequest *sound_request;
     Gw__Wire__EndpointLeaving *endpoint_leaving;
     Gw__Wire__EndpointLimit *endpoint_limit;
+    Gw__Wire__StreamOriginTell *stream_origin_tell;
+    Gw__Wire__StreamOriginAsk *stream_origin_ask;
+    Gw__Wire__StreamOriginAnswer *stream_origin_answer;
   };
 };
 #define GW__WIRE__FRAME__INIT \
@@ -1421,6 +1477,63 @@
 void   gw__wire__endpoint_limit__free_unpacked
                      (Gw__Wire__EndpointLimit *message,
                       ProtobufCAllocator *allocator);
+/* Gw__Wire__StreamOriginTell methods */
+void   gw__wire__stream_origin_tell__init
+                     (Gw__Wire__StreamOriginTell         *message);
+size_t gw__wire__stream_origin_tell__get_packed_size
+                     (const Gw__Wire__StreamOriginTell   *message);
+size_t gw__wire__stream_origin_tell__pack
+                     (const Gw__Wire__StreamOriginTell   *message,
+                      uint8_t             *out);
+size_t gw__wire__stream_origin_tell__pack_to_buffer
+                     (const Gw__Wire__StreamOriginTell   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Wire__StreamOriginTell *
+       gw__wire__stream_origin_tell__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__wire__stream_origin_tell__free_unpacked
+                     (Gw__Wire__StreamOriginTell *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__Wire__StreamOriginAsk methods */
+void   gw__wire__stream_origin_ask__init
+                     (Gw__Wire__StreamOriginAsk         *message);
+size_t gw__wire__stream_origin_ask__get_packed_size
+                     (const Gw__Wire__StreamOriginAsk   *message);
+size_t gw__wire__stream_origin_ask__pack
+                     (const Gw__Wire__StreamOriginAsk   *message,
+                      uint8_t             *out);
+size_t gw__wire__stream_origin_ask__pack_to_buffer
+                     (const Gw__Wire__StreamOriginAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Wire__StreamOriginAsk *
+       gw__wire__stream_origin_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__wire__stream_origin_ask__free_unpacked
+                     (Gw__Wire__StreamOriginAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Gw__Wire__StreamOriginAnswer methods */
+void   gw__wire__stream_origin_answer__init
+                     (Gw__Wire__StreamOriginAnswer         *message);
+size_t gw__wire__stream_origin_answer__get_packed_size
+                     (const Gw__Wire__StreamOriginAnswer   *message);
+size_t gw__wire__stream_origin_answer__pack
+                     (const Gw__Wire__StreamOriginAnswer   *message,
+                      uint8_t             *out);
+size_t gw__wire__stream_origin_answer__pack_to_buffer
+                     (const Gw__Wire__StreamOriginAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Wire__StreamOriginAnswer *
+       gw__wire__stream_origin_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__wire__stream_origin_answer__free_unpacked
+                     (Gw__Wire__StreamOriginAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__Wire__Frame methods */
 void   gw__wire__frame__init
                      (Gw__Wire__Frame         *message);
@@ -1532,6 +1645,15 @@
 typedef void (*Gw__Wire__EndpointLimit_Closure)
                  (const Gw__Wire__EndpointLimit *message,
                   void *closure_data);
+typedef void (*Gw__Wire__StreamOriginTell_Closure)
+                 (const Gw__Wire__StreamOriginTell *message,
+                  void *closure_data);
+typedef void (*Gw__Wire__StreamOriginAsk_Closure)
+                 (const Gw__Wire__StreamOriginAsk *message,
+                  void *closure_data);
+typedef void (*Gw__Wire__StreamOriginAnswer_Closure)
+                 (const Gw__Wire__StreamOriginAnswer *message,
+                  void *closure_data);
 typedef void (*Gw__Wire__Frame_Closure)
                  (const Gw__Wire__Frame *message,
                   void *closure_data);
@@ -1573,6 +1695,9 @@
 extern const ProtobufCMessageDescriptor gw__wire__sound_request__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__endpoint_leaving__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__endpoint_limit__descriptor;
+extern const ProtobufCMessageDescriptor gw__wire__stream_origin_tell__descriptor;
+extern const ProtobufCMessageDescriptor gw__wire__stream_origin_ask__descriptor;
+extern const ProtobufCMessageDescriptor gw__wire__stream_origin_answer__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -1357,6 +1357,141 @@
   assert(message->base.descriptor == &gw__wire__endpoint_limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__wire__stream_origin_tell__init
+                     (Gw__Wire__StreamOriginTell         *message)
+{
+  static const Gw__Wire__StreamOriginTell init_value = GW__WIRE__STREAM_ORIGIN_TELL__INIT;
+  *message = init_value;
+}
+size_t gw__wire__stream_origin_tell__get_packed_size
+                     (const Gw__Wire__StreamOriginTell *message)
+{
+  assert(message->base.descriptor == &gw__wire__stream_origin_tell__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__wire__stream_origin_tell__pack
+                     (const Gw__Wire__StreamOriginTell *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__wire__stream_origin_tell__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__wire__stream_origin_tell__pack_to_buffer
+                     (const Gw__Wire__StreamOriginTell *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__wire__stream_origin_tell__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Wire__StreamOriginTell *
+       gw__wire__stream_origin_tell__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Wire__StreamOriginTell *)
+     protobuf_c_message_unpack (&gw__wire__stream_origin_tell__descriptor,
+                                allocator, len, data);
+}
+void   gw__wire__stream_origin_tell__free_unpacked
+                     (Gw__Wire__StreamOriginTell *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__wire__stream_origin_tell__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__wire__stream_origin_ask__init
+                     (Gw__Wire__StreamOriginAsk         *message)
+{
+  static const Gw__Wire__StreamOriginAsk init_value = GW__WIRE__STREAM_ORIGIN_ASK__INIT;
+  *message = init_value;
+}
+size_t gw__wire__stream_origin_ask__get_packed_size
+                     (const Gw__Wire__StreamOriginAsk *message)
+{
+  assert(message->base.descriptor == &gw__wire__stream_origin_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__wire__stream_origin_ask__pack
+                     (const Gw__Wire__StreamOriginAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__wire__stream_origin_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__wire__stream_origin_ask__pack_to_buffer
+                     (const Gw__Wire__StreamOriginAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__wire__stream_origin_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Wire__StreamOriginAsk *
+       gw__wire__stream_origin_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Wire__StreamOriginAsk *)
+     protobuf_c_message_unpack (&gw__wire__stream_origin_ask__descriptor,
+                                allocator, len, data);
+}
+void   gw__wire__stream_origin_ask__free_unpacked
+                     (Gw__Wire__StreamOriginAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__wire__stream_origin_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   gw__wire__stream_origin_answer__init
+                     (Gw__Wire__StreamOriginAnswer         *message)
+{
+  static const Gw__Wire__StreamOriginAnswer init_value = GW__WIRE__STREAM_ORIGIN_ANSWER__INIT;
+  *message = init_value;
+}
+size_t gw__wire__stream_origin_answer__get_packed_size
+                     (const Gw__Wire__StreamOriginAnswer *message)
+{
+  assert(message->base.descriptor == &gw__wire__stream_origin_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__wire__stream_origin_answer__pack
+                     (const Gw__Wire__StreamOriginAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__wire__stream_origin_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__wire__stream_origin_answer__pack_to_buffer
+                     (const Gw__Wire__StreamOriginAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__wire__stream_origin_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Wire__StreamOriginAnswer *
+       gw__wire__stream_origin_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Wire__StreamOriginAnswer *)
+     protobuf_c_message_unpack (&gw__wire__stream_origin_answer__descriptor,
+                                allocator, len, data);
+}
+void   gw__wire__stream_origin_answer__free_unpacked
+                     (Gw__Wire__StreamOriginAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__wire__stream_origin_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gw__wire__frame__init
                      (Gw__Wire__Frame         *message)
 {
@@ -4258,7 +4393,147 @@
   (ProtobufCMessageInit) gw__wire__endpoint_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[29] =
+static const ProtobufCFieldDescriptor gw__wire__stream_origin_tell__field_descriptors[2] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__StreamOriginTell, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "software",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__StreamOriginTell, software),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__wire__stream_origin_tell__field_indices_by_name[] = {
+  1,   /* field[1] = software */
+  0,   /* field[0] = stream */
+};
+static const ProtobufCIntRange gw__wire__stream_origin_tell__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gw__wire__stream_origin_tell__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.wire.StreamOriginTell",
+  "StreamOriginTell",
+  "Gw__Wire__StreamOriginTell",
+  "gw.wire",
+  sizeof(Gw__Wire__StreamOriginTell),
+  2,
+  gw__wire__stream_origin_tell__field_descriptors,
+  gw__wire__stream_origin_tell__field_indices_by_name,
+  1,  gw__wire__stream_origin_tell__number_ranges,
+  (ProtobufCMessageInit) gw__wire__stream_origin_tell__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__wire__stream_origin_ask__field_descriptors[1] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__StreamOriginAsk, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__wire__stream_origin_ask__field_indices_by_name[] = {
+  0,   /* field[0] = stream */
+};
+static const ProtobufCIntRange gw__wire__stream_origin_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor gw__wire__stream_origin_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.wire.StreamOriginAsk",
+  "StreamOriginAsk",
+  "Gw__Wire__StreamOriginAsk",
+  "gw.wire",
+  sizeof(Gw__Wire__StreamOriginAsk),
+  1,
+  gw__wire__stream_origin_ask__field_descriptors,
+  gw__wire__stream_origin_ask__field_indices_by_name,
+  1,  gw__wire__stream_origin_ask__number_ranges,
+  (ProtobufCMessageInit) gw__wire__stream_origin_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__wire__stream_origin_answer__field_descriptors[2] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__StreamOriginAnswer, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "software",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__StreamOriginAnswer, software),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__wire__stream_origin_answer__field_indices_by_name[] = {
+  1,   /* field[1] = software */
+  0,   /* field[0] = stream */
+};
+static const ProtobufCIntRange gw__wire__stream_origin_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor gw__wire__stream_origin_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.wire.StreamOriginAnswer",
+  "StreamOriginAnswer",
+  "Gw__Wire__StreamOriginAnswer",
+  "gw.wire",
+  sizeof(Gw__Wire__StreamOriginAnswer),
+  2,
+  gw__wire__stream_origin_answer__field_descriptors,
+  gw__wire__stream_origin_answer__field_indices_by_name,
+  1,  gw__wire__stream_origin_answer__number_ranges,
+  (ProtobufCMessageInit) gw__wire__stream_origin_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[32] =
 {
   {
     "hello",
@@ -4608,6 +4883,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stream_origin_tell",
+    33,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Wire__Frame, body_case),
+    offsetof(Gw__Wire__Frame, stream_origin_tell),
+    &gw__wire__stream_origin_tell__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream_origin_ask",
+    34,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Wire__Frame, body_case),
+    offsetof(Gw__Wire__Frame, stream_origin_ask),
+    &gw__wire__stream_origin_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream_origin_answer",
+    35,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Wire__Frame, body_case),
+    offsetof(Gw__Wire__Frame, stream_origin_answer),
+    &gw__wire__stream_origin_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__frame__field_indices_by_name[] = {
   12,   /* field[12] = ack */
@@ -4637,6 +4948,9 @@
   14,   /* field[14] = resume */
   15,   /* field[15] = resume_result */
   26,   /* field[26] = sound_request */
+  31,   /* field[31] = stream_origin_answer */
+  30,   /* field[30] = stream_origin_ask */
+  29,   /* field[29] = stream_origin_tell */
   8,   /* field[8] = submit */
   23,   /* field[23] = weights_age */
 };
@@ -4644,7 +4958,7 @@
 {
   { 1, 0 },
   { 22, 18 },
-  { 0, 29 }
+  { 0, 32 }
 };
 const ProtobufCMessageDescriptor gw__wire__frame__descriptor =
 {
@@ -4654,7 +4968,7 @@
   "Gw__Wire__Frame",
   "gw.wire",
   sizeof(Gw__Wire__Frame),
-  29,
+  32,
   gw__wire__frame__field_descriptors,
   gw__wire__frame__field_indices_by_name,
   2,  gw__wire__frame__number_ranges,
