Stream origins: entries tell two agents of the owner pool, and query the pool

While several versions of a service's software are in use, a stream that broke off may be resumed only by the version that began it, also at a gateway that did not begin it. Agents of the limit owner pool store the origins of recent streams. The two owners of a stream are in two failure domains if possible. An entry that wants them is connected to all agents of the pool, as it is for account limits; the flag in the Hello keeps its name on the wire.

--- /dev/null
+++ b/packages/cluster/src/origin_sync.c
@@ -0,0 +1,208 @@
+#include "origin_sync.h"
+
+#include "galenagw/cluster/peers.h"
+#include "peers_private.h"
+
+/* Number of agents that the origin of a stream is sent to: it remains known if
+ * one of them fails. */
+#define ORIGIN_COPIES 2
+
+static unsigned select_owners_(const GwPeers *p, uint64_t stream,
+                               const Peer *owners[ORIGIN_COPIES]);
+static void on_timer_(void *user);
+static bool remove_asked_(GwOriginAsk *ask, const GwSession *session);
+static void decide_soon_(GwOriginAsk *ask, GwOriginAnswer answer,
+                         uint64_t software);
+
+void
+GwPeers_TellStreamOrigin(GwPeers *p, uint64_t stream, uint64_t software)
+{
+    const Peer *owners[ORIGIN_COPIES];
+    unsigned n = select_owners_(p, stream, owners);
+    GW_FRAME(frame, msg, STREAM_ORIGIN_TELL, StreamOriginTell,
+             stream_origin_tell);
+
+    msg.stream = stream;
+    msg.software = software;
+    for (unsigned i = 0; i < n; i++)
+        GwSession_Send(owners[i]->session, &frame);
+    GwCounters_Add(p->options.counters, GW_COUNTER_ORIGINS_TOLD, n);
+}
+
+void
+GwPeers_AskStreamOrigin(GwPeers *p, uint64_t stream, GwOriginAsk *ask)
+{
+    GW_FRAME(frame, msg, STREAM_ORIGIN_ASK, StreamOriginAsk,
+             stream_origin_ask);
+
+    msg.stream = stream;
+    ask->stream = stream;
+    ask->software = 0;
+    ask->answer = GW_ORIGIN_NO_ANSWER;
+    ask->has_failed = false;
+    ask->n_asked = 0;
+    for (unsigned i = 0; i < p->owner_pool.n; i++) {
+        Peer *peer = GwPeers_FindReadyAgent(p, p->owner_pool.nodes[i]);
+
+        if (peer == NULL)
+            continue;
+        GwSession_Send(peer->session, &frame);
+        ask->asked[ask->n_asked++] = peer->session;
+    }
+    GwTimer_Init(&ask->timer, p->loop, on_timer_, ask);
+    GwTimer_Start(&ask->timer, ask->n_asked > 0 ? GW_ORIGIN_ASK_TIMEOUT : 0);
+    LIST_INSERT_HEAD(&p->origin_sync.asks, ask, link);
+    ask->is_waiting = true;
+    GwCounters_Add(p->options.counters, GW_COUNTER_ORIGIN_ASKS, 1);
+}
+
+void
+GwOriginAsk_Cancel(GwOriginAsk *ask)
+{
+    if (!ask->is_waiting)
+        return;
+    ask->is_waiting = false;
+    GwTimer_Stop(&ask->timer);
+    LIST_REMOVE(ask, link);
+}
+
+void
+GwOriginSync_Init(GwOriginSync *sync, bool is_agent)
+{
+    LIST_INIT(&sync->asks);
+    sync->origins =
+        is_agent ? GwStreamOrigins_New(GW_STREAM_ORIGINS_MAX) : NULL;
+}
+
+void
+GwOriginSync_Stop(GwOriginSync *sync)
+{
+    while (!LIST_EMPTY(&sync->asks))
+        GwOriginAsk_Cancel(LIST_FIRST(&sync->asks));
+    GwStreamOrigins_Delete(sync->origins);
+    sync->origins = NULL;
+}
+
+void
+GwOriginSync_OnTell(GwOriginSync *sync, const Gw__Wire__StreamOriginTell *msg)
+{
+    if (sync->origins != NULL)
+        GwStreamOrigins_Store(sync->origins, msg->stream, msg->software,
+                              GwTime_Now());
+}
+
+void
+GwOriginSync_OnAsk(GwOriginSync *sync, GwSession *session,
+                   const Gw__Wire__StreamOriginAsk *msg)
+{
+    GW_FRAME(frame, answer, STREAM_ORIGIN_ANSWER, StreamOriginAnswer,
+             stream_origin_answer);
+
+    if (sync->origins == NULL)
+        return;
+    answer.stream = msg->stream;
+    answer.software =
+        GwStreamOrigins_Find(sync->origins, msg->stream, GwTime_Now());
+    GwSession_Send(session, &frame);
+}
+
+void
+GwOriginSync_OnAnswer(GwOriginSync *sync, const GwSession *session,
+                      const Gw__Wire__StreamOriginAnswer *msg)
+{
+    GwOriginAsk *ask;
+
+    LIST_FOREACH(ask, &sync->asks, link)
+    {
+        if (ask->stream != msg->stream || !remove_asked_(ask, session) ||
+            ask->software != 0)
+            continue;
+        if (msg->software != 0)
+            decide_soon_(ask, GW_ORIGIN_KNOWN, msg->software);
+        else if (ask->n_asked == 0)
+            decide_soon_(
+                ask, ask->has_failed ? GW_ORIGIN_NO_ANSWER : GW_ORIGIN_UNKNOWN,
+                0);
+    }
+}
+
+void
+GwOriginSync_OnClosed(GwOriginSync *sync, const GwSession *session)
+{
+    GwOriginAsk *ask;
+
+    LIST_FOREACH(ask, &sync->asks, link)
+    {
+        if (!remove_asked_(ask, session))
+            continue;
+        ask->has_failed = true;
+        if (ask->n_asked == 0 && ask->software == 0)
+            decide_soon_(ask, GW_ORIGIN_NO_ANSWER, 0);
+    }
+}
+
+// Writes the connected agents of the pool with the highest ranks for the
+// stream. The second one is of another failure domain than the first if any
+// is. Returns their number.
+static unsigned
+select_owners_(const GwPeers *p, uint64_t stream,
+               const Peer *owners[ORIGIN_COPIES])
+{
+    uint64_t nodes[GW_LIMIT_POOL_MAX];
+    unsigned n_nodes = GwLimitPool_Rank(&p->owner_pool, stream, nodes);
+    unsigned n = 0;
+
+    for (unsigned i = 0; i < n_nodes; i++) {
+        const Peer *peer = GwPeers_FindReadyAgent(p, nodes[i]);
+
+        if (peer == NULL)
+            continue;
+        if (n == 0 || peer->failure_domain != owners[0]->failure_domain) {
+            owners[n] = peer;
+            if (n++ > 0)
+                return n;
+        }
+    }
+    // All are of one failure domain.
+    for (unsigned i = 0; i < n_nodes && n == 1; i++) {
+        const Peer *peer = GwPeers_FindReadyAgent(p, nodes[i]);
+
+        if (peer != NULL && peer != owners[0])
+            owners[n++] = peer;
+    }
+    return n;
+}
+
+// The query is decided, or an agent did not answer in time.
+static void
+on_timer_(void *user)
+{
+    GwOriginAsk *ask = user;
+
+    GwOriginAsk_Cancel(ask);
+    ask->on_decided(ask, ask->answer, ask->software);
+}
+
+// Removes the session from those that have not answered yet. Returns whether
+// it was one of them.
+static bool
+remove_asked_(GwOriginAsk *ask, const GwSession *session)
+{
+    for (unsigned i = 0; i < ask->n_asked; i++) {
+        if (ask->asked[i] == session) {
+            ask->asked[i] = ask->asked[--ask->n_asked];
+            return true;
+        }
+    }
+    return false;
+}
+
+// The callback may cancel other queries and change sessions, so it is called
+// from the timer and not from within the caller.
+static void
+decide_soon_(GwOriginAsk *ask, GwOriginAnswer answer, uint64_t software)
+{
+    ask->answer = answer;
+    ask->software = software;
+    GwTimer_Start(&ask->timer, 0);
+}
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -58,15 +58,14 @@
 static void on_closed_(void *user, GwSession *session, bool silent);
 static void clear_agent_reports_(GwPeers *p, const Peer *peer);
 static void fill_hello_(void *user, Gw__Wire__Hello *hello);
-static void fill_limits_only_hello_(void *user, Gw__Wire__Hello *hello);
+static void fill_owner_only_hello_(void *user, Gw__Wire__Hello *hello);
 static void fill_sync_status_(void *user, GwSyncStatus *sync_status);
 static void reconcile_(void *user);
 static void ensure_connected_(GwPeers *p, const GwAddress *address,
-                              bool limits_only);
-static void connect_agents_(GwPeers *p, const GPtrArray *all,
-                            bool limits_only);
+                              bool owner_only);
+static void connect_agents_(GwPeers *p, const GPtrArray *all, bool owner_only);
 static void update_owner_pool_(GwPeers *p);
-static bool has_account_limits_(const GwPeers *p);
+static bool needs_owners_(const GwPeers *p);
 static Peer *add_peer_(GwPeers *p);
 static void set_session_(Peer *peer, GwSession *session);
 static Peer *find_peer_(GwPeers *p, const GwSession *session);
@@ -91,8 +90,10 @@
     GwTimer_Init(&p->reconcile_timer, loop, reconcile_, p);
     GwTimer_Init(&p->urgent_timer, loop, send_urgent_heartbeats_, p);
     init_list_sync_(p);
+    GwOriginSync_Init(&p->origin_sync, options->is_agent);
     p->server = GwSessionServer_New(loop, &options->listen, &session, err);
     if (p->server == NULL) {
+        GwOriginSync_Stop(&p->origin_sync);
         g_free(p);
         return NULL;
     }
@@ -110,6 +111,7 @@
     GwTimer_Stop(&p->reconcile_timer);
     GwTimer_Stop(&p->urgent_timer);
     GwListSync_Stop(&p->list_sync);
+    GwOriginSync_Stop(&p->origin_sync);
     while ((peer = TAILQ_FIRST(&p->peers)) != NULL)
         drop_peer_(peer);
     GwSessionServer_Delete(p->server);
@@ -147,17 +149,19 @@
 GwPeers_AskLimitOwner(GwPeers *p, uint64_t owner_hash,
                       const GwLimitRequest *request)
 {
-    Peer *peer;
+    Peer *peer = GwPeers_FindReadyAgent(p, owner_hash);
 
-    TAILQ_FOREACH(peer, &p->peers, link)
-    {
-        if (peer->is_outbound && peer->address_hash == owner_hash &&
-            GwSession_IsReady(peer->session)) {
-            GwLimitMessages_SendRequest(peer->session, request);
-            return true;
-        }
-    }
-    return false;
+    if (peer != NULL)
+        GwLimitMessages_SendRequest(peer->session, request);
+    return peer != NULL;
+}
+
+void
+GwPeers_WantOriginOwners(GwPeers *p, bool wanted)
+{
+    if (wanted && !p->wants_origin_owners)
+        GwPeers_ListChanged(p);
+    p->wants_origin_owners = wanted;
 }
 
 void
@@ -257,8 +261,9 @@
     }
     g_strlcpy(peer->name, hello->instance, sizeof(peer->name));
     peer->is_entry = hello->role == GW__WIRE__ROLE__ROLE_ENTRY;
+    peer->failure_domain = g_str_hash(hello->failure_domain);
     if (!peer->is_outbound)
-        peer->limits_only = hello->limits_only;
+        peer->owner_only = hello->limits_only;
     // Entries connect to no other entries except seeds.
     peer->list_peer.is_same_domain =
         g_strcmp0(hello->failure_domain, p->options.failure_domain) == 0;
@@ -334,6 +339,16 @@
             GwLimitMessages_OnGrant(p->options.limit_share, peer->address_hash,
                                     frame->credit_grant);
         return;
+    case GW__WIRE__FRAME__BODY_STREAM_ORIGIN_TELL:
+        GwOriginSync_OnTell(&p->origin_sync, frame->stream_origin_tell);
+        return;
+    case GW__WIRE__FRAME__BODY_STREAM_ORIGIN_ASK:
+        GwOriginSync_OnAsk(&p->origin_sync, session, frame->stream_origin_ask);
+        return;
+    case GW__WIRE__FRAME__BODY_STREAM_ORIGIN_ANSWER:
+        GwOriginSync_OnAnswer(&p->origin_sync, session,
+                              frame->stream_origin_answer);
+        return;
     case GW__WIRE__FRAME__BODY_WEIGHTS_AGE:
         GwListSync_OnWeightsAge(&p->list_sync, frame->weights_age);
         return;
@@ -424,6 +439,7 @@
     if (p->options.limit_share != NULL)
         GwLimitShare_OwnerLost(p->options.limit_share, peer->address_hash,
                                GwTime_Now());
+    GwOriginSync_OnClosed(&p->origin_sync, session);
     GwListSync_RemovePeer(&p->list_sync, &peer->list_peer);
     GwCacheSync_Clear(&peer->cache_sync);
     TAILQ_REMOVE(&p->peers, peer, link);
@@ -458,7 +474,7 @@
 }
 
 static void
-fill_limits_only_hello_(void *user, Gw__Wire__Hello *hello)
+fill_owner_only_hello_(void *user, Gw__Wire__Hello *hello)
 {
     fill_hello_(user, hello);
     hello->limits_only = true;
@@ -507,10 +523,10 @@
                       : RECONCILE_INTERVAL);
 }
 
-// Connects to the agents of the followed engines or, if @p limits_only, to
+// Connects to the agents of the followed engines or, if @p owner_only, to
 // those of the limit owner pool.
 static void
-connect_agents_(GwPeers *p, const GPtrArray *all, bool limits_only)
+connect_agents_(GwPeers *p, const GPtrArray *all, bool owner_only)
 {
     for (guint i = 0; i < all->len; i++) {
         const GwInstance *instance = g_ptr_array_index(all, i);
@@ -519,12 +535,11 @@
         if (instance->model == NULL)
             continue;
         address.port = p->options.agent_port;
-        if (limits_only
-                ? has_account_limits_(p) &&
-                      GwLimitPool_Has(&p->owner_pool,
-                                      GwPlacement_HashAddress(&address))
-                : instance->followed)
-            ensure_connected_(p, &address, limits_only);
+        if (owner_only ? needs_owners_(p) &&
+                             GwLimitPool_Has(&p->owner_pool,
+                                             GwPlacement_HashAddress(&address))
+                       : instance->followed)
+            ensure_connected_(p, &address, owner_only);
     }
 }
 
@@ -532,21 +547,21 @@
 // informed of the purpose in the Hello. A session that serves both purposes is
 // kept.
 static void
-ensure_connected_(GwPeers *p, const GwAddress *address, bool limits_only)
+ensure_connected_(GwPeers *p, const GwAddress *address, bool owner_only)
 {
     Peer *peer = GwPeers_FindOutbound(p, address);
     GwSessionOptions session = session_options_(p);
 
-    if (limits_only)
-        session.fill_hello = fill_limits_only_hello_;
-    if (peer != NULL && !peer->is_wanted && peer->limits_only != limits_only) {
+    if (owner_only)
+        session.fill_hello = fill_owner_only_hello_;
+    if (peer != NULL && !peer->is_wanted && peer->owner_only != owner_only) {
         drop_peer_(peer);
         peer = NULL;
     }
     if (peer == NULL) {
         peer = add_peer_(p);
         peer->is_outbound = true;
-        peer->limits_only = limits_only;
+        peer->owner_only = owner_only;
         peer->address = *address;
         peer->address_hash = GwPlacement_HashAddress(address);
         set_session_(peer, GwSession_Connect(p->loop, address, &session));
@@ -575,12 +590,13 @@
         GwLimitShare_SetPool(p->options.limit_share, &p->owner_pool);
 }
 
+// Whether this entry needs sessions to the agents of the limit owner pool.
 static bool
-has_account_limits_(const GwPeers *p)
+needs_owners_(const GwPeers *p)
 {
     const GwRoutes *routes = GwView_Routes(p->options.view);
 
-    return routes != NULL && routes->has_limits;
+    return p->wants_origin_owners || (routes != NULL && routes->has_limits);
 }
 
 static Peer *
@@ -628,9 +644,24 @@
     return NULL;
 }
 
+Peer *
+GwPeers_FindReadyAgent(const GwPeers *p, uint64_t address_hash)
+{
+    Peer *peer;
+
+    TAILQ_FOREACH(peer, &p->peers, link)
+    {
+        if (peer->is_outbound && peer->address_hash == address_hash &&
+            GwSession_IsReady(peer->session))
+            return peer;
+    }
+    return NULL;
+}
+
 static void
 drop_peer_(Peer *peer)
 {
+    GwOriginSync_OnClosed(&peer->owner->origin_sync, peer->session);
     GwListSync_RemovePeer(&peer->owner->list_sync, &peer->list_peer);
     GwCacheSync_Clear(&peer->cache_sync);
     TAILQ_REMOVE(&peer->owner->peers, peer, link);
--- a/packages/cluster/src/peers_engine.c
+++ b/packages/cluster/src/peers_engine.c
@@ -32,7 +32,7 @@
     // too, but no cached parts.
     TAILQ_FOREACH(peer, &p->peers, link)
     {
-        if (!peer->is_outbound && !peer->limits_only)
+        if (!peer->is_outbound && !peer->owner_only)
             send_engine_state_(p, peer, &all);
     }
 }
@@ -116,7 +116,7 @@
 void
 GwPeersEngine_SendInitial(GwPeers *p, Peer *peer)
 {
-    if (!peer->is_outbound && !peer->limits_only && p->has_engine) {
+    if (!peer->is_outbound && !peer->owner_only && p->has_engine) {
         GwWaitingTokens all = sum_waiting_tokens_(p);
 
         send_engine_state_(p, peer, &all);
@@ -208,7 +208,7 @@
 static bool
 is_following_entry_(const Peer *peer)
 {
-    return peer->is_entry && !peer->limits_only;
+    return peer->is_entry && !peer->owner_only;
 }
 
 // Sends the peer the engine's state and, of the tokens @p all that entries
--- a/packages/cluster/src/peers_private.h
+++ b/packages/cluster/src/peers_private.h
@@ -7,6 +7,7 @@
 #include "cache_sync.h"
 #include "entry_load.h"
 #include "list_sync.h"
+#include "origin_sync.h"
 #include "galenagw/cluster/peers_options.h"
 #include "galenagw/wire/session.h"
 
@@ -20,10 +21,11 @@
     bool is_wanted; /* the last comparison with the list requires this session
                      */
     bool is_entry;
-    /* Entry: connected because the agent is a limit owner. The entry sends the
-     * engine no requests, and is sent neither engine state nor cached parts.
-     */
-    bool limits_only;
+    /* Connected only because the agent is in the limit owner pool. The entry
+     * sends the engine no requests, and is sent neither engine state nor
+     * cached parts. */
+    bool owner_only;
+    guint failure_domain;  /* hash of its name, from the Hello */
     uint64_t address_hash; /* of an agent: of the address it listens on */
     GwEntryLoad load; /* agent: load of this entry at the agent's engine */
     unsigned entries; /* entries connected to this agent, as it reports */
@@ -57,14 +59,19 @@
     GwLimitPool owner_pool; /* limit owners of all accounts */
     int64_t owner_pool_end; /* end of the instance list that the pool was built
                                from */
+    bool wants_origin_owners; /* entry: see GwPeers_WantOriginOwners */
+    GwOriginSync origin_sync;
 };
 
 /* The peer at @p address that this process has connected to; or NULL. */
 Peer *GwPeers_FindOutbound(const GwPeers *p, const GwAddress *address);
 
+/* Entry: the agent with this address hash if its session is ready; or NULL. */
+Peer *GwPeers_FindReadyAgent(const GwPeers *p, uint64_t address_hash);
+
 /* Agent: send the engine's state to a peer that has connected to this process,
- * and the cached parts if the peer is an entry. Peers that connect for
- * limits only are sent neither. */
+ * and the cached parts if the peer is an entry. Peers that connect to
+ * it only as an owner are sent neither. */
 void GwPeersEngine_SendInitial(GwPeers *p, Peer *peer);
 /* Agent: store the load of the entry @p from at the engine (nothing is stored
  * if @p from is NULL, which means that no Peer has the session), and send the
--- a/packages/policy/include/galenagw/policy/limit_owner.h
+++ b/packages/policy/include/galenagw/policy/limit_owner.h
@@ -40,6 +40,13 @@
 GwLimitPool GwLimitPool_Of(const uint64_t *nodes, size_t n);
 /** Whether @p node is in the pool. */
 bool GwLimitPool_Has(const GwLimitPool *pool, uint64_t node);
+/**
+ * Sorts the nodes of the pool by their rank for @p key, highest first.
+ * @param[out] nodes address hashes
+ * @return number of nodes
+ */
+unsigned GwLimitPool_Rank(const GwLimitPool *pool, uint64_t key,
+                          uint64_t nodes[GW_LIMIT_POOL_MAX]);
 bool GwLimitPool_Equal(const GwLimitPool *x, const GwLimitPool *y);
 /**
  * Computes the limit owners of @p account. A limit that is too small to be
--- a/packages/policy/src/limit_owner.c
+++ b/packages/policy/src/limit_owner.c
@@ -47,6 +47,14 @@
     return contains_node_(node, pool->nodes, pool->n);
 }
 
+unsigned
+GwLimitPool_Rank(const GwLimitPool *pool, uint64_t key,
+                 uint64_t nodes[GW_LIMIT_POOL_MAX])
+{
+    return select_highest_(key, pool->nodes, pool->n, nodes,
+                           GW_LIMIT_POOL_MAX);
+}
+
 // The nodes of both pools are sorted by rank.
 bool
 GwLimitPool_Equal(const GwLimitPool *x, const GwLimitPool *y)
