Instances: software versions of endpoints, listed and recently departed

The version of a row was checked and then dropped, so that nothing could tell which endpoints may continue a stream. Rows and instances now have the software version; GwSoftwareHistory counts the identities per service as rows change, so that GwInstances_SoftwareVersions reads at most eight departed identities, whatever the number of endpoints. A departed identity counts for GW_STREAM_LIFETIME; if more depart than are stored, the service counts as one of several versions until the dropped ones have expired.

GwInstances_ApplyRow, _ApplyRestart and _Forget get the time as a parameter. A later incarnation's version is unknown until its row is read; that it was unknown leaves no trace, because one incarnation has one version. A row without a version, or an older record of the incarnation, keeps the known one.

The rows of Fleet keep version v1 unless a test sets another one.

--- a/fakes/include/galenagw/fakes/fleet.h
+++ b/fakes/include/galenagw/fakes/fleet.h
@@ -18,6 +18,7 @@
 // An endpoint: by default it answers 200 with its id as the body.
 struct Endpoint {
     std::string id, service, failure_domain;
+    std::string software = "v1"; // version in its rows
     int64_t born = 0; // start of its incarnation, Unix ms; 0: not in its rows
     FakeHttpd *httpd = nullptr;
     GwAddress address = {};
@@ -69,7 +70,8 @@
     void Configure(int version, const std::string &more_routes = "");
     Endpoint *AddEndpoint(const char *id, const char *service,
                           bool draining = false,
-                          const char *failure_domain = "d");
+                          const char *failure_domain = "d",
+                          const char *software = nullptr);
     void ListEndpoint(const Endpoint *e, const char *state, int weights = 1);
     void RemoveEndpoint(const Endpoint *e);
     // Writes any bytes under any key of the instance list.
--- a/fakes/tests/fleet.cc
+++ b/fakes/tests/fleet.cc
@@ -287,7 +287,7 @@
 
 Endpoint *
 Fleet::AddEndpoint(const char *id, const char *service, bool draining,
-                   const char *failure_domain)
+                   const char *failure_domain, const char *software)
 {
     static const FakeHttpdOps ops = {OnEndpointRequest,
                                      OnEndpointConnectionClosed};
@@ -297,6 +297,8 @@
     e->id = id;
     e->service = service;
     e->failure_domain = failure_domain;
+    if (software != nullptr)
+        e->software = software;
     e->httpd = FakeHttpd_New(loop, &kAny, &ops, e.get(), &err);
     e->address = kAny;
     e->address.port = FakeHttpd_Port(e->httpd);
@@ -311,8 +313,9 @@
     std::string text =
         "{\"service\":\"" + e->service +
         "\",\"address\":\"127.0.0.1:" + std::to_string(e->address.port) +
-        "\",\"zone\":\"" + e->failure_domain +
-        "\",\"version\":\"v1\",\"slots\":64,\"cold_remaining_ms\":0,"
+        "\",\"zone\":\"" + e->failure_domain + "\",\"version\":\"" +
+        e->software +
+        "\",\"slots\":64,\"cold_remaining_ms\":0,"
         "\"seq\":1,\"state\":\"" +
         state + "\"";
 
--- a/packages/cluster/src/peers_engine.c
+++ b/packages/cluster/src/peers_engine.c
@@ -158,7 +158,7 @@
     if (state->incarnation > instance->incarnation)
         instance = GwInstances_ApplyRestart(
             GwView_Instances(p->options.view), state->instance,
-            state->incarnation, GW_SOURCE_AGENT);
+            state->incarnation, GW_SOURCE_AGENT, GwTime_Now());
     went_down = state->down && !instance->agent_report.down;
     weights_changed = GwInstance_SetWeights(instance, state->weights);
     if (weights_changed ||
--- a/packages/cluster/src/view.c
+++ b/packages/cluster/src/view.c
@@ -321,8 +321,8 @@
              GwDocuments_Row(document)->incarnation < known->incarnation)
         log_ignored_row_(view, record, GwDocuments_Row(document),
                          known->incarnation);
-    else if (GwInstances_ApplyRow(view->instances,
-                                  GwDocuments_Row(document))) {
+    else if (GwInstances_ApplyRow(view->instances, GwDocuments_Row(document),
+                                  GwTime_Now())) {
         log_instance_(view, record, GwDocuments_Row(document));
         if (GwDocuments_Row(document)->draining)
             note_urgent_change_(view);
@@ -346,7 +346,7 @@
         if (GwRoutes_Service(view->routes, instance->service) != NULL)
             continue;
         g_hash_table_add(view->unrouted_rows, g_strdup(instance->id));
-        GwInstances_Forget(view->instances, instance->id);
+        GwInstances_Forget(view->instances, instance->id, GwTime_Now());
     }
     if (had_no_routes)
         GwInstances_RecomputeDraining(view->instances);
@@ -458,6 +458,8 @@
     GwEvent_Text(log, "service", row->service);
     GwEvent_Text(log, "address", row->address.host);
     GwEvent_Number(log, "weights", row->weights);
+    if (row->software != NULL)
+        GwEvent_Text(log, "software", row->software);
     GwEvent_Number(log, "incarnation", row->incarnation);
     log_source_(view, record);
     GwEvent_End(log);
--- a/packages/cluster/tests/cache_sync_test.cc
+++ b/packages/cluster/tests/cache_sync_test.cc
@@ -101,7 +101,7 @@
 // is known.
 TEST_F(CacheSyncTest, UpdatesBeforeListingApplyOnceListed)
 {
-    GwInstances_Forget(GwView_Instances(entry_.view), "i-1");
+    GwInstances_Forget(GwView_Instances(entry_.view), "i-1", GwTime_Now());
     SendEngineState(10, 1);
     ApplyChanges({{1, 800}});
     ApplyChanges({{2, 400}});
--- a/packages/cluster/tests/departure_sync_test.cc
+++ b/packages/cluster/tests/departure_sync_test.cc
@@ -36,7 +36,7 @@
         row.incarnation = 10;
         row.service = "s";
         row.address = {"10.0.0.1", 1};
-        GwInstances_ApplyRow(m, &row);
+        GwInstances_ApplyRow(m, &row, 1);
         msg.instance = (char *)c.id;
         msg.incarnation = c.incarnation;
         msg.told_ms = c.told_ms;
--- a/packages/gateway/tests/gateway_agents_test.cc
+++ b/packages/gateway/tests/gateway_agents_test.cc
@@ -77,7 +77,7 @@
             row.address = e->address;
             row.model = "m";
             row.offset = 1; // of its record in the instance list
-            GwInstances_ApplyRow(list, &row);
+            GwInstances_ApplyRow(list, &row, 1);
         }
         GwSubset_Mark(GwInstances_All(list), "gateway-1", GW_SUBSET_MIN);
         for (const auto &e : f.endpoints) {
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -21,6 +21,7 @@
 #include "galenagw/base/settings.h"
 #include "galenagw/routing/health.h"
 #include "galenagw/routing/cached_parts.h"
+#include "galenagw/routing/software.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -37,9 +38,10 @@
     const char *failure_domain;
     unsigned slots;
     bool draining;
-    const char *model; /**< NULL: not a model engine */
-    int64_t weights;   /**< version of the model's weights; -1: none */
-    int64_t offset;    /**< position of its record; higher for newer records */
+    const char *model;    /**< NULL: not a model engine */
+    int64_t weights;      /**< version of the model's weights; -1: none */
+    const char *software; /**< version of its software; NULL: unknown */
+    int64_t offset; /**< position of its record; higher for newer records */
 } GwInstanceRow;
 
 /** Source of an update on an endpoint. */
@@ -116,6 +118,10 @@
     GwTime removed_at; /**< when its removal from the list was received, if the
                           removal is deferred; else 0 */
     int64_t weights;   /**< newest known version of weights; -1: none */
+    char *software_version; /**< version of its software, for logs; NULL:
+                               unknown */
+    uint64_t software;      /**< GwSoftware_Identity of its service and that
+                               version; 0: unknown */
     GwHealth health;
     GwAgentReport agent_report;
     /** parts that a model engine has cached, as reported by its agent; NULL:
@@ -181,17 +187,19 @@
  * is ignored.
  * @return whether anything but the position of its record changed
  */
-bool GwInstances_ApplyRow(GwInstances *instances, const GwInstanceRow *row);
+bool GwInstances_ApplyRow(GwInstances *instances, const GwInstanceRow *row,
+                          GwTime now);
 /**
  * Apply the information, from another source than the list, that @p id was
  * restarted. Until its new row is read, the new incarnation gets the service,
  * address, failure domain, slots and model of the previous one, but not its
- * version of weights or its state.
+ * versions of weights and software or its state.
  * @return the new incarnation, or NULL if @p id is not listed or @p
  *   incarnation is not later than the known one
  */
 GwInstance *GwInstances_ApplyRestart(GwInstances *instances, const char *id,
-                                     int64_t incarnation, GwUpdateSource from);
+                                     int64_t incarnation, GwUpdateSource from,
+                                     GwTime now);
 /**
  * Apply a departure update: @p id announced in an answer, received at @p
  * received_at, that it is leaving. It gets no new requests. The update is
@@ -216,8 +224,9 @@
  */
 GwTime GwInstances_ApplyRemoval(GwInstances *instances, const char *id,
                                 GwTime now);
-/** Remove @p id immediately, as if it had never been listed. */
-void GwInstances_Forget(GwInstances *instances, const char *id);
+/** Remove @p id immediately, as if it had never been listed, except that
+ * GwInstances_SoftwareVersions includes it: streams may have begun there. */
+void GwInstances_Forget(GwInstances *instances, const char *id, GwTime now);
 /** Recompute which instances are draining: those that are leaving, and those
  * for which a newer instance is listed at their address. Replacements that
  * were noted by GwInstance_SetReplaced only are reset. Required after
@@ -255,6 +264,18 @@
                                 const char *service);
 /** All listed endpoints (GwInstance *). */
 const GPtrArray *GwInstances_All(const GwInstances *instances);
+/**
+ * Software versions by which a stream of @p service that is still in progress
+ * may have begun: those listed now (draining, deferred removals included) or
+ * within GW_STREAM_LIFETIME before @p now.
+ * @param[out] only the identity, if there is exactly one and it is known; else
+ *   0
+ * @return their number; an endpoint whose version is unknown counts as one of
+ *   its own
+ */
+unsigned GwInstances_SoftwareVersions(const GwInstances *instances,
+                                      const char *service, GwTime now,
+                                      uint64_t *only);
 
 /** Maximum Retry-After of an endpoint that is applied. A longer one may be
  * erroneous, as from a corrupted message. */
--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -30,6 +30,7 @@
     GHashTable *by_id; /* listed instances; each entry holds a reference */
     GHashTable *by_service; /* service name to GPtrArray of GwInstance */
     GPtrArray *all;
+    GwSoftwareHistory *software; /* of the listed and departed instances */
     GwInstancesOps ops;
     void *user;
     /* After a store outage, removals are deferred ("held" in the names of the
@@ -54,10 +55,12 @@
 static void expire_departure_updates_(GwInstances *m, GwTime now);
 static bool mark_older_replaced_(GwInstances *m, const GwInstance *listed);
 static GPtrArray *get_service_instances_(GwInstances *m, const char *service);
-static void remove_instance_(GwInstances *m, GwInstance *instance);
+static void remove_instance_(GwInstances *m, GwInstance *instance, GwTime now);
+static bool apply_software_(GwInstances *m, GwInstance *instance,
+                            const GwInstanceRow *row, GwTime now);
 static GwInstance *supersede_instance_(GwInstances *m, GwInstance *before,
                                        const GwInstanceRow *row,
-                                       GwUpdateSource from);
+                                       GwUpdateSource from, GwTime now);
 
 GwInstances *
 GwInstances_New(const GwInstancesOps *ops, void *user)
@@ -70,6 +73,7 @@
     m->by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                           (GDestroyNotify)g_ptr_array_unref);
     m->all = g_ptr_array_new();
+    m->software = GwSoftwareHistory_New();
     m->ops = *ops;
     m->user = user;
     return m;
@@ -81,16 +85,17 @@
     if (m == NULL)
         return;
     while (m->all->len > 0)
-        remove_instance_(m, g_ptr_array_index(m->all, 0));
+        remove_instance_(m, g_ptr_array_index(m->all, 0), 0);
     g_hash_table_unref(m->by_id);
     g_hash_table_unref(m->departure_updates);
     g_hash_table_unref(m->by_service);
     g_ptr_array_unref(m->all);
+    GwSoftwareHistory_Delete(m->software);
     g_free(m);
 }
 
 bool
-GwInstances_ApplyRow(GwInstances *m, const GwInstanceRow *row)
+GwInstances_ApplyRow(GwInstances *m, const GwInstanceRow *row, GwTime now)
 {
     GwInstance *instance = g_hash_table_lookup(m->by_id, row->id);
     bool changed = false;
@@ -106,7 +111,7 @@
     if (row->incarnation < instance->incarnation)
         return false;
     if (row->incarnation > instance->incarnation) {
-        instance = supersede_instance_(m, instance, row, GW_SOURCE_LIST);
+        instance = supersede_instance_(m, instance, row, GW_SOURCE_LIST, now);
         changed = true;
     }
     if (instance->removed_at != 0) {
@@ -114,6 +119,7 @@
         m->n_deferred--;
         changed = true;
     }
+    changed = apply_software_(m, instance, row, now) || changed;
     instance->offset = MAX(instance->offset, row->offset);
     changed = mark_older_replaced_(m, instance) || changed;
     // A departure in the row is final for an incarnation: leaving_until 0
@@ -130,7 +136,7 @@
 
 GwInstance *
 GwInstances_ApplyRestart(GwInstances *m, const char *id, int64_t incarnation,
-                         GwUpdateSource from)
+                         GwUpdateSource from, GwTime now)
 {
     GwInstance *before = g_hash_table_lookup(m->by_id, id);
     GwInstanceRow row;
@@ -148,7 +154,7 @@
         .weights = -1,
         .offset = before->offset,
     };
-    return supersede_instance_(m, before, &row, from);
+    return supersede_instance_(m, before, &row, from, now);
 }
 
 bool
@@ -219,7 +225,7 @@
         return 0;
     if (instance->removed_at == 0 &&
         GwInstances_RemovalsDeferredUntil(m, now) == 0) {
-        remove_instance_(m, instance);
+        remove_instance_(m, instance, now);
         return 0;
     }
     if (instance->removed_at == 0) {
@@ -230,12 +236,12 @@
 }
 
 void
-GwInstances_Forget(GwInstances *m, const char *id)
+GwInstances_Forget(GwInstances *m, const char *id, GwTime now)
 {
     GwInstance *instance = g_hash_table_lookup(m->by_id, id);
 
     if (instance != NULL)
-        remove_instance_(m, instance);
+        remove_instance_(m, instance, now);
 }
 
 void
@@ -296,7 +302,7 @@
             continue;
         if (m->ops.on_removal_applied != NULL)
             m->ops.on_removal_applied(m->user, instance, now);
-        remove_instance_(m, instance);
+        remove_instance_(m, instance, now);
     }
 }
 
@@ -330,6 +336,13 @@
     return m->all;
 }
 
+unsigned
+GwInstances_SoftwareVersions(const GwInstances *m, const char *service,
+                             GwTime now, uint64_t *only)
+{
+    return GwSoftwareHistory_Count(m->software, service, now, only);
+}
+
 void
 GwInstance_SetBackoff(GwInstance *instance, GwTime time, GwTime now)
 {
@@ -387,6 +400,7 @@
     g_free(instance->service);
     g_free(instance->failure_domain);
     g_free(instance->model);
+    g_free(instance->software_version);
     GwCachedParts_Unref(instance->cached_parts);
     g_free(instance);
 }
@@ -408,6 +422,10 @@
     instance->slots = row->slots;
     instance->offset = row->offset;
     instance->weights = -1; // GwInstances_ApplyRow sets the row's version
+    instance->software = GwSoftware_Identity(row->service, row->software);
+    if (instance->software != 0)
+        instance->software_version = g_strdup(row->software);
+    GwSoftwareHistory_Add(m->software, row->service, instance->software);
     apply_departure_update_(m, instance);
     if (row->model != NULL)
         instance->cached_parts = GwCachedParts_New(GW_MAX_CACHED_PARTS);
@@ -510,29 +528,60 @@
 }
 
 static void
-remove_instance_(GwInstances *m, GwInstance *instance)
+remove_instance_(GwInstances *m, GwInstance *instance, GwTime now)
 {
     if (instance->removed_at != 0)
         m->n_deferred--;
     g_hash_table_remove(m->by_id, instance->id);
     g_ptr_array_remove(get_service_instances_(m, instance->service), instance);
     g_ptr_array_remove(m->all, instance);
+    GwSoftwareHistory_Remove(m->software, instance->service,
+                             instance->software, now);
     GwInstance_Unref(m, instance);
 }
 
+// Stores the software version of a row of the instance's incarnation. A
+// version that is not in the newest record, or no version, changes nothing.
+static bool
+apply_software_(GwInstances *m, GwInstance *instance, const GwInstanceRow *row,
+                GwTime now)
+{
+    uint64_t software = GwSoftware_Identity(instance->service, row->software);
+
+    if (software == 0 || software == instance->software ||
+        (instance->software != 0 && row->offset < instance->offset))
+        return false;
+    // The software of one incarnation does not change: the endpoint whose
+    // version was unknown has been of this version since its start. Otherwise
+    // the row is of an incarnation that the list does not distinguish from the
+    // previous one.
+    if (instance->software == 0 && instance->incarnation != 0) {
+        GwSoftwareHistory_Identify(m->software, instance->service, software);
+    }
+    else {
+        GwSoftwareHistory_Add(m->software, instance->service, software);
+        GwSoftwareHistory_Remove(m->software, instance->service,
+                                 instance->software, now);
+    }
+    instance->software = software;
+    g_free(instance->software_version);
+    instance->software_version = g_strdup(row->software);
+    return true;
+}
+
 // All state of an endpoint belongs to its GwInstance: the later incarnation
 // gets a new one, and requests in flight keep a reference to the earlier one
 // until they complete.
 static GwInstance *
 supersede_instance_(GwInstances *m, GwInstance *before,
-                    const GwInstanceRow *row, GwUpdateSource from)
+                    const GwInstanceRow *row, GwUpdateSource from, GwTime now)
 {
     GwInstance *after;
 
     // Strings of the row may belong to the earlier instance.
     GwInstance_Ref(before);
     before->superseded = true;
-    remove_instance_(m, before);
+    remove_instance_(m, before, now);
     after = add_instance_(m, row);
     if (m->ops.on_restarted != NULL)
         m->ops.on_restarted(m->user, before, after, from);
--- a/packages/routing/tests/leaving_test.cc
+++ b/packages/routing/tests/leaving_test.cc
@@ -27,7 +27,7 @@
         row.draining = draining;
         row.weights = -1;
         row.offset = port;
-        GwInstances_ApplyRow(m, &row);
+        GwInstances_ApplyRow(m, &row, kNow);
     }
     bool
     AnnounceDeparture(const char *id, int64_t incarnation, GwTime at = 0)
--- a/packages/routing/tests/membership_records_test.cc
+++ b/packages/routing/tests/membership_records_test.cc
@@ -292,7 +292,7 @@
         row.failure_domain = "d";
         row.draining = draining;
         row.weights = weights;
-        GwInstances_ApplyRow(m, &row);
+        GwInstances_ApplyRow(m, &row, 1);
     }
     size_t
     Count()
@@ -314,7 +314,7 @@
         row.draining = draining;
         row.weights = weights;
         row.offset = offset;
-        return GwInstances_ApplyRow(m, &row);
+        return GwInstances_ApplyRow(m, &row, 1);
     }
 
     GwInstances *m = nullptr;
@@ -427,7 +427,8 @@
         if (source == GW_SOURCE_LIST)
             EXPECT_TRUE(ListIncarnation(6, false, 2));
         else
-            EXPECT_NE(GwInstances_ApplyRestart(m, "i-1", 6, source), nullptr);
+            EXPECT_NE(GwInstances_ApplyRestart(m, "i-1", 6, source, 1),
+                      nullptr);
         EXPECT_EQ(from, source);
         GwInstance *after = GwInstances_Find(m, "i-1");
         ASSERT_NE(after, before);
@@ -449,11 +450,14 @@
         EXPECT_EQ(freed, 1);
         GwInstances_ApplyRemoval(m, "i-1", 1);
     }
-    EXPECT_EQ(GwInstances_ApplyRestart(m, "i-1", 9, GW_SOURCE_AGENT), nullptr)
+    EXPECT_EQ(GwInstances_ApplyRestart(m, "i-1", 9, GW_SOURCE_AGENT, 1),
+              nullptr)
         << "the id is not listed";
     ListIncarnation(5, false);
-    EXPECT_EQ(GwInstances_ApplyRestart(m, "i-1", 5, GW_SOURCE_AGENT), nullptr);
-    EXPECT_EQ(GwInstances_ApplyRestart(m, "i-1", 4, GW_SOURCE_AGENT), nullptr);
+    EXPECT_EQ(GwInstances_ApplyRestart(m, "i-1", 5, GW_SOURCE_AGENT, 1),
+              nullptr);
+    EXPECT_EQ(GwInstances_ApplyRestart(m, "i-1", 4, GW_SOURCE_AGENT, 1),
+              nullptr);
 }
 
 // After a store outage, a deferred removal must not remove a later
@@ -488,7 +492,7 @@
     EXPECT_EQ(GwInstances_Find(m, "i-1")->address.port, 2);
     EXPECT_FALSE(GwInstances_Find(m, "i-1")->draining);
     EXPECT_TRUE(GwInstances_Find(m, "i-2")->draining);
-    GwInstances_Forget(m, "i-1");
+    GwInstances_Forget(m, "i-1", 1);
     GwInstances_RecomputeDraining(m);
     EXPECT_FALSE(GwInstances_Find(m, "i-2")->draining)
         << "the instance that had replaced it was forgotten";
@@ -578,7 +582,7 @@
             row.failure_domain = "d";
             row.weights = -1;
             row.offset = offset;
-            GwInstances_ApplyRow(m, &row);
+            GwInstances_ApplyRow(m, &row, 1);
         };
 
         if (old_first)
--- a/packages/routing/tests/subset_test.cc
+++ b/packages/routing/tests/subset_test.cc
@@ -43,7 +43,7 @@
         row.weights = 1;
         row.offset = ++offset_;
         row.draining = draining;
-        GwInstances_ApplyRow(instances_, &row);
+        GwInstances_ApplyRow(instances_, &row, 1);
     }
     void
     ListAll(int engines)
@@ -120,7 +120,7 @@
     auto before = EnginesFollowedBy("edge-1");
     std::string removed = *before.begin();
 
-    GwInstances_Forget(instances_, removed.c_str());
+    GwInstances_Forget(instances_, removed.c_str(), 1);
     auto after = EnginesFollowedBy("edge-1");
     EXPECT_EQ(after.size(), (size_t)kSize);
     before.erase(removed);
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -359,7 +359,8 @@
         s->report.incarnation == instance->incarnation)
         return instance;
     return GwInstances_ApplyRestart(GwView_Instances(s->view), instance->id,
-                                    s->report.incarnation, GW_SOURCE_REPORT);
+                                    s->report.incarnation, GW_SOURCE_REPORT,
+                                    GwTime_Now());
 }
 
 // The engine has restarted: it has none of the earlier orders and requests. An
