Streams go on only at the software version that began them

Callers saw streams with events of two software versions of the engines, in one answer or over their tries.

Cause: the version in an endpoint's row was checked and dropped, and Resumes was not read, so no choice of an endpoint knew versions.

Change: a request keeps the version of the endpoint that sent its first event, and goes on only there. A gateway stores the versions of the streams that began at it. While a service has several versions (listed now or within the last 60 s, the longest life of a stream), it also tells two agents, of two failure domains, when a stream begins and when it is interrupted. A request that takes up a stream is looked up at its gateway, then at the agents: those of the owner pool, and others that the gateway is connected to, as the pool changes while endpoints are replaced. If nobody knows the version, it goes on where there is only one, and is refused at once otherwise (origin_unknown); if no endpoint of the version is left, it is refused, too (version_gone). Where one version serves, nothing is sent.

Considered: telling peers only when a stream breaks off (lost if the gateway is killed), telling all peers (cost grows with gateways times streams), and asking sidecars for the requests that their endpoints ran (short runs fall between two reports).

Cost: two messages of 25 bytes for each stream that begins, one query of 16 bytes to at most 16 agents for each stream that is taken up at another gateway.

OriginSyncTest counts the agents of the pool among those asked, because others are asked as well; the bound is the same.

--- a/packages/base/include/galenagw/base/reason.h
+++ b/packages/base/include/galenagw/base/reason.h
@@ -58,6 +58,10 @@
     GW_REFUSAL_DEFERRED,        /**< Deferrable, and the engines are full. */
     GW_REFUSAL_QUARANTINED,     /**< Endpoints terminated while it ran. */
     GW_REFUSAL_LIMIT_UNKNOWN,   /**< No limit owner of its account answers. */
+    GW_REFUSAL_ORIGIN_UNKNOWN,  /**< Which software version began its stream
+                                   is unknown, and there are several. */
+    GW_REFUSAL_VERSION_GONE,    /**< No endpoint of the software version that
+                                   began its stream is left. */
     GW_REFUSALS
 } GwRefusal;
 
--- a/packages/base/src/reason.c
+++ b/packages/base/src/reason.c
@@ -34,6 +34,8 @@
     "deferred",
     "quarantined",
     "limit_unknown",
+    "origin_unknown",
+    "version_gone",
 };
 
 typedef struct {
@@ -94,6 +96,12 @@
     [GW_REFUSAL_LIMIT_UNKNOWN] = {503, "whether the account's limit has room "
                                        "cannot be told now; come back after "
                                        "Retry-After"},
+    [GW_REFUSAL_ORIGIN_UNKNOWN] = {503, "which software version began the "
+                                        "stream cannot be told now; come back "
+                                        "after Retry-After"},
+    [GW_REFUSAL_VERSION_GONE] = {503, "no endpoint of the software version "
+                                      "that began the stream is left; come "
+                                      "back after Retry-After, or start over"},
     [GW_REFUSAL_BUFFERS_FULL] = {503, "too many large bodies are in flight; "
                                       "come back after Retry-After"},
 };
--- a/packages/cluster/include/galenagw/cluster/origin_ask.h
+++ b/packages/cluster/include/galenagw/cluster/origin_ask.h
@@ -5,7 +5,8 @@
  * While several versions of a service's software are in use, entries send the
  * origin of each stream to two agents of the limit owner pool, selected by
  * rendezvous hashing (GwPeers_TellStreamOrigin). An entry that does not know a
- * stream asks all agents of the pool (GwPeers_AskStreamOrigin).
+ * stream asks all agents of the pool, and others that it is connected to
+ * (GwPeers_AskStreamOrigin).
  * @{
  */
 #ifndef GALENAGW_CLUSTER_ORIGIN_ASK_H
@@ -24,6 +25,9 @@
 /** Time after which a query is decided without the missing answers. Agents of
  * an earlier version never answer. */
 #define GW_ORIGIN_ASK_TIMEOUT (150 * GW_MILLISECOND)
+/** Maximum number of agents that a query is sent to: those of the pool first,
+ * then others that the entry is connected to. */
+#define GW_ORIGIN_ASKED_MAX (2 * GW_LIMIT_POOL_MAX)
 /** Maximum number of streams whose origins an agent stores. */
 #define GW_STREAM_ORIGINS_MAX 65536
 
@@ -57,9 +61,10 @@
     bool has_failed;       /**< an agent that was asked has disconnected */
     GwOriginAnswer answer; /**< so far */
     uint64_t stream;
-    uint64_t software;                         /**< 0: unknown so far */
-    const GwSession *asked[GW_LIMIT_POOL_MAX]; /**< have not answered yet */
+    uint64_t software;                           /**< 0: unknown so far */
+    const GwSession *asked[GW_ORIGIN_ASKED_MAX]; /**< have not answered yet */
     unsigned n_asked;
+    unsigned n_owners; /**< agents of the pool that were asked */
 };
 
 /** Stop waiting; on_decided is not called. Has no effect on a query that is
--- a/packages/cluster/include/galenagw/cluster/peers.h
+++ b/packages/cluster/include/galenagw/cluster/peers.h
@@ -64,8 +64,9 @@
 void GwPeers_TellStreamOrigin(GwPeers *peers, uint64_t stream,
                               uint64_t software);
 /**
- * Entry: ask all connected agents of the limit owner pool for the origin of a
- * stream. The query is decided within GW_ORIGIN_ASK_TIMEOUT, or never if
+ * Entry: ask the connected agents, those of the limit owner pool first and at
+ * most GW_ORIGIN_ASKED_MAX, for the origin of a stream. The query is decided
+ * within GW_ORIGIN_ASK_TIMEOUT, or never if
  * @p peers is deleted before.
  * @param ask not waiting; its on_decided is set
  */
--- a/packages/cluster/src/origin_sync.c
+++ b/packages/cluster/src/origin_sync.c
@@ -9,6 +9,8 @@
 
 static unsigned select_owners_(const GwPeers *p, uint64_t stream,
                                const Peer *owners[ORIGIN_COPIES]);
+static void ask_agent_(GwOriginAsk *ask, const Peer *peer,
+                       const GwFrame *frame);
 static void on_timer_(void *user);
 static bool remove_asked_(GwOriginAsk *ask, const GwSession *session);
 static void decide_soon_(GwOriginAsk *ask, GwOriginAnswer answer,
@@ -34,6 +36,7 @@
 {
     GW_FRAME(frame, msg, STREAM_ORIGIN_ASK, StreamOriginAsk,
              stream_origin_ask);
+    Peer *peer;
 
     msg.stream = stream;
     ask->stream = stream;
@@ -41,13 +44,18 @@
     ask->answer = GW_ORIGIN_NO_ANSWER;
     ask->has_failed = false;
     ask->n_asked = 0;
-    for (unsigned i = 0; i < p->owner_pool.n; i++) {
-        Peer *peer = GwPeers_FindReadyAgent(p, p->owner_pool.nodes[i]);
-
-        if (peer == NULL)
-            continue;
-        GwSession_Send(peer->session, &frame);
-        ask->asked[ask->n_asked++] = peer->session;
+    for (unsigned i = 0; i < p->owner_pool.n; i++)
+        ask_agent_(ask, GwPeers_FindReadyAgent(p, p->owner_pool.nodes[i]),
+                   &frame);
+    ask->n_owners = ask->n_asked;
+    // Agents that have left the pool since the stream began, as when endpoints
+    // are replaced, still store its origin.
+    TAILQ_FOREACH(peer, &p->peers, link)
+    {
+        if (peer->is_outbound && !peer->is_entry &&
+            GwSession_IsReady(peer->session) &&
+            !GwLimitPool_Has(&p->owner_pool, peer->address_hash))
+            ask_agent_(ask, peer, &frame);
     }
     GwTimer_Init(&ask->timer, p->loop, on_timer_, ask);
     GwTimer_Start(&ask->timer, ask->n_asked > 0 ? GW_ORIGIN_ASK_TIMEOUT : 0);
@@ -173,6 +181,15 @@
     return n;
 }
 
+static void
+ask_agent_(GwOriginAsk *ask, const Peer *peer, const GwFrame *frame)
+{
+    if (peer == NULL || ask->n_asked == GW_ORIGIN_ASKED_MAX)
+        return;
+    GwSession_Send(peer->session, frame);
+    ask->asked[ask->n_asked++] = peer->session;
+}
+
 // The query is decided, or an agent did not answer in time.
 static void
 on_timer_(void *user)
--- a/packages/cluster/tests/origin_sync_test.cc
+++ b/packages/cluster/tests/origin_sync_test.cc
@@ -152,7 +152,7 @@
             Query q;
 
             GwPeers_AskStreamOrigin(e->peers, 1, &q.ask);
-            if (q.ask.n_asked != n)
+            if (q.ask.n_owners != n)
                 return false;
         }
         return true;
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -8,6 +8,7 @@
 #include "galenagw/http/metrics.h"
 #include "gateway_private.h"
 #include "request.h"
+#include "request_origin.h"
 #include "request_limit.h"
 #include "upstream.h"
 
@@ -92,6 +93,8 @@
     g->rand = g_rand_new();
     g->limit_share = GwRequestLimit_NewShare(g);
     g->kv_stores = GwKvStores_New(loop, g->log, g->rand);
+    g->stream_origins = GwStreamOrigins_New(GW_GATEWAY_ORIGINS_MAX);
+    g->started_at = GwTime_Now();
     GwTimer_Init(&g->drain_timer, loop, on_drain_timer_, g);
     GwTimer_Init(&g->periodic_timer, loop, on_periodic_timer_, g);
     GwTimer_Init(&g->limit_timer, loop, on_limit_timer_, g);
@@ -120,6 +123,7 @@
     GwStoreReader_Delete(g->store_reader);
     GwView_Delete(g->view);
     GwKvStores_Delete(g->kv_stores);
+    GwStreamOrigins_Delete(g->stream_origins);
     g_hash_table_unref(g->retry_budgets);
     GwQuarantineStore_Delete(g->quarantine_store);
     GwQuarantine_Delete(g->quarantine);
@@ -343,6 +347,7 @@
     if (g->log != NULL)
         GwEventLog_Flush(g->log);
     abandon_silent_attempts_(g);
+    GwRequestOrigin_InstancesChanged(g);
     check_for_store_restore_(g);
     GwQuarantine_SetProcesses(g->quarantine, entries);
     GwQuarantine_Sweep(g->quarantine, GwTime_Now());
--- a/packages/gateway/src/gateway_private.h
+++ b/packages/gateway/src/gateway_private.h
@@ -13,6 +13,7 @@
 #include "galenagw/quarantine/broken_requests.h"
 #include "galenagw/routing/budget.h"
 #include "galenagw/routing/placement.h"
+#include "galenagw/routing/stream_origins.h"
 
 #include "kv_stores.h"
 #include "quarantine_store.h"
@@ -53,6 +54,9 @@
     GwBrokenRequests *recent_broken_requests;
     GwQuarantineStore *quarantine_store;
     GwKvStores *kv_stores;
+    GwStreamOrigins *stream_origins; /* of streams that began here */
+    bool has_versions; /* a service has several software versions */
+    GwTime started_at;
     GRand *rand;
     GwCounters counters;
     TAILQ_HEAD(, GwRequest) requests; /* in progress */
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -3,7 +3,7 @@
 #include "request_attempt.h"
 #include "request_end.h"
 #include "request_abandon.h"
-#include "request_limit.h"
+#include "request_origin.h"
 #include "request_log.h"
 #include "request_quarantine.h"
 #include "request_refusal.h"
@@ -44,7 +44,7 @@
     GwTimer_Start(&r->deadline_timer, r->deadline - GwTime_Now());
     GwBudget_AddRequest(GwGateway_Budget(r->gateway, r->service),
                         &r->gateway->budget_bound, GwTime_Now());
-    GwRequestLimit_Start(r);
+    GwRequestOrigin_Start(r);
 }
 
 void
@@ -52,6 +52,7 @@
 {
     GwCounters_Add(&r->gateway->counters, GW_COUNTER_CALLERS_GONE, 1);
     GwRequestLog_End(r, "caller_gone", 0);
+    GwRequestOrigin_Interrupted(r);
     if (r->attempts == 0)
         GwRequestUnits_GiveBack(r);
     GwRequestEnd_Free(r);
--- a/packages/gateway/src/request_answer.c
+++ b/packages/gateway/src/request_answer.c
@@ -6,6 +6,7 @@
 #include "request_end.h"
 #include "request_load.h"
 #include "request_log.h"
+#include "request_origin.h"
 #include "request_quarantine.h"
 
 /* An answer of up to this many bytes is held until it is complete. If it is
@@ -129,6 +130,8 @@
         if (len == 0)
             return;
     }
+    if (r->is_events)
+        GwRequestOrigin_Begun(r);
     if (!r->head_sent)
         send_head_(r);
     write_body_(r, data, len);
--- a/packages/gateway/src/request_end.c
+++ b/packages/gateway/src/request_end.c
@@ -1,6 +1,7 @@
 #include "request_end.h"
 
 #include "request_load.h"
+#include "request_origin.h"
 
 void
 GwRequestEnd_ReleaseInstance(GwRequest *r)
@@ -36,6 +37,7 @@
 {
     GwHttpCall *call = r->call;
 
+    GwRequestOrigin_Interrupted(r);
     GwRequestEnd_Free(r);
     GwHttpCall_Abort(call);
 }
@@ -48,6 +50,7 @@
     // NULL if the answer of the endpoint has ended.
     GwUpstream_Cancel(g_steal_pointer(&r->upstream));
     GwLimitShare_CancelWait(&r->limit_waiter);
+    GwOriginAsk_Cancel(&r->origin_ask);
     GwRequestEnd_ReleaseInstance(r);
     // GwRequestEnd_ReleaseInstance has stopped the last two already.
     GwTimer_Stop(&r->deadline_timer);
--- a/packages/gateway/src/request_log.c
+++ b/packages/gateway/src/request_log.c
@@ -4,6 +4,17 @@
 #include "cache_nodes.h"
 #include "request_quarantine.h"
 
+/* Names of GwOriginSource in logs, by value. */
+static const char *const origin_source_names[GW_ORIGIN_SOURCES] = {
+    [GW_ORIGIN_SOURCE_OWN] = "own",
+    [GW_ORIGIN_SOURCE_AGENT] = "agent",
+    [GW_ORIGIN_SOURCE_ONLY_VERSION] = "only_version",
+    [GW_ORIGIN_SOURCE_NOT_NAMED] = "not_named",
+    [GW_ORIGIN_SOURCE_UNKNOWN] = "unknown",
+    [GW_ORIGIN_SOURCE_NO_ANSWER] = "no_answer",
+};
+
+static const char *software_name_(const GwRequest *r);
 static void log_prompt_(const GwRequest *r);
 static void log_digest_(const GwRequest *r);
 
@@ -79,6 +90,20 @@
     GwEvent_End(log);
 }
 
+void
+GwRequestLog_StreamOrigin(const GwRequest *r, GwOriginSource source)
+{
+    GwEventLog *log = r->gateway->log;
+
+    GwEvent_Begin(log, "stream_origin", r->info.id);
+    GwEvent_Text(log, "resumes",
+                 r->info.resumes != NULL ? r->info.resumes : "none");
+    GwEvent_Text(log, "software", software_name_(r));
+    GwEvent_Text(log, "learned_from", origin_source_names[source]);
+    GwEvent_Time(log, "after_ms", GwTime_Now() - r->arrived_at);
+    GwEvent_End(log);
+}
+
 void
 GwRequestLog_Deferred(const GwRequest *r, const GwInstance *instance,
                       const GwOverloadFacts *facts, GwTime defer)
@@ -136,6 +161,24 @@
     GwEvent_End(log);
 }
 
+// The version that began the stream, as far as an endpoint of it is listed.
+static const char *
+software_name_(const GwRequest *r)
+{
+    const GPtrArray *endpoints =
+        GwInstances_Of(GwView_Instances(r->gateway->view), r->service);
+
+    if (r->software == 0)
+        return "unknown";
+    for (guint i = 0; endpoints != NULL && i < endpoints->len; i++) {
+        const GwInstance *instance = g_ptr_array_index(endpoints, i);
+
+        if (instance->software == r->software)
+            return instance->software_version;
+    }
+    return "not_listed";
+}
+
 // Logs the hash of the shared parts, so that the events of all requests with
 // the same parts can be found, and how many of these parts the KV store has
 // cached.
--- a/packages/gateway/src/request_log.h
+++ b/packages/gateway/src/request_log.h
@@ -6,6 +6,17 @@
 #include "galenagw/routing/overload.h"
 #include "request_private.h"
 
+/* How the software version that began a stream is known, or why it is not. */
+typedef enum {
+    GW_ORIGIN_SOURCE_OWN = 0, /* it began at this gateway */
+    GW_ORIGIN_SOURCE_AGENT,
+    GW_ORIGIN_SOURCE_ONLY_VERSION, /* there was no other one */
+    GW_ORIGIN_SOURCE_NOT_NAMED,    /* the caller does not name the stream */
+    GW_ORIGIN_SOURCE_UNKNOWN,      /* no agent knows it */
+    GW_ORIGIN_SOURCE_NO_ANSWER,    /* not all agents answered */
+    GW_ORIGIN_SOURCES
+} GwOriginSource;
+
 /* The request is sent to its instance. */
 void GwRequestLog_Attempt(const GwRequest *request,
                           const GwDispatch *dispatch);
@@ -16,6 +27,9 @@
 /* The current attempt is abandoned because its endpoint does not answer; the
  * request is sent to another one. */
 void GwRequestLog_Abandoned(const GwRequest *request);
+/* The request takes up a stream; its software version was looked up. */
+void GwRequestLog_StreamOrigin(const GwRequest *request,
+                               GwOriginSource source);
 /* The request is deferred; @p instance was the best choice. */
 void GwRequestLog_Deferred(const GwRequest *request,
                            const GwInstance *instance,
--- a/packages/gateway/src/request_private.h
+++ b/packages/gateway/src/request_private.h
@@ -5,6 +5,7 @@
 #include "event_splitter.h"
 #include "galenagw/adapter/messages.h"
 #include "galenagw/http/message.h"
+#include "galenagw/cluster/origin_ask.h"
 #include "galenagw/routing/placement.h"
 #include "gateway_private.h"
 #include "upstream.h"
@@ -63,6 +64,11 @@
     bool head_sent; /* to the caller */
     GwFraming framing;
     GwEventSplitter event_splitter;
+    bool has_begun;    /* its stream: the caller has events of it */
+    uint64_t software; /* that began its stream; 0: none yet, or unknown */
+    uint64_t stream;   /* GwStreamOrigins_Hash of the request that began its
+                          stream; 0: none yet */
+    GwOriginAsk origin_ask;
 };
 
 #endif
--- a/packages/gateway/src/request_refusal.c
+++ b/packages/gateway/src/request_refusal.c
@@ -13,6 +13,8 @@
 /* Without routes, as after a start during a store outage, the end of the
  * outage is unknown, and an immediate retry would be refused as well. */
 #define RETRY_AFTER_NO_ROUTES_S 2.0
+/* An endpoint that restarts at its version is back after seconds. */
+#define RETRY_AFTER_VERSION_GONE_S 1.0
 
 static double retry_after_(const GwRequest *r, GwRefusal refusal);
 
@@ -85,6 +87,8 @@
         delay_s = (double)r->retry_after / GW_SECOND;
     else if (refusal == GW_REFUSAL_NO_CONFIG)
         delay_s = RETRY_AFTER_NO_ROUTES_S;
+    else if (refusal == GW_REFUSAL_VERSION_GONE)
+        delay_s = RETRY_AFTER_VERSION_GONE_S;
     if (r->info.deadline_ms < 0)
         return delay_s;
     share = (double)(r->arrived_at + r->info.deadline_ms * GW_MILLISECOND -
--- a/packages/routing/include/galenagw/routing/request_info.h
+++ b/packages/routing/include/galenagw/routing/request_info.h
@@ -35,6 +35,9 @@
     const char *model;
     /** resume a stream after this event, or NULL */
     const char *last_event_id;
+    /** id of the request that brought the first event of the stream that is
+     * resumed, or NULL */
+    const char *resumes;
     int64_t deadline_ms; /**< how long the client will wait; -1: not set */
     uint32_t prompt_tokens;
     uint32_t output_tokens; /**< maximum number */
