--- a/fakes/include/galenagw/fakes/fleet.h
+++ b/fakes/include/galenagw/fakes/fleet.h
@@ -15,9 +15,10 @@
 #include "galenagw/gateway/gateway.h"
 #include "galenagw/sidecar/sidecar.h"
 
-// An endpoint: by default it answers 200 with its id as the body.
+// An endpoint: by default it answers with its id, see AnswerId.
 struct Endpoint {
     std::string id, service, failure_domain;
+    std::string software = "v1"; // version in its rows
     int64_t born = 0; // start of its incarnation, Unix ms; 0: not in its rows
     FakeHttpd *httpd = nullptr;
     GwAddress address = {};
@@ -30,6 +31,8 @@
     // Writes a complete answer with the request's id and a signature.
     static void Answer(FakeExchange *x, int status, const std::string &body,
                        const std::string &headers = "");
+    // Answers 200 with the endpoint's id: as an event if it is an engine.
+    static void AnswerId(const Endpoint *e, FakeExchange *x);
     // Answers that the request was not executed.
     static void Decline(FakeExchange *x, int status = 503);
     static std::string RequestId(FakeExchange *x);
@@ -69,7 +72,8 @@
     void Configure(int version, const std::string &more_routes = "");
     Endpoint *AddEndpoint(const char *id, const char *service,
                           bool draining = false,
-                          const char *failure_domain = "d");
+                          const char *failure_domain = "d",
+                          const char *software = nullptr);
     void ListEndpoint(const Endpoint *e, const char *state, int weights = 1);
     void RemoveEndpoint(const Endpoint *e);
     // Writes any bytes under any key of the instance list.
