Event splitter: an event in many pieces is scanned once

An event that arrived in small pieces was scanned from its start with each one: 512 KiB in pieces of 16 bytes took 12.4 s, and all other requests waited. The scan now continues where it stopped.

An empty line or a comment no longer counts as an event.

--- a/packages/gateway/src/event_splitter.c
+++ b/packages/gateway/src/event_splitter.c
@@ -4,8 +4,8 @@
 
 #define ID_FIELD "id:"
 
-static void store_last_id_(GwEventSplitter *s, const char *event, size_t len);
-static size_t event_length_(const char *data, size_t len);
+static size_t event_length_(const char *data, size_t len, GwEventScan *scan);
+static bool read_event_(GwEventSplitter *s, const char *event, size_t len);
 static bool is_line_end_(char c);
 
 void
@@ -27,6 +27,8 @@
 GwEventSplitter_Restart(GwEventSplitter *s)
 {
     g_string_truncate(s->tail, 0);
+    s->scanned = (GwEventScan){0};
+    s->n_since_restart = 0;
 }
 
 void
@@ -37,11 +39,11 @@
     size_t n;
 
     g_string_append_len(s->tail, data, (gssize)len);
-    while ((n = event_length_(s->tail->str + at, s->tail->len - at)) > 0) {
-        // An empty line that follows an event is not an event.
-        if (!is_line_end_(s->tail->str[at])) {
-            store_last_id_(s, s->tail->str + at, n);
+    while ((n = event_length_(s->tail->str + at, s->tail->len - at,
+                              &s->scanned)) > 0) {
+        if (read_event_(s, s->tail->str + at, n)) {
             s->n_complete++;
+            s->n_since_restart++;
         }
         at += n;
     }
@@ -56,43 +58,52 @@
 }
 
 // Length of the first event, with the empty line that ends it; 0: incomplete.
-// Lines end with LF, CR or CRLF.
+// Lines end with LF, CR or CRLF. Continues behind the bytes that were scanned
+// before, as an event may arrive in many pieces.
 static size_t
-event_length_(const char *data, size_t len)
+event_length_(const char *data, size_t len, GwEventScan *scan)
 {
-    size_t line = 0;
-    bool after_crlf = false;
+    for (size_t i = scan->n; i < len; i++) {
+        bool is_empty = i == scan->line;
+        size_t end = i + 1;
 
-    for (size_t i = 0; i < len; i++) {
-        size_t at = i;
-        bool is_crlf;
-
-        if (!is_line_end_(data[at]))
+        if (!is_line_end_(data[i]))
             continue;
-        is_crlf = data[at] == '\r' && at + 1 < len && data[at + 1] == '\n';
-        // Where lines end with CRLF, the LF of this one is still missing.
-        if (after_crlf && data[at] == '\r' && at + 1 == len)
+        // A LF may follow and belong to this line end. Where lines end with CR
+        // alone, the event is complete without it.
+        if (data[i] == '\r' && end == len &&
+            (!is_empty || scan->is_after_crlf)) {
+            scan->n = i;
             return 0;
-        i += is_crlf;
-        if (at == line)
-            return i + 1;
-        line = i + 1;
-        after_crlf = is_crlf;
+        }
+        scan->is_after_crlf =
+            data[i] == '\r' && end < len && data[end] == '\n';
+        end += scan->is_after_crlf;
+        if (is_empty) {
+            *scan = (GwEventScan){0};
+            return end;
+        }
+        scan->line = end;
+        i = end - 1;
     }
+    scan->n = len;
     return 0;
 }
 
-// Stores the id of @p event, if it has one, as the last event id.
-static void
-store_last_id_(GwEventSplitter *s, const char *event, size_t len)
+// Stores the id of @p event, if it has one, as the last event id. Returns
+// whether it has any field: an empty line or a comment is no event.
+static bool
+read_event_(GwEventSplitter *s, const char *event, size_t len)
 {
     const char *limit = event + len;
+    bool has_field = false;
 
     while (event < limit) {
         const char *end = event;
 
         while (end < limit && !is_line_end_(*end))
             end++;
+        has_field = has_field || (end > event && *event != ':');
         if ((size_t)(end - event) >= strlen(ID_FIELD) &&
             strncmp(event, ID_FIELD, strlen(ID_FIELD)) == 0) {
             size_t n;
@@ -107,6 +118,7 @@
         }
         event = end + 1;
     }
+    return has_field;
 }
 
 static bool
--- a/packages/gateway/src/event_splitter.h
+++ b/packages/gateway/src/event_splitter.h
@@ -9,11 +9,20 @@
  * are truncated. Ids of engines are numbers. */
 #define GW_EVENT_ID_MAX 64
 
+/* How far the incomplete event was scanned for its end. */
 typedef struct {
+    size_t n;           /* bytes scanned */
+    size_t line;        /* start of the current line */
+    bool is_after_crlf; /* the line before it ended with CRLF */
+} GwEventScan;
+
+typedef struct {
+    GwEventScan scanned;
     GString *tail;                 /* bytes of an incomplete event */
     char last_id[GW_EVENT_ID_MAX]; /* of the last complete event with an id */
     bool has_id;
-    unsigned n_complete; /* complete events so far */
+    unsigned n_complete;      /* complete events so far */
+    unsigned n_since_restart; /* of these, since the last restart */
 } GwEventSplitter;
 
 void GwEventSplitter_Init(GwEventSplitter *splitter);
--- a/packages/gateway/tests/gateway_test.cc
+++ b/packages/gateway/tests/gateway_test.cc
@@ -24,6 +24,7 @@
          "id:1\r\ndata: a\r\n\r", "", 0},
         {"empty lines behind it", "id: 1\n\n\n\r\n", "id: 1\n\n\n\r\n", "",
          "1", 1},
+        {"comment", ": ping\n\nid: 1\n\n", ": ping\n\nid: 1\n\n", "", "1", 1},
         {"no complete event", "data: id: 5\n", "", "data: id: 5\n", "", 0},
     };
 
