Streams: a resumed run without an event is not the end; documents are no streams

Callers of a resumed stream saw a complete answer if the second endpoint closed its connection behind the head, sent a comment, or answered 202 or 204. A harmless request whose stream was framed as complete counted for the quarantine, although its endpoint goes on.

Cause: the events of the whole stream were counted instead of those of the attempt; any success could continue a stream; the type of the answer was not looked at; and every truncated stream was taken for a terminated endpoint.

--- a/packages/gateway/src/request_answer.c
+++ b/packages/gateway/src/request_answer.c
@@ -17,7 +17,10 @@
  * to the caller. */
 #define UNSENT_BYTES_MAX (64 * 1024)
 
+#define EVENT_STREAM "text/event-stream"
+
 static bool is_usable_reply_(const GwRequest *r);
+static bool is_event_stream_(const GwHttpHead *head);
 static void forward_body_(GwRequest *r, const char *data, size_t len);
 static void send_head_(GwRequest *r);
 static void write_body_(GwRequest *r, const char *data, size_t len);
@@ -25,10 +28,16 @@
 void
 GwRequestAnswer_Begin(GwRequest *r, const GwHttpHead *head)
 {
-    r->is_usable = is_usable_reply_(r);
+    bool is_events =
+        r->route->type == GW_ROUTE_STREAMING && is_event_stream_(head);
+
+    r->is_unframed = head->length < 0 && !head->chunked;
+    // After the first events, only a continuation of the stream is valid.
+    r->is_usable = is_usable_reply_(r) &&
+                   (!r->head_sent || (is_events && head->status == 200));
     if (!r->is_usable)
         return;
-    r->is_events = r->route->type == GW_ROUTE_STREAMING && head->status == 200;
+    r->is_events = is_events;
     // A resumed stream continues under the head of the first endpoint.
     if (r->head_sent)
         return;
@@ -71,11 +80,8 @@
     if (GwEventSplitter_IsInsideEvent(&r->event_splitter))
         return true;
     // Without framing, an endpoint that breaks off before the first event
-    // sends the same bytes as for an empty stream. Only a stream that the
-    // caller resumes may have no events left.
-    return r->event_splitter.n_complete == 0 &&
-           r->info.last_event_id == NULL && r->reply_head->length < 0 &&
-           !r->reply_head->chunked;
+    // sends the same bytes as for an empty stream.
+    return r->event_splitter.n_since_restart == 0 && r->is_unframed;
 }
 
 void
@@ -108,13 +114,24 @@
         return false;
     if (r->reply.status >= 200 && r->reply.status < 300)
         return r->reply.has_signature;
-    // After the first events, only a continuation of the stream is valid.
     if (r->head_sent)
         return false;
     return r->reply.status != 503 && r->reply.status != 429 &&
            r->reply.status != 408 && r->reply.status != 421;
 }
 
+// Whether a success with this head has events. An endpoint may answer on a
+// streaming route with a document of another type, which is forwarded as such.
+static bool
+is_event_stream_(const GwHttpHead *head)
+{
+    const char *type = GwHttpHead_Find(head, "Content-Type");
+
+    return head->status >= 200 && head->status < 300 && head->status != 204 &&
+           (type == NULL || g_ascii_strncasecmp(type, EVENT_STREAM,
+                                                strlen(EVENT_STREAM)) == 0);
+}
+
 // Forwards bytes of the body; of a stream, only complete events, so that
 // another endpoint can continue it.
 static void
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -323,7 +323,10 @@
     }
     else {
         GwHealth_Note(&instance->health, GW_HEALTH_BROKEN, now);
-        if (outcome == GW_UPSTREAM_BROKEN || !r->has_reply || is_truncated)
+        // A stream that is framed as complete does not show that the endpoint
+        // terminated.
+        if (outcome == GW_UPSTREAM_BROKEN || !r->has_reply ||
+            (is_truncated && r->is_unframed))
             GwRequestQuarantine_OnBroken(r);
         GwRequestAttempt_Failed(r, GW_ATTEMPT_MAY_HAVE_RUN,
                                 is_truncated                    ? "truncated"
--- a/packages/gateway/src/request_private.h
+++ b/packages/gateway/src/request_private.h
@@ -55,6 +55,7 @@
     uint64_t prefill_tokens;   /* counted in the load of the instance */
     GwReply reply;             /* to the current attempt */
     bool has_reply;
+    bool is_unframed; /* the reply has neither a length nor chunks */
     bool is_usable; /* the reply may be forwarded, as far as its head shows */
     GwHttpHead *reply_head; /* held until it is forwarded */
     GString *held_body;     /* start of the endpoint's body, held with the
