--- a/packages/gateway/tests/truncated_stream_test.cc
+++ b/packages/gateway/tests/truncated_stream_test.cc
@@ -2,6 +2,7 @@
 #include "galenagw/fakes/fleet.h"
 
 extern "C" {
+#include "event_splitter.h"
 #include "gateway_private.h"
 }
 
@@ -152,13 +153,88 @@
     }
 }
 
-// An endpoint closes its connection behind the head of a stream; guards
-// against an empty answer that is framed as complete.
-TEST(TruncatedStream, UnframedWithoutBytesIsAnError)
+// An endpoint closes its connection behind the head of a stream, or behind a
+// comment; guards against an empty answer that is framed as complete.
+TEST(TruncatedStream, UnframedWithoutEventIsAnError)
 {
-    Outcome o = Play("/stream/1", Framing::kUnframed, "");
+    const struct {
+        const char *body;
+        int status;
+        bool is_closed; // in place of the end of the answer
+    } cases[] = {
+        {"", 502, false}, {": ping\n\n", 200, true}, {"\n", 200, true}};
 
-    EXPECT_EQ(o.status, 502) << o.received;
+    for (const auto &c : cases) {
+        Outcome o = Play("/stream/1", Framing::kUnframed, c.body);
+
+        EXPECT_EQ(o.status, c.status) << o.received;
+        EXPECT_EQ(o.is_complete, !c.is_closed) << o.received;
+    }
+}
+
+// The endpoint that resumes a stream closes its connection behind its head, or
+// answers with something else than a stream; guards against taking that for
+// the end of the stream.
+TEST(TruncatedStream, ResumedWithoutEventIsNotComplete)
+{
+    const struct {
+        const char *name, *head, *body;
+    } cases[] = {
+        {"no bytes", "200 OK", ""},
+        {"a comment", "200 OK", ": ping\n\n"},
+        {"204", "204 No Content", ""},
+        {"202 and a part", "202 Accepted", "id: 3\nda"},
+        {"202 and an event", "202 Accepted", "id: 3\ndata: t3\n\n"},
+        {"a document", "200 OK\r\nContent-Type: application/json", "{}"},
+    };
+
+    for (const auto &c : cases) {
+        Fleet f;
+        int asked = 0;
+
+        f.Configure(1);
+        Endpoint *a = f.AddEndpoint("i-1", "model");
+        Endpoint *b = f.AddEndpoint("i-2", "model");
+        a->serve = b->serve = [&](Endpoint *, FakeExchange *x) {
+            if (asked++ == 0) {
+                SendAnswer(x, Framing::kChunked, Event(1) + "id");
+                return;
+            }
+            std::string out = std::string("HTTP/1.1 ") + c.head +
+                              "\r\nX-Request-Id: " + Endpoint::RequestId(x) +
+                              "\r\nX-Response-Signature: s\r\n\r\n" + c.body;
+            FakeExchange_Write(x, out.data(), out.size());
+            FakeExchange_Close(x, false);
+        };
+        GwGateway *g = f.AddGateway();
+        ASSERT_TRUE(f.Ready());
+        auto caller = f.Call(g, Fleet::Request("POST", "/resume/1", "x"));
+
+        EXPECT_TRUE(f.Until([&] { return caller->Has(1) || caller->closed; }));
+        EXPECT_EQ(asked, 2) << c.name;
+        EXPECT_FALSE(caller->Has(1)) << c.name << ": " << caller->received;
+    }
+}
+
+// An endpoint answers on a streaming route with a document; guards against
+// taking it for a truncated stream.
+TEST(TruncatedStream, DocumentIsForwarded)
+{
+    Fleet f;
+
+    f.Configure(1);
+    Endpoint *e = f.AddEndpoint("i-1", "model");
+    e->serve = [&](Endpoint *, FakeExchange *x) {
+        Endpoint::Answer(x, 200, "{\"a\":1}",
+                         "Content-Type: application/json\r\n");
+    };
+    GwGateway *g = f.AddGateway();
+    ASSERT_TRUE(f.Ready());
+    auto c = f.Call(g, Fleet::Request("POST", "/stream/1", "x"));
+
+    EXPECT_TRUE(f.Until([&] { return c->Has(1) || c->closed; }));
+    EXPECT_EQ(c->Status(), 200);
+    EXPECT_NE(c->received.find("{\"a\":1}"), std::string::npos);
 }
 
 // Events may end with any of the line ends of event streams; guards against
@@ -180,3 +256,45 @@
         }
     }
 }
+
+// An event arrives in small pieces; guards against scanning it from its start
+// with each piece, which delays all other requests.
+TEST(Events, LargeEventInSmallPiecesIsScannedOnce)
+{
+    const size_t size = 512 * 1024;
+    const size_t piece = 16;
+    std::string event = "data: " + std::string(size, 'x') + "\n\n";
+    GString *out = g_string_new(nullptr);
+    GwEventSplitter s;
+    GwTime start = GwTime_Now();
+
+    GwEventSplitter_Init(&s);
+    for (size_t at = 0; at < event.size(); at += piece)
+        GwEventSplitter_Push(&s, event.data() + at,
+                             std::min(piece, event.size() - at), out);
+    EXPECT_EQ(std::string(out->str, out->len), event);
+    EXPECT_LT(GwTime_Now() - start, GW_SECOND);
+    g_string_free(out, TRUE);
+    GwEventSplitter_Clear(&s);
+}
+
+// A harmless request gets a stream that is framed as complete and is not,
+// while the service has terminations; guards against quarantining it although
+// the endpoint goes on.
+TEST(TruncatedStream, FramedDoesNotCountAsTermination)
+{
+    Fleet f;
+
+    f.Configure(1);
+    Endpoint *e = f.AddEndpoint("i-1", "model");
+    e->serve = [&](Endpoint *, FakeExchange *x) {
+        SendAnswer(x, Framing::kChunked, Event(1) + "id");
+    };
+    GwGateway *g = f.AddGateway();
+    ASSERT_TRUE(f.Ready());
+    auto c = f.Call(g, Fleet::Request("POST", "/stream/1", "x"));
+    EXPECT_TRUE(f.Until([&] { return c->closed; }));
+    f.Wait(100 * GW_MILLISECOND);
+    EXPECT_EQ(g->counters.plain[GW_COUNTER_UPSTREAM_OPENED], 1u)
+        << "no check whether the endpoint has terminated";
+}
