Endpoint: an engine's JSON answer that was cut is broken, not complete

Callers of the chat and text completions without "stream" got a status 200 with the first part of the JSON text, framed as complete, if the engine ended its answer early but in order: by closing a connection without length and chunks, or with the final chunk or a length that is reached. The agent checked the end of the HTTP answer alone (call.c, on_done_).

The agent now follows the nesting of the JSON text of an answer with the status 200. If no object has begun, or one is open at the end, the attempt is broken: the entry, which holds the answer, sends the request to another endpoint or answers with an error. The nesting is followed instead of parsing the text, because answers above 256 kB are not stored.

--- a/packages/endpoint/src/call.c
+++ b/packages/endpoint/src/call.c
@@ -14,6 +14,14 @@
     "unknown",
 };
 
+/* Where the bytes of a JSON text that were received so far end. */
+typedef struct {
+    int depth;      /* open objects and arrays */
+    bool in_string; /* inside a string */
+    bool escaped;   /* behind a backslash in a string */
+    bool any;       /* an object or array has begun */
+} JsonScan;
+
 /* An engine's answer that is not an event stream is stored up to this size, to
  * read its token counts. */
 #define USAGE_BODY_MAX_BYTES (256 * 1024)
@@ -25,6 +33,7 @@
     GByteArray *partial; /* bytes of an incomplete event, or of the answer that
                            the token counts are read from */
     GwEndpointResult result;
+    JsonScan json; /* of an engine's answer that is not an event stream */
     int status;
     bool is_engine_call;
     bool is_event_stream; /* the answer is an event stream */
@@ -35,6 +44,8 @@
 static void on_head_(void *user, int status, const char *type);
 static void on_data_(void *user, const char *data, size_t len);
 static void on_done_(void *user, GwHttpOutcome http_outcome);
+static bool is_truncated_(const GwEndpointCall *call);
+static void scan_json_(JsonScan *scan, const char *data, size_t len);
 static void split_events_(GwEndpointCall *call);
 static void process_event_(GwEndpointCall *call, const char *event,
                            size_t len);
@@ -112,9 +123,12 @@
         split_events_(call);
         return;
     }
-    if (call->is_engine_call &&
-        call->partial->len + len <= USAGE_BODY_MAX_BYTES)
-        g_byte_array_append(call->partial, (const guint8 *)data, (guint)len);
+    if (call->is_engine_call) {
+        scan_json_(&call->json, data, len);
+        if (call->partial->len + len <= USAGE_BODY_MAX_BYTES)
+            g_byte_array_append(call->partial, (const guint8 *)data,
+                                (guint)len);
+    }
     call->ops->on_chunk(call->user, data, len);
 }
 
@@ -127,11 +141,7 @@
         call->result.outcome = GW_ENDPOINT_NOT_RUN;
     else if (call->is_engine_call && call->status == 503)
         call->result.outcome = GW_ENDPOINT_NOT_RUN;
-    else if (http_outcome != GW_HTTP_COMPLETE)
-        call->result.outcome = GW_ENDPOINT_BROKEN;
-    else if (call->is_event_stream && call->is_engine_call &&
-             !call->has_done_marker)
-        // The HTTP answer is complete, but the engine's end marker is missing.
+    else if (http_outcome != GW_HTTP_COMPLETE || is_truncated_(call))
         call->result.outcome = GW_ENDPOINT_BROKEN;
     else
         call->result.outcome = GW_ENDPOINT_COMPLETE;
@@ -142,6 +152,48 @@
     delete_call_(call);
 }
 
+// Whether the HTTP answer is complete, but its content is not. An answer
+// without length and chunks ends with its connection, and the endpoint may
+// close that anywhere.
+static bool
+is_truncated_(const GwEndpointCall *call)
+{
+    if (!call->is_engine_call)
+        return false;
+    if (call->is_event_stream)
+        return !call->has_done_marker;
+    return call->status == 200 &&
+           (!call->json.any || call->json.depth > 0 || call->json.in_string);
+}
+
+// Follows the nesting instead of parsing the text, because a large answer is
+// not stored.
+static void
+scan_json_(JsonScan *scan, const char *data, size_t len)
+{
+    for (size_t i = 0; i < len; i++) {
+        char c = data[i];
+
+        if (scan->escaped) {
+            scan->escaped = false;
+        }
+        else if (scan->in_string) {
+            scan->escaped = c == '\\';
+            scan->in_string = c != '"';
+        }
+        else if (c == '"') {
+            scan->in_string = true;
+        }
+        else if (c == '{' || c == '[') {
+            scan->any = true;
+            scan->depth++;
+        }
+        else if (c == '}' || c == ']') {
+            scan->depth--;
+        }
+    }
+}
+
 static void
 split_events_(GwEndpointCall *call)
 {
--- /dev/null
+++ b/packages/endpoint/tests/truncated_answer_test.cc
@@ -0,0 +1,210 @@
+// Answers that an endpoint ends too early, in each framing of an answer.
+#include "galenagw/fakes/loop_test.h"
+
+#include <string>
+
+#include "galenagw/endpoint/endpoint.h"
+#include "galenagw/fakes/fake_httpd.h"
+
+namespace {
+
+// How an endpoint frames its answer, and how it ends it.
+enum class Framing { kUnframed, kChunked, kLength };
+enum class End { kInOrder, kReset };
+
+const struct {
+    const char *name;
+    Framing framing;
+} kFramings[] = {
+    {"neither length nor chunks", Framing::kUnframed},
+    {"chunks, and the final one", Framing::kChunked},
+    {"a length that is reached", Framing::kLength},
+};
+
+// What the callbacks of one call received.
+struct CallRecord {
+    int status = 0;
+    std::string body;
+    bool done = false;
+    GwEndpointResult result = {};
+};
+
+const GwEndpointCallOps kOps = {
+    [](void *u, int status, const char *) {
+        static_cast<CallRecord *>(u)->status = status;
+    },
+    [](void *u, const char *data, size_t len) {
+        static_cast<CallRecord *>(u)->body.append(data, len);
+    },
+    [](void *u, const GwEndpointResult *r) {
+        static_cast<CallRecord *>(u)->result = *r;
+        static_cast<CallRecord *>(u)->done = true;
+    },
+};
+
+struct TruncatedAnswer : LoopTest {
+    FakeHttpd *httpd = nullptr;
+    std::string type, body;
+    Framing framing = Framing::kUnframed;
+    End end = End::kInOrder;
+    GwTimer reset_timer = {};
+    FakeExchange *exchange = nullptr;
+
+    void
+    SetUp() override
+    {
+        static const FakeHttpdOps ops = {
+            [](void *u, FakeExchange *x) {
+                static_cast<TruncatedAnswer *>(u)->Answer(x);
+            },
+            nullptr};
+
+        wait_timeout = 5 * GW_SECOND;
+        httpd = FakeHttpd_New(loop, &kAny, &ops, this, nullptr);
+        GwTimer_Init(
+            &reset_timer, loop,
+            [](void *u) {
+                auto *t = static_cast<TruncatedAnswer *>(u);
+
+                FakeExchange_Close(t->exchange, t->end == End::kReset);
+            },
+            this);
+    }
+    void
+    TearDown() override
+    {
+        GwTimer_Stop(&reset_timer);
+        FakeHttpd_Delete(httpd);
+        GwLoop_Delete(loop);
+    }
+    // Sends the whole answer. With a reset, the last byte of the body and what
+    // would follow it are missing if the answer has a length or chunks.
+    void
+    Answer(FakeExchange *x)
+    {
+        std::string out = "HTTP/1.1 200 OK\r\nContent-Type: " + type + "\r\n";
+        char size[32];
+
+        switch (framing) {
+        case Framing::kUnframed:
+            out += "\r\n" + body;
+            break;
+        case Framing::kChunked:
+            snprintf(size, sizeof(size), "%zx\r\n", body.size());
+            out += "Transfer-Encoding: chunked\r\n\r\n";
+            if (!body.empty())
+                out += size + body + "\r\n";
+            if (end == End::kInOrder)
+                out += "0\r\n\r\n";
+            break;
+        case Framing::kLength:
+            out += "Content-Length: " +
+                   std::to_string(body.size() + (end == End::kReset)) +
+                   "\r\n\r\n" + body;
+            break;
+        }
+        FakeExchange_Write(x, out.data(), out.size());
+        exchange = x;
+        // A reset at once could overtake the bytes before it.
+        if (end == End::kReset)
+            GwTimer_Start(&reset_timer, 20 * GW_MILLISECOND);
+        else if (framing == Framing::kUnframed)
+            FakeExchange_Close(x, false);
+    }
+    CallRecord
+    Play(bool is_engine)
+    {
+        GwEndpointOptions options = {kAny, 10 * GW_SECOND, 2 * GW_SECOND};
+        GwEndpointRequest request = {};
+        CallRecord record;
+
+        options.address.port = FakeHttpd_Port(httpd);
+        request.method = "POST";
+        request.path = is_engine ? "/v1/chat/completions" : "/cabins";
+        request.content_type = "application/json";
+        request.body = "{}";
+        request.body_len = 2;
+        request.cache_salt = "a";
+        GwEndpoint e = is_engine ? GwEngine_New(loop, &options)
+                                 : GwPlainService_New(loop, &options);
+        e.ops->start(e.impl, &request, &kOps, &record);
+        EXPECT_TRUE(Until([&] { return record.done; }));
+        e.ops->delete_(e.impl);
+        return record;
+    }
+};
+
+const char kEvent[] = "data: {\"choices\":[]}\n\n";
+const char kDone[] = "data: [DONE]\n\n";
+const char kJson[] = "{\"choices\":[{\"text\":\"a } \\\" b\"}],"
+                     "\"usage\":{\"prompt_tokens\":3}}";
+
+} // namespace
+
+// An engine's stream ends before its end marker; guards against reporting it
+// as complete.
+TEST_F(TruncatedAnswer, EngineStreamNeedsItsEndMarker)
+{
+    const std::string event = kEvent;
+    const struct {
+        const char *name;
+        std::string body;
+        GwEndpointOutcome outcome;
+    } cases[] = {
+        {"whole", event + kDone, GW_ENDPOINT_COMPLETE},
+        {"no byte", "", GW_ENDPOINT_BROKEN},
+        {"behind a whole event", event, GW_ENDPOINT_BROKEN},
+        {"inside an event", event + "data: {\"cho", GW_ENDPOINT_BROKEN},
+        {"inside the end marker", event + "data: [DONE]\n",
+         GW_ENDPOINT_BROKEN},
+    };
+
+    type = "text/event-stream";
+    for (auto &f : kFramings) {
+        framing = f.framing;
+        for (auto &c : cases) {
+            body = c.body;
+            CallRecord record = Play(true);
+
+            EXPECT_EQ(record.result.outcome, c.outcome)
+                << f.name << ", " << c.name;
+        }
+    }
+}
+
+// An engine ends an answer that is no stream inside its JSON text; guards
+// against reporting it as complete.
+TEST_F(TruncatedAnswer, EngineJsonIsWhole)
+{
+    const std::string json = kJson;
+    const std::string large =
+        "{\"text\":\"" + std::string(512 * 1024, 'x') + "\"}";
+    const struct {
+        const char *name;
+        std::string body;
+        GwEndpointOutcome outcome;
+    } cases[] = {
+        {"whole", json, GW_ENDPOINT_COMPLETE},
+        {"whole, with a line end", json + "\r\n", GW_ENDPOINT_COMPLETE},
+        {"whole and large", large, GW_ENDPOINT_COMPLETE},
+        {"no byte", "", GW_ENDPOINT_BROKEN},
+        {"all but the last byte", json.substr(0, json.size() - 1),
+         GW_ENDPOINT_BROKEN},
+        {"inside a text, behind a brace", json.substr(0, 27),
+         GW_ENDPOINT_BROKEN},
+        {"large, all but the last byte", large.substr(0, large.size() - 1),
+         GW_ENDPOINT_BROKEN},
+    };
+
+    type = "application/json";
+    for (auto &f : kFramings) {
+        framing = f.framing;
+        for (auto &c : cases) {
+            body = c.body;
+            CallRecord record = Play(true);
+
+            EXPECT_EQ(record.result.outcome, c.outcome)
+                << f.name << ", " << c.name;
+        }
+    }
+}
