Endpoint: a service's stream that ends inside an event is broken

Callers of a plain service got an event stream that ended in order, without the last, partly sent event, if the service closed the stream inside that event. The agent kept the part of the event until its empty line was received, and dropped it at the end of the answer (call.c, on_done_). For the same reason a stream with CRLF or CR as line ends reached callers without a single event.

The agent now forwards a service's stream as it is received, and follows its lines: an answer that ends behind a begun event, whose empty line is missing, is broken. Streams of engines keep the stricter rule of their end marker.

Test TruncatedAnswer.ServiceStreamEndsBehindAnEvent failed before in all three framings.

--- a/packages/endpoint/src/call.c
+++ b/packages/endpoint/src/call.c
@@ -22,6 +22,13 @@
     bool any;       /* an object or array has begun */
 } JsonScan;
 
+/* Where the bytes of an event stream that were received so far end. */
+typedef struct {
+    bool in_event; /* the empty line behind an event is missing */
+    bool in_line;
+    bool after_cr; /* a line feed belongs to the line end before it */
+} EventScan;
+
 /* An engine's answer that is not an event stream is stored up to this size, to
  * read its token counts. */
 #define USAGE_BODY_MAX_BYTES (256 * 1024)
@@ -30,10 +37,11 @@
     const GwEndpointCallOps *ops;
     void *user;
     GwHttpRequest *request;
-    GByteArray *partial; /* bytes of an incomplete event, or of the answer that
-                           the token counts are read from */
+    GByteArray *partial; /* of an engine: bytes of an incomplete event, or of
+                           the answer that the token counts are read from */
     GwEndpointResult result;
-    JsonScan json; /* of an engine's answer that is not an event stream */
+    JsonScan json;    /* of an engine's answer that is not an event stream */
+    EventScan events; /* of a plain service's event stream */
     int status;
     bool is_engine_call;
     bool is_event_stream; /* the answer is an event stream */
@@ -46,6 +54,7 @@
 static void on_done_(void *user, GwHttpOutcome http_outcome);
 static bool is_truncated_(const GwEndpointCall *call);
 static void scan_json_(JsonScan *scan, const char *data, size_t len);
+static void scan_events_(EventScan *scan, const char *data, size_t len);
 static void split_events_(GwEndpointCall *call);
 static void process_event_(GwEndpointCall *call, const char *event,
                            size_t len);
@@ -118,12 +127,15 @@
 
     if (call->is_engine_call && call->status == 503)
         return;
-    if (call->is_event_stream) {
+    if (call->is_event_stream && call->is_engine_call) {
         g_byte_array_append(call->partial, (const guint8 *)data, (guint)len);
         split_events_(call);
         return;
     }
-    if (call->is_engine_call) {
+    if (call->is_event_stream) {
+        scan_events_(&call->events, data, len);
+    }
+    else if (call->is_engine_call) {
         scan_json_(&call->json, data, len);
         if (call->partial->len + len <= USAGE_BODY_MAX_BYTES)
             g_byte_array_append(call->partial, (const guint8 *)data,
@@ -158,10 +170,11 @@
 static bool
 is_truncated_(const GwEndpointCall *call)
 {
+    if (call->is_event_stream)
+        return call->is_engine_call ? !call->has_done_marker
+                                    : call->events.in_event;
     if (!call->is_engine_call)
         return false;
-    if (call->is_event_stream)
-        return !call->has_done_marker;
     return call->status == 200 &&
            (!call->json.any || call->json.depth > 0 || call->json.in_string);
 }
@@ -194,6 +207,27 @@
     }
 }
 
+// Lines may end with a carriage return, a line feed, or both.
+static void
+scan_events_(EventScan *scan, const char *data, size_t len)
+{
+    for (size_t i = 0; i < len; i++) {
+        bool is_cr = data[i] == '\r';
+        bool is_lf = data[i] == '\n';
+
+        if (is_lf && scan->after_cr) {
+            scan->after_cr = false;
+            continue;
+        }
+        scan->after_cr = is_cr;
+        if (!is_cr && !is_lf)
+            scan->in_event = true;
+        else if (!scan->in_line)
+            scan->in_event = false;
+        scan->in_line = !is_cr && !is_lf;
+    }
+}
+
 static void
 split_events_(GwEndpointCall *call)
 {
--- a/packages/endpoint/tests/truncated_answer_test.cc
+++ b/packages/endpoint/tests/truncated_answer_test.cc
@@ -208,3 +208,42 @@
         }
     }
 }
+
+// A plain service ends a stream inside an event; guards against dropping the
+// part of the event and reporting the answer as complete.
+TEST_F(TruncatedAnswer, ServiceStreamEndsBehindAnEvent)
+{
+    const std::string event = "id: 1\ndata: t1\n\n";
+    const struct {
+        const char *name;
+        std::string body;
+        GwEndpointOutcome outcome;
+    } cases[] = {
+        {"whole", event, GW_ENDPOINT_COMPLETE},
+        {"whole, with CRLF", "id: 1\r\ndata: t1\r\n\r\n",
+         GW_ENDPOINT_COMPLETE},
+        {"whole, with CR", "id: 1\rdata: t1\r\r", GW_ENDPOINT_COMPLETE},
+        {"whole, with another empty line", event + "\n", GW_ENDPOINT_COMPLETE},
+        {"one byte", event + "i", GW_ENDPOINT_BROKEN},
+        {"a whole line", event + "id: 2\n", GW_ENDPOINT_BROKEN},
+        {"all but the empty line", event + "id: 2\ndata: t2\n",
+         GW_ENDPOINT_BROKEN},
+        {"all but the empty line, with CRLF", event + "data: t2\r\n",
+         GW_ENDPOINT_BROKEN},
+    };
+
+    type = "text/event-stream";
+    for (auto &f : kFramings) {
+        framing = f.framing;
+        for (auto &c : cases) {
+            body = c.body;
+            CallRecord record = Play(false);
+
+            EXPECT_EQ(record.result.outcome, c.outcome)
+                << f.name << ", " << c.name;
+            if (c.outcome == GW_ENDPOINT_COMPLETE) {
+                EXPECT_EQ(record.body, c.body) << f.name << ", " << c.name;
+            }
+        }
+    }
+}
