HTTP client: a reset or a missing final chunk is a broken answer

Callers of plain services, and of engines without "stream", got an answer that was framed as complete although the connection to the endpoint had been reset: in chunks without the final one, and without length and chunks. libwebsockets reports the end of the connection as the end of the answer in both framings, whether it was an orderly close or a reset, and gives no means to tell them apart. The same client reads the platform's log, the instance list and the engine's reports. It also did not take an answer with Content-Length: 0 for complete; such a request of a service ended with the timeout, as broken.

The client now uses GwTcp and GwHttpReader, as the gateway's client does: an answer is complete after its length, its final chunk, or, with neither, an orderly close. It moves from packages/net to packages/http, which has the reader; platform and endpoint now depend on http.

--- a/bench/src/load.h
+++ b/bench/src/load.h
@@ -2,7 +2,7 @@
 #ifndef GALENAGW_BENCH_LOAD_H
 #define GALENAGW_BENCH_LOAD_H
 
-#include "galenagw/net/http_client.h"
+#include "galenagw/http/client.h"
 #include "workload.h"
 
 #define MAX_TARGETS 16
--- a/fakes/include/galenagw/fakes/world.h
+++ b/fakes/include/galenagw/fakes/world.h
@@ -17,7 +17,7 @@
 #include "galenagw/fakes/fake_hop.h"
 #include "galenagw/fakes/fake_platform.h"
 #include "galenagw/fakes/fake_service.h"
-#include "galenagw/net/http_client.h"
+#include "galenagw/http/client.h"
 
 // A caller's request and its answer.
 struct Call {
--- a/packages/endpoint/include/galenagw/endpoint/endpoint.h
+++ b/packages/endpoint/include/galenagw/endpoint/endpoint.h
@@ -11,7 +11,7 @@
 #ifndef GALENAGW_ENDPOINT_ENDPOINT_H
 #define GALENAGW_ENDPOINT_ENDPOINT_H
 
-#include "galenagw/net/http_client.h"
+#include "galenagw/http/client.h"
 #include "galenagw/policy/cache_view.h"
 
 #ifdef __cplusplus
--- a/packages/endpoint/tests/truncated_answer_test.cc
+++ b/packages/endpoint/tests/truncated_answer_test.cc
@@ -224,6 +224,7 @@
          GW_ENDPOINT_COMPLETE},
         {"whole, with CR", "id: 1\rdata: t1\r\r", GW_ENDPOINT_COMPLETE},
         {"whole, with another empty line", event + "\n", GW_ENDPOINT_COMPLETE},
+        {"no event", "", GW_ENDPOINT_COMPLETE},
         {"one byte", event + "i", GW_ENDPOINT_BROKEN},
         {"a whole line", event + "id: 2\n", GW_ENDPOINT_BROKEN},
         {"all but the empty line", event + "id: 2\ndata: t2\n",
@@ -247,3 +248,31 @@
         }
     }
 }
+
+// An endpoint resets the connection behind a body that looks whole; guards
+// against reporting the answer as complete.
+TEST_F(TruncatedAnswer, IsBrokenAfterAReset)
+{
+    const struct {
+        const char *name, *type, *body;
+        bool is_engine;
+    } cases[] = {
+        {"JSON of an engine", "application/json", kJson, true},
+        {"JSON of a service", "application/json", kJson, false},
+        {"text of a service", "text/plain", "abc", false},
+        {"stream of a service", "text/event-stream", kEvent, false},
+    };
+
+    end = End::kReset;
+    for (auto &f : kFramings) {
+        framing = f.framing;
+        for (auto &c : cases) {
+            type = c.type;
+            body = c.body;
+            CallRecord record = Play(c.is_engine);
+
+            EXPECT_EQ(record.result.outcome, GW_ENDPOINT_BROKEN)
+                << f.name << ", " << c.name;
+        }
+    }
+}
--- a/packages/entry/program/admin_command.c
+++ b/packages/entry/program/admin_command.c
@@ -4,7 +4,7 @@
 
 #include "commands.h"
 #include "galenagw/base/log.h"
-#include "galenagw/net/http_client.h"
+#include "galenagw/http/client.h"
 
 typedef struct {
     GwAddress admin;
--- a/packages/net/include/galenagw/net/http_client.h
+++ b/packages/http/include/galenagw/http/client.h
@@ -6,8 +6,8 @@
  * decides whether a retry is safe.
  * @{
  */
-#ifndef GALENAGW_NET_HTTP_CLIENT_H
-#define GALENAGW_NET_HTTP_CLIENT_H
+#ifndef GALENAGW_HTTP_CLIENT_H
+#define GALENAGW_HTTP_CLIENT_H
 
 #include "galenagw/base/settings.h"
 #include "galenagw/net/loop.h"
@@ -38,7 +38,7 @@
 typedef struct {
     /** The answer's head; @p type is its content type, "" if absent. */
     void (*on_head)(void *user, int status, const char *type);
-    /** Bytes of the answer's body. */
+    /** At most 4 KiB of the answer's body. */
     void (*on_data)(void *user, const char *data, size_t len);
     /** The request has ended; its memory is freed afterwards. */
     void (*on_done)(void *user, GwHttpOutcome outcome);
--- a/packages/net/src/loop.c
+++ b/packages/net/src/loop.c
@@ -55,7 +55,6 @@
 static int wake_fd = -1;
 
 static const struct lws_protocols client_protocols[] = {
-    {"gw-http-client", GwHttpClient_Callback, 0, 0, 0, NULL, 0},
     {"gw-tcp", GwTcp_Callback, 0, 0, 0, NULL, 0},
     {"gw-tcp-server", GwTcpServer_Callback, 0, 0, 0, NULL, 0},
     {"gw-wake", GwLoop_WakeCallback, 0, 0, 0, NULL, 0},
--- a/packages/net/src/net_private.h
+++ b/packages/net/src/net_private.h
@@ -5,9 +5,6 @@
 
 #include <libwebsockets.h>
 
-/* Events of the connections of GwHttpRequest. */
-int GwHttpClient_Callback(struct lws *wsi, enum lws_callback_reasons reason,
-                          void *user, void *in, size_t len);
 /* Events of the sockets of GwTcp. */
 int GwTcp_Callback(struct lws *wsi, enum lws_callback_reasons reason,
                    void *user, void *in, size_t len);
--- a/packages/platform/include/galenagw/platform/instance_list.h
+++ b/packages/platform/include/galenagw/platform/instance_list.h
@@ -11,7 +11,7 @@
 #ifndef GALENAGW_PLATFORM_INSTANCE_LIST_H
 #define GALENAGW_PLATFORM_INSTANCE_LIST_H
 
-#include "galenagw/net/http_client.h"
+#include "galenagw/http/client.h"
 
 #ifdef __cplusplus
 extern "C" {
--- a/packages/platform/include/galenagw/platform/log_service.h
+++ b/packages/platform/include/galenagw/platform/log_service.h
@@ -15,7 +15,7 @@
 #include <jansson.h>
 
 #include "galenagw/base/counters.h"
-#include "galenagw/net/http_client.h"
+#include "galenagw/http/client.h"
 
 #ifdef __cplusplus
 extern "C" {
