Entry: a service's stream that was broken off does not end in order

Callers of a plain service got a stream whose endpoint failed after its first events with one more event, that of the error, and then the final chunk. The missing end marker tells callers of models that the answer is incomplete; the streams of services have no such marker, so their answer looked complete.

The entry now closes the connection without the final chunk, as for the other formats that have no place for an error.

Test TruncatedServiceStream.IsNotSentAsComplete failed before in the case "inside an event".

--- a/packages/entry/src/exchange_private.c
+++ b/packages/entry/src/exchange_private.c
@@ -104,9 +104,10 @@
     return MAX(x->deadline - GwTime_Now(), GW_MILLISECOND);
 }
 
-// End an answer whose head was sent already. An event stream gets an error
-// event and no end marker, so that the caller cannot take it for complete.
-// Other formats have no place for an error: the connection is aborted.
+// End an answer whose head was sent already. A model's event stream gets an
+// error event and no end marker, so that the caller cannot take it for
+// complete. Other formats have no place for an error, and a service's stream
+// has no end marker: the connection is closed without the end of the answer.
 static void
 end_with_error_(Exchange *x, GwRefusal refusal, GwRan ran)
 {
@@ -117,7 +118,7 @@
 
     GwCounters_AddRefusal(&x->entry->counters, refusal);
     GwHttpCall_SetUser(call, NULL);
-    if (x->is_event_stream) {
+    if (x->is_event_stream && !x->request.service) {
         GwHttpCall_Write(call, event, strlen(event));
         GwHttpCall_End(call);
     }
