HTTP server: answers to HTTP/1.0 have no chunks and end by a reset if broken

Callers of HTTP/1.0 got streamed answers with chunked transfer coding, which that version does not know: chunk sizes appeared in the content, and a broken answer, whose connection was closed in order, looked like a complete one.

GwHttpCall_Begin now sends such a client an answer that ends with its connection. From its first byte until its end, any close of the connection is a reset: GwHttpCall_Abort, the end of the server or of the process, and a close with unsent bytes after the linger time. GwTcp_ResetUnlessFinished sets this in the kernel, and GwTcp_Finish clears it once all queued bytes are written. Callers of HTTP/1.1 with "Connection: close" see a broken answer by its missing final chunk, as before.

--- a/packages/http/include/galenagw/http/message.h
+++ b/packages/http/include/galenagw/http/message.h
@@ -40,6 +40,8 @@
     int status;         /**< of a response */
     bool keep_alive;    /**< according to the HTTP version and Connection */
     bool chunked;
+    /** the sender understands chunks: its HTTP version is 1.1 or later */
+    bool accepts_chunks;
     int64_t length; /**< value of Content-Length; -1: absent */
 } GwHttpHead;
 
--- a/packages/http/include/galenagw/http/server.h
+++ b/packages/http/include/galenagw/http/server.h
@@ -118,8 +118,18 @@
 /** Send a complete answer. The call must not be used afterwards. */
 void GwHttpCall_Respond(GwHttpCall *call, int status, const char *type,
                         const char *body, size_t len);
-/** Start a streamed answer (chunked transfer coding). */
+/**
+ * Start a streamed answer: with chunked transfer coding, or, for a client of
+ * HTTP/1.0, which does not know it, ended by the end of the connection.
+ */
 void GwHttpCall_Begin(GwHttpCall *call, int status, const char *type);
+/**
+ * For an answer without length and chunks, before its first byte: it ends with
+ * its connection. Until GwHttpCall_Done or GwHttpCall_End, any close of the
+ * connection is a reset, so that a truncated answer cannot be mistaken for a
+ * complete one.
+ */
+void GwHttpCall_EndWithConnection(GwHttpCall *call);
 /** Send a piece of a streamed answer; an empty one is ignored. */
 void GwHttpCall_Write(GwHttpCall *call, const char *data, size_t len);
 /** End a streamed answer. The call must not be used afterwards. */
--- a/packages/http/src/message.c
+++ b/packages/http/src/message.c
@@ -249,6 +249,7 @@
     head->method = http_method_str((enum http_method)parser->method);
     head->status = parser->status_code;
     head->keep_alive = http_should_keep_alive(parser) != 0;
+    head->accepts_chunks = parser->http_major > 1 || parser->http_minor > 0;
     head->chunked = (parser->flags & F_CHUNKED) != 0;
     head->length = (parser->flags & F_CONTENTLENGTH) != 0
                        ? (int64_t)parser->content_length
--- a/packages/http/src/server.c
+++ b/packages/http/src/server.c
@@ -26,6 +26,7 @@
     void *user;
     bool delivered;      /* on_call was called */
     bool answer_started; /* bytes of an answer were sent */
+    bool is_unframed;    /* see GwHttpCall_EndWithConnection */
 };
 
 struct Connection {
@@ -245,11 +246,23 @@
 void
 GwHttpCall_Begin(GwHttpCall *call, int status, const char *type)
 {
-    static const char coding[] = "transfer-encoding: chunked\r\n"
-                                 "cache-control: no-store\r\n\r\n";
+    static const char chunked[] = "transfer-encoding: chunked\r\n";
+    static const char end[] = "cache-control: no-store\r\n\r\n";
 
+    if (call->head != NULL && !call->head->accepts_chunks)
+        GwHttpCall_EndWithConnection(call);
     send_head_start_(call, status, type);
-    GwHttpCall_Send(call, coding, sizeof(coding) - 1);
+    if (!call->is_unframed)
+        GwHttpCall_Send(call, chunked, sizeof(chunked) - 1);
+    GwHttpCall_Send(call, end, sizeof(end) - 1);
+}
+
+void
+GwHttpCall_EndWithConnection(GwHttpCall *call)
+{
+    call->is_unframed = true;
+    call->conn->must_close = true;
+    GwTcp_ResetUnlessFinished(call->conn->tcp);
 }
 
 void
@@ -260,6 +273,10 @@
     // A chunk of size 0 would end the answer.
     if (len == 0)
         return;
+    if (call->is_unframed) {
+        GwHttpCall_Send(call, data, len);
+        return;
+    }
     // The chunk is written in one piece, because each write causes a system
     // call and a packet.
     chunk = g_string_sized_new(len + CHUNK_FRAMING_BYTES);
@@ -272,7 +289,8 @@
 void
 GwHttpCall_End(GwHttpCall *call)
 {
-    GwHttpCall_Send(call, "0\r\n\r\n", 5);
+    if (!call->is_unframed)
+        GwHttpCall_Send(call, "0\r\n\r\n", 5);
     GwHttpCall_Done(call, false);
 }
 
@@ -312,7 +330,15 @@
 void
 GwHttpCall_Abort(GwHttpCall *call)
 {
-    close_connection_(call->conn);
+    Connection *c = call->conn;
+
+    if (!call->is_unframed) {
+        close_connection_(c);
+        return;
+    }
+    GwTcp_Reset(c->tcp);
+    c->tcp = NULL;
+    free_connection_(c);
 }
 
 size_t
--- /dev/null
+++ b/packages/http/tests/server_test.cc
@@ -0,0 +1,119 @@
+// Ends of streamed answers, as clients of each HTTP version see them.
+#include "galenagw/fakes/loop_test.h"
+
+#include <string>
+
+#include "galenagw/http/server.h"
+#include "galenagw/net/tcp.h"
+
+namespace {
+
+enum class How { kEnd, kAbort, kDelete };
+
+struct StreamedAnswer : LoopTest {
+    GwHttpServer *server = nullptr;
+    GwHttpCall *call = nullptr;
+    std::string received;
+    bool closed = false;
+    GwTcpEnd end = GW_TCP_UNREACHABLE;
+
+    // Sends a request, and answers it by "abc" and an end.
+    void
+    Play(const char *request, How how)
+    {
+        static const GwHttpServerOps server_ops = {
+            [](void *u, GwHttpCall *c) {
+                static_cast<StreamedAnswer *>(u)->call = c;
+            },
+            nullptr, nullptr, nullptr};
+        static const GwTcpOps client_ops = {
+            nullptr,
+            [](void *u, const uint8_t *data, size_t len) {
+                static_cast<StreamedAnswer *>(u)->received.append(
+                    reinterpret_cast<const char *>(data), len);
+            },
+            [](void *u, GwTcpEnd e) {
+                static_cast<StreamedAnswer *>(u)->closed = true;
+                static_cast<StreamedAnswer *>(u)->end = e;
+            },
+            nullptr};
+        GwHttpServerOptions options = {};
+        GwAddress address = kAny;
+
+        received = "";
+        closed = false;
+        call = nullptr;
+        options.address = kAny;
+        options.ops = &server_ops;
+        options.user = this;
+        server = GwHttpServer_New(loop, &options, nullptr);
+        address.port = GwHttpServer_Port(server);
+        GwTcp *tcp = GwTcp_Connect(loop, &address, &client_ops, this);
+        GwTcp_Write(tcp, reinterpret_cast<const uint8_t *>(request),
+                    strlen(request));
+        ASSERT_TRUE(Until([&] { return call != nullptr; }));
+        GwHttpCall_Begin(call, 200, "text/plain");
+        GwHttpCall_Write(call, "abc", 3);
+        ASSERT_TRUE(
+            Until([&] { return received.find("abc") != std::string::npos; }));
+        if (how == How::kEnd)
+            GwHttpCall_End(call);
+        else if (how == How::kAbort)
+            GwHttpCall_Abort(call);
+        if (how == How::kDelete) {
+            GwHttpServer_Delete(server);
+            server = nullptr;
+        }
+        EXPECT_TRUE(Until([&] { return closed; }));
+        GwHttpServer_Delete(server);
+    }
+    void
+    TearDown() override
+    {
+        GwLoop_Delete(loop);
+    }
+};
+
+const struct {
+    const char *name;
+    How how;
+} kEnds[] = {
+    {"complete", How::kEnd},
+    {"aborted", How::kAbort},
+    {"server deleted", How::kDelete},
+};
+
+} // namespace
+
+// An answer to a client of HTTP/1.0; guards against chunks, which it takes for
+// content, and against an orderly close behind a part of the answer.
+TEST_F(StreamedAnswer, EndsWithTheConnectionInHttp10)
+{
+    const char *const requests[] = {
+        "GET / HTTP/1.0\r\n\r\n",
+        "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
+    };
+
+    for (const char *request : requests) {
+        for (auto &e : kEnds) {
+            Play(request, e.how);
+            EXPECT_EQ(received.find("chunked"), std::string::npos) << e.name;
+            EXPECT_EQ(received.substr(received.find("\r\n\r\n") + 4), "abc")
+                << e.name;
+            EXPECT_EQ(end, e.how == How::kEnd ? GW_TCP_FINISHED : GW_TCP_RESET)
+                << e.name;
+        }
+    }
+}
+
+// An answer to a client that reuses no connection; guards against a final
+// chunk behind a part of the answer.
+TEST_F(StreamedAnswer, HasAFinalChunkOnlyIfComplete)
+{
+    for (auto &e : kEnds) {
+        Play("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", e.how);
+        EXPECT_EQ(received.find("0\r\n\r\n") != std::string::npos,
+                  e.how == How::kEnd)
+            << e.name;
+    }
+}
--- a/packages/net/include/galenagw/net/tcp.h
+++ b/packages/net/include/galenagw/net/tcp.h
@@ -83,6 +83,12 @@
  * complete one. No further callback.
  */
 void GwTcp_Reset(GwTcp *tcp);
+/**
+ * From now on, any close of the established stream is a reset, also that by
+ * the end of the process, unless GwTcp_Finish has written all queued bytes.
+ * For an answer whose end is the end of the connection.
+ */
+void GwTcp_ResetUnlessFinished(GwTcp *tcp);
 /** Set the callbacks of an accepted stream; call it inside on_accept. */
 void GwTcp_SetOps(GwTcp *tcp, const GwTcpOps *ops, void *user);
 
--- a/packages/net/src/tcp.c
+++ b/packages/net/src/tcp.c
@@ -61,6 +61,7 @@
     bool finishing;       /* in an orderly close, see GwTcp_Finish */
     bool write_failed;    /* a write to the socket failed */
     bool drops_abandoned; /* see GwTcp_DropAbandoned */
+    bool resets;          /* see GwTcp_ResetUnlessFinished */
     GwTcpEnd end;         /* reported by on_closed */
     /* callbacks in progress; above 0 the struct must not be freed */
     int callback_depth;
@@ -95,6 +96,8 @@
 static int on_writable_(GwTcp *tcp);
 static int read_socket_(GwTcp *tcp);
 static bool has_peer_closed_(const GwTcp *tcp);
+static void set_reset_on_close_(const GwTcp *tcp, bool on);
+static void shut_down_output_(GwTcp *tcp);
 static bool write_output_(GwTcp *tcp);
 static void compact_output_(GwTcp *tcp);
 static void report_closed_(GwTcp *tcp);
@@ -169,7 +172,7 @@
     GwTcp_Pause(tcp, false);
     GwTimer_Start(&tcp->timer, FINISH_LINGER_TIME);
     if (GwTcp_Pending(tcp) == 0)
-        shutdown(tcp->fd, SHUT_WR);
+        shut_down_output_(tcp);
     else
         lws_callback_on_writable(tcp->wsi);
 }
@@ -177,15 +180,21 @@
 void
 GwTcp_Reset(GwTcp *tcp)
 {
-    struct linger now = {1, 0};
-
     if (tcp == NULL || tcp->closed)
         return;
     if (tcp->wsi != NULL)
-        setsockopt(tcp->fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+        set_reset_on_close_(tcp, true);
     GwTcp_Close(tcp);
 }
 
+void
+GwTcp_ResetUnlessFinished(GwTcp *tcp)
+{
+    tcp->resets = true;
+    if (tcp->wsi != NULL)
+        set_reset_on_close_(tcp, true);
+}
+
 void
 GwTcp_DropAbandoned(GwTcp *tcp)
 {
@@ -432,7 +441,7 @@
         return 0;
     }
     if (tcp->finishing) {
-        shutdown(tcp->fd, SHUT_WR);
+        shut_down_output_(tcp);
         return 0;
     }
     if (was_pending && tcp->ops->on_drained != NULL) {
@@ -479,6 +488,23 @@
     return 0;
 }
 
+// The kernel keeps this setting, so that it also applies if the process ends.
+static void
+set_reset_on_close_(const GwTcp *tcp, bool on)
+{
+    struct linger linger = {on, 0};
+
+    setsockopt(tcp->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
+static void
+shut_down_output_(GwTcp *tcp)
+{
+    if (tcp->resets)
+        set_reset_on_close_(tcp, false);
+    shutdown(tcp->fd, SHUT_WR);
+}
+
 // Whether the peer has closed the connection and all its bytes were read.
 static bool
 has_peer_closed_(const GwTcp *tcp)
