--- a/soak/src/platform.h
+++ b/soak/src/platform.h
@@ -128,7 +128,8 @@
                          const std::string &request);
     void StartStream(FakeExchange *x, const std::string &head,
                      const std::string &request);
-    /* An event of the stream is due. */
+    /* Before each piece of a stream: check that its caller did not abandon it
+     * too long ago. */
     void CheckAbandoned(const std::string &request, bool *is_recorded) const;
     /* Start to load weights, unless a load is running or the order was sent
      * for another number of previous orders. */
