Software versions: the departure of an endpoint of unknown version is not remembered

After two restarts of an endpoint before its row was read, or its removal in that time, a service of one version counted as one of two for 60 s, and callers who took up a stream were refused.

Streams that may be resumed begin at an endpoint of unknown version only if no other is usable, so nothing is lost.

--- a/packages/routing/include/galenagw/routing/software.h
+++ b/packages/routing/include/galenagw/routing/software.h
@@ -39,7 +39,7 @@
  * were dropped have expired.
  *
  * Identity 0 is an endpoint whose version is unknown. Each of them counts as a
- * version of its own.
+ * version of its own while it is listed.
  */
 typedef struct GwSoftwareHistory GwSoftwareHistory;
 
--- a/packages/routing/src/software.c
+++ b/packages/routing/src/software.c
@@ -116,7 +116,10 @@
         g_array_remove_index_fast(
             s->listed,
             (guint)(listed - &g_array_index(s->listed, ListedSoftware, 0)));
-    add_departed_(s, identity, now);
+    // No stream that can be resumed begins at an unknown version as long as
+    // there is another endpoint.
+    if (identity != 0)
+        add_departed_(s, identity, now);
     if (is_listed_(s))
         return;
     history->n_unlisted++;
