--- a/packages/gateway/src/request_origin.c
+++ b/packages/gateway/src/request_origin.c
@@ -68,6 +68,9 @@
 {
     uint64_t only;
 
+    if (r->is_origin_stored)
+        return;
+    r->is_origin_stored = true;
     if (!r->has_begun) {
         r->has_begun = true;
         r->software = r->instance->software;
--- a/packages/gateway/src/request_private.h
+++ b/packages/gateway/src/request_private.h
@@ -65,10 +65,11 @@
     bool head_sent; /* to the caller */
     GwFraming framing;
     GwEventSplitter event_splitter;
-    bool has_begun;    /* its stream: the caller has events of it */
-    uint64_t software; /* that began its stream; 0: none yet, or unknown */
-    uint64_t stream;   /* GwStreamOrigins_Hash of the request that began its
-                          stream; 0: none yet */
+    bool has_begun;        /* its stream: the caller has events of it */
+    bool is_origin_stored; /* see GwRequestOrigin_Begun */
+    uint64_t software;     /* that began its stream; 0: none yet, or unknown */
+    uint64_t stream; /* GwStreamOrigins_Hash of the request that began its
+                        stream; 0: none yet */
     GwOriginAsk origin_ask;
 };
 
