Gateway: callers of HTTP/1.0 get no chunks, and a reset for a truncated answer

A caller of HTTP/1.0 got chunk sizes in its body, and the orderly close of a truncated answer was the same as the end of a complete one.

The answer now ends with its connection where the caller knows no chunks, and any earlier close is a reset, as in the server of the own interface. TruncatedStream.CallerOfHttp10SeesTheEnd failed before.

--- a/packages/gateway/src/request_answer.c
+++ b/packages/gateway/src/request_answer.c
@@ -23,6 +23,7 @@
 static bool is_event_stream_(const GwHttpHead *head);
 static void forward_body_(GwRequest *r, const char *data, size_t len);
 static void send_head_(GwRequest *r);
+static GwFraming framing_(const GwRequest *r);
 static void write_body_(GwRequest *r, const char *data, size_t len);
 
 void
@@ -160,15 +161,12 @@
 send_head_(GwRequest *r)
 {
     g_autoptr(GString) out = g_string_new(NULL);
-    bool close = GwHttpCall_MustClose(r->call);
 
-    r->framing = GW_FRAMING_LENGTH;
-    if (strcmp(r->head->method, "HEAD") == 0 || r->reply_head->status == 204 ||
-        r->reply_head->status == 304)
-        r->framing = GW_FRAMING_NONE;
-    else if (r->is_events || r->reply_head->length < 0)
-        r->framing = GW_FRAMING_CHUNKED;
-    GwMessages_EncodeReply(r->reply_head, r->framing, close, out);
+    r->framing = framing_(r);
+    if (r->framing == GW_FRAMING_CONNECTION)
+        GwHttpCall_EndWithConnection(r->call);
+    GwMessages_EncodeReply(r->reply_head, r->framing,
+                           GwHttpCall_MustClose(r->call), out);
     GwHttpCall_Send(r->call, out->str, out->len);
     r->head_sent = true;
     r->first_byte_at = GwTime_Now();
@@ -177,6 +175,19 @@
         (uint64_t)(r->first_byte_at - r->arrived_at));
 }
 
+// Framing of the answer to the caller.
+static GwFraming
+framing_(const GwRequest *r)
+{
+    if (strcmp(r->head->method, "HEAD") == 0 || r->reply_head->status == 204 ||
+        r->reply_head->status == 304)
+        return GW_FRAMING_NONE;
+    if (!r->is_events && r->reply_head->length >= 0)
+        return GW_FRAMING_LENGTH;
+    return r->head->accepts_chunks ? GW_FRAMING_CHUNKED
+                                   : GW_FRAMING_CONNECTION;
+}
+
 static void
 write_body_(GwRequest *r, const char *data, size_t len)
 {
--- a/packages/gateway/tests/truncated_stream_test.cc
+++ b/packages/gateway/tests/truncated_stream_test.cc
@@ -298,3 +298,38 @@
     EXPECT_EQ(g->counters.plain[GW_COUNTER_UPSTREAM_OPENED], 1u)
         << "no check whether the endpoint has terminated";
 }
+
+// A caller of HTTP/1.0, which knows no chunks, gets a stream that ends with
+// its connection; guards against chunk sizes in its body, and against an
+// orderly end of a truncated stream.
+TEST(TruncatedStream, CallerOfHttp10SeesTheEnd)
+{
+    const struct {
+        std::string body;
+        bool is_complete;
+    } cases[] = {{Event(1) + Event(2), true},
+                 {Event(1) + Event(2) + "id: 3\nda", false}};
+
+    for (const auto &c : cases) {
+        Fleet f;
+        f.Configure(1);
+        Endpoint *e = f.AddEndpoint("i-1", "model");
+        e->serve = [&](Endpoint *, FakeExchange *x) {
+            SendAnswer(x, Framing::kChunked, c.body);
+        };
+        GwGateway *g = f.AddGateway();
+        ASSERT_TRUE(f.Ready());
+        std::string text = Fleet::Request("POST", "/stream/1", "x");
+        text.replace(text.find("HTTP/1.1"), strlen("HTTP/1.1"), "HTTP/1.0");
+        auto caller = f.Call(g, text);
+
+        EXPECT_TRUE(f.Until([&] { return caller->closed; }));
+        EXPECT_EQ(caller->end == GW_TCP_FINISHED, c.is_complete) << c.body;
+        EXPECT_EQ(caller->Header("Transfer-Encoding"), "");
+        if (c.is_complete) {
+            EXPECT_NE(caller->received.find("\r\n\r\n" + c.body),
+                      std::string::npos)
+                << caller->received;
+        }
+    }
+}
--- a/packages/routing/src/stream_origins.c
+++ b/packages/routing/src/stream_origins.c
@@ -20,7 +20,7 @@
 
 struct GwStreamOrigins {
     size_t max;
-    GHashTable *table;         /* set of Origin */
+    GHashTable *table;                   /* set of Origin */
     TAILQ_HEAD(OriginList, Origin) list; /* by stored_at */
 };
 
