Modules of stream origins without circles

request_software keeps the version of a stream, request_origin looks it up; peers_origins has what needs the peers, origin_sync the queries and the table. No change of behaviour.

--- a/packages/cluster/src/origin_sync.c
+++ b/packages/cluster/src/origin_sync.c
@@ -1,72 +1,20 @@
 #include "origin_sync.h"
 
-#include "galenagw/cluster/peers.h"
-#include "peers_private.h"
-
-/* Number of agents that the origin of a stream is sent to: it remains known if
- * one of them fails. */
-#define ORIGIN_COPIES 2
-
-static unsigned select_owners_(const GwPeers *p, uint64_t stream,
-                               const Peer *owners[ORIGIN_COPIES]);
 static unsigned known_versions_(const GwOriginSync *sync,
                                 const GwInstances *instances,
                                 const char *service);
-static void ask_agent_(GwOriginAsk *ask, const Peer *peer,
-                       const GwFrame *frame);
 static void on_timer_(void *user);
 static bool remove_asked_(GwOriginAsk *ask, const GwSession *session);
 static void decide_soon_(GwOriginAsk *ask, GwOriginAnswer answer,
                          uint64_t software);
 
 void
-GwPeers_TellStreamOrigin(GwPeers *p, uint64_t stream, uint64_t software)
-{
-    const Peer *owners[ORIGIN_COPIES];
-    unsigned n = select_owners_(p, stream, owners);
-    GW_FRAME(frame, msg, STREAM_ORIGIN_TELL, StreamOriginTell,
-             stream_origin_tell);
-
-    msg.stream = stream;
-    msg.software = software;
-    for (unsigned i = 0; i < n; i++)
-        GwSession_Send(owners[i]->session, &frame);
-    GwCounters_Add(p->options.counters, GW_COUNTER_ORIGINS_TOLD, n);
-}
-
-void
-GwPeers_AskStreamOrigin(GwPeers *p, uint64_t stream, GwOriginAsk *ask)
+GwOriginSync_Wait(GwOriginSync *sync, GwLoop *loop, GwOriginAsk *ask)
 {
-    GW_FRAME(frame, msg, STREAM_ORIGIN_ASK, StreamOriginAsk,
-             stream_origin_ask);
-    Peer *peer;
-
-    msg.stream = stream;
-    msg.service = ask->service != NULL ? (char *)ask->service : "";
-    ask->stream = stream;
-    ask->software = 0;
-    ask->versions = 0;
-    ask->answer = GW_ORIGIN_NO_ANSWER;
-    ask->has_failed = false;
-    ask->n_asked = 0;
-    for (unsigned i = 0; i < p->owner_pool.n; i++)
-        ask_agent_(ask, GwPeers_FindReadyAgent(p, p->owner_pool.nodes[i]),
-                   &frame);
-    ask->n_owners = ask->n_asked;
-    // Agents that have left the pool since the stream began, as when endpoints
-    // are replaced, still store its origin.
-    TAILQ_FOREACH(peer, &p->peers, link)
-    {
-        if (peer->is_outbound && !peer->is_entry &&
-            GwSession_IsReady(peer->session) &&
-            !GwLimitPool_Has(&p->owner_pool, peer->address_hash))
-            ask_agent_(ask, peer, &frame);
-    }
-    GwTimer_Init(&ask->timer, p->loop, on_timer_, ask);
+    GwTimer_Init(&ask->timer, loop, on_timer_, ask);
     GwTimer_Start(&ask->timer, ask->n_asked > 0 ? GW_ORIGIN_ASK_TIMEOUT : 0);
-    LIST_INSERT_HEAD(&p->origin_sync.asks, ask, link);
+    LIST_INSERT_HEAD(&sync->asks, ask, link);
     ask->is_waiting = true;
-    GwCounters_Add(p->options.counters, GW_COUNTER_ORIGIN_ASKS, 1);
 }
 
 void
@@ -157,38 +105,6 @@
     }
 }
 
-// Writes the connected agents of the pool with the highest ranks for the
-// stream. The second one is of another failure domain than the first if any
-// is. Returns their number.
-static unsigned
-select_owners_(const GwPeers *p, uint64_t stream,
-               const Peer *owners[ORIGIN_COPIES])
-{
-    uint64_t nodes[GW_LIMIT_POOL_MAX];
-    unsigned n_nodes = GwLimitPool_Rank(&p->owner_pool, stream, nodes);
-    unsigned n = 0;
-
-    for (unsigned i = 0; i < n_nodes; i++) {
-        const Peer *peer = GwPeers_FindReadyAgent(p, nodes[i]);
-
-        if (peer == NULL)
-            continue;
-        if (n == 0 || peer->failure_domain != owners[0]->failure_domain) {
-            owners[n] = peer;
-            if (n++ > 0)
-                return n;
-        }
-    }
-    // All are of one failure domain.
-    for (unsigned i = 0; i < n_nodes && n == 1; i++) {
-        const Peer *peer = GwPeers_FindReadyAgent(p, nodes[i]);
-
-        if (peer != NULL && peer != owners[0])
-            owners[n++] = peer;
-    }
-    return n;
-}
-
 // A process that started a short time ago has not seen versions that departed
 // before. Several versions are certain nevertheless.
 static unsigned
@@ -202,15 +118,6 @@
     return n > 1 || now - sync->started_at >= GW_STREAM_LIFETIME ? n : 0;
 }
 
-static void
-ask_agent_(GwOriginAsk *ask, const Peer *peer, const GwFrame *frame)
-{
-    if (peer == NULL || ask->n_asked == GW_ORIGIN_ASKED_MAX)
-        return;
-    GwSession_Send(peer->session, frame);
-    ask->asked[ask->n_asked++] = peer->session;
-}
-
 // The query is decided, or an agent did not answer in time.
 static void
 on_timer_(void *user)
--- a/packages/cluster/src/origin_sync.h
+++ b/packages/cluster/src/origin_sync.h
@@ -17,6 +17,9 @@
 void GwOriginSync_Init(GwOriginSync *sync, bool is_agent);
 /* Stops the waiting queries without callback, and frees the table. */
 void GwOriginSync_Stop(GwOriginSync *sync);
+/* Entry: @p ask was sent to the agents in its `asked`; wait for the answers.
+ */
+void GwOriginSync_Wait(GwOriginSync *sync, GwLoop *loop, GwOriginAsk *ask);
 /* Agent: store the origin that an entry sent. */
 void GwOriginSync_OnTell(GwOriginSync *sync,
                          const Gw__Wire__StreamOriginTell *msg);
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -8,7 +8,7 @@
 #include "galenagw/http/metrics.h"
 #include "gateway_private.h"
 #include "request.h"
-#include "request_origin.h"
+#include "request_software.h"
 #include "request_limit.h"
 #include "upstream.h"
 
@@ -346,7 +346,7 @@
     if (g->log != NULL)
         GwEventLog_Flush(g->log);
     abandon_silent_attempts_(g);
-    GwRequestOrigin_CheckVersions(g);
+    GwRequestSoftware_CheckVersions(g);
     check_for_store_restore_(g);
     GwQuarantine_SetProcesses(g->quarantine, entries);
     GwQuarantine_Sweep(g->quarantine, GwTime_Now());
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -7,6 +7,7 @@
 #include "request_log.h"
 #include "request_quarantine.h"
 #include "request_refusal.h"
+#include "request_software.h"
 #include "request_units.h"
 
 static GwRequest *new_request_(GwGateway *g, GwHttpCall *call);
@@ -52,7 +53,7 @@
 {
     GwCounters_Add(&r->gateway->counters, GW_COUNTER_CALLERS_GONE, 1);
     GwRequestLog_End(r, "caller_gone", 0);
-    GwRequestOrigin_Interrupted(r);
+    GwRequestSoftware_Interrupted(r);
     if (r->attempts == 0)
         GwRequestUnits_GiveBack(r);
     GwRequestEnd_Free(r);
--- a/packages/gateway/src/request_answer.c
+++ b/packages/gateway/src/request_answer.c
@@ -6,7 +6,7 @@
 #include "request_end.h"
 #include "request_load.h"
 #include "request_log.h"
-#include "request_origin.h"
+#include "request_software.h"
 #include "request_quarantine.h"
 
 /* An answer of up to this many bytes is held until it is complete. If it is
@@ -149,7 +149,7 @@
             return;
     }
     if (r->is_events)
-        GwRequestOrigin_Begun(r);
+        GwRequestSoftware_Begun(r);
     if (!r->head_sent)
         send_head_(r);
     write_body_(r, data, len);
--- a/packages/gateway/src/request_end.c
+++ b/packages/gateway/src/request_end.c
@@ -1,7 +1,7 @@
 #include "request_end.h"
 
 #include "request_load.h"
-#include "request_origin.h"
+#include "request_software.h"
 
 void
 GwRequestEnd_ReleaseInstance(GwRequest *r)
@@ -37,7 +37,7 @@
 {
     GwHttpCall *call = r->call;
 
-    GwRequestOrigin_Interrupted(r);
+    GwRequestSoftware_Interrupted(r);
     GwRequestEnd_Free(r);
     GwHttpCall_Abort(call);
 }
--- a/packages/gateway/src/selection.c
+++ b/packages/gateway/src/selection.c
@@ -5,7 +5,7 @@
 #include "galenagw/routing/outdated.h"
 #include "galenagw/routing/overload.h"
 #include "cache_nodes.h"
-#include "request_origin.h"
+#include "request_software.h"
 
 /* Answers on older weights cost nothing up to the platform's bound of 1.5 s
  * after a newer version was named. Engines with older weights are ranked lower
@@ -126,7 +126,7 @@
     for (guint i = 0; endpoints != NULL && i < endpoints->len; i++) {
         const GwInstance *instance = g_ptr_array_index(endpoints, i);
         bool is_excluded = instance->draining ||
-                           !GwRequestOrigin_Allows(r, instance) ||
+                           !GwRequestSoftware_Allows(r, instance) ||
                            next_send_at_(r, instance, now) > now;
 
         for (unsigned k = 0; k < r->n_tried; k++)
@@ -149,7 +149,7 @@
     for (guint i = 0; endpoints != NULL && i < endpoints->len; i++) {
         const GwInstance *instance = g_ptr_array_index(endpoints, i);
 
-        if (!instance->draining && GwRequestOrigin_Allows(r, instance))
+        if (!instance->draining && GwRequestSoftware_Allows(r, instance))
             earliest = MIN(earliest, next_send_at_(r, instance, now));
     }
     return earliest != GW_NEVER ? MAX(earliest - now, 0) : 0;
@@ -247,7 +247,7 @@
           GwHealth_IsUsable(&instance->health, instance->in_flight, now)));
     // A stream that begins at an endpoint of unknown version, as right after
     // its restart, can't be taken up by its caller.
-    out->usable = out->usable && GwRequestOrigin_Allows(r, instance) &&
+    out->usable = out->usable && GwRequestSoftware_Allows(r, instance) &&
                   (service_context->stage == STAGE_EXCLUDED ||
                    instance->software != 0 || !r->route->resumable);
     // Outdated weights exclude an endpoint in all stages as well.
