Soak: agents are killed in series while software changes

Releases also replace the machines of the agents that store the origins of streams.

The two constants of a stream's life are one.

--- a/packages/routing/include/galenagw/routing/stream_origins.h
+++ b/packages/routing/include/galenagw/routing/stream_origins.h
@@ -13,13 +13,14 @@
 #include <stdint.h>
 
 #include "galenagw/base/clock.h"
+#include "galenagw/routing/software.h"
 
 #ifdef __cplusplus
 extern "C" {
 #endif
 
 /** How long the origin of a stream is stored. */
-#define GW_STREAM_ORIGIN_TERM (60 * GW_SECOND)
+#define GW_STREAM_ORIGIN_TERM GW_STREAM_LIFETIME
 
 typedef struct GwStreamOrigins GwStreamOrigins;
 
--- a/soak/src/faults.h
+++ b/soak/src/faults.h
@@ -115,7 +115,10 @@
     /* Drain the engine, then start it with this software. */
     void ScheduleReplacement(Endpoint *engine, GwTime time,
                              const std::string &software);
-    void KillGateway(size_t i);
+    void KillProcess(Process *process);
+    /* Kill some agents one soon after the other, as when the machines of
+     * engines are replaced. */
+    void KillSidecars();
     /* Restart the engine at once. */
     void RestartEngine(Endpoint *engine, const std::string &software);
     Endpoint *RandomEngine();
--- a/soak/src/faults_streams.cc
+++ b/soak/src/faults_streams.cc
@@ -16,6 +16,8 @@
 /* Time between the replacements of two engines, and for which each drains. */
 static const GwTime kReplacementInterval = 700 * GW_MILLISECOND;
 static const GwTime kReplacementDrainTime = 2500 * GW_MILLISECOND;
+/* Longest time between two kills of a series of agents. */
+static const GwTime kMaxSidecarInterval = 400 * GW_MILLISECOND;
 /* One of so many engines waits for the next release. */
 static const size_t kEnginesPerSpare = 4;
 
@@ -103,10 +105,14 @@
     Faults *f = static_cast<Faults *>(user);
     Endpoint *e = f->RandomEngine();
     GwTime draw = f->DrawForStreams(0, 9);
-    GwTime last = (GwTime)f->options_.gateways->size() - 1;
-
-    if (draw < 5)
-        f->KillGateway((size_t)f->DrawForStreams(0, last));
+    auto &gateways = *f->options_.gateways;
+    GwTime last = (GwTime)gateways.size() - 1;
+
+    if (draw < 4)
+        f->KillProcess(
+            gateways[(size_t)f->DrawForStreams(0, last)]->process.get());
+    else if (draw < 5)
+        f->KillSidecars();
     else if (e->is_running && !e->IsDeparting())
         f->RestartEngine(e, draw < 8 || f->has_one_version_
                                 ? e->software
@@ -117,10 +123,23 @@
 }
 
 void
-Faults::KillGateway(size_t i)
+Faults::KillSidecars()
 {
-    Process *process = (*options_.gateways)[i]->process.get();
+    GwTime time = 0;
+
+    for (auto &s : *options_.sidecars) {
+        Process *process = s.get();
 
+        if (DrawForStreams(0, 1) == 0)
+            continue;
+        ScheduleAction(time, [this, process] { KillProcess(process); });
+        time += DrawForStreams(0, kMaxSidecarInterval);
+    }
+}
+
+void
+Faults::KillProcess(Process *process)
+{
     if (!process->IsRunning() || process->IsStopping())
         return;
     log_("kill " + process->name);
