Quarantine: an answer of the store that was cut is read again

A gateway that started while the store's answer was cut, and ended with its connection, knew no quarantined request until its next start: an answer that could not be decoded was taken for one that never can be.

Such an answer is read again after two seconds, three times at most.

--- a/packages/gateway/src/quarantine_store.c
+++ b/packages/gateway/src/quarantine_store.c
@@ -10,6 +10,9 @@
  * gateway has only the quarantined requests that it receives from peers or
  * detects itself, by further terminations of endpoints. */
 #define STORE_RETRY_INTERVAL (2 * GW_SECOND)
+/* After so many answers that cannot be decoded, the rows are not read, so that
+ * they do not keep this gateway from writing its own. */
+#define UNREADABLE_ANSWERS_MAX 3
 /* Maximum number of rows that wait to be written or removed. Requests are
  * quarantined rarely, so only a defect in this program can cause more, or a
  * store with as many expired rows (see on_row_). */
@@ -22,9 +25,10 @@
     GwQuarantineStoreOptions options;
     GwHttpCaller *caller;
     GwTimer timer;
-    bool all_rows_read;       /* no further reads: all rows that were in the
-                                 store at the start were read, or they cannot
-                                 be read, see on_read_ */
+    bool all_rows_read; /* no further reads: all rows that were in the
+                           store at the start were read, or they cannot
+                           be read, see on_read_ */
+    unsigned unreadable_answers;
     char *read_after_key;     /* the next read returns the rows after this key;
                                  NULL: from the first row on */
     GQueue pending_writes;    /* keys of rows to write or remove, as text */
@@ -145,18 +149,19 @@
         on_call_failed_(s, "read", outcome, status);
         return;
     }
-    // A store that rejects the call, as it has no such list, or whose answer
-    // cannot be decoded, is not read again: the result would be the same. The
-    // quarantine then lacks the rows that were not read. After an answer that
-    // cannot be decoded, the timer only delays the writes.
+    // A store that rejects the call, as it has no such list, is not read
+    // again: the result would be the same. An answer that cannot be decoded
+    // may have been cut. The quarantine lacks the rows that were not read.
     if (GwStore_Verdict(status) == GW_STORE_OK)
         GwStore_DecodeQuarantined(body, len, on_row_, s, &s->read_after_key,
                                   &err);
-    s->all_rows_read = s->read_after_key == NULL;
-    if (err.message[0] != '\0')
+    if (err.message[0] != '\0') {
+        s->all_rows_read = ++s->unreadable_answers == UNREADABLE_ANSWERS_MAX;
         on_call_failed_(s, err.message, outcome, status);
-    else
-        send_next_call_(s);
+        return;
+    }
+    s->all_rows_read = s->read_after_key == NULL;
+    send_next_call_(s);
 }
 
 static void
