Soak: a retry may cross the close of its caller's connection

Trace: the first endpoint broke off at 351.8716; the gateway sent the retry at 351.8717 and saw the close at 351.897. The endpoint of the soak read the retry after the caller of the soak had closed (its event loop was up to 169 ms late). The two crossed, which the users' rule GONE allows: it counts requests that reach an endpoint over half a second after the close. The check had no such time, and streams that break off before their first event make such retries frequent. It now has the half second of the rule, for each single request.

--- a/soak/src/ledger.cc
+++ b/soak/src/ledger.cc
@@ -1,5 +1,9 @@
 #include "ledger.h"
 
+/* A retry and the close of the caller's connection may cross; after this time,
+ * none may reach an endpoint. */
+static const GwTime kMaxRunAfterClose = 500 * GW_MILLISECOND;
+
 #include <algorithm>
 #include <cstdio>
 
@@ -41,7 +45,8 @@
                             r.kind == RequestKind::kStream))
         RecordViolation("at most once", id + " ran again at " + endpoint);
     if (r.run_count > 1 && r.kind == RequestKind::kResumable &&
-        !is_resumption && r.abandoned_at != 0)
+        !is_resumption && r.abandoned_at != 0 &&
+        GwTime_Now() - r.abandoned_at > kMaxRunAfterClose)
         RecordViolation("abandoned requests are cancelled",
                         id + " ran again after its caller had abandoned it");
 }
