--- a/soak/src/ledger.cc
+++ b/soak/src/ledger.cc
@@ -1,12 +1,12 @@
 #include "ledger.h"
 
+#include <algorithm>
+#include <cstdio>
+
 /* A retry and the close of the caller's connection may cross; after this time,
  * none may reach an endpoint. */
 static const GwTime kMaxRunAfterClose = 500 * GW_MILLISECOND;
 
-#include <algorithm>
-#include <cstdio>
-
 void
 Ledger::RecordSent(const std::string &id, RequestKind kind,
                    const std::string &gateway)
