--- a/packages/gateway/src/event_splitter.c
+++ b/packages/gateway/src/event_splitter.c
@@ -28,7 +28,7 @@
 {
     g_string_truncate(s->tail, 0);
     s->scanned = (GwEventScan){0};
-    s->n_since_restart = 0;
+    s->n_complete = 0;
 }
 
 void
@@ -41,10 +41,7 @@
     g_string_append_len(s->tail, data, (gssize)len);
     while ((n = event_length_(s->tail->str + at, s->tail->len - at,
                               &s->scanned)) > 0) {
-        if (read_event_(s, s->tail->str + at, n)) {
-            s->n_complete++;
-            s->n_since_restart++;
-        }
+        s->n_complete += read_event_(s, s->tail->str + at, n);
         at += n;
     }
     g_string_append_len(out, s->tail->str, (gssize)at);
--- a/packages/gateway/src/event_splitter.h
+++ b/packages/gateway/src/event_splitter.h
@@ -21,8 +21,7 @@
     GString *tail;                 /* bytes of an incomplete event */
     char last_id[GW_EVENT_ID_MAX]; /* of the last complete event with an id */
     bool has_id;
-    unsigned n_complete;      /* complete events so far */
-    unsigned n_since_restart; /* of these, since the last restart */
+    unsigned n_complete; /* complete events since the last restart */
 } GwEventSplitter;
 
 void GwEventSplitter_Init(GwEventSplitter *splitter);
--- a/packages/gateway/src/request_answer.c
+++ b/packages/gateway/src/request_answer.c
@@ -82,7 +82,7 @@
         return true;
     // Without framing, an endpoint that breaks off before the first event
     // sends the same bytes as for an empty stream.
-    return r->event_splitter.n_since_restart == 0 && r->is_unframed;
+    return r->event_splitter.n_complete == 0 && r->is_unframed;
 }
 
 void
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -291,12 +291,12 @@
     GwRequest *r = user;
     GwInstance *instance = r->instance;
     GwTime now = GwTime_Now();
-    bool is_truncated = outcome == GW_UPSTREAM_COMPLETE && r->has_reply &&
-                        r->is_usable && GwRequestAnswer_IsTruncated(r);
+    bool has_answer =
+        outcome == GW_UPSTREAM_COMPLETE && r->has_reply && r->is_usable;
+    bool is_truncated = has_answer && GwRequestAnswer_IsTruncated(r);
 
     r->upstream = NULL;
-    if (outcome == GW_UPSTREAM_COMPLETE && r->has_reply && r->is_usable &&
-        !is_truncated) {
+    if (has_answer && !is_truncated) {
         GwHealth_Note(
             &instance->health,
             r->reply.status >= 500 ? GW_HEALTH_ERROR : GW_HEALTH_GOOD, now);
