Stream origins: one lookup of an endpoint by software version

The search for an endpoint of the version that began a stream stood in the log and in the decision, which ran it up to three times for one request. Both call GwRequestSoftware_Endpoint, and the service is picked once.

Behaviour is unchanged.

--- a/packages/gateway/src/request_log.c
+++ b/packages/gateway/src/request_log.c
@@ -3,6 +3,7 @@
 #include "selection.h"
 #include "cache_nodes.h"
 #include "request_quarantine.h"
+#include "request_software.h"
 
 /* Names of GwOriginSource in logs, by value. */
 static const char *const origin_source_names[GW_ORIGIN_SOURCES] = {
@@ -165,18 +166,12 @@
 static const char *
 software_name_(const GwRequest *r)
 {
-    const GPtrArray *endpoints =
-        GwInstances_Of(GwView_Instances(r->gateway->view), r->service);
+    const GwInstance *instance;
 
     if (r->software == 0)
         return "unknown";
-    for (guint i = 0; endpoints != NULL && i < endpoints->len; i++) {
-        const GwInstance *instance = g_ptr_array_index(endpoints, i);
-
-        if (instance->software == r->software)
-            return instance->software_version;
-    }
-    return "not_listed";
+    instance = GwRequestSoftware_Endpoint(r, r->service);
+    return instance != NULL ? instance->software_version : "not_listed";
 }
 
 // Logs the hash of the shared parts, so that the events of all requests with
--- a/packages/gateway/src/request_origin.c
+++ b/packages/gateway/src/request_origin.c
@@ -14,8 +14,8 @@
                         uint64_t software);
 static void decide_without_origin_(GwRequest *r, GwOriginSource source);
 static void continue_(GwRequest *r, uint64_t software, GwOriginSource source);
-static void pick_service_(GwRequest *r);
-static bool lists_software_(const GwRequest *r, const char *service);
+static bool pick_service_(GwRequest *r);
+static bool may_go_on_at_(const GwRequest *r, const char *service);
 
 void
 GwRequestOrigin_Start(GwRequest *r)
@@ -88,11 +88,13 @@
 static void
 continue_(GwRequest *r, uint64_t software, GwOriginSource source)
 {
+    bool has_endpoint;
+
     r->software = software;
     r->has_begun = true;
-    pick_service_(r);
+    has_endpoint = software == 0 || pick_service_(r);
     GwRequestLog_StreamOrigin(r, source);
-    if (software != 0 && !lists_software_(r, r->service)) {
+    if (!has_endpoint) {
         GwRequestRefusal_Answer(r, GW_REFUSAL_VERSION_GONE);
         return;
     }
@@ -100,33 +102,27 @@
 }
 
 // A route may send requests to several services: the stream goes on at the one
-// that began it.
-static void
+// that began it. Returns whether one has an endpoint of its version.
+static bool
 pick_service_(GwRequest *r)
 {
-    if (r->software == 0 || lists_software_(r, r->service))
-        return;
+    if (may_go_on_at_(r, r->service))
+        return true;
     for (guint i = 0; i < r->route->splits->len; i++) {
         const GwSplit *split = &g_array_index(r->route->splits, GwSplit, i);
 
-        if (split->weight > 0 && lists_software_(r, split->service)) {
+        if (split->weight > 0 && may_go_on_at_(r, split->service)) {
             r->service = split->service;
-            return;
+            return true;
         }
     }
+    return false;
 }
 
 static bool
-lists_software_(const GwRequest *r, const char *service)
+may_go_on_at_(const GwRequest *r, const char *service)
 {
-    const GPtrArray *endpoints =
-        GwInstances_Of(GwView_Instances(r->gateway->view), service);
-
-    for (guint i = 0; endpoints != NULL && i < endpoints->len; i++) {
-        const GwInstance *instance = g_ptr_array_index(endpoints, i);
+    const GwInstance *instance = GwRequestSoftware_Endpoint(r, service);
 
-        if (instance->software == r->software && !instance->draining)
-            return true;
-    }
-    return false;
+    return instance != NULL && !instance->draining;
 }
--- a/packages/gateway/src/request_software.c
+++ b/packages/gateway/src/request_software.c
@@ -22,6 +22,25 @@
     return GwRequestSoftware_CountVersions(r, &only) <= 1;
 }
 
+const GwInstance *
+GwRequestSoftware_Endpoint(const GwRequest *r, const char *service)
+{
+    const GPtrArray *endpoints =
+        GwInstances_Of(GwView_Instances(r->gateway->view), service);
+    const GwInstance *found = NULL;
+
+    for (guint i = 0; endpoints != NULL && i < endpoints->len; i++) {
+        const GwInstance *instance = g_ptr_array_index(endpoints, i);
+
+        if (instance->software != r->software)
+            continue;
+        found = instance;
+        if (!instance->draining)
+            break;
+    }
+    return found;
+}
+
 unsigned
 GwRequestSoftware_CountVersions(const GwRequest *r, uint64_t *only)
 {
--- a/packages/gateway/src/request_software.h
+++ b/packages/gateway/src/request_software.h
@@ -16,6 +16,10 @@
  * has begun at the software version of @p instance. */
 bool GwRequestSoftware_Allows(const GwRequest *request,
                               const GwInstance *instance);
+/* A listed endpoint of @p service that has the software version that began the
+ * stream, one that is not draining if there is any; or NULL. */
+const GwInstance *GwRequestSoftware_Endpoint(const GwRequest *request,
+                                             const char *service);
 /* The number of software versions by which the stream may have begun.
  * @param[out] only the only one; 0: there are several, or it is unknown */
 unsigned GwRequestSoftware_CountVersions(const GwRequest *request,
