Stream origins: agents chosen in one pass; one name for the life of a stream

The second agent was searched in a second loop with the same lookups, and GW_STREAM_ORIGIN_TERM was another name of GW_STREAM_LIFETIME.

Behaviour is unchanged.

--- a/packages/cluster/src/peers_origins.c
+++ b/packages/cluster/src/peers_origins.c
@@ -67,26 +67,21 @@
 {
     uint64_t nodes[GW_LIMIT_POOL_MAX];
     unsigned n_nodes = GwLimitPool_Rank(&p->owner_pool, stream, nodes);
+    const Peer *second = NULL; /* of the first one's failure domain */
     unsigned n = 0;
 
-    for (unsigned i = 0; i < n_nodes; i++) {
+    for (unsigned i = 0; i < n_nodes && n < ORIGIN_COPIES; i++) {
         const Peer *peer = GwPeers_FindReadyAgent(p, nodes[i]);
 
         if (peer == NULL)
             continue;
-        if (n == 0 || peer->failure_domain != owners[0]->failure_domain) {
-            owners[n] = peer;
-            if (n++ > 0)
-                return n;
-        }
-    }
-    // All are of one failure domain.
-    for (unsigned i = 0; i < n_nodes && n == 1; i++) {
-        const Peer *peer = GwPeers_FindReadyAgent(p, nodes[i]);
-
-        if (peer != NULL && peer != owners[0])
+        if (n == 0 || peer->failure_domain != owners[0]->failure_domain)
             owners[n++] = peer;
+        else if (second == NULL)
+            second = peer;
     }
+    if (n == 1 && second != NULL)
+        owners[n++] = second;
     return n;
 }
 
--- a/packages/routing/include/galenagw/routing/stream_origins.h
+++ b/packages/routing/include/galenagw/routing/stream_origins.h
@@ -19,9 +19,6 @@
 extern "C" {
 #endif
 
-/** How long the origin of a stream is stored. */
-#define GW_STREAM_ORIGIN_TERM GW_STREAM_LIFETIME
-
 typedef struct GwStreamOrigins GwStreamOrigins;
 
 /** @param max maximum number of streams, at least 1 */
@@ -39,7 +36,7 @@
 void GwStreamOrigins_Store(GwStreamOrigins *origins, uint64_t stream,
                            uint64_t software, GwTime now);
 /** @return the software that began @p stream; 0: unknown, or stored longer
- * than GW_STREAM_ORIGIN_TERM ago */
+ * than GW_STREAM_LIFETIME ago */
 uint64_t GwStreamOrigins_Find(GwStreamOrigins *origins, uint64_t stream,
                               GwTime now);
 /** Call @p fn for the streams that were stored last, the newest first, at most
--- a/packages/routing/src/stream_origins.c
+++ b/packages/routing/src/stream_origins.c
@@ -115,7 +115,7 @@
 static bool
 is_expired_(const Origin *origin, GwTime now)
 {
-    return now - origin->stored_at > GW_STREAM_ORIGIN_TERM;
+    return now - origin->stored_at > GW_STREAM_LIFETIME;
 }
 
 static void
--- a/packages/routing/tests/stream_origins_test.cc
+++ b/packages/routing/tests/stream_origins_test.cc
@@ -28,7 +28,7 @@
 // it, nor according to an entry that has expired.
 TEST_F(StreamOrigins, LatestSoftwareIsFoundDuringTerm)
 {
-    const GwTime term = GW_STREAM_ORIGIN_TERM;
+    const GwTime term = GW_STREAM_LIFETIME;
     const struct {
         const char *name;
         uint64_t stream;
@@ -91,7 +91,7 @@
 TEST(StreamOriginsSize, ExpiredStreamsAreRemoved)
 {
     GwStreamOrigins *o = GwStreamOrigins_New(1000);
-    const GwTime later = kNow + GW_STREAM_ORIGIN_TERM + 1;
+    const GwTime later = kNow + GW_STREAM_LIFETIME + 1;
 
     for (uint64_t i = 1; i <= 1000; i++)
         GwStreamOrigins_Store(o, i, i, kNow);
