Quarantine: reconsider requests when another one's terminations become known

Cause: gateways report the requests that were in flight at one termination in several updates. A harmless request that is known for three terminations first is quarantined. When the fatal request becomes known for more of the same terminations, the harmless one is no longer their cause, but quarantines were reconsidered only after a new termination, not after a new request at one that was known. With nearly all endpoints terminated, nothing completed that would have released it.

Change: an update with any new information reconsiders all quarantines. The test failed before (60 s left for the harmless request) and passes.

--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -216,7 +216,7 @@
         if (s != NULL)
             update_quarantine_(q, s);
     }
-    if (*is_new)
+    if (*is_new || n > 0)
         update_active_quarantines_(q);
     return n;
 }
@@ -516,10 +516,11 @@
     return fraction * q->processes < 1;
 }
 
-// Updates on terminations with a common cause arrive one by one. A request
-// that looked like the cause of the first three may turn out to have been in
-// flight by coincidence. If its quarantine were not reconsidered, it would be
-// refused for the whole term.
+// Updates on terminations with a common cause arrive one by one, and the
+// requests in flight at one of them in several. A request that looked like the
+// cause of the first three may turn out to have been in flight by coincidence.
+// If its quarantine were not reconsidered, it would be refused for the whole
+// term.
 static void
 update_active_quarantines_(GwQuarantine *q)
 {
--- a/packages/quarantine/tests/quarantine_test.cc
+++ b/packages/quarantine/tests/quarantine_test.cc
@@ -244,6 +244,24 @@
     }
 }
 
+// Guards against refusing a harmless request after the cause of its
+// terminations is known: gateways report the fatal request of terminations
+// that are known already, the last one without the harmless request.
+TEST(Quarantine, IsLiftedWhenAnotherRequestWasInFlightAtMoreTerminations)
+{
+    const GwDigest harmless = Request(1), fatal = Request(2);
+    TestQuarantine t;
+
+    for (uint64_t i = 1; i <= 3; i++)
+        t.AddTermination(i, 0, {harmless});
+    t.AddTermination(4, 0, {});
+    ASSERT_GT(t.TimeLeft(harmless, 0), 0);
+    for (uint64_t i = 1; i <= 4; i++)
+        t.AddTermination(i, 0, {fatal});
+    EXPECT_GT(t.TimeLeft(fatal, 0), 0);
+    EXPECT_EQ(t.TimeLeft(harmless, 0), 0);
+}
+
 // Guards against taking a query of death for failures of racks: the request
 // terminates all endpoints of a small failure domain, is retried in the next
 // one, and must be quarantined although each domain failed as a whole.
