Quarantine: a request in flight at all terminations of a domain is their cause

What callers saw: a request that terminates each endpoint that runs it was sent on while it terminated endpoint after endpoint, each with the answers of other callers.

Cause: when three quarters of a failure domain terminate within a second, that counts as one failure of the domain, such as a loss of power. A fatal request that is retried quickly does the same in a small domain: with 6 engines of one domain, five terminations released it within 3 ms of its quarantine; the 16 stored terminations, at 8 a second, then never held three that were a second apart.

Change: the failure of a domain is not assumed for a request that was in flight at all of the simultaneous terminations, if these are more than one request makes attempts (4) and the request has never completed. So that a harmless request of many callers, which runs everywhere when a rack fails, is not taken for the cause, each process stores which requests completed there, also while no endpoint has terminated (2,048 digests, 32 KB; one hash of the body a request). Entries count completions, too. In domains of up to four endpoints a fatal request and a retried harmless one still look the same; those stay with the harmless reading, as before.

Considered and not done: when each attempt began, which would tell retries from a loss of power, needs a field in the frames between processes.

DelayedUpdatesAreCorrectedWhenSentAgain relied on the fault for its start: nine terminations with the request in flight at each. A tenth endpoint now terminates without it, so that the start is again taken for a failed rack; what is checked is the same.

With the gateway's record of completions left out, RequestOfManyCallersInFlightAtRackThatFailsIsAdmitted fails at all four gateways.

--- a/packages/agent/src/agent_quarantine.c
+++ b/packages/agent/src/agent_quarantine.c
@@ -99,11 +99,9 @@
 {
     GwAgent *agent = job->agent;
     GwTime now = GwTime_Now();
-    GwQuarantineUpdate update = {.completed_at = now};
+    GwQuarantineUpdate update = {.completed = job_digest_(job),
+                                 .completed_at = now};
 
-    if (GwQuarantine_IsEmpty(agent->quarantine))
-        return;
-    update.completed = job_digest_(job);
     if (GwQuarantine_AddCompletion(agent->quarantine, &update.completed, now,
                                    now))
         forward_update_(agent, NULL, &update);
--- a/packages/entry/src/delivery.c
+++ b/packages/entry/src/delivery.c
@@ -101,6 +101,7 @@
                    final->prompt_tokens);
     GwCounters_Add(&x->entry->counters, GW_COUNTER_CACHED_TOKENS,
                    final->cached_tokens);
+    EntryQuarantine_OnCompleted(x);
     complete_answer_(x);
 }
 
--- a/packages/entry/src/entry_quarantine.c
+++ b/packages/entry/src/entry_quarantine.c
@@ -45,6 +45,18 @@
            GW_QUARANTINE_TERMINATIONS - 1;
 }
 
+void
+EntryQuarantine_OnCompleted(const Exchange *x)
+{
+    GwTime now = GwTime_Now();
+    GwQuarantineUpdate update = {.completed = compute_digest_(x),
+                                 .completed_at = now};
+
+    if (GwQuarantine_AddCompletion(x->entry->quarantine, &update.completed,
+                                   now, now))
+        on_update_(x->entry, NULL, &update);
+}
+
 void
 EntryQuarantine_SendAll(Peer *peer)
 {
@@ -79,8 +91,8 @@
     return GwDigest_Of(&source);
 }
 
-// Forward an update of one agent to all others, because agents have sessions
-// to entries only.
+// Forwards an update to all agents except the one that sent it, because agents
+// have sessions to entries only.
 static void
 on_update_(void *user, GwSession *from, const GwQuarantineUpdate *update)
 {
--- a/packages/entry/src/entry_quarantine.h
+++ b/packages/entry/src/entry_quarantine.h
@@ -12,6 +12,8 @@
 /* Whether the failed attempt was the last one: so many endpoints terminated
  * while running the request that a retry at once could terminate one more. */
 bool EntryQuarantine_IsLastAttempt(const Exchange *x);
+/* The request got a complete answer. */
+void EntryQuarantine_OnCompleted(const Exchange *x);
 /* The session to @p peer became ready: send it the known terminations, up to
  * the limit of GwQuarantineSync_SendAll. */
 void EntryQuarantine_SendAll(Peer *peer);
--- a/packages/gateway/src/request_quarantine.c
+++ b/packages/gateway/src/request_quarantine.c
@@ -45,11 +45,8 @@
 void
 GwRequestQuarantine_OnCompleted(GwRequest *r)
 {
-    GwDigest digest;
+    GwDigest digest = GwRequestQuarantine_Digest(r);
 
-    if (GwQuarantine_IsEmpty(r->gateway->quarantine))
-        return;
-    digest = GwRequestQuarantine_Digest(r);
     GwTerminations_OnCompletion(r->gateway, &digest);
 }
 
--- a/packages/gateway/tests/gateway_quarantine_test.cc
+++ b/packages/gateway/tests/gateway_quarantine_test.cc
@@ -2,6 +2,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <set>
+
 #include "fleet_with_agent.h"
 
 extern "C" {
@@ -395,6 +397,48 @@
     }
 }
 
+// Guards against refusing a harmless request of many callers: it is in flight
+// at each endpoint of a rack when the rack loses power, as a fatal request
+// would be, but it was answered before.
+TEST(GatewayQuarantine, RequestOfManyCallersInFlightAtRackThatFailsIsAdmitted)
+{
+    FatalFleet t("plain", 0);
+    Fleet &f = t.a.f;
+    std::vector<Endpoint *> rack;
+    std::vector<std::shared_ptr<Caller>> callers;
+    std::set<Endpoint *> holding;
+    GwDigestSource source = {};
+
+    for (int i = 0; i < 6; i++)
+        rack.push_back(f.AddEndpoint(("rack" + std::to_string(i)).c_str(),
+                                     "plain", false, "rack"));
+    ASSERT_TRUE(f.Ready());
+    for (GwGateway *g : f.gateways)
+        ASSERT_EQ(t.SendRequest(g, "/plain/1", "sound"), 200);
+    for (Endpoint *e : rack)
+        e->serve = [&](Endpoint *at, FakeExchange *) { holding.insert(at); };
+    for (int i = 0; i < 100 && holding.size() < rack.size(); i++) {
+        callers.push_back(f.Call(f.gateways[i % 4],
+                                 Fleet::Request("POST", "/plain/1", "sound")));
+        f.Wait(10 * GW_MILLISECOND);
+    }
+    ASSERT_EQ(holding.size(), rack.size());
+    for (Endpoint *e : rack)
+        t.Terminate(e);
+    f.Wait(500 * GW_MILLISECOND);
+    source.account = "acme";
+    source.method = "POST";
+    source.target = "/plain/1";
+    source.body = "sound";
+    source.body_len = 5;
+    GwDigest digest = GwDigest_Of(&source);
+    for (GwGateway *g : f.gateways) {
+        EXPECT_EQ(GwQuarantine_Terminations(g->quarantine, &digest), 6u);
+        EXPECT_EQ(GwQuarantine_TimeLeft(g->quarantine, &digest, GwTime_Now()),
+                  0);
+    }
+}
+
 // A leaving endpoint closes its port and may break requests that it still
 // runs. That must not count as a termination.
 TEST(GatewayQuarantine, LeavingEndpointIsNoTermination)
--- a/packages/quarantine/include/galenagw/quarantine/quarantine.h
+++ b/packages/quarantine/include/galenagw/quarantine/quarantine.h
@@ -10,8 +10,9 @@
  *
  * Most requests in flight at a termination are harmless. One complete answer
  * to a request clears it, whichever endpoint gave it. Simultaneous
- * terminations with another common cause, such as a rack that loses power,
- * count as one, and a request that was in flight at few of the endpoints that
+ * terminations of most of a failure domain, such as a rack that loses power,
+ * count as one, unless a request that has never completed was in flight at all
+ * of them. A request that was in flight at few of the endpoints that
  * terminated is not treated as the cause. A termination counts only for the
  * request with the most terminations among those in flight at it, unless
  * several are tied. After the quarantine term, randomly selected processes
@@ -105,7 +106,8 @@
                                  uint64_t endpoint);
 /**
  * Records that the request got a complete answer at @p at, which clears its
- * earlier terminations.
+ * earlier terminations. Called for each complete answer, also while no request
+ * is tracked.
  * @return whether that changed anything; false if the request had neither
  * earlier terminations nor a stored quarantine
  */
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -7,6 +7,8 @@
 
 #include "galenagw/base/log.h"
 
+#include "completed_requests.h"
+
 /* Stored terminations per request; the oldest one is dropped first. */
 #define TERMINATIONS_PER_REQUEST_MAX 16
 /* Stored terminations of endpoints, over all requests. */
@@ -23,6 +25,9 @@
 /* If at least this share of a failure domain terminated simultaneously, the
  * cause is taken to be something that its endpoints share, such as power. */
 #define GROUP_FAILURE_SHARE 0.75
+/* Attempts of one request. A harmless request that is retried while a domain
+ * fails may be in flight at each of so many simultaneous terminations. */
+#define ATTEMPTS_PER_REQUEST_MAX 4
 /* A request that was in flight at less than this share of the terminations
  * around its own, excluding those attributed to another request, is not their
  * cause. */
@@ -42,6 +47,7 @@
     Termination terminations[TERMINATIONS_PER_REQUEST_MAX]; /* oldest first */
     unsigned n_terminations;
     GwTime completed_at; /* time of its last completion; 0: none known */
+    bool has_completed;  /* at any time, as far as known */
     GwTime updated_at;
     GwTime quarantined_until; /* refused until then, afterwards retried by
                                  selected processes; 0: not under quarantine */
@@ -80,6 +86,7 @@
     size_t n_added;           /* added in total, including overwritten ones */
     GHashTable *by_endpoint;  /* endpoint to its StoredTermination */
     bool main_suspects_valid; /* false: recompute before use */
+    CompletedRequests completed_requests;
 };
 
 static void add_termination_(GwQuarantine *q, const Termination *termination);
@@ -103,6 +110,11 @@
                                         const Suspect *s, unsigned i);
 static bool has_group_failed_(const GwQuarantine *q, const Suspect *s,
                               const Termination *termination);
+static bool is_in_flight_at_all_(const GwQuarantine *q, const Suspect *s,
+                                 const Termination *termination);
+static bool counts_for_group_(const StoredTermination *stored,
+                              const Suspect *s,
+                              const Termination *termination);
 static unsigned count_simultaneous_terminations_(const GwQuarantine *q,
                                                  const Suspect *s);
 static void find_main_suspects_(GwQuarantine *q);
@@ -240,9 +252,11 @@
     unsigned n_kept = 0;
 
     at = MIN(at, now);
+    CompletedRequests_Add(&q->completed_requests, request);
     if (s == NULL || at <= s->completed_at)
         return false;
     s->completed_at = at;
+    s->has_completed = true;
     for (unsigned i = 0; i < s->n_terminations; i++) {
         if (s->terminations[i].at > at + COMPLETION_TOLERANCE)
             s->terminations[n_kept++] = s->terminations[i];
@@ -383,6 +397,7 @@
     }
     s = g_new0(Suspect, 1);
     s->digest = *digest;
+    s->has_completed = CompletedRequests_Has(&q->completed_requests, digest);
     g_hash_table_insert(q->by_digest, &s->digest, s);
     link_suspect_(q, s);
     return s;
@@ -584,23 +599,61 @@
 }
 
 // Whether a large part of the endpoint's group terminated simultaneously with
-// it, leaving out terminations that are attributed to another request.
+// it for a reason other than this request.
 static bool
 has_group_failed_(const GwQuarantine *q, const Suspect *s,
                   const Termination *termination)
 {
     unsigned n_terminated = 0;
 
+    for (size_t i = 0; i < count_stored_terminations_(q); i++)
+        n_terminated +=
+            counts_for_group_(&q->stored_terminations[i], s, termination);
+    if (n_terminated < 2 || termination->group_size == 0 ||
+        n_terminated < GROUP_FAILURE_SHARE * termination->group_size)
+        return false;
+    return n_terminated <= ATTEMPTS_PER_REQUEST_MAX || s->has_completed ||
+           !is_in_flight_at_all_(q, s, termination);
+}
+
+// Whether the request was in flight at all endpoints of the group that
+// terminated simultaneously. If not all terminations of the request are
+// stored, only those after the oldest stored one are considered.
+static bool
+is_in_flight_at_all_(const GwQuarantine *q, const Suspect *s,
+                     const Termination *termination)
+{
+    GwTime after = s->n_terminations == TERMINATIONS_PER_REQUEST_MAX
+                       ? s->terminations[0].at
+                       : INT64_MIN;
+    unsigned n_terminated = 0;
+    unsigned n_in_flight = 0;
+
     for (size_t i = 0; i < count_stored_terminations_(q); i++) {
-        const Termination *other = &q->stored_terminations[i].termination;
+        const StoredTermination *stored = &q->stored_terminations[i];
 
-        n_terminated +=
-            other->group == termination->group &&
-            are_simultaneous_(other->at, termination->at) &&
-            !is_attributed_to_another_(&q->stored_terminations[i], s);
+        n_terminated += stored->termination.at > after &&
+                        counts_for_group_(stored, s, termination);
     }
-    return n_terminated > 1 && termination->group_size > 0 &&
-           n_terminated >= GROUP_FAILURE_SHARE * termination->group_size;
+    for (unsigned i = 0; i < s->n_terminations; i++) {
+        const StoredTermination *stored =
+            g_hash_table_lookup(q->by_endpoint, &s->terminations[i].endpoint);
+
+        n_in_flight += stored != NULL && stored->termination.at > after &&
+                       counts_for_group_(stored, s, termination);
+    }
+    return n_in_flight >= n_terminated;
+}
+
+// Whether this termination is of the same group and time and not attributed to
+// a request other than @p s.
+static bool
+counts_for_group_(const StoredTermination *stored, const Suspect *s,
+                  const Termination *termination)
+{
+    return stored->termination.group == termination->group &&
+           are_simultaneous_(stored->termination.at, termination->at) &&
+           !is_attributed_to_another_(stored, s);
 }
 
 // Endpoints that terminated simultaneously with a termination of this request.
--- a/packages/quarantine/tests/quarantine_test.cc
+++ b/packages/quarantine/tests/quarantine_test.cc
@@ -244,6 +244,57 @@
     }
 }
 
+// Guards against releasing a query of death: it terminates most endpoints of
+// its failure domain within a second, which looks like a domain that failed as
+// a whole. Unlike then, it was in flight at every one of the terminations, at
+// more of them than one request makes attempts.
+TEST(Quarantine, ARequestInFlightAtEveryTerminationOfADomainIsQuarantined)
+{
+    const struct {
+        const char *name;
+        unsigned group_size;
+        unsigned n_terminated; // within a second, the request in flight at all
+        unsigned n_repetitions; // of all that, each a second later
+    } cases[] = {
+        {"five of six", 6, 5, 1},
+        {"nine of twelve", 12, 9, 1},
+        {"all of twelve", 12, 12, 1},
+        {"more than are stored for one request", 30, 30, 1},
+        {"endpoints that restart and terminate again", 6, 8, 8},
+    };
+
+    for (const auto &c : cases) {
+        TestQuarantine t;
+        uint64_t endpoint = 1;
+
+        for (unsigned i = 0; i < c.n_repetitions * c.n_terminated; i++) {
+            GwTime at = (GwTime)i * GW_SECOND / c.n_terminated;
+
+            t.AddTermination(endpoint, at, {Request(1), Request(100 + i)}, 7,
+                             c.group_size);
+            endpoint++;
+        }
+        EXPECT_GT(t.TimeLeft(Request(1), c.n_repetitions * GW_SECOND), 0)
+            << c.name;
+    }
+}
+
+// Guards against refusing a harmless request that many callers send: a rack
+// loses power while the request runs at each of its endpoints. It has
+// completed before, so it is not the cause.
+TEST(Quarantine, ACompletedRequestInFlightAtARackThatFailsIsNotQuarantined)
+{
+    for (unsigned size : {5, 6, 12, 30}) {
+        TestQuarantine t;
+
+        t.AddCompletion(Request(1), 0);
+        for (unsigned i = 0; i < size; i++)
+            t.AddTermination(1 + i, 60 * GW_SECOND + i * GW_MILLISECOND,
+                             {Request(1), Request(100 + i)}, 7, size);
+        EXPECT_EQ(t.TimeLeft(Request(1), 61 * GW_SECOND), 0) << size;
+    }
+}
+
 // Guards against refusing a harmless request after the cause of its
 // terminations is known: gateways report the fatal request of terminations
 // that are known already, the last one without the harmless request.
@@ -295,14 +346,16 @@
 
 // A gateway is suspended while a request terminates the endpoints of one small
 // domain three times, and receives all updates at once when it resumes: nine
-// simultaneous terminations, as of a rack that failed. When peers send the
-// updates again with the right ages, the terminations count.
+// simultaneous terminations, as of a rack that failed. So that they are taken
+// for that, a tenth endpoint terminates without the request. When peers send
+// the updates again with the right ages, the terminations count.
 TEST(Quarantine, DelayedUpdatesAreCorrectedWhenSentAgain)
 {
     TestQuarantine t;
 
     for (uint64_t i = 0; i < 9; i++)
         t.AddTermination(1 + i, 8 * GW_SECOND, {Request(1)}, 7, 3);
+    t.AddTermination(10, 8 * GW_SECOND, {}, 7, 3);
     ASSERT_EQ(t.TimeLeft(Request(1), 8 * GW_SECOND), 0);
     for (uint64_t i = 0; i < 9; i++) {
         EXPECT_EQ(t.AddTermination(1 + i, (GwTime)(i / 3) * 3 * GW_SECOND,
