Quarantine: the decision which request is the cause is a module of its own

What decides from the stored terminations which request caused them moves to attribution.c, the state that both use to quarantine_private.h.

--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -2,19 +2,13 @@
 #include "galenagw/quarantine/quarantine.h"
 
 #include <string.h>
-#include <sys/queue.h>
 #include <xxhash.h>
 
 #include "galenagw/base/log.h"
 
-#include "completed_requests.h"
+#include "attribution.h"
+#include "quarantine_private.h"
 
-/* Stored terminations per request; the oldest one is dropped first. */
-#define TERMINATIONS_PER_REQUEST_MAX 16
-/* Stored terminations of endpoints, over all requests. */
-#define TERMINATIONS_MAX 512
-/* Terminations at most this far apart may have a common cause. */
-#define SIMULTANEOUS_INTERVAL GW_SECOND
 /* A retry without an outcome after this time, because its caller disconnected,
  * no longer blocks the next one. */
 #define RETRY_TIMEOUT (10 * GW_SECOND)
@@ -22,72 +16,6 @@
  * than it was. A completion therefore also clears terminations that are
  * reported as up to this much later. */
 #define COMPLETION_TOLERANCE (500 * GW_MILLISECOND)
-/* If at least this share of a failure domain terminated simultaneously, the
- * cause is taken to be something that its endpoints share, such as power. */
-#define GROUP_FAILURE_SHARE 0.75
-/* Attempts of one request. A harmless request that is retried while a domain
- * fails may be in flight at each of so many simultaneous terminations. */
-#define ATTEMPTS_PER_REQUEST_MAX 4
-/* A request that was in flight at less than this share of the terminations
- * around its own, excluding those attributed to another request, is not their
- * cause. */
-#define CAUSE_SHARE_MIN 0.25
-
-/* A termination of an endpoint. */
-typedef struct {
-    uint64_t endpoint;
-    uint64_t group;
-    unsigned group_size;
-    GwTime at;
-} Termination;
-
-typedef struct Suspect {
-    TAILQ_ENTRY(Suspect) link;
-    GwDigest digest;
-    Termination terminations[TERMINATIONS_PER_REQUEST_MAX]; /* oldest first */
-    unsigned n_terminations;
-    GwTime completed_at; /* time of its last completion; 0: none known */
-    bool has_completed;  /* at any time, as far as known */
-    GwTime updated_at;
-    GwTime quarantined_until; /* refused until then, afterwards retried by
-                                 selected processes; 0: not under quarantine */
-    GwTime term; /* length of the quarantine, and of each retry interval after
-                    it */
-    GwTime record_until; /* end of a quarantine set by a stored record;
-                          0: no record */
-    GwTime retried_at;
-} Suspect;
-
-TAILQ_HEAD(SuspectList, Suspect);
-
-/* A termination with the request it is attributed to. */
-typedef struct {
-    Termination termination;
-    /* The request with the most terminations among the repeated ones in flight
-     * at this termination; NULL if there is none or several are tied. */
-    const Suspect *main_suspect;
-    unsigned max_terminations; /* highest number of terminations among those
-                                  requests */
-} StoredTermination;
-
-struct GwQuarantine {
-    GwQuarantineOptions options;
-    GHashTable *by_digest;
-    /* Both lists: least recently updated first. Each termination adds many
-     * requests that have no other one, and nearly all of them are harmless. So
-     * that they do not evict requests with several terminations, requests with
-     * at most one termination and no stored record are in the list `single`.
-     */
-    struct SuspectList single;
-    struct SuspectList repeated;
-    uint64_t name_hash; /* hash of options.name */
-    unsigned processes;
-    StoredTermination stored_terminations[TERMINATIONS_MAX]; /* ring buffer */
-    size_t n_added;           /* added in total, including overwritten ones */
-    GHashTable *by_endpoint;  /* endpoint to its StoredTermination */
-    bool main_suspects_valid; /* false: recompute before use */
-    CompletedRequests completed_requests;
-};
 
 static void add_termination_(GwQuarantine *q, const Termination *termination);
 static Suspect *find_or_add_suspect_(GwQuarantine *q, const GwDigest *digest);
@@ -103,26 +31,6 @@
 static bool is_selected_to_retry_(const GwQuarantine *q, const Suspect *s,
                                   uint64_t interval);
 static void update_active_quarantines_(GwQuarantine *q);
-static bool is_cause_(const GwQuarantine *q, const Suspect *s);
-static unsigned count_independent_terminations_(const GwQuarantine *q,
-                                                const Suspect *s);
-static bool is_independent_termination_(const GwQuarantine *q,
-                                        const Suspect *s, unsigned i);
-static bool has_group_failed_(const GwQuarantine *q, const Suspect *s,
-                              const Termination *termination);
-static bool is_in_flight_at_all_(const GwQuarantine *q, const Suspect *s,
-                                 const Termination *termination);
-static bool counts_for_group_(const StoredTermination *stored,
-                              const Suspect *s,
-                              const Termination *termination);
-static unsigned count_simultaneous_terminations_(const GwQuarantine *q,
-                                                 const Suspect *s);
-static void find_main_suspects_(GwQuarantine *q);
-static void update_main_suspect_(StoredTermination *stored, const Suspect *s);
-static bool is_attributed_to_another_(const StoredTermination *stored,
-                                      const Suspect *s);
-static bool are_simultaneous_(GwTime a, GwTime b);
-static size_t count_stored_terminations_(const GwQuarantine *q);
 static void remove_suspect_(GwQuarantine *q, Suspect *s);
 static void remove_expired_suspects_(GwQuarantine *q, struct SuspectList *list,
                                      GwTime now);
@@ -488,10 +396,7 @@
 
     s->quarantined_until = s->record_until;
     s->term = GW_QUARANTINE_TERM_MIN;
-    if (s->n_terminations >= GW_QUARANTINE_TERMINATIONS &&
-        !q->main_suspects_valid)
-        find_main_suspects_(q);
-    if (is_cause_(q, s)) {
+    if (Attribution_IsCause(q, s)) {
         s->term = term_after_(s->n_terminations);
         s->quarantined_until =
             MAX(s->record_until,
@@ -548,189 +453,6 @@
     }
 }
 
-// Whether the request is taken to be the cause of its terminations: enough of
-// them are independent, and they are a large enough share of all terminations
-// around them.
-static bool
-is_cause_(const GwQuarantine *q, const Suspect *s)
-{
-    return s->n_terminations >= GW_QUARANTINE_TERMINATIONS &&
-           count_independent_terminations_(q, s) >=
-               GW_QUARANTINE_TERMINATIONS &&
-           s->n_terminations >=
-               CAUSE_SHARE_MIN * count_simultaneous_terminations_(q, s);
-}
-
-static unsigned
-count_independent_terminations_(const GwQuarantine *q, const Suspect *s)
-{
-    unsigned n = 0;
-
-    for (unsigned i = 0; i < s->n_terminations; i++)
-        n += is_independent_termination_(q, s, i);
-    return n;
-}
-
-// If a group failed as a whole, only the first of its simultaneous
-// terminations counts. Each termination is compared only with earlier ones
-// that count themselves; otherwise, of a long series of terminations at short
-// intervals, only the very first would count.
-static bool
-is_independent_termination_(const GwQuarantine *q, const Suspect *s,
-                            unsigned i)
-{
-    const Termination *termination = &s->terminations[i];
-    const StoredTermination *stored =
-        g_hash_table_lookup(q->by_endpoint, &termination->endpoint);
-
-    if (stored != NULL && is_attributed_to_another_(stored, s))
-        return false;
-    if (!has_group_failed_(q, s, termination))
-        return true;
-    for (unsigned k = 0; k < i; k++) {
-        const Termination *earlier = &s->terminations[k];
-
-        if (earlier->group == termination->group &&
-            are_simultaneous_(earlier->at, termination->at) &&
-            is_independent_termination_(q, s, k))
-            return false;
-    }
-    return true;
-}
-
-// Whether a large part of the endpoint's group terminated simultaneously with
-// it for a reason other than this request.
-static bool
-has_group_failed_(const GwQuarantine *q, const Suspect *s,
-                  const Termination *termination)
-{
-    unsigned n_terminated = 0;
-
-    for (size_t i = 0; i < count_stored_terminations_(q); i++)
-        n_terminated +=
-            counts_for_group_(&q->stored_terminations[i], s, termination);
-    if (n_terminated < 2 || termination->group_size == 0 ||
-        n_terminated < GROUP_FAILURE_SHARE * termination->group_size)
-        return false;
-    return n_terminated <= ATTEMPTS_PER_REQUEST_MAX || s->has_completed ||
-           !is_in_flight_at_all_(q, s, termination);
-}
-
-// Whether the request was in flight at all endpoints of the group that
-// terminated simultaneously. If not all terminations of the request are
-// stored, only those after the oldest stored one are considered.
-static bool
-is_in_flight_at_all_(const GwQuarantine *q, const Suspect *s,
-                     const Termination *termination)
-{
-    GwTime after = s->n_terminations == TERMINATIONS_PER_REQUEST_MAX
-                       ? s->terminations[0].at
-                       : INT64_MIN;
-    unsigned n_terminated = 0;
-    unsigned n_in_flight = 0;
-
-    for (size_t i = 0; i < count_stored_terminations_(q); i++) {
-        const StoredTermination *stored = &q->stored_terminations[i];
-
-        n_terminated += stored->termination.at > after &&
-                        counts_for_group_(stored, s, termination);
-    }
-    for (unsigned i = 0; i < s->n_terminations; i++) {
-        const StoredTermination *stored =
-            g_hash_table_lookup(q->by_endpoint, &s->terminations[i].endpoint);
-
-        n_in_flight += stored != NULL && stored->termination.at > after &&
-                       counts_for_group_(stored, s, termination);
-    }
-    return n_in_flight >= n_terminated;
-}
-
-// Whether this termination is of the same group and time and not attributed to
-// a request other than @p s.
-static bool
-counts_for_group_(const StoredTermination *stored, const Suspect *s,
-                  const Termination *termination)
-{
-    return stored->termination.group == termination->group &&
-           are_simultaneous_(stored->termination.at, termination->at) &&
-           !is_attributed_to_another_(stored, s);
-}
-
-// Endpoints that terminated simultaneously with a termination of this request.
-static unsigned
-count_simultaneous_terminations_(const GwQuarantine *q, const Suspect *s)
-{
-    unsigned n = 0;
-
-    for (size_t i = 0; i < count_stored_terminations_(q); i++) {
-        bool simultaneous = false;
-
-        for (unsigned k = 0; k < s->n_terminations; k++)
-            simultaneous =
-                simultaneous ||
-                are_simultaneous_(q->stored_terminations[i].termination.at,
-                                  s->terminations[k].at);
-        n += simultaneous &&
-             !is_attributed_to_another_(&q->stored_terminations[i], s);
-    }
-    return n;
-}
-
-static void
-find_main_suspects_(GwQuarantine *q)
-{
-    const Suspect *s;
-
-    for (size_t i = 0; i < count_stored_terminations_(q); i++) {
-        q->stored_terminations[i].main_suspect = NULL;
-        q->stored_terminations[i].max_terminations = 0;
-    }
-    TAILQ_FOREACH(s, &q->repeated, link)
-    {
-        for (unsigned i = 0; i < s->n_terminations; i++) {
-            StoredTermination *stored = g_hash_table_lookup(
-                q->by_endpoint, &s->terminations[i].endpoint);
-
-            if (stored != NULL)
-                update_main_suspect_(stored, s);
-        }
-    }
-    q->main_suspects_valid = true;
-}
-
-static void
-update_main_suspect_(StoredTermination *stored, const Suspect *s)
-{
-    if (s->n_terminations == stored->max_terminations) {
-        stored->main_suspect = NULL;
-    }
-    else if (s->n_terminations > stored->max_terminations) {
-        stored->main_suspect = s;
-        stored->max_terminations = s->n_terminations;
-    }
-}
-
-// Terminations caused by one fatal request must not make the terminations of
-// another request look like a failed rack or an unrelated failure.
-static bool
-is_attributed_to_another_(const StoredTermination *stored, const Suspect *s)
-{
-    return stored->main_suspect != NULL && stored->main_suspect != s &&
-           stored->max_terminations > 1;
-}
-
-static bool
-are_simultaneous_(GwTime a, GwTime b)
-{
-    return ABS(a - b) <= SIMULTANEOUS_INTERVAL;
-}
-
-static size_t
-count_stored_terminations_(const GwQuarantine *q)
-{
-    return MIN(q->n_added, TERMINATIONS_MAX);
-}
-
 static void
 remove_suspect_(GwQuarantine *q, Suspect *s)
 {
