Quarantine: store at which of all terminations a request was in flight

Cause: each request had copies of its newest 16 terminations, so counts and shares were wrong above that, and times could differ between copies.

Change: terminations are stored once, 1,024 of them, and each request has a bit for each. When all places are taken, the oldest termination without a request in several is replaced.

--- a/packages/quarantine/src/attribution.c
+++ b/packages/quarantine/src/attribution.c
@@ -1,5 +1,7 @@
 #include "attribution.h"
 
+#include <stdlib.h>
+
 /* Terminations at most this far apart may have a common cause. */
 #define SIMULTANEOUS_INTERVAL GW_SECOND
 /* If at least this share of a failure domain terminated simultaneously, the
@@ -15,15 +17,12 @@
 
 static unsigned count_independent_terminations_(const GwQuarantine *q,
                                                 const Suspect *s);
-static bool is_independent_termination_(const GwQuarantine *q,
-                                        const Suspect *s, unsigned i);
+static unsigned sort_terminations_(const GwQuarantine *q, const Suspect *s,
+                                   const StoredTermination **sorted);
+static int compare_times_(const void *a, const void *b);
 static bool has_group_failed_(const GwQuarantine *q, const Suspect *s,
                               const Termination *termination);
-static bool is_in_flight_at_all_(const GwQuarantine *q, const Suspect *s,
-                                 const Termination *termination);
-static bool counts_for_group_(const StoredTermination *stored,
-                              const Suspect *s,
-                              const Termination *termination);
+static bool is_same_failure_(const Termination *a, const Termination *b);
 static unsigned count_simultaneous_terminations_(const GwQuarantine *q,
                                                  const Suspect *s);
 static void find_main_suspects_(GwQuarantine *q);
@@ -31,7 +30,6 @@
 static bool is_attributed_to_another_(const StoredTermination *stored,
                                       const Suspect *s);
 static bool are_simultaneous_(GwTime a, GwTime b);
-static size_t count_stored_terminations_(const GwQuarantine *q);
 
 bool
 Attribution_IsCause(GwQuarantine *q, const Suspect *s)
@@ -46,115 +44,105 @@
                CAUSE_SHARE_MIN * count_simultaneous_terminations_(q, s);
 }
 
+// If a group failed as a whole, only the first of its simultaneous
+// terminations counts. Each termination is compared only with earlier ones
+// that count themselves; otherwise, of a long series of terminations at short
+// intervals, only the very first would count. Returns when enough are counted.
 static unsigned
 count_independent_terminations_(const GwQuarantine *q, const Suspect *s)
+{
+    const StoredTermination *sorted[TERMINATIONS_MAX];
+    const Termination *counted[GW_QUARANTINE_TERMINATIONS];
+    unsigned n = sort_terminations_(q, s, sorted);
+    unsigned n_counted = 0;
+
+    for (unsigned i = 0; i < n && n_counted < G_N_ELEMENTS(counted); i++) {
+        const Termination *termination = &sorted[i]->termination;
+        bool is_repeated = false;
+
+        if (is_attributed_to_another_(sorted[i], s))
+            continue;
+        for (unsigned k = 0; k < n_counted; k++)
+            is_repeated =
+                is_repeated || is_same_failure_(counted[k], termination);
+        if (!is_repeated || !has_group_failed_(q, s, termination))
+            counted[n_counted++] = termination;
+    }
+    return n_counted;
+}
+
+// Finds the terminations of the request, oldest first.
+static unsigned
+sort_terminations_(const GwQuarantine *q, const Suspect *s,
+                   const StoredTermination **sorted)
 {
     unsigned n = 0;
 
-    for (unsigned i = 0; i < s->n_terminations; i++)
-        n += is_independent_termination_(q, s, i);
+    for (size_t i = 0; i < TERMINATIONS_MAX; i++) {
+        if (Suspect_WasInFlight(s, i))
+            sorted[n++] = &q->stored_terminations[i];
+    }
+    qsort(sorted, n, sizeof(sorted[0]), compare_times_);
     return n;
 }
 
-// If a group failed as a whole, only the first of its simultaneous
-// terminations counts. Each termination is compared only with earlier ones
-// that count themselves; otherwise, of a long series of terminations at short
-// intervals, only the very first would count.
-static bool
-is_independent_termination_(const GwQuarantine *q, const Suspect *s,
-                            unsigned i)
+static int
+compare_times_(const void *a, const void *b)
 {
-    const Termination *termination = &s->terminations[i];
-    const StoredTermination *stored =
-        g_hash_table_lookup(q->by_endpoint, &termination->endpoint);
+    const StoredTermination *const *x = a;
+    const StoredTermination *const *y = b;
+    GwTime difference = (*x)->termination.at - (*y)->termination.at;
 
-    if (stored != NULL && is_attributed_to_another_(stored, s))
-        return false;
-    if (!has_group_failed_(q, s, termination))
-        return true;
-    for (unsigned k = 0; k < i; k++) {
-        const Termination *earlier = &s->terminations[k];
-
-        if (earlier->group == termination->group &&
-            are_simultaneous_(earlier->at, termination->at) &&
-            is_independent_termination_(q, s, k))
-            return false;
-    }
-    return true;
+    return (difference > 0) - (difference < 0);
 }
 
 // Whether a large part of the endpoint's group terminated simultaneously with
-// it for a reason other than this request.
+// it for a reason other than this request. Terminations that are attributed to
+// another request are left out.
 static bool
 has_group_failed_(const GwQuarantine *q, const Suspect *s,
                   const Termination *termination)
 {
     unsigned n_terminated = 0;
-
-    for (size_t i = 0; i < count_stored_terminations_(q); i++)
-        n_terminated +=
-            counts_for_group_(&q->stored_terminations[i], s, termination);
-    if (n_terminated < 2 || termination->group_size == 0 ||
-        n_terminated < GROUP_FAILURE_SHARE * termination->group_size)
-        return false;
-    return n_terminated <= ATTEMPTS_PER_REQUEST_MAX || s->has_completed ||
-           !is_in_flight_at_all_(q, s, termination);
-}
-
-// Whether the request was in flight at all endpoints of the group that
-// terminated simultaneously. If not all terminations of the request are
-// stored, only those after the oldest stored one are considered.
-static bool
-is_in_flight_at_all_(const GwQuarantine *q, const Suspect *s,
-                     const Termination *termination)
-{
-    GwTime after = s->n_terminations == TERMINATIONS_PER_REQUEST_MAX
-                       ? s->terminations[0].at
-                       : INT64_MIN;
-    unsigned n_terminated = 0;
     unsigned n_in_flight = 0;
 
-    for (size_t i = 0; i < count_stored_terminations_(q); i++) {
+    for (size_t i = 0; i < q->n_stored; i++) {
         const StoredTermination *stored = &q->stored_terminations[i];
 
-        n_terminated += stored->termination.at > after &&
-                        counts_for_group_(stored, s, termination);
-    }
-    for (unsigned i = 0; i < s->n_terminations; i++) {
-        const StoredTermination *stored =
-            g_hash_table_lookup(q->by_endpoint, &s->terminations[i].endpoint);
-
-        n_in_flight += stored != NULL && stored->termination.at > after &&
-                       counts_for_group_(stored, s, termination);
+        if (!is_same_failure_(&stored->termination, termination) ||
+            is_attributed_to_another_(stored, s))
+            continue;
+        n_terminated++;
+        n_in_flight += Suspect_WasInFlight(s, i);
     }
-    return n_in_flight >= n_terminated;
+    if (n_terminated < 2 || termination->group_size == 0 ||
+        n_terminated < GROUP_FAILURE_SHARE * termination->group_size)
+        return false;
+    return n_terminated <= ATTEMPTS_PER_REQUEST_MAX || s->has_completed ||
+           n_in_flight < n_terminated;
 }
 
-// Whether this termination is of the same group and time and not attributed to
-// a request other than @p s.
 static bool
-counts_for_group_(const StoredTermination *stored, const Suspect *s,
-                  const Termination *termination)
+is_same_failure_(const Termination *a, const Termination *b)
 {
-    return stored->termination.group == termination->group &&
-           are_simultaneous_(stored->termination.at, termination->at) &&
-           !is_attributed_to_another_(stored, s);
+    return a->group == b->group && are_simultaneous_(a->at, b->at);
 }
 
 // Endpoints that terminated simultaneously with a termination of this request.
 static unsigned
 count_simultaneous_terminations_(const GwQuarantine *q, const Suspect *s)
 {
+    const StoredTermination *own[TERMINATIONS_MAX];
+    unsigned n_own = sort_terminations_(q, s, own);
     unsigned n = 0;
 
-    for (size_t i = 0; i < count_stored_terminations_(q); i++) {
+    for (size_t i = 0; i < q->n_stored; i++) {
         bool simultaneous = false;
 
-        for (unsigned k = 0; k < s->n_terminations; k++)
+        for (unsigned k = 0; k < n_own && !simultaneous; k++)
             simultaneous =
-                simultaneous ||
                 are_simultaneous_(q->stored_terminations[i].termination.at,
-                                  s->terminations[k].at);
+                                  own[k]->termination.at);
         n += simultaneous &&
              !is_attributed_to_another_(&q->stored_terminations[i], s);
     }
@@ -166,18 +154,15 @@
 {
     const Suspect *s;
 
-    for (size_t i = 0; i < count_stored_terminations_(q); i++) {
+    for (size_t i = 0; i < q->n_stored; i++) {
         q->stored_terminations[i].main_suspect = NULL;
         q->stored_terminations[i].max_terminations = 0;
     }
     TAILQ_FOREACH(s, &q->repeated, link)
     {
-        for (unsigned i = 0; i < s->n_terminations; i++) {
-            StoredTermination *stored = g_hash_table_lookup(
-                q->by_endpoint, &s->terminations[i].endpoint);
-
-            if (stored != NULL)
-                update_main_suspect_(stored, s);
+        for (size_t i = 0; i < TERMINATIONS_MAX; i++) {
+            if (Suspect_WasInFlight(s, i))
+                update_main_suspect_(&q->stored_terminations[i], s);
         }
     }
     q->main_suspects_valid = true;
@@ -209,9 +194,3 @@
 {
     return ABS(a - b) <= SIMULTANEOUS_INTERVAL;
 }
-
-static size_t
-count_stored_terminations_(const GwQuarantine *q)
-{
-    return MIN(q->n_added, TERMINATIONS_MAX);
-}
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -17,13 +17,17 @@
  * reported as up to this much later. */
 #define COMPLETION_TOLERANCE (500 * GW_MILLISECOND)
 
-static void add_termination_(GwQuarantine *q, const Termination *termination);
+static StoredTermination *add_termination_(GwQuarantine *q,
+                                           const Termination *termination);
+static size_t find_place_(const GwQuarantine *q, GwTime at);
+static void forget_termination_(GwQuarantine *q, size_t place);
+static void forget_in_list_(GwQuarantine *q, struct SuspectList *list,
+                            size_t place);
 static Suspect *find_or_add_suspect_(GwQuarantine *q, const GwDigest *digest);
 static bool add_to_suspect_(GwQuarantine *q, const GwDigest *digest,
-                            const Termination *termination, GwTime now);
-static void correct_termination_time_(Suspect *s, unsigned i,
-                                      const Termination *corrected);
-static void insert_termination_(Suspect *s, const Termination *termination);
+                            const StoredTermination *stored, GwTime now);
+static void set_in_flight_(Suspect *s, size_t place, bool in_flight);
+static GwTime last_termination_at_(const GwQuarantine *q, const Suspect *s);
 static void link_suspect_(GwQuarantine *q, Suspect *s);
 static void unlink_suspect_(GwQuarantine *q, Suspect *s);
 static void update_quarantine_(GwQuarantine *q, Suspect *s);
@@ -122,11 +126,19 @@
     stored = g_hash_table_lookup(q->by_endpoint, &termination->endpoint);
     *is_new = stored == NULL;
     if (stored == NULL)
-        add_termination_(q, &received);
+        stored = add_termination_(q, &received);
+    // Updates that wait in a socket while this process is suspended are all
+    // received when it resumes, so their terminations seem simultaneous, as if
+    // a whole rack had failed. After reconnecting, peers send the terminations
+    // again with their current ages; the earlier time is the correct one.
     else
         stored->termination.at = MIN(stored->termination.at, received.at);
+    if (stored == NULL) {
+        *is_new = false;
+        return 0;
+    }
     for (size_t i = 0; i < n_requests; i++) {
-        if (add_to_suspect_(q, &termination->requests[i], &received, now))
+        if (add_to_suspect_(q, &termination->requests[i], stored, now))
             new_requests[n++] = termination->requests[i];
     }
     for (size_t i = 0; i < n_requests; i++) {
@@ -157,7 +169,7 @@
                            GwTime now)
 {
     Suspect *s = g_hash_table_lookup(q->by_digest, request);
-    unsigned n_kept = 0;
+    bool is_changed;
 
     at = MIN(at, now);
     CompletedRequests_Add(&q->completed_requests, request);
@@ -165,16 +177,20 @@
         return false;
     s->completed_at = at;
     s->has_completed = true;
-    for (unsigned i = 0; i < s->n_terminations; i++) {
-        if (s->terminations[i].at > at + COMPLETION_TOLERANCE)
-            s->terminations[n_kept++] = s->terminations[i];
-    }
-    if (n_kept == s->n_terminations && s->record_until == 0)
-        return false;
+    is_changed = s->record_until != 0;
     unlink_suspect_(q, s);
-    s->n_terminations = n_kept;
+    for (size_t i = 0; i < TERMINATIONS_MAX; i++) {
+        if (Suspect_WasInFlight(s, i) &&
+            q->stored_terminations[i].termination.at <=
+                at + COMPLETION_TOLERANCE) {
+            set_in_flight_(s, i, false);
+            is_changed = true;
+        }
+    }
     s->record_until = 0;
     link_suspect_(q, s);
+    if (!is_changed)
+        return false;
     s->updated_at = now;
     update_quarantine_(q, s);
     return true;
@@ -258,16 +274,19 @@
     for (size_t i = 0; i < G_N_ELEMENTS(lists); i++) {
         TAILQ_FOREACH_REVERSE(s, lists[i], SuspectList, link)
         {
-            for (unsigned k = 0; k < s->n_terminations; k++) {
+            for (size_t k = 0; k < TERMINATIONS_MAX; k++) {
+                const Termination *t = &q->stored_terminations[k].termination;
                 GwEndpointTermination termination = {
-                    .endpoint = s->terminations[k].endpoint,
-                    .group = s->terminations[k].group,
-                    .group_size = s->terminations[k].group_size,
-                    .at = s->terminations[k].at,
+                    .endpoint = t->endpoint,
+                    .group = t->group,
+                    .group_size = t->group_size,
+                    .at = t->at,
                     .requests = &s->digest,
                     .n_requests = 1,
                 };
 
+                if (!Suspect_WasInFlight(s, k))
+                    continue;
                 if (max_rows-- == 0)
                     return;
                 fn(user, &termination);
@@ -276,18 +295,82 @@
     }
 }
 
-static void
+// Returns NULL if there is no place.
+static StoredTermination *
 add_termination_(GwQuarantine *q, const Termination *termination)
 {
-    StoredTermination *slot =
-        &q->stored_terminations[q->n_added % TERMINATIONS_MAX];
+    size_t place = find_place_(q, termination->at);
+    StoredTermination *stored;
 
-    if (q->n_added >= TERMINATIONS_MAX)
-        g_hash_table_remove(q->by_endpoint, &slot->termination.endpoint);
-    *slot = (StoredTermination){.termination = *termination};
-    g_hash_table_insert(q->by_endpoint, &slot->termination.endpoint, slot);
-    q->n_added++;
+    if (place == TERMINATIONS_MAX)
+        return NULL;
+    if (place < q->n_stored)
+        forget_termination_(q, place);
+    else
+        q->n_stored++;
+    stored = &q->stored_terminations[place];
+    *stored = (StoredTermination){.termination = *termination};
+    g_hash_table_insert(q->by_endpoint, &stored->termination.endpoint, stored);
     q->main_suspects_valid = false;
+    return stored;
+}
+
+// Finds a place for a termination at this time: a free one, else that of the
+// oldest termination, preferably of one at which no request with several was
+// in flight. Returns TERMINATIONS_MAX if that one is not older: if it were
+// replaced, each of the two would count as new whenever a peer sends it, and
+// be gossiped for ever.
+static size_t
+find_place_(const GwQuarantine *q, GwTime at)
+{
+    uint64_t repeated[TERMINATION_WORDS] = {0};
+    size_t oldest[2] = {TERMINATIONS_MAX, TERMINATIONS_MAX};
+    const Suspect *s;
+    size_t place;
+
+    if (q->n_stored < TERMINATIONS_MAX)
+        return q->n_stored;
+    TAILQ_FOREACH(s, &q->repeated, link)
+    {
+        for (size_t i = 0; i < TERMINATION_WORDS; i++)
+            repeated[i] |= s->in_flight[i];
+    }
+    for (size_t i = 0; i < TERMINATIONS_MAX; i++) {
+        size_t *o = &oldest[repeated[i / 64] >> (i % 64) & 1];
+
+        if (*o == TERMINATIONS_MAX ||
+            q->stored_terminations[i].termination.at <
+                q->stored_terminations[*o].termination.at)
+            *o = i;
+    }
+    place = oldest[oldest[0] == TERMINATIONS_MAX];
+    return q->stored_terminations[place].termination.at < at
+               ? place
+               : TERMINATIONS_MAX;
+}
+
+static void
+forget_termination_(GwQuarantine *q, size_t place)
+{
+    g_hash_table_remove(q->by_endpoint,
+                        &q->stored_terminations[place].termination.endpoint);
+    forget_in_list_(q, &q->repeated, place);
+    forget_in_list_(q, &q->single, place);
+}
+
+static void
+forget_in_list_(GwQuarantine *q, struct SuspectList *list, size_t place)
+{
+    Suspect *next;
+
+    for (Suspect *s = TAILQ_FIRST(list); s != NULL; s = next) {
+        next = TAILQ_NEXT(s, link);
+        if (!Suspect_WasInFlight(s, place))
+            continue;
+        unlink_suspect_(q, s);
+        set_in_flight_(s, place, false);
+        link_suspect_(q, s);
+    }
 }
 
 static Suspect *
@@ -314,62 +397,43 @@
 // Adds a termination to the request. Returns whether it was new.
 static bool
 add_to_suspect_(GwQuarantine *q, const GwDigest *digest,
-                const Termination *termination, GwTime now)
+                const StoredTermination *stored, GwTime now)
 {
     Suspect *s = find_or_add_suspect_(q, digest);
+    size_t place = (size_t)(stored - q->stored_terminations);
 
-    for (unsigned i = 0; i < s->n_terminations; i++) {
-        if (s->terminations[i].endpoint != termination->endpoint)
-            continue;
-        correct_termination_time_(s, i, termination);
+    if (Suspect_WasInFlight(s, place))
         return false;
-    }
     if (s->completed_at != 0 &&
-        termination->at <= s->completed_at + COMPLETION_TOLERANCE)
-        return false;
-    // Without this check a termination that was dropped for newer ones would
-    // count as new whenever a peer sends it, and be gossiped for ever.
-    if (s->n_terminations == TERMINATIONS_PER_REQUEST_MAX &&
-        termination->at <= s->terminations[0].at)
+        stored->termination.at <= s->completed_at + COMPLETION_TOLERANCE)
         return false;
     unlink_suspect_(q, s);
-    insert_termination_(s, termination);
+    set_in_flight_(s, place, true);
     link_suspect_(q, s);
     s->updated_at = now;
     return true;
 }
 
-// Updates that wait in a socket while this process is suspended are all
-// received when it resumes, so their terminations seem simultaneous, as if a
-// whole rack had failed. After reconnecting, peers send the terminations again
-// with their current ages; the earlier of the two times is the correct one.
 static void
-correct_termination_time_(Suspect *s, unsigned i, const Termination *corrected)
+set_in_flight_(Suspect *s, size_t place, bool in_flight)
 {
-    if (corrected->at >= s->terminations[i].at)
-        return;
-    memmove(s->terminations + i, s->terminations + i + 1,
-            (s->n_terminations - i - 1) * sizeof(s->terminations[0]));
-    s->n_terminations--;
-    insert_termination_(s, corrected);
+    s->in_flight[place / 64] ^= (uint64_t)1 << (place % 64);
+    if (in_flight)
+        s->n_terminations++;
+    else
+        s->n_terminations--;
 }
 
-static void
-insert_termination_(Suspect *s, const Termination *termination)
+static GwTime
+last_termination_at_(const GwQuarantine *q, const Suspect *s)
 {
-    unsigned at;
+    GwTime last = 0;
 
-    if (s->n_terminations == TERMINATIONS_PER_REQUEST_MAX) {
-        memmove(s->terminations, s->terminations + 1,
-                (TERMINATIONS_PER_REQUEST_MAX - 1) *
-                    sizeof(s->terminations[0]));
-        s->n_terminations--;
+    for (size_t i = 0; i < TERMINATIONS_MAX; i++) {
+        if (Suspect_WasInFlight(s, i))
+            last = MAX(last, q->stored_terminations[i].termination.at);
     }
-    for (at = s->n_terminations;
-         at > 0 && s->terminations[at - 1].at > termination->at; at--)
-        s->terminations[at] = s->terminations[at - 1];
-    s->terminations[at] = *termination;
-    s->n_terminations++;
+    return last;
 }
 
 static void
@@ -399,8 +463,7 @@
     if (Attribution_IsCause(q, s)) {
         s->term = term_after_(s->n_terminations);
         s->quarantined_until =
-            MAX(s->record_until,
-                s->terminations[s->n_terminations - 1].at + s->term);
+            MAX(s->record_until, last_termination_at_(q, s) + s->term);
     }
     is_quarantined = s->quarantined_until != 0;
     if (is_quarantined != was_quarantined && q->options.on_changed != NULL)
--- a/packages/quarantine/src/quarantine_private.h
+++ b/packages/quarantine/src/quarantine_private.h
@@ -8,10 +8,9 @@
 
 #include "completed_requests.h"
 
-/* Stored terminations per request; the oldest one is dropped first. */
-#define TERMINATIONS_PER_REQUEST_MAX 16
 /* Stored terminations of endpoints, over all requests. */
-#define TERMINATIONS_MAX 512
+#define TERMINATIONS_MAX 1024
+#define TERMINATION_WORDS (TERMINATIONS_MAX / 64)
 
 /* A termination of an endpoint. */
 typedef struct {
@@ -24,8 +23,10 @@
 typedef struct Suspect {
     TAILQ_ENTRY(Suspect) link;
     GwDigest digest;
-    Termination terminations[TERMINATIONS_PER_REQUEST_MAX]; /* oldest first */
-    unsigned n_terminations;
+    uint64_t in_flight[TERMINATION_WORDS]; /* a bit for each place of
+                                              GwQuarantine.stored_terminations;
+                                              1: was in flight there */
+    unsigned n_terminations;               /* bits that are 1 */
     GwTime completed_at; /* time of its last completion; 0: none known */
     bool has_completed;  /* at any time, as far as known */
     GwTime updated_at;
@@ -62,11 +63,17 @@
     struct SuspectList repeated;
     uint64_t name_hash; /* hash of options.name */
     unsigned processes;
-    StoredTermination stored_terminations[TERMINATIONS_MAX]; /* ring buffer */
-    size_t n_added;           /* added in total, including overwritten ones */
+    StoredTermination stored_terminations[TERMINATIONS_MAX];
+    size_t n_stored;
     GHashTable *by_endpoint;  /* endpoint to its StoredTermination */
     bool main_suspects_valid; /* false: recompute before use */
     CompletedRequests completed_requests;
 };
 
+static inline bool
+Suspect_WasInFlight(const Suspect *s, size_t place)
+{
+    return (s->in_flight[place / 64] >> (place % 64) & 1) != 0;
+}
+
 #endif
--- a/packages/quarantine/tests/quarantine_test.cc
+++ b/packages/quarantine/tests/quarantine_test.cc
@@ -464,6 +464,74 @@
     }
 }
 
+// Guards against releasing a query of death that has more terminations than
+// are stored for it: another gateway's update corrects the time of a stored
+// one to before that of a dropped one, which then seems to lack the request.
+TEST(Quarantine, ACorrectedTimeDoesNotReleaseARequestWithManyTerminations)
+{
+    TestQuarantine t;
+
+    for (uint64_t i = 1; i <= 17; i++)
+        t.AddTermination(i, (GwTime)i * 5 * GW_MILLISECOND, {Request(1)}, 7,
+                         20);
+    ASSERT_GT(t.TimeLeft(Request(1), GW_SECOND), 0);
+    t.AddTermination(3, 4 * GW_MILLISECOND, {Request(1)}, 7, 20);
+    EXPECT_GT(t.TimeLeft(Request(1), GW_SECOND), 0);
+}
+
+// Guards against refusing a harmless request: a rack fails endpoint by
+// endpoint, and a request that runs at fewer than half of them has as many
+// terminations as are stored for one request, the last ones of the rack.
+TEST(Quarantine, ARequestAtTheLastTerminationsOfARackIsNotQuarantined)
+{
+    TestQuarantine t;
+
+    for (unsigned i = 0; i < 36; i++) {
+        std::vector<GwDigest> requests;
+
+        if (i >= 20)
+            requests.push_back(Request(1));
+        t.AddTermination(1 + i, (GwTime)i * GW_MILLISECOND, requests, 7, 36);
+    }
+    EXPECT_EQ(t.TimeLeft(Request(1), GW_SECOND), 0);
+}
+
+// Guards against admitting a query of death because it has terminated more
+// endpoints than are stored for one request, most of them more than four times
+// as many: the others must not count as terminations with another cause.
+TEST(Quarantine, ManyTimesMoreTerminationsThanAreStoredStillCount)
+{
+    for (unsigned n : {40, 60, 70, 100, 200}) {
+        TestQuarantine t;
+
+        for (uint64_t i = 0; i < n; i++)
+            t.AddTermination(1 + i, (GwTime)i * GW_SECOND / n, {Request(1)},
+                             1 + i % 6, n / 6 + 20);
+        EXPECT_GT(t.TimeLeft(Request(1), GW_SECOND), 0) << n;
+    }
+}
+
+// Guards against refusing a harmless request of many callers beside the fatal
+// one: it was in flight at fewer terminations, but at more than are stored for
+// one request, so that the two look tied.
+TEST(Quarantine, ARequestAtFewerTerminationsThanTheFatalOneIsNotQuarantined)
+{
+    for (unsigned n : {14u, 17u}) {
+        TestQuarantine t;
+
+        for (unsigned i = 0; i < 20; i++) {
+            std::vector<GwDigest> requests = {Request(1)};
+
+            if (i < n)
+                requests.push_back(Request(2));
+            t.AddTermination(1 + i, (GwTime)i * 10 * GW_MILLISECOND, requests,
+                             1 + i % 3, 36);
+        }
+        EXPECT_GT(t.TimeLeft(Request(1), GW_SECOND), 0) << n;
+        EXPECT_EQ(t.TimeLeft(Request(2), GW_SECOND), 0) << n;
+    }
+}
+
 // A process receives the third termination before those of the rest of the
 // rack. The quarantine that follows must be lifted when the rack is known to
 // have failed.
