Quarantine: one other termination in its domain does not release a fatal request

Cause: the exception asked for all of the simultaneous terminations, and for more than four.

Change: the domain is not taken to have failed if the request was in flight at 0.8 of the terminations, and at more than three of them. Three is what the tests of failing racks allow a retried request; four were the attempts of an entry, which is no bound of the gateways' routes.

The 50 tests with Quarantine in their name pass.

--- a/packages/quarantine/src/attribution.c
+++ b/packages/quarantine/src/attribution.c
@@ -7,9 +7,12 @@
 /* If at least this share of a failure domain terminated simultaneously, the
  * cause is taken to be something that its endpoints share, such as power. */
 #define GROUP_FAILURE_SHARE 0.75
-/* Attempts of one request. A harmless request that is retried while a domain
- * fails may be in flight at each of so many simultaneous terminations. */
-#define ATTEMPTS_PER_REQUEST_MAX 4
+/* ... unless one request was in flight at at least this share of these
+ * terminations, */
+#define REQUEST_FAILURE_SHARE 0.8
+/* at more than this number of them, which a harmless request may reach by
+ * retries while its domain fails. */
+#define RETRIED_TERMINATIONS_MAX 3
 /* A request that was in flight at less than this share of the terminations
  * around its own, excluding those attributed to another request, is not their
  * cause. */
@@ -118,8 +121,8 @@
     if (n_terminated < 2 || termination->group_size == 0 ||
         n_terminated < GROUP_FAILURE_SHARE * termination->group_size)
         return false;
-    return n_terminated <= ATTEMPTS_PER_REQUEST_MAX || s->has_completed ||
-           n_in_flight < n_terminated;
+    return s->has_completed || n_in_flight <= RETRIED_TERMINATIONS_MAX ||
+           n_in_flight < REQUEST_FAILURE_SHARE * n_terminated;
 }
 
 static bool
