Quarantine: the order of updates does not decide

Found by a review; its test failed before: a fatal request that was released because one termination of its domain was not its own stayed admitted when that termination was attributed to another request, as only requests under quarantine were reconsidered. With the updates in the other order it was refused.

Change: each update that can change an attribution, and each completion that clears something, reconsiders all requests with three or more terminations.

--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -34,7 +34,9 @@
 static GwTime term_after_(unsigned terminations);
 static bool is_selected_to_retry_(const GwQuarantine *q, const Suspect *s,
                                   uint64_t interval);
-static void update_active_quarantines_(GwQuarantine *q);
+static bool has_repeated_(const GwQuarantine *q, const GwDigest *requests,
+                          size_t n);
+static void update_all_quarantines_(GwQuarantine *q);
 static void remove_suspect_(GwQuarantine *q, Suspect *s);
 static void remove_expired_suspects_(GwQuarantine *q, struct SuspectList *list,
                                      GwTime now);
@@ -141,6 +143,9 @@
         if (add_to_suspect_(q, &termination->requests[i], stored, now))
             new_requests[n++] = termination->requests[i];
     }
+    // A request without other terminations changes no attribution.
+    if (*is_new || has_repeated_(q, new_requests, n))
+        update_all_quarantines_(q);
     for (size_t i = 0; i < n_requests; i++) {
         Suspect *s =
             g_hash_table_lookup(q->by_digest, &termination->requests[i]);
@@ -148,8 +153,6 @@
         if (s != NULL)
             update_quarantine_(q, s);
     }
-    if (*is_new || n > 0)
-        update_active_quarantines_(q);
     return n;
 }
 
@@ -193,6 +196,7 @@
         return false;
     s->updated_at = now;
     update_quarantine_(q, s);
+    update_all_quarantines_(q);
     return true;
 }
 
@@ -499,19 +503,30 @@
     return fraction * q->processes < 1;
 }
 
+static bool
+has_repeated_(const GwQuarantine *q, const GwDigest *requests, size_t n)
+{
+    bool has = false;
+
+    for (size_t i = 0; i < n; i++)
+        has = has || GwQuarantine_Terminations(q, &requests[i]) > 1;
+    return has;
+}
+
 // Updates on terminations with a common cause arrive one by one, and the
 // requests in flight at one of them in several. A request that looked like the
-// cause of the first three may turn out to have been in flight by coincidence.
-// If its quarantine were not reconsidered, it would be refused for the whole
-// term.
+// cause of the first three may turn out to have been in flight by coincidence,
+// or the reverse. If all were not reconsidered, the order of the updates would
+// decide.
 static void
-update_active_quarantines_(GwQuarantine *q)
+update_all_quarantines_(GwQuarantine *q)
 {
     Suspect *s;
 
     TAILQ_FOREACH(s, &q->repeated, link)
     {
-        if (s->quarantined_until != 0)
+        if (s->quarantined_until != 0 ||
+            s->n_terminations >= GW_QUARANTINE_TERMINATIONS)
             update_quarantine_(q, s);
     }
 }
--- a/packages/quarantine/tests/quarantine_test.cc
+++ b/packages/quarantine/tests/quarantine_test.cc
@@ -567,6 +567,28 @@
     }
 }
 
+// Guards against decisions that depend on the order of updates: a query of
+// death is released, as it was not in flight at one termination of its domain.
+// When that one turns out to be the work of another request, it must be
+// refused again.
+TEST(Quarantine, OrderOfUpdatesDoesNotDecide)
+{
+    const GwDigest fatal = Request(1), other = Request(2);
+
+    for (bool other_first : {true, false}) {
+        TestQuarantine t;
+
+        if (other_first)
+            t.AddTermination(100, 0, {other}, 8, 100);
+        for (uint64_t i = 1; i <= 5; i++)
+            t.AddTermination(i, 0, {fatal}, 7, 6);
+        t.AddTermination(6, 0, {other}, 7, 6);
+        if (!other_first)
+            t.AddTermination(100, 0, {other}, 8, 100);
+        EXPECT_GT(t.TimeLeft(fatal, 0), 0) << "other first " << other_first;
+    }
+}
+
 // A process receives the third termination before those of the rest of the
 // rack. The quarantine that follows must be lifted when the rack is known to
 // have failed.
