Quarantine: a completion excuses a request for five minutes

Change: the record of completions has times, and only a completion in the 300 s before a termination excuses it.

--- a/packages/quarantine/include/galenagw/quarantine/quarantine.h
+++ b/packages/quarantine/include/galenagw/quarantine/quarantine.h
@@ -11,8 +11,8 @@
  * Most requests in flight at a termination are harmless. One complete answer
  * to a request clears it, whichever endpoint gave it. Simultaneous
  * terminations of most of a failure domain, such as a rack that loses power,
- * count as one, unless a request that is not known to have completed was in
- * flight at most of them. A request that was in flight at few of the endpoints that
+ * count as one, unless a request that is not known to have completed in the last
+ * minutes was in flight at most of them. A request that was in flight at few of the endpoints that
  * terminated is not treated as the cause. A termination counts only for the
  * request with the most terminations among those in flight at it, unless
  * several are tied. After the quarantine term, randomly selected processes
--- a/packages/quarantine/src/attribution.c
+++ b/packages/quarantine/src/attribution.c
@@ -13,6 +13,9 @@
 /* at more than this number of them, which a harmless request may reach by
  * retries while its domain fails. */
 #define RETRIED_TERMINATIONS_MAX 3
+/* A request that completed may terminate endpoints after their software has
+ * changed. */
+#define HARMLESS_AFTER_COMPLETION (300 * GW_SECOND)
 /* A request that was in flight at less than this share of the terminations
  * around its own, excluding those attributed to another request, is not their
  * cause. */
@@ -25,6 +28,8 @@
 static int compare_times_(const void *a, const void *b);
 static bool has_group_failed_(const GwQuarantine *q, const Suspect *s,
                               const Termination *termination);
+static bool is_known_harmless_(const Suspect *s,
+                               const Termination *termination);
 static bool is_same_failure_(const Termination *a, const Termination *b);
 static unsigned count_simultaneous_terminations_(const GwQuarantine *q,
                                                  const Suspect *s);
@@ -121,10 +126,18 @@
     if (n_terminated < 2 || termination->group_size == 0 ||
         n_terminated < GROUP_FAILURE_SHARE * termination->group_size)
         return false;
-    return s->has_completed || n_in_flight <= RETRIED_TERMINATIONS_MAX ||
+    return is_known_harmless_(s, termination) ||
+           n_in_flight <= RETRIED_TERMINATIONS_MAX ||
            n_in_flight < REQUEST_FAILURE_SHARE * n_terminated;
 }
 
+static bool
+is_known_harmless_(const Suspect *s, const Termination *termination)
+{
+    return s->last_completed_at != 0 &&
+           termination->at - s->last_completed_at < HARMLESS_AFTER_COMPLETION;
+}
+
 static bool
 is_same_failure_(const Termination *a, const Termination *b)
 {
--- a/packages/quarantine/src/completed_requests.c
+++ b/packages/quarantine/src/completed_requests.c
@@ -3,15 +3,22 @@
 static size_t place_(const GwDigest *request);
 
 void
-CompletedRequests_Add(CompletedRequests *c, const GwDigest *request)
+CompletedRequests_Add(CompletedRequests *c, const GwDigest *request, GwTime at)
 {
-    c->requests[place_(request)] = *request;
+    CompletedRequest *place = &c->requests[place_(request)];
+
+    if (at <= place->at)
+        return;
+    place->digest = *request;
+    place->at = at;
 }
 
-bool
-CompletedRequests_Has(const CompletedRequests *c, const GwDigest *request)
+GwTime
+CompletedRequests_At(const CompletedRequests *c, const GwDigest *request)
 {
-    return GwDigest_Equal(&c->requests[place_(request)], request);
+    const CompletedRequest *place = &c->requests[place_(request)];
+
+    return GwDigest_Equal(&place->digest, request) ? place->at : 0;
 }
 
 static size_t
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -175,11 +175,11 @@
     bool is_changed;
 
     at = MIN(at, now);
-    CompletedRequests_Add(&q->completed_requests, request);
+    CompletedRequests_Add(&q->completed_requests, request, at);
     if (s == NULL || at <= s->completed_at)
         return false;
     s->completed_at = at;
-    s->has_completed = true;
+    s->last_completed_at = at;
     is_changed = s->record_until != 0;
     unlink_suspect_(q, s);
     for (size_t i = 0; i < TERMINATIONS_MAX; i++) {
@@ -392,7 +392,8 @@
     }
     s = g_new0(Suspect, 1);
     s->digest = *digest;
-    s->has_completed = CompletedRequests_Has(&q->completed_requests, digest);
+    s->last_completed_at =
+        CompletedRequests_At(&q->completed_requests, digest);
     g_hash_table_insert(q->by_digest, &s->digest, s);
     link_suspect_(q, s);
     return s;
--- a/packages/quarantine/src/quarantine_private.h
+++ b/packages/quarantine/src/quarantine_private.h
@@ -27,8 +27,9 @@
                                               GwQuarantine.stored_terminations;
                                               1: was in flight there */
     unsigned n_terminations;               /* bits that are 1 */
-    GwTime completed_at; /* time of its last completion; 0: none known */
-    bool has_completed;  /* at any time, as far as known */
+    GwTime completed_at; /* time of its last completion since it is tracked;
+                            0: none */
+    GwTime last_completed_at; /* also before; 0: none known */
     GwTime updated_at;
     GwTime quarantined_until; /* refused until then, afterwards retried by
                                  selected processes; 0: not under quarantine */
--- a/packages/quarantine/tests/quarantine_test.cc
+++ b/packages/quarantine/tests/quarantine_test.cc
@@ -589,6 +589,19 @@
     }
 }
 
+// Guards against serving a query of death for ever because it completed once,
+// before a change of the endpoints' software: endpoints of a small domain
+// restart and terminate again.
+TEST(Quarantine, ARequestThatCompletedLongAgoIsQuarantinedLikeAnother)
+{
+    TestQuarantine t;
+
+    t.AddCompletion(Request(1), -900 * GW_SECOND);
+    for (unsigned i = 0; i < 64; i++)
+        t.AddTermination(1 + i, (GwTime)i * GW_SECOND / 8, {Request(1)}, 7, 6);
+    EXPECT_GT(t.TimeLeft(Request(1), 8 * GW_SECOND), 0);
+}
+
 // A process receives the third termination before those of the rest of the
 // rack. The quarantine that follows must be lifted when the rack is known to
 // have failed.
