Quarantine: one failure of a domain does not lengthen the term

Change: simultaneous terminations of most of a domain count as one for the length of the term, so that it is 60 s there; then the request is retried. A fatal request that did the same is refused for 60 s and terminates one more endpoint before 120 s follow.

--- a/packages/quarantine/include/galenagw/quarantine/quarantine.h
+++ b/packages/quarantine/include/galenagw/quarantine/quarantine.h
@@ -33,7 +33,9 @@
 /** Terminations after which a request is put under quarantine. */
 #define GW_QUARANTINE_TERMINATIONS 3
 /** Quarantine term after the third termination; each further termination
- * doubles it, up to GW_QUARANTINE_TERM_MAX. After the term, about one process
+ * doubles it, up to GW_QUARANTINE_TERM_MAX. Simultaneous terminations of most
+ * of a failure domain count as one here, even if the request is taken to be
+ * their cause. After the term, about one process
  * of the fleet at a time may retry the request: one that was suspected wrongly
  * is served again, any other terminates one more endpoint. */
 #define GW_QUARANTINE_TERM_MIN (60 * GW_SECOND)
--- a/packages/quarantine/src/attribution.c
+++ b/packages/quarantine/src/attribution.c
@@ -16,18 +16,35 @@
 /* A request that completed may terminate endpoints after their software has
  * changed. */
 #define HARMLESS_AFTER_COMPLETION (300 * GW_SECOND)
+/* Failures that are told apart for the length of a quarantine, more than
+ * lengthen it. */
+#define FAILURES_MAX 8
 /* A request that was in flight at less than this share of the terminations
  * around its own, excluding those attributed to another request, is not their
  * cause. */
 #define CAUSE_SHARE_MIN 0.25
 
-static unsigned count_independent_terminations_(const GwQuarantine *q,
-                                                const Suspect *s);
+/* Terminations of a group that are simultaneous with one of a request. */
+typedef struct {
+    unsigned n_terminated;
+    unsigned n_in_flight; /* at which the request was in flight */
+} GroupFailure;
+
+typedef bool (*GroupCheck)(const GwQuarantine *q, const Suspect *s,
+                           const Termination *termination);
+
+static unsigned count_failures_(const GwQuarantine *q, const Suspect *s,
+                                GroupCheck has_failed, unsigned max);
 static unsigned sort_terminations_(const GwQuarantine *q, const Suspect *s,
                                    const StoredTermination **sorted);
 static int compare_times_(const void *a, const void *b);
 static bool has_group_failed_(const GwQuarantine *q, const Suspect *s,
                               const Termination *termination);
+static bool has_group_failed_itself_(const GwQuarantine *q, const Suspect *s,
+                                     const Termination *termination);
+static GroupFailure find_group_failure_(const GwQuarantine *q,
+                                        const Suspect *s,
+                                        const Termination *termination);
 static bool is_known_harmless_(const Suspect *s,
                                const Termination *termination);
 static bool is_same_failure_(const Termination *a, const Termination *b);
@@ -46,25 +63,34 @@
         return false;
     if (!q->main_suspects_valid)
         find_main_suspects_(q);
-    return count_independent_terminations_(q, s) >=
+    return count_failures_(q, s, has_group_failed_itself_,
+                           GW_QUARANTINE_TERMINATIONS) ==
                GW_QUARANTINE_TERMINATIONS &&
            s->n_terminations >=
                CAUSE_SHARE_MIN * count_simultaneous_terminations_(q, s);
 }
 
+unsigned
+Attribution_CountFailures(const GwQuarantine *q, const Suspect *s)
+{
+    return count_failures_(q, s, has_group_failed_, FAILURES_MAX);
+}
+
+// Counts the terminations of the request, up to @p max, at most FAILURES_MAX.
 // If a group failed as a whole, only the first of its simultaneous
 // terminations counts. Each termination is compared only with earlier ones
 // that count themselves; otherwise, of a long series of terminations at short
-// intervals, only the very first would count. Returns when enough are counted.
+// intervals, only the very first would count.
 static unsigned
-count_independent_terminations_(const GwQuarantine *q, const Suspect *s)
+count_failures_(const GwQuarantine *q, const Suspect *s, GroupCheck has_failed,
+                unsigned max)
 {
     const StoredTermination *sorted[TERMINATIONS_MAX];
-    const Termination *counted[GW_QUARANTINE_TERMINATIONS];
+    const Termination *counted[FAILURES_MAX];
     unsigned n = sort_terminations_(q, s, sorted);
     unsigned n_counted = 0;
 
-    for (unsigned i = 0; i < n && n_counted < G_N_ELEMENTS(counted); i++) {
+    for (unsigned i = 0; i < n && n_counted < max; i++) {
         const Termination *termination = &sorted[i]->termination;
         bool is_repeated = false;
 
@@ -73,7 +99,7 @@
         for (unsigned k = 0; k < n_counted; k++)
             is_repeated =
                 is_repeated || is_same_failure_(counted[k], termination);
-        if (!is_repeated || !has_group_failed_(q, s, termination))
+        if (!is_repeated || !has_failed(q, s, termination))
             counted[n_counted++] = termination;
     }
     return n_counted;
@@ -105,14 +131,37 @@
 }
 
 // Whether a large part of the endpoint's group terminated simultaneously with
-// it for a reason other than this request. Terminations that are attributed to
-// another request are left out.
+// it, leaving out terminations that are attributed to another request.
 static bool
 has_group_failed_(const GwQuarantine *q, const Suspect *s,
                   const Termination *termination)
 {
-    unsigned n_terminated = 0;
-    unsigned n_in_flight = 0;
+    GroupFailure f = find_group_failure_(q, s, termination);
+
+    return f.n_terminated > 1 && termination->group_size > 0 &&
+           f.n_terminated >= GROUP_FAILURE_SHARE * termination->group_size;
+}
+
+// The same, and the request does not seem to be the reason.
+static bool
+has_group_failed_itself_(const GwQuarantine *q, const Suspect *s,
+                         const Termination *termination)
+{
+    GroupFailure f;
+
+    if (!has_group_failed_(q, s, termination))
+        return false;
+    f = find_group_failure_(q, s, termination);
+    return is_known_harmless_(s, termination) ||
+           f.n_in_flight <= RETRIED_TERMINATIONS_MAX ||
+           f.n_in_flight < REQUEST_FAILURE_SHARE * f.n_terminated;
+}
+
+static GroupFailure
+find_group_failure_(const GwQuarantine *q, const Suspect *s,
+                    const Termination *termination)
+{
+    GroupFailure f = {0, 0};
 
     for (size_t i = 0; i < q->n_stored; i++) {
         const StoredTermination *stored = &q->stored_terminations[i];
@@ -120,15 +169,10 @@
         if (!is_same_failure_(&stored->termination, termination) ||
             is_attributed_to_another_(stored, s))
             continue;
-        n_terminated++;
-        n_in_flight += Suspect_WasInFlight(s, i);
+        f.n_terminated++;
+        f.n_in_flight += Suspect_WasInFlight(s, i);
     }
-    if (n_terminated < 2 || termination->group_size == 0 ||
-        n_terminated < GROUP_FAILURE_SHARE * termination->group_size)
-        return false;
-    return is_known_harmless_(s, termination) ||
-           n_in_flight <= RETRIED_TERMINATIONS_MAX ||
-           n_in_flight < REQUEST_FAILURE_SHARE * n_terminated;
+    return f;
 }
 
 static bool
--- a/packages/quarantine/src/attribution.h
+++ b/packages/quarantine/src/attribution.h
@@ -8,5 +8,9 @@
  * them are independent, and they are a large enough share of all terminations
  * around them. */
 bool Attribution_IsCause(GwQuarantine *q, const Suspect *s);
+/* Number of terminations of the request, up to a maximum that gives the
+ * longest quarantine. Simultaneous ones of most of a group count as one, even
+ * if the request is taken to be their cause. */
+unsigned Attribution_CountFailures(const GwQuarantine *q, const Suspect *s);
 
 #endif
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -31,7 +31,7 @@
 static void link_suspect_(GwQuarantine *q, Suspect *s);
 static void unlink_suspect_(GwQuarantine *q, Suspect *s);
 static void update_quarantine_(GwQuarantine *q, Suspect *s);
-static GwTime term_after_(unsigned terminations);
+static GwTime term_after_(unsigned failures);
 static bool is_selected_to_retry_(const GwQuarantine *q, const Suspect *s,
                                   uint64_t interval);
 static bool has_repeated_(const GwQuarantine *q, const GwDigest *requests,
@@ -466,7 +466,7 @@
     s->quarantined_until = s->record_until;
     s->term = GW_QUARANTINE_TERM_MIN;
     if (Attribution_IsCause(q, s)) {
-        s->term = term_after_(s->n_terminations);
+        s->term = term_after_(Attribution_CountFailures(q, s));
         s->quarantined_until =
             MAX(s->record_until, last_termination_at_(q, s) + s->term);
     }
@@ -476,14 +476,13 @@
                               is_quarantined);
 }
 
-// The quarantine term after so many terminations.
 static GwTime
-term_after_(unsigned terminations)
+term_after_(unsigned failures)
 {
     GwTime term = GW_QUARANTINE_TERM_MIN;
 
     for (unsigned n = GW_QUARANTINE_TERMINATIONS;
-         n < terminations && term < GW_QUARANTINE_TERM_MAX; n++)
+         n < failures && term < GW_QUARANTINE_TERM_MAX; n++)
         term *= 2;
     return term;
 }
--- a/packages/quarantine/tests/quarantine_test.cc
+++ b/packages/quarantine/tests/quarantine_test.cc
@@ -602,6 +602,18 @@
     EXPECT_GT(t.TimeLeft(Request(1), 8 * GW_SECOND), 0);
 }
 
+// Guards against refusing a harmless request for long: it was in flight at
+// each endpoint of a rack that failed and completed at no process that knows
+// of it. One failure may not lengthen the term.
+TEST(Quarantine, TermIsShortAfterTerminationsOfOneDomainAtOnce)
+{
+    TestQuarantine t;
+
+    for (uint64_t i = 0; i < 12; i++)
+        t.AddTermination(1 + i, 0, {Request(1)}, 7, 12);
+    EXPECT_EQ(t.TimeLeft(Request(1), 0), GW_QUARANTINE_TERM_MIN);
+}
+
 // A process receives the third termination before those of the rest of the
 // rack. The quarantine that follows must be lifted when the rack is known to
 // have failed.
