Quarantine: processes tell each other which requests completed

A process that starts later received the terminations, but not the completions.

Change: a gateway that broadcasts a termination broadcasts the last completion of a request that it knows as answered, a process that receives a termination answers with it, and a process that connects receives completions before terminations. The frame is the one that exists. A completion is passed on only where it clears or releases something, as before, so it cannot circulate; only requests that were in flight at a termination and completed before cost a frame, which unique prompts did not.

APeerThatStartsLaterKnowsWhatCompleted sends completions as SendAll does. In RequestOfManyCallers... the terminations are now 600 ms after the completions, which otherwise clear them.

Left: the record of completions has 2,048 places; a request that completed before thousands of others is not known, and is refused for up to 60 s.

--- a/packages/gateway/src/terminations.c
+++ b/packages/gateway/src/terminations.c
@@ -17,6 +17,7 @@
                                                const GwInstance *instance);
 static void add_termination_(GwGateway *g, GwEndpointTermination *termination,
                              const GArray *requests, GwTerminationCause cause);
+static void broadcast_completion_(GwGateway *g, const GwDigest *request);
 static void log_termination_(GwGateway *g,
                              const GwEndpointTermination *termination,
                              GwTerminationCause cause);
@@ -196,12 +197,27 @@
         return;
     GwPeers_BroadcastQuarantine(g->peers, &update);
     for (size_t i = 0; i < update.termination.n_requests; i++) {
+        broadcast_completion_(g, &new_requests[i]);
         if (GwQuarantine_TimeLeft(g->quarantine, &new_requests[i],
                                   GwTime_Now()) > 0)
             GwQuarantineStore_Write(g->quarantine_store, &new_requests[i]);
     }
 }
 
+// Peers that have not seen the request complete may take it for the cause of
+// its terminations.
+static void
+broadcast_completion_(GwGateway *g, const GwDigest *request)
+{
+    GwQuarantineUpdate update = {
+        .completed = *request,
+        .completed_at = GwQuarantine_CompletedAt(g->quarantine, request),
+    };
+
+    if (update.completed_at != 0)
+        GwPeers_BroadcastQuarantine(g->peers, &update);
+}
+
 static void
 log_termination_(GwGateway *g, const GwEndpointTermination *termination,
                  GwTerminationCause cause)
--- a/packages/gateway/tests/gateway_quarantine_test.cc
+++ b/packages/gateway/tests/gateway_quarantine_test.cc
@@ -415,6 +415,8 @@
     ASSERT_TRUE(f.Ready());
     for (GwGateway *g : f.gateways)
         ASSERT_EQ(t.SendRequest(g, "/plain/1", "sound"), 200);
+    // So that the completions do not clear the terminations.
+    f.Wait(600 * GW_MILLISECOND);
     for (Endpoint *e : rack)
         e->serve = [&](Endpoint *at, FakeExchange *) { holding.insert(at); };
     for (int i = 0; i < 100 && holding.size() < rack.size(); i++) {
@@ -439,6 +441,56 @@
     }
 }
 
+// Guards against refusing a harmless request at the gateways that have not
+// answered it themselves: one gateway has, a rack loses power while the
+// request runs at each of its endpoints, and the others take it for the cause.
+TEST(GatewayQuarantine, RequestAnsweredByAnotherGatewayIsAdmitted)
+{
+    FatalFleet t("plain", 0);
+    Fleet &f = t.a.f;
+    std::vector<Endpoint *> rack;
+    std::vector<std::shared_ptr<Caller>> callers;
+    std::set<Endpoint *> holding;
+    GwDigestSource source = {};
+
+    for (int i = 0; i < 6; i++)
+        rack.push_back(f.AddEndpoint(("rack" + std::to_string(i)).c_str(),
+                                     "plain", false, "rack"));
+    ASSERT_TRUE(f.Ready());
+    for (int i = 0; i < 20; i++)
+        ASSERT_EQ(t.SendRequest(f.gateways[0], "/plain/1", "sound"), 200);
+    for (Endpoint *e : rack)
+        e->serve = [&](Endpoint *at, FakeExchange *) { holding.insert(at); };
+    for (int i = 0; i < 100 && holding.size() < rack.size(); i++) {
+        callers.push_back(f.Call(f.gateways[i % 4],
+                                 Fleet::Request("POST", "/plain/1", "sound")));
+        f.Wait(10 * GW_MILLISECOND);
+    }
+    ASSERT_EQ(holding.size(), rack.size());
+    for (Endpoint *e : rack)
+        t.Terminate(e);
+    f.Wait(500 * GW_MILLISECOND);
+    source.account = "acme";
+    source.method = "POST";
+    source.target = "/plain/1";
+    source.body = "sound";
+    source.body_len = 5;
+    GwDigest digest = GwDigest_Of(&source);
+    for (GwGateway *g : f.gateways)
+        EXPECT_EQ(GwQuarantine_TimeLeft(g->quarantine, &digest, GwTime_Now()),
+                  0);
+    // Another rack takes over. Whichever gateway its callers use, it is
+    // answered.
+    f.AddEndpoint("other", "plain", false, "other");
+    for (int i = 1; i < 4; i++) {
+        ASSERT_TRUE(f.Until([&] {
+            return t.SendRequest(f.gateways[i], "/plain/1", "another") == 200;
+        }));
+        EXPECT_EQ(t.SendRequest(f.gateways[i], "/plain/1", "sound"), 200)
+            << i << t.last_caller->received;
+    }
+}
+
 // A leaving endpoint closes its port and may break requests that it still
 // runs. That must not count as a termination.
 TEST(GatewayQuarantine, LeavingEndpointIsNoTermination)
--- a/packages/quarantine/include/galenagw/quarantine/quarantine.h
+++ b/packages/quarantine/include/galenagw/quarantine/quarantine.h
@@ -11,13 +11,13 @@
  * Most requests in flight at a termination are harmless. One complete answer
  * to a request clears it, whichever endpoint gave it. Simultaneous
  * terminations of most of a failure domain, such as a rack that loses power,
- * count as one, unless a request that is not known to have completed in the last
- * minutes was in flight at most of them. A request that was in flight at few of the endpoints that
- * terminated is not treated as the cause. A termination counts only for the
- * request with the most terminations among those in flight at it, unless
- * several are tied. After the quarantine term, randomly selected processes
- * retry the request, one attempt at a time. The number of tracked requests is
- * bounded, and entries expire.
+ * count as one, unless a request that is not known to have completed in the
+ * last minutes was in flight at most of them. A request that was in flight at
+ * few of the endpoints that terminated is not treated as the cause. A
+ * termination counts only for the request with the most terminations among
+ * those in flight at it, unless several are tied. After the quarantine term,
+ * randomly selected processes retry the request, one attempt at a time. The
+ * number of tracked requests is bounded, and entries expire.
  * @{
  */
 #ifndef GALENAGW_QUARANTINE_QUARANTINE_H
@@ -110,12 +110,16 @@
  * Records that the request got a complete answer at @p at, which clears its
  * earlier terminations. Called for each complete answer, also while no request
  * is tracked.
- * @return whether that changed anything; false if the request had neither
- * earlier terminations nor a stored quarantine
+ * @return whether that cleared a termination or a stored quarantine, or
+ * released the request
  */
 bool GwQuarantine_AddCompletion(GwQuarantine *quarantine,
                                 const GwDigest *request, GwTime at,
                                 GwTime now);
+/** @return time of the last known completion of a request with terminations;
+ * 0: none */
+GwTime GwQuarantine_CompletedAt(const GwQuarantine *quarantine,
+                                const GwDigest *request);
 /**
  * Puts the request under quarantine until @p until, but at most for
  * GW_QUARANTINE_TERM_MAX, because of a stored record that another process
@@ -137,6 +141,11 @@
                                    const GwDigest *request);
 /** Removes expired requests. */
 void GwQuarantine_Sweep(GwQuarantine *quarantine, GwTime now);
+/** Calls @p fn with the last known completions of requests with several
+ * terminations, at most @p max_requests times. */
+void GwQuarantine_ForEachCompleted(
+    const GwQuarantine *quarantine, size_t max_requests,
+    void (*fn)(void *user, const GwDigest *request, GwTime at), void *user);
 /**
  * Calls @p fn with the stored terminations, each with one request, to send
  * them to a peer that may not know them. Requests with several terminations
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -172,6 +172,7 @@
                            GwTime now)
 {
     Suspect *s = g_hash_table_lookup(q->by_digest, request);
+    GwTime quarantined_until;
     bool is_changed;
 
     at = MIN(at, now);
@@ -179,8 +180,9 @@
     if (s == NULL || at <= s->completed_at)
         return false;
     s->completed_at = at;
-    s->last_completed_at = at;
+    quarantined_until = s->quarantined_until;
     is_changed = s->record_until != 0;
+    s->last_completed_at = MAX(s->last_completed_at, at);
     unlink_suspect_(q, s);
     for (size_t i = 0; i < TERMINATIONS_MAX; i++) {
         if (Suspect_WasInFlight(s, i) &&
@@ -192,14 +194,22 @@
     }
     s->record_until = 0;
     link_suspect_(q, s);
-    if (!is_changed)
+    update_quarantine_(q, s);
+    if (!is_changed && s->quarantined_until == quarantined_until)
         return false;
     s->updated_at = now;
-    update_quarantine_(q, s);
     update_all_quarantines_(q);
     return true;
 }
 
+GwTime
+GwQuarantine_CompletedAt(const GwQuarantine *q, const GwDigest *request)
+{
+    const Suspect *s = g_hash_table_lookup(q->by_digest, request);
+
+    return s != NULL ? s->last_completed_at : 0;
+}
+
 void
 GwQuarantine_Hold(GwQuarantine *q, const GwDigest *request, GwTime until,
                   GwTime now)
@@ -266,6 +276,24 @@
     remove_expired_suspects_(q, &q->repeated, now);
 }
 
+void
+GwQuarantine_ForEachCompleted(const GwQuarantine *q, size_t max_requests,
+                              void (*fn)(void *user, const GwDigest *request,
+                                         GwTime at),
+                              void *user)
+{
+    const Suspect *s;
+
+    TAILQ_FOREACH_REVERSE(s, &q->repeated, SuspectList, link)
+    {
+        if (s->last_completed_at == 0)
+            continue;
+        if (max_requests-- == 0)
+            return;
+        fn(user, &s->digest, s->last_completed_at);
+    }
+}
+
 void
 GwQuarantine_ForEach(const GwQuarantine *q, size_t max_rows,
                      void (*fn)(void *user,
--- a/packages/quarantine/src/quarantine_sync.c
+++ b/packages/quarantine/src/quarantine_sync.c
@@ -5,8 +5,9 @@
 
 static void send_termination_(void *user,
                               const GwEndpointTermination *termination);
-static void send_completion_(GwSession *session,
-                             const GwQuarantineUpdate *update);
+static void send_completion_(void *user, const GwDigest *request, GwTime at);
+static void send_completions_(GwQuarantine *q, GwSession *session,
+                              const GwDigest *requests, size_t n);
 static void receive_termination_(GwQuarantine *q, GwSession *from,
                                  const Gw__Wire__EndpointEnd *body,
                                  const GwQuarantineSyncOps *ops, void *user);
@@ -22,12 +23,15 @@
     if (update->is_termination)
         send_termination_(session, &update->termination);
     else
-        send_completion_(session, update);
+        send_completion_(session, &update->completed, update->completed_at);
 }
 
 void
 GwQuarantineSync_SendAll(GwSession *session, const GwQuarantine *q)
 {
+    // First, so that the peer does not refuse meanwhile what they excuse.
+    GwQuarantine_ForEachCompleted(q, SEND_ALL_ROWS_MAX, send_completion_,
+                                  session);
     GwQuarantine_ForEach(q, SEND_ALL_ROWS_MAX, send_termination_, session);
 }
 
@@ -71,14 +75,28 @@
 }
 
 static void
-send_completion_(GwSession *session, const GwQuarantineUpdate *update)
+send_completion_(void *user, const GwDigest *request, GwTime at)
 {
     GW_FRAME(frame, body, SOUND_REQUEST, SoundRequest, sound_request);
 
-    body.account = update->completed.account;
-    body.content = update->completed.content;
-    body.answered_ms = elapsed_ms_(update->completed_at);
-    GwSession_Send(session, &frame);
+    body.account = request->account;
+    body.content = request->content;
+    body.answered_ms = elapsed_ms_(at);
+    GwSession_Send(user, &frame);
+}
+
+// The peer may take the requests for the cause of their terminations, because
+// it has not seen them complete. Few requests were sent and answered before.
+static void
+send_completions_(GwQuarantine *q, GwSession *session,
+                  const GwDigest *requests, size_t n)
+{
+    for (size_t i = 0; i < n; i++) {
+        GwTime at = GwQuarantine_CompletedAt(q, &requests[i]);
+
+        if (at != 0)
+            send_completion_(session, &requests[i], at);
+    }
 }
 
 // Arrays of unequal length are cut to the shorter one, and both to the number
@@ -111,6 +129,7 @@
     update.termination.n_requests = GwQuarantine_AddTermination(
         q, &update.termination, now, new_requests, &is_new);
     update.termination.requests = new_requests;
+    send_completions_(q, from, requests, n);
     if (is_new || update.termination.n_requests > 0)
         ops->on_update(user, from, &update);
 }
--- a/packages/quarantine/tests/quarantine_test.cc
+++ b/packages/quarantine/tests/quarantine_test.cc
@@ -614,6 +614,39 @@
     EXPECT_EQ(t.TimeLeft(Request(1), 0), GW_QUARANTINE_TERM_MIN);
 }
 
+// Guards against refusing a harmless request at a process that starts after a
+// rack has failed: peers send it the terminations, in flight at all of which
+// was a request that has completed at each of them, but not at this process.
+TEST(Quarantine, APeerThatStartsLaterKnowsWhatCompleted)
+{
+    TestQuarantine t;
+    TestQuarantine other;
+
+    t.AddCompletion(Request(1), 0);
+    for (uint64_t i = 0; i < 6; i++)
+        t.AddTermination(1 + i, 2 * GW_SECOND, {Request(1)}, 7, 6);
+    ASSERT_EQ(t.TimeLeft(Request(1), 5 * GW_SECOND), 0);
+    GwQuarantine_ForEachCompleted(
+        t.q, 512,
+        [](void *user, const GwDigest *request, GwTime at) {
+            GwQuarantine_AddCompletion(static_cast<TestQuarantine *>(user)->q,
+                                       request, at, kStart + 5 * GW_SECOND);
+        },
+        &other);
+    GwQuarantine_ForEach(
+        t.q, 512,
+        [](void *user, const GwEndpointTermination *termination) {
+            GwDigest new_requests[1];
+            bool is_new;
+
+            GwQuarantine_AddTermination(static_cast<TestQuarantine *>(user)->q,
+                                        termination, kStart + 5 * GW_SECOND,
+                                        new_requests, &is_new);
+        },
+        &other);
+    EXPECT_EQ(other.TimeLeft(Request(1), 5 * GW_SECOND), 0);
+}
+
 // A process receives the third termination before those of the rest of the
 // rack. The quarantine that follows must be lifted when the rack is known to
 // have failed.
