Soak: one function each for a restart, a suspension and a random choice

Cause: the sequence begin fault, crash, restart, end fault was written four times (three times in faults.cc, once in faults_streams.cc), the suspension of a process twice, and the choice of a random process and of a random endpoint twice each (RandomEngine had the second one a third time); the copies differed by the generator only.

Change: RestartEndpoint, SuspendProcess, and RandomProcess and RandomEndpoint with the generator as parameter; the draws of all three generators go through DrawFrom. The order of the draws is as before. A log line changes: "pause PROCESS" is "suspend PROCESS" now, as departures already logged it.

--- a/soak/src/faults.cc
+++ b/soak/src/faults.cc
@@ -122,17 +122,22 @@
     OnDepartureTimer(this);
 }
 
+GwTime
+Faults::DrawFrom(std::mt19937_64 *random, GwTime least, GwTime most)
+{
+    return std::uniform_int_distribution<GwTime>(least, most)(*random);
+}
+
 GwTime
 Faults::Draw(GwTime least, GwTime most)
 {
-    return std::uniform_int_distribution<GwTime>(least, most)(random_);
+    return DrawFrom(&random_, least, most);
 }
 
 GwTime
 Faults::DrawForDeparture(GwTime least, GwTime most)
 {
-    return std::uniform_int_distribution<GwTime>(least,
-                                                 most)(departure_random_);
+    return DrawFrom(&departure_random_, least, most);
 }
 
 void
@@ -180,21 +185,22 @@
 }
 
 Process *
-Faults::RandomProcess()
+Faults::RandomProcess(std::mt19937_64 *random)
 {
     size_t n = options_.gateways->size();
-    size_t i = (size_t)Draw(0, (GwTime)(n + options_.sidecars->size()) - 1);
+    size_t i = (size_t)DrawFrom(random, 0,
+                                (GwTime)(n + options_.sidecars->size()) - 1);
 
     return i < n ? (*options_.gateways)[i]->process.get()
                  : (*options_.sidecars)[i - n].get();
 }
 
 Endpoint *
-Faults::RandomEndpoint()
+Faults::RandomEndpoint(std::mt19937_64 *random)
 {
     auto &all = options_.platform->endpoints;
 
-    return all[(size_t)Draw(0, (GwTime)all.size() - 1)].get();
+    return all[(size_t)DrawFrom(random, 0, (GwTime)all.size() - 1)].get();
 }
 
 Proxy *
@@ -202,7 +208,7 @@
 {
     switch (Draw(0, 2)) {
     case 0:
-        return RandomEndpoint()->proxy.get();
+        return RandomEndpoint(&random_)->proxy.get();
     case 1:
         return (*options_
                      .gateways)[(size_t)Draw(
@@ -221,13 +227,13 @@
     GwTime draw = Draw(0, 99);
 
     if (draw < 25)
-        InjectProcessFault(RandomProcess());
+        InjectProcessFault(RandomProcess(&random_));
     else if (draw < 28)
         KillProcesses();
     else if (draw < 60)
         InjectProxyFault(RandomProxy());
     else if (draw < 80)
-        InjectEndpointFault(RandomEndpoint());
+        InjectEndpointFault(RandomEndpoint(&random_));
     else if (draw < 88)
         InjectStoreFault();
     else if (draw < 94)
@@ -235,7 +241,7 @@
     else if (draw < 97)
         options_.platform->ReleaseWeights();
     else
-        WriteInvalidRow(RandomEndpoint());
+        WriteInvalidRow(RandomEndpoint(&random_));
 }
 
 // The endpoint's next heartbeat overwrites an invalid row under its own id. A
@@ -263,13 +269,7 @@
         return;
     switch (Draw(0, 3)) {
     case 0:
-        log_("pause " + process->name);
-        process->fault_history.BeginFault();
-        process->Signal(SIGSTOP);
-        ScheduleAction(time, [process] {
-            process->Signal(SIGCONT);
-            process->fault_history.EndFault();
-        });
+        SuspendProcess(process, time);
         return;
     case 1:
         log_("kill " + process->name);
@@ -500,7 +500,7 @@
 void
 Faults::DrainEndpoint()
 {
-    Endpoint *e = RandomEndpoint();
+    Endpoint *e = RandomEndpoint(&random_);
 
     if (!e->is_running)
         return;
@@ -518,10 +518,7 @@
                        [e] { e->proxy->SetRefusing(true); });
     ScheduleAction(by_answers_only ? kAnswerOnlyDrainTime : kDrainTime, [e] {
         e->proxy->SetRefusing(false);
-        e->proxy->fault_history.BeginFault();
-        e->Crash();
-        e->Restart();
-        e->proxy->fault_history.EndFault();
+        RestartEndpoint(e);
     });
 }
 
@@ -564,7 +561,7 @@
         ScheduleKill(gateways[i]->process.get(),
                      departs_in + DrawForDeparture(-kSlowStoreDelay,
                                                    kSlowStoreDelay / 2));
-    ScheduleDeparture(RandomEndpointForDeparture(), departs_in,
+    ScheduleDeparture(RandomEndpoint(&departure_random_), departs_in,
                       kMaxLongDrainTime);
 }
 
@@ -587,22 +584,19 @@
 {
     GwTime outage = DrawForDeparture(kMinOutage, kMaxOutage);
 
-    ScheduleInterruption(RandomProcessForDeparture(), outage);
+    ScheduleInterruption(RandomProcess(&departure_random_), outage);
     ScheduleDepartureAround(outage);
 }
 
 void
 Faults::DepartAfterRestart()
 {
-    Endpoint *e = RandomEndpointForDeparture();
+    Endpoint *e = RandomEndpoint(&departure_random_);
 
     if (!e->is_running || e->IsDeparting())
         return;
     log_("restart of " + e->id);
-    e->proxy->fault_history.BeginFault();
-    e->Crash();
-    e->Restart();
-    e->proxy->fault_history.EndFault();
+    RestartEndpoint(e);
     ScheduleDeparture(e, DrawForDeparture(0, kMaxDepartureOffset),
                       DrawForDeparture(kMinLongDrainTime, kMaxLongDrainTime));
 }
@@ -611,7 +605,7 @@
 Faults::ScheduleDepartureAround(GwTime time)
 {
     ScheduleDeparture(
-        RandomEndpointForDeparture(),
+        RandomEndpoint(&departure_random_),
         time + DrawForDeparture(-kMaxDepartureOffset, kMaxDepartureOffset),
         DrawForDeparture(kMinLongDrainTime, kMaxLongDrainTime));
 }
@@ -631,14 +625,6 @@
     });
 }
 
-Endpoint *
-Faults::RandomEndpointForDeparture()
-{
-    auto &all = options_.platform->endpoints;
-
-    return all[(size_t)DrawForDeparture(0, (GwTime)all.size() - 1)].get();
-}
-
 void
 Faults::DepartEndpoint(Endpoint *e, Departure departure, GwTime drain_time)
 {
@@ -647,12 +633,16 @@
 
     log_("departure of " + e->id + " by " + how[(int)departure]);
     e->Depart(departure);
-    ScheduleAction(drain_time, [e] {
-        e->proxy->fault_history.BeginFault();
-        e->Crash();
-        e->Restart();
-        e->proxy->fault_history.EndFault();
-    });
+    ScheduleAction(drain_time, [e] { RestartEndpoint(e); });
+}
+
+void
+Faults::RestartEndpoint(Endpoint *e, const std::string &software)
+{
+    e->proxy->fault_history.BeginFault();
+    e->Crash();
+    e->Restart(software);
+    e->proxy->fault_history.EndFault();
 }
 
 bool
@@ -692,17 +682,6 @@
     });
 }
 
-Process *
-Faults::RandomProcessForDeparture()
-{
-    size_t n = options_.gateways->size();
-    size_t i = (size_t)DrawForDeparture(
-        0, (GwTime)(n + options_.sidecars->size()) - 1);
-
-    return i < n ? (*options_.gateways)[i]->process.get()
-                 : (*options_.sidecars)[i - n].get();
-}
-
 void
 Faults::ScheduleInterruption(Process *process, GwTime time)
 {
@@ -715,15 +694,20 @@
             log_("stop " + process->name);
             process->Stop();
         });
-    else if (process->IsRunning() && !process->IsStopping()) {
-        log_("suspend " + process->name);
-        process->fault_history.BeginFault();
-        process->Signal(SIGSTOP);
-        ScheduleAction(time, [process] {
-            process->Signal(SIGCONT);
-            process->fault_history.EndFault();
-        });
-    }
+    else if (process->IsRunning() && !process->IsStopping())
+        SuspendProcess(process, time);
+}
+
+void
+Faults::SuspendProcess(Process *process, GwTime time)
+{
+    log_("suspend " + process->name);
+    process->fault_history.BeginFault();
+    process->Signal(SIGSTOP);
+    ScheduleAction(time, [process] {
+        process->Signal(SIGCONT);
+        process->fault_history.EndFault();
+    });
 }
 
 void
--- a/soak/src/faults.h
+++ b/soak/src/faults.h
@@ -70,14 +70,16 @@
     void ScheduleAction(GwTime time, std::function<void()> action);
     void RunAction(ScheduledAction *scheduled);
     /* A random number from @p least to @p most, both included. */
+    static GwTime DrawFrom(std::mt19937_64 *random, GwTime least, GwTime most);
+    /* The same, for random faults and planned work. */
     GwTime Draw(GwTime least, GwTime most);
     /* The same, for departures. */
     GwTime DrawForDeparture(GwTime least, GwTime most);
     /* The same, for versions of software and broken streams. */
     GwTime DrawForStreams(GwTime least, GwTime most);
-    Process *RandomProcess();
+    Process *RandomProcess(std::mt19937_64 *random);
     Proxy *RandomProxy();
-    Endpoint *RandomEndpoint();
+    Endpoint *RandomEndpoint(std::mt19937_64 *random);
     /* Inject a random fault into a random part of the system. */
     void InjectFault();
     void InjectProcessFault(Process *process);
@@ -100,7 +102,6 @@
     /* Let a random endpoint depart shortly before or after @p time from now.
      */
     void ScheduleDepartureAround(GwTime time);
-    Endpoint *RandomEndpointForDeparture();
     /* Let the endpoint depart and end, and start it again. */
     void DepartEndpoint(Endpoint *endpoint, Departure departure,
                         GwTime drain_time);
@@ -119,15 +120,20 @@
     /* Kill some agents one soon after the other, as when the machines of
      * engines are replaced. */
     void KillSidecars();
-    /* Restart the engine at once. */
+    /* Crash the endpoint and start it again at once. @p software: see
+     * Endpoint::Restart. */
+    static void RestartEndpoint(Endpoint *endpoint,
+                                const std::string &software = "");
+    /* The same for an engine, with a log line. */
     void RestartEngine(Endpoint *engine, const std::string &software);
     Endpoint *RandomEngine();
     /* Disconnect one process from the store until @p time from now. */
     void IsolateFromStore(size_t process, bool refuse, GwTime time);
-    Process *RandomProcessForDeparture();
     /* Kill or stop the process at @p time from now, or suspend it until then.
      */
     void ScheduleInterruption(Process *process, GwTime time);
+    /* Suspend the process, which is running, for @p time. */
+    void SuspendProcess(Process *process, GwTime time);
     void ScheduleKill(Process *process, GwTime time);
 
     FaultOptions options_;
--- a/soak/src/faults_streams.cc
+++ b/soak/src/faults_streams.cc
@@ -31,17 +31,16 @@
 GwTime
 Faults::DrawForStreams(GwTime least, GwTime most)
 {
-    return std::uniform_int_distribution<GwTime>(least, most)(stream_random_);
+    return DrawFrom(&stream_random_, least, most);
 }
 
 Endpoint *
 Faults::RandomEngine()
 {
-    auto &all = options_.platform->endpoints;
     Endpoint *e;
 
     do
-        e = all[(size_t)DrawForStreams(0, (GwTime)all.size() - 1)].get();
+        e = RandomEndpoint(&stream_random_);
     while (!e->is_engine);
     return e;
 }
@@ -184,8 +183,5 @@
 Faults::RestartEngine(Endpoint *e, const std::string &software)
 {
     log_("restart of " + e->id + " with software " + software);
-    e->proxy->fault_history.BeginFault();
-    e->Crash();
-    e->Restart(software);
-    e->proxy->fault_history.EndFault();
+    RestartEndpoint(e, software);
 }
