Soak: any answer that announces a departure starts the time of its check

The check "a leaving endpoint gets no work" was looser than intended, above all for an engine that announced its departure in a report to its sidecar and got no request in the next seconds.

Change: answers with status 500, rejections, and reports to a sidecar in touch begin it, too. A sidecar is in touch by the rule of gateways: it has run, and it and its link to the store had no fault, for 3 s. The bound stays 2 s.

--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -138,6 +138,10 @@
         platform_->is_sender_in_touch = [this](const std::string &request) {
             return IsInTouch(ledger_.GatewayOf(request));
         };
+        platform_->is_sidecar_in_touch = [this](int engine) {
+            return IsProcessInTouch(*sidecars_[(size_t)engine],
+                                    gateways_.size() + (size_t)engine);
+        };
         log_.open(run_dir_ + "/faults.log");
         for (int i = 0; i < options.gateways; i++)
             AddGateway(i);
@@ -329,6 +333,18 @@
             settled = settled && e->proxy->fault_history.IsSettledSince(since);
         return settled;
     }
+    // Whether a process and its link to the store, the store proxy of this
+    // number, were without faults for kContactTime.
+    bool
+    IsProcessInTouch(const Process &process, size_t store_proxy) const
+    {
+        GwTime since = GwTime_Now() - kContactTime;
+
+        return process.HasRunSince(since) &&
+               process.fault_history.IsFaultFreeSince(since) &&
+               store_proxies_[store_proxy]->fault_history.IsFaultFreeSince(
+                   since);
+    }
     // Whether the machine of a gateway was without faults for kContactTime.
     bool
     IsInTouch(const std::string &gateway) const
@@ -339,11 +355,8 @@
             const Gateway &g = *gateways_[i];
 
             if (g.process->name == gateway)
-                return g.process->HasRunSince(since) &&
-                       g.process->fault_history.IsFaultFreeSince(since) &&
-                       g.caller_proxy->fault_history.IsFaultFreeSince(since) &&
-                       store_proxies_[i]->fault_history.IsFaultFreeSince(
-                           since);
+                return IsProcessInTouch(*g.process, i) &&
+                       g.caller_proxy->fault_history.IsFaultFreeSince(since);
         }
         return false;
     }
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -170,15 +170,14 @@
            proxy->fault_history.IsFaultFreeSince(now);
 }
 
-// A gateway in touch acknowledges a departure by passing on an answer that
-// announces it.
+// A machine in touch acknowledges a departure by receiving an answer that
+// announces it, whatever the status of the answer.
 void
-Endpoint::NoteAnnounced(const std::string &request)
+Endpoint::NoteAnnounced(bool is_receiver_in_touch)
 {
     GwTime now = GwTime_Now();
 
-    if (is_draining_ && departed_at_ == 0 &&
-        platform_->is_sender_in_touch(request) &&
+    if (is_draining_ && departed_at_ == 0 && is_receiver_in_touch &&
         proxy->fault_history.IsFaultFreeSince(now - kContactTime))
         departed_at_ = now;
 }
@@ -447,11 +446,11 @@
     std::string headers = "X-Request-Id: " + request +
                           "\r\nX-Response-Signature: sig-" + request +
                           "\r\nKeep-Alive: timeout=5\r\n" + StatusHeaders();
+    NoteAnnounced(platform_->is_sender_in_touch(request));
     if (draw(platform_->random) < error_share) {
         FakeExchange_Answer(x, 500, headers.c_str(), "failed", 6);
         return;
     }
-    NoteAnnounced(request);
     if (is_engine)
         StartStream(x, "HTTP/1.1 200 OK\r\n" + headers, request);
     else
@@ -567,6 +566,7 @@
     // each report.
     std::string headers =
         StatusHeaders() + (is_draining_ ? "Connection: close\r\n" : "");
+    NoteAnnounced(platform_->is_sidecar_in_touch(number_));
     FakeExchange_Answer(x, 200, headers.c_str(), text.data(), text.size());
     if (is_draining_)
         FakeExchange_Close(x, false);
@@ -575,11 +575,13 @@
 void
 Endpoint::Reject(FakeExchange *x, int status)
 {
-    std::string headers =
-        "X-Not-Executed: 1\r\nX-Request-Id: " +
-        HeaderValue(x, "X-Request-Id") + "\r\nX-Instance-Id: " + id + "\r\n" +
-        StatusHeaders() + (status == 503 ? "Retry-After: 0.3\r\n" : "");
+    std::string request = HeaderValue(x, "X-Request-Id");
+    std::string headers = "X-Not-Executed: 1\r\nX-Request-Id: " + request +
+                          "\r\nX-Instance-Id: " + id + "\r\n" +
+                          StatusHeaders() +
+                          (status == 503 ? "Retry-After: 0.3\r\n" : "");
 
+    NoteAnnounced(platform_->is_sender_in_touch(request));
     FakeExchange_Answer(x, status, headers.c_str(), "", 0);
 }
 
--- a/soak/src/platform.h
+++ b/soak/src/platform.h
@@ -119,8 +119,8 @@
     /* Headers in which the endpoint announces its departure and rate limit. */
     std::string StatusHeaders();
     std::string LimitHeader() const;
-    /* An answer to @p request announces the departure. */
-    void NoteAnnounced(const std::string &request);
+    /* An answer to a gateway or to the sidecar announces the departure. */
+    void NoteAnnounced(bool is_receiver_in_touch);
     void CheckDeparture(const std::string &request) const;
     void CheckRateLimit();
     void ServeRequest(FakeExchange *x);
@@ -206,6 +206,8 @@
     /* Whether the gateway that the request was sent to is in touch; see
      * kContactTime. */
     std::function<bool(const std::string &request)> is_sender_in_touch;
+    /* The same for the sidecar of the engine with this number. */
+    std::function<bool(int engine)> is_sidecar_in_touch;
 
   private:
     void WriteReleasedWeights();
