Store reader: one module for each of its jobs

Cause: store_reader.c had 749 lines and did several jobs: the public calls, when and from where each list is read, what an answer changes, failures and the deferral of removals, connections that fail silently.

Change: the file is split; the modules depend on each other in this order, each only on those before it: - store_reader_private.h (54 lines): the state that they share; - store_reader_outages (78): failed and answered calls, deferral of removals; - store_reader_answers (117): application of changes and of pages; - store_reader_calls (323): schedule, calls, eras of the store; - store_reader_silence (77): a peer is ahead and no byte is received; - store_reader.c (153): the public functions. The options get a public header of their own, like those of the peers, because the shared state contains them and must not include the header of the module that depends on it.

No logic is changed. Moved lines are the same, except that functions which another module calls have a public name, that the state of a list reader is initialised and released by the modules that use it, and that the modules ask the read schedule instead of the public functions of the store reader. Two of these queries use the time that their function has read before.

--- a/packages/cluster/include/galenagw/cluster/store_reader.h
+++ b/packages/cluster/include/galenagw/cluster/store_reader.h
@@ -17,39 +17,12 @@
 #define GALENAGW_CLUSTER_STORE_READER_H
 
 #include "galenagw/cluster/fetch.h"
-#include "galenagw/cluster/view.h"
-#include "galenagw/net/loop.h"
+#include "galenagw/cluster/store_reader_options.h"
 
 #ifdef __cplusplus
 extern "C" {
 #endif
 
-typedef struct GwStoreReader GwStoreReader;
-
-/** Construction options. */
-typedef struct {
-    GwAddress store;
-    /** Name of this process, decides whether it reads the lists in a large
-     * fleet (see read_schedule); NULL: it reads them in any fleet. */
-    const char *name;
-    GwView *view; /**< the records read are applied to it */
-    GwEventLog *log;
-    GwCounters *counters;
-    GRand *rand;
-    /** Pause between two reads of the instances. Changes within a pause are
-     * read with one call, because each call has a cost. */
-    GwTime instances_min_interval;
-    /** Propagation bound: time within which a change must be known. 0: two
-     * seconds. */
-    GwTime bound;
-    /** Interval at which endpoints renew their records. A record expires after
-     * three intervals without renewal. 0: 1.2 seconds. */
-    GwTime heartbeat_interval;
-    /** At the start, wait for peers to send the lists before reading them from
-     * the store; for processes that no client waits for. */
-    bool asks_peers_first;
-} GwStoreReaderOptions;
-
 GwStoreReader *GwStoreReader_New(GwLoop *loop,
                                  const GwStoreReaderOptions *options);
 void GwStoreReader_Delete(GwStoreReader *reader);
