Records: store_if_newer_ returns whether it stored the record

Cause: it returned the stored record, but both callers only compared it with NULL, and GwRecords_ApplyFullRead looks the key up anyway, because it must mark the record also if none was stored.

Change: it returns a bool. Behaviour is the same.

--- a/packages/routing/src/records.c
+++ b/packages/routing/src/records.c
@@ -40,8 +40,8 @@
 static uint64_t stamp_end_(const GwRecords *records, GwList list);
 static void note_removal_gap_(GwRecords *records, GwList list, int64_t end);
 static void free_stored_record_(void *item);
-static StoredRecord *store_if_newer_(GwRecords *records, GwList list,
-                                     const GwRecord *record);
+static bool store_if_newer_(GwRecords *records, GwList list,
+                            const GwRecord *record);
 static void notify_record_(GwRecords *records, GwList list,
                            const StoredRecord *stored,
                            const char *learned_from);
@@ -97,14 +97,14 @@
     // record of this key, the key was removed after this record was written.
     if (stored == NULL && record->offset < records->ends[list])
         return false;
-    return store_if_newer_(records, list, record) != NULL;
+    return store_if_newer_(records, list, record);
 }
 
 bool
 GwRecords_ApplyFullRead(GwRecords *records, GwList list,
                         const GwRecord *record)
 {
-    bool is_newer = store_if_newer_(records, list, record) != NULL;
+    bool is_newer = store_if_newer_(records, list, record);
     StoredRecord *stored =
         g_hash_table_lookup(records->lists[list], record->key);
 
@@ -275,15 +275,15 @@
 }
 
 // Stores the record unless this one or a newer one of its key is stored.
-// Returns the stored record, or NULL.
-static StoredRecord *
+// Returns whether it was stored.
+static bool
 store_if_newer_(GwRecords *records, GwList list, const GwRecord *record)
 {
     StoredRecord *stored =
         g_hash_table_lookup(records->lists[list], record->key);
 
     if (stored != NULL && stored->offset >= record->offset)
-        return NULL;
+        return false;
     stored = g_new0(StoredRecord, 1);
     stored->key = g_strdup(record->key);
     if (record->value != NULL) {
@@ -295,7 +295,7 @@
     stored->offset = record->offset;
     g_hash_table_replace(records->lists[list], stored->key, stored);
     notify_record_(records, list, stored, record->learned_from);
-    return stored;
+    return true;
 }
 
 static void
