Instances: one check in ApplyRemoval whether a removal is deferred already

Cause: GwInstances_ApplyRemoval asked removed_at == 0 twice in a row.

Change: one block. Behaviour is the same.

--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -223,12 +223,11 @@
 
     if (instance == NULL)
         return 0;
-    if (instance->removed_at == 0 &&
-        GwInstances_RemovalsDeferredUntil(m, now) == 0) {
-        remove_instance_(m, instance, now);
-        return 0;
-    }
     if (instance->removed_at == 0) {
+        if (GwInstances_RemovalsDeferredUntil(m, now) == 0) {
+            remove_instance_(m, instance, now);
+            return 0;
+        }
         instance->removed_at = now;
         m->n_deferred++;
     }
