View: a removal that is read again while deferred is counted once

What operators would see (found in a review): the counter removals_deferred can show more removals than there were endpoints, after an outage of the store.

Cause: it grew with each removal record that was applied while the removal was deferred. A process that learns of a removal by a full read stores the last position before the end of that read for it, which is later than the store's; when a peer sends this record, it is newer than the known one and is applied again. The instance was already marked, so only the counter was wrong.

Change: the view counts a removal only if the instance's removal was not deferred before. The log line is still written for each record: it has the source and the position.

Measured: the new test failed before: three records of one removal counted as 3, after a second listing as 6.

--- a/packages/cluster/src/view.c
+++ b/packages/cluster/src/view.c
@@ -26,6 +26,7 @@
 static bool insert_version_(GwModelVersions *versions, int64_t version,
                             GwTime named_at);
 static void on_instance_record_(GwView *view, const GwRecord *record);
+static void apply_removal_(GwView *view, const GwRecord *record);
 static void reapply_rows_(GwView *view, bool had_no_routes);
 static void retry_unrouted_row_(void *user, GwList list,
                                 const GwRecord *record);
@@ -303,10 +304,7 @@
 
     g_hash_table_remove(view->unrouted_rows, record->key);
     if (record->value == NULL) {
-        note_urgent_change_(view);
-        log_removal_(view, record,
-                     GwInstances_ApplyRemoval(view->instances, record->key,
-                                              GwTime_Now()));
+        apply_removal_(view, record);
         return;
     }
     document = GwDocuments_DecodeRow(record, &err);
@@ -330,6 +328,24 @@
     GwDocuments_RowFree(document);
 }
 
+// A removal may be read again, at a later position, while it is deferred: a
+// process that learned of it by a full read stores the last position before
+// the end of that read for it.
+static void
+apply_removal_(GwView *view, const GwRecord *record)
+{
+    bool was_deferred =
+        GwInstances_RemovalDeferredUntil(view->instances, record->key) != 0;
+    GwTime deferred_until;
+
+    note_urgent_change_(view);
+    deferred_until =
+        GwInstances_ApplyRemoval(view->instances, record->key, GwTime_Now());
+    GwCounters_Add(view->options.counters, GW_COUNTER_REMOVALS_DEFERRED,
+                   deferred_until != 0 && !was_deferred);
+    log_removal_(view, record, deferred_until);
+}
+
 // Applies the new routes to the instance records. A record may arrive before
 // the routes that name its service. Records that arrived before any routes
 // were all accepted, because their services could not be checked; one of an
@@ -472,8 +488,6 @@
 {
     GwEventLog *log = view->options.log;
 
-    GwCounters_Add(view->options.counters, GW_COUNTER_REMOVALS_DEFERRED,
-                   deferred_until != 0);
     GwEvent_Begin(log, "instance", NULL);
     GwEvent_Text(log, "instance", record->key);
     GwEvent_Text(log, "state",
--- a/packages/cluster/tests/view_test.cc
+++ b/packages/cluster/tests/view_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <vector>
 
 #include "galenagw/cluster/view.h"
@@ -76,3 +77,39 @@
     }
     GwView_Delete(view);
 }
+
+// A process that learns of a removal by a full read stores a later position
+// for it than the store has, and sends it to its peers, so that these read the
+// removal again while it is deferred. Counted each time, the counter showed
+// more removals than there were endpoints.
+TEST(View, RemovalReadAgainWhileDeferredIsCountedOnce)
+{
+    const GwViewOps ops = {};
+    GwCounters counters = {};
+    GwViewOptions options = {&ops, nullptr, nullptr, &counters};
+    GwView *view = GwView_New(&options);
+    const char row[] = R"({"service":"s","address":"10.0.0.1:9","zone":"d",)"
+                       R"("version":"v1","slots":4,"state":"ready",)"
+                       R"("cold_remaining_ms":0,"seq":1,"born":5})";
+    int64_t offset = 0;
+    auto put = [&](const char *value) {
+        GwRecord record = {"i-1", value, value != nullptr ? strlen(value) : 0,
+                           ++offset, nullptr};
+
+        return GwRecords_Apply(GwView_Records(view), GW_LIST_INSTANCES,
+                               &record);
+    };
+
+    GwInstances_DeferRemovals(GwView_Instances(view),
+                              GwTime_Now() + 60 * GW_SECOND,
+                              GwTime_Now() + 60 * GW_SECOND);
+    for (uint64_t deferred : {1, 2}) {
+        ASSERT_TRUE(put(row));
+        for (int i = 0; i < 3; i++) {
+            ASSERT_TRUE(put(nullptr));
+            EXPECT_EQ(counters.plain[GW_COUNTER_REMOVALS_DEFERRED], deferred);
+        }
+        EXPECT_NE(GwInstances_Find(GwView_Instances(view), "i-1"), nullptr);
+    }
+    GwView_Delete(view);
+}
