Instances: ApplyRow reports a row of an earlier incarnation

Cause: the check for an earlier incarnation stood in GwInstances_ApplyRow and again in view.c, for the log line. ApplyRow returned false both for a row that changed nothing and for one that it ignored.

Change: it returns a verdict: unchanged, changed, earlier incarnation. The view no longer compares incarnations; the log line takes its reason from the verdict's name, which is the text that was logged before. Behaviour is the same. The tests that took the result as a bool compare it with GW_ROW_CHANGED. No test checked the counter rows_ignored; a new one does.

Measured: gw-tests, View*, PeersRemovals*, InstancesTest*, *Software*, *Leaving* and *Restart*: 74 of 74 passed. With a mutant that returns "unchanged" for an earlier incarnation, OnlyRowsOfEarlierIncarnationsAreCountedAsIgnored and DeferredRemovalAppliesToListedIncarnation fail.

--- a/packages/cluster/src/view.c
+++ b/packages/cluster/src/view.c
@@ -26,6 +26,8 @@
 static bool insert_version_(GwModelVersions *versions, int64_t version,
                             GwTime named_at);
 static void on_instance_record_(GwView *view, const GwRecord *record);
+static void apply_row_(GwView *view, const GwRecord *record,
+                       const GwInstanceRow *row);
 static void apply_removal_(GwView *view, const GwRecord *record);
 static void reapply_rows_(GwView *view, bool had_no_routes);
 static void retry_unrouted_row_(void *user, GwList list,
@@ -44,8 +46,7 @@
 static void log_removal_(GwView *view, const GwRecord *record,
                          GwTime deferred_until);
 static void log_ignored_row_(GwView *view, const GwRecord *record,
-                             const GwInstanceRow *row,
-                             int64_t known_incarnation);
+                             const GwInstanceRow *row);
 static void log_source_(GwView *view, const GwRecord *record);
 static void log_unreadable_(GwView *view, GwList list, const GwRecord *record,
                             const GwError *err);
@@ -299,7 +300,6 @@
 on_instance_record_(GwView *view, const GwRecord *record)
 {
     GwRowDocument *document;
-    const GwInstance *known;
     GwError err = {0};
 
     g_hash_table_remove(view->unrouted_rows, record->key);
@@ -312,20 +312,28 @@
         log_unreadable_(view, GW_LIST_INSTANCES, record, &err);
         return;
     }
-    known = GwInstances_Find(view->instances, record->key);
     if (!is_known_service_(view, GwDocuments_Row(document)))
         add_unrouted_row_(view, record, GwDocuments_Row(document));
-    else if (known != NULL &&
-             GwDocuments_Row(document)->incarnation < known->incarnation)
-        log_ignored_row_(view, record, GwDocuments_Row(document),
-                         known->incarnation);
-    else if (GwInstances_ApplyRow(view->instances, GwDocuments_Row(document),
-                                  GwTime_Now())) {
-        log_instance_(view, record, GwDocuments_Row(document));
-        if (GwDocuments_Row(document)->draining)
+    else
+        apply_row_(view, record, GwDocuments_Row(document));
+    GwDocuments_RowFree(document);
+}
+
+static void
+apply_row_(GwView *view, const GwRecord *record, const GwInstanceRow *row)
+{
+    switch (GwInstances_ApplyRow(view->instances, row, GwTime_Now())) {
+    case GW_ROW_CHANGED:
+        log_instance_(view, record, row);
+        if (row->draining)
             note_urgent_change_(view);
+        return;
+    case GW_ROW_EARLIER_INCARNATION:
+        log_ignored_row_(view, record, row);
+        return;
+    default:
+        return;
     }
-    GwDocuments_RowFree(document);
 }
 
 // A removal may be read again, at a later position, while it is deferred: a
@@ -500,17 +508,18 @@
 
 static void
 log_ignored_row_(GwView *view, const GwRecord *record,
-                 const GwInstanceRow *row, int64_t known_incarnation)
+                 const GwInstanceRow *row)
 {
+    const GwInstance *known = GwInstances_Find(view->instances, row->id);
     GwEventLog *log = view->options.log;
 
     GwCounters_Add(view->options.counters, GW_COUNTER_ROWS_IGNORED, 1);
     GwEvent_Begin(log, "row_ignored", NULL);
     GwEvent_Text(log, "instance", record->key);
-    GwEvent_Text(log, "why", "earlier_incarnation");
+    GwEvent_Text(log, "why", GwRowVerdict_Names[GW_ROW_EARLIER_INCARNATION]);
     GwEvent_Text(log, "state", row->draining ? "draining" : "ready");
     GwEvent_Number(log, "incarnation", row->incarnation);
-    GwEvent_Number(log, "known", known_incarnation);
+    GwEvent_Number(log, "known", known->incarnation);
     log_source_(view, record);
     GwEvent_End(log);
 }
--- a/packages/cluster/tests/view_test.cc
+++ b/packages/cluster/tests/view_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <cstring>
+#include <string>
 #include <vector>
 
 #include "galenagw/cluster/view.h"
@@ -113,3 +114,38 @@
     }
     GwView_Delete(view);
 }
+
+// A row that an earlier incarnation wrote, and that the store accepted after
+// the restart, must be counted as ignored: that is how operators find out that
+// such rows are in the list.
+TEST(View, OnlyRowsOfEarlierIncarnationsAreCountedAsIgnored)
+{
+    const struct {
+        const char *name;
+        int incarnation;
+        uint64_t ignored; // in total, after the row
+    } rows[] = {{"new instance", 5, 0},        {"same row", 5, 0},
+                {"earlier incarnation", 4, 1}, {"same row after it", 5, 1},
+                {"later incarnation", 6, 1},   {"the one before it", 5, 2}};
+    const GwViewOps ops = {};
+    GwCounters counters = {};
+    GwViewOptions options = {&ops, nullptr, nullptr, &counters};
+    GwView *view = GwView_New(&options);
+    int64_t offset = 0;
+
+    for (auto &row : rows) {
+        std::string text =
+            R"({"service":"s","address":"10.0.0.1:9","zone":"d",)"
+            R"("version":"v1","slots":4,"state":"ready",)"
+            R"("cold_remaining_ms":0,"seq":1,"born":)" +
+            std::to_string(row.incarnation) + "}";
+        GwRecord record = {"i-1", text.data(), text.size(), ++offset, nullptr};
+
+        GwRecords_Apply(GwView_Records(view), GW_LIST_INSTANCES, &record);
+        EXPECT_EQ(counters.plain[GW_COUNTER_ROWS_IGNORED], row.ignored)
+            << row.name;
+        EXPECT_EQ(counters.plain[GW_COUNTER_RECORDS_UNREADABLE], 0u);
+    }
+    EXPECT_EQ(GwInstances_Find(GwView_Instances(view), "i-1")->incarnation, 6);
+    GwView_Delete(view);
+}
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -161,6 +161,17 @@
  * since. They are limited because any peer may send any id. */
 #define GW_LEAVING_MAX 256
 
+/** Effect of a row of the list. */
+typedef enum {
+    GW_ROW_UNCHANGED = 0, /**< nothing but the position of its record changed
+                           */
+    GW_ROW_CHANGED,
+    GW_ROW_EARLIER_INCARNATION, /**< ignored: a later incarnation is known */
+    GW_ROW_VERDICTS
+} GwRowVerdict;
+
+extern const char *const GwRowVerdict_Names[GW_ROW_VERDICTS];
+
 typedef struct GwInstances GwInstances;
 
 /** Callbacks; NULL for those that are not needed. */
@@ -182,13 +193,10 @@
 GwInstances *GwInstances_New(const GwInstancesOps *ops, void *user);
 void GwInstances_Delete(GwInstances *instances);
 
-/**
- * Apply a row of the list. A row of an earlier incarnation than the known one
- * is ignored.
- * @return whether anything but the position of its record changed
- */
-bool GwInstances_ApplyRow(GwInstances *instances, const GwInstanceRow *row,
-                          GwTime now);
+/** Apply a row of the list. A row of an earlier incarnation than the known one
+ * is ignored. */
+GwRowVerdict GwInstances_ApplyRow(GwInstances *instances,
+                                  const GwInstanceRow *row, GwTime now);
 /**
  * Apply the information, from another source than the list, that @p id was
  * restarted. Until its new row is read, the new incarnation gets the service,
--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -50,6 +50,12 @@
     [GW_SOURCE_PEER] = "peer",
 };
 
+const char *const GwRowVerdict_Names[GW_ROW_VERDICTS] = {
+    [GW_ROW_UNCHANGED] = "unchanged",
+    [GW_ROW_CHANGED] = "changed",
+    [GW_ROW_EARLIER_INCARNATION] = "earlier_incarnation",
+};
+
 static GwInstance *add_instance_(GwInstances *m, const GwInstanceRow *row);
 static void apply_departure_update_(GwInstances *m, GwInstance *instance);
 static void expire_departure_updates_(GwInstances *m, GwTime now);
@@ -94,7 +100,7 @@
     g_free(m);
 }
 
-bool
+GwRowVerdict
 GwInstances_ApplyRow(GwInstances *m, const GwInstanceRow *row, GwTime now)
 {
     GwInstance *instance = g_hash_table_lookup(m->by_id, row->id);
@@ -109,7 +115,7 @@
     // heartbeat of the earlier incarnation that the store accepted after the
     // restart.
     if (row->incarnation < instance->incarnation)
-        return false;
+        return GW_ROW_EARLIER_INCARNATION;
     if (row->incarnation > instance->incarnation) {
         instance = supersede_instance_(m, instance, row, GW_SOURCE_LIST, now);
         changed = true;
@@ -131,7 +137,8 @@
         instance->draining = true;
         changed = true;
     }
-    return GwInstance_SetWeights(instance, row->weights) || changed;
+    changed = GwInstance_SetWeights(instance, row->weights) || changed;
+    return changed ? GW_ROW_CHANGED : GW_ROW_UNCHANGED;
 }
 
 GwInstance *
--- a/packages/routing/tests/membership_records_test.cc
+++ b/packages/routing/tests/membership_records_test.cc
@@ -301,7 +301,7 @@
         return pool != nullptr ? pool->len : 0;
     }
 
-    bool
+    GwRowVerdict
     ListIncarnation(int64_t incarnation, bool draining, int64_t weights = -1,
                     int port = 1, int64_t offset = 0)
     {
@@ -403,7 +403,7 @@
         GwInstances_ApplyRemoval(m, "i-1", 1);
         // After a removal nothing is known about the id, so that an instance
         // whose clock was set back is not rejected forever.
-        EXPECT_TRUE(ListIncarnation(1, false)) << c.name;
+        EXPECT_EQ(ListIncarnation(1, false), GW_ROW_CHANGED) << c.name;
         GwInstances_ApplyRemoval(m, "i-1", 1);
     }
 }
@@ -425,7 +425,7 @@
         GwHealth_Note(&before->health, GW_HEALTH_UNREACHABLE, 1);
         freed = 0;
         if (source == GW_SOURCE_LIST)
-            EXPECT_TRUE(ListIncarnation(6, false, 2));
+            EXPECT_EQ(ListIncarnation(6, false, 2), GW_ROW_CHANGED);
         else
             EXPECT_NE(GwInstances_ApplyRestart(m, "i-1", 6, source, 1),
                       nullptr);
@@ -469,7 +469,7 @@
     ListIncarnation(5, false);
     GwInstances_DeferRemovals(m, now + GW_SECOND, now + 2 * GW_SECOND);
     GwInstances_ApplyRemoval(m, "i-1", now);
-    ListIncarnation(4, false);
+    EXPECT_EQ(ListIncarnation(4, false), GW_ROW_EARLIER_INCARNATION);
     GwInstances_Sweep(m, now + 2 * GW_SECOND);
     EXPECT_EQ(Count(), 0u)
         << "a row of an earlier incarnation does not restore it";
--- a/packages/routing/tests/software_test.cc
+++ b/packages/routing/tests/software_test.cc
@@ -62,7 +62,7 @@
         row.weights = -1;
         row.offset = offset != 0 ? offset : port;
         row.software = version;
-        return GwInstances_ApplyRow(m, &row, kStart + at);
+        return GwInstances_ApplyRow(m, &row, kStart + at) == GW_ROW_CHANGED;
     }
     void
     Restart(GwTime at, const char *id, int64_t incarnation)
