Store reader: it alone applies the default of the heartbeat interval

Change: the store reader applies it when it is created, and passes the interval to GwReadSchedule_Init, which replaces GwReadSchedule_SetHeartbeatInterval.

--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -3,6 +3,7 @@
 #include "store_reader_calls.h"
 #include "store_reader_silence.h"
 
+#define HEARTBEAT_INTERVAL_DEFAULT (1200 * GW_MILLISECOND)
 /* A call under way is replaced if the rest of its wait is longer than this
  * multiple of the longest wait of a new call. */
 #define OVERLONG_WAIT_FACTOR 2
@@ -24,9 +25,10 @@
     r->loop = loop;
     r->options = *options;
     r->era = -1;
-    GwReadSchedule_Init(&r->schedule, options->name, options->bound);
-    GwReadSchedule_SetHeartbeatInterval(&r->schedule,
-                                        options->heartbeat_interval);
+    if (r->options.heartbeat_interval <= 0)
+        r->options.heartbeat_interval = HEARTBEAT_INTERVAL_DEFAULT;
+    GwReadSchedule_Init(&r->schedule, options->name, options->bound,
+                        r->options.heartbeat_interval);
     if (options->asks_peers_first)
         GwReadSchedule_WaitForPeers(&r->schedule, GwTime_Now(), options->rand);
     for (int i = 0; i < GW_LISTS; i++) {
--- a/packages/cluster/src/store_reader_answers.c
+++ b/packages/cluster/src/store_reader_answers.c
@@ -76,11 +76,8 @@
 static GwTime
 restored_reread_delay_(const GwStoreReader *r)
 {
-    GwTime interval = r->options.heartbeat_interval > 0
-                          ? r->options.heartbeat_interval
-                          : GW_HEARTBEAT_INTERVAL_DEFAULT;
-
-    return EXPIRE_AFTER_INTERVALS * interval + REMOVAL_DELAY;
+    return EXPIRE_AFTER_INTERVALS * r->options.heartbeat_interval +
+           REMOVAL_DELAY;
 }
 
 static void
--- a/packages/cluster/tests/store_restored_test.cc
+++ b/packages/cluster/tests/store_restored_test.cc
@@ -268,6 +268,7 @@
     const struct {
         GwTime heartbeat_interval, ignored_for, used_within;
     } cases[] = {{100 * GW_MILLISECOND, 300 * GW_MILLISECOND, 2 * GW_SECOND},
+                 {0, 3600 * GW_MILLISECOND, 6 * GW_SECOND},
                  {1200 * GW_MILLISECOND, 3600 * GW_MILLISECOND, 6 * GW_SECOND},
                  {2 * GW_SECOND, 6 * GW_SECOND, 9 * GW_SECOND}};
 
--- a/packages/routing/include/galenagw/routing/read_schedule.h
+++ b/packages/routing/include/galenagw/routing/read_schedule.h
@@ -33,9 +33,6 @@
 #define GW_STORE_READERS 24
 /** Default time within which a change must be known. */
 #define GW_READ_BOUND_DEFAULT (2 * GW_SECOND)
-/** Default interval between heartbeats of an endpoint, with which it renews
- * its record. */
-#define GW_HEARTBEAT_INTERVAL_DEFAULT (1200 * GW_MILLISECOND)
 
 /** State of one process. Initialise with GwReadSchedule_Init. */
 typedef struct {
@@ -57,13 +54,11 @@
  * @param name  name of the process; NULL: it is always a store reader
  * @param bound time within which a change must be known; 0:
  *   GW_READ_BOUND_DEFAULT
+ * @param heartbeat_interval between two heartbeats of an endpoint, with which
+ *   it renews its record
  */
 void GwReadSchedule_Init(GwReadSchedule *schedule, const char *name,
-                         GwTime bound);
-/** Set the interval between heartbeats of endpoints; 0:
- * GW_HEARTBEAT_INTERVAL_DEFAULT. */
-void GwReadSchedule_SetHeartbeatInterval(GwReadSchedule *schedule,
-                                         GwTime interval);
+                         GwTime bound, GwTime heartbeat_interval);
 /** Wait at the start until peers have sent the lists, for one to two times the
  * bound. For processes that serve no clients. */
 void GwReadSchedule_WaitForPeers(GwReadSchedule *schedule, GwTime now,
--- a/packages/routing/src/read_schedule.c
+++ b/packages/routing/src/read_schedule.c
@@ -26,26 +26,19 @@
 #define OUTAGE_EFFECT_TIME (2 * GW_SECOND)
 
 void
-GwReadSchedule_Init(GwReadSchedule *schedule, const char *name, GwTime bound)
+GwReadSchedule_Init(GwReadSchedule *schedule, const char *name, GwTime bound,
+                    GwTime heartbeat_interval)
 {
     *schedule = (GwReadSchedule){
         .bound = bound > 0 ? bound : GW_READ_BOUND_DEFAULT,
         .cluster_size = 1,
+        .max_gap = (GwTime)(CONFIRMATION_GAP_MAX * (double)heartbeat_interval),
     };
-    GwReadSchedule_SetHeartbeatInterval(schedule, 0);
     if (name != NULL)
         schedule->hash_fraction =
             (double)XXH64(name, strlen(name), 0) / (double)UINT64_MAX;
 }
 
-void
-GwReadSchedule_SetHeartbeatInterval(GwReadSchedule *schedule, GwTime interval)
-{
-    if (interval <= 0)
-        interval = GW_HEARTBEAT_INTERVAL_DEFAULT;
-    schedule->max_gap = (GwTime)(CONFIRMATION_GAP_MAX * (double)interval);
-}
-
 void
 GwReadSchedule_WaitForPeers(GwReadSchedule *schedule, GwTime now, GRand *rand)
 {
--- a/packages/routing/tests/fleet_model.h
+++ b/packages/routing/tests/fleet_model.h
@@ -23,6 +23,7 @@
   public:
     static constexpr GwTime kMs = GW_MILLISECOND;
     static constexpr GwTime kBound = 5 * GW_SECOND;
+    static constexpr GwTime kEndpointHeartbeat = 1200 * kMs;
     static constexpr GwTime kHop = 1 * kMs; // one way, between two processes
     static constexpr GwTime kHeartbeat = 800 * kMs;
     static constexpr GwTime kMaintenanceInterval = 200 * kMs;
@@ -282,7 +283,8 @@
             start_ != STEADY_STATE &&
             (!p.is_entry || (start_ == FIRST_START && i >= kSeeds));
 
-        GwReadSchedule_Init(&p.schedule, p.name.c_str(), kBound);
+        GwReadSchedule_Init(&p.schedule, p.name.c_str(), kBound,
+                            kEndpointHeartbeat);
         if (waits_for_peers)
             GwReadSchedule_WaitForPeers(&p.schedule, now_, rand_);
         for (int l = 0; l < GW_LISTS; l++) {
--- a/packages/routing/tests/read_schedule_test.cc
+++ b/packages/routing/tests/read_schedule_test.cc
@@ -8,6 +8,7 @@
 namespace {
 
 const GwTime kBound = 5 * GW_SECOND;
+const GwTime kEndpointHeartbeat = 1200 * GW_MILLISECOND;
 
 struct ReadScheduleTest : testing::Test {
     GRand *rand = g_rand_new_with_seed(7);
@@ -21,7 +22,7 @@
     {
         GwReadSchedule r;
 
-        GwReadSchedule_Init(&r, "edge-medeu-2", kBound);
+        GwReadSchedule_Init(&r, "edge-medeu-2", kBound, kEndpointHeartbeat);
         GwReadSchedule_SetClusterSize(&r, 283);
         EXPECT_TRUE(GwReadSchedule_ReadsFromPeers(&r));
         return r;
@@ -45,7 +46,7 @@
             GwReadSchedule r;
 
             GwReadSchedule_Init(&r, ("edge-" + std::to_string(i)).c_str(),
-                                kBound);
+                                kBound, kEndpointHeartbeat);
             GwReadSchedule_SetClusterSize(&r, c.processes);
             n += !GwReadSchedule_ReadsFromPeers(&r);
         }
@@ -109,7 +110,7 @@
     GwTime start = 7 * GW_SECOND;
     GwReadSchedule r;
 
-    GwReadSchedule_Init(&r, "side-1", kBound);
+    GwReadSchedule_Init(&r, "side-1", kBound, kEndpointHeartbeat);
     EXPECT_EQ(GwReadSchedule_Delay(&r, GW_LIST_OPERATOR, start, rand), 0);
     GwReadSchedule_WaitForPeers(&r, start, rand);
     GwTime pause = GwReadSchedule_Delay(&r, GW_LIST_OPERATOR, start, rand);
@@ -335,7 +336,7 @@
     for (auto &c : cases) {
         GwReadSchedule schedule;
 
-        GwReadSchedule_Init(&schedule, nullptr, 0);
+        GwReadSchedule_Init(&schedule, nullptr, 0, kEndpointHeartbeat);
         for (int at : c.confirmed_ms)
             GwReadSchedule_Confirm(&schedule, GW_LIST_INSTANCES,
                                    at * GW_MILLISECOND);
