Event streams: one scanner in packages/http; a byte order mark at the gateway

A stream that begins with a byte order mark was resumed without the id of its first event: the splitter looked for "id:" at the start of a line, and the mark stood before it. The endpoint that took over was asked without Last-Event-Id, that is, for the stream from its start. The mark of the endpoint that takes over was forwarded into the middle of the stream, where it hides the name of the field behind it.

Cause: the gateway and the agent each had a scanner of their own for the end of an event, and neither knew the mark. GwEventScan and GwEventField (packages/http) know LF, CRLF and CR, the mark, and fields with and without the blank, by the published format. The mark of the first endpoint is forwarded as it is; that of a later one is removed. As before, an empty line after CRLF is complete only with its LF.

TruncatedStream.IsResumedBehindAnEventWithByteOrderMark and the first new row of Events.AreSplitIntoCompleteEvents failed before and pass now. The other tests of truncated streams are unchanged and pass.

--- a/packages/gateway/src/event_splitter.h
+++ b/packages/gateway/src/event_splitter.h
@@ -5,22 +5,18 @@
 #include <glib.h>
 #include <stdbool.h>
 
+#include "galenagw/http/events.h"
+
 /* Size of the buffer for the last event id, in bytes with the NUL; longer ids
  * are truncated. Ids of engines are numbers. */
 #define GW_EVENT_ID_MAX 64
 
-/* How far the incomplete event was scanned for its end. */
-typedef struct {
-    size_t n;           /* bytes scanned */
-    size_t line;        /* start of the current line */
-    bool is_after_crlf; /* the line before it ended with CRLF */
-} GwEventScan;
-
 typedef struct {
-    GwEventScan scanned;
+    GwEventScan scan;
     GString *tail;                 /* bytes of an incomplete event */
     char last_id[GW_EVENT_ID_MAX]; /* of the last complete event with an id */
     bool has_id;
+    bool has_output;     /* complete events were appended to an output */
     unsigned n_complete; /* complete events since the last restart */
 } GwEventSplitter;
 
@@ -29,7 +25,9 @@
 /* Discard the incomplete event: another endpoint continues the stream after
  * the last complete event. */
 void GwEventSplitter_Restart(GwEventSplitter *splitter);
-/* Add received bytes, and append the events that they complete to @p out. */
+/* Add received bytes, and append the events that they complete to @p out. A
+ * byte order mark is removed from a stream that continues an earlier one, as
+ * it would hide the name of the field behind it. */
 void GwEventSplitter_Push(GwEventSplitter *splitter, const char *data,
                           size_t len, GString *out);
 /* Whether the bytes received so far end inside an event. A stream that ends
--- a/packages/gateway/tests/gateway_test.cc
+++ b/packages/gateway/tests/gateway_test.cc
@@ -25,6 +25,11 @@
         {"empty lines behind it", "id: 1\n\n\n\r\n", "id: 1\n\n\n\r\n", "",
          "1", 1},
         {"comment", ": ping\n\nid: 1\n\n", ": ping\n\nid: 1\n\n", "", "1", 1},
+        {"byte order mark", "\xEF\xBB\xBFid: 1\n\nid: 2\nd",
+         "\xEF\xBB\xBFid: 1\n\n", "id: 2\nd", "1", 1},
+        {"byte order mark inside", "id: 1\n\n\xEF\xBB\xBFid: 2\n\n",
+         "id: 1\n\n\xEF\xBB\xBFid: 2\n\n", "", "1", 2},
+        {"byte order mark alone", "\xEF\xBB\xBF", "", "\xEF\xBB\xBF", "", 0},
         {"no complete event", "data: id: 5\n", "", "data: id: 5\n", "", 0},
     };
 
--- a/packages/gateway/tests/truncated_stream_test.cc
+++ b/packages/gateway/tests/truncated_stream_test.cc
@@ -153,6 +153,38 @@
     }
 }
 
+// Streams begin with a byte order mark; guards against resuming behind an
+// earlier event, as it hides the first event's id, and against a mark inside
+// the caller's stream, which hides the field behind it.
+TEST(TruncatedStream, IsResumedBehindAnEventWithByteOrderMark)
+{
+    const std::string bom = "\xEF\xBB\xBF";
+    Fleet f;
+    int asked = 0;
+    std::string resumed_behind;
+
+    f.Configure(1);
+    Endpoint *a = f.AddEndpoint("i-1", "model");
+    Endpoint *b = f.AddEndpoint("i-2", "model");
+    a->serve = b->serve = [&](Endpoint *, FakeExchange *x) {
+        resumed_behind = Endpoint::Header(x, "Last-Event-Id");
+        SendAnswer(x, Framing::kChunked,
+                   bom + (asked++ == 0 ? Event(1) + "id" : Event(2)));
+    };
+    GwGateway *g = f.AddGateway();
+    ASSERT_TRUE(f.Ready());
+    auto c = f.Call(g, Fleet::Request("POST", "/resume/1", "x"));
+
+    EXPECT_TRUE(f.Until([&] { return c->Has(1) || c->closed; }));
+    EXPECT_TRUE(c->Has(1)) << c->received;
+    EXPECT_EQ(asked, 2);
+    EXPECT_EQ(resumed_behind, "1");
+    size_t first = c->received.find(bom + Event(1));
+    EXPECT_NE(first, std::string::npos) << c->received;
+    EXPECT_EQ(c->received.find(bom, first + 1), std::string::npos);
+    EXPECT_NE(c->received.find(Event(2)), std::string::npos);
+}
+
 // An endpoint closes its connection behind the head of a stream, or behind a
 // comment; guards against an empty answer that is framed as complete.
 TEST(TruncatedStream, UnframedWithoutEventIsAnError)
