Agent and entry: engine streams with CRLF, CR or a byte order mark

An engine whose streams end their lines with CRLF or CR got endpoint_failed for each of them, although it had answered completely: the agent split its stream at two LF only, never saw the end marker, and reported the stream as broken off. The same held for "data:[DONE]" without the blank, for an end marker behind another field of its event, and for a first event behind a byte order mark. By the published format all of these are valid.

Change: the agent uses GwEventScan and GwEventField for engine streams and for those of plain services; the mark of an engine's stream is removed, as the stream may continue that of another engine. The entry had a third scanner, which collects the text that a continuation starts behind: with CRLF it collected nothing, so that the caller would have received the text from its start again. It uses the same scanner.

A plain service's stream that ends with CRLF CR, without the last LF, now counts as truncated at the agent, as it does at the gateway.

The stand-in engine can use other line ends and a mark (line_end, has_bom).

--- a/fakes/include/galenagw/fakes/fake_engine.h
+++ b/fakes/include/galenagw/fakes/fake_engine.h
@@ -32,6 +32,8 @@
     GwTime load_time;    /**< time that new weights take to load */
     bool ignore_fence;   /**< accept load orders with a stale fence */
     const char *weights; /**< version loaded at the start */
+    const char *line_end; /**< of its event streams; NULL: LF */
+    bool has_bom; /**< its event streams begin with a byte order mark */
     /* Faults: */
     bool silent;       /**< accepts calls and sends nothing */
     bool reject;       /**< answers 503 to new calls */
--- a/fakes/src/fake_engine.c
+++ b/fakes/src/fake_engine.c
@@ -13,6 +13,7 @@
 #define EVENTS_MAX 4096
 /* Most blocks in one cache event. */
 #define BLOCKS_PER_EVENT 64
+#define BYTE_ORDER_MARK "\xEF\xBB\xBF"
 
 /* One completion request, from its arrival to the end of its answer. */
 typedef struct Generation Generation;
@@ -90,6 +91,8 @@
 static bool is_fatal_message_(const FakeEngine *e, const Generation *g);
 static void on_decode_timer_(void *user);
 static void emit_token_(Generation *g);
+static void write_events_(const FakeEngine *e, GwHttpCall *call,
+                          const char *events);
 static void finish_generation_(Generation *g);
 static void generation_delete_(Generation *g);
 static uint64_t tokens_cached_elsewhere_(const FakeEngine *e,
@@ -423,6 +426,8 @@
     }
     if (g->stream)
         GwHttpCall_Begin(g->call, 200, "text/event-stream");
+    if (g->stream && e->options.has_bom)
+        GwHttpCall_Write(g->call, BYTE_ORDER_MARK, strlen(BYTE_ORDER_MARK));
     GwTimer_Init(&g->timer, e->loop, on_decode_timer_, g);
     prefill_next_(e);
     on_decode_timer_(g);
@@ -487,7 +492,17 @@
                    "data: {\"id\":\"c\",\"object\":\"text_completion\","
                    "\"choices\":[{\"index\":0,\"text\":\"%s:%d \"}]}\n\n",
                    g->tag, n);
-    GwHttpCall_Write(g->call, event, strlen(event));
+    write_events_(g->engine, g->call, event);
+}
+
+static void
+write_events_(const FakeEngine *e, GwHttpCall *call, const char *events)
+{
+    g_autoptr(GString) out = g_string_new(events);
+
+    if (e->options.line_end != NULL)
+        g_string_replace(out, "\n", e->options.line_end, 0);
+    GwHttpCall_Write(call, out->str, out->len);
 }
 
 static void
@@ -518,8 +533,8 @@
             "\"index\":0,\"text\":\"%s\",\"finish_reason\":\"stop\"}],%s}",
             g->text->str, usage);
     if (g->stream) {
+        write_events_(g->engine, call, text);
         generation_delete_(g);
-        GwHttpCall_Write(call, text, strlen(text));
         GwHttpCall_End(call);
         return;
     }
--- a/packages/endpoint/src/call.c
+++ b/packages/endpoint/src/call.c
@@ -3,6 +3,8 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "galenagw/http/events.h"
+
 const char *const GwEndpointOutcome_Names[GW_ENDPOINT_OUTCOMES] = {
     "complete",
     "not_run",
@@ -22,13 +24,6 @@
     bool any;       /* an object or array has begun */
 } JsonScan;
 
-/* Where the bytes of an event stream that were received so far end. */
-typedef struct {
-    bool in_event; /* the empty line behind an event is missing */
-    bool in_line;
-    bool after_cr; /* a line feed belongs to the line end before it */
-} EventScan;
-
 /* An engine's answer that is not an event stream is stored up to this size, to
  * read its token counts. */
 #define USAGE_BODY_MAX_BYTES (256 * 1024)
@@ -40,8 +35,8 @@
     GByteArray *partial; /* of an engine: bytes of an incomplete event, or of
                            the answer that the token counts are read from */
     GwEndpointResult result;
-    JsonScan json;    /* of an engine's answer that is not an event stream */
-    EventScan events; /* of a plain service's event stream */
+    JsonScan json; /* of an engine's answer that is not an event stream */
+    GwEventScan events;
     int status;
     bool is_engine_call;
     bool is_event_stream; /* the answer is an event stream */
@@ -54,8 +49,8 @@
 static void on_done_(void *user, GwHttpOutcome http_outcome);
 static bool is_truncated_(const GwEndpointCall *call);
 static void scan_json_(JsonScan *scan, const char *data, size_t len);
-static void scan_events_(EventScan *scan, const char *data, size_t len);
-static void split_events_(GwEndpointCall *call);
+static void scan_events_(GwEndpointCall *call, const char *data, size_t len);
+static void split_events_(GwEndpointCall *call, const char *data, size_t len);
 static void process_event_(GwEndpointCall *call, const char *event,
                            size_t len);
 static void read_usage_(GwEndpointCall *call, const char *json, size_t len);
@@ -128,12 +123,11 @@
     if (call->is_engine_call && call->status == 503)
         return;
     if (call->is_event_stream && call->is_engine_call) {
-        g_byte_array_append(call->partial, (const guint8 *)data, (guint)len);
-        split_events_(call);
+        split_events_(call, data, len);
         return;
     }
     if (call->is_event_stream) {
-        scan_events_(&call->events, data, len);
+        scan_events_(call, data, len);
     }
     else if (call->is_engine_call) {
         scan_json_(&call->json, data, len);
@@ -172,7 +166,7 @@
 {
     if (call->is_event_stream)
         return call->is_engine_call ? !call->has_done_marker
-                                    : call->events.in_event;
+                                    : GwEventScan_IsInsideEvent(&call->events);
     if (!call->is_engine_call)
         return false;
     return call->status == 200 &&
@@ -207,56 +201,54 @@
     }
 }
 
-// Lines may end with a carriage return, a line feed, or both.
 static void
-scan_events_(EventScan *scan, const char *data, size_t len)
+scan_events_(GwEndpointCall *call, const char *data, size_t len)
 {
-    for (size_t i = 0; i < len; i++) {
-        bool is_cr = data[i] == '\r';
-        bool is_lf = data[i] == '\n';
+    size_t n;
 
-        if (is_lf && scan->after_cr) {
-            scan->after_cr = false;
-            continue;
-        }
-        scan->after_cr = is_cr;
-        if (!is_cr && !is_lf)
-            scan->in_event = true;
-        else if (!scan->in_line)
-            scan->in_event = false;
-        scan->in_line = !is_cr && !is_lf;
+    while (GwEventScan_Next(&call->events, data, len, &n)) {
+        data += n;
+        len -= n;
     }
 }
 
+// A byte order mark is removed: the stream may continue that of another
+// engine, in which it would hide the name of the field behind it.
 static void
-split_events_(GwEndpointCall *call)
+split_events_(GwEndpointCall *call, const char *data, size_t len)
 {
-    const char *at = (const char *)call->partial->data;
-    size_t left = call->partial->len;
-    const char *end;
+    size_t n;
 
-    while ((end = memmem(at, left, "\n\n", 2)) != NULL) {
-        size_t len = (size_t)(end - at) + 2;
+    while (GwEventScan_Next(&call->events, data, len, &n)) {
+        size_t bom = GwEventScan_BomLength(&call->events);
 
-        process_event_(call, at, len);
-        at += len;
-        left -= len;
+        g_byte_array_append(call->partial, (const guint8 *)data, (guint)n);
+        data += n;
+        len -= n;
+        process_event_(call, (const char *)call->partial->data + bom,
+                       call->partial->len - bom);
+        g_byte_array_set_size(call->partial, 0);
     }
-    g_byte_array_remove_range(call->partial, 0,
-                              call->partial->len - (guint)left);
+    g_byte_array_append(call->partial, (const guint8 *)data, (guint)len);
 }
 
 static void
 process_event_(GwEndpointCall *call, const char *event, size_t len)
 {
-    static const char prefix[] = "data: ";
-    const size_t skip = sizeof(prefix) - 1;
+    static const char done[] = "[DONE]";
+    const char *rest = event;
+    size_t left = len;
+    GwEventField field;
 
-    if (len > skip && memcmp(event, prefix, skip) == 0) {
-        if (len >= skip + 6 && memcmp(event + skip, "[DONE]", 6) == 0)
+    while (GwEventField_Next(&field, &rest, &left)) {
+        if (!GwEventField_Is(&field, "data"))
+            continue;
+        if (field.value_len >= strlen(done) &&
+            memcmp(field.value, done, strlen(done)) == 0)
             call->has_done_marker = true;
-        else if (memmem(event, len, "\"usage\":{", 9) != NULL)
-            read_usage_(call, event + skip, len - skip);
+        else if (memmem(field.value, field.value_len, "\"usage\":{", 9) !=
+                 NULL)
+            read_usage_(call, field.value, field.value_len);
     }
     call->ops->on_chunk(call->user, event, len);
 }
--- a/packages/endpoint/tests/truncated_answer_test.cc
+++ b/packages/endpoint/tests/truncated_answer_test.cc
@@ -172,6 +172,50 @@
     }
 }
 
+// An engine ends its lines with CRLF or CR, sends a byte order mark, or writes
+// fields without a blank; guards against reporting its stream as truncated.
+TEST_F(TruncatedAnswer, EngineStreamMayUseAnyFormOfEvents)
+{
+    const struct {
+        const char *name, *body;
+        GwEndpointOutcome outcome;
+    } cases[] = {
+        {"CRLF", "data: {}\r\n\r\ndata: [DONE]\r\n\r\n", GW_ENDPOINT_COMPLETE},
+        {"CR", "data: {}\r\rdata: [DONE]\r\r", GW_ENDPOINT_COMPLETE},
+        {"mixed", "data: {}\r\n\ndata: [DONE]\n\r\n", GW_ENDPOINT_COMPLETE},
+        {"byte order mark",
+         "\xEF\xBB\xBF"
+         "data: [DONE]\n\n",
+         GW_ENDPOINT_COMPLETE},
+        {"no blank", "data:{}\n\ndata:[DONE]\n\n", GW_ENDPOINT_COMPLETE},
+        {"id first", "data: {}\n\nid: 2\ndata: [DONE]\n\n",
+         GW_ENDPOINT_COMPLETE},
+        {"comment first", ": ping\ndata: [DONE]\n\n", GW_ENDPOINT_COMPLETE},
+        {"CRLF, inside the end marker", "data: {}\r\n\r\ndata: [DONE]\r\n",
+         GW_ENDPOINT_BROKEN},
+        {"CR, inside the end marker", "data: {}\r\rdata: [DONE]\r",
+         GW_ENDPOINT_BROKEN},
+        {"marker in a comment", "data: {}\n\n:data: [DONE]\n\n",
+         GW_ENDPOINT_BROKEN},
+        {"byte order mark inside",
+         "data: {}\n\n\xEF\xBB\xBF"
+         "data: [DONE]\n\n",
+         GW_ENDPOINT_BROKEN},
+    };
+
+    type = "text/event-stream";
+    for (auto &f : kFramings) {
+        framing = f.framing;
+        for (auto &c : cases) {
+            body = c.body;
+            CallRecord record = Play(true);
+
+            EXPECT_EQ(record.result.outcome, c.outcome)
+                << f.name << ", " << c.name;
+        }
+    }
+}
+
 // An engine ends an answer that is no stream inside its JSON text; guards
 // against reporting it as complete.
 TEST_F(TruncatedAnswer, EngineJsonIsWhole)
--- a/packages/entry/src/openai.c
+++ b/packages/entry/src/openai.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "galenagw/http/events.h"
+
 /* JSON members that only the agent may send to engines: the scheduling
    priority, the salt that isolates accounts in the engine's cache, and the
    hashes and sizes of the prompt's prefixes. They are removed from bodies of
@@ -15,6 +17,8 @@
 static void add_message_(GwChain *chain, const json_t *message);
 static void collect_event_text_(const char *event, size_t len, GString *text,
                                 int *tokens);
+static void collect_data_text_(const char *data, size_t len, GString *text,
+                               int *tokens);
 
 bool
 OpenAi_Parse(OpenAiRequest *r, bool chat, const char *body, size_t len,
@@ -80,14 +84,13 @@
 void
 OpenAi_CollectText(const char *data, size_t len, GString *text, int *tokens)
 {
-    const char *end;
-
-    while ((end = memmem(data, len, "\n\n", 2)) != NULL) {
-        size_t n = (size_t)(end - data);
+    GwEventScan scan = {0};
+    size_t n;
 
+    while (GwEventScan_Next(&scan, data, len, &n)) {
         collect_event_text_(data, n, text, tokens);
-        data += n + 2;
-        len -= n + 2;
+        data += n;
+        len -= n;
     }
 }
 
@@ -231,20 +234,24 @@
 static void
 collect_event_text_(const char *event, size_t len, GString *text, int *tokens)
 {
-    static const char prefix[] = "data: ";
-    const size_t skip = sizeof(prefix) - 1;
-    json_t *root;
-    const json_t *choice;
-    const char *piece;
-
-    // Events that do not begin with "data: " are ignored. The end marker
-    // "data: [DONE]" is ignored as well, because it is not JSON.
-    if (len <= skip || memcmp(event, prefix, skip) != 0)
-        return;
-    root = json_loadb(event + skip, len - skip, 0, NULL);
-    choice = json_array_get(json_object_get(root, "choices"), 0);
-    piece = json_string_value(
+    GwEventField field;
+
+    // Other fields are ignored. The end marker "[DONE]" is ignored as well,
+    // because it is not JSON.
+    while (GwEventField_Next(&field, &event, &len)) {
+        if (GwEventField_Is(&field, "data"))
+            collect_data_text_(field.value, field.value_len, text, tokens);
+    }
+}
+
+static void
+collect_data_text_(const char *data, size_t len, GString *text, int *tokens)
+{
+    json_t *root = json_loadb(data, len, 0, NULL);
+    const json_t *choice = json_array_get(json_object_get(root, "choices"), 0);
+    const char *piece = json_string_value(
         json_object_get(json_object_get(choice, "delta"), "content"));
+
     if (piece == NULL)
         piece = json_string_value(json_object_get(choice, "text"));
     if (piece != NULL && piece[0] != '\0') {
--- a/packages/entry/tests/truncated_stream_test.cc
+++ b/packages/entry/tests/truncated_stream_test.cc
@@ -45,3 +45,80 @@
         FakeHttpd_Delete(httpd);
     }
 }
+
+namespace {
+
+const struct {
+    const char *name, *line_end;
+    bool has_bom;
+} kEngineStreams[] = {
+    {"LF", "\n", false},
+    {"CRLF", "\r\n", false},
+    {"CR", "\r", false},
+    {"LF, with a byte order mark", "\n", true},
+    {"CRLF, with a byte order mark", "\r\n", true},
+};
+
+FakeEngineOptions
+EngineWith(const char *line_end, bool has_bom)
+{
+    FakeEngineOptions o = World::FastEngine();
+
+    o.line_end = line_end;
+    o.has_bom = has_bom;
+    return o;
+}
+
+} // namespace
+
+// An engine ends its lines with any of the line ends of event streams; guards
+// against taking its complete stream for a truncated one, and against losing
+// its token counts.
+TEST(EngineStream, IsCompleteWithAnyLineEnd)
+{
+    for (auto &s : kEngineStreams) {
+        World w;
+        w.Publish(kTestConfig);
+        w.AddEngine(EngineWith(s.line_end, s.has_bom));
+        EntryNode *e = w.AddEntry();
+        ASSERT_TRUE(w.Ready());
+        auto c = w.Chat(e, "desk.secret", "steam?", 20);
+
+        EXPECT_TRUE(w.Until([&] { return c->done; })) << s.name;
+        EXPECT_TRUE(c->Complete()) << s.name << ": " << c->body;
+        EXPECT_EQ(c->Text(), World::Expect("steam?", 20)) << s.name;
+        EXPECT_EQ(c->body.find("error"), std::string::npos) << c->body;
+        EXPECT_GT(GwEntry_Counters(e->entry)->plain[GW_COUNTER_PROMPT_TOKENS],
+                  0u)
+            << s.name;
+    }
+}
+
+// An engine breaks its stream off and another one continues it; guards against
+// repeating text that the caller has, because the entry knows only one line
+// end, and against a byte order mark inside the caller's stream, which hides
+// the field behind it.
+TEST(EngineStream, IsContinuedWithAnyLineEnd)
+{
+    for (auto &s : kEngineStreams) {
+        World w;
+        w.Publish(kTestConfig);
+        for (int i = 0; i < 2; i++)
+            w.AddEngine(EngineWith(s.line_end, s.has_bom));
+        EntryNode *e = w.AddEntry();
+        ASSERT_TRUE(w.Ready());
+        auto c = w.Chat(e, "desk.secret", "steam?", 100);
+        ASSERT_TRUE(w.Until([&] { return c->Text().size() > 100; })) << s.name;
+        for (auto &a : w.agents) {
+            if (FakeEngine_Stats(a->engine)->requests > 0)
+                FakeEngine_Options(a->engine)->break_count = 1;
+        }
+        EXPECT_TRUE(w.Until([&] { return c->done; })) << s.name;
+        EXPECT_TRUE(c->Complete()) << s.name << ": " << c->body;
+        EXPECT_EQ(c->Text(), World::Expect("steam?", 100)) << s.name;
+        EXPECT_EQ(c->body.find("\xEF\xBB\xBF", 1), std::string::npos)
+            << s.name;
+        EXPECT_EQ(GwEntry_Counters(e->entry)->retries[GW_RETRY_CONTINUE], 1u)
+            << s.name;
+    }
+}
