Agent: at most 1 MiB of an engine's event is held

An engine that never ends its event made the agent hold all its bytes: the agent passes on whole events only, and arriving bytes restart the timeout of the call.

Change: with more than GW_EVENT_MAX_BYTES of an incomplete event the call is cancelled, so that the engine stops, and reported as broken. Streams of plain services are not held and have no bound.

TruncatedAnswer.EngineEventWithoutEndIsBroken failed before in each framing (too long: complete instead of broken), and passes; 960 KiB are complete.

--- a/packages/endpoint/src/call.c
+++ b/packages/endpoint/src/call.c
@@ -124,6 +124,10 @@
         return;
     if (call->is_event_stream && call->is_engine_call) {
         split_events_(call, data, len);
+        if (call->partial->len > GW_EVENT_MAX_BYTES) {
+            GwHttpRequest_Cancel(call->request);
+            on_done_(call, GW_HTTP_BROKEN);
+        }
         return;
     }
     if (call->is_event_stream) {
--- a/packages/endpoint/tests/truncated_answer_test.cc
+++ b/packages/endpoint/tests/truncated_answer_test.cc
@@ -320,3 +320,34 @@
         }
     }
 }
+
+// An engine never ends its event; guards against holding it without a bound,
+// as bytes that arrive prevent the timeout.
+TEST_F(TruncatedAnswer, EngineEventWithoutEndIsBroken)
+{
+    const struct {
+        const char *name;
+        std::string body;
+        GwEndpointOutcome outcome;
+    } cases[] = {
+        {"long", "data: " + std::string(960 * 1024, 'x') + "\n\n" + kDone,
+         GW_ENDPOINT_COMPLETE},
+        {"too long",
+         "data: " + std::string(2 * 1024 * 1024, 'x') + "\n\n" + kDone,
+         GW_ENDPOINT_BROKEN},
+    };
+
+    type = "text/event-stream";
+    for (auto &f : kFramings) {
+        framing = f.framing;
+        for (auto &c : cases) {
+            body = c.body;
+            CallRecord record = Play(true);
+
+            EXPECT_EQ(record.result.outcome, c.outcome)
+                << f.name << ", " << c.name;
+            EXPECT_EQ(record.body.empty(), c.outcome == GW_ENDPOINT_BROKEN)
+                << f.name << ", " << c.name;
+        }
+    }
+}
