--- a/packages/endpoint/tests/truncated_answer_test.cc
+++ b/packages/endpoint/tests/truncated_answer_test.cc
@@ -5,22 +5,13 @@
 
 #include "galenagw/endpoint/endpoint.h"
 #include "galenagw/fakes/fake_httpd.h"
+#include "galenagw/fakes/framed_answer.h"
 
 namespace {
 
-// How an endpoint frames its answer, and how it ends it.
-enum class Framing { kUnframed, kChunked, kLength };
+// How an endpoint ends its answer.
 enum class End { kInOrder, kReset };
 
-const struct {
-    const char *name;
-    Framing framing;
-} kFramings[] = {
-    {"neither length nor chunks", Framing::kUnframed},
-    {"chunks, and the final one", Framing::kChunked},
-    {"a length that is reached", Framing::kLength},
-};
-
 // What the callbacks of one call received.
 struct CallRecord {
     int status = 0;
@@ -82,27 +73,10 @@
     void
     Answer(FakeExchange *x)
     {
-        std::string out = "HTTP/1.1 200 OK\r\nContent-Type: " + type + "\r\n";
-        char size[32];
-
-        switch (framing) {
-        case Framing::kUnframed:
-            out += "\r\n" + body;
-            break;
-        case Framing::kChunked:
-            snprintf(size, sizeof(size), "%zx\r\n", body.size());
-            out += "Transfer-Encoding: chunked\r\n\r\n";
-            if (!body.empty())
-                out += size + body + "\r\n";
-            if (end == End::kInOrder)
-                out += "0\r\n\r\n";
-            break;
-        case Framing::kLength:
-            out += "Content-Length: " +
-                   std::to_string(body.size() + (end == End::kReset)) +
-                   "\r\n\r\n" + body;
-            break;
-        }
+        std::string out =
+            FrameAnswer(framing, "Content-Type: " + type + "\r\n", body,
+                        end == End::kReset);
+
         FakeExchange_Write(x, out.data(), out.size());
         exchange = x;
         // A reset at once could overtake the bytes before it.
@@ -172,6 +146,50 @@
     }
 }
 
+// An engine ends its lines with CRLF or CR, sends a byte order mark, or writes
+// fields without a blank; guards against reporting its stream as truncated.
+TEST_F(TruncatedAnswer, EngineStreamMayUseAnyFormOfEvents)
+{
+    const struct {
+        const char *name, *body;
+        GwEndpointOutcome outcome;
+    } cases[] = {
+        {"CRLF", "data: {}\r\n\r\ndata: [DONE]\r\n\r\n", GW_ENDPOINT_COMPLETE},
+        {"CR", "data: {}\r\rdata: [DONE]\r\r", GW_ENDPOINT_COMPLETE},
+        {"mixed", "data: {}\r\n\ndata: [DONE]\n\r\n", GW_ENDPOINT_COMPLETE},
+        {"byte order mark",
+         "\xEF\xBB\xBF"
+         "data: [DONE]\n\n",
+         GW_ENDPOINT_COMPLETE},
+        {"no blank", "data:{}\n\ndata:[DONE]\n\n", GW_ENDPOINT_COMPLETE},
+        {"id first", "data: {}\n\nid: 2\ndata: [DONE]\n\n",
+         GW_ENDPOINT_COMPLETE},
+        {"comment first", ": ping\ndata: [DONE]\n\n", GW_ENDPOINT_COMPLETE},
+        {"CRLF, inside the end marker", "data: {}\r\n\r\ndata: [DONE]\r\n",
+         GW_ENDPOINT_BROKEN},
+        {"CR, inside the end marker", "data: {}\r\rdata: [DONE]\r",
+         GW_ENDPOINT_BROKEN},
+        {"marker in a comment", "data: {}\n\n:data: [DONE]\n\n",
+         GW_ENDPOINT_BROKEN},
+        {"byte order mark inside",
+         "data: {}\n\n\xEF\xBB\xBF"
+         "data: [DONE]\n\n",
+         GW_ENDPOINT_BROKEN},
+    };
+
+    type = "text/event-stream";
+    for (auto &f : kFramings) {
+        framing = f.framing;
+        for (auto &c : cases) {
+            body = c.body;
+            CallRecord record = Play(true);
+
+            EXPECT_EQ(record.result.outcome, c.outcome)
+                << f.name << ", " << c.name;
+        }
+    }
+}
+
 // An engine ends an answer that is no stream inside its JSON text; guards
 // against reporting it as complete.
 TEST_F(TruncatedAnswer, EngineJsonIsWhole)
@@ -276,3 +294,34 @@
         }
     }
 }
+
+// An engine never ends its event; guards against holding it without a bound,
+// as bytes that arrive prevent the timeout.
+TEST_F(TruncatedAnswer, EngineEventWithoutEndIsBroken)
+{
+    const struct {
+        const char *name;
+        std::string body;
+        GwEndpointOutcome outcome;
+    } cases[] = {
+        {"long", "data: " + std::string(960 * 1024, 'x') + "\n\n" + kDone,
+         GW_ENDPOINT_COMPLETE},
+        {"too long",
+         "data: " + std::string(2 * 1024 * 1024, 'x') + "\n\n" + kDone,
+         GW_ENDPOINT_BROKEN},
+    };
+
+    type = "text/event-stream";
+    for (auto &f : kFramings) {
+        framing = f.framing;
+        for (auto &c : cases) {
+            body = c.body;
+            CallRecord record = Play(true);
+
+            EXPECT_EQ(record.result.outcome, c.outcome)
+                << f.name << ", " << c.name;
+            EXPECT_EQ(record.body.empty(), c.outcome == GW_ENDPOINT_BROKEN)
+                << f.name << ", " << c.name;
+        }
+    }
+}
