Entry: acknowledge an answer by bytes as well as by chunks

Callers of a stream with events of more than about 17 KiB (256 KiB / 15) got the first events only, and the error event after the progress timeout. The agent pauses reading from the engine with more than 256 KiB unacknowledged and reads on with 128 KiB left; the entry acknowledged every 16 chunks. An engine's event is one chunk of any size, so fewer than 16 chunks could be more than either number: the agent waited for an Ack, the entry for more chunks. Plain bodies did not show it only because the HTTP client passes them on in pieces of 4 KiB.

The entry now also acknowledges when 64 KiB were received since the last Ack. Window and intervals follow from each other in galenagw/wire/answer_window.h. The frames are unchanged, and the agent behaves as before, so the new entry works with an older agent: that is what the test runs here.

--- a/fakes/include/galenagw/fakes/fake_engine.h
+++ b/fakes/include/galenagw/fakes/fake_engine.h
@@ -27,6 +27,7 @@
     GwTime prefill_base;         /**< added to each prefill */
     GwTime decode;               /**< between two tokens */
     int tokens;                  /**< length of an answer without max_tokens */
+    int event_padding;           /**< spaces added to each token's event */
     GwTime event_delay;          /**< until a cache event can be read */
     int drop_events;     /**< one in this many cache events is lost; 0: none */
     GwTime load_time;    /**< time that new weights take to load */
--- a/fakes/src/fake_engine.c
+++ b/fakes/src/fake_engine.c
@@ -469,7 +469,8 @@
 static void
 emit_token_(Generation *g)
 {
-    char event[256];
+    g_autofree char *event = NULL;
+    int padding = g->engine->options.event_padding;
     int n;
 
     g_string_append_printf(g->text, "%s:%d ", g->tag, g->next_token_index);
@@ -477,16 +478,16 @@
     if (!g->stream)
         return;
     if (g->chat)
-        g_snprintf(event, sizeof(event),
-                   "data: {\"id\":\"c\",\"object\":\"chat.completion.chunk\","
-                   "\"choices\":[{\"index\":0,\"delta\":{\"content\":"
-                   "\"%s:%d \"}}]}\n\n",
-                   g->tag, n);
+        event = g_strdup_printf(
+            "data: {%*s\"id\":\"c\",\"object\":\"chat.completion.chunk\","
+            "\"choices\":[{\"index\":0,\"delta\":{\"content\":"
+            "\"%s:%d \"}}]}\n\n",
+            padding, "", g->tag, n);
     else
-        g_snprintf(event, sizeof(event),
-                   "data: {\"id\":\"c\",\"object\":\"text_completion\","
-                   "\"choices\":[{\"index\":0,\"text\":\"%s:%d \"}]}\n\n",
-                   g->tag, n);
+        event = g_strdup_printf(
+            "data: {%*s\"id\":\"c\",\"object\":\"text_completion\","
+            "\"choices\":[{\"index\":0,\"text\":\"%s:%d \"}]}\n\n",
+            padding, "", g->tag, n);
     GwHttpCall_Write(g->call, event, strlen(event));
 }
 
--- a/packages/agent/src/answer.c
+++ b/packages/agent/src/answer.c
@@ -2,11 +2,7 @@
  * last acknowledgement. */
 #include "answer.h"
 
-/* Chunks that may be sent and not yet acknowledged. */
-#define WINDOW_CHUNKS 64
-/* With more unacknowledged bytes than this, reading from the endpoint is
- * paused. Reading is resumed when no more than half of this number is left. */
-#define WINDOW_BYTES (256 * 1024)
+#include "galenagw/wire/answer_window.h"
 
 static void send_chunk_(Job *job, uint32_t seq);
 static void send_final_(Job *job);
@@ -53,7 +49,7 @@
     if (job->session == NULL)
         return;
     while (job->next_send_seq < job->chunk_count &&
-           job->next_send_seq < job->first_seq + WINDOW_CHUNKS)
+           job->next_send_seq < job->first_seq + GW_ANSWER_WINDOW_CHUNKS)
         send_chunk_(job, job->next_send_seq++);
     if (job->state == JOB_FINISHED && job->next_send_seq == job->chunk_count &&
         !job->final_sent)
@@ -114,7 +110,8 @@
 {
     const GwEndpoint *endpoint = &job->agent->endpoint;
     bool pause =
-        job->buffered_bytes > (job->paused ? WINDOW_BYTES / 2 : WINDOW_BYTES);
+        job->buffered_bytes >
+        (job->paused ? GW_ANSWER_WINDOW_BYTES / 2 : GW_ANSWER_WINDOW_BYTES);
 
     if (job->call == NULL || pause == job->paused)
         return;
--- a/packages/entry/src/delivery.c
+++ b/packages/entry/src/delivery.c
@@ -5,11 +5,10 @@
 
 #include "entry_quarantine.h"
 #include "galenagw/base/log.h"
+#include "galenagw/wire/answer_window.h"
 #include "openai.h"
 #include "placement.h"
 
-/* Chunks between two Ack frames. */
-#define ACK_INTERVAL_CHUNKS 16
 /* With more bytes unsent to a slow caller no Ack is sent; the agent's window
    then stops reading from the endpoint. */
 #define CALLER_BACKLOG_MAX_BYTES (64 * 1024)
@@ -67,13 +66,15 @@
         return;
     }
     x->next_seq++;
+    x->unacked_bytes += chunk->data.len;
     x->state = EXCHANGE_STREAMING;
     XXH64_update(&x->digest, chunk->data.data, chunk->data.len);
     if (chunk->seq == 0)
         store_answer_head_(x, chunk);
     else
         deliver_chunk_(x, (const char *)chunk->data.data, chunk->data.len);
-    if (x->next_seq - x->acked >= ACK_INTERVAL_CHUNKS)
+    if (x->next_seq - x->acked >= GW_ANSWER_ACK_CHUNKS ||
+        x->unacked_bytes >= GW_ANSWER_ACK_BYTES)
         Delivery_SendAck(x);
 }
 
@@ -161,6 +162,7 @@
          GwHttpCall_Pending(x->call) > CALLER_BACKLOG_MAX_BYTES))
         return;
     x->acked = x->next_seq;
+    x->unacked_bytes = 0;
     ack.request_id = x->id;
     ack.attempt = x->attempt;
     ack.next_seq = x->next_seq;
--- a/packages/entry/src/exchange_private.h
+++ b/packages/entry/src/exchange_private.h
@@ -86,6 +86,7 @@
     bool holder_tried;      /* submitted to the holder of its key's claim */
     uint32_t next_seq;      /* number of the next chunk to deliver */
     uint32_t acked;         /* next_seq of the last Ack */
+    size_t unacked_bytes;   /* of the chunks received since then */
     XXH64_state_t digest;   /* over all chunks of the attempt */
     GwTime session_lost_at;
 
--- a/packages/entry/src/placement.c
+++ b/packages/entry/src/placement.c
@@ -106,6 +106,7 @@
     x->attempt++;
     x->next_seq = 0;
     x->acked = 0;
+    x->unacked_bytes = 0;
     x->state = EXCHANGE_SUBMITTED;
     XXH64_reset(&x->digest, 0);
     TAILQ_INSERT_TAIL(&peer->exchanges, x, link);
--- a/packages/entry/tests/path_test.cc
+++ b/packages/entry/tests/path_test.cc
@@ -118,6 +118,27 @@
     EXPECT_GT(largest, 5000000u);
 }
 
+// Streams of large events, up to some that exceed the agent's window. Guards
+// against an agent that waits for an acknowledgement before it reads on, while
+// the entry waits for more chunks before it sends one.
+TEST(Path, StreamsOfLargeEventsAreDeliveredCompletely)
+{
+    for (int padding : {1000, 9 * 1024, 20 * 1024, 70 * 1024, 300 * 1024}) {
+        World w;
+        FakeEngineOptions o = World::FastEngine();
+        w.Publish(kTestConfig);
+        o.event_padding = padding;
+        w.AddEngine(o);
+        EntryNode *e = w.AddEntry();
+
+        ASSERT_TRUE(w.Ready());
+        auto c = w.Chat(e, "desk.secret", "large?", 60);
+        EXPECT_TRUE(w.Until([&] { return c->done; })) << padding;
+        EXPECT_TRUE(c->Complete()) << padding;
+        EXPECT_EQ(c->Text(), World::Expect("large?", 60)) << padding;
+    }
+}
+
 // A header of 8 kB is accepted. One that exceeds the limit is refused, and
 // other connections are not affected.
 TEST(Path, OversizedHeaderAffectsOnlyItsOwnConnection)
