Agent: do not wait for an Ack with fewer chunks than the entry's interval

With an entry of an older version, a stream with events of more than about 17 KiB was still broken off after the progress timeout: such an entry acknowledges every 16 chunks and not by bytes, and the agent paused reading with more than 256 KiB in fewer chunks than that.

The agent now pauses only if at least 16 chunks are unacknowledged, too. The memory that the answer to a slow caller takes is then bounded by 16 chunks, or 256 KiB if that is more; one event is stored as a whole in any case.

--- a/packages/agent/src/answer.c
+++ b/packages/agent/src/answer.c
@@ -104,14 +104,17 @@
 }
 
 // Bounds the memory that the answer to a slow caller takes: reading from the
-// endpoint is paused until the entry has acknowledged enough chunks.
+// endpoint is paused until the entry has acknowledged enough chunks. An entry
+// of an older version counts only chunks, so it may not acknowledge until it
+// has received an interval of them.
 static void
 update_pause_(Job *job)
 {
     const GwEndpoint *endpoint = &job->agent->endpoint;
     bool pause =
-        job->buffered_bytes >
-        (job->paused ? GW_ANSWER_WINDOW_BYTES / 2 : GW_ANSWER_WINDOW_BYTES);
+        job->chunks->len >= GW_ANSWER_ACK_CHUNKS &&
+        job->buffered_bytes > (job->paused ? GW_ANSWER_WINDOW_BYTES / 2
+                                           : GW_ANSWER_WINDOW_BYTES);
 
     if (job->call == NULL || pause == job->paused)
         return;
--- /dev/null
+++ b/packages/agent/tests/answer_window_test.cc
@@ -0,0 +1,38 @@
+// The window of an answer, over the protocol between entries and agents.
+#include "entry_client.h"
+
+// Submits a request whose answer is a stream.
+static void
+SubmitStream(EntryClient *entry)
+{
+    entry->Submit(7, 1, "/v1/chat/completions",
+                  R"({"model":"chat","stream":true,"messages":)"
+                  R"([{"role":"user","content":"large?"}]})",
+                  true);
+}
+
+// An entry of an older version acknowledges every 16 chunks, whatever their
+// size. Guards against an agent that waits for an Ack with fewer chunks than
+// that unacknowledged.
+TEST(AnswerWindow, EntryThatCountsOnlyChunksGetsTheWholeStream)
+{
+    for (int padding : {1000, 9 * 1024, 20 * 1024, 70 * 1024, 300 * 1024}) {
+        World w;
+        FakeEngineOptions o = World::FastEngine();
+        EntryClient entry;
+
+        w.Publish(kTestConfig);
+        o.event_padding = padding;
+        o.tokens = 60;
+        AgentNode *a = w.AddEngine(o);
+        ASSERT_TRUE(w.Ready());
+        entry.ack_interval = 16;
+        entry.Connect(w.loop, GwAgent_Port(a->agent));
+        ASSERT_TRUE(w.Until([&] { return entry.ready; }));
+        SubmitStream(&entry);
+        ASSERT_TRUE(w.Until([&] { return entry.finals == 1; })) << padding;
+        EXPECT_FALSE(entry.broken) << padding;
+        EXPECT_GT(entry.next_seq, 60u) << padding;
+        GwSession_Close(entry.session);
+    }
+}
