--- a/packages/agent/tests/answer_window_test.cc
+++ b/packages/agent/tests/answer_window_test.cc
@@ -36,3 +36,22 @@
         GwSession_Close(entry.session);
     }
 }
+
+// As above, for the answer of a service, which is read in parts of any size.
+TEST(AnswerWindow, EntryThatCountsOnlyChunksGetsTheWholeServiceAnswer)
+{
+    World w;
+    EntryClient entry;
+
+    w.Publish(kTestConfig);
+    AgentNode *a = w.AddService({0, 0, 0, 5 * 1000 * 1000});
+    ASSERT_TRUE(w.Ready());
+    entry.ack_interval = 16;
+    entry.Connect(w.loop, GwAgent_Port(a->agent));
+    ASSERT_TRUE(w.Until([&] { return entry.ready; }));
+    entry.Submit(7, 1);
+    ASSERT_TRUE(w.Until([&] { return entry.finals == 1; }));
+    EXPECT_FALSE(entry.broken);
+    EXPECT_GT(entry.bytes, 5000000u);
+    GwSession_Close(entry.session);
+}
--- a/packages/agent/tests/entry_client.h
+++ b/packages/agent/tests/entry_client.h
@@ -14,6 +14,7 @@
     int finals = 0;                // Final frames received
     bool broken = false;           // of the last Final frame
     uint32_t next_seq = 0;         // of the next chunk
+    size_t bytes = 0;              // of all chunks received
     uint32_t acked = 0;            // next_seq of the last Ack
     uint32_t ack_interval = 0;     // chunks between two Acks; 0: no Ack
 
@@ -59,6 +60,7 @@
         if (chunk->seq != next_seq)
             return;
         next_seq++;
+        bytes += chunk->data.len;
         if (ack_interval == 0 || next_seq - acked < ack_interval)
             return;
         GW_FRAME(frame, ack, ACK, Ack, ack);
--- a/packages/http/include/galenagw/http/client.h
+++ b/packages/http/include/galenagw/http/client.h
@@ -38,7 +38,7 @@
 typedef struct {
     /** The answer's head; @p type is its content type, "" if absent. */
     void (*on_head)(void *user, int status, const char *type);
-    /** At most 4 KiB of the answer's body. */
+    /** A part of the answer's body. */
     void (*on_data)(void *user, const char *data, size_t len);
     /** The request has ended; its memory is freed afterwards. */
     void (*on_done)(void *user, GwHttpOutcome outcome);
--- a/packages/http/src/client.c
+++ b/packages/http/src/client.c
@@ -7,11 +7,6 @@
 
 /* Time without received data after which a request ends. */
 #define DEFAULT_TIMEOUT (30 * GW_SECOND)
-/* Maximum size of a piece that on_data receives. The agent sends each piece as
- * one chunk; it pauses and resumes by the number of bytes that the entry has
- * not acknowledged, while the entry acknowledges 16 chunks at once. So fewer
- * than 16 chunks must not exceed the number at which the agent resumes. */
-#define PIECE_MAX_BYTES (4 * 1024)
 
 const char *const GwHttpOutcome_Names[GW_HTTP_OUTCOMES] = {
     "complete",
@@ -182,13 +177,8 @@
 {
     GwHttpRequest *req = user;
 
-    while (len > 0 && !req->is_skipping && !req->done) {
-        size_t n = MIN(len, PIECE_MAX_BYTES);
-
-        req->ops->on_data(req->user, data, n);
-        data += n;
-        len -= n;
-    }
+    if (!req->is_skipping && !req->done)
+        req->ops->on_data(req->user, data, len);
     return !req->done;
 }
 
