Agent: a Resume acknowledges the chunks before it

After a lost session a stream could stand still until its caller gave up. Acks that were lost with the session are not repeated: the entry counts them as sent and acknowledges again only after 16 more chunks. The agent's window still ended 64 chunks beyond the last Ack that it had received, so with 49 or more lost chunks of Acks it had fewer than 16 to send, and none with 64.

Resume names the next chunk that the entry wants, so the agent now drops the ones before, if the Resume is of the current attempt, and no further than it has sent. The entry is unchanged; older entries profit as well. With an older agent and a new entry the fault remains.

Test AnswerWindow.ResumeAfterLostAcksGetsTheRest failed before: no chunk after the 64th within 10 s.

--- a/packages/agent/src/job.c
+++ b/packages/agent/src/job.c
@@ -147,8 +147,13 @@
     if (job == NULL)
         add_fence_(agent, r->request_id, r->attempt, GW_RAN_NO);
     GwSession_Send(session, &frame);
-    if (job != NULL)
-        Answer_Attach(job, session, r->attempt, r->next_seq);
+    if (job == NULL)
+        return;
+    // The Acks of the chunks before that may have been lost with the session,
+    // and the entry does not repeat them.
+    if (r->attempt == job->attempt)
+        Answer_Acknowledge(job, MIN(r->next_seq, job->next_send_seq));
+    Answer_Attach(job, session, r->attempt, r->next_seq);
 }
 
 void
--- a/packages/agent/tests/answer_window_test.cc
+++ b/packages/agent/tests/answer_window_test.cc
@@ -55,3 +55,33 @@
     EXPECT_GT(entry.bytes, 5000000u);
     GwSession_Close(entry.session);
 }
+
+// Failure: the session is lost together with the last Acks, so the agent's
+// window ends where the entry has received all. The entry has acknowledged
+// these chunks and does not do so again; the agent must not wait for that.
+TEST(AnswerWindow, ResumeAfterLostAcksGetsTheRest)
+{
+    World w;
+    FakeEngineOptions o = World::FastEngine();
+    EntryClient entry;
+
+    w.Publish(kTestConfig);
+    o.tokens = 100;
+    AgentNode *a = w.AddEngine(o);
+    ASSERT_TRUE(w.Ready());
+    entry.Connect(w.loop, GwAgent_Port(a->agent));
+    ASSERT_TRUE(w.Until([&] { return entry.ready; }));
+    SubmitStream(&entry);
+    ASSERT_TRUE(w.Until([&] { return entry.next_seq == 64; }));
+    GwSession_Close(entry.session);
+    entry.ready = false;
+    entry.acked = entry.next_seq;
+    entry.ack_interval = 16;
+    entry.Connect(w.loop, GwAgent_Port(a->agent));
+    ASSERT_TRUE(w.Until([&] { return entry.ready; }));
+    entry.Resume(7, 1);
+    ASSERT_TRUE(w.Until([&] { return entry.finals == 1; })) << entry.next_seq;
+    EXPECT_FALSE(entry.broken);
+    EXPECT_GT(entry.next_seq, 100u);
+    GwSession_Close(entry.session);
+}
