Agent: the limit of a stored answer counts the whole answer

A retry with an idempotency key got an answer of any size again, or outcome_unknown, depending on when the Acks of the first one arrived. The agent is to store answers of up to 64 KiB for a retry, but compared that limit with the bytes that the entry had not acknowledged when the answer ended. Large answers that ended slowly were stored, and took the place of small ones in the 32 MiB for all keys; during a run an answer was collected without limit.

The bytes of the whole answer are now counted as they arrive, and an answer is dropped from the store when it exceeds the limit.

Test AnswerWindow.AcknowledgedAnswerIsNotStoredIfItIsLarge failed before: 200 kB were replayed. Failure.RetryOfACallWhoseAnswerWasNotStored passed before and after (its 100 kB end before an Ack arrives).

--- a/packages/agent/src/job_private.h
+++ b/packages/agent/src/job_private.h
@@ -90,10 +90,10 @@
 struct KeyState {
     ClaimKey key;
     uint64_t request_digest;
-    bool run_started;  /* by any job with this key */
-    Job *runner;       /* the job that runs the request; NULL: none */
-    GPtrArray *answer; /* GBytes, all of the answer but its head; or NULL */
-    size_t answer_bytes;
+    bool run_started;    /* by any job with this key */
+    Job *runner;         /* the job that runs the request; NULL: none */
+    GPtrArray *answer;   /* GBytes, all of the answer but its head; or NULL */
+    size_t answer_bytes; /* of the whole answer, also if it is not stored */
     int answer_status;
     char *answer_type;
 };
--- a/packages/agent/src/keyed.c
+++ b/packages/agent/src/keyed.c
@@ -39,6 +39,11 @@
 
     if (ks == NULL || ks->runner != job)
         return;
+    ks->answer_bytes += g_bytes_get_size(data);
+    if (ks->answer_bytes > REPLAY_ANSWER_MAX_BYTES) {
+        g_clear_pointer(&ks->answer, g_ptr_array_unref);
+        return;
+    }
     if (ks->answer == NULL)
         ks->answer =
             g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
@@ -58,7 +63,7 @@
     if (ks->answer == NULL)
         ks->answer =
             g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
-    if (complete && job->buffered_bytes <= REPLAY_ANSWER_MAX_BYTES)
+    if (complete && ks->answer_bytes <= REPLAY_ANSWER_MAX_BYTES)
         add_to_replay_cache_(job, ks);
     else
         g_clear_pointer(&ks->answer, g_ptr_array_unref);
@@ -233,8 +238,6 @@
 {
     GwAgent *agent = job->agent;
 
-    for (guint i = 0; i < ks->answer->len; i++)
-        ks->answer_bytes += g_bytes_get_size(ks->answer->pdata[i]);
     agent->replay_cache_bytes += ks->answer_bytes;
     g_queue_push_tail(&agent->replay_cache, ks);
     while (agent->replay_cache_bytes > REPLAY_CACHE_MAX_BYTES) {
--- a/packages/agent/tests/answer_window_test.cc
+++ b/packages/agent/tests/answer_window_test.cc
@@ -1,5 +1,6 @@
 // The window of an answer, over the protocol between entries and agents.
 #include "entry_client.h"
+#include "galenagw/fakes/fake_httpd.h"
 
 // Submits a request whose answer is a stream.
 static void
@@ -85,3 +86,50 @@
     EXPECT_GT(entry.next_seq, 100u);
     GwSession_Close(entry.session);
 }
+
+// A large answer of a call with a key is not stored for a retry, which is then
+// refused. Guards against a limit that counts the bytes that the entry has not
+// acknowledged yet: they are few at the end of a slow answer.
+TEST(AnswerWindow, AcknowledgedAnswerIsNotStoredIfItIsLarge)
+{
+    World w;
+    EntryClient entry;
+    FakeExchange *exchange = nullptr;
+    FakeHttpdOps ops = {
+        [](void *u, FakeExchange *x) { *static_cast<FakeExchange **>(u) = x; },
+        nullptr};
+    const std::string part(200 * 1000, 'x');
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                             std::to_string(part.size() + 1) + "\r\n\r\n";
+
+    w.Publish(kTestConfig);
+    AgentNode *a = w.AddService({});
+    GwAddress address = {"127.0.0.1", FakeService_Port(a->service)};
+    ASSERT_TRUE(w.Ready());
+    w.KillService(a);
+    FakeHttpd *httpd =
+        FakeHttpd_New(w.loop, &address, &ops, &exchange, nullptr);
+    ASSERT_NE(httpd, nullptr);
+    entry.ack_interval = 1;
+    entry.key = "k";
+    entry.Connect(w.loop, GwAgent_Port(a->agent));
+    ASSERT_TRUE(w.Until([&] { return entry.ready; }));
+    entry.Submit(7, 1);
+    ASSERT_TRUE(w.Until([&] { return exchange != nullptr; }));
+    FakeExchange_Write(exchange, head.data(), head.size());
+    FakeExchange_Write(exchange, part.data(), part.size());
+    ASSERT_TRUE(w.Until([&] { return entry.bytes == part.size(); }));
+    // The agent answers this after it has read the Acks.
+    entry.Resume(99, 1);
+    ASSERT_TRUE(w.Until([&] { return entry.known.size() == 1; }));
+    FakeExchange_Write(exchange, "x", 1);
+    ASSERT_TRUE(w.Until([&] { return entry.finals == 1; }));
+    EXPECT_FALSE(entry.broken);
+    entry.Submit(8, 1);
+    ASSERT_TRUE(
+        w.Until([&] { return entry.finals == 2 || !entry.refused.empty(); }));
+    ASSERT_EQ(entry.refused.size(), 1u);
+    EXPECT_EQ(entry.refused[0], uint32_t{GW_REFUSAL_OUTCOME_UNKNOWN});
+    GwSession_Close(entry.session);
+    FakeHttpd_Delete(httpd);
+}
--- a/packages/agent/tests/entry_client.h
+++ b/packages/agent/tests/entry_client.h
@@ -9,6 +9,7 @@
     GwCounters counters = {};
     GwSession *session = nullptr;
     bool ready = false;
+    const char *key = "";          // idempotency key of what is submitted
     std::vector<bool> known;       // of the ResumeResult frames received
     std::vector<uint32_t> refused; // reasons of the Refused frames received
     int finals = 0;                // Final frames received
@@ -85,7 +86,8 @@
         s.body.data = reinterpret_cast<uint8_t *>(const_cast<char *>(body));
         s.body.len = strlen(body);
         s.stream = s.idempotent = stream;
-        s.key = s.weights = const_cast<char *>("");
+        s.key = const_cast<char *>(key);
+        s.weights = const_cast<char *>("");
         GwSession_Send(session, &frame);
     }
     void
