Agent: part of a cancelled answer is not replayed

A caller of a call with an idempotency key, of a method that may run twice, closed its connection during the answer and retried with the key: it got the part that had arrived until then, framed as a complete answer. The cancelled job's key kept the collected part, and the agent took every stored answer for a whole one.

The part is now dropped when a run ends without having finished; the retry is refused with outcome_unknown, as after any run whose answer is not stored.

Test AnswerWindow.PartOfACancelledAnswerIsNotReplayed failed before: a Final without broken instead of a refusal.

--- a/packages/agent/src/keyed.c
+++ b/packages/agent/src/keyed.c
@@ -79,6 +79,9 @@
 
     if (ks == NULL || ks->runner != job)
         return;
+    // The run was cancelled; part of an answer must not be replayed.
+    if (job->state != JOB_FINISHED)
+        g_clear_pointer(&ks->answer, g_ptr_array_unref);
     ks->runner = NULL;
     job->key_state = NULL;
     release_followers_(job);
--- a/packages/agent/tests/answer_window_test.cc
+++ b/packages/agent/tests/answer_window_test.cc
@@ -133,3 +133,42 @@
     GwSession_Close(entry.session);
     FakeHttpd_Delete(httpd);
 }
+
+// The caller of a call with a key, which may run twice, closes the connection
+// during the answer and retries. Guards against a replay of the first part as
+// if it were the whole answer.
+TEST(AnswerWindow, PartOfACancelledAnswerIsNotReplayed)
+{
+    World w;
+    EntryClient entry;
+    FakeExchange *exchange = nullptr;
+    FakeHttpdOps ops = {
+        [](void *u, FakeExchange *x) { *static_cast<FakeExchange **>(u) = x; },
+        nullptr};
+    const std::string part =
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n1234";
+
+    w.Publish(kTestConfig);
+    AgentNode *a = w.AddService({});
+    GwAddress address = {"127.0.0.1", FakeService_Port(a->service)};
+    ASSERT_TRUE(w.Ready());
+    w.KillService(a);
+    FakeHttpd *httpd =
+        FakeHttpd_New(w.loop, &address, &ops, &exchange, nullptr);
+    ASSERT_NE(httpd, nullptr);
+    entry.key = "k";
+    entry.Connect(w.loop, GwAgent_Port(a->agent));
+    ASSERT_TRUE(w.Until([&] { return entry.ready; }));
+    entry.Submit(7, 1, "/cabins", "{}", true);
+    ASSERT_TRUE(w.Until([&] { return exchange != nullptr; }));
+    FakeExchange_Write(exchange, part.data(), part.size());
+    ASSERT_TRUE(w.Until([&] { return entry.bytes == 4; }));
+    entry.Cancel(7, 1);
+    entry.Submit(8, 1, "/cabins", "{}", true);
+    ASSERT_TRUE(
+        w.Until([&] { return entry.finals == 1 || !entry.refused.empty(); }));
+    ASSERT_EQ(entry.refused.size(), 1u);
+    EXPECT_EQ(entry.refused[0], uint32_t{GW_REFUSAL_OUTCOME_UNKNOWN});
+    GwSession_Close(entry.session);
+    FakeHttpd_Delete(httpd);
+}
--- a/packages/agent/tests/entry_client.h
+++ b/packages/agent/tests/entry_client.h
@@ -91,6 +91,15 @@
         GwSession_Send(session, &frame);
     }
     void
+    Cancel(uint64_t id, uint32_t attempt)
+    {
+        GW_FRAME(frame, c, CANCEL, Cancel, cancel);
+
+        c.request_id = id;
+        c.attempt = attempt;
+        GwSession_Send(session, &frame);
+    }
+    void
     Resume(uint64_t id, uint32_t attempt)
     {
         GW_FRAME(frame, r, RESUME, Resume, resume);
