--- a/packages/quarantine/tests/quarantine_test.cc
+++ b/packages/quarantine/tests/quarantine_test.cc
@@ -647,6 +647,21 @@
     EXPECT_EQ(other.TimeLeft(Request(1), 5 * GW_SECOND), 0);
 }
 
+// Guards against refusing a harmless request of many callers: it completed at
+// this process seconds ago, but so did thousands of other requests since.
+TEST(Quarantine, ACompletionIsKnownAfterManyOthers)
+{
+    TestQuarantine t;
+
+    t.AddCompletion(Request(1), 0);
+    for (uint64_t i = 0; i < 20000; i++)
+        t.AddCompletion(Request(1000 + i * 7919), (GwTime)i * GW_MILLISECOND);
+    for (unsigned i = 0; i < 7; i++)
+        t.AddTermination(1 + i, 20 * GW_SECOND + i * GW_MILLISECOND,
+                         {Request(1)}, 7, 7);
+    EXPECT_EQ(t.TimeLeft(Request(1), 21 * GW_SECOND), 0);
+}
+
 // A process receives the third termination before those of the rest of the
 // rack. The quarantine that follows must be lifted when the rack is known to
 // have failed.
