--- a/packages/quarantine/src/attribution.c
+++ b/packages/quarantine/src/attribution.c
@@ -1,7 +1,5 @@
 #include "attribution.h"
 
-#include <stdlib.h>
-
 /* Terminations at most this far apart may have a common cause. */
 #define SIMULTANEOUS_INTERVAL GW_SECOND
 /* If at least this share of a failure domain terminated simultaneously, the
@@ -37,7 +35,6 @@
                                 GroupCheck has_failed, unsigned max);
 static unsigned sort_terminations_(const GwQuarantine *q, const Suspect *s,
                                    const StoredTermination **sorted);
-static int compare_times_(const void *a, const void *b);
 static bool has_group_failed_(const GwQuarantine *q, const Suspect *s,
                               const Termination *termination);
 static bool has_group_failed_itself_(const GwQuarantine *q, const Suspect *s,
@@ -113,23 +110,21 @@
     unsigned n = 0;
 
     for (size_t i = 0; i < TERMINATIONS_MAX; i++) {
-        if (Suspect_WasInFlight(s, i))
-            sorted[n++] = &q->stored_terminations[i];
+        const StoredTermination *stored = &q->stored_terminations[i];
+        unsigned at;
+
+        if (!Suspect_WasInFlight(s, i))
+            continue;
+        for (at = n;
+             at > 0 && sorted[at - 1]->termination.at > stored->termination.at;
+             at--)
+            sorted[at] = sorted[at - 1];
+        sorted[at] = stored;
+        n++;
     }
-    qsort(sorted, n, sizeof(sorted[0]), compare_times_);
     return n;
 }
 
-static int
-compare_times_(const void *a, const void *b)
-{
-    const StoredTermination *const *x = a;
-    const StoredTermination *const *y = b;
-    GwTime difference = (*x)->termination.at - (*y)->termination.at;
-
-    return (difference > 0) - (difference < 0);
-}
-
 // Whether a large part of the endpoint's group terminated simultaneously with
 // it, leaving out terminations that are attributed to another request.
 static bool
