Quarantine: constants and options in a header of their own

The linter reported a circle of modules: the private state included the public header, whose module includes the private state. The state needs only constants and options; they are in quarantine_options.h now, which quarantine.h includes.

--- a/packages/quarantine/src/quarantine_private.h
+++ b/packages/quarantine/src/quarantine_private.h
@@ -4,7 +4,7 @@
 
 #include <sys/queue.h>
 
-#include "galenagw/quarantine/quarantine.h"
+#include "galenagw/quarantine/quarantine_options.h"
 
 #include "completed_requests.h"
 
