Tests: set-up and loops that stood twice

Cases and expectations are the same; World::Ready in the set-up of the service is an EXPECT now, as the function returns a value.

--- a/packages/agent/tests/answer_window_test.cc
+++ b/packages/agent/tests/answer_window_test.cc
@@ -12,6 +12,35 @@
                   true);
 }
 
+// A service whose answer the test writes. Must be deleted before its World.
+struct HeldService {
+    ~HeldService()
+    {
+        FakeHttpd_Delete(httpd);
+    }
+    // Starts it in the place of a stand-in service. @return its agent
+    AgentNode *
+    Start(World *w)
+    {
+        static const FakeHttpdOps ops = {
+            [](void *u, FakeExchange *x) {
+                static_cast<HeldService *>(u)->exchange = x;
+            },
+            nullptr};
+
+        w->Publish(kTestConfig);
+        AgentNode *a = w->AddService({});
+        GwAddress address = {"127.0.0.1", FakeService_Port(a->service)};
+        EXPECT_TRUE(w->Ready());
+        w->KillService(a);
+        httpd = FakeHttpd_New(w->loop, &address, &ops, this, nullptr);
+        return a;
+    }
+
+    FakeHttpd *httpd = nullptr;
+    FakeExchange *exchange = nullptr; // the last request
+};
+
 // An entry of an older version acknowledges every 16 chunks, whatever their
 // size. Guards against an agent that waits for an Ack with fewer chunks than
 // that unacknowledged.
@@ -94,35 +123,26 @@
 {
     World w;
     EntryClient entry;
-    FakeExchange *exchange = nullptr;
-    FakeHttpdOps ops = {
-        [](void *u, FakeExchange *x) { *static_cast<FakeExchange **>(u) = x; },
-        nullptr};
+    HeldService service;
     const std::string part(200 * 1000, 'x');
     const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " +
                              std::to_string(part.size() + 1) + "\r\n\r\n";
 
-    w.Publish(kTestConfig);
-    AgentNode *a = w.AddService({});
-    GwAddress address = {"127.0.0.1", FakeService_Port(a->service)};
-    ASSERT_TRUE(w.Ready());
-    w.KillService(a);
-    FakeHttpd *httpd =
-        FakeHttpd_New(w.loop, &address, &ops, &exchange, nullptr);
-    ASSERT_NE(httpd, nullptr);
+    AgentNode *a = service.Start(&w);
+    ASSERT_NE(service.httpd, nullptr);
     entry.ack_interval = 1;
     entry.key = "k";
     entry.Connect(w.loop, GwAgent_Port(a->agent));
     ASSERT_TRUE(w.Until([&] { return entry.ready; }));
     entry.Submit(7, 1);
-    ASSERT_TRUE(w.Until([&] { return exchange != nullptr; }));
-    FakeExchange_Write(exchange, head.data(), head.size());
-    FakeExchange_Write(exchange, part.data(), part.size());
+    ASSERT_TRUE(w.Until([&] { return service.exchange != nullptr; }));
+    FakeExchange_Write(service.exchange, head.data(), head.size());
+    FakeExchange_Write(service.exchange, part.data(), part.size());
     ASSERT_TRUE(w.Until([&] { return entry.bytes == part.size(); }));
     // The agent answers this after it has read the Acks.
     entry.Resume(99, 1);
     ASSERT_TRUE(w.Until([&] { return entry.known.size() == 1; }));
-    FakeExchange_Write(exchange, "x", 1);
+    FakeExchange_Write(service.exchange, "x", 1);
     ASSERT_TRUE(w.Until([&] { return entry.finals == 1; }));
     EXPECT_FALSE(entry.broken);
     entry.Submit(8, 1);
@@ -131,7 +151,6 @@
     ASSERT_EQ(entry.refused.size(), 1u);
     EXPECT_EQ(entry.refused[0], uint32_t{GW_REFUSAL_OUTCOME_UNKNOWN});
     GwSession_Close(entry.session);
-    FakeHttpd_Delete(httpd);
 }
 
 // The caller of a call with a key, which may run twice, closes the connection
@@ -141,27 +160,18 @@
 {
     World w;
     EntryClient entry;
-    FakeExchange *exchange = nullptr;
-    FakeHttpdOps ops = {
-        [](void *u, FakeExchange *x) { *static_cast<FakeExchange **>(u) = x; },
-        nullptr};
+    HeldService service;
     const std::string part =
         "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n1234";
 
-    w.Publish(kTestConfig);
-    AgentNode *a = w.AddService({});
-    GwAddress address = {"127.0.0.1", FakeService_Port(a->service)};
-    ASSERT_TRUE(w.Ready());
-    w.KillService(a);
-    FakeHttpd *httpd =
-        FakeHttpd_New(w.loop, &address, &ops, &exchange, nullptr);
-    ASSERT_NE(httpd, nullptr);
+    AgentNode *a = service.Start(&w);
+    ASSERT_NE(service.httpd, nullptr);
     entry.key = "k";
     entry.Connect(w.loop, GwAgent_Port(a->agent));
     ASSERT_TRUE(w.Until([&] { return entry.ready; }));
     entry.Submit(7, 1, "/cabins", "{}", true);
-    ASSERT_TRUE(w.Until([&] { return exchange != nullptr; }));
-    FakeExchange_Write(exchange, part.data(), part.size());
+    ASSERT_TRUE(w.Until([&] { return service.exchange != nullptr; }));
+    FakeExchange_Write(service.exchange, part.data(), part.size());
     ASSERT_TRUE(w.Until([&] { return entry.bytes == 4; }));
     entry.Cancel(7, 1);
     entry.Submit(8, 1, "/cabins", "{}", true);
@@ -170,5 +180,4 @@
     ASSERT_EQ(entry.refused.size(), 1u);
     EXPECT_EQ(entry.refused[0], uint32_t{GW_REFUSAL_OUTCOME_UNKNOWN});
     GwSession_Close(entry.session);
-    FakeHttpd_Delete(httpd);
 }
--- a/packages/endpoint/tests/truncated_answer_test.cc
+++ b/packages/endpoint/tests/truncated_answer_test.cc
@@ -106,6 +106,29 @@
         e.ops->delete_(e.impl);
         return record;
     }
+    // Plays each case in each framing. @p check may check more of the record.
+    template <typename Case, size_t n, typename Check>
+    void
+    ExpectOutcomes(const Case (&cases)[n], bool is_engine, const Check &check)
+    {
+        for (auto &f : kFramings) {
+            SCOPED_TRACE(f.name);
+            framing = f.framing;
+            for (auto &c : cases) {
+                body = c.body;
+                CallRecord record = Play(is_engine);
+
+                EXPECT_EQ(record.result.outcome, c.outcome) << c.name;
+                check(record, c);
+            }
+        }
+    }
+    template <typename Case, size_t n>
+    void
+    ExpectOutcomes(const Case (&cases)[n], bool is_engine)
+    {
+        ExpectOutcomes(cases, is_engine, [](const CallRecord &, auto &) {});
+    }
 };
 
 const char kEvent[] = "data: {\"choices\":[]}\n\n";
@@ -134,16 +157,7 @@
     };
 
     type = "text/event-stream";
-    for (auto &f : kFramings) {
-        framing = f.framing;
-        for (auto &c : cases) {
-            body = c.body;
-            CallRecord record = Play(true);
-
-            EXPECT_EQ(record.result.outcome, c.outcome)
-                << f.name << ", " << c.name;
-        }
-    }
+    ExpectOutcomes(cases, true);
 }
 
 // An engine ends its lines with CRLF or CR, sends a byte order mark, or writes
@@ -178,16 +192,7 @@
     };
 
     type = "text/event-stream";
-    for (auto &f : kFramings) {
-        framing = f.framing;
-        for (auto &c : cases) {
-            body = c.body;
-            CallRecord record = Play(true);
-
-            EXPECT_EQ(record.result.outcome, c.outcome)
-                << f.name << ", " << c.name;
-        }
-    }
+    ExpectOutcomes(cases, true);
 }
 
 // An engine ends an answer that is no stream inside its JSON text; guards
@@ -215,16 +220,7 @@
     };
 
     type = "application/json";
-    for (auto &f : kFramings) {
-        framing = f.framing;
-        for (auto &c : cases) {
-            body = c.body;
-            CallRecord record = Play(true);
-
-            EXPECT_EQ(record.result.outcome, c.outcome)
-                << f.name << ", " << c.name;
-        }
-    }
+    ExpectOutcomes(cases, true);
 }
 
 // A plain service ends a stream inside an event; guards against dropping the
@@ -252,19 +248,11 @@
     };
 
     type = "text/event-stream";
-    for (auto &f : kFramings) {
-        framing = f.framing;
-        for (auto &c : cases) {
-            body = c.body;
-            CallRecord record = Play(false);
-
-            EXPECT_EQ(record.result.outcome, c.outcome)
-                << f.name << ", " << c.name;
-            if (c.outcome == GW_ENDPOINT_COMPLETE) {
-                EXPECT_EQ(record.body, c.body) << f.name << ", " << c.name;
-            }
+    ExpectOutcomes(cases, false, [](const CallRecord &record, auto &c) {
+        if (c.outcome == GW_ENDPOINT_COMPLETE) {
+            EXPECT_EQ(record.body, c.body) << c.name;
         }
-    }
+    });
 }
 
 // An endpoint resets the connection behind a body that looks whole; guards
@@ -312,16 +300,8 @@
     };
 
     type = "text/event-stream";
-    for (auto &f : kFramings) {
-        framing = f.framing;
-        for (auto &c : cases) {
-            body = c.body;
-            CallRecord record = Play(true);
-
-            EXPECT_EQ(record.result.outcome, c.outcome)
-                << f.name << ", " << c.name;
-            EXPECT_EQ(record.body.empty(), c.outcome == GW_ENDPOINT_BROKEN)
-                << f.name << ", " << c.name;
-        }
-    }
+    ExpectOutcomes(cases, true, [](const CallRecord &record, auto &c) {
+        EXPECT_EQ(record.body.empty(), c.outcome == GW_ENDPOINT_BROKEN)
+            << c.name;
+    });
 }
--- a/packages/quarantine/tests/quarantine_test.cc
+++ b/packages/quarantine/tests/quarantine_test.cc
@@ -62,6 +62,22 @@
         return GwQuarantine_AddCompletion(q, &request, kStart + at,
                                           kStart + at);
     }
+    // Sends all terminations to a peer, which receives them at 5 s.
+    void
+    SendTerminations(TestQuarantine *peer)
+    {
+        GwQuarantine_ForEach(
+            q, 512,
+            [](void *user, const GwEndpointTermination *termination) {
+                GwDigest new_requests[1];
+                bool is_new;
+
+                GwQuarantine_AddTermination(
+                    static_cast<TestQuarantine *>(user)->q, termination,
+                    kStart + 5 * GW_SECOND, new_requests, &is_new);
+            },
+            peer);
+    }
     GwTime
     TimeLeft(const GwDigest &request, GwTime at)
     {
@@ -633,17 +649,7 @@
                                        request, at, kStart + 5 * GW_SECOND);
         },
         &other);
-    GwQuarantine_ForEach(
-        t.q, 512,
-        [](void *user, const GwEndpointTermination *termination) {
-            GwDigest new_requests[1];
-            bool is_new;
-
-            GwQuarantine_AddTermination(static_cast<TestQuarantine *>(user)->q,
-                                        termination, kStart + 5 * GW_SECOND,
-                                        new_requests, &is_new);
-        },
-        &other);
+    t.SendTerminations(&other);
     EXPECT_EQ(other.TimeLeft(Request(1), 5 * GW_SECOND), 0);
 }
 
@@ -802,17 +808,7 @@
     for (uint64_t i = 0; i < 5; i++)
         t.AddTermination(1 + i, (GwTime)i * GW_SECOND,
                          {Request(1), Request(50 + i)});
-    GwQuarantine_ForEach(
-        t.q, 512,
-        [](void *user, const GwEndpointTermination *termination) {
-            GwDigest new_requests[1];
-            bool is_new;
-
-            GwQuarantine_AddTermination(static_cast<TestQuarantine *>(user)->q,
-                                        termination, kStart + 5 * GW_SECOND,
-                                        new_requests, &is_new);
-        },
-        &other);
+    t.SendTerminations(&other);
     EXPECT_EQ(other.TimeLeft(Request(1), 5 * GW_SECOND),
               t.TimeLeft(Request(1), 5 * GW_SECOND));
     EXPECT_EQ(other.TimeLeft(Request(50), 5 * GW_SECOND), 0);
