Tests: a rack that fails is one set-up; completions are not just before it

The two tests of a request of many callers at a rack that fails had the same forty lines; FailingRack has them now, with the same expectations.

RequestAnsweredByAnotherGatewayIsAdmitted let the rack fail within the half second in which a completion clears terminations, so it passed with a mutant that knows no completion as harmless.

--- a/packages/gateway/tests/gateway_quarantine_test.cc
+++ b/packages/gateway/tests/gateway_quarantine_test.cc
@@ -397,47 +397,79 @@
     }
 }
 
+// Endpoints of one rack, all of a service. When the rack fails, a harmless
+// request of several callers at all gateways is in flight at each of them.
+struct FailingRack {
+    FailingRack() : t("plain", 0), f(t.a.f)
+    {
+        GwDigestSource source = {};
+
+        for (int i = 0; i < 6; i++)
+            endpoints.push_back(f.AddEndpoint(
+                ("rack" + std::to_string(i)).c_str(), "plain", false, "rack"));
+        source.account = "acme";
+        source.method = "POST";
+        source.target = kPath;
+        source.body = kBody;
+        source.body_len = strlen(kBody);
+        digest = GwDigest_Of(&source);
+    }
+    // Sends the request. @return the status of the answer
+    int
+    SendRequest(GwGateway *g)
+    {
+        return t.SendRequest(g, kPath, kBody);
+    }
+    void
+    Fail()
+    {
+        for (Endpoint *e : endpoints)
+            e->serve = [&](Endpoint *at, FakeExchange *) {
+                holding.insert(at);
+            };
+        for (int i = 0; i < 100 && holding.size() < endpoints.size(); i++) {
+            callers.push_back(f.Call(f.gateways[i % 4],
+                                     Fleet::Request("POST", kPath, kBody)));
+            f.Wait(10 * GW_MILLISECOND);
+        }
+        ASSERT_EQ(holding.size(), endpoints.size());
+        for (Endpoint *e : endpoints)
+            t.Terminate(e);
+        f.Wait(500 * GW_MILLISECOND);
+    }
+    GwTime
+    TimeLeft(const GwGateway *g) const
+    {
+        return GwQuarantine_TimeLeft(g->quarantine, &digest, GwTime_Now());
+    }
+
+    static constexpr const char *kPath = "/plain/1";
+    static constexpr const char *kBody = "sound";
+    FatalFleet t;
+    Fleet &f;
+    GwDigest digest;
+    std::vector<Endpoint *> endpoints;
+    std::set<Endpoint *> holding;
+    std::vector<std::shared_ptr<Caller>> callers;
+};
+
 // Guards against refusing a harmless request of many callers: it is in flight
 // at each endpoint of a rack when the rack loses power, as a fatal request
 // would be, but it was answered before.
 TEST(GatewayQuarantine, RequestOfManyCallersInFlightAtRackThatFailsIsAdmitted)
 {
-    FatalFleet t("plain", 0);
-    Fleet &f = t.a.f;
-    std::vector<Endpoint *> rack;
-    std::vector<std::shared_ptr<Caller>> callers;
-    std::set<Endpoint *> holding;
-    GwDigestSource source = {};
+    FailingRack rack;
+    Fleet &f = rack.f;
 
-    for (int i = 0; i < 6; i++)
-        rack.push_back(f.AddEndpoint(("rack" + std::to_string(i)).c_str(),
-                                     "plain", false, "rack"));
     ASSERT_TRUE(f.Ready());
     for (GwGateway *g : f.gateways)
-        ASSERT_EQ(t.SendRequest(g, "/plain/1", "sound"), 200);
+        ASSERT_EQ(rack.SendRequest(g), 200);
     // So that the completions do not clear the terminations.
     f.Wait(600 * GW_MILLISECOND);
-    for (Endpoint *e : rack)
-        e->serve = [&](Endpoint *at, FakeExchange *) { holding.insert(at); };
-    for (int i = 0; i < 100 && holding.size() < rack.size(); i++) {
-        callers.push_back(f.Call(f.gateways[i % 4],
-                                 Fleet::Request("POST", "/plain/1", "sound")));
-        f.Wait(10 * GW_MILLISECOND);
-    }
-    ASSERT_EQ(holding.size(), rack.size());
-    for (Endpoint *e : rack)
-        t.Terminate(e);
-    f.Wait(500 * GW_MILLISECOND);
-    source.account = "acme";
-    source.method = "POST";
-    source.target = "/plain/1";
-    source.body = "sound";
-    source.body_len = 5;
-    GwDigest digest = GwDigest_Of(&source);
+    ASSERT_NO_FATAL_FAILURE(rack.Fail());
     for (GwGateway *g : f.gateways) {
-        EXPECT_EQ(GwQuarantine_Terminations(g->quarantine, &digest), 6u);
-        EXPECT_EQ(GwQuarantine_TimeLeft(g->quarantine, &digest, GwTime_Now()),
-                  0);
+        EXPECT_EQ(GwQuarantine_Terminations(g->quarantine, &rack.digest), 6u);
+        EXPECT_EQ(rack.TimeLeft(g), 0);
     }
 }
 
@@ -446,48 +478,27 @@
 // request runs at each of its endpoints, and the others take it for the cause.
 TEST(GatewayQuarantine, RequestAnsweredByAnotherGatewayIsAdmitted)
 {
-    FatalFleet t("plain", 0);
-    Fleet &f = t.a.f;
-    std::vector<Endpoint *> rack;
-    std::vector<std::shared_ptr<Caller>> callers;
-    std::set<Endpoint *> holding;
-    GwDigestSource source = {};
+    FailingRack rack;
+    Fleet &f = rack.f;
 
-    for (int i = 0; i < 6; i++)
-        rack.push_back(f.AddEndpoint(("rack" + std::to_string(i)).c_str(),
-                                     "plain", false, "rack"));
     ASSERT_TRUE(f.Ready());
     for (int i = 0; i < 20; i++)
-        ASSERT_EQ(t.SendRequest(f.gateways[0], "/plain/1", "sound"), 200);
-    for (Endpoint *e : rack)
-        e->serve = [&](Endpoint *at, FakeExchange *) { holding.insert(at); };
-    for (int i = 0; i < 100 && holding.size() < rack.size(); i++) {
-        callers.push_back(f.Call(f.gateways[i % 4],
-                                 Fleet::Request("POST", "/plain/1", "sound")));
-        f.Wait(10 * GW_MILLISECOND);
-    }
-    ASSERT_EQ(holding.size(), rack.size());
-    for (Endpoint *e : rack)
-        t.Terminate(e);
-    f.Wait(500 * GW_MILLISECOND);
-    source.account = "acme";
-    source.method = "POST";
-    source.target = "/plain/1";
-    source.body = "sound";
-    source.body_len = 5;
-    GwDigest digest = GwDigest_Of(&source);
+        ASSERT_EQ(rack.SendRequest(f.gateways[0]), 200);
+    // So that the completions do not clear the terminations.
+    f.Wait(600 * GW_MILLISECOND);
+    ASSERT_NO_FATAL_FAILURE(rack.Fail());
     for (GwGateway *g : f.gateways)
-        EXPECT_EQ(GwQuarantine_TimeLeft(g->quarantine, &digest, GwTime_Now()),
-                  0);
+        EXPECT_EQ(rack.TimeLeft(g), 0);
     // Another rack takes over. Whichever gateway its callers use, it is
     // answered.
     f.AddEndpoint("other", "plain", false, "other");
     for (int i = 1; i < 4; i++) {
         ASSERT_TRUE(f.Until([&] {
-            return t.SendRequest(f.gateways[i], "/plain/1", "another") == 200;
+            return rack.t.SendRequest(f.gateways[i], rack.kPath, "another") ==
+                   200;
         }));
-        EXPECT_EQ(t.SendRequest(f.gateways[i], "/plain/1", "sound"), 200)
-            << i << t.last_caller->received;
+        EXPECT_EQ(rack.SendRequest(f.gateways[i]), 200)
+            << i << rack.t.last_caller->received;
     }
 }
 
