--- a/fakes/include/galenagw/fakes/fake_engine.h
+++ b/fakes/include/galenagw/fakes/fake_engine.h
@@ -42,6 +42,7 @@
     int break_count;   /**< answers still to be aborted; 0: none */
     const char *fatal; /**< a last user message whose prefill crashes the
                             engine; or NULL */
+    const char *fatal_system; /**< the same for a system message */
 } FakeEngineOptions;
 
 /** Counters since the construction. */
--- a/fakes/src/fake_engine.c
+++ b/fakes/src/fake_engine.c
@@ -29,6 +29,7 @@
     bool stream;
     bool chat;             /* chat completion; otherwise text completion */
     char tag[9];           /* see FakeEngine_Tag */
+    bool has_fatal_system; /* see FakeEngineOptions.fatal_system */
     int next_token_index;  /* index of the next token to send */
     int first_token_index; /* index of the first token of this answer */
     int end_token_index;   /* index after the last token */
@@ -85,6 +86,7 @@
 static void start_generation_(FakeEngine *e, GwHttpCall *call, bool chat);
 static bool parse_request_(Generation *g, const json_t *root);
 static void read_last_message_(Generation *g, const json_t *root);
+static bool has_fatal_system_(const FakeEngine *e, const json_t *root);
 static void enqueue_by_priority_(FakeEngine *e, Generation *g);
 static void prefill_next_(FakeEngine *e);
 static void on_prefilled_(void *user);
@@ -326,6 +328,7 @@
     g->priority = (int)json_integer_value(json_object_get(root, "priority"));
     g->stream = json_is_true(json_object_get(root, "stream"));
     read_last_message_(g, root);
+    g->has_fatal_system = has_fatal_system_(g->engine, root);
     g->first_token_index = g->next_token_index;
     g->end_token_index = g->next_token_index + tokens;
     return true;
@@ -360,6 +363,24 @@
     }
 }
 
+static bool
+has_fatal_system_(const FakeEngine *e, const json_t *root)
+{
+    size_t i;
+    json_t *m;
+
+    if (e->options.fatal_system == NULL)
+        return false;
+    json_array_foreach(json_object_get(root, "messages"), i, m)
+    {
+        const char *text = json_string_value(json_object_get(m, "content"));
+
+        if (text != NULL && strcmp(text, e->options.fatal_system) == 0)
+            return true;
+    }
+    return false;
+}
+
 static void
 enqueue_by_priority_(FakeEngine *e, Generation *g)
 {
@@ -439,9 +460,9 @@
     char tag[9];
 
     if (e->options.fatal == NULL)
-        return false;
+        return g->has_fatal_system;
     FakeEngine_Tag(e->options.fatal, tag);
-    return strcmp(tag, g->tag) == 0;
+    return g->has_fatal_system || strcmp(tag, g->tag) == 0;
 }
 
 static void
--- a/packages/agent/src/agent_quarantine.c
+++ b/packages/agent/src/agent_quarantine.c
@@ -5,8 +5,11 @@
 #include <xxhash.h>
 
 #include "galenagw/base/log.h"
+#include "galenagw/quarantine/message_identity.h"
 
-static GwDigest job_digest_(const Job *job);
+static GwRequestIdentity job_identity_(const Job *job);
+static void add_completion_(GwAgent *agent, GwSuspectKind kind,
+                            const GwDigest *suspect);
 static void start_listen_check_(GwAgent *agent);
 static void on_listen_check_open_(void *user);
 static void on_listen_check_data_(void *user, const uint8_t *data, size_t len);
@@ -40,10 +43,10 @@
 void
 AgentQuarantine_OnRequestBroken(const Job *job)
 {
-    GwDigest digest = job_digest_(job);
+    GwRequestIdentity identity = job_identity_(job);
 
     // Endpoint number 0: an agent has only one endpoint.
-    GwBrokenRequests_Add(job->agent->broken_requests, 0, &digest,
+    GwBrokenRequests_Add(job->agent->broken_requests, 0, &identity,
                          GwTime_Now());
     // A restart of an engine shows in its reports; a plain service sends none.
     if (job->agent->options.plain_service)
@@ -66,7 +69,8 @@
     GwTime now = GwTime_Now();
     GwQuarantineUpdate update = {.is_termination = true};
     g_autoptr(GArray) requests = NULL;
-    g_autofree GwDigest *new_requests = NULL;
+    g_autofree GwInFlight *in_flight = g_new0(GwInFlight, 1);
+    g_autofree GwInFlight *added = g_new0(GwInFlight, 1);
     bool is_new;
 
     requests = GwBrokenRequests_Take(agent->broken_requests, 0, now,
@@ -80,49 +84,59 @@
         XXH3_64bits_withSeed(o->name, strlen(o->name),
                              agent->incarnation + agent->termination_count);
     update.termination.group = GwQuarantine_Group(o->pool, o->failure_domain);
-    update.termination.requests =
-        (const GwDigest *)(const void *)requests->data;
-    update.termination.n_requests =
-        MIN(requests->len, GW_TERMINATION_REQUESTS_MAX);
-    new_requests = g_new(GwDigest, update.termination.n_requests);
+    for (guint i = 0; i < requests->len; i++)
+        GwInFlight_Add(in_flight,
+                       &g_array_index(requests, GwRequestIdentity, i));
+    GwEndpointTermination_SetInFlight(&update.termination, in_flight);
     GW_WARN("the endpoint terminated with %u requests in flight",
             requests->len);
     GwCounters_Add(&agent->counters, GW_COUNTER_ENDS_SEEN, 1);
-    update.termination.n_requests = GwQuarantine_AddTermination(
-        agent->quarantine, &update.termination, now, new_requests, &is_new);
-    update.termination.requests = new_requests;
+    GwQuarantine_AddTermination(agent->quarantine, &update.termination, now,
+                                added, &is_new);
+    GwEndpointTermination_SetInFlight(&update.termination, added);
     forward_update_(agent, NULL, &update);
 }
 
 void
 AgentQuarantine_OnRequestCompleted(const Job *job)
 {
-    GwAgent *agent = job->agent;
+    GwRequestIdentity identity = job_identity_(job);
+    bool has_begun = job->answer_status >= 200 && job->answer_status < 300;
+
+    add_completion_(job->agent, GW_SUSPECT_REQUEST, &identity.request);
+    for (unsigned i = 0; has_begun && i < identity.n_parts; i++)
+        add_completion_(job->agent, GW_SUSPECT_PART, &identity.parts[i]);
+}
+
+static void
+add_completion_(GwAgent *agent, GwSuspectKind kind, const GwDigest *suspect)
+{
     GwTime now = GwTime_Now();
-    GwQuarantineUpdate update = {.completed = job_digest_(job),
-                                 .completed_at = now};
+    GwQuarantineUpdate update = {
+        .completed_kind = kind, .completed = *suspect, .completed_at = now};
 
-    if (GwQuarantine_AddCompletion(agent->quarantine, &update.completed, now,
-                                   now))
+    if (GwQuarantine_AddCompletion(agent->quarantine, kind, suspect, now, now))
         forward_update_(agent, NULL, &update);
 }
 
 GwTime
-AgentQuarantine_TimeLeft(const GwAgent *agent, const Gw__Wire__Submit *s)
-{
-    GwDigestSource source = {
-        .account = s->account,
-        .method = s->method,
-        .target = s->path,
-        .body = (const char *)s->body.data,
-        .body_len = s->body.len,
+AgentQuarantine_TimeLeft(GwAgent *agent, const Gw__Wire__Submit *s)
+{
+    GwMessageSource source = {
+        .digest = {.account = s->account,
+                   .method = s->method,
+                   .target = s->path,
+                   .body = (const char *)s->body.data,
+                   .body_len = s->body.len},
+        .model = agent->options.pool,
     };
-    GwDigest digest;
+    GwRequestIdentity identity;
 
     if (GwQuarantine_IsEmpty(agent->quarantine))
         return 0;
-    digest = GwDigest_Of(&source);
-    return GwQuarantine_TimeLeft(agent->quarantine, &digest, GwTime_Now());
+    identity = GwMessageIdentity_Of(&source);
+    return GwQuarantine_Judge(agent->quarantine, &identity, GwTime_Now())
+        .time_left;
 }
 
 void
@@ -173,19 +187,20 @@
         AgentQuarantine_OnEndpointTerminated(agent);
 }
 
-static GwDigest
-job_digest_(const Job *job)
+static GwRequestIdentity
+job_identity_(const Job *job)
 {
     gsize len;
-    GwDigestSource source = {
-        .account = job->account,
-        .method = job->method,
-        .target = job->path,
-        .body = g_bytes_get_data(job->body, &len),
+    GwMessageSource source = {
+        .digest = {.account = job->account,
+                   .method = job->method,
+                   .target = job->path,
+                   .body = g_bytes_get_data(job->body, &len)},
+        .model = job->agent->options.pool,
     };
 
-    source.body_len = len;
-    return GwDigest_Of(&source);
+    source.digest.body_len = len;
+    return GwMessageIdentity_Of(&source);
 }
 
 // Sends `update` to all entries but `from`, which sent it; NULL: to all.
--- a/packages/agent/src/agent_quarantine.h
+++ b/packages/agent/src/agent_quarantine.h
@@ -15,7 +15,7 @@
 /* The endpoint answered `job` completely. */
 void AgentQuarantine_OnRequestCompleted(const Job *job);
 /* How long the request must not run yet; 0: it may run. */
-GwTime AgentQuarantine_TimeLeft(const GwAgent *agent,
+GwTime AgentQuarantine_TimeLeft(GwAgent *agent,
                                 const Gw__Wire__Submit *submit);
 /* Delete expired records. */
 void AgentQuarantine_Sweep(GwAgent *agent, GwTime now);
--- a/packages/cluster/tests/peers_quarantine_test.cc
+++ b/packages/cluster/tests/peers_quarantine_test.cc
@@ -57,14 +57,18 @@
     Terminate(uint64_t endpoint)
     {
         GwQuarantineUpdate update = {};
-        GwDigest new_digests[1];
+        GwInFlight added;
         bool is_new;
 
         update.is_termination = true;
-        update.termination = {endpoint,     endpoint,  9,
-                              GwTime_Now(), &request_, 1};
+        update.termination.endpoint = endpoint;
+        update.termination.group = endpoint;
+        update.termination.group_size = 9;
+        update.termination.at = GwTime_Now();
+        update.termination.requests = &request_;
+        update.termination.n_requests = 1;
         GwQuarantine_AddTermination(entry_.quarantine, &update.termination,
-                                    GwTime_Now(), new_digests, &is_new);
+                                    GwTime_Now(), &added, &is_new);
         GwPeers_BroadcastQuarantine(entry_.peers, &update);
     }
     // Whether a state of the agent was received.
@@ -156,7 +160,8 @@
         f.Until([&] { return IsQuarantined(second_entry_, request_); }));
     update.completed = request_;
     update.completed_at = GwTime_Now();
-    ASSERT_TRUE(GwQuarantine_AddCompletion(entry_.quarantine, &request_,
+    ASSERT_TRUE(GwQuarantine_AddCompletion(entry_.quarantine,
+                                           GW_SUSPECT_REQUEST, &request_,
                                            update.completed_at, GwTime_Now()));
     GwPeers_BroadcastQuarantine(entry_.peers, &update);
     EXPECT_TRUE(
--- a/packages/entry/src/entry_quarantine.c
+++ b/packages/entry/src/entry_quarantine.c
@@ -1,6 +1,9 @@
 #include "entry_quarantine.h"
 
-static GwDigest compute_digest_(const Exchange *x);
+#include "galenagw/quarantine/message_identity.h"
+
+static void add_completion_(GwEntry *entry, GwSuspectKind kind,
+                            const GwDigest *suspect);
 static void on_update_(void *user, GwSession *from,
                        const GwQuarantineUpdate *update);
 static unsigned get_group_size_(void *user, uint64_t group);
@@ -22,39 +25,55 @@
     GwQuarantine_Delete(entry->quarantine);
 }
 
+void
+EntryQuarantine_Identify(Exchange *x, const json_t *root)
+{
+    GwMessageSource source = {
+        .digest = {.account = x->account,
+                   .method = x->request.method,
+                   .target = x->request.path,
+                   .body = x->request.body,
+                   .body_len = x->request.body_len},
+        .model = x->request.pool,
+        .root = root,
+    };
+
+    x->identity = GwMessageIdentity_Of(&source);
+}
+
 GwTime
 EntryQuarantine_Admit(const Exchange *x)
 {
-    GwDigest digest;
-
-    if (GwQuarantine_IsEmpty(x->entry->quarantine))
-        return 0;
-    digest = compute_digest_(x);
-    return GwQuarantine_Admit(x->entry->quarantine, &digest, GwTime_Now());
+    return GwQuarantine_Admit(x->entry->quarantine, &x->identity, GwTime_Now())
+        .time_left;
 }
 
 bool
 EntryQuarantine_IsLastAttempt(const Exchange *x)
 {
-    GwDigest digest;
-
-    if (GwQuarantine_IsEmpty(x->entry->quarantine))
-        return false;
-    digest = compute_digest_(x);
-    return GwQuarantine_Terminations(x->entry->quarantine, &digest) >=
-           GW_QUARANTINE_TERMINATIONS - 1;
+    return !GwQuarantine_MayRetry(x->entry->quarantine, &x->identity, true,
+                                  GwTime_Now());
 }
 
 void
 EntryQuarantine_OnCompleted(const Exchange *x)
+{
+    bool has_begun = x->status >= 200 && x->status < 300;
+
+    add_completion_(x->entry, GW_SUSPECT_REQUEST, &x->identity.request);
+    for (unsigned i = 0; has_begun && i < x->identity.n_parts; i++)
+        add_completion_(x->entry, GW_SUSPECT_PART, &x->identity.parts[i]);
+}
+
+static void
+add_completion_(GwEntry *entry, GwSuspectKind kind, const GwDigest *suspect)
 {
     GwTime now = GwTime_Now();
-    GwQuarantineUpdate update = {.completed = compute_digest_(x),
-                                 .completed_at = now};
+    GwQuarantineUpdate update = {
+        .completed_kind = kind, .completed = *suspect, .completed_at = now};
 
-    if (GwQuarantine_AddCompletion(x->entry->quarantine, &update.completed,
-                                   now, now))
-        on_update_(x->entry, NULL, &update);
+    if (GwQuarantine_AddCompletion(entry->quarantine, kind, suspect, now, now))
+        on_update_(entry, NULL, &update);
 }
 
 void
@@ -77,20 +96,6 @@
     GwQuarantine_Sweep(entry->quarantine, now);
 }
 
-static GwDigest
-compute_digest_(const Exchange *x)
-{
-    GwDigestSource source = {
-        .account = x->account,
-        .method = x->request.method,
-        .target = x->request.path,
-        .body = x->request.body,
-        .body_len = x->request.body_len,
-    };
-
-    return GwDigest_Of(&source);
-}
-
 // Forwards an update to all agents except the one that sent it, because agents
 // have sessions to entries only.
 static void
--- a/packages/entry/src/entry_quarantine.h
+++ b/packages/entry/src/entry_quarantine.h
@@ -7,10 +7,12 @@
 
 void EntryQuarantine_Init(GwEntry *entry);
 void EntryQuarantine_Stop(GwEntry *entry);
+/* Computes by what the request is recognized. @p root: the parsed body; NULL:
+ * it is no prompt. */
+void EntryQuarantine_Identify(Exchange *x, const json_t *root);
 /* Time until the request may be sent; 0: now, and it counts as sent. */
 GwTime EntryQuarantine_Admit(const Exchange *x);
-/* Whether the failed attempt was the last one: so many endpoints terminated
- * while running the request that a retry at once could terminate one more. */
+/* Whether the failed attempt was the last one, see GwQuarantine_MayRetry. */
 bool EntryQuarantine_IsLastAttempt(const Exchange *x);
 /* The request got a complete answer. */
 void EntryQuarantine_OnCompleted(const Exchange *x);
--- a/packages/entry/src/exchange.c
+++ b/packages/entry/src/exchange.c
@@ -281,8 +281,11 @@
 {
     GwChainSeed seed = {x->account, x->request.pool, x->weights, x->adapter};
 
+    const OpenAiRequest *parsed = x->request.parsed;
+
     GwChain_Init(&x->chain, &seed);
-    if (x->request.parsed == NULL)
+    EntryQuarantine_Identify(x, parsed != NULL ? parsed->root : NULL);
+    if (parsed == NULL)
         return;
     OpenAi_FillChain(x->request.parsed, &x->chain);
     x->anchor = GwCandidates_Anchor(&x->chain);
--- a/packages/entry/src/exchange_private.h
+++ b/packages/entry/src/exchange_private.h
@@ -91,7 +91,8 @@
     GwTime session_lost_at;
 
     /* Delivery. */
-    int status; /* HTTP status of the endpoint's answer */
+    GwRequestIdentity identity; /* in the quarantine, once it is admitted */
+    int status;                 /* HTTP status of the endpoint's answer */
     char *answer_content_type;
     bool is_event_stream;    /* the answer is a server-sent event stream */
     GByteArray *held_answer; /* an unstreamed answer, until it is complete */
--- a/packages/entry/tests/quarantine_test.cc
+++ b/packages/entry/tests/quarantine_test.cc
@@ -79,6 +79,55 @@
     EXPECT_EQ(Crashes(w), seen);
 }
 
+// Guards against a system message that terminates engines under questions of
+// which no two are alike; other system messages of the account are served.
+TEST(EntryQuarantine, MessageThatTerminatesEnginesIsQuarantined)
+{
+    static const char kFatalSystem[] = "ends its engine, too";
+    World w;
+    auto ask = [&](EntryNode *e, const char *system) {
+        static int n = 0;
+        std::string question = "question " + std::to_string(++n);
+        auto c = w.Chat(e, "desk.secret", question.c_str(), 5, true, system);
+
+        EXPECT_TRUE(w.Until([&] { return c->done; }));
+        return c;
+    };
+
+    w.Publish(kTestConfig);
+    for (int i = 0; i < 14; i++) {
+        FakeEngineOptions options = World::FastEngine();
+
+        options.fatal_system = kFatalSystem;
+        w.AddEngine(options);
+    }
+    EntryNode *entries[] = {w.AddEntry(), w.AddEntry()};
+    ASSERT_TRUE(w.Ready());
+    // The first request terminates several engines by its retries, so another
+    // one has to show that the message is the cause. Each time, the agents
+    // need some time to report it.
+    for (int i = 0; i < 4; i++) {
+        EXPECT_TRUE(ask(entries[i % 2], "harmless")->Complete());
+        ask(entries[i % 2], kFatalSystem);
+        GwTime wait_end = GwTime_Now() + 500 * GW_MILLISECOND;
+        w.Until([&] { return GwTime_Now() >= wait_end; });
+    }
+    uint64_t seen = Crashes(w);
+    EXPECT_GE(seen, 3u);
+    EXPECT_LE(seen, 8u);
+    EntryNode *new_entry = w.AddEntry();
+    ASSERT_TRUE(w.Ready());
+    for (EntryNode *e : {entries[0], entries[1], new_entry}) {
+        auto c = ask(e, kFatalSystem);
+
+        EXPECT_EQ(c->status, 503) << c->body;
+        EXPECT_EQ(c->Code(), "quarantined");
+        EXPECT_EQ(c->Ran(), "no");
+        EXPECT_TRUE(ask(e, "harmless")->Complete());
+    }
+    EXPECT_EQ(Crashes(w), seen);
+}
+
 // The same prompt of another account is a different request and is not
 // refused. (It terminates engines as well; these terminations count against
 // the other account's request only, which is not checked here.)
--- a/packages/gateway/src/quarantine_store.c
+++ b/packages/gateway/src/quarantine_store.c
@@ -20,6 +20,9 @@
 /* Rows that expired by less than this are not removed, as the clocks of
  * machines differ. */
 #define CLOCK_SKEW_MAX_MS (60 * 1000)
+/* First character of the key of a part's row; a request's has none. */
+#define PART_KEY_PREFIX 'p'
+#define KEY_SIZE (1 + GW_DIGEST_KEY_SIZE)
 
 struct GwQuarantineStore {
     GwQuarantineStoreOptions options;
@@ -39,14 +42,19 @@
 static void send_next_call_(void *user);
 static void on_read_(void *user, GwCallOutcome outcome, int status,
                      const char *body, size_t len);
-static void on_row_(void *user, const char *key, int64_t until_ms);
+static void on_row_(void *user, const char *key,
+                    const GwQuarantineRecord *record);
 static void on_written_(void *user, GwCallOutcome outcome, int status,
                         const char *body, size_t len);
 static void on_call_failed_(GwQuarantineStore *s, const char *what,
                             GwCallOutcome outcome, int status);
 static void queue_write_(GwQuarantineStore *s, const char *key);
-static int64_t quarantine_until_ms_(const GwQuarantineStore *s,
-                                    const char *key);
+static void encode_key_(GwSuspectKind kind, const GwDigest *suspect,
+                        char key[KEY_SIZE]);
+static bool decode_key_(const char *key, GwSuspectKind *kind,
+                        GwDigest *suspect);
+static GwQuarantineRecord make_record_(const GwQuarantineStore *s,
+                                       const char *key);
 
 GwQuarantineStore *
 GwQuarantineStore_New(GwLoop *loop, const GwQuarantineStoreOptions *options)
@@ -80,24 +88,29 @@
 }
 
 void
-GwQuarantineStore_Write(GwQuarantineStore *s, const GwDigest *request)
+GwQuarantineStore_Write(GwQuarantineStore *s, GwSuspectKind kind,
+                        const GwDigest *suspect)
 {
-    char key[GW_DIGEST_KEY_SIZE];
+    char key[KEY_SIZE];
 
-    GwDigest_Key(request, key);
+    if (GwQuarantine_RecordTime(s->options.quarantine, suspect,
+                                GwTime_Now()) == 0)
+        return;
+    encode_key_(kind, suspect, key);
     g_hash_table_add(s->written_keys, g_strdup(key));
     queue_write_(s, key);
 }
 
 void
-GwQuarantineStore_Remove(GwQuarantineStore *s, const GwDigest *request)
+GwQuarantineStore_Remove(GwQuarantineStore *s, GwSuspectKind kind,
+                         const GwDigest *suspect)
 {
-    char key[GW_DIGEST_KEY_SIZE];
+    char key[KEY_SIZE];
 
-    GwDigest_Key(request, key);
-    // Other gateways release the request as well. Only the one that wrote the
-    // row removes it: by a write with the value 0, which quarantine_until_ms_
-    // returns for a released request.
+    encode_key_(kind, suspect, key);
+    // Other gateways release the suspect as well. Only the one that wrote the
+    // row removes it: by a write with the value 0, which make_record_ returns
+    // for a released suspect.
     if (g_hash_table_remove(s->written_keys, key))
         queue_write_(s, key);
 }
@@ -121,13 +134,15 @@
     GwQuarantineStore *s = user;
     g_autoptr(GString) out = g_string_new(NULL);
     const char *key = g_queue_peek_head(&s->pending_writes);
+    GwQuarantineRecord record;
 
     if (GwHttpCaller_IsBusy(s->caller) || (s->all_rows_read && key == NULL))
         return;
     GwTimer_Stop(&s->timer);
     GwCounters_Add(s->options.counters, GW_COUNTER_STORE_CALLS, 1);
     if (s->all_rows_read) {
-        GwStore_EncodeQuarantine(key, quarantine_until_ms_(s, key), out);
+        record = make_record_(s, key);
+        GwStore_EncodeQuarantine(key, &record, out);
         GwHttpCaller_Send(s->caller, out, CALL_TIMEOUT, on_written_, s);
         return;
     }
@@ -165,25 +180,27 @@
 }
 
 static void
-on_row_(void *user, const char *key, int64_t until_ms)
+on_row_(void *user, const char *key, const GwQuarantineRecord *record)
 {
     GwQuarantineStore *s = user;
     int64_t now_ms = g_get_real_time() / GW_MILLISECOND;
     int64_t until_max_ms = now_ms + GW_QUARANTINE_TERM_MAX / GW_MILLISECOND;
+    int64_t until_ms = record->until_ms;
     GwTime now = GwTime_Now();
-    GwDigest request;
+    GwSuspectKind kind;
+    GwDigest suspect;
 
-    if (!GwDigest_FromKey(key, &request))
+    if (!decode_key_(key, &kind, &suspect))
         return;
     // The row may contain any number, so compare before computing to avoid an
     // overflow.
     if (until_ms > now_ms)
-        GwQuarantine_Hold(s->options.quarantine, &request,
+        GwQuarantine_Hold(s->options.quarantine, kind, &suspect,
                           now + (MIN(until_ms, until_max_ms) - now_ms) *
                                     GW_MILLISECOND,
-                          now);
+                          record->tie, now);
     // Remove the expired row, whichever process wrote it, as that process may
-    // have terminated. If this gateway has quarantined the request again, the
+    // have terminated. If this gateway has quarantined the suspect again, the
     // row is written instead.
     else if (until_ms < now_ms - CLOCK_SKEW_MAX_MS)
         queue_write_(s, key);
@@ -243,18 +260,39 @@
         send_next_call_(s);
 }
 
-// End of the quarantine of the request, in milliseconds since the Unix epoch;
-// 0: it is not quarantined.
-static int64_t
-quarantine_until_ms_(const GwQuarantineStore *s, const char *key)
+static void
+encode_key_(GwSuspectKind kind, const GwDigest *suspect, char key[KEY_SIZE])
+{
+    if (kind == GW_SUSPECT_PART)
+        *key++ = PART_KEY_PREFIX;
+    GwDigest_Key(suspect, key);
+}
+
+static bool
+decode_key_(const char *key, GwSuspectKind *kind, GwDigest *suspect)
+{
+    bool is_part = *key == PART_KEY_PREFIX;
+
+    *kind = is_part ? GW_SUSPECT_PART : GW_SUSPECT_REQUEST;
+    return GwDigest_FromKey(key + is_part, suspect);
+}
+
+// The end of the suspect's quarantine is 0 if it is not quarantined.
+static GwQuarantineRecord
+make_record_(const GwQuarantineStore *s, const char *key)
 {
-    GwDigest request;
+    GwQuarantineRecord record = {0};
+    GwSuspectKind kind;
+    GwDigest suspect;
     GwTime remaining;
 
-    if (!GwDigest_FromKey(key, &request))
-        return 0;
+    if (!decode_key_(key, &kind, &suspect))
+        return record;
     remaining =
-        GwQuarantine_TimeLeft(s->options.quarantine, &request, GwTime_Now());
-    return remaining > 0 ? (g_get_real_time() + remaining) / GW_MILLISECOND
-                         : 0;
+        GwQuarantine_RecordTime(s->options.quarantine, &suspect, GwTime_Now());
+    if (remaining == 0)
+        return record;
+    record.until_ms = (g_get_real_time() + remaining) / GW_MILLISECOND;
+    record.tie = GwQuarantine_Tie(s->options.quarantine, &suspect);
+    return record;
 }
--- a/packages/gateway/src/quarantine_store.h
+++ b/packages/gateway/src/quarantine_store.h
@@ -1,7 +1,7 @@
-/* Stores quarantined requests in the platform's store, so that the quarantine
- * survives a simultaneous termination of all processes. A request is written
- * by the gateway that detected the last termination under it. Each gateway
- * reads all rows when it starts. */
+/* Stores quarantined requests and parts in the platform's store, so that the
+ * quarantine survives a simultaneous termination of all processes. A request
+ * is written by the gateway that detected the last termination under it. Each
+ * gateway reads all rows when it starts. */
 #ifndef GALENAGW_GATEWAY_QUARANTINE_STORE_H
 #define GALENAGW_GATEWAY_QUARANTINE_STORE_H
 
@@ -26,13 +26,13 @@
 GwQuarantineStore *
 GwQuarantineStore_New(GwLoop *loop, const GwQuarantineStoreOptions *options);
 void GwQuarantineStore_Delete(GwQuarantineStore *store);
-/* Write until when @p request is quarantined. */
-void GwQuarantineStore_Write(GwQuarantineStore *store,
-                             const GwDigest *request);
-/* Remove the row of @p request, which was released, if this process wrote it.
+/* Write until when the suspect is quarantined, if it is. */
+void GwQuarantineStore_Write(GwQuarantineStore *store, GwSuspectKind kind,
+                             const GwDigest *suspect);
+/* Remove the row of the suspect, which was released, if this process wrote it.
  */
-void GwQuarantineStore_Remove(GwQuarantineStore *store,
-                              const GwDigest *request);
+void GwQuarantineStore_Remove(GwQuarantineStore *store, GwSuspectKind kind,
+                              const GwDigest *suspect);
 /* Write all rows of this process again, after the store was restored from a
  * backup. */
 void GwQuarantineStore_RewriteAll(GwQuarantineStore *store);
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -37,8 +37,7 @@
         GwRequestRefusal_Answer(r, GW_REFUSAL_DEADLINE);
         return;
     }
-    r->retry_after = GwRequestQuarantine_Admit(r);
-    if (r->retry_after > 0) {
+    if (GwRequestQuarantine_RefusesArrival(r)) {
         GwRequestRefusal_Answer(r, GW_REFUSAL_QUARANTINED);
         return;
     }
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -22,6 +22,7 @@
  * is shorter. */
 #define AVOID_AFTER_DECLINE (150 * GW_MILLISECOND)
 
+static void end_without_attempt_(GwRequest *r, GwRefusal refusal);
 static GwTime deferral_time_(const GwRequest *r, const GwInstance *instance);
 static void send_attempt_(GwRequest *r, GwInstance *instance,
                           const GwAddress *source);
@@ -45,22 +46,22 @@
 GwRequestAttempt_Make(GwRequest *r)
 {
     const GwAddress *source = NULL;
-    GwInstance *instance = GwSelection_Choose(r, &source);
+    GwInstance *instance;
 
-    if (instance != NULL) {
-        r->retry_after = deferral_time_(r, instance);
-        if (r->retry_after == 0)
-            send_attempt_(r, instance, source);
-        else
-            GwRequestRefusal_Answer(r, GW_REFUSAL_DEFERRED);
+    if (GwRequestQuarantine_RefusesAttempt(r)) {
+        end_without_attempt_(r, GW_REFUSAL_QUARANTINED);
         return;
     }
-    if (r->head_sent) {
-        GwRequestLog_End(r, "broken", 0);
-        GwRequestEnd_Abort(r);
+    instance = GwSelection_Choose(r, &source);
+    if (instance == NULL) {
+        end_without_attempt_(r, GW_REFUSAL_NO_ENDPOINT);
         return;
     }
-    GwRequestRefusal_Answer(r, GW_REFUSAL_NO_ENDPOINT);
+    r->retry_after = deferral_time_(r, instance);
+    if (r->retry_after == 0)
+        send_attempt_(r, instance, source);
+    else
+        GwRequestRefusal_Answer(r, GW_REFUSAL_DEFERRED);
 }
 
 void
@@ -121,6 +122,17 @@
     }
 }
 
+static void
+end_without_attempt_(GwRequest *r, GwRefusal refusal)
+{
+    if (!r->head_sent) {
+        GwRequestRefusal_Answer(r, refusal);
+        return;
+    }
+    GwRequestLog_End(r, "broken", 0);
+    GwRequestEnd_Abort(r);
+}
+
 // Time after which the caller should send the request again; 0: the request is
 // not deferred.
 static GwTime
--- a/packages/gateway/src/request_end.c
+++ b/packages/gateway/src/request_end.c
@@ -63,6 +63,7 @@
     GwEventSplitter_Clear(&r->event_splitter);
     GwRoutes_Unref(r->routes);
     g_free(r->cache_scope);
+    g_free(r->identity);
     g_free(r);
     GwGateway_RequestEnded(g);
 }
--- a/packages/gateway/src/request_log.c
+++ b/packages/gateway/src/request_log.c
@@ -4,6 +4,7 @@
 #include "cache_nodes.h"
 #include "request_quarantine.h"
 #include "request_software.h"
+#include "terminations.h"
 
 /* Names of GwOriginSource in logs, by value. */
 static const char *const origin_source_names[GW_ORIGIN_SOURCES] = {
@@ -18,6 +19,7 @@
 static const char *software_name_(const GwRequest *r);
 static void log_prompt_(const GwRequest *r);
 static void log_digest_(const GwRequest *r);
+static void log_parts_(const GwRequest *r);
 
 void
 GwRequestLog_Attempt(const GwRequest *r, const GwDispatch *dispatch)
@@ -77,6 +79,7 @@
     GwEvent_Time(log, "left_ms", r->deadline - now);
     GwEvent_Text(log, "next", GwNextStep_Names[next]);
     log_digest_(r);
+    log_parts_(r);
     GwEvent_End(log);
 }
 
@@ -146,6 +149,21 @@
     GwEvent_End(log);
 }
 
+void
+GwRequestLog_Quarantined(const GwRequest *r,
+                         const GwQuarantineVerdict *verdict)
+{
+    GwEventLog *log = r->gateway->log;
+
+    GwEvent_Begin(log, "quarantined", r->info.id);
+    GwTerminations_LogSuspect(log, verdict->kind, &verdict->suspect);
+    GwEvent_Number(log, "ends", verdict->n_terminations);
+    GwEvent_Time(log, "since_ms", GwTime_Now() - verdict->since);
+    GwEvent_Text(log, "learned", GwQuarantineSource_Names[verdict->source]);
+    GwEvent_Time(log, "retry_after_ms", verdict->time_left);
+    GwEvent_End(log);
+}
+
 void
 GwRequestLog_End(const GwRequest *r, const char *outcome, int status)
 {
@@ -212,3 +230,18 @@
     GwDigest_Text(&digest, text);
     GwEvent_Text(r->gateway->log, "digest", text);
 }
+
+// Logs the ids of the shared parts as the caller gave them. They identify the
+// failures of requests that have a part in common.
+static void
+log_parts_(const GwRequest *r)
+{
+    g_autoptr(GString) ids = g_string_new(NULL);
+
+    if (r->info.n_parts < 2)
+        return;
+    for (unsigned i = 0; i + 1 < r->info.n_parts; i++)
+        g_string_append_printf(ids, "%s%" G_GINT64_MODIFIER "x",
+                               i > 0 ? "," : "", r->info.parts[i].id);
+    GwEvent_Text(r->gateway->log, "parts", ids->str);
+}
--- a/packages/gateway/src/request_log.h
+++ b/packages/gateway/src/request_log.h
@@ -4,6 +4,7 @@
 
 #include "galenagw/routing/attempt.h"
 #include "galenagw/routing/overload.h"
+#include "galenagw/quarantine/quarantine.h"
 #include "request_private.h"
 
 /* How the software version that began a stream is known, or why it is not. */
@@ -37,6 +38,9 @@
 /* The request is refused because its account's limit is used up or unknown. */
 void GwRequestLog_Limited(const GwRequest *request,
                           const GwLimitDecision *verdict);
+/* The request is refused because of a suspect under quarantine. */
+void GwRequestLog_Quarantined(const GwRequest *request,
+                              const GwQuarantineVerdict *verdict);
 /* The last event of each request.
  * @param status HTTP status that the caller got; 0: none */
 void GwRequestLog_End(const GwRequest *request, const char *outcome,
--- a/packages/gateway/src/request_private.h
+++ b/packages/gateway/src/request_private.h
@@ -6,6 +6,7 @@
 #include "galenagw/adapter/messages.h"
 #include "galenagw/http/message.h"
 #include "galenagw/cluster/origin_ask.h"
+#include "galenagw/quarantine/in_flight.h"
 #include "galenagw/routing/placement.h"
 #include "gateway_private.h"
 #include "upstream.h"
@@ -71,6 +72,8 @@
     uint64_t stream; /* GwStreamOrigins_Hash of the request that began its
                         stream; 0: none yet */
     GwOriginAsk origin_ask;
+    GwRequestIdentity *identity; /* see GwRequestQuarantine; NULL: not yet
+                                    computed */
 };
 
 #endif
--- a/packages/gateway/src/request_quarantine.h
+++ b/packages/gateway/src/request_quarantine.h
@@ -2,24 +2,28 @@
 #ifndef GALENAGW_GATEWAY_REQUEST_QUARANTINE_H
 #define GALENAGW_GATEWAY_REQUEST_QUARANTINE_H
 
-#include "galenagw/quarantine/digest.h"
+#include "galenagw/quarantine/quarantine.h"
 #include "galenagw/routing/attempt.h"
 #include "request_private.h"
 
 /* Digest of the account, the method, the target and the body. Reads the whole
  * body, so it is too expensive to be computed for every request. */
 GwDigest GwRequestQuarantine_Digest(const GwRequest *request);
-/* Time for which the request must not be sent; 0: it is admitted, which may
- * start a trial of a suspected request. */
-GwTime GwRequestQuarantine_Admit(const GwRequest *request);
+/* Whether the request, which has arrived, must not be sent. If so, that is
+ * logged and its retry_after is set. */
+bool GwRequestQuarantine_RefusesArrival(GwRequest *request);
+/* The same before each attempt, as the request may have waited since it
+ * arrived. If it is not refused, its first attempt may begin a retry of a
+ * quarantined request, or a probe. */
+bool GwRequestQuarantine_RefusesAttempt(GwRequest *request);
 /* The endpoint closed the connection before the answer was complete. */
 void GwRequestQuarantine_OnBroken(GwRequest *request);
 /* The answer is complete. */
 void GwRequestQuarantine_OnCompleted(GwRequest *request);
 /* Whether another attempt is permitted after one with @p attempt_outcome, by
- * the number of terminations of endpoints where the same content was in
- * flight. */
-bool GwRequestQuarantine_MayRetry(const GwRequest *request,
+ * the number of terminations of endpoints where the same content, or a part of
+ * its prompt, was in flight. */
+bool GwRequestQuarantine_MayRetry(GwRequest *request,
                                   GwAttemptOutcome attempt_outcome);
 
 #endif
--- a/packages/gateway/src/terminations.c
+++ b/packages/gateway/src/terminations.c
@@ -17,29 +17,48 @@
                                                const GwInstance *instance);
 static void add_termination_(GwGateway *g, GwEndpointTermination *termination,
                              const GArray *requests, GwTerminationCause cause);
+static void add_completion_(GwGateway *g, GwSuspectKind kind,
+                            const GwDigest *suspect);
 static void broadcast_completion_(GwGateway *g, const GwDigest *request);
+static void store_quarantined_(GwGateway *g, const GwInFlight *added);
 static void log_termination_(GwGateway *g,
                              const GwEndpointTermination *termination,
                              GwTerminationCause cause);
 
 void
-GwTerminations_OnQuarantineChanged(void *user, const GwDigest *request,
-                                   unsigned terminations, bool quarantined)
+GwTerminations_OnQuarantineChanged(void *user,
+                                   const GwQuarantineChange *change)
 {
+    static const char *const events[GW_SUSPECT_KINDS][2] = {
+        [GW_SUSPECT_REQUEST] = {"request_released", "request_quarantined"},
+        [GW_SUSPECT_PART] = {"part_released", "part_quarantined"},
+    };
     GwGateway *g = user;
-    char text[GW_DIGEST_TEXT_SIZE];
 
-    if (!quarantined && g->quarantine_store != NULL)
-        GwQuarantineStore_Remove(g->quarantine_store, request);
-    GwDigest_Text(request, text);
-    GwEvent_Begin(g->log,
-                  quarantined ? "request_quarantined" : "request_released",
-                  NULL);
-    GwEvent_Text(g->log, "digest", text);
-    GwEvent_Number(g->log, "ends", terminations);
+    if (!change->is_quarantined && g->quarantine_store != NULL)
+        GwQuarantineStore_Remove(g->quarantine_store, change->kind,
+                                 &change->digest);
+    GwEvent_Begin(g->log, events[change->kind][change->is_quarantined], NULL);
+    GwTerminations_LogSuspect(g->log, change->kind, &change->digest);
+    GwEvent_Number(g->log, "ends", change->n_terminations);
+    GwEvent_Text(g->log, "learned", GwQuarantineSource_Names[change->source]);
     GwEvent_End(g->log);
 }
 
+void
+GwTerminations_LogSuspect(GwEventLog *log, GwSuspectKind kind,
+                          const GwDigest *suspect)
+{
+    char text[GW_DIGEST_TEXT_SIZE];
+
+    if (kind == GW_SUSPECT_PART)
+        g_snprintf(text, sizeof(text), "%" G_GINT64_MODIFIER "x",
+                   suspect->content);
+    else
+        GwDigest_Text(suspect, text);
+    GwEvent_Text(log, kind == GW_SUSPECT_PART ? "part" : "digest", text);
+}
+
 // An endpoint that has reached its maximum number of connections refuses new
 // ones as well, but still answers the requests in flight there. So only an
 // endpoint without requests of this gateway in flight counts as terminated.
@@ -59,7 +78,7 @@
 
 void
 GwTerminations_AddBrokenRequest(GwGateway *g, const GwInstance *instance,
-                                const GwDigest *request)
+                                const GwRequestIdentity *request)
 {
     uint64_t endpoint = endpoint_hash_(instance);
     GwTime now = GwTime_Now();
@@ -127,13 +146,25 @@
         add_termination_(g, &termination, requests, GW_TERMINATION_PEER);
 }
 
+// An endpoint may answer with an error before it has read the prompt, which
+// shows nothing about its parts.
 void
-GwTerminations_OnCompletion(GwGateway *g, const GwDigest *request)
+GwTerminations_OnCompletion(GwGateway *g, const GwRequestIdentity *request,
+                            bool has_begun)
+{
+    add_completion_(g, GW_SUSPECT_REQUEST, &request->request);
+    for (unsigned i = 0; has_begun && i < request->n_parts; i++)
+        add_completion_(g, GW_SUSPECT_PART, &request->parts[i]);
+}
+
+static void
+add_completion_(GwGateway *g, GwSuspectKind kind, const GwDigest *suspect)
 {
     GwTime now = GwTime_Now();
-    GwQuarantineUpdate update = {.completed = *request, .completed_at = now};
+    GwQuarantineUpdate update = {
+        .completed_kind = kind, .completed = *suspect, .completed_at = now};
 
-    if (GwQuarantine_AddCompletion(g->quarantine, request, now, now))
+    if (GwQuarantine_AddCompletion(g->quarantine, kind, suspect, now, now))
         GwPeers_BroadcastQuarantine(g->peers, &update);
 }
 
@@ -175,33 +206,44 @@
 add_termination_(GwGateway *g, GwEndpointTermination *termination,
                  const GArray *requests, GwTerminationCause cause)
 {
-    g_autofree GwDigest *new_requests = g_new(GwDigest, requests->len);
-    GwQuarantineUpdate update;
+    g_autofree GwInFlight *in_flight = g_new0(GwInFlight, 1);
+    g_autofree GwInFlight *added = g_new0(GwInFlight, 1);
+    GwQuarantineUpdate update = {.is_termination = true};
+    size_t n_added;
     bool is_new;
 
-    termination->requests = (const GwDigest *)(const void *)requests->data;
-    termination->n_requests = MIN(requests->len, GW_TERMINATION_REQUESTS_MAX);
-    update = (GwQuarantineUpdate){.is_termination = true,
-                                  .termination = *termination};
-    update.termination.n_requests = GwQuarantine_AddTermination(
-        g->quarantine, termination, GwTime_Now(), new_requests, &is_new);
-    update.termination.requests = new_requests;
-    if (!is_new && update.termination.n_requests == 0)
+    for (guint i = 0; i < requests->len; i++)
+        GwInFlight_Add(in_flight,
+                       &g_array_index(requests, GwRequestIdentity, i));
+    GwEndpointTermination_SetInFlight(termination, in_flight);
+    n_added = GwQuarantine_AddTermination(g->quarantine, termination,
+                                          GwTime_Now(), added, &is_new);
+    update.termination = *termination;
+    GwEndpointTermination_SetInFlight(&update.termination, added);
+    if (!is_new && n_added == 0)
         return;
     GwCounters_Add(&g->counters, GW_COUNTER_ENDS_SEEN, is_new);
     log_termination_(g, &update.termination, cause);
     // The agent has reported the termination to all gateways that are
     // connected to it. Broadcasting it again would cost many messages when all
     // endpoints of a rack terminate.
-    if (cause == GW_TERMINATION_DOWN && update.termination.n_requests == 0)
+    if (cause == GW_TERMINATION_DOWN && n_added == 0)
         return;
     GwPeers_BroadcastQuarantine(g->peers, &update);
-    for (size_t i = 0; i < update.termination.n_requests; i++) {
-        broadcast_completion_(g, &new_requests[i]);
-        if (GwQuarantine_TimeLeft(g->quarantine, &new_requests[i],
-                                  GwTime_Now()) > 0)
-            GwQuarantineStore_Write(g->quarantine_store, &new_requests[i]);
-    }
+    for (size_t i = 0; i < added->n_requests; i++)
+        broadcast_completion_(g, &added->requests[i]);
+    store_quarantined_(g, added);
+}
+
+static void
+store_quarantined_(GwGateway *g, const GwInFlight *added)
+{
+    for (size_t i = 0; i < added->n_requests; i++)
+        GwQuarantineStore_Write(g->quarantine_store, GW_SUSPECT_REQUEST,
+                                &added->requests[i]);
+    for (size_t i = 0; i < added->n_parts; i++)
+        GwQuarantineStore_Write(g->quarantine_store, GW_SUSPECT_PART,
+                                &added->parts[i].digest);
 }
 
 // Peers that have not seen the request complete may take it for the cause of
@@ -210,6 +252,7 @@
 broadcast_completion_(GwGateway *g, const GwDigest *request)
 {
     GwQuarantineUpdate update = {
+        .completed_kind = GW_SUSPECT_REQUEST,
         .completed = *request,
         .completed_at = GwQuarantine_CompletedAt(g->quarantine, request),
     };
@@ -242,5 +285,6 @@
     GwEvent_Text(g->log, "instance", known != NULL ? known->id : "");
     GwEvent_Text(g->log, "why", GwTerminationCause_Names[cause]);
     GwEvent_Number(g->log, "requests", (int64_t)termination->n_requests);
+    GwEvent_Number(g->log, "parts", (int64_t)termination->n_parts);
     GwEvent_End(g->log);
 }
--- a/packages/gateway/src/terminations.h
+++ b/packages/gateway/src/terminations.h
@@ -20,11 +20,14 @@
 
 extern const char *const GwTerminationCause_Names[GW_TERMINATION_CAUSES];
 
-/* Callback of the quarantine: logs that @p request was quarantined or
- * released, and removes a released request from the store. */
-void GwTerminations_OnQuarantineChanged(void *gateway, const GwDigest *request,
-                                        unsigned terminations,
-                                        bool quarantined);
+/* Callback of the quarantine: logs that a request or part was quarantined or
+ * released, and removes a released one from the store. */
+void GwTerminations_OnQuarantineChanged(void *gateway,
+                                        const GwQuarantineChange *change);
+/* Adds the suspect to the log event that was begun: a part by its id as
+ * callers give it, a request by its digest. */
+void GwTerminations_LogSuspect(GwEventLog *log, GwSuspectKind kind,
+                               const GwDigest *suspect);
 /* Callback of connection pools: the endpoint of @p pool refuses connections.
  */
 void GwTerminations_OnConnectionRefused(void *gateway, GwUpstreamPool *pool);
@@ -34,7 +37,7 @@
  * instance is leaving. */
 void GwTerminations_AddBrokenRequest(GwGateway *gateway,
                                      const GwInstance *instance,
-                                     const GwDigest *request);
+                                     const GwRequestIdentity *request);
 /* The process of @p instance has terminated. Ignored if the instance is
  * leaving. */
 void GwTerminations_OnTerminated(GwGateway *gateway,
@@ -48,7 +51,10 @@
 /* A peer reported a termination. */
 void GwTerminations_OnPeerUpdate(GwGateway *gateway,
                                  const GwEndpointTermination *termination);
-/* @p request received a complete answer. */
-void GwTerminations_OnCompletion(GwGateway *gateway, const GwDigest *request);
+/* The request received a complete answer. @p has_begun: an answer to its
+ * prompt, and not, for example, an error. */
+void GwTerminations_OnCompletion(GwGateway *gateway,
+                                 const GwRequestIdentity *request,
+                                 bool has_begun);
 
 #endif
--- a/packages/quarantine/include/galenagw/quarantine/broken_requests.h
+++ b/packages/quarantine/include/galenagw/quarantine/broken_requests.h
@@ -14,7 +14,7 @@
 #define GALENAGW_QUARANTINE_BROKEN_REQUESTS_H
 
 #include "galenagw/base/clock.h"
-#include "galenagw/quarantine/digest.h"
+#include "galenagw/quarantine/in_flight.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -34,12 +34,12 @@
 /** Records that @p endpoint closed the connection of @p request before the
  * answer was complete. */
 void GwBrokenRequests_Add(GwBrokenRequests *requests, uint64_t endpoint,
-                          const GwDigest *request, GwTime now);
+                          const GwRequestIdentity *request, GwTime now);
 /**
  * Removes and returns the broken requests of @p endpoint, which has
  * terminated.
  * @param[out] at time when the first of them broke; @p now if there is none
- * @return array of GwDigest, to be released with g_array_unref
+ * @return array of GwRequestIdentity, to be released with g_array_unref
  */
 GArray *GwBrokenRequests_Take(GwBrokenRequests *requests, uint64_t endpoint,
                               GwTime now, GwTime *at);
--- a/packages/quarantine/include/galenagw/quarantine/quarantine_sync.h
+++ b/packages/quarantine/include/galenagw/quarantine/quarantine_sync.h
@@ -23,8 +23,9 @@
 typedef struct {
     bool is_termination;               /**< false: a completion */
     GwEndpointTermination termination; /**< the termination */
-    GwDigest completed;                /**< the request that was completed */
-    GwTime completed_at;               /**< time of the completion */
+    GwSuspectKind completed_kind;      /**< kind of @c completed */
+    GwDigest completed;  /**< the request, or part, that was completed */
+    GwTime completed_at; /**< time of the completion */
 } GwQuarantineUpdate;
 
 /** Callbacks of the process that receives updates. */
@@ -45,7 +46,8 @@
 void GwQuarantineSync_SendAll(GwSession *session,
                               const GwQuarantine *quarantine);
 /**
- * Adds the update in a frame received from @p from to @p quarantine.
+ * Adds the update in a frame received from @p from to @p quarantine, and
+ * sends what @p from does not know of its requests and parts; NULL: nothing.
  * @return false if the frame is no quarantine update
  */
 bool GwQuarantineSync_OnFrame(GwQuarantine *quarantine, GwSession *from,
--- a/packages/quarantine/src/attribution.c
+++ b/packages/quarantine/src/attribution.c
@@ -1,7 +1,8 @@
 #include "attribution.h"
 
-/* Terminations at most this far apart may have a common cause. */
-#define SIMULTANEOUS_INTERVAL GW_SECOND
+#include "stored_terminations.h"
+#include "suspects.h"
+
 /* If at least this share of a failure domain terminated simultaneously, the
  * cause is taken to be something that its endpoints share, such as power. */
 #define GROUP_FAILURE_SHARE 0.75
@@ -11,12 +12,15 @@
 /* at more than this number of them, which a harmless request may reach by
  * retries while its domain fails. */
 #define RETRIED_TERMINATIONS_MAX 3
-/* A request that completed may terminate endpoints after their software has
- * changed. */
-#define HARMLESS_AFTER_COMPLETION (300 * GW_SECOND)
 /* Failures that are counted for a request; more would not lengthen its
  * quarantine. */
 #define FAILURES_MAX 8
+/* Terminations after which a part that completed in the last minutes is
+ * suspected: it may terminate endpoints since their software has changed. */
+#define HARMLESS_PART_TERMINATIONS 6
+/* Results of find_group_failure_ that are kept while one suspect is judged:
+ * those of the groups that fail at the same time. */
+#define GROUP_FAILURES_MAX 8
 /* A request that was in flight at less than this share of the terminations
  * around its own, excluding those attributed to another request, is not their
  * cause. */
@@ -36,137 +40,203 @@
     bool has_failed;      /* they are a large part of the group */
 } GroupFailure;
 
-typedef bool (*GroupCheck)(const GwQuarantine *q, const Suspect *s,
-                           const Termination *termination);
-
-static void sort_terminations_(const GwQuarantine *q, const Suspect *s,
-                               OwnTerminations *own);
-static unsigned count_failures_(const GwQuarantine *q, const Suspect *s,
-                                const OwnTerminations *own,
-                                GroupCheck has_failed, unsigned max);
-static bool has_group_failed_(const GwQuarantine *q, const Suspect *s,
-                              const Termination *termination);
-static bool has_group_failed_itself_(const GwQuarantine *q, const Suspect *s,
-                                     const Termination *termination);
-static GroupFailure find_group_failure_(const GwQuarantine *q,
-                                        const Suspect *s,
-                                        const Termination *termination);
+/* A result of find_group_failure_ and what it depends on. */
+typedef struct {
+    uint64_t group;
+    unsigned group_size;
+    uint16_t first, last; /* simultaneous terminations */
+    GroupFailure failure;
+} KnownGroupFailure;
+
+/* A suspect that is judged. */
+typedef struct {
+    const GwQuarantine *q;
+    const Suspect *suspect;
+    OwnTerminations own;
+    KnownGroupFailure known[GROUP_FAILURES_MAX]; /* oldest replaced first */
+    unsigned n_known;
+} Judgement;
+
+typedef bool (*GroupCheck)(Judgement *j, const StoredTermination *stored);
+
+static unsigned required_terminations_(const Suspect *s);
+static void sort_terminations_(Judgement *j);
+static unsigned count_failures_(Judgement *j, GroupCheck has_failed,
+                                unsigned max);
+static unsigned count_rounds_(const OwnTerminations *own);
+static bool has_group_failed_(Judgement *j, const StoredTermination *stored);
+static bool has_group_failed_itself_(Judgement *j,
+                                     const StoredTermination *stored);
+static GroupFailure group_failure_(Judgement *j,
+                                   const StoredTermination *stored);
+static GroupFailure find_group_failure_(const Judgement *j,
+                                        const StoredTermination *stored);
 static bool is_known_harmless_(const Suspect *s,
                                const Termination *termination);
 static bool is_same_failure_(const Termination *a, const Termination *b);
-static unsigned count_simultaneous_terminations_(const GwQuarantine *q,
-                                                 const Suspect *s,
-                                                 const OwnTerminations *own);
-static void find_main_suspects_(GwQuarantine *q);
-static void update_main_suspect_(StoredTermination *stored, const Suspect *s);
-static bool is_attributed_to_another_(const StoredTermination *stored,
-                                      const Suspect *s);
-static bool are_simultaneous_(GwTime a, GwTime b);
+static unsigned count_simultaneous_terminations_(const Judgement *j);
+static void update_ranks_(GwQuarantine *q);
+static void raise_ranks_(GwQuarantine *q, const Suspect *s);
+static bool is_attributed_to_another_(const Judgement *j,
+                                      const StoredTermination *stored);
 
 bool
 Attribution_FindCause(GwQuarantine *q, const Suspect *s, Cause *cause)
 {
-    OwnTerminations own;
+    unsigned required = required_terminations_(s);
+    const Termination *last;
+    Judgement j;
 
-    if (s->n_terminations < GW_QUARANTINE_TERMINATIONS)
+    if (s->n_terminations < required)
         return false;
-    if (!q->main_suspects_valid)
-        find_main_suspects_(q);
-    sort_terminations_(q, s, &own);
-    if (count_failures_(q, s, &own, has_group_failed_itself_,
-                        GW_QUARANTINE_TERMINATIONS) <
-            GW_QUARANTINE_TERMINATIONS ||
+    update_ranks_(q);
+    StoredTerminations_Sort(q);
+    j.q = q;
+    j.suspect = s;
+    j.n_known = 0;
+    sort_terminations_(&j);
+    if (count_failures_(&j, has_group_failed_itself_, required) < required ||
         s->n_terminations <
-            CAUSE_SHARE_MIN * count_simultaneous_terminations_(q, s, &own))
+            CAUSE_SHARE_MIN * count_simultaneous_terminations_(&j))
         return false;
-    cause->n_failures =
-        count_failures_(q, s, &own, has_group_failed_, FAILURES_MAX);
-    cause->last_at = own.sorted[own.n - 1]->termination.at;
+    last = &j.own.sorted[j.own.n - 1]->termination;
+    cause->n_failures = count_failures_(&j, has_group_failed_, FAILURES_MAX);
+    cause->n_rounds = count_rounds_(&j.own);
+    cause->last_at = last->at;
+    cause->last_endpoint = last->endpoint;
     return true;
 }
 
-// Counts the terminations of the request, up to @p max, at most FAILURES_MAX.
+static unsigned
+required_terminations_(const Suspect *s)
+{
+    return Suspect_IsHarmlessPart(s) ? HARMLESS_PART_TERMINATIONS
+                                     : GW_QUARANTINE_TERMINATIONS;
+}
+
+static void
+sort_terminations_(Judgement *j)
+{
+    const GwQuarantine *q = j->q;
+
+    j->own.n = 0;
+    for (size_t i = 0; i < q->n_stored; i++) {
+        if (Suspect_WasInFlight(j->suspect, q->by_time[i]))
+            j->own.sorted[j->own.n++] = &q->stored_terminations[q->by_time[i]];
+    }
+}
+
+// Counts the terminations of the suspect, up to @p max, at most FAILURES_MAX.
 // If a group failed as a whole, only the first of its simultaneous
 // terminations counts. Each termination is compared only with earlier ones
 // that count themselves; otherwise, of a long series of terminations at short
 // intervals, only the very first would count.
 static unsigned
-count_failures_(const GwQuarantine *q, const Suspect *s,
-                const OwnTerminations *own, GroupCheck has_failed,
-                unsigned max)
+count_failures_(Judgement *j, GroupCheck has_failed, unsigned max)
 {
     const Termination *counted[FAILURES_MAX];
     unsigned n_counted = 0;
 
-    for (unsigned i = 0; i < own->n && n_counted < max; i++) {
-        const Termination *termination = &own->sorted[i]->termination;
+    for (unsigned i = 0; i < j->own.n && n_counted < max; i++) {
+        const StoredTermination *stored = j->own.sorted[i];
         bool is_repeated = false;
 
-        if (is_attributed_to_another_(own->sorted[i], s))
+        if (is_attributed_to_another_(j, stored))
             continue;
         for (unsigned k = 0; k < n_counted; k++)
-            is_repeated =
-                is_repeated || is_same_failure_(counted[k], termination);
-        if (!is_repeated || !has_failed(q, s, termination))
-            counted[n_counted++] = termination;
+            is_repeated = is_repeated ||
+                          is_same_failure_(counted[k], &stored->termination);
+        if (!is_repeated || !has_failed(j, stored))
+            counted[n_counted++] = &stored->termination;
     }
     return n_counted;
 }
 
-static void
-sort_terminations_(const GwQuarantine *q, const Suspect *s,
-                   OwnTerminations *own)
+static unsigned
+count_rounds_(const OwnTerminations *own)
 {
-    own->n = 0;
-    for (size_t i = 0; i < q->n_stored; i++) {
-        const StoredTermination *stored = &q->stored_terminations[i];
-        unsigned at;
+    GwTime last_at = own->sorted[0]->termination.at;
+    unsigned n = 1;
+
+    for (unsigned i = 1; i < own->n; i++) {
+        GwTime at = own->sorted[i]->termination.at;
 
-        if (!Suspect_WasInFlight(s, i))
+        if (StoredTerminations_AreSimultaneous(at, last_at))
             continue;
-        for (at = own->n; at > 0 && own->sorted[at - 1]->termination.at >
-                                        stored->termination.at;
-             at--)
-            own->sorted[at] = own->sorted[at - 1];
-        own->sorted[at] = stored;
-        own->n++;
+        last_at = at;
+        n++;
     }
+    return n;
 }
 
 static bool
-has_group_failed_(const GwQuarantine *q, const Suspect *s,
-                  const Termination *termination)
+has_group_failed_(Judgement *j, const StoredTermination *stored)
 {
-    return find_group_failure_(q, s, termination).has_failed;
+    return group_failure_(j, stored).has_failed;
 }
 
-// The same, and the request does not seem to be the reason.
+// The same, and the suspect does not seem to be the reason. A part that never
+// completed does: a harmless one completes within moments after prompts with
+// it begin to arrive.
 static bool
-has_group_failed_itself_(const GwQuarantine *q, const Suspect *s,
-                         const Termination *termination)
+has_group_failed_itself_(Judgement *j, const StoredTermination *stored)
 {
-    GroupFailure f = find_group_failure_(q, s, termination);
+    const Suspect *s = j->suspect;
+    GroupFailure f;
+
+    if (s->kind == GW_SUSPECT_PART && !Suspect_IsHarmlessPart(s))
+        return false;
+    f = group_failure_(j, stored);
 
     return f.has_failed &&
-           (is_known_harmless_(s, termination) ||
+           (is_known_harmless_(j->suspect, &stored->termination) ||
             f.n_in_flight <= RETRIED_TERMINATIONS_MAX ||
             f.n_in_flight < REQUEST_FAILURE_SHARE * f.n_terminated);
 }
 
+// When a large group fails, nearly all of its terminations are simultaneous
+// with the same ones, so that the result is known.
+static GroupFailure
+group_failure_(Judgement *j, const StoredTermination *stored)
+{
+    const Termination *t = &stored->termination;
+    KnownGroupFailure *known;
+
+    for (unsigned i = 0; i < MIN(j->n_known, GROUP_FAILURES_MAX); i++) {
+        known = &j->known[i];
+        if (known->group == t->group && known->group_size == t->group_size &&
+            known->first == stored->first_simultaneous &&
+            known->last == stored->last_simultaneous)
+            return known->failure;
+    }
+    known = &j->known[j->n_known++ % GROUP_FAILURES_MAX];
+    *known = (KnownGroupFailure){
+        .group = t->group,
+        .group_size = t->group_size,
+        .first = stored->first_simultaneous,
+        .last = stored->last_simultaneous,
+        .failure = find_group_failure_(j, stored),
+    };
+    return known->failure;
+}
+
 static GroupFailure
-find_group_failure_(const GwQuarantine *q, const Suspect *s,
-                    const Termination *termination)
+find_group_failure_(const Judgement *j, const StoredTermination *stored)
 {
+    const GwQuarantine *q = j->q;
+    const Termination *termination = &stored->termination;
     GroupFailure f = {0};
 
-    for (size_t i = 0; i < q->n_stored; i++) {
-        const StoredTermination *stored = &q->stored_terminations[i];
+    for (size_t i = stored->first_simultaneous; i <= stored->last_simultaneous;
+         i++) {
+        size_t place = q->by_time[i];
+        const StoredTermination *other = &q->stored_terminations[place];
 
-        if (!is_same_failure_(&stored->termination, termination) ||
-            is_attributed_to_another_(stored, s))
+        if (other->termination.group != termination->group ||
+            is_attributed_to_another_(j, other))
             continue;
         f.n_terminated++;
-        f.n_in_flight += Suspect_WasInFlight(s, i);
+        f.n_in_flight += Suspect_WasInFlight(j->suspect, place);
     }
     f.has_failed =
         f.n_terminated > 1 && termination->group_size > 0 &&
@@ -178,76 +248,94 @@
 is_known_harmless_(const Suspect *s, const Termination *termination)
 {
     return s->last_completed_at != 0 &&
-           termination->at - s->last_completed_at < HARMLESS_AFTER_COMPLETION;
+           termination->at - s->last_completed_at <
+               GW_QUARANTINE_HARMLESS_TIME;
 }
 
 static bool
 is_same_failure_(const Termination *a, const Termination *b)
 {
-    return a->group == b->group && are_simultaneous_(a->at, b->at);
+    return a->group == b->group &&
+           StoredTerminations_AreSimultaneous(a->at, b->at);
 }
 
-// Endpoints that terminated simultaneously with a termination of this request.
+// Endpoints that terminated simultaneously with a termination of this suspect.
 static unsigned
-count_simultaneous_terminations_(const GwQuarantine *q, const Suspect *s,
-                                 const OwnTerminations *own)
+count_simultaneous_terminations_(const Judgement *j)
 {
+    const GwQuarantine *q = j->q;
+    size_t next = 0;
     unsigned n = 0;
 
-    for (size_t i = 0; i < q->n_stored; i++) {
-        const StoredTermination *stored = &q->stored_terminations[i];
-        bool simultaneous = false;
+    for (unsigned i = 0; i < j->own.n; i++) {
+        const StoredTermination *own = j->own.sorted[i];
 
-        for (unsigned k = 0; k < own->n && !simultaneous; k++)
-            simultaneous = are_simultaneous_(stored->termination.at,
-                                             own->sorted[k]->termination.at);
-        n += simultaneous && !is_attributed_to_another_(stored, s);
+        for (next = MAX(next, own->first_simultaneous);
+             next <= own->last_simultaneous; next++)
+            n += !is_attributed_to_another_(
+                j, &q->stored_terminations[q->by_time[next]]);
     }
     return n;
 }
 
+// Harmless parts do not compete: they are in flight at nearly all
+// terminations, and would hide the cause.
 static void
-find_main_suspects_(GwQuarantine *q)
+update_ranks_(GwQuarantine *q)
 {
     const Suspect *s;
 
+    if (q->ranks_valid)
+        return;
     for (size_t i = 0; i < q->n_stored; i++) {
-        q->stored_terminations[i].main_suspect = NULL;
+        q->stored_terminations[i].max_rank = 0;
         q->stored_terminations[i].max_terminations = 0;
     }
-    TAILQ_FOREACH(s, &q->repeated, link)
-    {
-        for (size_t i = 0; i < q->n_stored; i++) {
-            if (Suspect_WasInFlight(s, i))
-                update_main_suspect_(&q->stored_terminations[i], s);
+    for (size_t kind = 0; kind < GW_SUSPECT_KINDS; kind++) {
+        TAILQ_FOREACH(s, &q->repeated[kind], link)
+        {
+            if (!Suspect_IsHarmlessPart(s))
+                raise_ranks_(q, s);
         }
     }
-    q->main_suspects_valid = true;
+    q->ranks_valid = true;
 }
 
 static void
-update_main_suspect_(StoredTermination *stored, const Suspect *s)
+raise_ranks_(GwQuarantine *q, const Suspect *s)
 {
-    if (s->n_terminations == stored->max_terminations) {
-        stored->main_suspect = NULL;
-    }
-    else if (s->n_terminations > stored->max_terminations) {
-        stored->main_suspect = s;
-        stored->max_terminations = s->n_terminations;
+    unsigned rank = Suspect_Rank(s);
+
+    for (size_t word = 0; word < TERMINATION_WORDS; word++) {
+        for (uint64_t bits = s->in_flight[word]; bits != 0; bits &= bits - 1) {
+            StoredTermination *stored =
+                &q->stored_terminations[word * 64 +
+                                        (size_t)__builtin_ctzll(bits)];
+
+            if (rank < stored->max_rank)
+                continue;
+            if (rank > stored->max_rank)
+                stored->n_of_max_rank = 0;
+            stored->n_of_max_rank++;
+            stored->max_rank = rank;
+            stored->max_terminations = s->n_terminations;
+        }
     }
 }
 
 // Terminations caused by one fatal request must not make the terminations of
-// another request look like a failed rack or an unrelated failure.
+// another request look like a failed rack or an unrelated failure. A harmless
+// part has the most terminations of all, so it is not compared by rank.
 static bool
-is_attributed_to_another_(const StoredTermination *stored, const Suspect *s)
+is_attributed_to_another_(const Judgement *j, const StoredTermination *stored)
 {
-    return stored->main_suspect != NULL && stored->main_suspect != s &&
-           stored->max_terminations > 1;
-}
+    const Suspect *s = j->suspect;
+    size_t place = (size_t)(stored - j->q->stored_terminations);
 
-static bool
-are_simultaneous_(GwTime a, GwTime b)
-{
-    return ABS(a - b) <= SIMULTANEOUS_INTERVAL;
+    if (Suspect_IsHarmlessPart(s))
+        return stored->max_terminations >= GW_QUARANTINE_TERMINATIONS;
+    if (stored->max_terminations < 2)
+        return false;
+    return Suspect_WasInFlight(s, place) ? stored->max_rank > Suspect_Rank(s)
+                                         : stored->n_of_max_rank == 1;
 }
--- a/packages/quarantine/src/broken_requests.c
+++ b/packages/quarantine/src/broken_requests.c
@@ -5,7 +5,7 @@
 typedef struct BrokenRequest {
     TAILQ_ENTRY(BrokenRequest) link;
     uint64_t endpoint;
-    GwDigest request;
+    GwRequestIdentity request;
     GwTime closed_at;
 } BrokenRequest;
 
@@ -38,7 +38,7 @@
 
 void
 GwBrokenRequests_Add(GwBrokenRequests *b, uint64_t endpoint,
-                     const GwDigest *request, GwTime now)
+                     const GwRequestIdentity *request, GwTime now)
 {
     BrokenRequest *broken = g_new0(BrokenRequest, 1);
 
@@ -56,7 +56,7 @@
 GwBrokenRequests_Take(GwBrokenRequests *b, uint64_t endpoint, GwTime now,
                       GwTime *at)
 {
-    GArray *taken = g_array_new(FALSE, FALSE, sizeof(GwDigest));
+    GArray *taken = g_array_new(FALSE, FALSE, sizeof(GwRequestIdentity));
     BrokenRequest *broken;
     BrokenRequest *next;
 
--- a/packages/quarantine/src/digest.c
+++ b/packages/quarantine/src/digest.c
@@ -5,6 +5,9 @@
 
 /* Hexadecimal digits of one half of a key. */
 #define HALF_KEY_DIGITS ((GW_DIGEST_KEY_SIZE - 1) / 2)
+/* Seed of the hash of a part's scope, so that no part has the digest of a
+ * request. */
+#define PART_SEED 0x70617274
 
 GwDigest
 GwDigest_Of(const GwDigestSource *source)
@@ -25,6 +28,20 @@
     };
 }
 
+GwDigest
+GwDigest_OfPart(const char *model, const char *isolated_account, uint64_t id)
+{
+    const char *account = isolated_account != NULL ? isolated_account : "";
+    XXH64_hash_t scope = PART_SEED;
+
+    if (model != NULL)
+        scope = XXH3_64bits_withSeed(model, strlen(model), scope);
+    return (GwDigest){
+        .account = XXH3_64bits_withSeed(account, strlen(account), scope),
+        .content = id,
+    };
+}
+
 bool
 GwDigest_Equal(const GwDigest *a, const GwDigest *b)
 {
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -6,40 +6,44 @@
 
 #include "galenagw/base/log.h"
 
-#include "attribution.h"
-#include "quarantine_private.h"
+#include "evaluation.h"
+#include "retries.h"
+#include "stored_terminations.h"
+#include "suspects.h"
+#include "ties.h"
 
-/* A retry without an outcome after this time, because its caller disconnected,
- * no longer blocks the next one. */
-#define RETRY_TIMEOUT (10 * GW_SECOND)
 /* Updates carry ages, and their transit time makes a termination appear later
  * than it was. A completion therefore also clears terminations that are
  * reported as up to this much later. */
 #define COMPLETION_TOLERANCE (500 * GW_MILLISECOND)
-
-static StoredTermination *add_termination_(GwQuarantine *q,
-                                           const Termination *termination);
-static size_t find_place_(const GwQuarantine *q, GwTime at);
-static void forget_termination_(GwQuarantine *q, size_t place);
-static void forget_in_list_(GwQuarantine *q, struct SuspectList *list,
-                            size_t place);
-static Suspect *find_or_add_suspect_(GwQuarantine *q, const GwDigest *digest);
-static bool add_to_suspect_(GwQuarantine *q, const GwDigest *digest,
-                            const StoredTermination *stored, GwTime now);
-static void set_in_flight_(Suspect *s, size_t place, bool in_flight);
-static void link_suspect_(GwQuarantine *q, Suspect *s);
-static void unlink_suspect_(GwQuarantine *q, Suspect *s);
-static void update_quarantine_(GwQuarantine *q, Suspect *s);
-static GwTime term_after_(unsigned failures);
-static bool is_selected_to_retry_(const GwQuarantine *q, const Suspect *s,
-                                  uint64_t interval);
-static bool has_repeated_(const GwQuarantine *q, const GwDigest *requests,
-                          size_t n);
-static void update_all_quarantines_(GwQuarantine *q);
-static void remove_suspect_(GwQuarantine *q, Suspect *s);
-static void remove_expired_suspects_(GwQuarantine *q, struct SuspectList *list,
-                                     GwTime now);
-static struct SuspectList *list_for_(GwQuarantine *q, const Suspect *s);
+/* Terminations of a part that are sent to a peer, the latest ones: more would
+ * not change its quarantine, and crowd out those of others. */
+#define PART_ROWS_MAX 8
+
+const char *const GwQuarantineSource_Names[GW_QUARANTINE_SOURCES] = {
+    [GW_QUARANTINE_SOURCE_OWN] = "own",
+    [GW_QUARANTINE_SOURCE_PEER] = "peer",
+    [GW_QUARANTINE_SOURCE_STORE] = "store",
+};
+
+/* Rows that are still to be passed to a callback. */
+typedef struct {
+    size_t rows_left;
+    void (*fn)(void *user, const GwEndpointTermination *termination);
+    void *user;
+} RowSink;
+
+static void add_part_(GwQuarantine *q, const GwPartInFlight *part,
+                      const StoredTermination *stored,
+                      GwQuarantineSource source, GwTime now,
+                      GwInFlight *added);
+static bool add_in_flight_(GwQuarantine *q, Suspect *s,
+                           const StoredTermination *stored,
+                           GwQuarantineSource source, GwTime now);
+static bool has_repeated_(const GwQuarantine *q, const GwInFlight *added);
+static void send_list_(const GwQuarantine *q, const struct SuspectList *list,
+                       RowSink *sink);
+static void send_rows_(const GwQuarantine *q, const Suspect *s, RowSink *sink);
 
 uint64_t
 GwQuarantine_Group(const char *pool, const char *failure_domain)
@@ -51,15 +55,25 @@
 }
 
 void
-GwQuarantine_WarnChanged(void *user, const GwDigest *request,
-                         unsigned terminations, bool quarantined)
+GwEndpointTermination_SetInFlight(GwEndpointTermination *termination,
+                                  const GwInFlight *in_flight)
+{
+    termination->requests = in_flight->requests;
+    termination->n_requests = in_flight->n_requests;
+    termination->parts = in_flight->parts;
+    termination->n_parts = in_flight->n_parts;
+}
+
+void
+GwQuarantine_WarnChanged(void *user, const GwQuarantineChange *change)
 {
     char text[GW_DIGEST_TEXT_SIZE];
 
-    GwDigest_Text(request, text);
-    GW_WARN("request %s was in flight when %u endpoints terminated; it is %s",
-            text, terminations,
-            quarantined ? "refused from now on" : "served again");
+    GwDigest_Text(&change->digest, text);
+    GW_WARN("%s %s was in flight when %u endpoints terminated; it is %s",
+            change->kind == GW_SUSPECT_PART ? "message" : "request", text,
+            change->n_terminations,
+            change->is_quarantined ? "refused from now on" : "served again");
 }
 
 GwQuarantine *
@@ -73,8 +87,10 @@
     q->processes = 1;
     q->by_digest = g_hash_table_new(GwDigest_Hash, GwDigest_EqualKeys);
     q->by_endpoint = g_hash_table_new(g_int64_hash, g_int64_equal);
-    TAILQ_INIT(&q->single);
-    TAILQ_INIT(&q->repeated);
+    for (size_t kind = 0; kind < GW_SUSPECT_KINDS; kind++) {
+        TAILQ_INIT(&q->single[kind]);
+        TAILQ_INIT(&q->repeated[kind]);
+    }
     return q;
 }
 
@@ -83,10 +99,7 @@
 {
     if (q == NULL)
         return;
-    while (!TAILQ_EMPTY(&q->single))
-        remove_suspect_(q, TAILQ_FIRST(&q->single));
-    while (!TAILQ_EMPTY(&q->repeated))
-        remove_suspect_(q, TAILQ_FIRST(&q->repeated));
+    Suspects_RemoveAll(q);
     g_hash_table_unref(q->by_digest);
     g_hash_table_unref(q->by_endpoint);
     g_free(q);
@@ -107,7 +120,7 @@
 size_t
 GwQuarantine_AddTermination(GwQuarantine *q,
                             const GwEndpointTermination *termination,
-                            GwTime now, GwDigest *new_requests, bool *is_new)
+                            GwTime now, GwInFlight *added, bool *is_new)
 {
     Termination received = {
         .endpoint = termination->endpoint,
@@ -117,17 +130,18 @@
     };
     size_t n_requests =
         MIN(termination->n_requests, GW_TERMINATION_REQUESTS_MAX);
+    size_t n_parts = MIN(termination->n_parts, GW_TERMINATION_PARTS_MAX);
     StoredTermination *stored;
-    bool updates_all;
-    size_t n = 0;
+    bool is_earlier;
 
     *is_new = false;
+    added->n_requests = added->n_parts = 0;
     if (termination->endpoint == 0 ||
         now - received.at > GW_QUARANTINE_RETENTION)
         return 0;
     stored = g_hash_table_lookup(q->by_endpoint, &termination->endpoint);
     if (stored == NULL) {
-        stored = add_termination_(q, &received);
+        stored = StoredTerminations_Add(q, &received);
         if (stored == NULL)
             return 0;
         *is_new = true;
@@ -136,23 +150,21 @@
     // received when it resumes, so their terminations seem simultaneous, as if
     // a whole rack had failed. After reconnecting, peers send the terminations
     // again with their current ages; the earlier time is the correct one.
-    stored->termination.at = MIN(stored->termination.at, received.at);
+    is_earlier = StoredTerminations_SetEarlier(q, stored, received.at);
     for (size_t i = 0; i < n_requests; i++) {
-        if (add_to_suspect_(q, &termination->requests[i], stored, now))
-            new_requests[n++] = termination->requests[i];
-    }
-    // A request without other terminations changes no attribution.
-    updates_all = *is_new || has_repeated_(q, new_requests, n);
-    if (updates_all)
-        update_all_quarantines_(q);
-    for (size_t i = 0; i < n_requests; i++) {
-        Suspect *s =
-            g_hash_table_lookup(q->by_digest, &termination->requests[i]);
+        Suspect *s = Suspects_FindOrAdd(q, GW_SUSPECT_REQUEST,
+                                        &termination->requests[i]);
 
-        if (s != NULL && !(updates_all && list_for_(q, s) == &q->repeated))
-            update_quarantine_(q, s);
+        if (add_in_flight_(q, s, stored, termination->source, now))
+            added->requests[added->n_requests++] = termination->requests[i];
     }
-    return n;
+    for (size_t i = 0; i < n_parts; i++)
+        add_part_(q, &termination->parts[i], stored, termination->source, now,
+                  added);
+    // A suspect without other terminations changes no attribution.
+    if (*is_new || is_earlier || has_repeated_(q, added))
+        Evaluation_UpdateAll(q, now);
+    return added->n_requests + added->n_parts;
 }
 
 GwTime
@@ -164,106 +176,116 @@
     return stored != NULL ? stored->termination.at : 0;
 }
 
-// The time of the completion stays recorded until the request is removed, so
+// The time of the completion stays recorded until the suspect is removed, so
 // that an earlier termination that is received later does not count.
 bool
-GwQuarantine_AddCompletion(GwQuarantine *q, const GwDigest *request, GwTime at,
-                           GwTime now)
+GwQuarantine_AddCompletion(GwQuarantine *q, GwSuspectKind kind,
+                           const GwDigest *suspect, GwTime at, GwTime now)
 {
-    Suspect *s = g_hash_table_lookup(q->by_digest, request);
+    Suspect *s = Suspects_Find(q, suspect);
     GwTime quarantined_until;
-    bool is_changed;
+    unsigned n_cleared = 0;
+    bool had_record;
+    bool is_released;
 
     at = MIN(at, now);
-    CompletedRequests_Add(&q->completed_requests, request, at);
+    CompletedRequests_Add(&q->completed[kind], suspect, at);
     if (s == NULL || at <= s->completed_at)
         return false;
     s->completed_at = at;
-    quarantined_until = s->quarantined_until;
-    is_changed = s->record_until != 0;
     s->last_completed_at = MAX(s->last_completed_at, at);
-    unlink_suspect_(q, s);
-    for (size_t i = 0; i < q->n_stored; i++) {
-        if (Suspect_WasInFlight(s, i) &&
-            q->stored_terminations[i].termination.at <=
-                at + COMPLETION_TOLERANCE) {
-            set_in_flight_(s, i, false);
-            is_changed = true;
-        }
+    quarantined_until = s->quarantined_until;
+    had_record = s->record_until != 0;
+    for (size_t i = 0; s->n_terminations > 0 && i < q->n_stored; i++) {
+        if (!Suspect_WasInFlight(s, i) ||
+            q->stored_terminations[i].termination.at >
+                at + COMPLETION_TOLERANCE)
+            continue;
+        Suspects_SetInFlight(q, s, i, false);
+        n_cleared++;
     }
-    s->record_until = 0;
-    link_suspect_(q, s);
-    update_quarantine_(q, s);
-    if (!is_changed && s->quarantined_until == quarantined_until)
+    // Nothing else depends on the time of a completion.
+    if (n_cleared == 0 && !had_record && s->n_terminations < 2)
         return false;
-    s->updated_at = now;
-    update_all_quarantines_(q);
-    return true;
+    if (n_cleared > 0 || had_record) {
+        Suspects_SetRecord(q, s, 0, 0);
+        Suspects_Touch(q, s, now);
+    }
+    // A part may have become a harmless one, which does not compete.
+    q->ranks_valid = false;
+    Evaluation_Update(q, s, now);
+    is_released = quarantined_until != s->quarantined_until;
+    if (n_cleared == 0 && !had_record && !is_released)
+        return false;
+    Evaluation_UpdateAll(q, now);
+    // One termination of a part has no effect at peers either, and many parts
+    // are in flight at each.
+    return kind == GW_SUSPECT_REQUEST || n_cleared > 1 || had_record ||
+           is_released;
 }
 
 GwTime
-GwQuarantine_CompletedAt(const GwQuarantine *q, const GwDigest *request)
+GwQuarantine_CompletedAt(const GwQuarantine *q, const GwDigest *suspect)
 {
-    const Suspect *s = g_hash_table_lookup(q->by_digest, request);
+    const Suspect *s = Suspects_Find(q, suspect);
 
     return s != NULL ? s->last_completed_at : 0;
 }
 
 void
-GwQuarantine_Hold(GwQuarantine *q, const GwDigest *request, GwTime until,
-                  GwTime now)
+GwQuarantine_Hold(GwQuarantine *q, GwSuspectKind kind, const GwDigest *suspect,
+                  GwTime until, uint64_t tie, GwTime now)
 {
     Suspect *s;
 
     if (until <= now)
         return;
-    s = find_or_add_suspect_(q, request);
-    // A completion has shown that the request is harmless, and clears stored
+    s = Suspects_FindOrAdd(q, kind, suspect);
+    // A completion has shown that the suspect is harmless, and clears stored
     // records, too.
     if (s->completed_at != 0)
         return;
-    unlink_suspect_(q, s);
-    s->record_until = MIN(until, now + GW_QUARANTINE_TERM_MAX);
-    link_suspect_(q, s);
-    s->updated_at = now;
-    update_quarantine_(q, s);
+    if (s->n_terminations == 0)
+        s->source = GW_QUARANTINE_SOURCE_STORE;
+    Suspects_SetRecord(q, s, MIN(until, now + GW_QUARANTINE_TERM_MAX), tie);
+    Suspects_Touch(q, s, now);
+    Evaluation_Update(q, s, now);
+}
+
+uint64_t
+GwQuarantine_Tie(const GwQuarantine *q, const GwDigest *part)
+{
+    const Suspect *s = Suspects_Find(q, part);
+
+    return s != NULL && s->kind == GW_SUSPECT_PART ? Ties_Hash(q, s) : 0;
 }
 
 GwTime
-GwQuarantine_TimeLeft(const GwQuarantine *q, const GwDigest *request,
+GwQuarantine_TimeLeft(const GwQuarantine *q, const GwDigest *suspect,
                       GwTime now)
 {
-    const Suspect *s = g_hash_table_lookup(q->by_digest, request);
-    GwTime interval;
+    const Suspect *s = Suspects_Find(q, suspect);
 
     if (s == NULL || s->quarantined_until == 0)
         return 0;
-    if (now < s->quarantined_until)
-        return s->quarantined_until - now;
-    if (q->options.name == NULL)
-        return 0;
-    interval = (now - s->quarantined_until) / s->term;
-    if (is_selected_to_retry_(q, s, (uint64_t)interval) &&
-        now - s->retried_at > RETRY_TIMEOUT)
-        return 0;
-    return s->quarantined_until + (interval + 1) * s->term - now;
+    return Retries_TimeLeft(q, s, now);
 }
 
 GwTime
-GwQuarantine_Admit(GwQuarantine *q, const GwDigest *request, GwTime now)
+GwQuarantine_RecordTime(const GwQuarantine *q, const GwDigest *suspect,
+                        GwTime now)
 {
-    Suspect *s = g_hash_table_lookup(q->by_digest, request);
-    GwTime left = GwQuarantine_TimeLeft(q, request, now);
+    const Suspect *s = Suspects_Find(q, suspect);
 
-    if (left == 0 && s != NULL && s->quarantined_until != 0)
-        s->retried_at = now;
-    return left;
+    return s == NULL || Suspect_IsHarmlessPart(s)
+               ? 0
+               : GwQuarantine_TimeLeft(q, suspect, now);
 }
 
 unsigned
-GwQuarantine_Terminations(const GwQuarantine *q, const GwDigest *request)
+GwQuarantine_Terminations(const GwQuarantine *q, const GwDigest *suspect)
 {
-    const Suspect *s = g_hash_table_lookup(q->by_digest, request);
+    const Suspect *s = Suspects_Find(q, suspect);
 
     return s != NULL ? s->n_terminations : 0;
 }
@@ -271,25 +293,26 @@
 void
 GwQuarantine_Sweep(GwQuarantine *q, GwTime now)
 {
-    remove_expired_suspects_(q, &q->single, now);
-    remove_expired_suspects_(q, &q->repeated, now);
+    Suspects_RemoveExpired(q, now);
 }
 
 void
-GwQuarantine_ForEachCompleted(const GwQuarantine *q, size_t max_requests,
-                              void (*fn)(void *user, const GwDigest *request,
-                                         GwTime at),
+GwQuarantine_ForEachCompleted(const GwQuarantine *q, size_t max_rows,
+                              void (*fn)(void *user, GwSuspectKind kind,
+                                         const GwDigest *suspect, GwTime at),
                               void *user)
 {
     const Suspect *s;
 
-    TAILQ_FOREACH_REVERSE(s, &q->repeated, SuspectList, link)
-    {
-        if (s->last_completed_at == 0)
-            continue;
-        if (max_requests-- == 0)
-            return;
-        fn(user, &s->digest, s->last_completed_at);
+    for (size_t kind = 0; kind < GW_SUSPECT_KINDS; kind++) {
+        TAILQ_FOREACH_REVERSE(s, &q->repeated[kind], SuspectList, link)
+        {
+            if (s->last_completed_at == 0)
+                continue;
+            if (max_rows-- == 0)
+                return;
+            fn(user, s->kind, &s->digest, s->last_completed_at);
+        }
     }
 }
 
@@ -299,139 +322,82 @@
                                 const GwEndpointTermination *termination),
                      void *user)
 {
-    const struct SuspectList *lists[] = {&q->repeated, &q->single};
-    const Suspect *s;
-
-    for (size_t i = 0; i < G_N_ELEMENTS(lists); i++) {
-        TAILQ_FOREACH_REVERSE(s, lists[i], SuspectList, link)
-        {
-            for (size_t k = 0; k < q->n_stored; k++) {
-                const Termination *t = &q->stored_terminations[k].termination;
-                GwEndpointTermination termination = {
-                    .endpoint = t->endpoint,
-                    .group = t->group,
-                    .group_size = t->group_size,
-                    .at = t->at,
-                    .requests = &s->digest,
-                    .n_requests = 1,
-                };
-
-                if (!Suspect_WasInFlight(s, k))
-                    continue;
-                if (max_rows-- == 0)
-                    return;
-                fn(user, &termination);
-            }
-        }
-    }
-}
-
-// Returns NULL if there is no place.
-static StoredTermination *
-add_termination_(GwQuarantine *q, const Termination *termination)
-{
-    size_t place = find_place_(q, termination->at);
-    StoredTermination *stored;
+    RowSink sink = {max_rows, fn, user};
 
-    if (place == TERMINATIONS_MAX)
-        return NULL;
-    if (place < q->n_stored)
-        forget_termination_(q, place);
-    else
-        q->n_stored++;
-    stored = &q->stored_terminations[place];
-    *stored = (StoredTermination){.termination = *termination};
-    g_hash_table_insert(q->by_endpoint, &stored->termination.endpoint, stored);
-    q->main_suspects_valid = false;
-    return stored;
+    send_list_(q, &q->repeated[GW_SUSPECT_REQUEST], &sink);
+    send_list_(q, &q->repeated[GW_SUSPECT_PART], &sink);
+    send_list_(q, &q->single[GW_SUSPECT_REQUEST], &sink);
+    send_list_(q, &q->single[GW_SUSPECT_PART], &sink);
 }
 
-// Finds a place for a termination at this time: a free one, else that of the
-// oldest termination, preferably of one at which no request with several was
-// in flight. Returns TERMINATIONS_MAX if that one is not older: if it were
-// replaced, each of the two would count as new whenever a peer sends it, and
-// be gossiped for ever.
-static size_t
-find_place_(const GwQuarantine *q, GwTime at)
+static void
+send_list_(const GwQuarantine *q, const struct SuspectList *list,
+           RowSink *sink)
 {
-    uint64_t repeated[TERMINATION_WORDS] = {0};
-    size_t oldest[2] = {TERMINATIONS_MAX, TERMINATIONS_MAX};
     const Suspect *s;
-    size_t place;
 
-    if (q->n_stored < TERMINATIONS_MAX)
-        return q->n_stored;
-    TAILQ_FOREACH(s, &q->repeated, link)
+    TAILQ_FOREACH_REVERSE(s, list, SuspectList, link)
     {
-        for (size_t i = 0; i < TERMINATION_WORDS; i++)
-            repeated[i] |= s->in_flight[i];
-    }
-    for (size_t i = 0; i < TERMINATIONS_MAX; i++) {
-        size_t *o = &oldest[repeated[i / 64] >> (i % 64) & 1];
-
-        if (*o == TERMINATIONS_MAX ||
-            q->stored_terminations[i].termination.at <
-                q->stored_terminations[*o].termination.at)
-            *o = i;
+        // Harmless parts would take most of the rows.
+        if (s->quarantined_until != 0 || !Suspect_IsHarmlessPart(s))
+            send_rows_(q, s, sink);
     }
-    place = oldest[oldest[0] == TERMINATIONS_MAX];
-    return q->stored_terminations[place].termination.at < at
-               ? place
-               : TERMINATIONS_MAX;
-}
-
-static void
-forget_termination_(GwQuarantine *q, size_t place)
-{
-    g_hash_table_remove(q->by_endpoint,
-                        &q->stored_terminations[place].termination.endpoint);
-    forget_in_list_(q, &q->repeated, place);
-    forget_in_list_(q, &q->single, place);
 }
 
 static void
-forget_in_list_(GwQuarantine *q, struct SuspectList *list, size_t place)
+send_rows_(const GwQuarantine *q, const Suspect *s, RowSink *sink)
 {
-    Suspect *next;
+    const GwPartInFlight part = {s->digest, s->last_completed_at};
+    bool is_part = s->kind == GW_SUSPECT_PART;
+    size_t n_skipped =
+        is_part ? (size_t)MAX((int)s->n_terminations - PART_ROWS_MAX, 0) : 0;
 
-    for (Suspect *s = TAILQ_FIRST(list); s != NULL; s = next) {
-        next = TAILQ_NEXT(s, link);
-        if (!Suspect_WasInFlight(s, place))
+    for (size_t i = 0; i < q->n_stored; i++) {
+        const Termination *t =
+            &q->stored_terminations[q->by_time[i]].termination;
+        GwEndpointTermination termination = {
+            .endpoint = t->endpoint,
+            .group = t->group,
+            .group_size = t->group_size,
+            .at = t->at,
+            .requests = &s->digest,
+            .n_requests = !is_part,
+            .parts = &part,
+            .n_parts = is_part,
+        };
+
+        if (!Suspect_WasInFlight(s, q->by_time[i]))
+            continue;
+        if (n_skipped > 0) {
+            n_skipped--;
             continue;
-        unlink_suspect_(q, s);
-        set_in_flight_(s, place, false);
-        link_suspect_(q, s);
+        }
+        if (sink->rows_left == 0)
+            return;
+        sink->rows_left--;
+        sink->fn(sink->user, &termination);
     }
 }
 
-static Suspect *
-find_or_add_suspect_(GwQuarantine *q, const GwDigest *digest)
+static void
+add_part_(GwQuarantine *q, const GwPartInFlight *part,
+          const StoredTermination *stored, GwQuarantineSource source,
+          GwTime now, GwInFlight *added)
 {
-    Suspect *s = g_hash_table_lookup(q->by_digest, digest);
+    Suspect *s = Suspects_FindOrAdd(q, GW_SUSPECT_PART, &part->digest);
 
-    if (s != NULL)
-        return s;
-    if (g_hash_table_size(q->by_digest) >= GW_QUARANTINE_REQUESTS_MAX) {
-        struct SuspectList *list =
-            TAILQ_EMPTY(&q->single) ? &q->repeated : &q->single;
-
-        remove_suspect_(q, TAILQ_FIRST(list));
-    }
-    s = g_new0(Suspect, 1);
-    s->digest = *digest;
     s->last_completed_at =
-        CompletedRequests_At(&q->completed_requests, digest);
-    g_hash_table_insert(q->by_digest, &s->digest, s);
-    link_suspect_(q, s);
-    return s;
+        MAX(s->last_completed_at, MIN(part->completed_at, now));
+    if (add_in_flight_(q, s, stored, source, now))
+        added->parts[added->n_parts++] =
+            (GwPartInFlight){part->digest, s->last_completed_at};
 }
 
-// Adds a termination to the request. Returns whether it was new.
+// Adds a termination to the suspect. Returns whether it was new.
 static bool
-add_to_suspect_(GwQuarantine *q, const GwDigest *digest,
-                const StoredTermination *stored, GwTime now)
+add_in_flight_(GwQuarantine *q, Suspect *s, const StoredTermination *stored,
+               GwQuarantineSource source, GwTime now)
 {
-    Suspect *s = find_or_add_suspect_(q, digest);
     size_t place = (size_t)(stored - q->stored_terminations);
 
     if (Suspect_WasInFlight(s, place))
@@ -439,134 +405,21 @@
     if (s->completed_at != 0 &&
         stored->termination.at <= s->completed_at + COMPLETION_TOLERANCE)
         return false;
-    unlink_suspect_(q, s);
-    set_in_flight_(s, place, true);
-    link_suspect_(q, s);
-    s->updated_at = now;
+    Suspects_SetInFlight(q, s, place, true);
+    Suspects_Touch(q, s, now);
+    s->last_in_flight_at = MAX(s->last_in_flight_at, stored->termination.at);
+    s->source = source;
     return true;
 }
 
-static void
-set_in_flight_(Suspect *s, size_t place, bool in_flight)
-{
-    s->in_flight[place / 64] ^= (uint64_t)1 << (place % 64);
-    if (in_flight)
-        s->n_terminations++;
-    else
-        s->n_terminations--;
-}
-
-static void
-link_suspect_(GwQuarantine *q, Suspect *s)
-{
-    TAILQ_INSERT_TAIL(list_for_(q, s), s, link);
-    q->main_suspects_valid = false;
-}
-
-static void
-unlink_suspect_(GwQuarantine *q, Suspect *s)
-{
-    TAILQ_REMOVE(list_for_(q, s), s, link);
-    q->main_suspects_valid = false;
-}
-
-// Puts the request under quarantine or releases it, by the current
-// terminations and records, and reports a change.
-static void
-update_quarantine_(GwQuarantine *q, Suspect *s)
-{
-    bool was_quarantined = s->quarantined_until != 0;
-    bool is_quarantined;
-    Cause cause;
-
-    s->quarantined_until = s->record_until;
-    s->term = GW_QUARANTINE_TERM_MIN;
-    if (Attribution_FindCause(q, s, &cause)) {
-        s->term = term_after_(cause.n_failures);
-        s->quarantined_until = MAX(s->record_until, cause.last_at + s->term);
-    }
-    is_quarantined = s->quarantined_until != 0;
-    if (is_quarantined != was_quarantined && q->options.on_changed != NULL)
-        q->options.on_changed(q->options.user, &s->digest, s->n_terminations,
-                              is_quarantined);
-}
-
-static GwTime
-term_after_(unsigned failures)
-{
-    GwTime term = GW_QUARANTINE_TERM_MIN;
-
-    for (unsigned n = GW_QUARANTINE_TERMINATIONS;
-         n < failures && term < GW_QUARANTINE_TERM_MAX; n++)
-        term *= 2;
-    return term;
-}
-
-// Each process decides pseudo-randomly on its own, so that on average one
-// process of the fleet retries the request in each interval. If all of them
-// retried it, each could terminate an endpoint before receiving the update on
-// the first termination.
 static bool
-is_selected_to_retry_(const GwQuarantine *q, const Suspect *s,
-                      uint64_t interval)
-{
-    const uint64_t input[] = {q->name_hash, s->digest.account,
-                              s->digest.content, interval};
-    double fraction =
-        (double)XXH3_64bits(input, sizeof(input)) / (double)UINT64_MAX;
-
-    return fraction * q->processes < 1;
-}
-
-static bool
-has_repeated_(const GwQuarantine *q, const GwDigest *requests, size_t n)
+has_repeated_(const GwQuarantine *q, const GwInFlight *added)
 {
     bool has = false;
 
-    for (size_t i = 0; i < n; i++)
-        has = has || GwQuarantine_Terminations(q, &requests[i]) > 1;
+    for (size_t i = 0; i < added->n_requests; i++)
+        has = has || GwQuarantine_Terminations(q, &added->requests[i]) > 1;
+    for (size_t i = 0; i < added->n_parts; i++)
+        has = has || GwQuarantine_Terminations(q, &added->parts[i].digest) > 1;
     return has;
 }
-
-// Updates on terminations with a common cause arrive one by one, and the
-// requests in flight at one of them in several. A request that looked like the
-// cause of the first three may turn out to have been in flight by coincidence,
-// or the reverse. If all were not reconsidered, the order of the updates would
-// decide.
-static void
-update_all_quarantines_(GwQuarantine *q)
-{
-    Suspect *s;
-
-    TAILQ_FOREACH(s, &q->repeated, link)
-    {
-        if (s->quarantined_until != 0 ||
-            s->n_terminations >= GW_QUARANTINE_TERMINATIONS)
-            update_quarantine_(q, s);
-    }
-}
-
-static void
-remove_suspect_(GwQuarantine *q, Suspect *s)
-{
-    unlink_suspect_(q, s);
-    g_hash_table_remove(q->by_digest, &s->digest);
-    g_free(s);
-}
-
-static void
-remove_expired_suspects_(GwQuarantine *q, struct SuspectList *list, GwTime now)
-{
-    Suspect *s;
-
-    while ((s = TAILQ_FIRST(list)) != NULL &&
-           now - s->updated_at > GW_QUARANTINE_RETENTION)
-        remove_suspect_(q, s);
-}
-
-static struct SuspectList *
-list_for_(GwQuarantine *q, const Suspect *s)
-{
-    return s->n_terminations > 1 || s->record_until != 0 ? &q->repeated
-                                                         : &q->single;
-}
--- a/packages/quarantine/src/quarantine_sync.c
+++ b/packages/quarantine/src/quarantine_sync.c
@@ -5,9 +5,12 @@
 
 static void send_termination_(void *user,
                               const GwEndpointTermination *termination);
-static void send_completion_(void *user, const GwDigest *request, GwTime at);
-static void send_completions_(GwQuarantine *q, GwSession *session,
-                              const GwDigest *requests, size_t n);
+static void send_completion_(void *user, GwSuspectKind kind,
+                             const GwDigest *suspect, GwTime at);
+static void send_completions_(const GwQuarantine *q, GwSession *session,
+                              const GwInFlight *in_flight);
+static void read_in_flight_(const Gw__Wire__EndpointEnd *body, GwTime now,
+                            GwInFlight *in_flight);
 static void receive_termination_(GwQuarantine *q, GwSession *from,
                                  const Gw__Wire__EndpointEnd *body,
                                  const GwQuarantineSyncOps *ops, void *user);
@@ -23,7 +26,8 @@
     if (update->is_termination)
         send_termination_(session, &update->termination);
     else
-        send_completion_(session, &update->completed, update->completed_at);
+        send_completion_(session, update->completed_kind, &update->completed,
+                         update->completed_at);
 }
 
 void
@@ -55,14 +59,26 @@
 static void
 send_termination_(void *user, const GwEndpointTermination *termination)
 {
+    size_t n_parts = termination->n_parts;
     g_autofree uint64_t *accounts = g_new(uint64_t, termination->n_requests);
     g_autofree uint64_t *contents = g_new(uint64_t, termination->n_requests);
+    g_autofree uint64_t *part_scopes = g_new(uint64_t, n_parts);
+    g_autofree uint64_t *part_ids = g_new(uint64_t, n_parts);
+    g_autofree uint64_t *part_completed = g_new(uint64_t, n_parts);
     GW_FRAME(frame, body, ENDPOINT_END, EndpointEnd, endpoint_end);
 
     for (size_t i = 0; i < termination->n_requests; i++) {
         accounts[i] = termination->requests[i].account;
         contents[i] = termination->requests[i].content;
     }
+    for (size_t i = 0; i < n_parts; i++) {
+        const GwPartInFlight *part = &termination->parts[i];
+
+        part_scopes[i] = part->digest.account;
+        part_ids[i] = part->digest.content;
+        part_completed[i] =
+            part->completed_at != 0 ? elapsed_ms_(part->completed_at) + 1 : 0;
+    }
     body.endpoint = termination->endpoint;
     body.group = termination->group;
     body.group_size = termination->group_size;
@@ -71,69 +87,112 @@
     body.accounts = accounts;
     body.n_contents = termination->n_requests;
     body.contents = contents;
+    body.n_part_scopes = n_parts;
+    body.part_scopes = part_scopes;
+    body.n_part_ids = n_parts;
+    body.part_ids = part_ids;
+    body.n_part_completed = n_parts;
+    body.part_completed = part_completed;
     GwSession_Send(user, &frame);
 }
 
 static void
-send_completion_(void *user, const GwDigest *request, GwTime at)
+send_completion_(void *user, GwSuspectKind kind, const GwDigest *suspect,
+                 GwTime at)
 {
     GW_FRAME(frame, body, SOUND_REQUEST, SoundRequest, sound_request);
 
-    body.account = request->account;
-    body.content = request->content;
+    body.account = suspect->account;
+    body.content = suspect->content;
     body.answered_ms = elapsed_ms_(at);
+    body.is_part = kind == GW_SUSPECT_PART;
     GwSession_Send(user, &frame);
 }
 
-// The peer may take the requests for the cause of their terminations, because
-// it has not seen them complete. Few requests were sent and answered before.
+// The peer may take the requests and parts for the cause of their
+// terminations, because it has not seen them complete. Few requests were sent
+// and answered before. What the peer knows of parts is in its update.
 static void
-send_completions_(GwQuarantine *q, GwSession *session,
-                  const GwDigest *requests, size_t n)
+send_completions_(const GwQuarantine *q, GwSession *session,
+                  const GwInFlight *in_flight)
 {
-    for (size_t i = 0; i < n; i++) {
-        GwTime at = GwQuarantine_CompletedAt(q, &requests[i]);
+    for (size_t i = 0; i < in_flight->n_requests; i++) {
+        GwTime at = GwQuarantine_CompletedAt(q, &in_flight->requests[i]);
 
         if (at != 0)
-            send_completion_(session, &requests[i], at);
+            send_completion_(session, GW_SUSPECT_REQUEST,
+                             &in_flight->requests[i], at);
+    }
+    for (size_t i = 0; i < in_flight->n_parts; i++) {
+        const GwPartInFlight *part = &in_flight->parts[i];
+        GwTime at = GwQuarantine_CompletedAt(q, &part->digest);
+
+        if (at != 0 && part->completed_at == 0)
+            send_completion_(session, GW_SUSPECT_PART, &part->digest, at);
     }
 }
 
-// Arrays of unequal length are cut to the shorter one, and both to the number
-// of requests that one endpoint runs; the requests that remain are valid.
 static void
 receive_termination_(GwQuarantine *q, GwSession *from,
                      const Gw__Wire__EndpointEnd *body,
                      const GwQuarantineSyncOps *ops, void *user)
 {
     GwTime now = GwTime_Now();
-    size_t n = MIN(MIN(body->n_accounts, body->n_contents),
-                   GW_TERMINATION_REQUESTS_MAX);
-    g_autofree GwDigest *requests = g_new(GwDigest, n);
-    g_autofree GwDigest *new_requests = g_new(GwDigest, n);
+    g_autofree GwInFlight *in_flight = g_new0(GwInFlight, 1);
+    g_autofree GwInFlight *added = g_new0(GwInFlight, 1);
     GwQuarantineUpdate update = {
         .is_termination = true,
         .termination = {.endpoint = body->endpoint,
                         .group = body->group,
                         .group_size = body->group_size,
                         .at = time_before_(body->ended_ms, now),
-                        .requests = requests,
-                        .n_requests = n},
+                        .source = GW_QUARANTINE_SOURCE_PEER},
     };
+    size_t n_added;
     bool is_new;
 
+    read_in_flight_(body, now, in_flight);
+    GwEndpointTermination_SetInFlight(&update.termination, in_flight);
     if (body->group_size == 0 && ops->group_size != NULL)
         update.termination.group_size = ops->group_size(user, body->group);
-    for (size_t i = 0; i < n; i++)
-        requests[i] = (GwDigest){body->accounts[i], body->contents[i]};
-    update.termination.n_requests = GwQuarantine_AddTermination(
-        q, &update.termination, now, new_requests, &is_new);
-    update.termination.requests = new_requests;
-    send_completions_(q, from, requests, n);
-    if (is_new || update.termination.n_requests > 0)
+    n_added = GwQuarantine_AddTermination(q, &update.termination, now, added,
+                                          &is_new);
+    GwEndpointTermination_SetInFlight(&update.termination, added);
+    if (from != NULL)
+        send_completions_(q, from, in_flight);
+    if (is_new || n_added > 0)
         ops->on_update(user, from, &update);
 }
 
+// Arrays of unequal length are cut to the shortest one, and all to the number
+// that one endpoint runs; what remains is valid. Versions of this program
+// without parts send none.
+static void
+read_in_flight_(const Gw__Wire__EndpointEnd *body, GwTime now,
+                GwInFlight *in_flight)
+{
+    size_t n_requests = MIN(MIN(body->n_accounts, body->n_contents),
+                            GW_TERMINATION_REQUESTS_MAX);
+    size_t n_parts =
+        MIN(MIN(body->n_part_scopes, body->n_part_ids),
+            MIN(body->n_part_completed, GW_TERMINATION_PARTS_MAX));
+
+    for (size_t i = 0; i < n_requests; i++)
+        in_flight->requests[i] =
+            (GwDigest){body->accounts[i], body->contents[i]};
+    for (size_t i = 0; i < n_parts; i++) {
+        uint64_t completed = body->part_completed[i];
+
+        in_flight->parts[i] = (GwPartInFlight){
+            .digest = {body->part_scopes[i], body->part_ids[i]},
+            .completed_at =
+                completed != 0 ? time_before_(completed - 1, now) : 0,
+        };
+    }
+    in_flight->n_requests = n_requests;
+    in_flight->n_parts = n_parts;
+}
+
 static void
 receive_completion_(GwQuarantine *q, GwSession *from,
                     const Gw__Wire__SoundRequest *body,
@@ -141,12 +200,13 @@
 {
     GwTime now = GwTime_Now();
     GwQuarantineUpdate update = {
+        .completed_kind = body->is_part ? GW_SUSPECT_PART : GW_SUSPECT_REQUEST,
         .completed = {body->account, body->content},
         .completed_at = time_before_(body->answered_ms, now),
     };
 
-    if (GwQuarantine_AddCompletion(q, &update.completed, update.completed_at,
-                                   now))
+    if (GwQuarantine_AddCompletion(q, update.completed_kind, &update.completed,
+                                   update.completed_at, now))
         ops->on_update(user, from, &update);
 }
 
--- a/packages/quarantine/tests/quarantine_sync_test.cc
+++ b/packages/quarantine/tests/quarantine_sync_test.cc
@@ -31,6 +31,7 @@
 
         t->updates++;
         t->requests += update->termination.n_requests;
+        t->parts += update->termination.n_parts;
         t->group_size = update->termination.group_size;
     }
     static unsigned
@@ -42,6 +43,7 @@
     GwQuarantine *q;
     size_t updates = 0;
     size_t requests = 0;
+    size_t parts = 0;
     unsigned group_size = 0;
 };
 
@@ -70,7 +72,23 @@
         body.contents = contents.data();
         body.n_contents = n_contents;
     }
+    void
+    SetParts(size_t n_scopes, size_t n_ids, size_t n_completed)
+    {
+        part_scopes.assign(n_scopes, 5);
+        part_completed.assign(n_completed, 0);
+        part_ids.resize(n_ids);
+        for (size_t i = 0; i < n_ids; i++)
+            part_ids[i] = 200 + i;
+        body.part_scopes = part_scopes.data();
+        body.n_part_scopes = n_scopes;
+        body.part_ids = part_ids.data();
+        body.n_part_ids = n_ids;
+        body.part_completed = part_completed.data();
+        body.n_part_completed = n_completed;
+    }
     std::vector<uint64_t> accounts, contents;
+    std::vector<uint64_t> part_scopes, part_ids, part_completed;
     Gw__Wire__EndpointEnd body;
     GwFrame frame;
 };
@@ -123,6 +141,53 @@
     }
 }
 
+// The same for parts, which versions without them do not send.
+TEST(QuarantineSync, MalformedPartsAreAddedAsFarAsValid)
+{
+    const struct {
+        size_t scopes, ids, completed, parts;
+    } cases[] = {
+        {0, 0, 0, 0}, {2, 2, 2, 2},
+        {1, 3, 3, 1}, {3, 1, 3, 1},
+        {3, 3, 0, 0}, {100000, 100000, 100000, GW_TERMINATION_PARTS_MAX}};
+
+    for (const auto &c : cases) {
+        Receiver t;
+        TerminationFrame f;
+
+        f.SetParts(c.scopes, c.ids, c.completed);
+        EXPECT_TRUE(t.Receive(&f.frame));
+        EXPECT_EQ(t.parts, c.parts) << c.ids;
+        EXPECT_EQ(t.requests, 2u) << c.ids;
+        t.updates = 0;
+        EXPECT_TRUE(t.Receive(&f.frame));
+        EXPECT_EQ(t.updates, 0u) << c.ids << ", received again";
+    }
+}
+
+// Guards against refusing a harmless part at a process that has not seen it
+// complete: the process that reports a termination has, and says so.
+TEST(QuarantineSync, CompletionsOfPartsComeWithTerminations)
+{
+    for (uint64_t completed : {0, 1001}) {
+        Receiver t;
+        GwDigest part = {5, 200};
+
+        for (uint64_t endpoint = 1; endpoint <= 4; endpoint++) {
+            TerminationFrame f;
+
+            f.SetRows(0, 0);
+            f.SetParts(1, 1, 1);
+            f.part_completed[0] = completed;
+            f.body.endpoint = f.body.group = endpoint;
+            f.body.ended_ms = 0;
+            t.Receive(&f.frame);
+        }
+        EXPECT_EQ(GwQuarantine_TimeLeft(t.q, &part, GwTime_Now()) > 0,
+                  completed == 0);
+    }
+}
+
 TEST(QuarantineSync, ACompletionClearsReceivedTerminations)
 {
     const struct {
@@ -189,6 +254,7 @@
     Receiver t;
 
     f.SetRows(9, 9);
+    f.SetParts(9, 9, 9);
     GwFrame_Encode(&f.frame, encoded);
     for (int i = 0; i < 20000; i++) {
         g_autoptr(GByteArray) bytes = g_byte_array_new();
--- a/packages/quarantine/tests/quarantine_test.cc
+++ b/packages/quarantine/tests/quarantine_test.cc
@@ -25,10 +25,9 @@
     {
         GwQuarantineOptions options = {};
 
-        options.on_changed = [](void *user, const GwDigest *, unsigned,
-                                bool quarantined) {
+        options.on_changed = [](void *user, const GwQuarantineChange *change) {
             static_cast<TestQuarantine *>(user)->changes.push_back(
-                quarantined);
+                change->is_quarantined);
         };
         options.user = this;
         options.name = name;
@@ -45,7 +44,7 @@
                    unsigned group_size = 100)
     {
         GwEndpointTermination termination = {};
-        std::vector<GwDigest> new_requests(requests.size() + 1);
+        GwInFlight added;
 
         termination.endpoint = endpoint;
         termination.group = group != 0 ? group : endpoint;
@@ -54,13 +53,13 @@
         termination.requests = requests.data();
         termination.n_requests = requests.size();
         return GwQuarantine_AddTermination(q, &termination, kStart + at,
-                                           new_requests.data(), &is_new);
+                                           &added, &is_new);
     }
     bool
     AddCompletion(const GwDigest &request, GwTime at)
     {
-        return GwQuarantine_AddCompletion(q, &request, kStart + at,
-                                          kStart + at);
+        return GwQuarantine_AddCompletion(q, GW_SUSPECT_REQUEST, &request,
+                                          kStart + at, kStart + at);
     }
     // Sends all terminations to a peer, which receives them at 5 s.
     void
@@ -69,12 +68,12 @@
         GwQuarantine_ForEach(
             q, 512,
             [](void *user, const GwEndpointTermination *termination) {
-                GwDigest new_requests[1];
+                GwInFlight added;
                 bool is_new;
 
                 GwQuarantine_AddTermination(
                     static_cast<TestQuarantine *>(user)->q, termination,
-                    kStart + 5 * GW_SECOND, new_requests, &is_new);
+                    kStart + 5 * GW_SECOND, &added, &is_new);
             },
             peer);
     }
@@ -87,7 +86,10 @@
     GwTime
     Admit(const GwDigest &request, GwTime at)
     {
-        return GwQuarantine_Admit(q, &request, kStart + at);
+        GwRequestIdentity identity = {};
+
+        identity.request = request;
+        return GwQuarantine_Admit(q, &identity, kStart + at).time_left;
     }
 
     GwQuarantine *q;
@@ -644,9 +646,11 @@
     ASSERT_EQ(t.TimeLeft(Request(1), 5 * GW_SECOND), 0);
     GwQuarantine_ForEachCompleted(
         t.q, 512,
-        [](void *user, const GwDigest *request, GwTime at) {
+        [](void *user, GwSuspectKind kind, const GwDigest *request,
+           GwTime at) {
             GwQuarantine_AddCompletion(static_cast<TestQuarantine *>(user)->q,
-                                       request, at, kStart + 5 * GW_SECOND);
+                                       kind, request, at,
+                                       kStart + 5 * GW_SECOND);
         },
         &other);
     t.SendTerminations(&other);
@@ -841,15 +845,20 @@
 TEST(BrokenRequests, AreTakenWhenTheirEndpointTerminates)
 {
     GwBrokenRequests *b = GwBrokenRequests_New();
-    GwDigest one = Request(1), two = Request(2), three = Request(3);
+    GwRequestIdentity one = {}, two = {}, three = {};
     GwTime at;
 
+    one.request = Request(1);
+    two.request = Request(2);
+    three.request = Request(3);
+
     GwBrokenRequests_Add(b, 7, &one, kStart);
     GwBrokenRequests_Add(b, 7, &two, kStart + 5 * GW_SECOND);
     GwBrokenRequests_Add(b, 8, &three, kStart + 5 * GW_SECOND);
     GArray *taken = GwBrokenRequests_Take(b, 7, kStart + 7 * GW_SECOND, &at);
     ASSERT_EQ(taken->len, 1u) << "the first one has expired";
-    EXPECT_TRUE(GwDigest_Equal(&g_array_index(taken, GwDigest, 0), &two));
+    EXPECT_TRUE(GwDigest_Equal(
+        &g_array_index(taken, GwRequestIdentity, 0).request, &two.request));
     EXPECT_EQ(at, kStart + 5 * GW_SECOND);
     g_array_unref(taken);
     taken = GwBrokenRequests_Take(b, 7, kStart + 7 * GW_SECOND, &at);
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -698,10 +698,20 @@
   uint64_t *accounts;
   size_t n_contents;
   uint64_t *contents;
+  /*
+   * Parts of the prompts in flight: halves side by side, and how long ago a
+   * prompt with the part completed, in ms + 1; 0: not known.
+   */
+  size_t n_part_scopes;
+  uint64_t *part_scopes;
+  size_t n_part_ids;
+  uint64_t *part_ids;
+  size_t n_part_completed;
+  uint64_t *part_completed;
 };
 #define GW__WIRE__ENDPOINT_END__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__endpoint_end__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -716,10 +726,14 @@
    * ago
    */
   uint64_t answered_ms;
+  /*
+   * a part of prompts, not a request
+   */
+  protobuf_c_boolean is_part;
 };
 #define GW__WIRE__SOUND_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__sound_request__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -4059,7 +4059,7 @@
   (ProtobufCMessageInit) gw__wire__weights_age__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__endpoint_end__field_descriptors[6] =
+static const ProtobufCFieldDescriptor gw__wire__endpoint_end__field_descriptors[9] =
 {
   {
     "endpoint",
@@ -4133,6 +4133,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part_scopes",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gw__Wire__EndpointEnd, n_part_scopes),
+    offsetof(Gw__Wire__EndpointEnd, part_scopes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part_ids",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Gw__Wire__EndpointEnd, n_part_ids),
+    offsetof(Gw__Wire__EndpointEnd, part_ids),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part_completed",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Gw__Wire__EndpointEnd, n_part_completed),
+    offsetof(Gw__Wire__EndpointEnd, part_completed),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__endpoint_end__field_indices_by_name[] = {
   4,   /* field[4] = accounts */
@@ -4141,11 +4177,14 @@
   0,   /* field[0] = endpoint */
   1,   /* field[1] = group */
   2,   /* field[2] = group_size */
+  8,   /* field[8] = part_completed */
+  7,   /* field[7] = part_ids */
+  6,   /* field[6] = part_scopes */
 };
 static const ProtobufCIntRange gw__wire__endpoint_end__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor gw__wire__endpoint_end__descriptor =
 {
@@ -4155,14 +4194,14 @@
   "Gw__Wire__EndpointEnd",
   "gw.wire",
   sizeof(Gw__Wire__EndpointEnd),
-  6,
+  9,
   gw__wire__endpoint_end__field_descriptors,
   gw__wire__endpoint_end__field_indices_by_name,
   1,  gw__wire__endpoint_end__number_ranges,
   (ProtobufCMessageInit) gw__wire__endpoint_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__sound_request__field_descriptors[3] =
+static const ProtobufCFieldDescriptor gw__wire__sound_request__field_descriptors[4] =
 {
   {
     "account",
@@ -4200,16 +4239,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_part",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__SoundRequest, is_part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__sound_request__field_indices_by_name[] = {
   0,   /* field[0] = account */
   2,   /* field[2] = answered_ms */
   1,   /* field[1] = content */
+  3,   /* field[3] = is_part */
 };
 static const ProtobufCIntRange gw__wire__sound_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor gw__wire__sound_request__descriptor =
 {
@@ -4219,7 +4271,7 @@
   "Gw__Wire__SoundRequest",
   "gw.wire",
   sizeof(Gw__Wire__SoundRequest),
-  3,
+  4,
   gw__wire__sound_request__field_descriptors,
   gw__wire__sound_request__field_indices_by_name,
   1,  gw__wire__sound_request__number_ranges,
