--- a/packages/gateway/tests/fatal_part_test.cc
+++ b/packages/gateway/tests/fatal_part_test.cc
@@ -325,3 +325,66 @@
     EXPECT_LE(t.n_terminated, kMaxLateTerminations);
     EXPECT_EQ(t.CountServed("/resume/1", {kPartA, kPartC}, 2), 8);
 }
+
+// Guards against clearing the fatal part by an answer that shows nothing about
+// it: an endpoint may fail before it reads the prompt.
+TEST(GatewayFatalPart, ErrorsDoNotClearIt)
+{
+    PartFleet t;
+    Fleet &f = t.a.f;
+    int n = 0;
+
+    ASSERT_TRUE(f.Ready());
+    for (auto &e : f.endpoints)
+        e->serve = [&](Endpoint *at, FakeExchange *x) {
+            if (t.is_fatal(at, x) && ++n % 2 == 0)
+                Endpoint::Answer(x, 500, "failed");
+            else
+                t.ServePrompt(at, x);
+        };
+    for (int i = 0; t.n_terminated < 5 && i < 20; i++)
+        t.SendPrompt(f.gateways[(size_t)i % 4], "/stream/1",
+                     {kPartA, kFatalPart});
+    f.Wait(kContactTime);
+    t.n_terminated = 0;
+    t.CountServed("/stream/1", {kPartA, kFatalPart}, 3);
+    EXPECT_LE(t.n_terminated, kMaxLateTerminations);
+    EXPECT_EQ(t.SendPrompt(f.gateways[0], "/stream/1", {kPartA, kFatalPart}),
+              503);
+}
+
+// Guards against sending a request that arrived before its part was found, and
+// waited since, as for its account's limit.
+TEST(GatewayFatalPart, WaitingRequestIsJudgedAgainWhenItIsSent)
+{
+    PartFleet t(2);
+    Fleet &f = t.a.f;
+    GwGateway *g = f.gateways[0];
+    GwDigest part = GwDigest_OfPart("m", nullptr, 0xfa7a1);
+    GwPartInFlight in_flight = {part, 0};
+    GwInFlight added;
+    bool is_new;
+
+    f.acme_limit = R"(,"rate_per_s":20,"burst":20)";
+    f.Configure(2);
+    ASSERT_TRUE(f.Ready());
+    f.Wait(600 * GW_MILLISECOND);
+    auto caller = f.Call(g, t.Prompt("/resume/1", {kFatalPart}));
+    ASSERT_TRUE(f.Until([&] {
+        return GwGateway_Counters(g)->plain[GW_COUNTER_LIMIT_ASKS] > 0;
+    }));
+    ASSERT_FALSE(caller->Has(1)) << "it waits for the limit";
+    for (uint64_t endpoint = 1; endpoint <= 3; endpoint++) {
+        GwEndpointTermination termination = {};
+
+        termination.endpoint = termination.group = endpoint;
+        termination.at = GwTime_Now();
+        termination.parts = &in_flight;
+        termination.n_parts = 1;
+        GwQuarantine_AddTermination(g->quarantine, &termination, GwTime_Now(),
+                                    &added, &is_new);
+    }
+    ASSERT_TRUE(f.Until([&] { return caller->Has(1); }));
+    EXPECT_EQ(caller->Status(), 503);
+    EXPECT_EQ(t.n_terminated, 0);
+}
