List sync: the batches of records that are sent are a module of their own

With it, a completion of a part that competed for no termination no longer has all suspects judged again.

--- a/packages/cluster/src/list_sync.c
+++ b/packages/cluster/src/list_sync.c
@@ -1,5 +1,7 @@
 #include "list_sync.h"
 
+#include "records_batch.h"
+
 /* Longest time that removals deferred by a peer are deferred here, whatever
  * time the peer sends. Endpoints whose records expired during a store outage
  * write them again within about this time. */
@@ -9,9 +11,6 @@
 #define END_NOT_REQUESTED G_MAXINT64
 /* Least delay between two checks of whether to send a request. */
 #define RECHECK_DELAY_MIN (100 * GW_MILLISECOND)
-/* Maximum number of records in one frame. A single record, such as a
- * configuration, may have megabytes. */
-#define FRAME_RECORDS_MAX 200
 /* Maximum number of records in the first request for instances to a seed:
  * enough to find agents, which send the rest. When a fleet starts, all entries
  * send requests to the few seeds, whose links may be slow. */
@@ -32,28 +31,6 @@
  * configuration is announced, all peers request it at the same time. */
 #define LARGE_COPY_BYTES (16 * 1024)
 #define COPY_LINK_SHARE 0.5
-/* A frame is sent once its values have more bytes than this. */
-#define FRAME_FLUSH_BYTES (1024 * 1024)
-
-/* Collects records of one list for one peer and sends them in frames. */
-typedef struct {
-    const GwInstances *instances;
-    GwSession *session;
-    GwList list;
-    int64_t end; /* of the list, for the last frame; 0: not sent */
-    Gw__Wire__ListRecord records[FRAME_RECORDS_MAX];
-    Gw__Wire__ListRecord *pointers[FRAME_RECORDS_MAX];
-    size_t n;           /* records in the frame */
-    size_t bytes;       /* of their values */
-    size_t max_records; /* maximum number of records to send; 0: all */
-    bool is_cut; /* max_records was reached: further records are left out */
-    bool has_removal;
-    GwTime deferred_until; /* deferral of the removals in the frame; 0: they
-                              are final */
-    size_t sent_records;   /* in all frames so far */
-    size_t sent_bytes;
-} Batch;
-
 static void send_due_requests_(void *user);
 static void send_queued_replies_(void *user);
 static void send_records_(GwListSync *sync, GwListSyncPeer *peer,
@@ -75,11 +52,7 @@
 static void log_request_sent_(GwListSync *sync, const GwListSyncPeer *peer,
                               const Gw__Wire__RecordsAsk *request);
 static void log_sent_records_(GwListSync *sync, const GwListSyncPeer *peer,
-                              const Batch *batch);
-static void add_to_batch_(void *user, GwList list, const GwRecord *record);
-static void note_removal_(Batch *batch, const char *id);
-static void send_partial_batch_(Batch *batch);
-static void send_batch_(Batch *batch);
+                              const RecordsBatch *batch);
 static void adopt_peer_deferral_(GwListSync *sync,
                                  const Gw__Wire__RecordsTell *reply);
 static void send_weights_age_(void *user, const char *model, int64_t version,
@@ -246,7 +219,7 @@
     // applies the records.
     GwListSync_SendWeightsAges(sync, peer->session);
     for (int i = 0; i < GW_LISTS; i++) {
-        g_autofree Batch *batch = g_new0(Batch, 1);
+        g_autofree RecordsBatch *batch = g_new0(RecordsBatch, 1);
 
         batch->instances = GwView_Instances(sync->options.view);
         batch->session = peer->session;
@@ -269,12 +242,12 @@
         }
         batch->max_records =
             i == GW_LIST_INSTANCES ? request->most_instances : 0;
-        GwRecords_Each(records, (GwList)i, ends[i], add_to_batch_, batch);
+        GwRecords_Each(records, (GwList)i, ends[i], RecordsBatch_Add, batch);
         if (batch->is_cut)
             batch->end = 0;
         else
             peer->sent_ends[i] = batch->end;
-        send_batch_(batch);
+        RecordsBatch_Send(batch);
         if (sync->options.link_rate > 0 &&
             batch->sent_bytes >= LARGE_COPY_BYTES)
             sync->link_busy_until =
@@ -555,7 +528,7 @@
 
 static void
 log_sent_records_(GwListSync *sync, const GwListSyncPeer *peer,
-                  const Batch *batch)
+                  const RecordsBatch *batch)
 {
     GwCounters_Add(sync->options.counters, GW_COUNTER_RECORDS_TOLD_BYTES,
                    batch->sent_bytes);
@@ -568,80 +541,6 @@
     GwEvent_End(sync->options.log);
 }
 
-static void
-add_to_batch_(void *user, GwList list, const GwRecord *record)
-{
-    Batch *batch = user;
-    Gw__Wire__ListRecord *r;
-
-    batch->is_cut = batch->max_records > 0 &&
-                    batch->sent_records + batch->n >= batch->max_records;
-    if (batch->is_cut)
-        return;
-    if (list == GW_LIST_INSTANCES && record->value == NULL)
-        note_removal_(batch, record->key);
-    r = &batch->records[batch->n];
-    gw__wire__list_record__init(r);
-    r->key = (char *)record->key;
-    r->offset = (uint64_t)record->offset;
-    r->removed = record->value == NULL;
-    r->value.data = (uint8_t *)record->value;
-    r->value.len = record->value != NULL ? record->len : 0;
-    batch->pointers[batch->n++] = r;
-    batch->bytes += r->value.len;
-    if (batch->n == FRAME_RECORDS_MAX || batch->bytes > FRAME_FLUSH_BYTES)
-        send_partial_batch_(batch);
-}
-
-// A frame carries either deferred removals or final ones, not both: an
-// endpoint that has left must not get requests because the removals of others
-// are deferred.
-static void
-note_removal_(Batch *batch, const char *id)
-{
-    GwTime until =
-        MAX(GwInstances_RemovalsDeferredUntil(batch->instances, GwTime_Now()),
-            GwInstances_RemovalDeferredUntil(batch->instances, id));
-
-    if (batch->has_removal && (until > 0) != (batch->deferred_until > 0))
-        send_partial_batch_(batch);
-    batch->has_removal = true;
-    batch->deferred_until = until;
-}
-
-// Records are sent in no particular order, so only the last frame carries the
-// end.
-static void
-send_partial_batch_(Batch *batch)
-{
-    int64_t end = batch->end;
-
-    batch->end = 0;
-    send_batch_(batch);
-    batch->end = end;
-}
-
-static void
-send_batch_(Batch *batch)
-{
-    GwTime held = MAX(batch->deferred_until - GwTime_Now(), 0);
-    GW_FRAME(frame, reply, RECORDS_TELL, RecordsTell, records_tell);
-
-    reply.list = batch->list;
-    reply.end = (uint64_t)batch->end;
-    reply.is_cut = batch->is_cut;
-    reply.removals_held_ms = (uint32_t)(held / GW_MILLISECOND);
-    reply.n_records = batch->n;
-    reply.records = batch->pointers;
-    GwSession_Send(batch->session, &frame);
-    batch->sent_records += batch->n;
-    batch->sent_bytes += batch->bytes;
-    batch->n = 0;
-    batch->bytes = 0;
-    batch->has_removal = false;
-    batch->deferred_until = 0;
-}
-
 // The peer has seen a store outage after which these removals may be undone.
 // This process may not have noticed the outage, because its own call to the
 // store was waiting all the time; removing the endpoints now could leave
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -40,6 +40,8 @@
 static bool add_in_flight_(GwQuarantine *q, Suspect *s,
                            const StoredTermination *stored,
                            GwQuarantineSource source, GwTime now);
+static unsigned clear_terminations_(GwQuarantine *q, Suspect *s,
+                                    GwTime completed_at);
 static bool has_repeated_(const GwQuarantine *q, const GwInFlight *added);
 static void send_list_(const GwQuarantine *q, const struct SuspectList *list,
                        RowSink *sink);
@@ -184,26 +186,21 @@
 {
     Suspect *s = Suspects_Find(q, suspect);
     GwTime quarantined_until;
-    unsigned n_cleared = 0;
+    unsigned n_cleared;
     bool had_record;
+    bool has_competed;
     bool is_released;
 
     at = MIN(at, now);
     CompletedRequests_Add(&q->completed[kind], suspect, at);
     if (s == NULL || at <= s->completed_at)
         return false;
+    has_competed = s->n_terminations > 1 && !Suspect_IsHarmlessPart(s);
     s->completed_at = at;
     s->last_completed_at = MAX(s->last_completed_at, at);
     quarantined_until = s->quarantined_until;
     had_record = s->record_until != 0;
-    for (size_t i = 0; s->n_terminations > 0 && i < q->n_stored; i++) {
-        if (!Suspect_WasInFlight(s, i) ||
-            q->stored_terminations[i].termination.at >
-                at + COMPLETION_TOLERANCE)
-            continue;
-        Suspects_SetInFlight(q, s, i, false);
-        n_cleared++;
-    }
+    n_cleared = clear_terminations_(q, s, at);
     // Nothing else depends on the time of a completion.
     if (n_cleared == 0 && !had_record && s->n_terminations < 2)
         return false;
@@ -217,7 +214,8 @@
     is_released = quarantined_until != s->quarantined_until;
     if (n_cleared == 0 && !had_record && !is_released)
         return false;
-    Evaluation_UpdateAll(q, now);
+    if (has_competed)
+        Evaluation_UpdateAll(q, now);
     // One termination of a part has no effect at peers either, and many parts
     // are in flight at each.
     return kind == GW_SUSPECT_REQUEST || n_cleared > 1 || had_record ||
@@ -386,8 +384,10 @@
 {
     Suspect *s = Suspects_FindOrAdd(q, GW_SUSPECT_PART, &part->digest);
 
-    s->last_completed_at =
-        MAX(s->last_completed_at, MIN(part->completed_at, now));
+    if (part->completed_at > s->last_completed_at) {
+        s->last_completed_at = MIN(part->completed_at, now);
+        q->ranks_valid = false;
+    }
     if (add_in_flight_(q, s, stored, source, now))
         added->parts[added->n_parts++] =
             (GwPartInFlight){part->digest, s->last_completed_at};
@@ -412,6 +412,23 @@
     return true;
 }
 
+// Clears the terminations before a completion. Returns their number.
+static unsigned
+clear_terminations_(GwQuarantine *q, Suspect *s, GwTime completed_at)
+{
+    unsigned n = 0;
+
+    for (size_t i = 0; s->n_terminations > 0 && i < q->n_stored; i++) {
+        if (!Suspect_WasInFlight(s, i) ||
+            q->stored_terminations[i].termination.at >
+                completed_at + COMPLETION_TOLERANCE)
+            continue;
+        Suspects_SetInFlight(q, s, i, false);
+        n++;
+    }
+    return n;
+}
+
 static bool
 has_repeated_(const GwQuarantine *q, const GwInFlight *added)
 {
