--- a/packages/entry/tests/quarantine_test.cc
+++ b/packages/entry/tests/quarantine_test.cc
@@ -21,6 +21,17 @@
     return n;
 }
 
+// Requests that all agents have received so far.
+uint64_t
+Submitted(const World &w)
+{
+    uint64_t n = 0;
+
+    for (auto &a : w.agents)
+        n += GwAgent_Counters(a->agent)->plain[GW_COUNTER_REQUESTS];
+    return n;
+}
+
 void
 AddEngines(World *w, int n)
 {
@@ -118,8 +129,11 @@
     EntryNode *new_entry = w.AddEntry();
     ASSERT_TRUE(w.Ready());
     for (EntryNode *e : {entries[0], entries[1], new_entry}) {
+        uint64_t submitted = Submitted(w);
         auto c = ask(e, kFatalSystem);
 
+        EXPECT_EQ(Submitted(w), submitted) << "the entry refuses it";
+
         EXPECT_EQ(c->status, 503) << c->body;
         EXPECT_EQ(c->Code(), "quarantined");
         EXPECT_EQ(c->Ran(), "no");
--- a/packages/gateway/tests/fatal_part_test.cc
+++ b/packages/gateway/tests/fatal_part_test.cc
@@ -388,3 +388,21 @@
     EXPECT_EQ(caller->Status(), 503);
     EXPECT_EQ(t.n_terminated, 0);
 }
+
+// Guards against memory that is spent on parts which no other request has, and
+// against refusing a session for its own part.
+TEST(GatewayFatalPart, LastPartsAreNotRecorded)
+{
+    PartFleet t;
+    Fleet &f = t.a.f;
+    GwDigest shared = GwDigest_OfPart("m", nullptr, 0xfa7a1);
+    GwDigest own = GwDigest_OfPart("m", nullptr, 0xf00d1);
+    const GwQuarantine *q;
+
+    ASSERT_TRUE(f.Ready());
+    q = f.gateways[0]->quarantine;
+    t.SendPrompt(f.gateways[0], "/stream/1", {kFatalPart});
+    ASSERT_TRUE(
+        f.Until([&] { return GwQuarantine_Terminations(q, &shared) > 0; }));
+    EXPECT_EQ(GwQuarantine_Terminations(q, &own), 0u);
+}
--- a/packages/quarantine/src/attribution.c
+++ b/packages/quarantine/src/attribution.c
@@ -84,16 +84,13 @@
 Attribution_FindCause(GwQuarantine *q, const Suspect *s, Cause *cause)
 {
     unsigned required = required_terminations_(s);
+    Judgement j = {.q = q, .suspect = s};
     const Termination *last;
-    Judgement j;
 
     if (s->n_terminations < required)
         return false;
     update_ranks_(q);
     StoredTerminations_Sort(q);
-    j.q = q;
-    j.suspect = s;
-    j.n_known = 0;
     sort_terminations_(&j);
     if (count_failures_(&j, has_group_failed_itself_, required) < required ||
         s->n_terminations <
--- a/packages/quarantine/tests/quarantine_parts_test.cc
+++ b/packages/quarantine/tests/quarantine_parts_test.cc
@@ -375,8 +375,11 @@
 
     for (int i = 0; i < 2; i++)
         t.Terminate(endpoint++, 0, {{9}});
-    for (uint64_t i = 0; i < 3 * GW_QUARANTINE_PARTS_MAX; i++)
-        t.Terminate(endpoint++, (GwTime)i, {{100000 + i}});
+    // Fewer terminations than are stored.
+    for (uint64_t i = 0; i < 3 * GW_QUARANTINE_PARTS_MAX; i += 6)
+        t.Terminate(
+            endpoint++, (GwTime)i,
+            {{i + 1000, i + 1001, i + 1002}, {i + 1003, i + 1004, i + 1005}});
     EXPECT_EQ(GwQuarantine_Terminations(t.q, &fatal), 2u);
     GwQuarantine_ForEach(
         t.q, SIZE_MAX,
