--- a/fakes/src/fake_engine.c
+++ b/fakes/src/fake_engine.c
@@ -6,81 +6,14 @@
 #include <sys/queue.h>
 #include <xxhash.h>
 
+#include "fake_engine_calls.h"
+#include "fake_engine_events.h"
+#include "fake_engine_private.h"
 #include "fake_http.h"
 
 #define BYTES_PER_TOKEN 4
-/* Cache events that are retained; older ones are deleted. */
-#define EVENTS_MAX 4096
-/* Most blocks in one cache event. */
-#define BLOCKS_PER_EVENT 64
 #define BYTE_ORDER_MARK "\xEF\xBB\xBF"
 
-/* One completion request, from its arrival to the end of its answer. */
-typedef struct Generation Generation;
-struct Generation {
-    TAILQ_ENTRY(Generation) link;
-    FakeEngine *engine;
-    GwHttpCall *call;
-    GwTimer timer;
-    uint64_t *blocks;      /* names of the blocks of the prompt */
-    uint32_t *block_bytes; /* prompt bytes of each block */
-    size_t n_blocks;
-    int priority; /* lower values are prefilled first */
-    bool stream;
-    bool chat;             /* chat completion; otherwise text completion */
-    char tag[9];           /* see FakeEngine_Tag */
-    bool has_fatal_system; /* see FakeEngineOptions.fatal_system */
-    int next_token_index;  /* index of the next token to send */
-    int first_token_index; /* index of the first token of this answer */
-    int end_token_index;   /* index after the last token */
-    uint64_t prompt_tokens;
-    uint64_t cached_tokens;
-    uint64_t held_elsewhere; /* see FakeEngineStats */
-    GwTime prefill_started_at;
-    GString *text; /* tokens so far */
-};
-
-/* A notification that blocks were stored in the cache or evicted from it. */
-typedef struct {
-    uint64_t seq;
-    char *json;
-    GwTime visible_at; /* not included in answers before this time */
-} Event;
-
-/* A long poll for cache events. */
-typedef struct EventPoll EventPoll;
-struct EventPoll {
-    TAILQ_ENTRY(EventPoll) link;
-    FakeEngine *engine;
-    GwHttpCall *call;
-    GwTimer timer;
-    uint64_t from; /* sequence number of the first wanted event */
-};
-
-struct FakeEngine {
-    GwLoop *loop;
-    GwHttpServer *server;
-    FakeEngineOptions options;
-    FakeEngineStats stats;
-    BlockCache *cache;
-    uint64_t incarnation;
-    char *weights;
-    char *loading_weights; /* version being loaded, or NULL */
-    GwTimer load_timer;
-    /* Awaiting prefill, by priority. */
-    TAILQ_HEAD(GenerationList, Generation) prefill_queue;
-    struct GenerationList running; /* prefilling or decoding */
-    Generation *prefilling;        /* the one that is in prefill, or NULL */
-    GQueue events;                 /* Event */
-    uint64_t next_seq;
-    uint64_t events_made; /* dropped ones included */
-    GPtrArray *evicted;   /* blocks that the last prefill evicted */
-    TAILQ_HEAD(, EventPoll) event_polls;
-    GwTimer event_timer;
-    FakeEngine **fleet; /* engines compared with for held_elsewhere */
-    size_t fleet_n;
-};
-
 static void on_call_(void *user, GwHttpCall *call);
 static void on_call_closed_(void *user, GwHttpCall *call);
 static void start_generation_(FakeEngine *e, GwHttpCall *call, bool chat);
@@ -88,7 +21,6 @@
 static void read_last_message_(Generation *g, const json_t *root);
 static bool has_fatal_system_(const FakeEngine *e, const json_t *root);
 static void enqueue_by_priority_(FakeEngine *e, Generation *g);
-static void prefill_next_(FakeEngine *e);
 static void on_prefilled_(void *user);
 static bool is_fatal_message_(const FakeEngine *e, const Generation *g);
 static void on_decode_timer_(void *user);
@@ -100,19 +32,6 @@
 static uint64_t tokens_cached_elsewhere_(const FakeEngine *e,
                                          const Generation *g, size_t hit);
 static void add_evicted_block_(void *user, uint64_t block);
-static void add_events_(FakeEngine *e, const char *kind,
-                        const uint64_t *blocks, size_t n);
-static void serve_load_report_(FakeEngine *e, GwHttpCall *call);
-static void serve_events_(FakeEngine *e, GwHttpCall *call);
-static void serve_order_(FakeEngine *e, GwHttpCall *call);
-static void serve_faults_(FakeEngine *e, GwHttpCall *call);
-static void serve_stats_(FakeEngine *e, GwHttpCall *call);
-static void on_weights_loaded_(void *user);
-static bool answer_events_(FakeEngine *e, GwHttpCall *call, uint64_t from,
-                           bool allow_empty);
-static void on_event_poll_timeout_(void *user);
-static void on_event_timer_(void *user);
-static void event_poll_delete_(EventPoll *w);
 
 static const GwHttpServerOps server_ops = {on_call_, on_call_closed_, NULL,
                                            NULL};
@@ -134,8 +53,8 @@
     TAILQ_INIT(&e->running);
     TAILQ_INIT(&e->event_polls);
     g_queue_init(&e->events);
-    GwTimer_Init(&e->load_timer, loop, on_weights_loaded_, e);
-    GwTimer_Init(&e->event_timer, loop, on_event_timer_, e);
+    GwTimer_Init(&e->load_timer, loop, FakeEngineCalls_OnWeightsLoaded, e);
+    GwTimer_Init(&e->event_timer, loop, FakeEngineEvents_OnTimer, e);
     e->server = FakeHttp_Listen(loop, address, &server_ops, e, err);
     return e->server != NULL ? e : NULL;
 }
@@ -152,7 +71,7 @@
     while (!TAILQ_EMPTY(&e->running))
         generation_delete_(TAILQ_FIRST(&e->running));
     while (!TAILQ_EMPTY(&e->event_polls))
-        event_poll_delete_(TAILQ_FIRST(&e->event_polls));
+        FakeEngineEvents_DeletePoll(TAILQ_FIRST(&e->event_polls));
     while ((ev = g_queue_pop_head(&e->events)) != NULL) {
         g_free(ev->json);
         g_free(ev);
@@ -235,15 +154,15 @@
     else if (strcmp(path, "/v1/completions") == 0)
         start_generation_(e, call, false);
     else if (strcmp(path, "/load") == 0)
-        serve_load_report_(e, call);
+        FakeEngineCalls_ServeReport(e, call);
     else if (g_str_has_prefix(path, "/events"))
-        serve_events_(e, call);
+        FakeEngineEvents_Serve(e, call);
     else if (strcmp(path, "/orders") == 0)
-        serve_order_(e, call);
+        FakeEngineCalls_ServeOrder(e, call);
     else if (strcmp(path, "/faults") == 0)
-        serve_faults_(e, call);
+        FakeEngineCalls_ServeFaults(e, call);
     else if (strcmp(path, "/stats") == 0)
-        serve_stats_(e, call);
+        FakeEngineCalls_ServeStats(e, call);
     else
         FakeHttp_Respond(call, 404, "{}");
 }
@@ -258,7 +177,7 @@
     TAILQ_FOREACH(w, &e->event_polls, link)
     {
         if (w->call == call) {
-            event_poll_delete_(w);
+            FakeEngineEvents_DeletePoll(w);
             return;
         }
     }
@@ -267,7 +186,7 @@
         return;
     e->stats.cancelled++;
     generation_delete_(g);
-    prefill_next_(e);
+    FakeEngine_PrefillNext(e);
 }
 
 static void
@@ -300,7 +219,7 @@
     json_decref(root);
     e->stats.requests++;
     enqueue_by_priority_(e, g);
-    prefill_next_(e);
+    FakeEngine_PrefillNext(e);
 }
 
 static bool
@@ -396,8 +315,8 @@
     TAILQ_INSERT_TAIL(&e->prefill_queue, g, link);
 }
 
-static void
-prefill_next_(FakeEngine *e)
+void
+FakeEngine_PrefillNext(FakeEngine *e)
 {
     Generation *g = TAILQ_FIRST(&e->prefill_queue);
     size_t hit;
@@ -437,20 +356,20 @@
     e->stats.held_elsewhere += g->held_elsewhere;
     g_ptr_array_set_size(e->evicted, 0);
     BlockCache_Use(e->cache, g->blocks, g->n_blocks, add_evicted_block_, e);
-    add_events_(e, "stored", g->blocks, g->n_blocks);
+    FakeEngineEvents_Add(e, "stored", g->blocks, g->n_blocks);
     if (e->evicted->len > 0) {
         g_autofree uint64_t *evicted_blocks = g_new(uint64_t, e->evicted->len);
 
         for (guint i = 0; i < e->evicted->len; i++)
             evicted_blocks[i] = (uint64_t)(uintptr_t)e->evicted->pdata[i];
-        add_events_(e, "removed", evicted_blocks, e->evicted->len);
+        FakeEngineEvents_Add(e, "removed", evicted_blocks, e->evicted->len);
     }
     if (g->stream)
         GwHttpCall_Begin(g->call, 200, "text/event-stream");
     if (g->stream && e->options.has_bom)
         GwHttpCall_Write(g->call, BYTE_ORDER_MARK, strlen(BYTE_ORDER_MARK));
     GwTimer_Init(&g->timer, e->loop, on_decode_timer_, g);
-    prefill_next_(e);
+    FakeEngine_PrefillNext(e);
     on_decode_timer_(g);
 }
 
@@ -617,202 +536,3 @@
 
     g_ptr_array_add(e->evicted, (gpointer)(uintptr_t)block);
 }
-
-static void
-add_events_(FakeEngine *e, const char *kind, const uint64_t *blocks, size_t n)
-{
-    for (size_t at = 0; at < n; at += BLOCKS_PER_EVENT) {
-        GString *text = g_string_new(NULL);
-        Event *ev = g_new0(Event, 1);
-
-        ev->seq = e->next_seq++;
-        ev->visible_at = GwTime_Now() + e->options.event_delay;
-        g_string_printf(text, "{\"seq\":%" PRIu64 ",\"kind\":\"%s\"", ev->seq,
-                        kind);
-        g_string_append(text, ",\"blocks\":[");
-        for (size_t i = at; i < MIN(n, at + BLOCKS_PER_EVENT); i++)
-            g_string_append_printf(text, "%s\"%016" PRIx64 "\"",
-                                   i > at ? "," : "", blocks[i]);
-        g_string_append(text, "]}");
-        ev->json = g_string_free(text, FALSE);
-        e->events_made++;
-        if (e->options.drop_events > 0 &&
-            e->events_made % (uint64_t)e->options.drop_events == 0) {
-            g_free(ev->json);
-            g_free(ev);
-            continue;
-        }
-        g_queue_push_tail(&e->events, ev);
-        if (g_queue_get_length(&e->events) > EVENTS_MAX) {
-            ev = g_queue_pop_head(&e->events);
-            g_free(ev->json);
-            g_free(ev);
-        }
-    }
-    GwTimer_Start(&e->event_timer, e->options.event_delay + GW_MILLISECOND);
-}
-
-static void
-serve_load_report_(FakeEngine *e, GwHttpCall *call)
-{
-    char text[256];
-
-    if (e->options.silent)
-        return;
-    g_snprintf(text, sizeof(text),
-               "{\"incarnation\":%" PRIu64
-               ",\"slots\":%d,\"cache_blocks\":%zu,\"weights\":\"%s\","
-               "\"loading\":%s}",
-               e->incarnation, e->options.slots, e->options.cache_blocks,
-               e->weights, e->loading_weights != NULL ? "true" : "false");
-    FakeHttp_Respond(call, 200, text);
-}
-
-static void
-serve_events_(FakeEngine *e, GwHttpCall *call)
-{
-    const char *path = GwHttpCall_Path(call);
-    const char *from = strstr(path, "from=");
-    uint64_t seq = from != NULL ? g_ascii_strtoull(from + 5, NULL, 10) : 0;
-    EventPoll *w;
-
-    if (answer_events_(e, call, seq, false))
-        return;
-    w = g_new0(EventPoll, 1);
-    w->engine = e;
-    w->call = call;
-    w->from = seq;
-    GwTimer_Init(&w->timer, e->loop, on_event_poll_timeout_, w);
-    GwTimer_Start(&w->timer, GW_SECOND);
-    TAILQ_INSERT_TAIL(&e->event_polls, w, link);
-}
-
-static bool
-answer_events_(FakeEngine *e, GwHttpCall *call, uint64_t from,
-               bool allow_empty)
-{
-    g_autoptr(GString) text = g_string_new(NULL);
-    GwTime now = GwTime_Now();
-    bool any = false;
-
-    g_string_printf(text, "{\"incarnation\":%" PRIu64 ",\"events\":[",
-                    e->incarnation);
-    for (GList *l = e->events.head; l != NULL; l = l->next) {
-        const Event *ev = l->data;
-
-        if (ev->seq < from || ev->visible_at > now)
-            continue;
-        g_string_append_printf(text, "%s%s", any ? "," : "", ev->json);
-        any = true;
-    }
-    if (!any && !allow_empty)
-        return false;
-    g_string_append(text, "]}");
-    FakeHttp_Respond(call, 200, text->str);
-    return true;
-}
-
-static void
-on_event_poll_timeout_(void *user)
-{
-    EventPoll *w = user;
-    FakeEngine *e = w->engine;
-    GwHttpCall *call = w->call;
-    uint64_t from = w->from;
-
-    event_poll_delete_(w);
-    answer_events_(e, call, from, true);
-}
-
-static void
-on_event_timer_(void *user)
-{
-    FakeEngine *e = user;
-    EventPoll *w;
-    EventPoll *next;
-
-    for (w = TAILQ_FIRST(&e->event_polls); w != NULL; w = next) {
-        next = TAILQ_NEXT(w, link);
-        if (answer_events_(e, w->call, w->from, false))
-            event_poll_delete_(w);
-    }
-}
-
-static void
-event_poll_delete_(EventPoll *w)
-{
-    TAILQ_REMOVE(&w->engine->event_polls, w, link);
-    GwTimer_Stop(&w->timer);
-    g_free(w);
-}
-
-static void
-serve_order_(FakeEngine *e, GwHttpCall *call)
-{
-    size_t len;
-    const char *body = GwHttpCall_Body(call, &len);
-    json_t *root = json_loadb(body, len, 0, NULL);
-    const char *weights = json_string_value(json_object_get(root, "weights"));
-    uint64_t fence =
-        (uint64_t)json_integer_value(json_object_get(root, "fence"));
-
-    if (!e->options.ignore_fence && fence < e->stats.last_fence) {
-        e->stats.fenced++;
-        json_decref(root);
-        FakeHttp_Respond(call, 409, "{\"error\":\"old fence\"}");
-        return;
-    }
-    e->stats.last_fence = MAX(fence, e->stats.last_fence);
-    e->stats.loads++;
-    g_free(e->loading_weights);
-    e->loading_weights = g_strdup(weights);
-    json_decref(root);
-    GwTimer_Start(&e->load_timer, e->options.load_time);
-    FakeHttp_Respond(call, 200, "{}");
-}
-
-static void
-on_weights_loaded_(void *user)
-{
-    FakeEngine *e = user;
-
-    g_free(e->weights);
-    e->weights = g_steal_pointer(&e->loading_weights);
-    BlockCache_Clear(e->cache);
-    // Cached blocks are invalid with new weights. A new incarnation makes
-    // readers of the cache events discard their copies.
-    e->incarnation++;
-    e->next_seq = 0;
-}
-
-static void
-serve_faults_(FakeEngine *e, GwHttpCall *call)
-{
-    size_t len;
-    const char *body = GwHttpCall_Body(call, &len);
-    json_t *root = json_loadb(body, len, 0, NULL);
-
-    if (json_is_true(json_object_get(root, "crash")))
-        FakeEngine_Crash(e);
-    e->options.silent = json_is_true(json_object_get(root, "silent"));
-    e->options.reject = json_is_true(json_object_get(root, "reject"));
-    json_decref(root);
-    FakeHttp_Respond(call, 200, "{}");
-    if (!e->options.silent)
-        prefill_next_(e);
-}
-
-static void
-serve_stats_(FakeEngine *e, GwHttpCall *call)
-{
-    char text[256];
-
-    g_snprintf(text, sizeof(text),
-               "{\"requests\":%" PRIu64 ",\"prompt_tokens\":%" PRIu64
-               ",\"cached_tokens\":%" PRIu64 ",\"held_elsewhere\":%" PRIu64
-               ",\"abandoned\":%" PRIu64 ",\"cancelled\":%" PRIu64 "}",
-               e->stats.requests, e->stats.prompt_tokens,
-               e->stats.cached_tokens, e->stats.held_elsewhere,
-               e->stats.abandoned, e->stats.cancelled);
-    FakeHttp_Respond(call, 200, text);
-}
