--- a/packages/quarantine/tests/quarantine_parts_test.cc
+++ b/packages/quarantine/tests/quarantine_parts_test.cc
@@ -347,6 +347,23 @@
     EXPECT_GT(restarted.Admit({2, 9}, 2 * GW_SECOND), 10 * GW_SECOND);
 }
 
+// Guards against a part that is suspected at processes which have not seen it
+// complete; one termination has no effect there, and is not worth an update.
+TEST(QuarantineParts, PeersAreToldOfACompletionThatClearedSeveralTerminations)
+{
+    for (uint64_t n : {1, 2}) {
+        PartQuarantine t;
+        GwDigest part = Part(9);
+
+        for (uint64_t i = 1; i <= n; i++)
+            t.Terminate(i, 0, {{9}});
+        EXPECT_EQ(GwQuarantine_AddCompletion(t.q, GW_SUSPECT_PART, &part,
+                                             kStart + GW_SECOND,
+                                             kStart + GW_SECOND),
+                  n > 1);
+    }
+}
+
 // Guards against a second termination by a retry of the same prompt, before
 // the first one counts; harmless parts must not keep requests from retries.
 TEST(QuarantineParts, APromptIsNotRetriedBeforeItsPartIsRefused)
