Modules do not include each other in a circle

What the log and the quarantine need of a request's content, what a batch of records needs of the lists, and the stand-in engine's types are lower modules.

--- a/fakes/src/fake_engine.c
+++ b/fakes/src/fake_engine.c
@@ -21,7 +21,9 @@
 static void read_last_message_(Generation *g, const json_t *root);
 static bool has_fatal_system_(const FakeEngine *e, const json_t *root);
 static void enqueue_by_priority_(FakeEngine *e, Generation *g);
+static void prefill_next_(FakeEngine *e);
 static void on_prefilled_(void *user);
+static void serve_faults_(FakeEngine *e, GwHttpCall *call);
 static bool is_fatal_message_(const FakeEngine *e, const Generation *g);
 static void on_decode_timer_(void *user);
 static void emit_token_(Generation *g);
@@ -160,7 +162,7 @@
     else if (strcmp(path, "/orders") == 0)
         FakeEngineCalls_ServeOrder(e, call);
     else if (strcmp(path, "/faults") == 0)
-        FakeEngineCalls_ServeFaults(e, call);
+        serve_faults_(e, call);
     else if (strcmp(path, "/stats") == 0)
         FakeEngineCalls_ServeStats(e, call);
     else
@@ -186,7 +188,7 @@
         return;
     e->stats.cancelled++;
     generation_delete_(g);
-    FakeEngine_PrefillNext(e);
+    prefill_next_(e);
 }
 
 static void
@@ -219,7 +221,7 @@
     json_decref(root);
     e->stats.requests++;
     enqueue_by_priority_(e, g);
-    FakeEngine_PrefillNext(e);
+    prefill_next_(e);
 }
 
 static bool
@@ -315,8 +317,8 @@
     TAILQ_INSERT_TAIL(&e->prefill_queue, g, link);
 }
 
-void
-FakeEngine_PrefillNext(FakeEngine *e)
+static void
+prefill_next_(FakeEngine *e)
 {
     Generation *g = TAILQ_FIRST(&e->prefill_queue);
     size_t hit;
@@ -369,7 +371,7 @@
     if (g->stream && e->options.has_bom)
         GwHttpCall_Write(g->call, BYTE_ORDER_MARK, strlen(BYTE_ORDER_MARK));
     GwTimer_Init(&g->timer, e->loop, on_decode_timer_, g);
-    FakeEngine_PrefillNext(e);
+    prefill_next_(e);
     on_decode_timer_(g);
 }
 
@@ -536,3 +538,20 @@
 
     g_ptr_array_add(e->evicted, (gpointer)(uintptr_t)block);
 }
+
+static void
+serve_faults_(FakeEngine *e, GwHttpCall *call)
+{
+    size_t len;
+    const char *body = GwHttpCall_Body(call, &len);
+    json_t *root = json_loadb(body, len, 0, NULL);
+
+    if (json_is_true(json_object_get(root, "crash")))
+        FakeEngine_Crash(e);
+    e->options.silent = json_is_true(json_object_get(root, "silent"));
+    e->options.reject = json_is_true(json_object_get(root, "reject"));
+    json_decref(root);
+    FakeHttp_Respond(call, 200, "{}");
+    if (!e->options.silent)
+        prefill_next_(e);
+}
--- a/fakes/src/fake_engine_calls.c
+++ b/fakes/src/fake_engine_calls.c
@@ -61,23 +61,6 @@
     e->next_seq = 0;
 }
 
-void
-FakeEngineCalls_ServeFaults(FakeEngine *e, GwHttpCall *call)
-{
-    size_t len;
-    const char *body = GwHttpCall_Body(call, &len);
-    json_t *root = json_loadb(body, len, 0, NULL);
-
-    if (json_is_true(json_object_get(root, "crash")))
-        FakeEngine_Crash(e);
-    e->options.silent = json_is_true(json_object_get(root, "silent"));
-    e->options.reject = json_is_true(json_object_get(root, "reject"));
-    json_decref(root);
-    FakeHttp_Respond(call, 200, "{}");
-    if (!e->options.silent)
-        FakeEngine_PrefillNext(e);
-}
-
 void
 FakeEngineCalls_ServeStats(FakeEngine *e, GwHttpCall *call)
 {
--- a/fakes/src/fake_engine_calls.h
+++ b/fakes/src/fake_engine_calls.h
@@ -6,7 +6,6 @@
 
 void FakeEngineCalls_ServeReport(FakeEngine *e, GwHttpCall *call);
 void FakeEngineCalls_ServeOrder(FakeEngine *e, GwHttpCall *call);
-void FakeEngineCalls_ServeFaults(FakeEngine *e, GwHttpCall *call);
 void FakeEngineCalls_ServeStats(FakeEngine *e, GwHttpCall *call);
 /* Callback of load_timer: the ordered weights are loaded. */
 void FakeEngineCalls_OnWeightsLoaded(void *engine);
--- a/fakes/src/fake_engine_private.h
+++ b/fakes/src/fake_engine_private.h
@@ -4,7 +4,7 @@
 
 #include <sys/queue.h>
 
-#include "galenagw/fakes/fake_engine.h"
+#include "galenagw/fakes/fake_engine_types.h"
 
 /* One completion request, from its arrival to the end of its answer. */
 typedef struct Generation Generation;
@@ -72,7 +72,4 @@
     size_t fleet_n;
 };
 
-/* Starts the prefill of the next prompt, unless one is in progress. */
-void FakeEngine_PrefillNext(FakeEngine *e);
-
 #endif
--- a/packages/cluster/src/records_batch.h
+++ b/packages/cluster/src/records_batch.h
@@ -3,7 +3,8 @@
 #ifndef GALENAGW_CLUSTER_RECORDS_BATCH_H
 #define GALENAGW_CLUSTER_RECORDS_BATCH_H
 
-#include "list_sync.h"
+#include "galenagw/cluster/view.h"
+#include "galenagw/wire/session.h"
 
 /* Maximum number of records in one frame. A single record, such as a
  * configuration, may have megabytes. */
--- a/packages/gateway/src/request_log.c
+++ b/packages/gateway/src/request_log.c
@@ -2,7 +2,7 @@
 
 #include "selection.h"
 #include "cache_nodes.h"
-#include "request_quarantine.h"
+#include "request_content.h"
 #include "request_software.h"
 #include "terminations.h"
 
@@ -224,7 +224,7 @@
 static void
 log_digest_(const GwRequest *r)
 {
-    GwDigest digest = GwRequestQuarantine_Digest(r);
+    GwDigest digest = GwRequestContent_Digest(r);
     char text[GW_DIGEST_TEXT_SIZE];
 
     GwDigest_Text(&digest, text);
--- a/packages/gateway/src/request_private.h
+++ b/packages/gateway/src/request_private.h
@@ -72,8 +72,8 @@
     uint64_t stream; /* GwStreamOrigins_Hash of the request that began its
                         stream; 0: none yet */
     GwOriginAsk origin_ask;
-    GwRequestIdentity *identity; /* see GwRequestQuarantine; NULL: not yet
-                                    computed */
+    GwRequestIdentity *identity; /* see GwRequestContent_Identity; NULL: not
+                                    yet computed */
 };
 
 #endif
--- a/packages/gateway/src/request_quarantine.h
+++ b/packages/gateway/src/request_quarantine.h
@@ -6,9 +6,6 @@
 #include "galenagw/routing/attempt.h"
 #include "request_private.h"
 
-/* Digest of the account, the method, the target and the body. Reads the whole
- * body, so it is too expensive to be computed for every request. */
-GwDigest GwRequestQuarantine_Digest(const GwRequest *request);
 /* Whether the request, which has arrived, must not be sent. If so, that is
  * logged and its retry_after is set. */
 bool GwRequestQuarantine_RefusesArrival(GwRequest *request);
