--- a/packages/agent/src/agent_quarantine.c
+++ b/packages/agent/src/agent_quarantine.c
@@ -7,7 +7,7 @@
 #include "galenagw/base/log.h"
 #include "galenagw/quarantine/message_identity.h"
 
-static GwRequestIdentity job_identity_(const Job *job);
+static GwMessageSource job_source_(const Job *job);
 static void add_completion_(GwAgent *agent, GwSuspectKind kind,
                             const GwDigest *suspect);
 static void start_listen_check_(GwAgent *agent);
@@ -43,7 +43,8 @@
 void
 AgentQuarantine_OnRequestBroken(const Job *job)
 {
-    GwRequestIdentity identity = job_identity_(job);
+    GwMessageSource source = job_source_(job);
+    GwRequestIdentity identity = GwMessageIdentity_Of(&source);
 
     // Endpoint number 0: an agent has only one endpoint.
     GwBrokenRequests_Add(job->agent->broken_requests, 0, &identity,
@@ -100,10 +101,17 @@
 void
 AgentQuarantine_OnRequestCompleted(const Job *job)
 {
-    GwRequestIdentity identity = job_identity_(job);
+    GwMessageSource source = job_source_(job);
+    GwDigest digest = GwDigest_Of(&source.digest);
     bool has_begun = job->answer_status >= 200 && job->answer_status < 300;
+    GwRequestIdentity identity;
 
-    add_completion_(job->agent, GW_SUSPECT_REQUEST, &identity.request);
+    add_completion_(job->agent, GW_SUSPECT_REQUEST, &digest);
+    // The body has to be parsed for its parts. Entries, which have parsed it,
+    // send what they know of completions with terminations.
+    if (GwQuarantine_IsEmpty(job->agent->quarantine))
+        return;
+    identity = GwMessageIdentity_Of(&source);
     for (unsigned i = 0; has_begun && i < identity.n_parts; i++)
         add_completion_(job->agent, GW_SUSPECT_PART, &identity.parts[i]);
 }
@@ -187,8 +195,8 @@
         AgentQuarantine_OnEndpointTerminated(agent);
 }
 
-static GwRequestIdentity
-job_identity_(const Job *job)
+static GwMessageSource
+job_source_(const Job *job)
 {
     gsize len;
     GwMessageSource source = {
@@ -200,7 +208,7 @@
     };
 
     source.digest.body_len = len;
-    return GwMessageIdentity_Of(&source);
+    return source;
 }
 
 // Sends `update` to all entries but `from`, which sent it; NULL: to all.
--- a/packages/quarantine/src/message_identity.c
+++ b/packages/quarantine/src/message_identity.c
@@ -8,6 +8,7 @@
 
 static void add_messages_(const GwMessageSource *source,
                           const json_t *messages, GwRequestIdentity *identity);
+static uint64_t hash_message_(const json_t *message);
 static void add_text_(const GwMessageSource *source, const json_t *text,
                       GwRequestIdentity *identity);
 static void add_part_(const GwMessageSource *source, uint64_t id,
@@ -32,14 +33,31 @@
 add_messages_(const GwMessageSource *source, const json_t *messages,
               GwRequestIdentity *identity)
 {
-    for (size_t i = 0; i + 1 < json_array_size(messages); i++) {
-        char *text = json_dumps(json_array_get(messages, i),
-                                JSON_COMPACT | JSON_SORT_KEYS);
+    for (size_t i = 0; i + 1 < json_array_size(messages); i++)
+        add_part_(source, hash_message_(json_array_get(messages, i)),
+                  identity);
+}
+
+// Nearly all messages have a role and a text only, and are long: these are
+// hashed without a copy.
+static uint64_t
+hash_message_(const json_t *message)
+{
+    const json_t *role = json_object_get(message, "role");
+    const json_t *text = json_object_get(message, "content");
+    XXH64_hash_t hash;
+    char *encoded;
 
-        if (text != NULL)
-            add_part_(source, XXH3_64bits(text, strlen(text)), identity);
-        free(text);
+    if (json_is_string(role) && json_is_string(text) &&
+        json_object_size(message) == 2) {
+        hash = XXH3_64bits(json_string_value(role), json_string_length(role));
+        return XXH3_64bits_withSeed(json_string_value(text),
+                                    json_string_length(text), hash);
     }
+    encoded = json_dumps(message, JSON_COMPACT | JSON_SORT_KEYS);
+    hash = encoded != NULL ? XXH3_64bits(encoded, strlen(encoded)) : 0;
+    free(encoded);
+    return hash;
 }
 
 static void
--- a/packages/quarantine/tests/message_identity_test.cc
+++ b/packages/quarantine/tests/message_identity_test.cc
@@ -46,6 +46,26 @@
     EXPECT_FALSE(GwDigest_Equal(&a.parts[1], &b.parts[1])) << "model";
 }
 
+// Messages have further members, and contents that are no text.
+TEST(MessageIdentity, AnyMemberOfAMessageCounts)
+{
+    auto part = [](const std::string &message) {
+        return IdentityOf(R"({"messages":[)" + message + R"(,{}]})").parts[0];
+    };
+    const std::string plain = R"({"role":"user","content":"x"})";
+    GwDigest first = part(plain);
+
+    for (const char *other :
+         {R"({"role":"system","content":"x"})",
+          R"({"role":"user","content":"x","name":"n"})",
+          R"({"role":"user","content":["x"]})", R"({"content":"x"})"}) {
+        GwDigest digest = part(other);
+        EXPECT_FALSE(GwDigest_Equal(&first, &digest)) << other;
+    }
+    GwDigest reordered = part(R"({"content":"x","role":"user"})");
+    EXPECT_TRUE(GwDigest_Equal(&first, &reordered));
+}
+
 // Texts that begin alike share parts up to where they differ.
 TEST(MessageIdentity, LeadingBytesOfATextAreParts)
 {
