--- a/packages/agent/src/agent_quarantine.c
+++ b/packages/agent/src/agent_quarantine.c
@@ -143,7 +143,7 @@
     if (GwQuarantine_IsEmpty(agent->quarantine))
         return 0;
     identity = GwMessageIdentity_Of(&source);
-    return GwQuarantine_Judge(agent->quarantine, &identity, GwTime_Now())
+    return GwQuarantine_Check(agent->quarantine, &identity, GwTime_Now())
         .time_left;
 }
 
--- a/packages/gateway/src/request_quarantine.c
+++ b/packages/gateway/src/request_quarantine.c
@@ -15,7 +15,7 @@
     if (GwQuarantine_IsEmpty(q))
         return false;
     verdict =
-        GwQuarantine_Judge(q, GwRequestContent_Identity(r), GwTime_Now());
+        GwQuarantine_Check(q, GwRequestContent_Identity(r), GwTime_Now());
     return apply_verdict_(r, &verdict);
 }
 
@@ -32,7 +32,7 @@
     verdict =
         r->attempts == 0
             ? GwQuarantine_Admit(q, GwRequestContent_Identity(r), GwTime_Now())
-            : GwQuarantine_Judge(q, GwRequestContent_Identity(r),
+            : GwQuarantine_Check(q, GwRequestContent_Identity(r),
                                  GwTime_Now());
     return apply_verdict_(r, &verdict);
 }
--- a/packages/gateway/tests/fatal_part_test.cc
+++ b/packages/gateway/tests/fatal_part_test.cc
@@ -34,7 +34,7 @@
     }
     ~PartFleet()
     {
-        for (Doomed &d : doomed)
+        for (PendingTermination &d : pending)
             GwTimer_Stop(&d.timer);
     }
     bool
@@ -61,20 +61,20 @@
             return;
         }
         FakeExchange_Write(x, begun, strlen(begun));
-        doomed.push_back({this, at, {}});
-        GwTimer_Init(&doomed.back().timer, a.f.loop, OnDoomedTimer,
-                     &doomed.back());
-        GwTimer_Start(&doomed.back().timer, 10 * GW_MILLISECOND);
+        pending.push_back({this, at, {}});
+        GwTimer_Init(&pending.back().timer, a.f.loop,
+                     OnPendingTerminationTimer, &pending.back());
+        GwTimer_Start(&pending.back().timer, 10 * GW_MILLISECOND);
     }
-    struct Doomed {
+    struct PendingTermination {
         PartFleet *fleet;
         Endpoint *endpoint;
         GwTimer timer;
     };
     static void
-    OnDoomedTimer(void *user)
+    OnPendingTerminationTimer(void *user)
     {
-        Doomed *d = static_cast<Doomed *>(user);
+        PendingTermination *d = static_cast<PendingTermination *>(user);
 
         if (d->endpoint->httpd != nullptr)
             d->fleet->Terminate(d->endpoint);
@@ -132,7 +132,7 @@
 
     std::vector<std::string> fatal_parts = {kFatalPart};
     bool answer_begins = false; // before the engine terminates
-    std::list<Doomed> doomed;
+    std::list<PendingTermination> pending;
     int n_prompts = 0;
 };
 
@@ -232,7 +232,7 @@
     }
 }
 
-// Guards against two fatal parts that hide each other.
+// Guards against two fatal parts of which neither is found.
 TEST(GatewayFatalPart, TwoAtATime)
 {
     PartFleet t(40);
@@ -355,7 +355,7 @@
 
 // Guards against sending a request that arrived before its part was found, and
 // waited since, as for its account's limit.
-TEST(GatewayFatalPart, WaitingRequestIsJudgedAgainWhenItIsSent)
+TEST(GatewayFatalPart, WaitingRequestIsCheckedAgainWhenItIsSent)
 {
     PartFleet t(2);
     Fleet &f = t.a.f;
--- a/packages/quarantine/include/galenagw/quarantine/quarantine.h
+++ b/packages/quarantine/include/galenagw/quarantine/quarantine.h
@@ -137,10 +137,10 @@
                                    const GwDigest *suspect);
 
 /** Whether the request may be sent, by its content and by its parts. */
-GwQuarantineVerdict GwQuarantine_Judge(GwQuarantine *quarantine,
+GwQuarantineVerdict GwQuarantine_Check(GwQuarantine *quarantine,
                                        const GwRequestIdentity *request,
                                        GwTime now);
-/** Like GwQuarantine_Judge; if the request may be sent although one of its
+/** Like GwQuarantine_Check; if the request may be sent although one of its
  * suspects is under quarantine, records that a retry, or a probe, has begun.
  * No other retry begins here before this one has an outcome or times out. */
 GwQuarantineVerdict GwQuarantine_Admit(GwQuarantine *quarantine,
--- a/packages/quarantine/src/attribution.c
+++ b/packages/quarantine/src/attribution.c
@@ -18,7 +18,7 @@
 /* Terminations after which a part that completed in the last minutes is
  * suspected: it may terminate endpoints since their software has changed. */
 #define HARMLESS_PART_TERMINATIONS 6
-/* Results of find_group_failure_ that are kept while one suspect is judged:
+/* Results of find_group_failure_ that are kept while one suspect is checked:
  * those of the groups that fail at the same time. */
 #define GROUP_FAILURES_MAX 8
 /* A request that was in flight at less than this share of the terminations
@@ -48,57 +48,57 @@
     GroupFailure failure;
 } KnownGroupFailure;
 
-/* A suspect that is judged. */
+/* The check of one suspect. */
 typedef struct {
     const GwQuarantine *q;
     const Suspect *suspect;
     OwnTerminations own;
     KnownGroupFailure known[GROUP_FAILURES_MAX]; /* oldest replaced first */
     unsigned n_known;
-} Judgement;
+} CauseCheck;
 
-typedef bool (*GroupCheck)(Judgement *j, const StoredTermination *stored);
+typedef bool (*GroupCheck)(CauseCheck *c, const StoredTermination *stored);
 
 static unsigned required_terminations_(const Suspect *s);
-static void sort_terminations_(Judgement *j);
-static unsigned count_failures_(Judgement *j, GroupCheck has_failed,
+static void sort_terminations_(CauseCheck *c);
+static unsigned count_failures_(CauseCheck *c, GroupCheck has_failed,
                                 unsigned max);
 static unsigned count_rounds_(const OwnTerminations *own);
-static bool has_group_failed_(Judgement *j, const StoredTermination *stored);
-static bool has_group_failed_itself_(Judgement *j,
+static bool has_group_failed_(CauseCheck *c, const StoredTermination *stored);
+static bool has_group_failed_itself_(CauseCheck *c,
                                      const StoredTermination *stored);
-static GroupFailure group_failure_(Judgement *j,
+static GroupFailure group_failure_(CauseCheck *c,
                                    const StoredTermination *stored);
-static GroupFailure find_group_failure_(const Judgement *j,
+static GroupFailure find_group_failure_(const CauseCheck *c,
                                         const StoredTermination *stored);
 static bool is_known_harmless_(const Suspect *s,
                                const Termination *termination);
 static bool is_same_failure_(const Termination *a, const Termination *b);
-static unsigned count_simultaneous_terminations_(const Judgement *j);
+static unsigned count_simultaneous_terminations_(const CauseCheck *c);
 static void update_ranks_(GwQuarantine *q);
 static void raise_ranks_(GwQuarantine *q, const Suspect *s);
-static bool is_attributed_to_another_(const Judgement *j,
+static bool is_attributed_to_another_(const CauseCheck *c,
                                       const StoredTermination *stored);
 
 bool
 Attribution_FindCause(GwQuarantine *q, const Suspect *s, Cause *cause)
 {
     unsigned required = required_terminations_(s);
-    Judgement j = {.q = q, .suspect = s};
+    CauseCheck c = {.q = q, .suspect = s};
     const Termination *last;
 
     if (s->n_terminations < required)
         return false;
     update_ranks_(q);
     StoredTerminations_Sort(q);
-    sort_terminations_(&j);
-    if (count_failures_(&j, has_group_failed_itself_, required) < required ||
+    sort_terminations_(&c);
+    if (count_failures_(&c, has_group_failed_itself_, required) < required ||
         s->n_terminations <
-            CAUSE_SHARE_MIN * count_simultaneous_terminations_(&j))
+            CAUSE_SHARE_MIN * count_simultaneous_terminations_(&c))
         return false;
-    last = &j.own.sorted[j.own.n - 1]->termination;
-    cause->n_failures = count_failures_(&j, has_group_failed_, FAILURES_MAX);
-    cause->n_rounds = count_rounds_(&j.own);
+    last = &c.own.sorted[c.own.n - 1]->termination;
+    cause->n_failures = count_failures_(&c, has_group_failed_, FAILURES_MAX);
+    cause->n_rounds = count_rounds_(&c.own);
     cause->last_at = last->at;
     cause->last_endpoint = last->endpoint;
     return true;
@@ -112,14 +112,14 @@
 }
 
 static void
-sort_terminations_(Judgement *j)
+sort_terminations_(CauseCheck *c)
 {
-    const GwQuarantine *q = j->q;
+    const GwQuarantine *q = c->q;
 
-    j->own.n = 0;
+    c->own.n = 0;
     for (size_t i = 0; i < q->n_stored; i++) {
-        if (Suspect_WasInFlight(j->suspect, q->by_time[i]))
-            j->own.sorted[j->own.n++] = &q->stored_terminations[q->by_time[i]];
+        if (Suspect_WasInFlight(c->suspect, q->by_time[i]))
+            c->own.sorted[c->own.n++] = &q->stored_terminations[q->by_time[i]];
     }
 }
 
@@ -129,21 +129,21 @@
 // that count themselves; otherwise, of a long series of terminations at short
 // intervals, only the very first would count.
 static unsigned
-count_failures_(Judgement *j, GroupCheck has_failed, unsigned max)
+count_failures_(CauseCheck *c, GroupCheck has_failed, unsigned max)
 {
     const Termination *counted[FAILURES_MAX];
     unsigned n_counted = 0;
 
-    for (unsigned i = 0; i < j->own.n && n_counted < max; i++) {
-        const StoredTermination *stored = j->own.sorted[i];
+    for (unsigned i = 0; i < c->own.n && n_counted < max; i++) {
+        const StoredTermination *stored = c->own.sorted[i];
         bool is_repeated = false;
 
-        if (is_attributed_to_another_(j, stored))
+        if (is_attributed_to_another_(c, stored))
             continue;
         for (unsigned k = 0; k < n_counted; k++)
             is_repeated = is_repeated ||
                           is_same_failure_(counted[k], &stored->termination);
-        if (!is_repeated || !has_failed(j, stored))
+        if (!is_repeated || !has_failed(c, stored))
             counted[n_counted++] = &stored->termination;
     }
     return n_counted;
@@ -167,26 +167,26 @@
 }
 
 static bool
-has_group_failed_(Judgement *j, const StoredTermination *stored)
+has_group_failed_(CauseCheck *c, const StoredTermination *stored)
 {
-    return group_failure_(j, stored).has_failed;
+    return group_failure_(c, stored).has_failed;
 }
 
 // The same, and the suspect does not seem to be the reason. A part that never
 // completed does: a harmless one completes within moments after prompts with
 // it begin to arrive.
 static bool
-has_group_failed_itself_(Judgement *j, const StoredTermination *stored)
+has_group_failed_itself_(CauseCheck *c, const StoredTermination *stored)
 {
-    const Suspect *s = j->suspect;
+    const Suspect *s = c->suspect;
     GroupFailure f;
 
     if (s->kind == GW_SUSPECT_PART && !Suspect_IsHarmlessPart(s))
         return false;
-    f = group_failure_(j, stored);
+    f = group_failure_(c, stored);
 
     return f.has_failed &&
-           (is_known_harmless_(j->suspect, &stored->termination) ||
+           (is_known_harmless_(c->suspect, &stored->termination) ||
             f.n_in_flight <= RETRIED_TERMINATIONS_MAX ||
             f.n_in_flight < REQUEST_FAILURE_SHARE * f.n_terminated);
 }
@@ -194,33 +194,33 @@
 // When a large group fails, nearly all of its terminations are simultaneous
 // with the same ones, so that the result is known.
 static GroupFailure
-group_failure_(Judgement *j, const StoredTermination *stored)
+group_failure_(CauseCheck *c, const StoredTermination *stored)
 {
     const Termination *t = &stored->termination;
     KnownGroupFailure *known;
 
-    for (unsigned i = 0; i < MIN(j->n_known, GROUP_FAILURES_MAX); i++) {
-        known = &j->known[i];
+    for (unsigned i = 0; i < MIN(c->n_known, GROUP_FAILURES_MAX); i++) {
+        known = &c->known[i];
         if (known->group == t->group && known->group_size == t->group_size &&
             known->first == stored->first_simultaneous &&
             known->last == stored->last_simultaneous)
             return known->failure;
     }
-    known = &j->known[j->n_known++ % GROUP_FAILURES_MAX];
+    known = &c->known[c->n_known++ % GROUP_FAILURES_MAX];
     *known = (KnownGroupFailure){
         .group = t->group,
         .group_size = t->group_size,
         .first = stored->first_simultaneous,
         .last = stored->last_simultaneous,
-        .failure = find_group_failure_(j, stored),
+        .failure = find_group_failure_(c, stored),
     };
     return known->failure;
 }
 
 static GroupFailure
-find_group_failure_(const Judgement *j, const StoredTermination *stored)
+find_group_failure_(const CauseCheck *c, const StoredTermination *stored)
 {
-    const GwQuarantine *q = j->q;
+    const GwQuarantine *q = c->q;
     const Termination *termination = &stored->termination;
     GroupFailure f = {0};
 
@@ -230,10 +230,10 @@
         const StoredTermination *other = &q->stored_terminations[place];
 
         if (other->termination.group != termination->group ||
-            is_attributed_to_another_(j, other))
+            is_attributed_to_another_(c, other))
             continue;
         f.n_terminated++;
-        f.n_in_flight += Suspect_WasInFlight(j->suspect, place);
+        f.n_in_flight += Suspect_WasInFlight(c->suspect, place);
     }
     f.has_failed =
         f.n_terminated > 1 && termination->group_size > 0 &&
@@ -258,25 +258,25 @@
 
 // Endpoints that terminated simultaneously with a termination of this suspect.
 static unsigned
-count_simultaneous_terminations_(const Judgement *j)
+count_simultaneous_terminations_(const CauseCheck *c)
 {
-    const GwQuarantine *q = j->q;
+    const GwQuarantine *q = c->q;
     size_t next = 0;
     unsigned n = 0;
 
-    for (unsigned i = 0; i < j->own.n; i++) {
-        const StoredTermination *own = j->own.sorted[i];
+    for (unsigned i = 0; i < c->own.n; i++) {
+        const StoredTermination *own = c->own.sorted[i];
 
         for (next = MAX(next, own->first_simultaneous);
              next <= own->last_simultaneous; next++)
             n += !is_attributed_to_another_(
-                j, &q->stored_terminations[q->by_time[next]]);
+                c, &q->stored_terminations[q->by_time[next]]);
     }
     return n;
 }
 
 // Harmless parts do not compete: they are in flight at nearly all
-// terminations, and would hide the cause.
+// terminations, and would outrank the cause.
 static void
 update_ranks_(GwQuarantine *q)
 {
@@ -324,10 +324,10 @@
 // another request look like a failed rack or an unrelated failure. A harmless
 // part has the most terminations of all, so it is not compared by rank.
 static bool
-is_attributed_to_another_(const Judgement *j, const StoredTermination *stored)
+is_attributed_to_another_(const CauseCheck *c, const StoredTermination *stored)
 {
-    const Suspect *s = j->suspect;
-    size_t place = (size_t)(stored - j->q->stored_terminations);
+    const Suspect *s = c->suspect;
+    size_t place = (size_t)(stored - c->q->stored_terminations);
 
     if (Suspect_IsHarmlessPart(s))
         return stored->max_terminations >= GW_QUARANTINE_TERMINATIONS;
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -17,7 +17,7 @@
  * reported as up to this much later. */
 #define COMPLETION_TOLERANCE (500 * GW_MILLISECOND)
 /* Terminations of a part that are sent to a peer, the latest ones: more would
- * not change its quarantine, and crowd out those of others. */
+ * not change its quarantine, and take the rows of others. */
 #define PART_ROWS_MAX 8
 
 const char *const GwQuarantineSource_Names[GW_QUARANTINE_SOURCES] = {
--- a/packages/quarantine/src/verdict.c
+++ b/packages/quarantine/src/verdict.c
@@ -5,7 +5,7 @@
 #include "suspects.h"
 #include "ties.h"
 
-static void judge_suspect_(const GwQuarantine *q, const Suspect *s,
+static void check_suspect_(const GwQuarantine *q, const Suspect *s,
                            GwTime time_left, GwQuarantineVerdict *verdict);
 static GwTime part_time_left_(const GwQuarantine *q,
                               const GwRequestIdentity *request,
@@ -14,21 +14,21 @@
 static bool is_next_to_quarantine_(const Suspect *s);
 
 GwQuarantineVerdict
-GwQuarantine_Judge(GwQuarantine *q, const GwRequestIdentity *request,
+GwQuarantine_Check(GwQuarantine *q, const GwRequestIdentity *request,
                    GwTime now)
 {
     GwQuarantineVerdict verdict = {0};
     Suspect *s = Suspects_Find(q, &request->request);
 
     if (s != NULL && s->quarantined_until != 0)
-        judge_suspect_(q, s, Retries_TimeLeft(q, s, now), &verdict);
+        check_suspect_(q, s, Retries_TimeLeft(q, s, now), &verdict);
     for (unsigned i = 0; i < request->n_parts; i++) {
         s = Suspects_Find(q, &request->parts[i]);
         if (s == NULL)
             continue;
         Evaluation_Refresh(q, s, now);
         if (s->quarantined_until != 0)
-            judge_suspect_(q, s, part_time_left_(q, request, s, now),
+            check_suspect_(q, s, part_time_left_(q, request, s, now),
                            &verdict);
     }
     return verdict;
@@ -38,7 +38,7 @@
 GwQuarantine_Admit(GwQuarantine *q, const GwRequestIdentity *request,
                    GwTime now)
 {
-    GwQuarantineVerdict verdict = GwQuarantine_Judge(q, request, now);
+    GwQuarantineVerdict verdict = GwQuarantine_Check(q, request, now);
 
     if (verdict.time_left > 0)
         return verdict;
@@ -52,7 +52,7 @@
 GwQuarantine_MayRetry(GwQuarantine *q, const GwRequestIdentity *request,
                       bool may_have_run, GwTime now)
 {
-    if (GwQuarantine_Judge(q, request, now).time_left > 0)
+    if (GwQuarantine_Check(q, request, now).time_left > 0)
         return false;
     if (!may_have_run)
         return true;
@@ -67,7 +67,7 @@
 
 // The suspect that is refused for the longest time decides.
 static void
-judge_suspect_(const GwQuarantine *q, const Suspect *s, GwTime time_left,
+check_suspect_(const GwQuarantine *q, const Suspect *s, GwTime time_left,
                GwQuarantineVerdict *verdict)
 {
     if (time_left <= verdict->time_left)
--- a/packages/quarantine/tests/quarantine_parts_test.cc
+++ b/packages/quarantine/tests/quarantine_parts_test.cc
@@ -78,11 +78,11 @@
         }
     }
     GwTime
-    Judge(const Ids &parts, GwTime at)
+    Check(const Ids &parts, GwTime at)
     {
         GwRequestIdentity identity = Prompt(parts, ++n_prompts + 1000);
 
-        return GwQuarantine_Judge(q, &identity, kStart + at).time_left;
+        return GwQuarantine_Check(q, &identity, kStart + at).time_left;
     }
     GwTime
     Admit(const Ids &parts, GwTime at)
@@ -99,7 +99,7 @@
 
 // Endpoints terminate one after the other. Which prompts are refused for the
 // rest of the term, probed or served follows from their parts.
-TEST(QuarantineParts, PromptsAreJudgedByTheirParts)
+TEST(QuarantineParts, PromptsAreCheckedByTheirParts)
 {
     enum Verdict { kServed, kProbed, kRefused };
     struct Step {
@@ -225,8 +225,8 @@
     t.repeats_content = true;
     for (uint64_t i = 1; i <= 4; i++)
         t.Terminate(i, (GwTime)i * 100 * GW_MILLISECOND, {{1, 9}});
-    EXPECT_GT(GwQuarantine_Judge(t.q, &same, kStart + GW_SECOND).time_left, 0);
-    EXPECT_EQ(t.Judge({1, 9}, GW_SECOND), 0);
+    EXPECT_GT(GwQuarantine_Check(t.q, &same, kStart + GW_SECOND).time_left, 0);
+    EXPECT_EQ(t.Check({1, 9}, GW_SECOND), 0);
     // Another one shows that it is a part.
     t.repeats_content = false;
     t.Terminate(5, 500 * GW_MILLISECOND, {{2, 9}});
@@ -260,9 +260,9 @@
     for (uint64_t i = 0; i < 9; i++) {
         t.Terminate(1 + i, GW_SECOND + (GwTime)i * 50 * GW_MILLISECOND,
                     {{1, 9}}, 1 + i / 3, 3);
-        EXPECT_EQ(t.Judge({1, 9}, 2 * GW_SECOND) > 0, i >= 2) << i;
+        EXPECT_EQ(t.Check({1, 9}, 2 * GW_SECOND) > 0, i >= 2) << i;
     }
-    EXPECT_EQ(t.Judge({1, 2}, 2 * GW_SECOND), 0);
+    EXPECT_EQ(t.Check({1, 2}, 2 * GW_SECOND), 0);
 }
 
 // Guards against sending on prompts with a part that completed before, and
@@ -417,7 +417,7 @@
         t.Terminate(i, GW_SECOND, {{i + 10, 9}});
     GwRequestIdentity identity = Prompt({1, 9}, 5);
     GwQuarantineVerdict verdict =
-        GwQuarantine_Judge(t.q, &identity, kStart + 2 * GW_SECOND);
+        GwQuarantine_Check(t.q, &identity, kStart + 2 * GW_SECOND);
     EXPECT_EQ(verdict.kind, GW_SUSPECT_PART);
     EXPECT_EQ(verdict.suspect.content, 9u);
     EXPECT_EQ(verdict.n_terminations, 3u);
