Quarantine: intervals of probes do not grow while nothing terminates

Cause: each interval was twice as long as the one before, and with four processes none is selected in one of sixteen. Intervals have one length now. They still grow with each round of terminations, so a probe that terminates an endpoint delays the next ones as before.

--- a/packages/quarantine/src/retries.c
+++ b/packages/quarantine/src/retries.c
@@ -59,8 +59,9 @@
 }
 
 // Tied parts have the same last termination, so that the same processes are
-// selected for all of them. Intervals begin after the delay, and each is twice
-// as long as the one before.
+// selected for all of them. Intervals begin after the delay and are as long as
+// it: in each it may happen that no process is selected, and a probe that
+// terminates an endpoint makes the next ones longer.
 GwTime
 Retries_ProbeTimeLeft(const GwQuarantine *q, const Suspect *s, GwTime now)
 {
@@ -76,11 +77,8 @@
         return 0;
     if (now < start)
         return start - now;
-    while (start + length <= now) {
-        start += length;
-        length = MIN(2 * length, PROBE_DELAY_MAX);
-        subject[1]++;
-    }
+    subject[1] = (uint64_t)((now - start) / length);
+    start += (GwTime)subject[1] * length;
     if (s->retried_at < start &&
         is_selected_(q, subject, G_N_ELEMENTS(subject), plan->n_processes))
         return 0;
--- a/packages/quarantine/tests/quarantine_parts_test.cc
+++ b/packages/quarantine/tests/quarantine_parts_test.cc
@@ -320,6 +320,36 @@
     EXPECT_GE(n_probes, intervals);
 }
 
+// Guards against harmless prompts that come some time after the terminations,
+// and wait for seconds because by chance no process is selected for a probe:
+// the next choice must come soon.
+TEST(QuarantineParts, AProbeBeginsSoonWhateverProcessesAreSelected)
+{
+    const GwTime kFirstSentAt = 6 * GW_SECOND;
+    const unsigned kProcesses = 4;
+
+    for (uint64_t seed = 1; seed <= 500; seed++) {
+        std::vector<std::unique_ptr<PartQuarantine>> fleet;
+        GwTime probed_at = 0;
+
+        for (unsigned i = 0; i < kProcesses; i++) {
+            std::string name = "gateway-" + std::to_string(i);
+
+            fleet.push_back(std::make_unique<PartQuarantine>(name.c_str()));
+            GwQuarantine_SetProcesses(fleet.back()->q, kProcesses);
+            for (uint64_t k = 0; k < 5; k++)
+                fleet.back()->Terminate(seed * 10 + k, 0, {{1, 9, 2}});
+        }
+        for (GwTime at = kFirstSentAt; probed_at == 0 && at < 60 * GW_SECOND;
+             at += 100 * GW_MILLISECOND) {
+            for (auto &t : fleet)
+                probed_at = t->Admit({1, 2}, at) == 0 ? at : probed_at;
+        }
+        EXPECT_GT(probed_at, 0) << seed;
+        EXPECT_LT(probed_at, kFirstSentAt + 2 * GW_SECOND) << seed;
+    }
+}
+
 // Guards against refusing harmless prompts after all processes have restarted:
 // the stored records say which parts are tied.
 TEST(QuarantineParts, RecordsKeepTies)
