--- a/packages/entry/src/exchange.c
+++ b/packages/entry/src/exchange.c
@@ -25,7 +25,7 @@
 static bool resolve_service_(Exchange *x, const GwConfig *config);
 static bool spend_credit_(Exchange *x, const GwAccount *account);
 static void set_deadline_(Exchange *x, const GwTrafficClass *class_);
-static void fill_prefix_chain_(Exchange *x);
+static void use_parsed_body_(Exchange *x);
 
 void
 Exchange_Start(GwEntry *entry, GwHttpCall *call,
@@ -196,7 +196,7 @@
     x->trial = account->tier == GW_TIER_TRIAL;
     x->urgency = account->class_->urgency;
     set_deadline_(x, account->class_);
-    fill_prefix_chain_(x);
+    use_parsed_body_(x);
     x->admitted = true;
     return true;
 }
@@ -276,20 +276,20 @@
         x->deadline = MIN(x->deadline, x->started_at + x->request.deadline);
 }
 
+// Fills the prefix chain and the identity in the quarantine.
 static void
-fill_prefix_chain_(Exchange *x)
+use_parsed_body_(Exchange *x)
 {
     GwChainSeed seed = {x->account, x->request.pool, x->weights, x->adapter};
-
-    const OpenAiRequest *parsed = x->request.parsed;
+    OpenAiRequest *parsed = x->request.parsed;
 
     GwChain_Init(&x->chain, &seed);
     EntryQuarantine_Identify(x, parsed != NULL ? parsed->root : NULL);
     if (parsed == NULL)
         return;
-    OpenAi_FillChain(x->request.parsed, &x->chain);
+    OpenAi_FillChain(parsed, &x->chain);
     x->anchor = GwCandidates_Anchor(&x->chain);
     // Only the serialized body is sent; release the parsed form.
-    OpenAi_Finish(x->request.parsed);
+    OpenAi_Finish(parsed);
     g_clear_pointer(&x->request.parsed, g_free);
 }
