Quarantine: completions of a request are recorded in one place

Gateway, agent and entry each had the same three steps: the request, then its parts if the status is a success, and an update to peers for each that was new. They are GwQuarantineSync_AddCompletion now, with the callbacks that updates of peers have already. The loop over broken requests stood twice as well (GwInFlight_AddAll).

Gateway: the two checks of a request were the same but for the function; the digest of a whole body was computed again for each log line of a failed attempt, although the identity holds it. Agent: the digest was computed twice while anything is suspected.

No change of behaviour.

--- a/packages/agent/src/agent_quarantine.c
+++ b/packages/agent/src/agent_quarantine.c
@@ -8,8 +8,6 @@
 #include "galenagw/quarantine/message_identity.h"
 
 static GwMessageSource job_source_(const Job *job);
-static void add_completion_(GwAgent *agent, GwSuspectKind kind,
-                            const GwDigest *suspect);
 static void start_listen_check_(GwAgent *agent);
 static void on_listen_check_open_(void *user);
 static void on_listen_check_data_(void *user, const uint8_t *data, size_t len);
@@ -85,9 +83,7 @@
         XXH3_64bits_withSeed(o->name, strlen(o->name),
                              agent->incarnation + agent->termination_count);
     update.termination.group = GwQuarantine_Group(o->pool, o->failure_domain);
-    for (guint i = 0; i < requests->len; i++)
-        GwInFlight_Add(in_flight,
-                       &g_array_index(requests, GwRequestIdentity, i));
+    GwInFlight_AddAll(in_flight, requests);
     GwEndpointTermination_SetInFlight(&update.termination, in_flight);
     GW_WARN("the endpoint terminated with %u requests in flight",
             requests->len);
@@ -102,29 +98,18 @@
 AgentQuarantine_OnRequestCompleted(const Job *job)
 {
     GwMessageSource source = job_source_(job);
-    GwDigest digest = GwDigest_Of(&source.digest);
-    bool has_begun = job->answer_status >= 200 && job->answer_status < 300;
-    GwRequestIdentity identity;
+    GwAgent *agent = job->agent;
+    GwRequestIdentity identity = {0};
 
-    add_completion_(job->agent, GW_SUSPECT_REQUEST, &digest);
     // The body has to be parsed for its parts. Entries, which have parsed it,
     // send what they know of completions with terminations.
-    if (GwQuarantine_IsEmpty(job->agent->quarantine))
-        return;
-    identity = GwMessageIdentity_Of(&source);
-    for (unsigned i = 0; has_begun && i < identity.n_parts; i++)
-        add_completion_(job->agent, GW_SUSPECT_PART, &identity.parts[i]);
-}
-
-static void
-add_completion_(GwAgent *agent, GwSuspectKind kind, const GwDigest *suspect)
-{
-    GwTime now = GwTime_Now();
-    GwQuarantineUpdate update = {
-        .completed_kind = kind, .completed = *suspect, .completed_at = now};
-
-    if (GwQuarantine_AddCompletion(agent->quarantine, kind, suspect, now, now))
-        forward_update_(agent, NULL, &update);
+    if (GwQuarantine_IsEmpty(agent->quarantine))
+        identity.request = GwDigest_Of(&source.digest);
+    else
+        identity = GwMessageIdentity_Of(&source);
+    GwQuarantineSync_AddCompletion(agent->quarantine, &identity,
+                                   job->answer_status, &quarantine_sync_ops,
+                                   agent);
 }
 
 GwTime
--- a/packages/entry/src/entry_quarantine.c
+++ b/packages/entry/src/entry_quarantine.c
@@ -2,8 +2,6 @@
 
 #include "galenagw/quarantine/message_identity.h"
 
-static void add_completion_(GwEntry *entry, GwSuspectKind kind,
-                            const GwDigest *suspect);
 static void on_update_(void *user, GwSession *from,
                        const GwQuarantineUpdate *update);
 static unsigned get_group_size_(void *user, uint64_t group);
@@ -58,22 +56,8 @@
 void
 EntryQuarantine_OnCompleted(const Exchange *x)
 {
-    bool has_begun = x->status >= 200 && x->status < 300;
-
-    add_completion_(x->entry, GW_SUSPECT_REQUEST, &x->identity.request);
-    for (unsigned i = 0; has_begun && i < x->identity.n_parts; i++)
-        add_completion_(x->entry, GW_SUSPECT_PART, &x->identity.parts[i]);
-}
-
-static void
-add_completion_(GwEntry *entry, GwSuspectKind kind, const GwDigest *suspect)
-{
-    GwTime now = GwTime_Now();
-    GwQuarantineUpdate update = {
-        .completed_kind = kind, .completed = *suspect, .completed_at = now};
-
-    if (GwQuarantine_AddCompletion(entry->quarantine, kind, suspect, now, now))
-        on_update_(entry, NULL, &update);
+    GwQuarantineSync_AddCompletion(x->entry->quarantine, &x->identity,
+                                   x->status, &sync_ops, x->entry);
 }
 
 void
--- a/packages/gateway/src/request_content.c
+++ b/packages/gateway/src/request_content.c
@@ -11,7 +11,7 @@
         .body_len = r->body_len,
     };
 
-    return GwDigest_Of(&source);
+    return r->identity != NULL ? r->identity->request : GwDigest_Of(&source);
 }
 
 // Parts have the scope of KV cache: their ids are trusted among the accounts
@@ -25,11 +25,12 @@
 
     if (identity != NULL)
         return identity;
-    identity = r->identity = g_new0(GwRequestIdentity, 1);
+    identity = g_new0(GwRequestIdentity, 1);
     identity->request = GwRequestContent_Digest(r);
     for (unsigned i = 0; i + 1 < r->info.n_parts && i < GW_IDENTITY_PARTS_MAX;
          i++)
         identity->parts[identity->n_parts++] = GwDigest_OfPart(
             r->info.model, isolated_account, r->info.parts[i].id);
+    r->identity = identity;
     return identity;
 }
--- a/packages/gateway/src/request_content.h
+++ b/packages/gateway/src/request_content.h
@@ -6,7 +6,8 @@
 #include "request_private.h"
 
 /* Digest of the account, the method, the target and the body. Reads the whole
- * body, so it is too expensive to be computed for every request. */
+ * body, unless the identity is known, so it is too expensive to be computed
+ * for every request. */
 GwDigest GwRequestContent_Digest(const GwRequest *request);
 /* The digest and the parts of the prompt; computed on first use. */
 const GwRequestIdentity *GwRequestContent_Identity(GwRequest *request);
--- a/packages/gateway/src/request_quarantine.c
+++ b/packages/gateway/src/request_quarantine.c
@@ -4,37 +4,25 @@
 #include "request_log.h"
 #include "terminations.h"
 
-static bool apply_verdict_(GwRequest *r, const GwQuarantineVerdict *verdict);
+/* GwQuarantine_Check or GwQuarantine_Admit. */
+typedef GwQuarantineVerdict (*QuarantineCheck)(
+    GwQuarantine *quarantine, const GwRequestIdentity *request, GwTime now);
+
+static bool is_refused_(GwRequest *r, QuarantineCheck check);
 
 bool
 GwRequestQuarantine_RefusesArrival(GwRequest *r)
 {
-    GwQuarantine *q = r->gateway->quarantine;
-    GwQuarantineVerdict verdict;
-
-    if (GwQuarantine_IsEmpty(q))
-        return false;
-    verdict =
-        GwQuarantine_Check(q, GwRequestContent_Identity(r), GwTime_Now());
-    return apply_verdict_(r, &verdict);
+    return is_refused_(r, GwQuarantine_Check);
 }
 
+// Only the first attempt may begin a probe: the outcome of that decides
+// whether there is another one.
 bool
 GwRequestQuarantine_RefusesAttempt(GwRequest *r)
 {
-    GwQuarantine *q = r->gateway->quarantine;
-    GwQuarantineVerdict verdict;
-
-    if (GwQuarantine_IsEmpty(q))
-        return false;
-    // Only the first attempt may begin a probe: the outcome of that decides
-    // whether there is another one.
-    verdict =
-        r->attempts == 0
-            ? GwQuarantine_Admit(q, GwRequestContent_Identity(r), GwTime_Now())
-            : GwQuarantine_Check(q, GwRequestContent_Identity(r),
-                                 GwTime_Now());
-    return apply_verdict_(r, &verdict);
+    return is_refused_(r, r->attempts == 0 ? GwQuarantine_Admit
+                                           : GwQuarantine_Check);
 }
 
 void
@@ -48,8 +36,7 @@
 GwRequestQuarantine_OnCompleted(GwRequest *r)
 {
     GwTerminations_OnCompletion(r->gateway, GwRequestContent_Identity(r),
-                                r->reply.status >= 200 &&
-                                    r->reply.status < 300);
+                                r->reply.status);
 }
 
 bool
@@ -64,11 +51,17 @@
 }
 
 static bool
-apply_verdict_(GwRequest *r, const GwQuarantineVerdict *verdict)
+is_refused_(GwRequest *r, QuarantineCheck check)
 {
-    if (verdict->time_left == 0)
+    GwQuarantine *q = r->gateway->quarantine;
+    GwQuarantineVerdict verdict;
+
+    if (GwQuarantine_IsEmpty(q))
+        return false;
+    verdict = check(q, GwRequestContent_Identity(r), GwTime_Now());
+    if (verdict.time_left == 0)
         return false;
-    r->retry_after = verdict->time_left;
-    GwRequestLog_Quarantined(r, verdict);
+    r->retry_after = verdict.time_left;
+    GwRequestLog_Quarantined(r, &verdict);
     return true;
 }
--- a/packages/gateway/src/terminations.c
+++ b/packages/gateway/src/terminations.c
@@ -17,14 +17,16 @@
                                                const GwInstance *instance);
 static void add_termination_(GwGateway *g, GwEndpointTermination *termination,
                              const GArray *requests, GwTerminationCause cause);
-static void add_completion_(GwGateway *g, GwSuspectKind kind,
-                            const GwDigest *suspect);
+static void broadcast_update_(void *user, GwSession *from,
+                              const GwQuarantineUpdate *update);
 static void broadcast_completion_(GwGateway *g, const GwDigest *request);
 static void store_quarantined_(GwGateway *g, const GwInFlight *added);
 static void log_termination_(GwGateway *g,
                              const GwEndpointTermination *termination,
                              GwTerminationCause cause);
 
+static const GwQuarantineSyncOps sync_ops = {.on_update = broadcast_update_};
+
 void
 GwTerminations_OnQuarantineChanged(void *user,
                                    const GwQuarantineChange *change)
@@ -146,26 +148,21 @@
         add_termination_(g, &termination, requests, GW_TERMINATION_PEER);
 }
 
-// An endpoint may answer with an error before it has read the prompt, which
-// shows nothing about its parts.
 void
 GwTerminations_OnCompletion(GwGateway *g, const GwRequestIdentity *request,
-                            bool has_begun)
+                            int status)
 {
-    add_completion_(g, GW_SUSPECT_REQUEST, &request->request);
-    for (unsigned i = 0; has_begun && i < request->n_parts; i++)
-        add_completion_(g, GW_SUSPECT_PART, &request->parts[i]);
+    GwQuarantineSync_AddCompletion(g->quarantine, request, status, &sync_ops,
+                                   g);
 }
 
 static void
-add_completion_(GwGateway *g, GwSuspectKind kind, const GwDigest *suspect)
+broadcast_update_(void *user, GwSession *from,
+                  const GwQuarantineUpdate *update)
 {
-    GwTime now = GwTime_Now();
-    GwQuarantineUpdate update = {
-        .completed_kind = kind, .completed = *suspect, .completed_at = now};
+    const GwGateway *g = user;
 
-    if (GwQuarantine_AddCompletion(g->quarantine, kind, suspect, now, now))
-        GwPeers_BroadcastQuarantine(g->peers, &update);
+    GwPeers_BroadcastQuarantine(g->peers, update);
 }
 
 // Identifies an incarnation of an instance in the quarantine; never 0.
@@ -212,9 +209,7 @@
     size_t n_added;
     bool is_new;
 
-    for (guint i = 0; i < requests->len; i++)
-        GwInFlight_Add(in_flight,
-                       &g_array_index(requests, GwRequestIdentity, i));
+    GwInFlight_AddAll(in_flight, requests);
     GwEndpointTermination_SetInFlight(termination, in_flight);
     n_added = GwQuarantine_AddTermination(g->quarantine, termination,
                                           GwTime_Now(), added, &is_new);
--- a/packages/gateway/src/terminations.h
+++ b/packages/gateway/src/terminations.h
@@ -51,10 +51,8 @@
 /* A peer reported a termination. */
 void GwTerminations_OnPeerUpdate(GwGateway *gateway,
                                  const GwEndpointTermination *termination);
-/* The request received a complete answer. @p has_begun: an answer to its
- * prompt, and not, for example, an error. */
+/* The request received a complete answer with this HTTP status. */
 void GwTerminations_OnCompletion(GwGateway *gateway,
-                                 const GwRequestIdentity *request,
-                                 bool has_begun);
+                                 const GwRequestIdentity *request, int status);
 
 #endif
--- a/packages/quarantine/include/galenagw/quarantine/in_flight.h
+++ b/packages/quarantine/include/galenagw/quarantine/in_flight.h
@@ -48,6 +48,8 @@
 
 /** Adds a request and its parts, as far as there is room. */
 void GwInFlight_Add(GwInFlight *in_flight, const GwRequestIdentity *request);
+/** The same for an array of GwRequestIdentity. */
+void GwInFlight_AddAll(GwInFlight *in_flight, const GArray *requests);
 
 #ifdef __cplusplus
 }
--- a/packages/quarantine/include/galenagw/quarantine/quarantine_sync.h
+++ b/packages/quarantine/include/galenagw/quarantine/quarantine_sync.h
@@ -28,9 +28,10 @@
     GwTime completed_at; /**< time of the completion */
 } GwQuarantineUpdate;
 
-/** Callbacks of the process that receives updates. */
+/** Callbacks of the process that makes or receives updates. */
 typedef struct {
-    /** An update was new; @p from is the session that it came from. */
+    /** An update was new; @p from is the session that it came from; NULL: this
+     * process has made it. */
     void (*on_update)(void *user, GwSession *from,
                       const GwQuarantineUpdate *update);
     /** Number of endpoints in @p group, for a termination whose sender does
@@ -38,6 +39,17 @@
     unsigned (*group_size)(void *user, uint64_t group);
 } GwQuarantineSyncOps;
 
+/**
+ * Records that @p request got a complete answer now, and passes what peers
+ * have to know of that to on_update, with no session. A success also clears
+ * the parts of its prompt; an endpoint may answer with an error before it has
+ * read them.
+ * @param status HTTP status of the answer
+ */
+void GwQuarantineSync_AddCompletion(GwQuarantine *quarantine,
+                                    const GwRequestIdentity *request,
+                                    int status, const GwQuarantineSyncOps *ops,
+                                    void *user);
 /** Sends one update. */
 void GwQuarantineSync_Send(GwSession *session,
                            const GwQuarantineUpdate *update);
--- a/packages/quarantine/src/in_flight.c
+++ b/packages/quarantine/src/in_flight.c
@@ -11,6 +11,13 @@
         add_part_(f, &request->parts[i]);
 }
 
+void
+GwInFlight_AddAll(GwInFlight *f, const GArray *requests)
+{
+    for (guint i = 0; i < requests->len; i++)
+        GwInFlight_Add(f, &g_array_index(requests, GwRequestIdentity, i));
+}
+
 static void
 add_request_(GwInFlight *f, const GwDigest *request)
 {
--- a/packages/quarantine/src/quarantine_sync.c
+++ b/packages/quarantine/src/quarantine_sync.c
@@ -3,6 +3,9 @@
 /* Rows that a new peer receives, of some sixty bytes each. */
 #define SEND_ALL_ROWS_MAX 512
 
+static void add_completion_(GwQuarantine *q, GwSuspectKind kind,
+                            const GwDigest *suspect,
+                            const GwQuarantineSyncOps *ops, void *user);
 static void send_termination_(void *user,
                               const GwEndpointTermination *termination);
 static void send_completion_(void *user, GwSuspectKind kind,
@@ -20,6 +23,30 @@
 static uint64_t elapsed_ms_(GwTime at);
 static GwTime time_before_(uint64_t elapsed_ms, GwTime now);
 
+void
+GwQuarantineSync_AddCompletion(GwQuarantine *q,
+                               const GwRequestIdentity *request, int status,
+                               const GwQuarantineSyncOps *ops, void *user)
+{
+    bool is_success = status >= 200 && status < 300;
+
+    add_completion_(q, GW_SUSPECT_REQUEST, &request->request, ops, user);
+    for (unsigned i = 0; is_success && i < request->n_parts; i++)
+        add_completion_(q, GW_SUSPECT_PART, &request->parts[i], ops, user);
+}
+
+static void
+add_completion_(GwQuarantine *q, GwSuspectKind kind, const GwDigest *suspect,
+                const GwQuarantineSyncOps *ops, void *user)
+{
+    GwTime now = GwTime_Now();
+    GwQuarantineUpdate update = {
+        .completed_kind = kind, .completed = *suspect, .completed_at = now};
+
+    if (GwQuarantine_AddCompletion(q, kind, suspect, now, now))
+        ops->on_update(user, NULL, &update);
+}
+
 void
 GwQuarantineSync_Send(GwSession *session, const GwQuarantineUpdate *update)
 {
