Gateway: a suspect's own attempts are its source, whoever reports the termination

What an operator saw: the log named "learned":"peer" for a part or request under which this gateway's own attempts had broken, if a peer's report of the termination arrived first. Cause: the broken requests were added with the source of the report. The new test failed before (source peer), and passes now.

--- a/packages/gateway/src/terminations.c
+++ b/packages/gateway/src/terminations.c
@@ -144,6 +144,7 @@
         g->recent_broken_requests, termination.endpoint, GwTime_Now(), &at);
 
     log_termination_(g, reported, GW_TERMINATION_PEER);
+    termination.source = GW_QUARANTINE_SOURCE_OWN;
     if (requests->len > 0)
         add_termination_(g, &termination, requests, GW_TERMINATION_PEER);
 }
--- a/packages/gateway/tests/fatal_part_test.cc
+++ b/packages/gateway/tests/fatal_part_test.cc
@@ -6,6 +6,7 @@
 
 extern "C" {
 #include "gateway_private.h"
+#include "terminations.h"
 }
 
 // Ids of parts: the one that terminates endpoints, and harmless ones.
@@ -406,3 +407,32 @@
         f.Until([&] { return GwQuarantine_Terminations(q, &shared) > 0; }));
     EXPECT_EQ(GwQuarantine_Terminations(q, &own), 0u);
 }
+
+// Guards against a log that names a peer as the source, although the gateway's
+// own attempts were in flight: the peer has only reported the terminations.
+TEST(GatewayFatalPart, OwnAttemptsAreTheSourceWhenAPeerReportsTheTermination)
+{
+    PartFleet t;
+    Fleet &f = t.a.f;
+    GwRequestIdentity identity = {};
+    GwQuarantineVerdict verdict;
+    GwGateway *g;
+
+    ASSERT_TRUE(f.Ready());
+    g = f.gateways[0];
+    identity.parts[identity.n_parts++] = GwDigest_OfPart("m", nullptr, 9);
+    for (uint64_t endpoint = 1; endpoint <= 3; endpoint++) {
+        GwEndpointTermination reported = {};
+
+        identity.request = {1, endpoint};
+        GwBrokenRequests_Add(g->recent_broken_requests, endpoint, &identity,
+                             GwTime_Now());
+        reported.endpoint = reported.group = endpoint;
+        reported.at = GwTime_Now();
+        reported.source = GW_QUARANTINE_SOURCE_PEER;
+        GwTerminations_OnPeerUpdate(g, &reported);
+    }
+    verdict = GwQuarantine_Check(g->quarantine, &identity, GwTime_Now());
+    EXPECT_GT(verdict.time_left, 0);
+    EXPECT_EQ(verdict.source, GW_QUARANTINE_SOURCE_OWN);
+}
