--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -45,6 +45,7 @@
 typedef struct Gw__Wire__SoundRequest Gw__Wire__SoundRequest;
 typedef struct Gw__Wire__EndpointLeaving Gw__Wire__EndpointLeaving;
 typedef struct Gw__Wire__EndpointLimit Gw__Wire__EndpointLimit;
+typedef struct Gw__Wire__EndpointDemand Gw__Wire__EndpointDemand;
 typedef struct Gw__Wire__StreamOriginTell Gw__Wire__StreamOriginTell;
 typedef struct Gw__Wire__StreamOriginAsk Gw__Wire__StreamOriginAsk;
 typedef struct Gw__Wire__StreamOriginAnswer Gw__Wire__StreamOriginAnswer;
@@ -457,10 +458,14 @@
   uint32_t credits;
   uint64_t lease_id;
   uint32_t retry_after_ms;
+  /*
+   * 1 + use of the account's limit over all entries, in thousandths; 0: unknown
+   */
+  uint32_t use_permille;
 };
 #define GW__WIRE__CREDIT_GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__credit_grant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
@@ -579,10 +584,26 @@
    * which life of the id; 0: not told
    */
   int64_t incarnation;
+  /*
+   * measured; 0: unknown
+   */
+  uint32_t prefill_tokens_per_s;
+  /*
+   * of others_tokens, of the most urgent priority
+   */
+  uint64_t others_urgent;
+  /*
+   * duration of a switch, measured; 0: unknown
+   */
+  uint32_t switch_ms;
+  /*
+   * else all of others_tokens count as urgent
+   */
+  protobuf_c_boolean has_others_urgent;
 };
 #define GW__WIRE__ENGINE_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__engine_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -611,10 +632,22 @@
    * which life of the engine; 0: not told
    */
   int64_t incarnation;
+  /*
+   * of the tokens, of the most urgent priority
+   */
+  uint64_t urgent;
+  /*
+   * prefilled since the previous note
+   */
+  uint64_t sample_tokens;
+  /*
+   * time that these took
+   */
+  uint64_t sample_us;
 };
 #define GW__WIRE__PREFILL_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__prefill_note__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -793,6 +826,28 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Demand of one entry for an endpoint that has named a rate limit.
+ */
+struct  Gw__Wire__EndpointDemand
+{
+  ProtobufCMessage base;
+  char *instance;
+  /*
+   * of the endpoint; 0: unknown
+   */
+  int64_t incarnation;
+  double requests_per_s;
+  /*
+   * ms since it was measured
+   */
+  uint64_t sent_ms;
+};
+#define GW__WIRE__ENDPOINT_DEMAND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__wire__endpoint_demand__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 /*
  * An entry tells an agent which software began a stream.
  */
@@ -879,7 +934,8 @@
   GW__WIRE__FRAME__BODY_ENDPOINT_LIMIT = 32,
   GW__WIRE__FRAME__BODY_STREAM_ORIGIN_TELL = 33,
   GW__WIRE__FRAME__BODY_STREAM_ORIGIN_ASK = 34,
-  GW__WIRE__FRAME__BODY_STREAM_ORIGIN_ANSWER = 35
+  GW__WIRE__FRAME__BODY_STREAM_ORIGIN_ANSWER = 35,
+  GW__WIRE__FRAME__BODY_ENDPOINT_DEMAND = 36
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__WIRE__FRAME__BODY__CASE)
 } Gw__Wire__Frame__BodyCase;
 
@@ -920,6 +976,7 @@
     Gw__Wire__StreamOriginTell *stream_origin_tell;
     Gw__Wire__StreamOriginAsk *stream_origin_ask;
     Gw__Wire__StreamOriginAnswer *stream_origin_answer;
+    Gw__Wire__EndpointDemand *endpoint_demand;
   };
 };
 #define GW__WIRE__FRAME__INIT \
@@ -1497,6 +1554,25 @@
 void   gw__wire__endpoint_limit__free_unpacked
                      (Gw__Wire__EndpointLimit *message,
                       ProtobufCAllocator *allocator);
+/* Gw__Wire__EndpointDemand methods */
+void   gw__wire__endpoint_demand__init
+                     (Gw__Wire__EndpointDemand         *message);
+size_t gw__wire__endpoint_demand__get_packed_size
+                     (const Gw__Wire__EndpointDemand   *message);
+size_t gw__wire__endpoint_demand__pack
+                     (const Gw__Wire__EndpointDemand   *message,
+                      uint8_t             *out);
+size_t gw__wire__endpoint_demand__pack_to_buffer
+                     (const Gw__Wire__EndpointDemand   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Wire__EndpointDemand *
+       gw__wire__endpoint_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__wire__endpoint_demand__free_unpacked
+                     (Gw__Wire__EndpointDemand *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__Wire__StreamOriginTell methods */
 void   gw__wire__stream_origin_tell__init
                      (Gw__Wire__StreamOriginTell         *message);
@@ -1665,6 +1741,9 @@
 typedef void (*Gw__Wire__EndpointLimit_Closure)
                  (const Gw__Wire__EndpointLimit *message,
                   void *closure_data);
+typedef void (*Gw__Wire__EndpointDemand_Closure)
+                 (const Gw__Wire__EndpointDemand *message,
+                  void *closure_data);
 typedef void (*Gw__Wire__StreamOriginTell_Closure)
                  (const Gw__Wire__StreamOriginTell *message,
                   void *closure_data);
@@ -1715,6 +1794,7 @@
 extern const ProtobufCMessageDescriptor gw__wire__sound_request__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__endpoint_leaving__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__endpoint_limit__descriptor;
+extern const ProtobufCMessageDescriptor gw__wire__endpoint_demand__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__stream_origin_tell__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__stream_origin_ask__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__stream_origin_answer__descriptor;
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -1357,6 +1357,51 @@
   assert(message->base.descriptor == &gw__wire__endpoint_limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__wire__endpoint_demand__init
+                     (Gw__Wire__EndpointDemand         *message)
+{
+  static const Gw__Wire__EndpointDemand init_value = GW__WIRE__ENDPOINT_DEMAND__INIT;
+  *message = init_value;
+}
+size_t gw__wire__endpoint_demand__get_packed_size
+                     (const Gw__Wire__EndpointDemand *message)
+{
+  assert(message->base.descriptor == &gw__wire__endpoint_demand__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__wire__endpoint_demand__pack
+                     (const Gw__Wire__EndpointDemand *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__wire__endpoint_demand__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__wire__endpoint_demand__pack_to_buffer
+                     (const Gw__Wire__EndpointDemand *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__wire__endpoint_demand__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Wire__EndpointDemand *
+       gw__wire__endpoint_demand__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Wire__EndpointDemand *)
+     protobuf_c_message_unpack (&gw__wire__endpoint_demand__descriptor,
+                                allocator, len, data);
+}
+void   gw__wire__endpoint_demand__free_unpacked
+                     (Gw__Wire__EndpointDemand *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__wire__endpoint_demand__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gw__wire__stream_origin_tell__init
                      (Gw__Wire__StreamOriginTell         *message)
 {
@@ -3287,7 +3332,7 @@
   (ProtobufCMessageInit) gw__wire__credit_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__credit_grant__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gw__wire__credit_grant__field_descriptors[5] =
 {
   {
     "account",
@@ -3337,17 +3382,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "use_permille",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__CreditGrant, use_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__credit_grant__field_indices_by_name[] = {
   0,   /* field[0] = account */
   1,   /* field[1] = credits */
   2,   /* field[2] = lease_id */
   3,   /* field[3] = retry_after_ms */
+  4,   /* field[4] = use_permille */
 };
 static const ProtobufCIntRange gw__wire__credit_grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor gw__wire__credit_grant__descriptor =
 {
@@ -3357,7 +3415,7 @@
   "Gw__Wire__CreditGrant",
   "gw.wire",
   sizeof(Gw__Wire__CreditGrant),
-  4,
+  5,
   gw__wire__credit_grant__field_descriptors,
   gw__wire__credit_grant__field_indices_by_name,
   1,  gw__wire__credit_grant__number_ranges,
@@ -3608,7 +3666,7 @@
   (ProtobufCMessageInit) gw__wire__records_tell__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__engine_state__field_descriptors[14] =
+static const ProtobufCFieldDescriptor gw__wire__engine_state__field_descriptors[18] =
 {
   {
     "instance",
@@ -3778,27 +3836,79 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "prefill_tokens_per_s",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EngineState, prefill_tokens_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "others_urgent",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EngineState, others_urgent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "switch_ms",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EngineState, switch_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_others_urgent",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EngineState, has_others_urgent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__engine_state__field_indices_by_name[] = {
   8,   /* field[8] = down */
   7,   /* field[7] = entries */
+  17,   /* field[17] = has_others_urgent */
   13,   /* field[13] = incarnation */
   0,   /* field[0] = instance */
   6,   /* field[6] = kv_total */
   5,   /* field[5] = kv_used */
   9,   /* field[9] = others_tokens */
+  15,   /* field[15] = others_urgent */
   11,   /* field[11] = others_yielding */
   12,   /* field[12] = others_yielding_memory */
+  14,   /* field[14] = prefill_tokens_per_s */
   10,   /* field[10] = preparing */
   4,   /* field[4] = queued */
   3,   /* field[3] = running */
+  16,   /* field[16] = switch_ms */
   2,   /* field[2] = switching */
   1,   /* field[1] = weights */
 };
 static const ProtobufCIntRange gw__wire__engine_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor gw__wire__engine_state__descriptor =
 {
@@ -3808,14 +3918,14 @@
   "Gw__Wire__EngineState",
   "gw.wire",
   sizeof(Gw__Wire__EngineState),
-  14,
+  18,
   gw__wire__engine_state__field_descriptors,
   gw__wire__engine_state__field_indices_by_name,
   1,  gw__wire__engine_state__number_ranges,
   (ProtobufCMessageInit) gw__wire__engine_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__prefill_note__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gw__wire__prefill_note__field_descriptors[8] =
 {
   {
     "tokens",
@@ -3877,18 +3987,57 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "urgent",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__PrefillNote, urgent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sample_tokens",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__PrefillNote, sample_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sample_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__PrefillNote, sample_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__prefill_note__field_indices_by_name[] = {
   4,   /* field[4] = incarnation */
   1,   /* field[1] = long_runs */
+  6,   /* field[6] = sample_tokens */
+  7,   /* field[7] = sample_us */
   0,   /* field[0] = tokens */
+  5,   /* field[5] = urgent */
   2,   /* field[2] = yielding */
   3,   /* field[3] = yielding_memory */
 };
 static const ProtobufCIntRange gw__wire__prefill_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gw__wire__prefill_note__descriptor =
 {
@@ -3898,7 +4047,7 @@
   "Gw__Wire__PrefillNote",
   "gw.wire",
   sizeof(Gw__Wire__PrefillNote),
-  5,
+  8,
   gw__wire__prefill_note__field_descriptors,
   gw__wire__prefill_note__field_indices_by_name,
   1,  gw__wire__prefill_note__number_ranges,
@@ -4445,6 +4594,83 @@
   (ProtobufCMessageInit) gw__wire__endpoint_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gw__wire__endpoint_demand__field_descriptors[4] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointDemand, instance),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointDemand, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests_per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointDemand, requests_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointDemand, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__wire__endpoint_demand__field_indices_by_name[] = {
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = instance */
+  2,   /* field[2] = requests_per_s */
+  3,   /* field[3] = sent_ms */
+};
+static const ProtobufCIntRange gw__wire__endpoint_demand__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor gw__wire__endpoint_demand__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.wire.EndpointDemand",
+  "EndpointDemand",
+  "Gw__Wire__EndpointDemand",
+  "gw.wire",
+  sizeof(Gw__Wire__EndpointDemand),
+  4,
+  gw__wire__endpoint_demand__field_descriptors,
+  gw__wire__endpoint_demand__field_indices_by_name,
+  1,  gw__wire__endpoint_demand__number_ranges,
+  (ProtobufCMessageInit) gw__wire__endpoint_demand__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gw__wire__stream_origin_tell__field_descriptors[2] =
 {
   {
@@ -4611,7 +4837,7 @@
   (ProtobufCMessageInit) gw__wire__stream_origin_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[32] =
+static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[33] =
 {
   {
     "hello",
@@ -4997,6 +5223,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoint_demand",
+    36,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Wire__Frame, body_case),
+    offsetof(Gw__Wire__Frame, endpoint_demand),
+    &gw__wire__endpoint_demand__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__frame__field_indices_by_name[] = {
   12,   /* field[12] = ack */
@@ -5006,6 +5244,7 @@
   5,   /* field[5] = config_state */
   16,   /* field[16] = credit_ask */
   17,   /* field[17] = credit_grant */
+  32,   /* field[32] = endpoint_demand */
   25,   /* field[25] = endpoint_end */
   27,   /* field[27] = endpoint_leaving */
   28,   /* field[28] = endpoint_limit */
@@ -5036,7 +5275,7 @@
 {
   { 1, 0 },
   { 22, 18 },
-  { 0, 32 }
+  { 0, 33 }
 };
 const ProtobufCMessageDescriptor gw__wire__frame__descriptor =
 {
@@ -5046,7 +5285,7 @@
   "Gw__Wire__Frame",
   "gw.wire",
   sizeof(Gw__Wire__Frame),
-  32,
+  33,
   gw__wire__frame__field_descriptors,
   gw__wire__frame__field_indices_by_name,
   2,  gw__wire__frame__number_ranges,
