Peers: an agent follows several agents and is sent their states

For weight changes, sidecars must see the switches of all engines of their group, not only of one predecessor. States go to other agents when weights or a switch change and otherwise every 800 ms: they need the load to within a second, while entries choose engines by it. No decision changes yet.

--- a/packages/cluster/include/galenagw/cluster/peers.h
+++ b/packages/cluster/include/galenagw/cluster/peers.h
@@ -41,9 +41,9 @@
 /** Agent: the cached parts were cleared and are filled again, so entries are
  * sent all of them instead of changes. */
 void GwPeers_ResetCachedParts(GwPeers *peers);
-/** Agent: follow the agent at @p address too, so that its engine's state is
- * received as it is by entries. NULL: follow none. */
-void GwPeers_FollowAgent(GwPeers *peers, const GwAddress *address);
+/** Agent: follow the agents at the @p n addresses @p list, and no others, so
+ * that the states of their engines are received. */
+void GwPeers_FollowAgents(GwPeers *peers, const GwAddress *list, size_t n);
 /** Entry: send the agent of @p instance the load that this entry has in flight
  * there. */
 void GwPeers_SendLoad(GwPeers *peers, const GwInstance *instance);
--- a/packages/cluster/include/galenagw/cluster/peers_options.h
+++ b/packages/cluster/include/galenagw/cluster/peers_options.h
@@ -32,12 +32,14 @@
     /** New weights are about to be loaded; entries send the engine no
      * requests. */
     bool switching;
-    bool down;         /**< does not answer its agent */
-    unsigned running;  /**< requests in progress */
-    unsigned queued;   /**< requests that wait in the engine */
-    uint32_t kv_used;  /**< tokens of KV memory in use, also by low-priority
-                          accounts */
-    uint32_t kv_total; /**< tokens of KV memory; 0: unknown */
+    bool down;          /**< does not answer its agent */
+    unsigned running;   /**< requests in progress */
+    unsigned queued;    /**< requests that wait in the engine */
+    uint32_t kv_used;   /**< tokens of KV memory in use, also by low-priority
+                           accounts */
+    uint32_t kv_total;  /**< tokens of KV memory; 0: unknown */
+    GwTime switch_time; /**< how long a switch of the engine takes; 0: not
+                           measured */
 } GwEngineState;
 
 /** Construction options; strings must outlive the GwPeers object. */
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -87,6 +87,7 @@
     p->options = *options;
     session = session_options_(p);
     TAILQ_INIT(&p->peers);
+    p->followed_agents = g_array_new(FALSE, FALSE, sizeof(GwAddress));
     GwTimer_Init(&p->reconcile_timer, loop, reconcile_, p);
     GwTimer_Init(&p->urgent_timer, loop, send_urgent_heartbeats_, p);
     init_list_sync_(p);
@@ -94,6 +95,7 @@
     p->server = GwSessionServer_New(loop, &options->listen, &session, err);
     if (p->server == NULL) {
         GwOriginSync_Stop(&p->origin_sync);
+        g_array_unref(p->followed_agents);
         g_free(p);
         return NULL;
     }
@@ -115,6 +117,7 @@
     while ((peer = TAILQ_FIRST(&p->peers)) != NULL)
         drop_peer_(peer);
     GwSessionServer_Delete(p->server);
+    g_array_unref(p->followed_agents);
     g_free(p);
 }
 
@@ -137,12 +140,11 @@
 }
 
 void
-GwPeers_FollowAgent(GwPeers *p, const GwAddress *address)
+GwPeers_FollowAgents(GwPeers *p, const GwAddress *list, size_t n)
 {
-    if (address != NULL)
-        p->followed_agent = *address;
-    else
-        p->followed_agent.port = 0;
+    g_array_set_size(p->followed_agents, 0);
+    if (n > 0)
+        g_array_append_vals(p->followed_agents, list, (guint)n);
 }
 
 bool
@@ -507,8 +509,9 @@
         connect_agents_(p, all, false);
         connect_agents_(p, all, true);
     }
-    if (p->followed_agent.port != 0)
-        ensure_connected_(p, &p->followed_agent, false);
+    for (guint i = 0; i < p->followed_agents->len; i++)
+        ensure_connected_(p, &g_array_index(p->followed_agents, GwAddress, i),
+                          false);
     for (int i = 0; needs_seeds_(p) && i < p->options.n_seeds; i++) {
         if (!GwAddress_Equal(&p->options.seeds[i], &p->options.listen))
             ensure_connected_(p, &p->options.seeds[i], false);
--- a/packages/cluster/src/peers_engine.c
+++ b/packages/cluster/src/peers_engine.c
@@ -4,6 +4,11 @@
 
 #include "galenagw/cluster/peers.h"
 
+/* Interval of states to agents that follow this one, unless the engine's
+ * weights or its switch change. They need the load to within a second, while
+ * entries choose engines by it. */
+#define AGENT_STATE_INTERVAL (800 * GW_MILLISECOND)
+
 static bool is_following_entry_(const Peer *peer);
 static void send_engine_state_(GwPeers *p, Peer *peer,
                                const GwWaitingTokens *all);
@@ -17,6 +22,12 @@
 GwPeers_BroadcastEngineState(GwPeers *p, const GwEngineState *state)
 {
     GwWaitingTokens all = sum_waiting_tokens_(p);
+    bool is_switch_change = !p->has_engine ||
+                            p->engine.incarnation != state->incarnation ||
+                            p->engine.weights != state->weights ||
+                            p->engine.preparing != state->preparing ||
+                            p->engine.switching != state->switching ||
+                            p->engine.down != state->down;
     Peer *peer;
 
     // Parts that were sent for another engine or incarnation do not apply to
@@ -28,11 +39,13 @@
     p->engine = *state;
     g_strlcpy(p->engine_id, state->instance, sizeof(p->engine_id));
     p->engine.instance = p->engine_id;
-    // Agents that follow this one (GwPeers_FollowAgent) are sent the state
+    // Agents that follow this one (GwPeers_FollowAgents) are sent the state
     // too, but no cached parts.
     TAILQ_FOREACH(peer, &p->peers, link)
     {
-        if (!peer->is_outbound && !peer->owner_only)
+        if (!peer->is_outbound && !peer->owner_only &&
+            (peer->is_entry || is_switch_change ||
+             GwTime_Now() - peer->state_sent_at >= AGENT_STATE_INTERVAL))
             send_engine_state_(p, peer, &all);
     }
 }
@@ -187,6 +200,7 @@
         .queued = state->queued,
         .kv_used = state->kv_used,
         .kv_total = state->kv_total,
+        .switch_time = state->switch_ms * GW_MILLISECOND,
     };
     if (went_down && p->options.on_engine_down != NULL)
         p->options.on_engine_down(p->options.user, instance);
@@ -229,8 +243,10 @@
     state.queued = p->engine.queued;
     state.kv_used = p->engine.kv_used;
     state.kv_total = p->engine.kv_total;
+    state.switch_ms = (uint32_t)(p->engine.switch_time / GW_MILLISECOND);
     state.entries = GwPeersEngine_CountEntries(p);
     peer->load.sent_others = others;
+    peer->state_sent_at = GwTime_Now();
     state.others_tokens = others.tokens;
     state.others_yielding = others.yielding;
     state.others_yielding_memory = others.yielding_memory;
--- a/packages/cluster/src/peers_private.h
+++ b/packages/cluster/src/peers_private.h
@@ -31,6 +31,7 @@
     unsigned entries; /* entries connected to this agent, as it reports */
     GwListSyncPeer list_peer;
     GwCacheSync cache_sync;
+    GwTime state_sent_at; /* agent: when the engine's state was last sent */
 } Peer;
 
 struct GwPeers {
@@ -41,8 +42,8 @@
     GwTimer reconcile_timer;
     GwTime list_changed_at; /* entry: when another engine was last added to the
                                list */
-    GwAddress followed_agent; /* agent: another agent that this one follows;
-                                 port 0: none */
+    GArray *followed_agents; /* agent: GwAddress of the agents that this one
+                                follows */
     GwListSync list_sync;
     GwTime last_unconnected_at; /* entry: last time at which no peer was
                                    connected */
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -87,6 +87,8 @@
     unsigned queued;
     uint32_t kv_used;
     uint32_t kv_total;
+    GwTime switch_time; /**< how long a switch to new weights takes there; 0:
+                           not measured */
 } GwAgentReport;
 
 /** One endpoint. Users may only change in_flight and user. */
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -526,12 +526,12 @@
 
     if (predecessor == NULL) {
         facts.is_first = true;
-        GwPeers_FollowAgent(s->peers, NULL);
+        GwPeers_FollowAgents(s->peers, NULL, 0);
         return facts;
     }
     watched = predecessor->address;
     watched.port = s->agent_port;
-    GwPeers_FollowAgent(s->peers, &watched);
+    GwPeers_FollowAgents(s->peers, &watched, 1);
     // Any newer version counts, not only the newest: while versions are named
     // in quick succession, the predecessor would otherwise never be done.
     facts.predecessor_done = predecessor->weights > s->report.weights;
