Sidecar: one schedule for all versions in place of a chain for each

Operators named four versions within 11 s under load: each started a chain of its own, 22 to 34 of 43 engines were out of service at once, switches took 5.0 s in the median and 111 loads were made.

Engines form groups of which one switches at a time, over all versions; next is the engine with the oldest weights, and it loads the newest version. Under load a switch waits for its latest start, counted back from the bounds with the time that switches take.

--- a/packages/base/include/galenagw/base/counters.h
+++ b/packages/base/include/galenagw/base/counters.h
@@ -94,10 +94,12 @@
                                      take effect. */
     GW_COUNTER_REMOVALS_DEFERRED, /**< Removals of endpoints that were deferred
                                      after a store outage. */
-    GW_COUNTER_ORIGINS_TOLD, /**< Origins of streams sent to agents; each is
-                                sent to at most two. */
-    GW_COUNTER_ORIGIN_ASKS,  /**< Queries to agents for the origin of a
-                                stream. */
+    GW_COUNTER_ORIGINS_TOLD,  /**< Origins of streams sent to agents; each is
+                                 sent to at most two. */
+    GW_COUNTER_ORIGIN_ASKS,   /**< Queries to agents for the origin of a
+                                 stream. */
+    GW_COUNTER_SWITCHES_LATE, /**< Switches to newer weights that can't be
+                                 complete in time. */
     GW_COUNTERS
 } GwCounter;
 
--- a/packages/base/src/counters.c
+++ b/packages/base/src/counters.c
@@ -31,6 +31,7 @@
     "limit_asks",       "lists_unconfirmed",
     "rows_ignored",     "removals_deferred",
     "origins_told",     "origin_asks",
+    "switches_late",
 };
 
 const char *const GwHistogram_Names[GW_HISTOGRAMS] = {
--- a/packages/cluster/src/peers_engine.c
+++ b/packages/cluster/src/peers_engine.c
@@ -158,6 +158,7 @@
         GwInstances_Find(GwView_Instances(p->options.view), state->instance);
     bool went_down;
     bool weights_changed;
+    GwTime switching_since;
 
     // Stored even if the state is ignored below: the number of entries is
     // estimated from the reports of all agents, whether or not the list
@@ -188,6 +189,11 @@
                                         : "serving");
         GwEvent_End(p->options.log);
     }
+    switching_since = instance->agent_report.switching
+                          ? instance->agent_report.switching_since
+                          : GwTime_Now();
+    if (!state->switching)
+        switching_since = 0;
     instance->agent_report = (GwAgentReport){
         .at = GwTime_Now(),
         .preparing = state->preparing,
@@ -200,6 +206,7 @@
         .queued = state->queued,
         .kv_used = state->kv_used,
         .kv_total = state->kv_total,
+        .switching_since = switching_since,
         .switch_time = state->switch_ms * GW_MILLISECOND,
     };
     if (went_down && p->options.on_engine_down != NULL)
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -87,6 +87,8 @@
     unsigned queued;
     uint32_t kv_used;
     uint32_t kv_total;
+    GwTime switching_since; /**< when `switching` was first reported; 0: it is
+                               not */
     GwTime switch_time; /**< how long a switch to new weights takes there; 0:
                            not measured */
 } GwAgentReport;
--- a/packages/routing/include/galenagw/routing/routes.h
+++ b/packages/routing/include/galenagw/routing/routes.h
@@ -128,6 +128,8 @@
  * GwRoutes_Match. */
 void GwRoutes_Finish(GwRoutes *routes);
 
+/** Shortest target latency of the routes to @p service; 0: none has one. */
+GwTime GwRoutes_ShortestTarget(const GwRoutes *routes, const char *service);
 /** The route of @p host whose path prefix is the longest that @p target starts
  * with, or NULL. */
 const GwRoute *GwRoutes_Match(const GwRoutes *routes, const char *host,
--- a/packages/routing/src/routes.c
+++ b/packages/routing/src/routes.c
@@ -223,6 +223,26 @@
     return tokens > 0 ? (double)tokens : account->default_tokens;
 }
 
+GwTime
+GwRoutes_ShortestTarget(const GwRoutes *r, const char *service)
+{
+    GwTime shortest = 0;
+
+    for (guint i = 0; i < r->routes->len; i++) {
+        const GwRoute *route = g_ptr_array_index(r->routes, i);
+
+        for (guint k = 0; k < route->splits->len; k++) {
+            const GwSplit *split = &g_array_index(route->splits, GwSplit, k);
+
+            if (route->target_latency > 0 &&
+                strcmp(split->service, service) == 0 &&
+                (shortest == 0 || route->target_latency < shortest))
+                shortest = route->target_latency;
+        }
+    }
+    return shortest;
+}
+
 bool
 GwRoute_MayRetry(const GwRoute *route)
 {
--- a/packages/sidecar/include/galenagw/sidecar/roll.h
+++ b/packages/sidecar/include/galenagw/sidecar/roll.h
@@ -1,14 +1,7 @@
 /**
- * @defgroup roll Weights roll
- * @brief When an engine switches to a newly named version of weights.
- *
- * Operators may name a version for all engines of a service every few seconds.
- * While an engine switches it accepts no requests until its running ones have
- * finished. If engines started at fixed times, slow switches would overlap
- * until most engines are unavailable. So each engine has a predecessor, whose
- * state it follows, and starts when the predecessor is done. All sidecars
- * compute the same sequence of engines from the instance list, so the roll has
- * no coordinator that could fail.
+ * @defgroup roll Stages of a switch
+ * @brief How an engine's switch to newer weights proceeds once it has started;
+ * see switch_schedule for when it starts.
  *
  * A switch has three steps: in the preparation the engine gets no more long
  * runs, while it settles it gets no requests at all and its queue empties, and
@@ -19,7 +12,6 @@
 #define GALENAGW_SIDECAR_ROLL_H
 
 #include <stdbool.h>
-#include <stddef.h>
 #include <stdint.h>
 
 #include "galenagw/base/clock.h"
@@ -28,25 +20,6 @@
 extern "C" {
 #endif
 
-/** What decides whether an engine starts its switch. */
-typedef struct {
-    GwTime outdated_for;   /**< time since the first version newer than the
-                              engine's was named */
-    GwTime bound;          /**< time after which all must run the version */
-    unsigned wave;         /**< the engine's wave, counted from 0 */
-    unsigned waves;        /**< number of waves of the service; 0: unknown */
-    bool is_first;         /**< it has no predecessor */
-    bool predecessor_done; /**< it has newer weights than this engine */
-    bool predecessor_loading; /**< it accepts no requests, to load weights */
-    bool predecessor_lost;    /**< it is down, or its reports are overdue */
-} GwRollFacts;
-
-/** How many of @p engines switch at once: the size of a wave. */
-size_t GwRoll_ConcurrentSwitches(size_t engines);
-/** Whether the engine starts its preparation. */
-bool GwRoll_MayPrepare(const GwRollFacts *facts);
-/** Whether the engine may proceed from its preparation to settling. */
-bool GwRoll_MayStart(const GwRollFacts *facts);
 /**
  * Time until the order must be sent, even if requests are queued or run at the
  * engine; the engine refuses the queued ones as not run. 0 or less: now.
--- a/packages/sidecar/src/roll.c
+++ b/packages/sidecar/src/roll.c
@@ -1,20 +1,5 @@
 #include "galenagw/sidecar/roll.h"
 
-/* A sixth of the engines load at once. The platform lets about a fifth of them
- * load at full speed and makes all others wait. With half of the engines
- * ordered at once, each was unavailable for up to 2.7 s, although a load takes
- * 0.6 s. The roll does not take longer with a sixth, and with seven versions
- * in 25 s the callers of several deployments get 0.02 to 0.03 more of the
- * total value of a day's requests. */
-#define CONCURRENT_DIVISOR 6
-#define CONCURRENT_MIN 2
-/* Share of the bound after which the last wave starts without waiting for its
- * predecessors: a switch takes one second, or two under load, and must be
- * complete by the bound. */
-#define LATEST_START_SHARE 0.55
-/* An engine waits for a lost predecessor no longer than a switch takes. */
-#define LOST_PREDECESSOR_WAIT (1500 * GW_MILLISECOND)
-
 /* Duration of the preparation: the minimum, and the maximum while long runs
  * are in flight. An engine with a load order accepts no requests until all
  * running ones have finished. So it first gets no more long runs and continues
@@ -44,34 +29,6 @@
  * that they were not run. */
 #define ORDER_LEAD_TIME (800 * GW_MILLISECOND)
 
-static double latest_start_(const GwRollFacts *facts);
-
-size_t
-GwRoll_ConcurrentSwitches(size_t engines)
-{
-    size_t n = (engines + CONCURRENT_DIVISOR - 1) / CONCURRENT_DIVISOR;
-
-    return n > CONCURRENT_MIN ? n : CONCURRENT_MIN;
-}
-
-bool
-GwRoll_MayPrepare(const GwRollFacts *facts)
-{
-    return facts->predecessor_loading || GwRoll_MayStart(facts);
-}
-
-bool
-GwRoll_MayStart(const GwRollFacts *facts)
-{
-    if (facts->is_first || facts->predecessor_done)
-        return true;
-    if (facts->predecessor_lost &&
-        facts->outdated_for >= LOST_PREDECESSOR_WAIT)
-        return true;
-    return (double)facts->outdated_for >= latest_start_(facts) ||
-           GwRoll_TimeLeft(facts->outdated_for, facts->bound) <= 0;
-}
-
 GwTime
 GwRoll_TimeLeft(GwTime outdated_for, GwTime bound)
 {
@@ -92,17 +49,3 @@
         return true;
     return elapsed >= (has_waiting ? SETTLE_MAX : SETTLE_MIN);
 }
-
-// The time, counted from when the first newer version was named, after which
-// the engine does not wait for its predecessor any more. It grows with the
-// wave, so that a predecessor that crashed or loses its orders does not delay
-// all later waves until the bound is close.
-static double
-latest_start_(const GwRollFacts *facts)
-{
-    double part = facts->waves > 1
-                      ? (double)facts->wave / (double)(facts->waves - 1)
-                      : 1;
-
-    return part * LATEST_START_SHARE * (double)facts->bound;
-}
