--- a/packages/sidecar/tests/switch_schedule_test.cc
+++ b/packages/sidecar/tests/switch_schedule_test.cc
@@ -147,10 +147,8 @@
         size_t at_once;
         bool is_late;
     } cases[] = {
-        {20 * GW_SECOND, 1, false},
-        {10 * GW_SECOND, 2, false},
-        {4500 * GW_MILLISECOND, 6, false},
-        {4 * GW_SECOND, 6, false},
+        {20 * GW_SECOND, 1, false},        {10 * GW_SECOND, 2, false},
+        {4500 * GW_MILLISECOND, 6, false}, {4 * GW_SECOND, 6, false},
         {3700 * GW_MILLISECOND, 6, true},
     };
 
