--- a/packages/routing/include/galenagw/routing/overload.h
+++ b/packages/routing/include/galenagw/routing/overload.h
@@ -11,8 +11,9 @@
  *
  * A request that can wait, and that would miss its target latency even at the
  * best engine, is therefore refused immediately, with the time after which the
- * queue will have been prefilled. The most urgent requests are never refused
- * for this reason, because engines schedule them first.
+ * queue will have been prefilled. The most urgent requests are not refused for
+ * this reason, because engines schedule them first; see GwAdmissionState for
+ * the limits that apply to them.
  * @{
  */
 #ifndef GALENAGW_ROUTING_OVERLOAD_H
@@ -39,11 +40,20 @@
                          tokens */
     uint32_t kv_total;  /**< memory of the engine, in tokens; 0: unknown */
     uint32_t kv_needed; /**< memory that the request needs, in tokens */
+    double prefill_tokens_per_ms; /**< measured speed of the engine; 0: unknown
+                                   */
+    double share_excess; /**< the admissible queue is divided by it; at most 1:
+                            not divided */
 } GwOverloadFacts;
 
 /** @return 0 to send the request now, else the time after which its client
  * should retry */
 GwTime GwOverload_Defer(const GwOverloadFacts *facts);
+/** Expected speed of the engine in tokens per millisecond: the measured one,
+ * or else a typical one. */
+double GwOverload_PrefillTokensPerMs(const GwOverloadFacts *facts);
+/** Retry-After for a client whose queue will be short enough in @p delay. */
+GwTime GwOverload_BoundRetryAfter(double delay);
 /** Shares of an engine's memory that requests which can wait may fill: the
  * first when engines are compared, the second when a request is refused.
  * Engines preempt requests if new prompts exceed the second one, as the
--- a/packages/routing/src/overload.c
+++ b/packages/routing/src/overload.c
@@ -33,15 +33,13 @@
 #define RETRY_AFTER_MIN (300 * GW_MILLISECOND)
 #define RETRY_AFTER_MAX (2 * GW_SECOND)
 
-static double prefill_tokens_per_ms_(const GwOverloadFacts *f);
-
 GwTime
 GwOverload_Defer(const GwOverloadFacts *f)
 {
-    double wait =
-        (double)f->waiting_tokens / prefill_tokens_per_ms_(f) * GW_MILLISECOND;
-    double prefill =
-        (double)f->own_tokens / prefill_tokens_per_ms_(f) * GW_MILLISECOND;
+    double wait = (double)f->waiting_tokens /
+                  GwOverload_PrefillTokensPerMs(f) * GW_MILLISECOND;
+    double prefill = (double)f->own_tokens / GwOverload_PrefillTokensPerMs(f) *
+                     GW_MILLISECOND;
     double target = (double)f->target_latency;
     double excess;
 
@@ -49,6 +47,8 @@
         return 0;
     if (f->own_tokens < SHORT_PROMPT_TOKENS)
         target *= SHORT_PROMPT_TARGET_FACTOR;
+    if (f->share_excess > 1)
+        target /= f->share_excess;
     if (f->waiting_tokens > 0)
         wait += (double)GwOverload_MemoryWait(f->kv_used, f->waiting_tokens,
                                               f->kv_needed, f->kv_total,
@@ -59,7 +59,7 @@
     // A client that cannot return in time should wait here instead.
     if ((double)f->left < excess + wait)
         return 0;
-    return (GwTime)CLAMP(excess, RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+    return GwOverload_BoundRetryAfter(excess);
 }
 
 GwTime
@@ -80,14 +80,26 @@
                     GW_MILLISECOND);
 }
 
-static double
-prefill_tokens_per_ms_(const GwOverloadFacts *f)
+double
+GwOverload_PrefillTokensPerMs(const GwOverloadFacts *f)
 {
     double used = f->kv_total > 0 ? (double)f->kv_used / f->kv_total : 0;
     double fullness =
         (used - LOW_MEMORY_SHARE) / (HIGH_MEMORY_SHARE - LOW_MEMORY_SHARE);
 
+    if (f->prefill_tokens_per_ms > 0)
+        return f->prefill_tokens_per_ms;
+    // Engines schedule the most urgent prompts before those that slow down
+    // the others.
+    if (!f->can_wait)
+        return FAST_PREFILL_TOKENS_PER_MS;
     return FAST_PREFILL_TOKENS_PER_MS -
            CLAMP(fullness, 0, 1) *
                (FAST_PREFILL_TOKENS_PER_MS - SLOW_PREFILL_TOKENS_PER_MS);
 }
+
+GwTime
+GwOverload_BoundRetryAfter(double delay)
+{
+    return (GwTime)CLAMP(delay, RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+}
