Urgent prompt tokens that wait at an engine are exchanged and known to selection

Gateways report the part of their waiting tokens that belongs to requests of the most urgent engine priority, and agents report the sum of the others'. A candidate's urgent_tokens are those that wait before an urgent request. Agents of an older version do not report them, and all of the others' tokens then count as urgent.

The header of the speed estimate comes with it, because GwInstance contains it; nothing uses it yet.

--- a/packages/cluster/src/entry_load.c
+++ b/packages/cluster/src/entry_load.c
@@ -14,6 +14,7 @@
 {
     load->own = (GwWaitingTokens){
         .tokens = note->tokens,
+        .urgent = MIN(note->urgent, note->tokens),
         .yielding = note->yielding,
         .yielding_memory = note->yielding_memory,
     };
@@ -31,6 +32,7 @@
 GwWaitingTokens_Add(GwWaitingTokens *sum, const GwEntryLoad *load)
 {
     sum->tokens += load->own.tokens;
+    sum->urgent += load->own.urgent;
     sum->yielding += load->own.yielding;
     sum->yielding_memory += load->own.yielding_memory;
 }
@@ -40,6 +42,7 @@
 {
     return (GwWaitingTokens){
         .tokens = all->tokens - load->own.tokens,
+        .urgent = all->urgent - load->own.urgent,
         .yielding = all->yielding - load->own.yielding,
         .yielding_memory = all->yielding_memory - load->own.yielding_memory,
     };
@@ -50,6 +53,7 @@
                          const GwWaitingTokens *others)
 {
     return is_notable_change_(others->tokens, load->sent_others.tokens) ||
+           is_notable_change_(others->urgent, load->sent_others.urgent) ||
            is_notable_change_(others->yielding, load->sent_others.yielding);
 }
 
--- a/packages/cluster/src/entry_load.h
+++ b/packages/cluster/src/entry_load.h
@@ -10,6 +10,7 @@
 
 typedef struct {
     uint64_t tokens;
+    uint64_t urgent;   /* of these, tokens of the most urgent priority */
     uint64_t yielding; /* of these, tokens of low-priority accounts */
     /* Tokens that all requests of low-priority accounts hold in KV memory, or
      * will hold. */
--- a/packages/cluster/src/peers_engine.c
+++ b/packages/cluster/src/peers_engine.c
@@ -93,6 +93,7 @@
         !GwSession_IsReady(peer->session))
         return;
     note.tokens = instance->prefill_tokens;
+    note.urgent = instance->urgent_tokens;
     note.yielding = instance->low_priority_tokens;
     note.yielding_memory = instance->yielding_memory;
     note.long_runs = instance->long_runs;
@@ -194,6 +195,10 @@
         .switching = state->switching,
         .down = state->down,
         .others_tokens = state->others_tokens,
+        // An agent of an older version does not report the urgent tokens.
+        .others_urgent = state->has_others_urgent
+                             ? MIN(state->others_urgent, state->others_tokens)
+                             : state->others_tokens,
         .others_yielding = state->others_yielding,
         .others_yielding_memory = state->others_yielding_memory,
         .running = state->running,
@@ -248,6 +253,8 @@
     peer->load.sent_others = others;
     peer->state_sent_at = GwTime_Now();
     state.others_tokens = others.tokens;
+    state.others_urgent = others.urgent;
+    state.has_others_urgent = true;
     state.others_yielding = others.yielding;
     state.others_yielding_memory = others.yielding_memory;
     GwSession_Send(peer->session, &frame);
--- a/packages/cluster/tests/entry_load_test.cc
+++ b/packages/cluster/tests/entry_load_test.cc
@@ -85,3 +85,23 @@
     }
     EXPECT_LT(GwTime_Now() - since, prompts * 25 * GW_MILLISECOND);
 }
+
+// A gateway refuses or accepts an urgent request by the urgent tokens that
+// wait before it. If the others' urgent tokens were not reported, or reported
+// late, all gateways would fill the same engine.
+TEST_F(EntryLoadTest, UrgentPromptsAreReportedImmediately)
+{
+    GwTime since = GwTime_Now();
+    const GwAgentReport *report = &SecondEntryInstance()->agent_report;
+
+    EntryInstance()->urgent_tokens = 5000;
+    SendWaitingTokens(12000);
+    ASSERT_TRUE(f.Until([&] { return report->others_tokens == 12000; }));
+    EXPECT_EQ(report->others_urgent, 5000u);
+    // The same number of tokens waits, but more of them are urgent.
+    EntryInstance()->urgent_tokens = 9000;
+    SendWaitingTokens(12000);
+    ASSERT_TRUE(f.Until([&] { return report->others_urgent == 9000; }));
+    EXPECT_EQ(EntryInstance()->agent_report.others_urgent, 0u);
+    EXPECT_LT(GwTime_Now() - since, 300 * GW_MILLISECOND);
+}
--- a/packages/gateway/src/request_load.c
+++ b/packages/gateway/src/request_load.c
@@ -19,6 +19,10 @@
     int64_t change;
 
     instance->prefill_tokens += (uint64_t)tokens_delta;
+    if (!GwSelection_IsDeferrable(r)) {
+        instance->urgent_tokens += (uint64_t)tokens_delta;
+        instance->urgent_sent += (uint64_t)MAX(tokens_delta, 0);
+    }
     if (GwAccount_IsLowPriority(r->account)) {
         instance->low_priority_tokens += (uint64_t)tokens_delta;
         instance->yielding_memory += (uint64_t)((int64_t)requests_delta *
@@ -29,6 +33,9 @@
     if (change == 0)
         change = (int64_t)(instance->low_priority_tokens -
                            instance->reported_low_priority_tokens);
+    if (change == 0)
+        change = (int64_t)(instance->urgent_tokens -
+                           instance->reported_urgent_tokens);
     if (requests_delta != 0 && GwSelection_IsLongRunning(r))
         instance->long_runs += (unsigned)requests_delta;
     else if (change == 0 || (ABS(change) < REPORT_TOKENS_MIN &&
@@ -36,5 +43,6 @@
         return;
     instance->reported_prefill_tokens = instance->prefill_tokens;
     instance->reported_low_priority_tokens = instance->low_priority_tokens;
+    instance->reported_urgent_tokens = instance->urgent_tokens;
     GwPeers_SendLoad(r->gateway->peers, instance);
 }
--- a/packages/gateway/src/selection.c
+++ b/packages/gateway/src/selection.c
@@ -207,6 +207,7 @@
         .slots = instance->slots,
         .in_flight = instance->in_flight,
         .prefill_tokens = instance->prefill_tokens,
+        .urgent_tokens = instance->urgent_tokens,
     };
     out->outdated =
         outdated_since != 0 && now - outdated_since > OUTDATED_WEIGHTS_GRACE;
@@ -214,6 +215,7 @@
         out->in_flight =
             MAX(out->in_flight, agent_report->running + agent_report->queued);
         out->prefill_tokens += agent_report->others_tokens;
+        out->urgent_tokens += agent_report->others_urgent;
         low_priority += agent_report->others_yielding;
         low_priority_memory += agent_report->others_yielding_memory;
         out->kv_used = agent_report->kv_used;
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -19,6 +19,7 @@
 #include <stdint.h>
 
 #include "galenagw/base/settings.h"
+#include "galenagw/routing/engine_speed.h"
 #include "galenagw/routing/health.h"
 #include "galenagw/routing/cached_parts.h"
 #include "galenagw/routing/software.h"
@@ -78,6 +79,9 @@
     bool down;      /**< the engine does not answer the agent */
     uint64_t others_tokens;   /**< prompt tokens that other entries' requests
                                  wait to have prefilled */
+    uint64_t others_urgent;   /**< of these, tokens of the most urgent
+                                 priority; all if the agent does not report
+                                 them */
     uint64_t others_yielding; /**< of these, tokens of low-priority accounts;
                                  see low_priority_tokens */
     uint64_t others_yielding_memory; /**< tokens of KV memory for other
@@ -87,6 +91,8 @@
     unsigned queued;
     uint32_t kv_used;
     uint32_t kv_total;
+    double prefill_tokens_per_ms; /**< measured by the requests of all entries;
+                                     0: unknown */
     GwTime switch_time; /**< how long a switch to new weights takes there; 0:
                            not measured */
 } GwAgentReport;
@@ -143,6 +149,8 @@
     /** of these, tokens of accounts that engines schedule after others, such
      * as trials */
     uint64_t low_priority_tokens;
+    uint64_t urgent_tokens; /**< of prefill_tokens, those of the most urgent
+                               priority */
     /** requests in flight that are expected to run for long */
     unsigned long_runs;
     uint64_t yielding_memory; /**< tokens of KV memory that requests in flight
@@ -151,7 +159,15 @@
                                          agent */
     uint64_t reported_low_priority_tokens; /**< low_priority_tokens, as last
                                               sent to its agent */
-    void *user; /**< the owner's connections to it */
+    uint64_t reported_urgent_tokens; /**< urgent_tokens, as last sent to its
+                                        agent */
+    GwEngineSpeed speed;             /**< by the answers to this process */
+    uint64_t sample_tokens;          /**< prefilled tokens measured since the
+                                        agent was last notified */
+    uint64_t sample_us;              /**< time that they took */
+    uint64_t urgent_sent; /**< tokens of all urgent requests that were sent to
+                             it */
+    void *user;           /**< the owner's connections to it */
     int refs;
 } GwInstance;
 
--- a/packages/routing/include/galenagw/routing/placement.h
+++ b/packages/routing/include/galenagw/routing/placement.h
@@ -39,6 +39,14 @@
     /** requests of this process and, if known, of others */
     unsigned in_flight;
     uint64_t prefill_tokens; /**< that it will prefill before this request */
+    /** of the tokens that wait there, those of the most urgent priority: an
+     * urgent request waits only for these */
+    uint64_t urgent_tokens;
+    /** measured prefill speed; 0: the constants apply */
+    double prefill_tokens_per_ms;
+    /** measured speed of a plain endpoint, over the median of its service; 0:
+     * all are treated as equal */
+    double relative_speed;
     uint64_t missing_tokens; /**< shared tokens that no cache node holds for
                                 its version of weights */
     uint64_t read_tokens; /**< shared tokens that it would prefill, because it
