--- a/packages/base/include/galenagw/base/reason.h
+++ b/packages/base/include/galenagw/base/reason.h
@@ -62,6 +62,8 @@
                                    is unknown, and there are several. */
     GW_REFUSAL_VERSION_GONE,    /**< No endpoint of the software version that
                                    began its stream is left. */
+    GW_REFUSAL_OVERLOAD,        /**< Too many of the most urgent requests wait
+                                   for it to start within its target. */
     GW_REFUSALS
 } GwRefusal;
 
--- a/packages/base/src/reason.c
+++ b/packages/base/src/reason.c
@@ -36,6 +36,7 @@
     "limit_unknown",
     "origin_unknown",
     "version_gone",
+    "overload",
 };
 
 typedef struct {
@@ -102,6 +103,9 @@
     [GW_REFUSAL_VERSION_GONE] = {503, "no endpoint of the software version "
                                       "that began the stream is left; come "
                                       "back after Retry-After, or start over"},
+    [GW_REFUSAL_OVERLOAD] = {503, "the engines have more urgent requests than "
+                                  "can start in time; come back after "
+                                  "Retry-After"},
     [GW_REFUSAL_BUFFERS_FULL] = {503, "too many large bodies are in flight; "
                                       "come back after Retry-After"},
 };
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -88,6 +88,8 @@
     TAILQ_INIT(&g->requests);
     g->retry_budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    g->admissions =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g->quarantine = GwQuarantine_New(&quarantine);
     g->recent_broken_requests = GwBrokenRequests_New();
     g->rand = g_rand_new();
@@ -125,6 +127,7 @@
     GwKvStores_Delete(g->kv_stores);
     GwStreamOrigins_Delete(g->stream_origins);
     g_hash_table_unref(g->retry_budgets);
+    g_hash_table_unref(g->admissions);
     GwQuarantineStore_Delete(g->quarantine_store);
     GwQuarantine_Delete(g->quarantine);
     GwLimitShare_Delete(g->limit_share);
--- a/packages/gateway/src/gateway_private.h
+++ b/packages/gateway/src/gateway_private.h
@@ -11,6 +11,7 @@
 #include "galenagw/gateway/options.h"
 #include "galenagw/http/server.h"
 #include "galenagw/quarantine/broken_requests.h"
+#include "galenagw/routing/admission.h"
 #include "galenagw/routing/budget.h"
 #include "galenagw/routing/placement.h"
 #include "galenagw/routing/stream_origins.h"
@@ -46,6 +47,7 @@
     GwHttpServer *metrics_server;
 
     GHashTable *retry_budgets; /* service name to GwBudget */
+    GHashTable *admissions;    /* service name to GwAdmissionState */
     GwLimitShare *limit_share; /* leases of account limits */
     GwLimitTolerance limit_tolerance;
     GwTimer limit_timer; /* calls GwLimitShare_Tick */
@@ -74,5 +76,7 @@
 void GwGateway_RequestEnded(GwGateway *gateway);
 /* The retry budget of @p service; created on first use. */
 GwBudget *GwGateway_Budget(GwGateway *gateway, const char *service);
+/* Expected waits at @p service; created on first use. */
+GwAdmissionState *GwGateway_Admission(GwGateway *gateway, const char *service);
 
 #endif
--- a/packages/gateway/src/gateway_state.c
+++ b/packages/gateway/src/gateway_state.c
@@ -31,3 +31,15 @@
     }
     return budget;
 }
+
+GwAdmissionState *
+GwGateway_Admission(GwGateway *g, const char *service)
+{
+    GwAdmissionState *state = g_hash_table_lookup(g->admissions, service);
+
+    if (state == NULL) {
+        state = g_new0(GwAdmissionState, 1);
+        g_hash_table_insert(g->admissions, g_strdup(service), state);
+    }
+    return state;
+}
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -4,7 +4,7 @@
 
 #include "selection.h"
 #include "terminations.h"
-#include "galenagw/routing/overload.h"
+#include "galenagw/routing/admission.h"
 #include "cache_nodes.h"
 #include "request_answer.h"
 #include "request_end.h"
@@ -23,7 +23,7 @@
 #define AVOID_AFTER_DECLINE (150 * GW_MILLISECOND)
 
 static void end_without_attempt_(GwRequest *r, GwRefusal refusal);
-static GwTime deferral_time_(const GwRequest *r, const GwInstance *instance);
+static GwRefusal admit_(GwRequest *r, const GwInstance *instance);
 static void send_attempt_(GwRequest *r, GwInstance *instance,
                           const GwAddress *source);
 static GwHeadVerdict on_head_(void *user, const GwHttpHead *head);
@@ -40,6 +40,14 @@
     [GW_ATTEMPT_HAS_RUN] = GW_RETRY_ERROR,
 };
 
+/* Reasons of refusals, by the verdict on the expected wait. */
+static const GwRefusal admission_refusals[GW_ADMISSION_VERDICTS] = {
+    [GW_ADMISSION_ADMIT] = GW_REFUSAL_NONE,
+    [GW_ADMISSION_DEADLINE] = GW_REFUSAL_DEADLINE,
+    [GW_ADMISSION_DEFER] = GW_REFUSAL_DEFERRED,
+    [GW_ADMISSION_OVERLOAD] = GW_REFUSAL_OVERLOAD,
+};
+
 static const GwUpstreamOps upstream_ops = {on_head_, on_body_, on_end_};
 
 void
@@ -47,6 +55,7 @@
 {
     const GwAddress *source = NULL;
     GwInstance *instance;
+    GwRefusal refusal;
 
     if (GwRequestQuarantine_RefusesAttempt(r)) {
         end_without_attempt_(r, GW_REFUSAL_QUARANTINED);
@@ -57,11 +66,11 @@
         end_without_attempt_(r, GW_REFUSAL_NO_ENDPOINT);
         return;
     }
-    r->retry_after = deferral_time_(r, instance);
-    if (r->retry_after == 0)
+    refusal = admit_(r, instance);
+    if (refusal == GW_REFUSAL_NONE)
         send_attempt_(r, instance, source);
     else
-        GwRequestRefusal_Answer(r, GW_REFUSAL_DEFERRED);
+        end_without_attempt_(r, refusal);
 }
 
 void
@@ -133,31 +142,52 @@
     GwRequestEnd_Abort(r);
 }
 
-// Time after which the caller should send the request again; 0: the request is
-// not deferred.
-static GwTime
-deferral_time_(const GwRequest *r, const GwInstance *instance)
+// Whether the request may be sent to the engine, or why it is refused; then
+// its Retry-After is set.
+static GwRefusal
+admit_(GwRequest *r, const GwInstance *instance)
 {
-    GwOverloadFacts facts = {
-        .can_wait = GwSelection_IsDeferrable(r),
-        .target_latency = r->route->target_latency,
-        .left = r->deadline - GwTime_Now(),
-        .waiting_tokens = r->chosen.prefill_tokens,
-        .own_tokens = GwSelection_PrefillTokens(r, instance),
-        .kv_used = r->chosen.kv_used,
-        .kv_total = r->chosen.kv_total,
-        .kv_needed = (uint32_t)GwRequestLoad_MemoryTokens(r),
+    GwGateway *g = r->gateway;
+    GwTime now = GwTime_Now();
+    bool can_wait = GwSelection_IsDeferrable(r);
+    GwAdmissionFacts facts = {
+        .now = now,
+        .is_retry = r->attempts > 0,
+        .load =
+            {
+                .can_wait = can_wait,
+                .target_latency = r->route->target_latency,
+                .left = r->deadline - now,
+                .waiting_tokens = can_wait ? r->chosen.prefill_tokens
+                                           : r->chosen.urgent_tokens,
+                .own_tokens = GwSelection_PrefillTokens(r, instance),
+                .kv_used = r->chosen.kv_used,
+                .kv_total = r->chosen.kv_total,
+                .kv_needed = (uint32_t)GwRequestLoad_MemoryTokens(r),
+                .prefill_tokens_per_ms = r->chosen.prefill_tokens_per_ms,
+            },
+        .report_age = GwInstance_ReportState(instance, now) == GW_REPORT_FRESH
+                          ? now - instance->agent_report.at
+                          : -1,
+        .unreported_tokens =
+            MIN(GwUnreportedTokens_Get(&instance->unreported_urgent,
+                                       instance->agent_report.at),
+                instance->urgent_tokens),
+        .random = g_rand_double(g->rand),
+        .share_excess = r->share_excess,
     };
-    GwTime defer;
+    GwAdmissionDecision decision;
 
-    // A plain endpoint prefills no prompts. A retry is not deferred, as
-    // earlier attempts have used part of the caller's time.
-    if (instance->model == NULL || r->attempts > 0)
-        return 0;
-    defer = GwOverload_Defer(&facts);
-    if (defer > 0)
-        GwRequestLog_Deferred(r, instance, &facts, defer);
-    return defer;
+    // A plain endpoint prefills no prompts.
+    if (instance->model == NULL)
+        return GW_REFUSAL_NONE;
+    facts.senders = GwPeers_EntriesSendingTo(g->peers, instance);
+    decision =
+        GwAdmissionState_Decide(GwGateway_Admission(g, r->service), &facts);
+    r->retry_after = decision.retry_after;
+    if (decision.verdict != GW_ADMISSION_ADMIT)
+        GwRequestLog_Deferred(r, instance, &facts, &decision);
+    return admission_refusals[decision.verdict];
 }
 
 static void
@@ -214,6 +244,9 @@
                                  GwPeers_EntriesSendingTo(g->peers, instance),
                                  now);
     GwRequestLoad_Add(r, (int64_t)r->prefill_tokens, 1);
+    if (!GwSelection_IsDeferrable(r))
+        GwUnreportedTokens_Add(&instance->unreported_urgent,
+                               instance->agent_report.at, r->prefill_tokens);
     if (r->n_tried < TRIED_MAX)
         r->tried_serials[r->n_tried++] = instance->serial;
     GwCounters_Add(&g->counters, GW_COUNTER_ATTEMPTS, 1);
--- a/packages/gateway/src/request_log.c
+++ b/packages/gateway/src/request_log.c
@@ -110,24 +110,36 @@
 
 void
 GwRequestLog_Deferred(const GwRequest *r, const GwInstance *instance,
-                      const GwOverloadFacts *facts, GwTime defer)
+                      const GwAdmissionFacts *facts,
+                      const GwAdmissionDecision *decision)
 {
+    const GwOverloadFacts *load = &facts->load;
     GwEventLog *log = r->gateway->log;
 
     GwEvent_Begin(log, "deferred", r->info.id);
+    GwEvent_Text(log, "why", GwAdmissionVerdict_Names[decision->verdict]);
     GwEvent_Text(log, "route", r->route->name);
     GwEvent_Text(log, "instance", instance->id);
-    GwEvent_Number(log, "waiting_tokens", (int64_t)facts->waiting_tokens);
-    GwEvent_Number(log, "own_tokens", (int64_t)facts->own_tokens);
-    GwEvent_Number(log, "kv_used", facts->kv_used);
-    GwEvent_Number(log, "kv_needed", facts->kv_needed);
-    GwEvent_Number(log, "kv_total", facts->kv_total);
-    GwEvent_Time(log, "aim_ms", facts->target_latency);
-    GwEvent_Time(log, "left_ms", facts->left);
+    GwEvent_Time(log, "wait_ms", decision->wait);
+    GwEvent_Time(log, "prefill_ms", decision->prefill);
+    GwEvent_Time(log, "limit_ms", decision->limit);
+    GwEvent_Number(log, "sustained", decision->is_sustained);
+    GwEvent_Real(log, "tokens_per_ms", decision->tokens_per_ms);
+    GwEvent_Number(log, "waiting_tokens", (int64_t)load->waiting_tokens);
+    GwEvent_Number(log, "estimated_tokens",
+                   (int64_t)decision->estimated_tokens);
+    GwEvent_Number(log, "own_tokens", (int64_t)load->own_tokens);
+    GwEvent_Number(log, "kv_used", load->kv_used);
+    GwEvent_Number(log, "kv_needed", load->kv_needed);
+    GwEvent_Number(log, "kv_total", load->kv_total);
+    if (facts->share_excess > 1)
+        GwEvent_Real(log, "share_excess", facts->share_excess);
+    GwEvent_Time(log, "aim_ms", load->target_latency);
+    GwEvent_Time(log, "left_ms", load->left);
     if (instance->agent_report.at != 0)
         GwEvent_Time(log, "advice_age_ms",
                      GwTime_Now() - instance->agent_report.at);
-    GwEvent_Time(log, "retry_after_ms", defer);
+    GwEvent_Time(log, "retry_after_ms", decision->retry_after);
     GwEvent_End(log);
 }
 
--- a/packages/gateway/src/request_log.h
+++ b/packages/gateway/src/request_log.h
@@ -3,7 +3,7 @@
 #define GALENAGW_GATEWAY_REQUEST_LOG_H
 
 #include "galenagw/routing/attempt.h"
-#include "galenagw/routing/overload.h"
+#include "galenagw/routing/admission.h"
 #include "galenagw/quarantine/quarantine.h"
 #include "request_private.h"
 
@@ -31,10 +31,12 @@
 /* The request takes up a stream; its software version was looked up. */
 void GwRequestLog_StreamOrigin(const GwRequest *request,
                                GwOriginSource source);
-/* The request is deferred; @p instance was the best choice. */
+/* The request is refused because of its expected wait; @p instance was the
+ * best choice. */
 void GwRequestLog_Deferred(const GwRequest *request,
                            const GwInstance *instance,
-                           const GwOverloadFacts *facts, GwTime defer);
+                           const GwAdmissionFacts *facts,
+                           const GwAdmissionDecision *decision);
 /* The request is refused because its account's limit is used up or unknown. */
 void GwRequestLog_Limited(const GwRequest *request,
                           const GwLimitDecision *verdict);
--- a/packages/gateway/tests/gateway_overload_test.cc
+++ b/packages/gateway/tests/gateway_overload_test.cc
@@ -1,3 +1,5 @@
+#include <set>
+
 #include "galenagw/fakes/fleet.h"
 
 extern "C" {
@@ -157,3 +159,123 @@
         EXPECT_EQ(free->seen.size(), c.to_free ? 1u : 0u) << c.route;
     }
 }
+
+// A report of the engine's agent on other gateways' urgent requests.
+static GwInstance *
+ReportUrgentTokens(GwGateway *g, const char *id, uint64_t tokens)
+{
+    GwInstance *instance = GwInstances_Find(GwView_Instances(g->view), id);
+
+    instance->agent_report.at = GwTime_Now();
+    instance->agent_report.others_tokens = tokens;
+    instance->agent_report.others_urgent = tokens;
+    return instance;
+}
+
+static double
+RetryAfter(const std::shared_ptr<Caller> &call)
+{
+    return atof(call->Header("Retry-After").c_str());
+}
+
+// So many urgent prompts wait at the engine that a further one would begin
+// after its deadline. It must be refused immediately as not run, whatever its
+// priority: at the engine it would wait until its caller has gone. One that
+// begins in time, if late, must be sent.
+TEST(GatewayOverload, RequestsBeyondTheirDeadlineAreRefusedAtOnce)
+{
+    const struct {
+        const char *name, *route;
+        uint64_t tokens;
+        bool sent;
+    } cases[] = {
+        {"urgent, too late", "check", 3000000, false},
+        {"urgent, late but in time", "check", 300000, true},
+        {"can wait, too late", "report", 3000000, false},
+    };
+
+    for (const auto &c : cases) {
+        Fleet f;
+        f.Configure(1, PromptRoute("check", 0) + PromptRoute("report", 1));
+        Endpoint *e = f.AddEndpoint("i-1", "model");
+        GwGateway *g = f.AddGateway();
+        ASSERT_TRUE(f.Ready());
+        ReportUrgentTokens(g, "i-1", c.tokens);
+        e->serve = [](Endpoint *, FakeExchange *) {};
+        auto call = f.Call(
+            g,
+            Fleet::Request("POST", ("/" + std::string(c.route) + "/1").c_str(),
+                           "x", kPrompt));
+        EXPECT_TRUE(
+            f.Until([&] { return e->seen.size() == 1 || call->Has(1); }));
+        EXPECT_EQ(e->seen.size(), c.sent ? 1u : 0u) << c.name;
+        EXPECT_EQ(g->counters.refusals[GW_REFUSAL_DEADLINE], c.sent ? 0u : 1u)
+            << c.name;
+        if (!c.sent) {
+            EXPECT_EQ(call->Status(), 503) << c.name;
+            EXPECT_GE(RetryAfter(call), 0.3) << c.name;
+            EXPECT_LE(RetryAfter(call), 2) << c.name;
+        }
+    }
+}
+
+// The first engine declines a request, and at the only other one it would
+// begin after its deadline. It must be refused as not run and not be sent
+// there, as earlier attempts don't make the queue shorter.
+TEST(GatewayOverload, RetriesBeyondTheirDeadlineAreRefused)
+{
+    Fleet f;
+    std::string route = PromptRoute("check", 0);
+    route.replace(route.find("\"max_attempts\":1"), 16, "\"max_attempts\":3");
+    f.Configure(1, route);
+    Endpoint *declining = f.AddEndpoint("i-1", "model");
+    Endpoint *full = f.AddEndpoint("i-2", "model");
+    GwGateway *g = f.AddGateway();
+    ASSERT_TRUE(f.Ready());
+    ReportUrgentTokens(g, "i-1", 0);
+    ReportUrgentTokens(g, "i-2", 3000000);
+    declining->serve = [](Endpoint *, FakeExchange *x) {
+        Endpoint::Decline(x);
+    };
+    auto call = f.Call(g, Fleet::Request("POST", "/check/1", "x", kPrompt));
+    EXPECT_TRUE(f.Until([&] { return call->Has(1); }));
+    EXPECT_EQ(declining->seen.size(), 1u);
+    EXPECT_EQ(full->seen.size(), 0u);
+    EXPECT_EQ(call->Status(), 503);
+    EXPECT_EQ(g->counters.refusals[GW_REFUSAL_DEADLINE], 1u);
+}
+
+// The overload of urgent requests is sustained, and the queue of the best
+// engine is longer than half of their target. One more must be refused, so
+// that those that were accepted are in time. Clients that are refused together
+// must not return together. With a short queue, requests are sent again.
+TEST(GatewayOverload, UrgentRequestsAreLimitedUnderSustainedOverload)
+{
+    Fleet f;
+    f.Configure(1, PromptRoute("check", 0));
+    Endpoint *e = f.AddEndpoint("i-1", "model");
+    GwGateway *g = f.AddGateway();
+    ASSERT_TRUE(f.Ready());
+    GwWaitHistory *history = &GwGateway_Admission(g, "model")->urgent;
+    std::set<std::string> retry_times;
+
+    e->serve = [](Endpoint *, FakeExchange *) {};
+    history->is_sustained = true;
+    for (int i = 0; i < 8; i++) {
+        history->observed_at = history->refused_at = GwTime_Now();
+        ReportUrgentTokens(g, "i-1", 60000);
+        auto call =
+            f.Call(g, Fleet::Request("POST", "/check/1", "x", kPrompt));
+        EXPECT_TRUE(f.Until([&] { return call->Has(1); }));
+        EXPECT_EQ(call->Status(), 503);
+        EXPECT_GE(RetryAfter(call), 0.3);
+        EXPECT_LE(RetryAfter(call), 2);
+        retry_times.insert(call->Header("Retry-After"));
+    }
+    EXPECT_GT(retry_times.size(), 1u);
+    EXPECT_EQ(e->seen.size(), 0u);
+    EXPECT_EQ(g->counters.refusals[GW_REFUSAL_OVERLOAD], 8u);
+    ReportUrgentTokens(g, "i-1", 0);
+    auto call = f.Call(g, Fleet::Request("POST", "/check/1", "x", kPrompt));
+    EXPECT_TRUE(f.Until([&] { return e->seen.size() == 1; }));
+}
--- a/packages/routing/include/galenagw/routing/admission.h
+++ b/packages/routing/include/galenagw/routing/admission.h
@@ -35,8 +35,8 @@
                            last one did not */
     GwTime refused_at;  /**< last refusal since the overload is sustained */
     bool is_sustained;  /**< the overload is sustained */
-    GwTime peak_wait;   /**< longest wait since the overload is sustained */
-    GwTime peak_at;     /**< when it was seen */
+    GwTime began_wait; /**< wait when the overload was found to be sustained */
+    GwTime began_at;   /**< when that was */
 } GwWaitHistory;
 
 /** State of one service at one gateway; zero-initialised. */
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -19,6 +19,7 @@
 #include <stdint.h>
 
 #include "galenagw/base/settings.h"
+#include "galenagw/routing/admission.h"
 #include "galenagw/routing/engine_speed.h"
 #include "galenagw/routing/health.h"
 #include "galenagw/routing/cached_parts.h"
@@ -167,7 +168,9 @@
     uint64_t sample_us;              /**< time that they took */
     uint64_t urgent_sent; /**< tokens of all urgent requests that were sent to
                              it */
-    void *user;           /**< the owner's connections to it */
+    GwUnreportedTokens unreported_urgent; /**< urgent tokens sent to it since
+                                             its agent's last report */
+    void *user;                           /**< the owner's connections to it */
     int refs;
 } GwInstance;
 
--- a/packages/routing/include/galenagw/routing/overload.h
+++ b/packages/routing/include/galenagw/routing/overload.h
@@ -52,6 +52,11 @@
 /** Expected speed of the engine in tokens per millisecond: the measured one,
  * or else a typical one. */
 double GwOverload_PrefillTokensPerMs(const GwOverloadFacts *facts);
+/** Bounds of Retry-After. A client that returns sooner finds the same queue.
+ * One that returns later misses the time in which the longest queue (45,000
+ * tokens) is prefilled. */
+#define GW_RETRY_AFTER_MIN (300 * GW_MILLISECOND)
+#define GW_RETRY_AFTER_MAX (2 * GW_SECOND)
 /** Retry-After for a client whose queue will be short enough in @p delay. */
 GwTime GwOverload_BoundRetryAfter(double delay);
 /** Shares of an engine's memory that requests which can wait may fill: the
--- a/packages/routing/src/admission.c
+++ b/packages/routing/src/admission.c
@@ -178,24 +178,22 @@
     else if (f->now - h->above_since >= target) {
         h->is_sustained = true;
         h->refused_at = f->now;
+        h->began_wait = wait;
+        h->began_at = f->now;
     }
     h->observed_at = f->now;
-    if (h->is_sustained && wait >= h->peak_wait) {
-        h->peak_wait = wait;
-        h->peak_at = f->now;
-    }
 }
 
 // Time in which the wait falls by @p excess, at the speed at which it has
-// fallen since its peak. If it has not fallen yet, one unit of time is assumed
-// for each unit of the queue, as if all further requests were refused.
+// fallen since the limit applies. Before that, one unit of time is assumed for
+// each unit of the queue, as if all further requests were refused.
 static GwTime
 time_to_fall_(const GwWaitHistory *h, GwTime now, GwTime wait, GwTime excess)
 {
     double fall = 1;
 
-    if (h->is_sustained && now > h->peak_at)
-        fall = (double)(h->peak_wait - wait) / (double)(now - h->peak_at);
+    if (h->is_sustained && now > h->began_at)
+        fall = (double)(h->began_wait - wait) / (double)(now - h->began_at);
     return (GwTime)((double)excess / CLAMP(fall, SLOWEST_FALL, 1));
 }
 
--- a/packages/routing/src/overload.c
+++ b/packages/routing/src/overload.c
@@ -28,10 +28,6 @@
  * sixth of all prefill work under overload, and a score of a day of high load
  * that is lower by 0.11. */
 #define MEMORY_RELEASE_TIME (3 * GW_SECOND)
-/* A client that returns sooner finds the same queue. One that returns later
- * misses the time in which the longest queue (45,000 tokens) is prefilled. */
-#define RETRY_AFTER_MIN (300 * GW_MILLISECOND)
-#define RETRY_AFTER_MAX (2 * GW_SECOND)
 
 GwTime
 GwOverload_Defer(const GwOverloadFacts *f)
@@ -101,5 +97,5 @@
 GwTime
 GwOverload_BoundRetryAfter(double delay)
 {
-    return (GwTime)CLAMP(delay, RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+    return (GwTime)CLAMP(delay, GW_RETRY_AFTER_MIN, GW_RETRY_AFTER_MAX);
 }
