--- a/packages/routing/include/galenagw/routing/overload.h
+++ b/packages/routing/include/galenagw/routing/overload.h
@@ -49,8 +49,8 @@
 /** @return 0 to send the request now, else the time after which its client
  * should retry */
 GwTime GwOverload_Defer(const GwOverloadFacts *facts);
-/** Expected speed of the engine in tokens per millisecond: the measured one,
- * or else a typical one. */
+/** Expected speed of the engine for the request, in tokens per millisecond:
+ * by its measured speed, or else by the nominal one. */
 double GwOverload_PrefillTokensPerMs(const GwOverloadFacts *facts);
 /** Bounds of Retry-After. A client that returns sooner finds the same queue.
  * One that returns later misses the time in which the longest queue (45,000
--- a/packages/routing/src/overload.c
+++ b/packages/routing/src/overload.c
@@ -2,14 +2,17 @@
 
 #include <glib.h>
 
-/* Tokens that an engine prefills per millisecond for requests that can wait:
- * waiting tokens divided by the time to the first event. An idle engine is
- * specified with 66. Steps that also produce tokens, and prompts of urgent
- * requests that are scheduled first, reduce this to 45 under low load and to
- * 25 if the memory is nearly full. The rate is interpolated by the share of
- * memory in use. The lower value is a little less than 25, and applies to
- * memory that is far from full, because urgent prompts continue to arrive
- * while a request waits, and waiting requests hold memory, too. */
+#include "galenagw/routing/engine_speed.h"
+
+/* Tokens that an engine of the nominal speed prefills per millisecond for
+ * requests that can wait: waiting tokens divided by the time to the first
+ * event. An idle engine is specified with 66. Steps that also produce tokens,
+ * and prompts of urgent requests that are scheduled first, reduce this to 45
+ * under low load and to 25 if the memory is nearly full. The rate is
+ * interpolated by the share of memory in use. The lower value is a little less
+ * than 25, and applies to memory that is far from full, because urgent prompts
+ * continue to arrive while a request waits, and waiting requests hold memory,
+ * too. */
 #define FAST_PREFILL_TOKENS_PER_MS 45.0
 #define SLOW_PREFILL_TOKENS_PER_MS 22.0
 #define LOW_MEMORY_SHARE 0.1
@@ -83,15 +86,18 @@
     double fullness =
         (used - LOW_MEMORY_SHARE) / (HIGH_MEMORY_SHARE - LOW_MEMORY_SHARE);
 
-    if (f->prefill_tokens_per_ms > 0)
-        return f->prefill_tokens_per_ms;
+    double speed = f->prefill_tokens_per_ms > 0
+                       ? f->prefill_tokens_per_ms
+                       : GW_NOMINAL_PREFILL_TOKENS_PER_MS;
+
     // Engines schedule the most urgent prompts before those that slow down
     // the others.
     if (!f->can_wait)
-        return FAST_PREFILL_TOKENS_PER_MS;
-    return FAST_PREFILL_TOKENS_PER_MS -
-           CLAMP(fullness, 0, 1) *
-               (FAST_PREFILL_TOKENS_PER_MS - SLOW_PREFILL_TOKENS_PER_MS);
+        return speed;
+    return speed / GW_NOMINAL_PREFILL_TOKENS_PER_MS *
+           (FAST_PREFILL_TOKENS_PER_MS -
+            CLAMP(fullness, 0, 1) *
+                (FAST_PREFILL_TOKENS_PER_MS - SLOW_PREFILL_TOKENS_PER_MS));
 }
 
 GwTime
--- a/packages/routing/tests/admission_state_test.cc
+++ b/packages/routing/tests/admission_state_test.cc
@@ -235,7 +235,7 @@
 
             for (int ms = 0; ms <= 1000; ms += 100) {
                 GwAdmissionFacts f =
-                    Facts(ms, is_sustained || ms == 1000 ? 300 : 10);
+                    Facts(ms, is_sustained || ms == 1000 ? 200 : 10);
                 f.load.can_wait = true;
                 f.load.own_tokens = 6000;
                 f.share_excess = share_excess;
--- a/packages/routing/tests/overload_test.cc
+++ b/packages/routing/tests/overload_test.cc
@@ -101,6 +101,36 @@
     }
 }
 
+// Engines of one fleet may differ in speed by a factor of more than two. With
+// one speed for all, a slow engine gets requests that it serves late, and a
+// fast one refuses requests that it could serve in time.
+TEST(Overload, QueuesFollowTheMeasuredSpeed)
+{
+    const struct {
+        const char *name;
+        double prefill_tokens_per_ms;
+        uint64_t waiting;
+        bool deferred;
+    } cases[] = {
+        {"unknown", 0, 20000, false},
+        {"unknown, a long queue", 0, 40000, true},
+        {"nominal", 66, 20000, false},
+        {"nominal, a long queue", 66, 40000, true},
+        {"half of the nominal speed", 33, 20000, true},
+        {"twice the nominal speed", 132, 40000, false},
+    };
+
+    for (const auto &c : cases) {
+        GwOverloadFacts f = Facts();
+
+        f.kv_used = 0;
+        f.own_tokens = 12000;
+        f.waiting_tokens = c.waiting;
+        f.prefill_tokens_per_ms = c.prefill_tokens_per_ms;
+        EXPECT_EQ(GwOverload_Defer(&f) > 0, c.deferred) << c.name;
+    }
+}
+
 TEST(Overload, LongerQueueGivesLongerRetryTime)
 {
     GwOverloadFacts f = Facts();
