--- a/packages/routing/include/galenagw/routing/overload.h
+++ b/packages/routing/include/galenagw/routing/overload.h
@@ -40,8 +40,7 @@
                          tokens */
     uint32_t kv_total;  /**< memory of the engine, in tokens; 0: unknown */
     uint32_t kv_needed; /**< memory that the request needs, in tokens */
-    double prefill_tokens_per_ms; /**< measured speed of the engine; 0: unknown
-                                   */
+    double prefill_tokens_per_ms; /**< measured; 0: the constants apply */
     double share_excess; /**< the admissible queue is divided by it; at most 1:
                             not divided */
 } GwOverloadFacts;
@@ -80,8 +79,11 @@
  */
 GwTime GwOverload_MemoryWait(uint64_t used, uint64_t waiting, uint64_t needed,
                              uint32_t total, double share);
-/** Maximum time that an engine takes to prefill @p tokens. */
-GwTime GwOverload_SlowestPrefill(uint64_t tokens);
+/** Maximum time that an engine takes to prefill @p tokens.
+ * @param prefill_tokens_per_ms measured speed of the engine; 0: the constants
+ *   apply */
+GwTime GwOverload_SlowestPrefill(uint64_t tokens,
+                                 double prefill_tokens_per_ms);
 
 #ifdef __cplusplus
 }
--- a/packages/routing/src/overload.c
+++ b/packages/routing/src/overload.c
@@ -4,15 +4,14 @@
 
 #include "galenagw/routing/engine_speed.h"
 
-/* Tokens that an engine of the nominal speed prefills per millisecond for
- * requests that can wait: waiting tokens divided by the time to the first
- * event. An idle engine is specified with 66. Steps that also produce tokens,
- * and prompts of urgent requests that are scheduled first, reduce this to 45
- * under low load and to 25 if the memory is nearly full. The rate is
- * interpolated by the share of memory in use. The lower value is a little less
- * than 25, and applies to memory that is far from full, because urgent prompts
- * continue to arrive while a request waits, and waiting requests hold memory,
- * too. */
+/* Tokens that an engine prefills per millisecond for requests that can wait:
+ * waiting tokens divided by the time to the first event. An idle engine is
+ * specified with 66. Steps that also produce tokens, and prompts of urgent
+ * requests that are scheduled first, reduce this to 45 under low load and to
+ * 25 if the memory is nearly full. The rate is interpolated by the share of
+ * memory in use. The lower value is a little less than 25, and applies to
+ * memory that is far from full, because urgent prompts continue to arrive
+ * while a request waits, and waiting requests hold memory, too. */
 #define FAST_PREFILL_TOKENS_PER_MS 45.0
 #define SLOW_PREFILL_TOKENS_PER_MS 22.0
 #define LOW_MEMORY_SHARE 0.1
@@ -32,6 +31,8 @@
  * that is lower by 0.11. */
 #define MEMORY_RELEASE_TIME (3 * GW_SECOND)
 
+static double relative_speed_(double prefill_tokens_per_ms);
+
 GwTime
 GwOverload_Defer(const GwOverloadFacts *f)
 {
@@ -73,10 +74,10 @@
 }
 
 GwTime
-GwOverload_SlowestPrefill(uint64_t tokens)
+GwOverload_SlowestPrefill(uint64_t tokens, double prefill_tokens_per_ms)
 {
-    return (GwTime)((double)tokens / SLOW_PREFILL_TOKENS_PER_MS *
-                    GW_MILLISECOND);
+    return (GwTime)((double)tokens / SLOW_PREFILL_TOKENS_PER_MS /
+                    relative_speed_(prefill_tokens_per_ms) * GW_MILLISECOND);
 }
 
 double
@@ -86,18 +87,16 @@
     double fullness =
         (used - LOW_MEMORY_SHARE) / (HIGH_MEMORY_SHARE - LOW_MEMORY_SHARE);
 
-    double speed = f->prefill_tokens_per_ms > 0
-                       ? f->prefill_tokens_per_ms
-                       : GW_NOMINAL_PREFILL_TOKENS_PER_MS;
+    double speed = relative_speed_(f->prefill_tokens_per_ms);
 
     // Engines schedule the most urgent prompts before those that slow down
     // the others.
     if (!f->can_wait)
-        return speed;
-    return speed / GW_NOMINAL_PREFILL_TOKENS_PER_MS *
-           (FAST_PREFILL_TOKENS_PER_MS -
+        return GW_NOMINAL_PREFILL_TOKENS_PER_MS * speed;
+    return (FAST_PREFILL_TOKENS_PER_MS -
             CLAMP(fullness, 0, 1) *
-                (FAST_PREFILL_TOKENS_PER_MS - SLOW_PREFILL_TOKENS_PER_MS));
+                (FAST_PREFILL_TOKENS_PER_MS - SLOW_PREFILL_TOKENS_PER_MS)) *
+           speed;
 }
 
 GwTime
@@ -105,3 +104,12 @@
 {
     return (GwTime)CLAMP(delay, GW_RETRY_AFTER_MIN, GW_RETRY_AFTER_MAX);
 }
+
+// Speed relative to an engine that the constants describe; 1 if not measured.
+static double
+relative_speed_(double prefill_tokens_per_ms)
+{
+    return prefill_tokens_per_ms > 0
+               ? prefill_tokens_per_ms / GW_NOMINAL_PREFILL_TOKENS_PER_MS
+               : 1;
+}
