--- a/packages/routing/src/overload.c
+++ b/packages/routing/src/overload.c
@@ -2,6 +2,8 @@
 
 #include <glib.h>
 
+#include "galenagw/routing/engine_speed.h"
+
 /* Tokens that an engine prefills per millisecond for requests that can wait:
  * waiting tokens divided by the time to the first event. An idle engine is
  * specified with 66. Steps that also produce tokens, and prompts of urgent
@@ -28,20 +30,16 @@
  * sixth of all prefill work under overload, and a score of a day of high load
  * that is lower by 0.11. */
 #define MEMORY_RELEASE_TIME (3 * GW_SECOND)
-/* A client that returns sooner finds the same queue. One that returns later
- * misses the time in which the longest queue (45,000 tokens) is prefilled. */
-#define RETRY_AFTER_MIN (300 * GW_MILLISECOND)
-#define RETRY_AFTER_MAX (2 * GW_SECOND)
 
-static double prefill_tokens_per_ms_(const GwOverloadFacts *f);
+static double relative_speed_(double prefill_tokens_per_ms);
 
 GwTime
 GwOverload_Defer(const GwOverloadFacts *f)
 {
-    double wait =
-        (double)f->waiting_tokens / prefill_tokens_per_ms_(f) * GW_MILLISECOND;
-    double prefill =
-        (double)f->own_tokens / prefill_tokens_per_ms_(f) * GW_MILLISECOND;
+    double wait = (double)f->waiting_tokens /
+                  GwOverload_PrefillTokensPerMs(f) * GW_MILLISECOND;
+    double prefill = (double)f->own_tokens / GwOverload_PrefillTokensPerMs(f) *
+                     GW_MILLISECOND;
     double target = (double)f->target_latency;
     double excess;
 
@@ -49,6 +47,8 @@
         return 0;
     if (f->own_tokens < SHORT_PROMPT_TOKENS)
         target *= SHORT_PROMPT_TARGET_FACTOR;
+    if (f->share_excess > 1)
+        target /= f->share_excess;
     if (f->waiting_tokens > 0)
         wait += (double)GwOverload_MemoryWait(f->kv_used, f->waiting_tokens,
                                               f->kv_needed, f->kv_total,
@@ -59,7 +59,7 @@
     // A client that cannot return in time should wait here instead.
     if ((double)f->left < excess + wait)
         return 0;
-    return (GwTime)CLAMP(excess, RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+    return GwOverload_BoundRetryAfter(excess);
 }
 
 GwTime
@@ -74,20 +74,42 @@
 }
 
 GwTime
-GwOverload_SlowestPrefill(uint64_t tokens)
+GwOverload_SlowestPrefill(uint64_t tokens, double prefill_tokens_per_ms)
 {
-    return (GwTime)((double)tokens / SLOW_PREFILL_TOKENS_PER_MS *
-                    GW_MILLISECOND);
+    return (GwTime)((double)tokens / SLOW_PREFILL_TOKENS_PER_MS /
+                    relative_speed_(prefill_tokens_per_ms) * GW_MILLISECOND);
 }
 
-static double
-prefill_tokens_per_ms_(const GwOverloadFacts *f)
+double
+GwOverload_PrefillTokensPerMs(const GwOverloadFacts *f)
 {
     double used = f->kv_total > 0 ? (double)f->kv_used / f->kv_total : 0;
     double fullness =
         (used - LOW_MEMORY_SHARE) / (HIGH_MEMORY_SHARE - LOW_MEMORY_SHARE);
 
-    return FAST_PREFILL_TOKENS_PER_MS -
-           CLAMP(fullness, 0, 1) *
-               (FAST_PREFILL_TOKENS_PER_MS - SLOW_PREFILL_TOKENS_PER_MS);
+    double speed = relative_speed_(f->prefill_tokens_per_ms);
+
+    // Engines schedule the most urgent prompts before those that slow down
+    // the others.
+    if (!f->can_wait)
+        return GW_NOMINAL_PREFILL_TOKENS_PER_MS * speed;
+    return (FAST_PREFILL_TOKENS_PER_MS -
+            CLAMP(fullness, 0, 1) *
+                (FAST_PREFILL_TOKENS_PER_MS - SLOW_PREFILL_TOKENS_PER_MS)) *
+           speed;
+}
+
+GwTime
+GwOverload_BoundRetryAfter(double delay)
+{
+    return (GwTime)CLAMP(delay, GW_RETRY_AFTER_MIN, GW_RETRY_AFTER_MAX);
+}
+
+// Speed relative to an engine that the constants describe; 1 if not measured.
+static double
+relative_speed_(double prefill_tokens_per_ms)
+{
+    return prefill_tokens_per_ms > 0
+               ? prefill_tokens_per_ms / GW_NOMINAL_PREFILL_TOKENS_PER_MS
+               : 1;
 }
