Quarantine: the last 20,000 completions are known

Completions were stored in a direct-mapped table of 2,048 places, so a harmless request that completed thousands of other completions ago was refused for 60 s when a small failure domain failed with it in flight.

What is sent to new peers does not depend on the table: it is still bounded and begins with the suspects that were updated last; a test now says so.

--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -102,6 +102,8 @@
     if (q == NULL)
         return;
     Suspects_RemoveAll(q);
+    for (size_t kind = 0; kind < GW_SUSPECT_KINDS; kind++)
+        CompletedRequests_Clear(&q->completed[kind]);
     g_hash_table_unref(q->by_digest);
     g_hash_table_unref(q->by_endpoint);
     g_free(q);
--- a/packages/quarantine/tests/quarantine_test.cc
+++ b/packages/quarantine/tests/quarantine_test.cc
@@ -61,6 +61,14 @@
         return GwQuarantine_AddCompletion(q, GW_SUSPECT_REQUEST, &request,
                                           kStart + at, kStart + at);
     }
+    // @return when the request completed last, as far as is known when an
+    // endpoint terminates with it in flight
+    GwTime
+    CompletedAt(const GwDigest &request)
+    {
+        AddTermination(1000000 + request.content, 30 * GW_SECOND, {request});
+        return GwQuarantine_CompletedAt(q, &request);
+    }
     // Sends all terminations to a peer, which receives them at 5 s.
     void
     SendTerminations(TestQuarantine *peer)
@@ -672,6 +680,111 @@
     EXPECT_EQ(t.TimeLeft(Request(1), 21 * GW_SECOND), 0);
 }
 
+// Guards against evicting a completion before 20,000 others have followed,
+// also one of a request that had completed before, and against a popular
+// request that takes the places of others. What is evicted are the oldest
+// ones.
+TEST(Quarantine, TheOldestCompletionsAreEvicted)
+{
+    const GwDigest popular = Request(1), again = Request(2);
+    const GwDigest once[] = {Request(3), Request(4)};
+    const int kKept = 20000;
+    TestQuarantine t;
+    uint64_t n_others = 0;
+    GwTime at = 0;
+    auto other = [](uint64_t i) { return Request(1000 + i); };
+    auto add_others = [&](int n, bool with_popular) {
+        for (int i = 0; i < n; i++) {
+            at += 20 * GW_MILLISECOND;
+            t.AddCompletion(other(n_others++), at);
+            if (with_popular)
+                t.AddCompletion(popular, at);
+        }
+    };
+
+    for (const GwDigest &request : once)
+        t.AddCompletion(request, 10 * GW_MILLISECOND);
+    t.AddCompletion(again, 10 * GW_MILLISECOND);
+    // With the popular request, these are as many completions as are kept.
+    add_others(kKept / 2, true);
+    // A suspect's completion is kept, so each is looked up once.
+    EXPECT_NE(t.CompletedAt(once[0]), 0);
+    t.AddCompletion(again, at);
+    const GwTime again_at = kStart + at;
+    add_others(kKept, false);
+    EXPECT_EQ(t.CompletedAt(again), again_at);
+    EXPECT_EQ(t.CompletedAt(once[1]), 0);
+    EXPECT_EQ(t.CompletedAt(other(0)), 0);
+    // Of the popular request's completions, few take a place.
+    add_others(kKept, true);
+    EXPECT_EQ(t.CompletedAt(popular), kStart + at);
+    EXPECT_NE(t.CompletedAt(other(n_others - kKept + 500)), 0);
+    EXPECT_EQ(t.CompletedAt(other(n_others - 2 * kKept)), 0);
+}
+
+// Guards against an earlier time of a completion, as a peer may report it,
+// that replaces a later one.
+TEST(Quarantine, AnEarlierCompletionDoesNotReplaceALaterOne)
+{
+    TestQuarantine t;
+
+    t.AddCompletion(Request(1), 20 * GW_SECOND);
+    t.AddCompletion(Request(1), 10 * GW_SECOND);
+    EXPECT_EQ(t.CompletedAt(Request(1)), kStart + 20 * GW_SECOND);
+}
+
+// Guards against serving a query of death because it completed once: a
+// completion counts for five minutes, also in a process that has run for more
+// than a year.
+TEST(Quarantine, ACompletionCountsForFiveMinutes)
+{
+    const GwTime kYear = 365 * 24 * 3600 * GW_SECOND;
+
+    for (GwTime start : {(GwTime)0, kYear, 2 * kYear, 3 * kYear}) {
+        for (GwTime age : {299 * GW_SECOND, 301 * GW_SECOND}) {
+            TestQuarantine t;
+
+            t.AddCompletion(Request(2), 0);
+            t.AddCompletion(Request(1), start);
+            for (unsigned i = 0; i < 7; i++)
+                t.AddTermination(1 + i, start + age + i * GW_MILLISECOND,
+                                 {Request(1)}, 7, 7);
+            EXPECT_EQ(t.TimeLeft(Request(1), start + age + GW_SECOND) > 0,
+                      age > 300 * GW_SECOND)
+                << start << " " << age;
+        }
+    }
+}
+
+// Guards against a flood of frames to a process that connects, and against
+// sending it what it needs least: many requests have completed and then
+// terminated endpoints, and the latest of them are sent.
+TEST(Quarantine, TheLatestCompletionsAreSentToPeers)
+{
+    const uint64_t kRequests = 40, kSent = 8;
+    std::vector<GwDigest> sent;
+    TestQuarantine t;
+
+    for (uint64_t i = 0; i < kRequests; i++) {
+        t.AddCompletion(Request(1 + i), (GwTime)(1 + i) * GW_SECOND);
+        for (uint64_t k = 0; k < 2; k++)
+            t.AddTermination(1 + 2 * i + k, (GwTime)(60 + i) * GW_SECOND,
+                             {Request(1 + i)});
+    }
+    // These have no terminations, and are not sent.
+    for (uint64_t i = 0; i < 1000; i++)
+        t.AddCompletion(Request(1000 + i), 200 * GW_SECOND);
+    GwQuarantine_ForEachCompleted(
+        t.q, kSent,
+        [](void *user, GwSuspectKind, const GwDigest *request, GwTime) {
+            static_cast<std::vector<GwDigest> *>(user)->push_back(*request);
+        },
+        &sent);
+    ASSERT_EQ(sent.size(), kSent);
+    for (uint64_t i = 0; i < kSent; i++)
+        EXPECT_EQ(sent[i].content, kRequests - i) << i;
+}
+
 // A process receives the third termination before those of the rest of the
 // rack. The quarantine that follows must be lifted when the rack is known to
 // have failed.
