Soak: load on unequal engines while weights are named often

New rules: no request gets its first token on weights outdated for longer than the bound (checked in all modes), and at most one engine of a group of the switch schedule loads at a time.

--- a/soak/src/callers.cc
+++ b/soak/src/callers.cc
@@ -29,6 +29,15 @@
 static const GwTime kAbsentNames = 6;
 /* Endpoints of the stream's software that serve if it must go on. */
 static const int kMinServingEngines = 2;
+/* Prompt tokens: usually, in a burst, and the percent of the prompts under
+ * load that are as long as in a burst. */
+static const int kPromptTokens = 900;
+static const int kLongPromptTokens = 4000;
+static const GwTime kLongPrompts = 20;
+/* Pause between two requests in a burst, and between two looks of a caller
+ * that waits for a surge. */
+static const GwTime kBurstPause = 2 * GW_MILLISECOND;
+static const GwTime kSurgeLookInterval = 50 * GW_MILLISECOND;
 
 int Caller::requests_sent, Caller::requests_answered;
 int Caller::prompts_sent, Caller::prompts_answered;
@@ -83,6 +92,11 @@
     else {
         GwTime wait = c->stream_.next_try_at - GwTime_Now();
 
+        if (c->IsSurgeCaller() && !c->platform_->has_surge) {
+            c->Disconnect();
+            GwTimer_Start(&c->timer_, kSurgeLookInterval);
+            return;
+        }
         if (!c->stream_.stream.empty() && wait > 0) {
             GwTimer_Start(&c->timer_, wait);
             return;
@@ -133,7 +147,8 @@
                  {RequestKind::kNonIdempotent, "/once/"},
                  {RequestKind::kStream, "/stream/"},
                  {RequestKind::kResumable, "/resume/"}};
-    auto &k = kinds[Draw(0, 3)];
+    bool is_burst = platform_->bursts > 0;
+    auto &k = kinds[is_burst ? Draw(2, 3) : Draw(0, 3)];
     std::string path = k.path, text, body;
     GwTime draw = Draw(0, 99);
 
@@ -157,15 +172,14 @@
     if (!stream_.stream.empty())
         request_id_ = stream_.stream + "." + std::to_string(++stream_.tries);
     text = (body.empty() ? "GET " : "POST ") + path +
-           "1 HTTP/1.1\r\nHost: h\r\nX-Key: " + (draw % 2 ? "key" : "wall") +
+           "1 HTTP/1.1\r\nHost: h\r\nX-Key: " +
+           (draw % 2 || IsSurgeCaller() ? "key" : "wall") +
            "\r\nX-Request-Id: " + request_id_ + "\r\nX-Deadline-Ms: " +
            std::to_string(kRequestDeadline / GW_MILLISECOND) + "\r\n";
     if (stream_.last_event > 0)
         text += TakeUpHeaders();
     if (kind_ == RequestKind::kStream || kind_ == RequestKind::kResumable)
-        text += "X-Model: m\r\nX-Token-Usage: 900,40\r\nX-Prefix-Hash: a" +
-                std::to_string(draw % 8) + ":700,f" +
-                std::to_string(sent_count_) + ":200\r\n";
+        text += PromptHeaders(is_burst);
     if (!body.empty())
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     text += "\r\n" + body;
@@ -196,6 +210,25 @@
                                      : kRequestDeadline + kAnswerSlack);
 }
 
+bool
+Caller::IsSurgeCaller() const
+{
+    return platform_->usual_callers > 0 && number_ >= platform_->usual_callers;
+}
+
+std::string
+Caller::PromptHeaders(bool is_burst)
+{
+    bool is_long =
+        is_burst || (platform_->has_load && Draw(0, 99) < kLongPrompts);
+    int tokens = is_long ? kLongPromptTokens : kPromptTokens;
+
+    return "X-Model: m\r\nX-Token-Usage: " + std::to_string(tokens) +
+           ",40\r\nX-Prefix-Hash: a" + std::to_string(Draw(0, 7)) + ":700,f" +
+           std::to_string(sent_count_) + ":" + std::to_string(tokens - 700) +
+           "\r\n";
+}
+
 std::string
 Caller::TakeUpHeaders()
 {
@@ -316,7 +349,9 @@
     prompts_answered += is_answered && has_prompt;
     request_id_.clear();
     GwTimer_Stop(&timer_);
-    GwTimer_Start(&timer_, Draw(2 * GW_MILLISECOND, 40 * GW_MILLISECOND));
+    GwTimer_Start(&timer_, platform_->bursts > 0 ? kBurstPause
+                                                 : Draw(2 * GW_MILLISECOND,
+                                                        40 * GW_MILLISECOND));
 }
 
 void
--- a/soak/src/callers.h
+++ b/soak/src/callers.h
@@ -41,6 +41,9 @@
     static bool OnBody(void *user, const char *data, size_t len);
     void Connect();
     void SendRequest();
+    /* Whether the caller sends only during a surge of its account. */
+    bool IsSurgeCaller() const;
+    std::string PromptHeaders(bool is_burst);
     /* Headers of a request that takes up stream_, and draws how the caller
      * names it. */
     std::string TakeUpHeaders();
--- a/soak/src/faults.cc
+++ b/soak/src/faults.cc
@@ -52,7 +52,8 @@
                std::function<void(const std::string &)> log)
     : options_(options), log_(std::move(log)), random_(options.seed),
       restore_random_(~options.seed), limit_random_(options.seed + 1),
-      departure_random_(options.seed + 2), stream_random_(options.seed + 3)
+      departure_random_(options.seed + 2), stream_random_(options.seed + 3),
+      load_random_(options.seed + 4)
 {
     GwTimer_Init(&next_fault_timer_, options.platform->loop, OnNextFaultTimer,
                  this);
@@ -62,6 +63,9 @@
                  this);
     GwTimer_Init(&software_timer_, options.platform->loop, OnSoftwareTimer,
                  this);
+    GwTimer_Init(&version_timer_, options.platform->loop, OnVersionTimer,
+                 this);
+    GwTimer_Init(&load_timer_, options.platform->loop, OnLoadTimer, this);
 }
 
 Faults::~Faults()
@@ -94,6 +98,7 @@
     GwTimer_Stop(&planned_work_timer_);
     GwTimer_Stop(&departure_timer_);
     GwTimer_Stop(&software_timer_);
+    EndLoad();
     while (!scheduled_actions_.empty())
         RunAction(scheduled_actions_.front().get());
 }
--- a/soak/src/faults.h
+++ b/soak/src/faults.h
@@ -46,6 +46,10 @@
      * with other software, while streams are broken off, until EndAll is
      * called. */
     void StartSoftwareChanges();
+    /* Start to load engines of unequal speed that changes: callers send in
+     * bursts, an account sends several times its usual rate, and versions of
+     * weights are named in quick series, until EndAll is called. */
+    void StartLoad();
     /* Make all endpoints, or a random third of them, announce rate limits
      * until EndAll is called. */
     void LimitEndpoints(bool all);
@@ -65,6 +69,8 @@
     static void OnPlannedWorkTimer(void *user);
     static void OnDepartureTimer(void *user);
     static void OnSoftwareTimer(void *user);
+    static void OnVersionTimer(void *user);
+    static void OnLoadTimer(void *user);
     static void OnActionTimer(void *user);
     /* Run @p action after @p time, or in EndAll if that is called earlier. */
     void ScheduleAction(GwTime time, std::function<void()> action);
@@ -77,6 +83,8 @@
     GwTime DrawForDeparture(GwTime least, GwTime most);
     /* The same, for versions of software and broken streams. */
     GwTime DrawForStreams(GwTime least, GwTime most);
+    /* A random number in this range, for load. */
+    double DrawFactor(double least, double most);
     Process *RandomProcess(std::mt19937_64 *random);
     Proxy *RandomProxy();
     Endpoint *RandomEndpoint(std::mt19937_64 *random);
@@ -110,6 +118,9 @@
     bool HasAlternative(const Endpoint *endpoint) const;
     /* Let streams of some engines break off for a while. */
     void BreakStreams();
+    /* Slow a random engine down for a while. */
+    void SlowEngineDown();
+    void EndLoad();
     /* Start the engines that wait with the next version, then replace the
      * oldest version, engine by engine. */
     void ReleaseSoftware();
@@ -146,8 +157,9 @@
     std::mt19937_64 limit_random_;
     std::mt19937_64 departure_random_;
     std::mt19937_64 stream_random_;
+    std::mt19937_64 load_random_;
     GwTimer next_fault_timer_, planned_work_timer_, departure_timer_,
-        software_timer_;
+        software_timer_, version_timer_, load_timer_;
     int newest_software_ = 0; /* see SoftwareName */
     bool has_one_version_ = false;
     bool has_backup_ = false;     /* of the store */
--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -31,6 +31,7 @@
     int64_t departures = 0;
     int64_t versions = 0;
     int64_t parts = 0;
+    int64_t load = 0;
     const char *regressions = nullptr;
     const char *logs = "/tmp/gw-soak";
 };
@@ -62,6 +63,9 @@
      GW_SETTING_FLAG, FIELD(versions), 0, 1, false},
     {"parts", nullptr, "Also send prompts with a part that terminates engines",
      GW_SETTING_FLAG, FIELD(parts), 0, 1, false},
+    {"load", nullptr,
+     "Also load engines of unequal speed while weights are named often",
+     GW_SETTING_FLAG, FIELD(load), 0, 1, false},
     {"regressions", "FILE", "Run the seeds listed in a file", GW_SETTING_TEXT,
      FIELD(regressions), 0, 0, false},
     {"logs", "DIR", "Directory for the logs of runs that broke a promise",
@@ -80,6 +84,13 @@
 constexpr GwTime kSoftwarePhaseTime = 14 * GW_SECOND;
 constexpr int64_t kMinVersionedEngines = 8;
 constexpr uint64_t kSeedsPerOneVersion = 5;
+/* Duration of the phase with load, half of it without faults: longer than the
+ * bound of outdated weights. Callers of an account during its surge, as a
+ * multiple of all others; limit of each account in requests per second and
+ * caller, about 1.8 times the usual rate. */
+constexpr GwTime kLoadPhaseTime = 26 * GW_SECOND;
+constexpr int kSurgeFactor = 2;
+constexpr double kAccountRatePerCaller = 9;
 /* In the final phase, after recovery, at least kMinAnsweredShare of the
  * callers' requests must be answered. */
 constexpr GwTime kFinalPhaseTime = 2 * GW_SECOND;
@@ -127,6 +138,8 @@
             std::make_unique<ResourceMonitor>(loop_, loop.max_connections);
         platform_ = std::make_unique<Platform>(loop_, seed, ports, engines_, 2,
                                                &ledger_);
+        if (options.load)
+            platform_->weights_bound = kWeightsBoundWithLoad;
         platform_->is_settled_since = [this](GwTime since) {
             return AllSettledSince(since);
         };
@@ -143,6 +156,8 @@
         for (int i = 0; i < engines_; i++)
             AddSidecar(i);
         platform_->takes_up_streams = options.versions != 0;
+        if (options.load)
+            SetUpLoad();
         faults_ = std::make_unique<Faults>(
             FaultOptions{seed, options.restores != 0, options.limits != 0,
                          platform_.get(), &gateways_, &sidecars_,
@@ -175,7 +190,7 @@
         if (options_.versions)
             faults_->DivideSoftware(seed_ % kSeedsPerOneVersion == 0);
         RunLoopFor(kProcessStartTime);
-        for (int i = 0; i < options_.callers; i++)
+        for (int i = 0; i < CallerCount(); i++)
             callers_.push_back(
                 std::make_unique<Caller>(platform_.get(), &gateways_, i));
         StartLoudSenders();
@@ -189,6 +204,13 @@
                 RunLoopFor(kDeparturePhaseTime);
                 EndFaultsAndSettle();
             }
+            if (options_.load) {
+                faults_->StartLoad();
+                RunLoopFor(kLoadPhaseTime / 2);
+                faults_->StartRandomFaults();
+                RunLoopFor(kLoadPhaseTime / 2);
+                EndFaultsAndSettle();
+            }
             if (options_.versions) {
                 faults_->StartSoftwareChanges();
                 RunLoopFor(kSoftwarePhaseTime);
@@ -292,6 +314,8 @@
             << "\nport_range=" << p.base << "," << p.base + 1
             << "\nplatform.address="
             << FormatAddress(p.At(kStoreProxyGroup, path, kStorePort))
+            << "\nbounds.version_ms="
+            << platform_->weights_bound / GW_MILLISECOND
             << "\nbounds.retry_ratio=0.2\nbounds.retry_slack=54"
             << "\nbounds.quota_window_s=" << kLoudWindow / GW_SECOND
             << "\nbounds.quota_overage=" << kLoudOverage
@@ -299,6 +323,20 @@
             << additional_lines;
         return file;
     }
+    void
+    SetUpLoad()
+    {
+        platform_->usual_callers = (int)options_.callers;
+        platform_->account_rate =
+            kAccountRatePerCaller * (double)options_.callers;
+        platform_->WriteNewConfig();
+    }
+    // Includes those that send only during a surge.
+    int
+    CallerCount() const
+    {
+        return (int)options_.callers * (options_.load ? 1 + kSurgeFactor : 1);
+    }
     // The limit of open files of this process, at most kMaxSoakDescriptors.
     static int
     MaxDescriptors()
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -6,6 +6,7 @@
 /* Duration of a load of weights, interval of the events of a stream, and of
  * the pieces of a plain answer. */
 static const GwTime kWeightsLoadTime = 150 * GW_MILLISECOND;
+static const GwTime kWeightsLoadTimeWithLoad = 400 * GW_MILLISECOND;
 static const GwTime kEventInterval = 8 * GW_MILLISECOND;
 static const GwTime kPieceInterval = 2 * GW_MILLISECOND;
 static const int kMaxPieces = 4;
@@ -23,6 +24,9 @@
  * of a stream closed its connection. */
 static const GwTime kMaxCancelPropagation = 1500 * GW_MILLISECOND;
 
+/* Prompt tokens that an engine prefills in a millisecond at slowness 1. */
+static const int kPrefillTokensPerMs = 60;
+
 static size_t
 HashOf(const std::string &id)
 {
@@ -65,7 +69,11 @@
 }
 
 Endpoint::Endpoint(Platform *platform, int number, bool engine)
-    : is_engine(engine), platform_(platform), number_(number)
+    : is_engine(engine),
+      prefills(
+          platform->loop, [this](FakeExchange *x) { BeginRun(x); },
+          [this](FakeExchange *x) { AnswerRequest(x); }),
+      platform_(platform), number_(number)
 {
     int group = engine ? kEngineGroup : kPlainGroup;
     GwAddress listed = platform->ports.At(group, number, kListedPort);
@@ -85,6 +93,7 @@
     GwTimer_Stop(&load_timer_);
     GwTimer_Stop(&restart_timer_);
     GwTimer_Stop(&fatal_answer_timer_);
+    prefills.Clear();
     FakeHttpd_Delete(httpd_);
 }
 
@@ -94,6 +103,7 @@
     is_running = false;
     GwTimer_Stop(&load_timer_);
     GwTimer_Stop(&fatal_answer_timer_);
+    prefills.Clear();
     FakeHttpd_Delete(httpd_);
     httpd_ = nullptr;
     proxy->ResetAll();
@@ -362,8 +372,9 @@
 }
 
 void
-Endpoint::OnConnectionClosed(void *, FakeExchange *x)
+Endpoint::OnConnectionClosed(void *user, FakeExchange *x)
 {
+    static_cast<Endpoint *>(user)->prefills.Remove(x);
     AnswerSender::Delete(static_cast<AnswerSender *>(x->user));
 }
 
@@ -393,7 +404,6 @@
 Endpoint::ServeRequest(FakeExchange *x)
 {
     std::uniform_real_distribution<double> draw(0, 1);
-    std::string request = HeaderValue(x, "X-Request-Id");
     bool outdated = CheckRequest(x);
 
     CheckRateLimit();
@@ -415,10 +425,35 @@
         BeginFatalAnswer(x);
         return;
     }
+    if (is_engine && platform_->has_load) {
+        int tokens = atoi(HeaderValue(x, "X-Token-Usage").c_str());
+
+        prefills.Add(x, tokens * GW_MILLISECOND / kPrefillTokensPerMs);
+        return;
+    }
+    BeginRun(x);
+    AnswerRequest(x);
+}
+
+void
+Endpoint::BeginRun(FakeExchange *x)
+{
+    std::string request = HeaderValue(x, "X-Request-Id");
+
     platform_->ledger->RecordRun(request, id,
                                  !HeaderValue(x, "Last-Event-Id").empty());
     if (HeaderValue(x, "X-Tenant-Id") == "loud")
         platform_->ledger->RecordLoudUse(request);
+}
+
+void
+Endpoint::AnswerRequest(FakeExchange *x)
+{
+    std::uniform_real_distribution<double> draw(0, 1);
+    std::string request = HeaderValue(x, "X-Request-Id");
+
+    if (is_engine)
+        CheckWeights(request);
     if (draw(platform_->random) < reset_share) {
         FakeExchange_Close(x, true);
         return;
@@ -516,7 +551,14 @@
             "versions of weights never decrease", id);
     loading_version_ = atoi(at + 10);
     load_order_count_++;
-    GwTimer_Start(&load_timer_, kWeightsLoadTime);
+    platform_->CheckSwitchSchedule(*this);
+    for (FakeExchange *waiting : prefills.TakeWaiting())
+        Reject(waiting, 503);
+    // The prompt that is prefilled gets its first token before the load.
+    GwTimer_Start(&load_timer_,
+                  prefills.TimeLeft() + (platform_->has_load
+                                             ? kWeightsLoadTimeWithLoad
+                                             : kWeightsLoadTime));
     FakeExchange_Answer(x, 202, "", "", 0);
 }
 
@@ -533,14 +575,15 @@
 void
 Endpoint::SendReport(FakeExchange *x)
 {
-    std::string text =
-        "{\"models\":[{\"name\":\"m\",\"version\":" +
-        std::to_string(weights_version_) +
-        "}],\"busy\":" + (loading_version_ != 0 ? "true" : "false") +
-        ",\"seq\":" + std::to_string(load_order_count_) +
-        ",\"queued\":0,\"running\":0,\"kv_used\":0,\"kv_total\":100000,"
-        "\"born\":" +
-        std::to_string(started_at_ms_) + "}";
+    std::string text = "{\"models\":[{\"name\":\"m\",\"version\":" +
+                       std::to_string(weights_version_) + "}],\"busy\":" +
+                       (loading_version_ != 0 ? "true" : "false") +
+                       ",\"seq\":" + std::to_string(load_order_count_) +
+                       ",\"queued\":" + std::to_string(prefills.waiting()) +
+                       ",\"running\":" + std::to_string(prefills.is_busy()) +
+                       ",\"kv_used\":0,\"kv_total\":100000,"
+                       "\"born\":" +
+                       std::to_string(started_at_ms_) + "}";
 
     // An endpoint that announced its departure closes the connection after
     // each report.
@@ -599,6 +642,10 @@
                   {"stream", "model", "streaming", ",\"sticky\":true"},
                   {"resume", "model", "streaming",
                    ",\"sticky\":true,\"resumable\":true"}};
+    const std::string rate =
+        account_rate > 0 ? ",\"rate_per_s\":" + std::to_string(account_rate) +
+                               ",\"burst\":" + std::to_string(account_rate)
+                         : "";
     std::string text =
         "{\"version\":" + std::to_string(++config_version) + ",\"routes\":[";
 
@@ -617,8 +664,12 @@
             "\"engine\":{\"slots\":64}}],\"limits\":{\"max_header_bytes\":"
             "4096,\"max_body_bytes\":65536,\"header_timeout_ms\":2000,"
             "\"idle_timeout_ms\":4000},\"tenants\":[{\"name\":\"acme\","
-            "\"api_keys\":[\"key\"]},{\"name\":\"walled\",\"api_keys\":"
-            "[\"wall\"],\"isolated\":true},{\"name\":\"loud\",\"api_keys\":"
+            "\"api_keys\":[\"key\"]" +
+            rate +
+            "},{\"name\":\"walled\",\"api_keys\":"
+            "[\"wall\"],\"isolated\":true" +
+            rate +
+            "},{\"name\":\"loud\",\"api_keys\":"
             "[\"loud\"],\"rate_per_s\":" +
             std::to_string(kLoudRate) +
             ",\"burst\":" + std::to_string(kLoudBurst) + "}]}";
@@ -659,6 +710,7 @@
 Platform::ReleaseWeights()
 {
     weights_version++;
+    named_at_.push_back(GwTime_Now());
     WriteReleasedWeights();
 }
 
--- a/soak/src/platform.h
+++ b/soak/src/platform.h
@@ -14,6 +14,7 @@
 #include "answer_sender.h"
 #include "galenagw/fakes/fake_store.h"
 #include "ledger.h"
+#include "prefill_queue.h"
 #include "proxy.h"
 #include "streams.h"
 
@@ -35,6 +36,12 @@
 constexpr double kLoudOverage = 0.1;
 constexpr double kLoudSlack = 15;
 
+/* Time after which no request may begin on weights older than a named version,
+ * with load and without. With load, it is enough for the engines of a group,
+ * about six, to switch one after the other twice. */
+constexpr GwTime kWeightsBound = 8 * GW_SECOND;
+constexpr GwTime kWeightsBoundWithLoad = 18 * GW_SECOND;
+
 /* The body of a plain answer is a function of the request's id, so that
  * callers can check whether an answer is complete. */
 std::string AnswerBodyOf(const std::string &id);
@@ -102,6 +109,23 @@
      * the endpoint departs by removal. */
     void WriteRow() const;
     void RemoveRow(const std::string &key) const;
+    /* Hash of the address in its row. */
+    uint64_t AddressHash() const;
+    bool
+    IsLoadingWeights() const
+    {
+        return is_running && loading_version_ != 0;
+    }
+    int
+    weights_version() const
+    {
+        return weights_version_;
+    }
+    int
+    number() const
+    {
+        return number_;
+    }
 
     bool is_engine;
     bool is_running = true;
@@ -112,6 +136,7 @@
     double invalid_header_share = 0; /* of answers with an invalid header */
     double broken_stream_share = 0;  /* of streams that are broken off */
     std::unique_ptr<Proxy> proxy;
+    PrefillQueue prefills; /* used under load */
     std::string id;
     std::string software = "v1"; /* version */
 
@@ -132,6 +157,10 @@
     void CheckDeparture(const std::string &request) const;
     void CheckRateLimit();
     void ServeRequest(FakeExchange *x);
+    void BeginRun(FakeExchange *x);
+    void AnswerRequest(FakeExchange *x);
+    /* The first token of this request is sent on weights_version_. */
+    void CheckWeights(const std::string &request) const;
     void SendPlainAnswer(FakeExchange *x, const std::string &head,
                          const std::string &request);
     void StartStream(FakeExchange *x, const std::string &head,
@@ -190,6 +219,11 @@
     /* The number of engines of this software that have served for
      * kContactTime. */
     int ServingEngines(const std::string &software) const;
+    /* When the first version newer than this one was named; 0: none is. */
+    GwTime OutdatedSince(int version) const;
+    /* An engine begins to load weights: check that it is the only one of its
+     * group in the schedule of switches. */
+    void CheckSwitchSchedule(const Endpoint &engine) const;
 
     GwLoop *loop;
     std::mt19937_64 random;
@@ -199,6 +233,15 @@
     FaultHistory store_fault_history;
     StreamJudge streams;
     bool takes_up_streams = false; /* callers take up broken streams */
+    /* Callers with this number and later ones send only while has_surge. */
+    int usual_callers = 0;
+    double account_rate = 0; /* limit of "acme" and "walled"; 0: none */
+    GwTime weights_bound = kWeightsBound;
+    /* has_load: engines prefill prompts, which are longer; bursts: number of
+     * bursts that are going on; has_surge: "acme" sends several times its
+     * usual rate */
+    bool has_load = false, has_surge = false;
+    int bursts = 0;
     std::vector<std::unique_ptr<Endpoint>> endpoints;
     /* Keys of all rows ever written, even if removed. */
     std::set<std::string> listed_keys;
@@ -220,6 +263,11 @@
 
   private:
     void WriteReleasedWeights();
+    /* Whether neither the engine nor its sidecar nor their links had a fault
+     * for kContactTime. */
+    bool IsEngineInTouch(const Endpoint &engine) const;
+
+    std::vector<GwTime> named_at_; /* of the versions from 2 on */
 };
 
 #endif
