Endpoint limits: shares follow the demand of gateways

A gateway to which the load balancer sends most connections refused half of its requests at half of an endpoint's limit, because each gateway used an equal part.

--- a/packages/cluster/src/endpoint_limit_sync.c
+++ b/packages/cluster/src/endpoint_limit_sync.c
@@ -36,6 +36,50 @@
            GwEndpointLimits_Set(limits, limit, now);
 }
 
+void
+GwEndpointLimitSync_SendDemand(GwSession *session, const char *id,
+                               const GwEndpointDemand *demand)
+{
+    GW_FRAME(frame, msg, ENDPOINT_DEMAND, EndpointDemand, endpoint_demand);
+
+    msg.instance = (char *)id;
+    msg.want = demand->want;
+    msg.base_share = demand->base;
+    msg.share = demand->share;
+    msg.sent_us = demand->reported_at;
+    msg.granted_us = demand->granted_at;
+    GwSession_Send(session, &frame);
+}
+
+void
+GwEndpointLimitSync_OnDemand(GwSession *session, GwEndpointShares *shares,
+                             uint64_t process,
+                             const Gw__Wire__EndpointDemand *msg)
+{
+    GwEndpointDemand demand = {msg->want, msg->base_share, msg->share,
+                               msg->sent_us, msg->granted_us};
+    double part = -1;
+    GW_FRAME(frame, answer, ENDPOINT_DEMAND, EndpointDemand, endpoint_demand);
+
+    if (msg->instance[0] != '\0')
+        part = GwEndpointShares_Answer(shares, msg->instance, process, &demand,
+                                       GwTime_Now());
+    if (part < 0)
+        return;
+    answer.instance = msg->instance;
+    answer.share = part;
+    answer.sent_us = msg->sent_us;
+    GwSession_Send(session, &frame);
+}
+
+void
+GwEndpointLimitSync_OnShare(GwEndpointLimits *limits, uint64_t share_owner,
+                            const Gw__Wire__EndpointDemand *msg)
+{
+    GwEndpointLimits_SetShare(limits, msg->instance, share_owner, msg->share,
+                              msg->sent_us, GwTime_Now());
+}
+
 static void
 send_update_(void *user, const GwEndpointLimit *limit)
 {
--- a/packages/cluster/src/endpoint_limit_sync.h
+++ b/packages/cluster/src/endpoint_limit_sync.h
@@ -1,6 +1,7 @@
 /* Exchange of the rate limits that endpoints name in their answers. A limit
  * applies to all processes combined, so the process that received the answer
- * sends it to the others. */
+ * sends it to the others. Entries report their demand to the agent that
+ * divides the limit between them. */
 #ifndef GALENAGW_CLUSTER_ENDPOINT_LIMIT_SYNC_H
 #define GALENAGW_CLUSTER_ENDPOINT_LIMIT_SYNC_H
 
@@ -21,5 +22,19 @@
 bool GwEndpointLimitSync_OnUpdate(GwEndpointLimits *limits,
                                   const Gw__Wire__EndpointLimit *msg,
                                   GwEndpointLimit *limit);
+/* Entry: report its demand for the endpoint @p id to the agent that divides
+ * the endpoint's limit. */
+void GwEndpointLimitSync_SendDemand(GwSession *session, const char *id,
+                                    const GwEndpointDemand *demand);
+/* Agent: answer the report of an entry.
+ * @param process identity of the entry, the same after a restart */
+void GwEndpointLimitSync_OnDemand(GwSession *session, GwEndpointShares *shares,
+                                  uint64_t process,
+                                  const Gw__Wire__EndpointDemand *msg);
+/* Entry: store the part of a limit that the agent with the address hash
+ * @p share_owner has granted. */
+void GwEndpointLimitSync_OnShare(GwEndpointLimits *limits,
+                                 uint64_t share_owner,
+                                 const Gw__Wire__EndpointDemand *msg);
 
 #endif
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 #include <sys/queue.h>
+#include <xxhash.h>
 
 #include "departure_sync.h"
 #include "endpoint_limit_sync.h"
@@ -41,6 +42,9 @@
 
 static void init_list_sync_(GwPeers *p);
 static void send_urgent_heartbeats_(void *user);
+static void send_demands_(void *user);
+static void send_demand_(void *user, const GwEndpointLimit *limit);
+static Peer *find_share_owner_(GwPeers *p, const char *endpoint);
 static GwSessionOptions session_options_(GwPeers *p);
 static void on_ready_(void *user, GwSession *session,
                       const Gw__Wire__Hello *hello);
@@ -90,6 +94,7 @@
     p->followed_agents = g_array_new(FALSE, FALSE, sizeof(GwAddress));
     GwTimer_Init(&p->reconcile_timer, loop, reconcile_, p);
     GwTimer_Init(&p->urgent_timer, loop, send_urgent_heartbeats_, p);
+    GwTimer_Init(&p->demand_timer, loop, send_demands_, p);
     init_list_sync_(p);
     GwOriginSync_Init(&p->origin_sync, options->is_agent);
     p->server = GwSessionServer_New(loop, &options->listen, &session, err);
@@ -99,6 +104,10 @@
         g_free(p);
         return NULL;
     }
+    if (options->is_agent)
+        p->endpoint_shares = GwEndpointShares_New(GwTime_Now());
+    else
+        GwTimer_Start(&p->demand_timer, GW_ENDPOINT_DEMAND_INTERVAL);
     reconcile_(p);
     return p;
 }
@@ -112,11 +121,13 @@
         return;
     GwTimer_Stop(&p->reconcile_timer);
     GwTimer_Stop(&p->urgent_timer);
+    GwTimer_Stop(&p->demand_timer);
     GwListSync_Stop(&p->list_sync);
     GwOriginSync_Stop(&p->origin_sync);
     while ((peer = TAILQ_FIRST(&p->peers)) != NULL)
         drop_peer_(peer);
     GwSessionServer_Delete(p->server);
+    GwEndpointShares_Delete(p->endpoint_shares);
     g_array_unref(p->followed_agents);
     g_free(p);
 }
@@ -237,6 +248,63 @@
     GwSession_SendUrgentHeartbeat(peer->session);
 }
 
+// Demands of one round; see GW_ENDPOINT_DEMANDS_MAX.
+typedef struct {
+    GwPeers *peers;
+    unsigned n_sent;
+} DemandRound;
+
+static void
+send_demands_(void *user)
+{
+    GwPeers *p = user;
+    DemandRound round = {p, 0};
+
+    GwEndpointLimits_Each(GwView_EndpointLimits(p->options.view), GwTime_Now(),
+                          send_demand_, &round);
+    GwTimer_Start(&p->demand_timer, GW_ENDPOINT_DEMAND_INTERVAL);
+}
+
+static void
+send_demand_(void *user, const GwEndpointLimit *limit)
+{
+    DemandRound *round = user;
+    GwPeers *p = round->peers;
+    const GwInstance *instance =
+        GwInstances_Find(GwView_Instances(p->options.view), limit->id);
+    Peer *owner = find_share_owner_(p, limit->id);
+    GwEndpointDemand demand;
+
+    // Entries that don't follow an engine send it nothing while it has a
+    // limit.
+    if (instance == NULL || owner == NULL ||
+        (instance->model != NULL && !instance->followed) ||
+        round->n_sent >= GW_ENDPOINT_DEMANDS_MAX ||
+        !GwEndpointLimits_Report(GwView_EndpointLimits(p->options.view),
+                                 instance,
+                                 GwPeers_EntriesSendingTo(p, instance),
+                                 owner->address_hash, GwTime_Now(), &demand))
+        return;
+    round->n_sent++;
+    GwEndpointLimitSync_SendDemand(owner->session, limit->id, &demand);
+}
+
+// The connected agent of the owner pool with the highest rank for the
+// endpoint. Entries that choose different agents divide their parts of the
+// limit separately.
+static Peer *
+find_share_owner_(GwPeers *p, const char *endpoint)
+{
+    uint64_t nodes[GW_LIMIT_POOL_MAX];
+    unsigned n = GwLimitPool_Rank(&p->owner_pool,
+                                  XXH64(endpoint, strlen(endpoint), 0), nodes);
+    Peer *peer = NULL;
+
+    for (unsigned i = 0; i < n && peer == NULL; i++)
+        peer = GwPeers_FindReadyAgent(p, nodes[i]);
+    return peer;
+}
+
 static GwSessionOptions
 session_options_(GwPeers *p)
 {
@@ -328,6 +396,19 @@
                 &limit))
             broadcast_endpoint_limit_(p, session, &limit, GW_SOURCE_PEER);
         return;
+    case GW__WIRE__FRAME__BODY_ENDPOINT_DEMAND:
+        if (peer == NULL)
+            return;
+        if (p->endpoint_shares != NULL)
+            GwEndpointLimitSync_OnDemand(
+                session, p->endpoint_shares,
+                XXH64(peer->name, strlen(peer->name), 0),
+                frame->endpoint_demand);
+        else
+            GwEndpointLimitSync_OnShare(GwView_EndpointLimits(p->options.view),
+                                        peer->address_hash,
+                                        frame->endpoint_demand);
+        return;
     case GW__WIRE__FRAME__BODY_CREDIT_ASK:
         if (p->options.limit_owner == NULL)
             return;
@@ -600,7 +681,9 @@
 {
     const GwRoutes *routes = GwView_Routes(p->options.view);
 
-    return p->wants_origin_owners || (routes != NULL && routes->has_limits);
+    return p->wants_origin_owners || (routes != NULL && routes->has_limits) ||
+           GwEndpointLimits_AreInEffect(GwView_EndpointLimits(p->options.view),
+                                        GwTime_Now());
 }
 
 static Peer *
--- a/packages/cluster/src/peers_private.h
+++ b/packages/cluster/src/peers_private.h
@@ -62,6 +62,9 @@
                                from */
     bool wants_origin_owners; /* entry: see GwPeers_WantOriginOwners */
     GwOriginSync origin_sync;
+    GwEndpointShares *endpoint_shares; /* agent: shares of endpoints' limits;
+                                          entry: NULL */
+    GwTimer demand_timer;              /* entry: reports its demand for them */
 };
 
 /* The peer at @p address that this process has connected to; or NULL. */
--- a/packages/routing/include/galenagw/routing/endpoint_limits.h
+++ b/packages/routing/include/galenagw/routing/endpoint_limits.h
@@ -11,18 +11,20 @@
  * one incarnation's limit are ordered by version, which the process that
  * received the answer assigns.
  *
- * Each process enforces an equal share of the limit locally, so that no
- * request waits for another process. In any period of four seconds, the
- * requests that all processes combined send exceed the limit by at most about
- * as many as the limit allows in one second, plus a few requests. This holds
- * regardless of the number of processes and of when they start, for limits of
- * at least 0.1 requests per second. Lower limits are treated as 0.1 requests
- * per second, because only an answer can lift them.
+ * Each process enforces its share of the limit locally, so that no request
+ * waits for another process. The share is an equal part, its base, unless a
+ * share owner has granted another one (see endpoint_shares). In any period of
+ * four seconds, the requests that all processes combined send exceed the limit
+ * by at most about as many as the limit allows in one second, plus a few
+ * requests. This holds regardless of the number of processes and of when they
+ * start, for limits of at least 0.1 requests per second. Lower limits are
+ * treated as 0.1 requests per second, because only an answer can lift them.
  * @{
  */
 #ifndef GALENAGW_ROUTING_ENDPOINT_LIMITS_H
 #define GALENAGW_ROUTING_ENDPOINT_LIMITS_H
 
+#include "galenagw/routing/endpoint_shares.h"
 #include "galenagw/routing/instances.h"
 
 #ifdef __cplusplus
@@ -104,6 +106,32 @@
 void GwEndpointLimits_Consume(GwEndpointLimits *limits,
                               const GwInstance *instance, unsigned processes,
                               GwTime now);
+/** Part of the endpoint's limit that this process uses; 1 without a limit. */
+double GwEndpointLimits_Part(const GwEndpointLimits *limits,
+                             const GwInstance *instance, unsigned processes,
+                             GwTime now);
+/**
+ * Report this process's demand to the endpoint's share owner, to which @p
+ * demand is to be sent. To be called every GW_ENDPOINT_DEMAND_INTERVAL.
+ * @param share_owner identity of the share owner
+ * @param[out] demand set if the result is true
+ * @return false if nothing may be sent: no limit is in effect, or the
+ *   process still uses what another share owner has granted
+ */
+bool GwEndpointLimits_Report(GwEndpointLimits *limits,
+                             const GwInstance *instance, unsigned processes,
+                             uint64_t share_owner, GwTime now,
+                             GwEndpointDemand *demand);
+/**
+ * Store the part of the limit of endpoint @p id that its share owner has
+ * granted. Ignored if it is out of date.
+ * @param reported_at time of the report that was answered
+ */
+void GwEndpointLimits_SetShare(GwEndpointLimits *limits, const char *id,
+                               uint64_t share_owner, double part,
+                               GwTime reported_at, GwTime now);
+/** Whether any limit is in effect. */
+bool GwEndpointLimits_AreInEffect(const GwEndpointLimits *limits, GwTime now);
 /** Call @p fn for each limit in effect, without lifted and expired ones. */
 void GwEndpointLimits_Each(const GwEndpointLimits *limits, GwTime now,
                            void (*fn)(void *user,
--- a/packages/routing/src/endpoint_limits.c
+++ b/packages/routing/src/endpoint_limits.c
@@ -18,6 +18,17 @@
  * with a limit of 0, still gets this, because only an answer can lift it. */
 #define MIN_RATE 0.1
 
+/* Time constant of the moving average of a process's demand. */
+#define DEMAND_AVERAGING_TIME GW_SECOND
+/* A process wants this multiple of its average demand, so that random peaks
+ * are within its share. */
+#define WANT_HEADROOM 1.5
+/* Part of its base that a process without demand keeps for its next requests,
+ * until its share has grown. It also keeps one accumulated permit. */
+#define IDLE_BASE_SHARE 0.25
+/* Smallest part of a limit, so that the period between permits is finite. */
+#define PART_MIN 1e-6
+
 /* Higher versions are rejected, so that incrementing one cannot overflow. */
 #define MAX_VERSION (INT64_MAX / 2)
 
@@ -29,8 +40,21 @@
     GwTime received_at;
     double permits; /* requests that this process could send at refilled_at */
     GwTime refilled_at;
-    unsigned processes; /* processes that shared it at the last query; 0: none
-                           yet */
+    double
+        base; /* part of the limit without a share owner, at the last query */
+    double part; /* of the limit that this process used at the last query; 0:
+                    none yet */
+    /* Requests per second, moving average; queries that found no permit are
+     * counted, too. */
+    double demand_rate;
+    GwTime demanded_at;
+    /* The share owner (see GwEndpointShares) that was sent reports, and what
+     * it has granted. */
+    uint64_t share_owner;
+    GwTime reported_at;  /* 0: not yet */
+    double granted;      /* -1: nothing since the first report to this owner */
+    double granted_base; /* base when it was granted */
+    GwTime granted_at;   /* time of the report that the grant answers */
 } Limit;
 
 /* One process's share of a limit. */
@@ -52,9 +76,16 @@
                          GwTime now);
 static Limit *find_limit_(const GwEndpointLimits *l,
                           const GwInstance *instance, GwTime now);
+static void refresh_share_(const GwEndpointLimits *l, Limit *limit,
+                           unsigned processes, GwTime now);
+static double find_part_(const Limit *limit, double base, GwTime now);
+static double base_(unsigned processes);
+static double wanted_part_(const Limit *limit, double base, GwTime now);
+static void add_demand_(Limit *limit, GwTime now);
+static double decayed_demand_(const Limit *limit, GwTime now);
 static void update_share_(const GwEndpointLimits *l, Limit *limit, double rate,
-                          unsigned processes, GwTime now);
-static Share compute_share_(double limit_rate, unsigned processes);
+                          double base, double part, GwTime now);
+static Share compute_share_(double limit_rate, double base, double part);
 static double count_permits_(const Limit *limit, const Share *share,
                              GwTime now);
 static void remove_inactive_limits_(GwEndpointLimits *l, GwTime now);
@@ -143,9 +174,11 @@
 
     if (known == NULL || known->rate < 0)
         return now;
-    update_share_(l, known, known->rate, processes, now);
-    share = compute_share_(known->rate, processes);
+    refresh_share_(l, known, processes, now);
+    share = compute_share_(known->rate, known->base, known->part);
     permits = count_permits_(known, &share, now);
+    if (permits < 1)
+        add_demand_(known, now);
     return permits >= 1 ? now : now + (GwTime)((1 - permits) * share.period);
 }
 
@@ -158,10 +191,76 @@
 
     if (known == NULL || known->rate < 0)
         return;
-    update_share_(l, known, known->rate, processes, now);
-    share = compute_share_(known->rate, processes);
+    refresh_share_(l, known, processes, now);
+    share = compute_share_(known->rate, known->base, known->part);
     known->permits = count_permits_(known, &share, now) - 1;
     known->refilled_at = now;
+    add_demand_(known, now);
+}
+
+double
+GwEndpointLimits_Part(const GwEndpointLimits *l, const GwInstance *instance,
+                      unsigned processes, GwTime now)
+{
+    const Limit *known = find_limit_(l, instance, now);
+
+    return known != NULL ? find_part_(known, base_(processes), now) : 1;
+}
+
+bool
+GwEndpointLimits_Report(GwEndpointLimits *l, const GwInstance *instance,
+                        unsigned processes, uint64_t share_owner, GwTime now,
+                        GwEndpointDemand *demand)
+{
+    Limit *known = find_limit_(l, instance, now);
+    double base = base_(processes);
+
+    if (known == NULL || known->rate < 0)
+        return false;
+    refresh_share_(l, known, processes, now);
+    if (known->share_owner != share_owner) {
+        // The previous share owner may have granted this process's base to
+        // others.
+        if (known->reported_at != 0 &&
+            now - known->reported_at < GW_ENDPOINT_HOLD_TERM)
+            return false;
+        known->share_owner = share_owner;
+        known->granted = -1;
+    }
+    if (known->reported_at == 0 ||
+        now - known->reported_at >= GW_ENDPOINT_HOLD_TERM)
+        known->granted = -1;
+    *demand = (GwEndpointDemand){
+        .want = wanted_part_(known, base, now),
+        .base = base,
+        .share = known->part,
+        .reported_at = now,
+        .granted_at = known->granted >= 0 ? known->granted_at : 0,
+    };
+    known->reported_at = now;
+    return true;
+}
+
+void
+GwEndpointLimits_SetShare(GwEndpointLimits *l, const char *id,
+                          uint64_t share_owner, double part,
+                          GwTime reported_at, GwTime now)
+{
+    Limit *known = g_hash_table_lookup(l->by_id, id);
+
+    // A negated comparison, so that NaN is ignored.
+    if (known == NULL || !(part >= 0 && part <= 1) ||
+        known->share_owner != share_owner || known->reported_at == 0 ||
+        reported_at > known->reported_at ||
+        now - reported_at >= GW_ENDPOINT_GRANT_TERM ||
+        (known->granted >= 0 && reported_at <= known->granted_at))
+        return;
+    known->granted = part;
+    known->granted_base = known->base;
+    known->granted_at = reported_at;
+    if (known->part > 0)
+        update_share_(l, known, known->rate, known->base,
+                      find_part_(known, known->base, now), now);
 }
 
 void
@@ -185,6 +284,23 @@
     }
 }
 
+bool
+GwEndpointLimits_AreInEffect(const GwEndpointLimits *l, GwTime now)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, l->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const Limit *known = value;
+
+        if (known->rate >= 0 &&
+            now - known->received_at < GW_ENDPOINT_LIMIT_TERM)
+            return true;
+    }
+    return false;
+}
+
 // Compares versions and not ages, because the age in a message excludes its
 // transit time: each of two limits could seem newer than the other, and
 // processes would forward both of them forever.
@@ -243,7 +359,7 @@
         known->rate = limit->rate;
     }
     else if (limit->rate >= 0) {
-        update_share_(l, known, limit->rate, known->processes, now);
+        update_share_(l, known, limit->rate, known->base, known->part, now);
     }
     known->incarnation = limit->incarnation;
     known->rate = limit->rate;
@@ -270,40 +386,108 @@
     return known;
 }
 
-// Sets the limit's rate and number of processes. The permits of the time until
-// @p now are counted at the previous share. Otherwise, if the period
+// Sets the part of the limit that this process uses, for its base and the
+// grants of the share owner.
+static void
+refresh_share_(const GwEndpointLimits *l, Limit *limit, unsigned processes,
+               GwTime now)
+{
+    GwTime expired_at = limit->granted_at + GW_ENDPOINT_GRANT_TERM;
+    double base = base_(processes);
+
+    // Permits since the expiry of a grant are counted without it.
+    if (limit->part > 0 && limit->granted > limit->base &&
+        limit->refilled_at < expired_at && expired_at < now)
+        update_share_(l, limit, limit->rate, limit->base,
+                      find_part_(limit, limit->base, expired_at), expired_at);
+    update_share_(l, limit, limit->rate, base, find_part_(limit, base, now),
+                  now);
+}
+
+static double
+find_part_(const Limit *limit, double base, GwTime now)
+{
+    double part = limit->granted;
+
+    if (limit->reported_at == 0 || limit->granted < 0 ||
+        now - limit->reported_at >= GW_ENDPOINT_HOLD_TERM)
+        return base;
+    // The base falls when further processes start, each of which uses its
+    // own.
+    if (base < limit->granted_base)
+        part *= base / limit->granted_base;
+    if (now - limit->granted_at >= GW_ENDPOINT_GRANT_TERM)
+        part = MIN(part, base);
+    return MAX(part, PART_MIN);
+}
+
+static double
+base_(unsigned processes)
+{
+    return 1.0 / MAX(processes, 1);
+}
+
+static double
+wanted_part_(const Limit *limit, double base, GwTime now)
+{
+    double want = WANT_HEADROOM * decayed_demand_(limit, now) /
+                  MAX(limit->rate, MIN_RATE);
+
+    return CLAMP(want, IDLE_BASE_SHARE * base, 1);
+}
+
+static void
+add_demand_(Limit *limit, GwTime now)
+{
+    limit->demand_rate = decayed_demand_(limit, now) +
+                         (double)GW_SECOND / DEMAND_AVERAGING_TIME;
+    limit->demanded_at = now;
+}
+
+static double
+decayed_demand_(const Limit *limit, GwTime now)
+{
+    return limit->demand_rate * exp(-(double)MAX(now - limit->demanded_at, 0) /
+                                    (double)DEMAND_AVERAGING_TIME);
+}
+
+// Sets the limit's rate and this process's part of it. The permits of the time
+// until @p now are counted at the previous share. Otherwise, if the period
 // grows, processes whose next permits were spread over the previous period
 // would all receive them within a small part of the new one.
 static void
 update_share_(const GwEndpointLimits *l, Limit *limit, double rate,
-              unsigned processes, GwTime now)
+              double base, double part, GwTime now)
 {
-    Share before = compute_share_(limit->rate, limit->processes);
-    Share after = compute_share_(rate, processes);
-
-    if (limit->processes != 0 &&
-        (before.period != after.period || before.burst != after.burst)) {
-        limit->permits = count_permits_(limit, &before, now);
-        limit->refilled_at = now;
-        // Random, because idle processes have all accumulated the maximum and
-        // would send at the same time.
-        if (after.burst == 0 && before.burst > 0 && limit->permits >= 1)
-            limit->permits = g_rand_double(l->rand);
+    if (limit->part > 0) {
+        Share before = compute_share_(limit->rate, limit->base, limit->part);
+        Share after = compute_share_(rate, base, part);
+
+        if (before.period != after.period || before.burst != after.burst) {
+            limit->permits = count_permits_(limit, &before, now);
+            limit->refilled_at = now;
+            // Random, because idle processes have all accumulated the maximum
+            // and would send at the same time.
+            if (after.burst == 0 && before.burst > 0 && limit->permits >= 1)
+                limit->permits = g_rand_double(l->rand);
+        }
     }
     limit->rate = rate;
-    limit->processes = processes;
+    limit->base = base;
+    limit->part = part;
 }
 
+// Each of the 1 / base processes that accumulate permits accumulates one, and
+// the rest of the permits is divided like the limit.
 static Share
-compute_share_(double limit_rate, unsigned processes)
+compute_share_(double limit_rate, double base, double part)
 {
     double rate = MAX(limit_rate, MIN_RATE);
-    unsigned n = MAX(processes, 1);
-    double burst = rate + EXTRA_BURST;
+    double rest = rate + EXTRA_BURST - round(1 / base);
 
-    if (n <= burst)
-        return (Share){n * (double)GW_SECOND / rate, burst / n};
-    return (Share){n * (double)GW_SECOND / (NO_BURST_RATE_FACTOR * rate), 0};
+    if (rest >= 0)
+        return (Share){GW_SECOND / (rate * part), 1 + rest * part};
+    return (Share){GW_SECOND / (NO_BURST_RATE_FACTOR * rate * part), 0};
 }
 
 // Permits available at @p now. Without accumulation, a whole permit expires
--- a/packages/routing/tests/endpoint_limits_test.cc
+++ b/packages/routing/tests/endpoint_limits_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <memory>
 #include <random>
@@ -482,3 +483,366 @@
             << c.processes << " processes, " << c.rate << "/s";
     }
 }
+
+// Simulates gateways that share the limit of one endpoint, and the agents that
+// divide it. Messages of one session arrive in order, some of them late.
+class SimulatedGateways {
+  public:
+    SimulatedGateways(unsigned n, double rate, unsigned seed)
+        : rng_(seed), rate_(rate)
+    {
+        instance_.id = (char *)"i-1";
+        for (auto &o : owners_)
+            o = GwEndpointShares_New(0);
+        for (unsigned i = 0; i < n; i++) {
+            gateways.emplace_back();
+            Start(i);
+            // Reports are not synchronous.
+            gateways[i].report_at =
+                kNow + (GwTime)(rng_() % GW_ENDPOINT_DEMAND_INTERVAL);
+        }
+    }
+    ~SimulatedGateways()
+    {
+        for (Gateway &g : gateways)
+            GwEndpointLimits_Delete(g.limits);
+        for (GwEndpointShares *o : owners_)
+            GwEndpointShares_Delete(o);
+    }
+    // A new process takes the place of gateway @p i.
+    void
+    Start(unsigned i)
+    {
+        GwEndpointLimit limit = {"i-1", 0, rate_, now, 0};
+
+        GwEndpointLimits_Delete(gateways[i].limits);
+        gateways[i].limits = GwEndpointLimits_New(rng_());
+        GwEndpointLimits_Set(gateways[i].limits, &limit, now);
+    }
+    // The sessions to the agent are closed: no message of before arrives.
+    void
+    RestartOwner(unsigned owner)
+    {
+        for (auto m = queue_.begin(); m != queue_.end();)
+            m = m->second.owner == owner ? queue_.erase(m) : std::next(m);
+        GwEndpointShares_Delete(owners_[owner]);
+        owners_[owner] = GwEndpointShares_New(now);
+    }
+    void
+    Run(GwTime time)
+    {
+        for (GwTime end = now + time; now < end; now += GW_SECOND / 100) {
+            Deliver();
+            for (unsigned i = 0; i < gateways.size(); i++) {
+                Report(i);
+                Send(&gateways[i]);
+            }
+            max_sum = std::max(max_sum, SumOfParts());
+        }
+    }
+    // Requests sent in the last @p time.
+    size_t
+    SentWithin(GwTime time) const
+    {
+        return (size_t)std::count_if(sent.begin(), sent.end(), [&](GwTime at) {
+            return at >= now - time;
+        });
+    }
+    size_t
+    MaxInWindow(GwTime window) const
+    {
+        size_t most = 0;
+
+        for (size_t i = 0, from = 0; i < sent.size(); i++) {
+            while (sent[from] <= sent[i] - window)
+                from++;
+            most = std::max(most, i - from + 1);
+        }
+        return most;
+    }
+
+    struct Gateway {
+        GwEndpointLimits *limits = nullptr;
+        GwTime report_at = 0;
+        unsigned owner = 0;
+        double demand = 0; // requests per second
+        bool is_cut_off = false;
+        GwTime up_arrives_at = 0, down_arrives_at = 0;
+    };
+    std::vector<Gateway> gateways;
+    std::vector<GwTime> sent;
+    GwTime now = kNow;
+    GwTime max_delay = 20 * GW_MILLISECOND;
+    double loss = 0;
+    size_t messages = 0;
+    size_t refused = 0;
+    double max_sum = 0; // of the parts of the limit in use
+
+  private:
+    struct Message {
+        bool is_answer;
+        unsigned gateway, owner;
+        GwEndpointDemand demand;
+    };
+    double
+    SumOfParts() const
+    {
+        unsigned n = (unsigned)gateways.size();
+        double sum = 0;
+
+        for (const Gateway &g : gateways)
+            sum += GwEndpointLimits_Part(g.limits, &instance_, n, now);
+        return sum;
+    }
+    bool
+    IsLost(const Gateway &g)
+    {
+        return g.is_cut_off || std::bernoulli_distribution(loss)(rng_);
+    }
+    void
+    Post(const Message &m, GwTime *last_arrival)
+    {
+        messages++;
+        if (IsLost(gateways[m.gateway]))
+            return;
+        *last_arrival =
+            std::max(*last_arrival, now + (GwTime)(rng_() % max_delay));
+        queue_.insert({*last_arrival, m});
+    }
+    void
+    Deliver()
+    {
+        while (!queue_.empty() && queue_.begin()->first <= now) {
+            Message m = queue_.begin()->second;
+            Gateway *g = &gateways[m.gateway];
+
+            queue_.erase(queue_.begin());
+            if (m.is_answer) {
+                GwEndpointLimits_SetShare(g->limits, "i-1", 1 + m.owner,
+                                          m.demand.share, m.demand.reported_at,
+                                          now);
+                continue;
+            }
+            m.demand.share = GwEndpointShares_Answer(
+                owners_[m.owner], "i-1", m.gateway, &m.demand, now);
+            m.is_answer = true;
+            if (m.demand.share >= 0)
+                Post(m, &g->down_arrives_at);
+        }
+    }
+    void
+    Report(unsigned i)
+    {
+        Gateway *g = &gateways[i];
+        Message m = {false, i, g->owner, {}};
+
+        if (now < g->report_at)
+            return;
+        g->report_at += GW_ENDPOINT_DEMAND_INTERVAL;
+        // Without a session nothing is reported.
+        if (!g->is_cut_off &&
+            GwEndpointLimits_Report(g->limits, &instance_,
+                                    (unsigned)gateways.size(), 1 + g->owner,
+                                    now, &m.demand))
+            Post(m, &g->up_arrives_at);
+    }
+    void
+    Send(Gateway *g)
+    {
+        unsigned n = (unsigned)gateways.size();
+
+        for (unsigned k =
+                 std::poisson_distribution<unsigned>(g->demand / 100)(rng_);
+             k > 0; k--) {
+            if (GwEndpointLimits_NextSendAt(g->limits, &instance_, n, now) >
+                now) {
+                refused++;
+                continue;
+            }
+            GwEndpointLimits_Consume(g->limits, &instance_, n, now);
+            sent.push_back(now);
+        }
+    }
+
+    std::mt19937 rng_;
+    double rate_;
+    GwEndpointShares *owners_[2];
+    std::multimap<GwTime, Message> queue_;
+    GwInstance instance_ = {};
+};
+
+// Most that gateways with shares that add up to the whole limit send in four
+// seconds: what it allows in them, and one burst. The rest is for permits that
+// are counted in whole requests.
+static double
+MaxInFourSeconds(double rate)
+{
+    return 4 * rate + rate + 2.5 + 2;
+}
+
+// Guards against callers that are refused at half of the limit, because the
+// traffic has moved to one gateway and the others keep their equal parts.
+TEST(EndpointLimitDemand, ShareFollowsDemand)
+{
+    for (unsigned n : {2, 4, 29}) {
+        for (unsigned seed = 1; seed <= 10; seed++) {
+            const double rate = 40;
+            SimulatedGateways s(n, rate, seed);
+
+            for (auto &g : s.gateways)
+                g.demand = rate / 2 / n;
+            s.Run(5 * GW_SECOND);
+            for (unsigned from = 0; from < 2; from++) {
+                for (auto &g : s.gateways)
+                    g.demand = 0;
+                s.gateways[from].demand = rate / 2;
+                s.Run(3 * GW_SECOND);
+                s.refused = 0;
+                s.Run(5 * GW_SECOND);
+                EXPECT_LE((double)s.refused, 0.1 * 5 * rate / 2)
+                    << n << " gateways, seed " << seed;
+            }
+        }
+    }
+}
+
+// Guards against shares that leave gateways with the same demand unequal.
+TEST(EndpointLimitDemand, EqualDemandsGetEqualShares)
+{
+    SimulatedGateways s(4, 40, 3);
+    std::vector<size_t> sent;
+
+    s.gateways[0].demand = 100;
+    s.Run(5 * GW_SECOND);
+    for (unsigned i = 0; i < 4; i++)
+        s.gateways[i].demand = 100;
+    s.Run(3 * GW_SECOND);
+    for (unsigned i = 0; i < 4; i++) {
+        GwInstance instance = {};
+        GwEndpointDemand demand;
+
+        instance.id = (char *)"i-1";
+        ASSERT_TRUE(GwEndpointLimits_Report(s.gateways[i].limits, &instance, 4,
+                                            1, s.now, &demand));
+        EXPECT_NEAR(demand.share, 0.25, 0.02) << i;
+    }
+    EXPECT_GE((double)s.SentWithin(2 * GW_SECOND), 0.9 * 2 * 40);
+}
+
+// Guards against an endpoint that gets more than its limit while shares move:
+// if a gateway used a larger share before the others have given it up, or a
+// gateway that is cut off used its base while others use it, too. Sessions
+// are cut and delayed, the agents restart, and gateways change the agent.
+TEST(EndpointLimitDemand, SumStaysWithinLimitWhileDemandMoves)
+{
+    for (unsigned seed = 1; seed <= 150; seed++) {
+        std::mt19937 rng(seed);
+        const double rates[] = {1.6, 7.5, 40, 200};
+        const unsigned counts[] = {2, 3, 4, 8, 23};
+        const double rate = rates[rng() % 4];
+        SimulatedGateways s(counts[rng() % 5], rate, seed);
+
+        s.loss = seed % 3 == 0 ? 0.2 : 0;
+        for (int phase = 0; phase < 30; phase++) {
+            const GwTime delays[] = {20 * GW_MILLISECOND, GW_SECOND,
+                                     2400 * GW_MILLISECOND};
+
+            s.max_delay = delays[rng() % 3];
+            for (auto &g : s.gateways) {
+                g.demand = rng() % 3 == 0 ? 4 * rate : 0;
+                if (rng() % 4 == 0)
+                    g.is_cut_off = !g.is_cut_off;
+                if (g.is_cut_off && rng() % 4 == 0)
+                    g.owner = 1 - g.owner;
+            }
+            if (rng() % 6 == 0)
+                s.RestartOwner(rng() % 2);
+            s.Run((GwTime)(200 + rng() % 5000) * GW_MILLISECOND);
+        }
+        // The tolerance is for rounding and parts that are nearly 0.
+        EXPECT_LE(s.max_sum, 1.0001) << "seed " << seed;
+        EXPECT_LE((double)s.MaxInWindow(4 * GW_SECOND), MaxInFourSeconds(rate))
+            << "seed " << seed << ", " << s.gateways.size() << " gateways, "
+            << rate << "/s";
+    }
+}
+
+// Guards against the same when gateways restart: a new process does not know
+// what the earlier one has given up. Within the tolerance of
+// CombinedRateStaysWithinLimitUnderRandomDemand.
+TEST(EndpointLimitDemand, SumStaysWithinToleranceWhenGatewaysRestart)
+{
+    for (unsigned seed = 1; seed <= 100; seed++) {
+        std::mt19937 rng(seed);
+        const double rates[] = {1.6, 7.5, 40};
+        const unsigned counts[] = {2, 3, 4, 8, 23};
+        const double rate = rates[rng() % 3];
+        SimulatedGateways s(counts[rng() % 5], rate, seed);
+
+        for (int phase = 0; phase < 30; phase++) {
+            for (auto &g : s.gateways)
+                g.demand = rng() % 3 == 0 ? 4 * rate : 0;
+            s.Start(rng() % (unsigned)s.gateways.size());
+            s.Run((GwTime)(200 + rng() % 5000) * GW_MILLISECOND);
+        }
+        EXPECT_LE((double)s.MaxInWindow(4 * GW_SECOND), 1.5 * 4 * rate + 5)
+            << "seed " << seed << ", " << s.gateways.size() << " gateways, "
+            << rate << "/s";
+    }
+}
+
+// A gateway that is cut off must get its base again, and the others must give
+// up what exceeds theirs.
+TEST(EndpointLimitDemand, GatewayThatIsCutOffUsesItsBaseAgain)
+{
+    SimulatedGateways s(4, 40, 5);
+
+    s.gateways[0].demand = 100;
+    s.Run(5 * GW_SECOND);
+    EXPECT_GE((double)s.SentWithin(2 * GW_SECOND), 0.65 * 2 * 40);
+    s.gateways[1].is_cut_off = true;
+    s.gateways[0].demand = 0;
+    s.gateways[1].demand = 100;
+    s.Run(GW_ENDPOINT_HOLD_TERM + 3 * GW_SECOND);
+    EXPECT_GE((double)s.SentWithin(2 * GW_SECOND), 0.9 * 2 * 10);
+    EXPECT_LE((double)s.SentWithin(2 * GW_SECOND), 1.1 * 2 * 10);
+    s.gateways[1].is_cut_off = false;
+    s.Run(3 * GW_SECOND);
+    EXPECT_GE((double)s.SentWithin(2 * GW_SECOND), 0.65 * 2 * 40);
+}
+
+// Bounds the messages of a large fleet: a report and an answer for each
+// gateway and interval.
+TEST(EndpointLimitDemand, MessagesAreBounded)
+{
+    SimulatedGateways s(380, 500, 1);
+
+    for (auto &g : s.gateways)
+        g.demand = 0.1;
+    s.Run(5 * GW_SECOND);
+    EXPECT_LE(s.messages, 2u * 380 * 10 + 380);
+    s.gateways[7].demand = 100;
+    s.Run(5 * GW_SECOND);
+    s.refused = 0;
+    s.Run(2 * GW_SECOND);
+    EXPECT_LE((double)s.refused, 0.1 * 2 * 138);
+}
+
+// A report that is not valid must not reserve a part of the limit.
+TEST(EndpointLimitDemand, InvalidReportsAreIgnored)
+{
+    GwEndpointShares *s = GwEndpointShares_New(0);
+    GwEndpointDemand valid = {1, 0.5, 0.5, 1, 0};
+
+    for (double bad : {-0.1, 1.1, (double)NAN, (double)INFINITY}) {
+        GwEndpointDemand want = {bad, 0.5, 0.5, 1, 0};
+        GwEndpointDemand base = {1, bad, 0.5, 1, 0};
+        GwEndpointDemand share = {1, 0.5, bad, 1, 0};
+
+        EXPECT_LT(GwEndpointShares_Answer(s, "i-1", 9, &want, kNow), 0);
+        EXPECT_LT(GwEndpointShares_Answer(s, "i-1", 9, &base, kNow), 0);
+        EXPECT_LT(GwEndpointShares_Answer(s, "i-1", 9, &share, kNow), 0);
+    }
+    EXPECT_EQ(GwEndpointShares_Answer(s, "i-1", 1, &valid, kNow), 0.5);
+    GwEndpointShares_Delete(s);
+}
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -827,25 +827,38 @@
 
 
 /*
- * Demand of one entry for an endpoint that has named a rate limit.
+ * Demand of one entry for an endpoint that has named a rate limit, and the
+ * answer of the agent that divides the limit (see endpoint_shares.h). Parts are
+ * of the limit, from 0 to 1.
  */
 struct  Gw__Wire__EndpointDemand
 {
   ProtobufCMessage base;
   char *instance;
   /*
-   * of the endpoint; 0: unknown
+   * part that the entry could use
    */
-  int64_t incarnation;
-  double requests_per_s;
+  double want;
   /*
-   * ms since it was measured
+   * part that it uses without an answer
    */
-  uint64_t sent_ms;
+  double base_share;
+  /*
+   * part that it uses; answer: that it may use
+   */
+  double share;
+  /*
+   * entry's clock; repeated in the answer
+   */
+  int64_t sent_us;
+  /*
+   * sent_us of the answer in use; 0: none
+   */
+  int64_t granted_us;
 };
 #define GW__WIRE__ENDPOINT_DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__endpoint_demand__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -4594,7 +4594,7 @@
   (ProtobufCMessageInit) gw__wire__endpoint_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__endpoint_demand__field_descriptors[4] =
+static const ProtobufCFieldDescriptor gw__wire__endpoint_demand__field_descriptors[6] =
 {
   {
     "instance",
@@ -4609,36 +4609,60 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
+    "want",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
-    offsetof(Gw__Wire__EndpointDemand, incarnation),
+    offsetof(Gw__Wire__EndpointDemand, want),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "requests_per_s",
+    "base_share",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_DOUBLE,
     0,   /* quantifier_offset */
-    offsetof(Gw__Wire__EndpointDemand, requests_per_s),
+    offsetof(Gw__Wire__EndpointDemand, base_share),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sent_ms",
+    "share",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointDemand, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Gw__Wire__EndpointDemand, sent_ms),
+    offsetof(Gw__Wire__EndpointDemand, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__EndpointDemand, granted_us),
     NULL,
     NULL,
     0,             /* flags */
@@ -4646,15 +4670,17 @@
   },
 };
 static const unsigned gw__wire__endpoint_demand__field_indices_by_name[] = {
-  1,   /* field[1] = incarnation */
+  2,   /* field[2] = base_share */
+  5,   /* field[5] = granted_us */
   0,   /* field[0] = instance */
-  2,   /* field[2] = requests_per_s */
-  3,   /* field[3] = sent_ms */
+  4,   /* field[4] = sent_us */
+  3,   /* field[3] = share */
+  1,   /* field[1] = want */
 };
 static const ProtobufCIntRange gw__wire__endpoint_demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gw__wire__endpoint_demand__descriptor =
 {
@@ -4664,7 +4690,7 @@
   "Gw__Wire__EndpointDemand",
   "gw.wire",
   sizeof(Gw__Wire__EndpointDemand),
-  4,
+  6,
   gw__wire__endpoint_demand__field_descriptors,
   gw__wire__endpoint_demand__field_indices_by_name,
   1,  gw__wire__endpoint_demand__number_ranges,
