--- a/packages/routing/include/galenagw/routing/admission.h
+++ b/packages/routing/include/galenagw/routing/admission.h
@@ -31,8 +31,10 @@
  * zero-initialised. */
 typedef struct {
     GwTime observed_at; /**< last request; 0: none */
-    GwTime above_since; /**< all waits since then exceeded the bound; 0: the
-                           last one did not */
+    GwTime above_since; /**< nearly all waits since then exceeded the bound; 0:
+                           the last ones did not */
+    uint64_t n_long;    /**< waits since then that exceeded it */
+    uint64_t n_short;   /**< waits since then that did not */
     GwTime refused_at;  /**< last refusal since the overload is sustained */
     bool is_sustained;  /**< the overload is sustained */
     GwTime began_wait; /**< wait when the overload was found to be sustained */
--- a/packages/routing/src/admission.c
+++ b/packages/routing/src/admission.c
@@ -27,6 +27,10 @@
 /* Overload of requests that can wait: their expected wait exceeds half of
  * their target. Deferral keeps it near this value. */
 #define CAN_WAIT_SHARE 0.5
+/* Share of short waits that does not interrupt an overload. An engine that
+ * returns empty after a restart or new weights gets a few requests at once
+ * from all gateways, while all other engines are full. */
+#define SHORT_WAITS_SHARE 0.1
 /* If no request was seen for this many target latencies, the queue may have
  * been empty in the meantime. */
 #define GAP_TARGETS 2
@@ -148,8 +152,8 @@
                                      GW_MILLISECOND * tokens_per_ms);
 }
 
-// The overload is sustained once the shortest wait within one target latency
-// exceeds the target. It ends with a wait below half of the limit, if no
+// The overload is sustained once nearly all waits within one target latency
+// exceed the target. It ends with a wait below half of the limit, if no
 // request was refused for one target latency: a single engine that returns
 // empty after a restart or new weights must not end it, as all gateways would
 // then fill that engine without limit. Meanwhile requests for engines with
@@ -171,11 +175,17 @@
             f->now - h->refused_at >= target)
             memset(h, 0, sizeof(*h));
     }
-    else if (wait <= bound)
-        h->above_since = 0;
-    else if (h->above_since == 0)
+    else if (wait <= bound) {
+        h->n_short++;
+        if (h->n_short > h->n_long * SHORT_WAITS_SHARE)
+            h->above_since = 0;
+    }
+    else if (h->above_since == 0) {
         h->above_since = f->now;
-    else if (f->now - h->above_since >= target) {
+        h->n_long = 1;
+        h->n_short = 0;
+    }
+    else if (++h->n_long, f->now - h->above_since >= target) {
         h->is_sustained = true;
         h->refused_at = f->now;
         h->began_wait = wait;
--- a/packages/routing/tests/admission_simulation_test.cc
+++ b/packages/routing/tests/admission_simulation_test.cc
@@ -496,11 +496,12 @@
 }
 
 // The same while engines differ in speed and one restarts with an empty queue
-// every 300 ms. If the first short wait ended the limit, all gateways would
-// fill the restarted engine beyond the target each time.
+// every 300 ms. If a few short waits at it began the time of the overload
+// again, the limit would never apply; if they ended the limit, all gateways
+// would fill the restarted engine beyond the target each time.
 TEST(AdmissionSimulation, RestartedEnginesDoNotEndTheLimit)
 {
-    for (const Size &size : {Size{8, 10}, Size{23, 43}}) {
+    for (const Size &size : kSizes) {
         Fleet fleet = Burst(size, 500);
         fleet.slow_share = 0.3;
         fleet.restart_every = 300;
@@ -509,6 +510,8 @@
 
         EXPECT_GT(with.Share(with.in_target),
                   without.Share(without.in_target));
+        EXPECT_GE(with.accepted_in_target, 0.8 * with.accepted)
+            << size.gateways << " gateways, " << size.engines << " engines";
         EXPECT_LE(with.InTargetAgainAfter(8000), 2000);
         EXPECT_EQ(with.expired, 0);
     }
--- a/packages/routing/tests/admission_state_test.cc
+++ b/packages/routing/tests/admission_state_test.cc
@@ -98,9 +98,9 @@
     EXPECT_EQ(Decide(&state, f), GW_ADMISSION_OVERLOAD);
 }
 
-// Requests in a short excess must be served late. The limit applies once all
-// waits within one target latency exceed the target; a single short one, which
-// shows a free engine, begins the time again.
+// Requests in a short excess must be served late. The limit applies once the
+// waits within one target latency exceed the target; among few requests, a
+// single short one, which shows a free engine, begins the time again.
 TEST(Admission, LimitsUrgentRequestsUnderSustainedOverloadOnly)
 {
     const struct {
@@ -150,6 +150,28 @@
     }
 }
 
+// An engine returns empty during the overload, and a few requests find it
+// while all others are full. The overload must be found nevertheless. It must
+// not be found while one in five requests finds a short queue.
+TEST(Admission, FewShortWaitsDoNotHideAnOverload)
+{
+    const struct {
+        const char *name;
+        int one_in;
+        GwAdmissionVerdict verdict;
+    } cases[] = {{"one in twenty", 20, GW_ADMISSION_OVERLOAD},
+                 {"one in five", 5, GW_ADMISSION_ADMIT}};
+
+    for (const auto &c : cases) {
+        GwAdmissionState state = {};
+        GwAdmissionVerdict last = GW_ADMISSION_ADMIT;
+
+        for (int i = 1; i <= 99; i++)
+            last = Decide(&state, Facts(i * 10, i % c.one_in == 0 ? 20 : 800));
+        EXPECT_EQ(last, c.verdict) << c.name;
+    }
+}
+
 // After a pause without requests the queue may have been empty: the overload
 // must not be taken to have continued.
 TEST(Admission, OverloadIsNotSustainedOverAPause)
