--- a/packages/gateway/tests/gateway_overload_test.cc
+++ b/packages/gateway/tests/gateway_overload_test.cc
@@ -279,3 +279,49 @@
     auto call = f.Call(g, Fleet::Request("POST", "/check/1", "x", kPrompt));
     EXPECT_TRUE(f.Until([&] { return e->seen.size() == 1; }));
 }
+
+// Engines prefill urgent requests first. Prompts of requests that can wait
+// must therefore not cause the refusal of an urgent one, however many wait.
+TEST(GatewayOverload, WaitOfUrgentRequestsIncludesUrgentTokensOnly)
+{
+    Fleet f;
+    f.Configure(1, PromptRoute("check", 0) + PromptRoute("report", 1));
+    Endpoint *e = f.AddEndpoint("i-1", "model");
+    GwGateway *g = f.AddGateway();
+    ASSERT_TRUE(f.Ready());
+    ReportUrgentTokens(g, "i-1", 3000000)->agent_report.others_urgent = 0;
+    e->serve = [](Endpoint *, FakeExchange *) {};
+    auto call = f.Call(g, Fleet::Request("POST", "/check/1", "x", kPrompt));
+    EXPECT_TRUE(f.Until([&] { return e->seen.size() == 1 || call->Has(1); }));
+    EXPECT_EQ(e->seen.size(), 1u);
+}
+
+// A gateway estimates what others have sent to an engine since its last report
+// by its own urgent requests since then. Requests that can wait don't count,
+// nor do those that the report includes.
+TEST(GatewayOverload, UrgentTokensSinceTheLastReportAreCounted)
+{
+    Fleet f;
+    f.Configure(1, PromptRoute("check", 0) + PromptRoute("report", 1));
+    Endpoint *e = f.AddEndpoint("i-1", "model");
+    GwGateway *g = f.AddGateway();
+    ASSERT_TRUE(f.Ready());
+    GwInstance *instance = ReportUrgentTokens(g, "i-1", 0);
+    std::vector<std::shared_ptr<Caller>> waiting;
+
+    e->serve = [](Endpoint *, FakeExchange *) {};
+    for (const char *path : {"/check/1", "/report/1"}) {
+        waiting.push_back(
+            f.Call(g, Fleet::Request("POST", path, "x", kPrompt)));
+        ASSERT_TRUE(f.Until([&] { return e->seen.size() == waiting.size(); }));
+    }
+    EXPECT_EQ(GwUnreportedTokens_Get(&instance->unreported_urgent,
+                                     instance->agent_report.at),
+              instance->urgent_tokens);
+    EXPECT_GT(instance->urgent_tokens, 0u);
+    EXPECT_GT(instance->prefill_tokens, instance->urgent_tokens);
+    instance->agent_report.at++;
+    EXPECT_EQ(GwUnreportedTokens_Get(&instance->unreported_urgent,
+                                     instance->agent_report.at),
+              0u);
+}
