Speed of plain endpoints without the time of the network, tests with queues

Ten milliseconds are added to each service time, so that endpoints in other failure domains do not count as slow.

--- a/packages/gateway/tests/gateway_engine_speed_test.cc
+++ b/packages/gateway/tests/gateway_engine_speed_test.cc
@@ -114,3 +114,101 @@
         EXPECT_EQ(used.size(), slow_speed == 22.0 ? 4u : 5u) << slow_speed;
     }
 }
+
+// An engine that prefills one prompt after the other, and takes a further
+// fixed time for each.
+struct SerialEngine {
+    Endpoint *endpoint;
+    double speed; // relative to the constants
+    GwTime busy_until = 0;
+    int answered = 0;
+};
+
+// An answer that is sent when the engine has prefilled its prompt.
+struct PendingAnswer {
+    SerialEngine *engine;
+    FakeExchange *exchange;
+    GwTimer timer;
+};
+
+static void
+SendAnswer(void *user)
+{
+    PendingAnswer *answer = (PendingAnswer *)user;
+
+    Endpoint::AnswerId(answer->engine->endpoint, answer->exchange);
+    answer->engine->answered++;
+}
+
+// Engines with queues, of which one is 3 times slower, and no agents. The
+// gateway must measure that by its own answers, also while requests wait at
+// the engines, and send the slow engine fewer requests. Samples that included
+// the wait would make the busiest engine seem the slowest.
+TEST(GatewayEngineSpeed, SlowEngineIsMeasuredWhileRequestsWait)
+{
+    const int engines = 5, requests = 240, measured_from = 120;
+    const GwTime interval = 16 * GW_MILLISECOND;
+    Fleet f;
+    std::vector<std::unique_ptr<SerialEngine>> serial;
+    std::vector<std::unique_ptr<PendingAnswer>> answers;
+    std::vector<std::shared_ptr<Caller>> calls;
+    int slow_before = 0;
+
+    f.Configure(1, PromptRoute("check", 0));
+    for (int i = 0; i < engines; i++) {
+        Endpoint *e =
+            f.AddEndpoint(("i-" + std::to_string(i)).c_str(), "model");
+
+        serial.push_back(std::make_unique<SerialEngine>(
+            SerialEngine{e, i == 0 ? 1 / 3.0 : 1}));
+        SerialEngine *engine = serial.back().get();
+        e->serve = [&, engine](Endpoint *, FakeExchange *x) {
+            double ms = 3000 / GW_NOMINAL_PREFILL_TOKENS_PER_MS;
+            GwTime now = GwTime_Now();
+
+            engine->busy_until = MAX(engine->busy_until, now) +
+                                 (GwTime)(ms / engine->speed * GW_MILLISECOND);
+            answers.push_back(std::make_unique<PendingAnswer>());
+            answers.back()->engine = engine;
+            answers.back()->exchange = x;
+            GwTimer_Init(&answers.back()->timer, f.loop, SendAnswer,
+                         answers.back().get());
+            GwTimer_Start(&answers.back()->timer,
+                          engine->busy_until - now + 16 * GW_MILLISECOND);
+        };
+    }
+    GwGateway *g = f.AddGateway();
+    ASSERT_TRUE(f.Ready());
+    for (int i = 0; i < requests; i++) {
+        if (i == measured_from)
+            slow_before = (int)serial[0]->endpoint->seen.size();
+        calls.push_back(f.Call(g, PromptRequest("/check/1", i)));
+        f.Wait(interval);
+    }
+    ASSERT_TRUE(f.Until([&] {
+        for (auto &call : calls) {
+            if (!call->Has(1))
+                return false;
+        }
+        return true;
+    }));
+    double relative[5];
+    for (int i = 0; i < engines; i++) {
+        GwInstance *instance =
+            GwInstances_Find(GwView_Instances(g->view),
+                             serial[(size_t)i]->endpoint->id.c_str());
+
+        relative[i] =
+            GwEngineSpeed_TokensPerMs(&instance->speed, GwTime_Now()) /
+            GW_NOMINAL_PREFILL_TOKENS_PER_MS;
+        printf("engine %d: speed %.2f measured %.2f, %zu requests\n", i,
+               serial[(size_t)i]->speed, relative[i],
+               serial[(size_t)i]->endpoint->seen.size());
+    }
+    for (int i = 1; i < engines; i++)
+        EXPECT_NEAR(relative[i], 1, 0.25) << i;
+    EXPECT_LT(relative[0], 0.55);
+    // Its usual share is a fifth.
+    EXPECT_LT((double)serial[0]->endpoint->seen.size() - slow_before,
+              0.1 * (requests - measured_from));
+}
--- a/packages/routing/src/engine_speed.c
+++ b/packages/routing/src/engine_speed.c
@@ -80,6 +80,10 @@
 /* Service time that counts as the speed 1 of a plain endpoint; any value would
  * do, as only ratios are used. */
 #define PLAIN_SERVICE_MS 50.0
+/* Added to each service time of a plain endpoint. Endpoints in other failure
+ * domains take some milliseconds longer for the network. With short service
+ * times they would count as slow, although callers notice no difference. */
+#define PLAIN_NETWORK_MS 10.0
 
 static void add_log_speed_(GwEngineSpeed *s, double x, GwTime now);
 static bool has_changed_(const GwEngineSpeed *s, double *median);
@@ -123,7 +127,7 @@
 void
 GwEngineSpeed_AddServiceTime(GwEngineSpeed *s, GwTime elapsed, GwTime now)
 {
-    double ms = MAX((double)elapsed / GW_MILLISECOND, 0.01);
+    double ms = (double)MAX(elapsed, 0) / GW_MILLISECOND + PLAIN_NETWORK_MS;
 
     // Not clamped to the limits of engines: any service time is possible.
     add_log_speed_(s, log(PLAIN_SERVICE_MS / ms), now);
