--- a/packages/base/include/galenagw/base/counters.h
+++ b/packages/base/include/galenagw/base/counters.h
@@ -121,6 +121,17 @@
 /** Names of ::GwHistogramId in /metrics, by value. */
 extern const char *const GwHistogram_Names[GW_HISTOGRAMS];
 
+/** Values that rise and fall. */
+typedef enum {
+    GW_GAUGE_PREFILL_TOKENS_PER_S = 0, /**< Measured prefill speed of the
+                                          engine beside the agent; 0:
+                                          unknown. */
+    GW_GAUGES
+} GwGauge;
+
+/** Names of ::GwGauge in /metrics, by value. */
+extern const char *const GwGauge_Names[GW_GAUGES];
+
 /** One log-scaled histogram with eight buckets per power of two. */
 typedef struct {
     uint64_t buckets[256]; /**< number of values in each bucket */
@@ -143,6 +154,7 @@
     uint64_t plain[GW_COUNTERS]; /**< counters without labels */
     uint64_t refusals[GW_REFUSALS];
     uint64_t retries[GW_RETRIES];
+    uint64_t gauges[GW_GAUGES];
     GwHistogram histograms[GW_HISTOGRAMS];
 } GwCounters;
 
--- a/packages/base/src/counters.c
+++ b/packages/base/src/counters.c
@@ -33,6 +33,8 @@
     "origins_told",     "origin_asks",
 };
 
+const char *const GwGauge_Names[GW_GAUGES] = {"prefill_tokens_per_s"};
+
 const char *const GwHistogram_Names[GW_HISTOGRAMS] = {
     "ttft_paying_us", "ttft_trial_us",         "queue_wait_us",
     "claim_us",       "forward_first_byte_us", "forward_whole_us",
@@ -83,6 +85,9 @@
         g_string_append_printf(
             out, "galenagw_retries_total{reason=\"%s\"} %" PRIu64 "\n",
             GwRetry_Names[i], counters->retries[i]);
+    for (int i = 0; i < GW_GAUGES; i++)
+        g_string_append_printf(out, "galenagw_%s %" PRIu64 "\n",
+                               GwGauge_Names[i], counters->gauges[i]);
     for (int i = 0; i < GW_HISTOGRAMS; i++) {
         const GwHistogram *h = &counters->histograms[i];
         const char *name = GwHistogram_Names[i];
--- a/packages/cluster/src/peers_engine.c
+++ b/packages/cluster/src/peers_engine.c
@@ -17,6 +17,7 @@
 static void send_changed_loads_(GwPeers *p);
 static GwWaitingTokens sum_waiting_tokens_(const GwPeers *p);
 static bool is_stale_incarnation_(int64_t received, int64_t known);
+static uint32_t tokens_per_s_(const GwEngineSpeed *speed);
 static void add_speed_sample_(GwPeers *p, const GwEntryLoad *before,
                               const Gw__Wire__PrefillNote *note);
 static void log_speed_(GwPeers *p, GwEngineSpeed *speed, const char *instance,
@@ -41,6 +42,8 @@
         GwPeers_ResetCachedParts(p);
     if (p->has_engine && p->engine.incarnation != state->incarnation)
         memset(&p->engine_speed, 0, sizeof(p->engine_speed));
+    p->options.counters->gauges[GW_GAUGE_PREFILL_TOKENS_PER_S] =
+        tokens_per_s_(&p->engine_speed);
     p->has_engine = true;
     p->engine = *state;
     g_strlcpy(p->engine_id, state->instance, sizeof(p->engine_id));
@@ -264,9 +267,7 @@
     state.kv_used = p->engine.kv_used;
     state.kv_total = p->engine.kv_total;
     state.switch_ms = (uint32_t)(p->engine.switch_time / GW_MILLISECOND);
-    state.prefill_tokens_per_s =
-        (uint32_t)(GwEngineSpeed_TokensPerMs(&p->engine_speed, GwTime_Now()) *
-                   1000);
+    state.prefill_tokens_per_s = tokens_per_s_(&p->engine_speed);
     state.entries = GwPeersEngine_CountEntries(p);
     peer->load.sent_others = others;
     peer->state_sent_at = GwTime_Now();
@@ -365,3 +366,10 @@
                  p->options.is_agent ? "entries" : "agent");
     GwEvent_End(log);
 }
+
+// Measured prefill speed; 0: unknown.
+static uint32_t
+tokens_per_s_(const GwEngineSpeed *speed)
+{
+    return (uint32_t)(GwEngineSpeed_TokensPerMs(speed, GwTime_Now()) * 1000);
+}
--- a/packages/cluster/tests/entry_load_test.cc
+++ b/packages/cluster/tests/entry_load_test.cc
@@ -135,7 +135,11 @@
     double expected_ms = 2368 / 66.0 + 16 + 100 * 0.4;
     EXPECT_NEAR(EntryInstance()->agent_report.prefill_tokens_per_ms,
                 66 * expected_ms / 26, 0.1 * 66 * expected_ms / 26);
+    EXPECT_NEAR((double)agent_.counters.gauges[GW_GAUGE_PREFILL_TOKENS_PER_S] /
+                    1000,
+                EntryInstance()->agent_report.prefill_tokens_per_ms, 0.01);
     SendEngineState(11, 1);
+    EXPECT_EQ(agent_.counters.gauges[GW_GAUGE_PREFILL_TOKENS_PER_S], 0u);
     ASSERT_TRUE(f.Until([&] { return EntryInstance()->incarnation == 11; }));
     EXPECT_EQ(EntryInstance()->agent_report.prefill_tokens_per_ms, 0);
 }
