--- a/packages/routing/src/engine_speed.c
+++ b/packages/routing/src/engine_speed.c
@@ -71,6 +71,9 @@
 #define SPREAD_FACTOR 1.12
 #define PRECISE_ERROR 0.095
 #define SPREAD_ENDPOINTS_MIN 3
+/* Standard errors by which the variance of the speeds must exceed that of the
+ * estimates. */
+#define SIGNIFICANT_SPREAD_ERRORS 4.0
 /* Number of endpoints with known speeds from which on a service has a median
  * to compare them with. */
 #define COMPARED_MIN 2
@@ -89,6 +92,7 @@
 static bool has_changed_(const GwEngineSpeed *s, double *median);
 static void retry_usual_(GwEngineSpeed *s, GwTime now);
 static bool is_expired_(const GwEngineSpeed *s, GwTime now);
+static bool is_far_(const GwSpeedEstimate *list, size_t n, double median);
 static bool has_slow_or_fast_(const GwSpeedEstimate *list, size_t n,
                               double median);
 static bool is_spread_(const GwSpeedEstimate *list, size_t n, double median);
@@ -205,10 +209,9 @@
     qsort(list, n_known, sizeof(list[0]), compare_estimates_);
     service.median =
         (list[(n_known - 1) / 2].log_speed + list[n_known / 2].log_speed) / 2;
-    service.applies =
-        (!is_plain && fabs(service.median) > log(ALIKE_FACTOR)) ||
-        has_slow_or_fast_(list, n_known, service.median) ||
-        is_spread_(list, n_known, service.median);
+    service.applies = (!is_plain && is_far_(list, n_known, service.median)) ||
+                      has_slow_or_fast_(list, n_known, service.median) ||
+                      is_spread_(list, n_known, service.median);
     return service;
 }
 
@@ -307,6 +310,19 @@
     return s->n > 0 && now - s->sampled_at > EXPIRES_AFTER;
 }
 
+// Whether the median differs from the constants. Its error decreases with the
+// number of endpoints.
+static bool
+is_far_(const GwSpeedEstimate *list, size_t n, double median)
+{
+    double error = 0;
+
+    for (size_t i = 0; i < n; i++)
+        error += list[i].error / (double)n;
+    return fabs(median) >
+           log(ALIKE_FACTOR) + SIGNIFICANT_ERRORS * error / sqrt((double)n);
+}
+
 // Whether a single endpoint differs from the median.
 static bool
 has_slow_or_fast_(const GwSpeedEstimate *list, size_t n, double median)
@@ -328,7 +344,8 @@
 {
     // In the sorted list, the extreme values are at both ends.
     size_t n_extreme = n / 16 + 1;
-    double sum = 0;
+    double spread = 0;
+    double noise = 0;
     unsigned n_precise = 0;
 
     for (size_t i = n_extreme; i + n_extreme < n; i++) {
@@ -336,11 +353,16 @@
 
         if (list[i].error > PRECISE_ERROR)
             continue;
-        sum += difference * difference - list[i].error * list[i].error;
+        spread += difference * difference;
+        noise += list[i].error * list[i].error;
         n_precise++;
     }
-    return n_precise >= SPREAD_ENDPOINTS_MIN &&
-           sum / n_precise > log(SPREAD_FACTOR) * log(SPREAD_FACTOR);
+    if (n_precise < SPREAD_ENDPOINTS_MIN)
+        return false;
+    // The variance of few values is itself uncertain.
+    noise *= 1 + SIGNIFICANT_SPREAD_ERRORS * sqrt(2.0 / n_precise);
+    return (spread - noise) / n_precise >
+           log(SPREAD_FACTOR) * log(SPREAD_FACTOR);
 }
 
 static int
