Shares of accounts: excess of an account over the mean use of limits

Under contention the account that sends most got most. Limit owners report the utilization of an account's limit with each grant, and gateways compare it with the mean of the accounts they see.

--- a/packages/cluster/src/limit_messages.c
+++ b/packages/cluster/src/limit_messages.c
@@ -3,6 +3,10 @@
 #include "galenagw/cluster/account_limit.h"
 #include "galenagw/routing/placement.h"
 
+/* Highest utilization that is reported; above it, the value is wrong. */
+#define USE_MAX 1000.0
+
+static uint32_t encode_use_(double use);
 static uint32_t clamp_units_(double units);
 
 GwLimitPool
@@ -62,6 +66,8 @@
 
         grant.credits = clamp_units_(
             GwLimitOwner_Answer(owner, &limit, &request, GwTime_Now()));
+        grant.use_permille =
+            encode_use_(GwLimitOwner_Use(owner, msg->account, GwTime_Now()));
     }
     // A message without a lease id only returns units and gets no answer.
     if (msg->lease_id != 0)
@@ -75,9 +81,20 @@
     GwLimitRequest answer = {.account = msg->account,
                              .lease_id = msg->lease_id};
 
+    // Before the answer, with which waiting requests are decided.
+    if (msg->use_permille > 0)
+        GwLimitShare_OnUse(share, owner, msg->account,
+                           (msg->use_permille - 1) / 1000.0, GwTime_Now());
     GwLimitShare_OnAnswer(share, owner, &answer, msg->credits, GwTime_Now());
 }
 
+// Returns 0 if the use is not known.
+static uint32_t
+encode_use_(double use)
+{
+    return use < 0 ? 0 : 1 + (uint32_t)(MIN(use, USE_MAX) * 1000 + 0.5);
+}
+
 static uint32_t
 clamp_units_(double units)
 {
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -92,6 +92,7 @@
     g->recent_broken_requests = GwBrokenRequests_New();
     g->rand = g_rand_new();
     g->limit_share = GwRequestLimit_NewShare(g);
+    g->account_share = GwAccountShare_New();
     g->kv_stores = GwKvStores_New(loop, g->log, g->rand);
     g->stream_origins = GwStreamOrigins_New(GW_GATEWAY_ORIGINS_MAX);
     g->started_at = GwTime_Now();
@@ -128,6 +129,7 @@
     GwQuarantineStore_Delete(g->quarantine_store);
     GwQuarantine_Delete(g->quarantine);
     GwLimitShare_Delete(g->limit_share);
+    GwAccountShare_Delete(g->account_share);
     GwBrokenRequests_Delete(g->recent_broken_requests);
     g_rand_free(g->rand);
     g_free(g->name);
--- a/packages/gateway/src/gateway_private.h
+++ b/packages/gateway/src/gateway_private.h
@@ -10,6 +10,7 @@
 #include "galenagw/cluster/view.h"
 #include "galenagw/gateway/options.h"
 #include "galenagw/http/server.h"
+#include "galenagw/policy/account_share.h"
 #include "galenagw/quarantine/broken_requests.h"
 #include "galenagw/routing/budget.h"
 #include "galenagw/routing/placement.h"
@@ -47,6 +48,7 @@
 
     GHashTable *retry_budgets; /* service name to GwBudget */
     GwLimitShare *limit_share; /* leases of account limits */
+    GwAccountShare *account_share;
     GwLimitTolerance limit_tolerance;
     GwTimer limit_timer; /* calls GwLimitShare_Tick */
     bool limit_timer_is_running;
--- a/packages/gateway/src/request_limit.c
+++ b/packages/gateway/src/request_limit.c
@@ -20,6 +20,9 @@
                              const GwLimitRequest *limit_request);
 static void on_decided_(GwLimitWaiter *waiter, const GwLimitDecision *verdict);
 static void apply_verdict_(GwRequest *r, const GwLimitDecision *verdict);
+static void compare_share_(GwRequest *r);
+static void log_share_(const GwRequest *r, const GwAccountRequest *request,
+                       GwAccountShareChange change);
 
 static const GwLimitShareOps share_ops = {ask_limit_owner_};
 
@@ -83,6 +86,7 @@
 apply_verdict_(GwRequest *r, const GwLimitDecision *verdict)
 {
     if (verdict->state == GW_LIMIT_GRANTED) {
+        compare_share_(r);
         GwRequestAttempt_Make(r);
         return;
     }
@@ -98,3 +102,40 @@
                                    ? GW_REFUSAL_LIMIT_UNKNOWN
                                    : GW_REFUSAL_ACCOUNT_LIMIT);
 }
+
+static void
+compare_share_(GwRequest *r)
+{
+    GwGateway *g = r->gateway;
+    GwTime now = GwTime_Now();
+    GwAccountRequest request = {
+        .account = r->account->name,
+        .yields = r->account->priority > 0,
+        .limit_rate = r->account->limit_rate,
+        .units = r->granted_units,
+        .use = GwLimitShare_Use(g->limit_share, r->account->name, now),
+        .entries = GwPeers_Entries(g->peers),
+        .is_cut_off = GwLimitShare_IsCutOff(g->limit_share, now),
+    };
+    GwAccountShareChange change;
+
+    r->share_excess =
+        GwAccountShare_Add(g->account_share, &request, now, &change);
+    if (change != GW_ACCOUNT_SHARE_SAME)
+        log_share_(r, &request, change);
+}
+
+static void
+log_share_(const GwRequest *r, const GwAccountRequest *request,
+           GwAccountShareChange change)
+{
+    GwEventLog *log = r->gateway->log;
+
+    GwEvent_Begin(log, "account_share", r->info.id);
+    GwEvent_Text(log, "account", request->account);
+    GwEvent_Text(log, "state", GwAccountShareChange_Names[change]);
+    GwEvent_Real(log, "excess", r->share_excess);
+    GwEvent_Real(log, "use", request->use);
+    GwEvent_Number(log, "rate", (int64_t)request->limit_rate);
+    GwEvent_End(log);
+}
--- a/packages/gateway/src/request_private.h
+++ b/packages/gateway/src/request_private.h
@@ -31,6 +31,8 @@
     GwTime deadline;
     GwLimitWaiter limit_waiter;
     double granted_units; /* of its account's limit */
+    double share_excess;  /* usage of its account in relation to the account's
+                             share; at most 1: within the share, or unknown */
     GwTimer deadline_timer;
     GwTimer silence_timer;    /* abandons an attempt whose endpoint has not
                                  begun to answer */
--- a/packages/policy/include/galenagw/policy/limit_owner.h
+++ b/packages/policy/include/galenagw/policy/limit_owner.h
@@ -89,6 +89,15 @@
  */
 double GwLimitOwner_Answer(GwLimitOwner *owner, const GwLimit *limit,
                            const GwLimitRequest *request, GwTime now);
+/**
+ * Utilization of this process's part of the limit of an account, averaged over
+ * some seconds: 1 if all that the part yields is used. Units that come back
+ * unused do not count.
+ * @return negative if it is not known, because the process has just begun to
+ *   count
+ */
+double GwLimitOwner_Use(const GwLimitOwner *owner, const char *account,
+                        GwTime now);
 
 #ifdef __cplusplus
 }
--- a/packages/policy/include/galenagw/policy/limit_share.h
+++ b/packages/policy/include/galenagw/policy/limit_share.h
@@ -128,6 +128,18 @@
 void GwLimitShare_OnAnswer(GwLimitShare *share, uint64_t owner,
                            const GwLimitRequest *answer, double units,
                            GwTime now);
+/**
+ * Stores the utilization of its part of the limit of @p account that @p owner
+ * has reported with an answer (see GwLimitOwner_Use).
+ */
+void GwLimitShare_OnUse(GwLimitShare *share, uint64_t owner,
+                        const char *account, double use, GwTime now);
+/** Utilization of the limit of @p account over all entries, from what its
+ * owners have reported; negative: not known. */
+double GwLimitShare_Use(const GwLimitShare *share, const char *account,
+                        GwTime now);
+/** Whether no owner of any account has answered this entry recently. */
+bool GwLimitShare_IsCutOff(const GwLimitShare *share, GwTime now);
 /** The connection to @p owner was closed; pending requests to it are lost. */
 void GwLimitShare_OwnerLost(GwLimitShare *share, uint64_t owner, GwTime now);
 /**
--- a/packages/policy/include/galenagw/policy/limits.h
+++ b/packages/policy/include/galenagw/policy/limits.h
@@ -39,6 +39,10 @@
  * limit */
 GwTime GwLimit_TimeFor(const GwLimit *limit, double units);
 
+/** Time constant of the average use of a limit. Bursts of an account that last
+ * some seconds are to be known while they last. */
+#define GW_LIMIT_USE_TIME (2 * GW_SECOND)
+
 /** Steps of equal length into which a window is divided to count the units
  * taken in it. */
 #define GW_LIMIT_WINDOW_STEPS 16
--- a/packages/policy/src/limit_owner.c
+++ b/packages/policy/src/limit_owner.c
@@ -1,17 +1,30 @@
 #include "galenagw/policy/limit_owner.h"
 
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
 struct GwLimitOwner {
-    GHashTable *buckets; /* account to GwBucket */
+    GHashTable *buckets; /* account to Bucket */
     GwLimitPool pool;
     uint64_t self;
     GwTime empty_since; /* time when the buckets that are not in the table yet
                            were empty */
 };
 
+/* The bucket of an account, and the use of its limit. */
+typedef struct {
+    GwBucket bucket;
+    /* Units taken and not returned, with the weight
+     * exp(-age / GW_LIMIT_USE_TIME). */
+    double units;
+    GwTime summed_at;
+    GwTime counted_since;
+} Bucket;
+
+/* Use is known after this time, from when it was first counted. */
+#define USE_KNOWN_TIME GW_SECOND
 /* Fixed hash key, of any value, by which nodes are ranked for the pool.
  * Accounts rank them by the hash of their name. */
 #define POOL_HASH_KEY 0x11
@@ -28,8 +41,9 @@
 static bool contains_node_(uint64_t node, const uint64_t *owners, unsigned n);
 static gboolean is_not_owned_(gpointer account, gpointer bucket,
                               gpointer owner);
-static GwBucket *find_or_add_bucket_(GwLimitOwner *owner, const char *account,
-                                     const GwLimit *part, GwTime now);
+static Bucket *find_or_add_bucket_(GwLimitOwner *owner, const char *account,
+                                   const GwLimit *part, GwTime now);
+static void add_use_(Bucket *b, double taken, double returned, GwTime now);
 
 GwLimitPool
 GwLimitPool_Of(const uint64_t *nodes, size_t n)
@@ -112,14 +126,36 @@
     unsigned n =
         GwLimitPool_Owners(&owner->pool, request->account, limit, owners);
     GwLimit part = GwLimit_Part(limit, n);
-    GwBucket *b;
+    double taken;
+    Bucket *b;
 
     if (!contains_node_(owner->self, owners, n))
         return 0;
     b = find_or_add_bucket_(owner, request->account, &part, now);
     if (request->unused > 0)
-        GwBucket_Return(b, request->unused, now);
-    return GwBucket_Take(b, request->need, request->ahead, now);
+        GwBucket_Return(&b->bucket, request->unused, now);
+    taken = GwBucket_Take(&b->bucket, request->need, request->ahead, now);
+    add_use_(b, taken, request->unused, now);
+    return taken;
+}
+
+// The sum lacks what was used before counting began, and is scaled by the
+// part of the weight that is known.
+double
+GwLimitOwner_Use(const GwLimitOwner *owner, const char *account, GwTime now)
+{
+    const Bucket *b = g_hash_table_lookup(owner->buckets, account);
+    double weight;
+    double known;
+
+    if (b == NULL || now - b->counted_since < USE_KNOWN_TIME ||
+        b->bucket.limit.rate <= 0)
+        return -1;
+    weight = exp(-(double)(now - b->summed_at) / (double)GW_LIMIT_USE_TIME);
+    known =
+        1 - exp(-(double)(now - b->counted_since) / (double)GW_LIMIT_USE_TIME);
+    return b->units * weight / known * GW_SECOND / GW_LIMIT_USE_TIME /
+           b->bucket.limit.rate;
 }
 
 static unsigned
@@ -184,17 +220,30 @@
     return !contains_node_(owner->self, owners, n);
 }
 
-static GwBucket *
+static Bucket *
 find_or_add_bucket_(GwLimitOwner *owner, const char *account,
                     const GwLimit *part, GwTime now)
 {
-    GwBucket *b = g_hash_table_lookup(owner->buckets, account);
+    Bucket *b = g_hash_table_lookup(owner->buckets, account);
 
     if (b == NULL) {
-        b = g_new0(GwBucket, 1);
-        GwBucket_Init(b, part, owner->empty_since);
+        b = g_new0(Bucket, 1);
+        b->counted_since = b->summed_at = now;
+        GwBucket_Init(&b->bucket, part, owner->empty_since);
         g_hash_table_insert(owner->buckets, g_strdup(account), b);
     }
-    GwBucket_SetLimit(b, part, now);
+    GwBucket_SetLimit(&b->bucket, part, now);
     return b;
 }
+
+// Returned units were taken in one of the last takes; at most all units of the
+// sum are returned.
+static void
+add_use_(Bucket *b, double taken, double returned, GwTime now)
+{
+    double weight =
+        exp(-(double)MAX(now - b->summed_at, 0) / (double)GW_LIMIT_USE_TIME);
+
+    b->units = MAX(b->units * weight - returned, 0) + taken;
+    b->summed_at = now;
+}
--- a/packages/policy/src/limit_share.c
+++ b/packages/policy/src/limit_share.c
@@ -23,6 +23,11 @@
 #define AHEAD_TIME (100 * GW_MILLISECOND)
 /* Time constant of the moving average of an account's use. */
 #define USE_AVERAGING_TIME GW_SECOND
+/* A utilization that an owner reported is valid for this time. Owners are
+ * asked in turn, and rare requests ask rarely. */
+#define OWNER_USE_TERM (10 * GW_SECOND)
+/* This entry is cut off if no owner has answered for this time. */
+#define CUT_OFF_TIME (2 * GW_SECOND)
 /* An account without requests is removed after this time. */
 #define IDLE_RETENTION (60 * GW_SECOND)
 /* Interval of the search for such accounts. */
@@ -44,9 +49,11 @@
     GwTime requested_at;    /* 0: no request is pending */
     GwTime exhausted_until; /* the owner has no units left */
     GwTime skipped_until;   /* the owner does not answer */
-    uint64_t lease_id;      /* id of the latest request to this owner, counted
-                               from 1; a message that only returns units has
-                               the id 0 */
+    double use;    /* utilization of its part of the limit, as it reports */
+    GwTime use_at; /* 0: not reported */
+    uint64_t lease_id; /* id of the latest request to this owner, counted
+                          from 1; a message that only returns units has
+                          the id 0 */
 } Lease;
 
 /* State of one account at this entry: its leases, its offline limit, and the
@@ -60,7 +67,8 @@
     GwBucket offline_limit;
     Lease leases[GW_LIMIT_OWNERS];
     unsigned n_leases;
-    double use_rate; /* units per second, moving average */
+    unsigned next_lease; /* owner that is asked next */
+    double use_rate;     /* units per second, moving average */
     GwTime last_used_at;
     TAILQ_HEAD(, GwLimitWaiter) waiters;
     double waiting_units; /* units needed by all waiters */
@@ -72,6 +80,7 @@
     GHashTable *queues;                /* account name to GwLimitQueue */
     TAILQ_HEAD(, GwLimitQueue) active; /* need GwLimitShare_Tick */
     GwTime swept_at;
+    GwTime answered_at; /* last answer of any owner; 0: none */
 };
 
 static GwLimitQueue *find_or_add_queue_(GwLimitShare *share,
@@ -84,6 +93,8 @@
 static bool has_pending_request_(const GwLimitQueue *q);
 static void spend_leased_units_(GwLimitQueue *q, double units);
 static void request_units_(GwLimitQueue *q, GwTime now);
+static bool try_request_from_next_(GwLimitQueue *q, unsigned offset,
+                                   double need, GwTime now);
 static bool send_request_(GwLimitQueue *q, Lease *lease, double need,
                           GwTime now);
 static bool can_request_from_(const Lease *lease, GwTime now);
@@ -216,6 +227,7 @@
     Lease *lease = q != NULL ? find_lease_(q, owner) : NULL;
     GwLimit part;
 
+    share->answered_at = now;
     // This answers an earlier request than the latest one. That request was
     // abandoned after a timeout, so its units are not needed and are returned.
     // Nothing is returned if the sender is no longer an owner of the account,
@@ -240,6 +252,51 @@
     decide_waiters_(q, now);
 }
 
+void
+GwLimitShare_OnUse(GwLimitShare *share, uint64_t owner, const char *account,
+                   double use, GwTime now)
+{
+    GwLimitQueue *q = g_hash_table_lookup(share->queues, account);
+    Lease *lease = q != NULL ? find_lease_(q, owner) : NULL;
+
+    if (lease == NULL)
+        return;
+    lease->use = use;
+    lease->use_at = now;
+}
+
+// Owners have equal parts of the limit, so the utilization of the limit is the
+// mean of theirs. An owner that does not answer grants nothing: the others are
+// asked for its part.
+double
+GwLimitShare_Use(const GwLimitShare *share, const char *account, GwTime now)
+{
+    const GwLimitQueue *q = g_hash_table_lookup(share->queues, account);
+    double sum = 0;
+    unsigned n_counted = 0;
+    unsigned n_known = 0;
+
+    for (unsigned i = 0; q != NULL && i < q->n_leases; i++) {
+        const Lease *lease = &q->leases[i];
+
+        if (now < lease->skipped_until) {
+            n_counted++;
+        }
+        else if (lease->use_at != 0 && now - lease->use_at < OWNER_USE_TERM) {
+            sum += lease->use;
+            n_counted++;
+            n_known++;
+        }
+    }
+    return n_known > 0 ? sum / n_counted : -1;
+}
+
+bool
+GwLimitShare_IsCutOff(const GwLimitShare *share, GwTime now)
+{
+    return share->answered_at == 0 || now - share->answered_at >= CUT_OFF_TIME;
+}
+
 void
 GwLimitShare_OwnerLost(GwLimitShare *share, uint64_t owner, GwTime now)
 {
@@ -392,7 +449,9 @@
 // in addition to those leased and requested already. If the owner grants
 // fewer, the next call requests the missing ones from the next owner. If no
 // request waits, it requests units ahead, that is, units that are expected to
-// be needed soon, as soon as at most half of that number is leased.
+// be needed soon, as soon as at most half of that number is leased. Owners are
+// asked in turn, so that each of them knows an equal part of the account's
+// use.
 static void
 request_units_(GwLimitQueue *q, GwTime now)
 {
@@ -400,8 +459,7 @@
         q->waiting_units - count_leased_units_(q) - count_requested_units_(q);
 
     for (unsigned i = 0; i < q->n_leases && need > 0; i++) {
-        if (can_request_from_(&q->leases[i], now) &&
-            send_request_(q, &q->leases[i], need, now))
+        if (try_request_from_next_(q, i, need, now))
             return;
     }
     if (q->waiting_units > 0 || has_pending_request_(q) ||
@@ -409,12 +467,25 @@
         return;
     for (unsigned i = 0; i < q->n_leases && estimate_units_ahead_(q) > 0;
          i++) {
-        if (can_request_from_(&q->leases[i], now) &&
-            send_request_(q, &q->leases[i], 0, now))
+        if (try_request_from_next_(q, i, 0, now))
             return;
     }
 }
 
+// Asks the owner that is @p offset places after the next one.
+static bool
+try_request_from_next_(GwLimitQueue *q, unsigned offset, double need,
+                       GwTime now)
+{
+    unsigned index = (q->next_lease + offset) % q->n_leases;
+
+    if (!can_request_from_(&q->leases[index], now) ||
+        !send_request_(q, &q->leases[index], need, now))
+        return false;
+    q->next_lease = (index + 1) % q->n_leases;
+    return true;
+}
+
 static bool
 send_request_(GwLimitQueue *q, Lease *lease, double need, GwTime now)
 {
