--- a/packages/gateway/tests/gateway_limits_test.cc
+++ b/packages/gateway/tests/gateway_limits_test.cc
@@ -5,6 +5,10 @@
 #include "galenagw/fakes/fleet.h"
 #include "galenagw/http/server.h"
 
+extern "C" {
+#include "gateway_private.h"
+}
+
 // A fleet with a sidecar, which is the limit owner of all accounts.
 struct LimitedFleet {
     LimitedFleet(const std::string &limit, int gateways,
@@ -258,3 +262,26 @@
     l.f.Wait(700 * GW_MILLISECOND);
     EXPECT_EQ(l.SendRequests(50)[200], 50) << "without a limit again";
 }
+
+// Guards against shares of accounts that are computed from a gateway's own
+// requests alone: limit owners report the use over all gateways.
+TEST(GatewayLimits, UseOverAllGatewaysIsReported)
+{
+    LimitedFleet l(R"(,"rate_per_s":40,"burst":40)", 2);
+    double use[2];
+
+    // Three of four requests are sent to the first gateway: 20 a second in
+    // all, of the 40 of the limit.
+    for (int i = 0; i < 50; i++) {
+        EXPECT_EQ(l.SendRequest(i % 4 == 0), 200);
+        l.f.Wait(50 * GW_MILLISECOND);
+    }
+    for (int i = 0; i < 2; i++) {
+        GwLimitShare *share = l.f.gateways[i]->limit_share;
+
+        use[i] = GwLimitShare_Use(share, "acme", GwTime_Now());
+        EXPECT_FALSE(GwLimitShare_IsCutOff(share, GwTime_Now()));
+        EXPECT_GT(use[i], 0.25) << i;
+        EXPECT_LT(use[i], 0.75) << i;
+    }
+}
--- a/packages/routing/src/endpoint_shares.c
+++ b/packages/routing/src/endpoint_shares.c
@@ -1,10 +1,11 @@
 #include "galenagw/routing/endpoint_shares.h"
 
 #include <glib.h>
+#include <stdbool.h>
 
-#include "galenagw/routing/endpoint_limits.h"
-
-/* Maximum number of processes per endpoint; bounds the memory. */
+/* Maximum number of endpoints, that of limits which processes store, and of
+ * processes per endpoint; they bound the memory. */
+#define ENDPOINTS_MAX 1024
 #define PROCESSES_MAX 1024
 /* Rounds of the max-min computation. Each round serves at least one process in
  * full; if more rounds were needed, the rest is divided below the limit. */
@@ -106,9 +107,9 @@
 
     if (processes != NULL)
         return processes;
-    if (g_hash_table_size(s->by_endpoint) >= GW_ENDPOINT_LIMITS_MAX)
+    if (g_hash_table_size(s->by_endpoint) >= ENDPOINTS_MAX)
         g_hash_table_foreach_remove(s->by_endpoint, is_unused_, &now);
-    if (g_hash_table_size(s->by_endpoint) >= GW_ENDPOINT_LIMITS_MAX)
+    if (g_hash_table_size(s->by_endpoint) >= ENDPOINTS_MAX)
         return NULL;
     processes = g_array_new(FALSE, TRUE, sizeof(Process));
     g_hash_table_insert(s->by_endpoint, g_strdup(endpoint), processes);
