Admission: accounts beyond their share give way where others would wait

share_excess took effect only under sustained overload. Accounts within their shares are served as before.

--- a/packages/routing/include/galenagw/routing/admission.h
+++ b/packages/routing/include/galenagw/routing/admission.h
@@ -11,7 +11,9 @@
  *   refused. This holds for all priorities and for retries.
  * - A request that can wait is deferred by the rules of GwOverload_Defer().
  * - While the overload of the most urgent requests is sustained, they join
- *   only queues in which they meet their target latency.
+ *   only queues in which they meet their target latency. For accounts beyond
+ *   their shares this holds without overload, too, and during an overload
+ *   their limit is lower.
  * @{
  */
 #ifndef GALENAGW_ROUTING_ADMISSION_H
--- a/packages/routing/src/admission.c
+++ b/packages/routing/src/admission.c
@@ -64,15 +64,22 @@
         .tokens_per_ms = GwOverload_PrefillTokensPerMs(&f->load),
         .limit = (GwTime)((double)f->load.target_latency * LIMIT_SHARE),
     };
+    GwTime reported_wait = prefill_time_(load.waiting_tokens, d.tokens_per_ms);
+    bool competes = !load.can_wait && f->share_excess > 1 &&
+                    (double)reported_wait > (double)d.limit * FREE_SHARE;
 
     if (!load.can_wait)
-        d.estimated_tokens =
-            estimate_others_(f, history->is_sustained, d.tokens_per_ms);
+        d.estimated_tokens = estimate_others_(
+            f, competes || history->is_sustained, d.tokens_per_ms);
     d.wait = prefill_time_(load.waiting_tokens + d.estimated_tokens,
                            d.tokens_per_ms);
     d.prefill = prefill_time_(load.own_tokens, d.tokens_per_ms);
+    // The estimate for an account beyond its share must not begin an overload
+    // for all others.
     if (!f->is_retry && load.target_latency > 0)
-        observe_wait_(history, f, d.wait);
+        observe_wait_(history, f,
+                      competes && !history->is_sustained ? reported_wait
+                                                         : d.wait);
     d.is_sustained = history->is_sustained;
     if (d.is_sustained && f->share_excess > 1)
         d.limit = (GwTime)((double)d.limit / f->share_excess);
@@ -90,7 +97,10 @@
         if (d.retry_after > 0)
             d.verdict = GW_ADMISSION_DEFER;
     }
-    else if (d.is_sustained && load.target_latency > 0 && !has_place_(f, &d))
+    // An account beyond its share gives way as soon as others would have to
+    // wait, not only once the overload is sustained.
+    else if ((d.is_sustained || f->share_excess > 1) &&
+             load.target_latency > 0 && !has_place_(f, &d))
         d.verdict = GW_ADMISSION_OVERLOAD;
     if (d.verdict == GW_ADMISSION_ADMIT)
         return d;
--- a/packages/routing/tests/admission_state_test.cc
+++ b/packages/routing/tests/admission_state_test.cc
@@ -219,7 +219,8 @@
 }
 
 // An account that uses twice its share gets half of the queue under sustained
-// overload, and is served as others before that.
+// overload. Before that it gives way where others would have to wait; without
+// a queue it is served as others.
 TEST(Admission, AccountsBeyondTheirShareGetAShorterQueue)
 {
     const struct {
@@ -234,6 +235,10 @@
         {"twice its share", 2, 200, true, GW_ADMISSION_OVERLOAD},
         {"twice its share, a short queue", 2, 120, true, GW_ADMISSION_ADMIT},
         {"twice its share, no overload", 2, 200, false, GW_ADMISSION_ADMIT},
+        {"twice its share, others would wait", 2, 300, false,
+         GW_ADMISSION_OVERLOAD},
+        {"within its share, the same queue", 1, 300, false,
+         GW_ADMISSION_ADMIT},
     };
 
     for (const auto &c : cases) {
