--- a/packages/policy/src/limit_share.c
+++ b/packages/policy/src/limit_share.c
@@ -7,8 +7,15 @@
 /* Leased units that are not spent within this time are returned. */
 #define LEASE_TERM (300 * GW_MILLISECOND)
 /* Owners answer within some milliseconds. The timeout is short, so that an
- * owner on a suspended machine does not use up the time of callers. */
-#define OWNER_ANSWER_TIMEOUT (60 * GW_MILLISECOND)
+ * owner on a suspended machine does not use up the time of callers. If answers
+ * take longer, as at an entry that lacks processor time, the timeout is a
+ * multiple of the time that they take: with a fixed one, such an entry would
+ * skip all owners and refuse requests that their accounts' limits allow. */
+#define OWNER_ANSWER_TIMEOUT_MIN (60 * GW_MILLISECOND)
+#define OWNER_ANSWER_TIMEOUT_MAX (400 * GW_MILLISECOND)
+#define ANSWER_TIMEOUT_FACTOR 2
+/* Divisor by which the measured answer time falls with each faster answer. */
+#define ANSWER_TIME_DECAY 16
 /* How long an owner is skipped that did not answer or could not be reached. */
 #define OWNER_SKIP_TIME (500 * GW_MILLISECOND)
 /* An owner without units left is asked again after this time at the latest. */
@@ -17,7 +24,10 @@
  * at an entry (the process that runs this code) with a long round trip to its
  * owners: by the time that the last owner has answered, EXHAUSTED_TIME_MAX of
  * the first one has passed, and the first one is asked again. */
-#define WAIT_TIMEOUT (200 * GW_MILLISECOND)
+#define WAIT_TIMEOUT_MIN (200 * GW_MILLISECOND)
+/* The same, as a multiple of the timeout of an owner's answer: enough for two
+ * owners. */
+#define WAIT_TIMEOUT_FACTOR 2
 /* The units that an account is expected to need in this time are requested
  * before its requests arrive, if these are frequent enough. */
 #define AHEAD_TIME (100 * GW_MILLISECOND)
@@ -47,6 +57,7 @@
     GwTime expires_at;      /* time when unspent units are returned */
     double requested_units; /* units needed in the pending request */
     GwTime requested_at;    /* 0: no request is pending */
+    GwTime sent_at;         /* of the latest request, also if abandoned */
     GwTime exhausted_until; /* the owner has no units left */
     GwTime skipped_until;   /* the owner does not answer */
     double use;    /* utilization of its part of the limit, as it reports */
@@ -81,6 +92,7 @@
     TAILQ_HEAD(, GwLimitQueue) active; /* need GwLimitShare_Tick */
     GwTime swept_at;
     GwTime answered_at; /* last answer of any owner; 0: none */
+    GwTime answer_time; /* of owners: the longest one lately */
 };
 
 static GwLimitQueue *find_or_add_queue_(GwLimitShare *share,
@@ -99,6 +111,9 @@
                           GwTime now);
 static bool can_request_from_(const Lease *lease, GwTime now);
 static void skip_owner_(Lease *lease, GwTime now);
+static void note_answer_time_(GwLimitShare *share, GwTime time);
+static GwTime answer_timeout_(const GwLimitShare *share);
+static GwTime wait_timeout_(const GwLimitShare *share);
 static double estimate_units_ahead_(const GwLimitQueue *q);
 static void decide_waiters_(GwLimitQueue *q, GwTime now);
 static GwLimitDecision try_take_units_(GwLimitQueue *q, double units,
@@ -237,6 +252,7 @@
             return_units_(q, lease, units);
         return;
     }
+    note_answer_time_(share, now - lease->sent_at);
     if (units < lease->requested_units) {
         part = GwLimit_Part(&q->limit, q->n_leases);
         lease->exhausted_until =
@@ -504,6 +520,7 @@
     lease->lease_id++;
     lease->requested_units = request.need;
     lease->requested_at = now;
+    lease->sent_at = now;
     return true;
 }
 
@@ -524,6 +541,30 @@
     lease->skipped_until = now + OWNER_SKIP_TIME;
 }
 
+// Follows the longest answer times. An owner that does not answer at all has
+// none, so it is skipped as soon as the others' answers are fast.
+static void
+note_answer_time_(GwLimitShare *share, GwTime time)
+{
+    if (time > share->answer_time)
+        share->answer_time = time;
+    else
+        share->answer_time -= (share->answer_time - time) / ANSWER_TIME_DECAY;
+}
+
+static GwTime
+answer_timeout_(const GwLimitShare *share)
+{
+    return CLAMP(ANSWER_TIMEOUT_FACTOR * share->answer_time,
+                 OWNER_ANSWER_TIMEOUT_MIN, OWNER_ANSWER_TIMEOUT_MAX);
+}
+
+static GwTime
+wait_timeout_(const GwLimitShare *share)
+{
+    return MAX(WAIT_TIMEOUT_FACTOR * answer_timeout_(share), WAIT_TIMEOUT_MIN);
+}
+
 // Units that the account is expected to need here within AHEAD_TIME; 0 if they
 // are less than a hundredth of its burst. Then requests are so rare that
 // leasing units ahead would save hardly any message to an owner, while another
@@ -547,8 +588,9 @@
         GwLimitDecision verdict;
 
         request_units_(q, now);
-        verdict = try_take_units_(q, w->units,
-                                  now - w->waiting_since < WAIT_TIMEOUT, now);
+        verdict = try_take_units_(
+            q, w->units, now - w->waiting_since < wait_timeout_(q->share),
+            now);
         if (verdict.state == GW_LIMIT_WAITING)
             return;
         finish_waiter_(q, w, &verdict);
@@ -615,7 +657,7 @@
         Lease *lease = &q->leases[i];
 
         if (lease->requested_at != 0 &&
-            now - lease->requested_at > OWNER_ANSWER_TIMEOUT) {
+            now - lease->requested_at > answer_timeout_(q->share)) {
             skip_owner_(lease, now);
         }
         if (lease->units > 0 && now >= lease->expires_at) {
--- a/packages/policy/tests/limits_test.cc
+++ b/packages/policy/tests/limits_test.cc
@@ -606,6 +606,29 @@
     EXPECT_GT(second->verdict.retry_after, 0);
 }
 
+// Guards against an entry that refuses nearly all requests of accounts within
+// their limits: it lacks processor time or its link is full, so owners'
+// answers arrive later than a fixed timeout, and it skips all owners. Within a
+// second the timeout must follow the time that answers take.
+TEST(LimitShare, SlowAnswersAreNotTakenForLostOwners)
+{
+    LimitFleet f(3, 1, {3000, 3000, 0, 0});
+    unsigned granted = 0, n = 0;
+
+    f.Run(2 * GW_SECOND);
+    f.delay = 60 * GW_MILLISECOND; // in each direction
+    for (int ms = 0; ms < 4000; ms++) {
+        if (ms % 20 == 0)
+            f.Take(0, 15);
+        f.Run(GW_MILLISECOND);
+    }
+    f.Run(GW_SECOND);
+    for (size_t i = 50; i < f.entries[0]->requests.size(); i++, n++)
+        granted +=
+            f.entries[0]->requests[i]->verdict.state == GW_LIMIT_GRANTED;
+    EXPECT_EQ(granted, n);
+}
+
 // Guards against requests that each wait for owners that do not answer. An
 // owner is skipped after a timeout and asked again later.
 TEST(LimitShare, OwnersThatDoNotAnswerAreSkipped)
