--- a/packages/policy/tests/limits_test.cc
+++ b/packages/policy/tests/limits_test.cc
@@ -616,7 +616,7 @@
     unsigned granted = 0, n = 0;
 
     f.Run(2 * GW_SECOND);
-    f.delay = 60 * GW_MILLISECOND; // in each direction
+    f.delay = 110 * GW_MILLISECOND; // in each direction
     for (int ms = 0; ms < 4000; ms++) {
         if (ms % 20 == 0)
             f.Take(0, 15);
