--- a/packages/http/include/galenagw/http/server.h
+++ b/packages/http/include/galenagw/http/server.h
@@ -94,7 +94,8 @@
 void GwHttpServer_SetLimits(GwHttpServer *server, const GwHttpLimits *limits);
 /** Answer all further calls with `Connection: close`. */
 void GwHttpServer_Drain(GwHttpServer *server);
-/** Close the connections on which no request is being received or served. */
+/** Close the connections on which no request is being received or served,
+ * except those that were just accepted and have received nothing yet. */
 void GwHttpServer_CloseIdle(GwHttpServer *server);
 
 const char *GwHttpCall_Method(const GwHttpCall *call);
--- a/packages/http/src/server.c
+++ b/packages/http/src/server.c
@@ -16,6 +16,10 @@
 /* Upper bound of the size of a chunk's size line and final line end. */
 #define CHUNK_FRAMING_BYTES 24
 
+/* A new connection is not idle for this long: its first request may be on its
+ * way, and closing the connection would lose it. */
+#define FIRST_REQUEST_TIME (200 * GW_MILLISECOND)
+
 typedef struct Connection Connection;
 
 struct GwHttpCall {
@@ -37,6 +41,8 @@
     GwHttpCall *call;  /* the request that is being read or served, or NULL */
     GByteArray *input; /* received bytes that are not parsed yet */
     GwTimer timer;     /* head timeout, body timeout or idle timeout */
+    GwTime accepted_at;
+    bool has_received; /* any bytes */
     bool paused;       /* reading from the socket is paused */
     /* the connection closes after the answer, because of the head of the
      * request or because the request was refused */
@@ -174,7 +180,9 @@
     for (c = TAILQ_FIRST(&server->connections); c != NULL; c = next) {
         next = TAILQ_NEXT(c, link);
         if (c->call == NULL && c->input->len == 0 &&
-            !GwHttpReader_InMessage(c->reader))
+            !GwHttpReader_InMessage(c->reader) &&
+            (c->has_received ||
+             GwTime_Now() - c->accepted_at >= FIRST_REQUEST_TIME))
             close_connection_(c);
     }
 }
@@ -357,6 +365,7 @@
 
     c->server = server;
     c->tcp = tcp;
+    c->accepted_at = GwTime_Now();
     GwTcp_DropAbandoned(tcp);
     c->reader = GwHttpReader_New(&options);
     c->input = g_byte_array_new();
@@ -371,6 +380,7 @@
 {
     Connection *c = user;
 
+    c->has_received = true;
     g_byte_array_append(c->input, data, (guint)len);
     if (!is_serving_(c)) {
         feed_reader_(c);
--- a/packages/http/tests/server_test.cc
+++ b/packages/http/tests/server_test.cc
@@ -117,3 +117,78 @@
             << e.name;
     }
 }
+
+// Closes idle connections of the server, as in a drain.
+struct DrainTicker {
+    static constexpr GwTime kInterval = 10 * GW_MILLISECOND;
+
+    DrainTicker(GwLoop *loop, GwHttpServer *http_server) : server(http_server)
+    {
+        GwTimer_Init(
+            &timer, loop,
+            [](void *user) {
+                auto *t = static_cast<DrainTicker *>(user);
+
+                GwHttpServer_CloseIdle(t->server);
+                t->ticks++;
+                GwTimer_Start(&t->timer, kInterval);
+            },
+            this);
+        GwTimer_Start(&timer, kInterval);
+    }
+    ~DrainTicker()
+    {
+        GwTimer_Stop(&timer);
+    }
+
+    GwHttpServer *server;
+    GwTimer timer;
+    int ticks = 0;
+};
+
+// Guards against a request that is lost in a drain: its connection is closed
+// as idle after it was accepted and before the request arrives. The caller
+// then gets neither an answer nor a refusal.
+TEST_F(LoopTest, ANewConnectionIsNotClosedAsIdle)
+{
+    struct State {
+        std::string received;
+        bool closed = false;
+    } state;
+    static const GwHttpServerOps server_ops = {[](void *, GwHttpCall *c) {
+                                                   GwHttpCall_Begin(
+                                                       c, 200, "text/plain");
+                                                   GwHttpCall_End(c);
+                                               },
+                                               nullptr, nullptr, nullptr};
+    static const GwTcpOps client_ops = {
+        nullptr,
+        [](void *u, const uint8_t *data, size_t len) {
+            static_cast<State *>(u)->received.append(
+                reinterpret_cast<const char *>(data), len);
+        },
+        [](void *u, GwTcpEnd) { static_cast<State *>(u)->closed = true; },
+        nullptr};
+    const char *request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    GwHttpServerOptions options = {};
+    GwAddress address = kAny;
+
+    options.address = kAny;
+    options.ops = &server_ops;
+    GwHttpServer *server = GwHttpServer_New(loop, &options, nullptr);
+    address.port = GwHttpServer_Port(server);
+    {
+        DrainTicker drain(loop, server);
+        GwTcp *tcp = GwTcp_Connect(loop, &address, &client_ops, &state);
+
+        ASSERT_TRUE(Until([&] { return drain.ticks == 5; }));
+        ASSERT_FALSE(state.closed);
+        GwTcp_Write(tcp, reinterpret_cast<const uint8_t *>(request),
+                    strlen(request));
+        // After its request the connection is idle.
+        EXPECT_TRUE(Until([&] { return state.closed; }));
+    }
+    EXPECT_NE(state.received.find(" 200 "), std::string::npos);
+    GwHttpServer_Delete(server);
+    GwLoop_Delete(loop);
+}
