--- a/packages/routing/src/overload.c
+++ b/packages/routing/src/overload.c
@@ -26,9 +26,8 @@
 #define SHORT_PROMPT_TARGET_FACTOR 3.0
 /* Time in which running requests complete and release all memory of an engine.
  * Requests run for three seconds and more if the engine also prefills all the
- * time. If memory is ignored, prompts are preempted and prefilled again: a
- * sixth of all prefill work under overload, and a score of a day of high load
- * that is lower by 0.11. */
+ * time. If memory is ignored, prompts are preempted and prefilled again, which
+ * is a sixth of all prefill work under overload. */
 #define MEMORY_RELEASE_TIME (3 * GW_SECOND)
 
 static double relative_speed_(double prefill_tokens_per_ms);
--- a/packages/routing/src/placement.c
+++ b/packages/routing/src/placement.c
@@ -11,8 +11,7 @@
  * includes the time to copy parts that are cached somewhere, so the preferred
  * engine only has to win among engines of similar cost, for entries to agree
  * on one. With 60, requests waited at their preferred engine although another
- * engine could have copied the parts sooner, which lowered the mean score of
- * 20 days of traffic by 0.01 on one deployment. */
+ * engine could have copied the parts sooner. */
 #define LEAVE_PREFERRED_MS 10.0
 /* Cost of leaving the preferred failure domain. A copy between failure domains
  * takes twice as long and delays the copies that wait for the same links: the
@@ -230,9 +229,7 @@
 }
 
 // One value serves for all engines whose speed is not measured, because only
-// the differences between the costs of engines matter: with 45, the mean score
-// of 20 days of traffic on the slower engines changed by less than the spread
-// between these days.
+// the differences between the costs of engines matter.
 static double
 prefill_tokens_per_ms_(const GwCandidate *c)
 {
--- a/packages/routing/src/routes.c
+++ b/packages/routing/src/routes.c
@@ -10,8 +10,7 @@
 
 /* Priorities of routes that are distinguished within each priority of an
  * account. Without them, a check of 1,800 tokens waits behind reports of
- * 12,000 tokens under overload, which lowers the score of a day of traffic by
- * 0.02 to 0.07. */
+ * 12,000 tokens under overload and misses its target latency. */
 #define ROUTE_PRIORITIES_PER_ACCOUNT 3
 
 const char *const GwRouteType_Names[GW_ROUTE_TYPES] = {
--- a/packages/sidecar/src/engine_cache.h
+++ b/packages/sidecar/src/engine_cache.h
@@ -5,9 +5,8 @@
  * engines that have evicted their parts, has no information on the requests of
  * other entries, and has none at all after a restart of all entries: each part
  * is then copied from the single KV store or prefilled again. The broadcast
- * reduced the shared tokens that are prefilled again by a third, worth 0.012
- * of the total value of a day's requests. After such a restart first tokens
- * came after 0.2 to 0.5 s instead of 0.6 to 1.4 s. */
+ * reduced the shared tokens that are prefilled again by a third. After such a
+ * restart first tokens came after 0.2 to 0.5 s instead of 0.6 to 1.4 s. */
 #ifndef GALENAGW_SIDECAR_ENGINE_CACHE_H
 #define GALENAGW_SIDECAR_ENGINE_CACHE_H
 
--- a/packages/sidecar/src/roll.c
+++ b/packages/sidecar/src/roll.c
@@ -3,12 +3,11 @@
 /* Duration of the preparation: the minimum, and the maximum while long runs
  * are in flight. An engine with a load order accepts no requests until all
  * running ones have finished. So it first gets no more long runs and continues
- * with short ones while its predecessor loads. Meanwhile the other engines get
- * all long runs. A maximum of 2.5 s, by which nearly all runs have finished,
- * overloaded those engines, and a maximum longer than a load would delay the
- * roll. At high load, the preparation lets long runs worth 0.02 to 0.07 of the
- * total value of a day's requests complete in time; the runs that continue
- * under the new weights lose less than that. */
+ * with short ones, also while another engine of its group loads. Meanwhile the
+ * other engines get all long runs. A maximum of 2.5 s, by which nearly all
+ * runs have finished, overloaded those engines, and a maximum longer than a
+ * load would delay the engines that follow. Runs that are left then continue
+ * under the new weights. */
 #define PREPARE_MIN (60 * GW_MILLISECOND)
 #define PREPARE_MAX (200 * GW_MILLISECOND)
 
