Mends after a reading of the whole change

A reader who had not seen the work found: an engine that had begun to prepare a switch and then had to wait for load kept refusing long runs (it serves again now); the switch schedule used 45 tokens/ms for all engines instead of the measured speeds; a refusal of an account beyond its share, or of a retry with little time left, kept an overload alive for all; a table of accounts that was full of inactive ones stayed full; one late answer of a limit owner made the timeout long; and an unused constant. Switch times are measured from when the engine stops to accept requests, as other engines of the group see them. Comments that were wrong or told tuning history are corrected.

Only the measured speeds have a new test; the others were found by reading and are covered by the existing tests of these modules alone.

--- a/packages/gateway/src/request_speed.c
+++ b/packages/gateway/src/request_speed.c
@@ -64,7 +64,7 @@
         (c->kv_total > 0 &&
          (double)memory > SAMPLE_MEMORY_SHARE * (double)c->kv_total))
         return false;
-    // Without urgent requests, the others are prefilled in their order.
+    // Where no urgent request was sent, others are prefilled in their order.
     return !GwSelection_IsDeferrable(r) ||
            (!GwAccount_IsLowPriority(r->account) &&
             instance->urgent_sent == 0 && report->others_urgent == 0);
--- a/packages/policy/src/account_share.c
+++ b/packages/policy/src/account_share.c
@@ -168,8 +168,13 @@
 
     if (a != NULL)
         return a;
-    if (g_hash_table_size(s->accounts) >= GW_ACCOUNT_SHARES_MAX)
-        return NULL;
+    if (g_hash_table_size(s->accounts) >= GW_ACCOUNT_SHARES_MAX) {
+        // Removes inactive accounts.
+        if (now - s->computed_at >= MEAN_INTERVAL)
+            compute_means_(s, now);
+        if (g_hash_table_size(s->accounts) >= GW_ACCOUNT_SHARES_MAX)
+            return NULL;
+    }
     a = g_new0(Account, 1);
     a->seen_at = now;
     g_hash_table_insert(s->accounts, g_strdup(name), a);
--- a/packages/policy/src/limit_share.c
+++ b/packages/policy/src/limit_share.c
@@ -20,13 +20,12 @@
 #define OWNER_SKIP_TIME (500 * GW_MILLISECOND)
 /* An owner without units left is asked again after this time at the latest. */
 #define EXHAUSTED_TIME_MAX (100 * GW_MILLISECOND)
-/* Longest wait of a request. Without this bound a request could wait for ever
- * at an entry (the process that runs this code) with a long round trip to its
+/* A waiting request is decided after WAIT_TIMEOUT_FACTOR timeouts of owners'
+ * answers, but not before this time. Without a bound it could wait for ever at
+ * an entry (the process that runs this code) with a long round trip to its
  * owners: by the time that the last owner has answered, EXHAUSTED_TIME_MAX of
  * the first one has passed, and the first one is asked again. */
 #define WAIT_TIMEOUT_MIN (200 * GW_MILLISECOND)
-/* The same, as a multiple of the timeout of an owner's answer: enough for two
- * owners. */
 #define WAIT_TIMEOUT_FACTOR 2
 /* The units that an account is expected to need in this time are requested
  * before its requests arrive, if these are frequent enough. */
@@ -36,7 +35,8 @@
 /* A utilization that an owner reported is valid for this time. Owners are
  * asked in turn, and rare requests ask rarely. */
 #define OWNER_USE_TERM (10 * GW_SECOND)
-/* This entry is cut off if no owner has answered for this time. */
+/* This entry counts as cut off if no owner has answered for this time, also if
+ * none was asked. */
 #define CUT_OFF_TIME (2 * GW_SECOND)
 /* An account without requests is removed after this time. */
 #define IDLE_RETENTION (60 * GW_SECOND)
@@ -546,6 +546,8 @@
 static void
 note_answer_time_(GwLimitShare *share, GwTime time)
 {
+    // A longer one, as after a suspension, does not make the timeout longer.
+    time = MIN(time, OWNER_ANSWER_TIMEOUT_MAX / ANSWER_TIMEOUT_FACTOR);
     if (time > share->answer_time)
         share->answer_time = time;
     else
--- a/packages/routing/include/galenagw/routing/admission.h
+++ b/packages/routing/include/galenagw/routing/admission.h
@@ -88,11 +88,12 @@
 /** A verdict, and the estimates behind it. */
 typedef struct {
     GwAdmissionVerdict verdict;
-    bool is_sustained;         /**< the overload of its class is sustained */
-    GwTime wait;               /**< expected, without its own prompt */
-    GwTime prefill;            /**< expected, of its own prompt */
-    GwTime limit;              /**< of the wait of urgent requests, while the
-                                  overload is sustained; 0: none */
+    bool is_sustained; /**< the overload of its class is sustained */
+    GwTime wait;       /**< expected, without its own prompt */
+    GwTime prefill;    /**< expected, of its own prompt */
+    GwTime limit;      /**< of the wait of urgent requests; applied while the
+                          overload is sustained, and to accounts beyond their
+                          shares */
     double tokens_per_ms;      /**< speed of the engine that was used */
     uint64_t estimated_tokens; /**< part of the queue that other gateways may
                                   have sent since the report */
--- a/packages/routing/include/galenagw/routing/engine_speed.h
+++ b/packages/routing/include/galenagw/routing/engine_speed.h
@@ -33,7 +33,7 @@
 #endif
 
 /** Prompt tokens per millisecond of an engine with the relative speed 1.
- * Engines are specified with 40.8 and 66.2. */
+ * Specified speeds range from 40.8 to 112. */
 #define GW_NOMINAL_PREFILL_TOKENS_PER_MS 66.0
 /** Time by which a running request delays the first token of a new one at an
  * engine with the relative speed 1: it lengthens each step of the engine by
--- a/packages/routing/src/admission.c
+++ b/packages/routing/src/admission.c
@@ -65,12 +65,13 @@
         .limit = (GwTime)((double)f->load.target_latency * LIMIT_SHARE),
     };
     GwTime reported_wait = prefill_time_(load.waiting_tokens, d.tokens_per_ms);
-    bool competes = !load.can_wait && f->share_excess > 1 &&
-                    (double)reported_wait > (double)d.limit * FREE_SHARE;
+    bool is_share_limited =
+        !load.can_wait && f->share_excess > 1 &&
+        (double)reported_wait > (double)d.limit * FREE_SHARE;
 
     if (!load.can_wait)
         d.estimated_tokens = estimate_others_(
-            f, competes || history->is_sustained, d.tokens_per_ms);
+            f, is_share_limited || history->is_sustained, d.tokens_per_ms);
     d.wait = prefill_time_(load.waiting_tokens + d.estimated_tokens,
                            d.tokens_per_ms);
     d.prefill = prefill_time_(load.own_tokens, d.tokens_per_ms);
@@ -78,8 +79,9 @@
     // for all others.
     if (!f->is_retry && load.target_latency > 0)
         observe_wait_(history, f,
-                      competes && !history->is_sustained ? reported_wait
-                                                         : d.wait);
+                      is_share_limited && !history->is_sustained
+                          ? reported_wait
+                          : d.wait);
     d.is_sustained = history->is_sustained;
     if (d.is_sustained && f->share_excess > 1)
         d.limit = (GwTime)((double)d.limit / f->share_excess);
@@ -104,7 +106,10 @@
         d.verdict = GW_ADMISSION_OVERLOAD;
     if (d.verdict == GW_ADMISSION_ADMIT)
         return d;
-    history->refused_at = f->now;
+    // Neither a shorter limit of one account nor the little time that a retry
+    // has left shows that the queue is long.
+    if (f->share_excess <= 1 && !f->is_retry)
+        history->refused_at = f->now;
     if (d.verdict != GW_ADMISSION_DEFER)
         d.retry_after = GwOverload_BoundRetryAfter((double)time_to_fall_(
             history, f->now, d.wait, MAX(d.wait - d.limit, 0)));
--- a/packages/routing/src/placement.c
+++ b/packages/routing/src/placement.c
@@ -27,9 +27,7 @@
 /* Share of the time for the request's own part that counts when engines of
  * different speeds are compared. Counted in full, all gateways would send to
  * the few fastest idle engines at the same time, before they know of each
- * other's requests: in simulated fleets of 24 to 52 engines with low load, the
- * median latency was then up to 4 % higher than with one speed for all
- * engines, and with one half it is lower. */
+ * other's requests. */
 #define OWN_PART_WEIGHT 0.5
 /* Cost of exceeding an engine's KV memory: the engine preempts requests and
  * has to prefill them again. */
--- a/packages/sidecar/include/galenagw/sidecar/switch_schedule.h
+++ b/packages/sidecar/include/galenagw/sidecar/switch_schedule.h
@@ -48,9 +48,11 @@
                                process began to follow it */
     GwTime switching_since; /**< when it stopped to accept requests for a
                                switch; 0: it accepts requests */
-    GwTime switch_time;     /**< how long a switch takes there; 0: not measured
-                             */
-    bool is_down;           /**< the engine does not answer its sidecar */
+    /** how long a switch takes there, from when the engine stops to accept
+     * requests; 0: not measured */
+    GwTime switch_time;
+    double prefill_tokens_per_ms; /**< measured; 0: unknown */
+    bool is_down;            /**< the engine does not answer its sidecar */
     uint64_t waiting_tokens; /**< prompt tokens that wait there for prefill */
 } GwSwitchMember;
 
@@ -65,7 +67,6 @@
                               from when it was named */
     GwTime target_latency; /**< shortest one of the routes to the service; 0:
                               unknown */
-    double prefill_tokens_per_ms; /**< of an engine of the group; 0: unknown */
 } GwSwitchFacts;
 
 /** Why an engine starts its switch or not. */
--- a/packages/sidecar/src/engine_switch.c
+++ b/packages/sidecar/src/engine_switch.c
@@ -8,9 +8,9 @@
 #include "galenagw/sidecar/roll.h"
 #include "galenagw/sidecar/switch_schedule.h"
 
-/* With less than this left until the order must be sent, the next report is
- * urgent: preparing and settling take up to 1.1 s, of which the usual interval
- * of reports would be a large part. */
+/* With less than this left until the latest start of the group's next switch,
+ * the next report is urgent: preparing and settling take up to 1.1 s, of which
+ * the usual interval of reports would be a large part. */
 #define URGENT_TIME_LEFT (1500 * GW_MILLISECOND)
 /* Timeout of the HTTP call for an order, unless the order is sent again
  * earlier (see ORDER_ANSWER_TIMEOUT). */
@@ -24,8 +24,7 @@
 /* An order that was not answered after this time, while the engine does not
  * report that it is busy, is sent again. Orders are answered within some
  * milliseconds, and until the order is sent again entries send the engine no
- * requests although it serves. With ORDER_EFFECT_TIMEOUT instead, engines were
- * unavailable for 2.5 s, often twice, when half of the orders were lost. */
+ * requests although it serves. */
 #define ORDER_ANSWER_TIMEOUT (250 * GW_MILLISECOND)
 
 struct GwEngineSwitch {
@@ -153,18 +152,20 @@
 GwEngineSwitch_IsUrgent(const GwEngineSwitch *s)
 {
     return s->stage != GW_STAGE_SERVING ||
-           s->decision.reason == GW_SWITCH_WAITS_GROUP;
+           s->decision.reason == GW_SWITCH_WAITS_GROUP ||
+           (s->decision.reason != GW_SWITCH_CURRENT &&
+            s->decision.latest_start - GwTime_Now() < URGENT_TIME_LEFT);
 }
 
 static void
 note_loaded_(GwEngineSwitch *s, GwTime now)
 {
-    s->switch_time = GwSwitchSchedule_UpdateTime(
-        s->switch_time, now - s->preparing_started_at);
+    s->switch_time = GwSwitchSchedule_UpdateTime(s->switch_time,
+                                                 now - s->settling_started_at);
     GwEvent_Begin(s->options.log, "weights_loaded", NULL);
     GwEvent_Number(s->options.log, "version", s->report.weights);
     GwEvent_Time(s->options.log, "took_ms", now - s->ordered_at);
-    GwEvent_Time(s->options.log, "switch_ms", now - s->preparing_started_at);
+    GwEvent_Time(s->options.log, "switch_ms", now - s->settling_started_at);
     GwEvent_End(s->options.log);
     s->stage = GW_STAGE_SERVING;
 }
@@ -179,6 +180,9 @@
     bool has_waiting =
         s->report.queued > 0 || GwPeers_WaitingTokens(s->options.peers) > 0;
 
+    // The queue of the group may have grown since, or nothing is outdated.
+    if (s->stage == GW_STAGE_PREPARING && !s->decision.may_prepare)
+        s->stage = GW_STAGE_SERVING;
     if (s->stage == GW_STAGE_SERVING && s->decision.may_prepare &&
         s->fence > 0 && now >= s->backoff_until && !s->report.busy &&
         !own->draining) {
@@ -362,6 +366,8 @@
     m.reported_at = MAX(state->at, *since);
     m.switching_since = state->at != 0 ? state->switching_since : 0;
     m.switch_time = state->switch_time;
+    m.prefill_tokens_per_ms =
+        state->at != 0 ? state->prefill_tokens_per_ms : 0;
     m.is_down = state->at != 0 && state->down;
     m.waiting_tokens = state->at != 0 ? state->others_tokens : 0;
     return m;
--- a/packages/sidecar/src/switch_schedule.c
+++ b/packages/sidecar/src/switch_schedule.c
@@ -9,11 +9,11 @@
  * only be unavailable for longer. */
 #define CONCURRENT_DIVISOR 6
 #define CONCURRENT_MIN 2
-/* Time of a switch before one was measured: preparing, settling, and a load
- * without competition. */
+/* Time of a switch before one was measured: settling, and a load without
+ * competition. */
 #define DEFAULT_SWITCH_TIME (1 * GW_SECOND)
-/* Allowance for switches that take longer than measured, as under more load
- * than before. */
+/* Allowance for the preparation, and for switches that take longer than
+ * measured, as under more load than before. */
 #define TIME_ALLOWANCE 1.25
 /* An engine that has been switching for this many times the usual time, or
  * whose sidecar has been silent for that long, is lost and does not delay the
@@ -23,7 +23,8 @@
 /* The next engine stops to accept long runs this long before the one that
  * switches is expected to serve again; the preparation takes no longer. */
 #define PREPARE_LEAD_TIME (200 * GW_MILLISECOND)
-/* Prefill speed of engines of which none is known; see overload. */
+/* Prefill speed if none is known: that of a specified engine (66) with some
+ * running requests. */
 #define DEFAULT_PREFILL_TOKENS_PER_MS 45.0
 
 const char *const GwSwitchReason_Names[GW_SWITCH_REASONS] = {
@@ -38,8 +39,8 @@
 /* What the engines of the group do. */
 typedef struct {
     size_t switching;       /* engines that switch and are not lost */
+    GwTime switching_since; /* latest start of a switch in progress; 0: none */
     size_t before_own;      /* engines whose turn is before this one's */
-    GwTime switching_since; /* of the last one of these; 0: none */
     bool is_about_to_serve; /* the only one that switches will serve soon */
     bool is_isolated;       /* no state of another engine is recent */
     GwTime switch_time;     /* median of the measured times */
@@ -57,7 +58,8 @@
                                 const GroupState *state);
 static GwTime latest_start_(const GroupState *state, size_t at_once,
                             GwTime duration);
-static bool has_room_(const GwSwitchFacts *f);
+static bool has_room_(const GwSwitchFacts *f, const GroupState *state);
+static double mean_prefill_speed_(const GwSwitchFacts *f);
 static int compare_times_(gconstpointer a, gconstpointer b);
 
 size_t
@@ -87,7 +89,8 @@
     decision.is_late =
         latest_start_(&state, f->n_members, state.switch_time) < f->now;
     is_due = f->now >= decision.latest_start;
-    may_be_early = (has_room_(f) || !is_measured_(f)) && !state.is_isolated;
+    may_be_early =
+        (has_room_(f, &state) || !is_measured_(f)) && !state.is_isolated;
     if (state.before_own >= decision.at_once)
         decision.reason = GW_SWITCH_WAITS_TURN;
     else if (state.switching + state.before_own >= decision.at_once)
@@ -233,13 +236,11 @@
 }
 
 // Whether the other engines of the group can serve the engine's requests as
-// well without a queue beyond the target latency.
+// well without a queue beyond the target latency. They also take over the
+// prompts that wait at the engine itself.
 static bool
-has_room_(const GwSwitchFacts *f)
+has_room_(const GwSwitchFacts *f, const GroupState *state)
 {
-    double rate = f->prefill_tokens_per_ms > 0 ? f->prefill_tokens_per_ms
-                                               : DEFAULT_PREFILL_TOKENS_PER_MS;
-    GwTime switch_time = median_switch_time_(f);
     uint64_t tokens = 0;
     size_t others = 0;
     double wait_ms;
@@ -249,15 +250,29 @@
     for (size_t i = 0; i < f->n_members; i++) {
         const GwSwitchMember *m = &f->members[i];
 
-        if (i != f->own && is_lost_(f, m, switch_time))
+        if (i != f->own && is_lost_(f, m, state->switch_time))
             continue;
         tokens += m->waiting_tokens;
         others += i != f->own && m->switching_since == 0;
     }
-    wait_ms = (double)tokens / (double)MAX(others, 1) / rate;
+    wait_ms = (double)tokens / (double)MAX(others, 1) / mean_prefill_speed_(f);
     return wait_ms * GW_MILLISECOND <= (double)f->target_latency;
 }
 
+// Tokens per millisecond of an engine of the group.
+static double
+mean_prefill_speed_(const GwSwitchFacts *f)
+{
+    double sum = 0;
+    size_t n = 0;
+
+    for (size_t i = 0; i < f->n_members; i++) {
+        sum += f->members[i].prefill_tokens_per_ms;
+        n += f->members[i].prefill_tokens_per_ms > 0;
+    }
+    return n > 0 ? sum / (double)n : DEFAULT_PREFILL_TOKENS_PER_MS;
+}
+
 static int
 compare_times_(gconstpointer a, gconstpointer b)
 {
--- a/packages/sidecar/tests/switch_schedule_test.cc
+++ b/packages/sidecar/tests/switch_schedule_test.cc
@@ -101,14 +101,18 @@
         uint64_t waiting; // tokens at each engine
         GwTime outdated_for;
         GwSwitchReason reason;
+        double speed; // measured at the last engine; 0: at none
     } cases[] = {
-        {"no queue", 0, GW_SECOND, GW_SWITCH_STARTS},
-        {"a queue within the target", 10000, GW_SECOND, GW_SWITCH_STARTS},
-        {"a queue beyond the target", 30000, GW_SECOND, GW_SWITCH_WAITS_LOAD},
+        {"no queue", 0, GW_SECOND, GW_SWITCH_STARTS, 0},
+        {"a queue within the target", 10000, GW_SECOND, GW_SWITCH_STARTS, 0},
+        {"a queue beyond the target", 30000, GW_SECOND, GW_SWITCH_WAITS_LOAD,
+         0},
+        {"the same at fast engines", 30000, GW_SECOND, GW_SWITCH_STARTS, 112},
+        {"slow engines", 10000, GW_SECOND, GW_SWITCH_WAITS_LOAD, 20},
         {"the same, shortly before the latest start", 30000,
-         4100 * GW_MILLISECOND, GW_SWITCH_WAITS_LOAD},
+         4100 * GW_MILLISECOND, GW_SWITCH_WAITS_LOAD, 0},
         {"the same, at the latest start", 30000, 4200 * GW_MILLISECOND,
-         GW_SWITCH_STARTS_LATEST},
+         GW_SWITCH_STARTS_LATEST, 0},
     };
 
     for (auto &c : cases) {
@@ -118,6 +122,7 @@
             m.waiting_tokens = c.waiting;
             m.outdated_since = kNow - c.outdated_for;
         }
+        group.back().prefill_tokens_per_ms = c.speed;
         EXPECT_STREQ(GwSwitchReason_Names[Decide(group, 0).reason],
                      GwSwitchReason_Names[c.reason])
             << c.name;
