--- a/packages/sidecar/tests/switch_schedule_test.cc
+++ b/packages/sidecar/tests/switch_schedule_test.cc
@@ -172,8 +172,9 @@
  * load. */
 class SwitchFleet {
   public:
-    SwitchFleet(size_t engines, GwTime bound, GwTime load, uint64_t seed)
-        : bound(bound), load(load), engines(engines), rand(seed)
+    SwitchFleet(size_t engines, GwTime bound, GwTime load, uint64_t seed,
+                GwTime step = kStep)
+        : bound(bound), load(load), step(step), engines(engines), rand(seed)
     {
         for (auto &e : this->engines)
             e.reported_at = 1;
@@ -198,7 +199,7 @@
         size_t groups = GwSwitchSchedule_Groups(engines.size());
         size_t loading = 0;
 
-        now += kStep;
+        now += step;
         for (size_t i = 0; i < engines.size(); i++)
             Decide(i, groups, states);
         for (auto &e : engines)
@@ -238,6 +239,7 @@
     static constexpr GwTime kStep = 100 * GW_MILLISECOND;
     size_t most_in_group = 0, most_absent = 0, loads = 0, late = 0;
     uint64_t waiting_tokens = 0; // at each engine
+    GwTime longest_absence = 0;  // of one engine, for a load
 
   private:
     struct Engine {
@@ -304,17 +306,18 @@
 
         if (e->left <= 0)
             return;
-        e->left -= (double)kStep * std::min(1.0, full_speed / (double)loading);
+        e->left -= (double)step * std::min(1.0, full_speed / (double)loading);
         if (e->left > 0)
             return;
         late += now > OutdatedSince(*e) + bound;
+        longest_absence = std::max(longest_absence, now - e->started_at);
         e->version = e->target;
         e->switch_time =
             GwSwitchSchedule_UpdateTime(e->switch_time, now - e->started_at);
     }
 
     GwTime now = GW_SECOND;
-    GwTime bound, load;
+    GwTime bound, load, step;
     std::vector<GwTime> versions; // when each was named
     std::vector<Engine> engines;
     std::mt19937_64 rand;
@@ -408,3 +411,32 @@
         }
     }
 }
+
+// Guards against a round of switches that takes longer than it must, and
+// against engines that are unavailable while others load: the platform loads
+// about a fifth of the engines at full speed and makes the others wait.
+TEST(SwitchSchedule, ARoundWithoutLoadIsSoonComplete)
+{
+    const GwTime step = 10 * GW_MILLISECOND;
+    const struct {
+        size_t engines;
+        GwTime load, max_done_at;
+    } cases[] = {
+        {9, 600 * GW_MILLISECOND, 4 * GW_SECOND},
+        {12, 600 * GW_MILLISECOND, 5 * GW_SECOND},
+        {18, 600 * GW_MILLISECOND, 5 * GW_SECOND},
+        {41, 600 * GW_MILLISECOND, 5 * GW_SECOND},
+        {38, 500 * GW_MILLISECOND, 4 * GW_SECOND},
+    };
+
+    for (auto &c : cases) {
+        SwitchFleet fleet(c.engines, 8 * GW_SECOND, c.load, 1, step);
+
+        fleet.Name();
+        for (GwTime t = 0; t < c.max_done_at; t += step)
+            fleet.Step();
+        EXPECT_EQ(fleet.Outdated(), 0u) << c.engines;
+        EXPECT_LE(fleet.longest_absence, 700 * GW_MILLISECOND) << c.engines;
+        EXPECT_LE(fleet.most_absent, c.engines / 2) << c.engines;
+    }
+}
