Retry budget: the slack is leased from agents

What callers saw: nothing themselves; the endpoints of a service got up to 316 retries in ten seconds where 228 are allowed, while gateways were lost in series and most engines failed.

Cause: each process had an equal part of the slack for its own, counted in its memory. A process that starts had the whole part again, whatever the one before it had sent in the same window; and the number of parts was that of the gateways connected now, so that survivors' parts grew while the retries of the lost ones still counted. Class: what a process may use alone is whole again after each start.

Now the slack is divided between up to eight agents (the limit owner pool). A gateway leases a few retries ahead from each, valid for two seconds, while the ratio of its own requests allows few more; unused ones are returned. A grant counts at its owner for the term and the window. So a gateway that is terminated, suspended or cut off holds at most what was counted, one that starts holds nothing, and their number does not matter. An owner that starts grants nothing for as long as its predecessor's grants may count. No retry waits for a message. The ratio needs none of this: a process without requests has no retries.

The log has a line per service and window (retry_budget), each failed attempt tells what its retry was counted against, and four counters are new: without them the hypotheses could not be told apart.

--- a/packages/base/include/galenagw/base/counters.h
+++ b/packages/base/include/galenagw/base/counters.h
@@ -94,12 +94,18 @@
                                      take effect. */
     GW_COUNTER_REMOVALS_DEFERRED, /**< Removals of endpoints that were deferred
                                      after a store outage. */
-    GW_COUNTER_ORIGINS_TOLD,  /**< Origins of streams sent to agents; each is
-                                 sent to at most two. */
-    GW_COUNTER_ORIGIN_ASKS,   /**< Queries to agents for the origin of a
-                                 stream. */
-    GW_COUNTER_SWITCHES_LATE, /**< Switches to newer weights that can't be
-                                 complete in time. */
+    GW_COUNTER_ORIGINS_TOLD,   /**< Origins of streams sent to agents; each is
+                                  sent to at most two. */
+    GW_COUNTER_ORIGIN_ASKS,    /**< Queries to agents for the origin of a
+                                  stream. */
+    GW_COUNTER_SWITCHES_LATE,  /**< Switches to newer weights that can't be
+                                  complete in time. */
+    GW_COUNTER_RETRIES_LEASED, /**< Retries of a lease on the slack of the
+                                  retry budget. */
+    GW_COUNTER_RETRIES_OVER_BUDGET, /**< Retries that the budget refused. */
+    GW_COUNTER_RETRY_LEASE_ASKS,    /**< Requests for such leases. */
+    GW_COUNTER_RETRIES_GRANTED, /**< Agent: retries leased to entries, those
+                                   that were returned included. */
     GW_COUNTERS
 } GwCounter;
 
--- a/packages/cluster/include/galenagw/cluster/peers.h
+++ b/packages/cluster/include/galenagw/cluster/peers.h
@@ -51,6 +51,11 @@
  * owner_hash. @return false if it is not connected */
 bool GwPeers_AskLimitOwner(GwPeers *peers, uint64_t owner_hash,
                            const GwLimitRequest *request);
+/** Entry: send @p request to the slack owner whose address hash is @p
+ * owner_hash. @return false if it is not connected */
+bool GwPeers_AskRetrySlack(GwPeers *peers, uint64_t owner_hash,
+                           const char *service,
+                           const GwRetryLeaseRequest *request);
 /** Entry: while @p wanted, stay connected to the agents of the limit owner
  * pool, which also store the origins of streams, even if none of the accounts
  * has a limit and their engines are not followed. */
--- a/packages/cluster/include/galenagw/cluster/peers_options.h
+++ b/packages/cluster/include/galenagw/cluster/peers_options.h
@@ -13,6 +13,7 @@
 #include "galenagw/policy/limit_share.h"
 #include "galenagw/quarantine/quarantine_sync.h"
 #include "galenagw/routing/limit_tolerance.h"
+#include "galenagw/routing/retry_leases.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -75,6 +76,11 @@
     /** Entry: is given the limit owner pool, and the units that limit owners
      * grant; or NULL. */
     GwLimitShare *limit_share;
+    /** Agent: its part of the slack of the retry budgets; or NULL. */
+    GwRetrySlack *retry_slack;
+    /** Entry: is given the slack owners, which are the limit owner pool, and
+     * what they grant; or NULL. */
+    GwRetryLeases *retry_leases;
     /** Agent: tolerance with which its limit owner applies account limits. */
     GwLimitTolerance limit_tolerance;
     void *user;
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -9,6 +9,7 @@
 #include "endpoint_limit_sync.h"
 #include "limit_messages.h"
 #include "peers_private.h"
+#include "retry_lease_sync.h"
 #include "galenagw/routing/placement.h"
 
 /* Interval between comparisons of the connections with the list of endpoints.
@@ -49,6 +50,8 @@
 static void on_ready_(void *user, GwSession *session,
                       const Gw__Wire__Hello *hello);
 static void on_frame_(void *user, GwSession *session, const GwFrame *frame);
+static void on_retry_lease_(GwPeers *p, const Peer *peer,
+                            const Gw__Wire__RetryLease *msg);
 static void on_quarantine_update_(void *user, GwSession *from,
                                   const GwQuarantineUpdate *update);
 static void broadcast_departure_(GwPeers *p, const GwSession *from,
@@ -169,6 +172,17 @@
     return peer != NULL;
 }
 
+bool
+GwPeers_AskRetrySlack(GwPeers *p, uint64_t owner_hash, const char *service,
+                      const GwRetryLeaseRequest *request)
+{
+    Peer *peer = GwPeers_FindReadyAgent(p, owner_hash);
+
+    if (peer != NULL)
+        GwRetryLeaseSync_SendRequest(peer->session, service, request);
+    return peer != NULL;
+}
+
 void
 GwPeers_WantOriginOwners(GwPeers *p, bool wanted)
 {
@@ -422,6 +436,9 @@
             GwLimitMessages_OnGrant(p->options.limit_share, peer->address_hash,
                                     frame->credit_grant);
         return;
+    case GW__WIRE__FRAME__BODY_RETRY_LEASE:
+        on_retry_lease_(p, peer, frame->retry_lease);
+        return;
     case GW__WIRE__FRAME__BODY_STREAM_ORIGIN_TELL:
         GwOriginSync_OnTell(&p->origin_sync, frame->stream_origin_tell);
         return;
@@ -442,6 +459,25 @@
     }
 }
 
+static void
+on_retry_lease_(GwPeers *p, const Peer *peer, const Gw__Wire__RetryLease *msg)
+{
+    unsigned granted;
+
+    if (peer == NULL)
+        return;
+    if (p->options.retry_slack != NULL) {
+        update_owner_pool_(p);
+        granted = GwRetryLeaseSync_OnRequest(peer->session,
+                                             p->options.retry_slack, msg);
+        GwCounters_Add(p->options.counters, GW_COUNTER_RETRIES_GRANTED,
+                       granted);
+    }
+    else if (p->options.retry_leases != NULL)
+        GwRetryLeaseSync_OnGrant(p->options.retry_leases, peer->address_hash,
+                                 msg);
+}
+
 // Forwards an update to all peers except its sender. Entries and agents are
 // connected to each other but not among themselves, so an update of one entry
 // reaches the other entries through its agents.
@@ -673,6 +709,16 @@
                              GwPlacement_HashAddress(&own), GwTime_Now());
     if (p->options.limit_share != NULL)
         GwLimitShare_SetPool(p->options.limit_share, &p->owner_pool);
+    if (p->options.retry_slack != NULL)
+        GwRetrySlack_SetOwners(
+            p->options.retry_slack,
+            GwLimitPool_Has(&p->owner_pool, GwPlacement_HashAddress(&own))
+                ? p->owner_pool.n
+                : 0,
+            GwTime_Now());
+    if (p->options.retry_leases != NULL)
+        GwRetryLeases_SetOwners(p->options.retry_leases, p->owner_pool.nodes,
+                                p->owner_pool.n);
 }
 
 // Whether this entry needs sessions to the agents of the limit owner pool.
@@ -681,7 +727,8 @@
 {
     const GwRoutes *routes = GwView_Routes(p->options.view);
 
-    return p->wants_origin_owners || (routes != NULL && routes->has_limits) ||
+    return p->wants_origin_owners || p->options.retry_leases != NULL ||
+           (routes != NULL && routes->has_limits) ||
            GwEndpointLimits_AreInEffect(GwView_EndpointLimits(p->options.view),
                                         GwTime_Now());
 }
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -9,6 +9,7 @@
 #include "gateway_private.h"
 #include "request.h"
 #include "request_software.h"
+#include "retries.h"
 #include "request_limit.h"
 #include "upstream.h"
 
@@ -86,8 +87,7 @@
     g->failure_domain = g_strdup(d->failure_domain);
     copy_bounds_(g, d);
     TAILQ_INIT(&g->requests);
-    g->retry_budgets =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    GwRetries_Init(g);
     g->admissions =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g->quarantine = GwQuarantine_New(&quarantine);
@@ -127,7 +127,7 @@
     GwView_Delete(g->view);
     GwKvStores_Delete(g->kv_stores);
     GwStreamOrigins_Delete(g->stream_origins);
-    g_hash_table_unref(g->retry_budgets);
+    GwRetries_Clear(g);
     g_hash_table_unref(g->admissions);
     GwQuarantineStore_Delete(g->quarantine_store);
     GwQuarantine_Delete(g->quarantine);
@@ -353,6 +353,7 @@
         GwEventLog_Flush(g->log);
     abandon_silent_attempts_(g);
     GwRequestSoftware_CheckVersions(g);
+    GwRetries_Tick(g);
     check_for_store_restore_(g);
     GwQuarantine_SetProcesses(g->quarantine, entries);
     GwQuarantine_Sweep(g->quarantine, GwTime_Now());
@@ -475,6 +476,7 @@
         .quarantine = g->quarantine,
         .on_endpoint_terminated = on_endpoint_terminated_,
         .limit_share = g->limit_share,
+        .retry_leases = g->budget_bound.slack > 0 ? g->retry_leases : NULL,
         .user = g,
     };
 
@@ -499,11 +501,7 @@
 static void
 copy_bounds_(GwGateway *g, const GwDeployment *d)
 {
-    g->budget_bound = (GwBudgetBound){
-        .ratio = d->retry_ratio,
-        .slack = d->retry_slack,
-        .window = d->retry_window,
-    };
+    g->budget_bound = d->retry_bound;
     g->limit_tolerance = d->limits;
     g->grace = d->grace;
     g->weights_bound = d->weights_bound;
--- a/packages/gateway/src/gateway_private.h
+++ b/packages/gateway/src/gateway_private.h
@@ -13,8 +13,8 @@
 #include "galenagw/policy/account_share.h"
 #include "galenagw/quarantine/broken_requests.h"
 #include "galenagw/routing/admission.h"
-#include "galenagw/routing/budget.h"
 #include "galenagw/routing/placement.h"
+#include "galenagw/routing/retry_leases.h"
 #include "galenagw/routing/stream_origins.h"
 
 #include "kv_stores.h"
@@ -47,9 +47,10 @@
     GwHttpServer *readiness_server;
     GwHttpServer *metrics_server;
 
-    GHashTable *retry_budgets; /* service name to GwBudget */
-    GHashTable *admissions;    /* service name to GwAdmissionState */
-    GwLimitShare *limit_share; /* leases of account limits */
+    GHashTable *retries;         /* service name to ServiceRetries */
+    GwRetryLeases *retry_leases; /* on the slack of the retry budget */
+    GHashTable *admissions;      /* service name to GwAdmissionState */
+    GwLimitShare *limit_share;   /* leases of account limits */
     GwAccountShare *account_share;
     GwLimitTolerance limit_tolerance;
     GwTimer limit_timer; /* calls GwLimitShare_Tick */
@@ -76,8 +77,6 @@
 bool GwGateway_IsClosing(const GwGateway *gateway);
 /* Record that a request in progress has ended. */
 void GwGateway_RequestEnded(GwGateway *gateway);
-/* The retry budget of @p service; created on first use. */
-GwBudget *GwGateway_Budget(GwGateway *gateway, const char *service);
 /* Expected waits at @p service; created on first use. */
 GwAdmissionState *GwGateway_Admission(GwGateway *gateway, const char *service);
 
--- a/packages/gateway/src/gateway_state.c
+++ b/packages/gateway/src/gateway_state.c
@@ -20,18 +20,6 @@
     g->requests_in_progress--;
 }
 
-GwBudget *
-GwGateway_Budget(GwGateway *g, const char *service)
-{
-    GwBudget *budget = g_hash_table_lookup(g->retry_budgets, service);
-
-    if (budget == NULL) {
-        budget = g_new0(GwBudget, 1);
-        g_hash_table_insert(g->retry_budgets, g_strdup(service), budget);
-    }
-    return budget;
-}
-
 GwAdmissionState *
 GwGateway_Admission(GwGateway *g, const char *service)
 {
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -9,6 +9,7 @@
 #include "request_refusal.h"
 #include "request_software.h"
 #include "request_units.h"
+#include "retries.h"
 
 static GwRequest *new_request_(GwGateway *g, GwHttpCall *call);
 static GwRefusal admit_(GwRequest *r);
@@ -42,8 +43,7 @@
         return;
     }
     GwTimer_Start(&r->deadline_timer, r->deadline - GwTime_Now());
-    GwBudget_AddRequest(GwGateway_Budget(r->gateway, r->service),
-                        &r->gateway->budget_bound, GwTime_Now());
+    GwRetries_AddRequest(r->gateway, r->service);
     GwRequestOrigin_Start(r);
 }
 
--- a/packages/gateway/src/request_abandon.c
+++ b/packages/gateway/src/request_abandon.c
@@ -4,6 +4,7 @@
 #include "request_end.h"
 #include "request_log.h"
 #include "request_timers.h"
+#include "retries.h"
 
 /* A stream without bytes for longer than this is not active any more. The
  * longest pauses of an active stream, while the engine prefills another
@@ -95,9 +96,7 @@
 
     // Without retry budget, the request continues to wait for this endpoint.
     if (r->has_reply ||
-        !GwBudget_UseRetry(GwGateway_Budget(r->gateway, r->service),
-                           &r->gateway->budget_bound,
-                           GwPeers_Entries(r->gateway->peers), GwTime_Now()))
+        GwRetries_Use(r->gateway, r->service) == GW_RETRY_SOURCE_NONE)
         return;
     GwCounters_AddRetry(&r->gateway->counters, GW_RETRY_SILENT);
     GwHealth_Note(&r->instance->health, GW_HEALTH_TIMEOUT, GwTime_Now());
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -13,6 +13,7 @@
 #include "request_quarantine.h"
 #include "request_refusal.h"
 #include "request_timers.h"
+#include "retries.h"
 
 /* Subtracted from the deadline that is sent to the endpoint, as the answer has
  * to reach the caller before the caller's deadline. */
@@ -79,6 +80,8 @@
 {
     GwGateway *g = r->gateway;
     GwTime left = r->deadline - GwTime_Now();
+    GwRetrySource source = GW_RETRY_SOURCE_NONE;
+    const char *budget = "not_asked";
     GwNextStep next;
     GwAttemptFacts facts = {
         .attempt_outcome = attempt_outcome,
@@ -91,12 +94,13 @@
                            GwRequestQuarantine_MayRetry(r, attempt_outcome),
     };
 
-    facts.has_budget_left =
-        GwAttempt_AllowsRetry(&facts) &&
-        GwBudget_UseRetry(GwGateway_Budget(g, r->service), &g->budget_bound,
-                          GwPeers_Entries(g->peers), GwTime_Now());
+    if (GwAttempt_AllowsRetry(&facts)) {
+        source = GwRetries_Use(g, r->service);
+        budget = GwRetrySource_Names[source];
+    }
+    facts.has_budget_left = source != GW_RETRY_SOURCE_NONE;
     next = GwAttempt_Next(&facts);
-    GwRequestLog_Failed(r, attempt_outcome, why, next);
+    GwRequestLog_Failed(r, attempt_outcome, why, next, budget);
     r->may_have_run = r->may_have_run ||
                       attempt_outcome == GW_ATTEMPT_MAY_HAVE_RUN ||
                       attempt_outcome == GW_ATTEMPT_HAS_RUN;
--- a/packages/gateway/src/request_log.h
+++ b/packages/gateway/src/request_log.h
@@ -21,10 +21,11 @@
 /* The request is sent to its instance. */
 void GwRequestLog_Attempt(const GwRequest *request,
                           const GwDispatch *dispatch);
-/* The current attempt failed. */
+/* The current attempt failed.
+ * @param budget what the retry is counted against */
 void GwRequestLog_Failed(const GwRequest *request,
                          GwAttemptOutcome attempt_outcome, const char *why,
-                         GwNextStep next);
+                         GwNextStep next, const char *budget);
 /* The current attempt is abandoned because its endpoint does not answer; the
  * request is sent to another one. */
 void GwRequestLog_Abandoned(const GwRequest *request);
--- a/packages/routing/include/galenagw/routing/budget.h
+++ b/packages/routing/include/galenagw/routing/budget.h
@@ -3,10 +3,11 @@
  * @brief How many retries a process may send to a service.
  *
  * The retries of all processes combined are limited to a ratio of first
- * attempts over a sliding window, plus a slack. Each process is limited by the
- * ratio of its own requests and by its part of the slack. It needs no
- * communication for this, and a fault that affects one process cannot use up
- * the budget of the others.
+ * attempts over a sliding window, plus a slack. A process counts the retries
+ * that the ratio of its own requests allows. It needs no communication for
+ * this, and one that starts anew has no requests counted, so that the sum over
+ * all processes stays within the ratio. The slack is leased (see
+ * retry_slack).
  * @{
  */
 #ifndef GALENAGW_ROUTING_BUDGET_H
@@ -26,7 +27,7 @@
 /** The limit of all processes combined. */
 typedef struct {
     double ratio;   /**< retries per first attempt */
-    unsigned slack; /**< additional retries in one window */
+    unsigned slack; /**< additional retries in one window; see retry_slack */
     GwTime window;
 } GwBudgetBound;
 
@@ -41,11 +42,14 @@
 void GwBudget_AddRequest(GwBudget *budget, const GwBudgetBound *bound,
                          GwTime now);
 /**
- * Use one retry. The slack is split equally among @p processes.
- * @return false if the budget is exhausted
+ * Use one retry of those that the ratio of requests allows.
+ * @return false if none is left
  */
 bool GwBudget_UseRetry(GwBudget *budget, const GwBudgetBound *bound,
-                       unsigned processes, GwTime now);
+                       GwTime now);
+/** Whether the ratio of the requests allows few further retries. Without
+ * requests in the window, no retries are needed. */
+bool GwBudget_IsLow(GwBudget *budget, const GwBudgetBound *bound, GwTime now);
 
 #ifdef __cplusplus
 }
--- a/packages/routing/src/budget.c
+++ b/packages/routing/src/budget.c
@@ -2,11 +2,17 @@
 
 #include <string.h>
 
-/* Share of the bound that is used. The remainder allows for differences to
+/* Share of the ratio that is used. The remainder allows for differences to
  * what endpoints count: requests that were lost on the way, and windows whose
  * limits lie between the steps counted here. */
 #define USABLE_SHARE 0.75
 
+/* With fewer retries left, those of a few requests that fail at the same time
+ * may exceed them. */
+#define LOW_RETRIES 4
+
+static double count_allowed_(const GwBudget *b, const GwBudgetBound *bound);
+static unsigned sum_(const unsigned *steps);
 static void advance_window_(GwBudget *b, const GwBudgetBound *bound,
                             GwTime now);
 
@@ -18,26 +24,39 @@
 }
 
 bool
-GwBudget_UseRetry(GwBudget *b, const GwBudgetBound *bound, unsigned processes,
-                  GwTime now)
+GwBudget_UseRetry(GwBudget *b, const GwBudgetBound *bound, GwTime now)
 {
-    double allowed;
-    unsigned first_sends = 0;
-    unsigned retries = 0;
-
     advance_window_(b, bound, now);
-    for (int i = 0; i <= GW_BUDGET_STEPS; i++) {
-        first_sends += b->first_sends[i];
-        retries += b->retries[i];
-    }
-    allowed = USABLE_SHARE * (bound->ratio * first_sends +
-                              (double)bound->slack / MAX(processes, 1));
-    if (retries + 1 > allowed)
+    if (sum_(b->retries) + 1 > count_allowed_(b, bound))
         return false;
     b->retries[b->step % (GW_BUDGET_STEPS + 1)]++;
     return true;
 }
 
+bool
+GwBudget_IsLow(GwBudget *b, const GwBudgetBound *bound, GwTime now)
+{
+    advance_window_(b, bound, now);
+    return sum_(b->first_sends) > 0 &&
+           sum_(b->retries) + LOW_RETRIES > count_allowed_(b, bound);
+}
+
+static double
+count_allowed_(const GwBudget *b, const GwBudgetBound *bound)
+{
+    return USABLE_SHARE * bound->ratio * sum_(b->first_sends);
+}
+
+static unsigned
+sum_(const unsigned *steps)
+{
+    unsigned n = 0;
+
+    for (int i = 0; i <= GW_BUDGET_STEPS; i++)
+        n += steps[i];
+    return n;
+}
+
 static void
 advance_window_(GwBudget *b, const GwBudgetBound *bound, GwTime now)
 {
--- a/packages/routing/tests/routing_test.cc
+++ b/packages/routing/tests/routing_test.cc
@@ -185,17 +185,13 @@
 }
 
 // The retries of one process are limited to three quarters (USABLE_SHARE of
-// budget.c) of the sum of 0.2 retries per request of this process and its
-// equal part of the slack of 54 retries. With 100 requests and 4 processes,
-// this is 0.75 * (0.2 * 100 + 54 / 4) = 25.
-TEST(Budget, RetriesAreLimitedByRatioOfRequestsAndPartOfSlack)
+// budget.c) of 0.2 retries per request of this process.
+TEST(Budget, RetriesAreLimitedByRatioOfRequests)
 {
     const GwBudgetBound bound = {0.2, 54, 10 * GW_SECOND};
     const struct {
-        unsigned requests, processes, max_retries;
-    } cases[] = {
-        {0, 4, 10}, {100, 4, 25}, {1000, 4, 160}, {100, 1, 55}, {0, 54, 0},
-    };
+        unsigned requests, max_retries;
+    } cases[] = {{0, 0}, {6, 0}, {7, 1}, {100, 15}, {1000, 150}};
 
     for (auto &c : cases) {
         GwBudget b = {};
@@ -203,46 +199,33 @@
 
         for (unsigned i = 0; i < c.requests; i++)
             GwBudget_AddRequest(&b, &bound, GW_SECOND);
-        while (taken < 10000 &&
-               GwBudget_UseRetry(&b, &bound, c.processes, 2 * GW_SECOND))
+        while (taken < 10000 && GwBudget_UseRetry(&b, &bound, 2 * GW_SECOND))
             taken++;
-        EXPECT_EQ(taken, c.max_retries) << c.requests << " by " << c.processes;
+        EXPECT_EQ(taken, c.max_retries) << c.requests;
     }
 }
 
-// For a minute, all attempts at a service fail, and each request is retried up
-// to five times as far as the budget allows. In each window of ten seconds,
-// the retries must stay within the bound of all processes combined.
-TEST(Budget, RetriesStayWithinBoundInEachWindow)
+// Leases are requested for a service that has requests and few retries left,
+// and not for one that is idle.
+TEST(Budget, IsLowWithRequestsAndFewRetriesLeft)
 {
     const GwBudgetBound bound = {0.2, 54, 10 * GW_SECOND};
-    const unsigned processes = 4;
-    std::vector<GwTime> retried_at;
-    std::vector<GwTime> requested_at;
-    GwBudget budgets[processes] = {};
-
-    for (GwTime now = GW_SECOND; now < 61 * GW_SECOND;
-         now += 10 * GW_MILLISECOND) {
-        GwBudget *b = &budgets[(now / (10 * GW_MILLISECOND)) % processes];
+    const struct {
+        unsigned requests, retries;
+        bool is_low;
+    } cases[] = {{0, 0, false},  {1, 0, true},     {26, 0, true},
+                 {27, 0, false}, {100, 11, false}, {100, 12, true}};
 
-        GwBudget_AddRequest(b, &bound, now);
-        requested_at.push_back(now);
-        for (int i = 0; i < 5; i++) {
-            if (GwBudget_UseRetry(b, &bound, processes, now))
-                retried_at.push_back(now);
-        }
-    }
-    for (GwTime from = 0; from < 60 * GW_SECOND; from += GW_SECOND) {
-        auto in = [&](GwTime t) {
-            return t >= from && t < from + 10 * GW_SECOND;
-        };
-        double retries = 0, requests = 0;
+    for (auto &c : cases) {
+        GwBudget b = {};
 
-        for (GwTime t : retried_at)
-            retries += in(t);
-        for (GwTime t : requested_at)
-            requests += in(t);
-        EXPECT_LE(retries, 0.2 * requests + 54) << from / GW_SECOND;
+        for (unsigned i = 0; i < c.requests; i++)
+            GwBudget_AddRequest(&b, &bound, GW_SECOND);
+        for (unsigned i = 0; i < c.retries; i++)
+            EXPECT_TRUE(GwBudget_UseRetry(&b, &bound, GW_SECOND));
+        EXPECT_EQ(GwBudget_IsLow(&b, &bound, 2 * GW_SECOND), c.is_low)
+            << c.requests << " requests, " << c.retries << " retries";
+        EXPECT_FALSE(GwBudget_IsLow(&b, &bound, 30 * GW_SECOND));
     }
 }
 
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -67,6 +67,7 @@
     GwEngineCache *cache;
     GwQuarantine *quarantine; /* forwarded to entries that do not have it */
     GwLimitOwner *limit_owner;
+    GwRetrySlack *retry_slack;
     GRand *rand;
     GwCounters counters;
 
@@ -131,6 +132,7 @@
     s->rand = g_rand_new();
     s->quarantine = GwQuarantine_New(&(GwQuarantineOptions){0});
     s->limit_owner = GwLimitOwner_New(GwTime_Now());
+    s->retry_slack = GwRetrySlack_New(&d->retry_bound, GwTime_Now());
     s->reports = GwHttpCaller_New(loop, &s->endpoint);
     GwTimer_Init(&s->poll_timer, loop, request_report_, s);
     GwTimer_Init(&s->flush_timer, loop, on_flush_, s);
@@ -161,6 +163,7 @@
     GwView_Delete(s->view);
     GwQuarantine_Delete(s->quarantine);
     GwLimitOwner_Delete(s->limit_owner);
+    GwRetrySlack_Delete(s->retry_slack);
     g_rand_free(s->rand);
     g_free(s->name);
     g_free(s->failure_domain);
@@ -472,6 +475,7 @@
         .counters = &s->counters,
         .quarantine = s->quarantine,
         .limit_owner = s->limit_owner,
+        .retry_slack = s->retry_slack,
         .limit_tolerance = d->limits,
     };
 
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -46,6 +46,7 @@
 typedef struct Gw__Wire__EndpointLeaving Gw__Wire__EndpointLeaving;
 typedef struct Gw__Wire__EndpointLimit Gw__Wire__EndpointLimit;
 typedef struct Gw__Wire__EndpointDemand Gw__Wire__EndpointDemand;
+typedef struct Gw__Wire__RetryLease Gw__Wire__RetryLease;
 typedef struct Gw__Wire__StreamOriginTell Gw__Wire__StreamOriginTell;
 typedef struct Gw__Wire__StreamOriginAsk Gw__Wire__StreamOriginAsk;
 typedef struct Gw__Wire__StreamOriginAnswer Gw__Wire__StreamOriginAnswer;
@@ -861,6 +862,40 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
+/*
+ * An entry leases retries of a service from an agent and returns its earlier
+ * lease, and the agent's answer (see retry_slack.h).
+ */
+struct  Gw__Wire__RetryLease
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * wanted; answer: granted
+   */
+  uint32_t retries;
+  /*
+   * of the earlier lease
+   */
+  uint32_t unused;
+  /*
+   * agent's clock; of the earlier lease, 0: none
+   */
+  int64_t granted_us;
+  /*
+   * entry's clock; repeated in the answer
+   */
+  int64_t asked_us;
+  /*
+   * slack owners that the entry knows
+   */
+  uint32_t owners;
+};
+#define GW__WIRE__RETRY_LEASE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&gw__wire__retry_lease__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
 /*
  * An entry tells an agent which software began a stream.
  */
@@ -948,7 +983,8 @@
   GW__WIRE__FRAME__BODY_STREAM_ORIGIN_TELL = 33,
   GW__WIRE__FRAME__BODY_STREAM_ORIGIN_ASK = 34,
   GW__WIRE__FRAME__BODY_STREAM_ORIGIN_ANSWER = 35,
-  GW__WIRE__FRAME__BODY_ENDPOINT_DEMAND = 36
+  GW__WIRE__FRAME__BODY_ENDPOINT_DEMAND = 36,
+  GW__WIRE__FRAME__BODY_RETRY_LEASE = 37
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(GW__WIRE__FRAME__BODY__CASE)
 } Gw__Wire__Frame__BodyCase;
 
@@ -990,6 +1026,7 @@
     Gw__Wire__StreamOriginAsk *stream_origin_ask;
     Gw__Wire__StreamOriginAnswer *stream_origin_answer;
     Gw__Wire__EndpointDemand *endpoint_demand;
+    Gw__Wire__RetryLease *retry_lease;
   };
 };
 #define GW__WIRE__FRAME__INIT \
@@ -1586,6 +1623,25 @@
 void   gw__wire__endpoint_demand__free_unpacked
                      (Gw__Wire__EndpointDemand *message,
                       ProtobufCAllocator *allocator);
+/* Gw__Wire__RetryLease methods */
+void   gw__wire__retry_lease__init
+                     (Gw__Wire__RetryLease         *message);
+size_t gw__wire__retry_lease__get_packed_size
+                     (const Gw__Wire__RetryLease   *message);
+size_t gw__wire__retry_lease__pack
+                     (const Gw__Wire__RetryLease   *message,
+                      uint8_t             *out);
+size_t gw__wire__retry_lease__pack_to_buffer
+                     (const Gw__Wire__RetryLease   *message,
+                      ProtobufCBuffer     *buffer);
+Gw__Wire__RetryLease *
+       gw__wire__retry_lease__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   gw__wire__retry_lease__free_unpacked
+                     (Gw__Wire__RetryLease *message,
+                      ProtobufCAllocator *allocator);
 /* Gw__Wire__StreamOriginTell methods */
 void   gw__wire__stream_origin_tell__init
                      (Gw__Wire__StreamOriginTell         *message);
@@ -1757,6 +1813,9 @@
 typedef void (*Gw__Wire__EndpointDemand_Closure)
                  (const Gw__Wire__EndpointDemand *message,
                   void *closure_data);
+typedef void (*Gw__Wire__RetryLease_Closure)
+                 (const Gw__Wire__RetryLease *message,
+                  void *closure_data);
 typedef void (*Gw__Wire__StreamOriginTell_Closure)
                  (const Gw__Wire__StreamOriginTell *message,
                   void *closure_data);
@@ -1808,6 +1867,7 @@
 extern const ProtobufCMessageDescriptor gw__wire__endpoint_leaving__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__endpoint_limit__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__endpoint_demand__descriptor;
+extern const ProtobufCMessageDescriptor gw__wire__retry_lease__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__stream_origin_tell__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__stream_origin_ask__descriptor;
 extern const ProtobufCMessageDescriptor gw__wire__stream_origin_answer__descriptor;
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -1402,6 +1402,51 @@
   assert(message->base.descriptor == &gw__wire__endpoint_demand__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   gw__wire__retry_lease__init
+                     (Gw__Wire__RetryLease         *message)
+{
+  static const Gw__Wire__RetryLease init_value = GW__WIRE__RETRY_LEASE__INIT;
+  *message = init_value;
+}
+size_t gw__wire__retry_lease__get_packed_size
+                     (const Gw__Wire__RetryLease *message)
+{
+  assert(message->base.descriptor == &gw__wire__retry_lease__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t gw__wire__retry_lease__pack
+                     (const Gw__Wire__RetryLease *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &gw__wire__retry_lease__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t gw__wire__retry_lease__pack_to_buffer
+                     (const Gw__Wire__RetryLease *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &gw__wire__retry_lease__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Gw__Wire__RetryLease *
+       gw__wire__retry_lease__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Gw__Wire__RetryLease *)
+     protobuf_c_message_unpack (&gw__wire__retry_lease__descriptor,
+                                allocator, len, data);
+}
+void   gw__wire__retry_lease__free_unpacked
+                     (Gw__Wire__RetryLease *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &gw__wire__retry_lease__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   gw__wire__stream_origin_tell__init
                      (Gw__Wire__StreamOriginTell         *message)
 {
@@ -4697,6 +4742,109 @@
   (ProtobufCMessageInit) gw__wire__endpoint_demand__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor gw__wire__retry_lease__field_descriptors[6] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__RetryLease, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retries",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__RetryLease, retries),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unused",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__RetryLease, unused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__RetryLease, granted_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__RetryLease, asked_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owners",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__RetryLease, owners),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned gw__wire__retry_lease__field_indices_by_name[] = {
+  4,   /* field[4] = asked_us */
+  3,   /* field[3] = granted_us */
+  5,   /* field[5] = owners */
+  1,   /* field[1] = retries */
+  0,   /* field[0] = service */
+  2,   /* field[2] = unused */
+};
+static const ProtobufCIntRange gw__wire__retry_lease__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor gw__wire__retry_lease__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "gw.wire.RetryLease",
+  "RetryLease",
+  "Gw__Wire__RetryLease",
+  "gw.wire",
+  sizeof(Gw__Wire__RetryLease),
+  6,
+  gw__wire__retry_lease__field_descriptors,
+  gw__wire__retry_lease__field_indices_by_name,
+  1,  gw__wire__retry_lease__number_ranges,
+  (ProtobufCMessageInit) gw__wire__retry_lease__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor gw__wire__stream_origin_tell__field_descriptors[2] =
 {
   {
@@ -4863,7 +5011,7 @@
   (ProtobufCMessageInit) gw__wire__stream_origin_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[33] =
+static const ProtobufCFieldDescriptor gw__wire__frame__field_descriptors[34] =
 {
   {
     "hello",
@@ -5261,6 +5409,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "retry_lease",
+    37,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Gw__Wire__Frame, body_case),
+    offsetof(Gw__Wire__Frame, retry_lease),
+    &gw__wire__retry_lease__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__frame__field_indices_by_name[] = {
   12,   /* field[12] = ack */
@@ -5290,6 +5450,7 @@
   18,   /* field[18] = release */
   14,   /* field[14] = resume */
   15,   /* field[15] = resume_result */
+  33,   /* field[33] = retry_lease */
   26,   /* field[26] = sound_request */
   31,   /* field[31] = stream_origin_answer */
   30,   /* field[30] = stream_origin_ask */
@@ -5301,7 +5462,7 @@
 {
   { 1, 0 },
   { 22, 18 },
-  { 0, 33 }
+  { 0, 34 }
 };
 const ProtobufCMessageDescriptor gw__wire__frame__descriptor =
 {
@@ -5311,7 +5472,7 @@
   "Gw__Wire__Frame",
   "gw.wire",
   sizeof(Gw__Wire__Frame),
-  33,
+  34,
   gw__wire__frame__field_descriptors,
   gw__wire__frame__field_indices_by_name,
   2,  gw__wire__frame__number_ranges,
