Retry budget: requests allow retries for a quarter of the window

What callers saw: as before; an outage began while each gateway had used none of what its last ten seconds of requests allow. All of it was sent at once, the gateways were lost, and their successors, or the gateways that got their callers, sent what the requests of the next ten seconds allow. Two budgets in one window.

Now requests allow retries for a quarter of the window only (the horizon). Retries can then be matched to requests of at most 5/4 windows, whichever process got them, so 4/5 of the ratio hold without any knowledge of others.

--- a/packages/gateway/src/retries.c
+++ b/packages/gateway/src/retries.c
@@ -98,6 +98,7 @@
     if (retries == NULL) {
         retries = g_new0(ServiceRetries, 1);
         retries->logged_at = GwTime_Now();
+        retries->budget.seed = g_rand_int(g->rand);
         g_hash_table_insert(g->retries, g_strdup(service), retries);
     }
     return retries;
--- a/packages/routing/include/galenagw/routing/budget.h
+++ b/packages/routing/include/galenagw/routing/budget.h
@@ -4,16 +4,22 @@
  *
  * The retries of all processes combined are limited to a ratio of first
  * attempts over a sliding window, plus a slack. A process counts the retries
- * that the ratio of its own requests allows. It needs no communication for
- * this, and one that starts anew has no requests counted, so that the sum over
- * all processes stays within the ratio. The slack is leased (see
- * retry_slack).
+ * that the ratio of its own requests allows, and needs no communication for
+ * this. The slack is leased (see retry_slack).
+ *
+ * Requests allow retries for a fraction of the window only (the horizon). So
+ * the retries in a window are allowed by requests in it and in the horizon
+ * before it, whichever process got them. If requests of a whole window
+ * counted, a process could use what they allow at the begin of a window, and
+ * its successor, or the process that gets its callers, what the window's own
+ * requests allow.
  * @{
  */
 #ifndef GALENAGW_ROUTING_BUDGET_H
 #define GALENAGW_ROUTING_BUDGET_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
 #include "galenagw/base/clock.h"
 
@@ -21,7 +27,7 @@
 extern "C" {
 #endif
 
-/** Number of steps in which the window is counted. */
+/** Number of steps in which the horizon is counted. */
 #define GW_BUDGET_STEPS 10
 
 /** The limit of all processes combined. */
@@ -31,11 +37,14 @@
     GwTime window;
 } GwBudgetBound;
 
-/** Counts of one process for one service; zero-initialised. */
+/** Counts of one process for one service; zero-initialised but for the seed.
+ */
 typedef struct {
     unsigned first_sends[GW_BUDGET_STEPS + 1];
     unsigned retries[GW_BUDGET_STEPS + 1];
-    int64_t step; /**< index of the newest step */
+    int64_t step;  /**< index of the newest step */
+    uint64_t seed; /**< of this process, by which fractions of a retry are
+                        rounded */
 } GwBudget;
 
 /** Count a request for the service. */
--- a/packages/routing/tests/retry_budget_fleet_test.cc
+++ b/packages/routing/tests/retry_budget_fleet_test.cc
@@ -25,210 +25,113 @@
 
 // One kind of fault: it strikes a share of the processes at each interval.
 struct Fault {
-    GwTime interval; // 0: never
-    double share;
-    GwTime lasts;
+    GwTime interval = 0; // 0: never
+    double share = 0;
+    GwTime lasts = 0;
+    GwTime offset = 0; // of the strike in the interval
 };
 
+// Share of what is allowed that must be used: most of it while no process is
+// lost, and a good part of it while many are.
+const double kUsedInCalm = 0.5;
+const double kUsedUnderFaults = 0.25;
+
 struct Case {
     const char *name;
-    unsigned entries, owners;
-    GwBudgetBound bound;
-    double requests_per_s; // of each entry
-    double failures;       // share of the attempts
+    unsigned entries = 5, owners = 8;
+    double requests_per_s = 16; // of each entry
+    double failures = 0.9;      // share of the attempts
+    // If set: attempts fail only in the second half of each interval.
+    GwTime outage_interval = 0;
+    // If set: in the second half of each interval, one entry gets all
+    // requests.
+    GwTime moved_interval = 0;
+    GwTime moved_delay = 0; // of these seconds
     Fault kill_entries, kill_owners, suspend, cut;
-    GwTime add_entry_interval, replace_owner_interval;
-    double used_min; // share of what is allowed that must be used
+    GwTime add_entry_interval = 0, replace_owner_interval = 0;
+    double used_min = kUsedUnderFaults;
 };
 
 const GwBudgetBound kBound = {0.2, 58, 10 * GW_SECOND};
 
-const Case kCases[] = {
-    {"calm", 5, 8, kBound, 16, 0.9, {}, {}, {}, {}, 0, 0, 0.5},
-    {"few requests", 5, 8, kBound, 1, 0.9, {}, {}, {}, {}, 0, 0, 0.5},
-    {"all entries killed in series",
-     5,
-     8,
-     kBound,
-     16,
-     0.9,
-     {2500 * GW_MILLISECOND, 1, 500 * GW_MILLISECOND},
-     {},
-     {},
-     {},
-     0,
-     0,
-     0.25},
-    {"all entries killed in series, few requests",
-     5,
-     8,
-     kBound,
-     2,
-     0.9,
-     {2500 * GW_MILLISECOND, 1, 500 * GW_MILLISECOND},
-     {},
-     {},
-     {},
-     0,
-     0,
-     0.25},
-    {"some entries killed in series",
-     5,
-     8,
-     kBound,
-     16,
-     0.9,
-     {1500 * GW_MILLISECOND, 0.4, 500 * GW_MILLISECOND},
-     {},
-     {},
-     {},
-     0,
-     0,
-     0.25},
-    {"one entry restarted after the other",
-     5,
-     8,
-     kBound,
-     16,
-     0.9,
-     {1000 * GW_MILLISECOND, 0.2, 200 * GW_MILLISECOND},
-     {},
-     {},
-     {},
-     0,
-     0,
-     0.25},
-    {"entries lost for half a minute",
-     5,
-     8,
-     kBound,
-     16,
-     0.9,
-     {15 * GW_SECOND, 0.6, 30 * GW_SECOND},
-     {},
-     {},
-     {},
-     0,
-     0,
-     0.25},
-    {"entries suspended",
-     5,
-     8,
-     kBound,
-     16,
-     0.9,
-     {},
-     {},
-     {3 * GW_SECOND, 0.4, 2500 * GW_MILLISECOND},
-     {},
-     0,
-     0,
-     0.25},
-    {"entries cut off",
-     5,
-     8,
-     kBound,
-     16,
-     0.9,
-     {},
-     {},
-     {},
-     {8 * GW_SECOND, 0.5, 6 * GW_SECOND},
-     0,
-     0,
-     0.25},
-    {"entries added",
-     3,
-     8,
-     kBound,
-     5,
-     0.9,
-     {},
-     {},
-     {},
-     {},
-     4 * GW_SECOND,
-     0,
-     0.25},
-    {"owners killed in series",
-     5,
-     8,
-     kBound,
-     4,
-     0.9,
-     {},
-     {3 * GW_SECOND, 0.4, GW_SECOND},
-     {},
-     {},
-     0,
-     0,
-     0.25},
-    {"owners replaced",
-     5,
-     8,
-     kBound,
-     4,
-     0.9,
-     {},
-     {},
-     {},
-     {},
-     0,
-     5 * GW_SECOND,
-     0.25},
-    {"few owners, replaced",
-     5,
-     3,
-     kBound,
-     4,
-     0.9,
-     {},
-     {},
-     {},
-     {},
-     0,
-     5 * GW_SECOND,
-     0.25},
-    {"all processes killed",
-     5,
-     8,
-     kBound,
-     4,
-     0.9,
-     {6 * GW_SECOND, 1, 500 * GW_MILLISECOND},
-     {6 * GW_SECOND, 1, 500 * GW_MILLISECOND},
-     {},
-     {},
-     0,
-     0,
-     0.25},
-    {"many entries, few requests",
-     60,
-     8,
-     kBound,
-     1,
-     0.9,
-     {2500 * GW_MILLISECOND, 0.5, 500 * GW_MILLISECOND},
-     {},
-     {},
-     {},
-     0,
-     0,
-     0.25},
-    {"everything at once",
-     7,
-     8,
-     kBound,
-     6,
-     0.7,
-     {2500 * GW_MILLISECOND, 0.5, 500 * GW_MILLISECOND},
-     {7 * GW_SECOND, 0.3, 800 * GW_MILLISECOND},
-     {4 * GW_SECOND, 0.3, 2500 * GW_MILLISECOND},
-     {9 * GW_SECOND, 0.4, 5 * GW_SECOND},
-     9 * GW_SECOND,
-     11 * GW_SECOND,
-     0.25},
-};
+std::vector<Case>
+AllCases()
+{
+    const Fault kill_all = {2500 * GW_MILLISECOND, 1, 500 * GW_MILLISECOND, 0};
+    const Fault kill_some = {1500 * GW_MILLISECOND, 0.4, 500 * GW_MILLISECOND,
+                             0};
+    std::vector<Case> cases;
+    auto add = [&](const char *name) -> Case & {
+        cases.push_back({});
+        cases.back().name = name;
+        return cases.back();
+    };
+    Case *c = &add("calm");
+
+    c->used_min = kUsedInCalm;
+    c = &add("few requests");
+    c->requests_per_s = 1;
+    c->used_min = kUsedInCalm;
+    add("all entries killed in series").kill_entries = kill_all;
+    c = &add("all entries killed in series, few requests");
+    c->kill_entries = kill_all;
+    c->requests_per_s = 2;
+    add("some entries killed in series").kill_entries = kill_some;
+    add("one entry restarted after the other").kill_entries = {
+        GW_SECOND, 0.2, 200 * GW_MILLISECOND, 0};
+    add("entries lost for half a minute").kill_entries = {15 * GW_SECOND, 0.6,
+                                                          30 * GW_SECOND, 0};
+    c = &add("all entries killed soon after an outage begins");
+    c->requests_per_s = 60;
+    c->outage_interval = 24 * GW_SECOND;
+    c->kill_entries = {24 * GW_SECOND, 1, 100 * GW_MILLISECOND,
+                       12500 * GW_MILLISECOND};
+    c->used_min = 0;
+    c = &add("traffic moves to one entry");
+    c->requests_per_s = 60;
+    c->moved_interval = 14 * GW_SECOND;
+    c = &add("traffic moves to one entry soon after an outage begins");
+    c->requests_per_s = 60;
+    c->moved_interval = 24 * GW_SECOND;
+    c->moved_delay = GW_SECOND;
+    c->outage_interval = 24 * GW_SECOND;
+    c->used_min = 0;
+    add("entries suspended").suspend = {3 * GW_SECOND, 0.4,
+                                        2500 * GW_MILLISECOND, 0};
+    add("entries cut off").cut = {8 * GW_SECOND, 0.5, 6 * GW_SECOND, 0};
+    c = &add("entries added");
+    c->entries = 3;
+    c->add_entry_interval = 4 * GW_SECOND;
+    c = &add("owners killed in series");
+    c->requests_per_s = 4;
+    c->kill_owners = {3 * GW_SECOND, 0.4, GW_SECOND, 0};
+    c = &add("owners replaced");
+    c->requests_per_s = 4;
+    c->replace_owner_interval = 5 * GW_SECOND;
+    c = &add("few owners, replaced");
+    c->requests_per_s = 4;
+    c->owners = 3;
+    c->replace_owner_interval = 5 * GW_SECOND;
+    c = &add("all processes killed");
+    c->requests_per_s = 4;
+    c->kill_entries =
+        c->kill_owners = {6 * GW_SECOND, 1, 500 * GW_MILLISECOND, 0};
+    c = &add("many entries, few requests");
+    c->entries = 60;
+    c->requests_per_s = 1;
+    c->kill_entries = {2500 * GW_MILLISECOND, 0.5, 500 * GW_MILLISECOND, 0};
+    c = &add("everything at once");
+    c->entries = 7;
+    c->requests_per_s = 6;
+    c->failures = 0.7;
+    c->kill_entries = {2500 * GW_MILLISECOND, 0.5, 500 * GW_MILLISECOND, 0};
+    c->kill_owners = {7 * GW_SECOND, 0.3, 800 * GW_MILLISECOND, 0};
+    c->suspend = {4 * GW_SECOND, 0.3, 2500 * GW_MILLISECOND, 0};
+    c->cut = {9 * GW_SECOND, 0.4, 5 * GW_SECOND, 0};
+    c->add_entry_interval = 9 * GW_SECOND;
+    c->replace_owner_interval = 11 * GW_SECOND;
+    return cases;
+}
 
 class Fleet;
 
@@ -362,6 +265,7 @@
     Start(Entry *e)
     {
         e->budget = {};
+        e->budget.seed = rng_();
         GwRetryLeases_Delete(e->leases);
         e->leases = GwRetryLeases_New(&ops_, e);
         LearnList(e, owner_list_);
@@ -370,7 +274,7 @@
     Start(Owner *o)
     {
         GwRetrySlack_Delete(o->slack);
-        o->slack = GwRetrySlack_New(&c_.bound, now_);
+        o->slack = GwRetrySlack_New(&kBound, now_);
         LearnList(o, owner_list_);
     }
     void
@@ -460,9 +364,15 @@
     }
 
     bool
-    IsDue(GwTime interval)
+    IsDue(GwTime interval, GwTime offset = 0)
     {
-        return interval != 0 && now_ % interval < kStep;
+        return interval != 0 && now_ % interval >= offset &&
+               now_ % interval < offset + kStep;
+    }
+    bool
+    IsInSecondHalf(GwTime interval, GwTime delay = 0)
+    {
+        return interval != 0 && (now_ - delay) % interval >= interval / 2;
     }
     // Draws the processes that @p fault strikes now.
     std::vector<Process *>
@@ -471,7 +381,8 @@
         std::vector<Process *> drawn;
 
         for (Process *p : all) {
-            if (IsDue(fault.interval) && p->alive && Random() < fault.share)
+            if (IsDue(fault.interval, fault.offset) && p->alive &&
+                Random() < fault.share)
                 drawn.push_back(p);
         }
         return drawn;
@@ -529,11 +440,30 @@
         Start(p);
     }
 
+    double
+    RequestsPerSecond(const Entry *e)
+    {
+        bool is_moved = IsInSecondHalf(c_.moved_interval, c_.moved_delay);
+
+        if (!is_moved)
+            return c_.requests_per_s;
+        return e == entries_.front().get()
+                   ? c_.requests_per_s * (double)entries_.size()
+                   : 0;
+    }
+    bool
+    Fails()
+    {
+        bool is_outage =
+            c_.outage_interval == 0 || IsInSecondHalf(c_.outage_interval);
+
+        return is_outage && Random() < c_.failures;
+    }
     // Callers send at all times; a process that does not run serves none.
     void
     Serve(Entry *e)
     {
-        double mean = c_.requests_per_s * (double)kStep / (double)GW_SECOND;
+        double mean = RequestsPerSecond(e) * (double)kStep / (double)GW_SECOND;
         int n = std::poisson_distribution<>(mean)(rng_);
 
         if (!e->alive)
@@ -548,10 +478,10 @@
     void
     ServeOne(Entry *e)
     {
-        GwBudget_AddRequest(&e->budget, &c_.bound, now_);
+        GwBudget_AddRequest(&e->budget, &kBound, now_);
         Refresh(e);
-        for (unsigned i = 1; i < kAttemptsMax && Random() < c_.failures; i++) {
-            if (!GwBudget_UseRetry(&e->budget, &c_.bound, now_) &&
+        for (unsigned i = 1; i < kAttemptsMax && Fails(); i++) {
+            if (!GwBudget_UseRetry(&e->budget, &kBound, now_) &&
                 !GwRetryLeases_Take(e->leases, kService, now_))
                 return;
             ledger.retries.push_back(now_);
@@ -561,8 +491,7 @@
     Refresh(Entry *e)
     {
         GwRetryLeases_Refresh(e->leases, kService,
-                              GwBudget_IsLow(&e->budget, &c_.bound, now_),
-                              now_);
+                              GwBudget_IsLow(&e->budget, &kBound, now_), now_);
     }
 };
 
@@ -574,16 +503,16 @@
 // return, as each start counts from zero.
 TEST(RetryBudgetFleet, SumStaysWithinBoundWhileProcessesAreLost)
 {
-    for (const Case &c : kCases) {
+    for (const Case &c : AllCases()) {
         for (unsigned seed = 1; seed <= 4; seed++) {
             Fleet fleet(c, seed);
             double worst = 0;
 
             fleet.Run();
             for (GwTime t : fleet.ledger.retries) {
-                double allowed = fleet.ledger.Allowed(c.bound, t + 1);
+                double allowed = fleet.ledger.Allowed(kBound, t + 1);
                 size_t sent = Ledger::CountIn(fleet.ledger.retries,
-                                              t + 1 - c.bound.window, t + 1);
+                                              t + 1 - kBound.window, t + 1);
 
                 worst = std::max(worst, (double)sent / allowed);
             }
@@ -596,15 +525,15 @@
 // another endpoint would have served.
 TEST(RetryBudgetFleet, MostOfTheBoundCanBeUsed)
 {
-    for (const Case &c : kCases) {
+    for (const Case &c : AllCases()) {
         Fleet fleet(c, 1);
         double sent = 0, allowed = 0;
 
         fleet.Run();
         for (GwTime t = kCalm; t < kEnd; t += GW_SECOND) {
             sent += (double)Ledger::CountIn(fleet.ledger.retries,
-                                            t - c.bound.window, t);
-            allowed += fleet.ledger.Allowed(c.bound, t);
+                                            t - kBound.window, t);
+            allowed += fleet.ledger.Allowed(kBound, t);
         }
         EXPECT_GE(sent / allowed, c.used_min) << c.name;
     }
--- a/packages/routing/tests/routing_test.cc
+++ b/packages/routing/tests/routing_test.cc
@@ -184,14 +184,22 @@
     }
 }
 
-// The retries of one process are limited to three quarters (USABLE_SHARE of
-// budget.c) of 0.2 retries per request of this process.
+// The retries of one process are limited to 4/5 (USABLE_SHARE of budget.c) of
+// 0.2 retries per request of the horizon, which is a quarter of the window.
 TEST(Budget, RetriesAreLimitedByRatioOfRequests)
 {
     const GwBudgetBound bound = {0.2, 54, 10 * GW_SECOND};
     const struct {
-        unsigned requests, max_retries;
-    } cases[] = {{0, 0}, {6, 0}, {7, 1}, {100, 15}, {1000, 150}};
+        unsigned requests;
+        GwTime later;
+        unsigned max_retries;
+    } cases[] = {
+        {0, 0, 0},
+        {100, 0, 16},
+        {1000, 0, 160},
+        {1000, 2 * GW_SECOND, 160},
+        {1000, 2500 * GW_MILLISECOND, 0},
+    };
 
     for (auto &c : cases) {
         GwBudget b = {};
@@ -199,10 +207,31 @@
 
         for (unsigned i = 0; i < c.requests; i++)
             GwBudget_AddRequest(&b, &bound, GW_SECOND);
-        while (taken < 10000 && GwBudget_UseRetry(&b, &bound, 2 * GW_SECOND))
+        while (taken < 10000 &&
+               GwBudget_UseRetry(&b, &bound, GW_SECOND + c.later))
+            taken++;
+        EXPECT_EQ(taken, c.max_retries)
+            << c.requests << " requests, after " << c.later;
+    }
+}
+
+// Many processes with a few requests each send hardly any retries if each
+// rounds its part down, and too many if each rounds it up.
+TEST(Budget, FractionsOfARetryAddUpOverProcesses)
+{
+    const GwBudgetBound bound = {0.2, 54, 10 * GW_SECOND};
+    const unsigned n_processes = 10000;
+    unsigned taken = 0;
+
+    for (unsigned i = 0; i < n_processes; i++) {
+        GwBudget b = {};
+
+        b.seed = i * 977;
+        GwBudget_AddRequest(&b, &bound, GW_SECOND);
+        while (GwBudget_UseRetry(&b, &bound, GW_SECOND))
             taken++;
-        EXPECT_EQ(taken, c.max_retries) << c.requests;
     }
+    EXPECT_NEAR(taken, 0.2 * 0.8 * n_processes, 0.01 * n_processes);
 }
 
 // Leases are requested for a service that has requests and few retries left,
@@ -213,8 +242,8 @@
     const struct {
         unsigned requests, retries;
         bool is_low;
-    } cases[] = {{0, 0, false},  {1, 0, true},     {26, 0, true},
-                 {27, 0, false}, {100, 11, false}, {100, 12, true}};
+    } cases[] = {{0, 0, false},  {1, 0, true},     {24, 0, true},
+                 {26, 0, false}, {100, 12, false}, {100, 13, true}};
 
     for (auto &c : cases) {
         GwBudget b = {};
