Retry budget: an attempt that reaches no endpoint uses none

What callers saw: while a service's endpoints are gone and their ports refuse connections, requests were refused for the budget though sound endpoints were left.

The bound counts arrivals beyond the first of a request. A connection that is refused, or not established in time, carries none: the next attempt takes its place.

--- a/fakes/include/galenagw/fakes/fleet.h
+++ b/fakes/include/galenagw/fakes/fleet.h
@@ -97,6 +97,9 @@
     std::vector<GwDeployment> deployments;
     int stopped = 0;        // gateways that have stopped
     int timeout_ms = 3000;  // of all routes
+    // Of the gateways added from now on. By default so high that no test
+    // exhausts it.
+    GwBudgetBound retry_bound = {100, 1000, 10 * GW_SECOND};
     std::string acme_limit; // fields of account acme, as ",\"rate_per_s\":9"
     // The server at the port of all agents. By default it accepts connections
     // and sends nothing: a refused connection would mean that the agent has
--- a/fakes/tests/fleet.cc
+++ b/fakes/tests/fleet.cc
@@ -368,9 +368,7 @@
     d.store.port = FakeStore_Port(store);
     d.max_connections = 1024;
     d.grace = 8 * GW_SECOND;
-    // So high that no test's requests exhaust it; tests of the budget set
-    // their own.
-    d.retry_bound = {100, 1000, 10 * GW_SECOND};
+    d.retry_bound = retry_bound;
     d.leaving_bound = 2 * GW_SECOND;
     d.weights_bound = 8 * GW_SECOND;
     return d;
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -23,6 +23,8 @@
  * is shorter. */
 #define AVOID_AFTER_DECLINE (150 * GW_MILLISECOND)
 
+static GwRetrySource use_retry_(GwRequest *r,
+                                GwAttemptOutcome attempt_outcome);
 static void end_without_attempt_(GwRequest *r, GwRefusal refusal);
 static GwRefusal admit_(GwRequest *r, const GwInstance *instance);
 static void send_attempt_(GwRequest *r, GwInstance *instance,
@@ -95,7 +97,7 @@
     };
 
     if (GwAttempt_AllowsRetry(&facts)) {
-        source = GwRetries_Use(g, r->service);
+        source = use_retry_(r, attempt_outcome);
         budget = GwRetrySource_Names[source];
     }
     facts.has_budget_left = source != GW_RETRY_SOURCE_NONE;
@@ -135,6 +137,15 @@
     }
 }
 
+// Connections are tried for free as long as each endpoint is tried once only.
+static GwRetrySource
+use_retry_(GwRequest *r, GwAttemptOutcome attempt_outcome)
+{
+    if (attempt_outcome == GW_ATTEMPT_NOT_SENT && r->n_tried < TRIED_MAX)
+        return GW_RETRY_SOURCE_NOT_SENT;
+    return GwRetries_Use(r->gateway, r->service);
+}
+
 static void
 end_without_attempt_(GwRequest *r, GwRefusal refusal)
 {
--- a/packages/gateway/src/retries.c
+++ b/packages/gateway/src/retries.c
@@ -13,6 +13,7 @@
     [GW_RETRY_SOURCE_NONE] = "used_up",
     [GW_RETRY_SOURCE_RATIO] = "ratio",
     [GW_RETRY_SOURCE_LEASE] = "lease",
+    [GW_RETRY_SOURCE_NOT_SENT] = "not_sent",
 };
 
 static bool send_request_(void *user, uint64_t owner, const char *service,
--- a/packages/gateway/src/retries.h
+++ b/packages/gateway/src/retries.h
@@ -9,6 +9,8 @@
     GW_RETRY_SOURCE_NONE = 0, /* the budget is used up */
     GW_RETRY_SOURCE_RATIO,    /* the ratio of this gateway's requests */
     GW_RETRY_SOURCE_LEASE,    /* a lease on the slack of all gateways */
+    GW_RETRY_SOURCE_NOT_SENT, /* nothing: the attempt reached no endpoint, so
+                                 the next one takes its place */
     GW_RETRY_SOURCES
 } GwRetrySource;
 
--- a/packages/gateway/tests/fleet_with_agent.h
+++ b/packages/gateway/tests/fleet_with_agent.h
@@ -40,6 +40,7 @@
         options.counters = &counters;
         options.quarantine = quarantine;
         options.agent_port = port;
+        options.retry_slack = retry_slack;
         options.limit_owner = answers_limit_requests ? limits : nullptr;
         agent = GwPeers_New(f.loop, &options, &err);
         ASSERT_NE(agent, nullptr) << err.message;
@@ -60,6 +61,7 @@
     GwQuarantineOptions nothing = {};
     GwQuarantine *quarantine = nullptr;
     GwLimitOwner *limits = nullptr;
+    GwRetrySlack *retry_slack = nullptr; // of the agent; borrowed
     bool answers_limit_requests =
         true; // false: limit requests are not answered
     GwPeers *agent = nullptr;
