Soak: the sum of retries in each window, while gateways are lost in series

Endpoints count each arrival beyond the first of its request; the sum over all gateways is judged at the stated bound, in every run.

--- a/soak/src/callers.cc
+++ b/soak/src/callers.cc
@@ -184,6 +184,10 @@
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     text += "\r\n" + body;
     platform_->ledger->RecordSent(request_id_, kind_, gateway_->process->name);
+    (kind_ == RequestKind::kStream || kind_ == RequestKind::kResumable
+         ? platform_->engine_retries
+         : platform_->plain_retries)
+        .RecordRequest(request_id_);
     answer_body_.clear();
     signature_.clear();
     answer_request_id_.clear();
--- a/soak/src/faults.cc
+++ b/soak/src/faults.cc
@@ -53,7 +53,7 @@
     : options_(options), log_(std::move(log)), random_(options.seed),
       restore_random_(~options.seed), limit_random_(options.seed + 1),
       departure_random_(options.seed + 2), stream_random_(options.seed + 3),
-      load_random_(options.seed + 4)
+      load_random_(options.seed + 4), retry_random_(options.seed + 5)
 {
     GwTimer_Init(&next_fault_timer_, options.platform->loop, OnNextFaultTimer,
                  this);
@@ -66,6 +66,7 @@
     GwTimer_Init(&version_timer_, options.platform->loop, OnVersionTimer,
                  this);
     GwTimer_Init(&load_timer_, options.platform->loop, OnLoadTimer, this);
+    GwTimer_Init(&retry_timer_, options.platform->loop, OnRetryTimer, this);
 }
 
 Faults::~Faults()
@@ -98,6 +99,7 @@
     GwTimer_Stop(&planned_work_timer_);
     GwTimer_Stop(&departure_timer_);
     GwTimer_Stop(&software_timer_);
+    GwTimer_Stop(&retry_timer_);
     EndLoad();
     while (!scheduled_actions_.empty())
         RunAction(scheduled_actions_.front().get());
--- a/soak/src/faults.h
+++ b/soak/src/faults.h
@@ -23,6 +23,10 @@
     std::vector<std::unique_ptr<Proxy>> *store_proxies;
 };
 
+/* Duration of the phase in which engines fail most requests: more than two
+ * windows of the retry budget. */
+constexpr GwTime kRetryPhaseTime = 24 * GW_SECOND;
+
 class Faults {
   public:
     Faults(const FaultOptions &options,
@@ -50,6 +54,9 @@
      * bursts, an account sends several times its usual rate, and versions of
      * weights are named in quick series, until EndAll is called. */
     void StartLoad();
+    /* Let most engines fail their requests, and kill and suspend gateways and
+     * sidecars in series, until EndAll is called. */
+    void StartRetries();
     /* Make all endpoints, or a random third of them, announce rate limits
      * until EndAll is called. */
     void LimitEndpoints(bool all);
@@ -71,6 +78,7 @@
     static void OnSoftwareTimer(void *user);
     static void OnVersionTimer(void *user);
     static void OnLoadTimer(void *user);
+    static void OnRetryTimer(void *user);
     static void OnActionTimer(void *user);
     /* Run @p action after @p time, or in EndAll if that is called earlier. */
     void ScheduleAction(GwTime time, std::function<void()> action);
@@ -121,6 +129,10 @@
     /* Slow a random engine down for a while. */
     void SlowEngineDown();
     void EndLoad();
+    /* Let the engine fail most of its requests, in one of several ways. */
+    void FailRequests(Endpoint *engine);
+    /* Kill or suspend all gateways, or some, or kill some sidecars. */
+    void LoseProcesses();
     /* Start the engines that wait with the next version, then replace the
      * oldest version, engine by engine. */
     void ReleaseSoftware();
@@ -158,8 +170,9 @@
     std::mt19937_64 departure_random_;
     std::mt19937_64 stream_random_;
     std::mt19937_64 load_random_;
+    std::mt19937_64 retry_random_;
     GwTimer next_fault_timer_, planned_work_timer_, departure_timer_,
-        software_timer_, version_timer_, load_timer_;
+        software_timer_, version_timer_, load_timer_, retry_timer_;
     int newest_software_ = 0; /* see SoftwareName */
     bool has_one_version_ = false;
     bool has_backup_ = false;     /* of the store */
--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -32,6 +32,7 @@
     int64_t versions = 0;
     int64_t parts = 0;
     int64_t load = 0;
+    int64_t retries = 0;
     const char *regressions = nullptr;
     const char *logs = "/tmp/gw-soak";
 };
@@ -66,6 +67,9 @@
     {"load", nullptr,
      "Also load engines of unequal speed while weights are named often",
      GW_SETTING_FLAG, FIELD(load), 0, 1, false},
+    {"retries", nullptr,
+     "Also let engines fail most requests while gateways are lost in series",
+     GW_SETTING_FLAG, FIELD(retries), 0, 1, false},
     {"regressions", "FILE", "Run the seeds listed in a file", GW_SETTING_TEXT,
      FIELD(regressions), 0, 0, false},
     {"logs", "DIR", "Directory for the logs of runs that broke a promise",
@@ -211,6 +215,11 @@
                 RunLoopFor(kLoadPhaseTime / 2);
                 EndFaultsAndSettle();
             }
+            if (options_.retries) {
+                faults_->StartRetries();
+                RunLoopFor(kRetryPhaseTime);
+                EndFaultsAndSettle();
+            }
             if (options_.versions) {
                 faults_->StartSoftwareChanges();
                 RunLoopFor(kSoftwarePhaseTime);
@@ -241,6 +250,8 @@
                     " requests were answered in the final phase");
         CheckLoudAccount();
         platform_->streams.Judge(&ledger_);
+        platform_->engine_retries.Judge(&ledger_);
+        platform_->plain_retries.Judge(&ledger_);
         if (resource_monitor_->IsOutOfDescriptors())
             ledger_.RecordViolation(
                 "the soak itself works",
@@ -316,7 +327,9 @@
             << FormatAddress(p.At(kStoreProxyGroup, path, kStorePort))
             << "\nbounds.version_ms="
             << platform_->weights_bound / GW_MILLISECOND
-            << "\nbounds.retry_ratio=0.2\nbounds.retry_slack=54"
+            << "\nbounds.retry_ratio=" << kRetryRatio
+            << "\nbounds.retry_slack=" << kRetrySlack
+            << "\nbounds.retry_window_s=" << kRetryWindow / GW_SECOND
             << "\nbounds.quota_window_s=" << kLoudWindow / GW_SECOND
             << "\nbounds.quota_overage=" << kLoudOverage
             << "\nbounds.quota_slack=" << kLoudSlack << "\n"
@@ -540,6 +553,8 @@
         printf("seed %lu: %zu requests,", seed_, ledger_.requests());
         for (auto &o : ledger_.outcomes)
             printf(" %s %d", o.first.c_str(), o.second);
+        printf(", %s, %s", platform_->engine_retries.Describe().c_str(),
+               platform_->plain_retries.Describe().c_str());
         printf("%s, %zu promises broken\nthe soak itself: %s\n",
                fatal_summary_.c_str(), ledger_.violations().size(),
                resource_monitor_->Describe().c_str());
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -361,6 +361,10 @@
         e->SendReport(x);
         return;
     }
+    if (target != "/galenagw/order")
+        (e->is_engine ? e->platform_->engine_retries
+                      : e->platform_->plain_retries)
+            .RecordArrival(HeaderValue(x, "X-Request-Id"));
     if (HeaderValue(x, "X-Expect-Instance") != e->id) {
         e->Reject(x, 421);
         return;
--- a/soak/src/platform.h
+++ b/soak/src/platform.h
@@ -16,6 +16,7 @@
 #include "ledger.h"
 #include "prefill_queue.h"
 #include "proxy.h"
+#include "retry_judge.h"
 #include "streams.h"
 
 class Platform;
@@ -232,6 +233,7 @@
     FakeStore *store;
     FaultHistory store_fault_history;
     StreamJudge streams;
+    RetryJudge engine_retries{"engines"}, plain_retries{"plain endpoints"};
     bool takes_up_streams = false; /* callers take up broken streams */
     /* Callers with this number and later ones send only while has_surge. */
     int usual_callers = 0;
