Entries: a start gives two retries, not a full burst

What callers of the product's own interface saw: nothing so far; by reading, as the same cause elsewhere. An entry began with a full level of 20 retries that no request had allowed, and had it again after each start: 20 retries for each of the entries that a failure takes down, at the moment when agents are overloaded.

retry_share promises a share of first attempts. An entry begins with the retries of one request now and earns the rest, up to the same burst. Leases as on the platform are not needed: the own interface has no slack to divide, and each first attempt counts at one entry.

--- a/packages/policy/include/galenagw/policy/limits.h
+++ b/packages/policy/include/galenagw/policy/limits.h
@@ -82,7 +82,8 @@
 
 /**
  * Limits retries to a share of first attempts, so that a failure cannot
- * multiply the load: a bucket to which each first attempt adds @c share.
+ * multiply the load: a bucket to which each first attempt adds @c share. It is
+ * nearly empty at first, whatever an earlier process has used.
  */
 typedef struct {
     double share; /**< retries per first attempt */
--- a/packages/policy/src/limits.c
+++ b/packages/policy/src/limits.c
@@ -10,6 +10,10 @@
  * bucket) has granted a burst and is replaced by one that has no record of it,
  * both together could grant more than the window allows. */
 #define BURST_SPREAD_SHARE 0.5
+/* Retries that a process may send before it has first attempts to count: those
+ * of one request. With a full level at each start, processes that are restarted
+ * in series would multiply the load of the failure that they were lost to. */
+#define START_RETRIES 2
 
 static void refill_(GwBucket *b, GwTime now);
 static double fill_rate_(const GwBucket *b, GwTime now);
@@ -104,7 +108,7 @@
 {
     budget->share = share;
     budget->max = max;
-    budget->level = max;
+    budget->level = MIN(max, START_RETRIES);
 }
 
 void
--- a/packages/policy/tests/choice_test.cc
+++ b/packages/policy/tests/choice_test.cc
@@ -135,3 +135,25 @@
     EXPECT_LE(retries, 106);
     EXPECT_GE(retries, 95);
 }
+
+// Entries are restarted in series while all attempts fail. Guards against a
+// full burst of retries after each start, which no request has allowed.
+TEST(Limits, RestartsAddNoBurstOfRetries)
+{
+    const int n_lives = 10, n_requests = 50;
+    int retries = 0;
+
+    for (int life = 0; life < n_lives; life++) {
+        GwRetryBudget b;
+
+        GwRetryBudget_Init(&b, 0.1, 20);
+        for (int i = 0; i < n_requests; i++) {
+            GwRetryBudget_AddFirstAttempt(&b);
+            while (GwRetryBudget_Take(&b))
+                retries++;
+        }
+    }
+    // Two retries after each start are those of one request.
+    EXPECT_LE(retries, n_lives * (0.1 * n_requests + 2));
+    EXPECT_GE(retries, n_lives * 0.1 * n_requests);
+}
