--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -3,13 +3,10 @@
 
 #include <string.h>
 #include <sys/queue.h>
-#include <xxhash.h>
 
 #include "departure_sync.h"
 #include "endpoint_limit_sync.h"
-#include "limit_messages.h"
 #include "peers_private.h"
-#include "retry_lease_sync.h"
 #include "galenagw/routing/placement.h"
 
 /* Interval between comparisons of the connections with the list of endpoints.
@@ -36,30 +33,12 @@
  * series, and each broadcast costs one frame per session. */
 #define URGENT_HEARTBEAT_INTERVAL_MIN (200 * GW_MILLISECOND)
 
-/* Iterates over the ready peers, except the one whose session is @p from. */
-#define FOREACH_OTHER_PEER_(peer, p, from)                                    \
-    TAILQ_FOREACH(peer, &(p)->peers, link)                                    \
-    if ((peer)->session != (from) && GwSession_IsReady((peer)->session))
-
 static void init_list_sync_(GwPeers *p);
 static void send_urgent_heartbeats_(void *user);
-static void send_demands_(void *user);
-static void send_demand_(void *user, const GwEndpointLimit *limit);
-static Peer *find_share_owner_(GwPeers *p, const char *endpoint);
 static GwSessionOptions session_options_(GwPeers *p);
 static void on_ready_(void *user, GwSession *session,
                       const Gw__Wire__Hello *hello);
 static void on_frame_(void *user, GwSession *session, const GwFrame *frame);
-static void on_retry_lease_(GwPeers *p, const Peer *peer,
-                            const Gw__Wire__RetryLease *msg);
-static void on_quarantine_update_(void *user, GwSession *from,
-                                  const GwQuarantineUpdate *update);
-static void broadcast_departure_(GwPeers *p, const GwSession *from,
-                                 const GwDepartureUpdate *departure,
-                                 GwUpdateSource source);
-static void broadcast_endpoint_limit_(GwPeers *p, const GwSession *from,
-                                      const GwEndpointLimit *limit,
-                                      GwUpdateSource source);
 static void on_sync_status_(void *user, GwSession *session,
                             const GwSyncStatus *sync_status);
 static void on_closed_(void *user, GwSession *session, bool silent);
@@ -71,8 +50,6 @@
 static void ensure_connected_(GwPeers *p, const GwAddress *address,
                               bool owner_only);
 static void connect_agents_(GwPeers *p, const GPtrArray *all, bool owner_only);
-static void update_owner_pool_(GwPeers *p);
-static bool needs_owners_(const GwPeers *p);
 static Peer *add_peer_(GwPeers *p);
 static void set_session_(Peer *peer, GwSession *session);
 static Peer *find_peer_(GwPeers *p, const GwSession *session);
@@ -81,9 +58,6 @@
 
 static const GwSessionOps session_ops = {on_ready_, on_frame_, on_sync_status_,
                                          on_closed_};
-static const GwQuarantineSyncOps quarantine_ops = {.on_update =
-                                                       on_quarantine_update_};
-
 GwPeers *
 GwPeers_New(GwLoop *loop, const GwPeersOptions *options, GwError *err)
 {
@@ -97,7 +71,7 @@
     p->followed_agents = g_array_new(FALSE, FALSE, sizeof(GwAddress));
     GwTimer_Init(&p->reconcile_timer, loop, reconcile_, p);
     GwTimer_Init(&p->urgent_timer, loop, send_urgent_heartbeats_, p);
-    GwTimer_Init(&p->demand_timer, loop, send_demands_, p);
+    GwTimer_Init(&p->demand_timer, loop, GwPeersOwners_SendDemands, p);
     init_list_sync_(p);
     GwOriginSync_Init(&p->origin_sync, options->is_agent);
     p->server = GwSessionServer_New(loop, &options->listen, &session, err);
@@ -161,36 +135,6 @@
         g_array_append_vals(p->followed_agents, list, (guint)n);
 }
 
-bool
-GwPeers_AskLimitOwner(GwPeers *p, uint64_t owner_hash,
-                      const GwLimitRequest *request)
-{
-    Peer *peer = GwPeers_FindReadyAgent(p, owner_hash);
-
-    if (peer != NULL)
-        GwLimitMessages_SendRequest(peer->session, request);
-    return peer != NULL;
-}
-
-bool
-GwPeers_AskRetrySlack(GwPeers *p, uint64_t owner_hash, const char *service,
-                      const GwRetryLeaseRequest *request)
-{
-    Peer *peer = GwPeers_FindReadyAgent(p, owner_hash);
-
-    if (peer != NULL)
-        GwRetryLeaseSync_SendRequest(peer->session, service, request);
-    return peer != NULL;
-}
-
-void
-GwPeers_WantOriginOwners(GwPeers *p, bool wanted)
-{
-    if (wanted && !p->wants_origin_owners)
-        GwPeers_ListChanged(p);
-    p->wants_origin_owners = wanted;
-}
-
 void
 GwPeers_BroadcastUrgentHeartbeat(GwPeers *p)
 {
@@ -202,37 +146,6 @@
         GwTimer_Start(&p->urgent_timer, MAX(next - GwTime_Now(), 0));
 }
 
-void
-GwPeers_NoteLeaving(GwPeers *p, const GwInstance *instance,
-                    GwUpdateSource from)
-{
-    GwTime now = GwTime_Now();
-    GwDepartureUpdate departure = {instance->id, instance->incarnation, now};
-
-    if (GwInstances_SetLeaving(GwView_Instances(p->options.view), departure.id,
-                               departure.incarnation, now, now))
-        broadcast_departure_(p, NULL, &departure, from);
-}
-
-void
-GwPeers_NoteLimit(GwPeers *p, const GwInstance *instance, double rate,
-                  GwUpdateSource from)
-{
-    GwTime now = GwTime_Now();
-    GwEndpointLimit limit = {instance->id, instance->incarnation, rate, now,
-                             0};
-
-    if (GwEndpointLimits_Note(GwView_EndpointLimits(p->options.view), &limit,
-                              g_get_real_time() / GW_MILLISECOND, now))
-        broadcast_endpoint_limit_(p, NULL, &limit, from);
-}
-
-void
-GwPeers_BroadcastQuarantine(GwPeers *p, const GwQuarantineUpdate *update)
-{
-    on_quarantine_update_(p, NULL, update);
-}
-
 static void
 init_list_sync_(GwPeers *p)
 {
@@ -262,63 +175,6 @@
     GwSession_SendUrgentHeartbeat(peer->session);
 }
 
-// Demands of one round; see GW_ENDPOINT_DEMANDS_MAX.
-typedef struct {
-    GwPeers *peers;
-    unsigned n_sent;
-} DemandRound;
-
-static void
-send_demands_(void *user)
-{
-    GwPeers *p = user;
-    DemandRound round = {p, 0};
-
-    GwEndpointLimits_Each(GwView_EndpointLimits(p->options.view), GwTime_Now(),
-                          send_demand_, &round);
-    GwTimer_Start(&p->demand_timer, GW_ENDPOINT_DEMAND_INTERVAL);
-}
-
-static void
-send_demand_(void *user, const GwEndpointLimit *limit)
-{
-    DemandRound *round = user;
-    GwPeers *p = round->peers;
-    const GwInstance *instance =
-        GwInstances_Find(GwView_Instances(p->options.view), limit->id);
-    Peer *owner = find_share_owner_(p, limit->id);
-    GwEndpointDemand demand;
-
-    // Entries that don't follow an engine send it nothing while it has a
-    // limit.
-    if (instance == NULL || owner == NULL ||
-        (instance->model != NULL && !instance->followed) ||
-        round->n_sent >= GW_ENDPOINT_DEMANDS_MAX ||
-        !GwEndpointLimits_Report(GwView_EndpointLimits(p->options.view),
-                                 instance,
-                                 GwPeers_EntriesSendingTo(p, instance),
-                                 owner->address_hash, GwTime_Now(), &demand))
-        return;
-    round->n_sent++;
-    GwEndpointLimitSync_SendDemand(owner->session, limit->id, &demand);
-}
-
-// The connected agent of the owner pool with the highest rank for the
-// endpoint. Entries that choose different agents divide their parts of the
-// limit separately.
-static Peer *
-find_share_owner_(GwPeers *p, const char *endpoint)
-{
-    uint64_t nodes[GW_LIMIT_POOL_MAX];
-    unsigned n = GwLimitPool_Rank(&p->owner_pool,
-                                  XXH64(endpoint, strlen(endpoint), 0), nodes);
-    Peer *peer = NULL;
-
-    for (unsigned i = 0; i < n && peer == NULL; i++)
-        peer = GwPeers_FindReadyAgent(p, nodes[i]);
-    return peer;
-}
-
 static GwSessionOptions
 session_options_(GwPeers *p)
 {
@@ -369,12 +225,9 @@
 {
     GwPeers *p = user;
     Peer *peer = find_peer_(p, session);
-    GwDepartureUpdate leaving;
-    GwEndpointLimit limit;
 
-    if (p->options.quarantine != NULL &&
-        GwQuarantineSync_OnFrame(p->options.quarantine, session, frame,
-                                 &quarantine_ops, p))
+    if (GwPeersUpdates_OnFrame(p, session, frame) ||
+        GwPeersOwners_OnFrame(p, peer, session, frame))
         return;
     switch (frame->body_case) {
     case GW__WIRE__FRAME__BODY_RECORDS_ASK:
@@ -399,46 +252,6 @@
             GwCacheSync_OnUpdate(&peer->cache_sync, frame->kept_parts,
                                  GwView_Instances(p->options.view));
         return;
-    case GW__WIRE__FRAME__BODY_ENDPOINT_LEAVING:
-        if (GwDepartureSync_OnUpdate(GwView_Instances(p->options.view),
-                                     frame->endpoint_leaving, &leaving))
-            broadcast_departure_(p, session, &leaving, GW_SOURCE_PEER);
-        return;
-    case GW__WIRE__FRAME__BODY_ENDPOINT_LIMIT:
-        if (GwEndpointLimitSync_OnUpdate(
-                GwView_EndpointLimits(p->options.view), frame->endpoint_limit,
-                &limit))
-            broadcast_endpoint_limit_(p, session, &limit, GW_SOURCE_PEER);
-        return;
-    case GW__WIRE__FRAME__BODY_ENDPOINT_DEMAND:
-        if (peer == NULL)
-            return;
-        if (p->endpoint_shares != NULL)
-            GwEndpointLimitSync_OnDemand(
-                session, p->endpoint_shares,
-                XXH64(peer->name, strlen(peer->name), 0),
-                frame->endpoint_demand);
-        else
-            GwEndpointLimitSync_OnShare(GwView_EndpointLimits(p->options.view),
-                                        peer->address_hash,
-                                        frame->endpoint_demand);
-        return;
-    case GW__WIRE__FRAME__BODY_CREDIT_ASK:
-        if (p->options.limit_owner == NULL)
-            return;
-        update_owner_pool_(p);
-        GwLimitMessages_OnRequest(session, p->options.limit_owner,
-                                  p->options.view, &p->options.limit_tolerance,
-                                  frame->credit_ask);
-        return;
-    case GW__WIRE__FRAME__BODY_CREDIT_GRANT:
-        if (peer != NULL && p->options.limit_share != NULL)
-            GwLimitMessages_OnGrant(p->options.limit_share, peer->address_hash,
-                                    frame->credit_grant);
-        return;
-    case GW__WIRE__FRAME__BODY_RETRY_LEASE:
-        on_retry_lease_(p, peer, frame->retry_lease);
-        return;
     case GW__WIRE__FRAME__BODY_STREAM_ORIGIN_TELL:
         GwOriginSync_OnTell(&p->origin_sync, frame->stream_origin_tell);
         return;
@@ -459,76 +272,6 @@
     }
 }
 
-static void
-on_retry_lease_(GwPeers *p, const Peer *peer, const Gw__Wire__RetryLease *msg)
-{
-    unsigned granted;
-
-    if (peer == NULL)
-        return;
-    if (p->options.retry_slack != NULL) {
-        update_owner_pool_(p);
-        granted = GwRetryLeaseSync_OnRequest(peer->session,
-                                             p->options.retry_slack, msg);
-        GwCounters_Add(p->options.counters, GW_COUNTER_RETRIES_GRANTED,
-                       granted);
-    }
-    else if (p->options.retry_leases != NULL)
-        GwRetryLeaseSync_OnGrant(p->options.retry_leases, peer->address_hash,
-                                 msg);
-}
-
-// Forwards an update to all peers except its sender. Entries and agents are
-// connected to each other but not among themselves, so an update of one entry
-// reaches the other entries through its agents.
-static void
-on_quarantine_update_(void *user, GwSession *from,
-                      const GwQuarantineUpdate *update)
-{
-    GwPeers *p = user;
-    Peer *peer;
-
-    FOREACH_OTHER_PEER_(peer, p, from)
-    GwQuarantineSync_Send(peer->session, update);
-    if (from != NULL && update->is_termination &&
-        p->options.on_endpoint_terminated != NULL)
-        p->options.on_endpoint_terminated(p->options.user,
-                                          &update->termination);
-}
-
-static void
-broadcast_departure_(GwPeers *p, const GwSession *from,
-                     const GwDepartureUpdate *departure, GwUpdateSource source)
-{
-    Peer *peer;
-
-    GwEvent_Begin(p->options.log, "endpoint_leaving", NULL);
-    GwEvent_Text(p->options.log, "instance", departure->id);
-    GwEvent_Text(p->options.log, "learned_from", GwUpdateSource_Names[source]);
-    GwEvent_End(p->options.log);
-    FOREACH_OTHER_PEER_(peer, p, from)
-    GwDepartureSync_Send(peer->session, departure);
-}
-
-static void
-broadcast_endpoint_limit_(GwPeers *p, const GwSession *from,
-                          const GwEndpointLimit *limit, GwUpdateSource source)
-{
-    Peer *peer;
-
-    GwEvent_Begin(p->options.log, "endpoint_limit", NULL);
-    GwEvent_Text(p->options.log, "instance", limit->id);
-    if (limit->rate >= 0)
-        GwEvent_Real(p->options.log, "rate", limit->rate);
-    else
-        GwEvent_Text(p->options.log, "rate", "none");
-    GwEvent_Number(p->options.log, "version", limit->version);
-    GwEvent_Text(p->options.log, "learned_from", GwUpdateSource_Names[source]);
-    GwEvent_End(p->options.log);
-    FOREACH_OTHER_PEER_(peer, p, from)
-    GwEndpointLimitSync_Send(peer->session, limit);
-}
-
 static void
 on_sync_status_(void *user, GwSession *session,
                 const GwSyncStatus *sync_status)
@@ -621,7 +364,7 @@
     peer->is_wanted = !peer->is_outbound;
     if (!p->options.is_agent)
         GwPeersFleet_UpdateFollowed(p, all);
-    update_owner_pool_(p);
+    GwPeersOwners_UpdatePool(p);
     if (!p->options.is_agent) {
         connect_agents_(p, all, false);
         connect_agents_(p, all, true);
@@ -656,7 +399,7 @@
         if (instance->model == NULL)
             continue;
         address.port = p->options.agent_port;
-        if (owner_only ? needs_owners_(p) &&
+        if (owner_only ? GwPeersOwners_AreNeeded(p) &&
                              GwLimitPool_Has(&p->owner_pool,
                                              GwPlacement_HashAddress(&address))
                        : instance->followed)
@@ -690,49 +433,6 @@
     peer->is_wanted = true;
 }
 
-// Rebuilds the limit owner pool if the list has changed.
-static void
-update_owner_pool_(GwPeers *p)
-{
-    int64_t end =
-        GwRecords_End(GwView_Records(p->options.view), GW_LIST_INSTANCES);
-    GwAddress own = p->options.listen;
-
-    if (end == p->owner_pool_end && p->owner_pool.n > 0)
-        return;
-    own.port = p->options.agent_port;
-    p->owner_pool =
-        GwLimitMessages_OwnerPool(p->options.view, p->options.agent_port);
-    p->owner_pool_end = end;
-    if (p->options.limit_owner != NULL)
-        GwLimitOwner_SetPool(p->options.limit_owner, &p->owner_pool,
-                             GwPlacement_HashAddress(&own), GwTime_Now());
-    if (p->options.limit_share != NULL)
-        GwLimitShare_SetPool(p->options.limit_share, &p->owner_pool);
-    if (p->options.retry_slack != NULL)
-        GwRetrySlack_SetOwners(
-            p->options.retry_slack,
-            GwLimitPool_Has(&p->owner_pool, GwPlacement_HashAddress(&own))
-                ? p->owner_pool.n
-                : 0,
-            GwTime_Now());
-    if (p->options.retry_leases != NULL)
-        GwRetryLeases_SetOwners(p->options.retry_leases, p->owner_pool.nodes,
-                                p->owner_pool.n);
-}
-
-// Whether this entry needs sessions to the agents of the limit owner pool.
-static bool
-needs_owners_(const GwPeers *p)
-{
-    const GwRoutes *routes = GwView_Routes(p->options.view);
-
-    return p->wants_origin_owners || p->options.retry_leases != NULL ||
-           (routes != NULL && routes->has_limits) ||
-           GwEndpointLimits_AreInEffect(GwView_EndpointLimits(p->options.view),
-                                        GwTime_Now());
-}
-
 static Peer *
 add_peer_(GwPeers *p)
 {
--- a/packages/cluster/src/peers_private.h
+++ b/packages/cluster/src/peers_private.h
@@ -90,6 +90,24 @@
 /* Agent: number of connected entries that send requests to the engine. */
 unsigned GwPeersEngine_CountEntries(const GwPeers *p);
 
+/* Handle an update that is forwarded to all peers.
+ * @return false if the frame is none */
+bool GwPeersUpdates_OnFrame(GwPeers *p, GwSession *session,
+                            const GwFrame *frame);
+
+/* Handle the messages between entries and the agents of the limit owner pool.
+ * @param peer of the session; NULL: unknown
+ * @return false if the frame is none of them */
+bool GwPeersOwners_OnFrame(GwPeers *p, const Peer *peer, GwSession *session,
+                           const GwFrame *frame);
+/* Rebuild the limit owner pool if the list has changed. */
+void GwPeersOwners_UpdatePool(GwPeers *p);
+/* Entry: whether it needs sessions to the agents of the limit owner pool. */
+bool GwPeersOwners_AreNeeded(const GwPeers *p);
+/* Entry: report its demand for the endpoints that have named a limit. A timer
+ * callback; @p user is the GwPeers. */
+void GwPeersOwners_SendDemands(void *user);
+
 /* Entry: choose the engines that requests are sent to, among the instances
  * @p all, according to the estimated size of the fleet. */
 void GwPeersFleet_UpdateFollowed(GwPeers *p, const GPtrArray *all);
--- a/packages/routing/src/retry_leases.c
+++ b/packages/routing/src/retry_leases.c
@@ -10,7 +10,7 @@
 /* An owner whose lease is used up is asked again after this time, and one that
  * had nothing to grant, or does not answer, after the longer one. */
 #define REPEAT_INTERVAL (100 * GW_MILLISECOND)
-#define EXHAUSTED_INTERVAL (500 * GW_MILLISECOND)
+#define EXHAUSTED_INTERVAL GW_SECOND
 
 /* The lease from one owner. */
 typedef struct {
