Quarantine: a probe that reaches no endpoint has not begun

What callers saw: harmless prompts with parts under suspicion were refused, all of them for seconds, although engines were left that would have served them.

Cause: when a probe was admitted, its interval was used up. If its first attempt was sent to an engine that had terminated (a connection that is refused), its second attempt was refused as a further probe, and so was every other prompt at this gateway until the next interval. Prompts prefer one engine by their parts, so the next probe was sent to the same dead engine.

Now an attempt that reached no endpoint withdraws the probe, and the next attempt is judged as a first one.

The new test, with two thirds of the engines gone, is red without the change."

--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -85,7 +85,11 @@
     GwRetrySource source = GW_RETRY_SOURCE_NONE;
     const char *budget = "not_asked";
     GwNextStep next;
-    GwAttemptFacts facts = {
+    GwAttemptFacts facts;
+
+    if (attempt_outcome == GW_ATTEMPT_NOT_SENT && r->sends == 0)
+        GwRequestQuarantine_OnNotSent(r);
+    facts = (GwAttemptFacts){
         .attempt_outcome = attempt_outcome,
         .may_repeat = GwRoute_MayRetry(r->route),
         .head_sent = r->head_sent,
--- a/packages/gateway/src/request_private.h
+++ b/packages/gateway/src/request_private.h
@@ -46,6 +46,7 @@
     GwTime first_byte_at;    /* first byte to the caller; 0: none sent */
     unsigned sends; /* attempts of which bytes may have reached an endpoint */
     unsigned attempts;
+    GwTime admitted_at; /* by the quarantine, for its first attempt; 0: not */
     GwTime retry_after; /* of a refusal, for its Retry-After; 0: not set */
     bool may_have_run;  /* in an earlier attempt; a refusal must not state that
                            the request has not run */
--- a/packages/gateway/src/request_quarantine.c
+++ b/packages/gateway/src/request_quarantine.c
@@ -8,21 +8,34 @@
 typedef GwQuarantineVerdict (*QuarantineCheck)(
     GwQuarantine *quarantine, const GwRequestIdentity *request, GwTime now);
 
-static bool is_refused_(GwRequest *r, QuarantineCheck check);
+static bool is_refused_(GwRequest *r, QuarantineCheck check, GwTime now);
 
 bool
 GwRequestQuarantine_RefusesArrival(GwRequest *r)
 {
-    return is_refused_(r, GwQuarantine_Check);
+    return is_refused_(r, GwQuarantine_Check, GwTime_Now());
 }
 
-// Only the first attempt may begin a probe: the outcome of that decides
-// whether there is another one.
+// Only the first attempt that reaches an endpoint may be a probe: its outcome
+// decides whether there is another one.
 bool
 GwRequestQuarantine_RefusesAttempt(GwRequest *r)
 {
-    return is_refused_(r, r->attempts == 0 ? GwQuarantine_Admit
-                                           : GwQuarantine_Check);
+    GwTime now = GwTime_Now();
+
+    if (r->sends > 0)
+        return is_refused_(r, GwQuarantine_Check, now);
+    r->admitted_at = now;
+    return is_refused_(r, GwQuarantine_Admit, now);
+}
+
+void
+GwRequestQuarantine_OnNotSent(GwRequest *r)
+{
+    GwQuarantine *q = r->gateway->quarantine;
+
+    if (!GwQuarantine_IsEmpty(q))
+        GwQuarantine_Withdraw(q, GwRequestContent_Identity(r), r->admitted_at);
 }
 
 void
@@ -51,14 +64,14 @@
 }
 
 static bool
-is_refused_(GwRequest *r, QuarantineCheck check)
+is_refused_(GwRequest *r, QuarantineCheck check, GwTime now)
 {
     GwQuarantine *q = r->gateway->quarantine;
     GwQuarantineVerdict verdict;
 
     if (GwQuarantine_IsEmpty(q))
         return false;
-    verdict = check(q, GwRequestContent_Identity(r), GwTime_Now());
+    verdict = check(q, GwRequestContent_Identity(r), now);
     if (verdict.time_left == 0)
         return false;
     r->retry_after = verdict.time_left;
--- a/packages/gateway/tests/fatal_part_test.cc
+++ b/packages/gateway/tests/fatal_part_test.cc
@@ -188,6 +188,29 @@
     EXPECT_LE(t.n_terminated, kMaxLateTerminations);
 }
 
+// Most engines are gone and the gateways do not know it yet, so that probes
+// are sent to them first. Guards against refusing a probe whose connection is
+// refused, and its successors until the next interval: harmless requests are
+// not served although engines are left.
+TEST(GatewayFatalPart, AProbeThatReachesNoEngineIsSentToAnother)
+{
+    PartFleet t;
+    Fleet &f = t.a.f;
+    int served = 0;
+
+    ASSERT_TRUE(f.Ready());
+    t.TerminateEngines("/resume/1", {kPartA, kFatalPart, kPartB}, 5);
+    f.Wait(kContactTime);
+    for (size_t i = 0; i < f.endpoints.size(); i++) {
+        if (f.endpoints[i]->httpd != nullptr && i % 3 != 0)
+            t.Terminate(f.endpoints[i].get());
+    }
+    t.down_engines.clear();
+    for (int i = 0; i < 10; i++)
+        served += t.CountServed("/resume/1", {kPartA, kPartB}, 1);
+    EXPECT_GE(served, 20) << "half of all";
+}
+
 // Guards against fatal requests that hold the fatal part beside other parts
 // than those before: it must be found whatever else they hold.
 TEST(GatewayFatalPart, IsRefusedBesideOtherParts)
--- a/packages/quarantine/include/galenagw/quarantine/quarantine.h
+++ b/packages/quarantine/include/galenagw/quarantine/quarantine.h
@@ -146,6 +146,11 @@
 GwQuarantineVerdict GwQuarantine_Admit(GwQuarantine *quarantine,
                                        const GwRequestIdentity *request,
                                        GwTime now);
+/** The request that was admitted at @p admitted_at has reached no endpoint. If
+ * it was a retry, or a probe, it has no outcome, and another may begin. */
+void GwQuarantine_Withdraw(GwQuarantine *quarantine,
+                           const GwRequestIdentity *request,
+                           GwTime admitted_at);
 /** Whether another attempt of the request is permitted. After one that may
  * have run, it is not if the next termination would put the request or one of
  * its parts under quarantine: an immediate retry could terminate one more
--- a/packages/quarantine/src/verdict.c
+++ b/packages/quarantine/src/verdict.c
@@ -11,6 +11,7 @@
                               const GwRequestIdentity *request,
                               const Suspect *s, GwTime now);
 static void begin_retry_(Suspect *s, GwTime now);
+static void withdraw_retry_(Suspect *s, GwTime admitted_at);
 static bool is_next_to_quarantine_(const Suspect *s);
 
 GwQuarantineVerdict
@@ -48,6 +49,15 @@
     return verdict;
 }
 
+void
+GwQuarantine_Withdraw(GwQuarantine *q, const GwRequestIdentity *request,
+                      GwTime admitted_at)
+{
+    withdraw_retry_(Suspects_Find(q, &request->request), admitted_at);
+    for (unsigned i = 0; i < request->n_parts; i++)
+        withdraw_retry_(Suspects_Find(q, &request->parts[i]), admitted_at);
+}
+
 bool
 GwQuarantine_MayRetry(GwQuarantine *q, const GwRequestIdentity *request,
                       bool may_have_run, GwTime now)
@@ -98,6 +108,14 @@
         s->retried_at = now;
 }
 
+// A retry of another request may have begun since.
+static void
+withdraw_retry_(Suspect *s, GwTime admitted_at)
+{
+    if (s != NULL && s->retried_at == admitted_at)
+        s->retried_at = 0;
+}
+
 static bool
 is_next_to_quarantine_(const Suspect *s)
 {
