--- a/packages/gateway/tests/gateway_retries_test.cc
+++ b/packages/gateway/tests/gateway_retries_test.cc
@@ -147,3 +147,26 @@
     EXPECT_EQ(CountArrivals(f), 11u);
     EXPECT_GT(GwGateway_Counters(g)->plain[GW_COUNTER_RETRY_LEASE_ASKS], 0u);
 }
+
+// A gateway leases retries and does not need them. Guards against counting
+// them as used for a window, in which other gateways lack them.
+TEST(GatewayRetries, UnusedLeasesAreGrantedToOtherGateways)
+{
+    const unsigned part = 18; // of the slack of 20
+    FleetWithSlack s(20);
+    Fleet &f = s.fleet.f;
+
+    f.AddGateway("gateway-1");
+    f.AddGateway("gateway-2");
+    ASSERT_TRUE(f.Ready());
+    s.WaitUntilAgentGrants();
+    SendRequests(&f, f.gateways[0], "/resume/1", 1);
+    f.Wait(1300 * GW_MILLISECOND);
+    for (auto &e : f.endpoints)
+        e->serve = AnswerError;
+    for (int i = 0; i < 6; i++) {
+        SendRequests(&f, f.gateways[1], "/resume/1", 9);
+        f.Wait(110 * GW_MILLISECOND);
+    }
+    EXPECT_GT(s.fleet.counters.plain[GW_COUNTER_RETRIES_GRANTED], part);
+}
