--- a/fakes/include/galenagw/fakes/fleet.h
+++ b/fakes/include/galenagw/fakes/fleet.h
@@ -95,8 +95,8 @@
     std::vector<std::unique_ptr<Endpoint>> endpoints;
     std::vector<GwGateway *> gateways;
     std::vector<GwDeployment> deployments;
-    int stopped = 0;        // gateways that have stopped
-    int timeout_ms = 3000;  // of all routes
+    int stopped = 0;       // gateways that have stopped
+    int timeout_ms = 3000; // of all routes
     // Of the gateways added from now on. By default so high that no test
     // exhausts it.
     GwBudgetBound retry_bound = {100, 1000, 10 * GW_SECOND};
--- a/packages/gateway/src/request_quarantine.h
+++ b/packages/gateway/src/request_quarantine.h
@@ -10,11 +10,11 @@
  * logged and its retry_after is set. */
 bool GwRequestQuarantine_RefusesArrival(GwRequest *request);
 /* The same before each attempt, as the request may have waited since it
- * arrived. If it is not refused, the first attempt that reaches an endpoint may
- * be a retry of a quarantined request, or a probe. */
+ * arrived. If it is not refused, the first attempt that reaches an endpoint
+ * may be a retry of a quarantined request, or a probe. */
 bool GwRequestQuarantine_RefusesAttempt(GwRequest *request);
-/* No attempt has reached an endpoint so far, so that a retry or a probe has not
- * begun yet. */
+/* No attempt has reached an endpoint so far, so that a retry or a probe has
+ * not begun yet. */
 void GwRequestQuarantine_OnNotSent(GwRequest *request);
 /* The endpoint closed the connection before the answer was complete. */
 void GwRequestQuarantine_OnBroken(GwRequest *request);
--- a/packages/policy/src/limits.c
+++ b/packages/policy/src/limits.c
@@ -11,8 +11,9 @@
  * both together could grant more than the window allows. */
 #define BURST_SPREAD_SHARE 0.5
 /* Retries that a process may send before it has first attempts to count: those
- * of one request. With a full level at each start, processes that are restarted
- * in series would multiply the load of the failure that they were lost to. */
+ * of one request. With a full level at each start, processes that are
+ * restarted in series would multiply the load of the failure that they were
+ * lost to. */
 #define START_RETRIES 2
 
 static void refill_(GwBucket *b, GwTime now);
