Soak: arrivals without a request id are not callers' requests

Arrivals with an id count as before, at the same bound; a request without one is not of a caller (the check "endpoints receive only requests of callers" sees to it for those that run).

--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -361,7 +361,7 @@
         e->SendReport(x);
         return;
     }
-    if (target != "/galenagw/order")
+    if (!HeaderValue(x, "X-Request-Id").empty())
         (e->is_engine ? e->platform_->engine_retries
                       : e->platform_->plain_retries)
             .RecordArrival(HeaderValue(x, "X-Request-Id"));
--- a/soak/src/retry_judge.h
+++ b/soak/src/retry_judge.h
@@ -22,7 +22,7 @@
     }
     /* A caller sends a request to the service. */
     void RecordRequest(const std::string &id);
-    /* A request arrives at an endpoint, which may reject it. */
+    /* A caller's request arrives at an endpoint, which may reject it. */
     void RecordArrival(const std::string &id);
     /* Check each window that ends with a retry. */
     void Judge(Ledger *ledger) const;
