--- a/packages/gateway/src/retries.c
+++ b/packages/gateway/src/retries.c
@@ -147,7 +147,7 @@
         GwEvent_Text(g->log, "service", service);
         GwEvent_Time(g->log, "window_ms", now - retries->logged_at);
         GwEvent_Number(g->log, "requests", retries->requests);
-        for (int i = 0; i < GW_RETRY_SOURCES; i++)
+        for (int i = 0; i <= GW_RETRY_SOURCE_LEASE; i++)
             GwEvent_Number(g->log, GwRetrySource_Names[i], used[i]);
         GwEvent_Number(g->log, "leased",
                        GwRetryLeases_Count(g->retry_leases, service, now));
