Retry budget, read once more: less state, a type for a name, one choice of judge

No behaviour changes.

- A lease had two flags that follow from its other fields: whether it was answered, and whether the answer granted some.
`granted_at` is set by an answer that grants and cleared by the next request, so it tells both; a repeated answer is ignored as before.
- What a retry is counted against reached the log as a string with a value beside the enum; it is a GwRetrySource now, `not_asked` included.
The counts of a service have no places for sources that are never counted.
- GW_RETRY_LEASE_INTERVAL was used nowhere.
GW_LOG_PART of peers.c and its copy neither.
- The hash of an agent's own address was computed twice for one pool, and the sum of a budget's retries had a wrapper of its own.
- The soak chose between its two judges of retries in two places, and looked an id up twice.

--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -1,4 +1,3 @@
-#define GW_LOG_PART "peers"
 #include "galenagw/cluster/peers.h"
 
 #include <string.h>
--- a/packages/cluster/src/peers_owners.c
+++ b/packages/cluster/src/peers_owners.c
@@ -62,24 +62,24 @@
     int64_t end =
         GwRecords_End(GwView_Records(p->options.view), GW_LIST_INSTANCES);
     GwAddress own = p->options.listen;
+    uint64_t self;
 
     if (end == p->owner_pool_end && p->owner_pool.n > 0)
         return;
     own.port = p->options.agent_port;
+    self = GwPlacement_HashAddress(&own);
     p->owner_pool =
         GwLimitMessages_OwnerPool(p->options.view, p->options.agent_port);
     p->owner_pool_end = end;
     if (p->options.limit_owner != NULL)
-        GwLimitOwner_SetPool(p->options.limit_owner, &p->owner_pool,
-                             GwPlacement_HashAddress(&own), GwTime_Now());
+        GwLimitOwner_SetPool(p->options.limit_owner, &p->owner_pool, self,
+                             GwTime_Now());
     if (p->options.limit_share != NULL)
         GwLimitShare_SetPool(p->options.limit_share, &p->owner_pool);
     if (p->options.retry_slack != NULL)
         GwRetrySlack_SetOwners(
             p->options.retry_slack,
-            GwLimitPool_Has(&p->owner_pool, GwPlacement_HashAddress(&own))
-                ? p->owner_pool.n
-                : 0,
+            GwLimitPool_Has(&p->owner_pool, self) ? p->owner_pool.n : 0,
             GwTime_Now());
     if (p->options.retry_leases != NULL)
         GwRetryLeases_SetOwners(p->options.retry_leases, p->owner_pool.nodes,
--- a/packages/cluster/src/peers_updates.c
+++ b/packages/cluster/src/peers_updates.c
@@ -1,6 +1,5 @@
 /* Updates that each process forwards to its peers: terminations and
  * completions, departures and limits of endpoints. */
-#define GW_LOG_PART "peers"
 #include "galenagw/cluster/peers.h"
 
 #include "departure_sync.h"
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -82,8 +82,7 @@
 {
     GwGateway *g = r->gateway;
     GwTime left = r->deadline - GwTime_Now();
-    GwRetrySource source = GW_RETRY_SOURCE_NONE;
-    const char *budget = "not_asked";
+    GwRetrySource source = GW_RETRY_SOURCE_NOT_ASKED;
     GwNextStep next;
     GwAttemptFacts facts;
 
@@ -100,13 +99,11 @@
                            GwRequestQuarantine_MayRetry(r, attempt_outcome),
     };
 
-    if (GwAttempt_AllowsRetry(&facts)) {
+    if (GwAttempt_AllowsRetry(&facts))
         source = use_retry_(r, attempt_outcome);
-        budget = GwRetrySource_Names[source];
-    }
     facts.has_budget_left = source != GW_RETRY_SOURCE_NONE;
     next = GwAttempt_Next(&facts);
-    GwRequestLog_Failed(r, attempt_outcome, why, next, budget);
+    GwRequestLog_Failed(r, attempt_outcome, why, next, source);
     r->may_have_run = r->may_have_run ||
                       attempt_outcome == GW_ATTEMPT_MAY_HAVE_RUN ||
                       attempt_outcome == GW_ATTEMPT_HAS_RUN;
--- a/packages/gateway/src/request_log.c
+++ b/packages/gateway/src/request_log.c
@@ -65,7 +65,7 @@
 
 void
 GwRequestLog_Failed(const GwRequest *r, GwAttemptOutcome attempt_outcome,
-                    const char *why, GwNextStep next, const char *budget)
+                    const char *why, GwNextStep next, GwRetrySource source)
 {
     GwEventLog *log = r->gateway->log;
     GwTime now = GwTime_Now();
@@ -78,7 +78,7 @@
     GwEvent_Time(log, "after_ms", now - r->sent_at);
     GwEvent_Time(log, "left_ms", r->deadline - now);
     GwEvent_Text(log, "next", GwNextStep_Names[next]);
-    GwEvent_Text(log, "budget", budget);
+    GwEvent_Text(log, "budget", GwRetrySource_Names[source]);
     log_digest_(r);
     log_parts_(r);
     GwEvent_End(log);
--- a/packages/gateway/src/request_log.h
+++ b/packages/gateway/src/request_log.h
@@ -6,6 +6,7 @@
 #include "galenagw/routing/admission.h"
 #include "galenagw/quarantine/quarantine.h"
 #include "request_private.h"
+#include "retries.h"
 
 /* How the software version that began a stream is known, or why it is not. */
 typedef enum {
@@ -21,11 +22,10 @@
 /* The request is sent to its instance. */
 void GwRequestLog_Attempt(const GwRequest *request,
                           const GwDispatch *dispatch);
-/* The current attempt failed.
- * @param budget what the retry is counted against */
+/* The current attempt failed. */
 void GwRequestLog_Failed(const GwRequest *request,
                          GwAttemptOutcome attempt_outcome, const char *why,
-                         GwNextStep next, const char *budget);
+                         GwNextStep next, GwRetrySource source);
 /* The current attempt is abandoned because its endpoint does not answer; the
  * request is sent to another one. */
 void GwRequestLog_Abandoned(const GwRequest *request);
--- a/packages/gateway/src/retries.c
+++ b/packages/gateway/src/retries.c
@@ -6,7 +6,9 @@
     GwTime logged_at;
     /* Since then: */
     unsigned requests;
-    unsigned used[GW_RETRY_SOURCES]; /* under GW_RETRY_SOURCE_NONE: refused */
+    /* By source, up to GW_RETRY_SOURCE_LEASE; under GW_RETRY_SOURCE_NONE:
+     * refused. */
+    unsigned used[GW_RETRY_SOURCE_LEASE + 1];
 } ServiceRetries;
 
 const char *const GwRetrySource_Names[GW_RETRY_SOURCES] = {
@@ -14,6 +16,7 @@
     [GW_RETRY_SOURCE_RATIO] = "ratio",
     [GW_RETRY_SOURCE_LEASE] = "lease",
     [GW_RETRY_SOURCE_NOT_SENT] = "not_sent",
+    [GW_RETRY_SOURCE_NOT_ASKED] = "not_asked",
 };
 
 static bool send_request_(void *user, uint64_t owner, const char *service,
--- a/packages/routing/include/galenagw/routing/retry_leases.h
+++ b/packages/routing/include/galenagw/routing/retry_leases.h
@@ -34,12 +34,11 @@
                              unsigned n);
 /**
  * Requests leases for @p service, renews them, or returns them if not
- * @p wanted. To be called at requests and retries, and every
- * GW_RETRY_LEASE_INTERVAL.
+ * @p wanted. To be called at requests and retries, and several times in
+ * GW_RETRY_LEASE_TERM.
  */
 void GwRetryLeases_Refresh(GwRetryLeases *leases, const char *service,
                            bool wanted, GwTime now);
-#define GW_RETRY_LEASE_INTERVAL (200 * GW_MILLISECOND)
 /** Stores what @p owner has granted. */
 void GwRetryLeases_OnGrant(GwRetryLeases *leases, uint64_t owner,
                            const char *service, const GwRetryLeaseGrant *grant,
--- a/packages/routing/src/budget.c
+++ b/packages/routing/src/budget.c
@@ -16,7 +16,6 @@
 static double draw_rounding_(const GwBudget *b);
 static double count_allowed_(const GwBudget *b, const GwBudgetBound *bound);
 static unsigned count_requests_(const GwBudget *b);
-static unsigned count_retries_(const GwBudget *b);
 static unsigned sum_(const unsigned *steps);
 static void advance_window_(GwBudget *b, const GwBudgetBound *bound,
                             GwTime now);
@@ -32,7 +31,7 @@
 GwBudget_UseRetry(GwBudget *b, const GwBudgetBound *bound, GwTime now)
 {
     advance_window_(b, bound, now);
-    if (count_retries_(b) + 1 >
+    if (sum_(b->retries) + 1 >
         floor(count_allowed_(b, bound) + draw_rounding_(b)))
         return false;
     b->retries[b->step % (GW_BUDGET_STEPS + 1)]++;
@@ -44,7 +43,7 @@
 {
     advance_window_(b, bound, now);
     return count_requests_(b) > 0 &&
-           count_retries_(b) + LOW_RETRIES > count_allowed_(b, bound);
+           sum_(b->retries) + LOW_RETRIES > count_allowed_(b, bound);
 }
 
 // A random number below 1, another one for each horizon and process. If the
@@ -65,7 +64,7 @@
 }
 
 // The newest step is incomplete, so these are the requests of less than the
-// horizon.
+// horizon. The retries of all steps are those of more than it.
 static unsigned
 count_requests_(const GwBudget *b)
 {
@@ -73,13 +72,6 @@
            b->first_sends[(b->step + 1) % (GW_BUDGET_STEPS + 1)];
 }
 
-// The retries of the horizon, and of up to one step more.
-static unsigned
-count_retries_(const GwBudget *b)
-{
-    return sum_(b->retries);
-}
-
 static unsigned
 sum_(const unsigned *steps)
 {
--- a/packages/routing/src/retry_leases.c
+++ b/packages/routing/src/retry_leases.c
@@ -16,10 +16,9 @@
 typedef struct {
     uint64_t owner;
     uint32_t unused;   /* retries */
-    GwTime granted_at; /* by the clock of the owner; 0: no lease */
+    GwTime granted_at; /* by the clock of the owner; 0: not answered since it
+                          was asked, or nothing was granted */
     GwTime asked_at;   /* 0: not asked */
-    bool is_answered;
-    bool was_granted; /* the last answer granted some */
 } Lease;
 
 /* The leases for one service. */
@@ -102,11 +101,9 @@
     Service *s = g_hash_table_lookup(leases->services, service);
     Lease *lease = s != NULL ? find_lease_(leases, s, owner) : NULL;
 
-    if (lease == NULL || lease->is_answered ||
+    if (lease == NULL || lease->granted_at != 0 || grant->granted == 0 ||
         grant->asked_at != lease->asked_at)
         return;
-    lease->is_answered = true;
-    lease->was_granted = grant->granted > 0;
     lease->granted_at = grant->granted_at;
     lease->unused = is_valid_(lease, now) ? grant->granted : 0;
 }
@@ -198,9 +195,8 @@
     if (!wanted)
         return false;
     return lease->asked_at == 0 ||
-           age >= (lease->is_answered && lease->was_granted
-                       ? REPEAT_INTERVAL
-                       : EXHAUSTED_INTERVAL);
+           age >=
+               (lease->granted_at != 0 ? REPEAT_INTERVAL : EXHAUSTED_INTERVAL);
 }
 
 static void
@@ -220,6 +216,5 @@
     lease->unused = 0;
     lease->granted_at = 0;
     lease->asked_at = now;
-    lease->is_answered = false;
     leases->ops->send_request(leases->user, lease->owner, service, &request);
 }
--- a/soak/src/callers.cc
+++ b/soak/src/callers.cc
@@ -184,9 +184,9 @@
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     text += "\r\n" + body;
     platform_->ledger->RecordSent(request_id_, kind_, gateway_->process->name);
-    (kind_ == RequestKind::kStream || kind_ == RequestKind::kResumable
-         ? platform_->engine_retries
-         : platform_->plain_retries)
+    platform_
+        ->RetriesTo(kind_ == RequestKind::kStream ||
+                    kind_ == RequestKind::kResumable)
         .RecordRequest(request_id_);
     answer_body_.clear();
     signature_.clear();
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -361,10 +361,11 @@
         e->SendReport(x);
         return;
     }
-    if (!HeaderValue(x, "X-Request-Id").empty())
-        (e->is_engine ? e->platform_->engine_retries
-                      : e->platform_->plain_retries)
-            .RecordArrival(HeaderValue(x, "X-Request-Id"));
+    std::string id = HeaderValue(x, "X-Request-Id");
+
+    // A sidecar's polls of its engine have no id.
+    if (!id.empty())
+        e->platform_->RetriesTo(e->is_engine).RecordArrival(id);
     if (HeaderValue(x, "X-Expect-Instance") != e->id) {
         e->Reject(x, 421);
         return;
--- a/soak/src/platform.h
+++ b/soak/src/platform.h
@@ -234,6 +234,11 @@
     FaultHistory store_fault_history;
     StreamJudge streams;
     RetryJudge engine_retries{"engines"}, plain_retries{"plain endpoints"};
+    RetryJudge &
+    RetriesTo(bool engines)
+    {
+        return engines ? engine_retries : plain_retries;
+    }
     bool takes_up_streams = false; /* callers take up broken streams */
     /* Callers with this number and later ones send only while has_surge. */
     int usual_callers = 0;
