Review, case 1: clients read 3 s late, which leaves the same margin on both sides

Without the SIGTERM clients that read 3.3 s late still got all events, those that read 3.5 s late lost the connection.

--- a/review/standin.cc
+++ b/review/standin.cc
@@ -722,7 +722,7 @@
     return cut > 0 ? 1 : complete == kHolds ? 0 : 2;
 }
 
-// Clients do not read for 2.85 s after the head of a stream, then read the
+// Clients do not read for 3 s after the head of a stream, then read the
 // rest at once. The stream is the longest of the site: 170 events of 360
 // bytes. The gateway gets SIGTERM 0.1 s before the requests. The rule: all
 // streams are complete, as the grace time of 8 s is not over.
@@ -731,7 +731,7 @@
 {
     const int kReaders = 8;
     const int kEvents = 170;
-    Pace pace = {0, 2850, 536, 2 * 1024};
+    Pace pace = {0, 3000, 536, 2 * 1024};
     std::vector<std::thread> threads;
     std::atomic<int> complete(0);
     std::atomic<int> cut(0);
