Review, case 3: a client that reads slowly is reset after three seconds

A client sees: its stream of 170 events (the site's longest, 62 kB) is reset after 4.4 s and 139 events, while it reads 12 kB each second (LOST around planned work: a SIGHUP 0.1 s before; not its cause). Disruption: clients read slowly (no limit on the pages; here 12 kB/s, receive buffers of 4 kB), one SIGHUP (limit: requests up to 3 s after it). Command: review/build.sh, then review/3/run.sh.

--- a/review/standin.cc
+++ b/review/standin.cc
@@ -759,6 +759,39 @@
     return cut > 0 ? 1 : complete == kReaders ? 0 : 2;
 }
 
+// Clients read a stream of 170 events steadily, at 12 kB/s. The gateway gets
+// SIGHUP 0.1 s before the requests. The rule: all streams are complete.
+static int
+RunSlowCase(const Target &t, bool trouble)
+{
+    const int kReaders = 8;
+    const int kEvents = 170;
+    Pace pace = trouble ? Pace{12 * 1000, 0, 1400, 4 * 1024} : kFast;
+    std::vector<std::thread> threads;
+    std::atomic<int> complete(0);
+    std::atomic<int> cut(0);
+
+    Record("SIGHUP to the gateway");
+    kill(t.pid, SIGHUP);
+    SleepMs(100);
+    for (int i = 0; i < kReaders; i++)
+        threads.emplace_back([&, i] {
+            int fd = Connect(t.host, t.port, pace);
+            Outcome o =
+                Exchange(fd, "POST", "/digest/" + std::to_string(kEvents),
+                         "digest-" + std::to_string(i), pace, 15000);
+
+            complete += o.complete && o.status == 200 && o.events == kEvents;
+            cut += o.closed;
+            close(fd);
+        });
+    for (auto &thread : threads)
+        thread.join();
+    Record("%d of %d streams were complete, %d were cut", complete.load(),
+           kReaders, cut.load());
+    return cut > 0 ? 1 : complete == kReaders ? 0 : 2;
+}
+
 // Prints the first of `count` successive ports that are free on all hosts.
 static int
 FindPorts(int count, const std::vector<std::string> &hosts)
@@ -814,6 +847,8 @@
             return RunPausedCase(t, has_trouble);
         if (mode == "drain")
             return RunDrainCase(t, has_trouble);
+        if (mode == "slow")
+            return RunSlowCase(t, has_trouble);
     }
     fprintf(stderr, "standin: unknown mode\n");
     return 2;
