--- /dev/null
+++ b/review/more/drain-late/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec "$(dirname "$0")/../../run_case.sh" review/more/drain-late leaving
--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -6,6 +6,9 @@
 mode=$2
 root=$(cd "$(dirname "$0")/.." && pwd) || exit 2
 cd "$root" || exit 2
+# contact_ms, drain_ms, config_apply_ms, retry_slack, version_ms of the site
+bounds="4000 3000 3000 98 10000" # hawa-maps-grown
+[ "$mode" != leaving ] || bounds="3000 2000 2000 54 8000" # edau-banks
 work=$(mktemp -d) || exit 2
 pids=""
 finish() {
@@ -21,9 +24,12 @@
 [ -x "$standin" ] && [ -x target/galenagw ] || exit 2
 
 ip=127.0.0.50
-base=$($standin ports 5 $ip 127.0.0.44 127.0.0.45 127.0.0.46) || exit 2
-$standin platform >"$work/platform.out" &
-pids="$pids $!"
+# The sidecars listen at $agents; the gateway reaches them through links.
+base=$($standin ports 7 $ip 127.0.0.44 127.0.0.45 127.0.0.46) || exit 2
+agents=$((base + 5))
+$standin platform $base $agents >"$work/platform.out" &
+platform=$!
+pids="$pids $platform"
 n=0
 until grep -q '^store' "$work/platform.out"; do
     n=$((n + 1))
@@ -31,7 +37,8 @@
     sleep 0.05
 done
 store=$(sed -n 's/^store //p' "$work/platform.out")
-settings() { # NAME CLASS SERVES IP
+link=$(sed -n 's/^link //p' "$work/platform.out")
+settings() { # NAME CLASS SERVES IP FIRST_PORT STORE BOUNDS...
     cat <<END
 node_name=$1
 machine_class=$2
@@ -40,7 +47,7 @@
 zone=sapporo-a
 region=sapporo
 zones.sapporo-a=sapporo
-port_range=$base,$((base + 1))
+port_range=$5,$(($5 + 1))
 seeds=$ip:$((base + 4))
 bootstrap=true
 limits.cpu_share=0.2
@@ -48,16 +55,16 @@
 limits.max_fds=4096
 limits.link_mbps=200.0
 heartbeat_ms=1200
-bounds.contact_ms=4000
-bounds.drain_ms=3000
+bounds.contact_ms=$7
+bounds.drain_ms=$8
 bounds.grace_s=8
 bounds.lost_slack_ms=200
-bounds.config_apply_ms=3000
+bounds.config_apply_ms=$9
 bounds.retry_ratio=0.2
 bounds.retry_window_s=10
-bounds.retry_slack=98
-bounds.version_ms=10000
-platform.address=$store
+bounds.retry_slack=${10}
+bounds.version_ms=${11}
+platform.address=$6
 platform.form=log
 END
 }
@@ -65,13 +72,15 @@
 i=0
 for engine in $(sed -n 's/^engine //p' "$work/platform.out"); do
     i=$((i + 1))
-    settings "side-sapporo-a-$i" side side "${engine%:*}" >"$work/side$i.conf"
+    settings "side-sapporo-a-$i" side side "${engine%:*}" $agents "$store" $bounds \
+        >"$work/side$i.conf"
     printf 'app=%s\nservice=hawa-llm\n' "$engine" >>"$work/side$i.conf"
     GALENAGW_BOOT="$work/side$i.conf" target/galenagw-agent sidecar \
         >"$work/side$i.out" 2>"$work/side$i.err" &
     pids="$pids $!"
 done
-settings edge-sapporo-a-1 edge edge,control_plane $ip >"$work/gateway.conf"
+settings edge-sapporo-a-1 edge edge,control_plane $ip $base "$link" $bounds \
+    >"$work/gateway.conf"
 cat >>"$work/gateway.conf" <<END
 listen.front=$ip:$((base + 2))
 listen.ready_addr=$ip:$((base + 3))
@@ -86,8 +95,12 @@
     exit 2
 fi
 sleep 1
-$standin "$mode" $ip $((base + 2)) $gateway
+$standin "$mode" $ip $((base + 2)) $gateway $platform
 code=$?
+if [ "$mode" = leaving ] && [ $code = 0 ]; then
+    $standin judge "$RECORD"
+    code=$?
+fi
 for name in gateway side1 side2 side3; do
     echo "-- the log of $name" >>"$RECORD"
     cat "$work/$name.out" "$work/$name.err" >>"$RECORD"
--- a/review/standin.cc
+++ b/review/standin.cc
@@ -16,6 +16,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -210,11 +211,86 @@
     return out;
 }
 
+// ------------------------------------------------------------------ links
+
+/* A link that can be cut: a proxy. While it is cut, no byte passes. What was
+ * sent on connections of before, and on those that are opened meanwhile, is
+ * lost, so those connections are silent for good; new ones work afterwards. */
+static std::atomic<bool> is_cut(false);
+static std::atomic<int> cuts_ended(0);
+/* Calls for the list of workers that were lost on a cut link. */
+static std::atomic<int> lost_list_calls(0);
+/* Such calls that passed. */
+static std::atomic<int> list_calls(0);
+
+static void
+Pump(int from, int to, std::shared_ptr<std::atomic<bool>> is_dead)
+{
+    char chunk[65536];
+    ssize_t n;
+
+    while ((n = recv(from, chunk, sizeof(chunk), 0)) > 0) {
+        if (is_cut)
+            *is_dead = true;
+        bool is_list_call =
+            std::string(chunk, (size_t)n).find("topic=keyed.servers") !=
+            std::string::npos;
+
+        if (*is_dead) {
+            lost_list_calls += is_list_call;
+            continue;
+        }
+        list_calls += is_list_call;
+        if (!SendAll(to, std::string(chunk, (size_t)n)))
+            break;
+    }
+    shutdown(from, SHUT_RD);
+    if (!*is_dead)
+        shutdown(to, SHUT_WR);
+}
+
+static void
+ServeLink(int fd, const std::string &host, int port)
+{
+    auto is_dead = std::make_shared<std::atomic<bool>>(is_cut.load());
+    int to = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in in = Address(host, port);
+
+    if (connect(to, (sockaddr *)&in, sizeof(in)) == 0) {
+        std::thread back(Pump, to, fd, is_dead);
+
+        Pump(fd, to, is_dead);
+        shutdown(to, SHUT_RDWR);
+        back.join();
+    }
+    close(to);
+    close(fd);
+}
+
+// Listens at `listen_port` of a host (0: any) for connections to a port there.
+static int
+RunLink(const std::string &host, int listen_port, int port)
+{
+    int actual = 0;
+    int listener = Listen(host, listen_port, &actual);
+
+    if (listener < 0)
+        return -1;
+    std::thread([listener, host, port] {
+        int fd;
+
+        while ((fd = accept(listener, NULL, NULL)) >= 0)
+            std::thread(ServeLink, fd, host, port).detach();
+    }).detach();
+    return actual;
+}
+
 // ------------------------------------------------------------------ store
 
 struct StoreItem {
     std::string key;
     std::string value;
+    bool is_removal;
 };
 
 static std::map<std::string, std::vector<StoreItem>> topics;
@@ -247,6 +323,62 @@
     return "";
 }
 
+static std::string
+BigEndian32(size_t n)
+{
+    return BigEndian64(n).substr(4);
+}
+
+// The body of the answer to a full read: the newest record of each key.
+static std::string
+NewestRecords(const std::vector<StoreItem> &items)
+{
+    std::string body = "{\"items\":[";
+    bool is_first = true;
+
+    for (size_t i = 0; i < items.size(); i++) {
+        bool is_newest = !items[i].is_removal;
+
+        for (size_t k = i + 1; k < items.size(); k++)
+            is_newest = is_newest && items[k].key != items[i].key;
+        if (!is_newest)
+            continue;
+        body += std::string(is_first ? "" : ",") + "{\"key\":\"" +
+                items[i].key + "\",\"value\":\"" + Base64(items[i].value) +
+                "\",\"offset\":" + std::to_string(i) + "}";
+        is_first = false;
+    }
+    return body + "],\"more\":false,\"end\":" + std::to_string(items.size()) +
+           "}";
+}
+
+// The body of the answer to a read of the records from an offset on, which
+// waits for one until the time is over.
+static std::string
+RecordsFrom(const std::string &topic, size_t from, int wait_ms)
+{
+    long until = NowMs() + wait_ms;
+    std::unique_lock<std::mutex> lock(topics_mutex);
+    std::string body;
+
+    while (topics[topic].size() <= from && NowMs() < until) {
+        lock.unlock();
+        SleepMs(2);
+        lock.lock();
+    }
+    const std::vector<StoreItem> &items = topics[topic];
+
+    body = BigEndian64(items.size()) + BigEndian64(0);
+    for (size_t i = from; i < items.size(); i++) {
+        std::string record = std::string(1, (char)items[i].key.size()) +
+                             items[i].key +
+                             (items[i].is_removal ? "" : items[i].value);
+
+        body += BigEndian32(record.size()) + record;
+    }
+    return body;
+}
+
 static std::string
 StoreAnswer(const Message &m)
 {
@@ -256,31 +388,22 @@
 
     target = target.substr(0, target.find(' '));
     topic = QueryField(target, "topic");
-    std::unique_lock<std::mutex> lock(topics_mutex);
-    std::vector<StoreItem> &items = topics[topic];
-
-    if (target.find("/log-newest?") != std::string::npos) {
-        body = "{\"items\":[";
-        for (size_t i = 0; i < items.size(); i++)
-            body += std::string(i > 0 ? "," : "") + "{\"key\":\"" +
-                    items[i].key + "\",\"value\":\"" + Base64(items[i].value) +
-                    "\",\"offset\":" + std::to_string(i) + "}";
-        body +=
-            "],\"more\":false,\"end\":" + std::to_string(items.size()) + "}";
-    }
-    else if (target.find("/log-append?") != std::string::npos) {
-        body = "{\"offset\":" + std::to_string(items.size()) +
-               ",\"end\":" + std::to_string(items.size() + 1) + "}";
-        items.push_back({"k" + std::to_string(items.size()), ""});
+    if (target.find("/log-read?") != std::string::npos) {
+        body = RecordsFrom(topic,
+                           (size_t)atol(QueryField(target, "from").c_str()),
+                           atoi(QueryField(target, "wait_ms").c_str()));
     }
     else {
-        // No record is added to a list after the start: a read waits for its
-        // whole time and is answered without records.
-        std::string head = BigEndian64(items.size()) + BigEndian64(0);
+        std::lock_guard<std::mutex> lock(topics_mutex);
+        std::vector<StoreItem> &items = topics[topic];
 
-        lock.unlock();
-        SleepMs(atoi(QueryField(target, "wait_ms").c_str()));
-        body = head;
+        if (target.find("/log-newest?") != std::string::npos)
+            body = NewestRecords(items);
+        else {
+            body = "{\"offset\":" + std::to_string(items.size()) +
+                   ",\"end\":" + std::to_string(items.size() + 1) + "}";
+            items.push_back({"k" + std::to_string(items.size()), "x", false});
+        }
     }
     return "HTTP/1.1 200 OK\r\nContent-Length: " +
            std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -468,10 +591,51 @@
            "}";
 }
 
+// On SIGUSR1: cuts the gateway's links for 6 s or a little more, until a call
+// for the list of workers has just been lost on them. Worker 0 leaves 0.2 s
+// after the gateway's first call for the list that is not lost: its entry is
+// removed, without a report of draining before, and it serves on. With
+// TROUBLE=0 the same without the cut.
+static volatile sig_atomic_t is_cut_wanted = 0;
+
+static void
+OnCutWanted(int sig)
+{
+    (void)sig;
+    is_cut_wanted = 1;
+}
+
+static void
+RunCut()
+{
+    const char *trouble = getenv("TROUBLE");
+    int lost;
+
+    while (!is_cut_wanted)
+        SleepMs(5);
+    is_cut = trouble == NULL || strcmp(trouble, "0") != 0;
+    Record("the gateway's links are %s", is_cut ? "cut" : "not cut");
+    SleepMs(6000);
+    lost = lost_list_calls;
+    while (is_cut && lost_list_calls == lost)
+        SleepMs(1);
+    lost = list_calls;
+    is_cut = false;
+    Record("links restored");
+    while (list_calls == lost)
+        SleepMs(1);
+    Record("the gateway reads the list of workers");
+    SleepMs(200);
+    std::lock_guard<std::mutex> lock(topics_mutex);
+
+    topics["keyed.servers"].push_back({"i-0", "", true});
+    Record("worker 0 left");
+}
+
 // Runs the store and the workers. Prints the addresses of the model workers
 // and then, once all listen, that of the store.
 static int
-RunPlatform()
+RunPlatform(int gateway_agent_port, int agent_port)
 {
     int store_port = 0;
     int store = Listen("127.0.0.40", 0, &store_port);
@@ -479,7 +643,7 @@
 
     if (store < 0)
         return 2;
-    topics["keyed.op"].push_back({"config", kConfig});
+    topics["keyed.op"].push_back({"config", kConfig, false});
     for (int i = 0; i < kWorkers; i++) {
         int port = 0;
         int fd = Listen(kWorkerHosts[i], 0, &port);
@@ -487,13 +651,20 @@
         if (fd < 0)
             return 2;
         topics["keyed.servers"].push_back(
-            {"i-" + std::to_string(i), WorkerRow(i, port)});
+            {"i-" + std::to_string(i), WorkerRow(i, port), false});
         threads.emplace_back(AcceptLoop, fd, ServeWorker, i);
         if (i >= kPlainWorkers)
             printf("engine %s:%d\n", kWorkerHosts[i], port);
     }
+    // The gateway's links: to the store, and to the sidecars.
+    for (int i = kPlainWorkers; i < kWorkers; i++) {
+        if (RunLink(kWorkerHosts[i], gateway_agent_port, agent_port) < 0)
+            return 2;
+    }
+    printf("link 127.0.0.40:%d\n", RunLink("127.0.0.40", 0, store_port));
     printf("store 127.0.0.40:%d\n", store_port);
     fflush(stdout);
+    std::thread(RunCut).detach();
     AcceptLoop(store, ServeStoreConnection, 0);
     return 0;
 }
@@ -792,6 +963,78 @@
     return cut > 0 ? 1 : complete == kReaders ? 0 : 2;
 }
 
+// Clients hold cabins all the time while the gateway's links are cut,
+// restored, and worker 0 leaves. What reached the worker is judged by
+// JudgeDrain.
+static int
+RunLeavingCase(const Target &t, pid_t platform)
+{
+    std::vector<std::thread> threads;
+    std::atomic<bool> is_over(false);
+
+    for (int i = 0; i < 12; i++)
+        threads.emplace_back([&, i] {
+            int fd = Connect(t.host, t.port, kFast);
+
+            for (int k = 0; !is_over; k++) {
+                std::string id =
+                    "hold-" + std::to_string(i) + "-" + std::to_string(k);
+                Outcome o = Exchange(fd, "POST", "/hold/800", id, kFast, 2500);
+
+                if (!o.complete) {
+                    close(fd);
+                    fd = Connect(t.host, t.port, kFast);
+                }
+                SleepMs(20);
+            }
+            close(fd);
+        });
+    SleepMs(2000);
+    kill(platform, SIGUSR1);
+    SleepMs(14000);
+    is_over = true;
+    for (auto &thread : threads)
+        thread.join();
+    return 0;
+}
+
+// Reads record.txt. The rule: 2 s after worker 0 left, no request reaches it
+// that the gateway got while it was in touch, which it is 3 s after its links
+// were restored. 20 ms are left for the way from the client.
+static int
+JudgeDrain(const char *file)
+{
+    FILE *f = fopen(file, "r");
+    char line[512];
+    long restored = 0;
+    long left = 0;
+    long last = 0;
+    int late = 0;
+    int n = 0;
+
+    while (f != NULL && fgets(line, sizeof(line), f) != NULL) {
+        long at = atol(line);
+
+        if (strstr(line, "links restored") != NULL)
+            restored = at;
+        if (strstr(line, "worker 0 left") != NULL)
+            left = at;
+        if (strstr(line, "worker 0 runs") == NULL)
+            continue;
+        n++;
+        if (left != 0 && at > left + 2000 && at > restored + 3000 + 20) {
+            late++;
+            last = at - left;
+        }
+    }
+    if (f != NULL)
+        fclose(f);
+    printf("worker 0 ran %d requests; %d reached it too late, the last one "
+           "%ld ms after it left\n",
+           n, late, last);
+    return left == 0 || n == 0 ? 2 : late > 0 ? 1 : 0;
+}
+
 // Prints the first of `count` successive ports that are free on all hosts.
 static int
 FindPorts(int count, const std::vector<std::string> &hosts)
@@ -833,14 +1076,20 @@
     record_file = fopen(record != NULL ? record : "/dev/null", "a");
     if (record_file == NULL)
         return 2;
-    if (mode == "platform")
-        return RunPlatform();
+    signal(SIGUSR1, OnCutWanted);
+    if (mode == "platform" && argc == 4)
+        return RunPlatform(atoi(argv[2]), atoi(argv[3]));
     if (mode == "ports" && argc > 3)
         return FindPorts(atoi(argv[2]),
                          std::vector<std::string>(argv + 3, argv + argc));
     if (mode == "ready" && argc == 4)
         return WaitReady(argv[2], atoi(argv[3])) ? 0 : 2;
-    if (argc == 5) {
+    if (mode == "judge" && argc == 3)
+        return JudgeDrain(argv[2]);
+    if (mode == "leaving" && argc == 6)
+        return RunLeavingCase({argv[2], atoi(argv[3]), 0},
+                              (pid_t)atoi(argv[5]));
+    if (argc == 6) {
         Target t = {argv[2], atoi(argv[3]), (pid_t)atoi(argv[4])};
 
         if (mode == "paused")
