--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
-# Runs one case: run_case.sh FOLDER MODE. Starts the stand-in of the platform,
-# a sidecar beside each of three model workers and one gateway with the commands
-# of the deploy file, then the clients of the case. Status: 1 the rule was broken, 0 it held, 2 the case could not run.
-folder=$1
-mode=$2
+# Runs one case: run_case.sh MODE, with TROUBLE and RECORD set by the run.sh of the
+# case. Starts the stand-in of the platform, a sidecar beside each of three model
+# workers and one gateway with the commands of the deploy file, then the clients of
+# the case. Status: 1 the rule was broken, 0 it held, 2 the case could not run.
+mode=$1
 root=$(cd "$(dirname "$0")/.." && pwd) || exit 2
 cd "$root" || exit 2
 # contact_ms, drain_ms, config_apply_ms, retry_slack, version_ms of the site
@@ -19,9 +19,9 @@
 trap finish EXIT
 trap 'exit 2' INT TERM
 standin=review/out/standin
-export RECORD="$root/$folder/record.txt"
 : >"$RECORD" || exit 2
-[ -x "$standin" ] && [ -x target/galenagw ] || exit 2
+[ -x "$standin" ] && [ -x target/galenagw ] &&
+    [ -x target/galenagw-agent ] || exit 2
 
 ip=127.0.0.50
 # The sidecars listen at $agents; the gateway reaches them through links.
@@ -31,7 +31,7 @@
 platform=$!
 pids="$pids $platform"
 n=0
-until grep -q '^store' "$work/platform.out"; do
+until grep -qs '^store' "$work/platform.out"; do
     n=$((n + 1))
     [ $n -lt 100 ] || exit 2
     sleep 0.05
