Withdrawal: only an event shows that a request has started, not the head

Cause: the withdrawal before the bound left a request alone once the head of its answer had come. PROTOCOL says that a request starts with its first token, and nothing on when the head comes: an engine may send it when it accepts the request, which then waits in its queue, beyond the bound. Evidence: OutdatedWeights.OnlyAnEventShowsThatARequestHasStarted failed on in its eight cases without a token (head, comment, event without data, part of an event; on a route that may be resumed and on one that may not); the stand-ins sent the head with the first token. The load of the engine and its measured speed had the same fault, as they ended with the first byte of the body, and use the same fact now. Observability: started_outdated and started_late tell when head and first token came, on which version and for how long that had been outdated; starts_late_total counts; attempt_failed says whether the token had come.

--- a/packages/base/include/galenagw/base/counters.h
+++ b/packages/base/include/galenagw/base/counters.h
@@ -100,6 +100,8 @@
                                   stream. */
     GW_COUNTER_SWITCHES_LATE,  /**< Switches to newer weights that can't be
                                   complete in time. */
+    GW_COUNTER_STARTS_LATE,    /**< Requests that started on weights outdated
+                                  for longer than the bound. */
     GW_COUNTER_RETRIES_LEASED, /**< Retries of a lease on the slack of the
                                   retry budget. */
     GW_COUNTER_RETRIES_OVER_BUDGET, /**< Retries that the budget refused. */
--- a/packages/gateway/src/event_splitter.c
+++ b/packages/gateway/src/event_splitter.c
@@ -25,6 +25,7 @@
     g_string_truncate(s->tail, 0);
     s->scan = (GwEventScan){0};
     s->n_complete = 0;
+    s->has_token = false;
 }
 
 bool
@@ -69,8 +70,10 @@
         size_t n = MIN(field.value_len, GW_EVENT_ID_MAX - 1);
 
         has_field = true;
+        s->has_token = s->has_token || GwEventField_Is(&field, "data");
         if (!GwEventField_Is(&field, "id"))
             continue;
+        s->has_token = true;
         memcpy(s->last_id, field.value, n);
         s->last_id[n] = '\0';
         g_strchomp(s->last_id);
--- a/packages/gateway/src/event_splitter.h
+++ b/packages/gateway/src/event_splitter.h
@@ -18,6 +18,8 @@
     bool has_id;
     bool has_output;     /* complete events were appended to an output */
     unsigned n_complete; /* complete events since the last restart */
+    bool has_token;      /* one of these has an id or data, as each event with
+                            tokens has */
 } GwEventSplitter;
 
 void GwEventSplitter_Init(GwEventSplitter *splitter);
--- a/packages/gateway/src/request_abandon.c
+++ b/packages/gateway/src/request_abandon.c
@@ -113,7 +113,7 @@
     GwRequest *r = user;
     GwTime at = GwRequestTimers_WithdrawAt(r);
 
-    if (at == 0 || r->has_reply)
+    if (at == 0 || r->has_started)
         return;
     // The engine has loaded a newer version since, which was outdated by an
     // even newer one, so its bound is reached later.
--- a/packages/gateway/src/request_answer.c
+++ b/packages/gateway/src/request_answer.c
@@ -4,10 +4,10 @@
 
 #include "selection.h"
 #include "request_end.h"
-#include "request_load.h"
 #include "request_log.h"
 #include "request_software.h"
 #include "request_speed.h"
+#include "request_start.h"
 #include "request_quarantine.h"
 
 /* An answer of up to this many bytes is held until it is complete. If it is
@@ -57,11 +57,8 @@
     if (!r->is_usable)
         return true;
     r->last_received_at = GwTime_Now();
-    if (r->prefill_tokens > 0) {
-        GwRequestSpeed_FirstByte(r);
-        GwRequestLoad_Add(r, -(int64_t)r->prefill_tokens, 0);
-        r->prefill_tokens = 0;
-    }
+    if (!r->is_events)
+        GwRequestStart_Note(r);
     if (!r->is_held)
         return forward_body_(r, data, len);
     g_string_append_len(r->held_body, data, (gssize)len);
@@ -148,6 +145,8 @@
         complete_events = g_string_sized_new(len);
         is_in_bounds = GwEventSplitter_Push(&r->event_splitter, data, len,
                                             complete_events);
+        if (r->event_splitter.has_token)
+            GwRequestStart_Note(r);
         data = complete_events->str;
         len = complete_events->len;
         if (len == 0)
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -251,6 +251,7 @@
     r->attempts++;
     r->sends++;
     r->has_reply = false;
+    r->has_started = false;
     r->last_received_at = 0;
     r->is_usable = false;
     r->prefill_tokens = GwSelection_PrefillTokens(r, instance);
@@ -282,7 +283,7 @@
     if (!r->reply.matches_request)
         return GW_HEAD_SKIP;
     r->has_reply = true;
-    r->last_received_at = GwTime_Now();
+    r->last_received_at = r->reply_at = GwTime_Now();
     if (r->reply.status == 503 && r->reply.retry_after_ms > 0)
         GwInstance_SetBackoff(r->instance,
                               r->reply.retry_after_ms * GW_MILLISECOND,
--- a/packages/gateway/src/request_log.c
+++ b/packages/gateway/src/request_log.c
@@ -74,6 +74,7 @@
     GwEvent_Text(log, "instance", r->instance->id);
     GwEvent_Text(log, "why", why);
     GwEvent_Number(log, "status", r->has_reply ? r->reply.status : 0);
+    GwEvent_Number(log, "started", r->has_started);
     GwEvent_Text(log, "fate", GwAttemptOutcome_Names[attempt_outcome]);
     GwEvent_Time(log, "after_ms", now - r->sent_at);
     GwEvent_Time(log, "left_ms", r->deadline - now);
@@ -177,6 +178,25 @@
     GwEvent_End(log);
 }
 
+void
+GwRequestLog_StartOutdated(const GwRequest *r, GwTime outdated_for)
+{
+    GwEventLog *log = r->gateway->log;
+    GwTime now = GwTime_Now();
+
+    GwEvent_Begin(log,
+                  outdated_for > r->gateway->weights_bound
+                      ? "started_late"
+                      : "started_outdated",
+                  r->info.id);
+    GwEvent_Text(log, "instance", r->instance->id);
+    GwEvent_Number(log, "weights", r->instance->weights);
+    GwEvent_Time(log, "outdated_ms", outdated_for);
+    GwEvent_Time(log, "after_ms", now - r->sent_at);
+    GwEvent_Time(log, "head_ms", r->reply_at - r->sent_at);
+    GwEvent_End(log);
+}
+
 void
 GwRequestLog_End(const GwRequest *r, const char *outcome, int status)
 {
--- a/packages/gateway/src/request_log.h
+++ b/packages/gateway/src/request_log.h
@@ -46,6 +46,9 @@
                               const GwQuarantineVerdict *verdict);
 /* The last event of each request.
  * @param status HTTP status that the caller got; 0: none */
+/* The attempt has started on weights that have been outdated for @p
+ * outdated_for. */
+void GwRequestLog_StartOutdated(const GwRequest *request, GwTime outdated_for);
 void GwRequestLog_End(const GwRequest *request, const char *outcome,
                       int status);
 
--- a/packages/gateway/src/request_private.h
+++ b/packages/gateway/src/request_private.h
@@ -59,6 +59,8 @@
     uint64_t prefill_tokens;   /* counted in the load of the instance */
     GwReply reply;             /* to the current attempt */
     bool has_reply;
+    GwTime reply_at;  /* when the head of the reply was received */
+    bool has_started; /* the current attempt; see GwRequestStart_Note */
     bool is_unframed; /* the reply has neither a length nor chunks */
     bool is_usable; /* the reply may be forwarded, as far as its head shows */
     GwHttpHead *reply_head; /* held until it is forwarded */
--- /dev/null
+++ b/packages/gateway/src/request_start.c
@@ -0,0 +1,40 @@
+#include "request_start.h"
+
+#include "request_load.h"
+#include "request_log.h"
+#include "request_speed.h"
+
+static void check_weights_(GwRequest *r);
+
+void
+GwRequestStart_Note(GwRequest *r)
+{
+    if (r->has_started)
+        return;
+    r->has_started = true;
+    GwTimer_Stop(&r->withdrawal_timer);
+    if (r->prefill_tokens > 0) {
+        GwRequestSpeed_FirstByte(r);
+        GwRequestLoad_Add(r, -(int64_t)r->prefill_tokens, 0);
+        r->prefill_tokens = 0;
+    }
+    check_weights_(r);
+}
+
+// Logs a start on weights that are close to the bound, and counts those after
+// it, which must not happen.
+static void
+check_weights_(GwRequest *r)
+{
+    GwModelVersions versions =
+        GwView_ModelVersions(r->gateway->view, r->instance->model);
+    GwTime since =
+        GwModelVersions_OutdatedSince(&versions, r->instance->weights);
+    GwTime outdated_for = GwTime_Now() - since;
+
+    if (since == 0 || outdated_for < r->gateway->weights_bound / 2)
+        return;
+    if (outdated_for > r->gateway->weights_bound)
+        GwCounters_Add(&r->gateway->counters, GW_COUNTER_STARTS_LATE, 1);
+    GwRequestLog_StartOutdated(r, outdated_for);
+}
--- a/packages/gateway/src/request_timers.c
+++ b/packages/gateway/src/request_timers.c
@@ -17,15 +17,15 @@
     GwRequestTimers_StartWithdrawal(r);
 }
 
-// Only streams are withdrawn, as only their first event shows that the request
-// has started. When the connection is closed, the engine removes the request
+// Only streams are withdrawn: other answers do not show when the request has
+// started. When the connection is closed, the engine removes the request
 // from its queue.
 void
 GwRequestTimers_StartWithdrawal(GwRequest *r)
 {
     GwTime at = GwRequestTimers_WithdrawAt(r);
 
-    if (at != 0 && !r->has_reply && r->route->type == GW_ROUTE_STREAMING)
+    if (at != 0 && !r->has_started && r->route->type == GW_ROUTE_STREAMING)
         GwTimer_Start(&r->withdrawal_timer, MAX(at - GwTime_Now(), 0));
 }
 
--- a/packages/gateway/tests/outdated_weights_test.cc
+++ b/packages/gateway/tests/outdated_weights_test.cc
@@ -103,6 +103,61 @@
     EXPECT_EQ(fresh->seen.size(), 0u);
 }
 
+// Writes the head of a stream, and @p body, of which nothing ends it.
+static void
+BeginStream(FakeExchange *x, const std::string &body)
+{
+    std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream"
+                       "\r\nX-Request-Id: " +
+                       Endpoint::RequestId(x) +
+                       "\r\nX-Response-Signature: s\r\n\r\n" + body;
+
+    FakeExchange_Write(x, head.data(), head.size());
+}
+
+// Guards against requests that are left at an engine with outdated weights
+// because the engine has sent something that is no token: they start after the
+// bound.
+TEST(OutdatedWeights, OnlyAnEventShowsThatARequestHasStarted)
+{
+    const struct {
+        const char *name;
+        const char *body;
+        bool has_started;
+    } cases[] = {
+        {"head", "", false},
+        {"comment", ": wait\n\n", false},
+        {"event without data", "event: ping\n\nretry: 500\n\n", false},
+        {"part of an event", "id: 1\nda", false},
+        {"event", "id: 1\ndata: i-1\n\n", true},
+    };
+    const GwTime bound = 600 * GW_MILLISECOND;
+
+    for (const char *path : {"/resume/1", "/stream/1"}) {
+        for (auto &c : cases) {
+            Fleet f;
+            f.Configure(1);
+            Endpoint *old = f.AddEndpoint("i-1", "model");
+            GwGateway *g = f.AddGateway();
+            old->serve = [&](Endpoint *, FakeExchange *x) {
+                BeginStream(x, c.body);
+            };
+            ASSERT_TRUE(f.Ready());
+            g->weights_bound = bound;
+            auto caller =
+                f.Call(g, Fleet::Request("POST", path, "x", kLongPrompt));
+            ASSERT_TRUE(f.Until([&] { return old->seen.size() == 1; }));
+            f.NameWeights(2);
+            ASSERT_TRUE(f.Until([&] { return NamedAt(g) != 0; }));
+            f.Until([&] {
+                return old->gone != 0 || GwTime_Now() > NamedAt(g) + bound;
+            });
+            EXPECT_EQ(old->gone, c.has_started ? 0 : 1)
+                << path << " " << c.name;
+        }
+    }
+}
+
 // A gateway restarts while an engine still has old weights. If it counted
 // weights_bound from its own start, requests would start on these weights long
 // after the bound. It must receive the times at which versions were named from
