Since when weights are outdated survives a restart of all processes

Cause: the time at which a version was named was known to processes only. After a restart of all of them each one counted from its own first read, so outdated engines got requests for another whole bound. The design: a process knows the time only if it ran when the version was named; a version that it finds in its first read counts as named long ago. The processes that read the list from the store (24 at most) also store the time, by a write that names the end of the list read before it, so that two writers can't overwrite each other. One that was late, as after a freeze, gets the earlier time by the same call. At a start, the time is read only if an engine has older weights and no peer tells it. With the store away at the naming or at the restart, weights of unknown age are not used until the engine has switched, which it does at once. Two relatives: the age told by a peer was cut to the uptime of the machine's clock, and after 16 versions in quick succession older weights looked younger; both err to the safe side now.

--- a/fakes/src/fake_store.c
+++ b/fakes/src/fake_store.c
@@ -419,8 +419,14 @@
     g_autofree char *body =
         g_strdup_printf("{\"offset\":%u,\"end\":%u}", topic->records->len,
                         topic->records->len + 1);
+    g_autofree char *at_end = query_field_(exchange->head->target, "at");
     const GString *record = exchange->body;
 
+    if (at_end != NULL &&
+        g_ascii_strtoull(at_end, NULL, 10) != topic->records->len) {
+        send_reply_(s, exchange, 412, body, strlen(body));
+        return;
+    }
     if (!g_str_has_prefix(name, "keyed.")) {
         FakeStore_Put(s, name, "record", NULL);
     }
--- a/packages/cluster/include/galenagw/cluster/view.h
+++ b/packages/cluster/include/galenagw/cluster/view.h
@@ -16,6 +16,7 @@
 #include "galenagw/base/event_log.h"
 #include "galenagw/routing/endpoint_limits.h"
 #include "galenagw/routing/instances.h"
+#include "galenagw/routing/model_versions.h"
 #include "galenagw/routing/records.h"
 #include "galenagw/routing/routes.h"
 
@@ -25,29 +26,6 @@
 
 typedef struct GwView GwView;
 
-/** Maximum number of stored versions of a model; only versions that are named
- * within seconds of each other could be more. */
-#define GW_MODEL_VERSIONS_MAX 16
-
-/** The named versions of a model's weights. */
-typedef struct {
-    int64_t version; /**< the newest; -1: none is named */
-    struct {
-        int64_t version;
-        GwTime named_at; /**< when this process, or the first of its peers,
-                            received the name; the earliest time known here */
-    } history[GW_MODEL_VERSIONS_MAX]; /**< newest first */
-    unsigned n_history;
-} GwModelVersions;
-
-/**
- * Since when @p weights are outdated: the time at which the first newer
- * version was named. The newest version may have been named later. 0: @p
- * weights are not outdated.
- */
-GwTime GwModelVersions_OutdatedSince(const GwModelVersions *versions,
-                                     int64_t weights);
-
 /** Callbacks; any may be NULL. */
 typedef struct {
     void (*on_routes)(void *user);
@@ -80,17 +58,17 @@
 GwEndpointLimits *GwView_EndpointLimits(GwView *view);
 /** The newest routes; NULL: none are known yet. */
 GwRoutes *GwView_Routes(const GwView *view);
-GwModelVersions GwView_ModelVersions(const GwView *view, const char *model);
-/**
- * Store that @p version was named at @p named_at, by the clock of this
- * machine, according to a peer. The earliest time known to any process counts:
- * a process that has just started or that received the name late would
- * otherwise count from then, and would use outdated weights beyond their
- * bound.
- */
+/** The named versions of @p model; NULL: none. Valid until the next change. */
+const GwModelVersions *GwView_ModelVersions(const GwView *view,
+                                            const char *model);
+/** The operator list is complete as of now, or it is the first start of the
+ * whole system: a version that is read from now on has just been named. */
+void GwView_NoteOperatorListComplete(GwView *view);
+/** Store that @p version was named at @p named_at, by the clock of this
+ * machine, according to a peer or to the store. */
 void GwView_NoteNamed(GwView *view, const char *model, int64_t version,
                       GwTime named_at);
-/** Call @p fn for each stored version. */
+/** Call @p fn for each stored version whose time of naming is known. */
 void GwView_EachNamed(const GwView *view,
                       void (*fn)(void *user, const char *model,
                                  int64_t version, GwTime named_at),
--- a/packages/cluster/src/list_sync.c
+++ b/packages/cluster/src/list_sync.c
@@ -335,10 +335,9 @@
 GwListSync_OnWeightsAge(GwListSync *sync, const Gw__Wire__WeightsAge *age)
 {
     GwTime now = GwTime_Now();
-    // Limits an age that is invalid, or that reaches back to before the start
-    // of this machine's clock.
-    GwTime max_age_ms = now / GW_MILLISECOND;
-    GwTime ago = (GwTime)MIN(age->named_ms, (uint64_t)max_age_ms);
+    // An age that is longer, as in an invalid message, is no different.
+    GwTime ago = (GwTime)MIN(age->named_ms,
+                             (uint64_t)(-GW_NAMED_LONG_AGO / GW_MILLISECOND));
 
     // The age is rounded down to whole milliseconds and excludes the
     // transmission time, so it is never too high: processes that exchange
--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -130,6 +130,8 @@
 GwStoreReader_Confirm(GwStoreReader *r, GwList list, GwTime at)
 {
     GwReadSchedule_Confirm(&r->schedule, list, at);
+    if (list == GW_LIST_OPERATOR)
+        GwView_NoteOperatorListComplete(r->options.view);
 }
 
 GwTime
--- a/packages/cluster/src/store_reader_answers.c
+++ b/packages/cluster/src/store_reader_answers.c
@@ -65,6 +65,8 @@
                           GwPosition_Of(lr->era, lr->full_read_end));
     if (lr->is_after_restore && lr->records_not_newer > 0)
         GwTimer_Start(&lr->reread_timer, restored_reread_delay_(lr->owner));
+    if (lr->list == GW_LIST_OPERATOR)
+        GwView_NoteOperatorListComplete(view);
     lr->is_after_restore = false;
     lr->is_after_full_read = true;
     lr->needs_full_read = false;
--- a/packages/cluster/src/view.c
+++ b/packages/cluster/src/view.c
@@ -16,6 +16,7 @@
     GHashTable *unrouted_rows; /* set of keys of instance records whose service
                                   no route names */
     uint64_t urgent_changes;
+    bool is_operator_list_complete; /* it was, at least once */
 };
 
 static void on_record_(void *user, GwList list, const GwRecord *record);
@@ -23,8 +24,8 @@
 static void note_urgent_change_(GwView *view);
 static void on_routes_record_(GwView *view, const GwRecord *record);
 static void on_weights_record_(GwView *view, const GwRecord *record);
-static bool insert_version_(GwModelVersions *versions, int64_t version,
-                            GwTime named_at);
+static void note_named_(GwView *view, const char *model, int64_t version,
+                        GwTime named_at);
 static void on_instance_record_(GwView *view, const GwRecord *record);
 static void apply_row_(GwView *view, const GwRecord *record,
                        const GwInstanceRow *row);
@@ -108,45 +109,32 @@
     return view->routes;
 }
 
-GwModelVersions
+const GwModelVersions *
 GwView_ModelVersions(const GwView *view, const char *model)
 {
+    static const GwModelVersions none = {.version = -1};
     const GwModelVersions *versions =
         model != NULL ? g_hash_table_lookup(view->model_versions, model)
                       : NULL;
 
-    return versions != NULL ? *versions : (GwModelVersions){.version = -1};
+    return versions != NULL ? versions : &none;
+}
+
+void
+GwView_NoteOperatorListComplete(GwView *view)
+{
+    view->is_operator_list_complete = true;
 }
 
 void
 GwView_NoteNamed(GwView *view, const char *model, int64_t version,
                  GwTime named_at)
 {
-    GwModelVersions *versions =
-        g_hash_table_lookup(view->model_versions, model);
-    GwTime now = GwTime_Now();
-    bool is_newest;
-
-    if (versions == NULL) {
-        versions = g_new0(GwModelVersions, 1);
-        versions->version = -1;
-        g_hash_table_insert(view->model_versions, g_strdup(model), versions);
-    }
-    is_newest = version > versions->version;
-    // A time of 0 would mean that weights are not outdated
-    // (GwModelVersions_OutdatedSince).
-    if (!insert_version_(versions, version, MAX(named_at, 1)))
-        return;
-    if (is_newest)
-        note_urgent_change_(view);
-    GwEvent_Begin(view->options.log,
-                  is_newest ? "weights_named" : "weights_age", NULL);
-    GwEvent_Text(view->options.log, "model", model);
-    GwEvent_Number(view->options.log, "version", version);
-    GwEvent_Time(view->options.log, "age_ms", now - named_at);
-    GwEvent_End(view->options.log);
-    if (view->options.ops->on_weights != NULL)
-        view->options.ops->on_weights(view->options.user, model, versions);
+    // The clock may have started after the naming: times before it are
+    // negative. 0 would mean that weights are not outdated.
+    if (named_at == 0)
+        named_at = -1;
+    note_named_(view, model, version, MAX(named_at, GW_NAMED_LONG_AGO + 1));
 }
 
 void
@@ -163,9 +151,12 @@
     while (g_hash_table_iter_next(&iter, &model, &value)) {
         const GwModelVersions *versions = value;
 
-        for (unsigned i = 0; i < versions->n_history; i++)
-            fn(user, model, versions->history[i].version,
-               versions->history[i].named_at);
+        for (unsigned i = 0; i < versions->n_history; i++) {
+            const GwNamedVersion *named = &versions->history[i];
+
+            if (named->named_at != GW_NAMED_LONG_AGO)
+                fn(user, model, named->version, named->named_at);
+        }
     }
 }
 
@@ -175,19 +166,6 @@
     return view->urgent_changes;
 }
 
-GwTime
-GwModelVersions_OutdatedSince(const GwModelVersions *versions, int64_t weights)
-{
-    GwTime since = 0;
-
-    for (unsigned i = 0; i < versions->n_history; i++) {
-        if (versions->history[i].version <= weights)
-            break;
-        since = versions->history[i].named_at;
-    }
-    return since;
-}
-
 static void
 on_record_(void *user, GwList list, const GwRecord *record)
 {
@@ -267,33 +245,39 @@
         log_unreadable_(view, GW_LIST_OPERATOR, record, &err);
         return;
     }
-    GwView_NoteNamed(view, named.model, named.version, GwTime_Now());
+    note_named_(view, named.model, named.version,
+                view->is_operator_list_complete ? GwTime_Now()
+                                                : GW_NAMED_LONG_AGO);
 }
 
-// Inserts a version in its place, because peers may send older versions after
-// newer ones. Returns whether the history changed.
-static bool
-insert_version_(GwModelVersions *versions, int64_t version, GwTime named_at)
-{
-    unsigned i = 0;
-
-    while (i < versions->n_history && versions->history[i].version > version)
-        i++;
-    if (i == GW_MODEL_VERSIONS_MAX)
-        return false;
-    if (i < versions->n_history && versions->history[i].version == version) {
-        if (named_at >= versions->history[i].named_at)
-            return false;
-        versions->history[i].named_at = named_at;
-        return true;
+static void
+note_named_(GwView *view, const char *model, int64_t version, GwTime named_at)
+{
+    GwModelVersions *versions =
+        g_hash_table_lookup(view->model_versions, model);
+    GwEventLog *log = view->options.log;
+    bool is_newest;
+
+    if (versions == NULL) {
+        versions = g_new(GwModelVersions, 1);
+        GwModelVersions_Init(versions);
+        g_hash_table_insert(view->model_versions, g_strdup(model), versions);
     }
-    memmove(&versions->history[i + 1], &versions->history[i],
-            (GW_MODEL_VERSIONS_MAX - 1 - i) * sizeof(versions->history[0]));
-    versions->history[i].version = version;
-    versions->history[i].named_at = named_at;
-    versions->n_history = MIN(versions->n_history + 1, GW_MODEL_VERSIONS_MAX);
-    versions->version = versions->history[0].version;
-    return true;
+    is_newest = version > versions->version;
+    if (!GwModelVersions_Note(versions, version, named_at))
+        return;
+    if (is_newest)
+        note_urgent_change_(view);
+    GwEvent_Begin(log, is_newest ? "weights_named" : "weights_age", NULL);
+    GwEvent_Text(log, "model", model);
+    GwEvent_Number(log, "version", version);
+    if (named_at == GW_NAMED_LONG_AGO)
+        GwEvent_Text(log, "age", "unknown");
+    else
+        GwEvent_Time(log, "age_ms", GwTime_Now() - named_at);
+    GwEvent_End(log);
+    if (view->options.ops->on_weights != NULL)
+        view->options.ops->on_weights(view->options.user, model, versions);
 }
 
 static void
--- a/packages/cluster/tests/store_reader_test.cc
+++ b/packages/cluster/tests/store_reader_test.cc
@@ -318,7 +318,7 @@
     while (!system.IsCurrent(2, false) && GwTime_Now() - start < 2 * kBound) {
         if (!changed && system.IsCurrent(1, false)) {
             changed = true;
-            EXPECT_EQ(GwView_ModelVersions(system.view, "m").version, -1)
+            EXPECT_EQ(GwView_ModelVersions(system.view, "m")->version, -1)
                 << "the last page was read already";
             system.Configure(2);
         }
--- a/packages/cluster/tests/view_test.cc
+++ b/packages/cluster/tests/view_test.cc
@@ -33,7 +33,8 @@
          200},
         {"earlier time received", {{3, 200}, {3, 50}}, 2, 3, 50},
         {"later time received", {{3, 200}, {3, 250}}, 2, 3, 200},
-        {"named before the clock started", {{3, 200}, {3, -40}}, 2, 3, 1},
+        {"named before the clock started", {{3, 200}, {3, -40}}, 2, 3, -40},
+        {"named when the clock started", {{3, 200}, {3, 0}}, 2, 3, -1},
         {"unknown weights", {{3, 200}}, -1, 3, 200},
     };
     const GwViewOps ops = {};
@@ -45,17 +46,18 @@
 
         for (const NamedVersion &t : c.namings)
             GwView_NoteNamed(view, "m", t.version, t.at);
-        GwModelVersions target = GwView_ModelVersions(view, "m");
-        EXPECT_EQ(target.version, c.newest) << c.name;
-        EXPECT_EQ(GwModelVersions_OutdatedSince(&target, c.weights), c.since)
+        const GwModelVersions *target = GwView_ModelVersions(view, "m");
+        EXPECT_EQ(target->version, c.newest) << c.name;
+        EXPECT_EQ(GwModelVersions_OutdatedSince(target, c.weights), c.since)
             << c.name;
-        EXPECT_EQ(GwView_ModelVersions(view, "other").version, -1);
+        EXPECT_EQ(GwView_ModelVersions(view, "other")->version, -1);
         GwView_Delete(view);
     }
 }
 
-// When there are more versions than are stored, the oldest are dropped and the
-// order is kept.
+// When there are more versions than are stored, the order is kept, and the
+// oldest entry stands for all before it: it has the earliest time, so that
+// weights older than that are not outdated for too short a time.
 TEST(View, OnlyNewestVersionsAreStored)
 {
     const GwViewOps ops = {};
@@ -67,15 +69,18 @@
         GwView_NoteNamed(view, "m", version, 100 * version);
         GwView_NoteNamed(view, "m", 1, 7);
     }
-    GwModelVersions target = GwView_ModelVersions(view, "m");
-    EXPECT_EQ(target.n_history, (unsigned)GW_MODEL_VERSIONS_MAX);
-    EXPECT_EQ(target.version, 3 * GW_MODEL_VERSIONS_MAX);
-    for (unsigned i = 0; i < target.n_history; i++) {
-        EXPECT_EQ(target.history[i].version,
+    const GwModelVersions *target = GwView_ModelVersions(view, "m");
+    EXPECT_EQ(target->n_history, (unsigned)GW_MODEL_VERSIONS_MAX);
+    EXPECT_EQ(target->version, 3 * GW_MODEL_VERSIONS_MAX);
+    for (unsigned i = 0; i < target->n_history; i++) {
+        EXPECT_EQ(target->history[i].version,
                   3 * GW_MODEL_VERSIONS_MAX - (int)i);
-        EXPECT_EQ(target.history[i].named_at,
-                  100 * (3 * GW_MODEL_VERSIONS_MAX - (int)i));
+        EXPECT_EQ(target->history[i].named_at,
+                  i + 1 < target->n_history
+                      ? 100 * (3 * GW_MODEL_VERSIONS_MAX - (int)i)
+                      : 7);
     }
+    EXPECT_EQ(GwModelVersions_OutdatedSince(target, 1), 7);
     GwView_Delete(view);
 }
 
--- a/packages/cluster/tests/view_validation_test.cc
+++ b/packages/cluster/tests/view_validation_test.cc
@@ -82,13 +82,13 @@
     for (const char *bad : {"5", R"({"model":"m"})", R"({"version":5})",
                             R"({"model":"m","version":"5"})"}) {
         Put(GW_LIST_OPERATOR, "version/m", bad, 2);
-        EXPECT_EQ(GwView_ModelVersions(view, "m").version, 4) << bad;
+        EXPECT_EQ(GwView_ModelVersions(view, "m")->version, 4) << bad;
     }
     EXPECT_EQ(Unreadable(), 12u);
     Put(GW_LIST_OPERATOR, "config", Config(7, "s"));
     Put(GW_LIST_OPERATOR, "version/m", R"({"model":"m","version":6})");
     EXPECT_EQ(GwView_Routes(view)->version, 7u);
-    EXPECT_EQ(GwView_ModelVersions(view, "m").version, 6);
+    EXPECT_EQ(GwView_ModelVersions(view, "m")->version, 6);
 }
 
 // An unreadable row with the id of a known endpoint must not change the
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -102,6 +102,8 @@
     GwTimer_Init(&g->periodic_timer, loop, on_periodic_timer_, g);
     GwTimer_Init(&g->limit_timer, loop, on_limit_timer_, g);
     g->view = GwView_New(&view);
+    if (d->is_first_start)
+        GwView_NoteOperatorListComplete(g->view);
     if (!start_servers_(g, d, err) || !connect_to_cluster_(g, d, err)) {
         GwGateway_Delete(g);
         return NULL;
@@ -130,6 +132,7 @@
     GwRetries_Clear(g);
     g_hash_table_unref(g->admissions);
     GwQuarantineStore_Delete(g->quarantine_store);
+    GwNamingStore_Delete(g->naming_store);
     GwQuarantine_Delete(g->quarantine);
     GwLimitShare_Delete(g->limit_share);
     GwAccountShare_Delete(g->account_share);
@@ -218,7 +221,12 @@
 static void
 on_weights_(void *user, const char *model, const GwModelVersions *versions)
 {
-    GwRequest_WeightsNamed(user);
+    GwGateway *g = user;
+
+    GwRequest_WeightsNamed(g);
+    // Those that get the list from peers get the times from them, too.
+    if (!GwStoreReader_ReadsFromPeers(g->store_reader))
+        GwNamingStore_Save(g->naming_store);
 }
 
 static void
@@ -353,6 +361,7 @@
         GwEventLog_Flush(g->log);
     abandon_silent_attempts_(g);
     GwRequestSoftware_CheckVersions(g);
+    GwNamingStore_Check(g->naming_store);
     GwRetries_Tick(g);
     check_for_store_restore_(g);
     GwQuarantine_SetProcesses(g->quarantine, entries);
@@ -438,8 +447,10 @@
 {
     int64_t era = GwRecords_Era(GwView_Records(g->view));
 
-    if (era > g->store_era)
+    if (era > g->store_era) {
         GwQuarantineStore_RewriteAll(g->quarantine_store);
+        GwNamingStore_Save(g->naming_store);
+    }
     g->store_era = era;
 }
 
@@ -489,7 +500,16 @@
         .is_first_start = d->is_first_start,
     };
 
+    GwNamingStoreOptions namings = {
+        .store = d->store,
+        .view = g->view,
+        .log = g->log,
+        .counters = &g->counters,
+        .rand = g->rand,
+    };
+
     memcpy(g->seeds, d->seeds, sizeof(g->seeds));
+    g->naming_store = GwNamingStore_New(g->loop, &namings);
     g->quarantine_store = GwQuarantineStore_New(g->loop, &quarantine);
     g->store_reader = GwStoreReader_New(g->loop, &reader);
     peers.reader = g->store_reader;
--- a/packages/gateway/src/gateway_private.h
+++ b/packages/gateway/src/gateway_private.h
@@ -19,6 +19,7 @@
 
 #include "kv_stores.h"
 #include "quarantine_store.h"
+#include "galenagw/cluster/naming_store.h"
 
 typedef struct GwGateway GwGateway;
 typedef struct GwRequest GwRequest;
@@ -58,6 +59,7 @@
     GwQuarantine *quarantine;
     GwBrokenRequests *recent_broken_requests;
     GwQuarantineStore *quarantine_store;
+    GwNamingStore *naming_store;
     GwKvStores *kv_stores;
     GwStreamOrigins *stream_origins; /* of streams that began here */
     GwTime started_at;
--- a/packages/gateway/src/request_start.c
+++ b/packages/gateway/src/request_start.c
@@ -26,10 +26,10 @@
 static void
 check_weights_(GwRequest *r)
 {
-    GwModelVersions versions =
+    const GwModelVersions *versions =
         GwView_ModelVersions(r->gateway->view, r->instance->model);
     GwTime since =
-        GwModelVersions_OutdatedSince(&versions, r->instance->weights);
+        GwModelVersions_OutdatedSince(versions, r->instance->weights);
     GwTime outdated_for = GwTime_Now() - since;
 
     if (since == 0 || outdated_for < r->gateway->weights_bound / 2)
--- a/packages/gateway/src/request_timers.c
+++ b/packages/gateway/src/request_timers.c
@@ -32,11 +32,11 @@
 GwTime
 GwRequestTimers_WithdrawAt(const GwRequest *r)
 {
-    GwModelVersions versions =
+    const GwModelVersions *versions =
         GwView_ModelVersions(r->gateway->view, r->instance->model);
 
     return GwOutdated_WithdrawAt(
-        GwModelVersions_OutdatedSince(&versions, r->instance->weights),
+        GwModelVersions_OutdatedSince(versions, r->instance->weights),
         r->gateway->weights_bound);
 }
 
--- a/packages/gateway/src/selection.c
+++ b/packages/gateway/src/selection.c
@@ -194,10 +194,11 @@
     const GwGateway *g = r->gateway;
     const GwService *service = service_context->service;
     const GwAgentReport *agent_report = &instance->agent_report;
-    GwModelVersions versions = GwView_ModelVersions(g->view, instance->model);
+    const GwModelVersions *versions =
+        GwView_ModelVersions(g->view, instance->model);
     GwTime now = service_context->now;
     GwTime outdated_since =
-        GwModelVersions_OutdatedSince(&versions, instance->weights);
+        GwModelVersions_OutdatedSince(versions, instance->weights);
     GwReportState report_state = GwInstance_ReportState(instance, now);
     bool fresh = report_state == GW_REPORT_FRESH;
     uint64_t low_priority = instance->low_priority_tokens;
@@ -316,10 +317,10 @@
 may_start_in_time_(const GwRequest *r, const GwInstance *instance,
                    const GwCandidate *c, GwTime now)
 {
-    GwModelVersions versions =
+    const GwModelVersions *versions =
         GwView_ModelVersions(r->gateway->view, instance->model);
     GwOutdatedFacts facts = {
-        .since = GwModelVersions_OutdatedSince(&versions, instance->weights),
+        .since = GwModelVersions_OutdatedSince(versions, instance->weights),
         .now = now,
         .bound = r->gateway->weights_bound,
         .tokens = c->prefill_tokens + r->info.prompt_tokens,
--- a/packages/gateway/tests/outdated_weights_test.cc
+++ b/packages/gateway/tests/outdated_weights_test.cc
@@ -13,7 +13,7 @@
 static GwTime
 NamedAt(GwGateway *g)
 {
-    return GwView_ModelVersions(g->view, "m").history[0].named_at;
+    return GwView_ModelVersions(g->view, "m")->history[0].named_at;
 }
 
 // Reports that prompts of other gateways with @p tokens wait at engine @p id.
@@ -196,12 +196,12 @@
         ASSERT_NE(f.gateways.back(), nullptr) << err.message;
         ASSERT_TRUE(f.Ready());
         for (int weights : {1, 2, 3}) {
-            GwModelVersions known = GwView_ModelVersions(g->view, "m");
-            GwModelVersions received =
+            const GwModelVersions *known = GwView_ModelVersions(g->view, "m");
+            const GwModelVersions *received =
                 GwView_ModelVersions(f.gateways.back()->view, "m");
 
-            EXPECT_NEAR(GwModelVersions_OutdatedSince(&received, weights),
-                        GwModelVersions_OutdatedSince(&known, weights),
+            EXPECT_NEAR(GwModelVersions_OutdatedSince(received, weights),
+                        GwModelVersions_OutdatedSince(known, weights),
                         50 * GW_MILLISECOND)
                 << weights << " " << store_unreachable;
         }
@@ -209,3 +209,48 @@
         GwDeployment_Clear(&late);
     }
 }
+
+// Guards against outdated weights that are used for another bound after all
+// processes have restarted: the times at which versions were named must come
+// from the store, and weights of unknown age must not be used.
+TEST(OutdatedWeights, ARestartOfAllProcessesDoesNotExtendTheBound)
+{
+    for (bool is_named_while_running : {true, false}) {
+        Fleet f;
+        GwTime named_at = 0;
+
+        f.Configure(1);
+        Endpoint *old = f.AddEndpoint("i-1", "model");
+        GwGateway *before = f.AddGateway();
+        ASSERT_TRUE(f.Ready());
+        if (is_named_while_running) {
+            f.NameWeights(2);
+            ASSERT_TRUE(f.Until([&] { return NamedAt(before) != 0; }));
+            named_at = NamedAt(before);
+            f.Wait(1500 * GW_MILLISECOND);
+        }
+        GwGateway_Delete(before);
+        f.gateways.clear();
+        if (!is_named_while_running)
+            f.NameWeights(2);
+        GwGateway *g = f.AddGateway();
+        ASSERT_TRUE(f.Ready());
+        auto since = [&] {
+            return GwModelVersions_OutdatedSince(
+                GwView_ModelVersions(g->view, "m"), 1);
+        };
+        if (is_named_while_running) {
+            EXPECT_TRUE(f.Until([&] { return since() != GW_NAMED_LONG_AGO; }));
+            EXPECT_LE(since(), named_at);
+            EXPECT_GE(since(), named_at - GW_SECOND);
+            continue;
+        }
+        f.Wait(1200 * GW_MILLISECOND); // longer than a lookup in the store
+        auto caller =
+            f.Call(g, Fleet::Request("POST", "/resume/1", "x", kLongPrompt));
+        EXPECT_TRUE(f.Until([&] { return caller->Has(1); }));
+        EXPECT_EQ(caller->Status(), 503);
+        EXPECT_EQ(since(), GW_NAMED_LONG_AGO);
+        EXPECT_EQ(old->seen.size(), 0u);
+    }
+}
--- a/packages/sidecar/src/engine_switch.c
+++ b/packages/sidecar/src/engine_switch.c
@@ -103,12 +103,12 @@
 GwEngineSwitch_OnReport(GwEngineSwitch *s, const GwInstance *own,
                         const GwEngineReport *report)
 {
-    GwModelVersions target =
+    const GwModelVersions *target =
         GwView_ModelVersions(s->options.view, report->model);
     GwTime now = GwTime_Now();
 
     s->report = *report;
-    s->outdated_at = GwModelVersions_OutdatedSince(&target, report->weights);
+    s->outdated_at = GwModelVersions_OutdatedSince(target, report->weights);
     if (s->stage == GW_STAGE_ORDERED && !report->busy &&
         report->weights >= s->ordered_version)
         note_loaded_(s, now);
@@ -119,6 +119,11 @@
         GwHttpCaller_Cancel(s->orders);
         s->stage = GW_STAGE_SERVING;
     }
+    // If the time of the naming is unknown, the switch would be late. The
+    // store may still tell it: the engines need not all switch at once.
+    if (GwModelVersions_IsAgeUnknown(target, report->weights) &&
+        GwNamingStore_IsLookingUp(s->options.naming_store))
+        return;
     decide_(s, own);
     advance_(s, own);
 }
@@ -335,7 +340,7 @@
 static GwSwitchMember
 member_(GwEngineSwitch *s, const GwInstance *instance, bool is_own)
 {
-    GwModelVersions target =
+    const GwModelVersions *target =
         GwView_ModelVersions(s->options.view, instance->model);
     const GwAgentReport *state = &instance->agent_report;
     GwTime now = GwTime_Now();
@@ -343,7 +348,7 @@
     GwSwitchMember m = {
         .weights = instance->weights,
         .outdated_since =
-            GwModelVersions_OutdatedSince(&target, instance->weights),
+            GwModelVersions_OutdatedSince(target, instance->weights),
         .reported_at = now,
         .switch_time = s->switch_time,
         .waiting_tokens = GwPeers_WaitingTokens(s->options.peers),
@@ -397,13 +402,13 @@
 static void
 send_order_(GwEngineSwitch *s, const GwInstance *own)
 {
-    GwModelVersions target =
+    const GwModelVersions *target =
         GwView_ModelVersions(s->options.view, s->report.model);
     g_autoptr(GString) out = g_string_new(NULL);
     GwLoadOrder order = {
         .instance_id = own->id,
         .model = s->report.model,
-        .version = target.version,
+        .version = target->version,
         .holder = s->options.name,
         .fence = s->fence,
         .orders = s->report.orders,
@@ -417,19 +422,19 @@
                     : GW_SWITCH_FINISH,
     };
 
-    if (target.version <= s->report.weights ||
+    if (target->version <= s->report.weights ||
         GwHttpCaller_IsBusy(s->orders)) {
         s->stage = GW_STAGE_SERVING;
         return;
     }
     s->stage = GW_STAGE_ORDERED;
-    s->ordered_version = target.version;
+    s->ordered_version = target->version;
     s->ordered_at = GwTime_Now();
     s->is_order_answered = false;
     GwCounters_Add(s->options.counters, GW_COUNTER_ORDERS, 1);
     GwEvent_Begin(s->options.log, "order", NULL);
     GwEvent_Text(s->options.log, "instance", own->id);
-    GwEvent_Number(s->options.log, "version", target.version);
+    GwEvent_Number(s->options.log, "version", target->version);
     GwEvent_Number(s->options.log, "fence", s->fence);
     GwEvent_Number(s->options.log, "orders", s->report.orders);
     GwEvent_Text(s->options.log, "mode", GwSwitch_Names[order.mode]);
--- a/packages/sidecar/src/engine_switch.h
+++ b/packages/sidecar/src/engine_switch.h
@@ -7,6 +7,7 @@
 #include "galenagw/adapter/engine.h"
 #include "galenagw/base/counters.h"
 #include "galenagw/base/event_log.h"
+#include "galenagw/cluster/naming_store.h"
 #include "galenagw/cluster/peers.h"
 #include "galenagw/cluster/view.h"
 #include "galenagw/net/loop.h"
@@ -29,6 +30,7 @@
     GwAddress store;
     int agent_port;       /* that the agents of all engines listen on */
     GwTime weights_bound; /* time until all engines must run a version */
+    const GwNamingStore *naming_store;
     GwView *view;
     GwPeers *peers;
     GwEventLog *log; /* or NULL */
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -5,6 +5,7 @@
 
 #include "galenagw/adapter/engine.h"
 #include "galenagw/adapter/messages.h"
+#include "galenagw/cluster/naming_store.h"
 #include "galenagw/cluster/peers.h"
 #include "galenagw/cluster/store_reader.h"
 #include "galenagw/cluster/view.h"
@@ -61,6 +62,7 @@
     GwView *view;
     GwStoreReader *reader;
     GwPeers *peers;
+    GwNamingStore *naming_store;
     GwHttpServer *metrics_server;
     GwHttpCaller *reports; /* calls to the engine for its report */
     GwEngineSwitch *engine_switch;
@@ -158,6 +160,7 @@
     GwEngineSwitch_Delete(s->engine_switch);
     GwHttpServer_Delete(s->metrics_server);
     GwEngineCache_Delete(s->cache);
+    GwNamingStore_Delete(s->naming_store);
     GwPeers_Delete(s->peers);
     GwStoreReader_Delete(s->reader);
     GwView_Delete(s->view);
@@ -337,6 +340,8 @@
 {
     GwSidecar *s = user;
 
+    if (!GwStoreReader_ReadsFromPeers(s->reader))
+        GwNamingStore_Save(s->naming_store);
     if (s->poll_timer.place != NULL)
         GwTimer_Start(&s->poll_timer, 0);
 }
@@ -349,6 +354,7 @@
     if (instance == NULL)
         return;
     GwInstance_SetWeights(instance, s->report.weights);
+    GwNamingStore_Check(s->naming_store);
     GwEngineSwitch_OnReport(s->engine_switch, instance, &s->report);
     // Otherwise the next report comes after POLL_INTERVAL.
     if (GwEngineSwitch_IsUrgent(s->engine_switch))
@@ -438,6 +444,7 @@
         .store = d->store,
         .agent_port = d->agent_port,
         .weights_bound = d->weights_bound,
+        .naming_store = s->naming_store,
         .view = s->view,
         .peers = s->peers,
         .log = s->log,
@@ -453,6 +460,12 @@
 {
     GwViewOptions view = {
         .ops = &view_ops, .user = s, .log = s->log, .counters = &s->counters};
+    GwNamingStoreOptions namings = {
+        .store = d->store,
+        .log = s->log,
+        .counters = &s->counters,
+        .rand = s->rand,
+    };
     GwStoreReaderOptions reader = {
         .store = d->store,
         .name = s->name,
@@ -480,6 +493,10 @@
     };
 
     s->view = GwView_New(&view);
+    if (d->is_first_start)
+        GwView_NoteOperatorListComplete(s->view);
+    namings.view = s->view;
+    s->naming_store = GwNamingStore_New(s->loop, &namings);
     reader.view = s->view;
     s->reader = GwStoreReader_New(s->loop, &reader);
     peers.view = s->view;
