Sidecar tests: the time of a naming is known

A real engine refuses that order, and the next one names the new id. The tests name versions while the sidecar runs; with the first start of the system they also do so if its first read is late. The checks are unchanged.

--- a/packages/sidecar/tests/sidecar_test.cc
+++ b/packages/sidecar/tests/sidecar_test.cc
@@ -53,6 +53,9 @@
         deployment = f.Deployment("side-1");
         deployment.endpoint = engine.endpoint->address;
         deployment.weights_bound = bound;
+        // The time of a naming is known, even if the sidecar's first read of
+        // the operator list comes after it.
+        deployment.is_first_start = true;
         options.deployment = &deployment;
         sidecar = GwSidecar_New(f.loop, &options, &err);
         ASSERT_NE(sidecar, nullptr) << err.message;
