Naming store: a process doesn't take its own stored time for an earlier one

A process that read back what it had stored moved its own time back by the allowance for clocks (0.5 s), so engines left use half a second too early, and several processes could have pushed the time further. The allowance is added only to a time that the process doesn't know itself.

--- a/packages/cluster/src/naming_store.c
+++ b/packages/cluster/src/naming_store.c
@@ -46,6 +46,8 @@
                      const char *body, size_t len);
 static void on_naming_(void *user, const char *model,
                        const GwStoredNaming *naming);
+static void apply_stored_time_(GwNamingStore *s, const char *model,
+                               int64_t version, GwTime named_at);
 static bool send_write_(GwNamingStore *s);
 static void choose_model_(void *user, const char *model, int64_t version,
                           GwTime named_at);
@@ -158,6 +160,7 @@
     GwModelVersions *stored = g_hash_table_lookup(s->stored, model);
     int64_t ms_of_day = now_of_day_() / GW_MILLISECOND;
     GwTime age;
+    GwTime named_at;
 
     // The record may contain any number, so compare before computing.
     if (naming->named_ms < 0 ||
@@ -171,9 +174,26 @@
         GwModelVersions_Init(stored);
         g_hash_table_insert(s->stored, g_strdup(model), stored);
     }
-    GwModelVersions_Note(stored, naming->version, GwTime_Now() - age);
-    GwView_NoteNamed(s->options.view, model, naming->version,
-                     GwTime_Now() - MAX(age, 0) - CLOCK_DIFFERENCE_MAX);
+    named_at = GwTime_Now() - age;
+    GwModelVersions_Note(stored, naming->version, named_at);
+    apply_stored_time_(s, model, naming->version, named_at);
+}
+
+// A time that this process knows itself is replaced only if the clocks do not
+// explain the difference. Otherwise the times of two processes would push each
+// other further and further back.
+static void
+apply_stored_time_(GwNamingStore *s, const char *model, int64_t version,
+                   GwTime named_at)
+{
+    GwTime known = GwModelVersions_NamedAt(
+        GwView_ModelVersions(s->options.view, model), version);
+
+    if (known == GW_NAMED_LONG_AGO)
+        GwView_NoteNamed(s->options.view, model, version,
+                         named_at - CLOCK_DIFFERENCE_MAX);
+    else if (named_at < known - CLOCK_DIFFERENCE_MAX)
+        GwView_NoteNamed(s->options.view, model, version, named_at);
 }
 
 // Writes the times of a model of which the store lacks some. Returns false if
--- a/packages/routing/include/galenagw/routing/model_versions.h
+++ b/packages/routing/include/galenagw/routing/model_versions.h
@@ -54,6 +54,9 @@
  */
 bool GwModelVersions_Note(GwModelVersions *versions, int64_t version,
                           GwTime named_at);
+/** When @p version was named; GW_NAMED_LONG_AGO: unknown. */
+GwTime GwModelVersions_NamedAt(const GwModelVersions *versions,
+                               int64_t version);
 /**
  * Since when @p weights are outdated: the time at which the first newer
  * version was named. The newest version may have been named later. 0: @p
--- a/packages/routing/src/model_versions.c
+++ b/packages/routing/src/model_versions.c
@@ -36,6 +36,16 @@
     return true;
 }
 
+GwTime
+GwModelVersions_NamedAt(const GwModelVersions *v, int64_t version)
+{
+    unsigned i = count_newer_(v, version);
+
+    return i < v->n_history && v->history[i].version == version
+               ? v->history[i].named_at
+               : GW_NAMED_LONG_AGO;
+}
+
 GwTime
 GwModelVersions_OutdatedSince(const GwModelVersions *v, int64_t weights)
 {
