Outdated weights: observed waits, and a deadline where no report is known

The margin was a constant of 0.8 s, whatever lately happened at the engine, and everything relied on the engine's agent or on an engine that drops what is closed: PROTOCOL says that most do. Now: (1) the wait is the estimate, or how long requests of this process lately waited there for a first token if that is longer; while requests wait and none gets a token, that time grows. (2) At an engine without a recent report, which no load order is sure to turn requests away from, a request gets a deadline 0.3 s before the bound, at which the engine drops it itself, whether it reads the close or not; requests that could still run then are not sent; waiting ones are withdrawn 1 s before the bound. (3) The lateness of the gateway's own timers is added to the leads. Tests that failed before: LessKnowledgeOfTheQueueEndsItsUseEarlier, AStalledEngineLeavesUseEarlier, AnEngineWithoutReportsDropsRequestsItself- BeforeTheBound. Two older tests send before the naming now: they have no agent, and would not be sent 2 s before the bound any more.

--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -23,6 +23,8 @@
 #define DRAIN_GRACE_MARGIN (300 * GW_MILLISECOND)
 #define DRAIN_CHECK_INTERVAL (50 * GW_MILLISECOND)
 #define READINESS_BODY_BYTES_MAX 1024
+/* A longer lateness is that of a suspension, which is over. */
+#define LATENESS_MAX (500 * GW_MILLISECOND)
 /* Maximum memory for the bodies of all requests in progress: a third of the
  * memory of the smallest instance. */
 #define BODIES_BYTES_MAX (32 * 1024 * 1024)
@@ -45,6 +47,7 @@
 static void on_readiness_call_(void *user, GwHttpCall *call);
 static void on_drain_timer_(void *user);
 static void on_periodic_timer_(void *user);
+static void measure_lateness_(GwGateway *g);
 static void on_limit_timer_(void *user);
 static void abandon_silent_attempts_(GwGateway *g);
 static bool start_servers_(GwGateway *g, const GwDeployment *d, GwError *err);
@@ -357,6 +360,7 @@
     GwGateway *g = user;
     unsigned entries = GwPeers_Entries(g->peers);
 
+    measure_lateness_(g);
     if (g->log != NULL)
         GwEventLog_Flush(g->log);
     abandon_silent_attempts_(g);
@@ -372,9 +376,21 @@
         GwStoreReader_EntryMinInterval(entries, g->leaving_bound));
     GwStoreReader_SetClusterSize(g->store_reader,
                                  GwPeers_ClusterSize(g->peers));
+    g->periodic_due_at = GwTime_Now() + PERIODIC_INTERVAL;
     GwTimer_Start(&g->periodic_timer, PERIODIC_INTERVAL);
 }
 
+// The peak decays by half in each interval.
+static void
+measure_lateness_(GwGateway *g)
+{
+    GwTime late =
+        g->periodic_due_at != 0 ? GwTime_Now() - g->periodic_due_at : 0;
+
+    g->timer_lateness =
+        MIN(MAX(g->timer_lateness / 2, MAX(late, 0)), LATENESS_MAX);
+}
+
 static void
 on_limit_timer_(void *user)
 {
--- a/packages/gateway/src/gateway_private.h
+++ b/packages/gateway/src/gateway_private.h
@@ -73,6 +73,9 @@
     GwTime draining_since; /* 0: not draining */
     GwTimer drain_timer;
     GwTimer periodic_timer;
+    GwTime periodic_due_at; /* 0: not started yet */
+    GwTime timer_lateness;  /* by how much timers were lately late, as on a
+                               machine with a small share of a processor */
 };
 
 /* Whether new requests are refused, because the drain may end soon. */
--- a/packages/gateway/src/request_abandon.c
+++ b/packages/gateway/src/request_abandon.c
@@ -115,10 +115,10 @@
 
     if (at == 0 || r->has_started)
         return;
-    // The engine has loaded a newer version since, which was outdated by an
-    // even newer one, so its bound is reached later.
+    // The engine's agent reports, or the engine has loaded a newer version
+    // since, which was outdated by an even newer one.
     if (at > GwTime_Now()) {
-        GwRequestTimers_StartWithdrawal(r);
+        GwTimer_Start(&r->withdrawal_timer, at - GwTime_Now());
         return;
     }
     abandon_attempt_(r, "outdated_weights");
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -6,6 +6,7 @@
 #include "terminations.h"
 #include "galenagw/routing/admission.h"
 #include "cache_nodes.h"
+#include "outdated_engine.h"
 #include "request_answer.h"
 #include "request_end.h"
 #include "request_load.h"
@@ -217,9 +218,10 @@
     GwDispatch dispatch = {
         .instance_id = instance->id,
         .account = r->account != NULL ? r->account->name : NULL,
-        .deadline_ms =
-            MAX(r->deadline - now - ANSWER_TRANSIT_TIME, GW_MILLISECOND) /
-            GW_MILLISECOND,
+        .deadline_ms = MAX(drop_at - now, GW_MILLISECOND) / GW_MILLISECOND,
+    GwOutdatedEngine engine = GwOutdatedEngine_Of(g, instance, now);
+    GwTime drop_at =
+        MIN(r->deadline - ANSWER_TRANSIT_TIME, GwOutdated_DropAt(&engine));
         .priority = instance->model != NULL
                         ? GwRoute_EnginePriority(r->route, r->account)
                         : -1,
@@ -264,6 +266,7 @@
     if (!GwSelection_IsDeferrable(r))
         GwUnreportedTokens_Add(&instance->unreported_urgent,
                                instance->agent_report.at, r->prefill_tokens);
+    GwFirstTokenWait_Sent(&instance->first_token_wait, now);
     if (r->n_tried < TRIED_MAX)
         r->tried_serials[r->n_tried++] = instance->serial;
     GwCounters_Add(&g->counters, GW_COUNTER_ATTEMPTS, 1);
--- a/packages/gateway/src/request_end.c
+++ b/packages/gateway/src/request_end.c
@@ -14,6 +14,8 @@
     // from the load that the engine's agent is sent.
     r->instance->in_flight--;
     GwRequestLoad_Add(r, -(int64_t)r->prefill_tokens, -1);
+    if (!r->has_started)
+        GwFirstTokenWait_Ended(&r->instance->first_token_wait);
     r->prefill_tokens = 0;
     GwInstance_Unref(GwView_Instances(r->gateway->view), r->instance);
     r->instance = NULL;
--- a/packages/gateway/src/request_start.c
+++ b/packages/gateway/src/request_start.c
@@ -1,5 +1,6 @@
 #include "request_start.h"
 
+#include "outdated_engine.h"
 #include "request_load.h"
 #include "request_log.h"
 #include "request_speed.h"
@@ -18,6 +19,8 @@
         GwRequestLoad_Add(r, -(int64_t)r->prefill_tokens, 0);
         r->prefill_tokens = 0;
     }
+    GwFirstTokenWait_Received(&r->instance->first_token_wait,
+                              GwTime_Now() - r->sent_at, GwTime_Now());
     check_weights_(r);
 }
 
@@ -26,15 +29,14 @@
 static void
 check_weights_(GwRequest *r)
 {
-    const GwModelVersions *versions =
-        GwView_ModelVersions(r->gateway->view, r->instance->model);
-    GwTime since =
-        GwModelVersions_OutdatedSince(versions, r->instance->weights);
-    GwTime outdated_for = GwTime_Now() - since;
+    GwTime now = GwTime_Now();
+    GwOutdatedEngine engine =
+        GwOutdatedEngine_Of(r->gateway, r->instance, now);
+    GwTime outdated_for = now - engine.since;
 
-    if (since == 0 || outdated_for < r->gateway->weights_bound / 2)
+    if (engine.since == 0 || outdated_for < engine.bound / 2)
         return;
-    if (outdated_for > r->gateway->weights_bound)
+    if (outdated_for > engine.bound)
         GwCounters_Add(&r->gateway->counters, GW_COUNTER_STARTS_LATE, 1);
     GwRequestLog_StartOutdated(r, outdated_for);
 }
--- a/packages/gateway/src/request_timers.c
+++ b/packages/gateway/src/request_timers.c
@@ -1,7 +1,7 @@
 #include "request_timers.h"
 
 #include "selection.h"
-#include "galenagw/routing/outdated.h"
+#include "outdated_engine.h"
 
 /* A request waits for the answer of an endpoint for this share of its route's
  * target latency. Most answers take a quarter of the target latency, so the
@@ -18,26 +18,29 @@
 }
 
 // Only streams are withdrawn: other answers do not show when the request has
-// started. When the connection is closed, the engine removes the request
-// from its queue.
+// started. The timer starts as for an engine without reports, as the reports
+// may stop until then; on_withdrawal_timer_ decides.
 void
 GwRequestTimers_StartWithdrawal(GwRequest *r)
 {
-    GwTime at = GwRequestTimers_WithdrawAt(r);
+    GwTime now = GwTime_Now();
+    GwOutdatedEngine engine =
+        GwOutdatedEngine_Of(r->gateway, r->instance, now);
+    GwTime at;
 
+    engine.is_reported = false;
+    at = GwOutdated_WithdrawAt(&engine);
     if (at != 0 && !r->has_started && r->route->type == GW_ROUTE_STREAMING)
-        GwTimer_Start(&r->withdrawal_timer, MAX(at - GwTime_Now(), 0));
+        GwTimer_Start(&r->withdrawal_timer, MAX(at - now, 0));
 }
 
 GwTime
 GwRequestTimers_WithdrawAt(const GwRequest *r)
 {
-    const GwModelVersions *versions =
-        GwView_ModelVersions(r->gateway->view, r->instance->model);
+    GwOutdatedEngine engine =
+        GwOutdatedEngine_Of(r->gateway, r->instance, GwTime_Now());
 
-    return GwOutdated_WithdrawAt(
-        GwModelVersions_OutdatedSince(versions, r->instance->weights),
-        r->gateway->weights_bound);
+    return GwOutdated_WithdrawAt(&engine);
 }
 
 // Only an idempotent request is abandoned at an endpoint that does not answer,
--- a/packages/gateway/src/selection.c
+++ b/packages/gateway/src/selection.c
@@ -2,9 +2,9 @@
 
 #include <string.h>
 
-#include "galenagw/routing/outdated.h"
 #include "galenagw/routing/overload.h"
 #include "cache_nodes.h"
+#include "outdated_engine.h"
 #include "request_software.h"
 
 /* Answers on older weights cost nothing up to the platform's bound of 1.5 s
@@ -317,12 +317,9 @@
 may_start_in_time_(const GwRequest *r, const GwInstance *instance,
                    const GwCandidate *c, GwTime now)
 {
-    const GwModelVersions *versions =
-        GwView_ModelVersions(r->gateway->view, instance->model);
     GwOutdatedFacts facts = {
-        .since = GwModelVersions_OutdatedSince(versions, instance->weights),
+        .engine = GwOutdatedEngine_Of(r->gateway, instance, now),
         .now = now,
-        .bound = r->gateway->weights_bound,
         .tokens = c->prefill_tokens + r->info.prompt_tokens,
         .is_full =
             c->in_flight >= c->slots ||
@@ -330,6 +327,8 @@
                                         r->info.output_tokens >
                                     c->kv_total),
         .prefill_tokens_per_ms = c->prefill_tokens_per_ms,
+        .observed_wait =
+            GwFirstTokenWait_Longest(&instance->first_token_wait, now),
     };
 
     return GwOutdated_MaySend(&facts);
--- a/packages/gateway/tests/outdated_weights_test.cc
+++ b/packages/gateway/tests/outdated_weights_test.cc
@@ -50,8 +50,6 @@
         old->serve = [](Endpoint *, FakeExchange *) {}; // never answers
         ASSERT_TRUE(f.Ready());
         g->weights_bound = kBound;
-        f.NameWeights(2);
-        ASSERT_TRUE(f.Until([&] { return NamedAt(g) != 0; }));
         std::shared_ptr<Caller> c;
         std::string prompt =
             Fleet::Request("POST", "/resume/1", "x", kLongPrompt);
@@ -59,8 +57,11 @@
         if (sent_before) {
             c = f.Call(g, prompt);
             ASSERT_TRUE(f.Until([&] { return old->seen.size() == 1; }));
-            fresh = f.AddEndpoint("i-2", "model");
         }
+        f.NameWeights(2);
+        ASSERT_TRUE(f.Until([&] { return NamedAt(g) != 0; }));
+        if (sent_before)
+            fresh = f.AddEndpoint("i-2", "model");
         f.ListEndpoint(fresh, "ready", 2);
         f.Wait(NamedAt(g) + kBound - 1200 * GW_MILLISECOND - GwTime_Now());
         if (!sent_before) {
@@ -91,10 +92,10 @@
     old->serve = [](Endpoint *, FakeExchange *) {}; // never answers
     ASSERT_TRUE(f.Ready());
     g->weights_bound = kBound;
-    f.NameWeights(2);
-    ASSERT_TRUE(f.Until([&] { return NamedAt(g) != 0; }));
     auto c = f.Call(g, Fleet::Request("POST", "/stream/1", "x", kLongPrompt));
     ASSERT_TRUE(f.Until([&] { return old->seen.size() == 1; }));
+    f.NameWeights(2);
+    ASSERT_TRUE(f.Until([&] { return NamedAt(g) != 0; }));
     Endpoint *fresh = f.AddEndpoint("i-2", "model");
     f.ListEndpoint(fresh, "ready", 2);
     EXPECT_TRUE(f.Until([&] { return c->Has(1) || c->closed; }));
@@ -158,6 +159,59 @@
     }
 }
 
+// Guards against requests that start on outdated weights because the engine
+// does not drop what is closed, or reads the close late: at an engine whose
+// agent does not report, they get a deadline before the bound.
+TEST(OutdatedWeights, AnEngineWithoutReportsDropsRequestsItselfBeforeTheBound)
+{
+    const GwTime bound = 6 * GW_SECOND;
+
+    for (bool is_reported : {true, false}) {
+        Fleet f;
+        f.timeout_ms = 5000;
+        f.Configure(1);
+        Endpoint *old = f.AddEndpoint("i-1", "model");
+        GwGateway *g = f.AddGateway();
+        ASSERT_TRUE(f.Ready());
+        g->weights_bound = bound;
+        f.NameWeights(2);
+        ASSERT_TRUE(f.Until([&] { return NamedAt(g) != 0; }));
+        // The time limit of 5 s ends after the bound.
+        f.Wait(NamedAt(g) + bound - 3700 * GW_MILLISECOND - GwTime_Now());
+        if (is_reported)
+            SetWaitingTokens(g, "i-1", 0);
+        auto c = f.Call(g, Fleet::Request("POST", "/stream/1", "x"));
+        ASSERT_TRUE(f.Until([&] { return old->seen.size() == 1; }))
+            << c->received << " " << is_reported;
+        int ms = atoi(strstr(old->seen[0].c_str(), "X-Deadline-Ms: ") + 15);
+        EXPECT_GT(ms, is_reported ? 4900 : 3200) << is_reported;
+        EXPECT_LT(ms, is_reported ? 5000 : 3500) << is_reported;
+    }
+}
+
+// Guards against requests to an outdated engine that has stalled: nothing was
+// estimated to wait there, but no request has got its first token for long.
+TEST(OutdatedWeights, AStalledEngineLeavesUseEarlier)
+{
+    Fleet f;
+    f.Configure(1);
+    Endpoint *old = f.AddEndpoint("i-1", "model");
+    GwGateway *g = f.AddGateway();
+    old->serve = [](Endpoint *, FakeExchange *) {}; // never answers
+    ASSERT_TRUE(f.Ready());
+    g->weights_bound = 5 * GW_SECOND;
+    auto waiting = f.Call(g, Fleet::Request("POST", "/stream/1", "x"));
+    ASSERT_TRUE(f.Until([&] { return old->seen.size() == 1; }));
+    f.NameWeights(2);
+    ASSERT_TRUE(f.Until([&] { return NamedAt(g) != 0; }));
+    f.Wait(2500 * GW_MILLISECOND);
+    SetWaitingTokens(g, "i-1", 0);
+    auto c = f.Call(g, Fleet::Request("POST", "/stream/2", "x"));
+    EXPECT_TRUE(f.Until([&] { return c->Has(1); }));
+    EXPECT_EQ(c->Status(), 503);
+    EXPECT_EQ(old->seen.size(), 1u);
+}
+
 // A gateway restarts while an engine still has old weights. If it counted
 // weights_bound from its own start, requests would start on these weights long
 // after the bound. It must receive the times at which versions were named from
@@ -210,6 +264,31 @@
     }
 }
 
+// Guards against times that gateways push further and further back by reading
+// and writing them in turn, so that engines leave use too early.
+TEST(OutdatedWeights, StoredTimesAreNotPushedBack)
+{
+    Fleet f;
+    f.Configure(1);
+    f.AddEndpoint("i-1", "model");
+    GwGateway *g = f.AddGateway();
+    f.AddGateway("gateway-2");
+    ASSERT_TRUE(f.Ready());
+    f.NameWeights(2);
+    ASSERT_TRUE(f.Until([&] { return NamedAt(g) != 0; }));
+    GwTime named_at = NamedAt(g);
+    f.Wait(GW_SECOND);
+    f.NameWeights(3);
+    f.Wait(1500 * GW_MILLISECOND);
+    for (GwGateway *each : f.gateways) {
+        const GwModelVersions *versions =
+            GwView_ModelVersions(each->view, "m");
+
+        EXPECT_NEAR(GwModelVersions_NamedAt(versions, 2), named_at,
+                    100 * GW_MILLISECOND);
+    }
+}
+
 // Guards against outdated weights that are used for another bound after all
 // processes have restarted: the times at which versions were named must come
 // from the store, and weights of unknown age must not be used.
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -21,6 +21,7 @@
 #include "galenagw/base/settings.h"
 #include "galenagw/routing/admission.h"
 #include "galenagw/routing/engine_speed.h"
+#include "galenagw/routing/first_token_wait.h"
 #include "galenagw/routing/health.h"
 #include "galenagw/routing/cached_parts.h"
 #include "galenagw/routing/software.h"
@@ -172,6 +173,7 @@
                              it */
     GwUnreportedTokens unreported_urgent; /**< urgent tokens sent to it since
                                              its agent's last report */
+    GwFirstTokenWait first_token_wait;    /**< of requests of this process */
     void *user;                           /**< the owner's connections to it */
     int refs;
 } GwInstance;
--- a/packages/routing/src/outdated.c
+++ b/packages/routing/src/outdated.c
@@ -14,23 +14,50 @@
  * entry receives a new version up to 200 ms after the platform acknowledged it
  * to the operator. */
 #define WITHDRAW_LEAD_TIME (300 * GW_MILLISECOND)
+/* The same at an engine that no load order is sure to reach: its queue is not
+ * known, and it may read the close late. */
+#define UNREPORTED_LEAD_TIME (1 * GW_SECOND)
+/* Time for the rest of a run after its first token, at an engine that ends it
+ * by its deadline. */
+#define RUN_TIME (2 * GW_SECOND)
+
+static GwTime lead_time_(const GwOutdatedEngine *e);
 
 bool
 GwOutdated_MaySend(const GwOutdatedFacts *f)
 {
+    const GwOutdatedEngine *e = &f->engine;
     GwTime wait =
-        GwOverload_SlowestPrefill(f->tokens, f->prefill_tokens_per_ms) +
-        ESTIMATE_MARGIN;
+        GwOverload_SlowestPrefill(f->tokens, f->prefill_tokens_per_ms);
 
-    if (f->since == 0)
+    if (e->since == 0)
         return true;
     if (f->is_full)
         wait += SLOT_WAIT;
-    return f->now - f->since + wait <= f->bound;
+    wait = MAX(wait, f->observed_wait) + ESTIMATE_MARGIN + e->lateness;
+    if (!e->is_reported)
+        wait += RUN_TIME;
+    return f->now - e->since + wait <= e->bound;
+}
+
+GwTime
+GwOutdated_WithdrawAt(const GwOutdatedEngine *e)
+{
+    return e->since != 0 ? e->since + e->bound - lead_time_(e) : 0;
 }
 
+// At an engine with an agent, a running request may go on past the bound.
 GwTime
-GwOutdated_WithdrawAt(GwTime since, GwTime bound)
+GwOutdated_DropAt(const GwOutdatedEngine *e)
+{
+    if (e->since == 0 || e->is_reported)
+        return GW_NEVER;
+    return e->since + e->bound - WITHDRAW_LEAD_TIME;
+}
+
+static GwTime
+lead_time_(const GwOutdatedEngine *e)
 {
-    return since != 0 ? since + bound - WITHDRAW_LEAD_TIME : 0;
+    return (e->is_reported ? WITHDRAW_LEAD_TIME : UNREPORTED_LEAD_TIME) +
+           e->lateness;
 }
--- a/packages/routing/tests/engine_speed_test.cc
+++ b/packages/routing/tests/engine_speed_test.cc
@@ -348,9 +348,8 @@
         EXPECT_EQ(GwOverload_Defer(&deferral) > 0, speed == slow) << speed;
     }
 
-    outdated.since = 100 * GW_SECOND;
+    outdated.engine = {100 * GW_SECOND, 8 * GW_SECOND, true, 0};
     outdated.now = 104 * GW_SECOND;
-    outdated.bound = 8 * GW_SECOND;
     outdated.tokens = 50000;
     for (double speed : {0.0, nominal, slow}) {
         outdated.prefill_tokens_per_ms = speed;
--- a/packages/routing/tests/outdated_test.cc
+++ b/packages/routing/tests/outdated_test.cc
@@ -24,7 +24,8 @@
     const GwTime named = 100 * GW_SECOND;
 
     for (auto &c : cases) {
-        GwOutdatedFacts f = {named, 0, 8 * GW_SECOND, c.tokens, c.full, 0};
+        GwOutdatedFacts f = {
+            {named, 8 * GW_SECOND, true, 0}, 0, c.tokens, c.full, 0, 0};
 
         f.now = named + (GwTime)(c.sent_s * GW_SECOND);
         if (c.sent_s > 0) {
@@ -32,17 +33,49 @@
         }
         f.now = named + (GwTime)(c.not_sent_s * GW_SECOND);
         EXPECT_FALSE(GwOutdated_MaySend(&f)) << c.name;
-        f.since = 0;
+        f.engine.since = 0;
         EXPECT_TRUE(GwOutdated_MaySend(&f)) << c.name << ", newest weights";
     }
 }
 
-TEST(Outdated, WaitingRequestIsWithdrawnBeforeBound)
+// Guards against requests that start late at an engine whose queue is longer
+// than estimated, or not known. Times are in seconds since the new version was
+// named; the bound is 8 s.
+TEST(Outdated, LessKnowledgeOfTheQueueEndsItsUseEarlier)
 {
-    const GwTime named = 100 * GW_SECOND, bound = 8 * GW_SECOND;
-    GwTime at = GwOutdated_WithdrawAt(named, bound);
+    const struct {
+        const char *name;
+        bool is_reported;
+        double observed_s, lateness_s;
+        double sent_s, not_sent_s;     // last time at which it gets requests
+        double withdrawn_s, dropped_s; // 0: not dropped by the engine
+    } cases[] = {
+        {"nothing observed", true, 0, 0, 7.1, 7.3, 7.7, 0},
+        {"slow first tokens", true, 3, 0, 4.1, 4.3, 7.7, 0},
+        {"late timers", true, 0, 0.4, 6.7, 6.9, 7.3, 0},
+        {"no report", false, 0, 0, 5.1, 5.3, 7, 7.7},
+        {"no report, slow first tokens", false, 3, 0, 2.1, 2.3, 7, 7.7},
+    };
+    const GwTime named = 100 * GW_SECOND;
+    const auto at = [&](double s) { return named + (GwTime)(s * GW_SECOND); };
 
-    EXPECT_LT(at, named + bound - 200 * GW_MILLISECOND);
-    EXPECT_GT(at, named + bound - 800 * GW_MILLISECOND);
-    EXPECT_EQ(GwOutdated_WithdrawAt(0, bound), 0);
+    for (auto &c : cases) {
+        GwOutdatedFacts f = {};
+
+        f.engine = {named, 8 * GW_SECOND, c.is_reported,
+                    (GwTime)(c.lateness_s * GW_SECOND)};
+        f.observed_wait = (GwTime)(c.observed_s * GW_SECOND);
+        f.now = at(c.sent_s);
+        EXPECT_TRUE(GwOutdated_MaySend(&f)) << c.name;
+        f.now = at(c.not_sent_s);
+        EXPECT_FALSE(GwOutdated_MaySend(&f)) << c.name;
+        EXPECT_EQ(GwOutdated_WithdrawAt(&f.engine), at(c.withdrawn_s))
+            << c.name;
+        EXPECT_EQ(GwOutdated_DropAt(&f.engine),
+                  c.dropped_s > 0 ? at(c.dropped_s) : GW_NEVER)
+            << c.name;
+        f.engine.since = 0;
+        EXPECT_EQ(GwOutdated_WithdrawAt(&f.engine), 0) << c.name;
+        EXPECT_EQ(GwOutdated_DropAt(&f.engine), GW_NEVER) << c.name;
+    }
 }
