Bytes that are no answer have an end

The gateway waited until the request's deadline for: interim answers, the body of an answer to another request, the body of a refusal or of an answer without signature, fast or slow; empty lines that come in small pieces were ignored without end; a stream could consist of comments without end. Now a connection reads at most 256 KiB that belong to no request, an answer that will not be forwarded is read for 0.3 s and 64 KiB at most, which its head has judged already, 16 bytes of empty lines count over all pieces, and a stream is broken off after 1 MiB without a token. Reading a head was bounded before (64 KiB).

--- a/packages/gateway/src/event_splitter.c
+++ b/packages/gateway/src/event_splitter.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 static bool read_event_(GwEventSplitter *s, const char *event, size_t len);
+static void note_token_(GwEventSplitter *s);
 
 void
 GwEventSplitter_Init(GwEventSplitter *s)
@@ -26,6 +27,7 @@
     s->scan = (GwEventScan){0};
     s->n_complete = 0;
     s->has_token = false;
+    s->bytes_without_token = 0;
 }
 
 bool
@@ -37,6 +39,7 @@
     while (GwEventScan_Next(&s->scan, data, len, &n)) {
         size_t bom = GwEventScan_BomLength(&s->scan);
 
+        s->bytes_without_token += n;
         g_string_append_len(s->tail, data, (gssize)n);
         data += n;
         len -= n;
@@ -48,8 +51,9 @@
         g_string_truncate(s->tail, 0);
         s->has_output = true;
     }
+    s->bytes_without_token += len;
     g_string_append_len(s->tail, data, (gssize)len);
-    return s->tail->len <= GW_EVENT_MAX_BYTES;
+    return s->bytes_without_token <= GW_EVENT_MAX_BYTES;
 }
 
 bool
@@ -70,10 +74,10 @@
         size_t n = MIN(field.value_len, GW_EVENT_ID_MAX - 1);
 
         has_field = true;
-        s->has_token = s->has_token || GwEventField_Is(&field, "data");
+        if (GwEventField_Is(&field, "data") || GwEventField_Is(&field, "id"))
+            note_token_(s);
         if (!GwEventField_Is(&field, "id"))
             continue;
-        s->has_token = true;
         memcpy(s->last_id, field.value, n);
         s->last_id[n] = '\0';
         g_strchomp(s->last_id);
@@ -81,3 +85,10 @@
     }
     return has_field;
 }
+
+static void
+note_token_(GwEventSplitter *s)
+{
+    s->has_token = true;
+    s->bytes_without_token = 0;
+}
--- a/packages/gateway/src/event_splitter.h
+++ b/packages/gateway/src/event_splitter.h
@@ -18,8 +18,9 @@
     bool has_id;
     bool has_output;     /* complete events were appended to an output */
     unsigned n_complete; /* complete events since the last restart */
-    bool has_token;      /* one of these has an id or data, as each event with
-                            tokens has */
+    size_t bytes_without_token; /* since the last event with tokens */
+    bool has_token; /* one of these has an id or data, as each event with
+                       tokens has */
 } GwEventSplitter;
 
 void GwEventSplitter_Init(GwEventSplitter *splitter);
@@ -29,8 +30,9 @@
 void GwEventSplitter_Restart(GwEventSplitter *splitter);
 /* Add received bytes, and append the events that they complete to @p out. A
  * byte order mark is removed from a stream that continues an earlier one, as
- * it would hide the name of the field behind it. Returns whether the rest is
- * within GW_EVENT_MAX_BYTES; otherwise the stream must be ended. */
+ * it would hide the name of the field behind it. Returns whether the bytes
+ * since the last event with tokens are within GW_EVENT_MAX_BYTES; otherwise
+ * the stream must be ended, as it may have no further one. */
 bool GwEventSplitter_Push(GwEventSplitter *splitter, const char *data,
                           size_t len, GString *out);
 /* Whether the bytes received so far end inside an event. A stream that ends
--- a/packages/gateway/src/request_abandon.c
+++ b/packages/gateway/src/request_abandon.c
@@ -14,12 +14,14 @@
 static void abandon_attempt_(GwRequest *r, const char *why);
 static bool may_still_finish_(const GwRequest *r);
 static void on_silence_timer_(void *user);
+static void on_unusable_timer_(void *user);
 static void on_withdrawal_timer_(void *user);
 
 void
 GwRequestAbandon_Init(GwRequest *r)
 {
     GwTimer_Init(&r->silence_timer, r->gateway->loop, on_silence_timer_, r);
+    GwTimer_Init(&r->unusable_timer, r->gateway->loop, on_unusable_timer_, r);
     GwTimer_Init(&r->withdrawal_timer, r->gateway->loop, on_withdrawal_timer_,
                  r);
 }
@@ -107,6 +109,12 @@
     GwRequestAttempt_Make(r);
 }
 
+static void
+on_unusable_timer_(void *user)
+{
+    GwRequestAttempt_EndUnusable(user);
+}
+
 static void
 on_withdrawal_timer_(void *user)
 {
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -34,6 +34,7 @@
 static void note_endpoint_state_(GwRequest *r);
 static void note_limit_(GwRequest *r);
 static void on_body_(void *user, const char *data, size_t len);
+static void fail_declined_(GwRequest *r);
 static void on_end_(void *user, GwUpstreamOutcome outcome);
 
 /* Reasons under which retries are counted, by the outcome of the attempt. */
@@ -52,6 +53,12 @@
     [GW_ADMISSION_OVERLOAD] = GW_REFUSAL_OVERLOAD,
 };
 
+/* An answer that will not be forwarded is read to its end, so that its
+ * connection can be used again, but no longer than this and no more bytes. A
+ * faulty endpoint may send it without end. */
+#define UNUSABLE_TIME_MAX (300 * GW_MILLISECOND)
+#define UNUSABLE_BYTES_MAX (64 * 1024)
+
 static const GwUpstreamOps upstream_ops = {on_head_, on_body_, on_end_};
 
 void
@@ -214,14 +221,14 @@
     GwEndpointLimits *limits = GwView_EndpointLimits(g->view);
     GwTime now = GwTime_Now();
     g_autoptr(GString) out = g_string_sized_new(r->body_len + 1024);
+    GwOutdatedEngine engine = GwOutdatedEngine_Of(g, instance, now);
+    GwTime drop_at =
+        MIN(r->deadline - ANSWER_TRANSIT_TIME, GwOutdated_DropAt(&engine));
     GwKvStore *store;
     GwDispatch dispatch = {
         .instance_id = instance->id,
         .account = r->account != NULL ? r->account->name : NULL,
         .deadline_ms = MAX(drop_at - now, GW_MILLISECOND) / GW_MILLISECOND,
-    GwOutdatedEngine engine = GwOutdatedEngine_Of(g, instance, now);
-    GwTime drop_at =
-        MIN(r->deadline - ANSWER_TRANSIT_TIME, GwOutdated_DropAt(&engine));
         .priority = instance->model != NULL
                         ? GwRoute_EnginePriority(r->route, r->account)
                         : -1,
@@ -256,8 +263,10 @@
     r->has_started = false;
     r->last_received_at = 0;
     r->is_usable = false;
+    r->unusable_bytes = 0;
     r->prefill_tokens = GwSelection_PrefillTokens(r, instance);
     instance->in_flight++;
+    GwFirstTokenWait_Sent(&instance->first_token_wait, now);
     if (GwEndpointLimits_Rate(limits, instance, now) >= 0)
         GwEndpointLimits_Consume(limits, instance,
                                  GwPeers_EntriesSendingTo(g->peers, instance),
@@ -266,7 +275,6 @@
     if (!GwSelection_IsDeferrable(r))
         GwUnreportedTokens_Add(&instance->unreported_urgent,
                                instance->agent_report.at, r->prefill_tokens);
-    GwFirstTokenWait_Sent(&instance->first_token_wait, now);
     if (r->n_tried < TRIED_MAX)
         r->tried_serials[r->n_tried++] = instance->serial;
     GwCounters_Add(&g->counters, GW_COUNTER_ATTEMPTS, 1);
@@ -303,6 +311,8 @@
         GwInstance_SetWeights(r->instance, r->reply.weights);
     GwUpstream_SetKeepAlive(r->upstream, r->reply.keep_alive_s);
     GwRequestAnswer_Begin(r, head);
+    if (!r->is_usable)
+        GwTimer_Start(&r->unusable_timer, UNUSABLE_TIME_MAX);
     return GW_HEAD_ACCEPT;
 }
 
@@ -344,11 +354,37 @@
                           GW_SOURCE_ANSWER);
 }
 
+// The head alone shows what the answer is worth.
+void
+GwRequestAttempt_EndUnusable(GwRequest *r)
+{
+    GwUpstream_Cancel(g_steal_pointer(&r->upstream));
+    if (r->reply.not_run) {
+        fail_declined_(r);
+        return;
+    }
+    GwHealth_Note(&r->instance->health, GW_HEALTH_BROKEN, GwTime_Now());
+    GwRequestAttempt_Failed(r, GW_ATTEMPT_MAY_HAVE_RUN, "unusable");
+}
+
+static void
+fail_declined_(GwRequest *r)
+{
+    r->instance->avoid_until = GwTime_Now() + AVOID_AFTER_DECLINE;
+    GwRequestAttempt_Failed(r, GW_ATTEMPT_NOT_RUN, "declined");
+}
+
 static void
 on_body_(void *user, const char *data, size_t len)
 {
     GwRequest *r = user;
 
+    if (!r->is_usable) {
+        r->unusable_bytes += len;
+        if (r->unusable_bytes > UNUSABLE_BYTES_MAX)
+            GwRequestAttempt_EndUnusable(r);
+        return;
+    }
     if (GwRequestAnswer_Push(r, data, len))
         return;
     // The reset makes the endpoint stop, which may never end its event.
@@ -390,8 +426,7 @@
         GwRequestAttempt_Failed(r, GW_ATTEMPT_NOT_SENT, "unreachable");
     }
     else if (r->has_reply && r->reply.not_run) {
-        instance->avoid_until = now + AVOID_AFTER_DECLINE;
-        GwRequestAttempt_Failed(r, GW_ATTEMPT_NOT_RUN, "declined");
+        fail_declined_(r);
     }
     else {
         GwHealth_Note(&instance->health, GW_HEALTH_BROKEN, now);
--- a/packages/gateway/src/request_attempt.h
+++ b/packages/gateway/src/request_attempt.h
@@ -17,5 +17,8 @@
 void GwRequestAttempt_Failed(GwRequest *request,
                              GwAttemptOutcome attempt_outcome,
                              const char *why);
+/* The answer to the current attempt is unusable, and has not ended within the
+ * limits for such answers: the attempt has failed. */
+void GwRequestAttempt_EndUnusable(GwRequest *request);
 
 #endif
--- a/packages/gateway/src/request_end.c
+++ b/packages/gateway/src/request_end.c
@@ -7,15 +7,16 @@
 GwRequestEnd_ReleaseInstance(GwRequest *r)
 {
     GwTimer_Stop(&r->silence_timer);
+    GwTimer_Stop(&r->unusable_timer);
     GwTimer_Stop(&r->withdrawal_timer);
     if (r->instance == NULL)
         return;
     // in_flight counts attempts, for the selection; -1 removes the request
     // from the load that the engine's agent is sent.
     r->instance->in_flight--;
-    GwRequestLoad_Add(r, -(int64_t)r->prefill_tokens, -1);
     if (!r->has_started)
         GwFirstTokenWait_Ended(&r->instance->first_token_wait);
+    GwRequestLoad_Add(r, -(int64_t)r->prefill_tokens, -1);
     r->prefill_tokens = 0;
     GwInstance_Unref(GwView_Instances(r->gateway->view), r->instance);
     r->instance = NULL;
@@ -54,9 +55,10 @@
     GwLimitShare_CancelWait(&r->limit_waiter);
     GwOriginAsk_Cancel(&r->origin_ask);
     GwRequestEnd_ReleaseInstance(r);
-    // GwRequestEnd_ReleaseInstance has stopped the last two already.
+    // GwRequestEnd_ReleaseInstance has stopped the last three already.
     GwTimer_Stop(&r->deadline_timer);
     GwTimer_Stop(&r->silence_timer);
+    GwTimer_Stop(&r->unusable_timer);
     GwTimer_Stop(&r->withdrawal_timer);
     TAILQ_REMOVE(&g->requests, r, link);
     GwHttpHead_Free(r->reply_head);
--- a/packages/gateway/src/request_private.h
+++ b/packages/gateway/src/request_private.h
@@ -36,6 +36,8 @@
     GwTimer deadline_timer;
     GwTimer silence_timer;    /* abandons an attempt whose endpoint has not
                                  begun to answer */
+    GwTimer unusable_timer;   /* ends an attempt whose answer is unusable and
+                                 does not end */
     GwTimer withdrawal_timer; /* abandons an attempt shortly before its
                                  engine's outdated weights reach the bound */
 
@@ -63,6 +65,7 @@
     bool has_started; /* the current attempt; see GwRequestStart_Note */
     bool is_unframed; /* the reply has neither a length nor chunks */
     bool is_usable; /* the reply may be forwarded, as far as its head shows */
+    size_t unusable_bytes;  /* received of an unusable reply */
     GwHttpHead *reply_head; /* held until it is forwarded */
     GString *held_body;     /* start of the endpoint's body, held with the
                                head */
--- a/packages/gateway/src/upstream.c
+++ b/packages/gateway/src/upstream.c
@@ -5,6 +5,9 @@
 /* Maximum number of answers to other requests that are ignored before the
  * answer to a request; an endpoint that sends more violates the protocol. */
 #define FOREIGN_ANSWERS_MAX 3
+/* Maximum number of bytes of such answers and of interim ones. A faulty
+ * endpoint may send them without end. */
+#define IGNORED_BYTES_MAX (256 * 1024)
 /* Endpoints close idle connections. If a request is sent while the endpoint
  * closes the connection, it is unknown whether the request has run. So a
  * connection that has been idle is not reused from this time before the idle
@@ -35,6 +38,7 @@
                          request */
     bool keep_alive;  /* the connection stays open after the current answer */
     unsigned foreign_answers; /* ignored since the request was sent */
+    size_t ignored_bytes;     /* of these, and of interim answers */
     GwTime idle_limit;        /* idle timeout of the endpoint */
     GwTime idle_since;
     int callback_depth; /* number of callbacks in progress */
@@ -140,6 +144,7 @@
     u->user = options->user;
     u->has_no_body = options->has_no_body;
     u->foreign_answers = 0;
+    u->ignored_bytes = 0;
     if (u->is_open)
         GwTcp_Write(u->tcp, (const uint8_t *)options->request->str,
                     options->request->len);
@@ -307,9 +312,13 @@
             GwHttpReader_Feed(u->reader, data, len, &used);
 
         // The request may have been cancelled during a callback.
-        if (progress == GW_HTTP_MORE || u->is_deleted)
+        if (u->is_deleted)
             return;
-        if (progress != GW_HTTP_DONE) {
+        if (u->is_skipping)
+            u->ignored_bytes += used;
+        if (progress == GW_HTTP_MORE && u->ignored_bytes <= IGNORED_BYTES_MAX)
+            return;
+        if (progress != GW_HTTP_DONE || u->ignored_bytes > IGNORED_BYTES_MAX) {
             finish_request_(u, GW_UPSTREAM_BROKEN, false);
             return;
         }
--- a/packages/http/src/message.c
+++ b/packages/http/src/message.c
@@ -4,7 +4,8 @@
 #include <string.h>
 
 #define DEFAULT_MAX_HEAD_BYTES (64 * 1024)
-/* Bytes of empty lines that are ignored before a message. */
+/* Bytes of empty lines that are ignored before a message; the parser would
+ * ignore any number of them. */
 #define MAX_LEADING_LINE_END_BYTES 16
 
 /* Where the name and the value of a header begin in GwHttpHead.text. */
@@ -16,9 +17,10 @@
 struct GwHttpReader {
     http_parser parser;
     GwHttpReaderOptions options;
-    GwHttpHead head;   /* of the current message */
-    size_t head_bytes; /* received so far, trailers included */
-    bool in_message;   /* the current message has begun */
+    GwHttpHead head;      /* of the current message */
+    size_t head_bytes;    /* received so far, trailers included */
+    size_t leading_bytes; /* of empty lines before it */
+    bool in_message;      /* the current message has begun */
     /* the parser last reported a piece of a value, not of a name */
     bool in_value;
     bool head_done;      /* the head was read completely */
@@ -138,10 +140,12 @@
         reset_reader_(reader);
     // Empty lines before a message are allowed and ignored.
     while (!reader->in_message && skipped < len &&
-           skipped < MAX_LEADING_LINE_END_BYTES &&
            (data[skipped] == '\r' || data[skipped] == '\n'))
         skipped++;
+    reader->leading_bytes += skipped;
     *used = skipped;
+    if (reader->leading_bytes > MAX_LEADING_LINE_END_BYTES)
+        return GW_HTTP_MALFORMED;
     if (skipped == len)
         return GW_HTTP_MORE;
     n = http_parser_execute(&reader->parser, &settings, data + skipped,
@@ -300,6 +304,7 @@
     g_array_set_size(head->offsets, 0);
     head->n_fields = 0;
     reader->head_bytes = 0;
+    reader->leading_bytes = 0;
     reader->in_message = false;
     reader->in_value = false;
     reader->head_done = false;
