--- a/soak/src/answer_sender.cc
+++ b/soak/src/answer_sender.cc
@@ -65,7 +65,8 @@
     sender->on_piece_ = std::move(on_piece);
     exchange->user = sender;
     GwTimer_Init(&sender->timer_, loop, OnTimer, sender);
-    sender->SendHead();
+    if (!plan.is_head_sent)
+        sender->SendHead();
     if (plan.interval > 0) {
         sender->WaitOrEnd();
         return;
--- a/soak/src/answer_sender.h
+++ b/soak/src/answer_sender.h
@@ -30,6 +30,7 @@
     GwTime interval = 0; /* of the pieces; 0: all are written at once */
     Framing framing = Framing::kLength;
     AnswerEnd end = AnswerEnd::kComplete;
+    bool is_head_sent = false; /* and framed as chunked */
 
     /* Draw the framing. */
     void DrawFraming(std::mt19937_64 *random);
--- a/soak/src/faults.cc
+++ b/soak/src/faults.cc
@@ -53,7 +53,8 @@
     : options_(options), log_(std::move(log)), random_(options.seed),
       restore_random_(~options.seed), limit_random_(options.seed + 1),
       departure_random_(options.seed + 2), stream_random_(options.seed + 3),
-      load_random_(options.seed + 4), retry_random_(options.seed + 5)
+      load_random_(options.seed + 4), retry_random_(options.seed + 5),
+      weights_random_(options.seed + 6)
 {
     GwTimer_Init(&next_fault_timer_, options.platform->loop, OnNextFaultTimer,
                  this);
--- a/soak/src/faults.h
+++ b/soak/src/faults.h
@@ -27,6 +27,10 @@
  * windows of the retry budget. */
 constexpr GwTime kRetryPhaseTime = 24 * GW_SECOND;
 
+/* Duration of the phase in which weights are outdated: longer than the bound
+ * and the time until restarted processes are in touch again. */
+constexpr GwTime kWeightsPhaseTime = 17 * GW_SECOND;
+
 class Faults {
   public:
     Faults(const FaultOptions &options,
@@ -57,6 +61,11 @@
     /* Let most engines fail their requests, and kill and suspend gateways and
      * sidecars in series, until EndAll is called. */
     void StartRetries();
+    /* Load engines that leave open what the protocol does (when they send
+     * heads, whether they drop what is closed, when they carry out orders),
+     * name versions while some of them are away, and restart all processes
+     * around the bound. For kWeightsPhaseTime, until EndAll is called. */
+    void StartWeights();
     /* Make all endpoints, or a random third of them, announce rate limits
      * until EndAll is called. */
     void LimitEndpoints(bool all);
@@ -129,6 +138,9 @@
     /* Slow a random engine down for a while. */
     void SlowEngineDown();
     void EndLoad();
+    /* Draw what the engine does where the protocol leaves it open. */
+    void VaryEngine(Endpoint *engine);
+    void RestartAllProcesses();
     /* Let the engine fail most of its requests, in one of several ways. */
     void FailRequests(Endpoint *engine);
     /* Kill or suspend all gateways, or some, or kill some sidecars. */
@@ -171,6 +183,7 @@
     std::mt19937_64 stream_random_;
     std::mt19937_64 load_random_;
     std::mt19937_64 retry_random_;
+    std::mt19937_64 weights_random_;
     GwTimer next_fault_timer_, planned_work_timer_, departure_timer_,
         software_timer_, version_timer_, load_timer_, retry_timer_;
     int newest_software_ = 0; /* see SoftwareName */
--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -33,6 +33,7 @@
     int64_t parts = 0;
     int64_t load = 0;
     int64_t retries = 0;
+    int64_t weights = 0;
     const char *regressions = nullptr;
     const char *logs = "/tmp/gw-soak";
 };
@@ -70,6 +71,9 @@
     {"retries", nullptr,
      "Also let engines fail most requests while gateways are lost in series",
      GW_SETTING_FLAG, FIELD(retries), 0, 1, false},
+    {"weights", nullptr,
+     "Also let weights become outdated while all processes restart",
+     GW_SETTING_FLAG, FIELD(weights), 0, 1, false},
     {"regressions", "FILE", "Run the seeds listed in a file", GW_SETTING_TEXT,
      FIELD(regressions), 0, 0, false},
     {"logs", "DIR", "Directory for the logs of runs that broke a promise",
@@ -220,6 +224,11 @@
                 RunLoopFor(kRetryPhaseTime);
                 EndFaultsAndSettle();
             }
+            if (options_.weights) {
+                faults_->StartWeights();
+                RunLoopFor(kWeightsPhaseTime);
+                EndFaultsAndSettle();
+            }
             if (options_.versions) {
                 faults_->StartSoftwareChanges();
                 RunLoopFor(kSoftwarePhaseTime);
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -3,10 +3,7 @@
 #include <cstdlib>
 #include <cstring>
 
-/* Duration of a load of weights, interval of the events of a stream, and of
- * the pieces of a plain answer. */
-static const GwTime kWeightsLoadTime = 150 * GW_MILLISECOND;
-static const GwTime kWeightsLoadTimeWithLoad = 400 * GW_MILLISECOND;
+/* Interval of the events of a stream, and of the pieces of a plain answer. */
 static const GwTime kEventInterval = 8 * GW_MILLISECOND;
 static const GwTime kPieceInterval = 2 * GW_MILLISECOND;
 static const int kMaxPieces = 4;
@@ -60,8 +57,8 @@
     return std::string(a.host) + ":" + std::to_string(a.port);
 }
 
-static std::string
-HeaderValue(FakeExchange *x, const char *name)
+std::string
+HeaderValue(const FakeExchange *x, const char *name)
 {
     const char *value = GwHttpHead_Find(x->head, name);
 
@@ -72,7 +69,8 @@
     : is_engine(engine),
       prefills(
           platform->loop, [this](FakeExchange *x) { BeginRun(x); },
-          [this](FakeExchange *x) { AnswerRequest(x); }),
+          [this](FakeExchange *x) { AnswerRequest(x); },
+          [this](const std::string &request) { CheckWeights(request); }),
       platform_(platform), number_(number)
 {
     int group = engine ? kEngineGroup : kPlainGroup;
@@ -81,6 +79,7 @@
 
     proxy = std::make_unique<Proxy>(platform->loop, listed, served);
     GwTimer_Init(&load_timer_, platform->loop, OnLoadTimer, this);
+    GwTimer_Init(&late_order_timer_, platform->loop, OnLateOrderTimer, this);
     GwTimer_Init(&restart_timer_, platform->loop, OnRestartTimer, this);
     GwTimer_Init(&fatal_answer_timer_, platform->loop, OnFatalAnswerTimer,
                  this);
@@ -91,6 +90,7 @@
 Endpoint::~Endpoint()
 {
     GwTimer_Stop(&load_timer_);
+    GwTimer_Stop(&late_order_timer_);
     GwTimer_Stop(&restart_timer_);
     GwTimer_Stop(&fatal_answer_timer_);
     prefills.Clear();
@@ -371,7 +371,7 @@
         return;
     }
     if (target == "/galenagw/order")
-        e->HandleLoadOrder(x);
+        e->OnLoadOrder(x);
     else
         e->ServeRequest(x);
 }
@@ -380,6 +380,7 @@
 Endpoint::OnConnectionClosed(void *user, FakeExchange *x)
 {
     static_cast<Endpoint *>(user)->prefills.Remove(x);
+    static_cast<Endpoint *>(user)->early_heads_.erase(x);
     AnswerSender::Delete(static_cast<AnswerSender *>(x->user));
 }
 
@@ -417,6 +418,10 @@
         TerminateByFatalRequest();
         return;
     }
+    if (draw(platform_->random) < endless_share) {
+        RejectWithoutEnd(x);
+        return;
+    }
     if (loading_version_ != 0 || draw(platform_->random) < overload_share) {
         Reject(x, 503);
         return;
@@ -433,7 +438,10 @@
     if (is_engine && platform_->has_load) {
         int tokens = atoi(HeaderValue(x, "X-Token-Usage").c_str());
 
-        prefills.Add(x, tokens * GW_MILLISECOND / kPrefillTokensPerMs);
+        if (head_time != HeadTime::kWithFirstToken)
+            SendHeadEarly(x);
+        prefills.Add(x, HeaderValue(x, "X-Request-Id"),
+                     tokens * GW_MILLISECOND / kPrefillTokensPerMs);
         return;
     }
     BeginRun(x);
@@ -468,7 +476,10 @@
                           "\r\nKeep-Alive: timeout=5\r\n" + StatusHeaders();
     NoteAnnounced(platform_->is_sender_in_touch(request));
     if (draw(platform_->random) < error_share) {
-        FakeExchange_Answer(x, 500, headers.c_str(), "failed", 6);
+        if (early_heads_.count(x) != 0)
+            FakeExchange_Close(x, true);
+        else
+            FakeExchange_Answer(x, 500, headers.c_str(), "failed", 6);
         return;
     }
     if (is_engine)
@@ -514,6 +525,10 @@
     }
     plan.interval = kEventInterval;
     plan.DrawFraming(&platform_->random);
+    if (early_heads_.erase(x) != 0) {
+        plan.is_head_sent = true;
+        plan.framing = Framing::kChunked;
+    }
     plan.MovePieceEnds(&platform_->random);
     if (!plan.body.empty() && draw(platform_->random) < broken_stream_share) {
         plan.DrawBreakOff(&platform_->random);
@@ -540,43 +555,6 @@
         request + " continues after its caller abandoned it");
 }
 
-void
-Endpoint::HandleLoadOrder(FakeExchange *x)
-{
-    const char *at = strstr(x->body->str, "\"version\":");
-    const char *expected = strstr(x->body->str, "\"expect\":");
-
-    if (at == nullptr || loading_version_ != 0 ||
-        (expected != nullptr && atoi(expected + 9) != load_order_count_)) {
-        FakeExchange_Answer(x, at == nullptr ? 400 : 409, "", "", 0);
-        return;
-    }
-    if (atoi(at + 10) < weights_version_)
-        platform_->ledger->RecordViolation(
-            "versions of weights never decrease", id);
-    loading_version_ = atoi(at + 10);
-    load_order_count_++;
-    platform_->CheckSwitchSchedule(*this);
-    for (FakeExchange *waiting : prefills.TakeWaiting())
-        Reject(waiting, 503);
-    // The prompt that is prefilled gets its first token before the load.
-    GwTimer_Start(&load_timer_,
-                  prefills.TimeLeft() + (platform_->has_load
-                                             ? kWeightsLoadTimeWithLoad
-                                             : kWeightsLoadTime));
-    FakeExchange_Answer(x, 202, "", "", 0);
-}
-
-void
-Endpoint::OnLoadTimer(void *user)
-{
-    Endpoint *e = static_cast<Endpoint *>(user);
-
-    e->weights_version_ = e->loading_version_;
-    e->loading_version_ = 0;
-    e->WriteRow();
-}
-
 void
 Endpoint::SendReport(FakeExchange *x)
 {
--- a/soak/src/platform.h
+++ b/soak/src/platform.h
@@ -47,6 +47,9 @@
  * callers can check whether an answer is complete. */
 std::string AnswerBodyOf(const std::string &id);
 
+/* A header of the request; empty: it has none. */
+std::string HeaderValue(const FakeExchange *exchange, const char *name);
+
 /* Listening addresses: each process, proxy and endpoint has its own loopback
  * address; ports of the same kind have the same number. */
 struct Ports {
@@ -81,6 +84,9 @@
     kRemoval /* its row is removed, while it continues to serve */
 };
 
+/* When an engine sends the head of a stream. */
+enum class HeadTime { kWithFirstToken, kAtOnce, kAtOnceWithComment };
+
 /* One endpoint. Its row in the store has the address of its proxy. */
 class Endpoint {
   public:
@@ -136,6 +142,11 @@
     double error_share = 0, reset_share = 0, overload_share = 0;
     double invalid_header_share = 0; /* of answers with an invalid header */
     double broken_stream_share = 0;  /* of streams that are broken off */
+    double endless_share = 0; /* of requests rejected with a body that does not
+                                 end */
+    double late_order_share = 0; /* of load orders that get no answer and are
+                                    carried out late */
+    HeadTime head_time = HeadTime::kWithFirstToken; /* under load */
     std::unique_ptr<Proxy> proxy;
     PrefillQueue prefills; /* used under load */
     std::string id;
@@ -169,9 +180,19 @@
     /* Before each piece of a stream: check that its caller did not abandon it
      * too long ago. */
     void CheckAbandoned(const std::string &request, bool *is_recorded) const;
+    struct Order {
+        int version = 0;
+        int expected_count = -1; /* of previous orders; negative: any */
+    };
+    static void OnLateOrderTimer(void *user);
+    void OnLoadOrder(FakeExchange *x);
     /* Start to load weights, unless a load is running or the order was sent
-     * for another number of previous orders. */
-    void HandleLoadOrder(FakeExchange *x);
+     * for another number of previous orders. Returns whether it started. */
+    bool StartLoad(const Order &order);
+    /* Send the head of the answer before its prompt has been prefilled. */
+    void SendHeadEarly(FakeExchange *x);
+    /* Like Reject, but the answer does not end. */
+    void RejectWithoutEnd(FakeExchange *x);
     /* Answer with the engine's report. */
     void SendReport(FakeExchange *x);
     /* Answer that the request has not run and will not run. */
@@ -191,6 +212,9 @@
      * that this incarnation accepted */
     int weights_version_ = 1, loading_version_ = 0, load_order_count_ = 0;
     GwTimer load_timer_;
+    GwTimer late_order_timer_;
+    Order late_order_;
+    std::set<FakeExchange *> early_heads_; /* of answers without a token */
     bool is_draining_ = false, row_shows_draining_ = false;
     GwTime departed_at_ = 0; /* when the store or a machine in touch
                                 acknowledged the departure; 0: not yet */
--- a/soak/src/platform_load.cc
+++ b/soak/src/platform_load.cc
@@ -1,4 +1,4 @@
-/* Checks on weights and the schedule of their switches. */
+/* Checks on the schedule of switches. */
 #include <algorithm>
 
 #include "galenagw/routing/placement.h"
@@ -22,32 +22,6 @@
     return GwPlacement_HashAddress(&listed);
 }
 
-// A gateway in touch has known for long that a newer version is named, and it
-// alone decides until when the engine gets requests.
-void
-Endpoint::CheckWeights(const std::string &request) const
-{
-    GwTime since = platform_->OutdatedSince(weights_version_);
-    GwTime now = GwTime_Now();
-
-    if (since == 0 || now - since <= platform_->weights_bound ||
-        !proxy->fault_history.IsFaultFreeSince(now - kContactTime) ||
-        !platform_->store_fault_history.IsFaultFreeSince(now - kContactTime) ||
-        !platform_->is_sender_in_touch(request))
-        return;
-    platform_->ledger->RecordViolation(
-        "no request begins on outdated weights",
-        request + " of " + platform_->ledger->GatewayOf(request) + " at " +
-            id + ", outdated for " +
-            std::to_string((now - since) / GW_MILLISECOND) + " ms");
-}
-
-GwTime
-Platform::OutdatedSince(int version) const
-{
-    return version < weights_version ? named_at_[(size_t)version - 1] : 0;
-}
-
 bool
 Platform::IsEngineInTouch(const Endpoint &e) const
 {
--- a/soak/src/prefill_queue.cc
+++ b/soak/src/prefill_queue.cc
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <utility>
 
-PrefillQueue::PrefillQueue(GwLoop *loop, Callback on_begin, Callback on_end)
-    : on_begin_(std::move(on_begin)), on_end_(std::move(on_end))
+PrefillQueue::PrefillQueue(GwLoop *loop, Callback on_begin, Callback on_end,
+                           ClosedCallback on_closed_end)
+    : on_begin_(std::move(on_begin)), on_end_(std::move(on_end)),
+      on_closed_end_(std::move(on_closed_end))
 {
     GwTimer_Init(&timer_, loop, OnTimer, this);
 }
@@ -15,9 +17,9 @@
 }
 
 void
-PrefillQueue::Add(FakeExchange *x, GwTime time)
+PrefillQueue::Add(FakeExchange *x, const std::string &request, GwTime time)
 {
-    waiting_.push_back({x, time});
+    waiting_.push_back({x, request, time});
     if (!is_busy())
         BeginNext();
 }
@@ -25,11 +27,18 @@
 void
 PrefillQueue::Remove(FakeExchange *x)
 {
-    waiting_.erase(
-        std::remove_if(waiting_.begin(), waiting_.end(),
-                       [x](const Prompt &p) { return p.exchange == x; }),
-        waiting_.end());
-    if (prefilling_ != x)
+    const auto is_closed = [x](const Prompt &p) { return p.exchange == x; };
+
+    if (keeps_closed) {
+        for (Prompt &p : waiting_)
+            p.exchange = is_closed(p) ? nullptr : p.exchange;
+        if (is_closed(current_))
+            current_.exchange = nullptr;
+        return;
+    }
+    waiting_.erase(std::remove_if(waiting_.begin(), waiting_.end(), is_closed),
+                   waiting_.end());
+    if (!is_busy_ || !is_closed(current_))
         return;
     GwTimer_Stop(&timer_);
     BeginNext();
@@ -40,8 +49,10 @@
 {
     std::vector<FakeExchange *> all;
 
-    for (const Prompt &p : waiting_)
-        all.push_back(p.exchange);
+    for (const Prompt &p : waiting_) {
+        if (p.exchange != nullptr)
+            all.push_back(p.exchange);
+    }
     waiting_.clear();
     return all;
 }
@@ -51,7 +62,8 @@
 {
     GwTimer_Stop(&timer_);
     waiting_.clear();
-    prefilling_ = nullptr;
+    is_busy_ = false;
+    current_ = {};
 }
 
 GwTime
@@ -64,8 +76,13 @@
 PrefillQueue::OnTimer(void *user)
 {
     PrefillQueue *q = static_cast<PrefillQueue *>(user);
+    Prompt done = std::exchange(q->current_, {});
 
-    q->on_end_(std::exchange(q->prefilling_, nullptr));
+    q->is_busy_ = false;
+    if (done.exchange != nullptr)
+        q->on_end_(done.exchange);
+    else
+        q->on_closed_end_(done.request);
     if (!q->is_busy())
         q->BeginNext();
 }
@@ -73,15 +90,17 @@
 void
 PrefillQueue::BeginNext()
 {
-    prefilling_ = nullptr;
+    is_busy_ = false;
+    current_ = {};
     if (waiting_.empty())
         return;
-    Prompt next = waiting_.front();
+    current_ = waiting_.front();
     waiting_.pop_front();
-    prefilling_ = next.exchange;
-    GwTime time = (GwTime)((double)next.time * slowness);
+    is_busy_ = true;
+    GwTime time = (GwTime)((double)current_.time * slowness);
 
     end_at_ = GwTime_Now() + time;
     GwTimer_Start(&timer_, time);
-    on_begin_(next.exchange);
+    if (current_.exchange != nullptr)
+        on_begin_(current_.exchange);
 }
--- a/soak/src/prefill_queue.h
+++ b/soak/src/prefill_queue.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <functional>
+#include <string>
 #include <vector>
 
 #include "galenagw/fakes/fake_httpd.h"
@@ -12,16 +13,21 @@
 class PrefillQueue {
   public:
     using Callback = std::function<void(FakeExchange *)>;
+    using ClosedCallback = std::function<void(const std::string &request)>;
 
     /* @p on_begin is called when the prefill of a prompt begins, @p on_end
-     * when its first token is due. */
-    PrefillQueue(GwLoop *loop, Callback on_begin, Callback on_end);
+     * when its first token is due, @p on_closed_end instead of that if its
+     * connection has closed meanwhile; see keeps_closed. */
+    PrefillQueue(GwLoop *loop, Callback on_begin, Callback on_end,
+                 ClosedCallback on_closed_end);
     ~PrefillQueue();
-    /* Add a prompt whose prefill takes @p time at slowness 1. */
-    void Add(FakeExchange *x, GwTime time);
+    /* Add the prompt of @p request, whose prefill takes @p time at slowness 1.
+     */
+    void Add(FakeExchange *x, const std::string &request, GwTime time);
     /* The connection closed: remove its prompt, if it is here. */
     void Remove(FakeExchange *x);
-    /* Remove and return the prompts whose prefill has not begun. */
+    /* Remove the prompts whose prefill has not begun. Returns those whose
+     * connections are open. */
     std::vector<FakeExchange *> TakeWaiting();
     /* Remove all prompts. */
     void Clear();
@@ -33,26 +39,31 @@
     bool
     is_busy() const
     {
-        return prefilling_ != nullptr;
+        return is_busy_;
     }
     /* Time until the first token of the prompt that is prefilled; 0: none is.
      */
     GwTime TimeLeft() const;
     /* Factor by which prefills that begin from now on take longer. */
     double slowness = 1;
+    /* Prompts whose connection closes stay in the queue and begin. */
+    bool keeps_closed = false;
 
   private:
     struct Prompt {
-        FakeExchange *exchange;
-        GwTime time;
+        FakeExchange *exchange = nullptr; // null: its connection has closed
+        std::string request;
+        GwTime time = 0;
     };
     static void OnTimer(void *user);
     void BeginNext();
 
     Callback on_begin_, on_end_;
+    ClosedCallback on_closed_end_;
     GwTimer timer_;
     std::deque<Prompt> waiting_;
-    FakeExchange *prefilling_ = nullptr;
+    bool is_busy_ = false;
+    Prompt current_;    /* while is_busy_ */
     GwTime end_at_ = 0; /* of its prefill */
 };
 
--- a/soak/src/streams.cc
+++ b/soak/src/streams.cc
@@ -1,5 +1,7 @@
 #include "streams.h"
 
+#include <cstring>
+
 #include <cstdio>
 #include <functional>
 
@@ -52,6 +54,10 @@
     size_t at = 0;
 
     while (at < body.size()) {
+        if (body.compare(at, strlen(kStreamComment), kStreamComment) == 0) {
+            at += strlen(kStreamComment);
+            continue;
+        }
         size_t mark = body.find(kWriterMark, at);
         size_t begin = mark + sizeof(kWriterMark) - 1;
         size_t end = body.find_first_of("\r\n", begin);
--- a/soak/src/streams.h
+++ b/soak/src/streams.h
@@ -9,6 +9,9 @@
 
 #include "ledger.h"
 
+/* A comment that an engine may send before the first event. */
+constexpr char kStreamComment[] = ": wait\n\n";
+
 /* The stream that a request is about. A caller's further requests for a stream
  * have its id, a dot and a number. */
 std::string StreamOf(const std::string &request);
