A pooled connection reads again, whatever its last caller did

Looked for other states that a request leaves behind on a connection: the parser starts anew, has_no_body is set with each head, idle_limit with each answer, the connect timer stops when the connection opens, counts of ignored answers and bytes start with each request. A connection without a request reads now: nothing else decides about pausing then.

--- a/packages/gateway/src/upstream.c
+++ b/packages/gateway/src/upstream.c
@@ -32,7 +32,8 @@
     const GwUpstreamOps *ops;
     void *user; /* of ops; an idle connection has NULL as ops */
     bool is_open;
-    bool is_check; /* opened by GwUpstreamPool_Check */
+    bool is_paused; /* reading is; see GwUpstream_Pause */
+    bool is_check;  /* opened by GwUpstreamPool_Check */
     bool has_no_body;
     bool is_skipping; /* the current answer is interim, or belongs to another
                          request */
@@ -179,6 +180,7 @@
 void
 GwUpstream_Pause(GwUpstream *u, bool pause)
 {
+    u->is_paused = pause;
     GwTcp_Pause(u->tcp, pause);
 }
 
@@ -406,5 +408,8 @@
     u->idle_since = GwTime_Now();
     if (!keep_alive || u->tcp == NULL)
         close_connection_(u);
+    else if (u->is_paused)
+        // The next request on this connection must get its answer.
+        GwUpstream_Pause(u, false);
     ops->on_end(owner, outcome);
 }
--- a/packages/gateway/tests/upstream_test.cc
+++ b/packages/gateway/tests/upstream_test.cc
@@ -2,6 +2,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "galenagw/fakes/fake_httpd.h"
 #include "galenagw/fakes/loop_test.h"
 
 extern "C" {
@@ -93,3 +94,57 @@
     ASSERT_TRUE(Until([&] { return ended_; }));
     EXPECT_EQ(on_refused_calls_, 0);
 }
+
+// Guards against answers that are never read: a slow caller pauses reading
+// from the endpoint, the answer ends in the bytes already read, and the
+// connection is used again.
+TEST(UpstreamPool, AnAnswerThatEndsWhilePausedLeavesAConnectionThatReads)
+{
+    GwError err = {};
+    GwLoopOptions loop_options = {};
+    GwLoop *loop = GwLoop_New(&loop_options, &err);
+    FakeHttpdOps httpd_ops = {};
+    GwCounters counters = {};
+    GwUpstreamPoolOptions options = {};
+    struct State {
+        GwUpstream *upstream = nullptr;
+        int ends = 0;
+    } state;
+
+    httpd_ops.on_request = [](void *, FakeExchange *x) {
+        FakeExchange_Answer(x, 200, "Keep-Alive: timeout=5\r\n", "body", 4);
+    };
+    FakeHttpd *httpd = FakeHttpd_New(loop, &kAny, &httpd_ops, nullptr, &err);
+    options.loop = loop;
+    options.address = kAny;
+    options.address.port = FakeHttpd_Port(httpd);
+    options.counters = &counters;
+    GwUpstreamPool *pool = GwUpstreamPool_New(&options);
+    static const GwUpstreamOps ops = {
+        [](void *user, const GwHttpHead *) {
+            GwUpstream_SetKeepAlive(static_cast<State *>(user)->upstream, 5);
+            return GW_HEAD_ACCEPT;
+        },
+        [](void *user, const char *, size_t) {
+            GwUpstream_Pause(static_cast<State *>(user)->upstream, true);
+        },
+        [](void *user, GwUpstreamOutcome end) {
+            static_cast<State *>(user)->ends += end == GW_UPSTREAM_COMPLETE;
+        }};
+    GString *request = g_string_new("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+
+    for (int i = 1; i <= 3; i++) {
+        GwUpstreamOptions send = {request, false, true, &ops, &state};
+        GwTime until = GwTime_Now() + 2 * GW_SECOND;
+
+        state.upstream = GwUpstream_Send(pool, &send);
+        while (state.ends < i && GwTime_Now() < until)
+            GwLoop_Step(loop);
+        ASSERT_EQ(state.ends, i);
+    }
+    EXPECT_EQ(GwUpstreamPool_CountConnections(pool), 1u);
+    g_string_free(request, TRUE);
+    GwUpstreamPool_Delete(pool);
+    FakeHttpd_Delete(httpd);
+    GwLoop_Delete(loop);
+}
