An answer is delivered when its caller has taken it

Three bounds counted something else than what the caller takes: GwTcp_Finish dropped what was queued 2 s after the end of the answer; a drain counted requests, so the process could exit with queued bytes; the kernel's timeout of 3 s for unacknowledged bytes also runs while the window of a slow reader is closed. Now: after the end, queued bytes are sent as long as the peer takes some within 5 s, for 30 s at most (one who has stopped reading is bounded in time; memory is bounded as before, as reading from the endpoint pauses at 64 KiB, plus 256 KiB of a held answer); a drain waits for queued bytes until the grace time ends; connections of callers close after 15 s without progress, those between processes after 3 s as before. Test: StreamedAnswer.ACallerThatReadsSlowlyGetsItsWholeAnswer.

--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -342,7 +342,9 @@
 
     if (GwGateway_IsClosing(g))
         GwHttpServer_CloseIdle(g->callers_server);
-    if ((since >= DRAIN_TIME_MIN && g->requests_in_progress == 0) ||
+    // An answer is delivered when its caller has taken it, not when it ends.
+    if ((since >= DRAIN_TIME_MIN && g->requests_in_progress == 0 &&
+         !GwHttpServer_HasUnsent(g->callers_server)) ||
         since >= g->grace - DRAIN_GRACE_MARGIN) {
         GwEvent_Begin(g->log, "stop", NULL);
         GwEvent_Number(g->log, "active", g->requests_in_progress);
--- a/packages/http/include/galenagw/http/server.h
+++ b/packages/http/include/galenagw/http/server.h
@@ -88,6 +88,9 @@
                                GwError *err);
 /** Close all connections without callbacks and free the server. */
 void GwHttpServer_Delete(GwHttpServer *server);
+/** Whether bytes of answers are queued for callers, also for those whose
+ * connection is being closed. */
+bool GwHttpServer_HasUnsent(const GwHttpServer *server);
 /** The port in use, also if port 0 was requested. */
 int GwHttpServer_Port(const GwHttpServer *server);
 /** Set the limits of requests that are received from now on. */
--- a/packages/http/src/server.c
+++ b/packages/http/src/server.c
@@ -19,6 +19,10 @@
 /* A new connection is not idle for this long: its first request may be on its
  * way, and closing the connection would lose it. */
 #define FIRST_REQUEST_TIME (200 * GW_MILLISECOND)
+/* A caller that takes no bytes of its answer for this time is gone: longer
+ * than the pauses of one that reads slowly, during which its window is closed.
+ */
+#define SLOW_READER_TIMEOUT (15 * GW_SECOND)
 
 typedef struct Connection Connection;
 
@@ -152,6 +156,12 @@
     g_free(server);
 }
 
+bool
+GwHttpServer_HasUnsent(const GwHttpServer *server)
+{
+    return GwTcpServer_HasUnsent(server->tcp);
+}
+
 int
 GwHttpServer_Port(const GwHttpServer *server)
 {
@@ -367,6 +377,7 @@
     c->tcp = tcp;
     c->accepted_at = GwTime_Now();
     GwTcp_DropAbandoned(tcp);
+    GwTcp_SetAckTimeout(tcp, SLOW_READER_TIMEOUT);
     c->reader = GwHttpReader_New(&options);
     c->input = g_byte_array_new();
     GwTimer_Init(&c->timer, server->loop, on_connection_timeout_, c);
@@ -536,8 +547,8 @@
                            strlen(refusal_answers[why].answer));
 }
 
-// Closes the connection in an orderly way; queued output is sent first, for at
-// most 2 s (see GwTcp_Finish).
+// Closes the connection in an orderly way; queued output is sent first (see
+// GwTcp_Finish).
 static void
 close_connection_(Connection *c)
 {
--- a/packages/http/tests/server_test.cc
+++ b/packages/http/tests/server_test.cc
@@ -1,6 +1,10 @@
 // Ends of streamed answers, as clients of each HTTP version see them.
 #include "galenagw/fakes/loop_test.h"
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <string>
 
 #include "galenagw/http/server.h"
@@ -192,3 +196,60 @@
     GwHttpServer_Delete(server);
     GwLoop_Delete(loop);
 }
+
+// Guards against answers that are cut because their caller reads slowly: what
+// is queued for it is sent as long as it takes some of it, also after the end
+// of the answer, and the server knows that it is queued.
+TEST_F(StreamedAnswer, ACallerThatReadsSlowlyGetsItsWholeAnswer)
+{
+    static const GwHttpServerOps server_ops = {
+        [](void *u, GwHttpCall *c) {
+            static_cast<StreamedAnswer *>(u)->call = c;
+        },
+        nullptr, nullptr, nullptr};
+    const std::string body(3 * 1024 * 1024, 'x');
+    const char request[] = "GET / HTTP/1.0\r\n\r\n";
+    GwHttpServerOptions options = {};
+    sockaddr_in address = {};
+    int size = 4096;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    GwTime started_at = GwTime_Now();
+    size_t got = 0;
+    bool has_end = false;
+
+    options.address = kAny;
+    options.ops = &server_ops;
+    options.user = this;
+    server = GwHttpServer_New(loop, &options, nullptr);
+    address.sin_family = AF_INET;
+    address.sin_port = htons((uint16_t)GwHttpServer_Port(server));
+    inet_pton(AF_INET, kAny.host, &address.sin_addr);
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+    ASSERT_EQ(connect(fd, (sockaddr *)&address, sizeof(address)), 0);
+    ASSERT_EQ(write(fd, request, strlen(request)), (ssize_t)strlen(request));
+    ASSERT_TRUE(Until([&] { return call != nullptr; }));
+    GwHttpCall_Respond(call, 200, "text/plain", body.data(), body.size());
+    EXPECT_TRUE(GwHttpServer_HasUnsent(server));
+    // The loop would wait for events of its own.
+    GwTimer tick;
+    GwTimer_Init(
+        &tick, loop, [](void *) {}, nullptr);
+    // Takes over 2 s, which was the time for queued bytes after the end.
+    while (!has_end && GwTime_Now() - started_at < 12 * GW_SECOND) {
+        char piece[6000];
+        GwTime next = GwTime_Now() + 10 * GW_MILLISECOND;
+        ssize_t n = recv(fd, piece, sizeof(piece), MSG_DONTWAIT);
+
+        has_end = n == 0 || (n < 0 && errno != EAGAIN);
+        EXPECT_FALSE(n < 0 && errno != EAGAIN) << strerror(errno);
+        got += n > 0 ? (size_t)n : 0;
+        GwTimer_Start(&tick, 10 * GW_MILLISECOND);
+        while (GwTime_Now() < next)
+            GwLoop_Step(loop);
+    }
+    EXPECT_GE(got, body.size());
+    EXPECT_GT(GwTime_Now() - started_at, 2500 * GW_MILLISECOND);
+    close(fd);
+    EXPECT_TRUE(Until([&] { return !GwHttpServer_HasUnsent(server); }));
+    GwHttpServer_Delete(server);
+}
--- a/packages/net/include/galenagw/net/tcp.h
+++ b/packages/net/include/galenagw/net/tcp.h
@@ -64,6 +64,12 @@
 void GwTcp_Write(GwTcp *tcp, const uint8_t *data, size_t len);
 /** Number of queued bytes that are not yet written to the socket. */
 size_t GwTcp_Pending(const GwTcp *tcp);
+/**
+ * Close the stream if its peer acknowledges no bytes for @p timeout, or keeps
+ * its window closed for so long; the default is 3 s. For peers that may read
+ * slowly.
+ */
+void GwTcp_SetAckTimeout(GwTcp *tcp, GwTime timeout);
 /** Pause or resume reading, for a receiver that is slower than the peer. */
 void GwTcp_Pause(GwTcp *tcp, bool pause);
 /**
@@ -72,10 +78,10 @@
  */
 void GwTcp_Close(GwTcp *tcp);
 /**
- * Write the queued bytes, then close the connection in an orderly way, after 2
- * s at the latest. Bytes that the peer still sends are read and dropped until
- * then: a close with unread bytes would reset the connection, and the peer
- * could lose the end of the answer. No further callback.
+ * Write the queued bytes, as long as the peer takes them, then close the
+ * connection in an orderly way. Bytes that the peer still sends are read and
+ * dropped until then: a close with unread bytes would reset the connection,
+ * and the peer could lose the end of the answer. No further callback.
  */
 void GwTcp_Finish(GwTcp *tcp);
 /**
@@ -107,6 +113,9 @@
 GwTcpServer *GwTcpServer_New(GwLoop *loop, const GwAddress *address,
                              void (*on_accept)(void *user, GwTcp *tcp),
                              void *user, GwError *err);
+/** Whether bytes for a peer of an accepted stream are queued, also in an
+ * orderly close. */
+bool GwTcpServer_HasUnsent(const GwTcpServer *server);
 /** The port in use, also if @p address named port 0. */
 int GwTcpServer_Port(const GwTcpServer *server);
 /**
--- a/packages/net/src/tcp.c
+++ b/packages/net/src/tcp.c
@@ -28,10 +28,15 @@
 /* Minimum number of sent bytes for which the unsent remainder of the output
  * buffer is moved to its start. */
 #define COMPACT_MIN_BYTES (64 * 1024)
-/* Time for which a stream that was closed by GwTcp_Finish still writes queued
- * bytes and reads what its peer sends: longer than a round trip to any client,
- * and short enough that such streams occupy few descriptors. */
+/* Time for which a stream that was closed by GwTcp_Finish, and has written all
+ * queued bytes, still reads what its peer sends: longer than a round trip to
+ * any client, and short enough that such streams occupy few descriptors. */
 #define FINISH_LINGER_TIME (2 * GW_SECOND)
+/* Such a stream is closed if its peer takes no queued bytes for the first
+ * time, or has not taken all of them after the second one: a peer that reads
+ * slowly gets its answer, and one that has stopped does not hold memory. */
+#define FINISH_STALL_TIME (5 * GW_SECOND)
+#define FINISH_TIME_MAX (30 * GW_SECOND)
 /* A connection is closed if sent bytes remain unacknowledged for this time.
  * Peers behind a network partition cause no other error. Three seconds are
  * longer than the longest retransmission delay of a link that only loses
@@ -59,6 +64,7 @@
     bool open;            /* the connection is established */
     bool closed;          /* no further callback may be made */
     bool finishing;       /* in an orderly close, see GwTcp_Finish */
+    GwTime finish_until;  /* latest end of that close */
     bool write_failed;    /* a write to the socket failed */
     bool drops_abandoned; /* see GwTcp_DropAbandoned */
     bool resets;          /* see GwTcp_ResetUnlessFinished */
@@ -99,6 +105,7 @@
 static void set_reset_on_close_(const GwTcp *tcp, bool on);
 static void shut_down_output_(GwTcp *tcp);
 static bool write_output_(GwTcp *tcp);
+static void restart_finish_timer_(GwTcp *tcp);
 static void compact_output_(GwTcp *tcp);
 static void report_closed_(GwTcp *tcp);
 static void close_socket_later_(GwTcp *tcp);
@@ -170,11 +177,22 @@
     tcp->closed = true;
     tcp->finishing = true;
     GwTcp_Pause(tcp, false);
+    tcp->finish_until = GwTime_Now() + FINISH_TIME_MAX;
     GwTimer_Start(&tcp->timer, FINISH_LINGER_TIME);
-    if (GwTcp_Pending(tcp) == 0)
+    if (GwTcp_Pending(tcp) == 0) {
         shut_down_output_(tcp);
-    else
-        lws_callback_on_writable(tcp->wsi);
+        return;
+    }
+    GwTimer_Start(&tcp->timer, FINISH_STALL_TIME);
+    lws_callback_on_writable(tcp->wsi);
+}
+
+void
+GwTcp_SetAckTimeout(GwTcp *tcp, GwTime timeout)
+{
+    unsigned ms = (unsigned)(timeout / GW_MILLISECOND);
+
+    setsockopt(tcp->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
 }
 
 void
@@ -251,6 +269,19 @@
     return server;
 }
 
+bool
+GwTcpServer_HasUnsent(const GwTcpServer *server)
+{
+    const GwTcp *tcp;
+
+    TAILQ_FOREACH(tcp, &server->accepted, link)
+    {
+        if (GwTcp_Pending(tcp) > 0 && (!tcp->closed || tcp->finishing))
+            return true;
+    }
+    return false;
+}
+
 int
 GwTcpServer_Port(const GwTcpServer *server)
 {
@@ -535,12 +566,24 @@
             return false;
         }
         tcp->output_sent += (guint)n;
+        if (tcp->finishing)
+            restart_finish_timer_(tcp);
     }
     g_byte_array_set_size(tcp->output, 0);
     tcp->output_sent = 0;
     return true;
 }
 
+static void
+restart_finish_timer_(GwTcp *tcp)
+{
+    GwTime left = tcp->finish_until - GwTime_Now();
+    GwTime time =
+        GwTcp_Pending(tcp) > 0 ? FINISH_STALL_TIME : FINISH_LINGER_TIME;
+
+    GwTimer_Start(&tcp->timer, CLAMP(left, 0, time));
+}
+
 // Without this, the output buffer would grow without bound if the peer always
 // reads slightly more slowly than this process writes.
 static void
