tcp.c: the listening socket has a file of its own

tcp.c had 705 lines: streams and listening sockets. tcp_server.c has the latter; what both need is in tcp_private.h, and the public types in tcp_types.h, so that no module includes the other. No change of logic; the list of accepted streams is a LIST, as a stream leaves it by itself.

--- a/packages/net/src/tcp.c
+++ b/packages/net/src/tcp.c
@@ -11,20 +11,12 @@
 #include <unistd.h>
 
 #include "galenagw/base/log.h"
-#include "net_private.h"
+#include "tcp_private.h"
 
 /* Size of the read buffer, and so the most that one read takes. */
 #define READ_BUFFER_BYTES (32 * 1024)
 /* Reads from one socket before other sockets are served. */
 #define READS_PER_EVENT 4
-#define LISTEN_BACKLOG 512
-/* Pause of accepting after the process has run out of file descriptors. A
- * pending connection keeps the listening socket readable and would otherwise
- * wake the loop continuously. Other connections usually close within this
- * time. */
-#define ACCEPT_RETRY_DELAY (100 * GW_MILLISECOND)
-/* Minimum interval between two warnings that the connection table is full. */
-#define FULL_LOG_INTERVAL GW_SECOND
 /* Minimum number of sent bytes for which the unsent remainder of the output
  * buffer is moved to its start. */
 #define COMPACT_MIN_BYTES (64 * 1024)
@@ -49,55 +41,12 @@
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 2
 
-struct GwTcp {
-    TAILQ_ENTRY(GwTcp) link; /* in GwTcpServer.accepted */
-    GwTcpServer *server;     /* NULL: created by GwTcp_Connect */
-    struct lws *wsi;
-    GwLoop *loop;
-    GwTimer timer; /* reports a failed connect, or ends the linger time */
-    GwTimer write_timer; /* requests the next writable event */
-    const GwTcpOps *ops;
-    void *user;
-    GByteArray *output; /* queued bytes, the first `output_sent` were sent */
-    guint output_sent;
-    int fd;
-    bool open;            /* the connection is established */
-    bool closed;          /* no further callback may be made */
-    bool finishing;       /* in an orderly close, see GwTcp_Finish */
-    GwTime finish_until;  /* latest end of that close */
-    bool write_failed;    /* a write to the socket failed */
-    bool drops_abandoned; /* see GwTcp_DropAbandoned */
-    bool resets;          /* see GwTcp_ResetUnlessFinished */
-    GwTcpEnd end;         /* reported by on_closed */
-    /* callbacks in progress; above 0 the struct must not be freed */
-    int callback_depth;
-};
-
-struct GwTcpServer {
-    struct lws *wsi;
-    GwLoop *loop;
-    GwTimer accept_timer; /* resumes accepting after ACCEPT_RETRY_DELAY */
-    /* time of the last warning that the table is full; 0: none */
-    GwTime full_logged_at;
-    int fd;
-    int port;
-    void (*on_accept)(void *user, GwTcp *tcp);
-    void *user;
-    TAILQ_HEAD(, GwTcp) accepted;
-};
-
 const char *const GwTcpEnd_Names[GW_TCP_ENDS] = {
     [GW_TCP_FINISHED] = "finished",
     [GW_TCP_RESET] = "reset",
     [GW_TCP_UNREACHABLE] = "unreachable",
 };
 
-static GwTcp *tcp_new_(GwLoop *loop, int fd);
-static void tcp_delete_(GwTcp *tcp);
-static bool fill_sockaddr_(struct sockaddr_in *in, const GwAddress *address);
-static struct lws *adopt_fd_(GwLoop *loop, int fd, const char *protocol,
-                             void *opaque);
-static void set_socket_options_(int fd);
 static void start_connecting_(GwTcp *tcp, const GwAddress *address);
 static int on_writable_(GwTcp *tcp);
 static int read_socket_(GwTcp *tcp);
@@ -108,19 +57,15 @@
 static void restart_finish_timer_(GwTcp *tcp);
 static void compact_output_(GwTcp *tcp);
 static void report_closed_(GwTcp *tcp);
-static void close_socket_later_(GwTcp *tcp);
 static void on_timer_(void *user);
 static void on_write_timer_(void *user);
-static void accept_connections_(GwTcpServer *server);
-static void warn_table_full_(GwTcpServer *server);
-static void on_accept_timer_(void *user);
 
 GwTcp *
 GwTcp_Connect(GwLoop *loop, const GwAddress *address, const GwTcpOps *ops,
               void *user)
 {
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    GwTcp *tcp = tcp_new_(loop, fd);
+    GwTcp *tcp = GwTcp_New(loop, fd);
 
     tcp->ops = ops;
     tcp->user = user;
@@ -162,7 +107,7 @@
     if (tcp == NULL || tcp->closed)
         return;
     tcp->closed = true;
-    close_socket_later_(tcp);
+    GwTcp_CloseLater(tcp);
 }
 
 void
@@ -226,94 +171,6 @@
     tcp->user = user;
 }
 
-GwTcpServer *
-GwTcpServer_New(GwLoop *loop, const GwAddress *address,
-                void (*on_accept)(void *user, GwTcp *tcp), void *user,
-                GwError *err)
-{
-    GwTcpServer *server = g_new0(GwTcpServer, 1);
-    struct sockaddr_in in;
-    socklen_t len = sizeof(in);
-    int on = 1;
-
-    server->loop = loop;
-    server->on_accept = on_accept;
-    server->user = user;
-    TAILQ_INIT(&server->accepted);
-    GwTimer_Init(&server->accept_timer, loop, on_accept_timer_, server);
-    server->fd =
-        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    setsockopt(server->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    if (!fill_sockaddr_(&in, address) || server->fd < 0 ||
-        bind(server->fd, (struct sockaddr *)&in, sizeof(in)) != 0 ||
-        listen(server->fd, LISTEN_BACKLOG) != 0 ||
-        getsockname(server->fd, (struct sockaddr *)&in, &len) != 0) {
-        GwError_Set(err, GW_ERROR_IO,
-                    "cannot listen on %s:%d (%s); choose a free address",
-                    address->host, address->port, g_strerror(errno));
-        if (server->fd >= 0)
-            close(server->fd);
-        g_free(server);
-        return NULL;
-    }
-    server->port = ntohs(in.sin_port);
-    server->wsi = adopt_fd_(loop, server->fd, "gw-tcp-server", server);
-    if (server->wsi == NULL) {
-        GwError_Set(err, GW_ERROR_LIMIT,
-                    "cannot listen on %s:%d: the event loop has no free "
-                    "descriptor; raise the limit of open files (ulimit -n)",
-                    address->host, address->port);
-        g_free(server);
-        return NULL;
-    }
-    return server;
-}
-
-bool
-GwTcpServer_HasUnsent(const GwTcpServer *server)
-{
-    const GwTcp *tcp;
-
-    TAILQ_FOREACH(tcp, &server->accepted, link)
-    {
-        if (GwTcp_Pending(tcp) > 0 && (!tcp->closed || tcp->finishing))
-            return true;
-    }
-    return false;
-}
-
-int
-GwTcpServer_Port(const GwTcpServer *server)
-{
-    return server->port;
-}
-
-void
-GwTcpServer_Delete(GwTcpServer *server)
-{
-    GwTcp *tcp;
-
-    if (server == NULL)
-        return;
-    GwTimer_Stop(&server->accept_timer);
-    lws_set_opaque_user_data(server->wsi, NULL);
-    shutdown(server->fd, SHUT_RDWR);
-    lws_set_timeout(server->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-    while ((tcp = TAILQ_FIRST(&server->accepted)) != NULL) {
-        bool was_closed = tcp->closed;
-
-        TAILQ_REMOVE(&server->accepted, tcp, link);
-        tcp->server = NULL;
-        tcp->closed = true;
-        tcp->callback_depth++;
-        if (!was_closed && tcp->ops != NULL)
-            tcp->ops->on_closed(tcp->user, GW_TCP_RESET);
-        tcp->callback_depth--;
-        close_socket_later_(tcp);
-    }
-    g_free(server);
-}
-
 int
 GwTcp_Callback(struct lws *wsi, enum lws_callback_reasons reason, void *user,
                void *in, size_t len)
@@ -337,19 +194,8 @@
     }
 }
 
-int
-GwTcpServer_Callback(struct lws *wsi, enum lws_callback_reasons reason,
-                     void *user, void *in, size_t len)
-{
-    GwTcpServer *server = lws_get_opaque_user_data(wsi);
-
-    if (reason == LWS_CALLBACK_RAW_RX_FILE && server != NULL)
-        accept_connections_(server);
-    return 0;
-}
-
-static GwTcp *
-tcp_new_(GwLoop *loop, int fd)
+GwTcp *
+GwTcp_New(GwLoop *loop, int fd)
 {
     GwTcp *tcp = g_new0(GwTcp, 1);
 
@@ -361,19 +207,19 @@
     return tcp;
 }
 
-static void
-tcp_delete_(GwTcp *tcp)
+void
+GwTcp_Delete(GwTcp *tcp)
 {
     GwTimer_Stop(&tcp->timer);
     GwTimer_Stop(&tcp->write_timer);
     if (tcp->server != NULL)
-        TAILQ_REMOVE(&tcp->server->accepted, tcp, link);
+        LIST_REMOVE(tcp, link);
     g_byte_array_unref(tcp->output);
     g_free(tcp);
 }
 
-static bool
-fill_sockaddr_(struct sockaddr_in *in, const GwAddress *address)
+bool
+GwTcp_FillAddress(struct sockaddr_in *in, const GwAddress *address)
 {
     memset(in, 0, sizeof(*in));
     in->sin_family = AF_INET;
@@ -384,8 +230,8 @@
 // Closes the descriptor if the loop's table is full, because the library
 // leaves a plain descriptor open in this case. The peer would wait for an
 // answer to bytes that are never read, and the descriptor would leak.
-static struct lws *
-adopt_fd_(GwLoop *loop, int fd, const char *protocol, void *opaque)
+struct lws *
+GwTcp_AdoptFd(GwLoop *loop, int fd, const char *protocol, void *opaque)
 {
     lws_sock_file_fd_type adopted = {.filefd = fd};
     struct lws *wsi = lws_adopt_descriptor_vhost(GwLoop_ClientHost(loop),
@@ -399,8 +245,8 @@
     return wsi;
 }
 
-static void
-set_socket_options_(int fd)
+void
+GwTcp_SetSocketOptions(int fd)
 {
     int on = 1;
     int idle = KEEPALIVE_IDLE_S;
@@ -426,11 +272,11 @@
     struct sockaddr_in in;
 
     if (tcp->fd >= 0)
-        set_socket_options_(tcp->fd);
-    if (tcp->fd >= 0 && fill_sockaddr_(&in, address) &&
+        GwTcp_SetSocketOptions(tcp->fd);
+    if (tcp->fd >= 0 && GwTcp_FillAddress(&in, address) &&
         (connect(tcp->fd, (struct sockaddr *)&in, sizeof(in)) == 0 ||
          errno == EINPROGRESS))
-        tcp->wsi = adopt_fd_(tcp->loop, tcp->fd, "gw-tcp", tcp);
+        tcp->wsi = GwTcp_AdoptFd(tcp->loop, tcp->fd, "gw-tcp", tcp);
     else if (tcp->fd >= 0)
         close(tcp->fd);
     if (tcp->wsi != NULL)
@@ -610,18 +456,18 @@
         tcp->ops->on_closed(tcp->user, tcp->end);
     tcp->callback_depth--;
     if (tcp->callback_depth == 0)
-        tcp_delete_(tcp);
+        GwTcp_Delete(tcp);
 }
 
 // The library may be inside a callback of this connection, so it is requested
 // to close the connection later, from the loop.
-static void
-close_socket_later_(GwTcp *tcp)
+void
+GwTcp_CloseLater(GwTcp *tcp)
 {
     GwTimer_Stop(&tcp->timer);
     if (tcp->wsi == NULL) {
         if (tcp->callback_depth == 0)
-            tcp_delete_(tcp);
+            GwTcp_Delete(tcp);
         else
             GwTimer_Start(&tcp->timer, 0);
         return;
@@ -648,58 +494,3 @@
     if (tcp->wsi != NULL)
         lws_callback_on_writable(tcp->wsi);
 }
-
-static void
-accept_connections_(GwTcpServer *server)
-{
-    int fd;
-
-    while ((fd = accept4(server->fd, NULL, NULL,
-                         SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-        GwTcp *tcp = tcp_new_(server->loop, fd);
-
-        set_socket_options_(fd);
-        tcp->open = true;
-        tcp->end = GW_TCP_RESET;
-        tcp->wsi = adopt_fd_(server->loop, fd, "gw-tcp", tcp);
-        if (tcp->wsi == NULL) {
-            warn_table_full_(server);
-            tcp_delete_(tcp);
-            continue;
-        }
-        tcp->server = server;
-        TAILQ_INSERT_TAIL(&server->accepted, tcp, link);
-        server->on_accept(server->user, tcp);
-        if (tcp->ops != NULL && tcp->ops->on_open != NULL && !tcp->closed)
-            tcp->ops->on_open(tcp->user);
-    }
-    if (errno == EMFILE || errno == ENFILE) {
-        GW_WARN(
-            "no file descriptor is left for a new connection, accepting is "
-            "paused for a moment; raise the limit of open files (ulimit -n)");
-        lws_rx_flow_control(server->wsi, 0);
-        GwTimer_Start(&server->accept_timer, ACCEPT_RETRY_DELAY);
-    }
-}
-
-static void
-warn_table_full_(GwTcpServer *server)
-{
-    GwTime now = GwTime_Now();
-
-    if (server->full_logged_at != 0 &&
-        now - server->full_logged_at < FULL_LOG_INTERVAL)
-        return;
-    server->full_logged_at = now;
-    GW_WARN("the connection table is full, new connections to port %d are "
-            "closed; raise the limit of connections",
-            server->port);
-}
-
-static void
-on_accept_timer_(void *user)
-{
-    GwTcpServer *server = user;
-
-    lws_rx_flow_control(server->wsi, 1);
-}
