Sidecar: answers of the engine have a size limit

Reports are limited to 256 KiB, answers to orders to 64 KiB, lists of cached parts to 8 MiB; the call is lost at once.

--- a/packages/cluster/src/cache_feed.c
+++ b/packages/cluster/src/cache_feed.c
@@ -4,6 +4,8 @@
 #include "galenagw/http/caller.h"
 #include "galenagw/routing/cached_parts.h"
 
+/* A list of all parts that an engine or a store has cached is smaller. */
+#define ANSWER_BYTES_MAX (8 * 1024 * 1024)
 /* The longest wait that a cache node allows, which gives one call per second.
  */
 #define LONG_POLL_WAIT_MS 1000
@@ -67,6 +69,7 @@
     f->options = *options;
     f->epoch = -1;
     f->http_call = GwHttpCaller_New(loop, &f->options.address);
+    GwHttpCaller_SetMaxBody(f->http_call, ANSWER_BYTES_MAX);
     GwTimer_Init(&f->call_timer, loop, send_call_, f);
     GwTimer_Start(&f->call_timer, 0);
     return f;
--- a/packages/http/include/galenagw/http/caller.h
+++ b/packages/http/include/galenagw/http/caller.h
@@ -61,6 +61,10 @@
 size_t GwHttpCaller_Received(const GwHttpCaller *caller);
 /** Time of the last received byte of the answer; 0: none yet, or no call. */
 GwTime GwHttpCaller_LastReceivedAt(const GwHttpCaller *caller);
+/** Maximum size of the body of an answer; a larger one is a fault of the
+ * server, and the call counts as lost. Endpoints may send bytes without end.
+ */
+void GwHttpCaller_SetMaxBody(GwHttpCaller *caller, size_t max_body);
 /**
  * Count the timeout from the last received byte instead of from the start of
  * the call, for answers that may be large relative to the bandwidth of the
--- a/packages/http/src/caller.c
+++ b/packages/http/src/caller.c
@@ -1,8 +1,7 @@
 #include "galenagw/http/caller.h"
 
-/* Maximum size of the body of an answer. A larger one is a fault of the
- * server, and the call counts as lost. */
-#define MAX_BODY_BYTES (64 * 1024 * 1024)
+/* Default of GwHttpCaller_SetMaxBody: larger than any configuration. */
+#define DEFAULT_MAX_BODY_BYTES (64 * 1024 * 1024)
 /* Bounds of the idle timeout. With GwHttpCaller_UseIdleTimeout it replaces the
  * timeout of the call once the answer has begun. The lower bound applies even
  * if the timeout of the call is shorter, because the retransmission of a lost
@@ -18,6 +17,7 @@
     GwHttpReader *reader; /* parses the answers of this connection */
     GString *request;
     GString *body;
+    size_t max_body; /* see GwHttpCaller_SetMaxBody */
     size_t received; /* bytes of the current answer, including its head */
     GwTime last_received_at; /* time of the last of these bytes; 0: none */
     bool use_idle_timeout;   /* see GwHttpCaller_UseIdleTimeout */
@@ -60,6 +60,7 @@
     c->address = *address;
     c->request = g_string_new(NULL);
     c->body = g_string_new(NULL);
+    c->max_body = DEFAULT_MAX_BODY_BYTES;
     GwTimer_Init(&c->timer, loop, on_timeout_, c);
     return c;
 }
@@ -131,6 +132,12 @@
     return c->fn != NULL ? c->last_received_at : 0;
 }
 
+void
+GwHttpCaller_SetMaxBody(GwHttpCaller *c, size_t max_body)
+{
+    c->max_body = max_body;
+}
+
 void
 GwHttpCaller_UseIdleTimeout(GwHttpCaller *c)
 {
@@ -209,7 +216,7 @@
 {
     GwHttpCaller *c = user;
 
-    if (c->body->len + len > MAX_BODY_BYTES)
+    if (c->body->len + len > c->max_body)
         return false;
     g_string_append_len(c->body, data, (gssize)len);
     return true;
--- a/packages/sidecar/src/engine_switch.c
+++ b/packages/sidecar/src/engine_switch.c
@@ -15,6 +15,7 @@
 /* Timeout of the HTTP call for an order, unless the order is sent again
  * earlier (see ORDER_ANSWER_TIMEOUT). */
 #define ORDER_CALL_TIMEOUT (1 * GW_SECOND)
+#define ORDER_ANSWER_BYTES_MAX (64 * 1024)
 #define FENCE_TIMEOUT (2 * GW_SECOND)
 #define FENCE_RETRY (500 * GW_MILLISECOND)
 /* An order that was answered but has no effect after this time is sent again.
@@ -79,6 +80,7 @@
 
     s->options = *options;
     s->orders = GwHttpCaller_New(loop, &options->endpoint);
+    GwHttpCaller_SetMaxBody(s->orders, ORDER_ANSWER_BYTES_MAX);
     s->store = GwHttpCaller_New(loop, &options->store);
     s->followed_since =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -27,6 +27,8 @@
  * counts as down after two in a row. */
 #define REPORT_TIMEOUT (250 * GW_MILLISECOND)
 #define MISSED_REPORTS_DOWN 2
+/* Reports have some hundred bytes, and about 50 for each run. */
+#define REPORT_BYTES_MAX (256 * 1024)
 /* Pause between two reads of the instance list. The list rarely changes except
  * for the weights versions in it, which agents do not use, and entries send
  * the other changes in between. */
@@ -136,6 +138,7 @@
     s->limit_owner = GwLimitOwner_New(GwTime_Now());
     s->retry_slack = GwRetrySlack_New(&d->retry_bound, GwTime_Now());
     s->reports = GwHttpCaller_New(loop, &s->endpoint);
+    GwHttpCaller_SetMaxBody(s->reports, REPORT_BYTES_MAX);
     GwTimer_Init(&s->poll_timer, loop, request_report_, s);
     GwTimer_Init(&s->flush_timer, loop, on_flush_, s);
     if (!create_cluster_modules_(s, d, err)) {
--- a/packages/sidecar/tests/sidecar_test.cc
+++ b/packages/sidecar/tests/sidecar_test.cc
@@ -306,6 +306,35 @@
     EXPECT_LT(GwTime_Now() - named, bound - 400 * GW_MILLISECOND);
 }
 
+// Failure: a faulty engine answers a report with bytes that do not end, and
+// the sidecar stores them until the report times out, after 250 ms.
+TEST_F(SidecarTest, AReportWithoutEndIsGivenUp)
+{
+    GwTime reported_at = 0;
+
+    Start();
+    engine.endpoint->serve = [&](Endpoint *, FakeExchange *x) {
+        std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 99000000\r\n"
+                           "\r\n" +
+                           std::string(1024 * 1024, '?');
+
+        if (strcmp(x->head->target, "/galenagw/report") != 0)
+            return;
+        reported_at = GwTime_Now();
+        FakeExchange_Write(x, text.data(), text.size());
+    };
+    for (int i = 0; i < 3; i++) {
+        reported_at = 0;
+        ASSERT_TRUE(f.Until([&] { return reported_at != 0; }));
+        int gone = engine.endpoint->gone;
+        ASSERT_TRUE(f.Until([&] { return engine.endpoint->gone > gone; }));
+        EXPECT_LT(GwTime_Now() - reported_at, 150 * GW_MILLISECOND);
+    }
+    engine.endpoint->serve = [this](Endpoint *, FakeExchange *x) { Serve(x); };
+    f.NameWeights(2);
+    EXPECT_TRUE(f.Until([&] { return engine.weights == 2; }));
+}
+
 // Failure: after a restart of all processes, all outdated engines switch at
 // once, as if they were late, and nothing is served meanwhile, although the
 // store knows that the version was named a moment ago.
