--- a/packages/cluster/include/galenagw/cluster/view.h
+++ b/packages/cluster/include/galenagw/cluster/view.h
@@ -58,7 +58,7 @@
 GwEndpointLimits *GwView_EndpointLimits(GwView *view);
 /** The newest routes; NULL: none are known yet. */
 GwRoutes *GwView_Routes(const GwView *view);
-/** The named versions of @p model; NULL: none. Valid until the next change. */
+/** The named versions of @p model, never NULL. Valid until the next change. */
 const GwModelVersions *GwView_ModelVersions(const GwView *view,
                                             const char *model);
 /** The operator list is complete as of now, or it is the first start of the
--- a/packages/cluster/src/naming_store.c
+++ b/packages/cluster/src/naming_store.c
@@ -58,7 +58,6 @@
 static void retry_(GwNamingStore *s, const char *call, GwCallOutcome outcome,
                    int status);
 static bool has_engine_of_unknown_age_(const GwNamingStore *s);
-static GwTime now_of_day_(void);
 
 GwNamingStore *
 GwNamingStore_New(GwLoop *loop, const GwNamingStoreOptions *options)
@@ -166,7 +165,7 @@
 {
     GwNamingStore *s = user;
     GwModelVersions *stored = g_hash_table_lookup(s->stored, model);
-    int64_t ms_of_day = now_of_day_() / GW_MILLISECOND;
+    int64_t ms_of_day = g_get_real_time() / GW_MILLISECOND;
     GwTime age;
     GwTime named_at;
 
@@ -246,7 +245,8 @@
 {
     Write *w = user;
     GwTime age = GwTime_Now() - named_at;
-    GwStoredNaming naming = {version, (now_of_day_() - age) / GW_MILLISECOND};
+    GwStoredNaming naming = {version,
+                             (g_get_real_time() - age) / GW_MILLISECOND};
 
     if (strcmp(model, w->model) == 0)
         g_array_append_val(w->namings, naming);
@@ -294,9 +294,3 @@
     }
     return false;
 }
-
-static GwTime
-now_of_day_(void)
-{
-    return g_get_real_time();
-}
--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -34,6 +34,7 @@
 static void note_endpoint_state_(GwRequest *r);
 static void note_limit_(GwRequest *r);
 static void on_body_(void *user, const char *data, size_t len);
+static void break_off_(GwRequest *r, const char *why);
 static void fail_declined_(GwRequest *r);
 static void on_end_(void *user, GwUpstreamOutcome outcome);
 
@@ -354,17 +355,25 @@
                           GW_SOURCE_ANSWER);
 }
 
-// The head alone shows what the answer is worth.
+// The head alone shows whether the request has run.
 void
 GwRequestAttempt_EndUnusable(GwRequest *r)
 {
-    GwUpstream_Cancel(g_steal_pointer(&r->upstream));
-    if (r->reply.not_run) {
-        fail_declined_(r);
+    if (!r->reply.not_run) {
+        break_off_(r, "unusable");
         return;
     }
+    GwUpstream_Cancel(g_steal_pointer(&r->upstream));
+    fail_declined_(r);
+}
+
+// The reset makes the endpoint stop, which may never end its answer.
+static void
+break_off_(GwRequest *r, const char *why)
+{
+    GwUpstream_Cancel(g_steal_pointer(&r->upstream));
     GwHealth_Note(&r->instance->health, GW_HEALTH_BROKEN, GwTime_Now());
-    GwRequestAttempt_Failed(r, GW_ATTEMPT_MAY_HAVE_RUN, "unusable");
+    GwRequestAttempt_Failed(r, GW_ATTEMPT_MAY_HAVE_RUN, why);
 }
 
 static void
@@ -387,10 +396,7 @@
     }
     if (GwRequestAnswer_Push(r, data, len))
         return;
-    // The reset makes the endpoint stop, which may never end its event.
-    GwUpstream_Cancel(g_steal_pointer(&r->upstream));
-    GwHealth_Note(&r->instance->health, GW_HEALTH_BROKEN, GwTime_Now());
-    GwRequestAttempt_Failed(r, GW_ATTEMPT_MAY_HAVE_RUN, "event_too_long");
+    break_off_(r, "event_too_long");
 }
 
 static void
--- a/packages/gateway/tests/upstream_test.cc
+++ b/packages/gateway/tests/upstream_test.cc
@@ -95,14 +95,14 @@
     EXPECT_EQ(on_refused_calls_, 0);
 }
 
+using UpstreamPool = LoopTest;
+
 // Guards against answers that are never read: a slow caller pauses reading
 // from the endpoint, the answer ends in the bytes already read, and the
 // connection is used again.
-TEST(UpstreamPool, AnAnswerThatEndsWhilePausedLeavesAConnectionThatReads)
+TEST_F(UpstreamPool, AnAnswerThatEndsWhilePausedLeavesAConnectionThatReads)
 {
     GwError err = {};
-    GwLoopOptions loop_options = {};
-    GwLoop *loop = GwLoop_New(&loop_options, &err);
     FakeHttpdOps httpd_ops = {};
     GwCounters counters = {};
     GwUpstreamPoolOptions options = {};
@@ -135,12 +135,9 @@
 
     for (int i = 1; i <= 3; i++) {
         GwUpstreamOptions send = {request, false, true, &ops, &state};
-        GwTime until = GwTime_Now() + 2 * GW_SECOND;
 
         state.upstream = GwUpstream_Send(pool, &send);
-        while (state.ends < i && GwTime_Now() < until)
-            GwLoop_Step(loop);
-        ASSERT_EQ(state.ends, i);
+        ASSERT_TRUE(Until([&] { return state.ends == i; }));
     }
     EXPECT_EQ(GwUpstreamPool_CountConnections(pool), 1u);
     g_string_free(request, TRUE);
