--- a/review/standins-2/engine.cc
+++ b/review/standins-2/engine.cc
@@ -1,5 +1,6 @@
 #include "engine.h"
 
+#include <cstdarg>
 #include <cstdlib>
 
 namespace world {
@@ -38,6 +39,20 @@
            ",\"adapters\":[]}]}";
 }
 
+void
+Engine::Note(const char *format, ...)
+{
+    char line[1024];
+    va_list args;
+
+    if (options_.record == nullptr)
+        return;
+    va_start(args, format);
+    vsnprintf(line, sizeof(line), format, args);
+    va_end(args);
+    options_.record->Line("%s", line);
+}
+
 void
 Engine::Serve(Connection *c)
 {
@@ -99,15 +114,14 @@
 
     if ((!expected.empty() && expected != options_.id) ||
         (!version.empty() && atoi(version.c_str()) != options_.version)) {
-        options_.record->Line("engine %s declines %s with 421",
-                              options_.id.c_str(), id.c_str());
+        Note("engine %s declines %s with 421", options_.id.c_str(),
+             id.c_str());
         return c->Send(Answer(421, echo + "X-Not-Executed: 1\r\n", ""));
     }
-    options_.record->Line(
-        "engine %s runs %s: X-Tenant-Id '%s', X-Cache-Salt '%s', "
-        "X-Expect-Version '%s', X-Prefix-Hash %s",
-        options_.id.c_str(), id.c_str(), account.c_str(), salt.c_str(),
-        version.c_str(), parts.c_str());
+    Note("engine %s runs %s: X-Tenant-Id '%s', X-Cache-Salt '%s', "
+         "X-Expect-Version '%s', X-Prefix-Hash %s",
+         options_.id.c_str(), id.c_str(), account.c_str(), salt.c_str(),
+         version.c_str(), parts.c_str());
     while (!parts.empty()) {
         size_t end = parts.find(',');
         std::string part = parts.substr(0, parts.find(':'));
@@ -126,10 +140,18 @@
     out = "HTTP/1.1 200 OK\r\n" + echo + "X-Response-Signature: sig-" + id +
           "\r\nX-Weight-Versions: " + std::to_string(options_.version) +
           "\r\nContent-Type: text/event-stream\r\n"
+          "Keep-Alive: timeout=5\r\n"
           "Transfer-Encoding: chunked\r\n\r\n";
-    for (int i = 1; i <= kEvents; i++)
+    for (int i = 1; i <= kEvents; i++) {
         out += Chunk("id: " + std::to_string(i) + "\ndata: piece " +
                      std::to_string(i) + " of " + id + "\n\n");
+        if (options_.event_pause_ms == 0)
+            continue;
+        if (!c->Send(out))
+            return false;
+        out.clear();
+        SleepMs(options_.event_pause_ms);
+    }
     return c->Send(out + "0\r\n\r\n");
 }
 
--- a/review/standins-2/engine.h
+++ b/review/standins-2/engine.h
@@ -12,7 +12,8 @@
     std::string host;
     std::string model = "m";
     int version = 1;
-    Record *record = nullptr;
+    Record *record = nullptr;   // nullptr: not recorded
+    int64_t event_pause_ms = 0; // between the events of a stream
 };
 
 // A part that a request used, and the request that made it.
@@ -50,6 +51,7 @@
         int version;
     };
 
+    void Note(const char *format, ...) __attribute__((format(printf, 2, 3)));
     void Serve(Connection *c);
     bool ServeCall(Connection *c, const Message &call);
     bool ServeRun(Connection *c, const Message &call);
--- a/review/standins-2/run_lib.sh
+++ b/review/standins-2/run_lib.sh
@@ -140,7 +140,7 @@
     for _ in $(seq 50); do
         base=$((20000 + RANDOM % 10000))
         for offset in 0 1 2 3 4; do
-            for ip in 127.0.0.11 127.0.0.12 127.0.0.31 127.0.0.32; do
+            for ip in 127.0.0.11 127.0.0.12 127.0.0.13 127.0.0.31 127.0.0.32; do
                 is_free "$ip" $((base + offset)) || continue 3
             done
         done
