--- a/review/standins-2/world.cc
+++ b/review/standins-2/world.cc
@@ -290,12 +290,22 @@
 }
 
 bool
-Connection::IsPeerGone() const
+Connection::ReadSome(std::string *bytes)
 {
-    char byte;
-    ssize_t n = recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    char chunk[kReadBytes];
+    ssize_t n = recv(fd_, chunk, sizeof(chunk), 0);
 
-    return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+    if (n <= 0)
+        return false;
+    bytes->assign(chunk, static_cast<size_t>(n));
+    return true;
+}
+
+void
+Connection::ShutDown()
+{
+    if (fd_ >= 0)
+        shutdown(fd_, SHUT_RDWR);
 }
 
 void
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -68,8 +68,10 @@
     // Reads an answer. Returns whether its head was received; see also
     // Message::is_complete.
     bool ReadAnswer(Message *answer, int64_t timeout_ms);
-    // Whether the peer has closed the connection; reads nothing.
-    bool IsPeerGone() const;
+    // Reads what has arrived; waits for it. Returns false at the end.
+    bool ReadSome(std::string *bytes);
+    // Ends both directions, also for a thread that reads.
+    void ShutDown();
     // Resets the connection.
     void Reset();
     void Close();
