--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -100,6 +100,7 @@
 // What happened to each request.
 struct Ledger {
     std::mutex mutex;
+    world::History history;
     std::map<std::string, Run> runs;
     std::map<std::string, int> statuses; // that the clients got; 0: none
 };
@@ -153,6 +154,7 @@
             {
                 std::lock_guard<std::mutex> lock(ledger_->mutex);
                 ledger_->runs[id] = {world::NowMs(), n_, false};
+                ledger_->history.Run(id, Id());
             }
             world::SleepMs(kWorkMs);
             if (has_ended_)
@@ -252,12 +254,14 @@
                 std::string id = std::to_string(100000 + last_id++);
                 world::Message answer;
 
+                ledger.history.Sent(id);
                 if (!c->Send(Request(id)) || !c->ReadAnswer(&answer, 1500) ||
                     answer.Get("Connection") == "close")
                     c = world::Connection::Open(argv[3], atoi(argv[4]));
                 {
                     std::lock_guard<std::mutex> lock(ledger.mutex);
                     ledger.statuses[id] = answer.Status();
+                    ledger.history.Answered(id, answer.Status());
                 }
                 world::SleepMs(kThinkMs);
             }
@@ -312,6 +316,7 @@
                 "up to its end %d ms after it; %d of these were lost with it",
                 last_id.load(), late, static_cast<int>(kDrainMs),
                 static_cast<int>(ended_at - left_at), lost);
+    ledger.history.Write(&record);
     fflush(nullptr);
     // Threads still use the objects above.
     _exit(late > 0 ? 1 : 0);
--- a/review/standins-2/engine.cc
+++ b/review/standins-2/engine.cc
@@ -118,6 +118,8 @@
              id.c_str());
         return c->Send(Answer(421, echo + "X-Not-Executed: 1\r\n", ""));
     }
+    if (options_.history != nullptr)
+        options_.history->Run(id, options_.id);
     Note("engine %s runs %s: X-Tenant-Id '%s', X-Cache-Salt '%s', "
          "X-Expect-Version '%s', X-Prefix-Hash %s",
          options_.id.c_str(), id.c_str(), account.c_str(), salt.c_str(),
--- a/review/standins-2/engine.h
+++ b/review/standins-2/engine.h
@@ -14,6 +14,7 @@
     int version = 1;
     Record *record = nullptr;   // nullptr: not recorded
     int64_t event_pause_ms = 0; // between the events of a stream
+    History *history = nullptr; // nullptr: none
 };
 
 // A part that a request used, and the request that made it.
--- a/review/standins-2/run_lib.sh
+++ b/review/standins-2/run_lib.sh
@@ -131,7 +131,7 @@
     } >"$work/$1.conf"
 }
 
-# Five ports in a row that are free on the addresses of the processes.
+# The first of some ports that are free on the addresses of the processes.
 is_free() {
     ! (exec 9<>"/dev/tcp/$1/$2") 2>/dev/null
 }
@@ -139,7 +139,7 @@
     local base offset ip
     for _ in $(seq 50); do
         base=$((20000 + RANDOM % 10000))
-        for offset in 0 1 2 3 4; do
+        for offset in 0 1 2 3 4 10 11; do
             for ip in 127.0.0.11 127.0.0.12 127.0.0.13 127.0.0.31 127.0.0.32; do
                 is_free "$ip" $((base + offset)) || continue 3
             done
--- a/review/standins-2/world.cc
+++ b/review/standins-2/world.cc
@@ -548,6 +548,45 @@
     fflush(file_);
 }
 
+void
+History::Sent(const std::string &id)
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+
+    requests_[id].sent_at = NowMs() - started_at_;
+}
+
+void
+History::Run(const std::string &id, const std::string &worker)
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+
+    requests_[id].runs +=
+        " run by " + worker + " at " + std::to_string(NowMs() - started_at_);
+}
+
+void
+History::Answered(const std::string &id, int status)
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+
+    requests_[id].answered_at = NowMs() - started_at_;
+    requests_[id].status = status;
+}
+
+void
+History::Write(Record *record)
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+
+    record->Line("All requests, times in ms since the start:");
+    for (const auto &r : requests_)
+        record->Line(
+            "%s sent at %lld%s, answered at %lld with %d", r.first.c_str(),
+            static_cast<long long>(r.second.sent_at), r.second.runs.c_str(),
+            static_cast<long long>(r.second.answered_at), r.second.status);
+}
+
 void
 Steps::Wait(const std::string &name, int64_t timeout_ms) const
 {
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -160,6 +160,31 @@
     int64_t started_at_;
 };
 
+// When each request was sent, run and answered, for the end of the record;
+// thread-safe.
+class History {
+  public:
+    void Sent(const std::string &id);
+    // A worker began to work on it.
+    void Run(const std::string &id, const std::string &worker);
+    // Status 0: the connection ended without an answer.
+    void Answered(const std::string &id, int status);
+    // One line for each request, in the order of ids.
+    void Write(Record *record);
+
+  private:
+    struct Request {
+        int64_t sent_at = 0;
+        int64_t answered_at = 0;
+        int status = -1; // none yet
+        std::string runs;
+    };
+
+    std::mutex mutex_;
+    int64_t started_at_ = NowMs();
+    std::map<std::string, Request> requests_;
+};
+
 // Steps that the shell script and the stand-in take in turn: files in a
 // folder.
 class Steps {
