Removals: a deferral is bounded by the last lost call, not by the first answer

Cause: after failed calls removals were deferred for 2.5 s from the process's own first answer. Failed calls do not tell an outage of the store from a disconnection of this process. In the second case the bound of a reconnected process runs from the return of its links, up to a second before that answer.

Ruled out: a late read (the gateway reads the removal within 0.1 s of its acknowledgement and logs removal_deferred), a stale copy of a peer (it has none).

Change: the deferral ends contact_ms less 0.2 s after the last lost call was sent, before which the links cannot have returned. Heartbeats tell for how long the store has answered the sender; who hears that it was available all the while applies deferred removals at once. A peer's deferral lasts at most until this process had answers for two seconds. Due removals are applied by a timer of their own.

--- a/packages/cluster/include/galenagw/cluster/store_reader.h
+++ b/packages/cluster/include/galenagw/cluster/store_reader.h
@@ -56,8 +56,15 @@
 void GwStoreReader_Confirm(GwStoreReader *reader, GwList list, GwTime at);
 /** Time since @p list was last known to be complete; -1: it never was. */
 GwTime GwStoreReader_Age(const GwStoreReader *reader, GwList list);
-/** See GwReadSchedule_WasStoreAvailable. */
-bool GwStoreReader_WasStoreAvailable(const GwStoreReader *reader, GwList list);
+/** A peer reports that the store answered regularly from @p since to @p until.
+ * Removals that were deferred because of an outage are applied if there was
+ * none. */
+void GwStoreReader_NoteStoreAvailable(GwStoreReader *reader, GwList list,
+                                      GwTime since, GwTime until);
+/** See GwReadSchedule_AvailableFor. */
+GwTime GwStoreReader_AvailableFor(const GwStoreReader *reader, GwList list);
+/** See GwReadSchedule_SettledAt. */
+GwTime GwStoreReader_SettledAt(const GwStoreReader *reader, GwList list);
 /** Read @p list now, without waiting for the end of the pause between two
  * reads. A pause after a failure is kept. */
 void GwStoreReader_ReadNow(GwStoreReader *reader, GwList list);
--- a/packages/cluster/include/galenagw/cluster/store_reader_options.h
+++ b/packages/cluster/include/galenagw/cluster/store_reader_options.h
@@ -34,6 +34,9 @@
     /** Interval at which endpoints renew their records. A record expires after
      * three intervals without renewal. 0: 1.2 seconds. */
     GwTime heartbeat_interval;
+    /** Time after a disconnection of this process until it must apply removals
+     * in time again. 0: three seconds. */
+    GwTime reconnect_bound;
     /** At the start, wait for peers to send the lists before reading them from
      * the store; for processes that no client waits for. */
     bool asks_peers_first;
--- a/packages/cluster/src/list_sync.c
+++ b/packages/cluster/src/list_sync.c
@@ -31,6 +31,9 @@
  * configuration is announced, all peers request it at the same time. */
 #define LARGE_COPY_BYTES (16 * 1024)
 #define COPY_LINK_SHARE 0.5
+
+static void note_store_available_(GwListSync *sync,
+                                  const GwSyncStatus *sync_status, GwTime now);
 static void send_due_requests_(void *user);
 static void send_queued_replies_(void *user);
 static void send_records_(GwListSync *sync, GwListSyncPeer *peer,
@@ -102,6 +105,7 @@
     bool behind = false;
 
     peer->status_at = now;
+    note_store_available_(sync, sync_status, now);
     for (int i = 0; i < GW_LISTS; i++) {
         // Records may have been received since the last check, from another
         // peer or from the store.
@@ -141,6 +145,24 @@
         return;
     sync_status->operator_age = GwStoreReader_Age(reader, GW_LIST_OPERATOR);
     sync_status->instances_age = GwStoreReader_Age(reader, GW_LIST_INSTANCES);
+    sync_status->instances_available_for =
+        GwStoreReader_AvailableFor(reader, GW_LIST_INSTANCES);
+}
+
+// Applies also if this process lacks records of the peer: whether the store
+// was available does not depend on them.
+static void
+note_store_available_(GwListSync *sync, const GwSyncStatus *sync_status,
+                      GwTime now)
+{
+    GwTime until = now - sync_status->instances_age;
+
+    if (sync->options.reader == NULL || sync_status->instances_age < 0 ||
+        sync_status->instances_available_for < 0)
+        return;
+    GwStoreReader_NoteStoreAvailable(
+        sync->options.reader, GW_LIST_INSTANCES,
+        until - sync_status->instances_available_for, until);
 }
 
 void
@@ -555,9 +577,15 @@
 
     if (reply->list != GW_LIST_INSTANCES || reply->removals_held_ms == 0)
         return;
-    if (sync->options.reader == NULL ||
-        !GwStoreReader_WasStoreAvailable(sync->options.reader,
-                                         GW_LIST_INSTANCES))
+    if (sync->options.reader != NULL) {
+        GwTime settled_at =
+            GwStoreReader_SettledAt(sync->options.reader, GW_LIST_INSTANCES);
+
+        // The peer may have been disconnected for longer than this process.
+        if (settled_at > 0)
+            until = MIN(until, settled_at);
+    }
+    if (until > now)
         GwInstances_SetPeerDeferral(GwView_Instances(sync->options.view),
                                     until);
 }
--- a/packages/cluster/src/peers.c
+++ b/packages/cluster/src/peers.c
@@ -46,6 +46,7 @@
 static void fill_owner_only_hello_(void *user, Gw__Wire__Hello *hello);
 static void fill_sync_status_(void *user, GwSyncStatus *sync_status);
 static void reconcile_(void *user);
+static GwTime reconcile_delay_(const GwPeers *p);
 static void ensure_connected_(GwPeers *p, const GwAddress *address,
                               bool owner_only);
 static void connect_agents_(GwPeers *p, const GPtrArray *all, bool owner_only);
@@ -380,10 +381,21 @@
         if (!peer->is_wanted)
             drop_peer_(peer);
     }
-    GwTimer_Start(&p->reconcile_timer,
-                  GwTime_Now() - p->list_changed_at < RECENT_CHANGE_PERIOD
-                      ? RECONCILE_INTERVAL_AFTER_CHANGE
-                      : RECONCILE_INTERVAL);
+    GwTimer_Start(&p->reconcile_timer, reconcile_delay_(p));
+}
+
+// Deferred removals are applied when they are due, not at the next regular
+// comparison.
+static GwTime
+reconcile_delay_(const GwPeers *p)
+{
+    GwTime now = GwTime_Now();
+    GwTime due = GwInstances_NextRemovalAt(GwView_Instances(p->options.view));
+    GwTime delay = now - p->list_changed_at < RECENT_CHANGE_PERIOD
+                       ? RECONCILE_INTERVAL_AFTER_CHANGE
+                       : RECONCILE_INTERVAL;
+
+    return due > now ? MIN(delay, due - now) : delay;
 }
 
 // Connects to the agents of the followed engines or, if @p owner_only, to
--- a/packages/cluster/src/store_reader.c
+++ b/packages/cluster/src/store_reader.c
@@ -1,9 +1,11 @@
 #include "galenagw/cluster/store_reader.h"
 
 #include "store_reader_calls.h"
+#include "store_reader_outages.h"
 #include "store_reader_silence.h"
 
 #define HEARTBEAT_INTERVAL_DEFAULT (1200 * GW_MILLISECOND)
+#define RECONNECT_BOUND_DEFAULT (3 * GW_SECOND)
 /* A call under way is replaced if the rest of its wait is longer than this
  * multiple of the longest wait of a new call. */
 #define OVERLONG_WAIT_FACTOR 2
@@ -27,6 +29,8 @@
     r->era = -1;
     if (r->options.heartbeat_interval <= 0)
         r->options.heartbeat_interval = HEARTBEAT_INTERVAL_DEFAULT;
+    if (r->options.reconnect_bound <= 0)
+        r->options.reconnect_bound = RECONNECT_BOUND_DEFAULT;
     GwReadSchedule_Init(&r->schedule, options->name, options->bound,
                         r->options.heartbeat_interval);
     if (options->asks_peers_first)
@@ -134,16 +138,31 @@
         GwView_NoteOperatorListComplete(r->options.view);
 }
 
+void
+GwStoreReader_NoteStoreAvailable(GwStoreReader *r, GwList list, GwTime since,
+                                 GwTime until)
+{
+    GwReadSchedule_NoteAvailable(&r->schedule, list, since, until);
+    if (list == GW_LIST_INSTANCES)
+        GwStoreReaderOutages_OnPeerAvailable(r);
+}
+
 GwTime
 GwStoreReader_Age(const GwStoreReader *r, GwList list)
 {
     return GwReadSchedule_Age(&r->schedule, list, GwTime_Now());
 }
 
-bool
-GwStoreReader_WasStoreAvailable(const GwStoreReader *r, GwList list)
+GwTime
+GwStoreReader_AvailableFor(const GwStoreReader *r, GwList list)
+{
+    return GwReadSchedule_AvailableFor(&r->schedule, list);
+}
+
+GwTime
+GwStoreReader_SettledAt(const GwStoreReader *r, GwList list)
 {
-    return GwReadSchedule_WasStoreAvailable(&r->schedule, list, GwTime_Now());
+    return GwReadSchedule_SettledAt(&r->schedule, list, GwTime_Now());
 }
 
 GwReadState
--- a/packages/cluster/src/store_reader_calls.c
+++ b/packages/cluster/src/store_reader_calls.c
@@ -80,14 +80,15 @@
     // Records from peers may move the end of the list while this call waits.
     lr->call_from = GwRecords_End(GwView_Records(r->options.view), lr->list);
     call = GwLongPoll_Next(&lr->poll, lr->needs_full_read, r->options.rand);
-    lr->call_wait_until = call.wait > 0 ? GwTime_Now() + call.wait : 0;
+    lr->call_sent_at = GwTime_Now();
+    lr->call_wait_until = call.wait > 0 ? lr->call_sent_at + call.wait : 0;
     g_string_truncate(lr->request, 0);
     if (!lr->needs_full_read)
         GwStore_EncodeRead(lr->list, GwPosition_Offset(lr->call_from),
                            (int)(call.wait / GW_MILLISECOND), lr->request);
     else {
         if (lr->page_after == NULL) {
-            lr->full_read_at = GwTime_Now();
+            lr->full_read_at = lr->call_sent_at;
             lr->records_read = lr->records_not_newer = 0;
             GwRecords_BeginFullRead(GwView_Records(r->options.view), lr->list);
         }
--- a/packages/cluster/src/store_reader_outages.c
+++ b/packages/cluster/src/store_reader_outages.c
@@ -1,6 +1,6 @@
 #include "store_reader_outages.h"
 
-/* Removals are deferred until so long after the store's return. By the
+/* Removals are deferred until so long after the store's first answer. By the
  * platform's specification, endpoints whose records expired during an outage
  * write them again within about two seconds of the store's return; half a
  * second covers this process's delay. */
@@ -11,6 +11,11 @@
 #define REMOVAL_DEFERRAL_WINDOW (500 * GW_MILLISECOND)
 /* No record expires during outages up to this length. */
 #define HARMLESS_OUTAGE_MAX (1 * GW_SECOND)
+/* Allowance for the timers that apply deferred removals, and for requests that
+ * are on their way. */
+#define APPLY_DELAY (200 * GW_MILLISECOND)
+
+static GwTime deferral_end_(const ListReader *lr, GwTime now);
 
 void
 GwStoreReaderOutages_OnCallFailed(ListReader *lr, const char *why, int status)
@@ -24,6 +29,7 @@
     // A full read restarts at its first page, because its pages must belong to
     // one pass.
     g_clear_pointer(&lr->page_after, g_free);
+    lr->failed_call_sent_at = lr->call_sent_at;
     pause = GwLongPoll_Failed(&lr->poll, now, r->options.rand);
     GwTimer_Start(&lr->call_timer, GwReadSchedule_DelayAfterFailure(
                                        &r->schedule, pause, r->options.rand));
@@ -44,8 +50,11 @@
     GwTime since = GwLongPoll_Answered(&lr->poll);
 
     lr->silent_reopens = 0;
-    if (since == 0)
+    if (since == 0) {
+        if (!lr->needs_full_read)
+            lr->failed_call_sent_at = 0;
         return;
+    }
     GwEvent_Begin(r->options.log, "store_regained", NULL);
     GwEvent_Text(r->options.log, "list", GwList_Names[lr->list]);
     GwEvent_Time(r->options.log, "away_ms", now - since);
@@ -56,23 +65,57 @@
     // Nor are any if the store answered peers meanwhile.
     if (lr->list == GW_LIST_INSTANCES && now - since > HARMLESS_OUTAGE_MAX &&
         !GwReadSchedule_WasStoreAvailable(&r->schedule, lr->list, now))
-        GwStoreReaderOutages_DeferRemovals(r, "outage", now - since);
+        r->outage_deferral_until =
+            GwStoreReaderOutages_DeferRemovals(r, "outage", now - since);
 }
 
-void
+GwTime
 GwStoreReaderOutages_DeferRemovals(GwStoreReader *r, const char *why,
                                    GwTime outage)
 {
     GwEventLog *log = r->options.log;
     GwTime now = GwTime_Now();
+    GwTime until = deferral_end_(&r->list_readers[GW_LIST_INSTANCES], now);
 
     GwEvent_Begin(log, "removals_deferred", NULL);
     GwEvent_Text(log, "why", why);
     GwEvent_Time(log, "away_ms", outage);
+    GwEvent_Time(log, "for_ms", until - now);
     GwEvent_Time(log, "confirmed_ms",
                  GwReadSchedule_Age(&r->schedule, GW_LIST_INSTANCES, now));
     GwEvent_End(log);
     GwInstances_DeferRemovals(GwView_Instances(r->options.view),
-                              now + REMOVAL_DEFERRAL_WINDOW,
-                              now + REMOVAL_DEFERRAL_TERM);
+                              now + REMOVAL_DEFERRAL_WINDOW, until);
+    return until;
+}
+
+void
+GwStoreReaderOutages_OnPeerAvailable(GwStoreReader *r)
+{
+    GwTime now = GwTime_Now();
+
+    if (now >= r->outage_deferral_until ||
+        !GwReadSchedule_WasStoreAvailable(&r->schedule, GW_LIST_INSTANCES,
+                                          now))
+        return;
+    r->outage_deferral_until = 0;
+    GwEvent_Begin(r->options.log, "removals_due", NULL);
+    GwEvent_Text(r->options.log, "why", "store_answered_peers");
+    GwEvent_End(r->options.log);
+    GwInstances_EndDeferral(GwView_Instances(r->options.view), now);
+}
+
+// A lost call does not show whether the store was away or only this process.
+// In the second case endpoints may have departed at any time, and this process
+// may have been connected again since the last lost call was sent. From then
+// on the bound of a reconnected process runs, not from the first answer.
+static GwTime
+deferral_end_(const ListReader *lr, GwTime now)
+{
+    GwTime bound = lr->owner->options.reconnect_bound;
+    GwTime until = now + REMOVAL_DEFERRAL_TERM;
+
+    if (lr->failed_call_sent_at == 0)
+        return until;
+    return MIN(until, lr->failed_call_sent_at + bound - APPLY_DELAY);
 }
--- a/packages/cluster/src/store_reader_outages.h
+++ b/packages/cluster/src/store_reader_outages.h
@@ -13,8 +13,12 @@
  * may have expired in it. */
 void GwStoreReaderOutages_OnCallAnswered(ListReader *lr);
 /* Defer the removals that are read in the next half second. @p outage: the
- * duration of the store outage that is the reason. */
-void GwStoreReaderOutages_DeferRemovals(GwStoreReader *r, const char *why,
-                                        GwTime outage);
+ * duration of the store outage that is the reason. Returns when they are
+ * applied. */
+GwTime GwStoreReaderOutages_DeferRemovals(GwStoreReader *r, const char *why,
+                                          GwTime outage);
+/* A peer has reported for how long the store answered it: removals that are
+ * deferred for an outage are applied if there was none. */
+void GwStoreReaderOutages_OnPeerAvailable(GwStoreReader *r);
 
 #endif
--- a/packages/cluster/src/store_reader_private.h
+++ b/packages/cluster/src/store_reader_private.h
@@ -29,13 +29,16 @@
                               the full read */
     int64_t call_from;     /* start position of the call under way */
     GwLongPoll poll;
-    GwTime call_wait_until;    /* until when the call under way may wait at the
-                                  store; 0: it does not wait */
-    int64_t behind_end;        /* end of our copy when a peer was ahead */
-    GwTime behind_at;          /* when a peer was last ahead */
-    GwTime full_read_at;       /* time of the request for its first page */
-    bool is_waiting_for_peers; /* after the start, until peers have sent the
-                                  list */
+    GwTime call_wait_until; /* until when the call under way may wait at the
+                               store; 0: it does not wait */
+    GwTime call_sent_at;    /* of the call under way */
+    GwTime failed_call_sent_at; /* of the last failed call, until the list is
+                                   current again; 0: none */
+    int64_t behind_end;         /* end of our copy when a peer was ahead */
+    GwTime behind_at;           /* when a peer was last ahead */
+    GwTime full_read_at;        /* time of the request for its first page */
+    bool is_waiting_for_peers;  /* after the start, until peers have sent the
+                                   list */
     unsigned silent_reopens; /* consecutive calls that were cancelled before a
                                 byte of the answer was received */
     unsigned records_read;   /* since the current full read began */
@@ -48,6 +51,8 @@
     GwStoreReaderOptions options;
     GwReadSchedule schedule;
     int64_t era; /* last era that the store reported; -1: none yet */
+    GwTime outage_deferral_until; /* end of the deferral after an outage; 0: no
+                                     removals are deferred */
     ListReader list_readers[GW_LISTS];
 };
 
--- a/packages/cluster/tests/store_reader_test.cc
+++ b/packages/cluster/tests/store_reader_test.cc
@@ -296,6 +296,83 @@
     }
 }
 
+// Guards against requests to a departed endpoint at a process that was cut
+// off: it took its own disconnection for an outage of the store and deferred
+// the removal from the moment at which it noticed its return.
+TEST_F(StoreOutage, RemovalIsAppliedWithinReconnectBound)
+{
+    const GwTime reconnect_bound = 3 * GW_SECOND; // the default
+    const GwTime leaving_bound = 2 * GW_SECOND;
+    struct Case {
+        std::unique_ptr<StoreAndReader> system;
+        const Outage *outage;
+        GwTime end_at, removal_at;
+        bool has_ended, is_removed;
+        GwTime applied_at;
+    };
+    std::vector<Case> cases;
+    GwTime start = GwTime_Now();
+
+    for (int kind : {0, 1})
+        for (GwTime end_ms = 2000; end_ms <= 7000; end_ms += 250)
+            for (GwTime offset_ms : {-700, 50, 200, 400, 900})
+                cases.push_back({std::make_unique<StoreAndReader>(loop),
+                                 &kOutages[kind], end_ms * GW_MILLISECOND,
+                                 (end_ms + offset_ms) * GW_MILLISECOND, false,
+                                 false, 0});
+    Wait(300 * GW_MILLISECOND);
+    for (Case &c : cases)
+        c.outage->begin(c.system->store);
+    Wait(11 * GW_SECOND, [&] {
+        GwTime at = GwTime_Now() - start;
+
+        for (Case &c : cases) {
+            if (!c.has_ended && at >= c.end_at) {
+                c.has_ended = true;
+                c.outage->end(c.system->store);
+            }
+            if (!c.is_removed && at >= c.removal_at) {
+                c.is_removed = true;
+                FakeStore_Put(c.system->store, "keyed.servers", "i-1",
+                              nullptr);
+            }
+            GwInstances_Sweep(GwView_Instances(c.system->view), GwTime_Now());
+            if (c.applied_at == 0 && !c.system->IsListed())
+                c.applied_at = at;
+        }
+    });
+    for (const Case &c : cases) {
+        EXPECT_TRUE(c.applied_at > 0 &&
+                    c.applied_at <= std::max(c.end_at + reconnect_bound,
+                                             c.removal_at + leaving_bound))
+            << c.outage->name << " until " << c.end_at << ", removed at "
+            << c.removal_at << ", applied at " << c.applied_at;
+    }
+}
+
+// Guards against requests to a departed endpoint at a process that was cut off
+// from the store and from its peers: when a peer reports that the store
+// answered it meanwhile, the deferred removal must be applied at once.
+TEST_F(StoreOutage, DeferralEndsWhenPeerReadStoreMeanwhile)
+{
+    for (bool was_available : {true, false}) {
+        StoreAndReader system(loop);
+
+        Wait(300 * GW_MILLISECOND);
+        FakeStore_Refuse(system.store, 503);
+        Wait(2400 * GW_MILLISECOND);
+        FakeStore_Put(system.store, "keyed.servers", "i-1", nullptr);
+        FakeStore_Refuse(system.store, 0);
+        Wait(700 * GW_MILLISECOND);
+        EXPECT_TRUE(system.IsListed());
+        GwStoreReader_NoteStoreAvailable(
+            system.reader, GW_LIST_INSTANCES,
+            GwTime_Now() - (was_available ? 60 * GW_SECOND : GW_SECOND),
+            GwTime_Now());
+        EXPECT_EQ(system.IsListed(), !was_available);
+    }
+}
+
 // A process starts and reads the full list in pages. A record of the first
 // page is changed before the last page is sent. Pages are not a snapshot, but
 // the end given with the last page lies after that change, so reading on from
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -488,6 +488,7 @@
             GwStoreReader_EntryMinInterval(1, d->leaving_bound),
         .bound = d->config_bound,
         .heartbeat_interval = d->heartbeat_interval,
+        .reconnect_bound = d->reconnect_bound,
         .asks_peers_first = d->is_first_start && !GwDeployment_IsSeed(d),
     };
     GwPeersOptions peers = {
--- a/packages/routing/include/galenagw/routing/instances.h
+++ b/packages/routing/include/galenagw/routing/instances.h
@@ -276,6 +276,9 @@
 /** When a removal that is received now would be applied; 0: immediately. */
 GwTime GwInstances_RemovalsDeferredUntil(const GwInstances *instances,
                                          GwTime now);
+/** Apply deferred removals now, and later ones at once: none of them was due
+ * to an outage of the store. */
+void GwInstances_EndDeferral(GwInstances *instances, GwTime now);
 /** Adopt the deferral of a peer: removals that are received before @p until
  * are also deferred, to @p until or later. 0: the peer defers none any longer.
  */
@@ -283,6 +286,8 @@
 /** When the deferred removal of @p id will be applied; 0: none is deferred. */
 GwTime GwInstances_RemovalDeferredUntil(const GwInstances *instances,
                                         const char *id);
+/** When the deferred removals are due; 0: there are none. */
+GwTime GwInstances_NextRemovalAt(const GwInstances *instances);
 /** Apply deferred removals that are due, and remove expired departure updates.
  */
 void GwInstances_Sweep(GwInstances *instances, GwTime now);
--- a/packages/routing/include/galenagw/routing/read_schedule.h
+++ b/packages/routing/include/galenagw/routing/read_schedule.h
@@ -103,6 +103,21 @@
  * outage of the store, and no records of @p list have expired in one. */
 bool GwReadSchedule_WasStoreAvailable(const GwReadSchedule *schedule,
                                       GwList list, GwTime now);
+/**
+ * When the effects of an outage of the store on @p list have ended: all live
+ * endpoints whose records expired have written them again by then.
+ * @return that time; 0: the store is not known to be available now
+ */
+GwTime GwReadSchedule_SettledAt(const GwReadSchedule *schedule, GwList list,
+                                GwTime now);
+/** For how long before its last confirmation @p list was confirmed without a
+ * gap that suggests an outage, to be sent to peers; -1: never confirmed. */
+GwTime GwReadSchedule_AvailableFor(const GwReadSchedule *schedule,
+                                   GwList list);
+/** By a peer's account, the store answered regularly from @p since to @p until
+ * , also while this process was disconnected. */
+void GwReadSchedule_NoteAvailable(GwReadSchedule *schedule, GwList list,
+                                  GwTime since, GwTime until);
 /** Time since @p list was confirmed, to be sent to peers; -1: never. */
 GwTime GwReadSchedule_Age(const GwReadSchedule *schedule, GwList list,
                           GwTime now);
--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -271,6 +271,14 @@
     m->apply_deferred_at = MAX(m->apply_deferred_at, until);
 }
 
+void
+GwInstances_EndDeferral(GwInstances *m, GwTime now)
+{
+    m->defer_received_before = 0;
+    m->apply_deferred_at = MIN(m->apply_deferred_at, now);
+    GwInstances_Sweep(m, now);
+}
+
 GwTime
 GwInstances_RemovalsDeferredUntil(const GwInstances *m, GwTime now)
 {
@@ -295,6 +303,12 @@
                                                          : 0;
 }
 
+GwTime
+GwInstances_NextRemovalAt(const GwInstances *m)
+{
+    return m->n_deferred > 0 ? m->apply_deferred_at : 0;
+}
+
 void
 GwInstances_Sweep(GwInstances *m, GwTime now)
 {
--- a/packages/routing/src/read_schedule.c
+++ b/packages/routing/src/read_schedule.c
@@ -128,9 +128,40 @@
 GwReadSchedule_WasStoreAvailable(const GwReadSchedule *schedule, GwList list,
                                  GwTime now)
 {
-    return schedule->confirmed_at[list] > 0 &&
-           now - schedule->confirmed_at[list] <= schedule->max_gap &&
-           now - schedule->available_since[list] >= OUTAGE_EFFECT_TIME;
+    GwTime settled_at = GwReadSchedule_SettledAt(schedule, list, now);
+
+    return settled_at > 0 && settled_at <= now;
+}
+
+GwTime
+GwReadSchedule_SettledAt(const GwReadSchedule *schedule, GwList list,
+                         GwTime now)
+{
+    if (schedule->confirmed_at[list] == 0 ||
+        now - schedule->confirmed_at[list] > schedule->max_gap)
+        return 0;
+    return schedule->available_since[list] + OUTAGE_EFFECT_TIME;
+}
+
+GwTime
+GwReadSchedule_AvailableFor(const GwReadSchedule *schedule, GwList list)
+{
+    return schedule->confirmed_at[list] > 0
+               ? schedule->confirmed_at[list] - schedule->available_since[list]
+               : -1;
+}
+
+void
+GwReadSchedule_NoteAvailable(GwReadSchedule *schedule, GwList list,
+                             GwTime since, GwTime until)
+{
+    // Between the peer's last confirmation and the first one here, the store
+    // may have been away.
+    if (schedule->confirmed_at[list] == 0 ||
+        schedule->available_since[list] - until > schedule->max_gap)
+        return;
+    schedule->available_since[list] =
+        MIN(schedule->available_since[list], since);
 }
 
 GwTime
--- a/packages/routing/tests/read_schedule_test.cc
+++ b/packages/routing/tests/read_schedule_test.cc
@@ -347,4 +347,39 @@
     }
 }
 
+// Guards against a process that was cut off and takes its own disconnection
+// for an outage of the store, although its peers read the store meanwhile.
+TEST(ReadSchedule, PeersTellWhetherStoreWasAvailable)
+{
+    const struct {
+        const char *name;
+        int peer_since_ms, peer_until_ms;
+        bool expected;
+    } cases[] = {
+        {"peer was not cut off", 1000, 12000, true},
+        {"peer was cut off too, until the same time", 11800, 12000, false},
+        {"peer returned two seconds earlier", 9900, 12000, true},
+        {"peer has read nothing since the cut began", 1000, 5500, false},
+        {"peer's last read was just before the return", 1000, 10000, true},
+    };
+
+    for (auto &c : cases) {
+        GwReadSchedule schedule;
+
+        GwReadSchedule_Init(&schedule, nullptr, 0, kEndpointHeartbeat);
+        for (int at : {4000, 5000, 12000})
+            GwReadSchedule_Confirm(&schedule, GW_LIST_INSTANCES,
+                                   at * GW_MILLISECOND);
+        EXPECT_FALSE(GwReadSchedule_WasStoreAvailable(
+            &schedule, GW_LIST_INSTANCES, 12000 * GW_MILLISECOND));
+        GwReadSchedule_NoteAvailable(&schedule, GW_LIST_INSTANCES,
+                                     c.peer_since_ms * GW_MILLISECOND,
+                                     c.peer_until_ms * GW_MILLISECOND);
+        EXPECT_EQ(GwReadSchedule_WasStoreAvailable(
+                      &schedule, GW_LIST_INSTANCES, 12000 * GW_MILLISECOND),
+                  c.expected)
+            << c.name;
+    }
+}
+
 } // namespace
--- a/packages/sidecar/src/sidecar.c
+++ b/packages/sidecar/src/sidecar.c
@@ -478,6 +478,7 @@
         .instances_min_interval = INSTANCES_READ_PAUSE,
         .bound = d->config_bound,
         .heartbeat_interval = d->heartbeat_interval,
+        .reconnect_bound = d->reconnect_bound,
         .asks_peers_first = true,
     };
     GwPeersOptions peers = {
--- a/packages/wire/include/galenagw/wire/galenagw.pb-c.h
+++ b/packages/wire/include/galenagw/wire/galenagw.pb-c.h
@@ -104,10 +104,11 @@
    */
   uint32_t operator_age;
   uint32_t instances_age;
+  uint32_t instances_available;
 };
 #define GW__WIRE__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__hello__descriptor) \
-    , 0, GW__WIRE__ROLE__ROLE_ENTRY, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , 0, GW__WIRE__ROLE__ROLE_ENTRY, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Gw__Wire__Ping
@@ -130,10 +131,15 @@
    * sent because of a change that callers feel
    */
   protobuf_c_boolean has_news;
+  /*
+   * Milliseconds, and one more, before that age in which the store answered
+   * regularly; 0: not told.
+   */
+  uint32_t instances_available;
 };
 #define GW__WIRE__PING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__ping__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Gw__Wire__Pong
@@ -147,10 +153,11 @@
    */
   uint32_t operator_age;
   uint32_t instances_age;
+  uint32_t instances_available;
 };
 #define GW__WIRE__PONG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&gw__wire__pong__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 struct  Gw__Wire__Leaving
--- a/packages/wire/include/galenagw/wire/session.h
+++ b/packages/wire/include/galenagw/wire/session.h
@@ -39,7 +39,10 @@
      * complete; negative: never. */
     GwTime operator_age;
     GwTime instances_age; /**< same for the instance list */
-    bool has_news;        /**< sent by GwSession_SendUrgentHeartbeat */
+    /** Time before instances_age during which the platform's store answered
+     * regularly; negative: unknown. */
+    GwTime instances_available_for;
+    bool has_news; /**< sent by GwSession_SendUrgentHeartbeat */
 } GwSyncStatus;
 
 /** Callbacks. The session is freed after on_closed. */
--- a/packages/wire/src/galenagw.pb-c.c
+++ b/packages/wire/src/galenagw.pb-c.c
@@ -1627,7 +1627,7 @@
   assert(message->base.descriptor == &gw__wire__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor gw__wire__hello__field_descriptors[12] =
+static const ProtobufCFieldDescriptor gw__wire__hello__field_descriptors[13] =
 {
   {
     "version",
@@ -1773,6 +1773,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "instances_available",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__Hello, instances_available),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__hello__field_indices_by_name[] = {
   9,   /* field[9] = epoch */
@@ -1780,6 +1792,7 @@
   4,   /* field[4] = incarnation */
   2,   /* field[2] = instance */
   11,   /* field[11] = instances_age */
+  12,   /* field[12] = instances_available */
   6,   /* field[6] = leaving */
   8,   /* field[8] = limits_only */
   10,   /* field[10] = operator_age */
@@ -1791,7 +1804,7 @@
 static const ProtobufCIntRange gw__wire__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor gw__wire__hello__descriptor =
 {
@@ -1801,14 +1814,14 @@
   "Gw__Wire__Hello",
   "gw.wire",
   sizeof(Gw__Wire__Hello),
-  12,
+  13,
   gw__wire__hello__field_descriptors,
   gw__wire__hello__field_indices_by_name,
   1,  gw__wire__hello__number_ranges,
   (ProtobufCMessageInit) gw__wire__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__ping__field_descriptors[7] =
+static const ProtobufCFieldDescriptor gw__wire__ping__field_descriptors[8] =
 {
   {
     "nonce",
@@ -1894,11 +1907,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "instances_available",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__Ping, instances_available),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__ping__field_indices_by_name[] = {
   3,   /* field[3] = epoch */
   6,   /* field[6] = has_news */
   5,   /* field[5] = instances_age */
+  7,   /* field[7] = instances_available */
   0,   /* field[0] = nonce */
   4,   /* field[4] = operator_age */
   2,   /* field[2] = received */
@@ -1907,7 +1933,7 @@
 static const ProtobufCIntRange gw__wire__ping__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor gw__wire__ping__descriptor =
 {
@@ -1917,14 +1943,14 @@
   "Gw__Wire__Ping",
   "gw.wire",
   sizeof(Gw__Wire__Ping),
-  7,
+  8,
   gw__wire__ping__field_descriptors,
   gw__wire__ping__field_indices_by_name,
   1,  gw__wire__ping__number_ranges,
   (ProtobufCMessageInit) gw__wire__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor gw__wire__pong__field_descriptors[5] =
+static const ProtobufCFieldDescriptor gw__wire__pong__field_descriptors[6] =
 {
   {
     "nonce",
@@ -1986,10 +2012,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "instances_available",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Gw__Wire__Pong, instances_available),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned gw__wire__pong__field_indices_by_name[] = {
   2,   /* field[2] = epoch */
   4,   /* field[4] = instances_age */
+  5,   /* field[5] = instances_available */
   0,   /* field[0] = nonce */
   3,   /* field[3] = operator_age */
   1,   /* field[1] = revision */
@@ -1997,7 +2036,7 @@
 static const ProtobufCIntRange gw__wire__pong__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor gw__wire__pong__descriptor =
 {
@@ -2007,7 +2046,7 @@
   "Gw__Wire__Pong",
   "gw.wire",
   sizeof(Gw__Wire__Pong),
-  5,
+  6,
   gw__wire__pong__field_descriptors,
   gw__wire__pong__field_indices_by_name,
   1,  gw__wire__pong__number_ranges,
--- a/packages/wire/src/session.c
+++ b/packages/wire/src/session.c
@@ -11,6 +11,18 @@
  * Each received part of such a frame is recorded as progress. */
 #define LARGE_FRAME_BYTES ((size_t)64 * 1024)
 
+/* The sync status in a Hello, ping or pong: messages of different types with
+ * the same fields. */
+#define SYNC_STATUS_OF(message, is_urgent)                                    \
+    {                                                                         \
+        .revision = (message)->revision, .epoch = (message)->epoch,           \
+        .operator_age = decode_age_((message)->operator_age),                 \
+        .instances_age = decode_age_((message)->instances_age),               \
+        .instances_available_for =                                            \
+            decode_age_((message)->instances_available),                      \
+        .has_news = (is_urgent)                                               \
+    }
+
 struct GwSession {
     TAILQ_ENTRY(GwSession) link; /* in the `accepted` list of its server */
     GwSessionServer *server;     /* NULL: closed, or this process connected */
@@ -199,6 +211,8 @@
     hello.epoch = sync_status.epoch;
     hello.operator_age = encode_age_(sync_status.operator_age);
     hello.instances_age = encode_age_(sync_status.instances_age);
+    hello.instances_available =
+        encode_age_(sync_status.instances_available_for);
     GwSession_Send(s, &frame);
     GwCounters_Add(s->options.counters, GW_COUNTER_SESSIONS_OPENED, 1);
 }
@@ -294,6 +308,8 @@
     ping.epoch = sync_status.epoch;
     ping.operator_age = encode_age_(sync_status.operator_age);
     ping.instances_age = encode_age_(sync_status.instances_age);
+    ping.instances_available =
+        encode_age_(sync_status.instances_available_for);
     ping.received = s->bytes_received;
     ping.has_news = urgent;
     GwSession_Send(s, &frame);
@@ -362,19 +378,13 @@
             s->peer_progress_at = GwTime_Now();
         }
         send_pong_(s, frame->ping->nonce);
-        notify_sync_status_(
-            s, &(GwSyncStatus){frame->ping->revision, frame->ping->epoch,
-                               decode_age_(frame->ping->operator_age),
-                               decode_age_(frame->ping->instances_age),
-                               frame->ping->has_news});
+        notify_sync_status_(s, &(GwSyncStatus)SYNC_STATUS_OF(
+                                   frame->ping, frame->ping->has_news));
         return true;
     case GW__WIRE__FRAME__BODY_PONG:
         s->unanswered_ping_at = 0;
-        notify_sync_status_(
-            s,
-            &(GwSyncStatus){frame->pong->revision, frame->pong->epoch,
-                            decode_age_(frame->pong->operator_age),
-                            decode_age_(frame->pong->instances_age), false});
+        notify_sync_status_(s,
+                            &(GwSyncStatus)SYNC_STATUS_OF(frame->pong, false));
         return true;
     case GW__WIRE__FRAME__BODY__NOT_SET:
         // A message type of a newer version, ignored so that processes of
@@ -399,10 +409,7 @@
     }
     s->ready = true;
     s->options.ops->on_ready(s->options.user, s, hello);
-    notify_sync_status_(s, &(GwSyncStatus){hello->revision, hello->epoch,
-                                           decode_age_(hello->operator_age),
-                                           decode_age_(hello->instances_age),
-                                           false});
+    notify_sync_status_(s, &(GwSyncStatus)SYNC_STATUS_OF(hello, false));
     return true;
 }
 
@@ -417,6 +424,8 @@
     pong.epoch = sync_status.epoch;
     pong.operator_age = encode_age_(sync_status.operator_age);
     pong.instances_age = encode_age_(sync_status.instances_age);
+    pong.instances_available =
+        encode_age_(sync_status.instances_available_for);
     GwSession_Send(s, &frame);
 }
 
@@ -447,7 +456,9 @@
 static GwSyncStatus
 collect_sync_status_(const GwSession *s)
 {
-    GwSyncStatus sync_status = {.operator_age = -1, .instances_age = -1};
+    GwSyncStatus sync_status = {.operator_age = -1,
+                                .instances_age = -1,
+                                .instances_available_for = -1};
 
     if (s->options.fill_sync_status != NULL)
         s->options.fill_sync_status(s->options.user, &sync_status);
--- a/packages/wire/tests/wire_test.cc
+++ b/packages/wire/tests/wire_test.cc
@@ -145,9 +145,9 @@
 TEST_F(SessionTest, HeartbeatsCarrySyncStatusOfBothEnds)
 {
     const GwSyncStatus cases[] = {
-        {7, 2, 0, 3 * GW_SECOND, false},
-        {0, 0, -1, -1, false},
-        {9, 0, 20 * GW_MILLISECOND + 1, -1, false},
+        {7, 2, 0, 3 * GW_SECOND, 9 * GW_SECOND, false},
+        {0, 0, -1, -1, -1, false},
+        {9, 0, 20 * GW_MILLISECOND + 1, -1, 0, false},
     };
     GwSessionOptions o = Options(&client_side);
     GwSessionServer *status_server;
@@ -173,7 +173,8 @@
             EXPECT_EQ(side->received_status.revision, c.revision);
             EXPECT_EQ(side->received_status.epoch, c.epoch);
             for (auto age :
-                 {&GwSyncStatus::operator_age, &GwSyncStatus::instances_age}) {
+                 {&GwSyncStatus::operator_age, &GwSyncStatus::instances_age,
+                  &GwSyncStatus::instances_available_for}) {
                 EXPECT_EQ(side->received_status.*age < 0, c.*age < 0);
                 EXPECT_GE(side->received_status.*age, c.*age);
                 EXPECT_LE(side->received_status.*age, c.*age + GW_MILLISECOND);
--- a/soak/src/faults.cc
+++ b/soak/src/faults.cc
@@ -41,6 +41,10 @@
 /* Duration of an outage around whose end endpoints depart. */
 static const GwTime kMinOutage = 1200 * GW_MILLISECOND;
 static const GwTime kMaxOutage = 4 * GW_SECOND;
+/* Most time for which all processes are disconnected from the store, and the
+ * departures around its end. */
+static const GwTime kMaxIsolation = 7 * GW_SECOND;
+static const int kIsolatedDepartures = 3;
 
 /* Rate limits of endpoints, in requests per second, and their duration, which
  * is longer than any phase, so that EndAll ends them. */
@@ -540,12 +544,15 @@
 
     if (GwTime_Now() < f->slow_store_until_)
         f->DepartWhileGatewaysStart();
-    else
-        switch (f->DrawForDeparture(0, 2)) {
+    else if (GwTime_Now() >= f->isolated_until_)
+        switch (f->DrawForDeparture(0, 3)) {
         case 0:
             f->DepartAfterStoreIsolation();
             break;
         case 1:
+            f->DepartAfterIsolationOfAll();
+            break;
+        case 2:
             f->DepartAfterInterruption();
             break;
         default:
@@ -587,6 +594,21 @@
     ScheduleDepartureAround(outage);
 }
 
+// All processes are disconnected from the store, so no process hears that it
+// answers others meanwhile. Nothing else is disturbed until they are in touch
+// again.
+void
+Faults::DepartAfterIsolationOfAll()
+{
+    GwTime outage = DrawForDeparture(kMaxOutage, kMaxIsolation);
+
+    isolated_until_ = GwTime_Now() + outage + kContactTime + GW_SECOND;
+    for (size_t i = 0; i < options_.store_proxies->size(); i++)
+        IsolateFromStore(i, false, outage);
+    for (int i = 0; i < kIsolatedDepartures; i++)
+        ScheduleDepartureAround(outage);
+}
+
 void
 Faults::DepartAfterInterruption()
 {
--- a/soak/src/faults.h
+++ b/soak/src/faults.h
@@ -119,6 +119,7 @@
     /* Let an endpoint depart around a disturbance of another part. */
     void DepartWhileGatewaysStart();
     void DepartAfterStoreIsolation();
+    void DepartAfterIsolationOfAll();
     void DepartAfterInterruption();
     void DepartAfterRestart();
     /* Let the endpoint depart at @p time from now, in a random way, unless it
@@ -190,6 +191,8 @@
     bool has_one_version_ = false;
     bool has_backup_ = false;     /* of the store */
     GwTime slow_store_until_ = 0; /* in a phase of departures */
+    GwTime isolated_until_ = 0;   /* all processes, and until they are in touch
+                                     again */
     int planned_count_ = 0;       /* planned work done so far */
 };
 
