Cache scope: changes for all when the set of isolated accounts changes

Cause: the common scope contained the weights only, and engines compare nothing else. Besides, a request took the scope of the configuration with which it began, however long it had waited.

Ruled out: a late configuration (the account's own requests had their own scope at once) and the account's own scope (no other account got it).

Change: the common scope contains a hash of the names of the isolated accounts. A scope is then only ever used by accounts outside of that set, whatever the order of changes, and no state beside the configuration is needed after a restart. The scope follows the configuration at the time of sending.

--- a/packages/gateway/src/cache_nodes.c
+++ b/packages/gateway/src/cache_nodes.c
@@ -36,6 +36,7 @@
     size_t n_sources;
 };
 
+static bool is_isolated_(const GwRoutes *routes, const GwAccount *account);
 static void add_kv_store_(GwCacheNodes *c);
 static void add_engines_(GwCacheNodes *c);
 static const WeightsVersion *find_version_(const GwCacheNodes *c,
@@ -156,13 +157,35 @@
 char *
 GwCacheNodes_CacheScope(const GwRequest *r, int64_t weights)
 {
+    // Of the configuration in force, not of the one with which the request
+    // began: it may have waited since.
+    const GwRoutes *routes = GwView_Routes(r->gateway->view);
+
     // Engines compare only the scope before they reuse cached parts, neither
     // weights nor account. So the scope contains everything that must not be
     // mixed: the weights version and, for an isolated account, the account.
-    if (r->account != NULL && r->account->isolated)
+    if (is_isolated_(routes, r->account))
         return g_strdup_printf("w%" G_GINT64_FORMAT ".%s", weights,
                                r->account->name);
-    return g_strdup_printf("w%" G_GINT64_FORMAT, weights);
+    if (routes->isolation_hash == 0)
+        return g_strdup_printf("w%" G_GINT64_FORMAT, weights);
+    // An account that becomes isolated leaves parts in the common scope, also
+    // in KV stores. The other accounts therefore get a scope that only they
+    // have ever used: one for each set of isolated accounts.
+    return g_strdup_printf("w%" G_GINT64_FORMAT "+%" G_GINT64_MODIFIER "x",
+                           weights, routes->isolation_hash);
+}
+
+// An account that is no longer configured may have been isolated.
+static bool
+is_isolated_(const GwRoutes *routes, const GwAccount *account)
+{
+    const GwAccount *current;
+
+    if (account == NULL)
+        return false;
+    current = GwRoutes_AccountNamed(routes, account->name);
+    return current == NULL || current->isolated;
 }
 
 static void
--- a/packages/routing/include/galenagw/routing/routes.h
+++ b/packages/routing/include/galenagw/routing/routes.h
@@ -108,7 +108,10 @@
     GHashTable *by_name;     /**< name to GwAccount */
     GHashTable *services;    /**< name to GwService, owned */
     bool has_accounts;
-    bool has_limits;          /**< at least one account has a limit */
+    bool has_limits; /**< at least one account has a limit */
+    /** Of the names of the isolated accounts, in any order; 0: there are none.
+     */
+    uint64_t isolation_hash;
     int most_urgent_priority; /**< engine priority of the most urgent routes
                         with prompts */
     GwLimits limits;
--- a/packages/routing/src/routes.c
+++ b/packages/routing/src/routes.c
@@ -1,6 +1,7 @@
 #include "galenagw/routing/routes.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Used until a configuration sets other values. */
 #define DEFAULT_MAX_HEAD (16 * 1024)
@@ -24,6 +25,7 @@
 static void free_service_(void *item);
 static void clear_split_(void *item);
 static int compare_prefix_length_(gconstpointer a, gconstpointer b);
+static uint64_t hash_isolation_(const GwRoutes *r);
 
 GwRoutes *
 GwRoutes_New(uint64_t version)
@@ -140,6 +142,7 @@
 
         r->has_limits = r->has_limits || account->limit_rate > 0;
     }
+    r->isolation_hash = hash_isolation_(r);
     g_hash_table_iter_init(&iter, r->by_host);
     while (g_hash_table_iter_next(&iter, NULL, &list))
         g_ptr_array_sort(list, compare_prefix_length_);
@@ -294,3 +297,24 @@
 
     return (int)strlen(y->path_prefix) - (int)strlen(x->path_prefix);
 }
+
+static uint64_t
+hash_isolation_(const GwRoutes *r)
+{
+    GHashTableIter iter;
+    gpointer account;
+    uint64_t hash = 0;
+    bool is_any = false;
+
+    g_hash_table_iter_init(&iter, r->by_name);
+    while (g_hash_table_iter_next(&iter, NULL, &account)) {
+        const char *name = ((const GwAccount *)account)->name;
+
+        if (!((const GwAccount *)account)->isolated)
+            continue;
+        // A sum, because the order of accounts in a configuration may change.
+        hash += XXH64(name, strlen(name), 0);
+        is_any = true;
+    }
+    return is_any && hash == 0 ? 1 : hash;
+}
--- a/soak/src/ledger.cc
+++ b/soak/src/ledger.cc
@@ -116,7 +116,8 @@
 void
 Ledger::RecordCacheScope(const std::string &scope,
                          const std::string &weights_version,
-                         const std::string &account, bool isolated)
+                         const std::string &account,
+                         const std::set<std::string> &isolated)
 {
     Scope &s = scopes_[scope];
 
@@ -126,11 +127,15 @@
         RecordViolation("a cache scope has one version of weights",
                         "scope " + scope + " is used for versions " +
                             s.weights_version + " and " + weights_version);
+    for (const std::string &maker : s.accounts) {
+        if (maker != account &&
+            (isolated.count(maker) > 0 || isolated.count(account) > 0))
+            RecordViolation(
+                "a cache scope of an isolated account is not shared",
+                "scope " + scope + ", used by " + maker + ", then by " +
+                    account);
+    }
     s.accounts.insert(account);
-    s.isolated = s.isolated || isolated;
-    if (s.isolated && s.accounts.size() > 1)
-        RecordViolation("a cache scope of an isolated account is not shared",
-                        "scope " + scope);
 }
 
 void
--- a/soak/src/ledger.h
+++ b/soak/src/ledger.h
@@ -85,11 +85,12 @@
     /* Time of RecordAbandoned, or 0. */
     GwTime AbandonedAt(const std::string &id) const;
     /* A request of @p account for @p weights_version uses the KV cache of @p
-     * scope. A scope must not be used with two versions of weights, and that
-     * of an isolated account not by another account. */
+     * scope. A scope must not be used with two versions of weights, and not
+     * by two accounts of which one is among @p isolated. */
     void RecordCacheScope(const std::string &scope,
                           const std::string &weights_version,
-                          const std::string &account, bool isolated);
+                          const std::string &account,
+                          const std::set<std::string> &isolated);
     /* Record and print that @p promise was broken. */
     void RecordViolation(const std::string &promise, const std::string &what);
 
@@ -120,8 +121,7 @@
     /* Use of one cache scope. */
     struct Scope {
         std::string weights_version;
-        std::set<std::string> accounts;
-        bool isolated = false;
+        std::set<std::string> accounts; /* that ever used it */
     };
     std::map<std::string, Request> requests_;
     std::map<std::string, Scope> scopes_;
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -10,6 +10,8 @@
 /* Time after the announcement of its departure from which an endpoint must
  * receive no requests. */
 static const GwTime kMaxDrainPropagation = 2 * GW_SECOND;
+/* Time within which a configuration must be in force. */
+static const GwTime kConfigBound = 2 * GW_SECOND;
 /* Later than kLimitGrace after an endpoint's rate limit is set, it receives in
  * any kLimitWindow at most kLimitFactor times the limit plus kLimitSlack
  * requests. */
@@ -399,8 +401,9 @@
         ledger->RecordViolation("an API key is replaced by its account",
                                 "the key was forwarded");
     if (!scope.empty())
-        ledger->RecordCacheScope(scope, HeaderValue(x, "X-Expect-Version"),
-                                 account, account == "walled");
+        ledger->RecordCacheScope(
+            scope, HeaderValue(x, "X-Expect-Version"), account,
+            platform_->IsolatedAccounts(HeaderValue(x, "X-Request-Id")));
     CheckDeparture(HeaderValue(x, "X-Request-Id"));
     return is_engine && atoi(HeaderValue(x, "X-Expect-Version").c_str()) !=
                             weights_version_;
@@ -648,10 +651,10 @@
             "4096,\"max_body_bytes\":65536,\"header_timeout_ms\":2000,"
             "\"idle_timeout_ms\":4000},\"tenants\":[{\"name\":\"acme\","
             "\"api_keys\":[\"key\"]" +
-            rate +
+            IsolationField("acme", config_version % 5 == 4) + rate +
             "},{\"name\":\"walled\",\"api_keys\":"
-            "[\"wall\"],\"isolated\":true" +
-            rate +
+            "[\"wall\"]" +
+            IsolationField("walled", config_version % 4 != 3) + rate +
             "},{\"name\":\"loud\",\"api_keys\":"
             "[\"loud\"],\"rate_per_s\":" +
             std::to_string(kLoudRate) +
@@ -661,6 +664,32 @@
     config_written_at = GwTime_Now();
 }
 
+std::string
+Platform::IsolationField(const std::string &account, bool isolated)
+{
+    if (!isolated)
+        isolated_since_.erase(account);
+    else
+        isolated_since_.emplace(account, GwTime_Now());
+    return std::string(",\"isolated\":") + (isolated ? "true" : "false");
+}
+
+std::set<std::string>
+Platform::IsolatedAccounts(const std::string &request) const
+{
+    GwTime applied_before = GwTime_Now() - kConfigBound;
+    std::set<std::string> accounts;
+
+    if (!store_fault_history.IsFaultFreeSince(applied_before - kContactTime) ||
+        !is_sender_in_touch(request))
+        return accounts;
+    for (auto &isolated : isolated_since_) {
+        if (isolated.second < applied_before)
+            accounts.insert(isolated.first);
+    }
+    return accounts;
+}
+
 std::vector<std::string>
 Platform::RestoreStore()
 {
--- a/soak/src/platform.h
+++ b/soak/src/platform.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <set>
@@ -232,8 +233,8 @@
              int plain, Ledger *ledger);
     ~Platform();
     /* Write a new version of the configuration, with one more route. Its
-     * client accounts are "acme", "walled" (isolated cache) and "loud"
-     * (limited). */
+     * client accounts are "acme" (isolated in some versions), "walled"
+     * (isolated in most versions) and "loud" (limited). */
     void WriteNewConfig();
     /* Release the next version of the engines' weights. */
     void ReleaseWeights();
@@ -292,13 +293,21 @@
     /* The same for the sidecar of the engine with this number. */
     std::function<bool(int engine)> is_sidecar_in_touch;
 
+    /* The accounts that the sender of the request must treat as isolated. */
+    std::set<std::string> IsolatedAccounts(const std::string &request) const;
+
   private:
     void WriteReleasedWeights();
+    /* Note whether the account is isolated from now on. Returns the field of
+     * the configuration for it. */
+    std::string IsolationField(const std::string &account, bool isolated);
     /* Whether neither the engine nor its sidecar nor their links had a fault
      * for kContactTime. */
     bool IsEngineInTouch(const Endpoint &engine) const;
 
     std::vector<GwTime> named_at_; /* of the versions from 2 on */
+    /* Acknowledgement of the configuration that isolated the account. */
+    std::map<std::string, GwTime> isolated_since_;
 };
 
 #endif
