Drain: no deadline is later than the end of the process

What callers saw: in a planned stop in calm, requests that were at work when the grace time ended got a closed connection and no answer, also those that may not be repeated; the log named none of them.

Cause: the drain ended 0.3 s before the grace time and freed what was in progress. The deadlines of requests, and those sent to endpoints, did not know of the stop.

Ruled out: late arrivals alone (requests from before the SIGTERM are cut as well), unsent bytes of answers (none had begun).

Change: from the begin of a drain on deadlines end 0.6 s before the grace time. At that moment each request is answered, 502 if it may have run, else 503 as not run; a stream that has begun is broken off. Why it is enough: every request has its deadline timer, so none is left when the drain ends.

--- a/fakes/include/galenagw/fakes/fleet.h
+++ b/fakes/include/galenagw/fakes/fleet.h
@@ -35,6 +35,8 @@
     static void AnswerId(const Endpoint *e, FakeExchange *x);
     // Answers that the request was not executed.
     static void Decline(FakeExchange *x, int status = 503);
+    // Writes the head of a stream, and its first event.
+    static void BeginStream(FakeExchange *x);
     static std::string RequestId(FakeExchange *x);
     static std::string Header(FakeExchange *x, const char *name);
 };
@@ -95,8 +97,9 @@
     std::vector<std::unique_ptr<Endpoint>> endpoints;
     std::vector<GwGateway *> gateways;
     std::vector<GwDeployment> deployments;
-    int stopped = 0;       // gateways that have stopped
-    int timeout_ms = 3000; // of all routes
+    int stopped = 0;              // gateways that have stopped
+    int timeout_ms = 3000;        // of all routes
+    GwTime grace = 8 * GW_SECOND; // of the gateways added from now on
     // Of the gateways added from now on. By default so high that no test
     // exhausts it.
     GwBudgetBound retry_bound = {100, 1000, 10 * GW_SECOND};
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -153,6 +153,7 @@
         return;
     g->draining_since = GwTime_Now();
     GwHttpServer_Drain(g->callers_server);
+    GwRequest_DrainBegun(g);
     GwEvent_Begin(g->log, "drain", NULL);
     GwEvent_Number(g->log, "active", g->requests_in_progress);
     GwEvent_End(g->log);
--- a/packages/gateway/src/gateway_private.h
+++ b/packages/gateway/src/gateway_private.h
@@ -78,6 +78,9 @@
                                machine with a small share of a processor */
 };
 
+/* When requests in progress must be answered, whatever their deadline, because
+ * this process stops soon after; G_MAXINT64: it is not draining. */
+GwTime GwGateway_DrainDeadline(const GwGateway *g);
 /* Whether new requests are refused, because the drain may end soon. */
 bool GwGateway_IsClosing(const GwGateway *gateway);
 /* Record that a request in progress has ended. */
--- a/packages/gateway/src/gateway_state.c
+++ b/packages/gateway/src/gateway_state.c
@@ -6,6 +6,9 @@
  * load balancer sends no new connections; only persistent ones bring requests.
  */
 #define DRAIN_ACCEPT_TIME (2700 * GW_MILLISECOND)
+/* Requests in progress are answered this long before the grace time ends: the
+ * answers must reach their callers before the process stops. */
+#define DRAIN_ANSWER_MARGIN (600 * GW_MILLISECOND)
 
 bool
 GwGateway_IsClosing(const GwGateway *g)
@@ -14,6 +17,14 @@
            GwTime_Now() - g->draining_since > DRAIN_ACCEPT_TIME;
 }
 
+GwTime
+GwGateway_DrainDeadline(const GwGateway *g)
+{
+    return g->draining_since != 0
+               ? g->draining_since + g->grace - DRAIN_ANSWER_MARGIN
+               : G_MAXINT64;
+}
+
 void
 GwGateway_RequestEnded(GwGateway *g)
 {
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -14,6 +14,8 @@
 static GwRequest *new_request_(GwGateway *g, GwHttpCall *call);
 static GwRefusal admit_(GwRequest *r);
 static void on_deadline_(void *user);
+static GwRefusal deadline_refusal_(const GwRequest *r);
+static bool is_ended_by_drain_(const GwRequest *r);
 
 void
 GwRequest_Start(GwGateway *g, GwHttpCall *call)
@@ -31,11 +33,12 @@
                      : GW_LIBRARY_TIMEOUT_SECONDS * GW_SECOND;
     if (r->info.deadline_ms >= 0)
         time_limit = MIN(time_limit, r->info.deadline_ms * GW_MILLISECOND);
-    r->deadline = r->arrived_at + time_limit;
+    r->deadline = MIN(r->arrived_at + time_limit, GwGateway_DrainDeadline(g));
+    time_limit = r->deadline - GwTime_Now();
     // No endpoint can answer in so little time. A refusal before the first
     // attempt can state that the request has not run.
     if (time_limit < GW_ATTEMPT_TIME_MIN) {
-        GwRequestRefusal_Answer(r, GW_REFUSAL_DEADLINE);
+        GwRequestRefusal_Answer(r, deadline_refusal_(r));
         return;
     }
     if (GwRequestQuarantine_RefusesArrival(r)) {
@@ -77,6 +80,21 @@
     GwRequestAbandon_EarlierIncarnations(g);
 }
 
+void
+GwRequest_DrainBegun(GwGateway *g)
+{
+    GwTime deadline = GwGateway_DrainDeadline(g);
+    GwRequest *r;
+
+    TAILQ_FOREACH(r, &g->requests, link)
+    {
+        if (r->deadline <= deadline)
+            continue;
+        r->deadline = deadline;
+        GwTimer_Start(&r->deadline_timer, deadline - GwTime_Now());
+    }
+}
+
 void
 GwRequest_CallerDrained(GwRequest *r)
 {
@@ -148,18 +166,35 @@
 {
     GwRequest *r = user;
 
-    if (r->instance != NULL && !r->head_sent)
+    bool is_drained = is_ended_by_drain_(r);
+
+    if (r->instance != NULL && !r->head_sent && !is_drained)
         GwHealth_Note(&r->instance->health, GW_HEALTH_TIMEOUT, GwTime_Now());
     GwUpstream_Cancel(g_steal_pointer(&r->upstream));
     if (r->head_sent) {
-        GwRequestLog_End(r, "broken_at_deadline", 0);
+        GwRequestLog_End(
+            r, is_drained ? "broken_at_drain_end" : "broken_at_deadline", 0);
         GwRequestEnd_ReleaseInstance(r);
         GwRequestEnd_Abort(r);
         return;
     }
     GwRequestEnd_ReleaseInstance(r);
-    // Without an attempt, as while waiting for units of the account's limit,
-    // the request has not run.
-    GwRequestRefusal_Answer(r, r->attempts == 0 ? GW_REFUSAL_DEADLINE
-                                                : GW_REFUSAL_TIMEOUT);
+    GwRequestRefusal_Answer(r, deadline_refusal_(r));
+}
+
+// Without an attempt, as while waiting for units of the account's limit, the
+// request has not run.
+static GwRefusal
+deadline_refusal_(const GwRequest *r)
+{
+    if (is_ended_by_drain_(r))
+        return r->attempts == 0 ? GW_REFUSAL_LEAVING
+                                : GW_REFUSAL_OUTCOME_UNKNOWN;
+    return r->attempts == 0 ? GW_REFUSAL_DEADLINE : GW_REFUSAL_TIMEOUT;
+}
+
+static bool
+is_ended_by_drain_(const GwRequest *r)
+{
+    return r->deadline == GwGateway_DrainDeadline(r->gateway);
 }
--- a/packages/gateway/src/request.h
+++ b/packages/gateway/src/request.h
@@ -28,6 +28,8 @@
  * weights became outdated are withdrawn shortly before the bound after which
  * no request may start on them. */
 void GwRequest_WeightsNamed(GwGateway *gateway);
+/* The gateway drains: requests in progress are answered before it stops. */
+void GwRequest_DrainBegun(GwGateway *gateway);
 /* The socket to the caller has taken all bytes that were written to it:
  * continue to read from the endpoint. */
 void GwRequest_CallerDrained(GwRequest *request);
--- a/soak/src/faults.cc
+++ b/soak/src/faults.cc
@@ -52,13 +52,19 @@
 static const double kMaxEndpointRate = 8;
 static const GwTime kEndpointLimitTime = 30 * GW_SECOND;
 
+/* How long endpoints stall around the stop of a gateway, the share of their
+ * requests that then get no answer, and the time until the stop. */
+static const GwTime kStallTime = 3 * GW_SECOND;
+static const double kStalledShare = 0.5;
+static const GwTime kMaxStopDelay = 300 * GW_MILLISECOND;
+
 Faults::Faults(const FaultOptions &options,
                std::function<void(const std::string &)> log)
     : options_(options), log_(std::move(log)), random_(options.seed),
       restore_random_(~options.seed), limit_random_(options.seed + 1),
       departure_random_(options.seed + 2), stream_random_(options.seed + 3),
       load_random_(options.seed + 4), retry_random_(options.seed + 5),
-      weights_random_(options.seed + 6)
+      weights_random_(options.seed + 6), stop_random_(options.seed + 7)
 {
     GwTimer_Init(&next_fault_timer_, options.platform->loop, OnNextFaultTimer,
                  this);
@@ -505,8 +511,26 @@
         running += g->process->IsRunning() && !g->process->IsStopping();
     if (running < 2 || !process->IsRunning() || process->IsStopping())
         return;
-    log_("planned stop of " + process->name);
-    process->Stop();
+    StallEndpoints();
+    ScheduleAction(Draw(1, kMaxStopDelay), [this, process] {
+        if (!process->IsRunning() || process->IsStopping())
+            return;
+        log_("planned stop of " + process->name);
+        process->Stop();
+    });
+}
+
+// Some endpoints are at work until the grace time of a stopped gateway ends.
+void
+Faults::StallEndpoints()
+{
+    for (auto &e : options_.platform->endpoints) {
+        if (stop_random_() % 3 != 0)
+            continue;
+        log_("stall of " + e->id);
+        e->silent_share = kStalledShare;
+        ScheduleAction(kStallTime, [e = e.get()] { e->silent_share = 0; });
+    }
 }
 
 void
--- a/soak/src/faults.h
+++ b/soak/src/faults.h
@@ -115,6 +115,7 @@
     void InjectEndpointFault(Endpoint *endpoint);
     void InjectStoreFault();
     void RestoreStore();
+    void StallEndpoints();
     void DrainEndpoint();
     /* Let an endpoint depart around a disturbance of another part. */
     void DepartWhileGatewaysStart();
@@ -185,6 +186,7 @@
     std::mt19937_64 load_random_;
     std::mt19937_64 retry_random_;
     std::mt19937_64 weights_random_;
+    std::mt19937_64 stop_random_;
     GwTimer next_fault_timer_, planned_work_timer_, departure_timer_,
         software_timer_, version_timer_, load_timer_, retry_timer_;
     int newest_software_ = 0; /* see SoftwareName */
--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -112,6 +112,10 @@
  * phase. */
 constexpr int kLoudRateFactor = 4;
 constexpr double kMinLoudShare = 0.5;
+/* Grace times of processes that are stopped, in seconds: from less than the
+ * deadline of requests to more. */
+constexpr int kMinGraceSeconds = 4;
+constexpr uint64_t kGraceVariants = 5;
 /* Interval of the check for processes that ended. */
 constexpr GwTime kReapInterval = 50 * GW_MILLISECOND;
 /* Time that the processes get to start before callers connect. */
@@ -334,6 +338,8 @@
             << "\nport_range=" << p.base << "," << p.base + 1
             << "\nplatform.address="
             << FormatAddress(p.At(kStoreProxyGroup, path, kStorePort))
+            << "\nbounds.grace_s="
+            << kMinGraceSeconds + (int)(seed_ % kGraceVariants)
             << "\nbounds.version_ms="
             << platform_->weights_bound / GW_MILLISECOND
             << "\nbounds.retry_ratio=" << kRetryRatio
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -478,6 +478,8 @@
                           "\r\nX-Response-Signature: sig-" + request +
                           "\r\nKeep-Alive: timeout=5\r\n" + StatusHeaders();
     NoteAnnounced(platform_->is_sender_in_touch(request));
+    if (draw(platform_->random) < silent_share)
+        return;
     if (draw(platform_->random) < error_share) {
         if (early_heads_.count(x) != 0)
             FakeExchange_Close(x, true);
--- a/soak/src/platform.h
+++ b/soak/src/platform.h
@@ -142,7 +142,8 @@
      * 503. */
     double error_share = 0, reset_share = 0, overload_share = 0;
     double invalid_header_share = 0; /* of answers with an invalid header */
-    double broken_stream_share = 0;  /* of streams that are broken off */
+    double silent_share = 0; /* of requests that run and get no answer */
+    double broken_stream_share = 0; /* of streams that are broken off */
     double endless_share = 0; /* of requests rejected with a body that does not
                                  end */
     double late_order_share = 0; /* of load orders that get no answer and are
