HTTP reader: a status outside of 100 to 599 is no answer

What callers saw: answers with status 600 or 999 of a faulty endpoint, passed on as its answer; with 000, 099 or 20 nothing until their deadline.

Cause: the reader took any number for a status. Below 200 the answer counted as an interim one, and the final one was waited for; above 599 as any other answer.

Change: such a status is malformed, in the reader that all clients use, so the attempt ends at once as one that may have run. No status that HTTP defines is affected.

Evidence: five of six new rows of EachFailureEndsInOneCorrectAnswer failed before (1000 did not), none does now.

--- a/packages/gateway/tests/gateway_failure_test.cc
+++ b/packages/gateway/tests/gateway_failure_test.cc
@@ -56,6 +56,17 @@
     const Serve error = [](Endpoint *, FakeExchange *x) {
         Endpoint::Answer(x, 500, "failed");
     };
+    const auto with_status = [](const char *status) -> Serve {
+        return [status](Endpoint *, FakeExchange *x) {
+            std::string text =
+                std::string("HTTP/1.1 ") + status +
+                " ?\r\nX-Request-Id: " + Endpoint::RequestId(x) +
+                "\r\nX-Response-Signature: s\r\n"
+                "Content-Length: 1\r\n\r\nx";
+
+            FakeExchange_Write(x, text.data(), text.size());
+        };
+    };
     const Serve unsigned_success = [](Endpoint *, FakeExchange *x) {
         FakeExchange_Answer(x, 200, "", "who knows", 9);
     };
@@ -98,6 +109,12 @@
         {"an unsigned success", unsigned_success, 200, 502, GW_RETRY_BROKEN},
         {"503 without X-Not-Executed", bare_503, 200, 502, GW_RETRY_BROKEN},
         {"garbage", garbage, 200, 502, GW_RETRY_BROKEN},
+        {"status 000", with_status("000"), 200, 502, GW_RETRY_BROKEN},
+        {"status 099", with_status("099"), 200, 502, GW_RETRY_BROKEN},
+        {"status 600", with_status("600"), 200, 502, GW_RETRY_BROKEN},
+        {"status 999", with_status("999"), 200, 502, GW_RETRY_BROKEN},
+        {"status 1000", with_status("1000"), 200, 502, GW_RETRY_BROKEN},
+        {"status 20", with_status("20"), 200, 502, GW_RETRY_BROKEN},
         {"a truncated answer", truncated, 200, 502, GW_RETRY_BROKEN},
         {"a head, then a reset", unframed_reset, 200, 502, GW_RETRY_BROKEN},
         {"a part, then a reset", part_of_chunks, 200, 502, GW_RETRY_BROKEN},
--- a/packages/http/src/message.c
+++ b/packages/http/src/message.c
@@ -14,6 +14,9 @@
     guint value;
 } FieldOffsets;
 
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+
 struct GwHttpReader {
     http_parser parser;
     GwHttpReaderOptions options;
@@ -38,6 +41,7 @@
     [GW_HTTP_HEAD_TOO_LONG] = "head_too_long",
 };
 
+static bool is_status_valid_(const GwHttpReader *reader);
 static int on_begin_(http_parser *parser);
 static int on_target_(http_parser *parser, const char *at, size_t len);
 static int on_name_(http_parser *parser, const char *at, size_t len);
@@ -259,7 +263,7 @@
                        ? (int64_t)parser->content_length
                        : -1;
     set_fields_(head);
-    if (!are_names_without_blanks_(head))
+    if (!are_names_without_blanks_(head) || !is_status_valid_(reader))
         return -1;
     if (!reader->options.ops->on_head(reader->options.user, head)) {
         reader->stopped = true;
@@ -268,6 +272,16 @@
     return reader->no_body ? 1 : 0;
 }
 
+// A status outside of the five classes is no answer: passed on, it would have
+// no meaning that the caller knows.
+static bool
+is_status_valid_(const GwHttpReader *reader)
+{
+    return reader->options.reads == GW_HTTP_REQUESTS ||
+           (reader->head.status >= STATUS_MIN &&
+            reader->head.status <= STATUS_MAX);
+}
+
 static int
 on_body_(http_parser *parser, const char *at, size_t len)
 {
