HTTP client of the own interface: answers have a size limit

Cause: GwHttpRequest has no limit, and its timeout starts again with each byte. The instance list, the log service and the engine's reports keep the whole body; interim answers were read for ever. The calls of gateway and sidecar had limits.

Change: an option limits the body, and interim answers are limited always; what is longer ends the request as broken, and its caller tries again as after any failure.

Evidence: HttpRequestEndsAnEndlessAnswer and LogContract.EndlessAnswersAreNotKept failed before (the second did not end in 20 s). New stand-in: RawServer.

--- a/packages/endpoint/src/engine.c
+++ b/packages/endpoint/src/engine.c
@@ -9,6 +9,9 @@
 /* How long the engine holds a request for events while there are none; twice
  * that is the timeout of a poll. */
 #define POLL_WAIT_MS 1000
+/* An engine that was just found reports all blocks that it has cached. */
+#define POLL_MAX_BYTES (16 * 1024 * 1024)
+#define ORDER_ANSWER_MAX_BYTES (64 * 1024)
 /* Pause between a failed request for cache events and the next one. */
 #define EVENTS_RETRY_DELAY (100 * GW_MILLISECOND)
 #define ORDER_TIMEOUT (30 * GW_SECOND)
@@ -157,6 +160,7 @@
         .body = body,
         .body_len = strlen(body),
         .timeout = ORDER_TIMEOUT,
+        .max_body = ORDER_ANSWER_MAX_BYTES,
         .ops = &order_ops,
         .user = &e->order,
     };
@@ -203,6 +207,7 @@
         .method = "GET",
         .path = path,
         .timeout = 2 * POLL_WAIT_MS * GW_MILLISECOND,
+        .max_body = POLL_MAX_BYTES,
         .ops = ops,
         .user = poll,
     };
--- a/packages/endpoint/tests/endpoint_test.cc
+++ b/packages/endpoint/tests/endpoint_test.cc
@@ -8,6 +8,7 @@
 #include "galenagw/endpoint/endpoint.h"
 #include "galenagw/fakes/fake_engine.h"
 #include "galenagw/fakes/fake_service.h"
+#include "galenagw/fakes/raw_server.h"
 
 namespace {
 
@@ -164,6 +165,35 @@
     }
 }
 
+// Guards against an engine whose report or order has no end: its agent kept
+// all of it and ran out of memory.
+TEST_F(Endpoint, EndlessReportsAreNotKept)
+{
+    RawServer server(loop, kAny, {"HTTP/1.1 200 OK\r\n\r\n", "x"});
+    struct Watch {
+        int downs = 0;
+        bool is_ordered = false;
+    } watch;
+    const GwEndpointWatchOps ops = {
+        [](void *, const GwEndpointReport *) {},
+        [](void *, uint64_t, GwCacheEventKind, const uint64_t *, size_t) {},
+        [](void *u) { static_cast<Watch *>(u)->downs++; },
+    };
+
+    endpoint_options.address.port = server.Port();
+    GwEndpoint e = GwEngine_New(loop, &endpoint_options);
+    e.ops->watch(e.impl, &ops, &watch);
+    e.ops->load_weights(
+        e.impl, "v2", 1,
+        [](void *u, GwOrderOutcome) {
+            static_cast<Watch *>(u)->is_ordered = true;
+        },
+        &watch);
+    EXPECT_TRUE(Until([&] { return watch.downs > 0 && watch.is_ordered; }));
+    EXPECT_LT(server.sent, 256u * 1024 * 1024);
+    e.ops->delete_(e.impl);
+}
+
 // Failure: a request of a plain service whose answer is missing counts as
 // complete, or is sent twice.
 TEST_F(Endpoint, PlainServiceCallsReportTheirOutcome)
--- a/packages/http/include/galenagw/http/client.h
+++ b/packages/http/include/galenagw/http/client.h
@@ -60,6 +60,9 @@
     const char *body;
     size_t body_len;
     GwTime timeout; /**< Microseconds without received data; 0: 30 s. */
+    /** Bytes of the answer's body after which the request ends as broken, for
+     * callers that keep the body; 0: no limit. */
+    size_t max_body;
     const GwHttpRequestOps *ops;
     void *user;
 } GwHttpRequestOptions;
--- a/packages/http/src/client.c
+++ b/packages/http/src/client.c
@@ -7,6 +7,8 @@
 
 /* Time without received data after which a request ends. */
 #define DEFAULT_TIMEOUT (30 * GW_SECOND)
+/* Bytes of interim answers after which a request ends as broken. */
+#define INTERIM_BYTES_MAX (64 * 1024)
 
 const char *const GwHttpOutcome_Names[GW_HTTP_OUTCOMES] = {
     "complete",
@@ -23,9 +25,12 @@
     GString *message; /* the request as sent */
     GwTimer timer;    /* idle timeout */
     GwTime timeout;
-    bool has_no_body;   /* the answer to HEAD */
-    bool is_open;       /* the connection is established */
-    bool is_skipping;   /* the current answer is interim */
+    size_t max_body;      /* 0: no limit */
+    size_t body_bytes;    /* received so far */
+    size_t interim_bytes; /* received so far */
+    bool has_no_body;     /* the answer to HEAD */
+    bool is_open;         /* the connection is established */
+    bool is_skipping;     /* the current answer is interim */
     bool done;          /* on_done was called, or the request was cancelled */
     int callback_depth; /* above 0 the request must not be freed */
 };
@@ -56,6 +61,7 @@
     req->user = options->user;
     req->message = encode_request_(options);
     req->has_no_body = strcmp(options->method, "HEAD") == 0;
+    req->max_body = options->max_body;
     req->timeout = options->timeout > 0 ? options->timeout : DEFAULT_TIMEOUT;
     req->reader = GwHttpReader_New(&reader);
     GwTimer_Init(&req->timer, loop, on_timeout_, req);
@@ -177,8 +183,12 @@
 {
     GwHttpRequest *req = user;
 
-    if (!req->is_skipping && !req->done)
-        req->ops->on_data(req->user, data, len);
+    if (req->is_skipping || req->done)
+        return !req->done;
+    req->body_bytes += len;
+    if (req->max_body > 0 && req->body_bytes > req->max_body)
+        return false;
+    req->ops->on_data(req->user, data, len);
     return !req->done;
 }
 
@@ -190,9 +200,12 @@
         GwHttpProgress progress =
             GwHttpReader_Feed(req->reader, data, len, &used);
 
-        if (progress == GW_HTTP_MORE || req->done)
+        if (req->is_skipping)
+            req->interim_bytes += used;
+        if (req->done || (progress == GW_HTTP_MORE &&
+                          req->interim_bytes <= INTERIM_BYTES_MAX))
             return;
-        if (progress != GW_HTTP_DONE)
+        if (progress != GW_HTTP_DONE || req->interim_bytes > INTERIM_BYTES_MAX)
             finish_request_(req, GW_HTTP_BROKEN);
         else if (!req->is_skipping)
             finish_request_(req, GW_HTTP_COMPLETE);
--- a/packages/http/tests/endless_test.cc
+++ b/packages/http/tests/endless_test.cc
@@ -2,6 +2,9 @@
 
 #include <string>
 
+#include "galenagw/fakes/loop_test.h"
+#include "galenagw/fakes/raw_server.h"
+#include "galenagw/http/client.h"
 #include "galenagw/http/message.h"
 
 namespace {
@@ -91,3 +94,98 @@
         }
     }
 }
+
+// Guards against servers that send an answer, or bytes that are none, without
+// end: a client that keeps the answer would run out of memory, and one that
+// waits for its end would wait for ever.
+TEST_F(LoopTest, HttpRequestEndsAnEndlessAnswer)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const struct {
+        const char *name;
+        std::string start, repeated;
+    } cases[] = {
+        {"no length", ok + "\r\n", "xxxxxxxx"},
+        {"chunks", ok + "Transfer-Encoding: chunked\r\n\r\n",
+         "8\r\nxxxxxxxx\r\n"},
+        {"a great length", ok + "Content-Length: 999999999999\r\n\r\n", "x"},
+        {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+    };
+    const size_t max_body = 100000;
+    struct Call {
+        size_t received = 0;
+        bool is_done = false;
+        GwHttpOutcome outcome = GW_HTTP_COMPLETE;
+    };
+    const GwHttpRequestOps ops = {
+        nullptr,
+        [](void *user, const char *, size_t len) {
+            static_cast<Call *>(user)->received += len;
+        },
+        [](void *user, GwHttpOutcome outcome) {
+            static_cast<Call *>(user)->is_done = true;
+            static_cast<Call *>(user)->outcome = outcome;
+        }};
+
+    wait_timeout = 2 * GW_SECOND;
+    for (auto &c : cases) {
+        RawServer server(loop, kAny, {c.start, c.repeated});
+        Call call;
+        GwHttpRequestOptions options = {};
+
+        options.address = kAny;
+        options.address.port = server.Port();
+        options.method = "GET";
+        options.path = "/";
+        options.max_body = max_body;
+        options.ops = &ops;
+        options.user = &call;
+        GwHttpRequest *request = GwHttpRequest_New(loop, &options);
+        EXPECT_TRUE(Until([&] { return call.is_done; })) << c.name;
+        EXPECT_EQ(call.outcome, GW_HTTP_BROKEN) << c.name;
+        EXPECT_LE(call.received, max_body) << c.name;
+        if (!call.is_done)
+            GwHttpRequest_Cancel(request);
+        GwLoop_Step(loop);
+    }
+    GwLoop_Delete(loop);
+}
+
+// A server answers a long upload at once, without a length, and resets the
+// connection while the upload is still being sent. Guards against the part
+// that was received being taken for a whole answer.
+TEST_F(LoopTest, HttpRequestResetDuringUploadIsBroken)
+{
+    const std::string body(4 * 1024 * 1024, 'b');
+    struct Call {
+        bool is_done = false;
+        GwHttpOutcome outcome = GW_HTTP_COMPLETE;
+    };
+    const GwHttpRequestOps ops = {
+        nullptr, [](void *, const char *, size_t) {},
+        [](void *user, GwHttpOutcome outcome) {
+            *static_cast<Call *>(user) = {true, outcome};
+        }};
+
+    for (GwTime delay_ms : {0, 20, 200})
+        for (bool reads_on : {false, true}) {
+            RawServer server(loop, kAny,
+                             {"HTTP/1.1 200 OK\r\n\r\npart", "", true,
+                              delay_ms * GW_MILLISECOND, reads_on});
+            Call call;
+            GwHttpRequestOptions options = {};
+
+            options.address = kAny;
+            options.address.port = server.Port();
+            options.method = "POST";
+            options.path = "/";
+            options.body = body.data();
+            options.body_len = body.size();
+            options.ops = &ops;
+            options.user = &call;
+            GwHttpRequest_New(loop, &options);
+            EXPECT_TRUE(Until([&] { return call.is_done; })) << delay_ms;
+            EXPECT_EQ(call.outcome, GW_HTTP_BROKEN) << delay_ms;
+        }
+    GwLoop_Delete(loop);
+}
--- a/packages/platform/src/http_log.c
+++ b/packages/platform/src/http_log.c
@@ -9,6 +9,9 @@
 #define APPEND_TIMEOUT GW_SECOND
 /* Timeout of a read, in addition to the time that the service may wait. */
 #define READ_TIMEOUT_MARGIN (2 * GW_SECOND)
+/* Several times the largest configuration with its changes. */
+#define READ_MAX_BYTES (32 * 1024 * 1024)
+#define APPEND_ANSWER_MAX_BYTES (64 * 1024)
 
 const char *const GwAppendOutcome_Names[GW_APPENDS] = {
     "done",
@@ -97,6 +100,7 @@
         .body = body,
         .body_len = strlen(body),
         .timeout = APPEND_TIMEOUT,
+        .max_body = APPEND_ANSWER_MAX_BYTES,
         .ops = &request_ops,
         .user = call,
     };
@@ -121,6 +125,7 @@
         .method = "GET",
         .path = path,
         .timeout = wait_ms * GW_MILLISECOND + READ_TIMEOUT_MARGIN,
+        .max_body = READ_MAX_BYTES,
         .ops = &request_ops,
         .user = call,
     };
--- a/packages/platform/src/instance_list.c
+++ b/packages/platform/src/instance_list.c
@@ -8,6 +8,8 @@
 
 /* Timeout of one HTTP request for the list. */
 #define POLL_TIMEOUT (2 * GW_SECOND)
+/* A row takes some hundred bytes: room for tens of thousands of instances. */
+#define LIST_MAX_BYTES (16 * 1024 * 1024)
 
 struct GwInstanceList {
     GwLoop *loop;
@@ -96,6 +98,7 @@
         .method = "GET",
         .path = "/instances",
         .timeout = POLL_TIMEOUT,
+        .max_body = LIST_MAX_BYTES,
         .ops = &request_ops,
         .user = list,
     };
--- a/packages/platform/tests/platform_test.cc
+++ b/packages/platform/tests/platform_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "galenagw/fakes/fake_platform.h"
+#include "galenagw/fakes/raw_server.h"
 #include "galenagw/platform/config_feed.h"
 #include "galenagw/platform/instance_list.h"
 
@@ -300,3 +301,34 @@
     json_decref(record);
     GwInstanceList_Delete(list);
 }
+
+// Guards against a platform whose answer does not end: the process kept all of
+// it and ran out of memory. The read must end, and be tried again.
+TEST_F(LogContract, EndlessAnswersAreNotKept)
+{
+    RawServer server(loop, kAny, {"HTTP/1.1 200 OK\r\n\r\n", "x"});
+    static const GwInstanceListOps list_ops = {
+        [](void *) {}, [](void *, const GwInstance *) {}, [](void *) {}};
+    GwAddress endless = kAny;
+    struct Read {
+        bool is_done = false, is_ok = false;
+    } read;
+
+    endless.port = server.Port();
+    GwHttpLog *other = GwHttpLog_New(loop, &endless, &counters);
+    GwLog endless_log = GwHttpLog_Interface(other);
+    endless_log.ops->read(
+        endless_log.impl, "s", 0, 0,
+        [](void *user, const GwLogBatch *batch) {
+            *static_cast<Read *>(user) = {true, batch->ok};
+        },
+        &read);
+    EXPECT_TRUE(Until([&] { return read.is_done; }));
+    EXPECT_LT(server.sent, 512u * 1024 * 1024);
+    EXPECT_FALSE(read.is_ok);
+    GwInstanceList *list = GwInstanceList_New(
+        loop, &endless, 20 * GW_MILLISECOND, rand, &list_ops, nullptr);
+    EXPECT_TRUE(Until([&] { return server.answered >= 3; }));
+    GwInstanceList_Delete(list);
+    GwHttpLog_Delete(other);
+}
