--- a/fakes/include/galenagw/fakes/fleet.h
+++ b/fakes/include/galenagw/fakes/fleet.h
@@ -97,8 +97,11 @@
     std::vector<std::unique_ptr<Endpoint>> endpoints;
     std::vector<GwGateway *> gateways;
     std::vector<GwDeployment> deployments;
-    int stopped = 0;              // gateways that have stopped
-    int timeout_ms = 3000;        // of all routes
+    int stopped = 0;         // gateways that have stopped
+    int timeout_ms = 3000;   // of all routes
+    size_t max_body = 65536; // of the next configuration
+    // Writes the row of an endpoint that the test serves itself.
+    void ListAddress(const char *id, const char *service, int port);
     GwTime grace = 8 * GW_SECOND; // of the gateways added from now on
     // Of the gateways added from now on. By default so high that no test
     // exhausts it.
--- a/fakes/tests/fleet.cc
+++ b/fakes/tests/fleet.cc
@@ -268,7 +268,9 @@
         "\"engine\":{\"slots\":64}}" +
         stores +
         "],"
-        "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":65536,"
+        "\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":" +
+        std::to_string(max_body) +
+        ","
         "\"header_timeout_ms\":300,\"idle_timeout_ms\":2000},"
         "\"tenants\":[{\"name\":\"acme\",\"api_keys\":[\"key\"]" +
         acme_fields +
@@ -348,6 +350,18 @@
     FakeStore_Put(store, "keyed.servers", e->id.c_str(), (text + "}").c_str());
 }
 
+void
+Fleet::ListAddress(const char *id, const char *service, int port)
+{
+    Endpoint e;
+
+    e.id = id;
+    e.service = service;
+    e.failure_domain = "d";
+    e.address.port = port;
+    ListEndpoint(&e, "ready");
+}
+
 void
 Fleet::RemoveEndpoint(const Endpoint *e)
 {
