Odd entries: numbers are bounded, and a replaced endpoint serves again

What callers saw (reported by another operator, parts of it shown with tests): after one odd entry of another writer, an endpoint got no requests any more, or went on getting them after its departure.

Cause: a well-formed number was taken for a plausible one. A start in the far future made all later rows of the endpoint older ones; a second row at its address marked it as replaced, also after that row was removed; numbers beyond the range of their type were converted; a lease of any length was granted to its writer.

Ruled out by the same tests: deep nesting, 1e999, 20 digits, ports out of range, bytes that are no UTF-8. No process ended.

The soak writes five more kinds of rows.

--- a/packages/agent/src/orders.c
+++ b/packages/agent/src/orders.c
@@ -7,6 +7,8 @@
 #include "galenagw/base/log.h"
 
 #define MAX_LOAD_SLOTS 64
+/* Longest term of a lease; the configuration allows up to this. */
+#define LEASE_MAX_MS 600000
 /* Interval of advance_state_ while the engine lacks the wanted weights. */
 #define STATE_CHECK_PERIOD (20 * GW_MILLISECOND)
 /* The clocks of two instances may drift apart by a hundredth. */
@@ -180,7 +182,8 @@
     bool is_own_lease;
     Slot *s;
 
-    if (i < 0 || i >= MAX_LOAD_SLOTS || holder == NULL)
+    if (i < 0 || i >= MAX_LOAD_SLOTS || holder == NULL || ms < 0 ||
+        ms > LEASE_MAX_MS)
         return;
     s = &o->slots[i];
     is_own_lease = o->state == ORDERS_APPENDING && i == o->slot &&
--- a/packages/agent/tests/orders_test.cc
+++ b/packages/agent/tests/orders_test.cc
@@ -146,6 +146,26 @@
     EXPECT_GT(now.fences[0], old.fences[0]);
 }
 
+// Guards against a slot that is never used again: another writer has put a
+// lease with a term into the log that no process asks for.
+TEST_F(OrdersTest, ImplausibleTermsOfLeasesAreIgnored)
+{
+    for (const char *ms : {"4000000000000", "9223372036854775807",
+                           "-9223372036854775807", "-1"}) {
+        std::string text =
+            std::string(R"({"t":"lease","slot":0,"prev":0,"holder":"x",)") +
+            R"("engine":"x","incarnation":1,"ms":)" + ms + "}";
+        json_t *record = json_loads(text.c_str(), 0, nullptr);
+
+        FakePlatform_Append(platform, "orders.medeu", record);
+        json_decref(record);
+    }
+    Holder h;
+
+    Start(&h, "e", 1, 1, 400 * GW_MILLISECOND);
+    EXPECT_TRUE(Until([&] { return !h.fences.empty(); }));
+}
+
 // Failure: a lease is appended a second time, or never used, because the
 // answer to its append was lost. Reading the log back shows that it is held.
 TEST_F(OrdersTest, LostAppendAnswerIsReadBack)
--- a/packages/cluster/tests/view_validation_test.cc
+++ b/packages/cluster/tests/view_validation_test.cc
@@ -29,6 +29,13 @@
         for (int i = 0; i < times; i++)
             GwRecords_Apply(GwView_Records(view), list, &record);
     }
+    void
+    Remove(const char *key)
+    {
+        GwRecord removal = {key, nullptr, 0, ++offset, nullptr};
+
+        GwRecords_Apply(GwView_Records(view), GW_LIST_INSTANCES, &removal);
+    }
     static std::string
     Config(int version, const std::string &service)
     {
@@ -136,3 +143,135 @@
     EXPECT_NE(Find("i-1"), nullptr) << "requests in flight may continue there";
     EXPECT_EQ(Find("f-1"), nullptr);
 }
+
+namespace {
+
+std::string
+Nested(int levels)
+{
+    return std::string((size_t)levels, '[') + std::string((size_t)levels, ']');
+}
+
+std::string
+With(const std::string &text, const std::string &from, const std::string &to)
+{
+    std::string copy = text;
+
+    return copy.replace(copy.find(from), from.size(), to);
+}
+
+} // namespace
+
+// Other programs write one odd row among those of the endpoints: very deeply
+// nested, with a number too large, or with a port out of range. Guards against
+// processes that terminate, or that follow neither this endpoint nor the
+// others any longer.
+TEST_F(ViewValidationTest, OddRowsDoNotStopFollowingTheList)
+{
+    const std::string row = Row("s", 1);
+    const struct {
+        const char *name;
+        std::string value;
+    } cases[] = {
+        {"100,000 lists", Nested(100000)},
+        {"100,000 lists in a field", With(row, "5}", Nested(100000) + "}")},
+        {"100,000 lists without end", std::string(100000, '[')},
+        {"100,000 objects without end",
+         [] {
+             std::string text;
+
+             for (int i = 0; i < 100000; i++)
+                 text += "{\"a\":";
+             return text;
+         }()},
+        {"1e999", With(row, "\"slots\":4", "\"slots\":1e999")},
+        {"20 digits", With(row, "\"seq\":1", "\"seq\":99999999999999999999")},
+        {"-1e308", With(row, "_ms\":0", "_ms\":-1e308")},
+        {"1e308", With(row, "_ms\":0", "_ms\":1e308")},
+        {"slots beyond an integer",
+         With(row, "\"slots\":4", "\"slots\":9223372036854775807")},
+        {"start beyond any date",
+         With(row, "\"born\":5", "\"born\":9223372036854775807")},
+        {"start at a million years",
+         With(row, "\"born\":5", "\"born\":31557600000000000")},
+        {"port 70000", Row("s", 70000)},
+        {"port -1", Row("s", -1)},
+        {"port 0", Row("s", 0)},
+        {"no port", With(row, ":1\"", "\"")},
+        {"a port of 30 digits",
+         With(row, ":1\"", ":" + std::string(30, '9') + "\"")},
+        {"no UTF-8", "{\"service\":\"\xff\xfe\"}"},
+        {"a NUL", std::string("{\"service\":\"s\0\"}", 17)},
+        {"cut off", row.substr(0, row.size() / 2)},
+        {"a megabyte of text", With(row, "v1", std::string(1 << 20, 'v'))},
+    };
+    int n = 0;
+
+    Put(GW_LIST_OPERATOR, "config", Config(1, "s"));
+    for (auto &c : cases) {
+        std::string id = "i-" + std::to_string(++n);
+        std::string leaving = With(row, "ready", "draining");
+
+        for (const std::string &key : {id, std::string("foreign")}) {
+            Put(GW_LIST_INSTANCES, id.c_str(), row);
+            ASSERT_NE(Find(id.c_str()), nullptr) << c.name;
+            Put(GW_LIST_INSTANCES, key.c_str(), c.value, 2);
+            Put(GW_LIST_INSTANCES, id.c_str(), row);
+            ASSERT_NE(Find(id.c_str()), nullptr) << c.name;
+            EXPECT_EQ(Find(id.c_str())->address.port, 1) << c.name;
+        }
+        Remove("foreign");
+        EXPECT_FALSE(Find(id.c_str())->draining) << c.name;
+        Put(GW_LIST_INSTANCES, id.c_str(), leaving);
+        EXPECT_TRUE(Find(id.c_str())->draining) << c.name;
+        Remove(id.c_str());
+        EXPECT_EQ(Find(id.c_str()), nullptr) << c.name;
+    }
+}
+
+// The same for entries of the operator: after an odd one, the next valid one
+// must be in force, and no number of it may become another one.
+TEST_F(ViewValidationTest, OddEntriesOfTheOperatorDoNotStopFollowing)
+{
+    const std::string route =
+        R"({"host":"h","path_prefix":"/","service":"s",)";
+    const auto config = [&](int version, const std::string &fields) {
+        return "{\"version\":" + std::to_string(version) + ",\"routes\":[" +
+               route + fields + "}],\"services\":[{\"name\":\"s\"}]}";
+    };
+    const char *const fields[] = {
+        R"("priority":1e300)",
+        R"("priority":-1e300)",
+        R"("timeout_ms":1e300)",
+        R"("timeout_ms":9223372036854775807)",
+        R"("timeout_ms":-1e300)",
+        R"("target_latency_ms":1e300)",
+        R"("max_attempts":4294967296)",
+        R"("max_attempts":9223372036854775807)",
+    };
+    int version = 0;
+
+    for (const char *field : fields) {
+        Put(GW_LIST_OPERATOR, "config", config(++version, field));
+        Put(GW_LIST_OPERATOR, "config",
+            "{\"version\":" + Nested(100000) + "}");
+        ASSERT_NE(GwView_Routes(view), nullptr) << field;
+        const GwRoute *r = GwRoutes_Match(GwView_Routes(view), "h", "/");
+        ASSERT_NE(r, nullptr) << field;
+        EXPECT_GE(r->timeout, 0) << field;
+        EXPECT_GE(r->target_latency, 0) << field;
+        EXPECT_GT(r->max_attempts, 0u) << field;
+        if (strstr(field, "priority\":1") != nullptr) {
+            EXPECT_GT(r->priority, 0) << field;
+        }
+        if (strstr(field, "timeout_ms\":1") != nullptr) {
+            EXPECT_GT(r->timeout, GW_SECOND) << field;
+        }
+    }
+    Put(GW_LIST_OPERATOR, "version/m", R"({"model":"m","version":4})");
+    for (const char *bad : {R"({"model":"m","version":1e999})",
+                            R"({"model":"m","version":99999999999999999999})"})
+        Put(GW_LIST_OPERATOR, "version/m", bad);
+    Put(GW_LIST_OPERATOR, "version/m", R"({"model":"m","version":5})");
+    EXPECT_EQ(GwView_ModelVersions(view, "m")->version, 5);
+}
--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -60,6 +60,7 @@
 static void apply_departure_update_(GwInstances *m, GwInstance *instance);
 static void expire_departure_updates_(GwInstances *m, GwTime now);
 static bool mark_older_replaced_(GwInstances *m, const GwInstance *listed);
+static void recompute_draining_at_(GwInstances *m, const GwAddress *address);
 static GPtrArray *get_service_instances_(GwInstances *m, const char *service);
 static void remove_instance_(GwInstances *m, GwInstance *instance, GwTime now);
 static bool apply_software_(GwInstances *m, GwInstance *instance,
@@ -232,7 +233,10 @@
         return 0;
     if (instance->removed_at == 0) {
         if (GwInstances_RemovalsDeferredUntil(m, now) == 0) {
+            GwAddress address = instance->address;
+
             remove_instance_(m, instance, now);
+            recompute_draining_at_(m, &address);
             return 0;
         }
         instance->removed_at = now;
@@ -317,12 +321,15 @@
         return;
     for (guint i = m->all->len; i > 0; i--) {
         GwInstance *instance = g_ptr_array_index(m->all, i - 1);
+        GwAddress address;
 
         if (instance->removed_at == 0)
             continue;
         if (m->ops.on_removal_applied != NULL)
             m->ops.on_removal_applied(m->user, instance, now);
+        address = instance->address;
         remove_instance_(m, instance, now);
+        recompute_draining_at_(m, &address);
     }
 }
 
@@ -535,6 +542,25 @@
     return changed;
 }
 
+// An instance was removed from @p address: those that it had replaced serve
+// again. If another writer had listed it there, they have never ended.
+static void
+recompute_draining_at_(GwInstances *m, const GwAddress *address)
+{
+    for (guint i = 0; i < m->all->len; i++) {
+        GwInstance *instance = g_ptr_array_index(m->all, i);
+
+        if (GwAddress_Equal(&instance->address, address))
+            instance->draining = instance->leaving;
+    }
+    for (guint i = 0; i < m->all->len; i++) {
+        const GwInstance *instance = g_ptr_array_index(m->all, i);
+
+        if (GwAddress_Equal(&instance->address, address))
+            mark_older_replaced_(m, instance);
+    }
+}
+
 static GPtrArray *
 get_service_instances_(GwInstances *m, const char *service)
 {
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -308,6 +308,7 @@
 std::string
 Endpoint::WriteInvalidRow()
 {
+    static const std::string nested(50000, '[');
     static const struct {
         const char *from, *to;
     } invalid_edits[] = {
@@ -318,6 +319,11 @@
         {"\"born\":", "\"born\":0.5"},
         {"{", "\xff"},
         {"\"zone\":\"d\"", "\"zone\":null"},
+        {"\"born\":", "\"born\":9"},
+        {"\"seq\":1,", "\"seq\":99999999999999999999,"},
+        {"\"slots\":64", "\"slots\":1e999"},
+        {"\"address\":\"", "\"address\":\"127.0.0.1:70000\",\"was\":\""},
+        {"\"seq\":", nested.c_str()},
     };
     auto &s = invalid_edits[platform_->random() %
                             (sizeof(invalid_edits) / sizeof(*invalid_edits))];
