Rows of engines need a model

Cause: the row made an instance without a model, and a later row never sets the model of a known instance. Scope and weights are sent to instances with a model.

Change: with a configuration that says that a service has engines, a row without a model is not usable. It waits as a row of an unknown service does, and is replaced by the engine's next row. Without a configuration an id keeps or lacks its model, and rows are checked again when the configuration arrives.

--- a/packages/cluster/src/view.c
+++ b/packages/cluster/src/view.c
@@ -33,7 +33,9 @@
 static void reapply_rows_(GwView *view, bool had_no_routes);
 static void retry_unrouted_row_(void *user, GwList list,
                                 const GwRecord *record);
-static bool is_known_service_(const GwView *view, const GwInstanceRow *row);
+static bool is_usable_row_(const GwView *view, const GwInstanceRow *row);
+static bool may_serve_(const GwRoutes *routes, const char *service,
+                       const char *model);
 static void add_unrouted_row_(GwView *view, const GwRecord *record,
                               const GwInstanceRow *row);
 static void on_added_(void *user, GwInstance *instance);
@@ -296,7 +298,7 @@
         log_unreadable_(view, GW_LIST_INSTANCES, record, &err);
         return;
     }
-    if (!is_known_service_(view, GwDocuments_Row(document)))
+    if (!is_usable_row_(view, GwDocuments_Row(document)))
         add_unrouted_row_(view, record, GwDocuments_Row(document));
     else
         apply_row_(view, record, GwDocuments_Row(document));
@@ -351,7 +353,7 @@
     for (guint i = had_no_routes ? listed->len : 0; i > 0; i--) {
         GwInstance *instance = g_ptr_array_index(listed, i - 1);
 
-        if (GwRoutes_Service(view->routes, instance->service) != NULL)
+        if (may_serve_(view->routes, instance->service, instance->model))
             continue;
         g_hash_table_add(view->unrouted_rows, g_strdup(instance->id));
         GwInstances_Forget(view->instances, instance->id, GwTime_Now());
@@ -373,21 +375,32 @@
         on_instance_record_(view, record);
 }
 
-// Before any routes are known, all services are accepted, except that an id
-// must not change its service.
+// Before any routes are known, all rows are usable, except that an id must not
+// change its service, nor lose its model.
 static bool
-is_known_service_(const GwView *view, const GwInstanceRow *row)
+is_usable_row_(const GwView *view, const GwInstanceRow *row)
 {
     const GwInstance *known;
 
     if (view->routes != NULL)
-        return GwRoutes_Service(view->routes, row->service) != NULL;
+        return may_serve_(view->routes, row->service, row->model);
     known = GwInstances_Find(view->instances, row->id);
-    return known == NULL || strcmp(known->service, row->service) == 0;
+    return known == NULL || (strcmp(known->service, row->service) == 0 &&
+                             (known->model != NULL) == (row->model != NULL));
 }
 
-// Stores the key of a row whose service no route names. Before any routes are
-// known that is not an error and is not logged.
+// Requests to an engine whose model is unknown would have no cache scope and
+// expect no weights.
+static bool
+may_serve_(const GwRoutes *routes, const char *service, const char *model)
+{
+    const GwService *known = GwRoutes_Service(routes, service);
+
+    return known != NULL && (!known->is_model || model != NULL);
+}
+
+// Stores the key of a row that is not usable with these routes. Before any
+// routes are known that is not an error and is not logged.
 static void
 add_unrouted_row_(GwView *view, const GwRecord *record,
                   const GwInstanceRow *row)
@@ -396,7 +409,8 @@
 
     GwError_Set(
         &err, GW_ERROR_CONFIG,
-        "no route names service %s; the endpoint is used once a route does",
+        "service %s has no route, or its engines need a model that the row "
+        "does not name; the endpoint is used once this changes",
         row->service);
     g_hash_table_add(view->unrouted_rows, g_strdup(record->key));
     if (view->routes == NULL)
--- a/packages/cluster/tests/view_validation_test.cc
+++ b/packages/cluster/tests/view_validation_test.cc
@@ -229,6 +229,50 @@
     }
 }
 
+// Another program writes a row of an engine without its model, before or after
+// the engine's own. Guards against requests that are sent to it without a
+// cache scope and without the weights that they expect.
+TEST_F(ViewValidationTest, RowsOfEnginesNeedAModel)
+{
+    const std::string config =
+        R"({"version":1,"routes":[{"host":"h","path_prefix":"/","service":"s"}],)"
+        R"("services":[{"name":"s","engine":{"slots":64}}]})";
+    const std::string odd = Row("s", 1);
+    const std::string own =
+        With(odd, "{", R"({"models":[{"name":"m","version":1}],)");
+    const struct {
+        const char *name;
+        std::vector<std::string> rows;
+        bool config_first;
+    } cases[] = {
+        {"odd row first", {odd, own}, true},
+        {"odd row last", {own, odd}, true},
+        {"odd row first, configuration last", {odd, own}, false},
+        {"odd row last, configuration last", {own, odd, own}, false},
+        {"empty list of models",
+         {With(odd, "{", R"({"models":[],)"), own},
+         true},
+    };
+
+    for (auto &c : cases) {
+        TearDown();
+        SetUp();
+        if (c.config_first)
+            Put(GW_LIST_OPERATOR, "config", config);
+        for (const std::string &row : c.rows)
+            Put(GW_LIST_INSTANCES, "i-1", row);
+        if (!c.config_first)
+            Put(GW_LIST_OPERATOR, "config", config);
+        ASSERT_NE(Find("i-1"), nullptr) << c.name;
+        ASSERT_NE(Find("i-1")->model, nullptr) << c.name;
+        Remove("i-1");
+        if (!c.config_first)
+            continue;
+        Put(GW_LIST_INSTANCES, "i-2", odd);
+        EXPECT_EQ(Find("i-2"), nullptr) << c.name;
+    }
+}
+
 // The same for entries of the operator: after an odd one, the next valid one
 // must be in force, and no number of it may become another one.
 TEST_F(ViewValidationTest, OddEntriesOfTheOperatorDoNotStopFollowing)
