Upstream: an answer without an id is the last one on its connection

Cause: a faulty endpoint sends its refusal twice. The refusal names no request, and the connection was used again, so the late copy counted as the answer to the next request on it. On a connection on which each answer has an id, a copy is recognised.

Change: the connection is closed after an answer without an id. The cost is a new connection after each such refusal.

--- a/packages/gateway/src/request_attempt.c
+++ b/packages/gateway/src/request_attempt.c
@@ -314,7 +314,9 @@
     GwRequestAnswer_Begin(r, head);
     if (!r->is_usable)
         GwTimer_Start(&r->unusable_timer, UNUSABLE_TIME_MAX);
-    return GW_HEAD_ACCEPT;
+    // A faulty endpoint may send an answer twice. Without an id, the second
+    // copy could not be distinguished from the answer to the next request.
+    return r->reply.has_request_id ? GW_HEAD_ACCEPT : GW_HEAD_ACCEPT_AND_CLOSE;
 }
 
 // Also applies answers to other requests, as they come from the same endpoint,
--- a/packages/gateway/src/upstream.c
+++ b/packages/gateway/src/upstream.c
@@ -380,7 +380,7 @@
     GwHttpReader_ExpectNoBody(u->reader, u->has_no_body);
     verdict = u->ops->on_head(u->user, head);
     u->is_skipping = verdict == GW_HEAD_SKIP;
-    u->keep_alive = head->keep_alive;
+    u->keep_alive = head->keep_alive && verdict != GW_HEAD_ACCEPT_AND_CLOSE;
     return !u->is_skipping || ++u->foreign_answers <= FOREIGN_ANSWERS_MAX;
 }
 
--- a/packages/gateway/src/upstream.h
+++ b/packages/gateway/src/upstream.h
@@ -16,10 +16,11 @@
 
 /* What to do with an answer whose head arrived. */
 typedef enum {
-    GW_HEAD_ACCEPT = 0, /* it belongs to the request */
-    GW_HEAD_SKIP,       /* it is a surplus answer to an earlier request on this
-                           connection: ignore its body as well, and wait for
-                           the next answer */
+    GW_HEAD_ACCEPT = 0,       /* it belongs to the request */
+    GW_HEAD_ACCEPT_AND_CLOSE, /* the same; the connection is not used again */
+    GW_HEAD_SKIP, /* it is a surplus answer to an earlier request on this
+                     connection: ignore its body as well, and wait for
+                     the next answer */
 } GwHeadVerdict;
 
 /* Outcome of a request. */
--- a/packages/gateway/tests/early_reset_test.cc
+++ b/packages/gateway/tests/early_reset_test.cc
@@ -88,3 +88,43 @@
                         << " ms: " << c->received;
                 }
 }
+
+// An endpoint refuses a request in an answer without an id, and later sends
+// the answer again. Guards against the copy being taken for the answer to the
+// next request on the connection, which then is reported as not run.
+TEST(EarlyReset, ConnectionsWithAnswersWithoutIdAreNotUsedAgain)
+{
+    const struct {
+        const char *name, *answer; // the head, up to the id
+        bool has_id;
+        unsigned reused;
+    } cases[] = {
+        {"refusal without id", "503 No\r\nX-Not-Executed: 1", false, 0},
+        {"refusal with id", "503 No\r\nX-Not-Executed: 1", true, 1},
+        {"failure without id", "500 No\r\nX-Response-Signature: s", false, 0},
+        {"failure with id", "500 No\r\nX-Response-Signature: s", true, 1},
+    };
+
+    for (auto &c : cases) {
+        Fleet f;
+        f.Configure(1);
+        f.AddEndpoint("i-1", "plain")->serve = [&](Endpoint *,
+                                                   FakeExchange *x) {
+            std::string text = std::string("HTTP/1.1 ") + c.answer + "\r\n";
+
+            if (c.has_id)
+                text += "X-Request-Id: " + Endpoint::RequestId(x) + "\r\n";
+            text += "Keep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n";
+            FakeExchange_Write(x, text.data(), text.size());
+        };
+        GwGateway *g = f.AddGateway();
+        ASSERT_TRUE(f.Ready());
+        for (int i = 0; i < 2; i++) {
+            auto call = f.Call(g, Fleet::Request("POST", "/once/1", "x"));
+            EXPECT_TRUE(f.Until([&] { return call->Has(1); })) << c.name;
+        }
+        EXPECT_EQ(GwGateway_Counters(g)->plain[GW_COUNTER_UPSTREAM_REUSED],
+                  c.reused)
+            << c.name;
+    }
+}
--- a/packages/routing/include/galenagw/routing/request_info.h
+++ b/packages/routing/include/galenagw/routing/request_info.h
@@ -71,6 +71,7 @@
     const char *instance_id; /**< instance that answers, or NULL; borrowed */
     bool matches_request;    /**< the answer contains this request's id, or
                                 no id */
+    bool has_request_id;     /**< the answer contains an id */
     bool is_leaving; /**< the instance that answers announces its departure */
     bool has_limit;  /**< there is a limit header, valid or not */
     double limit;    /**< requests per second of all processes combined; -1:
