TCP: long output buffers are freed when they are sent

Cause: a connection kept its output buffer at the size of the longest message ever sent on it, so the pool held 4 MB and more for each connection to an engine.

Change: buffers of more than 64 KB are freed once their bytes are sent.

--- a/packages/net/src/tcp.c
+++ b/packages/net/src/tcp.c
@@ -31,6 +31,8 @@
  * slowly gets its answer, and one that has stopped does not hold memory. */
 #define FINISH_STALL_TIME (5 * GW_SECOND)
 #define FINISH_TIME_MAX (30 * GW_SECOND)
+/* Longest output buffer that is kept for the next message. */
+#define KEPT_OUTPUT_BYTES ((guint)(64 * 1024))
 /* A connection is closed if sent bytes remain unacknowledged for this time.
  * Peers behind a network partition cause no other error. Three seconds are
  * longer than the longest retransmission delay of a link that only loses
@@ -58,6 +60,7 @@
 static bool write_output_(GwTcp *tcp);
 static void restart_finish_timer_(GwTcp *tcp);
 static bool takes_bytes_(GwTcp *tcp);
+static void clear_output_(GwTcp *tcp);
 static void compact_output_(GwTcp *tcp);
 static void report_closed_(GwTcp *tcp);
 static void on_timer_(void *user);
@@ -419,9 +422,21 @@
         if (tcp->finishing)
             restart_finish_timer_(tcp);
     }
+    clear_output_(tcp);
+    return true;
+}
+
+// A connection that is kept must not hold as much memory as the longest
+// message that was ever sent on it.
+static void
+clear_output_(GwTcp *tcp)
+{
+    if (tcp->output->len > KEPT_OUTPUT_BYTES) {
+        g_byte_array_unref(tcp->output);
+        tcp->output = g_byte_array_new();
+    }
     g_byte_array_set_size(tcp->output, 0);
     tcp->output_sent = 0;
-    return true;
 }
 
 static void
