--- a/soak/src/platform.h
+++ b/soak/src/platform.h
@@ -188,6 +188,8 @@
     };
     static void OnLateOrderTimer(void *user);
     void OnLoadOrder(FakeExchange *x);
+    /* Whether the engine has the version that the order asks for. */
+    bool AlreadyHolds(const Order &order) const;
     /* Start to load weights, unless a load is running or the order was sent
      * for another number of previous orders. Returns whether it started. */
     bool StartLoad(const Order &order);
--- a/soak/src/platform_weights.cc
+++ b/soak/src/platform_weights.cc
@@ -63,7 +63,18 @@
     if (order.version < weights_version_)
         platform_->ledger->RecordViolation(
             "versions of weights never decrease", id);
-    FakeExchange_Answer(x, StartLoad(order) ? 202 : 409, "", "", 0);
+    FakeExchange_Answer(x,
+                        AlreadyHolds(order) ? 200
+                        : StartLoad(order)  ? 202
+                                            : 409,
+                        "", "", 0);
+}
+
+// Such an order changes nothing, whenever it is carried out.
+bool
+Endpoint::AlreadyHolds(const Order &order) const
+{
+    return loading_version_ == 0 && order.version == weights_version_;
 }
 
 // Only the count of orders is checked, so an order may also reach the next
@@ -73,7 +84,7 @@
 {
     Endpoint *e = static_cast<Endpoint *>(user);
 
-    if (e->is_running)
+    if (e->is_running && !e->AlreadyHolds(e->late_order_))
         e->StartLoad(e->late_order_);
 }
 
