--- a/packages/cluster/src/list_sync.c
+++ b/packages/cluster/src/list_sync.c
@@ -1,11 +1,8 @@
 #include "list_sync.h"
 
+#include "list_sync_outages.h"
 #include "records_batch.h"
 
-/* Longest time that removals deferred by a peer are deferred here, whatever
- * time the peer sends. Endpoints whose records expired during a store outage
- * write them again within about this time. */
-#define REMOVAL_DEFERRAL_MAX (2500 * GW_MILLISECOND)
 /* End position in a request for a list whose records are not requested: no
  * record is at or after it. */
 #define END_NOT_REQUESTED G_MAXINT64
@@ -32,8 +29,6 @@
 #define LARGE_COPY_BYTES (16 * 1024)
 #define COPY_LINK_SHARE 0.5
 
-static void note_store_available_(GwListSync *sync,
-                                  const GwSyncStatus *sync_status, GwTime now);
 static void send_due_requests_(void *user);
 static void send_queued_replies_(void *user);
 static void send_records_(GwListSync *sync, GwListSyncPeer *peer,
@@ -56,8 +51,6 @@
                               const Gw__Wire__RecordsAsk *request);
 static void log_sent_records_(GwListSync *sync, const GwListSyncPeer *peer,
                               const RecordsBatch *batch);
-static void adopt_peer_deferral_(GwListSync *sync,
-                                 const Gw__Wire__RecordsTell *reply);
 static void send_weights_age_(void *user, const char *model, int64_t version,
                               GwTime named_at);
 
@@ -105,7 +98,7 @@
     bool behind = false;
 
     peer->status_at = now;
-    note_store_available_(sync, sync_status, now);
+    GwListSyncOutages_NoteAvailable(sync->options.reader, sync_status, now);
     for (int i = 0; i < GW_LISTS; i++) {
         // Records may have been received since the last check, from another
         // peer or from the store.
@@ -149,22 +142,6 @@
         GwStoreReader_AvailableFor(reader, GW_LIST_INSTANCES);
 }
 
-// Applies also if this process lacks records of the peer: whether the store
-// was available does not depend on them.
-static void
-note_store_available_(GwListSync *sync, const GwSyncStatus *sync_status,
-                      GwTime now)
-{
-    GwTime until = now - sync_status->instances_age;
-
-    if (sync->options.reader == NULL || sync_status->instances_age < 0 ||
-        sync_status->instances_available_for < 0)
-        return;
-    GwStoreReader_NoteStoreAvailable(
-        sync->options.reader, GW_LIST_INSTANCES,
-        until - sync_status->instances_available_for, until);
-}
-
 void
 GwListSync_OnRequest(GwListSync *sync, GwListSyncPeer *peer,
                      const Gw__Wire__RecordsAsk *request)
@@ -309,7 +286,8 @@
         send_due_requests_(sync);
         return;
     }
-    adopt_peer_deferral_(sync, reply);
+    GwListSyncOutages_AdoptDeferral(sync->options.reader, sync->options.view,
+                                    reply);
     for (size_t i = 0; i < reply->n_records; i++) {
         const Gw__Wire__ListRecord *r = reply->records[i];
         GwRecord record = {
@@ -562,34 +540,6 @@
     GwEvent_End(sync->options.log);
 }
 
-// The peer has seen a store outage after which these removals may be undone.
-// This process may not have noticed the outage, because its own call to the
-// store was waiting all the time; removing the endpoints now could leave
-// clients without any endpoint. If the store has answered other processes
-// meanwhile, only the peer was disconnected from it, and the endpoints have
-// departed.
-static void
-adopt_peer_deferral_(GwListSync *sync, const Gw__Wire__RecordsTell *reply)
-{
-    GwTime now = GwTime_Now();
-    GwTime until = now + MIN((GwTime)reply->removals_held_ms * GW_MILLISECOND,
-                             REMOVAL_DEFERRAL_MAX);
-
-    if (reply->list != GW_LIST_INSTANCES || reply->removals_held_ms == 0)
-        return;
-    if (sync->options.reader != NULL) {
-        GwTime settled_at =
-            GwStoreReader_SettledAt(sync->options.reader, GW_LIST_INSTANCES);
-
-        // The peer may have been disconnected for longer than this process.
-        if (settled_at > 0)
-            until = MIN(until, settled_at);
-    }
-    if (until > now)
-        GwInstances_SetPeerDeferral(GwView_Instances(sync->options.view),
-                                    until);
-}
-
 static void
 send_weights_age_(void *user, const char *model, int64_t version,
                   GwTime named_at)
--- a/packages/http/src/server.c
+++ b/packages/http/src/server.c
@@ -1,9 +1,8 @@
 #include "galenagw/http/server.h"
 
-#include <string.h>
-#include <sys/queue.h>
+#include "server_private.h"
 
-#include "galenagw/net/tcp.h"
+#include <string.h>
 
 #define DEFAULT_MAX_HEAD_BYTES (16 * 1024)
 #define DEFAULT_MAX_BODY_BYTES (4 * 1024 * 1024)
@@ -13,8 +12,6 @@
 #define DEFAULT_IDLE_TIMEOUT (60 * GW_SECOND)
 /* Bytes of pipelined requests that are read while one request is served. */
 #define MAX_PIPELINED_BYTES (64 * 1024)
-/* Upper bound of the size of a chunk's size line and final line end. */
-#define CHUNK_FRAMING_BYTES 24
 
 /* A new connection is not idle for this long: its first request may be on its
  * way, and closing the connection would lose it. */
@@ -24,46 +21,6 @@
  */
 #define SLOW_READER_TIMEOUT (15 * GW_SECOND)
 
-typedef struct Connection Connection;
-
-struct GwHttpCall {
-    Connection *conn;
-    GwHttpHead *head;
-    GByteArray *body;
-    GString *extra_head;
-    void *user;
-    bool delivered;      /* on_call was called */
-    bool answer_started; /* bytes of an answer were sent */
-    bool is_unframed;    /* see GwHttpCall_EndWithConnection */
-};
-
-struct Connection {
-    TAILQ_ENTRY(Connection) link;
-    GwHttpServer *server;
-    GwTcp *tcp;
-    GwHttpReader *reader;
-    GwHttpCall *call;  /* the request that is being read or served, or NULL */
-    GByteArray *input; /* received bytes that are not parsed yet */
-    GwTimer timer;     /* head timeout, body timeout or idle timeout */
-    GwTime accepted_at;
-    bool has_received; /* any bytes */
-    bool paused;       /* reading from the socket is paused */
-    /* the connection closes after the answer, because of the head of the
-     * request or because the request was refused */
-    bool must_close;
-    bool feeding;      /* feed_reader_ is running */
-    bool free_pending; /* to be freed when feed_reader_ returns */
-};
-
-struct GwHttpServer {
-    GwLoop *loop;
-    GwTcpServer *tcp;
-    GwHttpServerOptions options;
-    size_t total_body_bytes; /* bytes of the bodies of all calls */
-    bool draining;           /* see GwHttpServer_Drain */
-    TAILQ_HEAD(, Connection) connections;
-};
-
 const char *const GwHttpRefusal_Names[GW_HTTP_REFUSALS] = {
     [GW_HTTP_REFUSED_MALFORMED] = "malformed",
     [GW_HTTP_REFUSED_HEAD_TOO_LONG] = "head_too_long",
@@ -102,13 +59,11 @@
 static void feed_reader_(Connection *c);
 static void deliver_call_(Connection *c);
 static void refuse_request_(Connection *c, GwHttpRefusal why);
-static void close_connection_(Connection *c);
 static void free_connection_(Connection *c);
 static void start_timer_(Connection *c);
 static bool is_serving_(const Connection *c);
 static GwHttpCall *call_new_(Connection *c);
 static void call_free_(GwHttpCall *call);
-static void send_head_start_(GwHttpCall *call, int status, const char *type);
 static void fill_default_limits_(GwHttpLimits *limits);
 
 static const GwTcpOps tcp_ops = {NULL, on_data_, on_closed_, on_drained_};
@@ -193,178 +148,10 @@
             !GwHttpReader_InMessage(c->reader) &&
             (c->has_received ||
              GwTime_Now() - c->accepted_at >= FIRST_REQUEST_TIME))
-            close_connection_(c);
+            HttpConnection_Close(c);
     }
 }
 
-const char *
-GwHttpCall_Method(const GwHttpCall *call)
-{
-    return call->head->method;
-}
-
-const char *
-GwHttpCall_Path(const GwHttpCall *call)
-{
-    return call->head->target;
-}
-
-const char *
-GwHttpCall_Header(const GwHttpCall *call, const char *name)
-{
-    return GwHttpHead_Find(call->head, name);
-}
-
-const GwHttpHead *
-GwHttpCall_Head(const GwHttpCall *call)
-{
-    return call->head;
-}
-
-const char *
-GwHttpCall_Body(const GwHttpCall *call, size_t *len)
-{
-    *len = call->body->len;
-    return (const char *)call->body->data;
-}
-
-void
-GwHttpCall_SetUser(GwHttpCall *call, void *user)
-{
-    call->user = user;
-}
-
-void *
-GwHttpCall_User(const GwHttpCall *call)
-{
-    return call->user;
-}
-
-void
-GwHttpCall_AddHeader(GwHttpCall *call, const char *name, const char *value)
-{
-    if (call->extra_head == NULL)
-        call->extra_head = g_string_new(NULL);
-    g_string_append_printf(call->extra_head, "%s: %s\r\n", name, value);
-}
-
-void
-GwHttpCall_Respond(GwHttpCall *call, int status, const char *type,
-                   const char *body, size_t len)
-{
-    char line[64];
-
-    send_head_start_(call, status, type);
-    g_snprintf(line, sizeof(line), "content-length: %zu\r\n\r\n", len);
-    GwHttpCall_Send(call, line, strlen(line));
-    GwHttpCall_Send(call, body, len);
-    GwHttpCall_Done(call, false);
-}
-
-void
-GwHttpCall_Begin(GwHttpCall *call, int status, const char *type)
-{
-    static const char chunked[] = "transfer-encoding: chunked\r\n";
-    static const char end[] = "cache-control: no-store\r\n\r\n";
-
-    if (call->head != NULL && !call->head->accepts_chunks)
-        GwHttpCall_EndWithConnection(call);
-    send_head_start_(call, status, type);
-    if (!call->is_unframed)
-        GwHttpCall_Send(call, chunked, sizeof(chunked) - 1);
-    GwHttpCall_Send(call, end, sizeof(end) - 1);
-}
-
-void
-GwHttpCall_EndWithConnection(GwHttpCall *call)
-{
-    call->is_unframed = true;
-    call->conn->must_close = true;
-    GwTcp_ResetUnlessFinished(call->conn->tcp);
-}
-
-void
-GwHttpCall_Write(GwHttpCall *call, const char *data, size_t len)
-{
-    g_autoptr(GString) chunk = NULL;
-
-    // A chunk of size 0 would end the answer.
-    if (len == 0)
-        return;
-    if (call->is_unframed) {
-        GwHttpCall_Send(call, data, len);
-        return;
-    }
-    // The chunk is written in one piece, because each write causes a system
-    // call and a packet.
-    chunk = g_string_sized_new(len + CHUNK_FRAMING_BYTES);
-    g_string_append_printf(chunk, "%zx\r\n", len);
-    g_string_append_len(chunk, data, (gssize)len);
-    g_string_append(chunk, "\r\n");
-    GwHttpCall_Send(call, chunk->str, chunk->len);
-}
-
-void
-GwHttpCall_End(GwHttpCall *call)
-{
-    if (!call->is_unframed)
-        GwHttpCall_Send(call, "0\r\n\r\n", 5);
-    GwHttpCall_Done(call, false);
-}
-
-void
-GwHttpCall_Send(GwHttpCall *call, const char *data, size_t len)
-{
-    call->answer_started = true;
-    GwTcp_Write(call->conn->tcp, (const uint8_t *)data, len);
-}
-
-bool
-GwHttpCall_MustClose(const GwHttpCall *call)
-{
-    return call->conn->must_close || call->conn->server->draining;
-}
-
-void
-GwHttpCall_Done(GwHttpCall *call, bool close)
-{
-    Connection *c = call->conn;
-
-    if (close || GwHttpCall_MustClose(call)) {
-        close_connection_(c);
-        return;
-    }
-    call_free_(call);
-    if (c->paused)
-        GwTcp_Pause(c->tcp, false);
-    c->paused = false;
-    start_timer_(c);
-    // If the call is answered inside on_call, feed_reader_ is running and
-    // continues by itself.
-    if (!c->feeding)
-        feed_reader_(c);
-}
-
-void
-GwHttpCall_Abort(GwHttpCall *call)
-{
-    Connection *c = call->conn;
-
-    if (!call->is_unframed) {
-        close_connection_(c);
-        return;
-    }
-    GwTcp_Reset(c->tcp);
-    c->tcp = NULL;
-    free_connection_(c);
-}
-
-size_t
-GwHttpCall_Pending(const GwHttpCall *call)
-{
-    return GwTcp_Pending(call->conn->tcp);
-}
-
 static void
 on_accept_(void *user, GwTcp *tcp)
 {
@@ -477,7 +264,7 @@
     if (GwHttpReader_InMessage(c->reader))
         refuse_request_(c, GW_HTTP_REFUSED_TOO_SLOW);
     else
-        close_connection_(c);
+        HttpConnection_Close(c);
 }
 
 // Parses received bytes and delivers complete requests until one is being
@@ -540,23 +327,43 @@
     if (server->options.ops->on_refused != NULL)
         server->options.ops->on_refused(server->options.user, c->call, why);
     if (c->call->answer_started)
-        close_connection_(c);
+        HttpConnection_Close(c);
     else
         GwHttpCall_Respond(c->call, refusal_answers[why].status, "text/plain",
                            refusal_answers[why].answer,
                            strlen(refusal_answers[why].answer));
 }
 
-// Closes the connection in an orderly way; queued output is sent first (see
-// GwTcp_Finish).
-static void
-close_connection_(Connection *c)
+void
+HttpConnection_Close(Connection *c)
 {
     GwTcp_Finish(c->tcp);
     c->tcp = NULL;
     free_connection_(c);
 }
 
+void
+HttpConnection_Reset(Connection *c)
+{
+    GwTcp_Reset(c->tcp);
+    c->tcp = NULL;
+    free_connection_(c);
+}
+
+void
+HttpConnection_EndCall(Connection *c)
+{
+    call_free_(c->call);
+    if (c->paused)
+        GwTcp_Pause(c->tcp, false);
+    c->paused = false;
+    start_timer_(c);
+    // If the call is answered inside on_call, feed_reader_ is running and
+    // continues by itself.
+    if (!c->feeding)
+        feed_reader_(c);
+}
+
 static void
 free_connection_(Connection *c)
 {
@@ -618,19 +425,6 @@
     g_free(call);
 }
 
-// Sends all of the head but the framing of the body and the final empty line.
-static void
-send_head_start_(GwHttpCall *call, int status, const char *type)
-{
-    g_autofree char *head = g_strdup_printf(
-        "HTTP/1.1 %d %s\r\ncontent-type: %s\r\n%s%s", status,
-        status < 400 ? "OK" : "Error", type,
-        GwHttpCall_MustClose(call) ? "connection: close\r\n" : "",
-        call->extra_head != NULL ? call->extra_head->str : "");
-
-    GwHttpCall_Send(call, head, strlen(head));
-}
-
 static void
 fill_default_limits_(GwHttpLimits *limits)
 {
--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -1,5 +1,7 @@
 #include "galenagw/routing/instances.h"
 
+#include "instances_private.h"
+
 #include <string.h>
 
 #include "galenagw/routing/placement.h"
@@ -14,36 +16,6 @@
  * failed. Requests to the engine show which of the two is the case. */
 #define REPORT_EXPIRES_AFTER (6 * GW_SECOND)
 
-/* Departure update: the information that an endpoint announced in an answer
- * that it is leaving. The answer was received by this process or by a peer
- * that forwarded the update. */
-typedef struct {
-    int64_t incarnation; /* which announced it; 0: unknown, applies to any */
-    GwTime received_at;  /* when the answer was received, by local time */
-    bool was_listed; /* the instance id has been listed at some time since the
-                        first of its updates was stored */
-} DepartureUpdate;
-
-struct GwInstances {
-    GHashTable *departure_updates; /* id to DepartureUpdate */
-    unsigned n_unlisted_updates;   /* updates with was_listed false */
-    GHashTable *by_id; /* listed instances; each entry holds a reference */
-    GHashTable *by_service; /* service name to GPtrArray of GwInstance */
-    GPtrArray *all;
-    GwSoftwareHistory *software; /* of the listed and departed instances */
-    GwInstancesOps ops;
-    void *user;
-    /* After a store outage, removals are deferred ("held" in the names of the
-     * public functions), because entries that expired during the outage are
-     * written again soon. Removals received before one of the next two times
-     * are deferred; later ones are applied immediately. */
-    GwTime defer_received_before;      /* of this process's own deferral */
-    GwTime peer_defer_received_before; /* adopted from a peer; 0: none */
-    GwTime apply_deferred_at;          /* when deferred removals are applied */
-    unsigned n_deferred;               /* number of deferred removals */
-    uint64_t serial;                   /* of the instance added last */
-};
-
 const char *const GwUpdateSource_Names[GW_SOURCES] = {
     [GW_SOURCE_LIST] = "list",     [GW_SOURCE_AGENT] = "agent",
     [GW_SOURCE_REPORT] = "report", [GW_SOURCE_ANSWER] = "answer",
@@ -57,8 +29,6 @@
 };
 
 static GwInstance *add_instance_(GwInstances *m, const GwInstanceRow *row);
-static void apply_departure_update_(GwInstances *m, GwInstance *instance);
-static void expire_departure_updates_(GwInstances *m, GwTime now);
 static bool mark_older_replaced_(GwInstances *m, const GwInstance *listed);
 static void recompute_draining_at_(GwInstances *m, const GwAddress *address);
 static GPtrArray *get_service_instances_(GwInstances *m, const char *service);
@@ -165,59 +135,6 @@
     return supersede_instance_(m, before, &row, from, now);
 }
 
-bool
-GwInstances_SetLeaving(GwInstances *m, const char *id, int64_t incarnation,
-                       GwTime received_at, GwTime now)
-{
-    GwInstance *instance = g_hash_table_lookup(m->by_id, id);
-    const DepartureUpdate *known =
-        g_hash_table_lookup(m->departure_updates, id);
-    bool is_new = known == NULL || known->incarnation < incarnation;
-    bool was_listed;
-
-    received_at = MIN(received_at, now);
-    if (now - received_at >= GW_LEAVING_TERM ||
-        (known != NULL && (known->incarnation > incarnation ||
-                           known->received_at >= received_at)) ||
-        (instance != NULL && incarnation != 0 &&
-         incarnation < instance->incarnation))
-        return false;
-    was_listed = instance != NULL || (known != NULL && known->was_listed);
-    // Only the number of updates for ids that were never listed is limited,
-    // because a peer may send any id. The ids of all other updates have been
-    // in the list, which limits their number.
-    if (known == NULL && !was_listed &&
-        m->n_unlisted_updates >= GW_LEAVING_MAX)
-        return false;
-    m->n_unlisted_updates += !was_listed;
-    m->n_unlisted_updates -= known != NULL && !known->was_listed;
-    g_hash_table_insert(
-        m->departure_updates, g_strdup(id),
-        g_memdup2(&(DepartureUpdate){incarnation, received_at, was_listed},
-                  sizeof(DepartureUpdate)));
-    if (instance != NULL)
-        apply_departure_update_(m, instance);
-    return is_new;
-}
-
-void
-GwInstances_EachLeaving(const GwInstances *m,
-                        void (*fn)(void *user, const char *id,
-                                   int64_t incarnation, GwTime received_at),
-                        void *user)
-{
-    GHashTableIter iter;
-    gpointer id;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, m->departure_updates);
-    while (g_hash_table_iter_next(&iter, &id, &value)) {
-        const DepartureUpdate *leaving = value;
-
-        fn(user, id, leaving->incarnation, leaving->received_at);
-    }
-}
-
 void
 GwInstance_SetReplaced(GwInstance *instance)
 {
@@ -316,7 +233,7 @@
 void
 GwInstances_Sweep(GwInstances *m, GwTime now)
 {
-    expire_departure_updates_(m, now);
+    GwInstancesDepartures_Expire(m, now);
     if (m->n_deferred == 0 || now < m->apply_deferred_at)
         return;
     for (guint i = m->all->len; i > 0; i--) {
@@ -453,7 +370,7 @@
     if (instance->software != 0)
         instance->software_version = g_strdup(row->software);
     GwSoftwareHistory_Add(m->software, row->service, instance->software);
-    apply_departure_update_(m, instance);
+    GwInstancesDepartures_Apply(m, instance);
     if (row->model != NULL)
         instance->cached_parts = GwCachedParts_New(GW_MAX_CACHED_PARTS);
     instance->refs = 1;
@@ -465,58 +382,6 @@
     return instance;
 }
 
-// Records that the id of a stored departure update has been listed, and
-// applies the update if it is for the instance's incarnation. The update may
-// have been received before the instance was listed. A departure in the row
-// (leaving_until 0) takes precedence, because it does not expire.
-static void
-apply_departure_update_(GwInstances *m, GwInstance *instance)
-{
-    DepartureUpdate *update =
-        g_hash_table_lookup(m->departure_updates, instance->id);
-
-    if (update != NULL && !update->was_listed) {
-        update->was_listed = true;
-        m->n_unlisted_updates--;
-    }
-    if (update == NULL ||
-        (update->incarnation != 0 &&
-         update->incarnation != instance->incarnation) ||
-        (instance->leaving && instance->leaving_until == 0))
-        return;
-    instance->leaving = instance->draining = true;
-    instance->leaving_until = update->received_at + GW_LEAVING_TERM;
-}
-
-static void
-expire_departure_updates_(GwInstances *m, GwTime now)
-{
-    GHashTableIter iter;
-    gpointer id;
-    gpointer value;
-    bool recompute = false;
-
-    g_hash_table_iter_init(&iter, m->departure_updates);
-    while (g_hash_table_iter_next(&iter, &id, &value)) {
-        GwInstance *instance = g_hash_table_lookup(m->by_id, id);
-
-        if (now - ((const DepartureUpdate *)value)->received_at <
-            GW_LEAVING_TERM)
-            continue;
-        if (instance != NULL && instance->leaving_until != 0) {
-            instance->leaving = false;
-            instance->leaving_until = 0;
-            recompute = true;
-        }
-        m->n_unlisted_updates -= !((const DepartureUpdate *)value)->was_listed;
-        g_hash_table_iter_remove(&iter);
-    }
-    // An instance that is no longer leaving must still be draining if a newer
-    // instance has been listed at its address in the meantime.
-    if (recompute)
-        GwInstances_RecomputeDraining(m);
-}
-
 // Marks as replaced the older one of @p listed and each other instance that
 // is listed at the same address, whatever their services. The older instance,
 // whose record has the lower offset (@p listed itself if the offsets are
--- a/soak/src/faults.h
+++ b/soak/src/faults.h
@@ -23,6 +23,9 @@
     std::vector<std::unique_ptr<Proxy>> *store_proxies;
 };
 
+/* Delay of the answers of a slow store: a hundred times its usual latency. */
+constexpr GwTime kSlowStoreDelay = 400 * GW_MILLISECOND;
+
 /* Duration of the phase in which engines fail most requests: more than two
  * windows of the retry budget. */
 constexpr GwTime kRetryPhaseTime = 24 * GW_SECOND;
