Drain: a reload with a shorter grace time shortens the deadlines too

A SIGHUP during a drain may bring a shorter grace time; requests in progress kept the deadline of the longer one and would have been cut off at the new end. The deadlines are shortened after each reload as well.

--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -153,7 +153,7 @@
         return;
     g->draining_since = GwTime_Now();
     GwHttpServer_Drain(g->callers_server);
-    GwRequest_DrainBegun(g);
+    GwRequest_ApplyDrainDeadline(g);
     GwEvent_Begin(g->log, "drain", NULL);
     GwEvent_Number(g->log, "active", g->requests_in_progress);
     GwEvent_End(g->log);
@@ -164,6 +164,7 @@
 GwGateway_Reload(GwGateway *g, const GwDeployment *d)
 {
     copy_bounds_(g, d);
+    GwRequest_ApplyDrainDeadline(g);
     GwEvent_Begin(g->log, "reload", NULL);
     GwEvent_Text(g->log, "instance", g->name);
     GwEvent_End(g->log);
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -81,7 +81,7 @@
 }
 
 void
-GwRequest_DrainBegun(GwGateway *g)
+GwRequest_ApplyDrainDeadline(GwGateway *g)
 {
     GwTime deadline = GwGateway_DrainDeadline(g);
     GwRequest *r;
--- a/packages/gateway/src/request.h
+++ b/packages/gateway/src/request.h
@@ -28,8 +28,9 @@
  * weights became outdated are withdrawn shortly before the bound after which
  * no request may start on them. */
 void GwRequest_WeightsNamed(GwGateway *gateway);
-/* The gateway drains: requests in progress are answered before it stops. */
-void GwRequest_DrainBegun(GwGateway *gateway);
+/* Shorten the deadlines of requests in progress to the end of the drain, if
+ * the gateway is draining, so that they are answered before it stops. */
+void GwRequest_ApplyDrainDeadline(GwGateway *gateway);
 /* The socket to the caller has taken all bytes that were written to it:
  * continue to read from the endpoint. */
 void GwRequest_CallerDrained(GwRequest *request);
--- a/packages/gateway/tests/gateway_drain_test.cc
+++ b/packages/gateway/tests/gateway_drain_test.cc
@@ -103,3 +103,25 @@
             << cases[i].name << ": " << status;
     }
 }
+
+// During a drain the settings are read again, with a shorter grace time.
+// Guards against requests that are cut off at its end without an answer.
+TEST(GatewayDrain, ReloadWithShorterGraceAnswersInTime)
+{
+    Fleet f;
+    f.timeout_ms = 20000;
+    f.Configure(1);
+    f.AddEndpoint("i-1", "plain")->serve = [](Endpoint *, FakeExchange *) {};
+    GwGateway *g = f.AddGateway();
+    ASSERT_TRUE(f.Ready());
+    auto call = f.Call(g, Fleet::Request("POST", "/once/1", "x"));
+
+    f.Wait(100 * GW_MILLISECOND);
+    GwGateway_Drain(g);
+    GwDeployment shorter = f.deployments.back();
+    shorter.grace = 4 * GW_SECOND;
+    GwGateway_Reload(g, &shorter);
+    ASSERT_TRUE(f.Until([&] { return f.stopped > 0; }));
+    EXPECT_TRUE(call->Has(1));
+    EXPECT_EQ(call->Status(), 502);
+}
--- a/packages/routing/include/galenagw/routing/read_schedule.h
+++ b/packages/routing/include/galenagw/routing/read_schedule.h
@@ -114,8 +114,8 @@
  * gap that suggests an outage, to be sent to peers; -1: never confirmed. */
 GwTime GwReadSchedule_AvailableFor(const GwReadSchedule *schedule,
                                    GwList list);
-/** By a peer's account, the store answered regularly from @p since to @p until
- * , also while this process was disconnected. */
+/** A peer reports that the store answered regularly from @p since to @p until.
+ * This process may have been disconnected meanwhile. */
 void GwReadSchedule_NoteAvailable(GwReadSchedule *schedule, GwList list,
                                   GwTime since, GwTime until);
 /** Time since @p list was confirmed, to be sent to peers; -1: never. */
