Tests: the fixture frees its event loop, so the leak check holds again

Each test of this fixture had to do so by itself. What only the loop still reaches counts as leaked.

Change: the fixture frees the loop; the thirteen calls in the tests are gone. It does so after the tests' own objects, which may still use the loop.

--- a/fakes/include/galenagw/fakes/loop_test.h
+++ b/fakes/include/galenagw/fakes/loop_test.h
@@ -15,6 +15,10 @@
     GwLoop *loop = GwLoop_New(nullptr, nullptr);
     GwTime wait_timeout = 8 * GW_SECOND; // timeout of Until
 
+    ~LoopTest() override
+    {
+        GwLoop_Delete(loop);
+    }
     // Runs the loop until `done`. Returns false after the timeout.
     bool
     Until(const std::function<bool()> &done)
--- a/packages/agent/tests/orders_test.cc
+++ b/packages/agent/tests/orders_test.cc
@@ -59,7 +59,6 @@
             Orders_Delete(o);
         GwHttpLog_Delete(http);
         FakePlatform_Delete(platform);
-        GwLoop_Delete(loop);
         g_rand_free(rand);
     }
     void
--- a/packages/cluster/tests/store_reader_test.cc
+++ b/packages/cluster/tests/store_reader_test.cc
@@ -139,10 +139,6 @@
 
 class StoreOutage : public LoopTest {
   protected:
-    ~StoreOutage() override
-    {
-        GwLoop_Delete(loop);
-    }
     // Runs the loop for @p time, and calls @p at_step at each step.
     void
     Wait(
--- a/packages/cluster/tests/store_restored_test.cc
+++ b/packages/cluster/tests/store_restored_test.cc
@@ -24,7 +24,6 @@
         GwView_Delete(view_);
         FakeStore_Delete(store_);
         g_rand_free(rand_);
-        GwLoop_Delete(loop);
     }
     // A heartbeat interval of 0 stands for the reader's default of 1.2 s.
     void
--- a/packages/endpoint/tests/endpoint_test.cc
+++ b/packages/endpoint/tests/endpoint_test.cc
@@ -67,7 +67,6 @@
     {
         FakeEngine_Delete(engine);
         FakeService_Delete(service);
-        GwLoop_Delete(loop);
     }
 };
 
--- a/packages/endpoint/tests/truncated_answer_test.cc
+++ b/packages/endpoint/tests/truncated_answer_test.cc
@@ -66,7 +66,6 @@
     {
         GwTimer_Stop(&reset_timer);
         FakeHttpd_Delete(httpd);
-        GwLoop_Delete(loop);
     }
     // Sends the whole answer. With a reset, the last byte of the body and what
     // would follow it are missing if the answer has a length or chunks.
--- a/packages/gateway/tests/upstream_test.cc
+++ b/packages/gateway/tests/upstream_test.cc
@@ -37,7 +37,6 @@
     ~RefusedUpstream() override
     {
         GwUpstreamPool_Delete(pool_);
-        GwLoop_Delete(loop);
         close(fd_);
     }
     void
@@ -143,5 +142,4 @@
     g_string_free(request, TRUE);
     GwUpstreamPool_Delete(pool);
     FakeHttpd_Delete(httpd);
-    GwLoop_Delete(loop);
 }
--- a/packages/http/tests/endless_test.cc
+++ b/packages/http/tests/endless_test.cc
@@ -148,7 +148,6 @@
             GwHttpRequest_Cancel(request);
         GwLoop_Step(loop);
     }
-    GwLoop_Delete(loop);
 }
 
 // A server answers a long upload at once, without a length, and resets the
@@ -187,5 +186,4 @@
             EXPECT_TRUE(Until([&] { return call.is_done; })) << delay_ms;
             EXPECT_EQ(call.outcome, GW_HTTP_BROKEN) << delay_ms;
         }
-    GwLoop_Delete(loop);
 }
--- a/packages/http/tests/server_test.cc
+++ b/packages/http/tests/server_test.cc
@@ -71,11 +71,6 @@
         EXPECT_TRUE(Until([&] { return closed; }));
         GwHttpServer_Delete(server);
     }
-    void
-    TearDown() override
-    {
-        GwLoop_Delete(loop);
-    }
 };
 
 const struct {
@@ -194,7 +189,6 @@
     }
     EXPECT_NE(state.received.find(" 200 "), std::string::npos);
     GwHttpServer_Delete(server);
-    GwLoop_Delete(loop);
 }
 
 // Guards against answers that are cut because their caller reads slowly: what
--- a/packages/platform/tests/platform_test.cc
+++ b/packages/platform/tests/platform_test.cc
@@ -35,7 +35,6 @@
     {
         GwHttpLog_Delete(http);
         FakePlatform_Delete(platform);
-        GwLoop_Delete(loop);
         g_rand_free(rand);
     }
     void
--- a/packages/wire/tests/wire_test.cc
+++ b/packages/wire/tests/wire_test.cc
@@ -82,7 +82,6 @@
     TearDown() override
     {
         GwSessionServer_Delete(server);
-        GwLoop_Delete(loop);
     }
 };
 
