Naming times: only the operator's list names versions

What callers would see: after one odd entry of another writer among the stored times of namings, all engines of the model count as outdated. They get orders for weights that do not exist, and after the bound no requests.

Cause: a process that reads the times took each version there for a named one, 9e18 too.

Ruled out by a test: the same for the rows of quarantine, whose numbers are bounded.

Change: a time is applied only to a version that is not later than the newest one of the operator's list. A version that is named meanwhile comes with that list, and its time is then the moment at which it was read.

Evidence: SidecarTest.AStoredTimeDoesNotNameAVersion failed before (no switch to the named version within 10 s).

--- a/packages/cluster/src/naming_store.c
+++ b/packages/cluster/src/naming_store.c
@@ -188,14 +188,18 @@
 
 // A time that this process knows itself is replaced only if the clocks do not
 // explain the difference. Otherwise the times of two processes would push each
-// other further and further back.
+// other further and further back. Only the operator list names versions: an
+// odd row with a later one would make all engines of the model outdated.
 static void
 apply_stored_time_(GwNamingStore *s, const char *model, int64_t version,
                    GwTime named_at)
 {
-    GwTime known = GwModelVersions_NamedAt(
-        GwView_ModelVersions(s->options.view, model), version);
+    const GwModelVersions *versions =
+        GwView_ModelVersions(s->options.view, model);
+    GwTime known = GwModelVersions_NamedAt(versions, version);
 
+    if (version > versions->version)
+        return;
     if (known == GW_NAMED_LONG_AGO)
         GwView_NoteNamed(s->options.view, model, version,
                          named_at - CLOCK_DIFFERENCE_MAX);
--- a/packages/gateway/tests/gateway_quarantine_test.cc
+++ b/packages/gateway/tests/gateway_quarantine_test.cc
@@ -154,6 +154,12 @@
         {"before time began", INT64_MIN, false},
         {"zero", 0, false},
     };
+    const std::string odd_rows[] = {std::string(50000, '['),
+                                    "{\"until_ms\":1e999}",
+                                    "{\"until_ms\":99999999999999999999}",
+                                    "{\"until_ms\":[{}]}",
+                                    "\xff\xfe",
+                                    "9"};
     GwDigestSource source = {"acme", "POST", "/plain/1", kFatal,
                              sizeof(kFatal) - 1};
     GwDigest digest = GwDigest_Of(&source);
@@ -169,6 +175,12 @@
         f.AddEndpoint("i-1", "plain");
         for (const char *other : {"", "short", "not hexadecimal, but as long"})
             FakeStore_Put(f.store, "keyed.quarantine", other, value.c_str());
+        std::string odd_key(GW_DIGEST_KEY_SIZE - 1, '0');
+        for (const std::string &odd : odd_rows) {
+            odd_key.back()++;
+            FakeStore_Put(f.store, "keyed.quarantine", odd_key.c_str(),
+                          odd.c_str());
+        }
         FakeStore_Put(f.store, "keyed.quarantine", key, value.c_str());
         GwGateway *g = f.AddGateway();
         ASSERT_TRUE(f.Ready());
--- a/packages/sidecar/tests/sidecar_test.cc
+++ b/packages/sidecar/tests/sidecar_test.cc
@@ -360,6 +360,23 @@
     }
 }
 
+// Failure: an odd entry of another writer among the stored times of namings
+// has a version that was never named. All engines count as outdated and get
+// orders for it, which they refuse.
+TEST_F(SidecarTest, AStoredTimeDoesNotNameAVersion)
+{
+    is_naming_known = false;
+    engine.weights = 1;
+    f.NameWeights(2);
+    FakeStore_Put(f.store, "keyed.namings", "m",
+                  "{\"versions\":[[9000000000000000000,1],[3,1]]}");
+    Start();
+    ASSERT_TRUE(f.Until([&] { return engine.weights == 2; }));
+    f.Wait(GW_SECOND);
+    EXPECT_EQ(engine.weights, 2);
+    EXPECT_EQ(engine.orders.size(), 1u);
+}
+
 // Failure: an engine that restarted under another id gets orders with its old
 // id, which it refuses, and entries get no state of the new one, for up to ten
 // seconds: the interval at which its sidecar usually reads the instance list.
--- a/soak/src/platform.cc
+++ b/soak/src/platform.cc
@@ -654,6 +654,9 @@
 {
     weights_version++;
     named_at_.push_back(GwTime_Now());
+    // A row of another writer, with a version that is never named.
+    FakeStore_Put(store, "keyed.namings", "m",
+                  "{\"versions\":[[9000000000000000000,1]]}");
     WriteReleasedWeights();
 }
 
