--- a/soak/src/main.cc
+++ b/soak/src/main.cc
@@ -1,7 +1,6 @@
 /* gw-soak: runs the real programs under random faults and checks that they
  * keep their promises. */
 #include <glib/gstdio.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -15,72 +14,11 @@
 #include "fatal_phases.h"
 #include "faults.h"
 #include "galenagw/base/log.h"
+#include "options.h"
 #include "resource_monitor.h"
 
 namespace {
 
-struct Options {
-    int64_t seed = 0; /* 0: chosen at random */
-    int64_t seeds = 1;
-    int64_t seconds = 20;
-    int64_t gateways = 3;
-    int64_t engines = 4;
-    int64_t callers = 24;
-    int64_t restores = 0;
-    int64_t limits = 0;
-    int64_t departures = 0;
-    int64_t versions = 0;
-    int64_t parts = 0;
-    int64_t load = 0;
-    int64_t retries = 0;
-    int64_t weights = 0;
-    const char *regressions = nullptr;
-    const char *logs = "/tmp/gw-soak";
-};
-
-#define FIELD(name) offsetof(Options, name)
-
-const GwSetting settings[] = {
-    {"seed", "N", "Seed of the first run (default: random)", GW_SETTING_INT,
-     FIELD(seed), 0, INT64_MAX, false},
-    {"seeds", "N", "Number of runs, with consecutive seeds", GW_SETTING_INT,
-     FIELD(seeds), 1, 10000, false},
-    {"seconds", "S", "Duration of a run in seconds", GW_SETTING_INT,
-     FIELD(seconds), 10, 86400, false},
-    {"gateways", "N", "Number of gateways", GW_SETTING_INT, FIELD(gateways), 2,
-     64, false},
-    {"engines", "N", "Number of engines, each with a sidecar", GW_SETTING_INT,
-     FIELD(engines), 1, 200, false},
-    {"callers", "N", "Number of concurrent caller connections", GW_SETTING_INT,
-     FIELD(callers), 1, 2000, false},
-    {"restores", nullptr, "Also restore the store from older backups",
-     GW_SETTING_FLAG, FIELD(restores), 0, 1, false},
-    {"limits", nullptr, "Let endpoints also announce rate limits",
-     GW_SETTING_FLAG, FIELD(limits), 0, 1, false},
-    {"departures", nullptr,
-     "Also let endpoints depart around outages and restarts of machines",
-     GW_SETTING_FLAG, FIELD(departures), 0, 1, false},
-    {"versions", nullptr,
-     "Also run several versions of software, whose streams callers take up",
-     GW_SETTING_FLAG, FIELD(versions), 0, 1, false},
-    {"parts", nullptr, "Also send prompts with a part that terminates engines",
-     GW_SETTING_FLAG, FIELD(parts), 0, 1, false},
-    {"load", nullptr,
-     "Also load engines of unequal speed while weights are named often",
-     GW_SETTING_FLAG, FIELD(load), 0, 1, false},
-    {"retries", nullptr,
-     "Also let engines fail most requests while gateways are lost in series",
-     GW_SETTING_FLAG, FIELD(retries), 0, 1, false},
-    {"weights", nullptr,
-     "Also let weights become outdated while all processes restart",
-     GW_SETTING_FLAG, FIELD(weights), 0, 1, false},
-    {"regressions", "FILE", "Run the seeds listed in a file", GW_SETTING_TEXT,
-     FIELD(regressions), 0, 0, false},
-    {"logs", "DIR", "Directory for the logs of runs that broke a promise",
-     GW_SETTING_TEXT, FIELD(logs), 0, 0, false},
-    {nullptr, nullptr, nullptr, GW_SETTING_INT, 0, 0, 0, false},
-};
-
 /* Fault phases alternate with phases of planned work. Between the two, all
  * faults end and the system gets time to recover. */
 constexpr GwTime kFaultPhaseTime = 5 * GW_SECOND;
@@ -120,10 +58,6 @@
 constexpr GwTime kReapInterval = 50 * GW_MILLISECOND;
 /* Time that the processes get to start before callers connect. */
 constexpr GwTime kProcessStartTime = 2 * GW_SECOND;
-/* Maximum number of descriptors of the soak. Each gateway keeps several
- * connections to each engine, and each of these needs three descriptors in the
- * soak: two in the proxy and one in the engine. */
-constexpr int kMaxSoakDescriptors = 16384;
 
 /* One run: starts the simulated platform, the proxies and the processes, and
  * runs all phases. */
@@ -139,7 +73,7 @@
                    "-" + std::to_string(getpid()))
     {
         GwError err = {};
-        GwLoopOptions loop = {MaxDescriptors()};
+        GwLoopOptions loop = {ResourceMonitor::MaxDescriptors()};
         /* All loopback addresses use the same ports. They depend on the
          * process id, so that several soaks can run at the same time. */
         Ports ports = {20000 + (int)(getpid() % 3000) * 10};
@@ -365,20 +299,6 @@
     {
         return (int)options_.callers * (options_.load ? 1 + kSurgeFactor : 1);
     }
-    // The limit of open files of this process, at most kMaxSoakDescriptors.
-    static int
-    MaxDescriptors()
-    {
-        rlimit limit = {};
-
-        getrlimit(RLIMIT_NOFILE, &limit);
-        return (int)std::min<rlim_t>(limit.rlim_cur, kMaxSoakDescriptors);
-    }
-    static std::string
-    FormatAddress(const GwAddress &a)
-    {
-        return std::string(a.host) + ":" + std::to_string(a.port);
-    }
     // Whether the effects of all faults had ended before @p since.
     bool
     AllSettledSince(GwTime since) const
@@ -655,7 +575,7 @@
     GwError err = {};
     int failed = 0;
 
-    parse.table = settings;
+    parse.table = kSettings;
     parse.doc = "Runs the real programs under random faults and checks their "
                 "promises.";
     parse.target = &o;
--- /dev/null
+++ b/soak/src/options.cc
@@ -0,0 +1,46 @@
+#include "options.h"
+
+#include <cstddef>
+
+#define FIELD(name) offsetof(Options, name)
+
+const GwSetting kSettings[] = {
+    {"seed", "N", "Seed of the first run (default: random)", GW_SETTING_INT,
+     FIELD(seed), 0, INT64_MAX, false},
+    {"seeds", "N", "Number of runs, with consecutive seeds", GW_SETTING_INT,
+     FIELD(seeds), 1, 10000, false},
+    {"seconds", "S", "Duration of a run in seconds", GW_SETTING_INT,
+     FIELD(seconds), 10, 86400, false},
+    {"gateways", "N", "Number of gateways", GW_SETTING_INT, FIELD(gateways), 2,
+     64, false},
+    {"engines", "N", "Number of engines, each with a sidecar", GW_SETTING_INT,
+     FIELD(engines), 1, 200, false},
+    {"callers", "N", "Number of concurrent caller connections", GW_SETTING_INT,
+     FIELD(callers), 1, 2000, false},
+    {"restores", nullptr, "Also restore the store from older backups",
+     GW_SETTING_FLAG, FIELD(restores), 0, 1, false},
+    {"limits", nullptr, "Let endpoints also announce rate limits",
+     GW_SETTING_FLAG, FIELD(limits), 0, 1, false},
+    {"departures", nullptr,
+     "Also let endpoints depart around outages and restarts of machines",
+     GW_SETTING_FLAG, FIELD(departures), 0, 1, false},
+    {"versions", nullptr,
+     "Also run several versions of software, whose streams callers take up",
+     GW_SETTING_FLAG, FIELD(versions), 0, 1, false},
+    {"parts", nullptr, "Also send prompts with a part that terminates engines",
+     GW_SETTING_FLAG, FIELD(parts), 0, 1, false},
+    {"load", nullptr,
+     "Also load engines of unequal speed while weights are named often",
+     GW_SETTING_FLAG, FIELD(load), 0, 1, false},
+    {"retries", nullptr,
+     "Also let engines fail most requests while gateways are lost in series",
+     GW_SETTING_FLAG, FIELD(retries), 0, 1, false},
+    {"weights", nullptr,
+     "Also let weights become outdated while all processes restart",
+     GW_SETTING_FLAG, FIELD(weights), 0, 1, false},
+    {"regressions", "FILE", "Run the seeds listed in a file", GW_SETTING_TEXT,
+     FIELD(regressions), 0, 0, false},
+    {"logs", "DIR", "Directory for the logs of runs that broke a promise",
+     GW_SETTING_TEXT, FIELD(logs), 0, 0, false},
+    {nullptr, nullptr, nullptr, GW_SETTING_INT, 0, 0, 0, false},
+};
--- a/soak/src/platform.h
+++ b/soak/src/platform.h
@@ -48,6 +48,8 @@
  * callers can check whether an answer is complete. */
 std::string AnswerBodyOf(const std::string &id);
 
+std::string FormatAddress(const GwAddress &a);
+
 /* A header of the request; empty: it has none. */
 std::string HeaderValue(const FakeExchange *exchange, const char *name);
 
--- a/soak/src/resource_monitor.cc
+++ b/soak/src/resource_monitor.cc
@@ -1,8 +1,14 @@
 #include "resource_monitor.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <cstdio>
 
+/* Maximum number of descriptors of the soak. Each gateway keeps several
+ * connections to each engine, and each of these needs three descriptors in the
+ * soak: two in the proxy and one in the engine. */
+static const rlim_t kMaxSoakDescriptors = 16384;
 static const GwTime kLagCheckInterval = 20 * GW_MILLISECOND;
 static const GwTime kDescriptorCountInterval = 250 * GW_MILLISECOND;
 
@@ -19,6 +25,15 @@
     return n;
 }
 
+int
+ResourceMonitor::MaxDescriptors()
+{
+    rlimit limit = {};
+
+    getrlimit(RLIMIT_NOFILE, &limit);
+    return (int)std::min(limit.rlim_cur, kMaxSoakDescriptors);
+}
+
 ResourceMonitor::ResourceMonitor(GwLoop *loop, size_t descriptor_limit)
     : descriptor_limit_(descriptor_limit)
 {
--- a/soak/src/resource_monitor.h
+++ b/soak/src/resource_monitor.h
@@ -9,6 +9,8 @@
 
 class ResourceMonitor {
   public:
+    /* The limit of open files of this process, bounded for the soak. */
+    static int MaxDescriptors();
     /* @p descriptor_limit: maximum number of descriptors of @p loop. */
     ResourceMonitor(GwLoop *loop, size_t descriptor_limit);
     ~ResourceMonitor();
