Tests of the drain: callers read what was sent before the stop

Cause: the test looked at the caller in the same turn of the loop in which the gateway stopped. The answer is written 0.3 s before. If the process stands still over both moments, the answer is in the socket, but the caller, which shares the loop, has not read it.

Change: the gateway is deleted at its stop, as its process would end, and the caller reads until its connection ends. It is as strict: what was not sent by then never comes.

--- a/packages/gateway/tests/gateway_drain_test.cc
+++ b/packages/gateway/tests/gateway_drain_test.cc
@@ -1,6 +1,21 @@
 // What callers get while a gateway drains.
+#include <algorithm>
+
 #include "galenagw/fakes/fleet.h"
 
+// Ends the gateway as its process would, and waits until its callers have read
+// what it had sent by then: under load they read late.
+static void
+EndGateway(Fleet *f, const std::vector<std::shared_ptr<Caller>> &calls)
+{
+    GwGateway_Delete(f->gateways.back());
+    f->gateways.pop_back();
+    f->Until([&] {
+        return std::all_of(calls.begin(), calls.end(),
+                           [](auto &c) { return c->closed; });
+    });
+}
+
 // After SIGTERM, requests in progress must finish, requests on persistent
 // connections must be served with Connection: close, late requests must be
 // refused as not run, and then the process must stop.
@@ -89,6 +104,7 @@
         GwGateway_Drain(g);
     }
     ASSERT_TRUE(f.Until([&] { return f.stopped > 0; }));
+    EndGateway(&f, calls);
     for (size_t i = 0; i < calls.size(); i++) {
         int status = calls[i]->Status();
 
@@ -122,6 +138,7 @@
     shorter.grace = 4 * GW_SECOND;
     GwGateway_Reload(g, &shorter);
     ASSERT_TRUE(f.Until([&] { return f.stopped > 0; }));
+    EndGateway(&f, {call});
     EXPECT_TRUE(call->Has(1));
     EXPECT_EQ(call->Status(), 502);
 }
