Soak: events of a stream are sent at fixed times

Cause: the stand-in started the timer of each event when it had sent the one before, so each was as late as the soak's loop. Streams of 250 events then took more than their deadline of five seconds, and the gateway broke them off as it must.

Ruled out: a gateway that stops reading, and streams whose end was lost.

Change: events have fixed times; a late loop sends all that are due. The check is unchanged.

--- a/soak/src/answer_sender.cc
+++ b/soak/src/answer_sender.cc
@@ -68,6 +68,7 @@
     if (!plan.is_head_sent)
         sender->SendHead();
     if (plan.interval > 0) {
+        sender->next_piece_at_ = GwTime_Now() + plan.interval;
         sender->WaitOrEnd();
         return;
     }
@@ -85,7 +86,7 @@
         plan_.framing == Framing::kLength)
         SendEnd();
     else
-        GwTimer_Start(&timer_, plan_.interval);
+        GwTimer_Start(&timer_, MAX(next_piece_at_ - GwTime_Now(), 0));
 }
 
 void
@@ -97,18 +98,24 @@
     delete sender;
 }
 
+// Sends all pieces that are due. Otherwise a late event loop would delay each
+// of them, and long streams would not end before their deadline.
 void
 AnswerSender::OnTimer(void *user)
 {
     AnswerSender *sender = static_cast<AnswerSender *>(user);
     const std::vector<size_t> &ends = sender->plan_.piece_ends;
+    GwTime now = GwTime_Now();
 
     sender->on_piece_();
-    if (sender->next_piece_ == ends.size()) {
-        sender->SendEnd();
-        return;
-    }
-    sender->SendPiece(ends[sender->next_piece_++]);
+    do {
+        if (sender->next_piece_ == ends.size()) {
+            sender->SendEnd();
+            return;
+        }
+        sender->SendPiece(ends[sender->next_piece_++]);
+        sender->next_piece_at_ += sender->plan_.interval;
+    } while (sender->next_piece_at_ <= now);
     sender->WaitOrEnd();
 }
 
--- a/soak/src/answer_sender.h
+++ b/soak/src/answer_sender.h
@@ -63,6 +63,7 @@
     std::function<void()> on_piece_;
     GwTimer timer_;
     size_t sent_size_ = 0, next_piece_ = 0;
+    GwTime next_piece_at_ = 0;
 };
 
 #endif
