Removals and sync status: one piece of code each

Found when reading the whole change again; no behaviour changes.

- recompute_draining_at_ was a copy of GwInstances_RecomputeDraining for one address, and its two callers repeated the removal before it.
One function serves both, and apply_removal_ has the removal.
GwInstances_Forget stays without it: its caller recomputes once for many, as its header says.
- Reading the sync status of a Hello, ping or pong had become one macro, while writing it stood three times, each with the new field.
SET_SYNC_STATUS is the counterpart.
- A comment broken across lines, a blank line inside declarations.

--- a/packages/cluster/src/list_sync_outages.h
+++ b/packages/cluster/src/list_sync_outages.h
@@ -6,8 +6,7 @@
 #include "galenagw/wire/session.h"
 
 /* A peer reports for how long the store answered it. @p reader may be NULL.
- * Applies also if this
- * process lacks records of the peer. */
+ * Applies also if this process lacks records of the peer. */
 void GwListSyncOutages_NoteAvailable(GwStoreReader *reader,
                                      const GwSyncStatus *sync_status,
                                      GwTime now);
--- a/packages/gateway/src/request.c
+++ b/packages/gateway/src/request.c
@@ -165,7 +165,6 @@
 on_deadline_(void *user)
 {
     GwRequest *r = user;
-
     bool is_drained = is_ended_by_drain_(r);
 
     if (r->instance != NULL && !r->head_sent && !is_drained)
--- a/packages/routing/src/instances.c
+++ b/packages/routing/src/instances.c
@@ -30,9 +30,10 @@
 
 static GwInstance *add_instance_(GwInstances *m, const GwInstanceRow *row);
 static bool mark_older_replaced_(GwInstances *m, const GwInstance *listed);
-static void recompute_draining_at_(GwInstances *m, const GwAddress *address);
+static void recompute_draining_(GwInstances *m, const GwAddress *address);
 static GPtrArray *get_service_instances_(GwInstances *m, const char *service);
 static void remove_instance_(GwInstances *m, GwInstance *instance, GwTime now);
+static void apply_removal_(GwInstances *m, GwInstance *instance, GwTime now);
 static bool apply_software_(GwInstances *m, GwInstance *instance,
                             const GwInstanceRow *row, GwTime now);
 static GwInstance *supersede_instance_(GwInstances *m, GwInstance *before,
@@ -150,10 +151,7 @@
         return 0;
     if (instance->removed_at == 0) {
         if (GwInstances_RemovalsDeferredUntil(m, now) == 0) {
-            GwAddress address = instance->address;
-
-            remove_instance_(m, instance, now);
-            recompute_draining_at_(m, &address);
+            apply_removal_(m, instance, now);
             return 0;
         }
         instance->removed_at = now;
@@ -174,13 +172,7 @@
 void
 GwInstances_RecomputeDraining(GwInstances *m)
 {
-    for (guint i = 0; i < m->all->len; i++) {
-        GwInstance *instance = g_ptr_array_index(m->all, i);
-
-        instance->draining = instance->leaving;
-    }
-    for (guint i = 0; i < m->all->len; i++)
-        mark_older_replaced_(m, g_ptr_array_index(m->all, i));
+    recompute_draining_(m, NULL);
 }
 
 void
@@ -238,15 +230,12 @@
         return;
     for (guint i = m->all->len; i > 0; i--) {
         GwInstance *instance = g_ptr_array_index(m->all, i - 1);
-        GwAddress address;
 
         if (instance->removed_at == 0)
             continue;
         if (m->ops.on_removal_applied != NULL)
             m->ops.on_removal_applied(m->user, instance, now);
-        address = instance->address;
-        remove_instance_(m, instance, now);
-        recompute_draining_at_(m, &address);
+        apply_removal_(m, instance, now);
     }
 }
 
@@ -407,21 +396,21 @@
     return changed;
 }
 
-// An instance was removed from @p address: those that it had replaced serve
-// again. If another writer had listed it there, they have never ended.
+// Those at @p address, or all if it is NULL, drain if they are leaving or were
+// replaced.
 static void
-recompute_draining_at_(GwInstances *m, const GwAddress *address)
+recompute_draining_(GwInstances *m, const GwAddress *address)
 {
     for (guint i = 0; i < m->all->len; i++) {
         GwInstance *instance = g_ptr_array_index(m->all, i);
 
-        if (GwAddress_Equal(&instance->address, address))
+        if (address == NULL || GwAddress_Equal(&instance->address, address))
             instance->draining = instance->leaving;
     }
     for (guint i = 0; i < m->all->len; i++) {
         const GwInstance *instance = g_ptr_array_index(m->all, i);
 
-        if (GwAddress_Equal(&instance->address, address))
+        if (address == NULL || GwAddress_Equal(&instance->address, address))
             mark_older_replaced_(m, instance);
     }
 }
@@ -451,6 +440,17 @@
     GwInstance_Unref(m, instance);
 }
 
+// Those that the instance had replaced at its address serve again. If another
+// writer had listed it there, they have never ended.
+static void
+apply_removal_(GwInstances *m, GwInstance *instance, GwTime now)
+{
+    GwAddress address = instance->address;
+
+    remove_instance_(m, instance, now);
+    recompute_draining_(m, &address);
+}
+
 // Stores the software version of a row of the instance's incarnation. A
 // version that is not in the newest record, or no version, changes nothing.
 static bool
--- a/packages/wire/src/session.c
+++ b/packages/wire/src/session.c
@@ -11,8 +11,8 @@
  * Each received part of such a frame is recorded as progress. */
 #define LARGE_FRAME_BYTES ((size_t)64 * 1024)
 
-/* The sync status in a Hello, ping or pong: messages of different types with
- * the same fields. */
+/* Read and set the sync status in a Hello, ping or pong: messages of different
+ * types with the same fields. */
 #define SYNC_STATUS_OF(message, is_urgent)                                    \
     {                                                                         \
         .revision = (message)->revision, .epoch = (message)->epoch,           \
@@ -22,6 +22,15 @@
             decode_age_((message)->instances_available),                      \
         .has_news = (is_urgent)                                               \
     }
+#define SET_SYNC_STATUS(message, status)                                      \
+    do {                                                                      \
+        (message)->revision = (status)->revision;                             \
+        (message)->epoch = (status)->epoch;                                   \
+        (message)->operator_age = encode_age_((status)->operator_age);        \
+        (message)->instances_age = encode_age_((status)->instances_age);      \
+        (message)->instances_available =                                      \
+            encode_age_((status)->instances_available_for);                   \
+    } while (0)
 
 struct GwSession {
     TAILQ_ENTRY(GwSession) link; /* in the `accepted` list of its server */
@@ -207,12 +216,7 @@
 
     hello.version = GW_WIRE_VERSION;
     s->options.fill_hello(s->options.user, &hello);
-    hello.revision = sync_status.revision;
-    hello.epoch = sync_status.epoch;
-    hello.operator_age = encode_age_(sync_status.operator_age);
-    hello.instances_age = encode_age_(sync_status.instances_age);
-    hello.instances_available =
-        encode_age_(sync_status.instances_available_for);
+    SET_SYNC_STATUS(&hello, &sync_status);
     GwSession_Send(s, &frame);
     GwCounters_Add(s->options.counters, GW_COUNTER_SESSIONS_OPENED, 1);
 }
@@ -304,12 +308,7 @@
     if (s->unanswered_ping_at == 0)
         s->unanswered_ping_at = GwTime_Now();
     sync_status = collect_sync_status_(s);
-    ping.revision = sync_status.revision;
-    ping.epoch = sync_status.epoch;
-    ping.operator_age = encode_age_(sync_status.operator_age);
-    ping.instances_age = encode_age_(sync_status.instances_age);
-    ping.instances_available =
-        encode_age_(sync_status.instances_available_for);
+    SET_SYNC_STATUS(&ping, &sync_status);
     ping.received = s->bytes_received;
     ping.has_news = urgent;
     GwSession_Send(s, &frame);
@@ -420,12 +419,7 @@
     GW_FRAME(frame, pong, PONG, Pong, pong);
 
     pong.nonce = nonce;
-    pong.revision = sync_status.revision;
-    pong.epoch = sync_status.epoch;
-    pong.operator_age = encode_age_(sync_status.operator_age);
-    pong.instances_age = encode_age_(sync_status.instances_age);
-    pong.instances_available =
-        encode_age_(sync_status.instances_available_for);
+    SET_SYNC_STATUS(&pong, &sync_status);
     GwSession_Send(s, &frame);
 }
 
