Tests and soak: options of a request and the version of an order, once

Found when reading the whole change again; checks and assertions are the same. Two tests of the HTTP client set the same options; the soak's engines read the version of an order twice, once into an int that a number out of range overflows.

--- a/packages/http/tests/endless_test.cc
+++ b/packages/http/tests/endless_test.cc
@@ -95,6 +95,21 @@
     }
 }
 
+static GwHttpRequestOptions
+OptionsFor(const RawServer &server, const char *method,
+           const GwHttpRequestOps *ops, void *user)
+{
+    GwHttpRequestOptions options = {};
+
+    options.address = kAny;
+    options.address.port = server.Port();
+    options.method = method;
+    options.path = "/";
+    options.ops = ops;
+    options.user = user;
+    return options;
+}
+
 // Guards against servers that send an answer, or bytes that are none, without
 // end: a client that keeps the answer would run out of memory, and one that
 // waits for its end would wait for ever.
@@ -131,15 +146,9 @@
     for (auto &c : cases) {
         RawServer server(loop, kAny, {c.start, c.repeated});
         Call call;
-        GwHttpRequestOptions options = {};
+        GwHttpRequestOptions options = OptionsFor(server, "GET", &ops, &call);
 
-        options.address = kAny;
-        options.address.port = server.Port();
-        options.method = "GET";
-        options.path = "/";
         options.max_body = max_body;
-        options.ops = &ops;
-        options.user = &call;
         GwHttpRequest *request = GwHttpRequest_New(loop, &options);
         EXPECT_TRUE(Until([&] { return call.is_done; })) << c.name;
         EXPECT_EQ(call.outcome, GW_HTTP_BROKEN) << c.name;
@@ -172,16 +181,11 @@
                              {"HTTP/1.1 200 OK\r\n\r\npart", "", true,
                               delay_ms * GW_MILLISECOND, reads_on});
             Call call;
-            GwHttpRequestOptions options = {};
+            GwHttpRequestOptions options =
+                OptionsFor(server, "POST", &ops, &call);
 
-            options.address = kAny;
-            options.address.port = server.Port();
-            options.method = "POST";
-            options.path = "/";
             options.body = body.data();
             options.body_len = body.size();
-            options.ops = &ops;
-            options.user = &call;
             GwHttpRequest_New(loop, &options);
             EXPECT_TRUE(Until([&] { return call.is_done; })) << delay_ms;
             EXPECT_EQ(call.outcome, GW_HTTP_BROKEN) << delay_ms;
--- a/soak/src/platform_weights.cc
+++ b/soak/src/platform_weights.cc
@@ -44,16 +44,16 @@
 {
     const char *at = strstr(x->body->str, "\"version\":");
     const char *expected = strstr(x->body->str, "\"expect\":");
+    long long version = at != nullptr ? strtoll(at + 10, nullptr, 10) : 0;
     std::uniform_real_distribution<double> draw(0, 1);
     Order order;
 
     // Only versions that were named exist.
-    if (at == nullptr ||
-        strtoll(at + 10, nullptr, 10) > platform_->weights_version) {
+    if (at == nullptr || version > platform_->weights_version) {
         FakeExchange_Answer(x, 400, "", "", 0);
         return;
     }
-    order.version = atoi(at + 10);
+    order.version = (int)version;
     order.expected_count = expected != nullptr ? atoi(expected + 9) : -1;
     if (draw(platform_->random) < late_order_share) {
         late_order_ = order;
